--- /dev/null
+++ b/crates/core/src/clock.rs
@@ -0,0 +1,120 @@
+//! The one clock type: milliseconds.
+//!
+//! A `Millis` is a span, or a point on the clock that its holder names. Points
+//! handed to the machines of this crate are monotonic and count from the start
+//! of the process; points that cross processes count from the Unix epoch and
+//! are named `wall`.
+
+use std::ops::{Add, AddAssign, Sub};
+use std::str::FromStr;
+
+use derive_more::{Debug, Display, Error};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+/// Milliseconds: a span, or a point on a named clock.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Debug,
+    Display,
+    SerializeDisplay,
+    DeserializeFromStr,
+)]
+#[debug("{_0}ms")]
+#[display("{_0}ms")]
+pub struct Millis(pub u64);
+
+/// Result of parsing a time.
+pub type Result<T> = std::result::Result<T, TimeError>;
+
+/// A time that can't be read.
+#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[display("`{text}` is not a time: write a number and ms, s, m, h or d")]
+pub struct TimeError {
+    /// The text as given.
+    text: String,
+}
+
+impl Millis {
+    /// The empty span, or the clock's start.
+    pub const ZERO: Self = Self(0);
+    /// A point that never comes.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// A span of whole seconds.
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs * 1000)
+    }
+
+    /// The span in seconds.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+
+    /// The span since `earlier`, zero if that lies ahead.
+    pub const fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The span as the standard library's type.
+    pub const fn as_duration(self) -> std::time::Duration {
+        std::time::Duration::from_millis(self.0)
+    }
+}
+
+impl From<std::time::Duration> for Millis {
+    fn from(span: std::time::Duration) -> Self {
+        Self(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Millis {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Millis {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        self.since(other)
+    }
+}
+
+impl FromStr for Millis {
+    type Err = TimeError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = || TimeError { text: text.into() };
+        let trimmed = text.trim();
+        let end = trimmed
+            .find(|c: char| !c.is_ascii_digit())
+            .ok_or_else(bad)?;
+        let (number, unit) = trimmed.split_at(end);
+        let number: u64 = number.parse().map_err(|_| bad())?;
+        let scale = match unit.trim() {
+            "ms" => 1,
+            "s" => 1000,
+            "m" => 60_000,
+            "h" => 3_600_000,
+            "d" => 86_400_000,
+            _ => return Err(bad()),
+        };
+        number.checked_mul(scale).map(Self).ok_or_else(bad)
+    }
+}
--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,44 @@
+//! The configuration that operators give: institutions, pools, endpoints.
+//!
+//! A configuration is made of parts, each stored as one immutable object and
+//! named by its digest in the head. A part holds what usually changes
+//! together and stays small: one institution, one pool, or the endpoints of
+//! one pool in one data centre.
+
+mod endpoint;
+mod institution;
+mod pool;
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{EndpointId, Generation, InstitutionId, PoolId};
+
+pub use endpoint::{Endpoint, Fencing};
+pub use institution::{Account, Contract, Institution, KeyHash, Rule};
+pub use pool::{Pool, PoolKind, RefusalMeaning};
+
+/// All that is configured, as of one generation.
+#[derive(Clone, PartialEq, Default, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Config {
+    /// The accepted generation; zero before the first.
+    pub generation: Generation,
+    /// Institutions with their contracts, accounts and rules.
+    pub institutions: BTreeMap<InstitutionId, Institution>,
+    /// Pools of endpoints.
+    pub pools: BTreeMap<PoolId, Pool>,
+    /// Endpoints of all pools.
+    pub endpoints: BTreeMap<EndpointId, Endpoint>,
+}
+
+impl Config {
+    /// The endpoints of one pool.
+    pub fn pool_endpoints(&self, pool: &PoolId) -> impl Iterator<Item = (&EndpointId, &Endpoint)> {
+        let pool = pool.clone();
+        self.endpoints
+            .iter()
+            .filter(move |(_, endpoint)| endpoint.pool == pool)
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/endpoint.rs
@@ -0,0 +1,40 @@
+//! An endpoint: one replica of a model or of a plain service.
+
+use std::net::SocketAddr;
+
+use derive_more::Debug;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{DataCentreId, PoolId, VmId};
+
+/// Whether an endpoint checks the fencing number of an order.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fencing {
+    /// It refuses an order with an old number.
+    Checked,
+    /// It takes any order.
+    #[default]
+    Ignored,
+}
+
+/// One endpoint.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Endpoint {
+    /// The pool it belongs to.
+    pub pool: PoolId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The data centre it stands in.
+    pub data_centre: DataCentreId,
+    /// The VM it runs on, if the platform's list names it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub vm: Option<VmId>,
+    /// Whether it checks fencing numbers.
+    #[serde(default)]
+    pub fencing: Fencing,
+    /// Whether an operator has asked it to take no new work.
+    #[serde(default)]
+    pub drained: bool,
+}
--- /dev/null
+++ b/crates/core/src/config/pool.rs
@@ -0,0 +1,99 @@
+//! A pool: endpoints that serve the same thing under the same bound.
+
+use derive_more::Debug;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::ids::ModelId;
+
+/// What kind of endpoints a pool holds.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PoolKind {
+    /// Model engines, which stream tokens and keep a prefix cache.
+    Model,
+    /// Plain services.
+    Service,
+}
+
+/// What an endpoint's refusal says of the request.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalMeaning {
+    /// A refused request did not run.
+    NotRun,
+    /// A refused request may have run.
+    Unknown,
+}
+
+/// One pool.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// The kind of its endpoints.
+    pub kind: PoolKind,
+    /// The model served, for a model pool.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub model: Option<ModelId>,
+    /// Largest load of an endpoint as a multiple of the pool's mean.
+    #[serde(default = "default_load_bound")]
+    pub load_bound: f64,
+    /// Requests that an endpoint runs at once.
+    #[serde(default = "default_slots")]
+    pub slots: u32,
+    /// Requests that may wait at one endpoint's home.
+    #[serde(default = "default_queue")]
+    pub queue: u32,
+    /// What an endpoint's refusal says.
+    #[serde(default = "default_refusal")]
+    pub refusal: RefusalMeaning,
+    /// Longest wait for an endpoint's first byte.
+    #[serde(default = "default_first_byte")]
+    pub first_byte: Millis,
+    /// Longest gap between two pieces of an answer.
+    #[serde(default = "default_gap")]
+    pub gap: Millis,
+}
+
+/// The load bound unless set.
+pub const DEFAULT_LOAD_BOUND: f64 = 1.25;
+
+const fn default_load_bound() -> f64 {
+    DEFAULT_LOAD_BOUND
+}
+
+const fn default_slots() -> u32 {
+    16
+}
+
+const fn default_queue() -> u32 {
+    64
+}
+
+const fn default_refusal() -> RefusalMeaning {
+    RefusalMeaning::Unknown
+}
+
+const fn default_first_byte() -> Millis {
+    Millis::from_secs(30)
+}
+
+const fn default_gap() -> Millis {
+    Millis::from_secs(30)
+}
+
+impl Pool {
+    /// A pool with the usual limits.
+    pub const fn new(kind: PoolKind) -> Self {
+        Self {
+            kind,
+            model: None,
+            load_bound: default_load_bound(),
+            slots: default_slots(),
+            queue: default_queue(),
+            refusal: default_refusal(),
+            first_byte: default_first_byte(),
+            gap: default_gap(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decisions of the router fleet, without input or output.
+//!
+//! Each machine in this crate takes an event and the time and returns the
+//! actions its caller has to carry out. Sockets, files and timers live in
+//! `medlarrill-net` and `medlarrilld`.
+
+pub mod clock;
+pub mod config;
+pub mod ids;
+pub mod outcome;
+pub mod reason;
+pub mod units;
+pub mod wire;
--- /dev/null
+++ b/crates/core/src/outcome.rs
@@ -0,0 +1,19 @@
+//! What can be said of a request that got no whole answer.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// Whether a request ran at an endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It ran, or is running.
+    #[display("ran")]
+    Ran,
+    /// It did not run and will not.
+    #[display("not-run")]
+    NotRun,
+    /// It may have run.
+    #[display("unknown")]
+    Unknown,
+}
--- /dev/null
+++ b/crates/core/src/units.rs
@@ -0,0 +1,141 @@
+//! Sizes and rates as newtypes, each with `Display` and `FromStr`.
+
+use std::str::FromStr;
+
+use derive_more::{Add, AddAssign, Debug, Display, Error, Sub, Sum};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+/// Result of reading a size or rate.
+pub type Result<T> = std::result::Result<T, UnitError>;
+
+/// A size or rate that can't be read.
+#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[display("`{text}` is not {wanted}")]
+pub struct UnitError {
+    /// The text as given.
+    text: String,
+    /// What was expected.
+    #[error(not(source))]
+    wanted: &'static str,
+}
+
+impl UnitError {
+    fn new(text: &str, wanted: &'static str) -> Self {
+        Self {
+            text: text.into(),
+            wanted,
+        }
+    }
+}
+
+/// A size in bytes, written `512B`, `64KiB`, `8MiB` or `1GiB`.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Debug,
+    Add,
+    AddAssign,
+    Sub,
+    Sum,
+    SerializeDisplay,
+    DeserializeFromStr,
+)]
+pub struct ByteSize(pub u64);
+
+/// A number of tokens, written plain.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Debug,
+    Display,
+    Add,
+    AddAssign,
+    Sub,
+    Sum,
+    SerializeDisplay,
+    DeserializeFromStr,
+)]
+#[display("{_0}")]
+pub struct Tokens(pub u64);
+
+/// Events a second, written `50/s`.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    PartialOrd,
+    Default,
+    Debug,
+    Display,
+    SerializeDisplay,
+    DeserializeFromStr,
+)]
+#[display("{_0}/s")]
+pub struct Rate(pub f64);
+
+const SCALES: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+
+impl std::fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let fits = |scale: u64| self.0 >= scale && self.0.is_multiple_of(scale);
+        let (unit, scale) = SCALES
+            .into_iter()
+            .find(|(_, scale)| fits(*scale))
+            .unwrap_or(("B", 1));
+        write!(f, "{}{unit}", self.0 / scale)
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = || UnitError::new(text, "a size: write a number and B, KiB, MiB or GiB");
+        let (number, scale) = SCALES
+            .into_iter()
+            .find_map(|(unit, scale)| Some((text.trim().strip_suffix(unit)?, scale)))
+            .ok_or_else(bad)?;
+        let number: u64 = number.trim().parse().map_err(|_| bad())?;
+        number.checked_mul(scale).map(Self).ok_or_else(bad)
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = |_| UnitError::new(text, "a number of tokens");
+        text.trim().parse().map(Self).map_err(bad)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = || UnitError::new(text, "a rate: write a number and /s");
+        let number = text.trim().strip_suffix("/s").ok_or_else(bad)?;
+        let number: f64 = number.trim().parse().map_err(|_| bad())?;
+        if !number.is_finite() || number < 0.0 {
+            return Err(bad());
+        }
+        Ok(Self(number))
+    }
+}
--- /dev/null
+++ b/crates/core/src/wire.rs
@@ -0,0 +1,137 @@
+//! Messages between daemons, framed by length and coded by `prost`.
+//!
+//! Every message travels in one `Frame`. Frames that carry requests and
+//! answers are data; all others are control and count against the control
+//! budget.
+
+mod claim;
+mod config;
+mod gossip;
+mod limit;
+mod link;
+mod request;
+
+use prost::{Message, Oneof};
+
+pub use claim::{ClaimAnswer, ClaimAsk, KeyAnswer, KeyAsk};
+pub use config::{PartAnswer, PartAsk};
+pub use gossip::Gossip;
+pub use limit::{Grant, Usage};
+pub use link::{Hello, Proof};
+pub use request::{
+    Accepted, Attempt, Cancel, Chunk, Credit, End, Forward, Header, Passed, Refused,
+};
+
+/// Largest frame, in bytes.
+pub const MAX_FRAME: usize = 8 << 20;
+
+/// One message on a peer link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// What it carries; absent if the sender is newer than the receiver.
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+    )]
+    pub body: Option<Body>,
+}
+
+/// What a frame carries.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// Opens a link.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// Proves knowledge of the fleet key.
+    #[prost(message, tag = "2")]
+    Proof(Proof),
+    /// A request for a home.
+    #[prost(message, tag = "3")]
+    Forward(Forward),
+    /// The home has taken the request.
+    #[prost(message, tag = "4")]
+    Accepted(Accepted),
+    /// The request went on to another home.
+    #[prost(message, tag = "5")]
+    Passed(Passed),
+    /// The request was refused and not sent to an endpoint, unless it says otherwise.
+    #[prost(message, tag = "6")]
+    Refused(Refused),
+    /// A piece of the answer.
+    #[prost(message, tag = "7")]
+    Chunk(Chunk),
+    /// The end of the answer.
+    #[prost(message, tag = "8")]
+    End(End),
+    /// Room for more of the answer.
+    #[prost(message, tag = "9")]
+    Credit(Credit),
+    /// The answer is no longer wanted.
+    #[prost(message, tag = "10")]
+    Cancel(Cancel),
+    /// Heartbeat, membership and load.
+    #[prost(message, tag = "11")]
+    Gossip(Gossip),
+    /// Asks for the right to run a key.
+    #[prost(message, tag = "12")]
+    ClaimAsk(ClaimAsk),
+    /// Answers `ClaimAsk`.
+    #[prost(message, tag = "13")]
+    ClaimAnswer(ClaimAnswer),
+    /// Asks a claimant what became of a key.
+    #[prost(message, tag = "14")]
+    KeyAsk(KeyAsk),
+    /// Answers `KeyAsk`.
+    #[prost(message, tag = "15")]
+    KeyAnswer(KeyAnswer),
+    /// Asks for parts of a configuration.
+    #[prost(message, tag = "16")]
+    PartAsk(PartAsk),
+    /// Answers `PartAsk`.
+    #[prost(message, tag = "17")]
+    PartAnswer(PartAnswer),
+    /// An entry's use of accounts.
+    #[prost(message, tag = "18")]
+    Usage(Usage),
+    /// What an entry may use of accounts.
+    #[prost(message, tag = "19")]
+    Grant(Grant),
+}
+
+impl Body {
+    /// A short name for counters.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "hello",
+            Self::Proof(_) => "proof",
+            Self::Forward(_) => "forward",
+            Self::Accepted(_) => "accepted",
+            Self::Passed(_) => "passed",
+            Self::Refused(_) => "refused",
+            Self::Chunk(_) => "chunk",
+            Self::End(_) => "end",
+            Self::Credit(_) => "credit",
+            Self::Cancel(_) => "cancel",
+            Self::Gossip(_) => "gossip",
+            Self::ClaimAsk(_) => "claim-ask",
+            Self::ClaimAnswer(_) => "claim-answer",
+            Self::KeyAsk(_) => "key-ask",
+            Self::KeyAnswer(_) => "key-answer",
+            Self::PartAsk(_) => "part-ask",
+            Self::PartAnswer(_) => "part-answer",
+            Self::Usage(_) => "usage",
+            Self::Grant(_) => "grant",
+        }
+    }
+
+    /// Whether the frame counts against the control budget.
+    pub const fn is_control(&self) -> bool {
+        !matches!(self, Self::Forward(_) | Self::Chunk(_) | Self::End(_))
+    }
+}
+
+impl From<Body> for Frame {
+    fn from(body: Body) -> Self {
+        Self { body: Some(body) }
+    }
+}
--- /dev/null
+++ b/crates/core/src/wire/config.rs
@@ -0,0 +1,23 @@
+//! Spread of configuration between daemons.
+
+use bytes::Bytes;
+use prost::Message;
+
+/// Asks for a head, and for parts of it by digest.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartAsk {
+    /// Digests wanted; none asks for the head.
+    #[prost(bytes = "bytes", repeated, tag = "1")]
+    pub digests: Vec<Bytes>,
+}
+
+/// Answers `PartAsk`.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartAnswer {
+    /// The head, as stored, if it was asked for.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub head: Bytes,
+    /// Parts as stored; each is checked against its digest.
+    #[prost(bytes = "bytes", repeated, tag = "2")]
+    pub parts: Vec<Bytes>,
+}
--- /dev/null
+++ b/crates/core/src/wire/gossip.rs
@@ -0,0 +1,7 @@
+//! Heartbeat with membership and load.
+
+use prost::Message;
+
+/// One heartbeat.
+#[derive(Clone, PartialEq, Message)]
+pub struct Gossip {}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Skeleton.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Thin main of the daemon.
+fn main() {}
