Peer links with a proof of the fleet key

A link carries messages one way, from the daemon that dialled it. Weighed against one shared connection a pair: that needs a tie break when both dial, and saves only sockets. Not measured yet.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,6 @@
-//! Skeleton.
+//! Sockets of the router fleet.
+//!
+//! Peer links between daemons, and clients of the platform and of endpoints.
+
+pub mod link;
+pub mod now;
--- /dev/null
+++ b/crates/net/src/link.rs
@@ -0,0 +1,166 @@
+//! Peer links: framed messages between the daemons of one fleet.
+//!
+//! A link carries messages one way, from the daemon that dialled it; answers
+//! travel on the other daemon's own link. Both sides prove that they know the
+//! fleet key before the first message. A link is dialled when it is first
+//! needed, and a failed dial is remembered for a moment so that a lost peer
+//! costs its callers nothing.
+
+mod counts;
+mod handshake;
+mod incoming;
+mod outgoing;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use derive_more::{Debug, Display, Error, From};
+use medlarrill_core::ids::{DaemonId, IdError, Incarnation};
+use medlarrill_core::wire::Body;
+use tokio::net::TcpListener;
+
+pub use counts::{Counts, KindCount};
+pub use handshake::FleetKey;
+pub use outgoing::Link;
+
+use outgoing::Slot;
+
+/// Longest time to connect and prove the fleet key.
+pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a failed dial is remembered.
+pub const REDIAL_AFTER: Duration = Duration::from_millis(250);
+/// Messages that may wait for one link's socket.
+pub const QUEUE: usize = 1024;
+/// How long unacknowledged bytes may stay so before the link is given up.
+pub const SILENCE: Duration = Duration::from_secs(5);
+
+/// Result of using a link.
+pub type Result<T> = std::result::Result<T, LinkError>;
+
+/// Why a message could not be sent.
+#[derive(Debug, Display, Error, From)]
+pub enum LinkError {
+    /// The socket failed.
+    #[display("socket: {_0}")]
+    Io(std::io::Error),
+    /// The other side did not answer in time.
+    #[display("no answer within {} ms", HANDSHAKE_TIMEOUT.as_millis())]
+    Timeout,
+    /// The other side is not of this fleet.
+    #[display("the other side did not prove the fleet key")]
+    Proof,
+    /// The other side broke the protocol.
+    #[display("unexpected message while opening the link")]
+    Protocol,
+    /// The other side gave a name that can't be used.
+    #[display("name of the other side: {_0}")]
+    Name(IdError),
+    /// The address belongs to another daemon.
+    #[display("the address answers as another daemon")]
+    OtherDaemon,
+    /// A dial failed a moment ago.
+    #[display("the last dial failed a moment ago")]
+    Resting,
+    /// The link was closed.
+    #[display("the link was closed")]
+    Closed,
+    /// Too many messages wait for the link.
+    #[display("too many messages wait for the link")]
+    Full,
+}
+
+/// A daemon as its peers see it.
+#[derive(Clone, PartialEq, Eq, Hash, Debug, Display)]
+#[display("{daemon}@{incarnation}")]
+pub struct PeerId {
+    /// Its name.
+    pub daemon: DaemonId,
+    /// Its process.
+    pub incarnation: Incarnation,
+}
+
+/// What happens on links.
+#[derive(Debug)]
+pub enum Event {
+    /// A message came in.
+    Message(PeerId, Box<Body>),
+    /// A link to or from this peer was opened.
+    Opened(PeerId),
+    /// A link to or from this peer was closed.
+    Closed(PeerId),
+    /// A peer could not be dialled.
+    Unreachable(DaemonId),
+}
+
+/// Takes the events of all links; must not block.
+pub type Handler = Arc<dyn Fn(Event) + Send + Sync>;
+
+/// Who this daemon is on its links.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The fleet's name.
+    pub fleet: String,
+    /// The fleet's key.
+    #[debug(skip)]
+    pub key: FleetKey,
+    /// This daemon and process.
+    pub me: PeerId,
+}
+
+/// All links of this daemon.
+#[derive(Clone)]
+pub struct Links {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    identity: Identity,
+    handler: Handler,
+    counts: Counts,
+    slots: Mutex<HashMap<DaemonId, Arc<Slot>>>,
+}
+
+impl Links {
+    /// Takes links on `listener` and hands their events to `handler`.
+    pub fn start(listener: TcpListener, identity: Identity, handler: Handler) -> Self {
+        let shared = Arc::new(Shared {
+            identity,
+            handler,
+            counts: Counts::default(),
+            slots: Mutex::default(),
+        });
+        tokio::spawn(incoming::listen(listener, Arc::clone(&shared)));
+        Self { shared }
+    }
+
+    /// The link to a peer, dialled if need be.
+    ///
+    /// # Errors
+    ///
+    /// When the peer can't be reached or isn't of this fleet; then nothing was sent.
+    pub async fn to(&self, daemon: &DaemonId, address: SocketAddr) -> Result<Link> {
+        let slot = self.slot(daemon);
+        slot.link(&self.shared, daemon, address).await
+    }
+
+    /// Bytes and messages so far, by kind.
+    pub fn counts(&self) -> &Counts {
+        &self.shared.counts
+    }
+
+    fn slot(&self, daemon: &DaemonId) -> Arc<Slot> {
+        let mut slots = self
+            .shared
+            .slots
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(slot) = slots.get(daemon) {
+            return Arc::clone(slot);
+        }
+        let slot = Arc::<Slot>::default();
+        slots.insert(daemon.clone(), Arc::clone(&slot));
+        slot
+    }
+}
