--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod ids;
 pub mod outcome;
+pub mod placement;
 pub mod reason;
 pub mod units;
 pub mod wire;
--- /dev/null
+++ b/crates/core/src/placement/load.rs
@@ -0,0 +1,120 @@
+//! What a daemon knows of the endpoints' load and of each pool's mean.
+//!
+//! Load is estimated work in flight, in tokens. It is exact for the endpoints that the daemon is home of. For others
+//! it comes late, by gossip, and the daemon adds what it has itself sent there since. The mean is made of the
+//! daemons' sums. A sum that is not renewed fades, which lowers the mean and so tightens the bound.
+
+mod view;
+
+use std::collections::BTreeMap;
+
+use derive_more::Debug;
+
+use crate::clock::Millis;
+use crate::ids::{EndpointId, PoolId};
+use crate::units::Tokens;
+
+pub use view::PoolView;
+
+/// Prompt tokens that cost an engine as much as one generated token.
+pub const PROMPT_PER_OUTPUT: u64 = 1;
+
+/// The work of a request: what must be computed of the prompt, and what is expected to be generated.
+pub fn estimated_work(uncached: Tokens, output: Tokens) -> Tokens {
+    Tokens(uncached.0.div_ceil(PROMPT_PER_OUTPUT) + output.0)
+}
+
+/// How far an endpoint is; nearer ones are preferred for new and spilled work.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub enum Distance {
+    /// The same data centre.
+    Centre,
+    /// The same region.
+    Region,
+    /// Another region.
+    Far,
+}
+
+/// Whether an endpoint takes new work, as far as is known here.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub enum EndpointState {
+    /// It does.
+    Ready,
+    /// It is leaving.
+    Leaving,
+    /// An operator has asked it to take none.
+    Drained,
+    /// Nothing fresh is known; its home may know more.
+    Unknown,
+}
+
+/// A daemon's sum over the endpoints of one pool that it is home of and that take work.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub struct PoolSum {
+    /// Work in flight.
+    pub load: Tokens,
+    /// Endpoints.
+    pub endpoints: u32,
+    /// When it was true.
+    pub as_of: Millis,
+}
+
+/// One endpoint's load as told to others.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct EndpointLoad {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Work in flight.
+    pub load: Tokens,
+    /// When it was true.
+    pub as_of: Millis,
+}
+
+/// What is known of one endpoint.
+#[derive(Clone, PartialEq, Debug)]
+pub struct EndpointView {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// How far it is.
+    pub distance: Distance,
+    /// Whether it takes new work.
+    pub state: EndpointState,
+    /// Age of what its cache evicted last, if it has evicted any.
+    pub eviction_age: Option<Millis>,
+    /// Share of new chats, against others.
+    weight: f64,
+    /// Of its rendezvous score.
+    seed: u64,
+    /// Whether this daemon is its home.
+    own: bool,
+    load: Tokens,
+    as_of: Option<Millis>,
+    /// Sent by this daemon since `mark`, and in the span before.
+    sent: Tokens,
+    sent_before: Tokens,
+    mark: Millis,
+}
+
+/// All pools.
+#[derive(Clone, PartialEq, Default, Debug)]
+pub struct LoadView {
+    /// By name.
+    pub pools: BTreeMap<PoolId, PoolView>,
+}
+
+impl LoadView {
+    /// A view without pools.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// One pool.
+    pub fn pool(&self, pool: &PoolId) -> Option<&PoolView> {
+        self.pools.get(pool)
+    }
+
+    /// One pool, to change.
+    pub fn pool_mut(&mut self, pool: &PoolId) -> Option<&mut PoolView> {
+        self.pools.get_mut(pool)
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/load/view.rs
@@ -0,0 +1,273 @@
+//! One pool as a daemon knows it.
+
+use std::collections::BTreeMap;
+
+use derive_more::Debug;
+
+use super::{Distance, EndpointLoad, EndpointState, EndpointView, PoolSum};
+use crate::clock::Millis;
+use crate::ids::{ChatHash, DaemonId, EndpointId};
+use crate::placement::rendezvous::{key_of, score};
+use crate::units::Tokens;
+
+/// Age from which what was heard is stale.
+const STALE: Millis = Millis::from_secs(3);
+
+/// Time in which a stale sum fades to half.
+const FADE: Millis = Millis::from_secs(5);
+
+/// Age at which a sum no longer counts at all.
+const FORGET: Millis = Millis::from_secs(60);
+
+/// Endpoints, sums and bound of one pool.
+#[derive(Clone, PartialEq, Debug)]
+pub struct PoolView {
+    /// Largest load as a multiple of the mean.
+    pub bound: f64,
+    /// Sorted by name.
+    endpoints: Vec<EndpointView>,
+    sums: BTreeMap<DaemonId, PoolSum>,
+}
+
+impl PoolView {
+    /// A pool without endpoints, and the multiple of its mean that is its bound.
+    pub fn new(bound: f64) -> Self {
+        Self {
+            bound,
+            endpoints: Vec::new(),
+            sums: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an endpoint or changes its distance; its state is unknown at first.
+    pub fn set_endpoint(&mut self, id: &EndpointId, distance: Distance) {
+        match self.find(id) {
+            Ok(at) => self.endpoints[at].distance = distance,
+            Err(at) => self.endpoints.insert(at, EndpointView::new(id, distance)),
+        }
+    }
+
+    /// Removes an endpoint.
+    pub fn remove_endpoint(&mut self, id: &EndpointId) {
+        if let Ok(at) = self.find(id) {
+            self.endpoints.remove(at);
+        }
+    }
+
+    /// Sets whether an endpoint takes new work.
+    pub fn set_state(&mut self, id: &EndpointId, state: EndpointState) {
+        if let Some(endpoint) = self.get_mut(id) {
+            endpoint.state = state;
+        }
+    }
+
+    /// Sets the age of what an endpoint's cache evicted last.
+    pub fn set_eviction_age(&mut self, id: &EndpointId, age: Option<Millis>) {
+        if let Some(endpoint) = self.get_mut(id) {
+            endpoint.eviction_age = age;
+        }
+    }
+
+    /// Sets the exact load of an endpoint that this daemon is home of.
+    pub fn set_own(&mut self, id: &EndpointId, load: Tokens, now: Millis) {
+        if let Some(endpoint) = self.get_mut(id) {
+            endpoint.own = true;
+            endpoint.load = load;
+            endpoint.as_of = Some(now);
+            endpoint.sent = Tokens(0);
+            endpoint.sent_before = Tokens(0);
+        }
+    }
+
+    /// This daemon is no longer the endpoint's home; the load stays as last heard.
+    pub fn release_own(&mut self, id: &EndpointId) {
+        if let Some(endpoint) = self.get_mut(id) {
+            endpoint.own = false;
+        }
+    }
+
+    /// Takes in another home's word on an endpoint; older word than the present is ignored.
+    pub fn hear_load(&mut self, heard: &EndpointLoad, now: Millis) {
+        let Some(endpoint) = self.get_mut(&heard.endpoint) else {
+            return;
+        };
+        let newer = endpoint.as_of.is_none_or(|known| known < heard.as_of);
+        if endpoint.own || !newer {
+            return;
+        }
+        endpoint.load = heard.load;
+        endpoint.as_of = Some(heard.as_of);
+        if heard.as_of >= endpoint.mark {
+            endpoint.sent_before = endpoint.sent;
+            endpoint.sent = Tokens(0);
+            endpoint.mark = now;
+        }
+    }
+
+    /// Takes in another daemon's sum; older word than the present is ignored.
+    pub fn hear_sum(&mut self, daemon: &DaemonId, sum: PoolSum) {
+        match self.sums.get_mut(daemon) {
+            Some(known) if known.as_of >= sum.as_of => {}
+            Some(known) => *known = sum,
+            None => drop(self.sums.insert(daemon.clone(), sum)),
+        }
+    }
+
+    /// Forgets a daemon that is gone.
+    pub fn drop_daemon(&mut self, daemon: &DaemonId) {
+        self.sums.remove(daemon);
+    }
+
+    /// Notes work sent to an endpoint of another home, until that home's word includes it.
+    pub fn note_sent(&mut self, id: &EndpointId, work: Tokens) {
+        if let Some(endpoint) = self.get_mut(id) {
+            endpoint.sent += work;
+        }
+    }
+
+    /// All endpoints, sorted by name.
+    pub fn endpoints(&self) -> &[EndpointView] {
+        &self.endpoints
+    }
+
+    /// One endpoint.
+    pub fn get(&self, id: &EndpointId) -> Option<&EndpointView> {
+        let at = self.find(id).ok()?;
+        self.endpoints.get(at)
+    }
+
+    /// The endpoint that a chat ranks first; its home keeps the chat's directory entry.
+    ///
+    /// All endpoints count, whatever their state, so that entries with differing views agree.
+    pub fn first_ranked(&self, chat: ChatHash) -> Option<&EndpointId> {
+        let score = |endpoint: &EndpointView| score(chat.0, endpoint.seed, endpoint.weight);
+        let scored = self
+            .endpoints
+            .iter()
+            .map(|endpoint| (score(endpoint), endpoint));
+        let best = scored.max_by(|(a, _), (b, _)| a.total_cmp(b));
+        best.map(|(_, endpoint)| &endpoint.id)
+    }
+
+    /// Endpoints in the order in which a chat ranks them.
+    pub fn rank(&self, chat: ChatHash) -> Vec<&EndpointId> {
+        let score = |endpoint: &EndpointView| score(chat.0, endpoint.seed, endpoint.weight);
+        let mut all: Vec<_> = self.endpoints.iter().collect();
+        all.sort_by(|a, b| score(b).total_cmp(&score(a)));
+        all.into_iter().map(|endpoint| &endpoint.id).collect()
+    }
+
+    /// This daemon's sum over the endpoints that it is home of and that take work.
+    pub fn own_sum(&self, now: Millis) -> PoolSum {
+        let own = |endpoint: &&EndpointView| endpoint.own && endpoint.takes_work();
+        let zero = PoolSum {
+            as_of: now,
+            ..PoolSum::default()
+        };
+        self.endpoints
+            .iter()
+            .filter(own)
+            .fold(zero, |sum, endpoint| PoolSum {
+                load: sum.load + endpoint.load,
+                endpoints: sum.endpoints + 1,
+                ..sum
+            })
+    }
+
+    /// The `count` least loaded of the own endpoints that take work, to tell others.
+    pub fn own_least(&self, count: usize, now: Millis) -> Vec<EndpointLoad> {
+        let own = |endpoint: &&EndpointView| endpoint.own && endpoint.takes_work();
+        let mut least: Vec<_> = self.endpoints.iter().filter(own).collect();
+        least.sort_by_key(|endpoint| endpoint.load);
+        least.truncate(count);
+        let told = |endpoint: &EndpointView| EndpointLoad {
+            endpoint: endpoint.id.clone(),
+            load: endpoint.load,
+            as_of: now,
+        };
+        least.into_iter().map(told).collect()
+    }
+
+    /// The mean load of the pool's endpoints, in tokens, with stale sums faded.
+    pub fn mean(&self, now: Millis) -> f64 {
+        let own = self.own_sum(now);
+        let mut load = own.load.0 as f64;
+        let mut endpoints = f64::from(own.endpoints);
+        for sum in self.sums.values() {
+            let age = now.since(sum.as_of);
+            if age < FORGET {
+                load += sum.load.0 as f64 * fading(age);
+                endpoints += f64::from(sum.endpoints);
+            }
+        }
+        if endpoints > 0.0 {
+            load / endpoints
+        } else {
+            0.0
+        }
+    }
+
+    /// The largest load at which an endpoint is given one more request, in tokens.
+    pub fn limit(&self, now: Millis) -> f64 {
+        self.bound * self.mean(now)
+    }
+
+    fn find(&self, id: &EndpointId) -> Result<usize, usize> {
+        self.endpoints
+            .binary_search_by(|endpoint| endpoint.id.cmp(id))
+    }
+
+    fn get_mut(&mut self, id: &EndpointId) -> Option<&mut EndpointView> {
+        let at = self.find(id).ok()?;
+        self.endpoints.get_mut(at)
+    }
+}
+
+/// What is left of a sum of this age, from 1 down to 0.
+fn fading(age: Millis) -> f64 {
+    let stale = age.since(STALE).as_secs_f64();
+    (-stale / FADE.as_secs_f64()).exp2()
+}
+
+impl EndpointView {
+    fn new(id: &EndpointId, distance: Distance) -> Self {
+        Self {
+            id: id.clone(),
+            distance,
+            state: EndpointState::Unknown,
+            eviction_age: None,
+            weight: 1.0,
+            seed: key_of(id.as_str()),
+            own: false,
+            load: Tokens(0),
+            as_of: None,
+            sent: Tokens(0),
+            sent_before: Tokens(0),
+            mark: Millis::ZERO,
+        }
+    }
+
+    /// Whether this daemon is its home.
+    pub fn is_own(&self) -> bool {
+        self.own
+    }
+
+    /// Whether it takes work for certain.
+    pub fn takes_work(&self) -> bool {
+        self.state == EndpointState::Ready
+    }
+
+    /// Its load in tokens, given the pool's mean; the mean stands in where nothing fresh is known.
+    pub fn estimate(&self, mean: f64, now: Millis) -> f64 {
+        let sent = (self.sent + self.sent_before).0 as f64;
+        let load = self.load.0 as f64;
+        let fresh = |as_of: Millis| now.since(as_of) <= STALE;
+        if self.own {
+            load
+        } else if self.as_of.is_some_and(fresh) {
+            load + sent
+        } else {
+            mean.max(load * 0.5) + sent
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/rendezvous.rs
@@ -0,0 +1,142 @@
+//! Weighted rendezvous hashing.
+//!
+//! Each node scores each key on its own, so a node that joins or leaves moves only the keys that it wins or held.
+
+use std::cmp::Ordering;
+
+use derive_more::Debug;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
+
+use crate::ids::{ChatHash, InstitutionId};
+
+/// Bits of a hash that make the fraction of a score.
+const FRACTION_BITS: u32 = 53;
+
+/// Parts a name from what follows it; no name holds this byte.
+const SEPARATOR: &[u8] = &[0];
+
+/// Hashes an institution and the name of its chat.
+pub fn chat_hash(institution: &InstitutionId, chat: &[u8]) -> ChatHash {
+    let mut hash = Xxh3::new();
+    hash.update(institution.as_str().as_bytes());
+    hash.update(SEPARATOR);
+    hash.update(chat);
+    ChatHash(hash.digest())
+}
+
+/// Hashes a name to a key.
+pub fn key_of(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// One candidate for keys.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Node<I> {
+    /// Who it is.
+    pub id: I,
+    /// Share of keys, against others.
+    pub weight: f64,
+    seed: u64,
+}
+
+impl<I> Node<I> {
+    /// A node of weight 1 whose scores come from its name.
+    pub fn new(id: I, name: &str) -> Self {
+        Self {
+            id,
+            weight: 1.0,
+            seed: key_of(name),
+        }
+    }
+
+    /// The same with another weight.
+    pub fn with_weight(self, weight: f64) -> Self {
+        Self { weight, ..self }
+    }
+
+    /// Its score for a key; the highest wins.
+    pub fn score(&self, key: u64) -> f64 {
+        score(key, self.seed, self.weight)
+    }
+}
+
+/// Score of a seeded node for a key, above zero.
+pub(super) fn score(key: u64, seed: u64, weight: f64) -> f64 {
+    let hash = xxh3_64_with_seed(&key.to_le_bytes(), seed);
+    let whole = (1u64 << FRACTION_BITS) as f64;
+    let fraction = ((hash >> (u64::BITS - FRACTION_BITS)) as f64 + 0.5) / whole;
+    -weight / fraction.ln()
+}
+
+/// Nodes that share keys.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Group<I> {
+    nodes: Vec<Node<I>>,
+}
+
+impl<I> Default for Group<I> {
+    fn default() -> Self {
+        Self { nodes: Vec::new() }
+    }
+}
+
+impl<I: Ord> Group<I> {
+    /// A group of these nodes.
+    pub fn new(nodes: Vec<Node<I>>) -> Self {
+        Self { nodes }
+    }
+
+    /// Adds a node.
+    pub fn push(&mut self, node: Node<I>) {
+        self.nodes.push(node);
+    }
+
+    /// How many nodes there are.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// The node that wins a key.
+    pub fn first(&self, key: u64) -> Option<&I> {
+        let scored = |node| Scored::new(node, key);
+        let best = self.nodes.iter().map(scored).max_by(Scored::order);
+        best.map(|best| &best.node.id)
+    }
+
+    /// The first `count` nodes for a key, best first.
+    pub fn top(&self, key: u64, count: usize) -> Vec<&I> {
+        let scored = |node| Scored::new(node, key);
+        let mut all: Vec<_> = self.nodes.iter().map(scored).collect();
+        all.sort_unstable_by(|a, b| b.order(a));
+        let ids = all.into_iter().map(|scored| &scored.node.id);
+        ids.take(count).collect()
+    }
+
+    /// All nodes for a key, best first.
+    pub fn rank(&self, key: u64) -> Vec<&I> {
+        self.top(key, self.nodes.len())
+    }
+}
+
+struct Scored<'a, I> {
+    score: f64,
+    node: &'a Node<I>,
+}
+
+impl<'a, I: Ord> Scored<'a, I> {
+    fn new(node: &'a Node<I>, key: u64) -> Self {
+        let score = node.score(key);
+        Self { score, node }
+    }
+
+    /// By score; the identifier settles a tie, so that all daemons agree.
+    fn order(&self, other: &Self) -> Ordering {
+        let by_score = self.score.total_cmp(&other.score);
+        by_score.then_with(|| self.node.id.cmp(&other.node.id))
+    }
+}
