Endpoint client whose errors say whether a request was sent

A caller may be told that a request did not run only if it was never handed to a connection. The client library's own retry is off: it resends silently. Its errors are read for the two cases that are certain, a failed connect and a request given back unsent; everything after that is unknown. A timeout looks at whether a connection had been assigned to the request.

A kept connection can be closed by the other side while a request goes out. The loss can't be told from a run, so requests that may not be repeated can ask for a new connection.

--- /dev/null
+++ b/crates/net/src/endpoint/calls.rs
@@ -0,0 +1,231 @@
+//! Typed calls to endpoints, each with a bounded answer.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use derive_more::{Debug, Display, Error, From};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use medlarrill_core::clock::Millis;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::model::{CacheEvents, EndpointState, Health, Load, Order, OrderAnswer};
+use super::{Answer, Client, Error, Request, Result};
+use crate::http::retry_after;
+
+/// Largest answer to a typed call, in bytes.
+const MAX_ANSWER: u64 = 1 << 20;
+/// Time allowed beyond the wait that a long poll asks for.
+const POLL_GRACE: Millis = Millis::from_secs(5);
+
+/// Result of a typed call.
+pub type CallResult<T> = std::result::Result<T, CallError>;
+
+/// Why a typed call failed.
+#[derive(Clone, PartialEq, Eq, Debug, Display, Error, From)]
+pub enum CallError {
+    /// No whole answer came.
+    #[display("{_0}")]
+    Transport(Error),
+    /// The answer was a refusal.
+    #[display("the endpoint answered {status}")]
+    #[from(skip)]
+    Status {
+        /// HTTP status.
+        status: u16,
+        /// When to come back, if it said so.
+        after: Option<Millis>,
+    },
+    /// The answer can't be read.
+    #[display("the endpoint's answer can't be read: {cause}")]
+    #[from(skip)]
+    Malformed {
+        /// What is wrong with it.
+        cause: String,
+    },
+}
+
+/// The number that an engine holds, in its refusal of an order.
+#[derive(serde::Deserialize)]
+struct Fence {
+    fence: u64,
+}
+
+/// An order with its fencing number.
+#[derive(Serialize)]
+struct Fenced<'a> {
+    fence: u64,
+    order: &'a Order,
+}
+
+impl Client {
+    /// Reads an endpoint's load.
+    ///
+    /// # Errors
+    ///
+    /// As in [`CallError`].
+    pub async fn load(&self, address: SocketAddr, wait: Millis) -> CallResult<Load> {
+        self.read(address, "/v1/load", wait).await
+    }
+
+    /// Asks whether an endpoint takes new work. An answer of 503 that names a
+    /// state is an answer.
+    ///
+    /// # Errors
+    ///
+    /// As in [`CallError`].
+    pub async fn health(&self, address: SocketAddr, wait: Millis) -> CallResult<Health> {
+        let request = Request::new(Method::GET, "/v1/health").with_waits(wait, wait);
+        let answer = self.send(address, request).await?;
+        let unavailable = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        if !answer.status.is_success() && !unavailable {
+            return Err(refusal(&answer));
+        }
+        parse(&answer.body.whole(MAX_ANSWER).await?)
+    }
+
+    /// Reads an engine's model, adapters, version and role.
+    ///
+    /// # Errors
+    ///
+    /// As in [`CallError`].
+    pub async fn state(&self, address: SocketAddr, wait: Millis) -> CallResult<EndpointState> {
+        self.read(address, "/v1/state", wait).await
+    }
+
+    /// Waits up to `poll` for cache events after `after`.
+    ///
+    /// # Errors
+    ///
+    /// As in [`CallError`].
+    pub async fn cache_events(
+        &self,
+        address: SocketAddr,
+        after: u64,
+        poll: Millis,
+    ) -> CallResult<CacheEvents> {
+        let path = format!("/v1/cache/events?after={after}&wait={}", poll.0);
+        self.read(address, &path, poll + POLL_GRACE).await
+    }
+
+    /// Gives an engine an order, once.
+    ///
+    /// # Errors
+    ///
+    /// As in [`CallError`]; after `Transport` the order may have been taken
+    /// unless its outcome says otherwise.
+    pub async fn order(
+        &self,
+        address: SocketAddr,
+        fence: u64,
+        order: &Order,
+        wait: Millis,
+    ) -> CallResult<OrderAnswer> {
+        let body = serde_json::to_vec(&Fenced { fence, order }).map_err(malformed)?;
+        let request = Request::new(Method::POST, "/v1/orders")
+            .with_headers(json_headers())
+            .with_body(body.into())
+            .with_waits(wait, wait);
+        let answer = self.send(address, request).await?;
+        if answer.status == StatusCode::CONFLICT {
+            let Fence { fence } = parse(&answer.body.whole(MAX_ANSWER).await?)?;
+            return Ok(OrderAnswer::Fenced { fence });
+        }
+        if !answer.status.is_success() {
+            return Err(refusal(&answer));
+        }
+        answer.body.whole(MAX_ANSWER).await?;
+        Ok(OrderAnswer::Taken)
+    }
+
+    /// Takes up a stream after token `from`; the answer is 404 if it is no
+    /// longer held.
+    ///
+    /// # Errors
+    ///
+    /// As `send`.
+    pub async fn resume(
+        &self,
+        address: SocketAddr,
+        stream: &str,
+        from: u64,
+        first: Millis,
+        gap: Millis,
+    ) -> Result<Answer> {
+        let path = format!("{}?from={from}", stream_path(stream)?);
+        let request = Request::new(Method::GET, path).with_waits(first, gap);
+        self.send(address, request).await
+    }
+
+    /// Cancels a stream; `false` if it was not held.
+    ///
+    /// # Errors
+    ///
+    /// As in [`CallError`].
+    pub async fn cancel(
+        &self,
+        address: SocketAddr,
+        stream: &str,
+        wait: Millis,
+    ) -> CallResult<bool> {
+        let request = Request::new(Method::DELETE, stream_path(stream)?).with_waits(wait, wait);
+        let answer = self.send(address, request).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(false);
+        }
+        if !answer.status.is_success() {
+            return Err(refusal(&answer));
+        }
+        answer.body.whole(MAX_ANSWER).await?;
+        Ok(true)
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        wait: Millis,
+    ) -> CallResult<T> {
+        let request = Request::new(Method::GET, path).with_waits(wait, wait);
+        let answer = self.send(address, request).await?;
+        if !answer.status.is_success() {
+            return Err(refusal(&answer));
+        }
+        parse(&answer.body.whole(MAX_ANSWER).await?)
+    }
+}
+
+/// The path of a stream.
+///
+/// # Errors
+///
+/// `NotSent` if the name can't stand in a path.
+fn stream_path(stream: &str) -> Result<String> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if stream.is_empty() || !stream.chars().all(plain) {
+        return Err(Error::not_sent("the stream's name can't stand in a path"));
+    }
+    Ok(format!("/v1/streams/{stream}"))
+}
+
+fn json_headers() -> HeaderMap {
+    let json = HeaderValue::from_static("application/json");
+    HeaderMap::from_iter([(header::CONTENT_TYPE, json)])
+}
+
+fn refusal(answer: &Answer) -> CallError {
+    CallError::Status {
+        status: answer.status.as_u16(),
+        after: retry_after(&answer.headers),
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &Bytes) -> CallResult<T> {
+    serde_json::from_slice(body).map_err(malformed)
+}
+
+fn malformed(error: serde_json::Error) -> CallError {
+    CallError::Malformed {
+        cause: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/net/src/http.rs
@@ -0,0 +1,275 @@
+//! HTTP/1.1 requests over pooled connections, with errors that say whether a
+//! request was sent.
+//!
+//! The client library never sends a request a second time by itself. A request
+//! counts as not sent only if it was never handed to a connection.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use derive_more::{Debug, Display, Error};
+use http::header::{self, HeaderMap, HeaderName};
+use http::{Request, Response, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use medlarrill_core::clock::Millis;
+use medlarrill_core::outcome::Outcome;
+
+/// Headers of one connection, which don't travel on.
+const HOP_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Result of an HTTP call.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why an HTTP call has no whole answer.
+#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+pub enum Error {
+    /// It was never handed to a connection: certainly not run.
+    #[display("the request was not sent: {cause}")]
+    NotSent {
+        /// What went wrong, in words.
+        cause: String,
+        /// Whether a kept connection had been closed by the other side.
+        stale: bool,
+    },
+    /// It was sent, and no whole answer came: it may have run.
+    #[display("the answer was lost: {cause}")]
+    Lost {
+        /// What went wrong, in words.
+        cause: String,
+    },
+    /// Nothing came in time.
+    #[display("no answer came in time")]
+    Timeout {
+        /// Whether it was handed to a connection.
+        sent: bool,
+    },
+    /// The answer is over the limit; reading stopped.
+    #[display("the answer is larger than {limit} bytes")]
+    TooLarge {
+        /// The limit, in bytes.
+        limit: u64,
+    },
+}
+
+impl Error {
+    /// What the error says of the request.
+    pub const fn outcome(&self) -> Outcome {
+        match self {
+            Self::NotSent { .. } | Self::Timeout { sent: false } => Outcome::NotRun,
+            Self::Lost { .. } | Self::Timeout { sent: true } | Self::TooLarge { .. } => {
+                Outcome::Unknown
+            }
+        }
+    }
+
+    /// A short name for counters.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::NotSent { .. } => "not-sent",
+            Self::Lost { .. } => "lost",
+            Self::Timeout { sent: false } => "timeout-not-sent",
+            Self::Timeout { sent: true } => "timeout",
+            Self::TooLarge { .. } => "too-large",
+        }
+    }
+
+    pub(crate) fn not_sent(cause: impl ToString) -> Self {
+        Self::NotSent {
+            cause: cause.to_string(),
+            stale: false,
+        }
+    }
+
+    pub(crate) fn lost(cause: impl ToString) -> Self {
+        Self::Lost {
+            cause: cause.to_string(),
+        }
+    }
+
+    fn from_client(error: &hyper_util::client::legacy::Error) -> Self {
+        let cause = describe(error);
+        // The library says "canceled" only where it gives the request back.
+        let stale = source(error).is_some_and(hyper::Error::is_canceled);
+        if stale || error.is_connect() {
+            Self::NotSent { cause, stale }
+        } else {
+            Self::Lost { cause }
+        }
+    }
+}
+
+/// The cause in the client library, if it was reached.
+fn source(error: &hyper_util::client::legacy::Error) -> Option<&hyper::Error> {
+    std::error::Error::source(error)?.downcast_ref()
+}
+
+/// An error and its causes in one line.
+pub(crate) fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut next = error.source();
+    while let Some(cause) = next {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        next = cause.source();
+    }
+    text
+}
+
+/// Limits of a client's connections.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Limits {
+    /// Longest time to connect.
+    pub connect: Millis,
+    /// How long an unused connection is kept.
+    pub idle: Millis,
+    /// Unused connections kept for one address.
+    pub spare: usize,
+    /// Bytes read ahead on one connection, at least 8 KiB.
+    pub buffer: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connect: Millis(1000),
+            idle: Millis::from_secs(5),
+            spare: 32,
+            buffer: 64 << 10,
+        }
+    }
+}
+
+/// Which connection a request may use.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub enum Reuse {
+    /// A kept connection if there is one. The other side may close it just
+    /// then, which loses the answer to a request that it never read.
+    #[default]
+    Pooled,
+    /// A new connection, closed afterwards.
+    Fresh,
+}
+
+/// Sends requests over kept and over new connections.
+#[derive(Clone, Debug)]
+pub(crate) struct Http {
+    #[debug(skip)]
+    pooled: Client<HttpConnector, Full<Bytes>>,
+    #[debug(skip)]
+    fresh: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Http {
+    pub(crate) fn new(limits: &Limits) -> Self {
+        Self {
+            pooled: client(limits, limits.spare),
+            fresh: client(limits, 0),
+        }
+    }
+
+    /// Sends one request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// `NotSent`, `Lost` and `Timeout`, as in [`Error`].
+    pub(crate) async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        reuse: Reuse,
+        wait: Millis,
+    ) -> Result<Response<Incoming>> {
+        let connection = capture_connection(&mut request);
+        let client = match reuse {
+            Reuse::Pooled => &self.pooled,
+            Reuse::Fresh => &self.fresh,
+        };
+        let answer = tokio::time::timeout(wait.as_duration(), client.request(request)).await;
+        match answer {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) => Err(Error::from_client(&error)),
+            Err(_) => Err(Error::Timeout {
+                sent: connection.connection_metadata().is_some(),
+            }),
+        }
+    }
+}
+
+fn client(limits: &Limits, spare: usize) -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(limits.connect.as_duration()));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(limits.idle.as_duration())
+        .pool_max_idle_per_host(spare)
+        .http1_max_buf_size(limits.buffer)
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+/// The address and path as one URI.
+///
+/// # Errors
+///
+/// `NotSent` if the path can't stand in a request.
+pub(crate) fn uri(address: SocketAddr, path: &str) -> Result<Uri> {
+    Uri::builder()
+        .scheme("http")
+        .authority(address.to_string())
+        .path_and_query(path)
+        .build()
+        .map_err(Error::not_sent)
+}
+
+/// Removes the headers that belong to one connection.
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// The span in a `Retry-After` header, if it is given in seconds.
+pub fn retry_after(headers: &HeaderMap) -> Option<Millis> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    text.trim().parse().ok().map(Millis::from_secs)
+}
+
+/// A time written as a plain number of milliseconds.
+pub(crate) mod plain_millis {
+    use medlarrill_core::clock::Millis;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(crate) fn serialize<S: Serializer>(
+        time: &Millis,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u64(time.0)
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Millis, D::Error> {
+        u64::deserialize(deserializer).map(Millis)
+    }
+}
