Membership: join by seeds, heartbeats, probes, suspicion, exchange

Each daemon probes one member a second, asks three others where the answer fails to come, and piggybacks changes; records travel only where asked for. Digests of sixteen buckets are compared every ten seconds and after a pause. Names are ordered by epoch and incarnation, news of one process by its heartbeat number.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,10 @@
 
 pub mod clock;
 pub mod config;
+pub mod endpoint_state;
+pub mod freshness;
 pub mod ids;
+pub mod membership;
 pub mod outcome;
 pub mod placement;
 pub mod reason;
