Operators' language, changes applied and checked whole, answers

Statements are split and read with winnow into typed statements that print back to the same text. Changes are applied all or none; what is wrong with the outcome is collected with its place and traced back to the word of the statement that is to blame, or that dropped what something else needs.

Config::check would clash with the check method of the assertion macros in tests, so the method is called findings.

Seen failing by hand: the round trip with backslashes left unescaped, and the blame for a dropped pool with the other item left out.

--- /dev/null
+++ b/crates/core/src/change.rs
@@ -0,0 +1,23 @@
+//! Changes of the configuration: applied, checked, accepted, spread.
+//!
+//! The configuration is stored as immutable part objects and one head that
+//! names them by digest. A change is accepted when the head is written by
+//! conditional update, and at no other moment. Generations count accepted
+//! heads, so that a daemon needs only compare numbers to know what is newer.
+
+mod apply;
+mod digest;
+mod export;
+mod head;
+mod part;
+
+pub use apply::{Applied, Fault, Faults, apply};
+pub use digest::Digest;
+pub use export::export;
+pub use head::{ChangeRecord, Head, HeadError, MAX_RECORDS, MIN_RECORDS, PartRef, RECORD_AGE};
+pub use part::{Body, MAX_PART, Part, PartError, PartName, PartNameError, join, split};
+
+/// Key of the head in the platform's object API.
+pub const HEAD_KEY: &str = "config/head";
+/// Prefix of the parts' keys in the platform's object API.
+pub const PART_PREFIX: &str = "config/parts/";
--- /dev/null
+++ b/crates/core/src/change/digest.rs
@@ -0,0 +1,53 @@
+//! Names of immutable objects: digests of their bytes.
+
+use std::str::FromStr;
+
+use derive_more::{Debug, Display};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+use super::PART_PREFIX;
+
+/// BLAKE3 digest of an object's bytes, in hexadecimal.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Debug,
+    Display,
+    SerializeDisplay,
+    DeserializeFromStr,
+)]
+#[debug("{}", hex::encode(_0))]
+#[display("{}", hex::encode(_0))]
+pub struct Digest(pub [u8; 32]);
+
+impl Digest {
+    /// Digests an object's bytes.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(*blake3::hash(bytes).as_bytes())
+    }
+
+    /// The part's key in the platform's object API.
+    pub fn key(&self) -> String {
+        format!("{PART_PREFIX}{self}")
+    }
+
+    /// Reads a digest from a message; `None` unless 32 bytes are given.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+}
+
+impl FromStr for Digest {
+    type Err = hex::FromHexError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text, &mut bytes)?;
+        Ok(Self(bytes))
+    }
+}
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -5,8 +5,10 @@
 //! together and stays small: one institution, one pool, or the endpoints of
 //! one pool in one data centre.
 
+mod check;
 mod endpoint;
 mod institution;
+mod item;
 mod pool;
 
 use std::collections::BTreeMap;
@@ -15,8 +17,10 @@
 
 use crate::ids::{EndpointId, Generation, InstitutionId, PoolId};
 
+pub use check::Finding;
 pub use endpoint::{Endpoint, Fencing};
 pub use institution::{Account, Contract, Institution, KeyHash, Rule};
+pub use item::{AccountPath, ItemId, PathError, RulePath};
 pub use pool::{Pool, PoolKind, RefusalMeaning};
 
 /// All that is configured, as of one generation.
--- a/crates/core/src/config/endpoint.rs
+++ b/crates/core/src/config/endpoint.rs
@@ -2,13 +2,15 @@
 
 use std::net::SocketAddr;
 
-use derive_more::Debug;
+use derive_more::{Debug, Display, FromStr};
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{DataCentreId, PoolId, VmId};
 
 /// Whether an endpoint checks the fencing number of an order.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug, Display, FromStr, Serialize, Deserialize)]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum Fencing {
     /// It refuses an order with an old number.
--- a/crates/core/src/config/institution.rs
+++ b/crates/core/src/config/institution.rs
@@ -58,6 +58,17 @@
     pub concurrency: u32,
 }
 
+impl Account {
+    /// An account with the usual limits.
+    pub const fn new(key: KeyHash) -> Self {
+        Self {
+            key,
+            rate: default_rate(),
+            concurrency: default_concurrency(),
+        }
+    }
+}
+
 const fn default_rate() -> Rate {
     Rate(100.0)
 }
--- /dev/null
+++ b/crates/core/src/config/item.rs
@@ -0,0 +1,86 @@
+//! What can be named in a configuration: the things operators create and drop.
+
+use std::str::FromStr;
+
+use derive_more::{Debug, Display, Error};
+
+use crate::ids::{AccountId, EndpointId, IdError, InstitutionId, PoolId};
+use crate::operator::Quoted;
+
+/// Result of reading a path.
+pub type Result<T> = std::result::Result<T, PathError>;
+
+/// A path that names no account.
+#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+pub enum PathError {
+    /// No dot between institution and account.
+    #[display("write an account as `<institution>.<account>`")]
+    NoDot,
+    /// A name that can't be used.
+    #[display("{_0}")]
+    Name(IdError),
+}
+
+/// An account together with its institution.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
+#[debug("{institution}.{account}")]
+#[display("{institution}.{account}")]
+pub struct AccountPath {
+    /// Whose account it is.
+    pub institution: InstitutionId,
+    /// The account.
+    pub account: AccountId,
+}
+
+impl FromStr for AccountPath {
+    type Err = PathError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let (institution, account) = text.split_once('.').ok_or(PathError::NoDot)?;
+        Ok(Self {
+            institution: institution.parse().map_err(PathError::Name)?,
+            account: account.parse().map_err(PathError::Name)?,
+        })
+    }
+}
+
+/// A rule together with its institution: one for each route and model.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct RulePath {
+    /// Whose rule it is.
+    pub institution: InstitutionId,
+    /// The route it matches.
+    pub route: String,
+    /// The model it matches; any if absent.
+    pub model: Option<String>,
+}
+
+impl std::fmt::Display for RulePath {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} route {}", self.institution, Quoted(&self.route))?;
+        match &self.model {
+            Some(model) => write!(f, " model {}", Quoted(model)),
+            None => Ok(()),
+        }
+    }
+}
+
+/// One thing in a configuration.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
+pub enum ItemId {
+    /// An institution.
+    #[display("institution {_0}")]
+    Institution(InstitutionId),
+    /// A client account.
+    #[display("account {_0}")]
+    Account(AccountPath),
+    /// A pool.
+    #[display("pool {_0}")]
+    Pool(PoolId),
+    /// An endpoint.
+    #[display("endpoint {_0}")]
+    Endpoint(EndpointId),
+    /// A rule.
+    #[display("rule {_0}")]
+    Rule(RulePath),
+}
--- a/crates/core/src/config/pool.rs
+++ b/crates/core/src/config/pool.rs
@@ -1,13 +1,15 @@
 //! A pool: endpoints that serve the same thing under the same bound.
 
-use derive_more::Debug;
+use derive_more::{Debug, Display, FromStr};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
 use crate::ids::ModelId;
 
 /// What kind of endpoints a pool holds.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, FromStr, Serialize, Deserialize)]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum PoolKind {
     /// Model engines, which stream tokens and keep a prefix cache.
@@ -17,7 +19,9 @@
 }
 
 /// What an endpoint's refusal says of the request.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, FromStr, Serialize, Deserialize)]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum RefusalMeaning {
     /// A refused request did not run.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -6,7 +6,7 @@
 mod number;
 mod text;
 
-pub use number::{AttemptId, ChatHash, Generation, Incarnation, NumberError, RequestId};
+pub use number::{AttemptId, ChangeId, ChatHash, Generation, Incarnation, NumberError, RequestId};
 pub use text::{
     AccountId, DaemonId, DataCentreId, EndpointId, IdError, InstitutionId, ModelId, PoolId,
     RegionId, VmId,
--- a/crates/core/src/ids/number.rs
+++ b/crates/core/src/ids/number.rs
@@ -60,6 +60,25 @@
 #[display("{_0:032x}")]
 pub struct RequestId(pub u128);
 
+/// An operator's change, drawn by the client that asks for it.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Debug,
+    Display,
+    SerializeDisplay,
+    DeserializeFromStr,
+)]
+#[debug("{_0:032x}")]
+#[display("{_0:032x}")]
+pub struct ChangeId(pub u128);
+
 /// Hash of an institution and its chat's name.
 #[derive(
     Clone,
@@ -131,6 +150,16 @@
     }
 }
 
+impl FromStr for ChangeId {
+    type Err = NumberError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| NumberError::new(text))
+    }
+}
+
 impl FromStr for ChatHash {
     type Err = NumberError;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,12 +4,14 @@
 //! actions its caller has to carry out. Sockets, files and timers live in
 //! `medlarrill-net` and `medlarrilld`.
 
+pub mod change;
 pub mod clock;
 pub mod config;
 pub mod endpoint_state;
 pub mod freshness;
 pub mod ids;
 pub mod membership;
+pub mod operator;
 pub mod outcome;
 pub mod placement;
 pub mod reason;
