Placement: tell waiting from running work, and choose under saturation

The bound is on work in flight, the choice has to see waiting work and room as well; sums now come from the data centre's daemons and as one sum for each other data centre, which is what the heartbeats carry. Without room anywhere a chat waits where its prefix is, unless the least busy endpoint has less work by more than the prompt.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -31,7 +31,7 @@
 pub use directory::{CacheHint, ChatPlaces, Directory, MAX_PLACES, Place};
 pub use fleet::{Daemon, Fleet};
 pub use load::{
-    Distance, EndpointLoad, EndpointState, EndpointView, LoadView, PoolSum, PoolView,
+    Distance, EndpointLoad, EndpointState, EndpointView, LoadView, Occupancy, PoolSum, PoolView,
     estimated_work,
 };
 pub use rendezvous::{Group, Node, chat_hash, key_of};
--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -22,6 +22,9 @@
 /// Cached tokens that make a return worthwhile.
 const WORTHWHILE: f64 = 64.0;
 
+/// Work beyond the least that a returning chat bears, as a share of its prompt, where no endpoint has room.
+const SAVED_SHARE: f64 = 1.0;
+
 /// Chance that a prefix is cached still when its last event said so.
 const AFTER_STORED: f64 = 0.95;
 
@@ -39,6 +42,14 @@
     pub prompt: Tokens,
     /// Endpoints already tried.
     pub tried: &'a [EndpointId],
+    /// Whether only endpoints of this home may be chosen, as after the last hop.
+    pub own_only: bool,
+}
+
+impl PlaceAsk<'_> {
+    fn allows(&self, view: &EndpointView) -> bool {
+        !self.tried.contains(&view.id) && (!self.own_only || view.is_own())
+    }
 }
 
 /// Why an endpoint was chosen.
@@ -67,31 +78,27 @@
 
 /// Chooses an endpoint for a request.
 ///
-/// A chat returns to the place with the longest prefix likely to be cached that is under the bound. Else the
-/// request goes to one of the few least loaded endpoints, the nearest first.
+/// A chat returns to the place with the longest prefix likely to be cached that has room under the bound. Else the
+/// request goes to one of the few least loaded endpoints with room, the nearest first. If none has room, a
+/// returning chat waits at its place, unless the work there exceeds the least by more than its prefix saves.
 pub fn place(
     pool: &PoolView,
     ask: &PlaceAsk<'_>,
     now: Millis,
     rng: &mut impl Rng,
 ) -> Result<Placement> {
-    let mean = pool.mean(now);
-    if let Some(placement) = return_to(pool, ask, mean, now) {
+    let sight = Sight::new(pool, now);
+    if let Some(placement) = return_to(&sight, ask, &|view| sight.open(view)) {
         return Ok(placement);
     }
-    let why = if ask.places.is_empty() {
-        Why::New
-    } else {
-        Why::Spilled
-    };
-    let endpoint = least_loaded(pool, ask.tried, mean, now, rng)?;
-    let cached = ask.places.iter().find(|place| place.endpoint == endpoint);
-    let cached = cached.map_or(0.0, |place| cached_at(pool, place, ask.prompt, now));
-    Ok(Placement {
-        endpoint,
-        why,
-        cached: Tokens(cached as u64),
-    })
+    if let Some(view) = least_open(&sight, ask, rng) {
+        return Ok(sent_to(&sight, ask, view));
+    }
+    let least = least_busy(&sight, ask, rng).ok_or(Reason::NoEndpoint)?;
+    let busy = sight.load(least) + SAVED_SHARE * ask.prompt.0 as f64;
+    let bearable = |view: &EndpointView| sight.load(view) <= busy;
+    let back = return_to(&sight, ask, &bearable);
+    Ok(back.unwrap_or_else(|| sent_to(&sight, ask, least)))
 }
 
 /// A request at the home of the endpoint it was placed on.
@@ -127,11 +134,10 @@
     now: Millis,
     rng: &mut impl Rng,
 ) -> Verdict {
-    let mean = pool.mean(now);
-    let limit = pool.bound * mean;
+    let sight = Sight::new(pool, now);
     let here = pool.get(ask.endpoint);
     let takes = here.is_some_and(EndpointView::takes_work);
-    if takes && here.is_some_and(|here| here.estimate(mean, now) <= limit) {
+    if takes && here.is_some_and(|here| sight.open(here)) {
         return Verdict::Admit;
     }
     let last = ask.hops >= HOP_LIMIT;
@@ -140,9 +146,9 @@
             && other.takes_work()
             && !ask.tried.contains(&other.id)
             && (!last || other.is_own())
-            && other.estimate(mean, now) <= limit
+            && sight.open(other)
     };
-    match pick_least(pool.endpoints().iter().filter(other), mean, now, rng) {
+    match pick_least(&sight, pool.endpoints().iter().filter(other), rng) {
         Some(endpoint) => Verdict::Pass(endpoint.id.clone()),
         None if takes => Verdict::Wait,
         None => Verdict::Refuse(Reason::NoEndpoint),
@@ -151,10 +157,9 @@
 
 /// Whether a home may send a waiting request to an endpoint now.
 pub fn may_dispatch(pool: &PoolView, endpoint: &EndpointId, now: Millis) -> bool {
-    let mean = pool.mean(now);
-    let under = |here: &EndpointView| here.estimate(mean, now) <= pool.bound * mean;
+    let sight = Sight::new(pool, now);
     pool.get(endpoint)
-        .is_some_and(|here| here.takes_work() && under(here))
+        .is_some_and(|here| here.takes_work() && sight.open(here))
 }
 
 /// Prompt tokens expected to be cached at a place, given the age of what its endpoint evicted last.
@@ -181,63 +186,111 @@
     place.prefix.min(prompt).0 as f64 * chance
 }
 
-fn cached_at(pool: &PoolView, place: &Place, prompt: Tokens, now: Millis) -> f64 {
-    let age = pool.get(&place.endpoint).and_then(|view| view.eviction_age);
-    expected_cached(place, prompt, age, now)
+/// A pool at one moment.
+struct Sight<'a> {
+    pool: &'a PoolView,
+    mean: f64,
+    now: Millis,
+}
+
+impl<'a> Sight<'a> {
+    fn new(pool: &'a PoolView, now: Millis) -> Self {
+        let mean = pool.mean(now);
+        Self { pool, mean, now }
+    }
+
+    fn load(&self, view: &EndpointView) -> f64 {
+        view.estimate(self.mean, self.now)
+    }
+
+    fn open(&self, view: &EndpointView) -> bool {
+        view.has_room() && self.load(view) <= self.pool.bound * self.mean
+    }
+
+    fn cached(&self, place: &Place, prompt: Tokens) -> f64 {
+        let view = self.pool.get(&place.endpoint);
+        let age = view.and_then(|view| view.eviction_age);
+        expected_cached(place, prompt, age, self.now)
+    }
 }
 
-fn return_to(pool: &PoolView, ask: &PlaceAsk<'_>, mean: f64, now: Millis) -> Option<Placement> {
-    let limit = pool.bound * mean;
-    let mut best: Option<Placement> = None;
+fn sent_to(sight: &Sight<'_>, ask: &PlaceAsk<'_>, view: &EndpointView) -> Placement {
+    let why = match ask.places {
+        [] => Why::New,
+        _ => Why::Spilled,
+    };
+    let known = ask.places.iter().find(|place| place.endpoint == view.id);
+    let cached = known.map_or(0.0, |place| sight.cached(place, ask.prompt));
+    Placement {
+        endpoint: view.id.clone(),
+        why,
+        cached: Tokens(cached as u64),
+    }
+}
+
+/// The place that has most of the prompt cached, among those that `suits` finds fit.
+fn return_to(
+    sight: &Sight<'_>,
+    ask: &PlaceAsk<'_>,
+    suits: &dyn Fn(&EndpointView) -> bool,
+) -> Option<Placement> {
+    let mut best = None;
     let mut most = WORTHWHILE;
     for (number, place) in ask.places.iter().enumerate() {
-        let Some(view) = pool.get(&place.endpoint) else {
+        let Some(view) = sight.pool.get(&place.endpoint) else {
             continue;
         };
-        let open = matches!(view.state, EndpointState::Ready | EndpointState::Unknown);
-        let cached = cached_at(pool, place, ask.prompt, now);
-        let under = view.estimate(mean, now) <= limit;
-        if !open || !under || cached <= most || ask.tried.contains(&place.endpoint) {
+        let takes = matches!(view.state, EndpointState::Ready | EndpointState::Unknown);
+        let cached = sight.cached(place, ask.prompt);
+        if !takes || !ask.allows(view) || cached <= most || !suits(view) {
             continue;
         }
         most = cached;
+        let why = match number {
+            0 => Why::Returned,
+            _ => Why::SecondPlace,
+        };
         best = Some(Placement {
             endpoint: place.endpoint.clone(),
-            why: if number == 0 {
-                Why::Returned
-            } else {
-                Why::SecondPlace
-            },
+            why,
             cached: Tokens(cached as u64),
         });
     }
     best
 }
 
-/// One of the few least loaded: the nearest that are under the bound, else the least loaded of all.
-fn least_loaded(
-    pool: &PoolView,
-    tried: &[EndpointId],
-    mean: f64,
-    now: Millis,
+/// One of the few least loaded of the nearest that have room.
+fn least_open<'a>(
+    sight: &Sight<'a>,
+    ask: &PlaceAsk<'_>,
     rng: &mut impl Rng,
-) -> Result<EndpointId> {
-    let limit = pool.bound * mean;
-    let of_state = |state: EndpointState| {
-        let open = move |view: &&EndpointView| view.state == state && !tried.contains(&view.id);
-        pool.endpoints().iter().filter(open)
-    };
+) -> Option<&'a EndpointView> {
     for distance in [Distance::Centre, Distance::Region, Distance::Far] {
-        let near = |view: &&EndpointView| view.distance == distance;
-        let under = |view: &&EndpointView| view.estimate(mean, now) <= limit;
-        let candidates = of_state(EndpointState::Ready).filter(near).filter(under);
-        if let Some(view) = pick_least(candidates, mean, now, rng) {
-            return Ok(view.id.clone());
+        let fits = |view: &&EndpointView| {
+            view.distance == distance && view.takes_work() && ask.allows(view) && sight.open(view)
+        };
+        let found = pick_least(sight, sight.pool.endpoints().iter().filter(fits), rng);
+        if found.is_some() {
+            return found;
+        }
+    }
+    None
+}
+
+/// One of the few least busy of all; those of unknown state only if there are no others.
+fn least_busy<'a>(
+    sight: &Sight<'a>,
+    ask: &PlaceAsk<'_>,
+    rng: &mut impl Rng,
+) -> Option<&'a EndpointView> {
+    for state in [EndpointState::Ready, EndpointState::Unknown] {
+        let fits = |view: &&EndpointView| view.state == state && ask.allows(view);
+        let found = pick_least(sight, sight.pool.endpoints().iter().filter(fits), rng);
+        if found.is_some() {
+            return found;
         }
     }
-    let ready = pick_least(of_state(EndpointState::Ready), mean, now, rng);
-    let any = ready.or_else(|| pick_least(of_state(EndpointState::Unknown), mean, now, rng));
-    any.map(|view| view.id.clone()).ok_or(Reason::NoEndpoint)
+    None
 }
 
 struct Candidate<'a> {
@@ -246,14 +299,13 @@
 }
 
 fn pick_least<'a>(
+    sight: &Sight<'_>,
     views: impl Iterator<Item = &'a EndpointView>,
-    mean: f64,
-    now: Millis,
     rng: &mut impl Rng,
 ) -> Option<&'a EndpointView> {
     let mut least: Vec<Candidate<'a>> = Vec::with_capacity(FEW + 1);
     for view in views {
-        let load = view.estimate(mean, now);
+        let load = sight.load(view);
         let at = least.partition_point(|other| other.load <= load);
         if at < FEW {
             least.insert(at, Candidate { load, view });
--- a/crates/core/src/placement/load.rs
+++ b/crates/core/src/placement/load.rs
@@ -48,6 +48,17 @@
     Unknown,
 }
 
+/// What a home counts at one of its endpoints.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Occupancy {
+    /// Work in flight.
+    pub load: Tokens,
+    /// Work that waits at the home.
+    pub waiting: Tokens,
+    /// Whether one more request would run at once.
+    pub room: bool,
+}
+
 /// A daemon's sum over the endpoints of one pool that it is home of and that take work.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
 pub struct PoolSum {
@@ -64,8 +75,10 @@
 pub struct EndpointLoad {
     /// The endpoint.
     pub endpoint: EndpointId,
-    /// Work in flight.
+    /// Work in flight and waiting.
     pub load: Tokens,
+    /// Whether one more request would run at once.
+    pub room: bool,
     /// When it was true.
     pub as_of: Millis,
 }
@@ -88,6 +101,8 @@
     /// Whether this daemon is its home.
     own: bool,
     load: Tokens,
+    waiting: Tokens,
+    room: bool,
     as_of: Option<Millis>,
     /// Sent by this daemon since `mark`, and in the span before.
     sent: Tokens,
--- a/crates/core/src/placement/load/view.rs
+++ b/crates/core/src/placement/load/view.rs
@@ -4,9 +4,9 @@
 
 use derive_more::Debug;
 
-use super::{Distance, EndpointLoad, EndpointState, EndpointView, PoolSum};
+use super::{Distance, EndpointLoad, EndpointState, EndpointView, Occupancy, PoolSum};
 use crate::clock::Millis;
-use crate::ids::{ChatHash, DaemonId, EndpointId};
+use crate::ids::{ChatHash, DaemonId, DataCentreId, EndpointId};
 use crate::placement::rendezvous::{key_of, score};
 use crate::units::Tokens;
 
@@ -27,6 +27,7 @@
     /// Sorted by name.
     endpoints: Vec<EndpointView>,
     sums: BTreeMap<DaemonId, PoolSum>,
+    centres: BTreeMap<DataCentreId, PoolSum>,
 }
 
 impl PoolView {
@@ -36,6 +37,7 @@
             bound,
             endpoints: Vec::new(),
             sums: BTreeMap::new(),
+            centres: BTreeMap::new(),
         }
     }
 
@@ -68,11 +70,13 @@
         }
     }
 
-    /// Sets the exact load of an endpoint that this daemon is home of.
-    pub fn set_own(&mut self, id: &EndpointId, load: Tokens, now: Millis) {
+    /// Sets what this daemon counts at an endpoint that it is home of.
+    pub fn set_own(&mut self, id: &EndpointId, counted: Occupancy, now: Millis) {
         if let Some(endpoint) = self.get_mut(id) {
             endpoint.own = true;
-            endpoint.load = load;
+            endpoint.load = counted.load;
+            endpoint.waiting = counted.waiting;
+            endpoint.room = counted.room;
             endpoint.as_of = Some(now);
             endpoint.sent = Tokens(0);
             endpoint.sent_before = Tokens(0);
@@ -96,6 +100,8 @@
             return;
         }
         endpoint.load = heard.load;
+        endpoint.waiting = Tokens(0);
+        endpoint.room = heard.room;
         endpoint.as_of = Some(heard.as_of);
         if heard.as_of >= endpoint.mark {
             endpoint.sent_before = endpoint.sent;
@@ -104,13 +110,25 @@
         }
     }
 
-    /// Takes in another daemon's sum; older word than the present is ignored.
+    /// Takes in the sum of another daemon of the own data centre; older word than the present is ignored.
     pub fn hear_sum(&mut self, daemon: &DaemonId, sum: PoolSum) {
-        match self.sums.get_mut(daemon) {
-            Some(known) if known.as_of >= sum.as_of => {}
-            Some(known) => *known = sum,
-            None => drop(self.sums.insert(daemon.clone(), sum)),
-        }
+        hear(&mut self.sums, daemon, sum);
+    }
+
+    /// Takes in the sum over another data centre; older word than the present is ignored.
+    pub fn hear_centre(&mut self, centre: &DataCentreId, sum: PoolSum) {
+        hear(&mut self.centres, centre, sum);
+    }
+
+    /// The sum over the own data centre, to tell others; what is stale is left out.
+    pub fn centre_sum(&self, now: Millis) -> PoolSum {
+        let fresh = |sum: &&PoolSum| now.since(sum.as_of) <= STALE;
+        let sums = self.sums.values().filter(fresh);
+        sums.fold(self.own_sum(now), |all, sum| PoolSum {
+            load: all.load + sum.load,
+            endpoints: all.endpoints + sum.endpoints,
+            as_of: all.as_of.min(sum.as_of),
+        })
     }
 
     /// Forgets a daemon that is gone.
@@ -138,22 +156,18 @@
 
     /// The endpoint that a chat ranks first; its home keeps the chat's directory entry.
     ///
-    /// All endpoints count, whatever their state, so that entries with differing views agree.
+    /// All endpoints of the region count, whatever their state, so that its entries agree; those of other regions
+    /// only if it has none.
     pub fn first_ranked(&self, chat: ChatHash) -> Option<&EndpointId> {
-        let score = |endpoint: &EndpointView| score(chat.0, endpoint.seed, endpoint.weight);
-        let scored = self
-            .endpoints
-            .iter()
-            .map(|endpoint| (score(endpoint), endpoint));
-        let best = scored.max_by(|(a, _), (b, _)| a.total_cmp(b));
-        best.map(|(_, endpoint)| &endpoint.id)
+        let near = |endpoint: &&EndpointView| endpoint.distance != Distance::Far;
+        let region = self.endpoints.iter().filter(near);
+        best_of(region, chat).or_else(|| best_of(self.endpoints.iter(), chat))
     }
 
     /// Endpoints in the order in which a chat ranks them.
     pub fn rank(&self, chat: ChatHash) -> Vec<&EndpointId> {
-        let score = |endpoint: &EndpointView| score(chat.0, endpoint.seed, endpoint.weight);
         let mut all: Vec<_> = self.endpoints.iter().collect();
-        all.sort_by(|a, b| score(b).total_cmp(&score(a)));
+        all.sort_by(|a, b| b.score(chat).total_cmp(&a.score(chat)));
         all.into_iter().map(|endpoint| &endpoint.id).collect()
     }
 
@@ -178,11 +192,12 @@
     pub fn own_least(&self, count: usize, now: Millis) -> Vec<EndpointLoad> {
         let own = |endpoint: &&EndpointView| endpoint.own && endpoint.takes_work();
         let mut least: Vec<_> = self.endpoints.iter().filter(own).collect();
-        least.sort_by_key(|endpoint| endpoint.load);
+        least.sort_by_key(|endpoint| (!endpoint.room, endpoint.load + endpoint.waiting));
         least.truncate(count);
         let told = |endpoint: &EndpointView| EndpointLoad {
             endpoint: endpoint.id.clone(),
-            load: endpoint.load,
+            load: endpoint.load + endpoint.waiting,
+            room: endpoint.room,
             as_of: now,
         };
         least.into_iter().map(told).collect()
@@ -193,7 +208,7 @@
         let own = self.own_sum(now);
         let mut load = own.load.0 as f64;
         let mut endpoints = f64::from(own.endpoints);
-        for sum in self.sums.values() {
+        for sum in self.sums.values().chain(self.centres.values()) {
             let age = now.since(sum.as_of);
             if age < FORGET {
                 load += sum.load.0 as f64 * fading(age);
@@ -223,6 +238,23 @@
     }
 }
 
+fn best_of<'a>(
+    endpoints: impl Iterator<Item = &'a EndpointView>,
+    chat: ChatHash,
+) -> Option<&'a EndpointId> {
+    let scored = endpoints.map(|endpoint| (endpoint.score(chat), endpoint));
+    let best = scored.max_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_, endpoint)| &endpoint.id)
+}
+
+fn hear<K: Ord + Clone>(sums: &mut BTreeMap<K, PoolSum>, from: &K, sum: PoolSum) {
+    match sums.get_mut(from) {
+        Some(known) if known.as_of >= sum.as_of => {}
+        Some(known) => *known = sum,
+        None => drop(sums.insert(from.clone(), sum)),
+    }
+}
+
 /// What is left of a sum of this age, from 1 down to 0.
 fn fading(age: Millis) -> f64 {
     let stale = age.since(STALE).as_secs_f64();
@@ -240,6 +272,8 @@
             seed: key_of(id.as_str()),
             own: false,
             load: Tokens(0),
+            waiting: Tokens(0),
+            room: true,
             as_of: None,
             sent: Tokens(0),
             sent_before: Tokens(0),
@@ -247,6 +281,10 @@
         }
     }
 
+    fn score(&self, chat: ChatHash) -> f64 {
+        score(chat.0, self.seed, self.weight)
+    }
+
     /// Whether this daemon is its home.
     pub fn is_own(&self) -> bool {
         self.own
@@ -257,10 +295,15 @@
         self.state == EndpointState::Ready
     }
 
-    /// Its load in tokens, given the pool's mean; the mean stands in where nothing fresh is known.
+    /// Whether one more request would run at once, as far as is known.
+    pub fn has_room(&self) -> bool {
+        self.room
+    }
+
+    /// Its work in flight and waiting in tokens, given the pool's mean; the mean stands in where nothing fresh is known.
     pub fn estimate(&self, mean: f64, now: Millis) -> f64 {
         let sent = (self.sent + self.sent_before).0 as f64;
-        let load = self.load.0 as f64;
+        let load = (self.load + self.waiting).0 as f64;
         let fresh = |as_of: Millis| now.since(as_of) <= STALE;
         if self.own {
             load
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -12,8 +12,8 @@
 use medlarrill_core::ids::{ChatHash, DaemonId, EndpointId};
 use medlarrill_core::placement::{
     AdmitAsk, CacheHint, ChatPlaces, Daemon, Directory, Distance, EndpointLoad, EndpointState,
-    Fleet, Group, Node, Place, PlaceAsk, PoolSum, PoolView, Verdict, Why, admit_under_bound,
-    chat_hash, expected_cached, key_of, may_dispatch, place,
+    Fleet, Group, Node, Occupancy, Place, PlaceAsk, PoolSum, PoolView, Verdict, Why,
+    admit_under_bound, chat_hash, expected_cached, key_of, may_dispatch, place,
 };
 use medlarrill_core::reason::Reason;
 use medlarrill_core::units::Tokens;
@@ -46,13 +46,21 @@
     }
 }
 
+fn counted(load: u64) -> Occupancy {
+    Occupancy {
+        load: Tokens(load),
+        waiting: Tokens(0),
+        room: true,
+    }
+}
+
 /// Ready endpoints of one home with these loads.
 fn pool(loads: &[u64]) -> PoolView {
     let mut pool = PoolView::new(1.25);
     for (n, load) in loads.iter().enumerate() {
         pool.set_endpoint(&endpoint(n), Distance::Centre);
         pool.set_state(&endpoint(n), EndpointState::Ready);
-        pool.set_own(&endpoint(n), Tokens(*load), NOW);
+        pool.set_own(&endpoint(n), counted(*load), NOW);
     }
     pool
 }
@@ -63,6 +71,7 @@
         places,
         prompt: Tokens(1000),
         tried,
+        own_only: false,
     }
 }
 
@@ -314,6 +323,7 @@
         let heard = EndpointLoad {
             endpoint: endpoint(0),
             load: Tokens(load),
+            room: true,
             as_of: at,
         };
         pool.hear_load(&heard, at);
@@ -328,3 +338,38 @@
     tell(&mut pool, 150, NOW + Millis(1000));
     expect_that!(estimate(&pool), near(150.0, 0.1));
 }
+
+#[gtest]
+fn without_room_anywhere_a_chat_waits_where_its_prefix_is() {
+    let chosen = |loads: &[u64]| {
+        let mut pool = pool(loads);
+        for (n, load) in loads.iter().enumerate() {
+            let full = Occupancy {
+                room: false,
+                ..counted(*load)
+            };
+            pool.set_own(&endpoint(n), full, NOW);
+        }
+        let places = [served(0, 900, NOW)];
+        let placement = place(&pool, &ask(&places, &[]), NOW, &mut rng()).unwrap();
+        placement.why
+    };
+    expect_that!(chosen(&[1500, 1000, 1000, 1000]), eq(Why::Returned));
+    expect_that!(chosen(&[2500, 1000, 1000, 1000]), eq(Why::Spilled));
+}
+
+#[gtest]
+fn after_the_last_hop_only_own_endpoints_are_chosen() {
+    let mut pool = pool(&[100, 90]);
+    pool.set_endpoint(&endpoint(2), Distance::Centre);
+    pool.set_state(&endpoint(2), EndpointState::Ready);
+    let last = PlaceAsk {
+        own_only: true,
+        ..ask(&[], &[])
+    };
+    let mut rng = rng();
+    for _ in 0..20 {
+        let placement = place(&pool, &last, NOW, &mut rng).unwrap();
+        expect_that!(placement.endpoint, not(eq(&endpoint(2))));
+    }
+}
