Claim protocol: shard log and claimant machines

A non-idempotent request may run at most once whichever daemon the caller reaches. The owner's machine writes claims into a chain of objects made by conditional create, settles a write whose reply was lost at its own number, is fenced by the next owner's open, and folds old objects into checkpoints. The entry's machine numbers each claim it asks for, so that a grant that comes after it gave up is ignored.

Deleting old objects would let a former owner's late create succeed at a deleted number. Ruled out: deletion by age (rests on clocks) and a read after each batch (one more round trip for every claim). Chosen: the open objects that a former owner could collide with are never deleted, and an opener lists what follows its open before it believes it.

--- /dev/null
+++ b/crates/core/src/claims.rs
@@ -0,0 +1,42 @@
+//! The right to run a non-idempotent request at most once.
+//!
+//! Each shard of idempotency keys has a chain of objects in the platform,
+//! `claims/<shard>/<number>`, made by conditional create and never
+//! overwritten. A [`ShardLog`] is the owner's side: it takes over a chain,
+//! writes claims in batches and settles writes whose answers were lost. A
+//! [`Claimant`] is the entry's side: it asks for claims, says when a request
+//! may be sent, and says what became of a key. [`Tickets`] let a process run
+//! a request once without any write while the platform is down.
+//!
+//! Safety never depends on time: a claim is granted only after its object is
+//! known to stand in the chain, and an owner that was replaced fails at its
+//! next create. `docs/design/claims.md` gives the argument.
+
+mod backoff;
+mod chain;
+mod claimant;
+mod farewell;
+mod hash;
+mod held;
+mod log;
+mod record;
+mod table;
+
+pub use backoff::Backoff;
+pub use chain::{Chain, ChainError, Segment};
+pub use claimant::{
+    Action as ClaimantAction, Claimant, ClaimantLimits, End, Event as ClaimantEvent, KeyState,
+    Start,
+};
+pub use farewell::{Account, FAREWELL_PREFIX, Farewell};
+pub use hash::{Digest, HashError, KeyHash, shard_of};
+pub use held::{HeldAnswer, HeldLimits};
+pub use log::{
+    Action as LogAction, CallId, Event as LogEvent, Listed, LogLimits, LogStats, Member, Reply,
+    ShardLog, Standing, Verdict,
+};
+pub use record::{
+    Batch, Body, Checkpoint, Close, Entry, Holder, Open, Record, RecordError, Span, Void,
+    object_key, object_number, shard_prefix,
+};
+pub use table::{Claim, ClaimId, Table};
--- /dev/null
+++ b/crates/core/src/claims/held.rs
@@ -0,0 +1,120 @@
+//! Answers kept for callers that ask again, bounded in time and bytes.
+
+use std::collections::{BTreeSet, HashMap};
+
+use bytes::Bytes;
+use derive_more::Debug;
+
+use crate::clock::Millis;
+use crate::units::ByteSize;
+use crate::wire::Header;
+
+/// Bytes that one answer takes besides its texts.
+const OVERHEAD: u64 = 200;
+
+/// A whole answer.
+#[derive(Clone, PartialEq, Default, Debug)]
+pub struct HeldAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<Header>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// How many answers are kept, and how long.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct HeldLimits {
+    /// Most bytes of all answers.
+    pub total: ByteSize,
+    /// Most bytes of one answer.
+    pub each: ByteSize,
+    /// How long an answer is kept.
+    pub time: Millis,
+}
+
+impl Default for HeldLimits {
+    fn default() -> Self {
+        Self {
+            total: ByteSize(32 << 20),
+            each: ByteSize(1 << 20),
+            time: Millis::from_secs(600),
+        }
+    }
+}
+
+impl HeldAnswer {
+    fn size(&self) -> u64 {
+        let headers = self.headers.iter();
+        let texts: usize = headers.map(|h| h.name.len() + h.value.len()).sum();
+        (texts + self.body.len()) as u64 + OVERHEAD
+    }
+}
+
+/// Answers by the number of their claim or ticket.
+#[derive(Debug)]
+pub(crate) struct HeldAnswers {
+    limits: HeldLimits,
+    answers: HashMap<u64, Held>,
+    /// Ends of the times, earliest first.
+    ends: BTreeSet<(Millis, u64)>,
+    bytes: u64,
+}
+
+#[derive(Debug)]
+struct Held {
+    answer: HeldAnswer,
+    until: Millis,
+}
+
+impl HeldAnswers {
+    pub(crate) fn new(limits: HeldLimits) -> Self {
+        Self {
+            limits,
+            answers: HashMap::new(),
+            ends: BTreeSet::new(),
+            bytes: 0,
+        }
+    }
+
+    /// Keeps an answer, unless it is too large; the oldest ones make room.
+    pub(crate) fn put(&mut self, number: u64, answer: HeldAnswer, now: Millis) {
+        let size = answer.size();
+        if size > self.limits.each.0.min(self.limits.total.0) {
+            return;
+        }
+        let until = now + self.limits.time;
+        self.bytes += size;
+        self.ends.insert((until, number));
+        self.answers.insert(number, Held { answer, until });
+        while self.bytes > self.limits.total.0 {
+            self.drop_first();
+        }
+    }
+
+    pub(crate) fn get(&self, number: u64, now: Millis) -> Option<&HeldAnswer> {
+        let held = self.answers.get(&number)?;
+        Some(&held.answer).filter(|_| now < held.until)
+    }
+
+    /// Drops the answers whose time is over.
+    pub(crate) fn expire(&mut self, now: Millis) {
+        while self.ends.first().is_some_and(|(until, _)| *until <= now) {
+            self.drop_first();
+        }
+    }
+
+    pub(crate) const fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    fn drop_first(&mut self) {
+        let Some((_, number)) = self.ends.pop_first() else {
+            return;
+        };
+        if let Some(held) = self.answers.remove(&number) {
+            self.bytes -= held.answer.size();
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! `medlarrill-net` and `medlarrilld`.
 
 pub mod change;
+pub mod claims;
 pub mod clock;
 pub mod config;
 pub mod endpoint_state;
--- a/crates/core/src/wire/claim.rs
+++ b/crates/core/src/wire/claim.rs
@@ -27,6 +27,12 @@
     /// The caller's request, 16 bytes.
     #[prost(bytes = "bytes", tag = "7")]
     pub request: Bytes,
+    /// Claimant of an earlier claim of this key that, by its claimant's own word, never runs; zero if there is none.
+    #[prost(fixed64, tag = "8")]
+    pub given_claimant: u64,
+    /// That claimant's number for the earlier claim.
+    #[prost(uint64, tag = "9")]
+    pub given_ask: u64,
 }
 
 /// Answers `ClaimAsk`.
@@ -47,6 +53,9 @@
     /// The request that holds it, for verdict 1.
     #[prost(bytes = "bytes", tag = "5")]
     pub request: Bytes,
+    /// The holder's number for its claim, for verdict 1.
+    #[prost(uint64, tag = "6")]
+    pub held: u64,
 }
 
 /// Asks a claimant what became of a key.
@@ -61,6 +70,9 @@
     /// The process asked about.
     #[prost(fixed64, tag = "3")]
     pub claimant: u64,
+    /// That process's number for its claim.
+    #[prost(uint64, tag = "4")]
+    pub held: u64,
 }
 
 /// Answers `KeyAsk`.
