--- a/crates/net/src/endpoint.rs
+++ b/crates/net/src/endpoint.rs
@@ -3,7 +3,6 @@
 //! A request goes out once. Its errors say whether it certainly did not run,
 //! and its answer is read piece by piece, as fast as the reader takes it.
 
-mod body;
 mod calls;
 mod events;
 mod model;
@@ -19,8 +18,7 @@
 
 use crate::http::{Http, strip_hop_headers, uri};
 
-pub use crate::http::{Error, Limits, Result, Reuse};
-pub use body::Body;
+pub use crate::http::{Body, Error, Limits, Result, Reuse};
 pub use calls::{CallError, CallResult};
 pub use events::{Event, EventError, EventResult, Events};
 pub use model::{
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -4,6 +4,9 @@
 //! The client library never sends a request a second time by itself. A request
 //! counts as not sent only if it was never handed to a connection.
 
+mod body;
+pub(crate) mod plain_millis;
+
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -18,6 +21,8 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::outcome::Outcome;
 
+pub use body::Body;
+
 /// Headers of one connection, which don't travel on.
 const HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -254,22 +259,3 @@
     let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
     text.trim().parse().ok().map(Millis::from_secs)
 }
-
-/// A time written as a plain number of milliseconds.
-pub(crate) mod plain_millis {
-    use medlarrill_core::clock::Millis;
-    use serde::{Deserialize, Deserializer, Serializer};
-
-    pub(crate) fn serialize<S: Serializer>(
-        time: &Millis,
-        serializer: S,
-    ) -> Result<S::Ok, S::Error> {
-        serializer.serialize_u64(time.0)
-    }
-
-    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
-        deserializer: D,
-    ) -> Result<Millis, D::Error> {
-        u64::deserialize(deserializer).map(Millis)
-    }
-}
--- a/crates/net/src/endpoint/body.rs
+++ b/crates/net/src/http/body.rs
@@ -1,4 +1,4 @@
-//! An endpoint's answer, read piece by piece.
+//! The body of an answer, read piece by piece.
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Debug;
@@ -9,7 +9,7 @@
 use medlarrill_core::clock::Millis;
 use tokio::time::{Instant, timeout_at};
 
-use crate::http::{Error, Result, describe};
+use super::{Error, Result, describe};
 
 /// The body of an answer.
 ///
@@ -35,7 +35,7 @@
 }
 
 impl Body {
-    pub(super) fn new(response: Response<Incoming>, first: Instant, gap: Millis) -> Self {
+    pub(crate) fn new(response: Response<Incoming>, first: Instant, gap: Millis) -> Self {
         let framed = is_framed(response.headers()) || response.body().is_end_stream();
         Self {
             rest: Some(response.into_body()),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod http;
 pub mod link;
 pub mod now;
+pub mod platform;
--- /dev/null
+++ b/crates/net/src/platform/model.rs
@@ -0,0 +1,194 @@
+//! What the platform holds and lists.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use derive_more::{Debug, Display};
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::{DataCentreId, RegionId, VmId};
+use serde::{Deserialize, Serialize};
+
+/// Largest object, in bytes.
+pub const MAX_OBJECT: u64 = 1 << 20;
+
+/// An object's version: the revision of its last change.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Debug,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+/// A number that every change raises.
+#[derive(
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Default,
+    Debug,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// An object as it was read.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Object {
+    /// Its version.
+    pub version: Version,
+    /// Its bytes.
+    #[debug("{} bytes", value.len())]
+    pub value: Bytes,
+}
+
+/// The answer to a read of one object.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Read {
+    /// The object.
+    Object(Object),
+    /// It still has the version that the caller knows.
+    NotModified,
+}
+
+/// One page of keys.
+#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+pub struct Listing {
+    /// The revision as of which it holds.
+    pub revision: Revision,
+    /// Objects in key order.
+    #[serde(rename = "objects")]
+    pub entries: Vec<Entry>,
+    /// Whether further pages follow the last key.
+    #[serde(default)]
+    pub more: bool,
+}
+
+/// An object in a list.
+#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+pub struct Entry {
+    /// Its key.
+    pub key: String,
+    /// Its version.
+    pub version: Version,
+    /// Its size, in bytes.
+    #[serde(default)]
+    pub size: u64,
+}
+
+/// Changes after a revision.
+#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+pub struct Changes {
+    /// The revision up to which they are told.
+    pub revision: Revision,
+    /// The changes; none if the wait passed without one.
+    #[serde(rename = "events")]
+    pub changes: Vec<Change>,
+}
+
+/// A change of one object.
+#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+pub struct Change {
+    /// Its key.
+    pub key: String,
+    /// The revision of the change.
+    pub version: Version,
+    /// Whether the object was deleted.
+    #[serde(default)]
+    pub deleted: bool,
+}
+
+/// The lagging list of VMs.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct VmList {
+    /// When it was true, by the platform's wall clock.
+    pub as_of: Millis,
+    /// The VMs that could be read.
+    pub vms: Vec<Vm>,
+    /// What could not be read, each with its place in the list.
+    pub findings: Vec<String>,
+}
+
+/// A VM in the list.
+#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+pub struct Vm {
+    /// Its name.
+    pub vm: VmId,
+    /// What runs on it.
+    pub kind: VmKind,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its region.
+    pub region: RegionId,
+    /// Where its daemon takes peer links, or its endpoint requests.
+    pub address: SocketAddr,
+    /// Whether it is leaving.
+    pub state: VmState,
+}
+
+/// What runs on a VM.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VmKind {
+    /// A daemon of the fleet.
+    Router,
+    /// An endpoint.
+    Endpoint,
+    /// A word not known here.
+    #[serde(other)]
+    Unknown,
+}
+
+/// Whether a VM is leaving.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VmState {
+    /// It runs.
+    Live,
+    /// It will stop soon.
+    Leaving,
+    /// A word not known here.
+    #[serde(other)]
+    Unknown,
+}
+
+#[derive(Deserialize)]
+struct RawList {
+    #[serde(with = "crate::http::plain_millis")]
+    as_of: Millis,
+    vms: Vec<serde_json::Value>,
+}
+
+impl VmList {
+    /// Reads a list, keeping what can be read of it.
+    pub(super) fn parse(body: &[u8]) -> serde_json::Result<Self> {
+        let raw: RawList = serde_json::from_slice(body)?;
+        let mut list = Self {
+            as_of: raw.as_of,
+            vms: Vec::with_capacity(raw.vms.len()),
+            findings: Vec::new(),
+        };
+        for (at, value) in raw.vms.into_iter().enumerate() {
+            match serde_json::from_value(value) {
+                Ok(vm) => list.vms.push(vm),
+                Err(error) => list.findings.push(format!("vms[{at}]: {error}")),
+            }
+        }
+        Ok(list)
+    }
+}
--- a/crates/net/tests/endpoint.rs
+++ b/crates/net/tests/endpoint.rs
@@ -1,8 +1,7 @@
 //! Calls to endpoints whose connections fail at set points.
 
-#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
-
-use std::net::SocketAddr;
+#[path = "support/peer.rs"]
+mod peer;
 
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -11,41 +10,15 @@
 use medlarrill_core::outcome::Outcome;
 use medlarrill_net::endpoint::{Client, Error, Events, Limits, Request, Reuse};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+use peer::{Peer, read_head};
+
 /// A guard against a test that never ends.
 const LONG: Millis = Millis::from_secs(20);
 /// A wait that the other side never meets.
 const SHORT: Millis = Millis(50);
 
-/// A listener whose test decides each byte of the answers.
-struct Peer {
-    listener: TcpListener,
-    address: SocketAddr,
-}
-
-impl Peer {
-    async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        Self { listener, address }
-    }
-
-    async fn accept(&self) -> TcpStream {
-        self.listener.accept().await.unwrap().0
-    }
-}
-
-/// Reads one request without a body.
-async fn read_head(stream: &mut TcpStream) -> String {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await.unwrap());
-    }
-    String::from_utf8(head).unwrap()
-}
-
 fn get() -> Request {
     Request::new(Method::GET, "/v1/load").with_waits(LONG, LONG)
 }
