--- a/crates/testkit/src/http/outage.rs
+++ b/crates/testkit/src/http/outage.rs
@@ -51,10 +51,14 @@
         self.0.send_replace(State { outage, vm });
     }
 
+    /// The outage that `caller` meets now.
+    pub fn outage(&self, caller: Option<&str>) -> Option<Outage> {
+        self.0.borrow().for_caller(caller)
+    }
+
     /// Lets a call pass, or meets it as the outage says.
     pub async fn pass(&self, caller: Option<&str>) -> Result<()> {
-        let outage = self.0.borrow().for_caller(caller);
-        match outage {
+        match self.outage(caller) {
             None => Ok(()),
             Some(Outage::Cut) => Err(Cut.into()),
             Some(Outage::Unavailable) => {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 //! test's knob has taken hold when the call returns.
 
 pub mod client;
+pub mod engine;
 pub mod http;
 pub mod platform;
 pub mod service;
@@ -20,6 +21,7 @@
 
 use medlarrill_core::clock::Millis;
 
+pub use engine::Engine;
 pub use platform::Platform;
 pub use service::Service;
 
