Refused connections as an outage, and tests of the stand-ins' faults

A connection that is refused tells a caller more than one that is cut: nothing was sent. So an outage can now close the listener; asked for over HTTP it must say how long it lasts, as no call could end it.

--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -11,6 +11,7 @@
 use hyper::http::request::Builder;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
+use serde_json::Value;
 use tokio::net::TcpStream;
 
 /// Result of a call.
@@ -61,3 +62,24 @@
         .body(Full::new(body.into()))?;
     Ok(sender.send_request(request).await?)
 }
+
+/// Reads `path` whole.
+pub async fn get(address: SocketAddr, path: &str) -> Result<Response<Bytes>> {
+    send(address, request(Method::GET, path), "").await
+}
+
+/// Reads `path` as JSON; null if it isn't.
+pub async fn get_json(address: SocketAddr, path: &str) -> Result<Value> {
+    let answer = get(address, path).await?;
+    Ok(serde_json::from_slice(answer.body()).unwrap_or_default())
+}
+
+/// Sends JSON to `path`.
+pub async fn send_json(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: &Value,
+) -> Result<Response<Bytes>> {
+    send(address, request(method, path), body.to_string()).await
+}
--- a/crates/testkit/src/engine.rs
+++ b/crates/testkit/src/engine.rs
@@ -21,7 +21,7 @@
 pub use cache::CacheLoad;
 pub use events::{Event, EventKind};
 pub use job::{Phase, Run};
-pub use load::{Load, Readiness};
+pub use load::Load;
 pub use order::{EngineState, FencedOrder, Order, OrderKind, OrderRecord};
 pub use settings::{Faults, Settings};
 pub use text::{
@@ -53,7 +53,7 @@
     pub async fn start(listen: SocketAddr, settings: Settings) -> Result<Self> {
         let shared = Arc::new(Shared::new(settings));
         let handler = Arc::clone(&shared);
-        let server = http::serve(listen, move |request| {
+        let server = http::serve(listen, shared.switch.clone(), move |request| {
             let shared = Arc::clone(&handler);
             async move { api::answer(&shared, request).await }
         })
--- a/crates/testkit/src/engine/api.rs
+++ b/crates/testkit/src/engine/api.rs
@@ -9,32 +9,22 @@
 
 use super::batch::Counters;
 use super::job::Run;
-use super::load::Readiness;
 use super::order::{FencedOrder, OrderRecord};
 use super::reader::Reader;
+use super::settings::Faults;
 use super::shared::Shared;
-use crate::http::{self, Answer, Cut, empty, error, json, query, read_json};
+use crate::http::{self, Answer, RunsAsk, empty, error, json, query, read_json};
 use crate::lock;
+use crate::readiness::health;
 
 const STREAMS: &str = "/v1/streams/";
 
-#[derive(Serialize)]
-struct Health {
-    state: Readiness,
-}
-
 #[derive(Deserialize)]
 struct ResumeAsk {
     #[serde(default)]
     from: u64,
 }
 
-#[derive(Deserialize)]
-struct RunsAsk {
-    #[serde(default)]
-    after: u64,
-}
-
 /// The log as it is read over HTTP.
 #[derive(Serialize)]
 struct Runs {
@@ -52,22 +42,16 @@
     if request.uri().path().starts_with("/stand-in/") {
         return control(shared, request).await;
     }
-    // An outage that has begun goes first, so that nothing slips through.
-    tokio::select! {
-        biased;
-        () = shared.switch.down(None) => {
-            shared.switch.pass(None).await?;
-            Err(Cut.into())
-        }
-        answer = call(shared, request) => answer,
-    }
+    shared.switch.guard(None, call(shared, request)).await
 }
 
 async fn control(shared: &Shared, request: Request<Incoming>) -> http::Result {
     let (parts, body) = request.into_parts();
     match (parts.method, parts.uri.path()) {
         (Method::PUT, "/stand-in/faults") => {
-            shared.set_faults(read_json(body).await?);
+            let faults: Faults = read_json(body).await?;
+            faults.plan().check()?;
+            shared.set_faults(faults);
             Ok(empty(StatusCode::NO_CONTENT))
         }
         (Method::GET, "/stand-in/runs") => {
@@ -95,7 +79,7 @@
             let body = http::read(body).await?;
             super::submit::complete(shared, &parts.headers, &body).await
         }
-        (&Method::GET, "/v1/health") => Ok(health(shared)),
+        (&Method::GET, "/v1/health") => Ok(health(lock(&shared.state).readiness())),
         (&Method::GET, "/v1/load") => Ok(load(shared)),
         (&Method::GET, "/v1/state") => Ok(json(StatusCode::OK, &lock(&shared.state).orders.state)),
         (&Method::POST, "/v1/orders") => Ok(order(shared, read_json(body).await?)),
@@ -136,15 +120,6 @@
     }
 }
 
-fn health(shared: &Shared) -> Answer {
-    let state = lock(&shared.state).readiness();
-    let status = match state {
-        Readiness::Ready => StatusCode::OK,
-        Readiness::Leaving => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    json(status, &Health { state })
-}
-
 fn load(shared: &Shared) -> Answer {
     let state = lock(&shared.state);
     if shared.settings.load_lag == Millis::ZERO {
--- a/crates/testkit/src/engine/load.rs
+++ b/crates/testkit/src/engine/load.rs
@@ -2,26 +2,11 @@
 
 use std::collections::VecDeque;
 
-use derive_more::{Display, FromStr};
 use medlarrill_core::clock::Millis;
 use serde::{Deserialize, Serialize};
 
 use super::cache::CacheLoad;
-
-/// Whether an endpoint takes work.
-#[derive(
-    Clone, Copy, PartialEq, Eq, Hash, Default, Debug, Serialize, Deserialize, Display, FromStr,
-)]
-#[serde(rename_all = "kebab-case")]
-pub enum Readiness {
-    /// It takes work.
-    #[default]
-    #[display("ready")]
-    Ready,
-    /// It will stop soon.
-    #[display("leaving")]
-    Leaving,
-}
+use crate::Readiness;
 
 /// The load of an engine at a time.
 #[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
--- a/crates/testkit/src/engine/reader.rs
+++ b/crates/testkit/src/engine/reader.rs
@@ -138,7 +138,7 @@
         match self.shared.switch.outage(None) {
             None => Ok(true),
             Some(Outage::Hang) => Ok(false),
-            Some(Outage::Cut | Outage::Unavailable) => Err(Cut),
+            Some(Outage::Refuse | Outage::Cut | Outage::Unavailable) => Err(Cut),
         }
     }
 
--- a/crates/testkit/src/engine/settings.rs
+++ b/crates/testkit/src/engine/settings.rs
@@ -3,7 +3,7 @@
 use medlarrill_core::clock::Millis;
 use serde::{Deserialize, Serialize};
 
-use crate::http::Outage;
+use crate::http::{Outage, Plan};
 
 /// What an engine is from its start.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
@@ -72,6 +72,8 @@
 pub struct Faults {
     /// An outage of the whole engine.
     pub outage: Option<Outage>,
+    /// How long the outage lasts; zero means until other faults are set.
+    pub lasting: Millis,
     /// Whether no step is made, while calls are still answered.
     pub frozen: bool,
     /// Steps take this many times their time.
@@ -86,10 +88,22 @@
     pub leaving: bool,
 }
 
+impl Faults {
+    /// The outage that they ask for.
+    pub(super) fn plan(&self) -> Plan {
+        Plan {
+            outage: self.outage,
+            lasting: self.lasting,
+            vm: None,
+        }
+    }
+}
+
 impl Default for Faults {
     fn default() -> Self {
         Self {
             outage: None,
+            lasting: Millis::ZERO,
             frozen: false,
             slowness: 1,
             refusals: 0,
--- a/crates/testkit/src/engine/shared.rs
+++ b/crates/testkit/src/engine/shared.rs
@@ -9,11 +9,11 @@
 
 use super::batch::Batch;
 use super::events::Events;
-use super::load::{Load, Readiness, Reports};
+use super::load::{Load, Reports};
 use super::order::Orders;
 use super::settings::{Faults, Settings};
 use crate::http::Switch;
-use crate::{lock, wall};
+use crate::{Readiness, lock, wall};
 
 /// Load reports taken within one lag.
 const REPORTS: u64 = 4;
@@ -66,7 +66,7 @@
     }
 
     pub(super) fn set_faults(&self, faults: Faults) {
-        self.switch.set(faults.outage, None);
+        self.switch.set(faults.plan());
         lock(&self.state).faults = faults;
     }
 
--- a/crates/testkit/src/engine/submit.rs
+++ b/crates/testkit/src/engine/submit.rs
@@ -8,12 +8,11 @@
 
 use super::chat::Ask;
 use super::job::{Job, Phase, Run};
-use super::load::Readiness;
 use super::reader::Reader;
 use super::shared::{Shared, State};
 use super::text::{messages_text, token_count};
 use crate::http::{self, Answer, Cut, error, header, json, refuse};
-use crate::lock;
+use crate::{Readiness, lock};
 
 /// Seconds in the `Retry-After` of a full engine.
 const RETRY_AFTER: u64 = 1;
--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -8,12 +8,21 @@
     Answer, Body, Cut, MAX_BODY, Result, Stop, bytes, empty, error, json, read, read_json, refuse,
     stream,
 };
-pub use outage::{Outage, Switch};
+pub use outage::{Outage, Plan, Switch};
 pub use server::{Server, serve};
 
 use hyper::{HeaderMap, StatusCode, Uri};
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
+/// Asks for the runs with a number above `after`.
+#[derive(Deserialize)]
+pub struct RunsAsk {
+    /// The number, 0 if absent.
+    #[serde(default)]
+    pub after: u64,
+}
+
 /// Reads the query of a request, or answers 400.
 pub fn query<T: DeserializeOwned>(uri: &Uri) -> Result<T> {
     serde_urlencoded::from_str(uri.query().unwrap_or_default())
--- a/crates/testkit/src/http/server.rs
+++ b/crates/testkit/src/http/server.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 
-use super::{Answer, Cut, Stop};
+use super::{Answer, Cut, Stop, Switch};
 
 /// Result of starting a server.
 pub type Result<T> = io::Result<T>;
@@ -54,15 +54,15 @@
     }
 }
 
-/// Serves `handler` at `listen`; an error from it cuts the connection.
-pub async fn serve<H, F>(listen: SocketAddr, handler: H) -> Result<Server>
+/// Serves `handler` at `listen`, while `switch` lets it; an error from it cuts the connection.
+pub async fn serve<H, F>(listen: SocketAddr, switch: Switch, handler: H) -> Result<Server>
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = super::Result> + Send + 'static,
 {
     let listener = bind(listen)?;
     let address = listener.local_addr()?;
-    let task = tokio::spawn(accept(listener, handler));
+    let task = tokio::spawn(run(listener, address, switch, handler));
     Ok(Server { address, task })
 }
 
@@ -77,13 +77,39 @@
     socket.listen(BACKLOG)
 }
 
-async fn accept<H, F>(listener: TcpListener, handler: H) -> Infallible
+async fn run<H, F>(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    switch: Switch,
+    handler: H,
+) -> Infallible
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = super::Result> + Send + 'static,
 {
     // Dropping the set aborts the connections.
     let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            biased;
+            () = switch.refusing(true) => {}
+            _ = accept(&listener, &mut connections, &handler) => {}
+        }
+        drop(listener);
+        switch.refusing(false).await;
+        listener = bind_again(address).await;
+    }
+}
+
+async fn accept<H, F>(
+    listener: &TcpListener,
+    connections: &mut JoinSet<()>,
+    handler: &H,
+) -> Infallible
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = super::Result> + Send + 'static,
+{
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -97,9 +123,19 @@
     }
 }
 
+/// Binds a port that was given up, which another may hold for a moment.
+async fn bind_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match bind(address) {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
 async fn connection<H, F>(stream: TcpStream, handler: H)
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = super::Result> + Send + 'static,
 {
     // A socket that refuses the option still works, only slower.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod engine;
 pub mod http;
 pub mod platform;
+mod readiness;
 pub mod service;
+pub mod wait;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -23,6 +25,7 @@
 
 pub use engine::Engine;
 pub use platform::Platform;
+pub use readiness::Readiness;
 pub use service::Service;
 
 /// The loopback address with a free port chosen by the system.
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -41,7 +41,7 @@
     pub async fn start(listen: SocketAddr) -> Result<Self> {
         let shared = Arc::new(Shared::default());
         let handler = Arc::clone(&shared);
-        let server = http::serve(listen, move |request| {
+        let server = http::serve(listen, shared.switch.clone(), move |request| {
             let shared = Arc::clone(&handler);
             async move { api::answer(&shared, request).await }
         })
--- a/crates/testkit/src/platform/api.rs
+++ b/crates/testkit/src/platform/api.rs
@@ -9,11 +9,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::calls::{Call, CallCount, OBJECTS};
+use super::fault::Faults;
 use super::shared::{Caller, Shared};
 use super::store::Entry;
 use super::vms::VmUpdate;
 use super::write::{self, Write, parse_version, tagged};
-use crate::http::{self, Answer, Cut, empty, error, header, json, query, read_json};
+use crate::http::{self, Answer, empty, error, header, json, query, read_json};
 use crate::lock;
 
 /// Objects in one list, at most and if the caller names no limit.
@@ -52,21 +53,18 @@
         return Ok(error(StatusCode::NOT_FOUND, "no such call"));
     };
     lock(&shared.calls).count(&caller.role, kind);
-    // An outage that has begun goes first, so that no write slips through.
-    tokio::select! {
-        biased;
-        () = shared.switch.down(caller.vm()) => {
-            shared.switch.pass(caller.vm()).await?;
-            Err(Cut.into())
-        }
-        answer = call(shared, &caller, kind, request) => answer,
-    }
+    let answer = call(shared, &caller, kind, request);
+    shared.switch.guard(caller.vm(), answer).await
 }
 
 async fn control(shared: &Shared, request: Request<Incoming>) -> http::Result {
     let (parts, body) = request.into_parts();
     match (parts.method, parts.uri.path()) {
-        (Method::PUT, "/stand-in/faults") => shared.set_faults(read_json(body).await?),
+        (Method::PUT, "/stand-in/faults") => {
+            let faults: Faults = read_json(body).await?;
+            faults.plan().check()?;
+            shared.set_faults(faults);
+        }
         (Method::PUT, "/stand-in/budget") => shared.set_budget(read_json(body).await?),
         (Method::PUT, "/stand-in/vms") => {
             let update: VmUpdate = read_json(body).await?;
--- a/crates/testkit/src/platform/fault.rs
+++ b/crates/testkit/src/platform/fault.rs
@@ -3,7 +3,7 @@
 use medlarrill_core::clock::Millis;
 use serde::{Deserialize, Serialize};
 
-use crate::http::Outage;
+use crate::http::{Outage, Plan};
 
 /// Faults, all off by default; those with a number count down.
 #[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
@@ -11,6 +11,8 @@
 pub struct Faults {
     /// An outage of the whole platform.
     pub outage: Option<Outage>,
+    /// How long the outage lasts; zero means until other faults are set.
+    pub lasting: Millis,
     /// Pause before each call takes effect.
     pub delay: Millis,
     /// Next writes that are lost before they take effect.
@@ -41,6 +43,15 @@
 }
 
 impl Faults {
+    /// The outage that they ask for.
+    pub(super) fn plan(&self) -> Plan {
+        Plan {
+            outage: self.outage,
+            lasting: self.lasting,
+            vm: self.vm.clone(),
+        }
+    }
+
     /// Whether calls of `vm` meet the faults.
     pub(super) fn meets(&self, vm: Option<&str>) -> bool {
         self.vm.is_none() || self.vm.as_deref() == vm
--- a/crates/testkit/src/platform/shared.rs
+++ b/crates/testkit/src/platform/shared.rs
@@ -61,7 +61,7 @@
     }
 
     pub(super) fn set_faults(&self, faults: Faults) {
-        self.switch.set(faults.outage, faults.vm.clone());
+        self.switch.set(faults.plan());
         *lock(&self.faults) = faults;
     }
 
--- a/crates/testkit/src/platform/vms.rs
+++ b/crates/testkit/src/platform/vms.rs
@@ -111,7 +111,8 @@
             self.history.pop_front();
         }
         let own = viewer.and_then(|viewer| self.viewers.get(viewer));
-        let common = self.history.front().filter(|list| list.as_of <= as_of);
+        // The first list has nothing before it, so that it shows at once.
+        let common = self.history.front();
         let vms = own.or(common.map(|list| &list.vms));
         VmList {
             as_of,
--- a/crates/testkit/tests/engine.rs
+++ b/crates/testkit/tests/engine.rs
@@ -13,6 +13,7 @@
 use medlarrill_testkit::engine::{
     Faults, Message, Phase, Settings, expected_answer, messages_text,
 };
+use medlarrill_testkit::wait::until;
 use medlarrill_testkit::{ANY_PORT, Engine};
 use serde_json::{Value, json};
 
@@ -80,9 +81,8 @@
 }
 
 async fn phase_is(engine: &Engine, run: usize, phase: Phase) {
-    while engine.runs().get(run).map(|run| run.phase) != Some(phase) {
-        tokio::task::yield_now().await;
-    }
+    let reached = || engine.runs().get(run).is_some_and(|run| run.phase == phase);
+    until("the phase", async || reached()).await;
 }
 
 #[gtest]
@@ -170,9 +170,7 @@
     };
     let engine = Engine::start(ANY_PORT, settings).await.unwrap();
     let answer = ask(engine.address(), "r1", "hello", 60_000).await;
-    while engine.counters().pauses == 0 {
-        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
-    }
+    until("a pause", async || engine.counters().pauses > 0).await;
     expect_that!(engine.counters().largest_buffer, eq(8));
     let paused = engine.runs()[0].made;
     expect_that!(paused, lt(60_000));
--- a/crates/testkit/tests/platform.rs
+++ b/crates/testkit/tests/platform.rs
@@ -3,22 +3,15 @@
 #![expect(clippy::unwrap_used, reason = "a helper that fails fails its test")]
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use googletest::prelude::*;
-use hyper::{Method, Response};
-use medlarrill_testkit::client::{request, send};
+use hyper::Method;
+use medlarrill_core::clock::Millis;
+use medlarrill_testkit::client::{get, get_json, request, send};
 use medlarrill_testkit::platform::{Kind, State, Vm};
+use medlarrill_testkit::wait::until;
 use medlarrill_testkit::{ANY_PORT, Platform};
 use serde_json::{Value, json};
 
-async fn get(address: SocketAddr, path: &str) -> Response<Bytes> {
-    send(address, request(Method::GET, path), "").await.unwrap()
-}
-
-async fn get_json(address: SocketAddr, path: &str) -> Value {
-    serde_json::from_slice(get(address, path).await.body()).unwrap()
-}
-
 /// Sends a write whose condition is one header; the status and the `ETag`.
 async fn write(
     address: SocketAddr,
@@ -64,13 +57,19 @@
     expect_that!(updated, eq(&(200, tag(2))));
     let absent = write(at, Method::PUT, "c", ("if-match", "\"1\""), "x").await;
     expect_that!(absent, eq(&(412, None)));
-    expect_that!(get(at, "/v1/objects/a/b").await.body().as_ref(), eq(b"two"));
+    expect_that!(
+        get(at, "/v1/objects/a/b").await.unwrap().body().as_ref(),
+        eq(b"two")
+    );
 
     let stale = write(at, Method::DELETE, "a/b", ("if-match", "\"1\""), "").await;
     expect_that!(stale, eq(&(412, tag(2))));
     let deleted = write(at, Method::DELETE, "a/b", ("if-match", "\"2\""), "").await;
     expect_that!(deleted, eq(&(204, None)));
-    expect_that!(get(at, "/v1/objects/a/b").await.status().as_u16(), eq(404));
+    expect_that!(
+        get(at, "/v1/objects/a/b").await.unwrap().status().as_u16(),
+        eq(404)
+    );
     let bare = send(at, request(Method::PUT, "/v1/objects/d"), "x").await;
     expect_that!(bare.unwrap().status().as_u16(), eq(428));
 }
@@ -82,7 +81,9 @@
     for key in ["a/2", "b", "a/1", "a/3"] {
         platform.put(key, "12345");
     }
-    let page = get_json(platform.address(), "/v1/objects?prefix=a%2F&limit=2").await;
+    let page = get_json(platform.address(), "/v1/objects?prefix=a%2F&limit=2")
+        .await
+        .unwrap();
     expect_that!(
         page,
         eq(&json!({"revision": 4, "more": true, "objects": [
@@ -91,7 +92,7 @@
         ]}))
     );
     let path = "/v1/objects?prefix=a/&after=a/2&limit=2";
-    let page = get_json(platform.address(), path).await;
+    let page = get_json(platform.address(), path).await.unwrap();
     expect_that!(page["objects"][0]["key"], eq(&json!("a/3")));
     expect_that!(page["more"], eq(&json!(false)));
 }
@@ -103,20 +104,20 @@
     let at = platform.address();
     platform.put("a/1", "x");
     let path = "/v1/watch?prefix=a/&after=1&wait=60000";
-    let watch = tokio::spawn(async move { get_json(at, path).await });
-    while platform.calls().is_empty() {
-        tokio::task::yield_now().await;
-    }
+    let watch = tokio::spawn(async move { get_json(at, path).await.unwrap() });
+    until("a call", async || !platform.calls().is_empty()).await;
     platform.put("b", "x");
     platform.put("a/2", "x");
     let seen = watch.await.unwrap();
     let event = json!({"key": "a/2", "version": 3, "deleted": false});
     expect_that!(seen, eq(&json!({"revision": 3, "events": [event]})));
 
-    let idle = get_json(at, "/v1/watch?prefix=a/&after=3&wait=1").await;
+    let idle = get_json(at, "/v1/watch?prefix=a/&after=3&wait=1")
+        .await
+        .unwrap();
     expect_that!(idle, eq(&json!({"revision": 3, "events": []})));
     platform.compact();
-    let late = get(at, "/v1/watch?after=2&wait=1").await;
+    let late = get(at, "/v1/watch?after=2&wait=1").await.unwrap();
     expect_that!(late.status().as_u16(), eq(410));
 }
 
@@ -127,10 +128,27 @@
     let at = platform.address();
     platform.set_vms(vec![vm("vm-1"), vm("vm-2")]);
     platform.set_vms_for("vm-2", Some(vec![vm("vm-2")]));
-    let common = get_json(at, "/v1/vms").await;
+    let common = get_json(at, "/v1/vms").await.unwrap();
     expect_that!(common["vms"][0]["vm"], eq(&json!("vm-1")));
     let ask = request(Method::GET, "/v1/vms").header("x-caller-vm", "vm-2");
     let own = send(at, ask, "").await.unwrap();
     let own: Value = serde_json::from_slice(own.body()).unwrap();
     expect_that!(own["vms"][0]["vm"], eq(&json!("vm-2")));
 }
+
+#[gtest]
+#[tokio::test]
+async fn the_list_of_vms_lags() {
+    let platform = Platform::start(ANY_PORT).await.unwrap();
+    let at = platform.address();
+    let count = async || {
+        let list = get_json(at, "/v1/vms").await.unwrap();
+        list["vms"].as_array().map(Vec::len)
+    };
+    platform.set_vms(vec![vm("vm-1")]);
+    platform.set_vm_lag(Millis::from_secs(3600));
+    platform.set_vms(vec![vm("vm-1"), vm("vm-2")]);
+    expect_that!(count().await, some(eq(1)));
+    platform.set_vm_lag(Millis::ZERO);
+    expect_that!(count().await, some(eq(2)));
+}
