--- a/crates/core/src/change.rs
+++ b/crates/core/src/change.rs
@@ -6,16 +6,22 @@
 //! heads, so that a daemon needs only compare numbers to know what is newer.
 
 mod apply;
+pub mod changer;
 mod digest;
 mod export;
 mod head;
 mod part;
+pub mod spread;
+pub mod sweep;
 
 pub use apply::{Applied, Fault, Faults, apply};
+pub use changer::Changer;
 pub use digest::Digest;
 pub use export::export;
 pub use head::{ChangeRecord, Head, HeadError, MAX_RECORDS, MIN_RECORDS, PartRef, RECORD_AGE};
 pub use part::{Body, MAX_PART, Part, PartError, PartName, PartNameError, join, split};
+pub use spread::Spread;
+pub use sweep::Sweep;
 
 /// Key of the head in the platform's object API.
 pub const HEAD_KEY: &str = "config/head";
--- a/crates/core/src/change/head.rs
+++ b/crates/core/src/change/head.rs
@@ -49,16 +49,19 @@
     pub generation: Generation,
 }
 
-/// An accepted change.
+/// A change that was accepted, or given up for good.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChangeRecord {
     /// The change.
     pub change: ChangeId,
-    /// The generation it made.
+    /// The generation it made; for one given up, the generation of that time.
     pub generation: Generation,
     /// When it was accepted, by the clock of who wrote the head.
     pub wall: Millis,
+    /// Whether it was given up instead, and must not be accepted any more.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub void: bool,
 }
 
 impl Head {
@@ -84,27 +87,31 @@
     /// The change that made a generation, if it is remembered.
     pub fn maker(&self, generation: Generation) -> Option<ChangeId> {
         let made = |record: &&ChangeRecord| record.generation == generation;
-        self.recent.iter().find(made).map(|record| record.change)
+        self.accepted().find(made).map(|record| record.change)
     }
 
     /// Whether every change accepted after a generation is remembered.
     pub fn remembers_since(&self, generation: Generation) -> bool {
-        let first = self.recent.first().map(|record| record.generation);
+        let first = self.accepted().next().map(|record| record.generation);
         generation == self.generation || first.is_some_and(|first| first.0 <= generation.0 + 1)
     }
 
+    fn accepted(&self) -> impl Iterator<Item = &ChangeRecord> {
+        self.recent.iter().filter(|record| !record.void)
+    }
+
     /// Remembers a change and forgets old ones; false if too many came of late.
-    pub fn remember(&mut self, change: ChangeId, wall: Millis) -> bool {
+    pub(super) fn remember(&mut self, change: ChangeId, wall: Millis, void: bool) -> bool {
         let last = self.recent.last().map_or(Millis::ZERO, |last| last.wall);
         let wall = wall.max(last);
-        let record = ChangeRecord {
+        self.recent.push(ChangeRecord {
             change,
             generation: self.generation,
             wall,
-        };
-        self.recent.push(record);
-        let young = |record: &ChangeRecord| wall.since(record.wall) < RECORD_AGE;
-        let old = self.recent.iter().take_while(|r| !young(r)).count();
+            void,
+        });
+        let old = |record: &&ChangeRecord| wall.since(record.wall) >= RECORD_AGE;
+        let old = self.recent.iter().take_while(old).count();
         let spare = self.recent.len().saturating_sub(MIN_RECORDS);
         self.recent.drain(..old.min(spare));
         self.recent.len() <= MAX_RECORDS
