The test of a repeat without effect can fail

It now asks which generation the delayed request is told, and has been seen failing with the record left out.

--- a/crates/core/tests/changer.rs
+++ b/crates/core/tests/changer.rs
@@ -165,7 +165,13 @@
     );
     accept(&mut platform, 3, "alter pool a slots 5");
     let delayed = changer(2, "alter pool a slots 16");
-    finish(&mut platform, delayed);
+    expect_that!(
+        finish(&mut platform, delayed),
+        matches_pattern!(Outcome::Accepted(field!(
+            &Accepted.generation,
+            eq(Generation(2))
+        )))
+    );
     expect_that!(head(&platform).generation, eq(Generation(3)));
 }
 
