Spread of generations between daemons, tested under loss and restarts

Seeded schedules of six daemons in two data centres, with lost and late messages, outages and restarts, found two faults in the first version: a head that came late cancelled the reading again of a newer one that had been lost, and a daemon aiming at a generation whose parts no peer held any more asked for them for ever. Parts are now asked only of peers with just that generation, and a newer head is taken first.

Seen failing by hand: a lower head taken, the first generation taken without listening, parts taken whatever their digest, a lost head not read again, far newer heads not asked for.

--- a/crates/core/src/change/spread.rs
+++ b/crates/core/src/change/spread.rs
@@ -151,6 +151,9 @@
             generation,
             retry: Millis::ZERO,
         });
+        if entry.generation != generation {
+            entry.retry = Millis::ZERO;
+        }
         entry.near = near;
         entry.generation = generation;
         if generation > Generation(0) {
@@ -212,7 +215,6 @@
     }
 
     fn platform(&mut self, head: Bytes, parts: Vec<Bytes>, actions: &mut Vec<Action>) {
-        self.reread = None;
         let Some(generation) = self.consider(head, actions) else {
             return;
         };
--- a/crates/core/src/change/spread/fetch.rs
+++ b/crates/core/src/change/spread/fetch.rs
@@ -49,37 +49,32 @@
             actions.push(Action::ReadHead);
         }
         if self.asked.is_none() {
-            let missing = self.goal.as_ref().map(Goal::missing);
-            match missing.filter(|missing| !missing.is_empty()) {
-                Some(missing) => self.fetch(missing, now, actions),
-                None => self.look(now, actions),
-            }
+            self.choose(now, actions);
         }
         actions.extend(self.next(now).map(Action::Wait));
     }
 
-    /// Asks a peer that has a newer generation for its head.
-    fn look(&mut self, now: Millis, actions: &mut Vec<Action>) {
+    /// Asks for the newest head or for missing parts, near before far.
+    ///
+    /// A peer keeps the parts of its own generation only, so parts are asked of
+    /// peers that have just the goal's.
+    fn choose(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let target = self.target();
         let newer = |peer: &Peer| peer.generation > target;
-        let near = self.pick(now, |peer| peer.near && newer(peer));
-        let peer = near.or_else(|| self.pick(now, newer));
-        if let Some(peer) = peer {
-            self.ask(peer, BTreeSet::new(), now, actions);
+        if let Some(peer) = self.pick(now, |peer| peer.near && newer(peer)) {
+            return self.ask(peer, BTreeSet::new(), now, actions);
         }
-    }
-
-    /// Asks for missing parts.
-    fn fetch(&mut self, missing: BTreeSet<Digest>, now: Millis, actions: &mut Vec<Action>) {
-        let goal = self.goal.as_ref().map(|goal| goal.head.generation);
-        let goal = goal.unwrap_or_default();
-        let has = |peer: &Peer| peer.generation >= goal;
+        let missing = self.goal.as_ref().map(Goal::missing).unwrap_or_default();
+        let has = |peer: &Peer| !missing.is_empty() && peer.generation == target;
         if let Some(peer) = self.pick(now, |peer| peer.near && has(peer)) {
             return self.ask(peer, missing, now, actions);
         }
-        if self.watching && now >= self.paused {
+        if self.watching && now >= self.paused && !missing.is_empty() {
             return self.read(missing, now, actions);
         }
+        if let Some(peer) = self.pick(now, newer) {
+            return self.ask(peer, BTreeSet::new(), now, actions);
+        }
         if let Some(peer) = self.pick(now, has) {
             self.ask(peer, missing, now, actions);
         }
