Admission: one home per endpoint with slots, load bound and fair queueing

Cause: an endpoint's work is admitted in one place, so its count in flight is exact without control messages. The home dispatches while a slot is free and the load is at or under load bound x mean; else it queues by weighted fair queueing, passes on, or refuses at once.

Plain start-time fair queueing was ruled out: an institution under its share waits behind a burst that came earlier, and the p99 test fails with the credit taken out.

The shortening of a standing queue is not yet covered by a test.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions its caller has to carry out. Sockets, files and timers live in
 //! `medlarrill-net` and `medlarrilld`.
 
+pub mod admission;
 pub mod change;
 pub mod claims;
 pub mod clock;
