--- a/crates/core/src/ids/number.rs
+++ b/crates/core/src/ids/number.rs
@@ -2,7 +2,7 @@
 
 use std::str::FromStr;
 
-use derive_more::{Debug, Display, Error};
+use derive_more::{Debug, Display, Error, From, Into};
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 
 /// Result of reading a number.
@@ -110,6 +110,8 @@
     Default,
     Debug,
     Display,
+    From,
+    Into,
     SerializeDisplay,
     DeserializeFromStr,
 )]
--- a/crates/core/src/operator/answer.rs
+++ b/crates/core/src/operator/answer.rs
@@ -2,6 +2,7 @@
 
 use derive_more::{Debug, Display, FromStr};
 use serde::{Deserialize, Serialize};
+use serde_with::{FromInto, serde_as};
 
 use super::parse::{Sentence, SyntaxErrors};
 use super::span::Span;
@@ -13,6 +14,7 @@
 pub const OPERATOR_PATH: &str = "/v1/operator";
 
 /// What the client sends.
+#[serde_as]
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Request {
@@ -27,8 +29,12 @@
     #[serde(default = "default_timeout")]
     pub timeout: Millis,
     /// The generation that the operator has seen; what changed since conflicts.
+    #[serde_as(as = "Option<FromInto<u64>>")]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub base: Option<Generation>,
+    /// Whether it was sent before, so that it may be under way elsewhere.
+    #[serde(default)]
+    pub repeat: bool,
 }
 
 /// How long a daemon may take unless told.
@@ -39,6 +45,7 @@
 }
 
 /// What the daemon answers.
+#[serde_as]
 #[derive(Clone, PartialEq, Default, Debug, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Answer {
@@ -47,10 +54,12 @@
     /// Live daemons that don't have the generation yet.
     pub lagging: Vec<DaemonId>,
     /// The newest generation that the daemon knows.
+    #[serde_as(as = "FromInto<u64>")]
     pub generation: Generation,
 }
 
 /// What became of one statement.
+#[serde_as]
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct StatementResult {
     /// The statement as given.
@@ -58,6 +67,7 @@
     /// What became of it.
     pub verdict: Verdict,
     /// The generation that has it, if it was accepted.
+    #[serde_as(as = "Option<FromInto<u64>>")]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub generation: Option<Generation>,
     /// What is wrong with it.
