Endpoint and platform clients: limits, faults and what tests showed

The circuit was asked twice, before and after the wait for the budget, and no test told the second apart: a call that waits for its turn must not go out once the platform looks down. That and two other cases have tests now, that failures under way at once count as one, and that a write which may have been done is not tried again. A rate of zero gave an undefined wait and let calls pass; it now lets none pass. Callers refused by the circuit no longer double their own waits on top of it.

Events keep their id as text and can be written out again.

--- a/crates/net/src/endpoint.rs
+++ b/crates/net/src/endpoint.rs
@@ -18,7 +18,7 @@
 
 use crate::http::{Http, strip_hop_headers, uri};
 
-pub use crate::http::{Body, Error, Limits, Result, Reuse};
+pub use crate::http::{Body, Error, Limits, Result, Reuse, retry_after};
 pub use calls::{CallError, CallResult};
 pub use events::{Event, EventError, EventResult, Events};
 pub use model::{
--- a/crates/net/src/endpoint/events.rs
+++ b/crates/net/src/endpoint/events.rs
@@ -34,10 +34,10 @@
 }
 
 /// One event.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Default, Debug)]
 pub struct Event {
-    /// Its id, if it has one that is a number: tokens up to and with it.
-    pub id: Option<u64>,
+    /// Its id, if it has one.
+    pub id: Option<String>,
     /// Its kind, if it names one.
     pub name: Option<String>,
     /// Its data.
@@ -45,22 +45,49 @@
 }
 
 impl Event {
+    /// Tokens of the answer up to and with this event, if its id says so.
+    pub fn tokens(&self) -> Option<u64> {
+        self.id.as_ref()?.parse().ok()
+    }
+
     /// Whether this is the mark that ends a whole stream.
     pub fn is_done(&self) -> bool {
         self.data == DONE.as_bytes()
     }
+
+    /// The event as it goes over a connection.
+    ///
+    /// # Errors
+    ///
+    /// `Malformed` if it can't be written, which no event that was read is.
+    pub fn encode(&self) -> EventResult<Bytes> {
+        let data = std::str::from_utf8(&self.data).map_err(malformed)?;
+        let sse = Sse {
+            event: self.name.clone(),
+            data: Some(data.into()),
+            id: self.id.clone(),
+            retry: None,
+        };
+        sse.encode().map_err(malformed)
+    }
 }
 
 impl From<Sse> for Event {
     fn from(sse: Sse) -> Self {
         Self {
-            id: sse.id.and_then(|id| id.parse().ok()),
+            id: sse.id,
             name: sse.event,
             data: sse.data.unwrap_or_default().into(),
         }
     }
 }
 
+fn malformed(cause: impl ToString) -> EventError {
+    EventError::Malformed {
+        cause: cause.to_string(),
+    }
+}
+
 type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes>> + Send>>;
 
 /// Reads events from an answer's body.
@@ -126,5 +153,5 @@
     {
         return EventError::Transport(*error);
     }
-    EventError::Malformed { cause }
+    malformed(cause)
 }
--- a/crates/net/src/platform.rs
+++ b/crates/net/src/platform.rs
@@ -136,6 +136,11 @@
     pub fn snapshot(&self) -> Snapshot {
         self.shared.counts.snapshot()
     }
+
+    /// Whether the platform looks down to a role.
+    pub fn looks_down(&self, role: Role) -> bool {
+        self.shared.gate(role).looks_down()
+    }
 }
 
 impl Shared {
--- a/crates/net/src/platform/error.rs
+++ b/crates/net/src/platform/error.rs
@@ -39,7 +39,7 @@
         /// What stood against it.
         #[error(not(source))]
         why: Refusal,
-        /// When a retry may help; none if it can't.
+        /// When a retry may help, if that is known.
         after: Option<Millis>,
     },
     /// Sent, with no whole answer: it may have taken effect or still may.
--- a/crates/net/src/platform/exchange.rs
+++ b/crates/net/src/platform/exchange.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::error::{Error, Refusal, Result};
-use super::gate::{Permit, Verdict};
+use super::gate::{Permit, Turn, Verdict};
 use super::model::{MAX_OBJECT, Version};
 use super::role::{Ending, Kind, Role};
 use super::{Client, Shared};
@@ -222,11 +222,23 @@
         self.shared.counts.add(self.role, self.kind, self.ending);
         if let Some(permit) = self.permit {
             let mut gate = self.shared.gate(self.role);
-            gate.settle(now(), permit, self.verdict);
+            let turn = gate.settle(now(), permit, self.verdict);
+            drop(gate);
+            report(self.role, turn);
         }
     }
 }
 
+fn report(role: Role, turn: Option<Turn>) {
+    match turn {
+        Some(Turn::Down { wait }) => {
+            log::warn!(target: "platform", "platform: it looks down to {role}; next call in {wait}");
+        }
+        Some(Turn::Up) => log::info!(target: "platform", "platform: it is back for {role}"),
+        None => {}
+    }
+}
+
 fn verdict(error: Option<&Error>) -> Verdict {
     match error {
         Some(Error::NotDone {
--- a/crates/net/src/platform/gate.rs
+++ b/crates/net/src/platform/gate.rs
@@ -12,6 +12,8 @@
 
 /// Failures in a row after which the platform looks down.
 const FAILURES: u32 = 3;
+/// Lowest rate told from none, in calls a second.
+const SLOWEST: f64 = 1e-6;
 /// Longest wait that an answer's `Retry-After` may ask for.
 const MAX_AFTER: Millis = Millis::from_secs(60);
 
@@ -28,11 +30,12 @@
 
 impl Bucket {
     fn new(budget: Budget) -> Self {
-        let interval = 1000.0 / budget.rate.0.max(f64::MIN_POSITIVE);
+        let rate = budget.rate.0;
+        let interval = 1000.0 / rate.max(SLOWEST);
         Self {
             interval,
             slack: interval * f64::from(budget.burst.saturating_sub(1)),
-            due: 0.0,
+            due: if rate > 0.0 { 0.0 } else { f64::INFINITY },
         }
     }
 
@@ -85,6 +88,15 @@
     Nothing,
 }
 
+/// A change of how the platform looks to a role.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum Turn {
+    /// It looks down; no call goes for this long.
+    Down { wait: Millis },
+    /// It is back.
+    Up,
+}
+
 /// The budget and the circuit of one role.
 #[derive(Debug)]
 pub(super) struct Gate {
@@ -133,17 +145,26 @@
         Ok(Permit { probe: true })
     }
 
-    /// Takes in what a call that passed says of the platform.
-    pub(super) fn settle(&mut self, now: Millis, permit: Permit, verdict: Verdict) {
+    /// Whether the platform looks down.
+    pub(super) const fn looks_down(&self) -> bool {
+        !matches!(self.circuit, Circuit::Up { .. })
+    }
+
+    /// Takes in what a call that passed says of the platform, and returns how
+    /// that changes its looks.
+    pub(super) fn settle(&mut self, now: Millis, permit: Permit, verdict: Verdict) -> Option<Turn> {
         match verdict {
-            Verdict::Up => self.circuit = Circuit::Up { failures: 0 },
+            Verdict::Up => self.rise(),
             Verdict::Throttled { after } => {
-                self.circuit = Circuit::Up { failures: 0 };
                 let wait = self.wait(1, after);
                 self.bucket.hold(now + wait);
+                self.rise()
             }
             Verdict::Failed { after } => self.fail(now, permit, after),
-            Verdict::Nothing => self.release(now, permit),
+            Verdict::Nothing => {
+                self.release(now, permit);
+                None
+            }
         }
     }
 
@@ -154,21 +175,29 @@
         after.unwrap_or_default().min(MAX_AFTER) + jitter
     }
 
-    fn fail(&mut self, now: Millis, permit: Permit, after: Option<Millis>) {
+    fn rise(&mut self) -> Option<Turn> {
+        let was_down = self.looks_down();
+        self.circuit = Circuit::Up { failures: 0 };
+        was_down.then_some(Turn::Up)
+    }
+
+    fn fail(&mut self, now: Millis, permit: Permit, after: Option<Millis>) -> Option<Turn> {
         let tries = match &mut self.circuit {
             Circuit::Up { failures } => {
                 *failures += 1;
                 if *failures < FAILURES && after.is_none() {
-                    return;
+                    return None;
                 }
                 1
             }
             Circuit::Probing { tries } if permit.probe => tries.saturating_add(1),
             // Calls that were under way when it went down say nothing new.
-            Circuit::Down { .. } | Circuit::Probing { .. } => return,
+            Circuit::Down { .. } | Circuit::Probing { .. } => return None,
         };
-        let until = now + self.wait(tries, after);
+        let wait = self.wait(tries, after);
+        let until = now + wait;
         self.circuit = Circuit::Down { until, tries };
+        (tries == 1).then_some(Turn::Down { wait })
     }
 
     /// Gives the probe to the next call if this one had it.
--- a/crates/net/src/platform/retry.rs
+++ b/crates/net/src/platform/retry.rs
@@ -3,7 +3,7 @@
 use medlarrill_core::clock::Millis;
 
 use super::Client;
-use super::error::{Error, Result};
+use super::error::{Error, Refusal, Result};
 use super::role::{Ending, Role};
 use crate::now::now;
 
@@ -62,9 +62,14 @@
 
     /// A random wait before the next try, no shorter than the error asks for.
     pub fn wait(&self, role: Role, tries: u32, error: &Error) -> Millis {
-        let after = match error {
-            Error::NotDone { after, .. } => *after,
-            _ => None,
+        let (tries, after) = match error {
+            // The circuit and the budget have set the time; only spread it.
+            Error::NotDone {
+                why: Refusal::Down | Refusal::Budget,
+                after,
+            } => (1, *after),
+            Error::NotDone { after, .. } => (tries, *after),
+            _ => (tries, None),
         };
         self.shared.gate(role).wait(tries, after)
     }
--- a/crates/net/tests/endpoint.rs
+++ b/crates/net/tests/endpoint.rs
@@ -3,14 +3,21 @@
 #[path = "support/peer.rs"]
 mod peer;
 
+use std::pin::pin;
+use std::time::Duration;
+
 use bytes::Bytes;
 use googletest::prelude::*;
 use http::Method;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::outcome::Outcome;
-use medlarrill_net::endpoint::{Client, Error, Events, Limits, Request, Reuse};
+use medlarrill_net::endpoint::{
+    Client, Error, EventError, Events, Limits, Request, Reuse, State, retry_after,
+};
+use medlarrill_testkit::service::Faults;
+use medlarrill_testkit::{ANY_PORT, Service};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use peer::{Peer, read_head};
 
@@ -132,7 +139,7 @@
         let mut seen = Vec::new();
         loop {
             match events.next().await {
-                Some(Ok(event)) => seen.push((event.id, event.data)),
+                Some(Ok(event)) => seen.push((event.tokens(), event.data)),
                 Some(Err(error)) => return (seen, Some(error)),
                 None => return (seen, None),
             }
@@ -148,3 +155,195 @@
     );
     expect_that!(error, some(displays_as(contains_substring("lost"))));
 }
+
+/// Serves `answer` to the first request, then waits for the client to hang up.
+async fn serve_once(peer: &Peer, answer: &str) {
+    let mut stream = peer.accept().await;
+    read_head(&mut stream).await;
+    stream.write_all(answer.as_bytes()).await.unwrap();
+    let hung_up = async { while stream.read(&mut [0; 64]).await.is_ok_and(|n| n > 0) {} };
+    let guard = tokio::time::timeout(LONG.as_duration(), hung_up);
+    expect_that!(guard.await, ok(anything()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn gap_in_an_answer_is_a_timeout_that_hangs_up() {
+    let peer = Peer::start().await;
+    let client = client();
+    let answer = format!("{CHUNKED}{}", chunk("a"));
+    let read = async {
+        let request = get().with_waits(LONG, SHORT);
+        let mut body = client.send(peer.address, request).await.unwrap().body;
+        let first = body.next().await;
+        (first, body.next().await, body.next().await)
+    };
+    let ((first, second, third), ()) = tokio::join!(read, serve_once(&peer, &answer));
+    expect_that!(first, some(ok(eq(&Bytes::from_static(b"a")))));
+    expect_that!(second, some(err(eq(&Error::Timeout { sent: true }))));
+    expect_that!(third, none());
+}
+
+#[gtest]
+#[tokio::test]
+async fn dropped_body_hangs_up_pooled_or_fresh() {
+    for reuse in [Reuse::Pooled, Reuse::Fresh] {
+        let peer = Peer::start().await;
+        let client = client();
+        let answer = format!("{CHUNKED}{}", chunk("a"));
+        let read = async {
+            let request = get().with_reuse(reuse);
+            let mut body = client.send(peer.address, request).await.unwrap().body;
+            expect_that!(body.next().await, some(ok(anything())));
+        };
+        tokio::join!(read, serve_once(&peer, &answer));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn answer_that_is_cut_or_has_no_marked_end_is_lost() {
+    for head in [
+        "Content-Length: 10\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "",
+    ] {
+        let peer = Peer::start().await;
+        let client = client();
+        let serve = async {
+            let mut stream = peer.accept().await;
+            read_head(&mut stream).await;
+            let body = if head.starts_with('T') {
+                "2\r\nab\r\n"
+            } else {
+                "ab"
+            };
+            let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\n{body}");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        };
+        let read = async {
+            let answer = client.send(peer.address, get()).await.unwrap();
+            answer.body.whole(100).await
+        };
+        let (whole, ()) = tokio::join!(read, serve);
+        expect_that!(whole, err(matches_pattern!(Error::Lost { .. })), "{head}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn answer_or_event_over_the_limit_ends_the_reading() {
+    let piece = "x".repeat(1 << 10);
+    let answer = format!("{CHUNKED}{}{}", chunk(&piece), chunk(&piece));
+    let peer = Peer::start().await;
+    let client = client();
+    let read = async {
+        let answer = client.send(peer.address, get()).await.unwrap();
+        answer.body.whole(1500).await
+    };
+    let (whole, ()) = tokio::join!(read, serve_once(&peer, &answer));
+    expect_that!(whole, err(eq(&Error::TooLarge { limit: 1500 })));
+
+    let peer = Peer::start().await;
+    let read = async {
+        let body = client.send(peer.address, get()).await.unwrap().body;
+        Events::new(body, 1000).next().await
+    };
+    let (event, ()) = tokio::join!(read, serve_once(&peer, &answer));
+    let error = EventError::Transport(Error::TooLarge { limit: 1000 });
+    expect_that!(event, some(err(eq(&error))));
+}
+
+#[gtest]
+#[tokio::test]
+async fn reader_that_waits_holds_the_sender_back() {
+    const WHOLE: usize = 64 << 20;
+    let peer = Peer::start().await;
+    let client = client();
+    let (read, ready) = oneshot::channel();
+    let serve = async {
+        let mut stream = peer.accept().await;
+        read_head(&mut stream).await;
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {WHOLE}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let body = vec![0; WHOLE];
+        let mut write = pin!(stream.write_all(&body));
+        // What fits between the two is far less than the whole.
+        let early = tokio::time::timeout(Duration::from_millis(300), &mut write).await;
+        read.send(()).unwrap();
+        write.await.unwrap();
+        early.is_ok()
+    };
+    let take = async {
+        let mut body = client.send(peer.address, get()).await.unwrap().body;
+        expect_that!(body.next().await, some(ok(anything())));
+        ready.await.unwrap();
+        while body.next().await.is_some_and(|piece| piece.is_ok()) {}
+        body.bytes_read()
+    };
+    let (early, taken) = tokio::join!(serve, take);
+    expect_that!(early, eq(false));
+    expect_that!(taken, eq(WHOLE as u64));
+}
+
+#[gtest]
+#[tokio::test]
+async fn headers_of_one_connection_do_not_travel() {
+    let peer = Peer::start().await;
+    let client = client();
+    let serve = async {
+        let mut stream = peer.accept().await;
+        let head = read_head(&mut stream).await;
+        let answer = "HTTP/1.1 200 OK\r\nConnection: x-mine\r\nX-Mine: 1\r\nX-Other: 2\r\n\
+            Content-Length: 0\r\n\r\n";
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        head
+    };
+    let mut request = get();
+    for (name, value) in [
+        ("connection", "x-a"),
+        ("x-a", "1"),
+        ("x-b", "2"),
+        ("host", "h"),
+    ] {
+        request.headers.insert(name, value.parse().unwrap());
+    }
+    let (answer, head) = tokio::join!(client.send(peer.address, request), serve);
+    let head = head.to_lowercase();
+    expect_that!(head, contains_substring("x-b: 2"));
+    expect_that!(head, not(contains_substring("x-a")));
+    expect_that!(head, contains_substring(format!("host: {}", peer.address)));
+    let headers = answer.unwrap().headers;
+    expect_that!(headers.get("x-mine"), none());
+    expect_that!(headers.get("x-other"), some(anything()));
+}
+
+#[gtest]
+#[tokio::test]
+async fn service_that_loses_answers_or_refuses() {
+    let service = Service::start(ANY_PORT).await.unwrap();
+    let address = service.address();
+    let client = client();
+    let post = || Request::new(Method::POST, "/bookings").with_body("x".into());
+    service.set_faults(Faults {
+        refusals: 1,
+        losses: 1,
+        ..Faults::default()
+    });
+    let answer = client.send(address, post()).await.unwrap();
+    expect_that!(answer.status.as_u16(), eq(503));
+    expect_that!(retry_after(&answer.headers), some(eq(Millis::from_secs(1))));
+    expect_that!(service.runs().len(), eq(0));
+    let error = client.send(address, post()).await.unwrap_err();
+    expect_that!(error.outcome(), eq(Outcome::Unknown));
+    expect_that!(service.runs().len(), eq(1));
+    service.set_faults(Faults {
+        leaving: true,
+        ..Faults::default()
+    });
+    let health = client.health(address, LONG).await.unwrap();
+    expect_that!(health.state, eq(State::Leaving));
+    let load = client.load(address, LONG).await.unwrap();
+    expect_that!(load.state, eq(State::Leaving));
+    expect_that!(load.cache, none());
+}
--- a/crates/net/tests/platform.rs
+++ b/crates/net/tests/platform.rs
@@ -68,7 +68,9 @@
 }
 
 async fn get(client: &Client, timeout: Millis) -> medlarrill_net::platform::Result<Read> {
-    client.get(ROLE, "a", None, timeout).await
+    let call = client.get(ROLE, "a", None, timeout);
+    let guard = tokio::time::timeout((LONG + LONG).as_duration(), call);
+    guard.await.expect("a call ends in its time")
 }
 
 fn text(value: &str) -> Bytes {
@@ -207,6 +209,41 @@
     expect_that!(found.await, err(eq(&Error::NotFound)));
 }
 
+#[gtest]
+#[tokio::test]
+async fn call_that_waits_for_its_budget_is_not_sent_once_the_platform_is_down() {
+    let peer = Peer::start().await;
+    let client = Client::new(settings(peer.address).with_budget(ROLE, budget(1.0, 1)));
+    let serve = refuse_for_a_minute(&peer, "503 Down");
+    let (first, second, ()) = tokio::join!(get(&client, LONG), get(&client, LONG), serve);
+    expect_that!(first.unwrap_err().ending(), eq(Ending::Unavailable));
+    expect_that!(second.unwrap_err().ending(), eq(Ending::Down));
+    expect_that!(client.looks_down(ROLE), eq(true));
+    expect_that!(client.looks_down(Role::Vms), eq(false));
+}
+
+#[gtest]
+#[tokio::test]
+async fn failures_at_the_same_time_back_off_as_one() {
+    let (platform, _) = start().await;
+    let backoff = Backoff {
+        base: Millis(500),
+        cap: Millis::from_secs(3600),
+    };
+    let client = Client::new(settings(platform.address()).with_backoff(backoff));
+    platform.set_faults(outage(Outage::Hang));
+    let calls = (0..100).map(|_| get(&client, SHORT));
+    futures_util::future::join_all(calls).await;
+    match get(&client, SHORT).await {
+        Err(Error::NotDone { why, after }) => {
+            expect_that!(why, eq(Refusal::Down));
+            expect_that!(after, some(le(backoff.base)));
+        }
+        // The wait may be over already.
+        other => expect_that!(other, err(matches_pattern!(Error::Unknown { .. }))),
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn abandoned_probe_lets_the_next_call_find_out() {
@@ -235,7 +272,9 @@
         expect_that!(client.vms(Role::Vms, LONG).await, ok(anything()));
     }
     for _ in 0..5 {
-        let error = client.vms(Role::Vms, LONG).await.unwrap_err();
+        let call = client.vms(Role::Vms, LONG);
+        let guard = tokio::time::timeout((LONG + LONG).as_duration(), call);
+        let error = guard.await.unwrap().unwrap_err();
         expect_that!(error.ending(), eq(Ending::Budget));
     }
     expect_that!(reached(&platform), eq(3));
@@ -291,6 +330,21 @@
     expect_that!(list.findings, elements_are![starts_with("vms[1]: ")]);
 }
 
+#[gtest]
+#[tokio::test]
+async fn write_that_may_have_been_done_is_not_tried_again() {
+    let (platform, client) = start().await;
+    platform.set_faults(Faults {
+        lost_answers: 1,
+        ..Faults::default()
+    });
+    let until = now() + LONG;
+    let create = async || client.create(ROLE, "a", text("1"), LONG).await;
+    let result = client.retry(ROLE, until, Repeat::NotDone, create).await;
+    expect_that!(result, err(matches_pattern!(Error::Unknown { .. })));
+    expect_that!(reached(&platform), eq(1));
+}
+
 async fn next(follower: &mut Follower) -> Followed {
     let news = tokio::time::timeout(LONG.as_duration(), follower.next());
     news.await.unwrap().unwrap()
