--- a/crates/core/src/operator/answer.rs
+++ b/crates/core/src/operator/answer.rs
@@ -7,6 +7,7 @@
 use super::parse::{Sentence, SyntaxErrors};
 use super::span::Span;
 use crate::change::Faults;
+use crate::change::changer::Outcome;
 use crate::clock::Millis;
 use crate::ids::{ChangeId, DaemonId, Generation};
 
@@ -193,6 +194,60 @@
     errors.0.iter().map(result).collect()
 }
 
+/// Results for every sentence of a text, after its changes have come to an end.
+///
+/// All changes of a text are made together or not at all, so they have one
+/// verdict; findings go to the sentences that they are about. What isn't a
+/// change is `Done`, and its table has yet to be added.
+pub fn results(text: &str, sentences: &[Sentence], outcome: &Outcome) -> Vec<StatementResult> {
+    let verdict = verdict(outcome);
+    let mut findings = match outcome {
+        Outcome::Refused(faults) => locate(sentences, faults),
+        _ => vec![Vec::new(); sentences.len()],
+    };
+    let first = sentences.iter().position(|s| s.change().is_some());
+    if let Some((index, message)) = first.zip(reason(outcome)) {
+        findings[index].push(Finding::new("configuration", message));
+    }
+    let generation = match outcome {
+        Outcome::Accepted(accepted) => Some(accepted.generation),
+        _ => None,
+    };
+    let results = sentences.iter().zip(findings).map(|(sentence, findings)| {
+        let statement = sentence.span.of(text);
+        if sentence.change().is_none() {
+            return StatementResult::new(statement, Verdict::Done);
+        }
+        let result = StatementResult::new(statement, verdict).with_findings(findings);
+        StatementResult {
+            generation,
+            ..result
+        }
+    });
+    results.collect()
+}
+
+const fn verdict(outcome: &Outcome) -> Verdict {
+    match outcome {
+        Outcome::Accepted(_) => Verdict::Accepted,
+        Outcome::Refused(_) | Outcome::Withdrawn => Verdict::Refused,
+        Outcome::Conflict(_) => Verdict::Conflict,
+        Outcome::Unavailable(_) => Verdict::Unavailable,
+        Outcome::Unknown => Verdict::Unknown,
+    }
+}
+
+/// Why a change ended as it did, apart from faults in its statements.
+fn reason(outcome: &Outcome) -> Option<String> {
+    match outcome {
+        Outcome::Accepted(_) | Outcome::Refused(_) => None,
+        Outcome::Conflict(conflict) => Some(conflict.to_string()),
+        Outcome::Withdrawn => Some("this change was given up before; ask for a new one".into()),
+        Outcome::Unavailable(reason) => Some(reason.clone()),
+        Outcome::Unknown => Some("it isn't known whether the change was accepted".into()),
+    }
+}
+
 /// Findings for each sentence of a text, from faults in its changes.
 ///
 /// The faults count the changes alone; a fault that no change is to blame for
--- a/crates/core/tests/change_apply.rs
+++ b/crates/core/tests/change_apply.rs
@@ -1,10 +1,12 @@
 //! Changes applied to a configuration, and its checks.
 
 use googletest::prelude::*;
+use medlarrill_core::change::changer::Outcome;
 use medlarrill_core::change::{Applied, Body, Faults, Part, PartName, apply, export, join, split};
 use medlarrill_core::config::Config;
 use medlarrill_core::ids::Generation;
-use medlarrill_core::operator::{Change, answer, parse};
+use medlarrill_core::operator::answer::{self, Verdict};
+use medlarrill_core::operator::{Change, parse};
 
 const FIRST: &str = "create pool chat kind model model m1
     create pool notes kind service refusal not-run
@@ -137,6 +139,23 @@
     }
 }
 
+#[gtest]
+fn all_changes_of_a_text_share_one_verdict() {
+    let text = "alter pool chat slots 8; show pools; drop pool none";
+    let sentences = parse(text).unwrap();
+    let refused = Outcome::Refused(run(text).expect_err("the text is wrong"));
+    let results = answer::results(text, &sentences, &refused);
+    let verdicts: Vec<_> = results.iter().map(|result| result.verdict).collect();
+    let wanted = vec![Verdict::Refused, Verdict::Done, Verdict::Refused];
+    expect_that!(verdicts, eq(&wanted));
+    expect_that!(results[0].findings, is_empty());
+    expect_that!(results[2].findings, len(eq(1)));
+    expect_that!(results[2].statement, eq("drop pool none"));
+    let results = answer::results(text, &sentences, &Outcome::Unavailable("no".into()));
+    expect_that!(results[0].findings[0].message, eq("no"));
+    expect_that!(results[1].verdict, eq(Verdict::Done));
+}
+
 #[gtest]
 fn an_institution_with_a_dot_is_refused() {
     expect_that!(
--- a/crates/core/tests/operator.rs
+++ b/crates/core/tests/operator.rs
@@ -67,6 +67,17 @@
     }
 }
 
+#[gtest]
+fn the_operators_page_can_be_read() {
+    let page = include_str!("../../../docs/OPERATOR-LANGUAGE.md");
+    let blocks: Vec<_> = page.split("```operator\n").skip(1).collect();
+    expect_that!(blocks, len(eq(3)));
+    for block in blocks {
+        let text = block.split("```").next().unwrap();
+        expect_that!(parse(text), ok(not(is_empty())));
+    }
+}
+
 #[gtest]
 fn an_error_points_at_its_word_and_says_what_was_expected() {
     let text = "show pools; create pool chat knd model";
