--- a/crates/testkit/tests/engine_control.rs
+++ b/crates/testkit/tests/engine_control.rs
@@ -3,7 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a helper that fails fails its test")]
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use googletest::prelude::*;
 use hyper::{Method, StatusCode};
@@ -89,6 +89,7 @@
 #[gtest]
 #[tokio::test]
 async fn the_load_report_lags() {
+    const LAG: Millis = Millis(400);
     let lagging = start(Settings {
         load_lag: Millis::from_secs(3600),
         ..Settings::default()
@@ -101,13 +102,16 @@
     expect_that!(load["running"], eq(&json!(0)));
 
     let quick = start(Settings {
-        load_lag: Millis(20),
+        load_lag: LAG,
         ..Settings::default()
     })
     .await;
     ask_long(quick.address(), "r1", 0);
     let load = async || get_json(quick.address(), "/v1/load").await.unwrap();
     until("the report", async || load().await["running"] == 1).await;
+    let shown = load().await["as_of"].as_u64().unwrap();
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    expect_that!(Millis::from(now.unwrap()).0 - shown, ge(LAG.0));
 }
 
 #[gtest]
