--- a/crates/testkit/src/service/api.rs
+++ b/crates/testkit/src/service/api.rs
@@ -14,6 +14,8 @@
 use crate::readiness::health;
 use crate::{Readiness, lock, wall};
 
+/// Posts that are said to run at once; none is refused for them.
+const SLOTS: u64 = 16;
 /// Seconds in the `Retry-After` of a refusal.
 const RETRY_AFTER: u64 = 1;
 
@@ -42,6 +44,9 @@
     as_of: u64,
     running: u64,
     waiting: u64,
+    /// Posts in hand, each counted as one.
+    tokens: u64,
+    slots: u64,
     state: Readiness,
 }
 
@@ -109,6 +114,8 @@
             as_of: wall().0,
             running: state.running,
             waiting: 0,
+            tokens: state.running,
+            slots: SLOTS,
             state: state.faults.readiness(),
         };
         json(StatusCode::OK, &load)
