--- a/crates/net/tests/endpoint.rs
+++ b/crates/net/tests/endpoint.rs
@@ -12,7 +12,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::outcome::Outcome;
 use medlarrill_net::endpoint::{
-    Client, Error, EventError, Events, Limits, Request, Reuse, State, retry_after,
+    Client, Error, Event, EventError, Events, Limits, Request, Reuse, State, retry_after,
 };
 use medlarrill_testkit::service::Faults;
 use medlarrill_testkit::{ANY_PORT, Service};
@@ -156,6 +156,26 @@
     expect_that!(error, some(displays_as(contains_substring("lost"))));
 }
 
+#[gtest]
+#[tokio::test]
+async fn event_that_is_written_out_reads_the_same() {
+    let event = Event {
+        id: Some("7".into()),
+        name: Some("note".into()),
+        data: "a\n\nb: c".into(),
+    };
+    let text = String::from_utf8(event.encode().unwrap().to_vec()).unwrap();
+    let answer = format!("{CHUNKED}{}", chunk(&text));
+    let peer = Peer::start().await;
+    let client = client();
+    let read = async {
+        let body = client.send(peer.address, get()).await.unwrap().body;
+        Events::new(body, 1000).next().await
+    };
+    let (read, ()) = tokio::join!(read, serve_once(&peer, &answer));
+    expect_that!(read, some(ok(eq(&event))));
+}
+
 /// Serves `answer` to the first request, then waits for the client to hang up.
 async fn serve_once(peer: &Peer, answer: &str) {
     let mut stream = peer.accept().await;
@@ -184,6 +204,20 @@
     expect_that!(third, none());
 }
 
+#[gtest]
+#[tokio::test]
+async fn first_piece_that_never_comes_is_a_timeout_that_hangs_up() {
+    let peer = Peer::start().await;
+    let client = client();
+    let read = async {
+        let request = get().with_waits(SHORT, SHORT);
+        let mut body = client.send(peer.address, request).await.unwrap().body;
+        body.next().await
+    };
+    let (first, ()) = tokio::join!(read, serve_once(&peer, CHUNKED));
+    expect_that!(first, some(err(eq(&Error::Timeout { sent: true }))));
+}
+
 #[gtest]
 #[tokio::test]
 async fn dropped_body_hangs_up_pooled_or_fresh() {
--- a/crates/net/tests/platform.rs
+++ b/crates/net/tests/platform.rs
@@ -2,18 +2,17 @@
 
 #[path = "support/peer.rs"]
 mod peer;
+#[path = "support/setup.rs"]
+mod setup;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::units::Rate;
 use medlarrill_net::now::now;
 use medlarrill_net::platform::{
-    Backoff, Budget, Client, Ending, Error, Follow, Followed, Follower, MAX_OBJECT, Object, Read,
-    Refusal, Repeat, Revision, Role, Settings, Version,
+    Backoff, Client, Ending, Error, MAX_OBJECT, Object, Read, Refusal, Repeat, Role,
 };
 use medlarrill_testkit::http::Outage;
 use medlarrill_testkit::platform::Faults;
@@ -21,6 +20,7 @@
 use tokio::io::AsyncWriteExt;
 
 use peer::{Peer, read_head};
+use setup::{budget, outage, settings, start};
 
 /// A guard against a test that never ends.
 const LONG: Millis = Millis::from_secs(20);
@@ -28,40 +28,6 @@
 const SHORT: Millis = Millis(100);
 const ROLE: Role = Role::Config;
 
-fn budget(rate: f64, burst: u32) -> Budget {
-    Budget {
-        rate: Rate(rate),
-        burst,
-    }
-}
-
-/// Settings whose budgets and waits don't hold a test up.
-fn settings(address: SocketAddr) -> Settings {
-    let backoff = Backoff {
-        base: Millis(2),
-        cap: Millis(20),
-    };
-    Role::ALL
-        .into_iter()
-        .fold(Settings::new(address, 7), |settings, role| {
-            settings.with_budget(role, budget(1000.0, 1000))
-        })
-        .with_backoff(backoff)
-}
-
-async fn start() -> (Platform, Client) {
-    let platform = Platform::start(ANY_PORT).await.unwrap();
-    let client = Client::new(settings(platform.address()));
-    (platform, client)
-}
-
-fn outage(outage: Outage) -> Faults {
-    Faults {
-        outage: Some(outage),
-        ..Faults::default()
-    }
-}
-
 /// Calls that reached the platform.
 fn reached(platform: &Platform) -> u64 {
     platform.calls().iter().map(|call| call.count).sum()
@@ -344,64 +310,3 @@
     expect_that!(result, err(matches_pattern!(Error::Unknown { .. })));
     expect_that!(reached(&platform), eq(1));
 }
-
-async fn next(follower: &mut Follower) -> Followed {
-    let news = tokio::time::timeout(LONG.as_duration(), follower.next());
-    news.await.unwrap().unwrap()
-}
-
-fn listed(news: &Followed) -> Vec<&str> {
-    match news {
-        Followed::Listed { entries, .. } => entries.iter().map(|e| e.key.as_str()).collect(),
-        Followed::Changed { .. } => panic!("{news:?}"),
-    }
-}
-
-#[gtest]
-#[tokio::test]
-async fn follower_lists_in_pages_and_goes_on_through_an_outage() {
-    let (platform, client) = start().await;
-    for key in ["p/1", "p/2", "p/3", "q"] {
-        platform.put(key, "x");
-    }
-    let follow = Follow::new(Role::Watch, "p/")
-        .with_page(2)
-        .with_poll(Millis(200));
-    let mut follower = client.follow(follow.with_timeout(SHORT));
-    let news = next(&mut follower).await;
-    expect_that!(
-        listed(&news),
-        elements_are![eq(&"p/1"), eq(&"p/2"), eq(&"p/3")]
-    );
-    platform.set_faults(outage(Outage::Cut));
-    let heard = follower.heard();
-    platform.put("q", "y");
-    let version = Version(platform.put("p/2", "y"));
-    platform.set_faults(Faults::default());
-    match next(&mut follower).await {
-        Followed::Changed { changes, revision } => {
-            expect_that!(changes.len(), eq(1));
-            expect_that!(changes[0].version, eq(version));
-            expect_that!(revision, ge(Revision(version.0)));
-        }
-        news => panic!("{news:?}"),
-    }
-    expect_that!(follower.heard().asked, ge(heard.asked));
-    expect_that!(follower.heard().answered, gt(None));
-}
-
-#[gtest]
-#[tokio::test]
-async fn follower_lists_again_when_the_revision_is_gone() {
-    let (platform, client) = start().await;
-    platform.put("p/1", "x");
-    let follow = Follow::new(Role::Watch, "p/").with_poll(Millis(200));
-    let mut follower = client.follow(follow.with_timeout(SHORT));
-    next(&mut follower).await;
-    platform.set_faults(outage(Outage::Cut));
-    platform.put("p/2", "x");
-    platform.compact();
-    platform.set_faults(Faults::default());
-    let news = next(&mut follower).await;
-    expect_that!(listed(&news), elements_are![eq(&"p/1"), eq(&"p/2")]);
-}
--- /dev/null
+++ b/crates/net/tests/platform_follow.rs
@@ -0,0 +1,78 @@
+//! Following a prefix through outages and forgotten revisions.
+
+#[path = "support/setup.rs"]
+mod setup;
+
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_net::platform::{Follow, Followed, Follower, Revision, Role, Version};
+use medlarrill_testkit::http::Outage;
+use medlarrill_testkit::platform::Faults;
+
+use setup::{outage, start};
+
+/// A guard against a test that never ends.
+const LONG: Millis = Millis::from_secs(20);
+/// A wait that a hanging platform never meets.
+const SHORT: Millis = Millis(100);
+
+async fn next(follower: &mut Follower) -> Followed {
+    let news = tokio::time::timeout(LONG.as_duration(), follower.next());
+    news.await.unwrap().unwrap()
+}
+
+fn listed(news: &Followed) -> Vec<&str> {
+    match news {
+        Followed::Listed { entries, .. } => entries.iter().map(|e| e.key.as_str()).collect(),
+        Followed::Changed { .. } => panic!("{news:?}"),
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn follower_lists_in_pages_and_goes_on_through_an_outage() {
+    let (platform, client) = start().await;
+    for key in ["p/1", "p/2", "p/3", "q"] {
+        platform.put(key, "x");
+    }
+    let follow = Follow::new(Role::Watch, "p/")
+        .with_page(2)
+        .with_poll(Millis(200));
+    let mut follower = client.follow(follow.with_timeout(SHORT));
+    let news = next(&mut follower).await;
+    expect_that!(
+        listed(&news),
+        elements_are![eq(&"p/1"), eq(&"p/2"), eq(&"p/3")]
+    );
+    platform.set_faults(outage(Outage::Cut));
+    let heard = follower.heard();
+    platform.put("q", "y");
+    let version = Version(platform.put("p/2", "y"));
+    platform.set_faults(Faults::default());
+    match next(&mut follower).await {
+        Followed::Changed { changes, revision } => {
+            expect_that!(changes.len(), eq(1));
+            expect_that!(changes[0].version, eq(version));
+            expect_that!(revision, ge(Revision(version.0)));
+        }
+        news => panic!("{news:?}"),
+    }
+    expect_that!(follower.heard().asked, ge(heard.asked));
+    expect_that!(follower.heard().answered, gt(None));
+}
+
+#[gtest]
+#[tokio::test]
+async fn follower_lists_again_when_the_revision_is_gone() {
+    let (platform, client) = start().await;
+    platform.put("p/1", "x");
+    let follow = Follow::new(Role::Watch, "p/").with_poll(Millis(200));
+    let mut follower = client.follow(follow.with_timeout(SHORT));
+    next(&mut follower).await;
+    platform.set_faults(outage(Outage::Cut));
+    platform.put("p/2", "x");
+    platform.compact();
+    platform.set_faults(Faults::default());
+    let news = next(&mut follower).await;
+    expect_that!(listed(&news), elements_are![eq(&"p/1"), eq(&"p/2")]);
+}
