--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -21,6 +21,7 @@
 mod log;
 mod record;
 mod table;
+mod tickets;
 
 pub use backoff::Backoff;
 pub use chain::{Chain, ChainError, Segment};
@@ -40,3 +41,6 @@
     object_key, object_number, shard_prefix,
 };
 pub use table::{Claim, ClaimId, Table};
+pub use tickets::{
+    Redemption, Ticket, TicketAction, TicketError, TicketEvent, TicketHolder, TicketLimits, Tickets,
+};
--- a/crates/core/src/claims/chain.rs
+++ b/crates/core/src/claims/chain.rs
@@ -9,9 +9,6 @@
 use crate::claims::table::{Claim, ClaimId, EntryWriter, Table, read_entries};
 use crate::clock::Millis;
 
-/// Most claims in one checkpoint, so that it stays well under the platform's limit.
-const SEGMENT_CLAIMS: usize = 3072;
-
 /// Most dead claims named by one checkpoint; keys of those beyond stay held by claims that nobody runs.
 const DEAD_CLAIMS: usize = 2048;
 
@@ -202,10 +199,10 @@
         Ok(())
     }
 
-    /// The next checkpoint, as of wall time `wall`.
-    pub fn checkpoint(&mut self, wall: Millis) -> Checkpoint {
+    /// The next checkpoint, as of wall time `wall`, with about `most` claims.
+    pub fn checkpoint(&mut self, wall: Millis, most: usize) -> Checkpoint {
         self.table.retain(|claim| claim.expiry > wall);
-        let keep = self.kept();
+        let keep = self.kept(most);
         let mut writer = EntryWriter::default();
         let fresh: BTreeMap<_, _> = self
             .table
@@ -225,8 +222,8 @@
     }
 
     /// Which checkpoints stay: those that don't fit into the next one and are at least half live.
-    fn kept(&self) -> Vec<u64> {
-        let mut room = SEGMENT_CLAIMS.saturating_sub(self.fresh());
+    fn kept(&self, most: usize) -> Vec<u64> {
+        let mut room = most.saturating_sub(self.fresh());
         let mut keep = Vec::new();
         let mut newest = true;
         for segment in self.segments.iter().rev() {
--- a/crates/core/src/claims/claimant.rs
+++ b/crates/core/src/claims/claimant.rs
@@ -178,6 +178,9 @@
     }
 
     fn answer(&mut self, answer: &ClaimAnswer, now: Millis) {
+        if answer.asker != self.me.incarnation.0 {
+            return;
+        }
         let Some(key) = self.asks.get(&answer.ask).copied() else {
             return;
         };
--- a/crates/core/src/claims/claimant/replies.rs
+++ b/crates/core/src/claims/claimant/replies.rs
@@ -37,11 +37,15 @@
                 key: key.to_bytes(),
                 claimant: holder.claimant.0,
                 held: holder.ask,
+                asker: self.me.incarnation.0,
             },
         });
     }
 
     pub(super) fn key_answer(&mut self, answer: KeyAnswer, now: Millis) {
+        if answer.asker != self.me.incarnation.0 {
+            return;
+        }
         let Some((key, holder)) = self.inquiry(answer.ask) else {
             return;
         };
@@ -134,6 +138,7 @@
     pub(super) fn key_asked(&mut self, from: String, ask: &KeyAsk, now: Millis) {
         let mut answer = KeyAnswer {
             ask: ask.ask,
+            asker: ask.asker,
             ..KeyAnswer::default()
         };
         let state = self.key_state(ask);
--- a/crates/core/src/claims/farewell.rs
+++ b/crates/core/src/claims/farewell.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 
 use crate::claims::record::{RecordError, Result};
+use crate::clock::Millis;
 use crate::ids::Incarnation;
 use crate::outcome::Outcome;
 
@@ -66,6 +67,27 @@
 }
 
 impl Farewell {
+    /// The last word of a process, of use until wall time `expiry`.
+    pub const fn new(
+        writer: Incarnation,
+        claims: Option<Account>,
+        tickets: Option<Account>,
+        expiry: Millis,
+    ) -> Self {
+        Self {
+            writer: writer.0,
+            claims,
+            tickets,
+            expiry: expiry.0,
+        }
+    }
+
+    /// Whether there is anything to say.
+    pub fn is_empty(&self) -> bool {
+        let accounts = self.claims.iter().chain(&self.tickets);
+        accounts.into_iter().all(Account::is_empty)
+    }
+
     /// The name of a process's object.
     pub fn object_key(incarnation: Incarnation) -> String {
         format!("{FAREWELL_PREFIX}{incarnation}")
--- a/crates/core/src/claims/log/batch.rs
+++ b/crates/core/src/claims/log/batch.rs
@@ -104,6 +104,8 @@
 fn judge(waiting: &Waiting, holder: Option<&Claim>, is_refused: bool) -> Verdict {
     match holder {
         None => Verdict::Granted,
+        // A question that came twice: a void of its first claim is on its way.
+        Some(claim) if is_refused && claim.id == waiting.id() => Verdict::Unavailable,
         Some(_) if is_refused => Verdict::Granted,
         Some(claim) if claim.id == waiting.given_up() => Verdict::Granted,
         Some(claim) if claim.digest != waiting.digest => Verdict::Reused,
--- a/crates/core/src/claims/log/calls.rs
+++ b/crates/core/src/claims/log/calls.rs
@@ -109,6 +109,7 @@
         let mut answer = ClaimAnswer {
             ask: ask.ask,
             verdict: verdict.code(),
+            asker: ask.claimant,
             ..ClaimAnswer::default()
         };
         if let Some(claim) = holder {
--- a/crates/core/src/claims/log/event.rs
+++ b/crates/core/src/claims/log/event.rs
@@ -185,6 +185,8 @@
     pub checkpoint_objects: u64,
     /// Claims in no checkpoint after which one is written.
     pub checkpoint_claims: usize,
+    /// Claims up to which a checkpoint repeats those of earlier ones, so that it stays well under 1 MiB.
+    pub segment_claims: usize,
     /// Added to a key's lifetime, for wall clocks that differ.
     pub skew: Millis,
     /// Delay after a first failure of the platform.
@@ -208,6 +210,7 @@
             batch: 512,
             checkpoint_objects: 64,
             checkpoint_claims: 1024,
+            segment_claims: 3072,
             skew: Millis::from_secs(60),
             retry_first: Millis(50),
             retry_most: Millis::from_secs(2),
--- a/crates/core/src/claims/log/tenure.rs
+++ b/crates/core/src/claims/log/tenure.rs
@@ -72,7 +72,12 @@
     }
 
     pub(super) fn wake(&self) -> Millis {
-        let write = self.write.as_ref().map_or(Millis::MAX, Write::wake);
+        let idle = if self.refused.is_empty() {
+            Millis::MAX
+        } else {
+            self.write_at
+        };
+        let write = self.write.as_ref().map_or(idle, Write::wake);
         write.min(self.sweep.wake())
     }
 
@@ -220,7 +225,7 @@
             for (id, key) in std::mem::take(&mut self.refused) {
                 self.chain.void(&key, id);
             }
-            let checkpoint = self.chain.checkpoint(work.wall);
+            let checkpoint = self.chain.checkpoint(work.wall, work.limits.segment_claims);
             self.write(
                 Body::Checkpoint(checkpoint),
                 Vec::new(),
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -86,6 +86,8 @@
     ClaimUnavailable: "claim-unavailable", 503, NotRun, true, "The right to run this once can't be recorded now.";
     /// The ticket is not known or not of a live daemon.
     TicketUnknown: "ticket-unknown", 409, Unknown, false, "The ticket is not held by any daemon.";
+    /// The ticket expired before it was used.
+    TicketExpired: "ticket-expired", 410, NotRun, false, "The ticket expired unused.";
     /// The account's rate is used up.
     AccountRate: "account-rate", 429, NotRun, true, "The account's rate is used up.";
     /// The account's concurrency is used up.
--- a/crates/core/src/wire/claim.rs
+++ b/crates/core/src/wire/claim.rs
@@ -56,6 +56,9 @@
     /// The holder's number for its claim, for verdict 1.
     #[prost(uint64, tag = "6")]
     pub held: u64,
+    /// The process that asked: a later one of the same daemon must not take the answer for its own.
+    #[prost(fixed64, tag = "7")]
+    pub asker: u64,
 }
 
 /// Asks a claimant what became of a key.
@@ -73,6 +76,9 @@
     /// That process's number for its claim.
     #[prost(uint64, tag = "4")]
     pub held: u64,
+    /// The asking process.
+    #[prost(fixed64, tag = "5")]
+    pub asker: u64,
 }
 
 /// Answers `KeyAsk`.
@@ -93,4 +99,7 @@
     /// A held answer.
     #[prost(bytes = "bytes", tag = "5")]
     pub body: Bytes,
+    /// The process that asked.
+    #[prost(fixed64, tag = "6")]
+    pub asker: u64,
 }
--- a/crates/core/tests/claims/bench.rs
+++ b/crates/core/tests/claims/bench.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use medlarrill_core::claims::{
-    CallId, Digest, KeyHash, LogAction, LogEvent, Member, Record, Reply, ShardLog, Verdict,
-    object_key,
+    CallId, Digest, KeyHash, LogAction, LogEvent, LogLimits, Member, Record, Reply, ShardLog,
+    Verdict, object_key,
 };
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::Incarnation;
@@ -97,6 +97,12 @@
         }
     }
 
+    pub fn with_limits(mut self, limits: LogLimits) -> Self {
+        let logs = std::mem::take(&mut self.logs).into_iter();
+        self.logs = logs.map(|log| log.with_limits(limits.clone())).collect();
+        self
+    }
+
     pub fn own(&mut self, log: usize, wanted: bool) {
         self.event(log, LogEvent::Own(wanted));
     }
--- a/crates/core/tests/claims/deletion.rs
+++ b/crates/core/tests/claims/deletion.rs
@@ -1,7 +1,7 @@
 //! Checkpoints, and what deleting the objects before them must not break.
 
 use googletest::prelude::*;
-use medlarrill_core::claims::{Standing, Verdict};
+use medlarrill_core::claims::{LogLimits, Standing, Verdict};
 use medlarrill_core::clock::Millis;
 
 use crate::bench::{Bench, Fault, ask};
@@ -81,3 +81,29 @@
     bench.pass(Millis::from_secs(60));
     expect_that!(bench.platform.objects.len(), lt(10));
 }
+
+#[gtest]
+fn claim_given_up_stays_so_while_its_checkpoint_is_kept() {
+    let limits = LogLimits {
+        checkpoint_objects: 4,
+        segment_claims: 4,
+        ..LogLimits::default()
+    };
+    let mut bench = Bench::new(2).with_limits(limits);
+    bench.own(0, true);
+    grant(&mut bench, 0, 1, 16);
+    // Key 1 stands in a kept checkpoint; the claim that replaces it is refused, and voided.
+    let mut second = ask(1, 100);
+    second.given_claimant = 500;
+    second.given_ask = 1;
+    bench.faults.push_back(Fault::Pause);
+    bench.ask(0, &second);
+    bench.pass(Millis::from_secs(2));
+    bench.resume();
+    grant(&mut bench, 0, 50, 16);
+    expect_that!(bench.logs[0].stats().late, eq(1));
+    bench.own(1, true);
+    bench.told.clear();
+    bench.ask(1, &ask(1, 200));
+    expect_that!(bench.verdicts(), eq(&vec![(200, Verdict::Granted)]));
+}
--- a/crates/core/tests/claims/log.rs
+++ b/crates/core/tests/claims/log.rs
@@ -175,3 +175,21 @@
         eq(&(1..).zip(verdicts).collect::<Vec<_>>())
     );
 }
+
+#[gtest]
+fn question_that_comes_twice_is_not_granted_after_its_refusal() {
+    let mut bench = Bench::new(1);
+    bench.own(0, true);
+    bench.faults.push_back(Fault::Pause);
+    bench.ask(0, &ask(7, 1));
+    bench.pass(Millis::from_secs(2));
+    expect_that!(bench.verdicts(), eq(&vec![(1, Verdict::Unavailable)]));
+    // The second copy waits until the first one's write is settled.
+    bench.ask(0, &ask(7, 1));
+    bench.resume();
+    bench.pass(Millis::from_secs(3));
+    expect_that!(bench.logs[0].stats().late, eq(1));
+    let granted = bench.verdicts().contains(&(1, Verdict::Granted));
+    let held = bench.logs[0].chain().unwrap().table.len();
+    expect_that!(granted, eq(held == 1));
+}
--- a/crates/core/tests/claims/platform.rs
+++ b/crates/core/tests/claims/platform.rs
@@ -6,7 +6,7 @@
 use medlarrill_core::claims::{CallId, Listed, LogAction, Reply};
 
 /// Objects, and what was asked of them.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Platform {
     pub objects: BTreeMap<String, Object>,
     pub writes: u64,
