--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -19,7 +19,7 @@
 pub use limit::{Grant, Usage};
 pub use link::{Hello, Proof};
 pub use request::{
-    Accepted, Attempt, Cancel, Chunk, Credit, End, Forward, Header, Passed, Refused,
+    Accepted, Attempt, Cancel, Chunk, Credit, End, Forward, Header, Passed, Placed, Refused,
 };
 
 /// Largest frame, in bytes.
@@ -31,7 +31,7 @@
     /// What it carries; absent if the sender is newer than the receiver.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
     )]
     pub body: Option<Body>,
 }
@@ -96,6 +96,9 @@
     /// What an entry may use of accounts.
     #[prost(message, tag = "19")]
     Grant(Grant),
+    /// Where a chat was served.
+    #[prost(message, tag = "20")]
+    Placed(Placed),
 }
 
 impl Body {
@@ -121,6 +124,7 @@
             Self::PartAnswer(_) => "part-answer",
             Self::Usage(_) => "usage",
             Self::Grant(_) => "grant",
+            Self::Placed(_) => "placed",
         }
     }
 
--- a/crates/core/src/wire/gossip.rs
+++ b/crates/core/src/wire/gossip.rs
@@ -107,7 +107,7 @@
     /// How many there are.
     #[prost(uint32, tag = "3")]
     pub endpoints: u32,
-    /// The least loaded of them: hash of the name above, load below.
+    /// The least loaded of them: hash of the name above, load below with its top bit set if there is no room.
     #[prost(fixed64, repeated, tag = "4")]
     pub least: Vec<u64>,
 }
@@ -131,10 +131,17 @@
 pub struct EndpointLoad {
     /// Hash of the endpoint's name, by [`name_hash`].
     pub endpoint: u32,
-    /// Its load.
+    /// Its load, at most [`MAX_LOAD`].
     pub load: u32,
+    /// Whether one more request would run at once.
+    pub room: bool,
 }
 
+/// Largest load that a heartbeat can name.
+pub const MAX_LOAD: u32 = u32::MAX >> 1;
+/// Marks an endpoint without room.
+const FULL: u32 = 1 << 31;
+
 impl PoolLoad {
     /// The load of one pool's endpoints, of which `least` are named.
     pub fn new(pool: u32, load: u64, endpoints: u32, least: &[EndpointLoad]) -> Self {
@@ -154,7 +161,8 @@
 
 impl From<EndpointLoad> for u64 {
     fn from(from: EndpointLoad) -> Self {
-        Self::from(from.endpoint) << 32 | Self::from(from.load)
+        let full = if from.room { 0 } else { FULL };
+        Self::from(from.endpoint) << 32 | Self::from(from.load.min(MAX_LOAD) | full)
     }
 }
 
@@ -162,7 +170,8 @@
     fn from(from: u64) -> Self {
         Self {
             endpoint: (from >> 32) as u32,
-            load: from as u32,
+            load: from as u32 & MAX_LOAD,
+            room: from as u32 & FULL == 0,
         }
     }
 }
--- a/crates/core/src/wire/request.rs
+++ b/crates/core/src/wire/request.rs
@@ -108,6 +108,12 @@
     /// Body.
     #[prost(bytes = "bytes", tag = "18")]
     pub body: Bytes,
+    /// Prompt tokens expected in the chosen endpoint's cache.
+    #[prost(uint64, tag = "19")]
+    pub cached: u64,
+    /// Whether it takes up a stream that the endpoint holds already.
+    #[prost(bool, tag = "20")]
+    pub resume: bool,
 }
 
 /// The home has sent the request to an endpoint.
@@ -197,6 +203,20 @@
     pub bytes: u64,
 }
 
+/// Tells a chat's directory daemon where the chat was served.
+#[derive(Clone, PartialEq, Message)]
+pub struct Placed {
+    /// Hash of institution and chat.
+    #[prost(fixed64, tag = "1")]
+    pub chat: u64,
+    /// The endpoint.
+    #[prost(string, tag = "2")]
+    pub endpoint: String,
+    /// Prefix that it has cached now, in tokens.
+    #[prost(uint64, tag = "3")]
+    pub prefix: u64,
+}
+
 /// The answer is no longer wanted.
 #[derive(Clone, PartialEq, Message)]
 pub struct Cancel {
--- /dev/null
+++ b/crates/daemon/src/args.rs
@@ -0,0 +1,34 @@
+//! The daemon's command line.
+
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand};
+
+/// Arguments of `medlarrilld`.
+#[derive(Debug, Parser)]
+#[command(
+    name = "medlarrilld",
+    version,
+    about = "The daemon of the router fleet"
+)]
+pub struct Args {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What the daemon can be asked to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Run the daemon until it is told to stop.
+    Run {
+        /// Settings file, JSON with comments.
+        #[arg(long, env = "MEDLARRILLD_SETTINGS")]
+        settings: PathBuf,
+    },
+    /// Check a settings file and report all findings.
+    Check {
+        /// Settings file, JSON with comments.
+        settings: PathBuf,
+    },
+}
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,70 @@
+//! What the tasks of one daemon share: identity, views and clients.
+
+use std::sync::Arc;
+
+use medlarrill_core::ids::{Generation, Incarnation, RequestId};
+use medlarrill_net::link::PeerId;
+use medlarrill_net::{endpoint, platform};
+use tokio::sync::watch;
+
+use crate::configuration::ConfigView;
+use crate::entry::{Attempts, Tracker};
+use crate::fleet::{self, FleetView};
+use crate::home;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::settings::Settings;
+
+/// Handles that every task may use.
+pub struct Context {
+    /// Settings as read at start.
+    pub settings: Settings,
+    /// This daemon and process.
+    pub me: PeerId,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// The configuration in force.
+    pub config: watch::Receiver<Arc<ConfigView>>,
+    /// The daemons held to be live.
+    pub fleet: watch::Receiver<Arc<FleetView>>,
+    /// Sends to other daemons.
+    pub peers: Peers,
+    /// Tries of this entry that wait for an answer.
+    pub attempts: Attempts,
+    /// What became of requests.
+    pub tracker: Tracker,
+    /// Set once the daemon is told to stop.
+    pub stopping: watch::Receiver<bool>,
+    /// The home task.
+    pub home: home::Handle,
+    /// The membership task.
+    pub fleet_task: fleet::Handle,
+    /// Client of the platform.
+    pub platform: platform::Client,
+    /// Client of endpoints.
+    pub endpoints: endpoint::Client,
+}
+
+impl Context {
+    /// This process.
+    pub const fn incarnation(&self) -> Incarnation {
+        self.me.incarnation
+    }
+
+    /// A fresh request identifier, which names this process.
+    pub fn draw_request(&self) -> RequestId {
+        let low: u64 = rand::random();
+        RequestId(u128::from(self.me.incarnation.0) << 64 | u128::from(low))
+    }
+
+    /// Why the daemon takes no callers, unless it does.
+    pub fn unready(&self) -> Option<&'static str> {
+        if *self.stopping.borrow() {
+            return Some("stopping");
+        }
+        if self.config.borrow().config.generation == Generation::default() {
+            return Some("no configuration");
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,23 @@
+//! The entry: takes callers' requests and brings them their answers.
+//!
+//! `server` listens, `chat` and `service` read a request into a `Job`, `run`
+//! tries it at homes until one answers, `answer` turns what comes back into
+//! the caller's response. `attempt` is one try; `attempts` the table by which
+//! frames find it.
+
+mod answer;
+mod attempt;
+mod attempts;
+mod auth;
+mod events;
+mod flight;
+mod handlers;
+mod job;
+mod problem;
+mod request;
+mod run;
+pub mod server;
+mod tracker;
+
+pub use attempts::Attempts;
+pub use tracker::Tracker;
--- /dev/null
+++ b/crates/daemon/src/entry/handlers.rs
@@ -0,0 +1,196 @@
+//! What is served to callers: requests, their state, health and counters.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use medlarrill_core::ids::RequestId;
+use medlarrill_core::outcome::Outcome;
+use medlarrill_core::reason::Reason;
+use salvo::http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use salvo::http::{ResBody, StatusCode};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use tokio::time::timeout;
+
+use super::answer::{Reply, respond};
+use super::flight::Flight;
+use super::problem::Problem;
+use super::request::{Arrived, read};
+use super::tracker::State;
+use crate::context::Context;
+
+/// Names a request in every answer.
+pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Takes callers' requests.
+pub struct Calls(pub Arc<Context>);
+
+#[async_trait]
+impl Handler for Calls {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let id = self.0.draw_request();
+        self.0.metrics.requests.inc();
+        let header = HeaderValue::from_str(&id.to_string());
+        if let Ok(value) = header {
+            response.headers_mut().insert(REQUEST_HEADER, value);
+        }
+        if let Err(problem) = self.serve(id, request, response).await {
+            problem.with_request(id).write(response);
+        }
+    }
+}
+
+impl Calls {
+    async fn serve(
+        &self,
+        id: RequestId,
+        request: &mut Request,
+        response: &mut Response,
+    ) -> Result<(), Box<Problem>> {
+        let body = self
+            .body(request)
+            .await
+            .map_err(|reason| self.refuse(id, reason))?;
+        let path = request.uri().path_and_query().map(ToString::to_string);
+        let arrived = Arrived {
+            id,
+            method: request.method(),
+            path: path.unwrap_or_else(|| "/".into()),
+            headers: request.headers(),
+            body,
+        };
+        let view = self.0.config.borrow().clone();
+        let job = read(&view, arrived).inspect_err(|problem| {
+            self.0.metrics.refuse(problem.reason());
+        })?;
+        drop(view);
+        let mut flight = Flight::new(&self.0, id);
+        match respond(&self.0, job, response).await {
+            Ok(Reply::Whole(body)) => {
+                response.body = ResBody::Once(body);
+                flight.answered();
+                Ok(())
+            }
+            Ok(Reply::Stream(stream)) => {
+                response.body = stream.into_body(flight);
+                Ok(())
+            }
+            Err(failure) => {
+                flight.failed(&failure);
+                Err(Box::new(Problem::of(&failure)))
+            }
+        }
+    }
+
+    async fn body(&self, request: &mut Request) -> Result<Bytes, Reason> {
+        let limits = &self.0.settings.limits;
+        let limit = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
+        let read = request.payload_with_max_size(limit);
+        match timeout(limits.body_wait.as_duration(), read).await {
+            Ok(Ok(body)) => Ok(body.clone()),
+            Ok(Err(salvo::http::ParseError::PayloadTooLarge)) => Err(Reason::TooLarge),
+            Ok(Err(_)) => Err(Reason::BadRequest),
+            Err(_) => Err(Reason::SlowRequest),
+        }
+    }
+
+    fn refuse(&self, id: RequestId, reason: Reason) -> Box<Problem> {
+        self.0.metrics.refuse(reason);
+        let state = State::Failed {
+            code: reason,
+            outcome: Outcome::NotRun,
+        };
+        self.0.tracker.note(id, state);
+        Box::new(Problem::new(reason))
+    }
+}
+
+/// Tells what became of a request.
+pub struct RequestState(pub Arc<Context>);
+
+#[async_trait]
+impl Handler for RequestState {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let id = request.param::<String>("id").unwrap_or_default();
+        let id = id.parse::<RequestId>().ok();
+        match id.and_then(|id| self.0.tracker.state(id)) {
+            Some(state) => write_json(response, &state),
+            None => Problem::new(Reason::NoRequest).write(response),
+        }
+    }
+}
+
+/// Says that the process runs.
+pub struct Live;
+
+#[async_trait]
+impl Handler for Live {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        response.render("live\n");
+    }
+}
+
+/// Says whether the daemon takes callers.
+pub struct Ready(pub Arc<Context>);
+
+#[async_trait]
+impl Handler for Ready {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        match self.0.unready() {
+            None => response.render("ready\n"),
+            Some(why) => {
+                response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+                response.render(format!("{why}\n"));
+            }
+        }
+    }
+}
+
+/// Shows the counters.
+pub struct Counters(pub Arc<Context>);
+
+#[async_trait]
+impl Handler for Counters {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(OPENMETRICS));
+        response.body = ResBody::Once(self.0.metrics.text().into());
+    }
+}
+
+fn write_json(response: &mut Response, value: &impl serde::Serialize) {
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    response.body = ResBody::Once(text.into());
+}
--- /dev/null
+++ b/crates/daemon/src/entry/job.rs
@@ -0,0 +1,133 @@
+//! A caller's request, read and classified.
+
+use bytes::Bytes;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::config::{Pool, PoolKind};
+use medlarrill_core::ids::{
+    AccountId, AttemptId, ChatHash, EndpointId, InstitutionId, PoolId, RequestId,
+};
+use medlarrill_core::units::Tokens;
+use medlarrill_core::wire::{Forward, Header};
+
+/// Bytes of text that are taken for one token where only text is known.
+pub const TOKEN_BYTES: u64 = 4;
+
+/// A request on its way.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its identifier.
+    pub request: RequestId,
+    /// Whose it is.
+    pub institution: InstitutionId,
+    /// The account that sent it.
+    pub account: AccountId,
+    /// The pool that serves it.
+    pub pool: PoolId,
+    /// The pool's settings.
+    pub terms: Pool,
+    /// The chat, if it belongs to one.
+    pub chat: Option<ChatHash>,
+    /// Estimated prompt.
+    pub prompt: Tokens,
+    /// Most tokens to generate.
+    pub output: Tokens,
+    /// Whether a second run does no harm.
+    pub idempotent: bool,
+    /// Longest wait before it runs.
+    pub patience: Millis,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers that travel on.
+    pub headers: Vec<Header>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Job {
+    /// What ranks the pool's endpoints: the chat, else the request itself.
+    pub const fn key(&self) -> u64 {
+        match self.chat {
+            Some(chat) => chat.0,
+            None => self.request.0 as u64,
+        }
+    }
+
+    /// Whether a model engine serves it.
+    pub fn is_model(&self) -> bool {
+        self.terms.kind == PoolKind::Model
+    }
+
+    /// The name under which an engine holds the stream of one try.
+    pub fn stream_name(id: AttemptId) -> String {
+        format!("{}-{}", id.request, id.number)
+    }
+
+    /// The message for one try.
+    pub fn forward(
+        &self,
+        id: AttemptId,
+        origin: &str,
+        tried: &[EndpointId],
+        credit: u64,
+    ) -> Forward {
+        let mut headers = self.headers.clone();
+        headers.push(stream_header(&Self::stream_name(id)));
+        Forward {
+            attempt: Some(id.into()),
+            origin: origin.into(),
+            hops: 0,
+            institution: self.institution.to_string(),
+            account: self.account.to_string(),
+            pool: self.pool.to_string(),
+            endpoint: String::new(),
+            tried: tried.iter().map(ToString::to_string).collect(),
+            chat: self.chat.map_or(0, |chat| chat.0),
+            prompt: self.prompt.0,
+            output: self.output.0,
+            idempotent: self.idempotent,
+            patience: self.patience.0,
+            credit,
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers,
+            body: self.body.clone(),
+            cached: 0,
+            resume: false,
+        }
+    }
+
+    /// The message that takes up a stream after token `from` at its endpoint.
+    pub fn resume(&self, id: AttemptId, origin: &str, point: &ResumePoint, credit: u64) -> Forward {
+        Forward {
+            endpoint: point.endpoint.to_string(),
+            resume: true,
+            method: "GET".into(),
+            path: format!("/v1/streams/{}?from={}", point.stream, point.from),
+            body: Bytes::new(),
+            headers: vec![stream_header(&point.stream)],
+            prompt: 0,
+            ..self.forward(id, origin, &[], credit)
+        }
+    }
+}
+
+/// The header by which an engine names a stream.
+fn stream_header(name: &str) -> Header {
+    Header {
+        name: "x-request-id".into(),
+        value: name.to_owned().into(),
+    }
+}
+
+/// Where a broken stream can be taken up.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct ResumePoint {
+    /// The endpoint that holds it.
+    pub endpoint: EndpointId,
+    /// Its name there.
+    pub stream: String,
+    /// Tokens that the caller has.
+    pub from: u64,
+}
--- /dev/null
+++ b/crates/daemon/src/entry/run.rs
@@ -0,0 +1,155 @@
+//! Tries a job at homes until one answers.
+
+use std::sync::Arc;
+
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::{AttemptId, DaemonId, EndpointId};
+use medlarrill_core::outcome::Outcome;
+use medlarrill_core::reason::Reason;
+
+use super::attempt::{Failure, Head, Result, Try, Waits};
+use super::job::{Job, ResumePoint};
+use crate::context::Context;
+
+/// Most tries of one request.
+const MAX_TRIES: u32 = 3;
+/// Most times that one stream is taken up again.
+pub const MAX_RESUMES: u32 = 3;
+/// Time allowed beyond the home's own limits, so that the home answers first.
+const MARGIN: Millis = Millis::from_secs(2);
+/// Endpoints looked at for a daemon to send to.
+const RANKS: usize = 8;
+
+/// A request that is being answered.
+pub struct Running {
+    /// The job.
+    pub job: Job,
+    /// The try that answers.
+    pub attempt: Try,
+    /// The head of the answer.
+    pub head: Head,
+    /// Tries so far.
+    pub tries: u32,
+}
+
+/// Sends a job to homes, further ones where that is safe, until one answers.
+///
+/// # Errors
+///
+/// The last failure when no home answers.
+pub async fn run(context: &Arc<Context>, job: Job) -> Result<Running> {
+    let mut tried: Vec<EndpointId> = Vec::new();
+    let mut lost: Vec<DaemonId> = Vec::new();
+    let mut tries = 0;
+    loop {
+        let started = attempt(context, &job, tries, &tried, &lost).await;
+        tries += 1;
+        let failure = match started {
+            Ok((attempt, head)) => {
+                return Ok(Running {
+                    job,
+                    attempt,
+                    head,
+                    tries,
+                });
+            }
+            Err(failure) => failure,
+        };
+        if tries >= MAX_TRIES || !may_retry(&job, &failure) {
+            return Err(failure);
+        }
+        context.metrics.retry(failure.reason);
+        log::info!(target: "entry", "entry: {} again after {}", job.request, failure.reason);
+        tried.extend(failure.endpoint);
+        lost.extend(failure.lost);
+    }
+}
+
+/// Takes up a broken stream where its endpoint still holds it.
+///
+/// # Errors
+///
+/// When the endpoint's home or the endpoint doesn't have it.
+pub async fn resume(
+    context: &Arc<Context>,
+    job: &Job,
+    tries: u32,
+    point: &ResumePoint,
+) -> Result<Try> {
+    let id = attempt_id(context, job, tries);
+    let daemon =
+        home_of(context, &point.endpoint, &[]).unwrap_or_else(|| context.me.daemon.clone());
+    let credit = context.settings.limits.window.0;
+    let forward = job.resume(id, context.me.daemon.as_str(), point, credit);
+    let mut attempt = Try::start(context, id, &daemon, forward, waits(job)).await?;
+    let head = attempt.head().await?;
+    if head.status != 200 {
+        return Err(Failure::new(Reason::StreamCut));
+    }
+    Ok(attempt)
+}
+
+async fn attempt(
+    context: &Arc<Context>,
+    job: &Job,
+    number: u32,
+    tried: &[EndpointId],
+    lost: &[DaemonId],
+) -> Result<(Try, Head)> {
+    let id = attempt_id(context, job, number);
+    let daemon = target(context, job, lost);
+    let credit = context.settings.limits.window.0;
+    let forward = job.forward(id, context.me.daemon.as_str(), tried, credit);
+    let mut attempt = Try::start(context, id, &daemon, forward, waits(job)).await?;
+    let head = attempt.head().await?;
+    Ok((attempt, head))
+}
+
+fn attempt_id(context: &Context, job: &Job, number: u32) -> AttemptId {
+    AttemptId {
+        request: job.request,
+        number,
+        sender: context.incarnation(),
+    }
+}
+
+fn waits(job: &Job) -> Waits {
+    Waits {
+        head: job.patience + job.terms.first_byte + MARGIN,
+        gap: job.terms.gap + MARGIN,
+    }
+}
+
+/// The daemon that knows the chat: home of its first-ranked endpoint, past lost ones.
+fn target(context: &Context, job: &Job, lost: &[DaemonId]) -> DaemonId {
+    let config = context.config.borrow().clone();
+    config
+        .ranked(&job.pool, job.key(), RANKS)
+        .into_iter()
+        .find_map(|endpoint| home_of(context, endpoint, lost))
+        .unwrap_or_else(|| context.me.daemon.clone())
+}
+
+fn home_of(context: &Context, endpoint: &EndpointId, lost: &[DaemonId]) -> Option<DaemonId> {
+    let config = context.config.borrow().clone();
+    let fleet = context.fleet.borrow();
+    let centre = &config.endpoint(endpoint)?.data_centre;
+    let region = fleet.regions.get(centre);
+    let home = fleet.placement.home_of(endpoint, centre, region)?;
+    (!lost.contains(home)).then(|| home.clone())
+}
+
+fn may_retry(job: &Job, failure: &Failure) -> bool {
+    let safe = job.idempotent || failure.outcome == Outcome::NotRun;
+    let elsewhere = matches!(
+        failure.reason,
+        Reason::HomeLost
+            | Reason::EndpointLost
+            | Reason::EndpointRefused
+            | Reason::EndpointTimeout
+            | Reason::StreamCut
+            | Reason::Stopping
+            | Reason::NotReady
+    );
+    safe && elsewhere
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/handle.rs
@@ -0,0 +1,53 @@
+//! Sends to the membership task.
+
+use std::net::SocketAddr;
+
+use medlarrill_core::ids::Generation;
+use medlarrill_core::membership::ListedVm;
+use medlarrill_core::wire::{Gossip, PoolLoad};
+use medlarrill_net::link::PeerId;
+use tokio::sync::mpsc;
+
+/// What the membership task is told.
+#[derive(Debug)]
+pub enum Message {
+    /// A heartbeat came in.
+    Heard(PeerId, Gossip),
+    /// A link is up.
+    Opened(PeerId),
+    /// A link is down.
+    Closed(PeerId),
+    /// An address could not be dialled.
+    Unreachable(SocketAddr),
+    /// The platform's list of router VMs.
+    Listed(Vec<ListedVm>),
+    /// Load of the endpoints that this daemon is home of.
+    OwnLoad(Vec<PoolLoad>),
+    /// The configuration in force here.
+    InForce(Generation),
+    /// Whether this daemon takes callers.
+    Ready(bool),
+    /// This daemon begins to leave.
+    Leave,
+    /// This daemon has done its work.
+    Depart,
+}
+
+/// Sends to the membership task. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    sender: mpsc::UnboundedSender<Message>,
+}
+
+impl Handle {
+    /// A handle and what its task receives from.
+    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<Message>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Self { sender }, receiver)
+    }
+
+    /// Tells the task; false if it has ended.
+    pub fn tell(&self, message: Message) -> bool {
+        self.sender.send(message).is_ok()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/task.rs
@@ -0,0 +1,163 @@
+//! The membership task: drives the machine of `medlarrill-core`.
+
+use std::sync::Arc;
+
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::{DaemonId, Generation};
+use medlarrill_core::membership::{Action, Event, Membership, Peer, Target};
+use medlarrill_core::wire::{Body, Gossip};
+use medlarrill_net::link::{Links, PeerId};
+use medlarrill_net::now::{now, wall};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::handle::Message;
+use super::view::FleetView;
+use crate::home;
+
+/// Time between two ticks of the machine.
+const TICK: Millis = Millis(100);
+
+/// Where the task's findings go.
+pub struct Outlets {
+    /// The view for all other tasks.
+    pub view: watch::Sender<Arc<FleetView>>,
+    /// Loads heard.
+    pub home: home::Handle,
+    /// A peer has a later configuration.
+    pub generation: mpsc::UnboundedSender<(DaemonId, Generation)>,
+    /// Peers know that this daemon leaves, or has left.
+    pub farewell: watch::Sender<usize>,
+}
+
+/// State of the membership task.
+pub struct Task {
+    membership: Membership,
+    links: Links,
+    outlets: Outlets,
+    version: u64,
+    fresh: bool,
+}
+
+impl Task {
+    /// A task for a daemon that has just started.
+    pub const fn new(membership: Membership, links: Links, outlets: Outlets) -> Self {
+        Self {
+            membership,
+            links,
+            outlets,
+            version: 0,
+            fresh: false,
+        }
+    }
+
+    /// Runs until every handle is gone.
+    pub async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<Message>) {
+        let mut ticks = interval(TICK.as_duration());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let actions = tokio::select! {
+                message = receiver.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.membership.handle(Event::Tick { wall: wall() }, now()),
+            };
+            for action in actions {
+                self.act(action);
+            }
+            self.publish();
+        }
+    }
+
+    fn take(&mut self, message: Message) -> Vec<Action> {
+        let event = match message {
+            Message::Heard(from, message) => Event::Received {
+                from: peer(from),
+                message,
+            },
+            Message::Opened(from) => Event::Connected(peer(from)),
+            Message::Closed(from) => Event::Closed(peer(from)),
+            Message::Unreachable(address) => Event::Refused(address),
+            Message::Listed(vms) => Event::VmList(vms),
+            Message::Leave => Event::Leave,
+            Message::Depart => Event::Depart,
+            Message::OwnLoad(pools) => {
+                self.membership.set_own_load(pools, now());
+                return Vec::new();
+            }
+            Message::InForce(generation) => {
+                self.membership.set_generation(generation);
+                return Vec::new();
+            }
+            Message::Ready(ready) => {
+                self.membership.set_ready(ready);
+                return Vec::new();
+            }
+        };
+        self.membership.handle(event, now())
+    }
+
+    fn act(&self, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(to, message),
+            Action::LoadHeard { from, at, pools } => self.outlets.home.load_heard(from, at, pools),
+            Action::GenerationHeard { from, generation } => {
+                // The configuration task ends only with the daemon.
+                let _ = self.outlets.generation.send((from, generation));
+            }
+            Action::Changed(member) => {
+                log::info!(target: "fleet", "fleet: {} is {}", member.daemon, member.state());
+            }
+            Action::Forgotten(daemon) => log::info!(target: "fleet", "fleet: forgot {daemon}"),
+            Action::Stale => log::warn!(target: "fleet", "fleet: paused, all knowledge is stale"),
+            Action::Fresh => log::info!(target: "fleet", "fleet: heard enough to act"),
+            Action::ListedLeaving => {
+                log::warn!(target: "fleet", "fleet: the platform takes this VM away")
+            }
+            Action::LeaveHeard { peers } | Action::Departed { peers } => {
+                self.outlets.farewell.send_replace(peers);
+            }
+            Action::Replaced { by } => {
+                log::error!(target: "fleet", "fleet: {by} runs under this daemon's name");
+            }
+            Action::SumsHeard { .. } => {}
+        }
+    }
+
+    /// Heartbeats never wait: one that finds no room is dropped.
+    fn send(&self, to: Target, message: Gossip) {
+        let links = self.links.clone();
+        let address = to.address.or_else(|| {
+            let member = self.membership.get(to.daemon.as_ref()?)?;
+            Some(member.address)
+        });
+        let Some(address) = address else {
+            return;
+        };
+        tokio::spawn(async move {
+            if let Ok(link) = links.at(address).await {
+                // A lost heartbeat is made up for by the next.
+                let _ = link.try_send(Body::Gossip(message));
+            }
+        });
+    }
+
+    fn publish(&mut self) {
+        let fresh = self.membership.fresh(now());
+        if self.version == self.membership.version() && self.fresh == fresh {
+            return;
+        }
+        self.version = self.membership.version();
+        self.fresh = fresh;
+        let view = FleetView::new(&self.membership, fresh);
+        self.outlets.view.send_replace(Arc::new(view));
+    }
+}
+
+fn peer(id: PeerId) -> Peer {
+    Peer {
+        daemon: id.daemon,
+        incarnation: id.incarnation,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/home.rs
@@ -0,0 +1,22 @@
+//! The home: admits requests to endpoints and dispatches them.
+//!
+//! One task holds the admission of every endpoint that this daemon is home
+//! of, the chat directory and the load view. Each dispatched request has a
+//! task of its own, which owns the connection to the endpoint and sends the
+//! answer straight to the entry.
+
+mod dispatch;
+mod gossip;
+mod handle;
+mod held;
+mod message;
+mod placing;
+mod poll;
+mod reply;
+mod slot;
+mod task;
+mod view;
+
+pub use handle::Handle;
+pub use message::Message;
+pub use task::Task;
--- /dev/null
+++ b/crates/daemon/src/home/gossip.rs
@@ -0,0 +1,95 @@
+//! Load that homes tell each other on their heartbeats.
+
+use std::collections::HashMap;
+
+use medlarrill_core::clock::Millis;
+use medlarrill_core::config::Config;
+use medlarrill_core::ids::{DaemonId, EndpointId, PoolId};
+use medlarrill_core::placement::{self, PoolSum};
+use medlarrill_core::units::Tokens;
+use medlarrill_core::wire::{EndpointLoad, PoolLoad, name_hash};
+
+use super::task::Task;
+use crate::fleet::Message;
+
+/// Time between two summaries for the heartbeats.
+const EVERY: Millis = Millis(250);
+/// Least loaded endpoints named in each pool.
+const LEAST: usize = 3;
+
+/// Pools and endpoints by the hash that heartbeats use.
+#[derive(Debug, Default)]
+pub struct Names {
+    pools: HashMap<u32, PoolId>,
+    endpoints: HashMap<u32, EndpointId>,
+}
+
+impl Names {
+    /// The names of a configuration.
+    pub fn new(config: &Config) -> Self {
+        let pools = config.pools.keys();
+        let endpoints = config.endpoints.keys();
+        Self {
+            pools: pools
+                .map(|id| (name_hash(id.as_str()), id.clone()))
+                .collect(),
+            endpoints: endpoints
+                .map(|id| (name_hash(id.as_str()), id.clone()))
+                .collect(),
+        }
+    }
+}
+
+impl Task {
+    /// Hands this home's load to the membership task, now and then.
+    pub(super) fn tell_load(&mut self, now: Millis) {
+        if now.since(self.told) < EVERY {
+            return;
+        }
+        self.told = now;
+        let pools = self.loads.pools.iter().map(|(id, pool)| {
+            let sum = pool.own_sum(now);
+            let least = pool.own_least(LEAST, now);
+            let least: Vec<EndpointLoad> = least.iter().map(brief).collect();
+            PoolLoad::new(name_hash(id.as_str()), sum.load.0, sum.endpoints, &least)
+        });
+        let pools = pools.filter(|pool| pool.endpoints > 0).collect();
+        self.context.fleet_task.tell(Message::OwnLoad(pools));
+    }
+
+    /// Takes the load of the endpoints that a peer is home of.
+    pub(super) fn load_heard(&mut self, from: &DaemonId, at: Millis, pools: &[PoolLoad]) {
+        for heard in pools {
+            let id = self.names.pools.get(&heard.pool);
+            let Some(pool) = id.and_then(|id| self.loads.pools.get_mut(id)) else {
+                continue;
+            };
+            let sum = PoolSum {
+                load: Tokens(heard.load),
+                endpoints: heard.endpoints,
+                as_of: at,
+            };
+            pool.hear_sum(from, sum);
+            for load in heard.least() {
+                let Some(endpoint) = self.names.endpoints.get(&load.endpoint) else {
+                    continue;
+                };
+                let load = placement::EndpointLoad {
+                    endpoint: endpoint.clone(),
+                    load: Tokens(load.load.into()),
+                    room: load.room,
+                    as_of: at,
+                };
+                pool.hear_load(&load, at);
+            }
+        }
+    }
+}
+
+fn brief(load: &placement::EndpointLoad) -> EndpointLoad {
+    EndpointLoad {
+        endpoint: name_hash(load.endpoint.as_str()),
+        load: u32::try_from(load.load.0).unwrap_or(u32::MAX),
+        room: load.room,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/home/placing.rs
@@ -0,0 +1,187 @@
+//! Where a request goes from here: placement, passing on, and the chat directory.
+
+use std::sync::Arc;
+
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::{ChatHash, DaemonId, EndpointId};
+use medlarrill_core::placement::{HOP_LIMIT, Place, PlaceAsk, place};
+use medlarrill_core::reason::Reason;
+use medlarrill_core::units::Tokens;
+use medlarrill_core::wire::{Body, Forward, Placed};
+use medlarrill_net::now::now;
+
+use super::held::Held;
+use super::message::{Message, Usage};
+use super::reply::Refusal;
+use super::task::Task;
+
+impl Task {
+    /// Places a request as its chat's directory daemon.
+    pub(super) fn place(&mut self, held: Held) {
+        match self.choose(&held) {
+            Ok(choice) => self.go(held, choice, Reason::NoEndpoint),
+            Err(reason) => self.refuse(held, Refusal::new(reason)),
+        }
+    }
+
+    /// Places a request anew that an endpoint of this home doesn't take.
+    pub(super) fn pass_on(&mut self, mut held: Held, endpoint: &EndpointId, reason: Reason) {
+        held.forward.tried.push(endpoint.to_string());
+        match self.choose(&held) {
+            Ok(choice) => self.go(held, choice, reason),
+            // No other takes work, so it waits here if it may.
+            Err(_) => {
+                held.forward.hops = HOP_LIMIT;
+                self.admit(held, endpoint);
+            }
+        }
+    }
+
+    fn choose(&mut self, held: &Held) -> Result<Choice, Reason> {
+        let now = now();
+        let pool = held.forward.pool.parse().map_err(|_| Reason::NoRoute)?;
+        let pool = self.loads.pool(&pool).ok_or(Reason::NoEndpoint)?;
+        let chat = held.chat();
+        let places = chat.map(|chat| self.directory.places(chat));
+        let tried = held.tried();
+        let ask = PlaceAsk {
+            chat,
+            places: places.as_deref().unwrap_or_default(),
+            prompt: held.prompt(),
+            tried: &tried,
+            own_only: held.forward.hops >= HOP_LIMIT,
+        };
+        let placement = place(pool, &ask, now, &mut self.rng)?;
+        Ok(Choice {
+            endpoint: placement.endpoint,
+            cached: placement.cached,
+        })
+    }
+
+    fn go(&mut self, mut held: Held, choice: Choice, reason: Reason) {
+        held.forward.cached = choice.cached.0;
+        self.note_sent(&held, &choice);
+        let home = self.home_of(&choice.endpoint);
+        let here = home
+            .as_ref()
+            .is_none_or(|home| *home == self.context.me.daemon);
+        match home {
+            Some(home) if !here && held.forward.hops < HOP_LIMIT => {
+                self.pass_to(held, choice.endpoint, home);
+            }
+            _ if here => self.admit(held, &choice.endpoint),
+            _ => self.refuse(held, Refusal::new(reason)),
+        }
+    }
+
+    /// Passes a request to another home. If that can't be reached, it is served from here.
+    fn pass_to(&self, held: Held, endpoint: EndpointId, home: DaemonId) {
+        let context = Arc::clone(&self.context);
+        let forward = Forward {
+            endpoint: endpoint.to_string(),
+            hops: held.forward.hops + 1,
+            ..held.forward
+        };
+        let reply = held.reply;
+        tokio::spawn(async move {
+            // The entry has to expect the other home before that can answer.
+            if reply.passed(&home).await.is_err() {
+                return;
+            }
+            let sent = context
+                .peers
+                .send(&home, Body::Forward(forward.clone()))
+                .await;
+            if sent.is_err() {
+                let back = reply.passed_back(&context.me.daemon, &home).await;
+                let last = Forward {
+                    hops: HOP_LIMIT,
+                    ..forward
+                };
+                if back.is_ok() {
+                    context
+                        .home
+                        .send(Message::Offer(context.me.clone(), Box::new(last)));
+                }
+            }
+        });
+    }
+
+    fn note_sent(&mut self, held: &Held, choice: &Choice) {
+        let Ok(pool) = held.forward.pool.parse() else {
+            return;
+        };
+        let prompt = held.forward.prompt.saturating_sub(choice.cached.0);
+        let work = Tokens(prompt + held.forward.output);
+        if let Some(pool) = self.loads.pool_mut(&pool) {
+            pool.note_sent(&choice.endpoint, work);
+        }
+    }
+
+    /// Remembers where a chat was served, here or at its directory daemon.
+    pub(super) fn record(&mut self, held: &Held, endpoint: &EndpointId, usage: Option<Usage>) {
+        let metrics = &self.context.metrics;
+        if let Some(usage) = usage {
+            metrics.prompt_tokens.inc_by(usage.prompt.0);
+            metrics.cached_tokens.inc_by(usage.cached.0);
+        }
+        let Some(chat) = held.chat() else {
+            return;
+        };
+        let prefix = usage.map_or(held.forward.prompt, |usage| usage.prompt.0 + usage.output.0);
+        let Some(keeper) = self.directory_daemon(&held.forward, chat) else {
+            return;
+        };
+        if keeper == self.context.me.daemon {
+            self.remember(chat, endpoint, Tokens(prefix), now());
+            return;
+        }
+        let placed = Body::Placed(Placed {
+            chat: chat.0,
+            endpoint: endpoint.to_string(),
+            prefix,
+        });
+        let context = Arc::clone(&self.context);
+        // A lost note costs one prefill.
+        tokio::spawn(async move { context.peers.try_send(&keeper, placed).await });
+    }
+
+    /// Takes a note from the home that served a chat.
+    pub(super) fn placed(&mut self, placed: &Placed) {
+        if let Ok(endpoint) = placed.endpoint.parse() {
+            let prefix = Tokens(placed.prefix);
+            self.remember(ChatHash(placed.chat), &endpoint, prefix, now());
+        }
+    }
+
+    fn remember(&mut self, chat: ChatHash, endpoint: &EndpointId, prefix: Tokens, now: Millis) {
+        let place = Place {
+            endpoint: endpoint.clone(),
+            prefix,
+            served: now,
+            hint: None,
+        };
+        self.directory.record(chat, &place);
+    }
+
+    /// The home of the chat's first-ranked endpoint.
+    fn directory_daemon(&self, forward: &Forward, chat: ChatHash) -> Option<DaemonId> {
+        let pool = forward.pool.parse().ok()?;
+        let first = self.config.ranked(&pool, chat.0, 1);
+        self.home_of(first.first()?)
+    }
+
+    /// The home of an endpoint by the present view.
+    pub(super) fn home_of(&self, endpoint: &EndpointId) -> Option<DaemonId> {
+        let centre = &self.config.endpoint(endpoint)?.data_centre;
+        let region = self.fleet.regions.get(centre);
+        let home = self.fleet.placement.home_of(endpoint, centre, region);
+        home.cloned()
+    }
+}
+
+/// An endpoint chosen.
+struct Choice {
+    endpoint: EndpointId,
+    cached: Tokens,
+}
--- /dev/null
+++ b/crates/daemon/src/home/poll.rs
@@ -0,0 +1,42 @@
+//! Asks an endpoint for its load, again and again, while this daemon is its home.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::EndpointId;
+use tokio::task::JoinHandle;
+
+use super::message::Message;
+use crate::context::Context;
+
+/// Time between two questions.
+const EVERY: Millis = Millis(500);
+/// Longest wait for an answer.
+const WAIT: Millis = Millis(1000);
+
+/// A poller, which ends when it is dropped.
+#[derive(Debug)]
+pub struct Poller {
+    task: JoinHandle<()>,
+}
+
+impl Poller {
+    /// Polls an endpoint.
+    pub fn start(context: Arc<Context>, endpoint: EndpointId, address: SocketAddr) -> Self {
+        let task = tokio::spawn(async move {
+            loop {
+                let load = context.endpoints.load(address, WAIT).await;
+                context.home.send(Message::Polled(endpoint.clone(), load));
+                tokio::time::sleep(EVERY.as_duration()).await;
+            }
+        });
+        Self { task }
+    }
+}
+
+impl Drop for Poller {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/home/view.rs
@@ -0,0 +1,166 @@
+//! Keeps slots and load view in step with configuration and fleet.
+
+use medlarrill_core::admission::State;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::{DataCentreId, EndpointId, PoolId};
+use medlarrill_core::placement::{Distance, EndpointState, PoolView};
+use medlarrill_net::now::now;
+use rand::RngExt;
+use rand_pcg::Pcg32;
+
+use super::gossip::Names;
+use super::slot::Slot;
+use super::task::Task;
+
+impl Task {
+    /// Brings pools, endpoints and slots up to the present configuration and fleet.
+    pub(super) fn rebuild(&mut self) {
+        self.rebuild_pools();
+        self.names = Names::new(&self.config.config);
+        let endpoints: Vec<EndpointId> = self.config.config.endpoints.keys().cloned().collect();
+        for endpoint in endpoints {
+            self.settle(&endpoint);
+        }
+        self.retire();
+    }
+
+    fn rebuild_pools(&mut self) {
+        let config = &self.config.config;
+        self.loads
+            .pools
+            .retain(|id, _| config.pools.contains_key(id));
+        for (id, pool) in &config.pools {
+            let view = self.loads.pools.entry(id.clone());
+            view.or_insert_with(|| PoolView::new(pool.load_bound));
+        }
+        for (id, view) in &mut self.loads.pools {
+            let gone: Vec<EndpointId> = view
+                .endpoints()
+                .iter()
+                .map(|endpoint| endpoint.id.clone())
+                .filter(|endpoint| !belongs(&self.config.config, endpoint, id))
+                .collect();
+            for endpoint in gone {
+                view.remove_endpoint(&endpoint);
+                self.directory.drop_endpoint(&endpoint);
+            }
+        }
+    }
+
+    /// Decides whether this daemon is the home of an endpoint.
+    fn settle(&mut self, endpoint: &EndpointId) {
+        let Some(settings) = self.config.endpoint(endpoint) else {
+            return;
+        };
+        let (pool, drained) = (settings.pool.clone(), settings.drained);
+        let distance = self.distance(&settings.data_centre);
+        let own = self.home_of(endpoint).as_ref() == Some(&self.context.me.daemon);
+        if let Some(view) = self.loads.pool_mut(&pool) {
+            view.set_endpoint(endpoint, distance);
+            let state = if drained {
+                EndpointState::Drained
+            } else {
+                EndpointState::Ready
+            };
+            view.set_state(endpoint, state);
+        }
+        if own {
+            self.ensure_slot(endpoint);
+        }
+        if let Some(slot) = self.slots.get_mut(endpoint) {
+            slot.drained = drained;
+            slot.settle(own);
+        }
+        if !own {
+            self.release(endpoint, &pool);
+        }
+    }
+
+    fn release(&mut self, endpoint: &EndpointId, pool: &PoolId) {
+        if let Some(view) = self.loads.pool_mut(pool) {
+            view.release_own(endpoint);
+        }
+        self.refresh(endpoint);
+    }
+
+    /// Lets go of endpoints that are no longer configured, once nothing runs there.
+    fn retire(&mut self) {
+        let gone: Vec<EndpointId> = self
+            .slots
+            .keys()
+            .filter(|id| !self.config.config.endpoints.contains_key(*id))
+            .cloned()
+            .collect();
+        for endpoint in gone {
+            if let Some(slot) = self.slots.get_mut(&endpoint) {
+                slot.settle(false);
+                slot.drained = true;
+            }
+            self.refresh(&endpoint);
+        }
+    }
+
+    pub(super) fn refresh(&mut self, endpoint: &EndpointId) {
+        let now = now();
+        let Some(slot) = self.slots.get_mut(endpoint) else {
+            return;
+        };
+        let actions = slot.refresh(now);
+        self.note_load(endpoint, now);
+        self.act(endpoint, actions);
+    }
+
+    /// Makes sure that an endpoint has a slot; false if it isn't configured.
+    pub(super) fn ensure_slot(&mut self, endpoint: &EndpointId) -> bool {
+        if self.slots.contains_key(endpoint) {
+            return true;
+        }
+        let Some(settings) = self.config.endpoint(endpoint) else {
+            return false;
+        };
+        let Some(pool) = self.config.pool(&settings.pool) else {
+            return false;
+        };
+        let rng = Pcg32::new(self.rng.random(), self.rng.random());
+        let mut slot = Slot::new(settings.pool.clone(), pool, settings.address, rng, now());
+        slot.drained = settings.drained;
+        slot.watch(&self.context, endpoint);
+        self.slots.insert(endpoint.clone(), slot);
+        true
+    }
+
+    pub(super) fn note_load(&mut self, endpoint: &EndpointId, now: Millis) {
+        let Some(slot) = self.slots.get(endpoint) else {
+            return;
+        };
+        let Some(view) = self.loads.pool_mut(&slot.pool) else {
+            return;
+        };
+        if slot.own {
+            view.set_own(endpoint, slot.occupancy(now), now);
+        }
+        let state = match slot.home.state() {
+            State::Ready | State::Moved => EndpointState::Ready,
+            State::Leaving if slot.drained => EndpointState::Drained,
+            State::Leaving => EndpointState::Leaving,
+            State::Unreachable => EndpointState::Unknown,
+        };
+        view.set_state(endpoint, state);
+    }
+
+    fn distance(&self, centre: &DataCentreId) -> Distance {
+        let settings = &self.context.settings;
+        if *centre == settings.data_centre {
+            return Distance::Centre;
+        }
+        match self.fleet.regions.get(centre) {
+            Some(region) if *region != settings.region => Distance::Far,
+            _ => Distance::Region,
+        }
+    }
+}
+
+fn belongs(config: &medlarrill_core::config::Config, endpoint: &EndpointId, pool: &PoolId) -> bool {
+    let settings = config.endpoints.get(endpoint);
+    settings.is_some_and(|settings| settings.pool == *pool)
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,7 @@
 //! Thin main of the daemon.
-fn main() {}
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    medlarrilld::start::main(std::env::args_os())
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,147 @@
+//! Counters and gauges, exported as OpenMetrics text.
+
+use medlarrill_core::reason::Reason;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Label of a reason or kind.
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// Its stable code.
+    pub reason: &'static str,
+}
+
+/// Label of a kind of message.
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+pub struct KindLabel {
+    /// The kind.
+    pub kind: &'static str,
+}
+
+/// Everything that one daemon counts.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests taken from callers.
+    pub requests: Counter,
+    /// Requests answered whole.
+    pub answered: Counter,
+    /// Requests refused or broken off.
+    pub refusals: Family<ReasonLabel, Counter>,
+    /// Tries after the first.
+    pub retries: Family<ReasonLabel, Counter>,
+    /// Streams taken up again after a loss.
+    pub resumed: Counter,
+    /// Frames for an attempt that isn't held here.
+    pub stray: Family<KindLabel, Counter>,
+    /// Requests in flight at this entry.
+    pub in_flight: Gauge,
+    /// Requests sent to endpoints.
+    pub dispatched: Counter,
+    /// Prompt tokens sent to endpoints.
+    pub prompt_tokens: Counter,
+    /// Prompt tokens that endpoints served from their cache.
+    pub cached_tokens: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Counters at zero.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("medlarrill"),
+            requests: Counter::default(),
+            answered: Counter::default(),
+            refusals: Family::default(),
+            retries: Family::default(),
+            resumed: Counter::default(),
+            stray: Family::default(),
+            in_flight: Gauge::default(),
+            dispatched: Counter::default(),
+            prompt_tokens: Counter::default(),
+            cached_tokens: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "requests",
+            "Requests taken from callers",
+            self.requests.clone(),
+        );
+        r.register("answered", "Requests answered whole", self.answered.clone());
+        r.register(
+            "refusals",
+            "Requests refused or broken off",
+            self.refusals.clone(),
+        );
+        r.register("retries", "Tries after the first", self.retries.clone());
+        r.register("resumed", "Streams taken up again", self.resumed.clone());
+        r.register(
+            "stray_frames",
+            "Frames for no held attempt",
+            self.stray.clone(),
+        );
+        r.register(
+            "in_flight",
+            "Requests in flight here",
+            self.in_flight.clone(),
+        );
+        r.register(
+            "dispatched",
+            "Requests sent to endpoints",
+            self.dispatched.clone(),
+        );
+        r.register(
+            "prompt_tokens",
+            "Prompt tokens sent",
+            self.prompt_tokens.clone(),
+        );
+        r.register(
+            "cached_tokens",
+            "Prompt tokens cached",
+            self.cached_tokens.clone(),
+        );
+    }
+
+    /// Counts a refusal.
+    pub fn refuse(&self, reason: Reason) {
+        let label = ReasonLabel {
+            reason: reason.code(),
+        };
+        self.refusals.get_or_create(&label).inc();
+    }
+
+    /// Counts a further try.
+    pub fn retry(&self, reason: Reason) {
+        let label = ReasonLabel {
+            reason: reason.code(),
+        };
+        self.retries.get_or_create(&label).inc();
+    }
+
+    /// Counts a frame that nobody waits for.
+    pub fn stray(&self, kind: &'static str) {
+        self.stray.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// The OpenMetrics text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/start.rs
@@ -0,0 +1,280 @@
+//! Starts the daemon's tasks and stops them in order.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::Parser;
+use derive_more::{Debug, Display, Error, From};
+use medlarrill_core::ids::{DaemonId, Generation, Incarnation};
+use medlarrill_core::membership::{Member, Membership};
+use medlarrill_net::link::{Event, FleetKey, Handler, Identity, Links, PeerId};
+use medlarrill_net::now::{now, wall};
+use medlarrill_net::{endpoint, platform};
+use rand_pcg::Pcg32;
+use salvo::server::ServerHandle;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+use crate::args::{Args, Command};
+use crate::configuration::{ConfigView, poll};
+use crate::context::Context;
+use crate::entry::server::{self, ServerError};
+use crate::entry::{Attempts, Tracker};
+use crate::fleet::{self, FleetView, Outlets, follow_vms};
+use crate::home;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::settings::{Settings, SettingsError};
+use crate::switch::Switch;
+
+/// Result of running the daemon.
+pub type Result<T> = std::result::Result<T, StartError>;
+
+/// Exit code when settings can't be used.
+const BAD_SETTINGS: u8 = 2;
+
+/// Why the daemon can't start.
+#[derive(Debug, Display, Error, From)]
+pub enum StartError {
+    /// Settings can't be used.
+    #[display("{_0}")]
+    Settings(SettingsError),
+    /// A socket or signal handler failed.
+    #[display("{_0}")]
+    Io(std::io::Error),
+    /// Callers can't be served.
+    #[display("{_0}")]
+    Server(ServerError),
+}
+
+/// Where a daemon listens, printed as one line once it does.
+#[derive(Debug, Serialize)]
+pub struct Started {
+    daemon: DaemonId,
+    incarnation: Incarnation,
+    callers: SocketAddr,
+    peers: SocketAddr,
+}
+
+/// Runs the command line.
+pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let args = Args::parse_from(args);
+    let result = match args.command {
+        Command::Run { settings } => Settings::read(&settings)
+            .map_err(StartError::from)
+            .and_then(run),
+        Command::Check { settings } => Settings::read(&settings)
+            .map(|_| println!("{}: no findings", settings.display()))
+            .map_err(StartError::from),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(StartError::Settings(error)) => {
+            eprintln!("medlarrilld: {error}");
+            ExitCode::from(BAD_SETTINGS)
+        }
+        Err(error) => {
+            eprintln!("medlarrilld: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+///
+/// When it can't start.
+pub fn run(settings: Settings) -> Result<()> {
+    crate::logs::start();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let running = start(settings).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    crate::stop::stop(running).await;
+    Ok(())
+}
+
+/// A daemon that runs.
+pub struct Running {
+    /// What its tasks share.
+    pub context: Arc<Context>,
+    /// Its callers' server.
+    pub server: Option<ServerHandle>,
+    /// Set to stop.
+    pub stopping: watch::Sender<bool>,
+    /// How many peers know that it leaves.
+    pub farewell: watch::Receiver<usize>,
+}
+
+async fn start(settings: Settings) -> Result<Running> {
+    let me = PeerId {
+        daemon: settings.daemon.clone(),
+        incarnation: Incarnation(rand::random()),
+    };
+    let listener = TcpListener::bind(settings.listen.peers).await?;
+    let bound = server::bind(settings.listen.callers).await?;
+    let address = listener.local_addr()?;
+    announce(&me, bound.address, address);
+    let (channels, ends) = channels();
+    let context = connect(settings, me, listener, channels);
+    let mut running = spawn(&context, address, ends);
+    running.server = Some(server::serve(bound, &context));
+    Ok(running)
+}
+
+/// What the shared handles need.
+struct Channels {
+    view: watch::Receiver<Arc<FleetView>>,
+    config: watch::Receiver<Arc<ConfigView>>,
+    stopping: watch::Receiver<bool>,
+    home: home::Handle,
+    fleet: fleet::Handle,
+}
+
+/// What the tasks own.
+struct Ends {
+    view: watch::Sender<Arc<FleetView>>,
+    config: watch::Sender<Arc<ConfigView>>,
+    stopping: watch::Sender<bool>,
+    home: mpsc::UnboundedReceiver<home::Message>,
+    fleet: mpsc::UnboundedReceiver<fleet::Message>,
+}
+
+fn channels() -> (Channels, Ends) {
+    let (view_sender, view) = watch::channel(Arc::default());
+    let (config_sender, config) = watch::channel(Arc::default());
+    let (stopping_sender, stopping) = watch::channel(false);
+    let (home, home_receiver) = home::Handle::new();
+    let (fleet, fleet_receiver) = fleet::Handle::new();
+    let channels = Channels {
+        view,
+        config,
+        stopping,
+        home,
+        fleet,
+    };
+    let ends = Ends {
+        view: view_sender,
+        config: config_sender,
+        stopping: stopping_sender,
+        home: home_receiver,
+        fleet: fleet_receiver,
+    };
+    (channels, ends)
+}
+
+/// Opens the links and makes the handles that all tasks share.
+fn connect(
+    settings: Settings,
+    me: PeerId,
+    listener: TcpListener,
+    channels: Channels,
+) -> Arc<Context> {
+    let metrics = Arc::new(Metrics::new());
+    let attempts = Attempts::default();
+    let switch = Switch {
+        attempts: attempts.clone(),
+        home: channels.home.clone(),
+        fleet: channels.fleet.clone(),
+        metrics: Arc::clone(&metrics),
+    };
+    let handler: Handler = Arc::new(move |event: Event| switch.take(event));
+    let links = Links::start(listener, identity(&settings, &me), Arc::clone(&handler));
+    let peers = Peers::new(me.clone(), handler, links, channels.view.clone());
+    Arc::new(Context {
+        me,
+        metrics,
+        config: channels.config,
+        fleet: channels.view,
+        peers,
+        attempts,
+        tracker: Tracker::default(),
+        stopping: channels.stopping,
+        home: channels.home,
+        fleet_task: channels.fleet,
+        platform: platform::Client::new(platform_settings(&settings)),
+        endpoints: endpoint::Client::new(&endpoint::Limits::default()),
+        settings,
+    })
+}
+
+fn spawn(context: &Arc<Context>, address: SocketAddr, ends: Ends) -> Running {
+    let (farewell_sender, farewell) = watch::channel(0);
+    let (generation, _) = mpsc::unbounded_channel::<(DaemonId, Generation)>();
+    let outlets = Outlets {
+        view: ends.view,
+        home: context.home.clone(),
+        generation,
+        farewell: farewell_sender,
+    };
+    let links = context.peers.links().clone();
+    let members = fleet::Task::new(membership(context, address), links, outlets);
+    tokio::spawn(members.run(ends.fleet));
+    let fleet = context.fleet_task.clone();
+    tokio::spawn(follow_vms(context.platform.clone(), fleet.clone()));
+    tokio::spawn(poll(context.platform.clone(), ends.config, fleet));
+    let rng = Pcg32::new(rand::random(), rand::random());
+    let home = home::Task::new(Arc::clone(context), rng);
+    tokio::spawn(home.run(ends.home));
+    Running {
+        context: Arc::clone(context),
+        server: None,
+        stopping: ends.stopping,
+        farewell,
+    }
+}
+
+fn announce(me: &PeerId, callers: SocketAddr, peers: SocketAddr) {
+    let started = Started {
+        daemon: me.daemon.clone(),
+        incarnation: me.incarnation,
+        callers,
+        peers,
+    };
+    println!("{}", serde_json::to_string(&started).unwrap_or_default());
+}
+
+fn identity(settings: &Settings, me: &PeerId) -> Identity {
+    Identity {
+        fleet: settings.fleet.clone(),
+        key: FleetKey::of(settings.keys.fleet.as_bytes()),
+        me: me.clone(),
+    }
+}
+
+fn platform_settings(settings: &Settings) -> platform::Settings {
+    let platform = platform::Settings::new(settings.platform, rand::random());
+    match settings.daemon.as_str().parse() {
+        Ok(vm) => platform.with_vm(vm),
+        Err(_) => platform,
+    }
+}
+
+fn membership(context: &Context, address: SocketAddr) -> Membership {
+    let settings = &context.settings;
+    let epoch = u32::try_from(wall().0 / 1000).unwrap_or(u32::MAX);
+    let own = Member::new(
+        context.me.daemon.clone(),
+        context.me.incarnation,
+        address,
+        settings.data_centre.clone(),
+        settings.region.clone(),
+    );
+    let own = own.with_epoch(epoch);
+    Membership::new(own, settings.seeds.clone(), rand::random(), now())
+}
--- /dev/null
+++ b/crates/daemon/src/stop.rs
@@ -0,0 +1,46 @@
+//! A graceful stop: leave, finish what is in flight, exit.
+
+use medlarrill_core::clock::Millis;
+use tokio::time::timeout;
+
+use crate::fleet::Message;
+use crate::start::Running;
+
+/// Time that the balancer and peers get to notice before the server closes.
+const NOTICE: Millis = Millis(500);
+/// Longest wait for peers to hear of the end.
+const FAREWELL: Millis = Millis::from_secs(2);
+/// Time between two looks at what is in flight.
+const LOOK: Millis = Millis(50);
+
+/// Stops a daemon in order. Further signals change nothing.
+pub async fn stop(mut running: Running) {
+    let limit = running.context.settings.limits.stop;
+    log::info!(target: "stop", "stop: leaving, {} requests in flight", running.context.attempts.len());
+    running.stopping.send_replace(true);
+    running.context.fleet_task.tell(Message::Leave);
+    tokio::time::sleep(NOTICE.as_duration()).await;
+    if let Some(server) = &running.server {
+        server.stop_graceful(Some(limit.as_duration()));
+    }
+    if timeout(limit.as_duration(), idle(&running)).await.is_err() {
+        log::error!(target: "stop", "stop: the time limit passed with work in flight");
+    }
+    running.context.fleet_task.tell(Message::Depart);
+    running.farewell.mark_unchanged();
+    // Peers that don't hear of it find out by themselves.
+    let _ = timeout(FAREWELL.as_duration(), running.farewell.changed()).await;
+    log::info!(target: "stop", "stop: done");
+}
+
+async fn idle(running: &Running) {
+    let context = &running.context;
+    loop {
+        let entry = context.metrics.in_flight.get() == 0;
+        let home = context.home.held() == 0;
+        if entry && home {
+            return;
+        }
+        tokio::time::sleep(LOOK.as_duration()).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/switch.rs
@@ -0,0 +1,63 @@
+//! Hands each message from a peer to the task that it is for.
+
+use std::sync::Arc;
+
+use medlarrill_core::wire::Body;
+use medlarrill_net::link::{Event, PeerId};
+
+use crate::entry::Attempts;
+use crate::fleet;
+use crate::home;
+use crate::metrics::Metrics;
+
+/// Where messages go.
+pub struct Switch {
+    /// Tries of this entry.
+    pub attempts: Attempts,
+    /// The home task.
+    pub home: home::Handle,
+    /// The membership task.
+    pub fleet: fleet::Handle,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
+impl Switch {
+    /// Takes one event of the links; never blocks.
+    pub fn take(&self, event: Event) {
+        match event {
+            Event::Message(from, body) => self.message(&from, *body),
+            Event::Closed(peer) => {
+                self.attempts.lost(&peer);
+                self.home.peer_lost(peer.clone());
+                self.fleet.tell(fleet::Message::Closed(peer));
+            }
+            Event::Opened(peer) => {
+                self.fleet.tell(fleet::Message::Opened(peer));
+            }
+            Event::Unreachable(address) => {
+                self.fleet.tell(fleet::Message::Unreachable(address));
+            }
+        }
+    }
+
+    fn message(&self, from: &PeerId, body: Body) {
+        let kind = body.kind();
+        let held = match body {
+            Body::Forward(forward) => self.home.offer(from.clone(), forward),
+            Body::Credit(credit) => self.home.credit(from.clone(), credit),
+            Body::Cancel(cancel) => self.home.cancel(from.clone(), cancel),
+            Body::Gossip(gossip) => self.fleet.tell(fleet::Message::Heard(from.clone(), gossip)),
+            Body::Placed(placed) => self.home.placed(placed),
+            answer @ (Body::Accepted(_)
+            | Body::Passed(_)
+            | Body::Refused(_)
+            | Body::Chunk(_)
+            | Body::End(_)) => self.attempts.deliver(from, answer),
+            _ => false,
+        };
+        if !held {
+            self.metrics.stray(kind);
+        }
+    }
+}
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -90,8 +90,8 @@
     Opened(PeerId),
     /// A link to or from this peer was closed.
     Closed(PeerId),
-    /// A peer could not be dialled.
-    Unreachable(DaemonId),
+    /// An address could not be dialled.
+    Unreachable(SocketAddr),
 }
 
 /// Takes the events of all links; must not block.
@@ -119,7 +119,7 @@
     identity: Identity,
     handler: Handler,
     counts: Counts,
-    slots: Mutex<HashMap<DaemonId, Arc<Slot>>>,
+    slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
 }
 
 impl Links {
@@ -135,14 +135,27 @@
         Self { shared }
     }
 
-    /// The link to a peer, dialled if need be.
+    /// The link to a daemon, dialled if need be.
     ///
     /// # Errors
     ///
-    /// When the peer can't be reached or isn't of this fleet; then nothing was sent.
+    /// When the daemon can't be reached there or isn't of this fleet; then nothing was sent.
     pub async fn to(&self, daemon: &DaemonId, address: SocketAddr) -> Result<Link> {
-        let slot = self.slot(daemon);
-        slot.link(&self.shared, daemon, address).await
+        let link = self.at(address).await?;
+        if link.peer.daemon != *daemon {
+            return Err(LinkError::OtherDaemon);
+        }
+        Ok(link)
+    }
+
+    /// The link to whichever daemon listens at an address, dialled if need be.
+    ///
+    /// # Errors
+    ///
+    /// As `to`.
+    pub async fn at(&self, address: SocketAddr) -> Result<Link> {
+        let slot = self.slot(address);
+        slot.link(&self.shared, address).await
     }
 
     /// Bytes and messages so far, by kind.
@@ -150,17 +163,9 @@
         &self.shared.counts
     }
 
-    fn slot(&self, daemon: &DaemonId) -> Arc<Slot> {
-        let mut slots = self
-            .shared
-            .slots
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some(slot) = slots.get(daemon) {
-            return Arc::clone(slot);
-        }
-        let slot = Arc::<Slot>::default();
-        slots.insert(daemon.clone(), Arc::clone(&slot));
-        slot
+    fn slot(&self, address: SocketAddr) -> Arc<Slot> {
+        let slots = &self.shared.slots;
+        let mut slots = slots.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(slots.entry(address).or_default())
     }
 }
--- a/crates/net/src/link/outgoing.rs
+++ b/crates/net/src/link/outgoing.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use medlarrill_core::ids::DaemonId;
 use medlarrill_core::wire::{Body, Frame};
 use prost::Message;
 use socket2::{SockRef, TcpKeepalive};
@@ -56,7 +55,7 @@
     }
 }
 
-/// The place for the link to one daemon.
+/// The place for the link to one address.
 #[derive(Default)]
 pub(super) struct Slot {
     state: Mutex<State>,
@@ -65,26 +64,19 @@
 #[derive(Default)]
 struct State {
     link: Option<Link>,
-    address: Option<SocketAddr>,
     failed: Option<Instant>,
 }
 
 impl Slot {
-    pub(super) async fn link(
-        &self,
-        shared: &Arc<Shared>,
-        daemon: &DaemonId,
-        address: SocketAddr,
-    ) -> Result<Link> {
+    pub(super) async fn link(&self, shared: &Arc<Shared>, address: SocketAddr) -> Result<Link> {
         let mut state = self.state.lock().await;
-        if let Some(link) = state.usable(address) {
+        if let Some(link) = state.usable() {
             return Ok(link);
         }
-        if state.resting(address) {
+        if state.resting() {
             return Err(LinkError::Resting);
         }
-        state.address = Some(address);
-        match open(shared, daemon, address).await {
+        match open(shared, address).await {
             Ok(link) => {
                 state.link = Some(link.clone());
                 state.failed = None;
@@ -93,8 +85,8 @@
             Err(error) => {
                 state.link = None;
                 state.failed = Some(Instant::now());
-                log::debug!(target: "link", "link: {daemon} at {address}: {error}");
-                (shared.handler)(Event::Unreachable(daemon.clone()));
+                log::debug!(target: "link", "link: to {address}: {error}");
+                (shared.handler)(Event::Unreachable(address));
                 Err(error)
             }
         }
@@ -102,24 +94,19 @@
 }
 
 impl State {
-    fn usable(&self, address: SocketAddr) -> Option<Link> {
-        let link = self.link.as_ref()?;
-        let same = self.address == Some(address);
-        (same && link.is_open()).then(|| link.clone())
+    fn usable(&self) -> Option<Link> {
+        self.link.clone().filter(Link::is_open)
     }
 
-    fn resting(&self, address: SocketAddr) -> bool {
+    fn resting(&self) -> bool {
         let recent = |failed: Instant| failed.elapsed() < REDIAL_AFTER;
-        self.address == Some(address) && self.failed.is_some_and(recent)
+        self.failed.is_some_and(recent)
     }
 }
 
-async fn open(shared: &Arc<Shared>, daemon: &DaemonId, address: SocketAddr) -> Result<Link> {
+async fn open(shared: &Arc<Shared>, address: SocketAddr) -> Result<Link> {
     let dialled = timeout(HANDSHAKE_TIMEOUT, connect(shared, address));
     let (peer, wire) = dialled.await.map_err(|_| LinkError::Timeout)??;
-    if peer.daemon != *daemon {
-        return Err(LinkError::OtherDaemon);
-    }
     let (sender, receiver) = mpsc::channel(QUEUE);
     let link = Link {
         peer: peer.clone(),
