--- /dev/null
+++ b/crates/lab/src/demo.rs
@@ -0,0 +1,51 @@
+//! The demo: a whole fleet on one machine.
+//!
+//! The stand-ins run in this process. Each daemon, and the operators' client,
+//! is a child of it that runs the same code as the product's own binaries.
+
+mod args;
+mod chats;
+mod stay;
+mod story;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use clap::Parser;
+use medlarrill_testkit::fleet::Program;
+
+use args::Args;
+
+/// First argument of a child that is a daemon.
+const DAEMON: &str = "as-daemon";
+
+/// Runs the demo, or one of its children.
+pub fn main() -> ExitCode {
+    let mut args: Vec<OsString> = std::env::args_os().collect();
+    if args.get(1).is_some_and(|first| first == DAEMON) {
+        args.remove(1);
+        return medlarrilld::start::main(args);
+    }
+    let args = Args::parse_from(args);
+    let program = match std::env::current_exe() {
+        Ok(path) => Program::new(path).with_argument(DAEMON),
+        Err(error) => {
+            eprintln!("demo: this program's path is not known: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("demo: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(story::tell(program, args)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,3 @@
-//! Skeleton.
+//! Load, experiments and the demo.
+
+pub mod demo;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod client;
 pub mod engine;
+pub mod fleet;
 pub mod http;
 pub mod platform;
 mod readiness;
