A chat that returns at once finds its cache, and daemons find each other

The test a_returning_chat_finds_its_cache_from_another_daemon found 0 cached tokens in every run. Causes, in the order found: - The directory heard of a place only at the end of an answer. Noting it with the decision alone changed nothing (still 0). - Work sent to another home counted as load until that home's next heartbeat. The home's word at the end now also takes it off, and is sent before the end of the answer. Alone, still 0. - At start each daemon knew only itself, and a home on probation passed requests on: membership replied to a daemon known only by its own link, which had no address. Hello now names where the sender takes links. Ruled out: eviction and another key.

--- a/crates/core/src/placement/load/view.rs
+++ b/crates/core/src/placement/load/view.rs
@@ -143,6 +143,23 @@
         }
     }
 
+    /// Notes that work sent to an endpoint of another home has ended there.
+    pub fn note_done(&mut self, id: &EndpointId, work: Tokens) {
+        let Some(endpoint) = self.get_mut(id).filter(|endpoint| !endpoint.own) else {
+            return;
+        };
+        let mut left = work.0;
+        for part in [
+            &mut endpoint.sent,
+            &mut endpoint.sent_before,
+            &mut endpoint.load,
+        ] {
+            let taken = left.min(part.0);
+            part.0 -= taken;
+            left -= taken;
+        }
+    }
+
     /// All endpoints, sorted by name.
     pub fn endpoints(&self) -> &[EndpointView] {
         &self.endpoints
--- a/crates/core/src/wire/link.rs
+++ b/crates/core/src/wire/link.rs
@@ -18,6 +18,9 @@
     /// Fresh random bytes, for the other side's proof.
     #[prost(bytes = "bytes", tag = "4")]
     pub nonce: Bytes,
+    /// Where the sender takes links, as IP and port.
+    #[prost(string, tag = "5")]
+    pub address: String,
 }
 
 /// A keyed hash over both sides' `Hello`.
--- a/crates/core/src/wire/request.rs
+++ b/crates/core/src/wire/request.rs
@@ -215,6 +215,12 @@
     /// Prefix that it has cached now, in tokens.
     #[prost(uint64, tag = "3")]
     pub prefix: u64,
+    /// The pool.
+    #[prost(string, tag = "4")]
+    pub pool: String,
+    /// Estimated work that has ended there.
+    #[prost(uint64, tag = "5")]
+    pub work: u64,
 }
 
 /// The answer is no longer wanted.
--- a/crates/core/tests/membership/fleet.rs
+++ b/crates/core/tests/membership/fleet.rs
@@ -349,6 +349,7 @@
                 let least = (0..count.min(least)).map(|i| EndpointLoad {
                     endpoint: name_hash(&format!("engine-{at}-{pool}-{i}")),
                     load: 40_000 + i as u32,
+                    room: true,
                 });
                 let least: Vec<_> = least.collect();
                 let name = name_hash(&format!("pool-{pool}"));
--- a/crates/daemon/src/fleet/task.rs
+++ b/crates/daemon/src/fleet/task.rs
@@ -129,8 +129,9 @@
     fn send(&self, to: Target, message: Gossip) {
         let links = self.links.clone();
         let address = to.address.or_else(|| {
-            let member = self.membership.get(to.daemon.as_ref()?)?;
-            Some(member.address)
+            let daemon = to.daemon.as_ref()?;
+            let member = self.membership.get(daemon).map(|member| member.address);
+            member.or_else(|| links.address_of(daemon))
         });
         let Some(address) = address else {
             return;
--- a/crates/daemon/src/home/dispatch.rs
+++ b/crates/daemon/src/home/dispatch.rs
@@ -68,6 +68,16 @@
 struct End {
     ending: Ending,
     usage: Option<Usage>,
+    /// The last word to the entry, if one is due.
+    last: Option<Last>,
+}
+
+/// The end of an answer.
+#[derive(Clone, Copy)]
+struct Last {
+    length: u64,
+    /// Why it was cut short, if it was.
+    reason: Option<Reason>,
 }
 
 impl End {
@@ -75,6 +85,7 @@
         Self {
             ending,
             usage: None,
+            last: None,
         }
     }
 }
@@ -91,11 +102,15 @@
             tell: false,
         };
         let end = self.call(&context, room).await;
+        // The home hears of the end before the caller can come back.
         context.home.send(Message::Finished(Finished {
             id,
             ending: end.ending,
             usage: end.usage,
         }));
+        if let Some(last) = end.last {
+            self.reply.end(last.length, last.reason).await;
+        }
     }
 
     async fn call(&self, context: &Arc<Context>, mut room: Room) -> End {
@@ -173,10 +188,11 @@
             told: 0,
             tail: BytesMut::new(),
         };
-        let ending = carrier.carry().await;
+        let (ending, last) = carrier.carry().await;
         End {
             ending,
             usage: usage(&carrier.tail),
+            last,
         }
     }
 }
@@ -230,7 +246,7 @@
 }
 
 impl Carrier<'_> {
-    async fn carry(&mut self) -> Ending {
+    async fn carry(&mut self) -> (Ending, Option<Last>) {
         loop {
             self.room.wait().await;
             let piece = tokio::select! {
@@ -238,22 +254,21 @@
                 piece = self.body.next() => Some(piece),
             };
             let Some(piece) = piece else {
-                return self.cancel().await;
+                self.cancel().await;
+                return (Ending::Failed, None);
             };
             match piece {
                 None => {
-                    self.dispatch.reply.end(self.offset, None).await;
-                    return Ending::Done;
+                    return (Ending::Done, Some(self.last(None)));
                 }
                 Some(Err(error)) => {
                     log::info!(target: "home", "home: {} at {}: {error}", self.dispatch.id, self.dispatch.endpoint);
                     let reason = Some(Reason::EndpointLost);
-                    self.dispatch.reply.end(self.offset, reason).await;
-                    return Ending::Failed;
+                    return (Ending::Failed, Some(self.last(reason)));
                 }
                 Some(Ok(data)) => {
                     if self.send(data).await.is_err() {
-                        return Ending::Failed;
+                        return (Ending::Failed, None);
                     }
                 }
             }
@@ -283,8 +298,15 @@
         }
     }
 
+    const fn last(&self, reason: Option<Reason>) -> Last {
+        Last {
+            length: self.offset,
+            reason,
+        }
+    }
+
     /// Tells the engine at once, without its grace for a lost connection.
-    async fn cancel(&self) -> Ending {
+    async fn cancel(&self) {
         let name = stream_name(&self.dispatch.forward);
         if let Some(name) = name.filter(|_| self.room.tell) {
             let wait = CANCEL_WAIT;
@@ -292,7 +314,6 @@
             // The engine's own grace ends the stream if this is lost.
             let _ = self.context.endpoints.cancel(address, &name, wait).await;
         }
-        Ending::Failed
     }
 }
 
--- a/crates/daemon/src/home/held.rs
+++ b/crates/daemon/src/home/held.rs
@@ -43,6 +43,12 @@
             .collect()
     }
 
+    /// Estimated work: what the cache doesn't hold of the prompt, and the output.
+    pub const fn work(&self) -> Tokens {
+        let prompt = self.forward.prompt.saturating_sub(self.forward.cached);
+        Tokens(prompt + self.forward.output)
+    }
+
     /// Estimated prompt.
     pub const fn prompt(&self) -> Tokens {
         Tokens(self.forward.prompt)
--- a/crates/daemon/src/home/placing.rs
+++ b/crates/daemon/src/home/placing.rs
@@ -19,7 +19,13 @@
     /// Places a request as its chat's directory daemon.
     pub(super) fn place(&mut self, held: Held) {
         match self.choose(&held) {
-            Ok(choice) => self.go(held, choice, Reason::NoEndpoint),
+            Ok(choice) => {
+                // The chat may return before the home's own word of it comes.
+                if let Some(chat) = held.chat() {
+                    self.remember(chat, &choice.endpoint, held.prompt(), now());
+                }
+                self.go(held, choice, Reason::NoEndpoint);
+            }
             Err(reason) => self.refuse(held, Refusal::new(reason)),
         }
     }
@@ -52,6 +58,7 @@
             own_only: held.forward.hops >= HOP_LIMIT,
         };
         let placement = place(pool, &ask, now, &mut self.rng)?;
+        log::debug!(target: "home", "home: {} goes to {}: {:?}, {} of {} places known", held.id, placement.endpoint, placement.why, ask.places.len(), placement.cached);
         Ok(Choice {
             endpoint: placement.endpoint,
             cached: placement.cached,
@@ -111,10 +118,8 @@
         let Ok(pool) = held.forward.pool.parse() else {
             return;
         };
-        let prompt = held.forward.prompt.saturating_sub(choice.cached.0);
-        let work = Tokens(prompt + held.forward.output);
         if let Some(pool) = self.loads.pool_mut(&pool) {
-            pool.note_sent(&choice.endpoint, work);
+            pool.note_sent(&choice.endpoint, held.work());
         }
     }
 
@@ -140,6 +145,8 @@
             chat: chat.0,
             endpoint: endpoint.to_string(),
             prefix,
+            pool: held.forward.pool.clone(),
+            work: held.work().0,
         });
         let context = Arc::clone(&self.context);
         // A lost note costs one prefill.
@@ -148,9 +155,14 @@
 
     /// Takes a note from the home that served a chat.
     pub(super) fn placed(&mut self, placed: &Placed) {
-        if let Ok(endpoint) = placed.endpoint.parse() {
-            let prefix = Tokens(placed.prefix);
-            self.remember(ChatHash(placed.chat), &endpoint, prefix, now());
+        let Ok(endpoint) = placed.endpoint.parse() else {
+            return;
+        };
+        let prefix = Tokens(placed.prefix);
+        self.remember(ChatHash(placed.chat), &endpoint, prefix, now());
+        let pool = placed.pool.parse().ok();
+        if let Some(pool) = pool.and_then(|pool| self.loads.pool_mut(&pool)) {
+            pool.note_done(&endpoint, Tokens(placed.work));
         }
     }
 
--- a/crates/daemon/src/home/poll.rs
+++ b/crates/daemon/src/home/poll.rs
@@ -12,6 +12,10 @@
 
 /// Time between two questions.
 const EVERY: Millis = Millis(500);
+/// Time between the first questions, as a new home waits for a report of its own time.
+const FIRST: Millis = Millis(100);
+/// Questions asked at that pace.
+const FIRST_COUNT: u32 = 10;
 /// Longest wait for an answer.
 const WAIT: Millis = Millis(1000);
 
@@ -25,10 +29,11 @@
     /// Polls an endpoint.
     pub fn start(context: Arc<Context>, endpoint: EndpointId, address: SocketAddr) -> Self {
         let task = tokio::spawn(async move {
-            loop {
+            for asked in 0u32.. {
                 let load = context.endpoints.load(address, WAIT).await;
                 context.home.send(Message::Polled(endpoint.clone(), load));
-                tokio::time::sleep(EVERY.as_duration()).await;
+                let pause = if asked < FIRST_COUNT { FIRST } else { EVERY };
+                tokio::time::sleep(pause.as_duration()).await;
             }
         });
         Self { task }
--- a/crates/daemon/src/home/task.rs
+++ b/crates/daemon/src/home/task.rs
@@ -340,6 +340,16 @@
             self.act(&endpoint, actions);
         }
         self.slots.retain(|_, slot| slot.own || !slot.is_idle());
+        self.count();
+    }
+
+    fn count(&self) {
+        let own = self.slots.values().filter(|slot| slot.own);
+        let probation = own.clone().filter(|slot| slot.home.on_probation());
+        let metrics = &self.context.metrics;
+        metrics.homes.set(own.count() as i64);
+        metrics.probation.set(probation.count() as i64);
+        metrics.daemons.set(self.fleet.placement.len() as i64);
     }
 
     fn configure(&mut self, config: &mut watch::Receiver<Arc<ConfigView>>) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -40,6 +40,12 @@
     pub stray: Family<KindLabel, Counter>,
     /// Requests in flight at this entry.
     pub in_flight: Gauge,
+    /// Daemons on which roles are placed, as seen here.
+    pub daemons: Gauge,
+    /// Endpoints that this daemon is home of.
+    pub homes: Gauge,
+    /// Those of them without a report of their own time as home.
+    pub probation: Gauge,
     /// Requests sent to endpoints.
     pub dispatched: Counter,
     /// Prompt tokens sent to endpoints.
@@ -66,6 +72,9 @@
             resumed: Counter::default(),
             stray: Family::default(),
             in_flight: Gauge::default(),
+            daemons: Gauge::default(),
+            homes: Gauge::default(),
+            probation: Gauge::default(),
             dispatched: Counter::default(),
             prompt_tokens: Counter::default(),
             cached_tokens: Counter::default(),
@@ -99,6 +108,17 @@
             "Requests in flight here",
             self.in_flight.clone(),
         );
+        r.register(
+            "daemons",
+            "Daemons on which roles are placed",
+            self.daemons.clone(),
+        );
+        r.register("homes", "Endpoints homed here", self.homes.clone());
+        r.register(
+            "homes_on_probation",
+            "Homes without a report yet",
+            self.probation.clone(),
+        );
         r.register(
             "dispatched",
             "Requests sent to endpoints",
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -131,7 +131,7 @@
     let address = listener.local_addr()?;
     announce(&me, bound.address, address);
     let (channels, ends) = channels();
-    let context = connect(settings, me, listener, channels);
+    let context = connect(settings, me, listener, channels)?;
     let mut running = spawn(&context, address, ends);
     running.server = Some(server::serve(bound, &context));
     Ok(running)
@@ -184,7 +184,8 @@
     me: PeerId,
     listener: TcpListener,
     channels: Channels,
-) -> Arc<Context> {
+) -> Result<Arc<Context>> {
+    let identity = identity(&settings, &me, listener.local_addr()?);
     let metrics = Arc::new(Metrics::new());
     let attempts = Attempts::default();
     let switch = Switch {
@@ -194,9 +195,9 @@
         metrics: Arc::clone(&metrics),
     };
     let handler: Handler = Arc::new(move |event: Event| switch.take(event));
-    let links = Links::start(listener, identity(&settings, &me), Arc::clone(&handler));
+    let links = Links::start(listener, identity, Arc::clone(&handler));
     let peers = Peers::new(me.clone(), handler, links, channels.view.clone());
-    Arc::new(Context {
+    Ok(Arc::new(Context {
         me,
         metrics,
         config: channels.config,
@@ -210,7 +211,7 @@
         platform: platform::Client::new(platform_settings(&settings)),
         endpoints: endpoint::Client::new(&endpoint::Limits::default()),
         settings,
-    })
+    }))
 }
 
 fn spawn(context: &Arc<Context>, address: SocketAddr, ends: Ends) -> Running {
@@ -226,7 +227,7 @@
     let members = fleet::Task::new(membership(context, address), links, outlets);
     tokio::spawn(members.run(ends.fleet));
     let fleet = context.fleet_task.clone();
-    tokio::spawn(follow_vms(context.platform.clone(), fleet.clone()));
+    tokio::spawn(follow_vms(context.platform.clone(), fleet.clone(), address));
     tokio::spawn(poll(context.platform.clone(), ends.config, fleet));
     let rng = Pcg32::new(rand::random(), rand::random());
     let home = home::Task::new(Arc::clone(context), rng);
@@ -249,11 +250,12 @@
     println!("{}", serde_json::to_string(&started).unwrap_or_default());
 }
 
-fn identity(settings: &Settings, me: &PeerId) -> Identity {
+fn identity(settings: &Settings, me: &PeerId, address: SocketAddr) -> Identity {
     Identity {
         fleet: settings.fleet.clone(),
         key: FleetKey::of(settings.keys.fleet.as_bytes()),
         me: me.clone(),
+        address,
     }
 }
 
--- a/crates/daemon/tests/support/bench.rs
+++ b/crates/daemon/tests/support/bench.rs
@@ -16,7 +16,12 @@
 
 /// Starts a fleet and waits until all its daemons are ready.
 pub async fn bench(layout: Layout) -> Bench {
-    let folder = tempfile::tempdir().unwrap();
+    // A failing run can be looked into with its logs kept.
+    let keep = std::env::var_os("MEDLARRILL_KEEP").is_some();
+    let folder = tempfile::Builder::new()
+        .disable_cleanup(keep)
+        .tempdir()
+        .unwrap();
     let program = Program::new(env!("CARGO_BIN_EXE_medlarrilld"));
     let fleet = Fleet::start(program, folder.path().into(), layout)
         .await
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -107,6 +107,8 @@
     pub key: FleetKey,
     /// This daemon and process.
     pub me: PeerId,
+    /// Where it takes links.
+    pub address: SocketAddr,
 }
 
 /// All links of this daemon.
@@ -120,6 +122,16 @@
     handler: Handler,
     counts: Counts,
     slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
+    addresses: Mutex<HashMap<DaemonId, SocketAddr>>,
+}
+
+impl Shared {
+    fn note_address(&self, daemon: &DaemonId, address: SocketAddr) {
+        self.addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(daemon.clone(), address);
+    }
 }
 
 impl Links {
@@ -130,6 +142,7 @@
             handler,
             counts: Counts::default(),
             slots: Mutex::default(),
+            addresses: Mutex::default(),
         });
         tokio::spawn(incoming::listen(listener, Arc::clone(&shared)));
         Self { shared }
@@ -158,6 +171,13 @@
         slot.link(&self.shared, address).await
     }
 
+    /// Where a daemon that has dialled this one takes links itself.
+    pub fn address_of(&self, daemon: &DaemonId) -> Option<SocketAddr> {
+        let addresses = &self.shared.addresses;
+        let addresses = addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        addresses.get(daemon).copied()
+    }
+
     /// Bytes and messages so far, by kind.
     pub fn counts(&self) -> &Counts {
         &self.shared.counts
--- a/crates/net/src/link/handshake.rs
+++ b/crates/net/src/link/handshake.rs
@@ -4,6 +4,8 @@
 //! nonce, and only after the dialler's proof does it name and prove itself. A
 //! stranger therefore learns a random number and nothing else.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use derive_more::From;
 use futures_util::{SinkExt, StreamExt};
@@ -35,8 +37,18 @@
 
 pub(super) type Wire = Framed<TcpStream, LengthDelimitedCodec>;
 
+/// A link whose sides have proved themselves.
+pub(super) struct Opened {
+    /// The other side.
+    pub(super) peer: PeerId,
+    /// Where it takes links.
+    pub(super) address: SocketAddr,
+    /// The socket.
+    pub(super) wire: Wire,
+}
+
 /// Opens a link as its dialler; returns who answered.
-pub(super) async fn dial(socket: TcpStream, identity: &Identity) -> Result<(PeerId, Wire)> {
+pub(super) async fn dial(socket: TcpStream, identity: &Identity) -> Result<Opened> {
     let mut wire = framed(socket);
     let mine = hello(identity);
     send(&mut wire, Body::Hello(mine.clone())).await?;
@@ -50,11 +62,11 @@
         return Err(LinkError::Proof);
     }
     finish(&mut wire);
-    Ok((peer(&theirs)?, wire))
+    other_side(&theirs, wire)
 }
 
 /// Opens a link as its listener; returns who dialled.
-pub(super) async fn answer(socket: TcpStream, identity: &Identity) -> Result<(PeerId, Wire)> {
+pub(super) async fn answer(socket: TcpStream, identity: &Identity) -> Result<Opened> {
     let mut wire = framed(socket);
     let theirs = expect_hello(&mut wire).await?;
     let mine = hello(identity);
@@ -68,12 +80,11 @@
     if !known || !matches(&proof, &prove(identity, DIALLER, &theirs, &challenge)) {
         return Err(LinkError::Proof);
     }
-    let peer = peer(&theirs)?;
     let proof = prove(identity, LISTENER, &mine, &theirs);
     send(&mut wire, Body::Hello(mine)).await?;
     send(&mut wire, Body::Proof(proof)).await?;
     finish(&mut wire);
-    Ok((peer, wire))
+    other_side(&theirs, wire)
 }
 
 fn framed(socket: TcpStream) -> Wire {
@@ -94,13 +105,20 @@
         daemon: identity.me.daemon.to_string(),
         incarnation: identity.me.incarnation.0,
         nonce: Bytes::copy_from_slice(&nonce),
+        address: identity.address.to_string(),
     }
 }
 
-fn peer(hello: &Hello) -> Result<PeerId> {
-    Ok(PeerId {
+fn other_side(hello: &Hello, wire: Wire) -> Result<Opened> {
+    let peer = PeerId {
         daemon: hello.daemon.parse::<DaemonId>()?,
         incarnation: Incarnation(hello.incarnation),
+    };
+    let address = hello.address.parse().map_err(|_| LinkError::Protocol)?;
+    Ok(Opened {
+        peer,
+        address,
+        wire,
     })
 }
 
--- a/crates/net/src/link/incoming.rs
+++ b/crates/net/src/link/incoming.rs
@@ -10,8 +10,8 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
-use super::handshake::{Wire, answer};
-use super::{Event, HANDSHAKE_TIMEOUT, PeerId, Shared};
+use super::handshake::{Opened, answer};
+use super::{Event, HANDSHAKE_TIMEOUT, Shared};
 
 /// Links that may be opening at once; strangers can't take more.
 const OPENING: usize = 128;
@@ -31,8 +31,8 @@
                 tokio::spawn(async move {
                     let opened = open(socket, &shared).await;
                     drop(permit);
-                    if let Some((peer, wire)) = opened {
-                        serve(peer, wire, &shared).await;
+                    if let Some(opened) = opened {
+                        serve(opened, &shared).await;
                     }
                 });
             }
@@ -44,7 +44,7 @@
     }
 }
 
-async fn open(socket: TcpStream, shared: &Shared) -> Option<(PeerId, Wire)> {
+async fn open(socket: TcpStream, shared: &Shared) -> Option<Opened> {
     let from = socket.peer_addr().ok()?;
     socket.set_nodelay(true).ok()?;
     match timeout(HANDSHAKE_TIMEOUT, answer(socket, &shared.identity)).await {
@@ -62,7 +62,13 @@
     }
 }
 
-async fn serve(peer: PeerId, mut wire: Wire, shared: &Shared) {
+async fn serve(opened: Opened, shared: &Shared) {
+    let Opened {
+        peer,
+        address,
+        mut wire,
+    } = opened;
+    shared.note_address(&peer.daemon, address);
     (shared.handler)(Event::Opened(peer.clone()));
     while let Some(read) = wire.next().await {
         let bytes = match read {
--- a/crates/net/src/link/outgoing.rs
+++ b/crates/net/src/link/outgoing.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Mutex, mpsc};
 use tokio::time::{Instant, timeout};
 
-use super::handshake::{Wire, dial};
+use super::handshake::{Opened, Wire, dial};
 use super::{
     Event, HANDSHAKE_TIMEOUT, LinkError, PeerId, QUEUE, REDIAL_AFTER, Result, SILENCE, Shared,
 };
@@ -106,7 +106,7 @@
 
 async fn open(shared: &Arc<Shared>, address: SocketAddr) -> Result<Link> {
     let dialled = timeout(HANDSHAKE_TIMEOUT, connect(shared, address));
-    let (peer, wire) = dialled.await.map_err(|_| LinkError::Timeout)??;
+    let Opened { peer, wire, .. } = dialled.await.map_err(|_| LinkError::Timeout)??;
     let (sender, receiver) = mpsc::channel(QUEUE);
     let link = Link {
         peer: peer.clone(),
@@ -117,7 +117,7 @@
     Ok(link)
 }
 
-async fn connect(shared: &Shared, address: SocketAddr) -> Result<(PeerId, Wire)> {
+async fn connect(shared: &Shared, address: SocketAddr) -> Result<Opened> {
     let socket = TcpStream::connect(address).await?;
     socket.set_nodelay(true)?;
     let raw = SockRef::from(&socket);
--- a/crates/net/tests/link.rs
+++ b/crates/net/tests/link.rs
@@ -31,6 +31,7 @@
             daemon: name.parse().unwrap(),
             incarnation: Incarnation(7),
         },
+        address,
     };
     let (sender, events) = mpsc::unbounded_channel();
     let handler = Arc::new(move |event| {
--- a/crates/testkit/src/fleet/layout.rs
+++ b/crates/testkit/src/fleet/layout.rs
@@ -186,11 +186,12 @@
             .set_vms(self.daemons.iter().enumerate().map(vm).collect());
     }
 
-    /// Waits until every daemon is ready; false if that takes longer than `limit`.
+    /// Waits until every daemon is ready, knows all others and has heard from its endpoints;
+    /// false if that takes longer than `limit`.
     pub async fn wait_ready(&self, limit: Millis) -> bool {
         let all = async {
             for daemon in &self.daemons {
-                while !is_ready(daemon.started.callers).await {
+                while !self.is_settled(daemon.started.callers).await {
                     tokio::time::sleep(LOOK).await;
                 }
             }
@@ -198,6 +199,13 @@
         tokio::time::timeout(limit.as_duration(), all).await.is_ok()
     }
 
+    async fn is_settled(&self, address: SocketAddr) -> bool {
+        let daemons = self.daemons.len() as f64;
+        is_ready(address).await
+            && metric(address, "medlarrill_daemons").await == Some(daemons)
+            && metric(address, "medlarrill_homes_on_probation").await == Some(0.0)
+    }
+
     /// A caller of Padkos' leaders at one daemon.
     pub fn caller(&self, at: usize) -> Option<Caller> {
         let daemon = self.daemons.get(at)?;
@@ -300,3 +308,12 @@
     let answer = crate::client::send(address, request, "").await;
     answer.is_ok_and(|answer| answer.status().is_success())
 }
+
+/// One value of a daemon's metrics, without labels.
+pub async fn metric(address: SocketAddr, name: &str) -> Option<f64> {
+    let request = crate::client::request(hyper::Method::GET, "/metrics");
+    let answer = crate::client::send(address, request, "").await.ok()?;
+    let text = String::from_utf8_lossy(answer.body()).into_owned();
+    let value = |line: &str| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok();
+    text.lines().find_map(value)
+}
