Membership: new members in turn, record budget, farewells; tests under faults

A daemon lost within seconds of its start went unnoticed for up to 31 s at 350 daemons: new members entered a prober's turn only when it began anew, after 350 rounds. They now enter at a random place. Probes run twice a second with one heartbeat beside, loads on a timer of their own. Records sent in a round are bounded, since two seeds had sent 227 KB/s when 350 daemons started at once.

Tests run fleets of 3 to 100 machines over a lossy network in model time, 40 seeded schedules of kills, pauses, stopped VMs, one-way cuts, restarts and wrong lists among them.

--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -89,6 +89,11 @@
         self.settled && now.since(self.last) <= PAUSE
     }
 
+    /// Whether enough peers have yet to answer.
+    pub const fn is_stale(&self) -> bool {
+        !self.settled
+    }
+
     /// Pauses noticed so far.
     pub const fn pauses(&self) -> u64 {
         self.pauses
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,8 +1,8 @@
 //! Who is in the fleet, as one daemon sees it.
 //!
-//! A [`Membership`] is told events and returns actions. Once a second it
+//! A [`Membership`] is told events and returns actions. Twice a second it
 //! probes one member, asking others to probe it if it doesn't answer, and
-//! sends heartbeats to a few more. Every message carries news of members, each
+//! sends a heartbeat to another. Every message carries news of members, each
 //! piece a bounded number of times; now and then two daemons compare digests
 //! of all they know and exchange what differs. A member that fails a probe is
 //! suspect until it answers with a higher heartbeat number, and gone if it
@@ -41,7 +41,7 @@
 use load::Loads;
 use probe::{Farewell, Probes};
 use seeds::Seeds;
-use settings::{GENERATION_FANOUT, transmissions};
+use settings::{GENERATION_FANOUT, ROUND_RECORDS, transmissions};
 use spread::Spread;
 use table::{Entry, Table};
 
@@ -49,6 +49,7 @@
 #[derive(Clone, Debug)]
 struct Timers {
     round: Millis,
+    loads: Millis,
     exchange: Millis,
     reconnect: Millis,
     news: Millis,
@@ -73,6 +74,8 @@
     asked: BTreeMap<Incarnation, Millis>,
     /// Members that another believes gone.
     contested: BTreeSet<Incarnation>,
+    /// Records that may be sent before the next round.
+    records_left: usize,
     farewell: Option<Farewell>,
     /// Whether a heartbeat is due at once though there is no news.
     hurry: bool,
@@ -86,6 +89,7 @@
         let settings = Settings::default();
         let timers = Timers {
             round: now + Millis(rng.random_range(0..settings.round.0)),
+            loads: now,
             exchange: now,
             reconnect: now,
             news: now,
@@ -105,6 +109,7 @@
             stale_since: now,
             asked: BTreeMap::new(),
             contested: BTreeSet::new(),
+            records_left: ROUND_RECORDS,
             farewell: None,
             hurry: false,
             out: Vec::new(),
@@ -266,6 +271,9 @@
 
     /// Ends the stale time if enough peers have answered.
     fn settle(&mut self, now: Millis) {
+        if !self.fresh.is_stale() {
+            return;
+        }
         let waited = now.since(self.stale_since) >= self.settings.patience;
         let known = self.table.peers().count();
         let own = self.table.own().address;
--- a/crates/core/src/membership/exchange.rs
+++ b/crates/core/src/membership/exchange.rs
@@ -15,7 +15,7 @@
 
 use super::Membership;
 use super::member::Doubt;
-use super::settings::{MAX_RECORDS, Settings};
+use super::settings::Settings;
 use super::table::{Entry, Table};
 
 /// Parts that a table is compared by.
@@ -111,9 +111,8 @@
             .filter(|e| message.covers & 1 << bucket(e.member.incarnation) != 0)
             .filter(|e| is_told(e, &self.settings, now))
             .filter(|e| !listed.contains(&e.member.incarnation.0));
-        let room = MAX_RECORDS.saturating_sub(reply.records.len());
-        reply
-            .records
-            .extend(lacking.take(room).map(|e| e.member.record()));
+        let room = self.record_room(reply.records.len());
+        let records = lacking.take(room).map(|e| e.member.record()).collect();
+        self.add_records(records, reply);
     }
 }
--- a/crates/core/src/membership/probe.rs
+++ b/crates/core/src/membership/probe.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
+use rand::RngExt;
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg64Mcg;
 
@@ -118,18 +119,26 @@
         self.ring.pop()
     }
 
-    /// What has become due; failed probes are forgotten.
+    /// Takes a new member among `members` into the present turn, at a random place.
+    pub fn enter(&mut self, incarnation: Incarnation, members: usize, rng: &mut Pcg64Mcg) {
+        let at = rng.random_range(0..=members);
+        if at <= self.ring.len() {
+            self.ring.insert(at, incarnation);
+        }
+    }
+
+    /// What has become due; failed probes are forgotten. Where `refused`, others aren't asked.
     pub fn due(
         &mut self,
         settings: &Settings,
-        refused: &BTreeSet<Incarnation>,
+        refused: impl Fn(Incarnation) -> bool,
         now: Millis,
     ) -> Vec<Due> {
         let mut due = Vec::new();
         let mut kept = Vec::with_capacity(self.pending.len());
         for mut probe in self.pending.drain(..) {
             let waited = now.since(probe.sent);
-            let refused = refused.contains(&probe.target);
+            let refused = refused(probe.target);
             if waited >= settings.probe || refused && waited >= settings.direct {
                 due.push(Due::Failed(probe));
                 continue;
--- a/crates/core/src/membership/receive.rs
+++ b/crates/core/src/membership/receive.rs
@@ -6,7 +6,7 @@
 
 use super::member::{Announced, Doubt, Member};
 use super::probe::Asker;
-use super::settings::MAX_RECORDS;
+use super::settings::{MAX_RECORDS, MIN_RECORDS};
 use super::table::Merged;
 use super::{Action, Membership, Peer};
 
@@ -56,9 +56,14 @@
         let news = asked || incarnation == from.incarnation;
         let daemon = member.daemon.clone();
         let gone = member.is_gone();
-        match self.table.merge_member(member, now) {
-            Merged::Newer => {
+        let merged = self.table.merge_member(member, now);
+        match merged {
+            Merged::Joined | Merged::Newer => {
                 self.changed(incarnation);
+                if merged == Merged::Joined {
+                    let members = self.table.size();
+                    self.probes.enter(incarnation, members, &mut self.rng);
+                }
                 if news {
                     self.spread.put(incarnation);
                 }
@@ -92,7 +97,7 @@
             }
             Merged::Contested => self.contest(incarnation),
             Merged::Doubted => self.refute(Some(change)),
-            Merged::Former | Merged::Older | Merged::Same | Merged::Rival(_) => {}
+            Merged::Former | Merged::Joined | Merged::Older | Merged::Same | Merged::Rival(_) => {}
         }
     }
 
@@ -159,11 +164,25 @@
         }
     }
 
-    fn give_records(&self, message: &Gossip, reply: &mut Gossip) {
-        for incarnation in message.wants.iter().take(MAX_RECORDS) {
-            let entry = self.table.get(Incarnation(*incarnation));
-            reply.records.extend(entry.map(|e| e.member.record()));
-        }
+    fn give_records(&mut self, message: &Gossip, reply: &mut Gossip) {
+        let wanted = message
+            .wants
+            .iter()
+            .map(|i| self.table.get(Incarnation(*i)));
+        let records = wanted.flatten().map(|e| e.member.record());
+        let records = records.take(self.record_room(0)).collect();
+        self.add_records(records, reply);
+    }
+
+    /// How many records fit into a message that holds `present`, and into what is left of the budget.
+    pub(super) fn record_room(&self, present: usize) -> usize {
+        let left = self.records_left.max(MIN_RECORDS);
+        MAX_RECORDS.saturating_sub(present).min(left)
+    }
+
+    pub(super) fn add_records(&mut self, records: Vec<Record>, reply: &mut Gossip) {
+        self.records_left = self.records_left.saturating_sub(records.len());
+        reply.records.extend(records);
     }
 
     fn answer_ping(&mut self, from: &Peer, message: &Gossip, reply: &mut Gossip, now: Millis) {
--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -5,16 +5,22 @@
 /// Members beside the prober that are asked to probe in its stead.
 pub const INDIRECT: usize = 3;
 /// Peers that a heartbeat goes to in each round, beside the probed one.
-pub const FANOUT: usize = 2;
+pub const FANOUT: usize = 1;
 /// Peers that news goes to at once.
 pub const NEWS_FANOUT: usize = 3;
+/// How often news is sent on at once, before it waits for heartbeats.
+pub const URGENT: u32 = 2 * NEWS_FANOUT as u32;
 /// Most changes in one heartbeat.
 pub const MAX_CHANGES: usize = 16;
 /// Most records in one heartbeat.
 pub const MAX_RECORDS: usize = 48;
+/// Records in a heartbeat even when the budget is used up, so that a joining daemon finds others to ask.
+pub const MIN_RECORDS: usize = 2;
+/// Records sent in each round, which bounds what a seed spends on many that join at once.
+pub const ROUND_RECORDS: usize = 64;
 /// Most checks begun in one tick.
 pub const MAX_CHECKS: usize = 2;
-/// Peers of the data centre that loads go to in each round.
+/// Peers of the data centre that loads go to at once.
 pub const LOAD_FANOUT: usize = 16;
 /// Peers that have to acknowledge a farewell.
 pub const FAREWELL_PEERS: usize = 3;
@@ -28,6 +34,8 @@
 pub struct Settings {
     /// Between two rounds of heartbeats and probes.
     pub round: Millis,
+    /// Between two sendings of loads.
+    pub loads: Millis,
     /// Shortest time between two sendings of news.
     pub news: Millis,
     /// Until a probe goes by way of others.
@@ -57,7 +65,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            round: Millis(1000),
+            round: Millis(500),
+            loads: Millis(1000),
             news: Millis(200),
             direct: Millis(400),
             probe: Millis(1000),
--- a/crates/core/src/membership/spread.rs
+++ b/crates/core/src/membership/spread.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::Incarnation;
 
-use super::settings::{MAX_CHANGES, NEWS_FANOUT};
+use super::settings::{MAX_CHANGES, URGENT};
 
 /// Members of whom there is news, and how often it was sent.
 #[derive(Clone, Default, Debug)]
@@ -20,7 +20,7 @@
 
     /// Whether some news hasn't gone to enough peers for a first time.
     pub fn urgent(&self) -> bool {
-        self.sent.values().any(|sent| *sent < NEWS_FANOUT as u32)
+        self.sent.values().any(|sent| *sent < URGENT)
     }
 
     /// The news for one message, least sent first; what was sent `limit` times is dropped.
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -37,7 +37,9 @@
     Older,
     /// Nothing new.
     Same,
-    /// New, to be told on.
+    /// A process not known before.
+    Joined,
+    /// News of a known process.
     Newer,
     /// The sender believes it gone and this daemon doesn't.
     Contested,
@@ -234,7 +236,7 @@
             return Merged::Former;
         }
         self.insert(member, now);
-        Merged::Newer
+        Merged::Joined
     }
 }
 
--- a/crates/core/src/membership/tick.rs
+++ b/crates/core/src/membership/tick.rs
@@ -5,12 +5,13 @@
 use rand::seq::IndexedRandom;
 
 use crate::clock::Millis;
+use crate::freshness::ENOUGH;
 use crate::ids::Incarnation;
 use crate::wire::Gossip;
 
 use super::member::{Announced, Doubt};
 use super::probe::{Asker, Due, Probe};
-use super::settings::{FANOUT, INDIRECT, MAX_CHECKS, NEWS_FANOUT};
+use super::settings::{FANOUT, INDIRECT, MAX_CHECKS, NEWS_FANOUT, ROUND_RECORDS};
 use super::table::Entry;
 use super::{Action, Membership, Target};
 
@@ -24,6 +25,10 @@
         if now >= self.timers.round {
             self.round(now);
         }
+        if now >= self.timers.loads {
+            self.timers.loads = now + self.jittered(self.settings.loads);
+            self.send_loads(now);
+        }
         if now >= self.timers.exchange {
             self.begin_exchange(now);
         }
@@ -47,9 +52,8 @@
     }
 
     fn run_probes(&mut self, now: Millis) {
-        let refused = self.table.peers().filter(|e| e.refused);
-        let refused: BTreeSet<_> = refused.map(|e| e.member.incarnation).collect();
-        for due in self.probes.due(&self.settings, &refused, now) {
+        let refused = |target| self.table.get(target).is_some_and(|e| e.refused);
+        for due in self.probes.due(&self.settings, refused, now) {
             match due {
                 Due::Indirect(probe) => self.probe_indirectly(&probe),
                 Due::Failed(probe) => self.probe_failed(&probe, now),
@@ -137,6 +141,7 @@
 
     fn round(&mut self, now: Millis) {
         self.timers.round = now + self.jittered(self.settings.round);
+        self.records_left = ROUND_RECORDS;
         self.forget(now);
         self.loads.prune(now);
         let peers = self
@@ -157,7 +162,6 @@
             };
             self.send(to, message);
         }
-        self.send_loads(now);
     }
 
     fn forget(&mut self, now: Millis) {
@@ -194,14 +198,14 @@
     /// Compares tables with a random peer; while stale, with as many as are needed.
     fn begin_exchange(&mut self, now: Millis) {
         self.timers.exchange = now + self.jittered(self.settings.exchange);
-        if self.fresh.fresh(now) {
+        if !self.fresh.is_stale() {
             for to in self.random_peers(1, |_| true) {
                 self.compare_with(to, now);
             }
             return;
         }
         self.catch_up(now);
-        for to in self.random_peers(crate::freshness::ENOUGH + 1, |_| true) {
+        for to in self.random_peers(ENOUGH + 1, |_| true) {
             self.compare_with(to, now);
         }
     }
@@ -217,9 +221,9 @@
         self.send(to, message);
     }
 
-    /// Tries addresses where no live member is known: one, or several while stale.
+    /// Tries addresses where no live member is known: one, or several while few are known.
     fn reconnect(&mut self, now: Millis) {
-        let stale = !self.fresh.fresh(now);
+        let stale = self.fresh.is_stale() && self.table.peers().count() < ENOUGH;
         let (wait, tries) = match stale {
             true => (self.settings.catch_up, NEWS_FANOUT),
             false => (self.settings.reconnect, 1),
--- /dev/null
+++ b/crates/core/tests/membership/faults.rs
@@ -0,0 +1,321 @@
+//! Fleets under faults: all agree in the end, and nobody is wronged for long.
+
+use std::collections::BTreeMap;
+
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::{DaemonId, Incarnation};
+use medlarrill_core::membership::{Action, Event, Member, Scope, State};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::fleet::{Fleet, Health, address, listed};
+
+/// A killed process is no place anywhere after this long.
+const KILLED: u64 = 3500;
+/// A lost VM is no place anywhere after this long.
+const VANISHED: u64 = 9000;
+/// All agree this long after the last fault.
+const AGREED: u64 = 25_000;
+/// Longest time that a reachable daemon is held gone by another, while faults go on.
+const WRONGED: u64 = 15_000;
+
+fn joined(size: usize, centres: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(size, centres, seed);
+    assert!(fleet.until(20_000, Fleet::agreed).is_some());
+    fleet.run(10_000);
+    fleet
+}
+
+/// How often `at` was told that one of `wanted` is no place for homes.
+fn closed(fleet: &Fleet, at: usize, wanted: impl Fn(&Member) -> bool) -> usize {
+    let closes =
+        |a: &Action| matches!(a, Action::Changed(m) if wanted(m) && m.state() != State::Live);
+    let seen = &fleet.nodes[at].seen;
+    seen.iter().filter(|(_, action)| closes(action)).count()
+}
+
+#[gtest]
+fn daemons_join_by_seeds() {
+    let mut fleet = Fleet::new(9, 3, 1);
+    expect_that!(fleet.until(20_000, Fleet::agreed), some(le(5000)));
+}
+
+#[gtest]
+fn a_lost_daemon_is_gone_everywhere() {
+    for (size, seed) in [(3, 2), (9, 3), (40, 4)] {
+        let mut fleet = joined(size, 3, seed);
+        fleet.set(2, Health::Killed);
+        let killed = fleet.until(30_000, |f| f.removed(2));
+        expect_that!(killed, some(le(KILLED)), "{size} daemons");
+        fleet.set(1, Health::Vanished);
+        let vanished = fleet.until(30_000, |f| f.removed(1));
+        expect_that!(vanished, some(le(VANISHED)), "{size} daemons");
+    }
+}
+
+#[gtest]
+fn a_daemon_lost_soon_after_its_start_is_gone_as_fast() {
+    let mut fleet = joined(100, 3, 13);
+    for at in [20, 25] {
+        fleet.restart(at);
+        assert_that!(fleet.until(20_000, Fleet::agreed), some(le(5000)));
+        fleet.run(2000);
+        fleet.set(at, Health::Vanished);
+        let vanished = fleet.until(60_000, |f| f.removed(at));
+        expect_that!(vanished, some(le(VANISHED)));
+    }
+}
+
+#[gtest]
+fn a_new_process_replaces_the_old_one_of_its_name() {
+    let mut fleet = joined(9, 3, 5);
+    fleet.restart(4);
+    expect_that!(fleet.until(20_000, Fleet::agreed), some(le(5000)));
+}
+
+#[gtest]
+fn both_sides_of_a_partition_go_on_and_find_each_other_again() {
+    let mut fleet = joined(12, 3, 6);
+    let (left, right): (Vec<_>, Vec<_>) = (0..12).partition(|at| at % 3 == 0);
+    fleet.part(&left, &right);
+    fleet.run(300_000);
+    for (at, live) in [(0, left.len()), (1, right.len())] {
+        let seen = fleet.nodes[at].machine.live(&Scope::Fleet).count();
+        expect_that!(seen, eq(live));
+    }
+    fleet.cuts.clear();
+    fleet.nodes.iter_mut().for_each(|node| node.seen.clear());
+    expect_that!(fleet.until(60_000, Fleet::agreed), some(le(15_000)));
+    // The other side's belief makes nobody doubt a member of its own side.
+    for side in [left, right] {
+        let names: Vec<_> = side.iter().map(|at| fleet.peer(*at).daemon).collect();
+        for at in side {
+            let doubted = closed(&fleet, at, |member| names.contains(&member.daemon));
+            expect_that!(doubted, eq(0));
+        }
+    }
+}
+
+#[gtest]
+fn a_cut_between_two_daemons_makes_neither_suspect() {
+    let mut fleet = joined(9, 3, 7);
+    fleet.part(&[3], &[4]);
+    for _ in 0..600 {
+        fleet.run(100);
+        let states = [fleet.state(3, 4), fleet.state(4, 3)];
+        assert_that!(states, each(some(eq(State::Live))));
+    }
+}
+
+#[gtest]
+fn a_daemon_that_nothing_reaches_is_gone_though_it_is_heard() {
+    let mut fleet = joined(9, 3, 8);
+    fleet.cuts.extend((0..8).map(|from| (from, 8)));
+    let others_agree = |f: &Fleet| (0..8).all(|at| f.state(at, 8) == Some(State::Gone));
+    expect_that!(fleet.until(30_000, others_agree), some(le(VANISHED)));
+    fleet.run(30_000);
+    expect_that!(others_agree(&fleet), is_true());
+    fleet.cuts.clear();
+    expect_that!(fleet.until(60_000, Fleet::agreed), some(le(15_000)));
+}
+
+#[gtest]
+fn wrong_lists_make_nobody_live_or_gone() {
+    let mut fleet = joined(9, 3, 9);
+    fleet.nodes.iter_mut().for_each(|node| node.seen.clear());
+    // Each list lacks some that are there and names some that aren't.
+    for step in 0..60 {
+        for at in 0..9 {
+            let present = (0..9).filter(|of| (of + at + step) % 3 != 0);
+            fleet.give(at, listed(present.chain([200, 201]).map(address)));
+        }
+        fleet.run(20_000);
+        assert_that!(fleet.agreed(), is_true());
+    }
+    for at in 0..9 {
+        expect_that!(closed(&fleet, at, |_| true), eq(0));
+    }
+    let known = fleet.nodes[0].machine.members().count();
+    expect_that!(known, eq(9));
+}
+
+#[gtest]
+fn a_gone_daemon_is_forgotten_only_once_it_is_long_unlisted() {
+    let mut fleet = joined(5, 1, 10);
+    fleet.set(4, Health::Vanished);
+    let name = fleet.peer(4).daemon;
+    let known = |f: &Fleet| {
+        let known = |at: &usize| f.nodes[*at].machine.get(&name).is_some();
+        (0..4).filter(known).count()
+    };
+    let lists = |f: &mut Fleet, end: usize| {
+        for at in 0..4 {
+            f.give(at, listed((0..end).map(address)));
+        }
+        f.run(60_000);
+    };
+    (0..15).for_each(|_| lists(&mut fleet, 5));
+    expect_that!(known(&fleet), eq(4));
+    (0..15).for_each(|_| lists(&mut fleet, 4));
+    expect_that!(known(&fleet), eq(0));
+}
+
+/// What one daemon was last told of each name.
+type Told = BTreeMap<DaemonId, (u32, Incarnation, u32)>;
+
+/// No name goes back to an earlier process, and no process to a lower number.
+fn check_order(told: &mut Told, seen: &[(Millis, Action)]) {
+    for (_, action) in seen {
+        let Action::Changed(member) = action else {
+            continue;
+        };
+        let order = (member.epoch, member.incarnation, member.beat);
+        let last = told.insert(member.daemon.clone(), order);
+        assert!(last.is_none_or(|last| last <= order), "{member:?} {last:?}");
+    }
+}
+
+struct Schedule {
+    fleet: Fleet,
+    rng: Pcg64Mcg,
+    told: Vec<Told>,
+    /// Since when a daemon holds another gone that it could reach.
+    wronged: BTreeMap<(usize, usize), u64>,
+    /// Since when a daemon is up and uncut.
+    whole: Vec<u64>,
+}
+
+impl Schedule {
+    fn fault(&mut self) {
+        let size = self.fleet.nodes.len();
+        let at = self.rng.random_range(2..size);
+        let other = self.rng.random_range(0..size);
+        match self.rng.random_range(0..6) {
+            0 => self.fleet.set(at, Health::Killed),
+            1 => self.fleet.set(at, Health::Paused),
+            2 => drop(self.fleet.cuts.insert((at, other))),
+            3 => self.fleet.suspend(at),
+            4 => self.restart(at),
+            _ => {
+                let wrong = (0..size + 3).filter(|_| self.rng.random_bool(0.7));
+                let wrong = listed(wrong.map(address));
+                self.fleet.give(at, wrong);
+            }
+        }
+    }
+
+    fn restart(&mut self, at: usize) {
+        self.fleet.restart(at);
+        self.told[at].clear();
+    }
+
+    fn mend(&mut self) {
+        self.fleet.cuts.clear();
+        for at in 0..self.fleet.nodes.len() {
+            match self.fleet.nodes[at].health {
+                Health::Killed | Health::Vanished => self.restart(at),
+                Health::Paused => self.fleet.resume(at),
+                Health::Up => {}
+            }
+        }
+    }
+
+    fn run(&mut self, span: u64) {
+        for _ in 0..span / 200 {
+            self.fleet.run(200);
+            self.check();
+        }
+    }
+
+    fn check(&mut self) {
+        let now = self.fleet.now;
+        for at in 0..self.fleet.nodes.len() {
+            let seen = std::mem::take(&mut self.fleet.nodes[at].seen);
+            check_order(&mut self.told[at], &seen);
+            let cut = self.fleet.cuts.iter().any(|(a, b)| *a == at || *b == at);
+            let machine = &self.fleet.nodes[at].machine;
+            let fresh = machine.fresh(self.fleet.clock(at));
+            if cut || self.fleet.nodes[at].health != Health::Up || !fresh {
+                self.whole[at] = now;
+            }
+        }
+        let size = self.whole.len();
+        for (at, of) in (0..size).flat_map(|at| (0..size).map(move |of| (at, of))) {
+            let gone = self.fleet.state(at, of).is_none_or(|s| s == State::Gone);
+            let since = self.wronged.entry((at, of)).or_insert(now);
+            if !gone {
+                *since = now;
+            }
+            let begun = self.whole[at].max(self.whole[of]).max(*since);
+            assert!(now - begun <= WRONGED, "{at} holds {of} gone at {now}");
+        }
+    }
+}
+
+#[gtest]
+fn under_seeded_faults_nobody_is_wronged_and_all_agree_in_the_end() {
+    for seed in 0..40 {
+        let size = [5, 9, 16][seed as usize % 3];
+        let mut fleet = joined(size, 3, 100 + seed);
+        fleet.loss = 0.1;
+        let mut schedule = Schedule {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            told: vec![Told::new(); size],
+            wronged: BTreeMap::new(),
+            whole: vec![fleet.now; size],
+            fleet,
+        };
+        for _ in 0..12 {
+            schedule.fault();
+            let span = schedule.rng.random_range(200..8000);
+            schedule.run(span);
+            if schedule.rng.random_bool(0.4) {
+                schedule.mend();
+            }
+        }
+        schedule.mend();
+        schedule.fleet.loss = 0.02;
+        let agreed = schedule.fleet.until(120_000, Fleet::agreed);
+        assert_that!(agreed, some(le(AGREED)), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn a_daemon_that_leaves_is_no_place_at_once_and_is_gone_when_it_departs() {
+    let mut fleet = joined(9, 3, 11);
+    fleet.loss = 0.3;
+    fleet.give(5, Event::Leave);
+    let heard = |f: &Fleet, wanted: fn(&Action) -> bool| {
+        f.nodes[5].seen.iter().any(|(_, action)| wanted(action))
+    };
+    let left = |a: &Action| matches!(a, Action::LeaveHeard { peers } if *peers >= 3);
+    expect_that!(fleet.until(5000, |f| heard(f, left)), some(le(2000)));
+    expect_that!(fleet.until(5000, |f| f.removed(5)), some(le(2000)));
+    fleet.run(30_000);
+    let leaving = (0..9).filter(|at| fleet.state(*at, 5) == Some(State::Leaving));
+    expect_that!(leaving.count(), ge(8));
+    fleet.give(5, Event::Depart);
+    let departed = |a: &Action| matches!(a, Action::Departed { peers } if *peers >= 3);
+    expect_that!(fleet.until(5000, |f| heard(f, departed)), some(le(2000)));
+    fleet.set(5, Health::Killed);
+    let gone = |f: &Fleet| f.up().iter().all(|at| f.state(*at, 5) == Some(State::Gone));
+    expect_that!(fleet.until(5000, gone), some(le(2000)));
+}
+
+#[gtest]
+fn live_members_are_listed_by_name_and_scope() {
+    let fleet = joined(9, 3, 12);
+    let machine = &fleet.nodes[0].machine;
+    let own: &Member = machine.own();
+    let scopes = [
+        (Scope::Fleet, 9),
+        (Scope::Region(own.region.clone()), 9),
+        (Scope::DataCentre(own.data_centre.clone()), 3),
+    ];
+    for (scope, count) in scopes {
+        let live: Vec<_> = machine.live(&scope).map(|m| &m.daemon).collect();
+        expect_that!(live.len(), eq(count));
+        expect_that!(live.is_sorted(), is_true());
+    }
+}
--- a/crates/core/tests/membership/fleet.rs
+++ b/crates/core/tests/membership/fleet.rs
@@ -52,7 +52,9 @@
     inbox: Vec<Event>,
     next: u64,
     /// What the monotonic clock has missed of the wall clock.
-    suspended: u64,
+    missed: u64,
+    /// Since when the whole VM has been stopped.
+    stopped: Option<u64>,
 }
 
 pub struct Fleet {
@@ -134,7 +136,8 @@
             own,
             inbox: Vec::new(),
             next: self.now + self.rng.random_range(0..TICK),
-            suspended: 0,
+            missed: 0,
+            stopped: None,
         }
     }
 
@@ -159,13 +162,20 @@
         self.nodes[at].health = health;
     }
 
-    /// Stops the whole VM at `at` for `span`, so that only its wall clock shows it.
-    pub fn suspend(&mut self, at: usize, span: u64) {
-        self.nodes[at].suspended += span;
+    /// Stops the whole VM, so that only its wall clock will show it.
+    pub fn suspend(&mut self, at: usize) {
+        if self.nodes[at].health == Health::Up {
+            self.nodes[at].health = Health::Paused;
+            self.nodes[at].stopped = Some(self.now);
+        }
     }
 
     pub fn resume(&mut self, at: usize) {
-        self.nodes[at].health = Health::Up;
+        let node = &mut self.nodes[at];
+        node.health = Health::Up;
+        if let Some(since) = node.stopped.take() {
+            node.missed += self.now - since;
+        }
         for event in std::mem::take(&mut self.nodes[at].inbox) {
             self.give(at, event);
         }
@@ -183,7 +193,8 @@
 
     /// The monotonic clock of one daemon.
     pub fn clock(&self, at: usize) -> Millis {
-        Millis(self.now - self.nodes[at].suspended)
+        let node = &self.nodes[at];
+        Millis(node.stopped.unwrap_or(self.now) - node.missed)
     }
 
     pub fn give(&mut self, at: usize, event: Event) {
