--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -25,13 +25,12 @@
 mod rendezvous;
 
 pub use decide::{
-    AdmitAsk, HOP_LIMIT, PlaceAsk, Placement, Result, Verdict, Why, admit_under_bound,
-    expected_cached, may_dispatch, place,
+    HOP_LIMIT, PlaceAsk, Placement, Result, Why, expected_cached, may_pass, place, worth_waiting,
 };
 pub use directory::{CacheHint, ChatPlaces, Directory, MAX_PLACES, Place};
 pub use fleet::{Daemon, Fleet};
 pub use load::{
-    Distance, EndpointLoad, EndpointState, EndpointView, LoadView, Occupancy, PoolSum, PoolView,
-    estimated_work,
+    Distance, EndpointLoad, EndpointState, EndpointView, LoadView, Occupancy, PROMPT_PER_OUTPUT,
+    PoolMean, PoolSum, PoolView, estimated_work, prompt_work,
 };
 pub use rendezvous::{Group, Node, chat_hash, key_of};
--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, RngExt};
 
 use super::directory::{CacheHint, Place};
-use super::load::{Distance, EndpointState, EndpointView, PoolView};
+use super::load::{Distance, EndpointState, EndpointView, PoolView, prompt_work};
 use crate::clock::Millis;
 use crate::ids::{ChatHash, EndpointId};
 use crate::reason::Reason;
@@ -17,7 +17,7 @@
 pub const HOP_LIMIT: u32 = 2;
 
 /// Least loaded endpoints among which one is picked.
-const FEW: usize = 3;
+const FEW: usize = 2;
 
 /// Cached tokens that make a return worthwhile.
 const WORTHWHILE: f64 = 64.0;
@@ -25,6 +25,9 @@
 /// Work beyond the least that a returning chat bears, as a share of its prompt, where no endpoint has room.
 const SAVED_SHARE: f64 = 1.0;
 
+/// How sharply the chance that a prefix is cached falls around the age of what was evicted last.
+const EVICTION_EDGE: i32 = 12;
+
 /// Chance that a prefix is cached still when its last event said so.
 const AFTER_STORED: f64 = 0.95;
 
@@ -78,9 +81,11 @@
 
 /// Chooses an endpoint for a request.
 ///
-/// A chat returns to the place with the longest prefix likely to be cached that has room under the bound. Else the
-/// request goes to one of the few least loaded endpoints with room, the nearest first. If none has room, a
-/// returning chat waits at its place, unless the work there exceeds the least by more than its prefix saves.
+/// A chat returns to the place with the longest prefix likely to be cached. Own endpoints must have room under the
+/// bound; of others the load known here is late, so their home decides. A new chat goes to its first-ranked endpoint
+/// if that is under the mean, which saves a hop. Any other request goes to one of the few least loaded endpoints with
+/// room, the nearest first. If none has room, a returning chat waits at its place, unless the work there exceeds the
+/// least by more than the prompt.
 pub fn place(
     pool: &PoolView,
     ask: &PlaceAsk<'_>,
@@ -88,78 +93,39 @@
     rng: &mut impl Rng,
 ) -> Result<Placement> {
     let sight = Sight::new(pool, now);
-    if let Some(placement) = return_to(&sight, ask, &|view| sight.open(view)) {
+    if let Some(placement) = return_to(&sight, ask, &|view| sight.suits(view)) {
         return Ok(placement);
     }
+    if ask.places.is_empty()
+        && ask.tried.is_empty()
+        && let Some(view) = first_light(&sight, ask)
+    {
+        return Ok(sent_to(&sight, ask, view));
+    }
     if let Some(view) = least_open(&sight, ask, rng) {
         return Ok(sent_to(&sight, ask, view));
     }
     let least = least_busy(&sight, ask, rng).ok_or(Reason::NoEndpoint)?;
-    let busy = sight.load(least) + SAVED_SHARE * ask.prompt.0 as f64;
+    let busy = sight.load(least) + SAVED_SHARE * prompt_work(ask.prompt).0 as f64;
     let bearable = |view: &EndpointView| sight.load(view) <= busy;
     let back = return_to(&sight, ask, &bearable);
     Ok(back.unwrap_or_else(|| sent_to(&sight, ask, least)))
 }
 
-/// A request at the home of the endpoint it was placed on.
-#[derive(Clone, Copy, Debug)]
-pub struct AdmitAsk<'a> {
-    /// The endpoint.
-    pub endpoint: &'a EndpointId,
-    /// Peer links crossed so far.
-    pub hops: u32,
-    /// Endpoints already tried.
-    pub tried: &'a [EndpointId],
-}
-
-/// The home's last word.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub enum Verdict {
-    /// The endpoint takes it now.
-    Admit,
-    /// Another endpoint takes it better.
-    Pass(EndpointId),
-    /// It waits at this home until the endpoint is under the bound again.
-    Wait,
-    /// No endpoint takes it.
-    Refuse(Reason),
-}
-
-/// Decides at the home whether the endpoint takes a request.
-///
-/// With hops left it may be passed to any other endpoint, after the last hop only to one of the same home.
-pub fn admit_under_bound(
-    pool: &PoolView,
-    ask: &AdmitAsk<'_>,
-    now: Millis,
-    rng: &mut impl Rng,
-) -> Verdict {
+/// Whether a home could give a request to another endpoint: any with room, or after the last hop one of its own.
+pub fn may_pass(pool: &PoolView, ask: &PlaceAsk<'_>, here: &EndpointId, now: Millis) -> bool {
     let sight = Sight::new(pool, now);
-    let here = pool.get(ask.endpoint);
-    let takes = here.is_some_and(EndpointView::takes_work);
-    if takes && here.is_some_and(|here| sight.open(here)) {
-        return Verdict::Admit;
-    }
-    let last = ask.hops >= HOP_LIMIT;
-    let other = |other: &&EndpointView| {
-        other.id != *ask.endpoint
-            && other.takes_work()
-            && !ask.tried.contains(&other.id)
-            && (!last || other.is_own())
-            && sight.open(other)
+    let other = |view: &EndpointView| {
+        view.id != *here && view.takes_work() && ask.allows(view) && sight.open(view)
     };
-    match pick_least(&sight, pool.endpoints().iter().filter(other), rng) {
-        Some(endpoint) => Verdict::Pass(endpoint.id.clone()),
-        None if takes => Verdict::Wait,
-        None => Verdict::Refuse(Reason::NoEndpoint),
-    }
+    !ask.own_only || pool.endpoints().iter().any(other)
 }
 
-/// Whether a home may send a waiting request to an endpoint now.
-pub fn may_dispatch(pool: &PoolView, endpoint: &EndpointId, now: Millis) -> bool {
-    let sight = Sight::new(pool, now);
-    pool.get(endpoint)
-        .is_some_and(|here| here.takes_work() && sight.open(here))
+/// Whether a request had better wait for a cached prefix than go to an endpoint without it.
+///
+/// `behind` is the work that must go before the request runs here.
+pub fn worth_waiting(behind: Tokens, cached: Tokens) -> bool {
+    behind <= prompt_work(cached)
 }
 
 /// Prompt tokens expected to be cached at a place, given the age of what its endpoint evicted last.
@@ -173,7 +139,7 @@
     let by_age = match eviction_age {
         Some(evicted) if evicted > Millis::ZERO => {
             let ratio = age / evicted.as_secs_f64();
-            1.0 / (1.0 + ratio.powi(4))
+            1.0 / (1.0 + ratio.powi(EVICTION_EDGE))
         }
         Some(_) => 0.0,
         None => 1.0,
@@ -195,7 +161,7 @@
 
 impl<'a> Sight<'a> {
     fn new(pool: &'a PoolView, now: Millis) -> Self {
-        let mean = pool.mean(now);
+        let mean = pool.mean(now).load;
         Self { pool, mean, now }
     }
 
@@ -207,6 +173,11 @@
         view.has_room() && self.load(view) <= self.pool.bound * self.mean
     }
 
+    /// Whether a returning chat is sent to an endpoint: the home of another's knows better, and has the last word.
+    fn suits(&self, view: &EndpointView) -> bool {
+        !view.is_own() || self.open(view)
+    }
+
     fn cached(&self, place: &Place, prompt: Tokens) -> f64 {
         let view = self.pool.get(&place.endpoint);
         let age = view.and_then(|view| view.eviction_age);
@@ -259,6 +230,13 @@
     best
 }
 
+/// The chat's first-ranked endpoint, if it is under the mean.
+fn first_light<'a>(sight: &Sight<'a>, ask: &PlaceAsk<'_>) -> Option<&'a EndpointView> {
+    let first = sight.pool.get(sight.pool.first_ranked(ask.chat?)?)?;
+    let light = sight.load(first) <= sight.mean;
+    (light && first.takes_work() && ask.allows(first) && sight.open(first)).then_some(first)
+}
+
 /// One of the few least loaded of the nearest that have room.
 fn least_open<'a>(
     sight: &Sight<'a>,
--- a/crates/core/src/placement/load.rs
+++ b/crates/core/src/placement/load.rs
@@ -1,6 +1,6 @@
 //! What a daemon knows of the endpoints' load and of each pool's mean.
 //!
-//! Load is estimated work in flight, in tokens. It is exact for the endpoints that the daemon is home of. For others
+//! Load is estimated work in flight, in generated tokens; prompt tokens count less, see [`PROMPT_PER_OUTPUT`]. It is exact for the endpoints that the daemon is home of. For others
 //! it comes late, by gossip, and the daemon adds what it has itself sent there since. The mean is made of the
 //! daemons' sums. A sum that is not renewed fades, which lowers the mean and so tightens the bound.
 
@@ -17,11 +17,18 @@
 pub use view::PoolView;
 
 /// Prompt tokens that cost an engine as much as one generated token.
-pub const PROMPT_PER_OUTPUT: u64 = 1;
+///
+/// Engines compute prompts many tokens at a step and generate one token of each request at a step.
+pub const PROMPT_PER_OUTPUT: u64 = 12;
+
+/// The work of computing a prompt, in generated tokens.
+pub fn prompt_work(uncached: Tokens) -> Tokens {
+    Tokens(uncached.0.div_ceil(PROMPT_PER_OUTPUT))
+}
 
 /// The work of a request: what must be computed of the prompt, and what is expected to be generated.
 pub fn estimated_work(uncached: Tokens, output: Tokens) -> Tokens {
-    Tokens(uncached.0.div_ceil(PROMPT_PER_OUTPUT) + output.0)
+    prompt_work(uncached) + output
 }
 
 /// How far an endpoint is; nearer ones are preferred for new and spilled work.
@@ -70,6 +77,15 @@
     pub as_of: Millis,
 }
 
+/// The mean load of a pool's endpoints that take work, as a daemon knows it.
+#[derive(Clone, Copy, PartialEq, Default, Debug)]
+pub struct PoolMean {
+    /// Work in flight per endpoint, in tokens; stale sums are faded.
+    pub load: f64,
+    /// Endpoints that it is taken over.
+    pub endpoints: u32,
+}
+
 /// One endpoint's load as told to others.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct EndpointLoad {
--- a/crates/core/src/placement/load/view.rs
+++ b/crates/core/src/placement/load/view.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Debug;
 
-use super::{Distance, EndpointLoad, EndpointState, EndpointView, Occupancy, PoolSum};
+use super::{Distance, EndpointLoad, EndpointState, EndpointView, Occupancy, PoolMean, PoolSum};
 use crate::clock::Millis;
 use crate::ids::{ChatHash, DaemonId, DataCentreId, EndpointId};
 use crate::placement::rendezvous::{key_of, score};
@@ -26,8 +26,23 @@
     pub bound: f64,
     /// Sorted by name.
     endpoints: Vec<EndpointView>,
-    sums: BTreeMap<DaemonId, PoolSum>,
-    centres: BTreeMap<DataCentreId, PoolSum>,
+    sums: BTreeMap<DaemonId, Heard>,
+    centres: BTreeMap<DataCentreId, Heard>,
+}
+
+/// A sum as heard.
+#[derive(Clone, Copy, PartialEq, Debug)]
+struct Heard {
+    sum: PoolSum,
+    /// The sum heard before, scaled to as many endpoints.
+    before: f64,
+}
+
+impl Heard {
+    /// The lower of the last two: sums are late, and a mean taken too high lets endpoints go over the bound.
+    fn low(&self) -> f64 {
+        self.before.min(self.sum.load.0 as f64)
+    }
 }
 
 impl PoolView {
@@ -123,7 +138,7 @@
     /// The sum over the own data centre, to tell others; what is stale is left out.
     pub fn centre_sum(&self, now: Millis) -> PoolSum {
         let fresh = |sum: &&PoolSum| now.since(sum.as_of) <= STALE;
-        let sums = self.sums.values().filter(fresh);
+        let sums = self.sums.values().map(|heard| &heard.sum).filter(fresh);
         sums.fold(self.own_sum(now), |all, sum| PoolSum {
             load: all.load + sum.load,
             endpoints: all.endpoints + sum.endpoints,
@@ -220,30 +235,24 @@
         least.into_iter().map(told).collect()
     }
 
-    /// The mean load of the pool's endpoints, in tokens, with stale sums faded.
-    pub fn mean(&self, now: Millis) -> f64 {
+    /// The mean load of the pool's endpoints, with stale sums faded.
+    pub fn mean(&self, now: Millis) -> PoolMean {
         let own = self.own_sum(now);
         let mut load = own.load.0 as f64;
-        let mut endpoints = f64::from(own.endpoints);
-        for sum in self.sums.values().chain(self.centres.values()) {
-            let age = now.since(sum.as_of);
+        let mut endpoints = own.endpoints;
+        for heard in self.sums.values().chain(self.centres.values()) {
+            let age = now.since(heard.sum.as_of);
             if age < FORGET {
-                load += sum.load.0 as f64 * fading(age);
-                endpoints += f64::from(sum.endpoints);
+                load += heard.low() * fading(age);
+                endpoints += heard.sum.endpoints;
             }
         }
-        if endpoints > 0.0 {
-            load / endpoints
-        } else {
-            0.0
+        PoolMean {
+            load: load / f64::from(endpoints.max(1)),
+            endpoints,
         }
     }
 
-    /// The largest load at which an endpoint is given one more request, in tokens.
-    pub fn limit(&self, now: Millis) -> f64 {
-        self.bound * self.mean(now)
-    }
-
     fn find(&self, id: &EndpointId) -> Result<usize, usize> {
         self.endpoints
             .binary_search_by(|endpoint| endpoint.id.cmp(id))
@@ -264,11 +273,17 @@
     best.map(|(_, endpoint)| &endpoint.id)
 }
 
-fn hear<K: Ord + Clone>(sums: &mut BTreeMap<K, PoolSum>, from: &K, sum: PoolSum) {
-    match sums.get_mut(from) {
-        Some(known) if known.as_of >= sum.as_of => {}
-        Some(known) => *known = sum,
-        None => drop(sums.insert(from.clone(), sum)),
+fn hear<K: Ord + Clone>(sums: &mut BTreeMap<K, Heard>, from: &K, sum: PoolSum) {
+    let load = sum.load.0 as f64;
+    let Some(known) = sums.get_mut(from) else {
+        let heard = Heard { sum, before: load };
+        sums.insert(from.clone(), heard);
+        return;
+    };
+    if known.sum.as_of < sum.as_of {
+        let each = known.sum.load.0 as f64 / f64::from(known.sum.endpoints.max(1));
+        known.before = each * f64::from(sum.endpoints);
+        known.sum = sum;
     }
 }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,3 +1,4 @@
 //! Load, experiments and the demo.
 
 pub mod demo;
+pub mod policy;
