Admission: take the least that was in flight when a report says less

A report was compared with the most that was in flight around its time, so that it nearly always seemed to say less, and half the difference was taken off the load: homes admitted over the bound.

--- a/crates/core/src/admission/bound.rs
+++ b/crates/core/src/admission/bound.rs
@@ -98,7 +98,7 @@
         if now.since(report.as_of) > REPORT_STALE {
             return own;
         }
-        let below = past.work - report.tokens.0;
+        let below = past.least.saturating_sub(report.tokens.0);
         own.saturating_sub(below / LOWER_DIVISOR)
     }
 
--- a/crates/core/src/admission/flights.rs
+++ b/crates/core/src/admission/flights.rs
@@ -34,12 +34,13 @@
     left: u64,
 }
 
-/// The most that was in flight during one sample's span.
+/// The most, and the least work, that was in flight during one sample's span.
 #[derive(Clone, Copy, Debug)]
 struct Sample {
     at: Millis,
     count: u32,
     work: u64,
+    least: u64,
 }
 
 /// What was in flight at a time in the past.
@@ -47,8 +48,18 @@
 pub(super) struct Past {
     /// Requests.
     pub(super) count: u32,
-    /// Work, by estimate.
+    /// Most work, by estimate.
     pub(super) work: u64,
+    /// Least work, by estimate.
+    pub(super) least: u64,
+}
+
+impl Past {
+    const UNSEEN: Self = Self {
+        count: 0,
+        work: 0,
+        least: u64::MAX,
+    };
 }
 
 /// All requests that run at one endpoint for one home.
@@ -133,22 +144,33 @@
         if let Some(last) = self.past.back_mut().filter(|last| last.at >= at) {
             last.count = last.count.max(count);
             last.work = last.work.max(work);
+            last.least = last.least.min(work);
             return;
         }
         if self.past.len() == SAMPLES {
             self.past.pop_front();
         }
-        self.past.push_back(Sample { at, count, work });
+        self.past.push_back(Sample {
+            at,
+            count,
+            work,
+            least: work,
+        });
     }
 
-    /// The most that was in flight around a time in the past.
+    /// What was in flight around a time in the past.
     pub(super) fn at(&self, time: Millis) -> Past {
         let next = self.past.partition_point(|sample| sample.at <= time);
         let around = next.saturating_sub(2)..(next + 1).min(self.past.len());
         let around = self.past.range(around);
-        around.fold(Past::default(), |most, sample| Past {
-            count: most.count.max(sample.count),
-            work: most.work.max(sample.work),
-        })
+        let past = around.fold(Past::UNSEEN, |past, sample| Past {
+            count: past.count.max(sample.count),
+            work: past.work.max(sample.work),
+            least: past.least.min(sample.least),
+        });
+        Past {
+            least: past.least.min(past.work),
+            ..past
+        }
     }
 }
