--- a/crates/daemon/src/home/task.rs
+++ b/crates/daemon/src/home/task.rs
@@ -367,12 +367,11 @@
 const RESUME_PRIORITY: u8 = 9;
 
 fn mean(loads: &LoadView, slot: &Slot, now: Millis) -> Option<Mean> {
-    let pool = loads.pool(&slot.pool)?;
-    let endpoints = pool.endpoints().iter().filter(|view| view.takes_work());
+    let mean = loads.pool(&slot.pool)?.mean(now);
     Some(Mean {
         as_of: now,
-        load: Tokens(pool.mean(now) as u64),
-        endpoints: u32::try_from(endpoints.count()).unwrap_or(u32::MAX),
+        load: Tokens(mean.load as u64),
+        endpoints: mean.endpoints,
     })
 }
 
