--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -29,12 +29,19 @@
 
 /* Incarnations are numbered from 1; daemon d starts as incarnation d + 1. */
 #define INCARNATIONS (DAEMONS + CRASHES)
-/* A batch: the try that is claimed and the try whose claim is voided, 0 for none. */
+/* A batch: the try that is claimed and the try whose claim is voided, 0 for none.
+ * An empty one takes over; OPEN does so after its writer read a close. A
+ * checkpoint repeats the holder. */
 #define BATCH(claim, void) ((claim) + 4 * (void))
-#define CLAIM(batch) ((batch) % 4)
-#define VOID(batch) ((batch) / 4)
+#define SAVED(holder) (16 + (holder))
+#define IS_SAVED(batch) ((batch) / 16 == 1)
+#define CLAIM(batch) ((batch) < 16 -> (batch) % 4 : 0)
+#define VOID(batch) ((batch) < 16 -> (batch) / 4 : 0)
+#define CLOSE 32
+#define OPEN 33
 #define BIT(t) (1 << (t))
 #define HAS(mask, t) (((mask) >> (t)) & 1)
+#define ROOM 7 /* objects, with some to spare */
 #define SLOT(n, i) ((n) * (INCARNATIONS + 1) + (i))
 
 /* What an entry does with a try of the key. */
@@ -45,18 +52,17 @@
 #define DEAD 4    /* lost in a crash */
 
 /* The platform: objects 1 to OBJECTS, and creates that may yet take effect. */
-byte writer[OBJECTS + 2];
-byte batch[OBJECTS + 2];
-byte offer[(OBJECTS + 2) * (INCARNATIONS + 1)]; /* batch + 1, 0 for none */
-byte saved;        /* the checkpoint covers objects 1 to this */
-byte saved_holder; /* the holder after them */
+byte writer[ROOM];
+byte batch[ROOM];
+byte offer[ROOM * (INCARNATIONS + 1)]; /* batch + 1, 0 for none */
+byte fences; /* mask of objects that are never deleted */
 
 /* Daemons as owners of the shard. */
 byte life[DAEMONS];   /* incarnation */
 bool owner[DAEMONS];  /* believes that it owns the shard */
-byte base[DAEMONS];   /* checkpoint from which it read */
-byte next[DAEMONS];   /* next object to read or create */
+byte next[DAEMONS];   /* next object to read or create, 0 if it does neither */
 byte holder[DAEMONS]; /* try that holds the key, as read so far */
+bool closed[DAEMONS]; /* whether the last object read is a close */
 bool pending[DAEMONS];
 byte sent[DAEMONS]; /* the pending batch */
 byte lives = DAEMONS;
@@ -73,6 +79,11 @@
 bool ran;
 
 inline apply(d, b) {
+	if
+	:: IS_SAVED(b) -> holder[d] = b - 16
+	:: else
+	fi;
+	closed[d] = (b == CLOSE);
 	if
 	:: VOID(b) != 0 && holder[d] == VOID(b) -> holder[d] = 0
 	:: else
@@ -89,20 +100,40 @@
 	offer[SLOT(next[d], life[d])] = b + 1
 }
 
-/* Starts to read again, from the checkpoint. */
-inline rewind(d) {
-	base[d] = saved;
-	next[d] = saved + 1;
-	holder[d] = saved_holder
+/* Whether there are objects from a number on. */
+#define IS(n, m) ((m) <= OBJECTS && (m) >= (n) && writer[m] != 0)
+#define ANY_FROM(n) (IS(n, 1) || IS(n, 2) || IS(n, 3) || IS(n, 4) || IS(n, 5))
+
+/* Starts to read, from the latest checkpoint. */
+inline start(d) {
+	if
+	:: IS_SAVED(batch[5]) -> next[d] = 5
+	:: else ->
+		if
+		:: IS_SAVED(batch[4]) -> next[d] = 4
+		:: else ->
+			if
+			:: IS_SAVED(batch[3]) -> next[d] = 3
+			:: else -> next[d] = (IS_SAVED(batch[2]) -> 2 : 1)
+			fi
+		fi
+	fi
 }
 
 inline fenced(d) {
 	owner[d] = false;
 	pending[d] = false;
 	sent[d] = 0;
-	rewind(d)
+	next[d] = 0;
+	holder[d] = 0;
+	closed[d] = false
 }
 
+/* Shows what a broken variant does at the end, beyond the loss of a claim. */
+#ifndef ONLY_RUNS
+#define ONLY_RUNS 0
+#endif
+
 /* A claim that was granted is in the view of every owner that is up to date. */
 #define KEPT(d, t) (!HAS(granted, t) || state[t] != WAITING && state[t] != SENT || holder[d] == t)
 
@@ -117,15 +148,17 @@
 	pending[d] = false;
 	sent[d] = 0;
 	next[d]++;
-	assert(writer[next[d]] != 0 || KEPT(d, 1) && KEPT(d, 2) && KEPT(d, TRIES))
+	assert(ONLY_RUNS || ANY_FROM(next[d]) || KEPT(d, 1) && KEPT(d, 2) && KEPT(d, TRIES))
 }
 
-/* A late create finds its number free again if the object was deleted: after
- * a success the owner reads the checkpoint, which must not have passed it. */
-#ifdef NO_CHECKPOINT_CHECK
+/* A late create finds its number free again if the object was deleted. So one
+ * who takes over looks for later objects after its own was made, and the object
+ * by which it took over, which may be where the former owner still tries to
+ * write, is never deleted, unless the former owner had closed. */
+#ifdef NO_LATER_CHECK
 #define OUTDATED(d) false
 #else
-#define OUTDATED(d) (owner[d] && saved >= next[d] || !owner[d] && saved != base[d])
+#define OUTDATED(d) (!owner[d] && ANY_FROM(next[d] + 1))
 #endif
 
 #if defined(SAME_INCARNATION)
@@ -138,19 +171,27 @@
 
 /* Any create that was sent may take effect while its object is absent. */
 #ifdef BLIND_WRITE
-#define OPEN(n) true
+#define VACANT(n) true
 #else
-#define OPEN(n) (writer[n] == 0)
+#define VACANT(n) (writer[n] == 0)
 #endif
 #define EFFECT(n, i) \
 	:: d_step { \
-		OPEN(n) && offer[SLOT(n, i)] != 0 -> \
+		VACANT(n) && offer[SLOT(n, i)] != 0 -> \
 		writer[n] = i; \
 		batch[n] = offer[SLOT(n, i)] - 1; \
 		forget(n, i) \
 	   }
+
+/* An object before a checkpoint may be deleted. */
+#define DELETABLE(n, m) (n < m && m <= OBJECTS && IS_SAVED(batch[m]))
 #define DELETE(n) \
-	:: d_step { n <= saved && writer[n] != 0 -> writer[n] = 0; batch[n] = 0 }
+	:: d_step { \
+		writer[n] != 0 && !HAS(fences, n) \
+			&& (DELETABLE(n, 2) || DELETABLE(n, 3) || DELETABLE(n, 4) || DELETABLE(n, 5)) -> \
+		writer[n] = 0; \
+		batch[n] = 0 \
+	   }
 
 /* Without deletion a create of an object that exists never takes effect. */
 inline forget(n, i) {
@@ -165,6 +206,8 @@
 #if DAEMONS + CRASHES > 3
 	offer[SLOT(n, 4)] = 0;
 #endif
+#elif !defined(DELETED_FENCE)
+	fences = (batch[n] == 0 && !ANY_FROM(n + 1) -> fences | BIT(n) : fences);
 #endif
 	skip
 }
@@ -192,6 +235,7 @@
 #ifdef CHECKPOINT
 	DELETE(1)
 	DELETE(2)
+	DELETE(3)
 #endif
 	od
 }
@@ -239,17 +283,25 @@
 	/* Take over: read to the end, then create the next object, empty. */
 #ifdef CHECKPOINT
 	:: atomic {
-		!owner[d] && !pending[d] && writer[next[d]] != 0 ->
+		!owner[d] && !pending[d] && next[d] == 0 && writer[OBJECTS] == 0 ->
+		start(d)
+	   }
+	:: atomic {
+		!owner[d] && !pending[d] && next[d] != 0 && writer[next[d]] != 0 ->
 		apply(d, batch[next[d]]);
 		next[d]++
 	   }
 	:: atomic {
-		!owner[d] && !pending[d] && writer[next[d]] == 0 && next[d] <= OBJECTS ->
-		create(d, 0)
+		!owner[d] && !pending[d] && next[d] != 0 && writer[next[d]] == 0 ->
+		if
+		:: next[d] <= OBJECTS -> create(d, (closed[d] -> OPEN : 0))
+		:: else -> fenced(d)
+		fi
 	   }
 #else
 	:: atomic {
 		!owner[d] && !pending[d] && writer[OBJECTS] == 0 ->
+		start(d);
 		do
 		:: writer[next[d]] != 0 -> apply(d, batch[next[d]]); next[d]++
 		:: else -> break
@@ -276,7 +328,8 @@
 		pending[d] && writer[next[d]] != 0 ->
 		if
 		:: OUTDATED(d) -> fenced(d)
-		:: !OUTDATED(d) && MINE(d) -> settled(d)
+		:: !OUTDATED(d) && MINE(d) && sent[d] == CLOSE -> fenced(d)
+		:: !OUTDATED(d) && MINE(d) && sent[d] != CLOSE -> settled(d)
 #ifdef NO_FENCE
 		:: !OUTDATED(d) && !MINE(d) && owner[d] && next[d] < OBJECTS ->
 			next[d]++;
@@ -305,11 +358,13 @@
 	:: atomic { pending[d] && owner[d] && CLAIM(sent[d]) == 1 -> sent[d] = BATCH(2, VOID(sent[d])) }
 #endif
 #ifdef CHECKPOINT
+	/* Write a checkpoint. */
 	:: atomic {
-		owner[d] && !pending[d] && next[d] > saved + 1 && next[d] <= 3 ->
-		saved = next[d] - 1;
-		saved_holder = holder[d]
+		owner[d] && !pending[d] && next[d] <= OBJECTS ->
+		create(d, SAVED(holder[d]))
 	   }
+	/* Leave in order. */
+	:: atomic { owner[d] && !pending[d] && next[d] <= OBJECTS -> create(d, CLOSE) }
 #endif
 	/* Crash: memory is lost, messages and creates are not. */
 	:: atomic {
@@ -348,12 +403,15 @@
 #elif defined(SEEK_CRASH)
 	assert(!(state[1] == DEAD && lives > DAEMONS))
 #elif defined(SEEK_CHECKPOINT)
-	assert(!(saved > 0 && writer[1] == 0 && (owner[0] && base[0] > 0 || owner[1] && base[1] > 0)))
+	assert(!(IS_SAVED(batch[3]) && writer[2] == 0 && writer[4] == writer[1] % 2 + 1))
 #else
 	skip
 #endif
 }
 
+/* An owner, perhaps an outdated one, sees that a try which was given up holds the key. */
+#define HELD_BY_CLOSED(d, t) (holder[d] != 0 && holder[d] != t && state[holder[d]] == CLOSED)
+
 /* One try of the key at its entry; the entry alone may dispatch it. */
 proctype Try(byte t) {
 	/* The caller tries at any daemon.  Tries are alike, so they start in order. */
@@ -417,6 +475,15 @@
 		say_not_run();
 		released = released | BIT(t)
 	   }
+#endif
+#ifdef RELAYED_NOT_RUN
+	/* The claimant of the try that holds the key says that it never will send. */
+	:: atomic {
+		state[t] == WAITING && (HELD_BY_CLOSED(0, t) || HELD_BY_CLOSED(1, t)) ->
+		state[t] = CLOSED;
+		say_not_run();
+		released = released | BIT(t)
+	   }
 #endif
 	/* Lost with its entry. */
 	:: state[t] == DEAD
@@ -430,7 +497,6 @@
 		do
 		:: d < DAEMONS ->
 			life[d] = d + 1;
-			next[d] = 1;
 			run Daemon(d);
 			d++
 		:: else -> break
