The configuration spreads between daemons, and watchers follow the platform

The interim poller read the head at every daemon twice a second. The task drives the spread of the core instead: peers first, the platform only at the two watchers of a data centre, or at a daemon that nobody has given a configuration.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -7,7 +7,7 @@
 use medlarrill_net::{endpoint, platform};
 use tokio::sync::watch;
 
-use crate::configuration::ConfigView;
+use crate::configuration::{self, ConfigView};
 use crate::entry::{Attempts, Tracker};
 use crate::fleet::{self, FleetView};
 use crate::home;
@@ -37,6 +37,8 @@
     pub stopping: watch::Receiver<bool>,
     /// The home task.
     pub home: home::Handle,
+    /// The configuration task.
+    pub configuration: configuration::Handle,
     /// The membership task.
     pub fleet_task: fleet::Handle,
     /// Client of the platform.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -52,6 +52,10 @@
     pub prompt_tokens: Counter,
     /// Prompt tokens that endpoints served from their cache.
     pub cached_tokens: Counter,
+    /// Heads and parts of a configuration that can't be used.
+    pub rejected_parts: Counter,
+    /// Operators' requests without a known key.
+    pub strangers: Counter,
 }
 
 impl Default for Metrics {
@@ -78,6 +82,8 @@
             dispatched: Counter::default(),
             prompt_tokens: Counter::default(),
             cached_tokens: Counter::default(),
+            rejected_parts: Counter::default(),
+            strangers: Counter::default(),
         };
         metrics.register();
         metrics
@@ -134,6 +140,21 @@
             "Prompt tokens cached",
             self.cached_tokens.clone(),
         );
+        r.register(
+            "config_rejected",
+            "Unusable heads and parts",
+            self.rejected_parts.clone(),
+        );
+        r.register(
+            "operator_refusals",
+            "Operators' requests without a known key",
+            self.strangers.clone(),
+        );
+    }
+
+    /// Counts a head or part that can't be used.
+    pub fn reject_part(&self) {
+        self.rejected_parts.inc();
     }
 
     /// Counts a refusal.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -7,7 +7,7 @@
 
 use clap::Parser;
 use derive_more::{Debug, Display, Error, From};
-use medlarrill_core::ids::{DaemonId, Generation, Incarnation};
+use medlarrill_core::ids::{DaemonId, Incarnation};
 use medlarrill_core::membership::{Member, Membership};
 use medlarrill_net::link::{Event, FleetKey, Handler, Identity, Links, PeerId};
 use medlarrill_net::now::{now, wall};
@@ -20,7 +20,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::args::{Args, Command};
-use crate::configuration::{ConfigView, poll};
+use crate::configuration::{self, ConfigView};
 use crate::context::Context;
 use crate::entry::server::{self, ServerError};
 use crate::entry::{Attempts, Tracker};
@@ -144,6 +144,7 @@
     stopping: watch::Receiver<bool>,
     home: home::Handle,
     fleet: fleet::Handle,
+    configuration: configuration::Handle,
 }
 
 /// What the tasks own.
@@ -153,6 +154,7 @@
     stopping: watch::Sender<bool>,
     home: mpsc::UnboundedReceiver<home::Message>,
     fleet: mpsc::UnboundedReceiver<fleet::Message>,
+    configuration: mpsc::UnboundedReceiver<configuration::Message>,
 }
 
 fn channels() -> (Channels, Ends) {
@@ -161,12 +163,14 @@
     let (stopping_sender, stopping) = watch::channel(false);
     let (home, home_receiver) = home::Handle::new();
     let (fleet, fleet_receiver) = fleet::Handle::new();
+    let (configuration, configuration_receiver) = configuration::Handle::new();
     let channels = Channels {
         view,
         config,
         stopping,
         home,
         fleet,
+        configuration,
     };
     let ends = Ends {
         view: view_sender,
@@ -174,6 +178,7 @@
         stopping: stopping_sender,
         home: home_receiver,
         fleet: fleet_receiver,
+        configuration: configuration_receiver,
     };
     (channels, ends)
 }
@@ -192,6 +197,7 @@
         attempts: attempts.clone(),
         home: channels.home.clone(),
         fleet: channels.fleet.clone(),
+        configuration: channels.configuration.clone(),
         metrics: Arc::clone(&metrics),
     };
     let handler: Handler = Arc::new(move |event: Event| switch.take(event));
@@ -208,6 +214,7 @@
         stopping: channels.stopping,
         home: channels.home,
         fleet_task: channels.fleet,
+        configuration: channels.configuration,
         platform: platform::Client::new(platform_settings(&settings)),
         endpoints: endpoint::Client::new(&endpoint::Limits::default()),
         settings,
@@ -216,7 +223,7 @@
 
 fn spawn(context: &Arc<Context>, address: SocketAddr, ends: Ends) -> Running {
     let (farewell_sender, farewell) = watch::channel(0);
-    let (generation, _) = mpsc::unbounded_channel::<(DaemonId, Generation)>();
+    let (generation, generations) = mpsc::unbounded_channel();
     let outlets = Outlets {
         view: ends.view,
         home: context.home.clone(),
@@ -227,8 +234,9 @@
     let members = fleet::Task::new(membership(context, address), links, outlets);
     tokio::spawn(members.run(ends.fleet));
     let fleet = context.fleet_task.clone();
-    tokio::spawn(follow_vms(context.platform.clone(), fleet.clone(), address));
-    tokio::spawn(poll(context.platform.clone(), ends.config, fleet));
+    tokio::spawn(follow_vms(context.platform.clone(), fleet, address));
+    let configuration = configuration::Task::new(Arc::clone(context), ends.config);
+    tokio::spawn(configuration.run(ends.configuration, generations));
     let rng = Pcg32::new(rand::random(), rand::random());
     let home = home::Task::new(Arc::clone(context), rng);
     tokio::spawn(home.run(ends.home));
--- a/crates/daemon/src/switch.rs
+++ b/crates/daemon/src/switch.rs
@@ -5,6 +5,7 @@
 use medlarrill_core::wire::Body;
 use medlarrill_net::link::{Event, PeerId};
 
+use crate::configuration;
 use crate::entry::Attempts;
 use crate::fleet;
 use crate::home;
@@ -18,6 +19,8 @@
     pub home: home::Handle,
     /// The membership task.
     pub fleet: fleet::Handle,
+    /// The configuration task.
+    pub configuration: configuration::Handle,
     /// Counters.
     pub metrics: Arc<Metrics>,
 }
@@ -30,6 +33,8 @@
             Event::Closed(peer) => {
                 self.attempts.lost(&peer);
                 self.home.peer_lost(peer.clone());
+                let lost = configuration::Message::Lost(peer.clone());
+                self.configuration.tell(lost);
                 self.fleet.tell(fleet::Message::Closed(peer));
             }
             Event::Opened(peer) => {
@@ -49,6 +54,14 @@
             Body::Cancel(cancel) => self.home.cancel(from.clone(), cancel),
             Body::Gossip(gossip) => self.fleet.tell(fleet::Message::Heard(from.clone(), gossip)),
             Body::Placed(placed) => self.home.placed(placed),
+            Body::PartAsk(ask) => {
+                let asked = configuration::Message::Asked(from.clone(), ask);
+                self.configuration.tell(asked)
+            }
+            Body::PartAnswer(answer) => {
+                let answered = configuration::Message::Answered(from.clone(), answer);
+                self.configuration.tell(answered)
+            }
             answer @ (Body::Accepted(_)
             | Body::Passed(_)
             | Body::Refused(_)
