Operators' requests: changes, waits and questions at every daemon

POST /v1/operator takes statements from who has an operator's key, compared in constant time; others get 401 and are counted. Changes go through the core's changer against the platform, the accepted head goes to the spread, and with wait the daemon asks those that lag until its timeout. Questions are answered from the tasks that own the state, by message. Orders are refused as not carried out yet.

The metrics show control bytes by kind, platform calls by role and the generation.

The fleet of the tests stored a model pool without a model, which the check of the whole configuration rightly refused with the first change; it names the model now. Daemons of a test's fleet get the others as seeds, for the platform's list can't be read in an outage. The operators' client read the problem's outcome under another name.

--- a/crates/client/src/call.rs
+++ b/crates/client/src/call.rs
@@ -59,6 +59,7 @@
 struct Problem {
     title: String,
     detail: String,
+    #[serde(alias = "outcome")]
     ran: String,
 }
 
--- a/crates/daemon/src/configuration/sweep.rs
+++ b/crates/daemon/src/configuration/sweep.rs
@@ -106,7 +106,11 @@
                 return Ok(parts);
             };
             let part = |entry: &medlarrill_net::platform::Entry| {
-                let digest = entry.key.strip_prefix(PART_PREFIX)?.parse::<Digest>().ok()?;
+                let digest = entry
+                    .key
+                    .strip_prefix(PART_PREFIX)?
+                    .parse::<Digest>()
+                    .ok()?;
                 let version = entry.version.0;
                 Some(StoredPart { digest, version })
             };
@@ -122,7 +126,9 @@
     async fn delete(&self, part: StoredPart) {
         let version = Version(part.version);
         let key = part.digest.key();
-        let deleted = self.platform.delete(Role::Config, &key, version, CALL_TIMEOUT);
+        let deleted = self
+            .platform
+            .delete(Role::Config, &key, version, CALL_TIMEOUT);
         match deleted.await {
             Ok(()) => log::info!(target: "config", "config: deleted part {}", part.digest),
             Err(error) => log::debug!(target: "config", "config: {key} is kept: {error}"),
--- a/crates/daemon/src/configuration/task.rs
+++ b/crates/daemon/src/configuration/task.rs
@@ -266,6 +266,7 @@
         let generation = config.generation;
         log::info!(target: "config", "config: generation {generation} is in force");
         self.view.send_replace(Arc::new(ConfigView::new(config)));
+        self.context.metrics.applied.inc();
         let told = fleet::Message::InForce(generation);
         self.context.fleet_task.tell(told);
     }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -20,4 +20,6 @@
 mod tracker;
 
 pub use attempts::Attempts;
+pub use auth::bearer;
+pub use problem::Problem;
 pub use tracker::Tracker;
--- a/crates/daemon/src/entry/server.rs
+++ b/crates/daemon/src/entry/server.rs
@@ -11,6 +11,7 @@
 
 use super::handlers::{Calls, Counters, Live, Ready, RequestState};
 use crate::context::Context;
+use crate::operators::Operators;
 
 /// Result of starting the server.
 pub type Result<T> = std::result::Result<T, ServerError>;
@@ -63,6 +64,7 @@
         .push(Router::with_path("healthz").get(Live))
         .push(Router::with_path("readyz").get(Ready(share())))
         .push(Router::with_path("metrics").get(Counters(share())))
+        .push(Router::with_path("v1/operator").post(Operators(share())))
         .push(Router::with_path("v1/requests/{id}").get(RequestState(share())))
         .push(Router::with_path("{**rest}").goal(Calls(share())))
 }
--- a/crates/daemon/src/fleet/handle.rs
+++ b/crates/daemon/src/fleet/handle.rs
@@ -2,11 +2,11 @@
 
 use std::net::SocketAddr;
 
-use medlarrill_core::ids::Generation;
+use medlarrill_core::ids::{DaemonId, Generation};
 use medlarrill_core::membership::ListedVm;
 use medlarrill_core::wire::{Gossip, PoolLoad};
 use medlarrill_net::link::PeerId;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// What the membership task is told.
 #[derive(Debug)]
@@ -25,6 +25,15 @@
     OwnLoad(Vec<PoolLoad>),
     /// The configuration in force here.
     InForce(Generation),
+    /// Asks which live daemons aren't known to have a generation.
+    Lagging {
+        /// The generation.
+        generation: Generation,
+        /// Whether to ask them for it.
+        ask: bool,
+        /// Takes their names.
+        reply: oneshot::Sender<Vec<DaemonId>>,
+    },
     /// Whether this daemon takes callers.
     Ready(bool),
     /// This daemon begins to leave.
--- a/crates/daemon/src/fleet/task.rs
+++ b/crates/daemon/src/fleet/task.rs
@@ -90,6 +90,20 @@
                 self.membership.set_generation(generation);
                 return Vec::new();
             }
+            Message::Lagging {
+                generation,
+                ask,
+                reply,
+            } => {
+                let lagging = self.membership.lagging(generation);
+                let lagging = lagging.map(|member| member.daemon.clone()).collect();
+                // Who asked may have gone away.
+                let _ = reply.send(lagging);
+                return match ask {
+                    true => self.membership.ask_generation(generation, now()),
+                    false => Vec::new(),
+                };
+            }
             Message::Ready(ready) => {
                 self.membership.set_ready(ready);
                 return Vec::new();
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -13,10 +13,12 @@
 mod placing;
 mod poll;
 mod reply;
+mod show;
 mod slot;
 mod task;
 mod view;
 
 pub use handle::Handle;
 pub use message::Message;
+pub use show::EndpointRow;
 pub use task::Task;
--- a/crates/daemon/src/home/handle.rs
+++ b/crates/daemon/src/home/handle.rs
@@ -7,9 +7,10 @@
 use medlarrill_core::ids::DaemonId;
 use medlarrill_core::wire::{Cancel, Credit, Forward, Placed, PoolLoad};
 use medlarrill_net::link::PeerId;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::message::Message;
+use super::show::EndpointRow;
 
 /// Sends to the home task. Cheap to clone.
 #[derive(Clone, Debug)]
@@ -56,6 +57,13 @@
         self.send(Message::LoadHeard(from, at, pools));
     }
 
+    /// What is known of endpoints; none if the task has ended.
+    pub async fn show(&self) -> Vec<EndpointRow> {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Message::Show(sender));
+        receiver.await.unwrap_or_default()
+    }
+
     /// Requests that the home holds.
     pub fn held(&self) -> usize {
         self.held.load(Ordering::Relaxed)
--- a/crates/daemon/src/home/message.rs
+++ b/crates/daemon/src/home/message.rs
@@ -7,6 +7,9 @@
 use medlarrill_core::wire::{Cancel, Credit, Forward, Placed, PoolLoad};
 use medlarrill_net::endpoint::{CallResult, Load};
 use medlarrill_net::link::PeerId;
+use tokio::sync::oneshot;
+
+use super::show::EndpointRow;
 
 /// One message.
 #[derive(Debug)]
@@ -29,6 +32,8 @@
     Finished(Finished),
     /// An endpoint was asked for its load.
     Polled(EndpointId, CallResult<Load>),
+    /// Asks for what is known of endpoints.
+    Show(oneshot::Sender<Vec<EndpointRow>>),
 }
 
 /// The end of a dispatched request.
--- /dev/null
+++ b/crates/daemon/src/home/show.rs
@@ -0,0 +1,80 @@
+//! What the home task tells operators of endpoints.
+
+use medlarrill_core::admission::State;
+use medlarrill_core::ids::{DaemonId, EndpointId, PoolId};
+use medlarrill_core::placement::{EndpointState, EndpointView};
+use medlarrill_core::units::Tokens;
+use medlarrill_net::now::now;
+
+use super::slot::Slot;
+use super::task::Task;
+
+/// One endpoint as this daemon sees it.
+#[derive(Clone, PartialEq, Debug)]
+pub struct EndpointRow {
+    /// Its name.
+    pub id: EndpointId,
+    /// Its pool.
+    pub pool: PoolId,
+    /// Its state, in a word.
+    pub state: &'static str,
+    /// Work in flight, if anything fresh is known.
+    pub load: Option<Tokens>,
+    /// The most work that it is given; known at its home only.
+    pub limit: Option<Tokens>,
+    /// Mean load of the pool.
+    pub mean: Option<Tokens>,
+    /// Requests in flight; known at its home only.
+    pub in_flight: Option<u32>,
+    /// Requests that wait; known at its home only.
+    pub queued: Option<usize>,
+    /// Its home, by the present view.
+    pub home: Option<DaemonId>,
+}
+
+impl Task {
+    /// All configured endpoints.
+    pub(super) fn show(&self) -> Vec<EndpointRow> {
+        let now = now();
+        let endpoints = &self.config.config.endpoints;
+        let row = |(id, settings): (&EndpointId, &medlarrill_core::config::Endpoint)| {
+            let pool = self.loads.pool(&settings.pool);
+            let view = pool.and_then(|pool| pool.get(id));
+            let own = self.slots.get(id).filter(|slot| slot.own);
+            EndpointRow {
+                id: id.clone(),
+                pool: settings.pool.clone(),
+                state: state(settings.drained, own, view),
+                load: own.map(|slot| slot.home.load(now)),
+                limit: own.map(|slot| slot.home.limit(now)),
+                mean: pool.map(|pool| Tokens(pool.mean(now).load as u64)),
+                in_flight: own.map(|slot| slot.home.in_flight()),
+                queued: own.map(|slot| slot.home.queued()),
+                home: self.home_of(id),
+            }
+        };
+        endpoints.iter().map(row).collect()
+    }
+}
+
+const fn word(state: EndpointState) -> &'static str {
+    match state {
+        EndpointState::Ready => "ready",
+        EndpointState::Leaving => "leaving",
+        EndpointState::Drained => "drained",
+        EndpointState::Unknown => "unknown",
+    }
+}
+
+fn state(drained: bool, own: Option<&Slot>, view: Option<&EndpointView>) -> &'static str {
+    if drained {
+        return "drained";
+    }
+    match own.map(|slot| slot.home.state()) {
+        Some(State::Ready) => "ready",
+        Some(State::Leaving) => "leaving",
+        Some(State::Unreachable) => "unreachable",
+        Some(State::Moved) => "moved",
+        None => view.map_or("unknown", |view| word(view.state)),
+    }
+}
--- a/crates/daemon/src/home/task.rs
+++ b/crates/daemon/src/home/task.rs
@@ -104,6 +104,10 @@
             Message::Progress(id, tokens) => self.progress(id, tokens),
             Message::Finished(finished) => self.finished(&finished),
             Message::Polled(endpoint, load) => self.polled(&endpoint, load),
+            Message::Show(reply) => {
+                // Who asked may have gone away.
+                let _ = reply.send(self.show());
+            }
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod home;
 pub mod logs;
 pub mod metrics;
+pub mod operators;
 pub mod peers;
 pub mod settings;
 pub mod start;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,9 @@
 //! Counters and gauges, exported as OpenMetrics text.
 
+mod control;
+
+use std::sync::{Arc, OnceLock};
+
 use medlarrill_core::reason::Reason;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -8,6 +12,9 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use self::control::ControlCollector;
+pub use self::control::ControlSources;
+
 /// Label of a reason or kind.
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 pub struct ReasonLabel {
@@ -52,10 +59,13 @@
     pub prompt_tokens: Counter,
     /// Prompt tokens that endpoints served from their cache.
     pub cached_tokens: Counter,
+    /// Configurations put in force.
+    pub applied: Counter,
     /// Heads and parts of a configuration that can't be used.
     pub rejected_parts: Counter,
     /// Operators' requests without a known key.
     pub strangers: Counter,
+    control: Arc<OnceLock<ControlSources>>,
 }
 
 impl Default for Metrics {
@@ -82,10 +92,13 @@
             dispatched: Counter::default(),
             prompt_tokens: Counter::default(),
             cached_tokens: Counter::default(),
+            applied: Counter::default(),
             rejected_parts: Counter::default(),
             strangers: Counter::default(),
+            control: Arc::default(),
         };
         metrics.register();
+        metrics.register_control();
         metrics
     }
 
@@ -140,6 +153,15 @@
             "Prompt tokens cached",
             self.cached_tokens.clone(),
         );
+    }
+
+    fn register_control(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "config_applied",
+            "Configurations put in force",
+            self.applied.clone(),
+        );
         r.register(
             "config_rejected",
             "Unusable heads and parts",
@@ -150,6 +172,15 @@
             "Operators' requests without a known key",
             self.strangers.clone(),
         );
+        let control = ControlCollector {
+            sources: Arc::clone(&self.control),
+        };
+        r.register_collector(Box::new(control));
+    }
+
+    /// Says where control traffic is counted; only the first call has an effect.
+    pub fn watch_control(&self, sources: ControlSources) {
+        let _ = self.control.set(sources);
     }
 
     /// Counts a head or part that can't be used.
--- /dev/null
+++ b/crates/daemon/src/operators/run.rs
@@ -0,0 +1,103 @@
+//! Answers the statements of one request.
+
+use std::sync::Arc;
+
+use medlarrill_core::change::changer::Outcome;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::Generation;
+use medlarrill_core::operator::answer::{self, Answer, Finding, Request, StatementResult, Verdict};
+use medlarrill_core::operator::{Sentence, Statement, parse};
+use medlarrill_net::now::now;
+
+use super::change::make;
+use super::show::show;
+use super::wait::{in_force_everywhere, in_force_here};
+use crate::context::Context;
+
+/// Longest time that a request may take.
+const MAX_TIMEOUT: Millis = Millis::from_secs(300);
+/// Longest wait for a change to be in force here, before questions are answered.
+const HERE: Millis = Millis::from_secs(2);
+
+/// Answers a request.
+pub async fn run(context: Arc<Context>, request: Request) -> Answer {
+    let deadline = now() + request.timeout.min(MAX_TIMEOUT);
+    let sentences = match parse(&request.statements) {
+        Ok(sentences) => sentences,
+        Err(errors) => {
+            return Answer {
+                results: answer::unreadable(&request.statements, &errors),
+                generation: generation(&context),
+                ..Answer::default()
+            };
+        }
+    };
+    let outcome = change(&context, &request, &sentences, deadline).await;
+    let accepted = match &outcome {
+        Outcome::Accepted(accepted) => accepted.generation,
+        _ => Generation::default(),
+    };
+    in_force_here(&context, accepted, deadline.min(now() + HERE)).await;
+    let mut lagging = Vec::new();
+    if request.wait && accepted > Generation::default() {
+        lagging = in_force_everywhere(&context, accepted, deadline).await;
+    }
+    let mut results = answer::results(&request.statements, &sentences, &outcome);
+    for (index, (result, sentence)) in results.iter_mut().zip(&sentences).enumerate() {
+        fill(&context, index, sentence, result).await;
+    }
+    Answer {
+        results,
+        lagging,
+        generation: generation(&context).max(accepted),
+    }
+}
+
+/// Makes the changes of a text; without any, what is returned means nothing.
+async fn change(
+    context: &Context,
+    request: &Request,
+    sentences: &[Sentence],
+    deadline: Millis,
+) -> Outcome {
+    let changes = sentences.iter().filter_map(Sentence::change);
+    let changes: Vec<_> = changes.cloned().collect();
+    if changes.is_empty() {
+        return Outcome::Unknown;
+    }
+    let outcome = make(context, request, changes, deadline).await;
+    let change = request.change;
+    match &outcome {
+        Outcome::Accepted(accepted) => {
+            let generation = accepted.generation;
+            log::info!(target: "operators", "operators: change {change} is in generation {generation}");
+        }
+        _ => log::info!(target: "operators", "operators: change {change} wasn't accepted"),
+    }
+    outcome
+}
+
+/// Adds to a statement's result what the changes don't say.
+async fn fill(context: &Context, index: usize, sentence: &Sentence, result: &mut StatementResult) {
+    let message = match &sentence.statement {
+        Statement::Change(_) => return,
+        Statement::Show(question) => match show(context, question).await {
+            Ok(table) => {
+                result.table = Some(table);
+                return;
+            }
+            Err(message) => message,
+        },
+        Statement::Order(_) => {
+            "orders to engines aren't carried out by this version; nothing was sent".into()
+        }
+    };
+    let place = format!("statement {}", index + 1);
+    let finding = Finding::new(place, message).with_span(sentence.span);
+    result.verdict = Verdict::Refused;
+    result.findings.push(finding);
+}
+
+fn generation(context: &Context) -> Generation {
+    context.config.borrow().config.generation
+}
--- /dev/null
+++ b/crates/daemon/src/operators/show/live.rs
@@ -0,0 +1,153 @@
+//! Tables of what is true now.
+
+use medlarrill_core::ids::{DaemonId, EndpointId, Incarnation, RequestId};
+use medlarrill_core::operator::answer::Table;
+
+use super::Result;
+use super::configured::NONE;
+use crate::context::Context;
+
+/// Endpoints with their state; what only a home counts is shown there.
+pub async fn endpoints(context: &Context) -> Table {
+    let columns = [
+        "endpoint",
+        "pool",
+        "data-centre",
+        "address",
+        "state",
+        "load",
+        "in-flight",
+        "queued",
+        "home",
+    ];
+    let mut table = Table::new(&columns);
+    let config = context.config.borrow().clone();
+    for row in context.home.show().await {
+        let settings = config.endpoint(&row.id);
+        table.push([
+            row.id.to_string(),
+            row.pool.to_string(),
+            optional(settings.map(|settings| &settings.data_centre)),
+            optional(settings.map(|settings| settings.address)),
+            row.state.into(),
+            optional(row.load),
+            optional(row.in_flight),
+            optional(row.queued),
+            optional(row.home),
+        ]);
+    }
+    table
+}
+
+/// Load of endpoints, in tokens, against the limit of each.
+pub async fn load(context: &Context) -> Table {
+    let mut table = Table::new(&["endpoint", "pool", "load", "limit", "pool-mean"]);
+    for row in context.home.show().await {
+        table.push([
+            row.id.to_string(),
+            row.pool.to_string(),
+            optional(row.load),
+            optional(row.limit),
+            optional(row.mean),
+        ]);
+    }
+    table
+}
+
+/// All about one endpoint.
+///
+/// # Errors
+///
+/// When there is none of that name.
+pub async fn endpoint(context: &Context, id: &EndpointId) -> Result<Table> {
+    let all = endpoints(context).await;
+    let load = load(context).await;
+    let mut table = Table::new(&["field", "value"]);
+    for source in [all, load] {
+        let row = source.rows.iter().find(|row| row[0] == id.as_str());
+        let row = row.ok_or_else(|| format!("there is no endpoint {id}"))?;
+        for (column, value) in source.columns.iter().zip(row) {
+            let pair = [column.clone(), value.clone()];
+            if !table.rows.iter().any(|row| row[0] == pair[0]) {
+                table.push(pair);
+            }
+        }
+    }
+    Ok(table)
+}
+
+/// What became of a request that this daemon took.
+///
+/// # Errors
+///
+/// When it isn't remembered here.
+pub fn request(context: &Context, id: RequestId) -> Result<Table> {
+    let Some(state) = context.tracker.state(id) else {
+        return Err(unknown(context, id));
+    };
+    let mut table = Table::new(&["field", "value"]);
+    table.push(["request".into(), id.to_string()]);
+    let value = serde_json::to_value(state).unwrap_or_default();
+    for (field, value) in value.as_object().into_iter().flatten() {
+        let text = value.as_str().map_or_else(|| value.to_string(), Into::into);
+        table.push([field.clone(), text]);
+    }
+    Ok(table)
+}
+
+/// Says which daemon to ask: a request's identifier names the process that took it.
+fn unknown(context: &Context, id: RequestId) -> String {
+    let process = Incarnation((id.0 >> 64) as u64);
+    let view = context.fleet.borrow().clone();
+    let mut peers = view.peers.iter();
+    let taker: Option<&DaemonId> = peers
+        .find(|(_, peer)| peer.incarnation == process)
+        .map(|(name, _)| name);
+    match taker {
+        Some(daemon) if *daemon != context.me.daemon => {
+            format!("request {id} was taken by {daemon}; ask that daemon")
+        }
+        _ => format!("request {id} is not remembered here"),
+    }
+}
+
+/// Daemons as this one sees them.
+pub fn daemons(context: &Context) -> Table {
+    let columns = [
+        "daemon",
+        "state",
+        "generation",
+        "data-centre",
+        "region",
+        "address",
+        "incarnation",
+    ];
+    let mut table = Table::new(&columns);
+    let view = context.fleet.borrow().clone();
+    for (name, peer) in &view.peers {
+        table.push([
+            name.to_string(),
+            peer.state.to_string(),
+            peer.generation.to_string(),
+            peer.data_centre.to_string(),
+            peer.region.to_string(),
+            peer.address.to_string(),
+            peer.incarnation.to_string(),
+        ]);
+    }
+    table
+}
+
+/// Which daemon has which generation.
+pub fn generations(context: &Context) -> Table {
+    let mut table = Table::new(&["daemon", "generation"]);
+    let view = context.fleet.borrow().clone();
+    for (name, peer) in &view.peers {
+        table.push([name.to_string(), peer.generation.to_string()]);
+    }
+    table
+}
+
+fn optional(value: Option<impl ToString>) -> String {
+    value.map_or_else(|| NONE.into(), |value| value.to_string())
+}
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -26,7 +26,7 @@
 use crate::entry::{Attempts, Tracker};
 use crate::fleet::{self, FleetView, Outlets, follow_vms};
 use crate::home;
-use crate::metrics::Metrics;
+use crate::metrics::{ControlSources, Metrics};
 use crate::peers::Peers;
 use crate::settings::{Settings, SettingsError};
 use crate::switch::Switch;
@@ -203,6 +203,12 @@
     let handler: Handler = Arc::new(move |event: Event| switch.take(event));
     let links = Links::start(listener, identity, Arc::clone(&handler));
     let peers = Peers::new(me.clone(), handler, links, channels.view.clone());
+    let platform = platform::Client::new(platform_settings(&settings));
+    metrics.watch_control(ControlSources {
+        links: peers.links().clone(),
+        platform: platform.clone(),
+        config: channels.config.clone(),
+    });
     Ok(Arc::new(Context {
         me,
         metrics,
@@ -215,7 +221,7 @@
         home: channels.home,
         fleet_task: channels.fleet,
         configuration: channels.configuration,
-        platform: platform::Client::new(platform_settings(&settings)),
+        platform,
         endpoints: endpoint::Client::new(&endpoint::Limits::default()),
         settings,
     }))
--- a/crates/testkit/src/fleet/layout.rs
+++ b/crates/testkit/src/fleet/layout.rs
@@ -226,6 +226,8 @@
                 "operators": [KeyHash::of(OPERATOR_KEY.as_bytes())],
             },
             "platform": self.platform.address(),
+            // The platform's list can't be read in an outage.
+            "seeds": self.daemons.iter().map(|daemon| daemon.started.peers).collect::<Vec<_>>(),
         });
         std::fs::write(&path, settings.to_string())?;
         Ok(Daemon::start(&self.program, &path).await?)
@@ -237,6 +239,7 @@
             ..Config::default()
         };
         let mut chat = Pool::new(PoolKind::Model);
+        chat.model = Some("m1".parse()?);
         chat.slots = self.layout.slots;
         chat.refusal = RefusalMeaning::NotRun;
         config.pools.insert("chat".parse()?, chat);
