--- a/crates/core/examples/membership.rs
+++ b/crates/core/examples/membership.rs
@@ -12,7 +12,7 @@
 use medlarrill_core::ids::Generation;
 use medlarrill_core::membership::{Action, Event, Scope};
 
-use fleet::{Fleet, Health, Rates};
+use fleet::{Fleet, Health, Rates, address, listed};
 
 const SECOND: u64 = 1000;
 const MINUTE: u64 = 60 * SECOND;
@@ -27,6 +27,7 @@
     for (size, centres) in SIZES {
         let mut fleet = Fleet::new(size, centres, SEED);
         fleet.keep = false;
+        give_lists(&mut fleet);
         println!("\n{size} daemons in {centres} data centres");
         measure(&mut fleet);
     }
@@ -48,6 +49,15 @@
     loads(fleet);
 }
 
+/// Gives each daemon its own list of VMs, which lacks every tenth.
+fn give_lists(fleet: &mut Fleet) {
+    let size = fleet.nodes.len();
+    for at in 0..size {
+        let present = (0..size).filter(|of| (of + at) % 10 != 0);
+        fleet.give(at, listed(present.map(address)));
+    }
+}
+
 fn row(name: &str, took: Option<u64>, bytes: Rates) {
     let took = took.map_or("not in time".into(), |took| format!("{took} ms"));
     println!(
@@ -58,8 +68,16 @@
 
 fn rate(fleet: &mut Fleet, name: &str, span: u64) {
     fleet.reset_sent();
+    let start = std::time::Instant::now();
     fleet.run(span);
+    let spent = start.elapsed().as_micros() as u64;
     row(name, Some(span), fleet.rates(span, |s| s.bytes));
+    let seconds = fleet.nodes.len() as u64 * span / SECOND;
+    let spent = spent / seconds;
+    println!(
+        "{:32} {spent} us of processor time a second, model included",
+        ""
+    );
 }
 
 /// Restarts a tenth of the daemons, evenly over a minute.
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -16,6 +16,7 @@
 mod probe;
 mod receive;
 mod seeds;
+mod send;
 mod settings;
 mod spread;
 mod table;
@@ -41,9 +42,9 @@
 use load::Loads;
 use probe::{Farewell, Probes};
 use seeds::Seeds;
-use settings::{GENERATION_FANOUT, ROUND_RECORDS, transmissions};
+use settings::{GENERATION_FANOUT, ROUND_RECORDS};
 use spread::Spread;
-use table::{Entry, Table};
+use table::Table;
 
 /// When each kind of work is due next.
 #[derive(Clone, Debug)]
@@ -70,6 +71,8 @@
     rng: Pcg64Mcg,
     started: Millis,
     stale_since: Millis,
+    /// Whether a peer has had the same digest since then.
+    caught_up: bool,
     /// Records asked for because of news, and when.
     asked: BTreeMap<Incarnation, Millis>,
     /// Members that another believes gone.
@@ -107,6 +110,7 @@
             rng,
             started: now,
             stale_since: now,
+            caught_up: false,
             asked: BTreeMap::new(),
             contested: BTreeSet::new(),
             records_left: ROUND_RECORDS,
@@ -269,7 +273,10 @@
             .extend(entry.map(|e| Action::Changed(e.member.clone())));
     }
 
-    /// Ends the stale time if enough peers have answered.
+    /// Ends the stale time if enough peers have answered, and one of them knew the same.
+    ///
+    /// Both are waited for only so long: in a fleet that changes without pause
+    /// no two digests may be the same, and listed peers may not be there.
     fn settle(&mut self, now: Millis) {
         if !self.fresh.is_stale() {
             return;
@@ -279,7 +286,8 @@
         let own = self.table.own().address;
         let listed = self.seeds.addresses().filter(|a| *a != own).count();
         let peers = if waited { known } else { known.max(listed) };
-        if !self.fresh.settle(peers) {
+        let caught_up = self.caught_up || waited || known == 0;
+        if !caught_up || !self.fresh.settle(peers) {
             return;
         }
         self.out.push(Action::Fresh);
@@ -287,59 +295,4 @@
             self.announce(|own| own.announced = Announced::Live);
         }
     }
-
-    /// Sends to a known member, with as much news as there is room for.
-    fn send(&mut self, to: Incarnation, message: Gossip) {
-        let Some(entry) = self.table.get(to) else {
-            return;
-        };
-        let target = Target {
-            daemon: Some(entry.member.daemon.clone()),
-            address: Some(entry.member.address),
-        };
-        self.send_message(target, to.0 as u32, message);
-    }
-
-    /// Sends to the other side of a link, whether it is known or not.
-    fn send_to_peer(&mut self, to: &Peer, message: Gossip) {
-        let known = self.table.get(to.incarnation);
-        let target = Target {
-            daemon: Some(to.daemon.clone()),
-            address: known.map(|e| e.member.address),
-        };
-        self.send_message(target, to.incarnation.0 as u32, message);
-    }
-
-    fn send_message(&mut self, to: Target, incarnation: u32, mut message: Gossip) {
-        let own = self.table.own();
-        message.to = incarnation;
-        message.beat = own.beat;
-        message.generation = own.generation.0;
-        // Changes of an exchange are a whole list, to which nothing may be added.
-        if message.covers == 0 {
-            let news = self.spread.take(transmissions(self.table.size()));
-            let news = news.into_iter().filter_map(|i| self.table.get(i));
-            let news = news.map(|e| e.member.change(e.refused));
-            let listed: Vec<_> = message.changes.iter().map(|c| c.incarnation).collect();
-            let news = news.filter(|c| !listed.contains(&c.incarnation));
-            message.changes.extend(news.collect::<Vec<_>>());
-        }
-        self.out.push(Action::Send { to, message });
-    }
-
-    fn random_peers(&mut self, count: usize, wanted: impl Fn(&Entry) -> bool) -> Vec<Incarnation> {
-        let peers = self.table.peers().filter(|e| wanted(e));
-        let peers: Vec<_> = peers.map(|e| e.member.incarnation).collect();
-        peers.sample(&mut self.rng, count).copied().collect()
-    }
-
-    fn random_below(&mut self, end: usize) -> usize {
-        self.rng.random_range(0..end)
-    }
-
-    /// About `span`, so that daemons don't fall into step.
-    fn jittered(&mut self, span: Millis) -> Millis {
-        let tenth = span.0 / 10;
-        Millis(span.0 - tenth + self.rng.random_range(0..=2 * tenth))
-    }
 }
--- a/crates/core/src/membership/probe.rs
+++ b/crates/core/src/membership/probe.rs
@@ -29,6 +29,8 @@
     pub target: Incarnation,
     /// This daemon's heartbeat number when it was sent.
     pub beat: u32,
+    /// Whether it carried the digest of this daemon's table.
+    pub compared: bool,
     /// When it was sent.
     sent: Millis,
     /// Whether others have been asked.
@@ -69,6 +71,7 @@
             ping: self.last,
             target,
             beat,
+            compared: false,
             sent: now,
             indirect: asker.is_some(),
             asker,
@@ -76,6 +79,15 @@
         self.last
     }
 
+    /// Begins a probe that carries the digest of this daemon's table, and returns its number.
+    pub fn begin_compare(&mut self, target: Incarnation, beat: u32, now: Millis) -> u32 {
+        let ping = self.begin(target, beat, None, now);
+        if let Some(probe) = self.pending.last_mut() {
+            probe.compared = true;
+        }
+        ping
+    }
+
     /// Ends a probe that was answered.
     pub fn end(&mut self, ping: u32) -> Option<Probe> {
         let at = self.pending.iter().position(|probe| probe.ping == ping)?;
--- a/crates/core/src/membership/receive.rs
+++ b/crates/core/src/membership/receive.rs
@@ -12,6 +12,8 @@
 
 /// Shortest time between two questions for one record.
 const ASK_AGAIN: Millis = Millis(500);
+/// Records in one message after which a stale daemon asks for more at once.
+const MANY_RECORDS: usize = 16;
 /// How long after its start a process may raise its epoch over one of the same name.
 const YOUNG: Millis = Millis::from_secs(10);
 
@@ -33,6 +35,9 @@
         for change in &message.changes {
             self.merge_change(change, whole, &mut reply, now);
         }
+        if self.fresh.is_stale() && message.records.len() >= MANY_RECORDS {
+            self.timers.exchange = now;
+        }
         self.note_sender(from, &message, &mut reply, now);
         self.take_loads(from, &mut message, now);
         self.give_records(&message, &mut reply);
@@ -214,6 +219,8 @@
         }
         if from.incarnation == probe.target {
             self.fresh.heard(&from.daemon);
+            // A peer whose digest is the same sends no buckets.
+            self.caught_up |= probe.compared && message.buckets.is_empty();
             self.farewell_heard(from, probe.beat);
             self.settle(now);
         }
--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -17,7 +17,7 @@
 /// Records in a heartbeat even when the budget is used up, so that a joining daemon finds others to ask.
 pub const MIN_RECORDS: usize = 2;
 /// Records sent in each round, which bounds what a seed spends on many that join at once.
-pub const ROUND_RECORDS: usize = 64;
+pub const ROUND_RECORDS: usize = 96;
 /// Most checks begun in one tick.
 pub const MAX_CHECKS: usize = 2;
 /// Peers of the data centre that loads go to at once.
--- a/crates/core/src/membership/tick.rs
+++ b/crates/core/src/membership/tick.rs
@@ -45,6 +45,7 @@
         self.probes.clear();
         self.table.restart_doubts(now);
         self.stale_since = now;
+        self.caught_up = false;
         self.timers.round = now;
         self.timers.exchange = now;
         self.timers.reconnect = now;
@@ -212,7 +213,7 @@
 
     fn compare_with(&mut self, to: Incarnation, now: Millis) {
         let beat = self.table.own().beat;
-        let ping = self.probes.begin(to, beat, None, now);
+        let ping = self.probes.begin_compare(to, beat, now);
         let message = Gossip {
             ping,
             digest: self.digest(now),
--- a/crates/core/tests/membership/faults.rs
+++ b/crates/core/tests/membership/faults.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::{DaemonId, Incarnation};
-use medlarrill_core::membership::{Action, Event, Member, Scope, State};
+use medlarrill_core::membership::{Action, Announced, Event, Member, Scope, State};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -16,9 +16,9 @@
 /// A lost VM is no place anywhere after this long.
 const VANISHED: u64 = 9000;
 /// All agree this long after the last fault.
-const AGREED: u64 = 25_000;
+const AGREED: u64 = 10_000;
 /// Longest time that a reachable daemon is held gone by another, while faults go on.
-const WRONGED: u64 = 15_000;
+const WRONGED: u64 = 8000;
 
 fn joined(size: usize, centres: usize, seed: u64) -> Fleet {
     let mut fleet = Fleet::new(size, centres, seed);
@@ -74,6 +74,18 @@
     expect_that!(fleet.until(20_000, Fleet::agreed), some(le(5000)));
 }
 
+#[gtest]
+fn a_new_process_acts_only_once_it_knows_the_others() {
+    let mut fleet = joined(100, 3, 14);
+    for at in [30, 60, 90] {
+        fleet.restart(at);
+        let fresh = |f: &Fleet| f.nodes[at].machine.fresh(f.clock(at));
+        assert_that!(fleet.until(20_000, fresh), some(le(3000)));
+        let known = fleet.nodes[at].machine.live(&Scope::Fleet).count();
+        expect_that!(known, eq(100));
+    }
+}
+
 #[gtest]
 fn both_sides_of_a_partition_go_on_and_find_each_other_again() {
     let mut fleet = joined(12, 3, 6);
@@ -184,6 +196,7 @@
     wronged: BTreeMap<(usize, usize), u64>,
     /// Since when a daemon is up and uncut.
     whole: Vec<u64>,
+    worst: u64,
 }
 
 impl Schedule {
@@ -248,6 +261,7 @@
                 *since = now;
             }
             let begun = self.whole[at].max(self.whole[of]).max(*since);
+            self.worst = self.worst.max(now - begun);
             assert!(now - begun <= WRONGED, "{at} holds {of} gone at {now}");
         }
     }
@@ -255,7 +269,11 @@
 
 #[gtest]
 fn under_seeded_faults_nobody_is_wronged_and_all_agree_in_the_end() {
-    for seed in 0..40 {
+    let mut worst = 0;
+    let mut slowest = 0;
+    // A longer run by hand sets another number of schedules.
+    let schedules = std::env::var("SCHEDULES").map_or(40, |text| text.parse().unwrap());
+    for seed in 0..schedules {
         let size = [5, 9, 16][seed as usize % 3];
         let mut fleet = joined(size, 3, 100 + seed);
         fleet.loss = 0.1;
@@ -264,6 +282,7 @@
             told: vec![Told::new(); size],
             wronged: BTreeMap::new(),
             whole: vec![fleet.now; size],
+            worst: 0,
             fleet,
         };
         for _ in 0..12 {
@@ -278,7 +297,12 @@
         schedule.fleet.loss = 0.02;
         let agreed = schedule.fleet.until(120_000, Fleet::agreed);
         assert_that!(agreed, some(le(AGREED)), "seed {seed}");
+        worst = worst.max(schedule.worst);
+        slowest = slowest.max(agreed.unwrap_or(0));
     }
+    println!(
+        "{schedules} schedules: held gone for at most {worst} ms, agreed after at most {slowest} ms"
+    );
 }
 
 #[gtest]
@@ -293,8 +317,13 @@
     expect_that!(fleet.until(5000, |f| heard(f, left)), some(le(2000)));
     expect_that!(fleet.until(5000, |f| f.removed(5)), some(le(2000)));
     fleet.run(30_000);
-    let leaving = (0..9).filter(|at| fleet.state(*at, 5) == Some(State::Leaving));
-    expect_that!(leaving.count(), ge(8));
+    // Loss may raise a suspicion, but nobody takes it for gone or for a place again.
+    for at in 0..9 {
+        let known = fleet.nodes[at].machine.get(&fleet.peer(5).daemon);
+        expect_that!(known.unwrap().announced, eq(Announced::Leaving));
+        expect_that!(fleet.state(at, 5), not(some(eq(State::Gone))));
+    }
+    expect_that!(fleet.removed(5), is_true());
     fleet.give(5, Event::Depart);
     let departed = |a: &Action| matches!(a, Action::Departed { peers } if *peers >= 3);
     expect_that!(fleet.until(5000, |f| heard(f, departed)), some(le(2000)));
--- a/crates/core/tests/membership/single.rs
+++ b/crates/core/tests/membership/single.rs
@@ -150,42 +150,72 @@
     expect_that!(probed, is_true());
 }
 
-#[gtest]
-fn answers_to_probes_from_before_a_pause_make_nothing_fresh() {
+/// Lets time pass; whom the machine has probed, and under which numbers.
+fn probes(machine: &mut Membership, now: u64) -> Vec<(DaemonId, u32)> {
+    let wall = Millis(now);
+    let actions = machine.handle(Event::Tick { wall }, wall);
+    let sent = actions.into_iter().filter_map(|action| match action {
+        Action::Send { to, message } if message.ping != 0 => Some((to.daemon?, message.ping)),
+        _ => None,
+    });
+    sent.collect()
+}
+
+/// Answers probes, with the digests of another table if `buckets` are given.
+fn answer(
+    machine: &mut Membership,
+    others: &[Member],
+    pings: &[(DaemonId, u32)],
+    buckets: &[u32],
+    now: u64,
+) {
+    for (daemon, ack) in pings {
+        let other = others.iter().find(|m| m.daemon == *daemon).unwrap();
+        let ack = Gossip {
+            ack: *ack,
+            buckets: buckets.to_vec(),
+            ..Gossip::default()
+        };
+        hear(machine, other, ack, now);
+    }
+}
+
+fn met() -> (Membership, [Member; 3]) {
     let mut machine = machine();
     let others = [member(1, 20), member(2, 30), member(3, 40)];
     for other in &others {
         hear(&mut machine, other, records(&[other]), 50);
     }
-    let probes = |machine: &mut Membership, now: u64| {
-        let wall = Millis(now);
-        let actions = machine.handle(Event::Tick { wall }, wall);
-        let sent = actions.into_iter().filter_map(|action| match action {
-            Action::Send { to, message } if message.ping != 0 => Some((to.daemon?, message.ping)),
-            _ => None,
-        });
-        sent.collect::<Vec<_>>()
-    };
-    let answer = |machine: &mut Membership, pings: &[(DaemonId, u32)], now: u64| {
-        for (daemon, ack) in pings {
-            let other = others.iter().find(|m| m.daemon == *daemon).unwrap();
-            let ack = Gossip {
-                ack: *ack,
-                ..Gossip::default()
-            };
-            hear(machine, other, ack, now);
-        }
-    };
+    (machine, others)
+}
+
+#[gtest]
+fn answers_to_probes_from_before_a_pause_make_nothing_fresh() {
+    let (mut machine, others) = met();
     let before = probes(&mut machine, 100);
     let after = probes(&mut machine, 5000);
     let doubted = machine.members().filter(|m| m.doubt != Doubt::Trusted);
     expect_that!(doubted.count(), eq(0));
-    answer(&mut machine, &before, 5001);
+    answer(&mut machine, &others, &before, &[], 5001);
     expect_that!(machine.fresh(Millis(5002)), is_false());
-    answer(&mut machine, &after, 5003);
+    answer(&mut machine, &others, &after, &[], 5003);
     expect_that!(machine.fresh(Millis(5004)), is_true());
 }
 
+#[gtest]
+fn a_new_process_is_fresh_once_a_peer_knows_the_same() {
+    let (mut machine, others) = met();
+    let first = probes(&mut machine, 100);
+    answer(&mut machine, &others, &first, &[1; 16], 101);
+    expect_that!(machine.fresh(Millis(102)), is_false());
+    let mut second = Vec::new();
+    for now in (200..1000).step_by(100) {
+        second.extend(probes(&mut machine, now));
+    }
+    answer(&mut machine, &others, &second, &[], 901);
+    expect_that!(machine.fresh(Millis(902)), is_true());
+}
+
 #[gtest]
 fn a_young_process_overtakes_a_rival_and_an_old_one_yields() {
     let rival = member(0, 99).with_epoch(2000);
