Claims in the daemon: a non-idempotent request runs at most once

A breakage that calls an unknown end not run was not caught: the claimant process is dead in the one test that ends unknown. That case still wants a test.

--- /dev/null
+++ b/crates/daemon/src/claims/message.rs
@@ -0,0 +1,39 @@
+//! What the claims task is told.
+
+use bytes::Bytes;
+use medlarrill_core::claims::{CallId, End, Reply, Start};
+use medlarrill_core::ids::{Incarnation, RequestId};
+use medlarrill_core::wire::{ClaimAnswer, ClaimAsk, KeyAnswer, KeyAsk};
+use medlarrill_net::link::PeerId;
+use tokio::sync::oneshot;
+
+use super::handle::Decision;
+
+/// One message.
+#[derive(Debug)]
+pub enum Message {
+    /// A caller's request wants to run.
+    Start(Start, oneshot::Sender<Decision>),
+    /// A request that was allowed to run has ended.
+    Ended(RequestId, End),
+    /// A claimant asks an owner.
+    Ask(ClaimAsk),
+    /// An owner answers.
+    Answer(ClaimAnswer),
+    /// A claimant asks what became of a key.
+    KeyAsk(PeerId, KeyAsk),
+    /// A claimant says what became of a key.
+    KeyAnswer(KeyAnswer),
+    /// A question could not be sent.
+    AskLost(u64),
+    /// A question to another claimant could not be sent.
+    KeyAskLost(u64),
+    /// A peer process is gone.
+    PeerLost(PeerId),
+    /// The platform replied to a call of a shard.
+    Replied(u16, CallId, Reply),
+    /// The object that a claimant left.
+    Farewell(Incarnation, Option<Bytes>),
+    /// The daemon stops; the answer comes once its last word is written.
+    Stop(oneshot::Sender<()>),
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -7,6 +7,7 @@
 use medlarrill_net::{endpoint, platform};
 use tokio::sync::watch;
 
+use crate::claims;
 use crate::configuration::{self, ConfigView};
 use crate::entry::{Attempts, Tracker};
 use crate::fleet::{self, FleetView};
@@ -35,6 +36,8 @@
     pub tracker: Tracker,
     /// Set once the daemon is told to stop.
     pub stopping: watch::Receiver<bool>,
+    /// The claims task.
+    pub claims: claims::Handle,
     /// The home task.
     pub home: home::Handle,
     /// The configuration task.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -13,6 +13,7 @@
 mod flight;
 mod handlers;
 mod job;
+mod keyed;
 mod problem;
 mod request;
 mod run;
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
-use futures_util::stream::{self, Stream};
+use futures_util::stream::{self, Stream, StreamExt};
 use medlarrill_core::ids::DaemonId;
 use medlarrill_core::outcome::Outcome;
 use medlarrill_core::reason::Reason;
@@ -39,21 +39,27 @@
 /// An answer that can be written.
 pub enum Reply {
     /// All of it.
-    Whole(Bytes),
+    Whole(Head, Bytes),
     /// Its start; the rest comes as it is made.
     Stream(Box<AnswerStream>),
 }
 
-/// Runs a job and writes the head of its answer.
+impl Reply {
+    /// The head of the answer.
+    pub const fn head(&self) -> &Head {
+        match self {
+            Self::Whole(head, _) => head,
+            Self::Stream(stream) => stream.head(),
+        }
+    }
+}
+
+/// Runs a job until an answer can be written.
 ///
 /// # Errors
 ///
 /// The failure to answer with, when nothing has been written.
-pub async fn respond(
-    context: &Arc<Context>,
-    job: Job,
-    response: &mut salvo::Response,
-) -> Result<Reply, Failure> {
+pub async fn respond(context: &Arc<Context>, job: Job) -> Result<Reply, Failure> {
     let mut running = run(context, job).await?;
     loop {
         let collected = match is_event_stream(&running.head) {
@@ -61,10 +67,7 @@
             false => collect(&mut running).await,
         };
         let failure = match collected {
-            Ok(collected) => {
-                write_head(&running.head, response);
-                return Ok(reply(context, running, collected));
-            }
+            Ok(collected) => return Ok(reply(context, running, collected)),
             Err(failure) => failure,
         };
         if !running.job.idempotent {
@@ -79,7 +82,7 @@
 
 fn reply(context: &Arc<Context>, running: Running, collected: Collected) -> Reply {
     match collected {
-        Collected::Whole(body) => Reply::Whole(body),
+        Collected::Whole(body) => Reply::Whole(running.head, body),
         Collected::Start(start) => Reply::Stream(Box::new(AnswerStream {
             context: Arc::clone(context),
             running,
@@ -96,8 +99,21 @@
 }
 
 impl AnswerStream {
+    /// The head of the answer.
+    pub const fn head(&self) -> &Head {
+        &self.running.head
+    }
+
     /// The body, which ends the flight with its own end.
     pub fn into_body(self, flight: Flight) -> ResBody {
+        ResBody::stream(self.into_pieces(flight))
+    }
+
+    /// The pieces of the body, which end the flight with their own end.
+    pub fn into_pieces(
+        self,
+        flight: Flight,
+    ) -> impl Stream<Item = Result<Bytes, Cut>> + Send + use<> {
         let events = is_event_stream(&self.running.head);
         let pump = Pump {
             context: self.context,
@@ -108,9 +124,9 @@
             flight,
         };
         if events {
-            return ResBody::stream(event_stream(pump));
+            return event_stream(pump).left_stream();
         }
-        ResBody::stream(byte_stream(pump, self.start))
+        byte_stream(pump, self.start).right_stream()
     }
 }
 
@@ -138,7 +154,8 @@
         .is_some_and(|header| header.value.starts_with(EVENT_STREAM))
 }
 
-fn write_head(head: &Head, response: &mut salvo::Response) {
+/// Writes the head of an answer.
+pub fn write_head(head: &Head, response: &mut salvo::Response) {
     let status = StatusCode::from_u16(head.status);
     response.status_code(status.unwrap_or(StatusCode::BAD_GATEWAY));
     for header in &head.headers {
--- a/crates/daemon/src/entry/flight.rs
+++ b/crates/daemon/src/entry/flight.rs
@@ -16,8 +16,12 @@
     context: Arc<Context>,
     request: RequestId,
     over: bool,
+    end: Option<OnEnd>,
 }
 
+/// Called once with the end of a flight.
+type OnEnd = Box<dyn FnOnce(State) + Send>;
+
 impl Flight {
     /// Starts to count a request.
     pub fn new(context: &Arc<Context>, request: RequestId) -> Self {
@@ -27,9 +31,17 @@
             context: Arc::clone(context),
             request,
             over: false,
+            end: None,
         }
     }
 
+    /// Calls `end` with the flight's own end.
+    #[must_use]
+    pub fn with_end(mut self, end: impl FnOnce(State) + Send + 'static) -> Self {
+        self.end = Some(Box::new(end));
+        self
+    }
+
     /// Notes that the whole answer was handed over.
     pub fn answered(&mut self) {
         self.context.metrics.answered.inc();
@@ -57,6 +69,9 @@
         self.over = true;
         self.context.metrics.in_flight.dec();
         self.context.tracker.note(self.request, state);
+        if let Some(end) = self.end.take() {
+            end(state);
+        }
     }
 }
 
--- a/crates/daemon/src/entry/handlers.rs
+++ b/crates/daemon/src/entry/handlers.rs
@@ -11,8 +11,9 @@
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
 use tokio::time::timeout;
 
-use super::answer::{Reply, respond};
+use super::answer::{Reply, respond, write_head};
 use super::flight::Flight;
+use super::keyed;
 use super::problem::Problem;
 use super::request::{Arrived, read};
 use super::tracker::State;
@@ -70,14 +71,20 @@
             self.0.metrics.refuse(problem.reason());
         })?;
         drop(view);
+        if let Some(keyed) = job.keyed.clone() {
+            let served = keyed::serve(&self.0, job, keyed, response).await;
+            return served.map_err(|failure| Box::new(Problem::of(&failure)));
+        }
         let mut flight = Flight::new(&self.0, id);
-        match respond(&self.0, job, response).await {
-            Ok(Reply::Whole(body)) => {
+        match respond(&self.0, job).await {
+            Ok(Reply::Whole(head, body)) => {
+                write_head(&head, response);
                 response.body = ResBody::Once(body);
                 flight.answered();
                 Ok(())
             }
             Ok(Reply::Stream(stream)) => {
+                write_head(stream.head(), response);
                 response.body = stream.into_body(flight);
                 Ok(())
             }
--- a/crates/daemon/src/entry/job.rs
+++ b/crates/daemon/src/entry/job.rs
@@ -9,6 +9,8 @@
 use medlarrill_core::units::Tokens;
 use medlarrill_core::wire::{Forward, Header};
 
+use super::keyed::Keyed;
+
 /// Bytes of text that are taken for one token where only text is known.
 pub const TOKEN_BYTES: u64 = 4;
 
@@ -33,6 +35,8 @@
     pub output: Tokens,
     /// Whether a second run does no harm.
     pub idempotent: bool,
+    /// What makes it safe to repeat, if a second run does harm.
+    pub keyed: Option<Keyed>,
     /// Longest wait before it runs.
     pub patience: Millis,
     /// HTTP method.
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -1,6 +1,7 @@
 //! Reads a caller's request into a job.
 
 use bytes::Bytes;
+use medlarrill_core::claims::{Digest, KeyHash};
 use medlarrill_core::config::{Institution, Pool, PoolKind, Rule};
 use medlarrill_core::ids::RequestId;
 use medlarrill_core::placement::chat_hash;
@@ -12,6 +13,7 @@
 
 use super::auth::bearer;
 use super::job::{Job, TOKEN_BYTES};
+use super::keyed::Keyed;
 use super::problem::Problem;
 use crate::configuration::{Client, ConfigView};
 
@@ -78,13 +80,25 @@
         rule,
         pool,
     };
-    let job = job(&arrived, &terms, completion.as_ref());
-    if !job.idempotent && !arrived.headers.contains_key(KEY_HEADER) {
-        return Err(problem(Reason::KeyMissing));
+    let mut job = job(&arrived, &terms, completion.as_ref());
+    if !job.idempotent {
+        job.keyed = Some(keyed(&arrived, &terms)?);
     }
     Ok(job)
 }
 
+/// The key that a non-idempotent request needs.
+fn keyed(arrived: &Arrived<'_>, terms: &Terms<'_>) -> Result<Keyed> {
+    let header = arrived.headers.get(KEY_HEADER);
+    let key = header.filter(|key| !key.is_empty());
+    let key = key.ok_or_else(|| problem(Reason::KeyMissing))?;
+    Ok(Keyed {
+        key: KeyHash::of(&terms.client.institution, key.as_bytes()),
+        digest: Digest::of(arrived.method.as_str(), &arrived.path, &arrived.body),
+        lifetime: terms.institution.contract.key_lifetime,
+    })
+}
+
 /// What the configuration says of a request.
 struct Terms<'a> {
     client: &'a Client,
@@ -110,6 +124,7 @@
         prompt: prompt(arrived, terms.pool.kind),
         output: output(completion, terms.pool.kind),
         idempotent: terms.rule.idempotent || *arrived.method == Method::GET,
+        keyed: None,
         patience: terms.institution.contract.queue_wait,
         method: arrived.method.to_string(),
         path: arrived.path.clone(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! caller), `home` (admission and dispatch) and back.
 
 pub mod args;
+pub mod claims;
 pub mod configuration;
 pub mod context;
 pub mod entry;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -9,6 +9,7 @@
 use derive_more::{Debug, Display, Error, From};
 use medlarrill_core::ids::{DaemonId, Incarnation};
 use medlarrill_core::membership::{Member, Membership};
+use medlarrill_core::units::Rate;
 use medlarrill_net::link::{Event, FleetKey, Handler, Identity, Links, PeerId};
 use medlarrill_net::now::{now, wall};
 use medlarrill_net::{endpoint, platform};
@@ -19,6 +20,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::args::{Args, Command};
+use crate::claims;
 use crate::configuration::{self, ConfigView};
 use crate::context::Context;
 use crate::entry::server::{self, ServerError, Serving};
@@ -33,6 +35,11 @@
 /// Result of running the daemon.
 pub type Result<T> = std::result::Result<T, StartError>;
 
+/// Calls for claims: four batches a second of each of eight shards, and takeovers.
+const CLAIMS_BUDGET: platform::Budget = platform::Budget {
+    rate: Rate(64.0),
+    burst: 128,
+};
 /// Exit code when settings can't be used.
 const BAD_SETTINGS: u8 = 2;
 
@@ -142,6 +149,7 @@
     config: watch::Receiver<Arc<ConfigView>>,
     stopping: watch::Receiver<bool>,
     home: home::Handle,
+    claims: claims::Handle,
     fleet: fleet::Handle,
     configuration: configuration::Handle,
     strays: Strays,
@@ -153,6 +161,7 @@
     config: watch::Sender<Arc<ConfigView>>,
     stopping: watch::Sender<bool>,
     home: mpsc::UnboundedReceiver<home::Message>,
+    claims: mpsc::UnboundedReceiver<claims::Message>,
     fleet: mpsc::UnboundedReceiver<fleet::Message>,
     configuration: mpsc::UnboundedReceiver<configuration::Message>,
     strays: StrayQueue,
@@ -163,6 +172,7 @@
     let (config_sender, config) = watch::channel(Arc::default());
     let (stopping_sender, stopping) = watch::channel(false);
     let (home, home_receiver) = home::Handle::new();
+    let (claims, claims_receiver) = claims::Handle::new();
     let (fleet, fleet_receiver) = fleet::Handle::new();
     let (configuration, configuration_receiver) = configuration::Handle::new();
     let (strays, stray_queue) = Strays::new();
@@ -171,6 +181,7 @@
         config,
         stopping,
         home,
+        claims,
         fleet,
         configuration,
         strays,
@@ -180,6 +191,7 @@
         config: config_sender,
         stopping: stopping_sender,
         home: home_receiver,
+        claims: claims_receiver,
         fleet: fleet_receiver,
         configuration: configuration_receiver,
         strays: stray_queue,
@@ -201,6 +213,7 @@
         attempts: attempts.clone(),
         strays: channels.strays.clone(),
         home: channels.home.clone(),
+        claims: channels.claims.clone(),
         fleet: channels.fleet.clone(),
         configuration: channels.configuration.clone(),
         metrics: Arc::clone(&metrics),
@@ -224,6 +237,7 @@
         tracker: Tracker::default(),
         stopping: channels.stopping,
         home: channels.home,
+        claims: channels.claims,
         fleet_task: channels.fleet,
         configuration: channels.configuration,
         platform,
@@ -252,6 +266,7 @@
     let home = home::Task::new(Arc::clone(context), rng);
     tokio::spawn(home.run(ends.home));
     tokio::spawn(ends.strays.run(Arc::clone(context)));
+    tokio::spawn(claims::Task::new(Arc::clone(context)).run(ends.claims));
     Running {
         context: Arc::clone(context),
         server: None,
@@ -280,7 +295,8 @@
 }
 
 fn platform_settings(settings: &Settings) -> platform::Settings {
-    let platform = platform::Settings::new(settings.platform, rand::random());
+    let platform = platform::Settings::new(settings.platform, rand::random())
+        .with_budget(platform::Role::Claims, CLAIMS_BUDGET);
     match settings.daemon.as_str().parse() {
         Ok(vm) => platform.with_vm(vm),
         Err(_) => platform,
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -29,6 +29,7 @@
     if let Some(closing) = closing {
         let _ = closing.await;
     }
+    running.context.claims.stop().await;
     running.context.fleet_task.tell(Message::Depart);
     running.farewell.mark_unchanged();
     // Peers that don't hear of it find out by themselves.
--- a/crates/daemon/src/switch.rs
+++ b/crates/daemon/src/switch.rs
@@ -5,6 +5,7 @@
 use medlarrill_core::wire::Body;
 use medlarrill_net::link::{Event, PeerId};
 
+use crate::claims;
 use crate::configuration;
 use crate::entry::{Attempts, Strays};
 use crate::fleet;
@@ -17,6 +18,8 @@
     pub attempts: Attempts,
     /// Where answers go that nobody waits for.
     pub strays: Strays,
+    /// The claims task.
+    pub claims: claims::Handle,
     /// The home task.
     pub home: home::Handle,
     /// The membership task.
@@ -37,6 +40,7 @@
                 self.home.peer_lost(peer.clone());
                 let lost = configuration::Message::Lost(peer.clone());
                 self.configuration.tell(lost);
+                self.claims.tell(claims::Message::PeerLost(peer.clone()));
                 self.fleet.tell(fleet::Message::Closed(peer));
             }
             Event::Opened(peer) => {
@@ -54,6 +58,10 @@
             Body::Forward(forward) => self.home.offer(from.clone(), forward),
             Body::Credit(credit) => self.home.credit(from.clone(), credit),
             Body::Cancel(cancel) => self.home.cancel(from.clone(), cancel),
+            Body::ClaimAsk(ask) => self.claims.tell(claims::Message::Ask(ask)),
+            Body::ClaimAnswer(answer) => self.claims.tell(claims::Message::Answer(answer)),
+            Body::KeyAsk(ask) => self.claims.tell(claims::Message::KeyAsk(from.clone(), ask)),
+            Body::KeyAnswer(answer) => self.claims.tell(claims::Message::KeyAnswer(answer)),
             Body::Gossip(gossip) => self.fleet.tell(fleet::Message::Heard(from.clone(), gossip)),
             Body::Placed(placed) => self.home.placed(placed),
             Body::PartAsk(ask) => {
