--- a/crates/core/tests/operator.rs
+++ b/crates/core/tests/operator.rs
@@ -78,6 +78,17 @@
     }
 }
 
+#[gtest]
+fn every_statement_of_the_page_by_task_can_be_read() {
+    let page = include_str!("../../../docs/OPERATING.md");
+    let blocks: Vec<_> = page.split("```operator\n").skip(1).collect();
+    expect_that!(blocks, not(is_empty()));
+    for block in blocks {
+        let text = block.split("```").next().unwrap();
+        expect_that!(parse(text), ok(not(is_empty())));
+    }
+}
+
 #[gtest]
 fn an_error_points_at_its_word_and_says_what_was_expected() {
     let text = "show pools; create pool chat knd model";
