Without a claim, a refusal says nothing of earlier requests with the key

Cause: model checking (row NOT_RUN_WITHOUT_CLAIM in spec/rows) showed that a repeat during an outage was told not-run although its first request had run and lost its answer. Ruled out: asking the live daemons, as the one that knows may be dead. Now the outcome is unknown for the key, and this_request says not-run of the repeat itself.

--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -22,8 +22,10 @@
 pub struct Failure {
     /// The reason.
     pub reason: Reason,
-    /// Whether it ran at an endpoint.
+    /// Whether it ran at an endpoint; for a keyed request, whether any with its key did.
     pub outcome: Outcome,
+    /// What is known of this request alone, where that differs.
+    pub own: Option<Outcome>,
     /// When to come back, if that helps.
     pub after: Option<Millis>,
     /// The endpoint that was tried, if known.
@@ -38,6 +40,7 @@
         Self {
             reason,
             outcome: reason.outcome(),
+            own: None,
             after: None,
             endpoint: None,
             lost: None,
@@ -53,6 +56,19 @@
         self
     }
 
+    /// A refusal of a keyed request without a claim: an earlier one with its key may have run.
+    pub fn unclaimed(reason: Reason) -> Self {
+        let failure = Self::new(reason);
+        if failure.outcome != Outcome::NotRun || reason == Reason::KeyReused {
+            return failure;
+        }
+        Self {
+            outcome: Outcome::Unknown,
+            own: Some(Outcome::NotRun),
+            ..failure
+        }
+    }
+
     /// Sets what is known of the request.
     #[must_use]
     pub const fn with_outcome(mut self, outcome: Outcome) -> Self {
@@ -246,6 +262,7 @@
         Failure {
             reason,
             outcome,
+            own: None,
             after: (refused.after > 0).then_some(Millis(refused.after)),
             endpoint: refused.endpoint.parse().ok(),
             lost: None,
--- a/crates/daemon/src/entry/problem.rs
+++ b/crates/daemon/src/entry/problem.rs
@@ -31,6 +31,9 @@
     reason: Reason,
     /// Whether the request ran.
     outcome: Outcome,
+    /// What is known of this request alone, where that differs.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    this_request: Option<Outcome>,
     /// More of it.
     #[serde(skip_serializing_if = "Option::is_none")]
     detail: Option<String>,
@@ -61,6 +64,7 @@
             code: reason.code(),
             reason,
             outcome: failure.outcome,
+            this_request: failure.own,
             detail: None,
             request: None,
             retry_after: after.map(|after| after.0.div_ceil(1000).max(1)),
--- a/crates/testkit/src/fleet/caller.rs
+++ b/crates/testkit/src/fleet/caller.rs
@@ -46,6 +46,8 @@
     pub code: String,
     /// Whether it ran: `ran`, `not-run` or `unknown`.
     pub outcome: String,
+    /// What is known of this request alone, where that differs.
+    pub this_request: Option<String>,
     /// Seconds after which to come back.
     pub retry_after: Option<u64>,
     /// More of it.
