Demo: an operator's questions and changes; measurement of the spread

The demo starts the operators' client as a process of its own: it makes an institution with an account and a rule and uses it through every daemon, drains an endpoint and checks that it gets no new work, shows the daemons and sends a wrong word.

--- a/crates/lab/src/demo/story.rs
+++ b/crates/lab/src/demo/story.rs
@@ -2,13 +2,13 @@
 
 use derive_more::{Debug, Display, Error, From};
 use medlarrill_core::clock::Millis;
-use medlarrill_testkit::fleet::{
-    CallError, Caller, DaemonError, Fleet, FleetError, Layout, Program,
-};
+use medlarrill_testkit::fleet::{CallError, Caller, DaemonError, Fleet, FleetError, Layout};
 use tokio::task::JoinSet;
 
+use super::Programs;
 use super::args::Args;
 use super::chats::{Outcome, hold};
+use super::operators::operate;
 use super::stay::stay;
 
 /// Longest wait for all daemons to be ready.
@@ -43,12 +43,12 @@
 /// # Errors
 ///
 /// When anything fails or an answer is wrong.
-pub async fn tell(program: Program, args: Args) -> Result<()> {
+pub(super) async fn tell(programs: Programs, args: Args) -> Result<()> {
     let folder = tempfile::tempdir()?;
     let layout = Layout::default()
         .with_daemons(args.daemons)
         .with_engines(args.engines);
-    let mut fleet = Fleet::start(program, folder.path().into(), layout).await?;
+    let mut fleet = Fleet::start(programs.daemon, folder.path().into(), layout).await?;
     if !fleet.wait_ready(READY).await {
         return Err(DemoError::Wrong("the daemons did not get ready".into()));
     }
@@ -60,6 +60,7 @@
     );
     chats(&fleet, &args).await?;
     kill_one(&mut fleet, &args).await?;
+    operate(&fleet, &programs.client).await?;
     if args.stay {
         stay(&fleet).await?;
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod demo;
 pub mod policy;
+pub mod spread;
--- /dev/null
+++ b/crates/lab/src/spread.rs
@@ -0,0 +1,159 @@
+//! How long an accepted change takes to be in force on every daemon.
+//!
+//! Daemons are processes of their own, the platform's stand-in runs here. Each
+//! change is sent to another daemon; the time counts from the answer that it is
+//! accepted, and from the sending, until every daemon says that it has it.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use derive_more::{Debug, Display, Error, From};
+use hyper::Method;
+use medlarrill_core::clock::Millis;
+use medlarrill_testkit::client::{self, ClientError};
+use medlarrill_testkit::fleet::{
+    DaemonError, Fleet, FleetError, Layout, OPERATOR_KEY, Program, metric,
+};
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+
+/// First argument of a child that is a daemon.
+const DAEMON: &str = "as-daemon";
+/// Sizes of the fleets.
+const SIZES: [usize; 3] = [3, 6, 12];
+/// Changes at each size.
+const CHANGES: usize = 10;
+/// Time between two looks at a daemon.
+const LOOK: Duration = Duration::from_millis(2);
+/// Longest wait for all daemons to be ready.
+const READY: Millis = Millis::from_secs(60);
+
+/// Result of the measurement.
+type Result<T> = std::result::Result<T, SpreadError>;
+
+/// Why there is no measurement.
+#[derive(Debug, Display, Error, From)]
+enum SpreadError {
+    /// The fleet can't start.
+    #[display("{_0}")]
+    Fleet(FleetError),
+    /// A daemon can't be driven.
+    #[display("{_0}")]
+    Daemon(DaemonError),
+    /// A daemon gave no answer.
+    #[display("{_0}")]
+    Client(ClientError),
+    /// A file failed.
+    #[display("{_0}")]
+    Io(std::io::Error),
+    /// Something came out wrong.
+    #[display("{_0}")]
+    #[from(skip)]
+    Wrong(#[error(not(source))] String),
+}
+
+/// Times of one change.
+#[derive(Clone, Copy, Debug)]
+struct Times {
+    /// From sending to the answer.
+    accepted: Duration,
+    /// From the answer until it is in force everywhere.
+    spread: Duration,
+}
+
+/// Measures, or is one of the daemons.
+pub fn main() -> ExitCode {
+    let mut args: Vec<OsString> = std::env::args_os().collect();
+    if args.get(1).is_some_and(|first| first == DAEMON) {
+        args.remove(1);
+        return medlarrilld::start::main(args);
+    }
+    let measured = tokio::runtime::Runtime::new()
+        .map_err(SpreadError::from)
+        .and_then(|runtime| runtime.block_on(measure()));
+    match measured {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("spread: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn measure() -> Result<()> {
+    let program = Program::new(std::env::current_exe()?).with_argument(DAEMON);
+    let mut first = None;
+    println!("daemons  accepted ms  in force everywhere ms  longest ms  ratio");
+    for size in SIZES {
+        let times = fleet(&program, size).await?;
+        let accepted = median(times.iter().map(|times| times.accepted).collect());
+        let spread = median(times.iter().map(|times| times.spread).collect());
+        let longest = times.iter().map(|times| millis(times.spread));
+        let longest = longest.fold(0.0, f64::max);
+        let ratio = spread / *first.get_or_insert(spread);
+        println!("{size:7}  {accepted:11.1}  {spread:22.1}  {longest:10.1}  {ratio:5.2}");
+    }
+    Ok(())
+}
+
+async fn fleet(program: &Program, size: usize) -> Result<Vec<Times>> {
+    let folder = tempfile::tempdir()?;
+    let layout = Layout::default().with_daemons(size);
+    let mut fleet = Fleet::start(program.clone(), folder.path().into(), layout).await?;
+    if !fleet.wait_ready(READY).await {
+        return Err(SpreadError::Wrong("the daemons did not get ready".into()));
+    }
+    let mut times = Vec::new();
+    for number in 0..CHANGES {
+        times.push(change(&fleet, number).await?);
+    }
+    for daemon in &mut fleet.daemons {
+        daemon.kill().await?;
+    }
+    Ok(times)
+}
+
+/// Makes one change and waits until it is in force everywhere.
+async fn change(fleet: &Fleet, number: usize) -> Result<Times> {
+    let addresses: Vec<_> = fleet.daemons.iter().map(|d| d.started.callers).collect();
+    let text = format!("alter account padkos.leaders concurrency {}", 100 + number);
+    let body = json!({
+        "change": format!("{:032x}", rand::random::<u128>()),
+        "statements": text,
+    });
+    let request = client::request(Method::POST, "/v1/operator")
+        .header("Authorization", format!("Bearer {OPERATOR_KEY}"));
+    let sent = Instant::now();
+    let address = addresses[number % addresses.len()];
+    let answer = client::send(address, request, body.to_string()).await?;
+    let accepted = Instant::now();
+    let answer: Value = serde_json::from_slice(answer.body()).unwrap_or_default();
+    let generation = answer["results"][0]["generation"].as_f64();
+    let generation = generation.ok_or_else(|| SpreadError::Wrong(answer.to_string()))?;
+    let mut waits = JoinSet::new();
+    for address in addresses {
+        waits.spawn(async move {
+            while metric(address, "medlarrill_generation").await < Some(generation) {
+                tokio::time::sleep(LOOK).await;
+            }
+        });
+    }
+    waits.join_all().await;
+    Ok(Times {
+        accepted: accepted - sent,
+        spread: accepted.elapsed(),
+    })
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
+}
+
+/// The median, in milliseconds.
+fn median(mut times: Vec<Duration>) -> f64 {
+    times.sort_unstable();
+    let upper = times[times.len() / 2];
+    let lower = times[(times.len() - 1) / 2];
+    (millis(upper) + millis(lower)) / 2.0
+}
