--- a/crates/daemon/src/configuration/task.rs
+++ b/crates/daemon/src/configuration/task.rs
@@ -87,11 +87,9 @@
                     self.fleet = fleet.borrow_and_update().clone();
                     self.regroup();
                 }
-                () = tokio::time::sleep(pause), if wake.is_some() => {
-                    self.rewatch();
-                    self.drive(Event::Timer);
-                }
+                () = tokio::time::sleep(pause), if wake.is_some() => self.drive(Event::Timer),
             }
+            self.rewatch();
         }
     }
 
@@ -187,7 +185,6 @@
                 self.announced(name, peer.generation);
             }
         }
-        self.rewatch();
     }
 
     /// Watches if this daemon is a watcher of its data centre, or nobody gives it a configuration.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use std::sync::{Arc, OnceLock};
 
+use medlarrill_core::operator::answer::Verdict;
 use medlarrill_core::reason::Reason;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -29,6 +30,13 @@
     pub kind: &'static str,
 }
 
+/// Label of what became of a statement.
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+pub struct VerdictLabel {
+    /// The verdict.
+    pub verdict: String,
+}
+
 /// Everything that one daemon counts.
 #[derive(Debug)]
 pub struct Metrics {
@@ -67,6 +75,8 @@
     pub rejected_parts: Counter,
     /// Operators' requests without a known key.
     pub strangers: Counter,
+    /// Operators' statements.
+    pub statements: Family<VerdictLabel, Counter>,
     control: Arc<OnceLock<ControlSources>>,
 }
 
@@ -98,6 +108,7 @@
             applied: Counter::default(),
             rejected_parts: Counter::default(),
             strangers: Counter::default(),
+            statements: Family::default(),
             control: Arc::default(),
         };
         metrics.register_control();
@@ -185,6 +196,11 @@
             "Operators' requests without a known key",
             self.strangers.clone(),
         );
+        r.register(
+            "operator_statements",
+            "Operators' statements",
+            self.statements.clone(),
+        );
         let control = ControlCollector {
             sources: Arc::clone(&self.control),
         };
@@ -196,6 +212,14 @@
         let _ = self.control.set(sources);
     }
 
+    /// Counts a statement by what became of it.
+    pub fn statement(&self, verdict: Verdict) {
+        let verdict = verdict.to_string();
+        self.statements
+            .get_or_create(&VerdictLabel { verdict })
+            .inc();
+    }
+
     /// Counts a head or part that can't be used.
     pub fn reject_part(&self) {
         self.rejected_parts.inc();
--- a/crates/daemon/src/operators/run.rs
+++ b/crates/daemon/src/operators/run.rs
@@ -21,35 +21,43 @@
 
 /// Answers a request.
 pub async fn run(context: Arc<Context>, request: Request) -> Answer {
+    let answer = answer(&context, &request).await;
+    for result in &answer.results {
+        context.metrics.statement(result.verdict);
+    }
+    answer
+}
+
+async fn answer(context: &Context, request: &Request) -> Answer {
     let deadline = now() + request.timeout.min(MAX_TIMEOUT);
     let sentences = match parse(&request.statements) {
         Ok(sentences) => sentences,
         Err(errors) => {
             return Answer {
                 results: answer::unreadable(&request.statements, &errors),
-                generation: generation(&context),
+                generation: generation(context),
                 ..Answer::default()
             };
         }
     };
-    let outcome = change(&context, &request, &sentences, deadline).await;
+    let outcome = change(context, request, &sentences, deadline).await;
     let accepted = match &outcome {
         Outcome::Accepted(accepted) => accepted.generation,
         _ => Generation::default(),
     };
-    in_force_here(&context, accepted, deadline.min(now() + HERE)).await;
+    in_force_here(context, accepted, deadline.min(now() + HERE)).await;
     let mut lagging = Vec::new();
     if request.wait && accepted > Generation::default() {
-        lagging = in_force_everywhere(&context, accepted, deadline).await;
+        lagging = in_force_everywhere(context, accepted, deadline).await;
     }
     let mut results = answer::results(&request.statements, &sentences, &outcome);
     for (index, (result, sentence)) in results.iter_mut().zip(&sentences).enumerate() {
-        fill(&context, index, sentence, result).await;
+        fill(context, index, sentence, result).await;
     }
     Answer {
         results,
         lagging,
-        generation: generation(&context).max(accepted),
+        generation: generation(context).max(accepted),
     }
 }
 
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -279,5 +279,8 @@
     let message = column.results[0].findings[0].message.clone();
     expect_that!(message, contains_substring("no column `colour`"));
     expect_that!(head(fleet).generation, eq(Generation(1)));
+    let address = fleet.daemons[0].started.callers;
+    let label = "medlarrill_operator_statements_total{verdict=\"refused\"}";
+    expect_that!(metric(address, label).await, some(eq(3.0)));
     expect_that!(fleet.wait_ready(GUARD).await, eq(true));
 }
