Questions about endpoints are answered by their homes

A home counts what is in flight and queued at its endpoints; other daemons hear sums by gossip only. A daemon that is asked now asks the homes, for at most a second, and shows a dash for those that don't answer.

--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -10,6 +10,7 @@
 mod limit;
 mod link;
 mod request;
+mod state;
 
 use prost::{Message, Oneof};
 
@@ -21,6 +22,7 @@
 pub use request::{
     Accepted, Attempt, Cancel, Chunk, Credit, End, Forward, Header, Passed, Placed, Refused,
 };
+pub use state::{HomeState, StateAnswer, StateAsk};
 
 /// Largest frame, in bytes.
 pub const MAX_FRAME: usize = 8 << 20;
@@ -31,7 +33,7 @@
     /// What it carries; absent if the sender is newer than the receiver.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 30, 31"
     )]
     pub body: Option<Body>,
 }
@@ -99,6 +101,12 @@
     /// Where a chat was served.
     #[prost(message, tag = "20")]
     Placed(Placed),
+    /// Asks a home for the state of its endpoints.
+    #[prost(message, tag = "30")]
+    StateAsk(StateAsk),
+    /// Answers `StateAsk`.
+    #[prost(message, tag = "31")]
+    StateAnswer(StateAnswer),
 }
 
 impl Body {
@@ -125,6 +133,8 @@
             Self::Usage(_) => "usage",
             Self::Grant(_) => "grant",
             Self::Placed(_) => "placed",
+            Self::StateAsk(_) => "state-ask",
+            Self::StateAnswer(_) => "state-answer",
         }
     }
 
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -13,6 +13,7 @@
 use crate::fleet::{self, FleetView};
 use crate::home;
 use crate::metrics::Metrics;
+use crate::operators::Questions;
 use crate::peers::Peers;
 use crate::settings::Settings;
 
@@ -32,6 +33,8 @@
     pub peers: Peers,
     /// Tries of this entry that wait for an answer.
     pub attempts: Attempts,
+    /// Questions of operators that wait for other daemons.
+    pub questions: Questions,
     /// What became of requests.
     pub tracker: Tracker,
     /// Set once the daemon is told to stop.
--- a/crates/daemon/src/home/handle.rs
+++ b/crates/daemon/src/home/handle.rs
@@ -5,7 +5,7 @@
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::DaemonId;
-use medlarrill_core::wire::{Cancel, Credit, Forward, Placed, PoolLoad};
+use medlarrill_core::wire::{Cancel, Credit, Forward, Placed, PoolLoad, StateAsk};
 use medlarrill_net::link::PeerId;
 use tokio::sync::{mpsc, oneshot};
 
@@ -64,6 +64,11 @@
         receiver.await.unwrap_or_default()
     }
 
+    /// Asks for the state of endpoints on another daemon's behalf; false if the task has ended.
+    pub fn state_asked(&self, from: PeerId, ask: StateAsk) -> bool {
+        self.send(Message::StateAsked(from, ask))
+    }
+
     /// Requests that the home holds.
     pub fn held(&self) -> usize {
         self.held.load(Ordering::Relaxed)
--- a/crates/daemon/src/home/message.rs
+++ b/crates/daemon/src/home/message.rs
@@ -4,7 +4,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::{AttemptId, DaemonId, EndpointId};
 use medlarrill_core::units::Tokens;
-use medlarrill_core::wire::{Cancel, Credit, Forward, Placed, PoolLoad};
+use medlarrill_core::wire::{Cancel, Credit, Forward, Placed, PoolLoad, StateAsk};
 use medlarrill_net::endpoint::{CallResult, Load};
 use medlarrill_net::link::PeerId;
 use tokio::sync::oneshot;
@@ -34,6 +34,8 @@
     Polled(EndpointId, CallResult<Load>),
     /// Asks for what is known of endpoints.
     Show(oneshot::Sender<Vec<EndpointRow>>),
+    /// Another daemon asks for the state of endpoints.
+    StateAsked(PeerId, StateAsk),
 }
 
 /// The end of a dispatched request.
--- a/crates/daemon/src/home/show.rs
+++ b/crates/daemon/src/home/show.rs
@@ -1,9 +1,13 @@
 //! What the home task tells operators of endpoints.
 
+use std::sync::Arc;
+
 use medlarrill_core::admission::State;
 use medlarrill_core::ids::{DaemonId, EndpointId, PoolId};
 use medlarrill_core::placement::{EndpointState, EndpointView};
 use medlarrill_core::units::Tokens;
+use medlarrill_core::wire::{Body, HomeState, StateAnswer, StateAsk};
+use medlarrill_net::link::PeerId;
 use medlarrill_net::now::now;
 
 use super::slot::Slot;
@@ -17,7 +21,7 @@
     /// Its pool.
     pub pool: PoolId,
     /// Its state, in a word.
-    pub state: &'static str,
+    pub state: String,
     /// Work in flight, if anything fresh is known.
     pub load: Option<Tokens>,
     /// The most work that it is given; known at its home only.
@@ -44,7 +48,7 @@
             EndpointRow {
                 id: id.clone(),
                 pool: settings.pool.clone(),
-                state: state(settings.drained, own, view),
+                state: state(settings.drained, own, view).into(),
                 load: own.map(|slot| slot.home.load(now)),
                 limit: own.map(|slot| slot.home.limit(now)),
                 mean: pool.map(|pool| Tokens(pool.mean(now).load as u64)),
@@ -55,6 +59,35 @@
         };
         endpoints.iter().map(row).collect()
     }
+
+    /// Tells another daemon of the endpoints that this one is home of.
+    pub(super) fn tell_state(&self, to: PeerId, ask: StateAsk) {
+        let rows = self.show().into_iter();
+        let answer = StateAnswer {
+            number: ask.number,
+            endpoints: rows.filter_map(EndpointRow::told).collect(),
+        };
+        let context = Arc::clone(&self.context);
+        tokio::spawn(async move {
+            // Who asked shows the endpoints without an answer.
+            let body = Body::StateAnswer(answer);
+            let _ = context.peers.send(&to.daemon, body).await;
+        });
+    }
+}
+
+impl EndpointRow {
+    /// What this home tells of it; `None` if another is its home.
+    fn told(self) -> Option<HomeState> {
+        Some(HomeState {
+            endpoint: self.id.to_string(),
+            in_flight: self.in_flight?,
+            state: self.state,
+            load: self.load.unwrap_or_default().0,
+            limit: self.limit.unwrap_or_default().0,
+            queued: self.queued.and_then(|queued| queued.try_into().ok())?,
+        })
+    }
 }
 
 const fn word(state: EndpointState) -> &'static str {
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -3,12 +3,14 @@
 //! `handler` lets in who has an operator's key and reads the request, `run`
 //! answers its statements, `change` makes changes through the platform, `wait`
 //! waits until a generation is in force everywhere, `show` answers questions
-//! from live state.
+//! from live state; `questions` are those to other daemons.
 
 mod change;
 mod handler;
+mod questions;
 mod run;
 mod show;
 mod wait;
 
 pub use handler::Operators;
+pub use questions::Questions;
--- /dev/null
+++ b/crates/daemon/src/operators/questions.rs
@@ -0,0 +1,60 @@
+//! Questions to other daemons that wait for an answer.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use medlarrill_core::ids::DaemonId;
+use medlarrill_core::wire::{Body, HomeState, StateAnswer, StateAsk};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use crate::context::Context;
+
+/// Longest wait for the answers to one question.
+const WAIT: Duration = Duration::from_secs(1);
+
+/// Table of questions by number. Cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct Questions {
+    table: Arc<Mutex<HashMap<u64, mpsc::UnboundedSender<StateAnswer>>>>,
+}
+
+impl Questions {
+    /// Hands an answer to who waits for it; false if nobody does.
+    pub fn deliver(&self, answer: StateAnswer) -> bool {
+        let table = self.lock();
+        let waiting = table.get(&answer.number);
+        waiting.is_some_and(|waiting| waiting.send(answer).is_ok())
+    }
+
+    /// Asks homes for the state of their endpoints; who doesn't answer in time is left out.
+    pub async fn ask(&self, context: &Arc<Context>, homes: BTreeSet<DaemonId>) -> Vec<HomeState> {
+        let number = rand::random();
+        let (sender, mut receiver) = mpsc::unbounded_channel();
+        self.lock().insert(number, sender);
+        let asked = homes.len();
+        for home in homes {
+            let context = Arc::clone(context);
+            tokio::spawn(async move {
+                let ask = Body::StateAsk(StateAsk { number });
+                // A home that can't be reached is shown without its counts.
+                let _ = context.peers.send(&home, ask).await;
+            });
+        }
+        let end = Instant::now() + WAIT;
+        let mut states = Vec::new();
+        for _ in 0..asked {
+            match timeout_at(end, receiver.recv()).await {
+                Ok(Some(answer)) => states.extend(answer.endpoints),
+                _ => break,
+            }
+        }
+        self.lock().remove(&number);
+        states
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, mpsc::UnboundedSender<StateAnswer>>> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/daemon/src/operators/run.rs
+++ b/crates/daemon/src/operators/run.rs
@@ -28,7 +28,7 @@
     answer
 }
 
-async fn answer(context: &Context, request: &Request) -> Answer {
+async fn answer(context: &Arc<Context>, request: &Request) -> Answer {
     let deadline = now() + request.timeout.min(MAX_TIMEOUT);
     let sentences = match parse(&request.statements) {
         Ok(sentences) => sentences,
@@ -86,7 +86,12 @@
 }
 
 /// Adds to a statement's result what the changes don't say.
-async fn fill(context: &Context, index: usize, sentence: &Sentence, result: &mut StatementResult) {
+async fn fill(
+    context: &Arc<Context>,
+    index: usize,
+    sentence: &Sentence,
+    result: &mut StatementResult,
+) {
     let message = match &sentence.statement {
         Statement::Change(_) => return,
         Statement::Show(question) => match show(context, question).await {
--- a/crates/daemon/src/operators/show.rs
+++ b/crates/daemon/src/operators/show.rs
@@ -1,10 +1,13 @@
 //! Answers questions by tables.
 
 mod configured;
+mod homes;
 mod live;
 mod select;
 mod traffic;
 
+use std::sync::Arc;
+
 use medlarrill_core::change::export;
 use medlarrill_core::operator::answer::Table;
 use medlarrill_core::operator::{List, Show, Topic};
@@ -20,7 +23,7 @@
 /// # Errors
 ///
 /// In words, when there is nothing by that name or the question doesn't fit.
-pub async fn show(context: &Context, question: &Show) -> Result<Table> {
+pub async fn show(context: &Arc<Context>, question: &Show) -> Result<Table> {
     match question {
         Show::List(list) => show_list(context, list).await,
         Show::Endpoint(id) => live::endpoint(context, id).await,
@@ -28,7 +31,7 @@
     }
 }
 
-async fn show_list(context: &Context, list: &List) -> Result<Table> {
+async fn show_list(context: &Arc<Context>, list: &List) -> Result<Table> {
     let config = context.config.borrow().clone();
     let config = &config.config;
     let (table, owners): (Table, &[&str]) = match list.topic {
--- a/crates/daemon/src/operators/show/live.rs
+++ b/crates/daemon/src/operators/show/live.rs
@@ -1,14 +1,16 @@
 //! Tables of what is true now.
 
+use std::sync::Arc;
+
 use medlarrill_core::ids::{DaemonId, EndpointId, Incarnation, RequestId};
 use medlarrill_core::operator::answer::Table;
 
-use super::Result;
 use super::configured::NONE;
+use super::{Result, homes};
 use crate::context::Context;
 
-/// Endpoints with their state; what only a home counts is shown there.
-pub async fn endpoints(context: &Context) -> Table {
+/// Endpoints with their state, as their homes count it.
+pub async fn endpoints(context: &Arc<Context>) -> Table {
     let columns = [
         "endpoint",
         "pool",
@@ -22,14 +24,14 @@
     ];
     let mut table = Table::new(&columns);
     let config = context.config.borrow().clone();
-    for row in context.home.show().await {
+    for row in homes::endpoints(context).await {
         let settings = config.endpoint(&row.id);
         table.push([
             row.id.to_string(),
             row.pool.to_string(),
             optional(settings.map(|settings| &settings.data_centre)),
             optional(settings.map(|settings| settings.address)),
-            row.state.into(),
+            row.state,
             optional(row.load),
             optional(row.in_flight),
             optional(row.queued),
@@ -40,9 +42,9 @@
 }
 
 /// Load of endpoints, in tokens, against the limit of each.
-pub async fn load(context: &Context) -> Table {
+pub async fn load(context: &Arc<Context>) -> Table {
     let mut table = Table::new(&["endpoint", "pool", "load", "limit", "pool-mean"]);
-    for row in context.home.show().await {
+    for row in homes::endpoints(context).await {
         table.push([
             row.id.to_string(),
             row.pool.to_string(),
@@ -59,7 +61,7 @@
 /// # Errors
 ///
 /// When there is none of that name.
-pub async fn endpoint(context: &Context, id: &EndpointId) -> Result<Table> {
+pub async fn endpoint(context: &Arc<Context>, id: &EndpointId) -> Result<Table> {
     let all = endpoints(context).await;
     let load = load(context).await;
     let mut table = Table::new(&["field", "value"]);
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -28,6 +28,7 @@
 use crate::fleet::{self, FleetView, Outlets, follow_vms};
 use crate::home;
 use crate::metrics::{ControlSources, Metrics};
+use crate::operators::Questions;
 use crate::peers::Peers;
 use crate::settings::{Settings, SettingsError};
 use crate::switch::Switch;
@@ -209,7 +210,9 @@
     let identity = identity(&settings, &me, listener.local_addr()?);
     let metrics = Arc::new(Metrics::new());
     let attempts = Attempts::new(metrics.buffered.clone());
+    let questions = Questions::default();
     let switch = Switch {
+        questions: questions.clone(),
         attempts: attempts.clone(),
         strays: channels.strays.clone(),
         home: channels.home.clone(),
@@ -235,6 +238,7 @@
         peers,
         attempts,
         tracker: Tracker::default(),
+        questions,
         stopping: channels.stopping,
         home: channels.home,
         claims: channels.claims,
--- a/crates/daemon/src/switch.rs
+++ b/crates/daemon/src/switch.rs
@@ -11,6 +11,7 @@
 use crate::fleet;
 use crate::home;
 use crate::metrics::Metrics;
+use crate::operators::Questions;
 
 /// Where messages go.
 pub struct Switch {
@@ -26,6 +27,8 @@
     pub fleet: fleet::Handle,
     /// The configuration task.
     pub configuration: configuration::Handle,
+    /// Questions of this daemon's operators to others.
+    pub questions: Questions,
     /// Counters.
     pub metrics: Arc<Metrics>,
 }
@@ -64,6 +67,8 @@
             Body::KeyAnswer(answer) => self.claims.tell(claims::Message::KeyAnswer(answer)),
             Body::Gossip(gossip) => self.fleet.tell(fleet::Message::Heard(from.clone(), gossip)),
             Body::Placed(placed) => self.home.placed(placed),
+            Body::StateAsk(ask) => self.home.state_asked(from.clone(), ask),
+            Body::StateAnswer(answer) => self.questions.deliver(answer),
             Body::PartAsk(ask) => {
                 let asked = configuration::Message::Asked(from.clone(), ask);
                 self.configuration.tell(asked)
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -227,9 +227,12 @@
     let elsewhere = ask(fleet, 0, &request(&question)).await;
     let finding = elsewhere.results[0].findings[0].message.clone();
     expect_that!(finding, contains_substring("ask that daemon"));
-    until("the home of an endpoint counts its runs", async || {
-        let row = rows(fleet, 0, "show endpoints where home = d1").await;
-        row.iter().all(|row| row[4] == "ready" && row[6] == "0")
+    until("every home counts its endpoints' requests", async || {
+        let endpoints = rows(fleet, 0, "show endpoints").await;
+        endpoints.len() == 6
+            && endpoints
+                .iter()
+                .all(|row| row[4] == "ready" && row[6] == "0")
     })
     .await;
     let control = rows(fleet, 0, "show control where kind = gossip").await;
