--- a/crates/daemon/src/home/poll.rs
+++ b/crates/daemon/src/home/poll.rs
@@ -30,6 +30,7 @@
     pub fn start(context: Arc<Context>, endpoint: EndpointId, address: SocketAddr) -> Self {
         let task = tokio::spawn(async move {
             for asked in 0u32.. {
+                context.metrics.polls.inc();
                 let load = context.endpoints.load(address, WAIT).await;
                 context.home.send(Message::Polled(endpoint.clone(), load));
                 let pause = if asked < FIRST_COUNT { FIRST } else { EVERY };
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -65,6 +65,8 @@
     pub probation: Gauge,
     /// Requests sent to endpoints.
     pub dispatched: Counter,
+    /// Questions to endpoints for their load.
+    pub polls: Counter,
     /// Prompt tokens sent to endpoints.
     pub prompt_tokens: Counter,
     /// Prompt tokens that endpoints served from their cache.
@@ -103,6 +105,7 @@
             homes: Gauge::default(),
             probation: Gauge::default(),
             dispatched: Counter::default(),
+            polls: Counter::default(),
             prompt_tokens: Counter::default(),
             cached_tokens: Counter::default(),
             applied: Counter::default(),
@@ -181,6 +184,11 @@
 
     fn register_control(&mut self) {
         let r = &mut self.registry;
+        r.register(
+            "endpoint_polls",
+            "Endpoints asked for their load",
+            self.polls.clone(),
+        );
         r.register(
             "config_applied",
             "Configurations put in force",
