Measurements of forwarding and of control on real processes

load: streamed chats that return, straight at the engines and through the fleet by turns in one run, so that other work of the machine falls on both. control: fleets of several sizes, idle and under churn; bytes by kind, processor time, memory, time until a change is in force, and the lines through them.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,10 @@
 //! Load, experiments and the demo.
 
+pub mod child;
+pub mod control;
 pub mod demo;
+pub mod error;
+pub mod load;
 pub mod policy;
+pub mod sample;
 pub mod spread;
