Directory entries move to the daemons that keep them after a change

Cause: a chat's directory entry stayed where it was when the fleet changed, so after every daemon was replaced once, chats that lived off their first-ranked engine were placed as new. Weighed against each home telling again whom it served: the same bytes, and twice the state.

--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -9,6 +9,7 @@
 mod gossip;
 mod limit;
 mod link;
+mod moved;
 mod request;
 mod state;
 
@@ -19,6 +20,7 @@
 pub use gossip::{Change, EndpointLoad, Gossip, PoolLoad, PoolSum, Record, name_hash};
 pub use limit::{Grant, Usage};
 pub use link::{Hello, Proof};
+pub use moved::{Moved, MovedChat, MovedPlace};
 pub use request::{
     Accepted, Attempt, Cancel, Chunk, Credit, End, Forward, Header, Passed, Placed, Refused,
 };
@@ -33,7 +35,7 @@
     /// What it carries; absent if the sender is newer than the receiver.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 30, 31"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 30, 31, 32"
     )]
     pub body: Option<Body>,
 }
@@ -98,6 +100,9 @@
     /// What an entry may use of accounts.
     #[prost(message, tag = "19")]
     Grant(Grant),
+    /// Directory entries for their new keeper.
+    #[prost(message, tag = "32")]
+    Moved(Moved),
     /// Where a chat was served.
     #[prost(message, tag = "20")]
     Placed(Placed),
@@ -132,6 +137,7 @@
             Self::PartAnswer(_) => "part-answer",
             Self::Usage(_) => "usage",
             Self::Grant(_) => "grant",
+            Self::Moved(_) => "moved",
             Self::Placed(_) => "placed",
             Self::StateAsk(_) => "state-ask",
             Self::StateAnswer(_) => "state-answer",
--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod gossip;
 mod handle;
+mod handover;
 mod held;
 mod message;
 mod placing;
--- a/crates/daemon/src/home/gossip.rs
+++ b/crates/daemon/src/home/gossip.rs
@@ -40,6 +40,13 @@
     }
 }
 
+impl Names {
+    /// The endpoint of a hash.
+    pub fn endpoint(&self, hash: u32) -> Option<&EndpointId> {
+        self.endpoints.get(&hash)
+    }
+}
+
 impl Task {
     /// Hands this home's load to the membership task, now and then.
     pub(super) fn tell_load(&mut self, now: Millis) {
--- a/crates/daemon/src/home/handle.rs
+++ b/crates/daemon/src/home/handle.rs
@@ -5,7 +5,7 @@
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::DaemonId;
-use medlarrill_core::wire::{Cancel, Credit, Forward, Placed, PoolLoad, StateAsk};
+use medlarrill_core::wire::{Cancel, Credit, Forward, Moved, Placed, PoolLoad, StateAsk};
 use medlarrill_net::link::PeerId;
 use tokio::sync::{mpsc, oneshot};
 
@@ -17,14 +17,19 @@
 pub struct Handle {
     sender: mpsc::UnboundedSender<Message>,
     held: Arc<AtomicUsize>,
+    moving: Arc<AtomicUsize>,
 }
 
 impl Handle {
     /// A handle and what its task receives from.
     pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<Message>) {
         let (sender, receiver) = mpsc::unbounded_channel();
-        let held = Arc::default();
-        (Self { sender, held }, receiver)
+        let handle = Self {
+            sender,
+            held: Arc::default(),
+            moving: Arc::default(),
+        };
+        (handle, receiver)
     }
 
     /// Offers a request; false if the task has ended.
@@ -47,6 +52,11 @@
         self.send(Message::Placed(placed))
     }
 
+    /// Hands over directory entries; false if the task has ended.
+    pub fn moved(&self, moved: Moved) -> bool {
+        self.send(Message::Moved(moved))
+    }
+
     /// Tells that a peer process is gone.
     pub fn peer_lost(&self, peer: PeerId) {
         self.send(Message::PeerLost(peer));
@@ -74,6 +84,15 @@
         self.held.load(Ordering::Relaxed)
     }
 
+    /// Directory entries that may have to move yet.
+    pub fn moving(&self) -> usize {
+        self.moving.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn note_moving(&self, moving: usize) {
+        self.moving.store(moving, Ordering::Relaxed);
+    }
+
     pub(super) fn note_held(&self, held: usize) {
         self.held.store(held, Ordering::Relaxed);
     }
--- a/crates/daemon/src/home/task.rs
+++ b/crates/daemon/src/home/task.rs
@@ -19,6 +19,7 @@
 
 use super::dispatch::{Control, Dispatch};
 use super::gossip::Names;
+use super::handover::Handover;
 use super::held::Held;
 use super::message::{Finished, Message};
 use super::reply::{Refusal, Reply};
@@ -44,6 +45,7 @@
     pub(super) rng: Pcg32,
     pub(super) names: Names,
     pub(super) told: Millis,
+    pub(super) handover: Handover,
 }
 
 impl Task {
@@ -61,6 +63,7 @@
             rng,
             names: Names::default(),
             told: Millis::ZERO,
+            handover: Handover::default(),
         }
     }
 
@@ -103,6 +106,7 @@
                 }
             }
             Message::Placed(placed) => self.placed(&placed),
+            Message::Moved(moved) => self.moved(moved),
             Message::LoadHeard(from, at, pools) => self.load_heard(&from, at, &pools),
             Message::PeerLost(peer) => self.entry_lost(peer.incarnation),
             Message::Progress(id, tokens) => self.progress(id, tokens),
@@ -333,6 +337,7 @@
         let now = now();
         self.context.home.note_held(self.held.len());
         self.tell_load(now);
+        self.step_handover(now);
         let endpoints: Vec<EndpointId> = self.slots.keys().cloned().collect();
         for endpoint in endpoints {
             let Some(slot) = self.slots.get_mut(&endpoint) else {
--- a/crates/daemon/src/home/view.rs
+++ b/crates/daemon/src/home/view.rs
@@ -22,6 +22,7 @@
             self.settle(&endpoint);
         }
         self.retire();
+        self.plan_handover();
     }
 
     fn rebuild_pools(&mut self) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -63,6 +63,8 @@
     pub homes: Gauge,
     /// Those of them without a report of their own time as home.
     pub probation: Gauge,
+    /// Directory entries handed to other daemons.
+    pub moved_chats: Counter,
     /// Requests sent to endpoints.
     pub dispatched: Counter,
     /// Questions to endpoints for their load.
@@ -104,6 +106,7 @@
             daemons: Gauge::default(),
             homes: Gauge::default(),
             probation: Gauge::default(),
+            moved_chats: Counter::default(),
             dispatched: Counter::default(),
             polls: Counter::default(),
             prompt_tokens: Counter::default(),
@@ -165,6 +168,11 @@
             "Homes without a report yet",
             self.probation.clone(),
         );
+        r.register(
+            "moved_chats",
+            "Directory entries handed to other daemons",
+            self.moved_chats.clone(),
+        );
         r.register(
             "dispatched",
             "Requests sent to endpoints",
--- a/crates/daemon/src/stop.rs
+++ b/crates/daemon/src/stop.rs
@@ -10,6 +10,8 @@
 const NOTICE: Millis = Millis(500);
 /// Longest wait for peers to hear of the end.
 const FAREWELL: Millis = Millis::from_secs(2);
+/// Longest wait for the directory to be handed over; each entry left costs one prefill.
+const HANDOVER: Millis = Millis::from_secs(10);
 /// Time between two looks at what is in flight.
 const LOOK: Millis = Millis(50);
 
@@ -29,6 +31,11 @@
     if let Some(closing) = closing {
         let _ = closing.await;
     }
+    let moved = timeout(HANDOVER.as_duration(), handed_over(&running));
+    if moved.await.is_err() {
+        let left = running.context.home.moving();
+        log::warn!(target: "stop", "stop: {left} directory entries were not handed over");
+    }
     running.context.claims.stop().await;
     running.context.fleet_task.tell(Message::Depart);
     running.farewell.mark_unchanged();
@@ -37,6 +44,12 @@
     log::info!(target: "stop", "stop: done");
 }
 
+async fn handed_over(running: &Running) {
+    while running.context.home.moving() > 0 {
+        tokio::time::sleep(LOOK.as_duration()).await;
+    }
+}
+
 async fn idle(running: &Running) {
     let context = &running.context;
     loop {
--- a/crates/daemon/src/switch.rs
+++ b/crates/daemon/src/switch.rs
@@ -66,6 +66,7 @@
             Body::KeyAsk(ask) => self.claims.tell(claims::Message::KeyAsk(from.clone(), ask)),
             Body::KeyAnswer(answer) => self.claims.tell(claims::Message::KeyAnswer(answer)),
             Body::Gossip(gossip) => self.fleet.tell(fleet::Message::Heard(from.clone(), gossip)),
+            Body::Moved(moved) => self.home.moved(moved),
             Body::Placed(placed) => self.home.placed(placed),
             Body::StateAsk(ask) => self.home.state_asked(from.clone(), ask),
             Body::StateAnswer(answer) => self.questions.deliver(answer),
