Tests of late writes, repeats at another daemon, large requests and counters

Each was seen to fail: the record of a change ignored, a larger limit of the body, the control counters left out. With one late write the late one never took effect, as the repeat of the same write came first; so all writes are late until the first has landed.

--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -111,6 +111,45 @@
     expect_that!(rows(fleet, 1, "show institutions").await, len(eq(3)));
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_write_that_takes_effect_late_is_accepted_once() {
+    let bench = bench(Layout::default()).await;
+    let fleet = &bench.fleet;
+    fleet.platform.set_faults(Faults {
+        late_writes: 20,
+        late_by: Millis(400),
+        prefix: HEAD_KEY.into(),
+        ..Faults::default()
+    });
+    accept(fleet, 0, "create institution harbour").await;
+    expect_that!(fleet.platform.faults().late_writes, lt(20));
+    fleet.platform.set_faults(Faults::default());
+    accept(fleet, 1, "drain endpoint e1").await;
+    expect_that!(head(fleet).generation, eq(Generation(3)));
+    expect_that!(rows(fleet, 1, "show institutions").await, len(eq(3)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_change_sent_again_to_another_daemon_takes_effect_once() {
+    let bench = bench(Layout::default()).await;
+    let fleet = &bench.fleet;
+    let create = request("create institution harbour");
+    let first = ask(fleet, 0, &create).await;
+    let again = Request {
+        repeat: true,
+        ..create
+    };
+    let second = ask(fleet, 1, &again).await;
+    expect_that!(verdicts(&second), eq(&vec![Verdict::Accepted]));
+    expect_that!(
+        second.results[0].generation,
+        eq(first.results[0].generation)
+    );
+    expect_that!(head(fleet).generation, eq(Generation(2)));
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_change_while_the_platform_is_down_is_truly_refused() {
@@ -184,6 +223,9 @@
     let (status, text) = post(address, OPERATOR_KEY, "{\"change\": 7").await;
     expect_that!(status, eq(400));
     expect_that!(text, contains_substring("line 1"));
+    let large = " ".repeat(3 << 20);
+    let (status, _) = post(address, OPERATOR_KEY, &large).await;
+    expect_that!(status, eq(413));
     let (status, _) = post(address, OPERATOR_KEY, &body).await;
     expect_that!(status, eq(200));
 }
@@ -237,6 +279,14 @@
     .await;
     let control = rows(fleet, 0, "show control where kind = gossip").await;
     expect_that!(control[0][3].parse::<u64>().unwrap(), gt(0));
+    let address = fleet.daemons[0].started.callers;
+    for counter in [
+        "medlarrill_link_bytes_total{direction=\"sent\",kind=\"gossip\"}",
+        "medlarrill_platform_calls_total{role=\"config\",kind=\"get\",ending=\"done\"}",
+        "medlarrill_platform_bytes_total{role=\"vms\",direction=\"heard\"}",
+    ] {
+        expect_that!(metric(address, counter).await, some(gt(0.0)));
+    }
 }
 
 #[gtest]
