--- a/crates/core/src/ids/number.rs
+++ b/crates/core/src/ids/number.rs
@@ -132,44 +132,24 @@
     pub sender: Incarnation,
 }
 
-impl FromStr for Incarnation {
-    type Err = NumberError;
-
-    fn from_str(text: &str) -> Result<Self> {
-        u64::from_str_radix(text, 16)
-            .map(Self)
-            .map_err(|_| NumberError::new(text))
-    }
-}
-
-impl FromStr for RequestId {
-    type Err = NumberError;
-
-    fn from_str(text: &str) -> Result<Self> {
-        u128::from_str_radix(text, 16)
-            .map(Self)
-            .map_err(|_| NumberError::new(text))
-    }
+macro_rules! from_hex {
+    ($($name:ident($number:ty)),+ $(,)?) => {$(
+        impl FromStr for $name {
+            type Err = NumberError;
+
+            fn from_str(text: &str) -> Result<Self> {
+                let number = <$number>::from_str_radix(text, 16);
+                number.map(Self).map_err(|_| NumberError::new(text))
+            }
+        }
+    )+};
 }
 
-impl FromStr for ChangeId {
-    type Err = NumberError;
-
-    fn from_str(text: &str) -> Result<Self> {
-        u128::from_str_radix(text, 16)
-            .map(Self)
-            .map_err(|_| NumberError::new(text))
-    }
-}
-
-impl FromStr for ChatHash {
-    type Err = NumberError;
-
-    fn from_str(text: &str) -> Result<Self> {
-        u64::from_str_radix(text, 16)
-            .map(Self)
-            .map_err(|_| NumberError::new(text))
-    }
+from_hex! {
+    Incarnation(u64),
+    RequestId(u128),
+    ChangeId(u128),
+    ChatHash(u64),
 }
 
 impl FromStr for Generation {
--- a/crates/daemon/src/configuration/handle.rs
+++ b/crates/daemon/src/configuration/handle.rs
@@ -6,7 +6,9 @@
 use medlarrill_core::wire::{PartAnswer, PartAsk};
 use medlarrill_net::link::PeerId;
 use medlarrill_net::platform;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
+
+use crate::mailbox::Mailbox;
 
 /// What the configuration task is told.
 #[derive(Debug)]
@@ -29,28 +31,12 @@
     Held(oneshot::Sender<Vec<Bytes>>),
 }
 
-/// Sends to the configuration task. Cheap to clone.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    sender: mpsc::UnboundedSender<Message>,
-}
+/// Sends to the configuration task.
+pub type Handle = Mailbox<Message>;
 
 impl Handle {
-    /// A handle and what its task receives from.
-    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<Message>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        (Self { sender }, receiver)
-    }
-
-    /// Tells the task; false if it has ended.
-    pub fn tell(&self, message: Message) -> bool {
-        self.sender.send(message).is_ok()
-    }
-
     /// Parts of the configuration in force, as stored; none if the task has ended.
     pub async fn parts(&self) -> Vec<Bytes> {
-        let (sender, receiver) = oneshot::channel();
-        self.tell(Message::Held(sender));
-        receiver.await.unwrap_or_default()
+        self.ask(Message::Held).await.unwrap_or_default()
     }
 }
--- a/crates/daemon/src/fleet/handle.rs
+++ b/crates/daemon/src/fleet/handle.rs
@@ -6,7 +6,9 @@
 use medlarrill_core::membership::ListedVm;
 use medlarrill_core::wire::{Gossip, PoolLoad};
 use medlarrill_net::link::PeerId;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
+
+use crate::mailbox::Mailbox;
 
 /// What the membership task is told.
 #[derive(Debug)]
@@ -42,21 +44,5 @@
     Depart,
 }
 
-/// Sends to the membership task. Cheap to clone.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    sender: mpsc::UnboundedSender<Message>,
-}
-
-impl Handle {
-    /// A handle and what its task receives from.
-    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<Message>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        (Self { sender }, receiver)
-    }
-
-    /// Tells the task; false if it has ended.
-    pub fn tell(&self, message: Message) -> bool {
-        self.sender.send(message).is_ok()
-    }
-}
+/// Sends to the membership task.
+pub type Handle = Mailbox<Message>;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod home;
 pub mod logs;
+pub mod mailbox;
 pub mod metrics;
 pub mod operators;
 pub mod peers;
