A stopping daemon closes its listener before it waits for answers

Cause: the server kept its listener until the last answer was out and took no connection meanwhile, so that callers connected in the kernel's queue and were reset at the end. Ruled out: requests cut in flight (each answer was whole). Now the listener takes what has connected and closes, then the server drains. A connection made in the microseconds before the close is still reset; its request was not taken.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -11,6 +11,7 @@
 mod auth;
 mod events;
 mod flight;
+mod gate;
 mod handlers;
 mod job;
 mod keyed;
--- a/crates/daemon/src/entry/server.rs
+++ b/crates/daemon/src/entry/server.rs
@@ -10,8 +10,11 @@
 use salvo::server::ServerHandle;
 use salvo::{Router, Server};
 use tokio::net::TcpSocket;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
+use super::gate::{Gate, Phase};
 use super::handlers::{Calls, Counters, Live, Ready, RequestState};
 use crate::context::Context;
 use crate::operators::Operators;
@@ -21,6 +24,8 @@
 const BACKLOG: u32 = 1024;
 /// Smallest buffer that the HTTP library takes, in bytes.
 const MIN_BUFFER: usize = 8 << 10;
+/// Longest wait for the listener to close, which a full server doesn't come to.
+const CLOSING: Millis = Millis::from_secs(1);
 
 /// Result of starting the server.
 pub type Result<T> = std::result::Result<T, ServerError>;
@@ -65,12 +70,18 @@
 pub struct Serving {
     handle: ServerHandle,
     task: JoinHandle<()>,
+    phase: watch::Sender<Phase>,
 }
 
 impl Serving {
     /// Takes no new connections, and waits until the present ones have ended; cuts them after
     /// `limit`.
     pub async fn stop(self, limit: Millis) {
+        self.phase.send_replace(Phase::Closing);
+        let mut phase = self.phase.subscribe();
+        let closed = phase.wait_for(|phase| *phase == Phase::Closed);
+        // A server without room for more has nothing to lose but connections in wait.
+        let _ = timeout(CLOSING.as_duration(), closed).await;
         self.handle.stop_graceful(Some(limit.as_duration()));
         if let Err(error) = self.task.await {
             log::error!(target: "entry", "entry: the server ended: {error}");
@@ -84,7 +95,8 @@
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(limits.head_wait.as_duration())
         .with_write_stall_timeout(limits.write_wait.as_duration());
-    let mut server = Server::new(bound.acceptor)
+    let phase = watch::Sender::new(Phase::Open);
+    let mut server = Server::new(Gate::new(bound.acceptor, phase.clone()))
         .fuse_config(fuse)
         .max_connections(limits.connections as usize);
     let head = usize::try_from(limits.head.0).unwrap_or(usize::MAX);
@@ -94,7 +106,11 @@
         .max_headers(limits.headers as usize);
     let handle = server.handle();
     let task = tokio::spawn(server.serve(router(context)));
-    Serving { handle, task }
+    Serving {
+        handle,
+        task,
+        phase,
+    }
 }
 
 fn router(context: &Arc<Context>) -> Router {
