Home: what an endpoint answered is as old as the question

Cause: an answer that waited in a socket while the daemon was frozen counted as heard at the moment it woke, so that an endpoint which had begun to leave could get work. Found by reading; a test through processes that hits an answer in flight at the freeze was not made, and undoing this alone fails no test.

--- a/crates/daemon/src/home/message.rs
+++ b/crates/daemon/src/home/message.rs
@@ -32,8 +32,8 @@
     Progress(AttemptId, Tokens),
     /// A dispatched request has ended.
     Finished(Finished),
-    /// An endpoint was asked for its load.
-    Polled(EndpointId, CallResult<Load>),
+    /// An endpoint was asked for its load at this time.
+    Polled(EndpointId, Millis, CallResult<Load>),
     /// Asks for what is known of endpoints.
     Show(oneshot::Sender<Vec<EndpointRow>>),
     /// Another daemon asks for the state of endpoints.
--- a/crates/daemon/src/home/poll.rs
+++ b/crates/daemon/src/home/poll.rs
@@ -5,6 +5,7 @@
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::EndpointId;
+use medlarrill_net::now::now;
 use tokio::task::JoinHandle;
 
 use super::message::Message;
@@ -29,11 +30,15 @@
     /// Polls an endpoint.
     pub fn start(context: Arc<Context>, endpoint: EndpointId, address: SocketAddr) -> Self {
         let task = tokio::spawn(async move {
-            for asked in 0u32.. {
+            for number in 0u32.. {
                 context.metrics.polls.inc();
+                // An answer is as old as its question: it may have waited while this process was paused.
+                let asked = now();
                 let load = context.endpoints.load(address, WAIT).await;
-                context.home.send(Message::Polled(endpoint.clone(), load));
-                let pause = if asked < FIRST_COUNT { FIRST } else { EVERY };
+                context
+                    .home
+                    .send(Message::Polled(endpoint.clone(), asked, load));
+                let pause = if number < FIRST_COUNT { FIRST } else { EVERY };
                 tokio::time::sleep(pause.as_duration()).await;
             }
         });
--- a/crates/daemon/src/home/slot.rs
+++ b/crates/daemon/src/home/slot.rs
@@ -72,9 +72,9 @@
         self.moved = false;
     }
 
-    /// Takes an answer to a poll.
-    pub fn polled(&mut self, load: &endpoint::Load, now: Millis) -> Vec<Action> {
-        self.heard = now;
+    /// Takes the answer to a poll of time `asked`.
+    pub fn polled(&mut self, load: &endpoint::Load, asked: Millis, now: Millis) -> Vec<Action> {
+        self.heard = asked.max(self.heard);
         self.leaving = load.state == endpoint::State::Leaving;
         let age = wall().since(load.as_of);
         let report = Report {
--- a/crates/daemon/src/home/task.rs
+++ b/crates/daemon/src/home/task.rs
@@ -111,7 +111,7 @@
             Message::PeerLost(peer) => self.entry_lost(peer.incarnation),
             Message::Progress(id, tokens) => self.progress(id, tokens),
             Message::Finished(finished) => self.finished(&finished),
-            Message::Polled(endpoint, load) => self.polled(&endpoint, load),
+            Message::Polled(endpoint, asked, load) => self.polled(&endpoint, asked, load),
             Message::StateAsked(from, ask) => self.tell_state(from, ask),
             Message::Show(reply) => {
                 // Who asked may have gone away.
@@ -308,7 +308,7 @@
         self.drive(&endpoint, Event::Finished { id, ending });
     }
 
-    fn polled(&mut self, endpoint: &EndpointId, load: CallResult<Load>) {
+    fn polled(&mut self, endpoint: &EndpointId, asked: Millis, load: CallResult<Load>) {
         let now = now();
         let Some(slot) = self.slots.get_mut(endpoint) else {
             return;
@@ -318,7 +318,7 @@
                 let cache = load.cache.as_ref();
                 let age = cache.and_then(|cache| cache.eviction_age).map(Millis);
                 let pool = slot.pool.clone();
-                let actions = slot.polled(&load, now);
+                let actions = slot.polled(&load, asked, now);
                 if let Some(pool) = self.loads.pool_mut(&pool) {
                     pool.set_eviction_age(endpoint, age);
                 }
