An address to advertise, and relays for tests that cut links one way

A link carries messages one way, so a relay that holds what comes to a daemon leaves it heard by all and reached by none. Held messages arrive late.

--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -68,6 +68,9 @@
     pub callers: SocketAddr,
     /// Other daemons.
     pub peers: SocketAddr,
+    /// What other daemons are told to dial, if it isn't where this one listens.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
 }
 
 /// Secrets.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -135,8 +135,9 @@
     };
     let listener = TcpListener::bind(settings.listen.peers).await?;
     let bound = server::bind(settings.listen.callers, &settings.limits)?;
-    let address = listener.local_addr()?;
-    announce(&me, bound.address, address);
+    let own = listener.local_addr()?;
+    let address = settings.listen.advertise.unwrap_or(own);
+    announce(&me, bound.address, own);
     let (channels, ends) = channels();
     let context = connect(settings, me, listener, channels)?;
     let mut running = spawn(&context, address, ends);
@@ -207,7 +208,9 @@
     listener: TcpListener,
     channels: Channels,
 ) -> Result<Arc<Context>> {
-    let identity = identity(&settings, &me, listener.local_addr()?);
+    let address = settings.listen.advertise;
+    let address = address.map_or_else(|| listener.local_addr(), Ok)?;
+    let identity = identity(&settings, &me, address);
     let metrics = Arc::new(Metrics::new());
     let attempts = Attempts::new(metrics.buffered.clone());
     let questions = Questions::default();
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -8,8 +8,10 @@
 mod configuration;
 mod daemon;
 mod layout;
+mod relay;
 
 pub use caller::{CallError, Caller, ChatAnswer, Problem};
 pub use configuration::publish;
 pub use daemon::{Daemon, DaemonError, Program, Started};
 pub use layout::{FLEET_KEY, Fleet, FleetError, Layout, OPERATOR_KEY, metric};
+pub use relay::Relay;
--- a/crates/testkit/src/fleet/layout.rs
+++ b/crates/testkit/src/fleet/layout.rs
@@ -16,6 +16,7 @@
 use super::caller::Caller;
 use super::configuration::publish;
 use super::daemon::{Daemon, DaemonError, Program};
+use super::relay::Relay;
 use crate::ANY_PORT;
 use crate::engine::{self, Engine};
 use crate::platform::{Kind, Platform, State, Vm};
@@ -63,6 +64,8 @@
     pub slots: u32,
     /// The `limits` of every daemon's settings.
     pub limits: serde_json::Value,
+    /// Whether each daemon's links go through a relay.
+    pub relayed: bool,
 }
 
 impl Default for Layout {
@@ -75,6 +78,7 @@
             engine: engine::Settings::default(),
             slots: 16,
             limits: json!({}),
+            relayed: false,
         }
     }
 }
@@ -108,6 +112,13 @@
         self
     }
 
+    /// Puts a relay in front of each daemon's links.
+    #[must_use]
+    pub const fn with_relays(mut self) -> Self {
+        self.relayed = true;
+        self
+    }
+
     fn centre(&self, at: usize) -> String {
         format!("dc{}", at % self.centres.max(1) + 1)
     }
@@ -129,6 +140,8 @@
     pub services: Vec<Service>,
     /// Daemons, `d1` and on.
     pub daemons: Vec<Daemon>,
+    /// Relays in front of them, if the layout asks for that.
+    pub relays: Vec<Relay>,
     /// The configuration as it was stored.
     pub config: Config,
     program: Program,
@@ -153,6 +166,7 @@
             engines,
             services,
             daemons: Vec::new(),
+            relays: Vec::new(),
             config: Config::default(),
             program,
             folder,
@@ -185,16 +199,25 @@
 
     /// Shows the platform's list the VMs of all daemons.
     pub fn list_vms(&self) {
+        self.platform.set_vms(self.vms());
+    }
+
+    /// The VMs of all daemons.
+    pub fn vms(&self) -> Vec<Vm> {
         let vm = |(at, daemon): (usize, &Daemon)| Vm {
             vm: daemon.started.daemon.clone(),
             kind: Kind::Router,
             data_centre: self.layout.centre(at),
             region: REGION.into(),
-            address: daemon.started.peers.to_string(),
+            address: self.peers_address(at, daemon).to_string(),
             state: State::Live,
         };
-        self.platform
-            .set_vms(self.daemons.iter().enumerate().map(vm).collect());
+        self.daemons.iter().enumerate().map(vm).collect()
+    }
+
+    fn peers_address(&self, at: usize, daemon: &Daemon) -> SocketAddr {
+        let relay = self.relays.get(at).map(|relay| relay.address);
+        relay.unwrap_or(daemon.started.peers)
     }
 
     /// Waits until every daemon is ready, knows all others and has heard from its endpoints;
@@ -223,7 +246,11 @@
         Some(Caller::new(daemon.started.callers, "padkos-leaders-key"))
     }
 
-    async fn start_daemon(&self, at: usize) -> Result<Daemon> {
+    async fn start_daemon(&mut self, at: usize) -> Result<Daemon> {
+        if self.layout.relayed && self.relays.len() <= at {
+            self.relays.push(Relay::start().await?);
+        }
+        let relay = self.relays.get(at);
         let name = format!("d{}", at + 1);
         let path = self.folder.join(format!("{name}.json"));
         let settings = json!({
@@ -231,7 +258,11 @@
             "daemon": name,
             "data-centre": self.layout.centre(at),
             "region": REGION,
-            "listen": { "callers": "127.0.0.1:0", "peers": "127.0.0.1:0" },
+            "listen": {
+                "callers": "127.0.0.1:0",
+                "peers": "127.0.0.1:0",
+                "advertise": relay.map(|relay| relay.address),
+            },
             "keys": {
                 "fleet": FLEET_KEY,
                 "operators": [KeyHash::of(OPERATOR_KEY.as_bytes())],
@@ -240,9 +271,21 @@
             // The platform's list can't be read in an outage.
             "seeds": self.daemons.iter().map(|daemon| daemon.started.peers).collect::<Vec<_>>(),
             "limits": self.layout.limits,
+            "seeds": self.seeds(),
         });
         std::fs::write(&path, settings.to_string())?;
-        Ok(Daemon::start(&self.program, &path).await?)
+        let daemon = Daemon::start(&self.program, &path).await?;
+        if let Some(relay) = relay {
+            relay.set_target(daemon.started.peers);
+        }
+        Ok(daemon)
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let daemons = self.daemons.iter().enumerate();
+        daemons
+            .map(|(at, daemon)| self.peers_address(at, daemon))
+            .collect()
     }
 
     fn configuration(&self) -> Result<Config> {
