Claims: room in the budget of calls for a takeover

Cause: a takeover reads every object of each shard that moves, which spent the 128 calls at once; calls that waited a second for the budget counted as the platform's failures, and claims were refused. Ruled out: the wait of a question at the owner (answering it as not-owner changed nothing).

--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -36,10 +36,11 @@
 /// Result of running the daemon.
 pub type Result<T> = std::result::Result<T, StartError>;
 
-/// Calls for claims: four batches a second of each of eight shards, and takeovers.
+/// Calls for claims: four batches a second of each of eight shards, and takeovers, which
+/// read up to 64 objects of each of the shards that a stopped daemon owned.
 const CLAIMS_BUDGET: platform::Budget = platform::Budget {
     rate: Rate(64.0),
-    burst: 128,
+    burst: 512,
 };
 /// Exit code when settings can't be used.
 const BAD_SETTINGS: u8 = 2;
