--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -4,6 +4,7 @@
 //! is a child of it that runs the same code as the product's own binaries.
 
 mod args;
+mod booking;
 mod chats;
 mod operators;
 mod stay;
--- a/crates/lab/src/demo/story.rs
+++ b/crates/lab/src/demo/story.rs
@@ -7,6 +7,7 @@
 
 use super::Programs;
 use super::args::Args;
+use super::booking::book;
 use super::chats::{Outcome, hold};
 use super::operators::operate;
 use super::stay::stay;
@@ -59,6 +60,7 @@
         fleet.services.len()
     );
     chats(&fleet, &args).await?;
+    book(&fleet).await?;
     kill_one(&mut fleet, &args).await?;
     operate(&fleet, &programs.client).await?;
     if args.stay {
