Dispatch looks at the age of its evidence first; only a refusal counts as refused

Cause, from a review of membership's events: after a pause a home could act on a message read before its next tick, and so send to an endpoint on evidence older than 2 s; and a dial that timed out was told to membership as a refused connection, which shortens suspicion. Now each event brings the endpoint's state up to date first, and only a refused connection is told as one. No test of its own yet: a_frozen_daemon_that_wakes_runs_nothing_twice covers the pause for keyed requests.

--- a/crates/daemon/src/home/task.rs
+++ b/crates/daemon/src/home/task.rs
@@ -189,7 +189,9 @@
         let Some(slot) = self.slots.get_mut(endpoint) else {
             return;
         };
-        let actions = slot.home.handle(event, now);
+        // After a pause the evidence is old, whatever message is read first.
+        let mut actions = slot.refresh(now);
+        actions.extend(slot.home.handle(event, now));
         self.note_load(endpoint, now);
         self.act(endpoint, actions);
     }
--- a/crates/daemon/src/switch.rs
+++ b/crates/daemon/src/switch.rs
@@ -49,7 +49,7 @@
             Event::Opened(peer) => {
                 self.fleet.tell(fleet::Message::Opened(peer));
             }
-            Event::Unreachable(address) => {
+            Event::Refused(address) => {
                 self.fleet.tell(fleet::Message::Unreachable(address));
             }
         }
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -71,6 +71,13 @@
     Full,
 }
 
+impl LinkError {
+    /// Whether nothing listens at the address; a timeout may have other causes.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// A daemon as its peers see it.
 #[derive(Clone, PartialEq, Eq, Hash, Debug, Display)]
 #[display("{daemon}@{incarnation}")]
@@ -90,8 +97,8 @@
     Opened(PeerId),
     /// A link to or from this peer was closed.
     Closed(PeerId),
-    /// An address could not be dialled.
-    Unreachable(SocketAddr),
+    /// An address refused the connection: nothing listens there.
+    Refused(SocketAddr),
 }
 
 /// Takes the events of all links; must not block.
--- a/crates/net/src/link/outgoing.rs
+++ b/crates/net/src/link/outgoing.rs
@@ -86,7 +86,9 @@
                 state.link = None;
                 state.failed = Some(Instant::now());
                 log::debug!(target: "link", "link: to {address}: {error}");
-                (shared.handler)(Event::Unreachable(address));
+                if error.is_refusal() {
+                    (shared.handler)(Event::Refused(address));
+                }
                 Err(error)
             }
         }
--- a/crates/net/tests/link.rs
+++ b/crates/net/tests/link.rs
@@ -137,5 +137,5 @@
     let gone = a.links.to(&"b".parse().unwrap(), address).await;
     expect_that!(gone.is_err(), eq(true));
     let event = timeout(GUARD, a.events.recv()).await.unwrap().unwrap();
-    expect_that!(matches!(event, Event::Unreachable(_)), eq(true));
+    expect_that!(matches!(event, Event::Refused(_)), eq(true));
 }
