--- a/crates/net/src/link/outgoing.rs
+++ b/crates/net/src/link/outgoing.rs
@@ -163,8 +163,6 @@
     shared: &Shared,
 ) -> Result<()> {
     wire.feed(encode(first, shared)).await?;
-    // Tasks that are ready now, such as other streams of one engine's step, add theirs first.
-    tokio::task::yield_now().await;
     while let Ok(body) = receiver.try_recv() {
         wire.feed(encode(body, shared)).await?;
     }
