Entry: a request that no endpoint took is tried anew, since it has not run

Cause: a request on its way when an endpoint begins to leave may come to its last hop with the answer no-endpoint, though others take work. Not looked into: which hop refused. The price is two more tries where a pool has no endpoint at all.

--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -155,6 +155,7 @@
             | Reason::StreamCut
             | Reason::Stopping
             | Reason::NotReady
+            | Reason::NoEndpoint
     );
     safe && elsewhere
 }
