Settings checked whole, hostile callers bounded, and the callers' page

Settings were read by the first error alone and without the place of a wrong value. `medlarrilld check` and a start now walk the file's syntax tree against one table of keys and report every finding with file, line, column and key: bad syntax, unknown keys with the nearest known one, missing keys, wrong types, values out of bounds, addresses that clash, weak secrets. The fleet's secret can stand in a file; `listen.advertise` names the address of a wildcard; logs can be JSON lines. docs/SETTINGS.md is held to that table by a test, and the sample passes the check.

At the callers' port the key is checked before the body is read, a body's announced length before its bytes, and problems name what is wrong. Heads, counts of headers, waits, connections and callers that don't read are bounded by settings. A connection that brings no request is counted, as the HTTP library answers broken HTTP before any handler. A daemon without configuration says `not-ready` and no longer that the key is unknown. Five tests send rubbish of every kind to the peers' port; nothing had to be mended there.

`GET /v1/requests/{id}` needs a key, and is answered for requests of any live daemon by one question over the peer link (`RequestAsk`, `RequestAnswer`). docs/CALLERS.md lists every code; a test holds it to `Reason::ALL`.

Ruled out: serde's own errors with places, which stop at the first.

The tests fail when broken by hand: no bounds, no missing keys, a bound other than on the page, every place on line 1 (settings); no check of the key before the body, no check of the announced length, no bound on a caller that takes nothing (hostile); no answer to the question for a state (callers).

A cancellation at an engine is repeated up to three times, as each is only tried for a moment.

--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -11,6 +11,7 @@
 mod link;
 mod moved;
 mod request;
+mod request_state;
 mod state;
 
 use prost::{Message, Oneof};
@@ -24,6 +25,7 @@
 pub use request::{
     Accepted, Attempt, Cancel, Chunk, Credit, End, Forward, Header, Passed, Placed, Refused,
 };
+pub use request_state::{RequestAnswer, RequestAsk};
 pub use state::{HomeState, StateAnswer, StateAsk};
 
 /// Largest frame, in bytes.
@@ -35,7 +37,7 @@
     /// What it carries; absent if the sender is newer than the receiver.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 30, 31, 32"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 30, 31, 32"
     )]
     pub body: Option<Body>,
 }
@@ -106,6 +108,12 @@
     /// Where a chat was served.
     #[prost(message, tag = "20")]
     Placed(Placed),
+    /// Asks what became of a request.
+    #[prost(message, tag = "21")]
+    RequestAsk(RequestAsk),
+    /// Answers `RequestAsk`.
+    #[prost(message, tag = "22")]
+    RequestAnswer(RequestAnswer),
     /// Asks a home for the state of its endpoints.
     #[prost(message, tag = "30")]
     StateAsk(StateAsk),
@@ -139,6 +147,8 @@
             Self::Grant(_) => "grant",
             Self::Moved(_) => "moved",
             Self::Placed(_) => "placed",
+            Self::RequestAsk(_) => "request-ask",
+            Self::RequestAnswer(_) => "request-answer",
             Self::StateAsk(_) => "state-ask",
             Self::StateAnswer(_) => "state-answer",
         }
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 
 /// Arguments of `medlarrilld`.
 #[derive(Debug, Parser)]
@@ -25,6 +25,9 @@
         /// Settings file, JSON with comments.
         #[arg(long, env = "MEDLARRILLD_SETTINGS")]
         settings: PathBuf,
+        /// How log lines are written.
+        #[arg(long, value_enum, default_value_t = LogFormat::Text, env = "MEDLARRILLD_LOG_FORMAT")]
+        log_format: LogFormat,
     },
     /// Check a settings file and report all findings.
     Check {
@@ -32,3 +35,13 @@
         settings: PathBuf,
     },
 }
+
+/// How log lines are written.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug, ValueEnum)]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -9,7 +9,7 @@
 
 use crate::claims;
 use crate::configuration::{self, ConfigView};
-use crate::entry::{Attempts, Tracker};
+use crate::entry::{Attempts, States, Tracker};
 use crate::fleet::{self, FleetView};
 use crate::home;
 use crate::metrics::Metrics;
@@ -17,6 +17,9 @@
 use crate::peers::Peers;
 use crate::settings::Settings;
 
+/// Why a daemon that knows no configuration yet takes no callers.
+pub const NO_CONFIGURATION: &str = "no configuration";
+
 /// Handles that every task may use.
 pub struct Context {
     /// Settings as read at start.
@@ -37,6 +40,8 @@
     pub questions: Questions,
     /// What became of requests.
     pub tracker: Tracker,
+    /// What became of requests that other daemons took.
+    pub states: States,
     /// Set once the daemon is told to stop.
     pub stopping: watch::Receiver<bool>,
     /// The claims task.
@@ -71,7 +76,7 @@
             return Some("stopping");
         }
         if self.config.borrow().config.generation == Generation::default() {
-            return Some("no configuration");
+            return Some(NO_CONFIGURATION);
         }
         None
     }
--- a/crates/daemon/src/entry/handlers.rs
+++ b/crates/daemon/src/entry/handlers.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hyper::body::Body as _;
 use medlarrill_core::ids::RequestId;
 use medlarrill_core::outcome::Outcome;
 use medlarrill_core::reason::Reason;
@@ -13,11 +14,12 @@
 
 use super::answer::{Reply, respond, write_head};
 use super::flight::Flight;
+use super::job::Job;
 use super::keyed;
 use super::problem::Problem;
-use super::request::{Arrived, read};
+use super::request::{Arrived, authorise, read};
 use super::tracker::State;
-use crate::context::Context;
+use crate::context::{Context, NO_CONFIGURATION};
 
 /// Names a request in every answer.
 pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("x-request-id");
@@ -54,23 +56,8 @@
         request: &mut Request,
         response: &mut Response,
     ) -> Result<(), Box<Problem>> {
-        let body = self
-            .body(request)
-            .await
-            .map_err(|reason| self.refuse(id, reason))?;
-        let path = request.uri().path_and_query().map(ToString::to_string);
-        let arrived = Arrived {
-            id,
-            method: request.method(),
-            path: path.unwrap_or_else(|| "/".into()),
-            headers: request.headers(),
-            body,
-        };
-        let view = self.0.config.borrow().clone();
-        let job = read(&view, arrived).inspect_err(|problem| {
-            self.0.metrics.refuse(problem.reason());
-        })?;
-        drop(view);
+        let job = self.job(id, request).await;
+        let job = job.inspect_err(|problem| self.refuse(id, problem))?;
         if let Some(keyed) = job.keyed.clone() {
             let served = keyed::serve(&self.0, job, keyed, response).await;
             return served.map_err(|failure| Box::new(Problem::of(&failure)));
@@ -95,26 +82,58 @@
         }
     }
 
-    async fn body(&self, request: &mut Request) -> Result<Bytes, Reason> {
+    /// Reads and classifies a request; one without a known key isn't read in full.
+    async fn job(&self, id: RequestId, request: &mut Request) -> Result<Job, Box<Problem>> {
+        if self.0.unready() == Some(NO_CONFIGURATION) {
+            let problem = Problem::new(Reason::NotReady);
+            return Err(Box::new(problem.with_detail(NO_CONFIGURATION)));
+        }
+        authorise(&self.0.config.borrow(), request.headers())?;
+        let body = self.body(request).await?;
+        let path = request.uri().path_and_query().map(ToString::to_string);
+        let arrived = Arrived {
+            id,
+            method: request.method(),
+            path: path.unwrap_or_else(|| "/".into()),
+            headers: request.headers(),
+            body,
+        };
+        let view = self.0.config.borrow().clone();
+        read(&view, arrived)
+    }
+
+    /// The whole body, within its limits.
+    async fn body(&self, request: &mut Request) -> Result<Bytes, Box<Problem>> {
         let limits = &self.0.settings.limits;
         let limit = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
+        let announced = request.body().size_hint().lower();
         let read = request.payload_with_max_size(limit);
+        let problem = |reason: Reason, detail: String| {
+            Err(Box::new(Problem::new(reason).with_detail(detail)))
+        };
+        let large = || format!("body: more than {limit} bytes");
+        if announced > limits.body.0 {
+            return problem(Reason::TooLarge, large());
+        }
         match timeout(limits.body_wait.as_duration(), read).await {
             Ok(Ok(body)) => Ok(body.clone()),
-            Ok(Err(salvo::http::ParseError::PayloadTooLarge)) => Err(Reason::TooLarge),
-            Ok(Err(_)) => Err(Reason::BadRequest),
-            Err(_) => Err(Reason::SlowRequest),
+            Ok(Err(salvo::http::ParseError::PayloadTooLarge)) => problem(Reason::TooLarge, large()),
+            Ok(Err(error)) => problem(Reason::BadRequest, format!("body: {error}")),
+            Err(_) => {
+                let wait = limits.body_wait;
+                problem(Reason::SlowRequest, format!("body: not here in {wait}"))
+            }
         }
     }
 
-    fn refuse(&self, id: RequestId, reason: Reason) -> Box<Problem> {
-        self.0.metrics.refuse(reason);
+    /// Counts and notes a request that goes no further.
+    fn refuse(&self, id: RequestId, problem: &Problem) {
+        self.0.metrics.refuse(problem.reason());
         let state = State::Failed {
-            code: reason,
+            code: problem.reason(),
             outcome: Outcome::NotRun,
         };
         self.0.tracker.note(id, state);
-        Box::new(Problem::new(reason))
     }
 }
 
@@ -130,15 +149,28 @@
         response: &mut Response,
         _flow: &mut FlowCtrl,
     ) {
-        let id = request.param::<String>("id").unwrap_or_default();
-        let id = id.parse::<RequestId>().ok();
-        match id.and_then(|id| self.0.tracker.state(id)) {
-            Some(state) => write_json(response, &state),
-            None => Problem::new(Reason::NoRequest).write(response),
+        let state = self.state(request).await;
+        match state {
+            Ok(state) => write_json(response, &state),
+            Err(problem) => {
+                self.0.metrics.refuse(problem.reason());
+                problem.write(response);
+            }
         }
     }
 }
 
+impl RequestState {
+    async fn state(&self, request: &Request) -> Result<State, Box<Problem>> {
+        authorise(&self.0.config.borrow(), request.headers())?;
+        let id = request.param::<String>("id").unwrap_or_default();
+        let unknown = || Box::new(Problem::new(Reason::NoRequest));
+        let id = id.parse::<RequestId>().map_err(|_| unknown())?;
+        let state = self.0.states.find(&self.0, id).await;
+        state.ok_or_else(unknown)
+    }
+}
+
 /// Says that the process runs.
 pub struct Live;
 
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -52,6 +52,16 @@
     chat_id: Option<String>,
 }
 
+/// Checks the key of a request.
+///
+/// # Errors
+///
+/// The problem to answer with, if the key isn't known.
+pub fn authorise(view: &ConfigView, headers: &HeaderMap) -> Result<()> {
+    let known = bearer(headers).and_then(|key| view.client(key));
+    known.map(drop).ok_or_else(|| problem(Reason::Unauthorised))
+}
+
 /// Reads and classifies a request.
 ///
 /// # Errors
--- a/crates/daemon/src/entry/server.rs
+++ b/crates/daemon/src/entry/server.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use super::connections::Connections;
 use super::gate::{Gate, Phase};
 use super::handlers::{Calls, Counters, Live, Ready, RequestState};
 use crate::context::Context;
@@ -95,9 +96,10 @@
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(limits.head_wait.as_duration())
         .with_write_stall_timeout(limits.write_wait.as_duration());
+    let connections = Connections::new(fuse, Arc::clone(&context.metrics));
     let phase = watch::Sender::new(Phase::Open);
     let mut server = Server::new(Gate::new(bound.acceptor, phase.clone()))
-        .fuse_config(fuse)
+        .fuse_policy(connections.clone())
         .max_connections(limits.connections as usize);
     let head = usize::try_from(limits.head.0).unwrap_or(usize::MAX);
     server
@@ -105,7 +107,7 @@
         .max_buf_size(head.max(MIN_BUFFER))
         .max_headers(limits.headers as usize);
     let handle = server.handle();
-    let task = tokio::spawn(server.serve(router(context)));
+    let task = tokio::spawn(server.serve(router(context).hoop(connections)));
     Serving {
         handle,
         task,
--- a/crates/daemon/src/home/dispatch.rs
+++ b/crates/daemon/src/home/dispatch.rs
@@ -34,7 +34,9 @@
 /// Status with which an endpoint refuses.
 const REFUSED: u16 = 503;
 /// Longest wait for an engine to take a cancellation.
-const CANCEL_WAIT: Millis = Millis(1000);
+const CANCEL_WAIT: Millis = Millis(2000);
+/// Times that an engine is told to cancel; a cancellation may be repeated.
+const CANCEL_TRIES: u32 = 3;
 
 /// What a dispatched request can be told.
 #[derive(Clone, Copy, Debug)]
@@ -312,8 +314,16 @@
         if let Some(name) = name.filter(|_| self.room.tell) {
             let wait = CANCEL_WAIT;
             let address = self.dispatch.address;
-            // The engine's own grace ends the stream if this is lost.
-            let _ = self.context.endpoints.cancel(address, &name, wait).await;
+            for _ in 0..CANCEL_TRIES {
+                match self.context.endpoints.cancel(address, &name, wait).await {
+                    Ok(_) => return,
+                    // The engine's own grace ends the stream if all are lost.
+                    Err(error) => {
+                        let id = self.dispatch.id;
+                        log::info!(target: "home", "home: {id} can't be cancelled: {error}");
+                    }
+                }
+            }
         }
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -53,6 +53,10 @@
     pub resumed: Counter,
     /// Frames for an attempt that isn't held here.
     pub stray: Family<KindLabel, Counter>,
+    /// Callers' connections.
+    pub connections: Gauge,
+    /// Callers' connections that brought no request.
+    pub unserved: Family<ReasonLabel, Counter>,
     /// Requests in flight at this entry.
     pub in_flight: Gauge,
     /// Bytes of answers held for callers that haven't taken them.
@@ -101,6 +105,8 @@
             retries: Family::default(),
             resumed: Counter::default(),
             stray: Family::default(),
+            connections: Gauge::default(),
+            unserved: Family::default(),
             in_flight: Gauge::default(),
             buffered: Gauge::default(),
             daemons: Gauge::default(),
@@ -143,6 +149,16 @@
             "Frames for no held attempt",
             self.stray.clone(),
         );
+        r.register(
+            "connections",
+            "Callers' connections",
+            self.connections.clone(),
+        );
+        r.register(
+            "connections_unserved",
+            "Callers' connections without a request",
+            self.unserved.clone(),
+        );
         r.register(
             "in_flight",
             "Requests in flight here",
@@ -249,6 +265,11 @@
         self.refusals.get_or_create(&label).inc();
     }
 
+    /// Counts a connection that brought no request.
+    pub fn unserved(&self, reason: &'static str) {
+        self.unserved.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a further try.
     pub fn retry(&self, reason: Reason) {
         let label = ReasonLabel {
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -19,12 +19,12 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
-use crate::args::{Args, Command};
+use crate::args::{Args, Command, LogFormat};
 use crate::claims;
 use crate::configuration::{self, ConfigView};
 use crate::context::Context;
 use crate::entry::server::{self, ServerError, Serving};
-use crate::entry::{Attempts, StrayQueue, Strays, Tracker};
+use crate::entry::{Attempts, StateQueue, States, StrayQueue, Strays, Tracker};
 use crate::fleet::{self, FleetView, Outlets, follow_vms};
 use crate::home;
 use crate::metrics::{ControlSources, Metrics};
@@ -72,9 +72,12 @@
 pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let args = Args::parse_from(args);
     let result = match args.command {
-        Command::Run { settings } => Settings::read(&settings)
+        Command::Run {
+            settings,
+            log_format,
+        } => Settings::read(&settings)
             .map_err(StartError::from)
-            .and_then(run),
+            .and_then(|settings| run(settings, log_format)),
         Command::Check { settings } => Settings::read(&settings)
             .map(|_| println!("{}: no findings", settings.display()))
             .map_err(StartError::from),
@@ -82,7 +85,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(StartError::Settings(error)) => {
-            eprintln!("medlarrilld: {error}");
+            eprintln!("{error}");
             ExitCode::from(BAD_SETTINGS)
         }
         Err(error) => {
@@ -97,8 +100,8 @@
 /// # Errors
 ///
 /// When it can't start.
-pub fn run(settings: Settings) -> Result<()> {
-    crate::logs::start();
+pub fn run(settings: Settings, format: LogFormat) -> Result<()> {
+    crate::logs::start(format);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
@@ -137,7 +140,7 @@
     let listener = TcpListener::bind(settings.listen.peers).await?;
     let bound = server::bind(settings.listen.callers, &settings.limits)?;
     let own = listener.local_addr()?;
-    let address = settings.listen.advertise.unwrap_or(own);
+    let address = settings.listen.reachable(own);
     announce(&me, bound.address, own);
     let (channels, ends) = channels();
     let context = connect(settings, me, listener, channels)?;
@@ -156,6 +159,7 @@
     fleet: fleet::Handle,
     configuration: configuration::Handle,
     strays: Strays,
+    states: States,
 }
 
 /// What the tasks own.
@@ -168,6 +172,7 @@
     fleet: mpsc::UnboundedReceiver<fleet::Message>,
     configuration: mpsc::UnboundedReceiver<configuration::Message>,
     strays: StrayQueue,
+    states: StateQueue,
 }
 
 fn channels() -> (Channels, Ends) {
@@ -179,6 +184,7 @@
     let (fleet, fleet_receiver) = fleet::Handle::new();
     let (configuration, configuration_receiver) = configuration::Handle::new();
     let (strays, stray_queue) = Strays::new();
+    let (states, state_queue) = States::new();
     let channels = Channels {
         view,
         config,
@@ -188,6 +194,7 @@
         fleet,
         configuration,
         strays,
+        states,
     };
     let ends = Ends {
         view: view_sender,
@@ -198,6 +205,7 @@
         fleet: fleet_receiver,
         configuration: configuration_receiver,
         strays: stray_queue,
+        states: state_queue,
     };
     (channels, ends)
 }
@@ -209,8 +217,7 @@
     listener: TcpListener,
     channels: Channels,
 ) -> Result<Arc<Context>> {
-    let address = settings.listen.advertise;
-    let address = address.map_or_else(|| listener.local_addr(), Ok)?;
+    let address = settings.listen.reachable(listener.local_addr()?);
     let identity = identity(&settings, &me, address);
     let metrics = Arc::new(Metrics::new());
     let attempts = Attempts::new(metrics.buffered.clone());
@@ -219,6 +226,7 @@
         questions: questions.clone(),
         attempts: attempts.clone(),
         strays: channels.strays.clone(),
+        states: channels.states.clone(),
         home: channels.home.clone(),
         claims: channels.claims.clone(),
         fleet: channels.fleet.clone(),
@@ -243,6 +251,7 @@
         attempts,
         tracker: Tracker::default(),
         questions,
+        states: channels.states,
         stopping: channels.stopping,
         home: channels.home,
         claims: channels.claims,
@@ -275,6 +284,7 @@
     tokio::spawn(home.run(ends.home));
     tokio::spawn(ends.strays.run(Arc::clone(context)));
     tokio::spawn(claims::Task::new(Arc::clone(context)).run(ends.claims));
+    tokio::spawn(ends.states.run(Arc::clone(context)));
     Running {
         context: Arc::clone(context),
         server: None,
--- a/crates/daemon/src/switch.rs
+++ b/crates/daemon/src/switch.rs
@@ -7,7 +7,7 @@
 
 use crate::claims;
 use crate::configuration;
-use crate::entry::{Attempts, Strays};
+use crate::entry::{Attempts, States, Strays};
 use crate::fleet;
 use crate::home;
 use crate::metrics::Metrics;
@@ -21,6 +21,8 @@
     pub strays: Strays,
     /// The claims task.
     pub claims: claims::Handle,
+    /// Questions for the state of requests.
+    pub states: States,
     /// The home task.
     pub home: home::Handle,
     /// The membership task.
@@ -78,6 +80,8 @@
                 let answered = configuration::Message::Answered(from.clone(), answer);
                 self.configuration.tell(answered)
             }
+            Body::RequestAsk(ask) => self.states.asked(from, ask),
+            Body::RequestAnswer(answer) => self.states.answered(answer),
             answer @ (Body::Accepted(_)
             | Body::Passed(_)
             | Body::Refused(_)
--- /dev/null
+++ b/crates/net/tests/link_hostile.rs
@@ -0,0 +1,259 @@
+//! Rubbish at the peers' port is counted and closed, and harms no other link.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use medlarrill_core::ids::Incarnation;
+use medlarrill_core::wire::{Body, Cancel, Frame, Hello, MAX_FRAME, Proof};
+use medlarrill_net::link::{Event, FleetKey, HANDSHAKE_TIMEOUT, Identity, Link, Links, PeerId};
+use prost::Message;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+const GUARD: Duration = Duration::from_secs(30);
+const SECRET: &[u8] = b"the secret of a test fleet";
+const LOOK: Duration = Duration::from_millis(5);
+
+struct Node {
+    links: Links,
+    address: SocketAddr,
+    events: mpsc::UnboundedReceiver<Event>,
+}
+
+async fn node(name: &str) -> Node {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let identity = Identity {
+        fleet: "test".into(),
+        key: FleetKey::of(SECRET),
+        me: PeerId {
+            daemon: name.parse().unwrap(),
+            incarnation: Incarnation(7),
+        },
+        address,
+    };
+    let (sender, events) = mpsc::unbounded_channel();
+    let handler = Arc::new(move |event| drop(sender.send(event)));
+    Node {
+        links: Links::start(listener, identity, handler),
+        address,
+        events,
+    }
+}
+
+/// A node under attack, and a good link to it.
+struct Scene {
+    node: Node,
+    _friend: Node,
+    link: Link,
+}
+
+async fn scene() -> Scene {
+    let (node, friend) = (node("node").await, node("friend").await);
+    let link = friend.links.at(node.address).await.unwrap();
+    Scene {
+        node,
+        _friend: friend,
+        link,
+    }
+}
+
+impl Scene {
+    /// The good link still carries messages.
+    async fn expect_unharmed(&mut self) {
+        self.link
+            .send(Body::Cancel(Cancel::default()))
+            .await
+            .unwrap();
+        let heard = async {
+            loop {
+                if let Event::Message(peer, body) = self.node.events.recv().await.unwrap()
+                    && body.kind() == "cancel"
+                {
+                    return peer;
+                }
+            }
+        };
+        let peer = timeout(GUARD, heard).await.unwrap();
+        expect_that!(peer.daemon.as_str(), eq("friend"));
+    }
+
+    fn refused(&self) -> u64 {
+        self.node.links.counts().refused.load(Ordering::Relaxed)
+    }
+
+    fn malformed(&self) -> u64 {
+        self.node.links.counts().malformed.load(Ordering::Relaxed)
+    }
+}
+
+async fn until(mut condition: impl FnMut() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    timeout(GUARD, wait).await.unwrap();
+}
+
+async fn write(socket: &mut TcpStream, bytes: &[u8]) {
+    let len = u32::try_from(bytes.len()).unwrap();
+    socket.write_all(&len.to_be_bytes()).await.unwrap();
+    socket.write_all(bytes).await.unwrap();
+}
+
+async fn read(socket: &mut TcpStream) -> Body {
+    let len = socket.read_u32().await.unwrap();
+    let mut bytes = vec![0; len as usize];
+    socket.read_exact(&mut bytes).await.unwrap();
+    Frame::decode(Bytes::from(bytes)).unwrap().body.unwrap()
+}
+
+/// Waits until the other side has closed; a reset is a close too.
+async fn expect_closed(socket: &mut TcpStream) {
+    let mut rest = Vec::new();
+    let _ = timeout(GUARD, socket.read_to_end(&mut rest)).await.unwrap();
+}
+
+/// A socket that has proved itself by hand, byte by byte.
+async fn proved(address: SocketAddr) -> TcpStream {
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let mine = Hello {
+        fleet: "test".into(),
+        daemon: "rogue".into(),
+        incarnation: 1,
+        nonce: Bytes::from_static(&[9; 32]),
+        address: "127.0.0.1:1".into(),
+    };
+    let frame = Frame::from(Body::Hello(mine.clone()));
+    write(&mut socket, &frame.encode_to_vec()).await;
+    let Body::Hello(challenge) = read(&mut socket).await else {
+        panic!("no challenge");
+    };
+    let key = blake3::derive_key("medlarrill peer link 1", SECRET);
+    let mut hasher = blake3::Hasher::new_keyed(&key);
+    hasher.update(&[1]);
+    hasher.update(&mine.encode_length_delimited_to_vec());
+    hasher.update(&challenge.nonce);
+    let proof = Proof {
+        mac: Bytes::copy_from_slice(hasher.finalize().as_bytes()),
+    };
+    let frame = Frame::from(Body::Proof(proof));
+    write(&mut socket, &frame.encode_to_vec()).await;
+    read(&mut socket).await;
+    read(&mut socket).await;
+    socket
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_unknown_kind_is_passed_over_and_counted() {
+    let mut scene = scene().await;
+    let mut rogue = proved(scene.node.address).await;
+    // Field 1000, a message of two bytes: a kind of a later release.
+    write(&mut rogue, &[0xc2, 0x3e, 2, 8, 1]).await;
+    write(&mut rogue, &[]).await;
+    let known = Frame::from(Body::Cancel(Cancel::default()));
+    write(&mut rogue, &known.encode_to_vec()).await;
+    let heard = async {
+        while !matches!(scene.node.events.recv().await.unwrap(), Event::Message(peer, _) if peer.daemon.as_str() == "rogue")
+        {
+        }
+    };
+    timeout(GUARD, heard).await.unwrap();
+    expect_that!(scene.node.links.counts().heard()["unknown"].messages, eq(2));
+    expect_that!(scene.malformed(), eq(0));
+    scene.expect_unharmed().await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn frames_that_cannot_be_read_close_their_link_alone() {
+    let mut scene = scene().await;
+    let too_large = u32::try_from(MAX_FRAME + 1).unwrap().to_be_bytes();
+    let frames: [&[u8]; 4] = [
+        // Larger than any frame.
+        &too_large,
+        &[0xff; 4],
+        // A known kind whose bytes break off inside.
+        &[0, 0, 0, 3, 0x52, 9, 1],
+        // No field at all.
+        &[0, 0, 0, 2, 0xff, 0xff],
+    ];
+    for (at, frame) in frames.into_iter().enumerate() {
+        let mut rogue = proved(scene.node.address).await;
+        rogue.write_all(frame).await.unwrap();
+        expect_closed(&mut rogue).await;
+        let count = at as u64 + 1;
+        until(|| scene.malformed() == count).await;
+        scene.expect_unharmed().await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_frame_cut_short_closes_its_link_and_is_counted() {
+    let mut scene = scene().await;
+    let mut rogue = proved(scene.node.address).await;
+    rogue.write_all(&[0, 0, 1, 0, 1, 2, 3]).await.unwrap();
+    drop(rogue);
+    until(|| scene.malformed() == 1).await;
+    scene.expect_unharmed().await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn rubbish_before_the_proof_is_refused_and_counted() {
+    let mut scene = scene().await;
+    let mut seed = 1u64;
+    for len in [1usize, 3, 4, 5, 64, 900, 5000] {
+        let bytes: Vec<u8> = (0..len)
+            .map(|_| {
+                seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+                (seed >> 56) as u8
+            })
+            .collect();
+        let before = scene.refused();
+        let mut rogue = TcpStream::connect(scene.node.address).await.unwrap();
+        // The other side may close while this is written.
+        let _ = rogue.write_all(&bytes).await;
+        let _ = rogue.shutdown().await;
+        expect_closed(&mut rogue).await;
+        until(|| scene.refused() == before + 1).await;
+    }
+    scene.expect_unharmed().await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn half_open_handshakes_end_by_themselves_and_hold_nobody_up() {
+    const SILENT: usize = 300;
+    let mut scene = scene().await;
+    let mut silent = Vec::new();
+    for _ in 0..SILENT {
+        silent.push(TcpStream::connect(scene.node.address).await.unwrap());
+    }
+    scene.expect_unharmed().await;
+    // A further daemon gets its turn behind the silent ones.
+    let late = node("late").await;
+    let link = async {
+        loop {
+            if let Ok(link) = late.links.at(scene.node.address).await {
+                return link;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    timeout(GUARD, link).await.unwrap();
+    until(|| scene.refused() >= SILENT as u64).await;
+    for socket in &mut silent {
+        expect_closed(socket).await;
+    }
+    expect_that!(HANDSHAKE_TIMEOUT, le(GUARD / 5));
+}
--- a/crates/testkit/src/fleet/layout.rs
+++ b/crates/testkit/src/fleet/layout.rs
@@ -25,7 +25,7 @@
 /// The key of the operators of a test's fleet.
 pub const OPERATOR_KEY: &str = "operator-secret";
 /// The secret that a test's daemons share.
-pub const FLEET_KEY: &str = "fleet-secret";
+pub const FLEET_KEY: &str = "the secret of a test fleet";
 const REGION: &str = "r1";
 /// Time between two looks at a condition.
 const LOOK: std::time::Duration = std::time::Duration::from_millis(20);
@@ -253,7 +253,7 @@
         let relay = self.relays.get(at);
         let name = format!("d{}", at + 1);
         let path = self.folder.join(format!("{name}.json"));
-        let settings = json!({
+        let mut settings = json!({
             "fleet": "test",
             "daemon": name,
             "data-centre": self.layout.centre(at),
@@ -261,7 +261,6 @@
             "listen": {
                 "callers": "127.0.0.1:0",
                 "peers": "127.0.0.1:0",
-                "advertise": relay.map(|relay| relay.address),
             },
             "keys": {
                 "fleet": FLEET_KEY,
@@ -273,6 +272,9 @@
             "limits": self.layout.limits,
             "seeds": self.seeds(),
         });
+        if let Some(relay) = relay {
+            settings["listen"]["advertise"] = json!(relay.address);
+        }
         std::fs::write(&path, settings.to_string())?;
         let daemon = Daemon::start(&self.program, &path).await?;
         if let Some(relay) = relay {
