Account limits: shares by demand between entries and the account's owner

Cause: an account's rate and concurrency hold for the whole fleet, and each entry sees a sliver of its requests.

Entries hold shares that expire; a request that doesn't fit is held for one round trip while its entry asks.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod endpoint_state;
 pub mod freshness;
 pub mod ids;
+pub mod limits;
 pub mod membership;
 pub mod operator;
 pub mod outcome;
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -19,7 +19,7 @@
 pub use claim::{ClaimAnswer, ClaimAsk, KeyAnswer, KeyAsk};
 pub use config::{PartAnswer, PartAsk};
 pub use gossip::{Change, EndpointLoad, Gossip, PoolLoad, PoolSum, Record, name_hash};
-pub use limit::{Grant, Usage};
+pub use limit::{Grant, Usage, Watch};
 pub use link::{Hello, Proof};
 pub use moved::{Moved, MovedChat, MovedPlace};
 pub use request::{
