Retries: a budget per pool, and a plan that never repeats what may have run

Cause: retries must not multiply a surge, and a non-idempotent request may be tried again only if it certainly didn't run.

A limit by tries alone was ruled out, as a failing pool would get three times its load.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod outcome;
 pub mod placement;
 pub mod reason;
+pub mod retry;
 pub mod units;
 pub mod wire;
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,178 @@
+//! Retries: what may be tried again, the budget, and the waits.
+
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::{EndpointId, PoolId};
+use medlarrill_core::outcome::Outcome;
+use medlarrill_core::reason::Reason;
+use medlarrill_core::retry::{Budget, Failure, Plan, Settings, Verdict};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+fn pool() -> PoolId {
+    "chat".parse().expect("a name")
+}
+
+fn endpoint(name: &str) -> EndpointId {
+    name.parse().expect("a name")
+}
+
+fn plan(idempotent: bool) -> Plan {
+    Plan::new(Settings::default(), pool(), idempotent, Millis(60_000))
+}
+
+fn verdict(idempotent: bool, failure: Failure) -> Verdict {
+    let mut budget = Budget::new(Settings::default());
+    let mut rng = Pcg32::seed_from_u64(1);
+    plan(idempotent).fail(failure, &mut budget, Millis(0), &mut rng)
+}
+
+fn is_again(verdict: Verdict) -> bool {
+    matches!(verdict, Verdict::Again { .. })
+}
+
+#[gtest]
+fn a_request_that_is_not_idempotent_is_tried_again_only_if_it_did_not_run() {
+    for reason in Reason::ALL.iter().copied() {
+        for outcome in [Outcome::Ran, Outcome::Unknown, Outcome::NotRun] {
+            let failure = || Failure::new(reason).with_outcome(outcome);
+            let again = is_again(verdict(false, failure()));
+            expect_that!(
+                again && outcome != Outcome::NotRun,
+                eq(false),
+                "{reason} {outcome}"
+            );
+            expect_that!(again && !reason.retryable(), eq(false), "{reason}");
+            expect_that!(is_again(verdict(true, failure().with_answer())), eq(false));
+        }
+    }
+}
+
+#[gtest]
+fn what_another_endpoint_could_serve_is_tried_again() {
+    for reason in [Reason::QueueFull, Reason::NoEndpoint, Reason::Stopping] {
+        expect_that!(
+            is_again(verdict(false, Failure::new(reason))),
+            eq(true),
+            "{reason}"
+        );
+    }
+    for reason in [
+        Reason::EndpointLost,
+        Reason::EndpointRefused,
+        Reason::HomeLost,
+    ] {
+        expect_that!(
+            is_again(verdict(true, Failure::new(reason))),
+            eq(true),
+            "{reason}"
+        );
+        expect_that!(
+            is_again(verdict(false, Failure::new(reason))),
+            eq(false),
+            "{reason}"
+        );
+    }
+    for reason in [
+        Reason::AccountRate,
+        Reason::PoolFull,
+        Reason::ClaimUnavailable,
+    ] {
+        expect_that!(
+            verdict(true, Failure::new(reason)),
+            eq(Verdict::GiveUp { reason })
+        );
+    }
+}
+
+#[gtest]
+fn the_endpoint_that_failed_comes_last() {
+    let names = ["e1", "e2", "e3"].map(endpoint);
+    let mut plan = plan(true);
+    let mut budget = Budget::new(Settings::default());
+    let mut rng = Pcg32::seed_from_u64(1);
+    for (index, name) in names.iter().enumerate() {
+        expect_that!(plan.pick(names.iter()), some(eq(name)));
+        let failure = Failure::new(Reason::EndpointLost).with_endpoint(name.clone());
+        let again = is_again(plan.fail(failure, &mut budget, Millis(0), &mut rng));
+        expect_that!(again, eq(index < 2));
+    }
+    expect_that!(plan.tries(), eq(3));
+    expect_that!(plan.pick(names.iter()), some(eq(&names[0])));
+}
+
+#[gtest]
+fn retries_stay_under_their_share_however_much_fails() {
+    for seed in 1..=3 {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let mut budget = Budget::new(Settings::default());
+        let (mut first, mut again) = (0_u32, 0_u32);
+        for now in 0..60_000 {
+            let now = Millis(now);
+            if rng.random_ratio(1, 5) {
+                first += 1;
+                budget.first(&pool(), now);
+            }
+            // Every request fails at once and is tried again as often as the budget lets it.
+            again += u32::from(budget.spend(&pool(), now));
+        }
+        println!("seed {seed}: {again} retries of {first} first tries");
+        let most = f64::from(first) * 0.1 + 60.0 + 3.0;
+        expect_that!(f64::from(again), all!(le(most), ge(most * 0.95)));
+    }
+}
+
+#[gtest]
+fn a_spent_budget_does_not_make_an_unknown_outcome_certain() {
+    let mut budget = Budget::new(Settings {
+        floor: 0.0,
+        ..Settings::default()
+    });
+    let mut rng = Pcg32::seed_from_u64(1);
+    let mut fail = |reason| plan(true).fail(Failure::new(reason), &mut budget, Millis(0), &mut rng);
+    let reason = Reason::RetryBudget;
+    expect_that!(fail(Reason::QueueFull), eq(Verdict::GiveUp { reason }));
+    let reason = Reason::EndpointLost;
+    expect_that!(fail(reason), eq(Verdict::GiveUp { reason }));
+}
+
+#[gtest]
+fn waits_grow_are_spread_and_end_before_the_deadline() {
+    let mut rng = Pcg32::seed_from_u64(1);
+    let mut longest = [0; 3];
+    let mut shortest = [u64::MAX; 3];
+    for _ in 0..300 {
+        let settings = Settings {
+            tries: 4,
+            ..Settings::default()
+        };
+        let mut plan = Plan::new(settings, pool(), true, Millis(60_000));
+        let mut budget = Budget::new(Settings::default());
+        for step in 0..3 {
+            let failure = Failure::new(Reason::QueueFull);
+            let verdict = plan.fail(failure, &mut budget, Millis(0), &mut rng);
+            let Verdict::Again { wait } = verdict else {
+                continue;
+            };
+            longest[step] = longest[step].max(wait.0);
+            shortest[step] = shortest[step].min(wait.0);
+        }
+    }
+    for (step, most) in [50, 100, 200].into_iter().enumerate() {
+        expect_that!(longest[step], all!(le(most), ge(most * 9 / 10)));
+        expect_that!(shortest[step], le(most / 10));
+    }
+    let mut plan = Plan::new(Settings::default(), pool(), true, Millis(1_000));
+    let mut budget = Budget::new(Settings::default());
+    let failure = Failure::new(Reason::QueueFull).with_after(Millis(2_000));
+    let verdict = plan.fail(failure, &mut budget, Millis(0), &mut rng);
+    expect_that!(
+        verdict,
+        eq(Verdict::GiveUp {
+            reason: Reason::QueueFull
+        })
+    );
+    // A retry that isn't made costs nothing.
+    let left = (0..10).filter(|_| budget.spend(&pool(), Millis(0))).count();
+    expect_that!(left, eq(3));
+}
