Accounts' limits and the retry budget at the entry

Each request takes room of its account before anything else is done for it, and gives it back at its end; a retry is paid for by ten first tries of its pool. Tests: crates/daemon/tests/limits.rs, 2 passing: thirty chats through three daemons against a concurrency of 6, the engines frozen, never more than 6 run; another account runs meanwhile.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -12,6 +12,7 @@
 use crate::entry::{Attempts, States, Tracker};
 use crate::fleet::{self, FleetView};
 use crate::home;
+use crate::limits;
 use crate::metrics::Metrics;
 use crate::operators::Questions;
 use crate::peers::Peers;
@@ -46,6 +47,8 @@
     pub stopping: watch::Receiver<bool>,
     /// The claims task.
     pub claims: claims::Handle,
+    /// The limits task.
+    pub limits: limits::Handle,
     /// The home task.
     pub home: home::Handle,
     /// The configuration task.
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -73,6 +73,9 @@
         if !running.job.idempotent {
             return Err(failure);
         }
+        if !context.limits.spend(running.job.pool.clone()).await {
+            return Err(failure.without_retry());
+        }
         context.metrics.retry(failure.reason);
         let outcome = failure.outcome;
         let again = run(context, running.job).await;
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -69,6 +69,15 @@
         }
     }
 
+    /// The same failure, given up because too much of the work is retries.
+    ///
+    /// What is known of the request stays.
+    #[must_use]
+    pub const fn without_retry(mut self) -> Self {
+        self.reason = Reason::RetryBudget;
+        self
+    }
+
     /// Sets what is known of the request.
     #[must_use]
     pub const fn with_outcome(mut self, outcome: Outcome) -> Self {
--- a/crates/daemon/src/entry/flight.rs
+++ b/crates/daemon/src/entry/flight.rs
@@ -9,6 +9,7 @@
 use super::attempt::Failure;
 use super::tracker::State;
 use crate::context::Context;
+use crate::limits::Permit;
 
 /// Counts a request from its start to its end. Dropped before its end, the
 /// caller went away.
@@ -17,6 +18,7 @@
     request: RequestId,
     over: bool,
     end: Option<OnEnd>,
+    permit: Option<Permit>,
 }
 
 /// Called once with the end of a flight.
@@ -32,9 +34,17 @@
             request,
             over: false,
             end: None,
+            permit: None,
         }
     }
 
+    /// Keeps the account's room until the flight's end.
+    #[must_use]
+    pub fn with_permit(mut self, permit: Permit) -> Self {
+        self.permit = Some(permit);
+        self
+    }
+
     /// Calls `end` with the flight's own end.
     #[must_use]
     pub fn with_end(mut self, end: impl FnOnce(State) + Send + 'static) -> Self {
@@ -67,6 +77,7 @@
             return;
         }
         self.over = true;
+        self.permit = None;
         self.context.metrics.in_flight.dec();
         self.context.tracker.note(self.request, state);
         if let Some(end) = self.end.take() {
--- a/crates/daemon/src/entry/handlers.rs
+++ b/crates/daemon/src/entry/handlers.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use super::answer::{Reply, respond, write_head};
+use super::attempt::Failure;
 use super::flight::Flight;
 use super::job::Job;
 use super::keyed;
@@ -58,11 +59,12 @@
     ) -> Result<(), Box<Problem>> {
         let job = self.job(id, request).await;
         let job = job.inspect_err(|problem| self.refuse(id, problem))?;
+        let flight = Flight::new(&self.0, id);
+        let mut flight = self.enter(&job, flight).await?;
         if let Some(keyed) = job.keyed.clone() {
-            let served = keyed::serve(&self.0, job, keyed, response).await;
+            let served = keyed::serve(&self.0, job, keyed, flight, response).await;
             return served.map_err(|failure| Box::new(Problem::of(&failure)));
         }
-        let mut flight = Flight::new(&self.0, id);
         match respond(&self.0, job).await {
             Ok(Reply::Whole(head, body)) => {
                 write_head(&head, response);
@@ -82,6 +84,23 @@
         }
     }
 
+    /// Takes room of the request's account.
+    async fn enter(&self, job: &Job, mut flight: Flight) -> Result<Flight, Box<Problem>> {
+        let ask = job.ask(self.0.incarnation());
+        match self.0.limits.enter(ask).await {
+            Ok(permit) => Ok(flight.with_permit(permit)),
+            Err(refusal) => {
+                let mut failure = match job.keyed {
+                    Some(_) => Failure::unclaimed(refusal.reason),
+                    None => Failure::new(refusal.reason),
+                };
+                failure.after = Some(refusal.after);
+                flight.failed(&failure);
+                Err(Box::new(Problem::of(&failure)))
+            }
+        }
+    }
+
     /// Reads and classifies a request; one without a known key isn't read in full.
     async fn job(&self, id: RequestId, request: &mut Request) -> Result<Job, Box<Problem>> {
         if self.0.unready() == Some(NO_CONFIGURATION) {
--- a/crates/daemon/src/entry/job.rs
+++ b/crates/daemon/src/entry/job.rs
@@ -4,12 +4,14 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::config::{Pool, PoolKind};
 use medlarrill_core::ids::{
-    AccountId, AttemptId, ChatHash, EndpointId, InstitutionId, PoolId, RequestId,
+    AccountId, AttemptId, ChatHash, EndpointId, Incarnation, InstitutionId, PoolId, RequestId,
 };
+use medlarrill_core::limits::{AccountHash, Limits};
 use medlarrill_core::units::Tokens;
 use medlarrill_core::wire::{Forward, Header};
 
 use super::keyed::Keyed;
+use crate::limits::Ask;
 
 /// Bytes of text that are taken for one token where only text is known.
 pub const TOKEN_BYTES: u64 = 4;
@@ -23,6 +25,8 @@
     pub institution: InstitutionId,
     /// The account that sent it.
     pub account: AccountId,
+    /// The account's limits over the whole fleet.
+    pub limits: Limits,
     /// The pool that serves it.
     pub pool: PoolId,
     /// The pool's settings.
@@ -50,6 +54,19 @@
 }
 
 impl Job {
+    /// What the account's limits are asked.
+    pub fn ask(&self, sender: Incarnation) -> Ask {
+        Ask {
+            id: AttemptId {
+                request: self.request,
+                number: 0,
+                sender,
+            },
+            account: AccountHash::of(&self.institution, &self.account),
+            limits: self.limits,
+        }
+    }
+
     /// What ranks the pool's endpoints: the chat, else the request itself.
     pub const fn key(&self) -> u64 {
         match self.chat {
--- a/crates/daemon/src/entry/keyed.rs
+++ b/crates/daemon/src/entry/keyed.rs
@@ -54,12 +54,13 @@
     context: &Arc<Context>,
     job: Job,
     keyed: Keyed,
+    flight: Flight,
     response: &mut salvo::Response,
 ) -> Result<(), Failure> {
     let (sender, mut pieces) = mpsc::unbounded_channel();
     let run = Run {
         context: Arc::clone(context),
-        flight: Flight::new(context, job.request),
+        flight,
         job,
         keyed,
         sender,
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use medlarrill_core::claims::{Digest, KeyHash};
-use medlarrill_core::config::{Institution, Pool, PoolKind, Rule};
+use medlarrill_core::config::{Account, Institution, Pool, PoolKind, Rule};
 use medlarrill_core::ids::RequestId;
 use medlarrill_core::placement::chat_hash;
 use medlarrill_core::reason::Reason;
@@ -69,7 +69,7 @@
 /// The problem to answer with.
 pub fn read(view: &ConfigView, arrived: Arrived<'_>) -> Result<Job> {
     let key = bearer(arrived.headers).ok_or_else(|| problem(Reason::Unauthorised))?;
-    let (client, institution, _) = view
+    let (client, institution, account) = view
         .client(key)
         .ok_or_else(|| problem(Reason::Unauthorised))?;
     let path = arrived.path.split('?').next().unwrap_or_default();
@@ -87,6 +87,7 @@
     let terms = Terms {
         client,
         institution,
+        account,
         rule,
         pool,
     };
@@ -113,6 +114,7 @@
 struct Terms<'a> {
     client: &'a Client,
     institution: &'a Institution,
+    account: &'a Account,
     rule: &'a Rule,
     pool: &'a Pool,
 }
@@ -128,6 +130,7 @@
         request: arrived.id,
         institution: institution.clone(),
         account: terms.client.account.clone(),
+        limits: terms.account.into(),
         pool: terms.rule.pool.clone(),
         terms: terms.pool.clone(),
         chat: chat.map(|chat| chat_hash(institution, chat)),
--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -42,6 +42,7 @@
     let mut lost: Vec<DaemonId> = Vec::new();
     let mut tries = 0;
     let mut outcome = Outcome::NotRun;
+    context.limits.first(job.pool.clone());
     loop {
         let started = attempt(context, &job, tries, &tried, &lost).await;
         tries += 1;
@@ -60,6 +61,9 @@
         if tries >= MAX_TRIES || !may_retry(&job, &failure) {
             return Err(failure);
         }
+        if !context.limits.spend(job.pool.clone()).await {
+            return Err(failure.without_retry());
+        }
         context.metrics.retry(failure.reason);
         log::info!(target: "entry", "entry: {} again after {}", job.request, failure.reason);
         tried.extend(failure.endpoint);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod home;
+pub mod limits;
 pub mod logs;
 pub mod mailbox;
 pub mod metrics;
--- /dev/null
+++ b/crates/daemon/src/limits.rs
@@ -0,0 +1,12 @@
+//! Limits of accounts over the whole fleet, and the budget of retries.
+//!
+//! One task drives the machines of `medlarrill-core`: the accounts that this
+//! entry serves, the ledger of those that this daemon owns, and the budget.
+
+mod handle;
+mod message;
+mod task;
+
+pub use handle::{Handle, Permit};
+pub use message::{Ask, Message, Refusal};
+pub use task::Task;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -27,6 +27,7 @@
 use crate::entry::{Attempts, StateQueue, States, StrayQueue, Strays, Tracker};
 use crate::fleet::{self, FleetView, Outlets, follow_vms};
 use crate::home;
+use crate::limits;
 use crate::metrics::{ControlSources, Metrics};
 use crate::operators::Questions;
 use crate::peers::Peers;
@@ -156,6 +157,7 @@
     stopping: watch::Receiver<bool>,
     home: home::Handle,
     claims: claims::Handle,
+    limits: limits::Handle,
     fleet: fleet::Handle,
     configuration: configuration::Handle,
     strays: Strays,
@@ -169,6 +171,7 @@
     stopping: watch::Sender<bool>,
     home: mpsc::UnboundedReceiver<home::Message>,
     claims: mpsc::UnboundedReceiver<claims::Message>,
+    limits: mpsc::UnboundedReceiver<limits::Message>,
     fleet: mpsc::UnboundedReceiver<fleet::Message>,
     configuration: mpsc::UnboundedReceiver<configuration::Message>,
     strays: StrayQueue,
@@ -181,6 +184,7 @@
     let (stopping_sender, stopping) = watch::channel(false);
     let (home, home_receiver) = home::Handle::new();
     let (claims, claims_receiver) = claims::Handle::new();
+    let (limits, limits_receiver) = limits::Handle::new();
     let (fleet, fleet_receiver) = fleet::Handle::new();
     let (configuration, configuration_receiver) = configuration::Handle::new();
     let (strays, stray_queue) = Strays::new();
@@ -191,6 +195,7 @@
         stopping,
         home,
         claims,
+        limits,
         fleet,
         configuration,
         strays,
@@ -202,6 +207,7 @@
         stopping: stopping_sender,
         home: home_receiver,
         claims: claims_receiver,
+        limits: limits_receiver,
         fleet: fleet_receiver,
         configuration: configuration_receiver,
         strays: stray_queue,
@@ -229,6 +235,7 @@
         states: channels.states.clone(),
         home: channels.home.clone(),
         claims: channels.claims.clone(),
+        limits: channels.limits.clone(),
         fleet: channels.fleet.clone(),
         configuration: channels.configuration.clone(),
         metrics: Arc::clone(&metrics),
@@ -255,6 +262,7 @@
         stopping: channels.stopping,
         home: channels.home,
         claims: channels.claims,
+        limits: channels.limits,
         fleet_task: channels.fleet,
         configuration: channels.configuration,
         platform,
@@ -285,6 +293,8 @@
     tokio::spawn(ends.strays.run(Arc::clone(context)));
     tokio::spawn(claims::Task::new(Arc::clone(context)).run(ends.claims));
     tokio::spawn(ends.states.run(Arc::clone(context)));
+    let rng = Pcg32::new(rand::random(), rand::random());
+    tokio::spawn(limits::Task::new(Arc::clone(context), rng).run(ends.limits));
     Running {
         context: Arc::clone(context),
         server: None,
--- a/crates/daemon/src/switch.rs
+++ b/crates/daemon/src/switch.rs
@@ -10,6 +10,7 @@
 use crate::entry::{Attempts, States, Strays};
 use crate::fleet;
 use crate::home;
+use crate::limits;
 use crate::metrics::Metrics;
 use crate::operators::Questions;
 
@@ -23,6 +24,8 @@
     pub claims: claims::Handle,
     /// Questions for the state of requests.
     pub states: States,
+    /// The limits task.
+    pub limits: limits::Handle,
     /// The home task.
     pub home: home::Handle,
     /// The membership task.
@@ -46,6 +49,7 @@
                 let lost = configuration::Message::Lost(peer.clone());
                 self.configuration.tell(lost);
                 self.claims.tell(claims::Message::PeerLost(peer.clone()));
+                self.limits.tell(limits::Message::Lost(peer.daemon.clone()));
                 self.fleet.tell(fleet::Message::Closed(peer));
             }
             Event::Opened(peer) => {
@@ -67,6 +71,12 @@
             Body::ClaimAnswer(answer) => self.claims.tell(claims::Message::Answer(answer)),
             Body::KeyAsk(ask) => self.claims.tell(claims::Message::KeyAsk(from.clone(), ask)),
             Body::KeyAnswer(answer) => self.claims.tell(claims::Message::KeyAnswer(answer)),
+            Body::Usage(usage) => self
+                .limits
+                .tell(limits::Message::Usage(from.daemon.clone(), usage)),
+            Body::Grant(grant) => self
+                .limits
+                .tell(limits::Message::Grant(from.daemon.clone(), grant)),
             Body::Gossip(gossip) => self.fleet.tell(fleet::Message::Heard(from.clone(), gossip)),
             Body::Moved(moved) => self.home.moved(moved),
             Body::Placed(placed) => self.home.placed(placed),
--- a/crates/testkit/src/fleet/layout.rs
+++ b/crates/testkit/src/fleet/layout.rs
@@ -62,6 +62,8 @@
     pub engine: engine::Settings,
     /// Requests that an engine runs at once, as configured.
     pub slots: u32,
+    /// Requests that an account may have in flight.
+    pub concurrency: u32,
     /// The `limits` of every daemon's settings.
     pub limits: serde_json::Value,
     /// Whether each daemon's links go through a relay.
@@ -77,6 +79,7 @@
             centres: 2,
             engine: engine::Settings::default(),
             slots: 16,
+            concurrency: 10_000,
             limits: json!({}),
             relayed: false,
         }
@@ -98,6 +101,13 @@
         self
     }
 
+    /// Sets how many requests an account may have in flight.
+    #[must_use]
+    pub const fn with_concurrency(mut self, concurrency: u32) -> Self {
+        self.concurrency = concurrency;
+        self
+    }
+
     /// Sets what every engine is.
     #[must_use]
     pub fn with_engine(mut self, engine: engine::Settings) -> Self {
@@ -246,6 +256,12 @@
         Some(Caller::new(daemon.started.callers, "padkos-leaders-key"))
     }
 
+    /// A caller of Kelaniya's toolroom at one daemon.
+    pub fn toolroom(&self, at: usize) -> Option<Caller> {
+        let daemon = self.daemons.get(at)?;
+        Some(Caller::new(daemon.started.callers, "kelaniya-toolroom-key"))
+    }
+
     async fn start_daemon(&mut self, at: usize) -> Result<Daemon> {
         if self.layout.relayed && self.relays.len() <= at {
             self.relays.push(Relay::start().await?);
@@ -308,7 +324,7 @@
         let services = self.services.iter().map(Service::address);
         self.add_endpoints(&mut config, "desk", "s", services)?;
         for (name, account) in [("padkos", "leaders"), ("kelaniya", "toolroom")] {
-            let institution = institution(name, account)?;
+            let institution = institution(name, account, self.layout.concurrency)?;
             config.institutions.insert(name.parse()?, institution);
         }
         Ok(config)
@@ -337,12 +353,12 @@
     }
 }
 
-fn institution(name: &str, account: &str) -> Result<Institution> {
+fn institution(name: &str, account: &str, concurrency: u32) -> Result<Institution> {
     let key = format!("{name}-{account}-key");
     let account_terms = Account {
         key: KeyHash::of(key.as_bytes()),
         rate: Rate(10_000.0),
-        concurrency: 10_000,
+        concurrency,
     };
     let rule = |route: &str, pool: &str, idempotent: bool| -> Result<Rule> {
         Ok(Rule {
