Admission: short queues while the pool is full, a predicted wait by fair order, kept slots

Causes: the predicted wait left out how far a flow is ahead of its turn; a short queue is empty now and then, which ended the time for which it is kept short; and a quarter of the patience was accepted then. A request that prefers to wait for its prefix (stays) is passed on if it can't be served; it was refused. The last quarter of the slots is kept for institutions behind their share or with few requests running.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -44,6 +44,8 @@
 const AFTER_MAX: Millis = Millis::from_secs(30);
 /// Time after which to come back when the endpoint takes no work.
 const AFTER_GONE: Millis = Millis::from_secs(1);
+/// Part of the slots that is kept for institutions under their share, as a divisor.
+const KEPT_DIVISOR: u32 = 4;
 /// The endpoint's priority for work of institutions that use their share.
 const PRIORITY: u8 = 5;
 /// Most that being behind one's share adds to the priority.
@@ -99,7 +101,9 @@
             self.judge(id, now, &mut actions);
         }
         self.drain.advance(now, !self.queue.is_empty());
-        self.overload.note(!self.queue.is_empty(), now);
+        // A queue before free slots waits for the bound, and then others have room.
+        let full = self.flights.len() + self.kept() >= self.slots();
+        self.overload.note(full && !self.queue.is_empty(), now);
         self.flights.sample(now);
         actions
     }
@@ -226,7 +230,7 @@
         if state == State::Ready {
             return;
         }
-        while let Some((waiting, _)) = self.queue.pop() {
+        while let Some((waiting, _)) = self.queue.pop(|_| true) {
             let action = self.turn_away(&waiting, Reason::NoEndpoint, AFTER_GONE);
             actions.push(action);
         }
@@ -251,7 +255,7 @@
     fn pump(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.hold = self.hold.filter(|hold| now < *hold);
         while self.open(now) {
-            let Some((waiting, behind)) = self.queue.pop() else {
+            let Some((waiting, behind)) = self.next() else {
                 return;
             };
             let rise = behind / (PRIORITY_STEP * self.queue.grain());
@@ -264,6 +268,26 @@
         }
     }
 
+    /// Slots kept for institutions under their share.
+    fn kept(&self) -> u32 {
+        self.slots() / KEPT_DIVISOR
+    }
+
+    /// Takes the request to dispatch. The last free slots are kept for institutions that are behind their share, or hold
+    /// not much more of the slots than it.
+    fn next(&mut self) -> Option<(Waiting, u64)> {
+        let slots = self.slots();
+        if self.flights.len() + self.kept() < slots {
+            return self.queue.pop(|_| true);
+        }
+        let kept = f64::from(self.kept());
+        let flights = &self.flights;
+        self.queue.pop(|turn| {
+            let held = f64::from(flights.of(turn.institution));
+            turn.behind > 0 || held < turn.part * f64::from(slots) + kept
+        })
+    }
+
     /// Decides what becomes of a new request that wasn't dispatched at once.
     fn judge(&mut self, id: AttemptId, now: Millis, actions: &mut Vec<Action>) {
         if self.queue.len() > self.settings.queue as usize {
@@ -272,14 +296,15 @@
         let Some(waiting) = self.queue.get(id) else {
             return;
         };
-        let (patience, passable) = (waiting.offer.patience, waiting.offer.passable);
+        let patience = waiting.offer.patience;
+        let leaves = waiting.offer.passable && !waiting.offer.stays;
         let wait = self.predict(id, now);
         if wait > self.overload.patience(patience, now) {
             let reason = self.late_reason(now);
             self.evict(id, reason, wait, actions);
             return;
         }
-        if passable && (self.over_bound(now) || wait > self.settings.pass_wait) {
+        if leaves && (self.over_bound(now) || wait > self.settings.pass_wait) {
             let reason = self.late_reason(now);
             self.evict(id, reason, wait, actions);
             return;
--- a/crates/core/src/admission/event.rs
+++ b/crates/core/src/admission/event.rs
@@ -26,6 +26,8 @@
     pub patience: Millis,
     /// Whether another endpoint could take it and hops allow that.
     pub passable: bool,
+    /// Whether it had better wait here, where its prefix is cached, than be passed on.
+    pub stays: bool,
 }
 
 /// The endpoint's own report of its load.
--- a/crates/core/src/admission/fair.rs
+++ b/crates/core/src/admission/fair.rs
@@ -12,6 +12,8 @@
 
 /// Fixed-point steps of a tag per token at share 1.
 const SCALE: u64 = 1 << 10;
+/// Work that is taken to come of a flow before another's turn, as a multiple of what it has waiting.
+const REFILL: u64 = 2;
 /// Idle flows that are remembered at most.
 const MAX_IDLE: usize = 1024;
 
@@ -102,7 +104,9 @@
         let Some(mut flow) = self.take(key) else {
             return;
         };
-        self.clock = self.clock.max(flow.tag);
+        // A flow may be served before its turn, which moves the virtual time no further than the first in turn.
+        let first = self.ready.first().map_or(flow.tag, |(tag, _)| *tag);
+        self.clock = self.clock.max(flow.tag.min(first));
         flow.tag += per_share(work, flow.share);
         flow.work = flow.work.saturating_sub(work);
         flow.count = flow.count.saturating_sub(1);
@@ -120,9 +124,9 @@
         self.put(key, flow);
     }
 
-    /// The flow to serve next.
-    pub(super) fn next(&self) -> Option<&K> {
-        self.ready.first().map(|(_, key)| key)
+    /// Flows with work waiting, in the order of service.
+    pub(super) fn ready(&self) -> impl Iterator<Item = &K> {
+        self.ready.iter().map(|(_, key)| key)
     }
 
     /// The flow with most waiting work per share.
@@ -137,13 +141,33 @@
         })
     }
 
-    /// Work of all flows that is served before `ahead` of this flow has gone, by shares.
-    pub(super) fn work_before(&self, key: &K, ahead: u64, total: u64) -> u64 {
+    /// Work of all flows that is served before `ahead` of this flow has gone, if those that wait go on asking.
+    ///
+    /// A flow that was served more than its share has to let the others catch up first.
+    pub(super) fn work_before(&self, key: &K, ahead: u64) -> u64 {
         let Some(flow) = self.flows.get(key) else {
-            return total;
+            return ahead;
         };
-        let share = u64::from(flow.share);
-        (ahead.saturating_mul(self.shares.max(share)) / share).min(total.max(ahead))
+        let until = flow.tag.saturating_add(per_share(ahead, flow.share));
+        let mut work = ahead;
+        for (tag, other) in &self.ready {
+            if *tag >= until {
+                break;
+            }
+            let Some(rival) = self.flows.get(other).filter(|_| other != key) else {
+                continue;
+            };
+            let due = (until - tag).saturating_mul(u64::from(rival.share)) / SCALE;
+            work = work.saturating_add(due.min(REFILL * rival.work));
+        }
+        work
+    }
+
+    /// The flow's share over that of all flows that are remembered.
+    pub(super) fn part(&self, key: &K) -> f64 {
+        let all: u64 = self.flows.values().map(|flow| u64::from(flow.share)).sum();
+        let own = self.flows.get(key).map_or(0, |flow| flow.share);
+        f64::from(own) / all.max(1) as f64
     }
 
     /// Mean work of the flow's waiting requests.
@@ -153,11 +177,6 @@
             .map_or(0, |flow| flow.work / flow.count.max(1))
     }
 
-    /// Work that waits in one flow.
-    pub(super) fn work(&self, key: &K) -> u64 {
-        self.flows.get(key).map_or(0, |flow| flow.work)
-    }
-
     /// Forgets one idle flow that has its whole credit, or any if there are too many.
     pub(super) fn forget(&mut self, credit: u64) -> Option<K> {
         let (tag, key) = self.idle.first()?.clone();
--- a/crates/core/src/admission/flights.rs
+++ b/crates/core/src/admission/flights.rs
@@ -5,7 +5,7 @@
 use derive_more::Debug;
 
 use crate::clock::Millis;
-use crate::ids::AttemptId;
+use crate::ids::{AttemptId, InstitutionId};
 use crate::units::Tokens;
 
 use super::event::Offer;
@@ -66,6 +66,8 @@
 #[derive(Clone, Default, Debug)]
 pub(super) struct Flights {
     all: HashMap<AttemptId, Flight>,
+    /// Requests of each institution.
+    counts: HashMap<InstitutionId, u32>,
     work: u64,
     past: VecDeque<Sample>,
 }
@@ -107,8 +109,15 @@
         self.all.contains_key(&id)
     }
 
+    /// Requests of one institution that run.
+    pub(super) fn of(&self, institution: &InstitutionId) -> u32 {
+        self.counts.get(institution).copied().unwrap_or(0)
+    }
+
     /// Adds a request.
     pub(super) fn add(&mut self, flight: Flight) {
+        let institution = flight.offer.institution.clone();
+        *self.counts.entry(institution).or_default() += 1;
         self.work = self.work.saturating_add(flight.left);
         self.all.insert(flight.offer.id, flight);
     }
@@ -117,6 +126,11 @@
     pub(super) fn remove(&mut self, id: AttemptId) -> Option<Flight> {
         let flight = self.all.remove(&id)?;
         self.work -= flight.left;
+        let institution = &flight.offer.institution;
+        match self.counts.get_mut(institution) {
+            Some(count) if *count > 1 => *count -= 1,
+            _ => drop(self.counts.remove(institution)),
+        }
         Some(flight)
     }
 
--- a/crates/core/src/admission/overload.rs
+++ b/crates/core/src/admission/overload.rs
@@ -11,31 +11,45 @@
 
 /// Time for which a queue may stand before it is kept short.
 const STANDING: Millis = Millis::from_secs(2);
+/// Time for which a queue must be empty to be held as short no more; a short queue is empty now and then.
+const CALM: Millis = Millis::from_secs(1);
 /// Part of the patience that is accepted as wait at a standing queue, as a divisor.
-const DIVISOR: u64 = 4;
+const DIVISOR: u64 = 16;
 
-/// Since when the queue hasn't been empty.
+/// Whether the queue stands.
 #[derive(Clone, Default, Debug)]
 pub(super) struct Overload {
-    since: Option<Millis>,
+    /// Since when the queue hasn't been empty, or since when it has.
+    since: Millis,
+    /// Whether requests wait.
+    waiting: bool,
+    /// Whether the queue has stood, and hasn't been empty for long since.
+    stands: bool,
 }
 
 impl Overload {
     /// Notes whether requests wait.
     pub(super) fn note(&mut self, waiting: bool, now: Millis) {
-        if !waiting {
-            self.since = None;
-        } else if self.since.is_none() {
-            self.since = Some(now);
+        self.stands = self.stands(now);
+        if self.waiting != waiting {
+            self.waiting = waiting;
+            self.since = now;
         }
     }
 
     /// The longest predicted wait that is accepted.
     pub(super) fn patience(&self, patience: Millis, now: Millis) -> Millis {
-        let standing = self.since.is_some_and(|since| now.since(since) > STANDING);
-        if !standing {
+        if !self.stands(now) {
             return patience;
         }
         Millis(patience.0 / DIVISOR)
     }
+
+    fn stands(&self, now: Millis) -> bool {
+        let passed = now.since(self.since);
+        if self.waiting {
+            return self.stands || passed > STANDING;
+        }
+        self.stands && passed <= CALM
+    }
 }
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -47,6 +47,17 @@
     number: u64,
 }
 
+/// An institution whose turn it would be.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Turn<'a> {
+    /// The institution.
+    pub(super) institution: &'a InstitutionId,
+    /// Its share over that of all institutions that asked lately.
+    pub(super) part: f64,
+    /// Work by which it is behind its share.
+    pub(super) behind: u64,
+}
+
 /// All waiting requests of one home.
 #[derive(Clone, Default, Debug)]
 pub(super) struct Queue {
@@ -129,37 +140,53 @@
         group.lines.entry(account).or_default().push_back(waiting);
     }
 
-    /// Takes the request whose turn it is, and how far its institution was behind.
-    pub(super) fn pop(&mut self) -> Option<(Waiting, u64)> {
-        let institution = self.institutions.next()?.clone();
-        let group = self.groups.get_mut(&institution)?;
-        let account = group.accounts.next()?.clone();
-        let waiting = group.lines.get_mut(&account)?.pop_front()?;
-        let behind = self
-            .institutions
-            .behind(&institution)
-            .min(group.accounts.behind(&account));
-        self.institutions.serve(&institution, waiting.work);
-        group.accounts.serve(&account, waiting.work);
-        group.tidy(&account);
-        self.drop_marks(&waiting);
-        self.forget(&institution);
-        Some((waiting, behind))
+    /// Takes the request whose turn it is, of an institution that may be served, and how far that was behind.
+    pub(super) fn pop(&mut self, may: impl Fn(Turn<'_>) -> bool) -> Option<(Waiting, u64)> {
+        let may = |institution: &&InstitutionId| {
+            may(Turn {
+                institution,
+                part: self.institutions.part(institution),
+                behind: self.institutions.behind(institution),
+            })
+        };
+        let institution = self.institutions.ready().find(may)?.clone();
+        let group = self.groups.get(&institution)?;
+        let account = group.accounts.ready().next()?.clone();
+        let id = group.lines.get(&account)?.front()?.offer.id;
+        let behind = self.institutions.behind(&institution);
+        let behind = behind.min(group.accounts.behind(&account));
+        Some((self.serve(id)?, behind))
+    }
+
+    /// Takes one request out to be served.
+    fn serve(&mut self, id: AttemptId) -> Option<Waiting> {
+        let (place, waiting) = self.take(id)?;
+        let group = self.groups.get_mut(&place.institution)?;
+        group.accounts.serve(&place.account, waiting.work);
+        self.institutions.serve(&place.institution, waiting.work);
+        self.forget(&place.institution);
+        Some(waiting)
     }
 
     /// Takes one request out, wherever it stands.
     pub(super) fn remove(&mut self, id: AttemptId) -> Option<Waiting> {
+        let (place, waiting) = self.take(id)?;
+        let group = self.groups.get_mut(&place.institution)?;
+        group.accounts.remove(&place.account, waiting.work);
+        self.institutions.remove(&place.institution, waiting.work);
+        self.forget(&place.institution);
+        Some(waiting)
+    }
+
+    fn take(&mut self, id: AttemptId) -> Option<(Place, Waiting)> {
         let place = self.places.get(&id)?.clone();
         let group = self.groups.get_mut(&place.institution)?;
         let line = group.lines.get_mut(&place.account)?;
         let index = line.binary_search_by_key(&place.number, |waiting| waiting.number);
         let waiting = line.remove(index.ok()?)?;
-        group.accounts.remove(&place.account, waiting.work);
         group.tidy(&place.account);
-        self.institutions.remove(&place.institution, waiting.work);
         self.drop_marks(&waiting);
-        self.forget(&place.institution);
-        Some(waiting)
+        Some((place, waiting))
     }
 
     /// The newest request of the account that takes most of the queue for its share.
@@ -178,10 +205,8 @@
             return self.work;
         };
         let ahead = group.rank(place) * group.accounts.mean_work(&place.account);
-        let whole = self.institutions.work(&place.institution);
-        let ahead = group.accounts.work_before(&place.account, ahead, whole);
-        self.institutions
-            .work_before(&place.institution, ahead, self.work)
+        let ahead = group.accounts.work_before(&place.account, ahead);
+        self.institutions.work_before(&place.institution, ahead)
     }
 
     /// Corrects a served request's charge by the work that it really took.
--- a/crates/core/tests/support/engine.rs
+++ b/crates/core/tests/support/engine.rs
@@ -33,6 +33,7 @@
         output: Tokens(100),
         patience: Millis::from_secs(10),
         passable: false,
+        stays: false,
     }
 }
 
--- a/crates/lab/src/policy/central.rs
+++ b/crates/lab/src/policy/central.rs
@@ -236,6 +236,7 @@
             output: Tokens(plant.size.output as u64),
             patience: PATIENCE,
             passable: self.keeps_bound() && job.tried.len() < MAX_TRIED,
+            stays: false,
         };
         self.tell(endpoint, Event::Offer(offer), now);
     }
--- a/crates/lab/src/policy/fleet/daemon.rs
+++ b/crates/lab/src/policy/fleet/daemon.rs
@@ -182,6 +182,11 @@
         })
     }
 
+    /// Whether the endpoint takes work by the home's own evidence.
+    pub(super) fn takes(&mut self, endpoint: usize, plant: &Plant, now: u64) -> bool {
+        self.home(endpoint, plant, now).state() == State::Ready
+    }
+
     /// Brings what a home counts into the load view.
     pub(super) fn sync(&mut self, endpoint: usize, plant: &Plant, now: u64) {
         if self.home_of[endpoint] != self.number {
--- a/crates/lab/src/policy/fleet/request.rs
+++ b/crates/lab/src/policy/fleet/request.rs
@@ -62,6 +62,14 @@
         if let Ok(placement) = first {
             return Some(placement);
         }
+        // An endpoint of another home is served from here, so its home can't know better.
+        let pool = &daemon.pool;
+        let ready = |place: &&Place| {
+            pool.get(&place.endpoint)
+                .is_some_and(|view| view.takes_work())
+        };
+        let places: Vec<Place> = places.iter().filter(ready).cloned().collect();
+        ask.places = &places;
         ask.own_only = false;
         place(&daemon.pool, &ask, Millis(now), &mut daemon.rng).ok()
     }
@@ -138,7 +146,8 @@
         let other = may_pass(pool, &ask(job, &[], &tried), here, Millis(now));
         let behind = self.daemons[number].behind(endpoint, now);
         let stays = worth_waiting(behind, Tokens(job.cached));
-        let passable = other && !stays && job.tried.len() < MAX_TRIED;
+        let ready = self.daemons[number].takes(endpoint, plant, now);
+        let passable = (other || !ready) && job.tried.len() < MAX_TRIED;
         let offer = Offer {
             id: attempt,
             institution: plant.names.institutions[institution].clone(),
@@ -148,6 +157,7 @@
             output: Tokens(plant.size.output as u64),
             patience: PATIENCE,
             passable,
+            stays,
         };
         self.tell(plant, number, endpoint, Event::Offer(offer), now);
     }
