--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -11,6 +11,7 @@
 mod handover;
 mod held;
 mod message;
+mod offer;
 mod placing;
 mod poll;
 mod reply;
