--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -362,3 +362,24 @@
         expect_that!(placement.endpoint, not(eq(&endpoint(2))));
     }
 }
+
+#[gtest]
+fn only_anothers_endpoint_of_unknown_state_is_returned_to_and_only_with_hops_left() {
+    let mut pool = pool(&[10, 10]);
+    pool.set_endpoint(&endpoint(2), Distance::Centre);
+    pool.set_state(&endpoint(2), EndpointState::Unknown);
+    let others = [served(2, 900, NOW)];
+    let asked = ask(&others, &[]);
+    let placement = place(&pool, &asked, NOW, &mut rng()).unwrap();
+    expect_that!(placement.endpoint, eq(&endpoint(2)));
+    pool.set_state(&endpoint(0), EndpointState::Unknown);
+    let own = [served(0, 900, NOW)];
+    let last = PlaceAsk {
+        own_only: true,
+        ..ask(&own, &[])
+    };
+    for asked in [ask(&own, &[]), last] {
+        let placement = place(&pool, &asked, NOW, &mut rng()).unwrap();
+        expect_that!(placement.endpoint, eq(&endpoint(1)));
+    }
+}
