Revert "Daemon: work counted as placement counts it, and the home's choice to pass on or wait"

The cause was not found; what changed there is that requests may be passed on after the last hop, to the home's own endpoints.

--- a/crates/daemon/src/home.rs
+++ b/crates/daemon/src/home.rs
@@ -11,7 +11,6 @@
 mod handover;
 mod held;
 mod message;
-mod offer;
 mod placing;
 mod poll;
 mod reply;
--- a/crates/daemon/src/home/held.rs
+++ b/crates/daemon/src/home/held.rs
@@ -2,7 +2,6 @@
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::{AttemptId, ChatHash, EndpointId};
-use medlarrill_core::placement::{HOP_LIMIT, Place, PlaceAsk, estimated_work};
 use medlarrill_core::units::Tokens;
 use medlarrill_core::wire::Forward;
 use tokio::sync::mpsc;
@@ -24,8 +23,6 @@
     pub since: Millis,
     /// The way to its own task, once it is dispatched.
     pub control: Option<mpsc::UnboundedSender<Control>>,
-    /// Whether its prompt is computed, as its first output shows.
-    pub begun: bool,
 }
 
 impl Held {
@@ -47,32 +44,9 @@
     }
 
     /// Estimated work: what the cache doesn't hold of the prompt, and the output.
-    pub fn work(&self) -> Tokens {
-        estimated_work(self.uncached(), Tokens(self.forward.output))
-    }
-
-    /// Estimated prompt that the cache doesn't hold.
-    pub const fn uncached(&self) -> Tokens {
-        Tokens(self.forward.prompt.saturating_sub(self.forward.cached))
-    }
-
-    /// Estimated prompt that is still to be computed.
-    pub const fn unread(&self) -> Tokens {
-        if self.begun {
-            return Tokens(0);
-        }
-        self.uncached()
-    }
-
-    /// What placement is asked.
-    pub fn ask<'a>(&self, places: &'a [Place], tried: &'a [EndpointId]) -> PlaceAsk<'a> {
-        PlaceAsk {
-            chat: self.chat(),
-            places,
-            prompt: self.prompt(),
-            tried,
-            own_only: self.forward.hops >= HOP_LIMIT,
-        }
+    pub const fn work(&self) -> Tokens {
+        let prompt = self.forward.prompt.saturating_sub(self.forward.cached);
+        Tokens(prompt + self.forward.output)
     }
 
     /// Estimated prompt.
--- a/crates/daemon/src/home/slot.rs
+++ b/crates/daemon/src/home/slot.rs
@@ -72,7 +72,7 @@
         self.moved = false;
     }
 
-    /// Takes the answer to a poll of time `asked`; its tokens are work as the home counts it.
+    /// Takes the answer to a poll of time `asked`.
     pub fn polled(&mut self, load: &endpoint::Load, asked: Millis, now: Millis) -> Vec<Action> {
         self.heard = asked.max(self.heard);
         self.leaving = load.state == endpoint::State::Leaving;
@@ -109,12 +109,6 @@
         }
     }
 
-    /// Work that must go before one more request runs.
-    pub fn behind(&self, now: Millis) -> Tokens {
-        let over = self.home.load(now).0.saturating_sub(self.home.limit(now).0);
-        self.home.queued_work() + Tokens(over)
-    }
-
     /// Whether the slot can be dropped.
     pub fn is_idle(&self) -> bool {
         self.home.in_flight() == 0 && self.home.queued() == 0
--- a/crates/daemon/src/home/task.rs
+++ b/crates/daemon/src/home/task.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use medlarrill_core::admission::{Action, Ending, Event, Mean};
+use medlarrill_core::admission::{Action, Ending, Event, Mean, Offer};
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::{AttemptId, EndpointId, Incarnation};
-use medlarrill_core::placement::{Directory, LoadView};
+use medlarrill_core::placement::{Directory, HOP_LIMIT, LoadView};
 use medlarrill_core::reason::Reason;
 use medlarrill_core::units::Tokens;
 use medlarrill_core::wire::Forward;
@@ -30,6 +30,9 @@
 
 /// Time between two looks at queues and means.
 const TICK: Millis = Millis(25);
+/// Endpoints that one home tries before it lets a request wait.
+const MAX_TRIED: usize = 3;
+
 /// State of the home task.
 pub struct Task {
     pub(super) context: Arc<Context>,
@@ -133,7 +136,6 @@
             endpoint: None,
             since: now(),
             control: None,
-            begun: false,
             forward,
         };
         if held.forward.resume {
@@ -156,12 +158,32 @@
         }
         self.refresh(endpoint);
         held.endpoint = Some(endpoint.clone());
-        let offer = self.describe(&held, endpoint);
+        let offer = self.describe(&held);
         let id = held.id;
         self.held.insert(id, held);
         self.drive(endpoint, Event::Offer(offer));
     }
 
+    fn describe(&self, held: &Held) -> Offer {
+        let forward = &held.forward;
+        let institution = forward.institution.parse().ok();
+        let contract = institution
+            .as_ref()
+            .and_then(|id| self.config.config.institutions.get(id));
+        let waited = now().since(held.since);
+        Offer {
+            id: held.id,
+            share: contract.map_or(1, |institution| institution.contract.share),
+            institution: institution.unwrap_or_else(unnamed),
+            account: forward.account.parse().unwrap_or_else(|_| unnamed()),
+            prompt: Tokens(forward.prompt.saturating_sub(forward.cached)),
+            output: Tokens(forward.output),
+            patience: Millis(forward.patience).since(waited),
+            passable: forward.hops < HOP_LIMIT && forward.tried.len() < MAX_TRIED,
+            stays: false,
+        }
+    }
+
     /// Feeds an event to an endpoint's admission and carries out its actions.
     pub(super) fn drive(&mut self, endpoint: &EndpointId, event: Event) {
         let now = now();
@@ -268,11 +290,8 @@
     }
 
     fn progress(&mut self, id: AttemptId, output: Tokens) {
-        let Some(held) = self.held.get_mut(&id) else {
-            return;
-        };
-        held.begun |= output.0 > 0;
-        if let Some(endpoint) = held.endpoint.clone() {
+        let endpoint = self.held.get(&id).and_then(|held| held.endpoint.clone());
+        if let Some(endpoint) = endpoint {
             self.drive(&endpoint, Event::Progress { id, output });
         }
     }
@@ -294,10 +313,6 @@
 
     fn polled(&mut self, endpoint: &EndpointId, asked: Millis, load: CallResult<Load>) {
         let now = now();
-        let load = load.map(|load| Load {
-            tokens: self.reported_work(endpoint, load.tokens).0,
-            ..load
-        });
         let Some(slot) = self.slots.get_mut(endpoint) else {
             return;
         };
@@ -376,3 +391,10 @@
         endpoints: mean.endpoints,
     })
 }
+
+fn unnamed<T: std::str::FromStr>() -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    "unnamed".parse().expect("the text is a valid name")
+}
