--- a/crates/client/src/args.rs
+++ b/crates/client/src/args.rs
@@ -21,7 +21,8 @@
   5  accepted, but with --wait some daemon doesn't have it yet";
 
 /// Asks a router fleet what is true, and changes it.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(name = "medlarrill", version, after_help = EXIT_CODES)]
 pub(crate) struct Args {
     /// Daemon to ask; the next one is tried if it can't be reached.
@@ -51,7 +52,8 @@
 }
 
 /// How answers are printed.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, ValueEnum)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(ValueEnum)]
 pub(crate) enum Output {
     /// Tables and sentences.
     Text,
@@ -60,7 +62,8 @@
 }
 
 /// What to do.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub(crate) enum Verb {
     /// Send statements, parted by `;` or lines.
     Run {
@@ -104,7 +107,8 @@
 }
 
 /// The rest of a statement.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(crate) struct Words {
     /// The words of the statement.
     #[arg(required = true)]
--- a/crates/client/src/call.rs
+++ b/crates/client/src/call.rs
@@ -54,7 +54,8 @@
 }
 
 /// What a daemon says with an error status.
-#[derive(Default, Deserialize)]
+#[derive(Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct Problem {
     title: String,
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -27,7 +27,8 @@
 type Result<T> = std::result::Result<T, Error>;
 
 /// Why the client can't go on.
-#[derive(Debug, Display, Error, From)]
+#[derive(Debug)]
+#[derive(Display, Error, From)]
 enum Error {
     /// The command line asks for something impossible.
     #[display("{_0}")]
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -54,7 +54,8 @@
 const PRIORITY_STEP: u64 = 4;
 
 /// The admission of work to one endpoint.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Home {
     settings: Settings,
     state: State,
--- a/crates/core/src/admission/bound.rs
+++ b/crates/core/src/admission/bound.rs
@@ -19,7 +19,8 @@
 const UNSEEN_DIVISOR: u32 = 4;
 
 /// What is known of the endpoint's load beside the home's own count.
-#[derive(Clone, Default, Debug)]
+#[derive(Clone, Default)]
+#[derive(Debug)]
 pub(super) struct Bound {
     /// Start of the home, after which a report must hold to end its probation.
     start: Millis,
--- a/crates/core/src/admission/drain.rs
+++ b/crates/core/src/admission/drain.rs
@@ -12,7 +12,8 @@
 const SLOT_STEP: f64 = 1.0 / 32.0;
 
 /// Estimate of the work that is cleared in a millisecond.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Drain {
     /// Work that one slot clears in a millisecond.
     slot: f64,
--- a/crates/core/src/admission/event.rs
+++ b/crates/core/src/admission/event.rs
@@ -8,7 +8,8 @@
 use crate::units::Tokens;
 
 /// A request that asks to run at the endpoint.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Offer {
     /// The try.
     pub id: AttemptId,
@@ -31,7 +32,8 @@
 }
 
 /// The endpoint's own report of its load.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug)]
 pub struct Report {
     /// When it held, on the home's clock.
     pub as_of: Millis,
@@ -46,7 +48,8 @@
 }
 
 /// The mean load of the pool's endpoints that take work.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug)]
 pub struct Mean {
     /// When it held, on the home's clock.
     pub as_of: Millis,
@@ -57,7 +60,8 @@
 }
 
 /// Whether the home may admit work to its endpoint.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug)]
 pub enum State {
     /// The endpoint takes work.
     #[default]
@@ -71,7 +75,8 @@
 }
 
 /// How a request that ran came to its end.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Ending {
     /// The endpoint gave its whole answer.
     Done,
@@ -82,7 +87,8 @@
 }
 
 /// What a home is told.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Event {
     /// A request asks to run. A try that is held already is ignored.
     Offer(Offer),
@@ -116,7 +122,8 @@
 }
 
 /// What a home asks for. Each offer gets exactly one of these, unless it is cancelled first.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Action {
     /// Send the request to the endpoint.
     Dispatch {
--- a/crates/core/src/admission/fair.rs
+++ b/crates/core/src/admission/fair.rs
@@ -18,7 +18,8 @@
 const MAX_IDLE: usize = 1024;
 
 /// Flows of one level; `K` names a flow.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Fair<K> {
     /// Flows with work waiting, and those that are ahead of their credit.
     flows: HashMap<K, Flow>,
@@ -35,7 +36,8 @@
 }
 
 /// One flow.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 struct Flow {
     /// Work served per share.
     tag: u64,
--- a/crates/core/src/admission/flights.rs
+++ b/crates/core/src/admission/flights.rs
@@ -18,7 +18,8 @@
 const TAIL: u64 = 8;
 
 /// A request that runs.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Flight {
     /// What was offered.
     pub(super) offer: Offer,
@@ -35,7 +36,8 @@
 }
 
 /// The most, and the least work, that was in flight during one sample's span.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 struct Sample {
     at: Millis,
     count: u32,
@@ -44,7 +46,8 @@
 }
 
 /// What was in flight at a time in the past.
-#[derive(Clone, Copy, Default, Debug)]
+#[derive(Clone, Copy, Default)]
+#[derive(Debug)]
 pub(super) struct Past {
     /// Requests.
     pub(super) count: u32,
@@ -63,7 +66,8 @@
 }
 
 /// All requests that run at one endpoint for one home.
-#[derive(Clone, Default, Debug)]
+#[derive(Clone, Default)]
+#[derive(Debug)]
 pub(super) struct Flights {
     all: HashMap<AttemptId, Flight>,
     /// Requests of each institution.
--- a/crates/core/src/admission/overload.rs
+++ b/crates/core/src/admission/overload.rs
@@ -17,7 +17,8 @@
 const DIVISOR: u64 = 16;
 
 /// Whether the queue stands.
-#[derive(Clone, Default, Debug)]
+#[derive(Clone, Default)]
+#[derive(Debug)]
 pub(super) struct Overload {
     /// Since when the queue hasn't been empty, or since when it has.
     since: Millis,
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -18,7 +18,8 @@
 const GRAIN_STEPS: u64 = 32;
 
 /// A request that waits.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Waiting {
     /// What was offered.
     pub(super) offer: Offer,
@@ -33,14 +34,16 @@
 }
 
 /// The waiting requests of one institution.
-#[derive(Clone, Default, Debug)]
+#[derive(Clone, Default)]
+#[derive(Debug)]
 struct Group {
     accounts: Fair<AccountId>,
     lines: HashMap<AccountId, VecDeque<Waiting>>,
 }
 
 /// Where a waiting request stands.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 struct Place {
     institution: InstitutionId,
     account: AccountId,
@@ -48,7 +51,8 @@
 }
 
 /// An institution whose turn it would be.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 pub(super) struct Turn<'a> {
     /// The institution.
     pub(super) institution: &'a InstitutionId,
@@ -59,7 +63,8 @@
 }
 
 /// All waiting requests of one home.
-#[derive(Clone, Default, Debug)]
+#[derive(Clone, Default)]
+#[derive(Debug)]
 pub(super) struct Queue {
     institutions: Fair<InstitutionId>,
     groups: HashMap<InstitutionId, Group>,
--- a/crates/core/src/admission/settings.rs
+++ b/crates/core/src/admission/settings.rs
@@ -11,7 +11,8 @@
 const PASS_WAIT: Millis = Millis(250);
 
 /// Limits of one home.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct Settings {
     /// Requests that the endpoint runs at once.
     pub slots: u32,
--- a/crates/core/src/change/apply.rs
+++ b/crates/core/src/change/apply.rs
@@ -14,7 +14,8 @@
 pub type Result<T> = std::result::Result<T, Faults>;
 
 /// A configuration after some changes.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct Applied {
     /// The configuration; its generation is still the old one.
     pub config: Config,
@@ -23,7 +24,8 @@
 }
 
 /// Something wrong with a change.
-#[derive(Clone, PartialEq, Eq, Debug, Display)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display)]
 #[display("{finding}")]
 pub struct Fault {
     /// Which of the changes is at fault, from 0, if one of them is.
@@ -33,7 +35,8 @@
 }
 
 /// All that is wrong with some changes.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 #[display("{}", _0.iter().map(Fault::to_string).collect::<Vec<_>>().join("\n"))]
 pub struct Faults(#[error(not(source))] pub Vec<Fault>);
 
--- a/crates/core/src/change/changer/event.rs
+++ b/crates/core/src/change/changer/event.rs
@@ -11,7 +11,8 @@
 use crate::ids::{ChangeId, Generation};
 
 /// An object as it was read.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Stored {
     /// Its version.
     pub version: u64,
@@ -20,7 +21,8 @@
 }
 
 /// What happened.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Event {
     /// Begin.
     Start,
@@ -49,7 +51,8 @@
 }
 
 /// What to do.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Action {
     /// Read the head.
     ReadHead,
@@ -71,7 +74,8 @@
 }
 
 /// How a change ended.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Outcome {
     /// It is in force and won't be lost.
     Accepted(Accepted),
@@ -88,7 +92,8 @@
 }
 
 /// An accepted change.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Accepted {
     /// The first generation that has it.
     pub generation: Generation,
@@ -115,7 +120,8 @@
 }
 
 /// Two changes of the same part.
-#[derive(Clone, PartialEq, Eq, Debug, Display)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display)]
 #[display("change {change} conflicts with {} of generation {generation}: both concern part {part}", self.other())]
 pub struct Conflict {
     /// The change that was not made.
--- a/crates/core/src/change/digest.rs
+++ b/crates/core/src/change/digest.rs
@@ -8,19 +8,8 @@
 use super::PART_PREFIX;
 
 /// BLAKE3 digest of an object's bytes, in hexadecimal.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Debug,
-    Display,
-    SerializeDisplay,
-    DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
 #[debug("{}", hex::encode(_0))]
 #[display("{}", hex::encode(_0))]
 pub struct Digest(pub [u8; 32]);
--- a/crates/core/src/change/head.rs
+++ b/crates/core/src/change/head.rs
@@ -28,7 +28,8 @@
 }
 
 /// The one object that says what is in force.
-#[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Head {
     /// Counts accepted changes.
@@ -40,7 +41,8 @@
 }
 
 /// Which object holds a part.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PartRef {
     /// The object's digest.
@@ -50,7 +52,8 @@
 }
 
 /// A change that was accepted, or given up for good.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChangeRecord {
     /// The change.
--- a/crates/core/src/change/part.rs
+++ b/crates/core/src/change/part.rs
@@ -14,18 +14,8 @@
 pub const MAX_PART: usize = 1 << 20;
 
 /// A part's name in the head.
-#[derive(
-    Clone,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Debug,
-    Display,
-    SerializeDisplay,
-    DeserializeFromStr,
-)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
 pub enum PartName {
     /// One institution with its accounts and rules.
     #[display("institution/{_0}")]
@@ -39,7 +29,8 @@
 }
 
 /// A text that names no part.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 pub enum PartNameError {
     /// No such kind of part.
     #[display("`{_0}` names no part")]
@@ -69,7 +60,8 @@
 }
 
 /// What a part holds.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Body {
     /// One institution.
@@ -85,7 +77,8 @@
 /// The version of the head that it was written for makes its bytes, and so its
 /// digest, unlike those of every part that an earlier head may have named.
 /// So a part that a sweep has found unused is never taken up again.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Part {
     /// Version of the head that it was written for; zero for the first.
--- a/crates/core/src/change/spread/event.rs
+++ b/crates/core/src/change/spread/event.rs
@@ -75,7 +75,8 @@
 }
 
 /// Why something that came can't be used.
-#[derive(Clone, PartialEq, Eq, derive_more::Debug, derive_more::Display)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(derive_more::Debug, derive_more::Display)]
 pub enum Rejected {
     /// A head that can't be read.
     #[display("a head can't be read: {_0}")]
--- a/crates/core/src/claims/chain.rs
+++ b/crates/core/src/claims/chain.rs
@@ -16,7 +16,8 @@
 pub type Result<T> = std::result::Result<T, ChainError>;
 
 /// An object that doesn't follow from what was read.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 pub enum ChainError {
     /// The object can't be read.
     #[display("{_0}")]
@@ -38,7 +39,8 @@
 }
 
 /// A checkpoint that still counts.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Segment {
     /// Its number.
     pub number: u64,
@@ -47,14 +49,16 @@
 }
 
 /// A claim that no longer holds its key.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug)]
 struct DeadClaim {
     key: KeyHash,
     id: ClaimId,
 }
 
 /// What the objects read so far say.
-#[derive(Clone, Default, Debug)]
+#[derive(Clone, Default)]
+#[derive(Debug)]
 pub struct Chain {
     /// Live claims.
     pub table: Table,
--- a/crates/core/src/claims/claimant/event.rs
+++ b/crates/core/src/claims/claimant/event.rs
@@ -11,7 +11,8 @@
 use crate::wire::{ClaimAnswer, ClaimAsk, KeyAnswer, KeyAsk};
 
 /// A caller's keyed request.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Start {
     /// The request; never used twice.
     pub request: RequestId,
@@ -24,7 +25,8 @@
 }
 
 /// How a dispatched request ended.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum End {
     /// It ran; the answer, if it is whole and known.
     Ran(Option<HeldAnswer>),
@@ -35,7 +37,8 @@
 }
 
 /// What a machine is told.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Event {
     /// Time has passed.
     Tick,
@@ -86,7 +89,8 @@
 }
 
 /// What a machine wants done.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Action {
     /// Send a question to the owner of the key's shard.
     Ask(ClaimAsk),
@@ -131,7 +135,8 @@
 }
 
 /// What a claimant says of a key.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
 pub enum KeyState {
     /// It may have run.
     #[display("unknown")]
@@ -173,7 +178,8 @@
 }
 
 /// Times and sizes of the entry's machine.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct ClaimantLimits {
     /// Longest time from a request to its claim.
     pub claim_wait: Millis,
--- a/crates/core/src/claims/claimant/keys.rs
+++ b/crates/core/src/claims/claimant/keys.rs
@@ -10,7 +10,8 @@
 use crate::claims::table::ClaimId;
 use crate::clock::Millis;
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(super) enum Phase {
     /// Waits for an owner's answer.
     Asking,
@@ -31,7 +32,8 @@
     Unknown,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Entry {
     pub(super) start: Start,
     pub(super) phase: Phase,
@@ -46,7 +48,8 @@
 }
 
 /// Keys that are pending, running, or remembered.
-#[derive(Default, Debug)]
+#[derive(Default)]
+#[derive(Debug)]
 pub(super) struct Keys {
     entries: HashMap<KeyHash, Entry>,
     /// Ended keys by the time at which they are forgotten, then by number.
--- a/crates/core/src/claims/farewell.rs
+++ b/crates/core/src/claims/farewell.rs
@@ -15,7 +15,8 @@
 pub const FAREWELL_PREFIX: &str = "farewell/";
 
 /// What became of a process's claims and tickets.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Farewell {
     /// The process.
     #[prost(fixed64, tag = "1")]
@@ -32,7 +33,8 @@
 }
 
 /// What became of numbers handed out in order.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Account {
     /// The first number never handed out.
     #[prost(uint64, tag = "1")]
--- a/crates/core/src/claims/hash.rs
+++ b/crates/core/src/claims/hash.rs
@@ -11,7 +11,8 @@
 pub type Result<T> = std::result::Result<T, HashError>;
 
 /// A hash of the wrong form.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 #[display("a hash has {HASH_LEN} bytes, or twice as many hexadecimal digits")]
 pub struct HashError;
 
--- a/crates/core/src/claims/held.rs
+++ b/crates/core/src/claims/held.rs
@@ -13,7 +13,8 @@
 const OVERHEAD: u64 = 200;
 
 /// A whole answer.
-#[derive(Clone, PartialEq, Default, Debug)]
+#[derive(Clone, PartialEq, Default)]
+#[derive(Debug)]
 pub struct HeldAnswer {
     /// HTTP status.
     pub status: u16,
@@ -24,7 +25,8 @@
 }
 
 /// How many answers are kept, and how long.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct HeldLimits {
     /// Most bytes of all answers.
     pub total: ByteSize,
--- a/crates/core/src/claims/log/batch.rs
+++ b/crates/core/src/claims/log/batch.rs
@@ -19,7 +19,8 @@
 const MAX_VOIDS: usize = 512;
 
 /// A claimant that waits for its answer.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Waiting {
     ask: ClaimAsk,
     pub(super) key: KeyHash,
--- a/crates/core/src/claims/log/event.rs
+++ b/crates/core/src/claims/log/event.rs
@@ -9,7 +9,8 @@
 use crate::wire::{ClaimAnswer, ClaimAsk};
 
 /// A process of the fleet.
-#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Debug)]
 pub struct Member {
     /// The daemon.
     pub daemon: DaemonId,
@@ -18,12 +19,14 @@
 }
 
 /// Number of one call to the platform.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Display)]
 #[display("{_0}")]
 pub struct CallId(pub u64);
 
 /// What a machine is told.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Event {
     /// Time has passed.
     Tick {
@@ -44,7 +47,8 @@
 }
 
 /// The platform's reply to a call.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Reply {
     /// The object was created.
     Created,
@@ -70,7 +74,8 @@
 }
 
 /// An object in a list.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Listed {
     /// Its name.
     pub key: String,
@@ -79,7 +84,8 @@
 }
 
 /// What a machine wants done.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Action {
     /// Create an object unless one of its name exists.
     Create {
@@ -129,7 +135,8 @@
 }
 
 /// What an owner says of a claim asked for.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
 pub enum Verdict {
     /// It stands in the chain.
     #[display("granted")]
@@ -171,7 +178,8 @@
 }
 
 /// Times and sizes of a shard's machine.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct LogLimits {
     /// Shortest time between two batches.
     pub pace: Millis,
--- a/crates/core/src/claims/log/reader.rs
+++ b/crates/core/src/claims/log/reader.rs
@@ -35,7 +35,8 @@
     retry: Millis,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 enum Step {
     List,
     Listing(CallId),
--- a/crates/core/src/claims/log/stats.rs
+++ b/crates/core/src/claims/log/stats.rs
@@ -5,7 +5,8 @@
 use crate::claims::log::event::Verdict;
 
 /// Where a shard's machine stands.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Display)]
 pub enum Standing {
     /// It has nothing to do with the shard.
     #[display("idle")]
--- a/crates/core/src/claims/log/sweep.rs
+++ b/crates/core/src/claims/log/sweep.rs
@@ -18,7 +18,8 @@
 /// Delay after a failed call.
 const RETRY: Millis = Millis::from_secs(5);
 
-#[derive(Default, Debug)]
+#[derive(Default)]
+#[derive(Debug)]
 pub(super) struct Sweep {
     spans: Vec<Span>,
     step: Step,
@@ -36,7 +37,8 @@
     version: u64,
 }
 
-#[derive(Default, Debug)]
+#[derive(Default)]
+#[derive(Debug)]
 enum Step {
     #[default]
     Done,
--- a/crates/core/src/claims/record.rs
+++ b/crates/core/src/claims/record.rs
@@ -14,7 +14,8 @@
 pub type Result<T> = std::result::Result<T, RecordError>;
 
 /// An object that can't be read.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 pub enum RecordError {
     /// The bytes aren't a record.
     #[display("the object is no record: {_0}")]
@@ -28,7 +29,8 @@
 }
 
 /// One object of a chain.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Record {
     /// The process that wrote it.
     #[prost(fixed64, tag = "1")]
@@ -45,7 +47,8 @@
 }
 
 /// Kinds of records.
-#[derive(Clone, PartialEq, Oneof)]
+#[derive(Clone, PartialEq)]
+#[derive(Oneof)]
 pub enum Body {
     /// The writer takes over.
     #[prost(message, tag = "4")]
@@ -62,7 +65,8 @@
 }
 
 /// Takes over a chain.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Open {
     /// The daemon that takes over.
     #[prost(string, tag = "1")]
@@ -73,11 +77,13 @@
 }
 
 /// Ends a tenure.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Message)]
 pub struct Close {}
 
 /// Claims that are made and given up; the given up ones come first.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Batch {
     /// Claims of earlier objects that nobody runs.
     #[prost(message, repeated, tag = "1")]
@@ -91,7 +97,8 @@
 }
 
 /// Live claims of earlier objects.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Checkpoint {
     /// Earlier checkpoints that still have to be read, in ascending order.
     #[prost(uint64, repeated, tag = "1")]
@@ -111,7 +118,8 @@
 }
 
 /// One claim.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Entry {
     /// Hash of institution and key, 32 bytes.
     #[prost(bytes = "bytes", tag = "1")]
@@ -134,7 +142,8 @@
 }
 
 /// A claim that nobody runs.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Void {
     /// Hash of institution and key, 32 bytes.
     #[prost(bytes = "bytes", tag = "1")]
@@ -148,7 +157,8 @@
 }
 
 /// A process that holds claims.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Holder {
     /// The process.
     #[prost(fixed64, tag = "1")]
@@ -159,7 +169,8 @@
 }
 
 /// Object numbers from `first` to `last`, both included.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Message)]
 pub struct Span {
     /// First number.
     #[prost(uint64, tag = "1")]
--- a/crates/core/src/claims/tickets.rs
+++ b/crates/core/src/claims/tickets.rs
@@ -53,7 +53,8 @@
     digest: Option<Digest>,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 enum State {
     Unused,
     Running,
--- a/crates/core/src/claims/tickets/event.rs
+++ b/crates/core/src/claims/tickets/event.rs
@@ -16,7 +16,8 @@
 pub type Result<T> = std::result::Result<T, TicketError>;
 
 /// A text that is no ticket.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 #[display("`{text}` is no ticket: it is daemon, incarnation, number and expiry, parted by colons")]
 pub struct TicketError {
     /// The text as given.
@@ -24,7 +25,8 @@
 }
 
 /// What a caller gets and sends back.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, Display, SerializeDisplay, DeserializeFromStr)]
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
 #[debug("{daemon}:{incarnation}:{number}:{}", expiry.0)]
 #[display("{daemon}:{incarnation}:{number}:{}", expiry.0)]
 pub struct Ticket {
@@ -58,7 +60,8 @@
 }
 
 /// Whom a ticket was issued to.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug)]
 pub struct TicketHolder {
     /// The institution.
     pub institution: InstitutionId,
@@ -67,7 +70,8 @@
 }
 
 /// A request that comes with a ticket.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Redemption {
     /// The request; never used twice.
     pub request: RequestId,
@@ -80,7 +84,8 @@
 }
 
 /// What the machine is told.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum TicketEvent {
     /// Time has passed.
     Tick,
@@ -107,7 +112,8 @@
 }
 
 /// What the machine wants done.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum TicketAction {
     /// Give the caller its ticket.
     Issued {
@@ -138,7 +144,8 @@
 }
 
 /// Times and sizes of the machine.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct TicketLimits {
     /// How long a ticket can be used.
     pub lifetime: Millis,
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -12,20 +12,8 @@
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 
 /// Milliseconds: a span, or a point on a named clock.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Debug,
-    Display,
-    SerializeDisplay,
-    DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
 #[debug("{_0}ms")]
 #[display("{_0}ms")]
 pub struct Millis(pub u64);
@@ -34,7 +22,8 @@
 pub type Result<T> = std::result::Result<T, TimeError>;
 
 /// A time that can't be read.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 #[display("`{text}` is not a time: write a number and ms, s, m, h or d")]
 pub struct TimeError {
     /// The text as given.
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -24,7 +24,8 @@
 pub use pool::{Pool, PoolKind, RefusalMeaning};
 
 /// All that is configured, as of one generation.
-#[derive(Clone, PartialEq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Default, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Config {
     /// The accepted generation; zero before the first.
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -14,7 +14,8 @@
 use crate::units::Rate;
 
 /// One thing wrong in a configuration.
-#[derive(Clone, PartialEq, Eq, Debug, Display)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display)]
 #[display("{item}{}: {message}", field.map(|f| format!(", {f}")).unwrap_or_default())]
 pub struct Finding {
     /// Where it was found.
--- a/crates/core/src/config/endpoint.rs
+++ b/crates/core/src/config/endpoint.rs
@@ -8,7 +8,8 @@
 use crate::ids::{DataCentreId, PoolId, VmId};
 
 /// Whether an endpoint checks the fencing number of an order.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug, Display, FromStr, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Display, FromStr, Serialize, Deserialize)]
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
@@ -21,7 +22,8 @@
 }
 
 /// One endpoint.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Endpoint {
     /// The pool it belongs to.
--- a/crates/core/src/config/institution.rs
+++ b/crates/core/src/config/institution.rs
@@ -11,7 +11,8 @@
 use crate::units::Rate;
 
 /// One institution.
-#[derive(Clone, PartialEq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Default)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Institution {
     /// Its terms.
@@ -23,7 +24,8 @@
 }
 
 /// Terms of one institution.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Contract {
     /// Weight in an endpoint's queue, against other institutions.
@@ -45,7 +47,8 @@
 }
 
 /// One client account.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// Hash of its bearer key.
@@ -78,9 +81,8 @@
 }
 
 /// BLAKE3 hash of a bearer key, in hexadecimal.
-#[derive(
-    Clone, Copy, PartialEq, Eq, Hash, Debug, Display, SerializeDisplay, DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
 #[debug("{}", hex::encode(_0))]
 #[display("{}", hex::encode(_0))]
 pub struct KeyHash(pub [u8; 32]);
@@ -103,7 +105,8 @@
 }
 
 /// Where one route's requests go, and whether they may run twice.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Rule {
     /// Path prefix, such as `/v1/chat/completions`.
--- a/crates/core/src/config/item.rs
+++ b/crates/core/src/config/item.rs
@@ -11,7 +11,8 @@
 pub type Result<T> = std::result::Result<T, PathError>;
 
 /// A path that names no account.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 pub enum PathError {
     /// No dot between institution and account.
     #[display("write an account as `<institution>.<account>`")]
@@ -22,7 +23,8 @@
 }
 
 /// An account together with its institution.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
 #[debug("{institution}.{account}")]
 #[display("{institution}.{account}")]
 pub struct AccountPath {
@@ -45,7 +47,8 @@
 }
 
 /// A rule together with its institution: one for each route and model.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug)]
 pub struct RulePath {
     /// Whose rule it is.
     pub institution: InstitutionId,
@@ -66,7 +69,8 @@
 }
 
 /// One thing in a configuration.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
 pub enum ItemId {
     /// An institution.
     #[display("institution {_0}")]
--- a/crates/core/src/config/pool.rs
+++ b/crates/core/src/config/pool.rs
@@ -7,7 +7,8 @@
 use crate::ids::ModelId;
 
 /// What kind of endpoints a pool holds.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, FromStr, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Display, FromStr, Serialize, Deserialize)]
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
@@ -19,7 +20,8 @@
 }
 
 /// What an endpoint's refusal says of the request.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, FromStr, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Display, FromStr, Serialize, Deserialize)]
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
@@ -31,7 +33,8 @@
 }
 
 /// One pool.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Pool {
     /// The kind of its endpoints.
--- a/crates/core/src/endpoint_state.rs
+++ b/crates/core/src/endpoint_state.rs
@@ -64,7 +64,8 @@
 }
 
 /// The state of an endpoint.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Display)]
 pub enum EndpointState {
     /// There is no recent evidence.
     #[display("unknown")]
--- a/crates/core/src/ids/number.rs
+++ b/crates/core/src/ids/number.rs
@@ -9,7 +9,8 @@
 pub type Result<T> = std::result::Result<T, NumberError>;
 
 /// A number that can't be read.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 #[display("`{text}` is not an identifier of this kind")]
 pub struct NumberError {
     /// The text as given.
@@ -23,104 +24,43 @@
 }
 
 /// One run of a daemon process, drawn at its start.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Debug,
-    Display,
-    SerializeDisplay,
-    DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
 #[debug("{_0:016x}")]
 #[display("{_0:016x}")]
 pub struct Incarnation(pub u64);
 
 /// A caller's request.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Debug,
-    Display,
-    SerializeDisplay,
-    DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
 #[debug("{_0:032x}")]
 #[display("{_0:032x}")]
 pub struct RequestId(pub u128);
 
 /// An operator's change, drawn by the client that asks for it.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Debug,
-    Display,
-    SerializeDisplay,
-    DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
 #[debug("{_0:032x}")]
 #[display("{_0:032x}")]
 pub struct ChangeId(pub u128);
 
 /// Hash of an institution and its chat's name.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Debug,
-    Display,
-    SerializeDisplay,
-    DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
 #[debug("{_0:016x}")]
 #[display("{_0:016x}")]
 pub struct ChatHash(pub u64);
 
 /// Number of an accepted configuration, counting up.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Debug,
-    Display,
-    From,
-    Into,
-    SerializeDisplay,
-    DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Display, From, Into, SerializeDisplay, DeserializeFromStr)]
 #[debug("{_0}")]
 #[display("{_0}")]
 pub struct Generation(pub u64);
 
 /// One try of a request, as one sender made it.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
 #[debug("{request}.{number}@{sender}")]
 #[display("{request}.{number}@{sender}")]
 pub struct AttemptId {
--- a/crates/core/src/ids/text.rs
+++ b/crates/core/src/ids/text.rs
@@ -13,7 +13,8 @@
 pub type Result<T> = std::result::Result<T, IdError>;
 
 /// A name that can't be used.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 pub enum IdError {
     /// No text at all.
     #[display("a name must not be empty")]
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -42,7 +42,8 @@
 const RATE_UNIT: f64 = 100.0;
 
 /// What an account may use over the whole fleet.
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug)]
 pub struct Limits {
     /// Requests a second.
     pub rate: f64,
@@ -60,7 +61,8 @@
 }
 
 /// Hash that names an account in messages.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug)]
 #[debug("{_0:016x}")]
 pub struct AccountHash(pub u64);
 
--- a/crates/core/src/limits/accounts.rs
+++ b/crates/core/src/limits/accounts.rs
@@ -19,14 +19,16 @@
 const REPORT: Millis = Millis::from_secs(1);
 
 /// Messages to and from one owner.
-#[derive(Clone, Copy, Default, Debug)]
+#[derive(Clone, Copy, Default)]
+#[derive(Debug)]
 struct Peer {
     number: u64,
     seen: u64,
 }
 
 /// All accounts in use at one entry.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Accounts {
     live: u32,
     locals: BTreeMap<AccountHash, Local>,
--- a/crates/core/src/limits/book.rs
+++ b/crates/core/src/limits/book.rs
@@ -48,7 +48,8 @@
 const REDUCE: Millis = Millis(500);
 
 /// One account.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Book {
     limits: Limits,
     /// Live daemons.
@@ -70,14 +71,16 @@
 }
 
 /// How the limits are divided now.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 struct Levels {
     flights: Level,
     rate: Level,
 }
 
 /// What one line should have.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 struct Target {
     share: u32,
     rate: u32,
--- a/crates/core/src/limits/event.rs
+++ b/crates/core/src/limits/event.rs
@@ -10,7 +10,8 @@
 use super::{AccountHash, Limits};
 
 /// What an entry is told.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Event {
     /// A request asks to go on.
     Ask {
@@ -45,7 +46,8 @@
 }
 
 /// What an entry asks for. Each ask is admitted or refused once, unless it is done before.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum Action {
     /// The request may go on.
     Admit {
--- a/crates/core/src/limits/ledger.rs
+++ b/crates/core/src/limits/ledger.rs
@@ -16,7 +16,8 @@
 const LEARNING: Millis = Millis::from_secs(2);
 
 /// What an owner is told.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub enum LedgerEvent {
     /// An entry has reported.
     Usage {
@@ -37,7 +38,8 @@
 }
 
 /// What an owner asks for.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct LedgerAction {
     /// The entry.
     pub to: DaemonId,
@@ -46,14 +48,16 @@
 }
 
 /// Messages to and from one entry.
-#[derive(Clone, Copy, Default, Debug)]
+#[derive(Clone, Copy, Default)]
+#[derive(Debug)]
 struct Peer {
     number: u64,
     answers: u64,
 }
 
 /// The accounts that one daemon owns and that are in use.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Ledger {
     live: u32,
     /// Until when a book that is opened may lack what a former owner granted.
--- a/crates/core/src/limits/line.rs
+++ b/crates/core/src/limits/line.rs
@@ -13,7 +13,8 @@
 const EXPIRY_MARGIN: Millis = Millis::from_secs(5);
 
 /// One entry's line in the book; rates are in hundredths a second.
-#[derive(Clone, Default, Debug)]
+#[derive(Clone, Default)]
+#[derive(Debug)]
 pub(super) struct Line {
     /// Requests in flight, as reported.
     pub(super) flights: u32,
@@ -40,7 +41,8 @@
 }
 
 /// What was granted last.
-#[derive(Clone, Copy, Default, Debug)]
+#[derive(Clone, Copy, Default)]
+#[derive(Debug)]
 pub(super) struct Last {
     pub(super) number: u64,
     /// Number of the grant before.
@@ -52,7 +54,8 @@
 }
 
 /// One entry's report of one account.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 pub(super) struct Report {
     /// Highest number of a grant that the entry has taken in.
     pub(super) seen: u64,
@@ -65,7 +68,8 @@
 }
 
 /// What an entry is granted of one account.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Row {
     pub(super) account: AccountHash,
     pub(super) share: u32,
@@ -76,7 +80,8 @@
 }
 
 /// Sums over all lines of a book.
-#[derive(Clone, Copy, Default, Debug)]
+#[derive(Clone, Copy, Default)]
+#[derive(Debug)]
 pub(super) struct Sums {
     /// Requests in flight.
     pub(super) flights: u64,
--- a/crates/core/src/limits/local.rs
+++ b/crates/core/src/limits/local.rs
@@ -38,7 +38,8 @@
 const AFTER_MIN: Millis = Millis(100);
 
 /// A request that waits for the owner's answer.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Held {
     pub(super) id: AttemptId,
     pub(super) since: Millis,
@@ -47,7 +48,8 @@
 }
 
 /// One account in use here.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Local {
     pub(super) limits: Limits,
     pub(super) owner: Option<DaemonId>,
@@ -70,14 +72,16 @@
 }
 
 /// What was reported last.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 struct Sent {
     at: Millis,
     used: Use,
 }
 
 /// An account's use at one entry.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 pub(super) struct Use {
     flights: u32,
     /// In hundredths a second.
--- a/crates/core/src/limits/meter.rs
+++ b/crates/core/src/limits/meter.rs
@@ -5,7 +5,8 @@
 use crate::clock::Millis;
 
 /// Events a second, over a span that fades out.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Meter {
     span: Millis,
     rate: f64,
--- a/crates/core/src/limits/share.rs
+++ b/crates/core/src/limits/share.rs
@@ -14,7 +14,8 @@
 const BURST_MIN: f64 = 2.0;
 
 /// What an entry may use of one account.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(super) struct Share {
     /// Concurrency as granted last.
     pub(super) concurrency: u32,
--- a/crates/core/src/limits/split.rs
+++ b/crates/core/src/limits/split.rs
@@ -6,7 +6,8 @@
 const HEADROOM: f64 = 0.5;
 
 /// How a limit is divided.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 pub(super) struct Level {
     /// Up to which every demand is met; infinite if all demands fit.
     pub(super) most: f64,
--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -13,7 +13,8 @@
 const REFUSED: u32 = 1 << 5;
 
 /// What a member says of itself.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug)]
 pub enum Announced {
     /// It has not yet heard of the others.
     Joining,
@@ -26,7 +27,8 @@
 }
 
 /// What others think of a member.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug)]
 pub enum Doubt {
     /// Nothing speaks against it.
     Trusted,
@@ -37,7 +39,8 @@
 }
 
 /// The state of a member, from both.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Display)]
 pub enum State {
     /// It has not yet heard of the others.
     #[display("joining")]
@@ -57,7 +60,8 @@
 }
 
 /// One daemon process.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Member {
     /// Its name.
     pub daemon: DaemonId,
--- a/crates/core/src/operator/answer.rs
+++ b/crates/core/src/operator/answer.rs
@@ -16,7 +16,8 @@
 
 /// What the client sends.
 #[serde_as]
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Request {
     /// Names the change, so that it may be sent again.
@@ -47,7 +48,8 @@
 
 /// What the daemon answers.
 #[serde_as]
-#[derive(Clone, PartialEq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Default)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Answer {
     /// One for each statement, in their order.
@@ -61,7 +63,8 @@
 
 /// What became of one statement.
 #[serde_as]
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct StatementResult {
     /// The statement as given.
     pub statement: String,
@@ -80,7 +83,8 @@
 }
 
 /// What became of a statement.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display, FromStr, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Display, FromStr, Serialize, Deserialize)]
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
@@ -100,7 +104,8 @@
 }
 
 /// One thing wrong, and where.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Serialize, Deserialize)]
 #[display("{place}: {message}")]
 pub struct Finding {
     /// The place in words, such as `statement 1, word 4`.
@@ -113,7 +118,8 @@
 }
 
 /// Rows under named columns.
-#[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Table {
     /// Names of the columns.
     pub columns: Vec<String>,
--- a/crates/core/src/operator/parse/error.rs
+++ b/crates/core/src/operator/parse/error.rs
@@ -9,7 +9,8 @@
 use super::MAX_TEXT;
 
 /// What was expected at the next word, or is wrong with the last one.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub(super) struct Syntax {
     /// Words left, counting the one in question.
     pub(super) left: usize,
@@ -33,7 +34,8 @@
 }
 
 /// A statement that can't be read.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 #[display("statement {statement}, word {word}: {message}")]
 pub struct SyntaxError {
     /// Which statement it is, counted from 1.
@@ -49,7 +51,8 @@
 }
 
 /// All statements of a text that can't be read.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 #[display("{}", _0.iter().map(SyntaxError::to_string).collect::<Vec<_>>().join("\n"))]
 pub struct SyntaxErrors(#[error(not(source))] pub Vec<SyntaxError>);
 
--- a/crates/core/src/operator/quote.rs
+++ b/crates/core/src/operator/quote.rs
@@ -9,7 +9,8 @@
 pub type Result<T> = std::result::Result<T, TextError>;
 
 /// A text that can't stand in a statement.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 pub enum TextError {
     /// No text at all.
     #[display("the text must not be empty")]
@@ -20,7 +21,8 @@
 }
 
 /// A text as a statement shows it: plain if it can be, else in quotes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 pub struct Quoted<'a>(pub &'a str);
 
 /// Whether a character may stand in a word without quotes.
@@ -39,7 +41,8 @@
 }
 
 /// A free text in a statement: a field, a value, an adapter.
-#[derive(Clone, PartialEq, Eq, Debug, Display)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display)]
 #[debug("{_0:?}")]
 #[display("{}", Quoted(_0))]
 pub struct Text(Arc<str>);
--- a/crates/core/src/operator/span.rs
+++ b/crates/core/src/operator/span.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A stretch of a text in bytes, written `[start, end]`.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(from = "[usize; 2]", into = "[usize; 2]")]
 pub struct Span {
     /// The first byte.
--- a/crates/core/src/operator/statement.rs
+++ b/crates/core/src/operator/statement.rs
@@ -8,7 +8,8 @@
 use crate::ids::{EndpointId, ModelId, RequestId};
 
 /// One statement.
-#[derive(Clone, PartialEq, Debug, Display, From)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Display, From)]
 pub enum Statement {
     /// Changes the configuration.
     Change(Change),
@@ -19,7 +20,8 @@
 }
 
 /// A change of the configuration.
-#[derive(Clone, PartialEq, Debug, Display)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Display)]
 pub enum Change {
     /// Makes something new.
     #[display("create {_0}")]
@@ -50,7 +52,8 @@
 }
 
 /// One thing with the terms that were given for it.
-#[derive(Clone, PartialEq, Debug, Display, From)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Display, From)]
 pub enum Item {
     /// An institution.
     #[display("institution {_0}")]
@@ -83,7 +86,8 @@
 }
 
 /// An order to a model engine.
-#[derive(Clone, PartialEq, Debug, Display)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Display)]
 #[display("order engine {endpoint} {kind}")]
 pub struct Order {
     /// The engine.
@@ -93,7 +97,8 @@
 }
 
 /// What an engine is to do.
-#[derive(Clone, PartialEq, Debug, Display)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Display)]
 pub enum OrderKind {
     /// Serve another model.
     #[display("load-model {_0}")]
@@ -110,7 +115,8 @@
 }
 
 /// An engine's part in serving.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, FromStr)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Display, FromStr)]
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 pub enum EngineRole {
@@ -123,7 +129,8 @@
 }
 
 /// A question.
-#[derive(Clone, PartialEq, Debug, Display)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Display)]
 pub enum Show {
     /// All that stands under one topic.
     #[display("show {_0}")]
@@ -137,7 +144,8 @@
 }
 
 /// A question for a table.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct List {
     /// What is asked for.
     pub topic: Topic,
@@ -148,7 +156,8 @@
 }
 
 /// A condition on a row.
-#[derive(Clone, PartialEq, Debug, Display)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug, Display)]
 #[display("{field} {relation} {value}")]
 pub struct Condition {
     /// Name of a column.
@@ -170,7 +179,8 @@
 }
 
 /// How a column is compared.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Display)]
 pub enum Relation {
     /// The same text.
     #[display("=")]
@@ -181,7 +191,8 @@
 }
 
 /// What a table is about.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, FromStr)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Display, FromStr)]
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 pub enum Topic {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a request ran at an endpoint.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display, FromStr, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Display, FromStr, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 pub enum Outcome {
--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -35,7 +35,8 @@
 const AFTER_EVICTED: f64 = 0.2;
 
 /// A request to be placed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 pub struct PlaceAsk<'a> {
     /// The chat, if it has one.
     pub chat: Option<ChatHash>,
@@ -56,7 +57,8 @@
 }
 
 /// Why an endpoint was chosen.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug)]
 pub enum Why {
     /// It served the chat last.
     Returned,
@@ -69,7 +71,8 @@
 }
 
 /// The endpoint chosen.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct Placement {
     /// The endpoint.
     pub endpoint: EndpointId,
--- a/crates/core/src/placement/directory.rs
+++ b/crates/core/src/placement/directory.rs
@@ -19,7 +19,8 @@
 const STEP: u64 = 100;
 
 /// What the endpoint's cache events said last of a prefix; late, and with gaps.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum CacheHint {
     /// It was stored.
     Stored,
@@ -28,7 +29,8 @@
 }
 
 /// An endpoint that served a chat.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Place {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -41,7 +43,8 @@
 }
 
 /// A chat with its places, most recent first; travels in hand-overs.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct ChatPlaces {
     /// The chat.
     pub chat: ChatHash,
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -8,7 +8,8 @@
 use crate::ids::{DaemonId, DataCentreId, EndpointId, RegionId};
 
 /// A daemon and where it stands.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Daemon {
     /// Its name.
     pub id: DaemonId,
@@ -19,7 +20,8 @@
 }
 
 /// The daemons that a daemon holds to be live, itself among them.
-#[derive(Clone, PartialEq, Default, Debug)]
+#[derive(Clone, PartialEq, Default)]
+#[derive(Debug)]
 pub struct Fleet {
     all: Group<DaemonId>,
     centres: BTreeMap<DataCentreId, Group<DaemonId>>,
--- a/crates/core/src/placement/load.rs
+++ b/crates/core/src/placement/load.rs
@@ -32,7 +32,8 @@
 }
 
 /// How far an endpoint is; nearer ones are preferred for new and spilled work.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug)]
 pub enum Distance {
     /// The same data centre.
     Centre,
@@ -43,7 +44,8 @@
 }
 
 /// Whether an endpoint takes new work, as far as is known here.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug)]
 pub enum EndpointState {
     /// It does.
     Ready,
@@ -56,7 +58,8 @@
 }
 
 /// What a home counts at one of its endpoints.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Occupancy {
     /// Work in flight.
     pub load: Tokens,
@@ -67,7 +70,8 @@
 }
 
 /// A daemon's sum over the endpoints of one pool that it is home of and that take work.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug)]
 pub struct PoolSum {
     /// Work in flight.
     pub load: Tokens,
@@ -78,7 +82,8 @@
 }
 
 /// The mean load of a pool's endpoints that take work, as a daemon knows it.
-#[derive(Clone, Copy, PartialEq, Default, Debug)]
+#[derive(Clone, Copy, PartialEq, Default)]
+#[derive(Debug)]
 pub struct PoolMean {
     /// Work in flight per endpoint, in tokens; stale sums are faded.
     pub load: f64,
@@ -87,7 +92,8 @@
 }
 
 /// One endpoint's load as told to others.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct EndpointLoad {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -100,7 +106,8 @@
 }
 
 /// What is known of one endpoint.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct EndpointView {
     /// The endpoint.
     pub id: EndpointId,
@@ -127,7 +134,8 @@
 }
 
 /// All pools.
-#[derive(Clone, PartialEq, Default, Debug)]
+#[derive(Clone, PartialEq, Default)]
+#[derive(Debug)]
 pub struct LoadView {
     /// By name.
     pub pools: BTreeMap<PoolId, PoolView>,
--- a/crates/core/src/placement/load/view.rs
+++ b/crates/core/src/placement/load/view.rs
@@ -20,7 +20,8 @@
 const FORGET: Millis = Millis::from_secs(60);
 
 /// Endpoints, sums and bound of one pool.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct PoolView {
     /// Largest load as a multiple of the mean.
     pub bound: f64,
@@ -31,7 +32,8 @@
 }
 
 /// A sum as heard.
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug)]
 struct Heard {
     sum: PoolSum,
     /// The sum heard before, scaled to as many endpoints.
--- a/crates/core/src/placement/rendezvous.rs
+++ b/crates/core/src/placement/rendezvous.rs
@@ -30,7 +30,8 @@
 }
 
 /// One candidate for keys.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct Node<I> {
     /// Who it is.
     pub id: I,
@@ -69,7 +70,8 @@
 }
 
 /// Nodes that share keys.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct Group<I> {
     nodes: Vec<Node<I>>,
 }
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -8,7 +8,8 @@
 pub type Result<T> = std::result::Result<T, UnknownReason>;
 
 /// A code that names no reason.
-#[derive(Clone, PartialEq, Eq, Debug, Display, derive_more::Error)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Display, derive_more::Error)]
 #[display("`{code}` is not a reason code")]
 pub struct UnknownReason {
     /// The code as given.
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -29,7 +29,8 @@
 const BACKOFF_MAX: Millis = Millis::from_secs(2);
 
 /// How retries are limited.
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug)]
 pub struct Settings {
     /// Retries that a first try pays for.
     pub share: f64,
@@ -53,14 +54,16 @@
 }
 
 /// The retries that each pool may still spend.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Budget {
     settings: Settings,
     pools: HashMap<PoolId, Purse>,
 }
 
 /// What one pool has saved up.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 struct Purse {
     /// Retries paid for by first tries.
     earned: f64,
@@ -114,7 +117,8 @@
 }
 
 /// How a try failed.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Failure {
     /// Why.
     pub reason: Reason,
@@ -166,7 +170,8 @@
 }
 
 /// What to do after a failure.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Verdict {
     /// Try again after a wait, at an endpoint that wasn't tried if there is one.
     Again {
@@ -181,7 +186,8 @@
 }
 
 /// The tries of one request.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Plan {
     settings: Settings,
     pool: PoolId,
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -9,7 +9,8 @@
 pub type Result<T> = std::result::Result<T, UnitError>;
 
 /// A size or rate that can't be read.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 #[display("`{text}` is not {wanted}")]
 pub struct UnitError {
     /// The text as given.
@@ -29,35 +30,13 @@
 }
 
 /// A size in bytes, written `512B`, `64KiB`, `8MiB` or `1GiB`.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Debug,
-    Add,
-    AddAssign,
-    Sub,
-    Sum,
-    SerializeDisplay,
-    DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Add, AddAssign, Sub, Sum, SerializeDisplay, DeserializeFromStr)]
 pub struct ByteSize(pub u64);
 
 /// A number of tokens, written plain.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 #[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
     Debug,
     Display,
     Add,
@@ -65,23 +44,14 @@
     Sub,
     Sum,
     SerializeDisplay,
-    DeserializeFromStr,
+    DeserializeFromStr
 )]
 #[display("{_0}")]
 pub struct Tokens(pub u64);
 
 /// Events a second, written `50/s`.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    PartialOrd,
-    Default,
-    Debug,
-    Display,
-    SerializeDisplay,
-    DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, PartialOrd, Default)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
 #[display("{_0}/s")]
 pub struct Rate(pub f64);
 
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -32,7 +32,8 @@
 pub const MAX_FRAME: usize = 8 << 20;
 
 /// One message on a peer link.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Frame {
     /// What it carries; absent if the sender is newer than the receiver.
     #[prost(
@@ -43,7 +44,8 @@
 }
 
 /// What a frame carries.
-#[derive(Clone, PartialEq, Oneof)]
+#[derive(Clone, PartialEq)]
+#[derive(Oneof)]
 pub enum Body {
     /// Opens a link.
     #[prost(message, tag = "1")]
--- a/crates/core/src/wire/claim.rs
+++ b/crates/core/src/wire/claim.rs
@@ -4,7 +4,8 @@
 use prost::Message;
 
 /// Asks for the right to run a key.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct ClaimAsk {
     /// Number of the question, for its answer.
     #[prost(uint64, tag = "1")]
@@ -36,7 +37,8 @@
 }
 
 /// Answers `ClaimAsk`.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct ClaimAnswer {
     /// Number of the question.
     #[prost(uint64, tag = "1")]
@@ -62,7 +64,8 @@
 }
 
 /// Asks a claimant what became of a key.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct KeyAsk {
     /// Number of the question, for its answer.
     #[prost(uint64, tag = "1")]
@@ -82,7 +85,8 @@
 }
 
 /// Answers `KeyAsk`.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct KeyAnswer {
     /// Number of the question.
     #[prost(uint64, tag = "1")]
--- a/crates/core/src/wire/config.rs
+++ b/crates/core/src/wire/config.rs
@@ -4,7 +4,8 @@
 use prost::Message;
 
 /// Asks for a head, and for parts of it by digest.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct PartAsk {
     /// Digests wanted; none asks for the head.
     #[prost(bytes = "bytes", repeated, tag = "1")]
@@ -12,7 +13,8 @@
 }
 
 /// Answers `PartAsk`.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct PartAnswer {
     /// The head, as stored, if it was asked for.
     #[prost(bytes = "bytes", tag = "1")]
--- a/crates/core/src/wire/gossip.rs
+++ b/crates/core/src/wire/gossip.rs
@@ -8,7 +8,8 @@
 use prost::Message;
 
 /// One heartbeat; every part but the first three is optional.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Gossip {
     /// The incarnation addressed, lower half; zero if the sender doesn't know it.
     #[prost(fixed32, tag = "1")]
@@ -58,7 +59,8 @@
 }
 
 /// What is known of a member, without its names.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Message)]
 pub struct Change {
     /// The member.
     #[prost(fixed64, tag = "1")]
@@ -73,7 +75,8 @@
 }
 
 /// A member in full.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
 pub struct Record {
     /// What may change.
     #[prost(message, optional, tag = "1")]
@@ -96,7 +99,8 @@
 }
 
 /// Load of the endpoints of one pool that the sender is home to.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct PoolLoad {
     /// Hash of the pool's name, by [`name_hash`].
     #[prost(fixed32, tag = "1")]
@@ -113,7 +117,8 @@
 }
 
 /// Load of one pool in one data centre.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Message)]
 pub struct PoolSum {
     /// Hash of the pool's name, by [`name_hash`].
     #[prost(fixed32, tag = "1")]
--- a/crates/core/src/wire/limit.rs
+++ b/crates/core/src/wire/limit.rs
@@ -6,7 +6,8 @@
 use prost::{Enumeration, Message};
 
 /// An entry's use of accounts since its last report, for the owner of these accounts.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
 pub struct Usage {
     /// Number of this message on the way to this owner, from 1.
     #[prost(uint64, tag = "1")]
@@ -35,7 +36,8 @@
 }
 
 /// What an entry may use of accounts from now on.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
 pub struct Grant {
     /// Number of this message on the way to this entry, from 1.
     #[prost(uint64, tag = "1")]
@@ -67,7 +69,8 @@
 }
 
 /// How closely an entry's use of an account is watched.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Enumeration)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+#[derive(Enumeration)]
 #[repr(i32)]
 pub enum Watch {
     /// Changes are reported every second.
--- a/crates/core/src/wire/link.rs
+++ b/crates/core/src/wire/link.rs
@@ -4,7 +4,8 @@
 use prost::Message;
 
 /// Names the sender.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Hello {
     /// The fleet's name.
     #[prost(string, tag = "1")]
@@ -24,7 +25,8 @@
 }
 
 /// A keyed hash over both sides' `Hello`.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Proof {
     /// The hash.
     #[prost(bytes = "bytes", tag = "1")]
--- a/crates/core/src/wire/moved.rs
+++ b/crates/core/src/wire/moved.rs
@@ -3,7 +3,8 @@
 use prost::Message;
 
 /// Some directory entries.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Moved {
     /// The entries.
     #[prost(message, repeated, tag = "1")]
@@ -11,7 +12,8 @@
 }
 
 /// One chat and where it was served.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct MovedChat {
     /// Hash of institution and chat.
     #[prost(fixed64, tag = "1")]
@@ -22,7 +24,8 @@
 }
 
 /// An endpoint that served a chat.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Message)]
 pub struct MovedPlace {
     /// Hash of the endpoint's name, by [`name_hash`](super::name_hash).
     #[prost(fixed32, tag = "1")]
--- a/crates/core/src/wire/request.rs
+++ b/crates/core/src/wire/request.rs
@@ -6,7 +6,8 @@
 use crate::ids::{AttemptId, Incarnation, RequestId};
 
 /// One try of a request; see [`AttemptId`].
-#[derive(Clone, PartialEq, Eq, Hash, Message)]
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Message)]
 pub struct Attempt {
     /// The request, 16 bytes.
     #[prost(bytes = "bytes", tag = "1")]
@@ -41,7 +42,8 @@
 }
 
 /// A header that travels with a request or an answer.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Header {
     /// Lower-case name.
     #[prost(string, tag = "1")]
@@ -52,7 +54,8 @@
 }
 
 /// A request for the home of an endpoint.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Forward {
     /// The try.
     #[prost(message, optional, tag = "1")]
@@ -117,7 +120,8 @@
 }
 
 /// The home has sent the request to an endpoint.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Accepted {
     /// The try.
     #[prost(message, optional, tag = "1")]
@@ -134,7 +138,8 @@
 }
 
 /// The request went on to another home.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Passed {
     /// The try.
     #[prost(message, optional, tag = "1")]
@@ -145,7 +150,8 @@
 }
 
 /// The request was refused.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Refused {
     /// The try.
     #[prost(message, optional, tag = "1")]
@@ -165,7 +171,8 @@
 }
 
 /// A piece of the answer.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Chunk {
     /// The try.
     #[prost(message, optional, tag = "1")]
@@ -179,7 +186,8 @@
 }
 
 /// The whole answer was sent.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct End {
     /// The try.
     #[prost(message, optional, tag = "1")]
@@ -193,7 +201,8 @@
 }
 
 /// Room for more of the answer.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Credit {
     /// The try.
     #[prost(message, optional, tag = "1")]
@@ -204,7 +213,8 @@
 }
 
 /// Tells a chat's directory daemon where the chat was served.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Placed {
     /// Hash of institution and chat.
     #[prost(fixed64, tag = "1")]
@@ -224,7 +234,8 @@
 }
 
 /// The answer is no longer wanted.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct Cancel {
     /// The try.
     #[prost(message, optional, tag = "1")]
--- a/crates/core/src/wire/request_state.rs
+++ b/crates/core/src/wire/request_state.rs
@@ -4,7 +4,8 @@
 use prost::Message;
 
 /// Asks an entry for the state of a request.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct RequestAsk {
     /// The request, 16 bytes.
     #[prost(bytes = "bytes", tag = "1")]
@@ -15,7 +16,8 @@
 }
 
 /// Answers `RequestAsk`.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
 pub struct RequestAnswer {
     /// The question.
     #[prost(fixed64, tag = "1")]
--- a/crates/core/src/wire/state.rs
+++ b/crates/core/src/wire/state.rs
@@ -3,7 +3,8 @@
 use prost::Message;
 
 /// Asks a home for the state of its endpoints.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Message)]
 pub struct StateAsk {
     /// Names the question.
     #[prost(uint64, tag = "1")]
@@ -11,7 +12,8 @@
 }
 
 /// Answers `StateAsk`.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
 pub struct StateAnswer {
     /// Names the question.
     #[prost(uint64, tag = "1")]
@@ -22,7 +24,8 @@
 }
 
 /// One endpoint as its home counts it.
-#[derive(Clone, PartialEq, Eq, Message)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Message)]
 pub struct HomeState {
     /// The endpoint.
     #[prost(string, tag = "1")]
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -5,7 +5,8 @@
 use clap::{Parser, Subcommand, ValueEnum};
 
 /// Arguments of `medlarrilld`.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(
     name = "medlarrilld",
     version,
@@ -18,7 +19,8 @@
 }
 
 /// What the daemon can be asked to do.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub enum Command {
     /// Run the daemon until it is told to stop.
     Run {
@@ -37,7 +39,8 @@
 }
 
 /// How log lines are written.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug, ValueEnum)]
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[derive(ValueEnum)]
 pub enum LogFormat {
     /// For people.
     #[default]
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -29,7 +29,8 @@
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// Ends the caller's connection without an end mark.
-#[derive(Clone, Copy, Debug, Display, Error)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Display, Error)]
 #[display("the answer was cut short: {reason}")]
 pub struct Cut {
     #[error(not(source))]
--- a/crates/daemon/src/entry/events.rs
+++ b/crates/daemon/src/entry/events.rs
@@ -19,7 +19,8 @@
 pub type Result<T> = std::result::Result<T, Disorder>;
 
 /// Why a stream can't go on to the caller.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Display, Error)]
 pub enum Disorder {
     /// An event is too large to be held.
     #[display("an event is larger than {MAX_EVENT} bytes")]
--- a/crates/daemon/src/entry/problem.rs
+++ b/crates/daemon/src/entry/problem.rs
@@ -16,7 +16,8 @@
 const RETRY_DEFAULT: Millis = Millis::from_secs(1);
 
 /// What a caller is told of a failure.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize)]
 pub struct Problem {
     /// Names the kind of problem.
     #[serde(rename = "type")]
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -44,7 +44,8 @@
 }
 
 /// The parts of a chat completion that the fleet needs.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Completion {
     model: Option<String>,
     max_tokens: Option<u64>,
--- a/crates/daemon/src/entry/tracker.rs
+++ b/crates/daemon/src/entry/tracker.rs
@@ -12,7 +12,8 @@
 const CAPACITY: usize = 16_384;
 
 /// State of a request.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case", tag = "state")]
 pub enum State {
     /// Its answer isn't whole yet.
--- a/crates/daemon/src/home/dispatch.rs
+++ b/crates/daemon/src/home/dispatch.rs
@@ -365,7 +365,8 @@
     prompt_tokens_details: Details,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default)]
+#[derive(Deserialize)]
 struct Details {
     #[serde(default)]
     cached_tokens: u64,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -17,21 +17,24 @@
 pub use self::control::ControlSources;
 
 /// Label of a reason or kind.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+#[derive(EncodeLabelSet)]
 pub struct ReasonLabel {
     /// Its stable code.
     pub reason: &'static str,
 }
 
 /// Label of a kind of message.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+#[derive(EncodeLabelSet)]
 pub struct KindLabel {
     /// The kind.
     pub kind: &'static str,
 }
 
 /// Label of what became of a statement.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+#[derive(EncodeLabelSet)]
 pub struct VerdictLabel {
     /// The verdict.
     pub verdict: String,
--- a/crates/daemon/src/metrics/control.rs
+++ b/crates/daemon/src/metrics/control.rs
@@ -37,14 +37,16 @@
 }
 
 /// Labels of traffic on links.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, EncodeLabelSet)]
 struct LinkLabel {
     direction: &'static str,
     kind: &'static str,
 }
 
 /// Labels of calls to the platform.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, EncodeLabelSet)]
 struct CallLabel {
     role: String,
     kind: String,
@@ -52,7 +54,8 @@
 }
 
 /// Labels of bytes to and from the platform.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, EncodeLabelSet)]
 struct ByteLabel {
     role: String,
     direction: &'static str,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -58,7 +58,8 @@
 }
 
 /// All settings.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Settings {
     /// The fleet's name.
@@ -84,7 +85,8 @@
 }
 
 /// Where the daemon listens.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Listen {
     /// Callers and operators.
@@ -110,7 +112,8 @@
 }
 
 /// Secrets.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Keys {
     /// Secret that all daemons of the fleet share.
@@ -126,7 +129,8 @@
 }
 
 /// Limits on callers.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", default)]
 pub struct Limits {
     /// Largest body of a request.
--- a/crates/daemon/src/settings/finding.rs
+++ b/crates/daemon/src/settings/finding.rs
@@ -3,7 +3,8 @@
 use derive_more::Display;
 
 /// One thing that is wrong.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug, Display)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+#[derive(Display)]
 #[display("{line}:{column}: {}{text}", prefix(key))]
 pub struct Finding {
     /// Line, from 1.
--- a/crates/lab/src/control/args.rs
+++ b/crates/lab/src/control/args.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// Arguments of the measurement of control.
-#[derive(Clone, Debug, Parser, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Parser, Serialize)]
 #[command(about = "Bytes, processor time and memory for control, against size")]
 pub struct Args {
     /// Daemons of each fleet.
--- a/crates/lab/src/control/exchange.rs
+++ b/crates/lab/src/control/exchange.rs
@@ -23,7 +23,8 @@
 const BUFFER: usize = 16 << 10;
 
 /// Bytes of exchanges, both ways.
-#[derive(Clone, Copy, Default, Debug, Serialize)]
+#[derive(Clone, Copy, Default, Debug)]
+#[derive(Serialize)]
 pub struct Exchange {
     /// A question to an endpoint for its load.
     pub poll: f64,
--- a/crates/lab/src/control/fit.rs
+++ b/crates/lab/src/control/fit.rs
@@ -3,7 +3,8 @@
 use serde::Serialize;
 
 /// A line, by least squares.
-#[derive(Clone, Copy, PartialEq, Default, Debug, Serialize)]
+#[derive(Clone, Copy, PartialEq, Default, Debug)]
+#[derive(Serialize)]
 pub struct Line {
     /// The value at zero.
     pub base: f64,
--- a/crates/lab/src/control/report.rs
+++ b/crates/lab/src/control/report.rs
@@ -12,7 +12,8 @@
 const MIB: f64 = 1_048_576.0;
 
 /// All rows.
-#[derive(Default, Serialize)]
+#[derive(Default)]
+#[derive(Serialize)]
 pub struct Report {
     /// By number of daemons.
     pub fleet: Vec<Row>,
--- a/crates/lab/src/control/row.rs
+++ b/crates/lab/src/control/row.rs
@@ -31,7 +31,8 @@
 const TOKENS: u64 = 16;
 
 /// The figures of one fleet.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Row {
     /// Daemons.
     pub daemons: usize,
--- a/crates/lab/src/control/window.rs
+++ b/crates/lab/src/control/window.rs
@@ -18,7 +18,8 @@
 const DATA: [&str; 3] = ["forward", "chunk", "end"];
 
 /// A daemon's spending for control in a second.
-#[derive(Clone, Default, Debug, Serialize)]
+#[derive(Clone, Default, Debug)]
+#[derive(Serialize)]
 pub struct Spending {
     /// Bytes sent on links, by kind.
     pub sent: BTreeMap<String, f64>,
--- a/crates/lab/src/demo/args.rs
+++ b/crates/lab/src/demo/args.rs
@@ -3,7 +3,8 @@
 use clap::Parser;
 
 /// Arguments of the demo.
-#[derive(Clone, Debug, Parser)]
+#[derive(Clone, Debug)]
+#[derive(Parser)]
 #[command(about = "A small fleet on this machine: chats, a booking, an operator's change")]
 pub struct Args {
     /// Daemons to start.
--- a/crates/lab/src/load/args.rs
+++ b/crates/lab/src/load/args.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// Arguments of the load.
-#[derive(Clone, Debug, Parser, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Parser, Serialize)]
 #[command(about = "Chats that return, at the engines and through the fleet by turns")]
 pub struct Args {
     /// Daemons to start.
--- a/crates/lab/src/load/report.rs
+++ b/crates/lab/src/load/report.rs
@@ -23,14 +23,16 @@
 ];
 
 /// All rounds.
-#[derive(Default, Serialize)]
+#[derive(Default)]
+#[derive(Serialize)]
 pub struct Report {
     /// One by one.
     pub rounds: Vec<Round>,
 }
 
 /// Times in microseconds.
-#[derive(Clone, Copy, Serialize)]
+#[derive(Clone, Copy)]
+#[derive(Serialize)]
 pub struct Times {
     p50: u64,
     p95: u64,
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -34,7 +34,8 @@
 const FLOOD: f64 = 1.6;
 
 /// A policy.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Display, Serialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+#[derive(Display, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Policy {
     /// The fleet's own.
--- a/crates/lab/src/policy/report.rs
+++ b/crates/lab/src/policy/report.rs
@@ -10,7 +10,8 @@
 use super::world::Setup;
 
 /// Samples of the engines' load over the bound plus one request's grain.
-#[derive(Clone, Copy, PartialEq, Default, Debug, Serialize)]
+#[derive(Clone, Copy, PartialEq, Default, Debug)]
+#[derive(Serialize)]
 pub struct OverBound {
     /// Share of the samples.
     pub share: f64,
@@ -31,7 +32,8 @@
 }
 
 /// What one run gave.
-#[derive(Clone, PartialEq, Debug, Serialize)]
+#[derive(Clone, PartialEq, Debug)]
+#[derive(Serialize)]
 pub struct Row {
     /// Installation.
     pub size: String,
--- a/crates/lab/src/policy/size.rs
+++ b/crates/lab/src/policy/size.rs
@@ -14,7 +14,8 @@
 }
 
 /// What one engine can do.
-#[derive(Clone, Copy, PartialEq, Debug, Serialize)]
+#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Serialize)]
 pub struct EngineSize {
     /// Requests that it runs at once.
     pub slots: u32,
--- a/crates/lab/src/spread.rs
+++ b/crates/lab/src/spread.rs
@@ -54,7 +54,8 @@
 }
 
 /// Times of one change.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
+#[derive(Debug)]
 struct Times {
     /// From sending to the answer.
     accepted: Duration,
--- a/crates/net/src/endpoint.rs
+++ b/crates/net/src/endpoint.rs
@@ -32,7 +32,8 @@
 const GAP: Millis = Millis::from_secs(30);
 
 /// One request to an endpoint.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Request {
     /// HTTP method.
     pub method: Method,
@@ -119,7 +120,8 @@
 }
 
 /// Sends requests to endpoints over kept connections. Cheap to clone.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Client {
     http: Http,
 }
--- a/crates/net/src/endpoint/calls.rs
+++ b/crates/net/src/endpoint/calls.rs
@@ -22,7 +22,8 @@
 pub type CallResult<T> = std::result::Result<T, CallError>;
 
 /// Why a typed call failed.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error, From)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error, From)]
 pub enum CallError {
     /// No whole answer came.
     #[display("{_0}")]
--- a/crates/net/src/endpoint/events.rs
+++ b/crates/net/src/endpoint/events.rs
@@ -19,7 +19,8 @@
 pub type EventResult<T> = std::result::Result<T, EventError>;
 
 /// Why no further event can be read.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error, From)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error, From)]
 pub enum EventError {
     /// The answer was cut, timed out or has an event that is too large.
     #[display("{_0}")]
@@ -34,7 +35,8 @@
 }
 
 /// One event.
-#[derive(Clone, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug)]
 pub struct Event {
     /// Its id, if it has one.
     pub id: Option<String>,
--- a/crates/net/src/endpoint/model.rs
+++ b/crates/net/src/endpoint/model.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether an endpoint takes new work.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug, Display, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum State {
     /// It does.
@@ -22,14 +23,16 @@
 }
 
 /// An endpoint's answer about its health.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Health {
     /// Whether it takes new work.
     pub state: State,
 }
 
 /// An endpoint's report of its load, which lags.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Load {
     /// When it was taken, by the endpoint's wall clock.
     #[serde(with = "crate::http::plain_millis")]
@@ -52,7 +55,8 @@
 }
 
 /// A model engine's report of its prefix cache.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct CacheLoad {
     /// Cached, in tokens.
     pub used: u64,
@@ -64,14 +68,16 @@
 }
 
 /// Cache events after a sequence number.
-#[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct CacheEvents {
     /// In the order of their numbers, with gaps.
     pub events: Vec<CacheEvent>,
 }
 
 /// A prefix that was cached or evicted.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct CacheEvent {
     /// Sequence number.
     pub seq: u64,
@@ -84,7 +90,8 @@
 }
 
 /// What happened to a prefix.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CacheKind {
     /// It was cached.
@@ -97,7 +104,8 @@
 }
 
 /// An engine's model, adapters, version and role.
-#[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(default)]
 pub struct EndpointState {
     /// Model loaded.
@@ -113,7 +121,8 @@
 }
 
 /// What an order changes.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OrderKind {
     /// Load a model.
@@ -131,7 +140,8 @@
 }
 
 /// An order to an engine.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Order {
     /// What it changes.
     pub kind: OrderKind,
@@ -140,7 +150,8 @@
 }
 
 /// An engine's answer to an order.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum OrderAnswer {
     /// It was taken.
     Taken,
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -40,7 +40,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Why an HTTP call has no whole answer.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 pub enum Error {
     /// It was never handed to a connection: certainly not run.
     #[display("the request was not sent: {cause}")]
@@ -135,7 +136,8 @@
 }
 
 /// Limits of a client's connections.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Limits {
     /// Longest time to connect.
     pub connect: Millis,
@@ -159,7 +161,8 @@
 }
 
 /// Which connection a request may use.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug)]
 pub enum Reuse {
     /// A kept connection if there is one. The other side may close it just
     /// then, which loses the answer to a request that it never read.
@@ -170,7 +173,8 @@
 }
 
 /// Sends requests over kept and over new connections.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub(crate) struct Http {
     #[debug(skip)]
     pooled: Client<HttpConnector, Full<Bytes>>,
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -79,7 +79,8 @@
 }
 
 /// A daemon as its peers see it.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, Display)]
+#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Display)]
 #[display("{daemon}@{incarnation}")]
 pub struct PeerId {
     /// Its name.
@@ -105,7 +106,8 @@
 pub type Handler = Arc<dyn Fn(Event) + Send + Sync>;
 
 /// Who this daemon is on its links.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Identity {
     /// The fleet's name.
     pub fleet: String,
--- a/crates/net/src/link/handshake.rs
+++ b/crates/net/src/link/handshake.rs
@@ -25,7 +25,8 @@
 const LISTENER: u8 = 2;
 
 /// Key that all daemons of a fleet share.
-#[derive(Clone, Copy, From)]
+#[derive(Clone, Copy)]
+#[derive(From)]
 pub struct FleetKey([u8; 32]);
 
 impl FleetKey {
--- a/crates/net/src/platform.rs
+++ b/crates/net/src/platform.rs
@@ -38,7 +38,8 @@
 pub use role::{Budget, Ending, Kind, Role};
 
 /// Where the platform is, and what this daemon may spend there.
-#[derive(Clone, PartialEq, Debug)]
+#[derive(Clone, PartialEq)]
+#[derive(Debug)]
 pub struct Settings {
     /// Where it listens.
     pub address: SocketAddr,
@@ -97,7 +98,8 @@
 }
 
 /// Calls the platform. Cheap to clone; clones share budgets and counters.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Client {
     shared: Arc<Shared>,
 }
--- a/crates/net/src/platform/counts.rs
+++ b/crates/net/src/platform/counts.rs
@@ -15,7 +15,8 @@
 }
 
 /// Calls of one role, kind and ending.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct CallCount {
     /// Who called.
     pub role: Role,
@@ -28,7 +29,8 @@
 }
 
 /// Bytes of one role.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct ByteCount {
     /// Who called.
     pub role: Role,
@@ -39,7 +41,8 @@
 }
 
 /// The counters at one time.
-#[derive(Clone, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug)]
 pub struct Snapshot {
     /// Calls, without those that have not happened yet.
     pub calls: Vec<CallCount>,
--- a/crates/net/src/platform/error.rs
+++ b/crates/net/src/platform/error.rs
@@ -13,7 +13,8 @@
 ///
 /// Only `Unknown` leaves open whether a write took effect, and it may do so
 /// late: read the object back before writing again.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 pub enum Error {
     /// The condition did not hold; nothing was written.
     #[display("the object has another version")]
@@ -57,7 +58,8 @@
 }
 
 /// What stood against a call that was certainly not done.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Display)]
 pub enum Refusal {
     /// The role's budget here is spent.
     #[display("the role's budget is spent")]
--- a/crates/net/src/platform/follow.rs
+++ b/crates/net/src/platform/follow.rs
@@ -16,7 +16,8 @@
 const WAITING: usize = 16;
 
 /// What to follow, and how.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Follow {
     /// Who spends the calls.
     pub role: Role,
@@ -65,7 +66,8 @@
 }
 
 /// News of the objects under a prefix.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Followed {
     /// All objects there are; what is known and not listed is gone.
     Listed {
@@ -85,7 +87,8 @@
 }
 
 /// When the platform was last heard, on the monotonic clock of this process.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug)]
 pub struct Heard {
     /// When the last call that was answered was made; none before the first.
     /// An answer may have waited unread while the process was paused.
--- a/crates/net/src/platform/gate.rs
+++ b/crates/net/src/platform/gate.rs
@@ -69,14 +69,16 @@
 }
 
 /// A call that may go.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(super) struct Permit {
     /// Whether it finds out if the platform is back.
     probe: bool,
 }
 
 /// What a call says of the platform.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(super) enum Verdict {
     /// It answers.
     Up,
@@ -89,7 +91,8 @@
 }
 
 /// A change of how the platform looks to a role.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(super) enum Turn {
     /// It looks down; no call goes for this long.
     Down { wait: Millis },
--- a/crates/net/src/platform/model.rs
+++ b/crates/net/src/platform/model.rs
@@ -12,43 +12,20 @@
 pub const MAX_OBJECT: u64 = 1 << 20;
 
 /// An object's version: the revision of its last change.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Debug,
-    Display,
-    Serialize,
-    Deserialize,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Display, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Version(pub u64);
 
 /// A number that every change raises.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Default,
-    Debug,
-    Display,
-    Serialize,
-    Deserialize,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Display, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
 /// An object as it was read.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Object {
     /// Its version.
     pub version: Version,
@@ -58,7 +35,8 @@
 }
 
 /// The answer to a read of one object.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Read {
     /// The object.
     Object(Object),
@@ -67,7 +45,8 @@
 }
 
 /// One page of keys.
-#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Deserialize)]
 pub struct Listing {
     /// The revision as of which it holds.
     pub revision: Revision,
@@ -80,7 +59,8 @@
 }
 
 /// An object in a list.
-#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Deserialize)]
 pub struct Entry {
     /// Its key.
     pub key: String,
@@ -92,7 +72,8 @@
 }
 
 /// Changes after a revision.
-#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Deserialize)]
 pub struct Changes {
     /// The revision up to which they are told.
     pub revision: Revision,
@@ -102,7 +83,8 @@
 }
 
 /// A change of one object.
-#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Deserialize)]
 pub struct Change {
     /// Its key.
     pub key: String,
@@ -114,7 +96,8 @@
 }
 
 /// The lagging list of VMs.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct VmList {
     /// When it was true, by the platform's wall clock.
     pub as_of: Millis,
@@ -125,7 +108,8 @@
 }
 
 /// A VM in the list.
-#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Deserialize)]
 pub struct Vm {
     /// Its name.
     pub vm: VmId,
@@ -142,7 +126,8 @@
 }
 
 /// What runs on a VM.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum VmKind {
     /// A daemon of the fleet.
@@ -155,7 +140,8 @@
 }
 
 /// Whether a VM is leaving.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum VmState {
     /// It runs.
--- a/crates/net/src/platform/role.rs
+++ b/crates/net/src/platform/role.rs
@@ -4,7 +4,8 @@
 use medlarrill_core::units::Rate;
 
 /// What a daemon spends a call for.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
 pub enum Role {
     /// Reading and changing the configuration.
     #[display("config")]
@@ -55,7 +56,8 @@
 }
 
 /// Calls that one role may spend.
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug)]
 pub struct Budget {
     /// Calls a second.
     pub rate: Rate,
@@ -64,7 +66,8 @@
 }
 
 /// A kind of call.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
 pub enum Kind {
     /// Conditional create.
     #[display("create")]
@@ -103,7 +106,8 @@
 }
 
 /// How a call ended.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Display)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
 pub enum Ending {
     /// It did what was asked.
     #[display("done")]
--- a/crates/testkit/src/engine/batch.rs
+++ b/crates/testkit/src/engine/batch.rs
@@ -14,7 +14,8 @@
 const MAX_RUNS: usize = 200_000;
 
 /// What an engine counts.
-#[derive(Clone, Copy, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Counters {
     /// Requests refused, which haven't run.
     pub refused: u64,
--- a/crates/testkit/src/engine/cache.rs
+++ b/crates/testkit/src/engine/cache.rs
@@ -9,7 +9,8 @@
 use super::text::BLOCK_TOKENS;
 
 /// How full the cache is.
-#[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Default, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheLoad {
     /// Blocks held.
     pub used: u64,
--- a/crates/testkit/src/engine/chat.rs
+++ b/crates/testkit/src/engine/chat.rs
@@ -12,7 +12,8 @@
 const MAX_ANSWER: u64 = 1 << 16;
 
 /// A request for a completion; what it doesn't name is ignored.
-#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Deserialize)]
 pub(super) struct Ask {
     #[serde(default)]
     pub(super) model: String,
--- a/crates/testkit/src/engine/events.rs
+++ b/crates/testkit/src/engine/events.rs
@@ -16,7 +16,8 @@
 const MAX_ANSWER: usize = 1000;
 
 /// Whether a prefix came or went.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum EventKind {
     /// It came into the cache.
@@ -26,7 +27,8 @@
 }
 
 /// A change of the cache as the engine publishes it.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Event {
     /// Its number, from 1; some never show.
     pub seq: u64,
--- a/crates/testkit/src/engine/job.rs
+++ b/crates/testkit/src/engine/job.rs
@@ -8,7 +8,8 @@
 use super::text;
 
 /// How far a request has come.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize, Display, FromStr)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Serialize, Deserialize, Display, FromStr)]
 #[serde(rename_all = "kebab-case")]
 pub enum Phase {
     /// It waits for a slot; nothing of it has run.
@@ -27,7 +28,8 @@
 
 /// What is kept of a request after it ended.
 #[skip_serializing_none]
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Run {
     /// Its number, from 1, in order of arrival.
     pub run: u64,
--- a/crates/testkit/src/engine/load.rs
+++ b/crates/testkit/src/engine/load.rs
@@ -9,7 +9,8 @@
 use crate::Readiness;
 
 /// The load of an engine at a time.
-#[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Default, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// When it was true, by the engine's wall clock in ms.
     pub as_of: u64,
--- a/crates/testkit/src/engine/order.rs
+++ b/crates/testkit/src/engine/order.rs
@@ -6,7 +6,8 @@
 use crate::http::{Answer, json};
 
 /// What an order changes.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OrderKind {
     /// Loads a model in place of the present one.
@@ -20,7 +21,8 @@
 }
 
 /// An order.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Order {
     /// What it changes.
     pub kind: OrderKind,
@@ -29,7 +31,8 @@
 }
 
 /// An order with its fencing number.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct FencedOrder {
     /// The fencing number.
     pub fence: u64,
@@ -38,7 +41,8 @@
 }
 
 /// An order that came.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderRecord {
     /// The order.
     pub order: FencedOrder,
@@ -49,7 +53,8 @@
 }
 
 /// What orders have made of an engine.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineState {
     /// The model loaded.
     pub model: String,
--- a/crates/testkit/src/engine/settings.rs
+++ b/crates/testkit/src/engine/settings.rs
@@ -6,7 +6,8 @@
 use crate::http::{Outage, Plan};
 
 /// What an engine is from its start.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// The model loaded at first.
@@ -67,7 +68,8 @@
 }
 
 /// What an engine is told to do wrong; those with a number count down.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// An outage of the whole engine.
--- a/crates/testkit/src/engine/text.rs
+++ b/crates/testkit/src/engine/text.rs
@@ -18,7 +18,8 @@
 const LETTER_BITS: usize = 5;
 
 /// One message of a chat.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Message {
     /// Who says it: `system`, `user` or `assistant`.
     pub role: String,
--- a/crates/testkit/src/fleet/caller.rs
+++ b/crates/testkit/src/fleet/caller.rs
@@ -37,7 +37,8 @@
 }
 
 /// A refusal as the caller reads it.
-#[derive(Clone, PartialEq, Eq, Debug, Display, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Display, Deserialize)]
 #[display("{status} {code}, {outcome}")]
 pub struct Problem {
     /// HTTP status.
@@ -55,7 +56,8 @@
 }
 
 /// The answer to one turn of a chat.
-#[derive(Clone, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug)]
 pub struct ChatAnswer {
     /// The text.
     pub text: String,
@@ -68,7 +70,8 @@
 }
 
 /// One account at one daemon.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Caller {
     address: SocketAddr,
     key: String,
@@ -214,7 +217,8 @@
     delta: Delta,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default)]
+#[derive(Deserialize)]
 struct Delta {
     #[serde(default)]
     content: String,
--- a/crates/testkit/src/fleet/daemon.rs
+++ b/crates/testkit/src/fleet/daemon.rs
@@ -28,7 +28,8 @@
 }
 
 /// The program that runs a daemon, and what stands before `run`.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Program {
     path: PathBuf,
     before: Vec<OsString>,
@@ -59,7 +60,8 @@
 }
 
 /// What a daemon prints when it listens.
-#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Deserialize)]
 pub struct Started {
     /// Its name.
     pub daemon: String,
--- a/crates/testkit/src/fleet/layout.rs
+++ b/crates/testkit/src/fleet/layout.rs
@@ -48,7 +48,8 @@
 }
 
 /// What a fleet is made of.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
+#[derive(Debug)]
 pub struct Layout {
     /// Daemons.
     pub daemons: usize,
@@ -283,9 +284,8 @@
                 "operators": [KeyHash::of(OPERATOR_KEY.as_bytes())],
             },
             "platform": self.platform.address(),
-            // The platform's list can't be read in an outage.
-            "seeds": self.daemons.iter().map(|daemon| daemon.started.peers).collect::<Vec<_>>(),
             "limits": self.layout.limits,
+            // The platform's list can't be read in an outage.
             "seeds": self.seeds(),
         });
         if let Some(relay) = relay {
--- a/crates/testkit/src/http/answer.rs
+++ b/crates/testkit/src/http/answer.rs
@@ -28,7 +28,8 @@
 pub type Result<T = Answer> = std::result::Result<T, Stop>;
 
 /// The connection is closed without an answer, or within it.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 #[display("the stand-in cut the connection")]
 pub struct Cut;
 
--- a/crates/testkit/src/http/outage.rs
+++ b/crates/testkit/src/http/outage.rs
@@ -12,7 +12,8 @@
 const RETRY_AFTER: u64 = 1;
 
 /// How a stand-in that is down meets a call.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outage {
     /// New connections are refused, and calls on old ones cut.
--- a/crates/testkit/src/platform/budget.rs
+++ b/crates/testkit/src/platform/budget.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Calls a second, in bursts of at most one second's; absent means no limit.
-#[derive(Clone, Copy, PartialEq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Default, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Budget {
     /// Creates, updates and deletes a second.
--- a/crates/testkit/src/platform/calls.rs
+++ b/crates/testkit/src/platform/calls.rs
@@ -11,20 +11,8 @@
 pub(super) const OBJECTS: &str = "/v1/objects/";
 
 /// A kind of call.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Debug,
-    Serialize,
-    Deserialize,
-    Display,
-    FromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+#[derive(Serialize, Deserialize, Display, FromStr)]
 #[serde(rename_all = "kebab-case")]
 pub enum Call {
     /// A conditional create.
@@ -73,7 +61,8 @@
 }
 
 /// How often a role made a kind of call.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct CallCount {
     /// The role, `-` if none was named.
     pub role: String,
--- a/crates/testkit/src/platform/fault.rs
+++ b/crates/testkit/src/platform/fault.rs
@@ -6,7 +6,8 @@
 use crate::http::{Outage, Plan};
 
 /// Faults, all off by default; those with a number count down.
-#[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Default, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// An outage of the whole platform.
--- a/crates/testkit/src/platform/store.rs
+++ b/crates/testkit/src/platform/store.rs
@@ -16,7 +16,8 @@
 const MAX_CHANGES: usize = 100_000;
 
 /// Why a change is refused.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Display, Error)]
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Display, Error)]
 pub enum StoreError {
     /// The object is there, or has another version.
     #[display("the version is {version}")]
@@ -36,7 +37,8 @@
 }
 
 /// An object as it is kept.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Object {
     /// The revision of its last change.
     pub version: u64,
@@ -45,7 +47,8 @@
 }
 
 /// An object as it is listed.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Entry {
     /// Its key.
     pub key: String,
@@ -56,7 +59,8 @@
 }
 
 /// A change as watches see it.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Change {
     /// The key.
     pub key: String,
@@ -67,7 +71,8 @@
 }
 
 /// All objects and the changes that led to them.
-#[derive(Default, Debug)]
+#[derive(Default)]
+#[derive(Debug)]
 pub struct Store {
     objects: BTreeMap<String, Object>,
     changes: VecDeque<Change>,
--- a/crates/testkit/src/platform/vms.rs
+++ b/crates/testkit/src/platform/vms.rs
@@ -9,7 +9,8 @@
 use crate::wall;
 
 /// What runs on a VM.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize, Display, FromStr)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Serialize, Deserialize, Display, FromStr)]
 #[serde(rename_all = "kebab-case")]
 pub enum Kind {
     /// A daemon of the fleet.
@@ -21,7 +22,8 @@
 }
 
 /// Whether a VM is leaving.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize, Display, FromStr)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+#[derive(Serialize, Deserialize, Display, FromStr)]
 #[serde(rename_all = "kebab-case")]
 pub enum State {
     /// It runs.
@@ -33,7 +35,8 @@
 }
 
 /// A VM as the platform lists it.
-#[derive(Clone, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Vm {
     /// Its name.
     pub vm: String,
@@ -50,7 +53,8 @@
 }
 
 /// The list as it is answered.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct VmList {
     /// When it was true, by the wall clock in ms.
     pub as_of: u64,
@@ -59,7 +63,8 @@
 }
 
 /// A change of the list, as `PUT /stand-in/vms` takes it.
-#[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Default, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct VmUpdate {
     /// The new list; absent shows a viewer the common list again.
--- a/crates/testkit/src/readiness.rs
+++ b/crates/testkit/src/readiness.rs
@@ -7,9 +7,8 @@
 use crate::http::{Answer, json};
 
 /// Whether an endpoint takes work.
-#[derive(
-    Clone, Copy, PartialEq, Eq, Hash, Default, Debug, Serialize, Deserialize, Display, FromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Default, Debug)]
+#[derive(Serialize, Deserialize, Display, FromStr)]
 #[serde(rename_all = "kebab-case")]
 pub enum Readiness {
     /// It takes work.
--- a/crates/testkit/src/service.rs
+++ b/crates/testkit/src/service.rs
@@ -17,7 +17,8 @@
 pub type Result<T> = std::io::Result<T>;
 
 /// What a service is told to do wrong.
-#[derive(Clone, PartialEq, Eq, Default, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Default, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// An outage of the whole service.
@@ -36,7 +37,8 @@
 
 /// One run of a post.
 #[skip_serializing_none]
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Run {
     /// Its number, from 1.
     pub run: u64,
