Retries: a floor that covers what a lost daemon takes along

Cause: in the demo from a fresh clone one of 48 chats was refused with retry-budget after a daemon was killed. A third of all new requests goes to the lost daemon until membership notices; the budget, a tenth of first tries and three at once, was spent. Ruled out: a wrong answer (the refusal said not-run).

--- a/crates/daemon/src/limits/task.rs
+++ b/crates/daemon/src/limits/task.rs
@@ -21,6 +21,10 @@
 /// Longest sleep, after which the ledger forgets what has expired.
 const LONGEST_SLEEP: Millis = Millis::from_secs(5);
 
+/// Retries that a pool may spend at once without first tries: a daemon that is
+/// lost takes along all that it had in flight, however few requests came before.
+const RETRY_FLOOR: f64 = 64.0;
+
 /// State of the limits task.
 pub struct Task {
     context: Arc<Context>,
@@ -37,7 +41,10 @@
         Self {
             accounts: Accounts::new(1, rng, now()),
             ledger: Ledger::new(1, now()),
-            budget: Budget::new(Settings::default()),
+            budget: Budget::new(Settings {
+                floor: RETRY_FLOOR,
+                ..Settings::default()
+            }),
             limits: HashMap::new(),
             waiting: HashMap::new(),
             context,
--- a/crates/daemon/tests/limits.rs
+++ b/crates/daemon/tests/limits.rs
@@ -84,3 +84,19 @@
         }
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_lost_daemon_takes_no_chat_along_for_want_of_retries() {
+    let mut bench = bench(Layout::default()).await;
+    bench.fleet.daemons[2].kill().await.unwrap();
+    // Until the others notice, a third of all chats is sent to the lost daemon first.
+    let calls = (0..60).map(|at| {
+        let caller = bench.fleet.caller(at % 2).unwrap();
+        tokio::spawn(chat(caller, at))
+    });
+    let calls: Vec<_> = calls.collect();
+    for call in calls {
+        expect_that!(call.await.unwrap(), ok(anything()));
+    }
+}
