The test of account limits sets the load bound aside

Cause: a_surge_through_all_daemons_stays_under_the_accounts_concurrency failed once: with the engines frozen, a home refused one of the six admitted chats with pool-full, rightly, before the account's limit was met. The assertions are the same; the bound is wide in that fleet, so that only the account can refuse.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -21,7 +21,7 @@
 pub use endpoint::{Endpoint, Fencing};
 pub use institution::{Account, Contract, Institution, KeyHash, Rule};
 pub use item::{AccountPath, ItemId, PathError, RulePath};
-pub use pool::{Pool, PoolKind, RefusalMeaning};
+pub use pool::{DEFAULT_LOAD_BOUND, Pool, PoolKind, RefusalMeaning};
 
 /// All that is configured, as of one generation.
 #[derive(Clone, PartialEq, Default, Debug)]
--- a/crates/daemon/tests/limits.rs
+++ b/crates/daemon/tests/limits.rs
@@ -30,7 +30,9 @@
 #[gtest]
 #[tokio::test]
 async fn a_surge_through_all_daemons_stays_under_the_accounts_concurrency() {
-    let bench = bench(Layout::default().with_concurrency(CONCURRENCY)).await;
+    // With the usual bound, frozen engines would be the first to refuse.
+    let layout = Layout::default().with_bound(100.0);
+    let bench = bench(layout.with_concurrency(CONCURRENCY)).await;
     // Answers stay in flight until the engines are let go.
     let freeze = |frozen: bool| {
         for engine in &bench.fleet.engines {
--- a/crates/testkit/src/fleet/layout.rs
+++ b/crates/testkit/src/fleet/layout.rs
@@ -6,8 +6,8 @@
 use derive_more::{Debug, Display, Error, From};
 use medlarrill_core::clock::Millis;
 use medlarrill_core::config::{
-    Account, Config, Contract, Endpoint, Fencing, Institution, KeyHash, Pool, PoolKind,
-    RefusalMeaning, Rule,
+    Account, Config, Contract, DEFAULT_LOAD_BOUND, Endpoint, Fencing, Institution, KeyHash, Pool,
+    PoolKind, RefusalMeaning, Rule,
 };
 use medlarrill_core::ids::{Generation, IdError};
 use medlarrill_core::units::Rate;
@@ -63,6 +63,8 @@
     pub engine: engine::Settings,
     /// Requests that an engine runs at once, as configured.
     pub slots: u32,
+    /// Largest load of an engine as a multiple of the mean.
+    pub bound: f64,
     /// Requests that an account may have in flight.
     pub concurrency: u32,
     /// The `limits` of every daemon's settings.
@@ -80,6 +82,7 @@
             centres: 2,
             engine: engine::Settings::default(),
             slots: 16,
+            bound: DEFAULT_LOAD_BOUND,
             concurrency: 10_000,
             limits: json!({}),
             relayed: false,
@@ -102,6 +105,13 @@
         self
     }
 
+    /// Sets the load bound.
+    #[must_use]
+    pub const fn with_bound(mut self, bound: f64) -> Self {
+        self.bound = bound;
+        self
+    }
+
     /// Sets how many requests an account may have in flight.
     #[must_use]
     pub const fn with_concurrency(mut self, concurrency: u32) -> Self {
@@ -314,6 +324,7 @@
         let mut chat = Pool::new(PoolKind::Model);
         chat.model = Some("m1".parse()?);
         chat.slots = self.layout.slots;
+        chat.load_bound = self.layout.bound;
         chat.refusal = RefusalMeaning::NotRun;
         config.pools.insert("chat".parse()?, chat);
         let mut desk = Pool::new(PoolKind::Service);
