--- a/crates/daemon/src/limits/handle.rs
+++ b/crates/daemon/src/limits/handle.rs
@@ -3,15 +3,12 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::{AttemptId, PoolId};
 use medlarrill_core::reason::Reason;
-use tokio::sync::{mpsc, oneshot};
 
 use super::message::{Ask, Message, Refusal};
+use crate::mailbox::Mailbox;
 
-/// Sends to the limits task. Cheap to clone.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    sender: mpsc::UnboundedSender<Message>,
-}
+/// Sends to the limits task.
+pub type Handle = Mailbox<Message>;
 
 /// Room of an account, given back when dropped.
 #[derive(Debug)]
@@ -27,17 +24,6 @@
 }
 
 impl Handle {
-    /// A handle and what its task receives from.
-    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<Message>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        (Self { sender }, receiver)
-    }
-
-    /// Tells the task; false if it has ended.
-    pub fn tell(&self, message: Message) -> bool {
-        self.sender.send(message).is_ok()
-    }
-
     /// Asks for room of an account.
     ///
     /// # Errors
@@ -49,13 +35,12 @@
             handle: self.clone(),
             id: ask.id,
         };
-        let (sender, receiver) = oneshot::channel();
-        self.tell(Message::Ask(ask, sender));
+        let verdict = self.ask(|sender| Message::Ask(ask, sender)).await;
         let stopped = Refusal {
             reason: Reason::Stopping,
             after: Millis::ZERO,
         };
-        receiver.await.unwrap_or(Err(stopped)).map(|()| permit)
+        verdict.unwrap_or(Err(stopped)).map(|()| permit)
     }
 
     /// Counts a first try of a pool, which pays for a share of a retry.
@@ -65,8 +50,7 @@
 
     /// Takes a retry from a pool's budget; false if too much of its work is retries.
     pub async fn spend(&self, pool: PoolId) -> bool {
-        let (sender, receiver) = oneshot::channel();
-        self.tell(Message::Spend(pool, sender));
-        receiver.await.unwrap_or(false)
+        let spent = self.ask(|sender| Message::Spend(pool, sender)).await;
+        spent.unwrap_or(false)
     }
 }
