--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -108,6 +108,8 @@
             tally.wait("a1", 0.99)
         );
         expect_that!(useful, gt(0.95));
+        // The callers would wait ten seconds; a queue that stands is kept shorter.
+        expect_that!(tally.wait("a1", 0.99), lt(7_500));
     }
 }
 
@@ -314,3 +316,37 @@
     println!("flows {}", home.flows());
     expect_that!(home.flows(), lt(1_100));
 }
+
+#[gtest]
+fn a_stale_mean_allows_no_more_than_itself() {
+    let mut home = open_home(settings(), 1);
+    home.handle(mean(1_000, 2), Millis(2));
+    expect_that!(home.limit(Millis(2_002)), eq(Tokens(1_250)));
+    expect_that!(home.limit(Millis(6_002)), eq(Tokens(1_125)));
+    expect_that!(home.limit(Millis(60_002)), eq(Tokens(1_000)));
+}
+
+#[gtest]
+fn a_caller_is_asked_back_later_the_more_work_waits() {
+    let after = |queue: u32| {
+        let mut settings = settings();
+        settings.queue = queue;
+        let mut home = open_home(settings, 1);
+        let count = u64::from(queue) + 16;
+        for number in 0..count {
+            let mut offer = offer(number, "a", "a1");
+            offer.patience = Millis::from_secs(600);
+            home.handle(Event::Offer(offer), Millis(10));
+        }
+        let actions = home.handle(Event::Offer(offer(count, "a", "a1")), Millis(10));
+        let Some(Action::Refuse { after, .. }) = actions.first() else {
+            return Millis(0);
+        };
+        *after
+    };
+    // Requests of 200 tokens at 1.6 tokens a millisecond, and up to as much again as jitter.
+    for queue in [16, 64, 160] {
+        let wait = (u64::from(queue) + 1) * 125;
+        expect_that!(after(queue).0, all!(ge(wait), le(wait * 2)));
+    }
+}
