--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -10,6 +10,7 @@
 
 mod accounts;
 mod book;
+mod ease;
 mod event;
 mod ledger;
 mod line;
--- a/crates/core/src/limits/book.rs
+++ b/crates/core/src/limits/book.rs
@@ -13,8 +13,8 @@
 use crate::ids::DaemonId;
 use crate::wire::Watch;
 
+use super::ease::Ease;
 use super::line::{Line, Report, Row, Sums};
-use super::meter::Meter;
 use super::split::{Level, fair_level};
 use super::{AccountHash, Limits, STRICT_LIVE, to_wire};
 
@@ -26,18 +26,10 @@
 const AHEAD_SECS: f64 = 2.0;
 /// Most of the tokens that is given in advance at once, as a divisor.
 const AHEAD_DIVISOR: f64 = 16.0;
-/// Part of a limit from which the sum of shares is kept to it.
-const STRICT_FROM: f64 = 0.8;
-/// Part of a limit up to which more may be granted than there is.
-const EASY_TO: f64 = 0.6;
 /// Rate granted while little is used, in hundredths, beside what is offered.
 const EASY_RATE: f64 = 100.0;
 /// Concurrency granted while little is used, beside what is used.
 const EASY_SHARE: f64 = 3.0;
-/// Time over which arrivals are counted from what was asked and from samples.
-const ARRIVALS_SPAN: Millis = Millis::from_secs(20);
-/// Most by which use is taken to exceed what entries have reported.
-const UNKNOWN_TIMES: f64 = 4.0;
 /// Lowest rate, in hundredths, that is granted when much is used; below, tokens are.
 const RATE_LEAST: f64 = 50.0;
 /// For how long an entry stops asking when others hold what they don't use.
@@ -60,10 +52,8 @@
     tokens: f64,
     /// When tokens were last added.
     at: Millis,
-    /// Requests that entries asked for or admitted.
-    arrivals: Meter,
-    /// Whether little of the account is used.
-    easy: bool,
+    /// How much is used, and whether that is little.
+    ease: Ease,
     /// Entries whose requests wait for what others give back.
     waiting: BTreeSet<DaemonId>,
     /// Until when entries that a former owner gave to may not have reported yet.
@@ -95,8 +85,7 @@
             sums: Sums::default(),
             tokens: (limits.rate * BURST_SECS).max(BURST_MIN),
             at: now,
-            arrivals: Meter::new(ARRIVALS_SPAN, now),
-            easy: false,
+            ease: Ease::new(now),
             waiting: BTreeSet::new(),
             learning,
         }
@@ -139,13 +128,13 @@
         now: Millis,
     ) -> Vec<(DaemonId, Row)> {
         self.refill(now);
-        self.arrivals.count(report.need + report.samples, now);
+        self.ease.count(report.need + report.samples, now);
         self.change(from, |line| line.report(report, now));
         let Some(line) = self.lines.get(from).cloned() else {
             return Vec::new();
         };
         let mut rows = Vec::new();
-        let over = self.judge(now);
+        let over = self.ease.judge(&self.sums, self.limits, self.live, now);
         let levels = self.levels();
         if line.is_unused() {
             self.remove(from);
@@ -256,26 +245,10 @@
         }
     }
 
-    /// Decides whether little is used, and says whether that has just ended.
-    fn judge(&mut self, now: Millis) -> bool {
-        let arrivals = self.arrivals.rate(now);
-        let known = (self.sums.rate as f64 / 100.0).max(arrivals / UNKNOWN_TIMES);
-        // Entries that haven't reported yet are likely to use as much as the others.
-        let unknown = (arrivals / known.max(f64::MIN_POSITIVE)).max(1.0);
-        let flights = self.sums.flights as f64 * unknown;
-        let flights = flights / f64::from(self.limits.concurrency.max(1));
-        let rate = known * unknown / self.limits.rate.max(0.01);
-        let used = flights.max(rate);
-        let was = self.easy;
-        let most = if was { STRICT_FROM } else { EASY_TO };
-        self.easy = self.live > STRICT_LIVE && used <= most;
-        was && !self.easy
-    }
-
     /// How closely entries are watched.
     fn watch(&self) -> Watch {
         let limit = u64::from(self.limits.concurrency);
-        if self.easy {
+        if self.ease.is_easy() {
             return Watch::Easy;
         }
         let close = match self.live > STRICT_LIVE {
@@ -290,11 +263,11 @@
         let part = levels.flights.part(want);
         // Shares are whole, so that a level between two numbers serves some entries more.
         let mut share = part.max(want.min(levels.flights.most.ceil()));
-        if self.easy {
+        if self.ease.is_easy() {
             share = share.max(want + EASY_SHARE);
         }
         let mut rate = levels.rate.part(line.rate.into());
-        if self.easy {
+        if self.ease.is_easy() {
             rate = rate.max(f64::from(line.rate) + EASY_RATE);
         } else if rate < RATE_LEAST {
             rate = 0.0;
@@ -311,13 +284,13 @@
         let free = u64::from(self.limits.concurrency).saturating_sub(others);
         let mut share = target.share.min(u32::try_from(free).unwrap_or(u32::MAX));
         share = share.min(self.learned(line, share, now));
-        if self.easy && now >= self.learning {
+        if self.ease.is_easy() && now >= self.learning {
             share = target.share;
         }
         let others = self.sums.granted - u64::from(line.granted());
         let free = u64::from(to_wire(self.limits.rate)).saturating_sub(others);
         let mut rate = target.rate.min(u32::try_from(free).unwrap_or(u32::MAX));
-        if self.easy {
+        if self.ease.is_easy() {
             rate = target.rate;
         }
         let tokens = self.tokens_for(line);
@@ -341,7 +314,7 @@
 
     /// Tokens for the requests that are held, and some in advance.
     fn tokens_for(&self, line: &Line) -> u32 {
-        if line.need == 0 || self.easy {
+        if line.need == 0 || self.ease.is_easy() {
             return line.need;
         }
         let ahead = f64::from(line.rate) / 100.0 * AHEAD_SECS;
