One answer to which daemon is an endpoint's home

The entry and the home task each put data centre, region and rendezvous together; FleetView::home_of does it for both. The entry looks the view and the configuration up once for a request, and no longer once for each ranked endpoint. Behaviour stays as it is.

--- a/crates/daemon/src/entry/run.rs
+++ b/crates/daemon/src/entry/run.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::{Failure, Head, Result, Try, Waits};
 use super::job::{Job, ResumePoint};
+use crate::configuration::ConfigView;
 use crate::context::Context;
 
 /// Most tries of one request.
@@ -84,8 +85,8 @@
     lost: &[DaemonId],
 ) -> Result<Try> {
     let id = attempt_id(context, job, tries);
-    let daemon =
-        home_of(context, &point.endpoint, lost).unwrap_or_else(|| context.me.daemon.clone());
+    let config = context.config.borrow().clone();
+    let daemon = first_home(context, &config, [&point.endpoint], lost);
     let credit = context.settings.limits.window.0;
     let forward = job.resume(id, context.me.daemon.as_str(), point, credit);
     let mut attempt = Try::start(context, id, &daemon, forward, waits(job)).await?;
@@ -132,20 +133,23 @@
 /// The daemon that knows the chat: home of its first-ranked endpoint, past lost ones.
 fn target(context: &Context, job: &Job, lost: &[DaemonId]) -> DaemonId {
     let config = context.config.borrow().clone();
-    config
-        .ranked(&job.pool, job.key(), RANKS)
-        .into_iter()
-        .find_map(|endpoint| home_of(context, endpoint, lost))
-        .unwrap_or_else(|| context.me.daemon.clone())
+    let ranked = config.ranked(&job.pool, job.key(), RANKS);
+    first_home(context, &config, ranked, lost)
 }
 
-fn home_of(context: &Context, endpoint: &EndpointId, lost: &[DaemonId]) -> Option<DaemonId> {
-    let config = context.config.borrow().clone();
+/// The first home of these endpoints that isn't lost, else this daemon.
+fn first_home<'a>(
+    context: &Context,
+    config: &ConfigView,
+    endpoints: impl IntoIterator<Item = &'a EndpointId>,
+    lost: &[DaemonId],
+) -> DaemonId {
     let fleet = context.fleet.borrow();
-    let centre = &config.endpoint(endpoint)?.data_centre;
-    let region = fleet.regions.get(centre);
-    let home = fleet.placement.home_of(endpoint, centre, region)?;
-    (!lost.contains(home)).then(|| home.clone())
+    let mut homes = endpoints
+        .into_iter()
+        .filter_map(|endpoint| fleet.home_of(config, endpoint));
+    let home = homes.find(|home| !lost.contains(home));
+    home.unwrap_or(&context.me.daemon).clone()
 }
 
 fn may_retry(job: &Job, failure: &Failure) -> bool {
--- a/crates/daemon/src/fleet/view.rs
+++ b/crates/daemon/src/fleet/view.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use medlarrill_core::ids::{DaemonId, DataCentreId, Generation, Incarnation, RegionId};
+use medlarrill_core::ids::{DaemonId, DataCentreId, EndpointId, Generation, Incarnation, RegionId};
 use medlarrill_core::membership::{Member, Membership};
 use medlarrill_core::placement::{Daemon, Fleet};
 
+use crate::configuration::ConfigView;
+
 /// One daemon.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Peer {
@@ -68,6 +70,13 @@
             fresh,
         }
     }
+
+    /// The home of an endpoint; `None` if it isn't configured or no daemon is live.
+    pub fn home_of(&self, config: &ConfigView, endpoint: &EndpointId) -> Option<&DaemonId> {
+        let centre = &config.endpoint(endpoint)?.data_centre;
+        let region = self.regions.get(centre);
+        self.placement.home_of(endpoint, centre, region)
+    }
 }
 
 fn daemon(member: &Member) -> Daemon {
--- a/crates/daemon/src/home/placing.rs
+++ b/crates/daemon/src/home/placing.rs
@@ -185,10 +185,7 @@
 
     /// The home of an endpoint by the present view.
     pub(super) fn home_of(&self, endpoint: &EndpointId) -> Option<DaemonId> {
-        let centre = &self.config.endpoint(endpoint)?.data_centre;
-        let region = self.fleet.regions.get(centre);
-        let home = self.fleet.placement.home_of(endpoint, centre, region);
-        home.cloned()
+        self.fleet.home_of(&self.config, endpoint).cloned()
     }
 }
 
