The lab's programs start their children and name their errors in one way

The demo and the spread measurement each had their own copy of the start as daemon or client, and of the error type that load and control share. Spread now refuses arguments it doesn't know, as it parses none.

--- a/crates/lab/src/control.rs
+++ b/crates/lab/src/control.rs
@@ -13,9 +13,7 @@
 
 use std::process::ExitCode;
 
-use medlarrill_testkit::fleet::Program;
-
-use crate::child::main_with;
+use crate::child::{Children, main_with};
 use crate::error::Result;
 use args::Args;
 use grow::Shape;
@@ -28,23 +26,25 @@
     main_with("control", tell)
 }
 
-async fn tell(program: Program, args: Args) -> Result<()> {
+async fn tell(children: Children, args: Args) -> Result<()> {
     let mut report = Report::default();
     for daemons in &args.sizes {
         let shape = Shape::today(*daemons);
-        report.fleet.push(row::run(&program, &args, shape).await?);
+        report
+            .fleet
+            .push(row::run(&children.daemon, &args, shape).await?);
     }
     for endpoints in &args.endpoints {
         let shape = Shape::today(args.fixed).with_endpoints(*endpoints);
         report
             .endpoints
-            .push(row::run(&program, &args, shape).await?);
+            .push(row::run(&children.daemon, &args, shape).await?);
     }
     for accounts in &args.accounts {
         let shape = Shape::today(args.fixed).with_accounts(*accounts);
         report
             .accounts
-            .push(row::run(&program, &args, shape).await?);
+            .push(row::run(&children.daemon, &args, shape).await?);
     }
     report.print(&args)
 }
--- a/crates/lab/src/demo/booking.rs
+++ b/crates/lab/src/demo/booking.rs
@@ -2,7 +2,7 @@
 
 use medlarrill_testkit::fleet::Fleet;
 
-use super::story::{DemoError, Result};
+use crate::error::{LabError, Result};
 
 const PATH: &str = "/bookings/guesthouse";
 const KEY: &str = "friday-two-rooms";
@@ -26,7 +26,7 @@
             "the booking ran {runs} times, with {} answers",
             answers.len()
         );
-        return Err(DemoError::Wrong(wrong));
+        return Err(LabError::Wrong(wrong));
     }
     println!(
         "booking: sent through {} daemons under one key, ran once, same answer each time",
--- a/crates/lab/src/demo/operators.rs
+++ b/crates/lab/src/demo/operators.rs
@@ -6,7 +6,7 @@
 use medlarrill_testkit::engine::{Message, expected_answer, messages_text};
 use medlarrill_testkit::fleet::{Caller, Fleet, OPERATOR_KEY, Program};
 
-use super::story::{DemoError, Result};
+use crate::error::{LabError, Result};
 
 /// Key of the account that the operator creates.
 const NEW_KEY: &str = "harbour-desk-key";
@@ -128,8 +128,8 @@
     }
 }
 
-const fn wrong(what: String) -> DemoError {
-    DemoError::Wrong(what)
+const fn wrong(what: String) -> LabError {
+    LabError::Wrong(what)
 }
 
 fn indented(text: &str) -> String {
--- a/crates/lab/src/demo/story.rs
+++ b/crates/lab/src/demo/story.rs
@@ -1,57 +1,33 @@
 //! What the demo does, step by step.
 
-use derive_more::{Debug, Display, Error, From};
 use medlarrill_core::clock::Millis;
-use medlarrill_testkit::fleet::{CallError, Caller, DaemonError, Fleet, FleetError, Layout};
+use medlarrill_testkit::fleet::{Caller, Fleet, Layout};
 use tokio::task::JoinSet;
 
-use super::Programs;
 use super::args::Args;
 use super::booking::book;
 use super::chats::{Outcome, hold};
 use super::operators::operate;
 use super::stay::stay;
+use crate::child::Children;
+use crate::error::{LabError, Result};
 
 /// Longest wait for all daemons to be ready.
 const READY: Millis = Millis::from_secs(30);
 
-/// Result of the demo.
-pub type Result<T> = std::result::Result<T, DemoError>;
-
-/// Why the demo failed.
-#[derive(Debug, Display, Error, From)]
-pub enum DemoError {
-    /// The fleet can't start.
-    #[display("{_0}")]
-    Fleet(FleetError),
-    /// A daemon can't be driven.
-    #[display("{_0}")]
-    Daemon(DaemonError),
-    /// A call failed.
-    #[display("{_0}")]
-    Call(CallError),
-    /// A file failed.
-    #[display("{_0}")]
-    Io(std::io::Error),
-    /// Something came out wrong.
-    #[display("{_0}")]
-    #[from(skip)]
-    Wrong(#[error(not(source))] String),
-}
-
 /// Runs the whole demo.
 ///
 /// # Errors
 ///
 /// When anything fails or an answer is wrong.
-pub(super) async fn tell(programs: Programs, args: Args) -> Result<()> {
+pub(super) async fn tell(children: Children, args: Args) -> Result<()> {
     let folder = tempfile::tempdir()?;
     let layout = Layout::default()
         .with_daemons(args.daemons)
         .with_engines(args.engines);
-    let mut fleet = Fleet::start(programs.daemon, folder.path().into(), layout).await?;
+    let mut fleet = Fleet::start(children.daemon, folder.path().into(), layout).await?;
     if !fleet.wait_ready(READY).await {
-        return Err(DemoError::Wrong("the daemons did not get ready".into()));
+        return Err(LabError::Wrong("the daemons did not get ready".into()));
     }
     println!(
         "fleet: {} daemons, {} engines, {} services ready",
@@ -62,13 +38,13 @@
     chats(&fleet, &args).await?;
     book(&fleet).await?;
     kill_one(&mut fleet, &args).await?;
-    operate(&fleet, &programs.client).await?;
+    operate(&fleet, &children.client).await?;
     if args.stay {
         stay(&fleet).await?;
     }
     for daemon in &mut fleet.daemons {
         if !daemon.stop().await? {
-            return Err(DemoError::Wrong("a daemon did not stop in order".into()));
+            return Err(LabError::Wrong("a daemon did not stop in order".into()));
         }
     }
     println!("stop: all daemons stopped in order");
@@ -108,7 +84,7 @@
         share * 100.0
     );
     if outcome.wrong > 0 || outcome.right == 0 {
-        return Err(DemoError::Wrong(format!(
+        return Err(LabError::Wrong(format!(
             "{step}: not every answer was right"
         )));
     }
@@ -127,11 +103,11 @@
     }
     let outcome = running
         .await
-        .map_err(|error| DemoError::Wrong(error.to_string()))?;
+        .map_err(|error| LabError::Wrong(error.to_string()))?;
     report("chats with a daemon killed", outcome)?;
     fleet.restart_daemon(last).await?;
     if !fleet.wait_ready(READY).await {
-        return Err(DemoError::Wrong("the new daemon did not get ready".into()));
+        return Err(LabError::Wrong("the new daemon did not get ready".into()));
     }
     println!("restart: a new daemon took the place of the killed one");
     Ok(())
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -15,9 +15,9 @@
 
 use medlarrill_core::clock::Millis;
 use medlarrill_testkit::engine;
-use medlarrill_testkit::fleet::{Fleet, Layout, Program};
+use medlarrill_testkit::fleet::{Fleet, Layout};
 
-use crate::child::main_with;
+use crate::child::{Children, main_with};
 use crate::error::{LabError, Result};
 use args::Args;
 use report::Report;
@@ -31,7 +31,7 @@
     main_with("load", tell)
 }
 
-async fn tell(program: Program, args: Args) -> Result<()> {
+async fn tell(children: Children, args: Args) -> Result<()> {
     let folder = tempfile::tempdir()?;
     let engine = engine::Settings {
         step: Millis(args.step),
@@ -44,7 +44,7 @@
         .with_engines(args.engines)
         .with_engine(engine);
     layout.slots = u32::try_from(args.slots).unwrap_or(u32::MAX);
-    let fleet = Fleet::start(program, folder.path().into(), layout).await?;
+    let fleet = Fleet::start(children.daemon, folder.path().into(), layout).await?;
     if !fleet.wait_ready(READY).await {
         return Err(LabError::Wrong("the daemons did not get ready".into()));
     }
--- a/crates/lab/src/spread.rs
+++ b/crates/lab/src/spread.rs
@@ -4,22 +4,20 @@
 //! change is sent to another daemon; the time counts from the answer that it is
 //! accepted, and from the sending, until every daemon says that it has it.
 
-use std::ffi::OsString;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use derive_more::{Debug, Display, Error, From};
+use clap::Parser;
 use hyper::Method;
 use medlarrill_core::clock::Millis;
-use medlarrill_testkit::client::{self, ClientError};
-use medlarrill_testkit::fleet::{
-    DaemonError, Fleet, FleetError, Layout, OPERATOR_KEY, Program, metric,
-};
+use medlarrill_testkit::client;
+use medlarrill_testkit::fleet::{Fleet, Layout, OPERATOR_KEY, Program, metric};
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
 
-/// First argument of a child that is a daemon.
-const DAEMON: &str = "as-daemon";
+use crate::child::{Children, main_with};
+use crate::error::{LabError, Result};
+
 /// Sizes of the fleets.
 const SIZES: [usize; 3] = [3, 6, 12];
 /// Changes at each size.
@@ -29,29 +27,10 @@
 /// Longest wait for all daemons to be ready.
 const READY: Millis = Millis::from_secs(60);
 
-/// Result of the measurement.
-type Result<T> = std::result::Result<T, SpreadError>;
-
-/// Why there is no measurement.
-#[derive(Debug, Display, Error, From)]
-enum SpreadError {
-    /// The fleet can't start.
-    #[display("{_0}")]
-    Fleet(FleetError),
-    /// A daemon can't be driven.
-    #[display("{_0}")]
-    Daemon(DaemonError),
-    /// A daemon gave no answer.
-    #[display("{_0}")]
-    Client(ClientError),
-    /// A file failed.
-    #[display("{_0}")]
-    Io(std::io::Error),
-    /// Something came out wrong.
-    #[display("{_0}")]
-    #[from(skip)]
-    Wrong(#[error(not(source))] String),
-}
+/// The measurement takes no arguments.
+#[derive(Debug, Parser)]
+#[command(about = "How long an accepted change takes to be in force on every daemon")]
+struct Args {}
 
 /// Times of one change.
 #[derive(Clone, Copy)]
@@ -65,29 +44,14 @@
 
 /// Measures, or is one of the daemons.
 pub fn main() -> ExitCode {
-    let mut args: Vec<OsString> = std::env::args_os().collect();
-    if args.get(1).is_some_and(|first| first == DAEMON) {
-        args.remove(1);
-        return medlarrilld::start::main(args);
-    }
-    let measured = tokio::runtime::Runtime::new()
-        .map_err(SpreadError::from)
-        .and_then(|runtime| runtime.block_on(measure()));
-    match measured {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("spread: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    main_with("spread", measure)
 }
 
-async fn measure() -> Result<()> {
-    let program = Program::new(std::env::current_exe()?).with_argument(DAEMON);
+async fn measure(children: Children, _: Args) -> Result<()> {
     let mut first = None;
     println!("daemons  accepted ms  in force everywhere ms  longest ms  ratio");
     for size in SIZES {
-        let times = fleet(&program, size).await?;
+        let times = fleet(&children.daemon, size).await?;
         let accepted = median(times.iter().map(|times| times.accepted).collect());
         let spread = median(times.iter().map(|times| times.spread).collect());
         let longest = times.iter().map(|times| millis(times.spread));
@@ -103,7 +67,7 @@
     let layout = Layout::default().with_daemons(size);
     let mut fleet = Fleet::start(program.clone(), folder.path().into(), layout).await?;
     if !fleet.wait_ready(READY).await {
-        return Err(SpreadError::Wrong("the daemons did not get ready".into()));
+        return Err(LabError::Wrong("the daemons did not get ready".into()));
     }
     let mut times = Vec::new();
     for number in 0..CHANGES {
@@ -131,7 +95,7 @@
     let accepted = Instant::now();
     let answer: Value = serde_json::from_slice(answer.body()).unwrap_or_default();
     let generation = answer["results"][0]["generation"].as_f64();
-    let generation = generation.ok_or_else(|| SpreadError::Wrong(answer.to_string()))?;
+    let generation = generation.ok_or_else(|| LabError::Wrong(answer.to_string()))?;
     let mut waits = JoinSet::new();
     for address in addresses {
         waits.spawn(async move {
