--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod placement;
 pub mod reason;
 pub mod retry;
+pub mod routing;
 pub mod units;
 pub mod wire;
--- /dev/null
+++ b/crates/core/src/routing.rs
@@ -0,0 +1,21 @@
+//! Routing of requests straight from an entry to endpoints.
+//!
+//! Used where the platform lists the endpoints and hands out the whole
+//! configuration. An entry finds the route and the account of a request
+//! ([`config`]), picks an endpoint by cached prompt parts and load ([`choose`]),
+//! and decides after each failed attempt whether to try again ([`plan`]).
+//! What is known of endpoints comes from the platform's list ([`directory`])
+//! and from their answers ([`load`], [`health`]).
+
+pub mod attempt;
+pub mod budget;
+pub mod choose;
+pub mod config;
+pub mod directory;
+pub mod endpoint;
+pub mod events;
+pub mod health;
+pub mod load;
+pub mod plan;
+pub mod request;
+pub mod stop;
--- /dev/null
+++ b/crates/core/src/routing/budget.rs
@@ -0,0 +1,96 @@
+//! Repeats that a daemon may send to each pool.
+//!
+//! The fleet may repeat a share of the requests of a window, and some more.
+//! Each daemon spends its own part of that without asking the others: the
+//! share of the requests that it took itself, and an equal part of the rest.
+
+use std::collections::{HashMap, VecDeque};
+
+use derive_more::Debug;
+
+use crate::clock::Millis;
+use crate::ids::PoolId;
+
+/// Part of what is allowed that is used. What is left covers requests that the endpoint
+/// counts in another window than we do.
+const USED: f64 = 0.9;
+
+/// What the fleet may repeat.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug)]
+pub struct Settings {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Length of the window.
+    pub window: Millis,
+    /// Repeats in a window beyond the ratio, all daemons together.
+    pub slack: f64,
+}
+
+/// Counts of one pool.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+struct Counts {
+    requests: VecDeque<Millis>,
+    repeats: VecDeque<Millis>,
+}
+
+/// The repeats of one daemon.
+#[derive(Clone)]
+#[derive(Debug)]
+pub struct Budget {
+    settings: Settings,
+    daemons: u32,
+    pools: HashMap<PoolId, Counts>,
+}
+
+impl Budget {
+    /// A budget for one of `daemons` daemons.
+    pub fn new(settings: Settings, daemons: u32) -> Self {
+        Self {
+            settings,
+            daemons: daemons.max(1),
+            pools: HashMap::new(),
+        }
+    }
+
+    /// Sets what the fleet may repeat.
+    pub fn configure(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
+    /// Sets how many daemons share the slack.
+    pub fn share_with(&mut self, daemons: u32) {
+        self.daemons = daemons.max(1);
+    }
+
+    /// Counts a request.
+    pub fn request(&mut self, pool: &PoolId, now: Millis) {
+        let counts = self.counts(pool, now);
+        counts.requests.push_back(now);
+    }
+
+    /// Takes one repeat, unless the window's are spent.
+    pub fn spend(&mut self, pool: &PoolId, now: Millis) -> bool {
+        let Settings { ratio, slack, .. } = self.settings;
+        let slack = slack / f64::from(self.daemons);
+        let counts = self.counts(pool, now);
+        let allowed = USED * (ratio * counts.requests.len() as f64 + slack);
+        let fits = (counts.repeats.len() + 1) as f64 <= allowed;
+        if fits {
+            counts.repeats.push_back(now);
+        }
+        fits
+    }
+
+    fn counts(&mut self, pool: &PoolId, now: Millis) -> &mut Counts {
+        let window = self.settings.window;
+        let counts = self.pools.entry(pool.clone()).or_default();
+        for times in [&mut counts.requests, &mut counts.repeats] {
+            while times.front().is_some_and(|at| now.since(*at) >= window) {
+                times.pop_front();
+            }
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/choose.rs
@@ -0,0 +1,188 @@
+//! Picks the endpoint of a request.
+//!
+//! A prompt goes where its shared parts rank first by rendezvous hashing, so
+//! that all daemons send it to the same place without a word, also right after
+//! a start. It passes on to the next in rank while the load there is over the
+//! bound, and takes the cached parts along from the first. Requests without
+//! shared parts go to the least loaded endpoint, the same data centre first.
+
+use std::sync::Arc;
+
+use derive_more::{Debug, Display};
+use rand::RngExt;
+use rand_pcg::Pcg32;
+
+use crate::ids::DataCentreId;
+use crate::placement::Node;
+use crate::routing::endpoint::Endpoint;
+use crate::routing::health::Standing;
+use crate::routing::request::SharedPrefix;
+
+/// Load bound, as a multiple of the pool's mean. Lies below the 2 that endpoints may be given
+/// at most, since loads are known with a lag of one answer.
+const BOUND: f64 = 1.5;
+/// Load allowed beyond the bound, in requests; lets a nearly idle pool keep its places.
+const GRAIN: f64 = 2.0;
+/// Requests that a longer way to another data centre counts as, for requests without cached
+/// parts: it costs about 1 ms, a request in a queue of six slots about 10 ms.
+const FAR: f64 = 0.5;
+/// Shortest prefix worth a transfer between engines; below, the transfer's set-up of some
+/// milliseconds takes as long as reading the tokens again (48 a millisecond).
+const FETCH_MIN: u64 = 400;
+
+/// An endpoint that may be picked.
+#[derive(Clone)]
+#[derive(Debug)]
+pub struct Candidate {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// Requests that it has, estimated.
+    pub load: f64,
+    /// How it stands.
+    pub standing: Standing,
+    /// Whether this request was sent there before.
+    pub tried: bool,
+}
+
+/// Why an endpoint was picked.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Display)]
+pub enum Why {
+    /// First in rank for the prompt.
+    #[display("first-ranked")]
+    First,
+    /// Further in rank, those before being over the bound or avoided.
+    #[display("next-ranked")]
+    Next,
+    /// Least loaded.
+    #[display("least-loaded")]
+    Least,
+}
+
+/// The picked endpoint.
+#[derive(Clone)]
+#[derive(Debug)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// Where cached parts of the prompt can be fetched from.
+    pub source: Option<Arc<Endpoint>>,
+    /// Why it was picked.
+    pub why: Why,
+    /// Its load when picked.
+    pub load: f64,
+    /// Load up to which it would have been given more.
+    pub bound: f64,
+    /// Whether it was picked on trial.
+    pub trial: bool,
+}
+
+/// Picks an endpoint for a request that has shared prompt parts, or none.
+///
+/// `trial` says whether the request may be spent on an endpoint that is avoided.
+pub fn choose(
+    candidates: &[Candidate],
+    shared: Option<SharedPrefix>,
+    near: &DataCentreId,
+    trial: bool,
+    rng: &mut Pcg32,
+) -> Option<Choice> {
+    let usable = usable(candidates, trial);
+    let bound = bound(candidates);
+    let choice = match shared {
+        Some(prefix) => by_rank(candidates, &usable, prefix, bound),
+        None => by_load(&usable, near, rng),
+    };
+    choice.map(|choice| Choice { bound, ..choice })
+}
+
+/// The best group of candidates that isn't empty.
+fn usable(candidates: &[Candidate], trial: bool) -> Vec<&Candidate> {
+    let groups: [&dyn Fn(&Candidate) -> bool; 4] = [
+        &|c| !c.tried && (c.standing == Standing::Good || trial && c.standing == Standing::Trial),
+        &|c| !c.tried && c.standing != Standing::Down,
+        &|c| !c.tried,
+        &|_| true,
+    ];
+    let pick = |group: &dyn Fn(&Candidate) -> bool| -> Vec<&Candidate> {
+        candidates.iter().filter(|c| group(c)).collect()
+    };
+    groups
+        .into_iter()
+        .map(pick)
+        .find(|group| !group.is_empty())
+        .unwrap_or_default()
+}
+
+fn by_rank(
+    all: &[Candidate],
+    usable: &[&Candidate],
+    prefix: SharedPrefix,
+    bound: f64,
+) -> Option<Choice> {
+    let score = |c: &Candidate| {
+        let id = c.endpoint.id.as_str();
+        Node::new((), id).score(prefix.key)
+    };
+    let mut ranked: Vec<(f64, &Candidate)> = usable.iter().map(|c| (score(c), *c)).collect();
+    ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let under = ranked.iter().find(|(_, c)| c.load <= bound);
+    let least = || {
+        ranked
+            .iter()
+            .min_by(|a, b| a.1.load.total_cmp(&b.1.load))
+    };
+    let (_, picked) = under.or_else(least)?;
+    let first = all
+        .iter()
+        .max_by(|a, b| score(a).total_cmp(&score(b)))
+        .filter(|first| first.standing != Standing::Down);
+    let elsewhere = first.filter(|first| first.endpoint.id != picked.endpoint.id);
+    let source = elsewhere.filter(|_| prefix.tokens.0 >= FETCH_MIN);
+    let is_first = ranked.first().is_some_and(|(_, c)| c.endpoint.id == picked.endpoint.id);
+    let why = match is_first {
+        true => Why::First,
+        false => Why::Next,
+    };
+    let choice = choice(picked, why);
+    Some(choice.with_source(source.map(|source| Arc::clone(&source.endpoint))))
+}
+
+fn by_load(usable: &[&Candidate], near: &DataCentreId, rng: &mut Pcg32) -> Option<Choice> {
+    let cost = |c: &Candidate| {
+        let slots = f64::from(c.endpoint.slots.max(1));
+        let far = if c.endpoint.data_centre == *near { 0.0 } else { FAR };
+        (c.load + far) / slots
+    };
+    let mut scored: Vec<(f64, u32, &Candidate)> = usable
+        .iter()
+        .map(|c| (cost(c), rng.random(), *c))
+        .collect();
+    scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    let (_, _, picked) = scored.first()?;
+    Some(choice(picked, Why::Least))
+}
+
+fn choice(picked: &Candidate, why: Why) -> Choice {
+    Choice {
+        endpoint: Arc::clone(&picked.endpoint),
+        source: None,
+        why,
+        load: picked.load,
+        bound: 0.0,
+        trial: picked.standing == Standing::Trial,
+    }
+}
+
+impl Choice {
+    fn with_source(self, source: Option<Arc<Endpoint>>) -> Self {
+        Self { source, ..self }
+    }
+}
+
+/// Load up to which an endpoint is given more.
+pub fn bound(candidates: &[Candidate]) -> f64 {
+    let sum: f64 = candidates.iter().map(|c| c.load).sum();
+    let mean = sum / candidates.len().max(1) as f64;
+    BOUND * mean + GRAIN
+}
--- /dev/null
+++ b/crates/core/src/routing/health.rs
@@ -0,0 +1,146 @@
+//! Which endpoints to avoid, judged from how their answers went.
+//!
+//! Each answer moves a failure share towards 0 or 1. An endpoint whose share
+//! is well above its pool's is avoided, as is one that can't be connected to.
+//! Both are given a request now and then, to see whether they are well again.
+//! A whole pool that fails is not avoided: failures that all endpoints share
+//! are no reason to choose between them.
+
+use std::collections::HashMap;
+
+use derive_more::Debug;
+
+use crate::clock::Millis;
+use crate::ids::EndpointId;
+use crate::routing::attempt::Fault;
+
+/// Weight of the newest answer in the failure share. Three bad answers in a row lift a good
+/// endpoint over [`MARGIN`], a single one doesn't.
+const NEWEST: f64 = 0.15;
+/// Failure share above the pool's mean at which an endpoint is avoided. Plain services here
+/// fail 14 of 100 idempotent requests when well, which must not count against one.
+const MARGIN: f64 = 0.30;
+/// Time in which a failure share falls by half without answers.
+const HALF_LIFE: Millis = Millis(3000);
+/// Pause after a first failed connection; doubles with each further one.
+const PAUSE: Millis = Millis(250);
+/// Longest pause after failed connections.
+const PAUSE_MAX: Millis = Millis(2000);
+/// Between two requests that try an endpoint that is avoided for its failure share.
+const TRIAL: Millis = Millis(700);
+
+/// How an endpoint stands.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug)]
+pub enum Standing {
+    /// As good as any.
+    Good,
+    /// Worth a request that may be repeated, to see whether it is well again.
+    Trial,
+    /// Fails much more than others.
+    Bad,
+    /// Can't be connected to.
+    Down,
+}
+
+/// What is remembered of one endpoint.
+#[derive(Clone, Copy, Default)]
+#[derive(Debug)]
+struct Record {
+    failures: f64,
+    at: Millis,
+    refused: u32,
+    until: Millis,
+    tried: Millis,
+}
+
+impl Record {
+    fn failures(&self, now: Millis) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.failures * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+    }
+
+    fn answer(&mut self, failure: f64, now: Millis) {
+        self.failures = self.failures(now) * (1.0 - NEWEST) + failure * NEWEST;
+        self.at = now;
+    }
+}
+
+/// What is remembered of all endpoints.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct Health {
+    records: HashMap<EndpointId, Record>,
+}
+
+impl Health {
+    /// Notes a good answer, or the good start of one.
+    pub fn good(&mut self, id: &EndpointId, now: Millis) {
+        let record = self.records.entry(id.clone()).or_default();
+        record.refused = 0;
+        record.answer(0.0, now);
+    }
+
+    /// Notes a failed attempt.
+    pub fn bad(&mut self, id: &EndpointId, fault: Fault, now: Millis) {
+        let record = self.records.entry(id.clone()).or_default();
+        match fault {
+            Fault::NotSent => {
+                let pause = PAUSE.0 << record.refused.min(8);
+                record.until = now + Millis(pause.min(PAUSE_MAX.0));
+                record.refused += 1;
+            }
+            // Being full is no illness; load tells of it.
+            Fault::Rejected => {}
+            Fault::OtherEndpoint => record.until = now + PAUSE_MAX,
+            Fault::Lost | Fault::Foreign | Fault::Slow | Fault::Failed | Fault::Cut => {
+                record.answer(1.0, now);
+            }
+        }
+    }
+
+    /// Notes that an endpoint is given a request on trial.
+    pub fn trial(&mut self, id: &EndpointId, now: Millis) {
+        self.records.entry(id.clone()).or_default().tried = now;
+    }
+
+    /// Forgets an endpoint.
+    pub fn forget(&mut self, id: &EndpointId) {
+        self.records.remove(id);
+    }
+
+    /// Mean failure share of some endpoints.
+    pub fn mean<'a>(&self, ids: impl Iterator<Item = &'a EndpointId>, now: Millis) -> f64 {
+        let mut sum = 0.0;
+        let mut count = 0.0;
+        for id in ids {
+            sum += self.failures(id, now);
+            count += 1.0;
+        }
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
+    /// How an endpoint stands against the mean of its pool.
+    pub fn standing(&self, id: &EndpointId, mean: f64, now: Millis) -> Standing {
+        let Some(record) = self.records.get(id) else {
+            return Standing::Good;
+        };
+        if now < record.until {
+            return Standing::Down;
+        }
+        if record.failures(now) <= mean + MARGIN {
+            return Standing::Good;
+        }
+        match now.since(record.tried) >= TRIAL {
+            true => Standing::Trial,
+            false => Standing::Bad,
+        }
+    }
+
+    /// Failure share of an endpoint, 0 to 1.
+    pub fn failures(&self, id: &EndpointId, now: Millis) -> f64 {
+        self.records
+            .get(id)
+            .map_or(0.0, |record| record.failures(now))
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/load.rs
@@ -0,0 +1,88 @@
+//! How much work each endpoint has, as one daemon sees it.
+//!
+//! A daemon knows its own requests exactly. What the others have there it
+//! learns from the load that endpoints tell in their answers, less its own
+//! requests at that time; the older that is, the less it counts.
+
+use std::collections::HashMap;
+
+use derive_more::Debug;
+
+use crate::clock::Millis;
+use crate::ids::EndpointId;
+
+/// Age at which a report of others' work counts half. Model answers take one to two seconds
+/// here, so most of what a report counted has ended after twice this.
+const HALF_LIFE: Millis = Millis(1500);
+
+/// What an endpoint tells of its work.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+pub struct Report {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// The work of one endpoint.
+#[derive(Clone, Copy, PartialEq, Default)]
+#[derive(Debug)]
+struct Work {
+    own: u32,
+    others: u32,
+    at: Millis,
+}
+
+/// The work of all endpoints.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct Loads {
+    work: HashMap<EndpointId, Work>,
+}
+
+impl Loads {
+    /// Counts a request that is sent.
+    pub fn begin(&mut self, id: &EndpointId) {
+        self.work.entry(id.clone()).or_default().own += 1;
+    }
+
+    /// Counts a request that has ended.
+    pub fn end(&mut self, id: &EndpointId) {
+        if let Some(work) = self.work.get_mut(id) {
+            work.own = work.own.saturating_sub(1);
+        }
+    }
+
+    /// Takes what an endpoint tells.
+    pub fn report(&mut self, id: &EndpointId, report: Report, now: Millis) {
+        let work = self.work.entry(id.clone()).or_default();
+        let total = report.running + report.waiting;
+        work.others = total.saturating_sub(work.own);
+        work.at = now;
+    }
+
+    /// Forgets an endpoint without requests of this daemon.
+    pub fn forget(&mut self, id: &EndpointId) {
+        if self.own(id) == 0 {
+            self.work.remove(id);
+        }
+    }
+
+    /// Requests of this daemon at an endpoint.
+    pub fn own(&self, id: &EndpointId) -> u32 {
+        self.work.get(id).map_or(0, |work| work.own)
+    }
+
+    /// Requests at an endpoint, estimated.
+    pub fn total(&self, id: &EndpointId, now: Millis) -> f64 {
+        let Some(work) = self.work.get(id) else {
+            return 0.0;
+        };
+        let age = now.since(work.at).as_secs_f64();
+        let fresh = 0.5_f64.powf(age / HALF_LIFE.as_secs_f64());
+        f64::from(work.own) + f64::from(work.others) * fresh
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/plan.rs
@@ -0,0 +1,144 @@
+//! What follows from a failed attempt: another one, or the final answer.
+
+use derive_more::{Debug, Display};
+
+use crate::clock::Millis;
+use crate::ids::EndpointId;
+use crate::outcome::Outcome;
+use crate::routing::attempt::Fault;
+use crate::routing::config::{Repeat, Route};
+
+/// Attempts that certainly didn't run and aren't counted against the route's own limit.
+const UNRUN_MAX: u32 = 2;
+/// Time that must be left for another attempt to be of use; about a round trip and a short run.
+const LEFT_MIN: Millis = Millis(40);
+/// Part of the target after which an attempt that may be repeated counts as stuck. Answers of
+/// endpoints that are well but busy stay under it on the heaviest days measured.
+const STUCK: f64 = 2.0;
+/// Shortest time after which an attempt counts as stuck.
+const STUCK_MIN: Millis = Millis(600);
+
+/// Why a request gets no answer of an endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Display)]
+pub enum Refusal {
+    /// It didn't run and won't; the caller may come back.
+    #[display("not-run")]
+    NotRun,
+    /// It may have run, and no whole answer came.
+    #[display("unknown")]
+    Unknown,
+    /// It may have run, and time is up.
+    #[display("timeout")]
+    Timeout,
+}
+
+/// What follows from a failure.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+pub enum Next {
+    /// Another attempt, at an endpoint that wasn't tried if there is one.
+    Again,
+    /// The final answer.
+    GiveUp(Refusal),
+}
+
+/// The attempts of one request.
+#[derive(Clone)]
+#[derive(Debug)]
+pub struct Plan {
+    repeat: Repeat,
+    attempts: u32,
+    target: Millis,
+    /// When the caller or the route's timeout ends the wait.
+    deadline: Millis,
+    /// Attempts that ran, or may have.
+    ran: u32,
+    sent: u32,
+    tried: Vec<EndpointId>,
+}
+
+impl Plan {
+    /// A plan for a request on a route.
+    pub fn new(route: &Route, deadline: Millis) -> Self {
+        Self {
+            repeat: route.repeat,
+            attempts: route.attempts.max(1),
+            target: route.target,
+            deadline,
+            ran: 0,
+            sent: 0,
+            tried: Vec::new(),
+        }
+    }
+
+    /// Whether a second run does no harm.
+    pub const fn is_idempotent(&self) -> bool {
+        self.repeat.is_idempotent()
+    }
+
+    /// When the wait ends.
+    pub const fn deadline(&self) -> Millis {
+        self.deadline
+    }
+
+    /// Attempts so far.
+    pub const fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    /// Whether the request was sent to an endpoint.
+    pub fn has_tried(&self, id: &EndpointId) -> bool {
+        self.tried.contains(id)
+    }
+
+    /// How long this attempt may take to begin its answer.
+    pub fn patience(&self, now: Millis) -> Millis {
+        let left = self.deadline.since(now);
+        if !self.may_run_again() {
+            return left;
+        }
+        let stuck = Millis((self.target.0 as f64 * STUCK) as u64);
+        left.min(stuck.max(STUCK_MIN))
+    }
+
+    /// Decides what follows from a failure; `spend` takes one repeat from the budget.
+    pub fn fail(
+        &mut self,
+        endpoint: &EndpointId,
+        fault: Fault,
+        spend: impl FnOnce() -> bool,
+        now: Millis,
+    ) -> Next {
+        self.sent += 1;
+        self.tried.push(endpoint.clone());
+        if fault.outcome() != Outcome::NotRun {
+            self.ran += 1;
+        }
+        let late = self.deadline.since(now) < LEFT_MIN;
+        if !late && self.may_repeat(fault) && (fault == Fault::NotSent || spend()) {
+            return Next::Again;
+        }
+        Next::GiveUp(self.refusal(late))
+    }
+
+    /// What to say when there is no endpoint to send to.
+    pub fn refusal(&self, late: bool) -> Refusal {
+        match (self.ran > 0, late) {
+            (false, _) => Refusal::NotRun,
+            (true, true) => Refusal::Timeout,
+            (true, false) => Refusal::Unknown,
+        }
+    }
+
+    fn may_repeat(&self, fault: Fault) -> bool {
+        let harmless = fault.outcome() == Outcome::NotRun || self.repeat.is_idempotent();
+        let unrun = self.sent - self.ran;
+        harmless && self.ran < self.attempts && unrun <= UNRUN_MAX
+    }
+
+    /// Whether an attempt that is abandoned may be followed by another.
+    pub const fn may_run_again(&self) -> bool {
+        self.repeat.is_idempotent() && self.ran + 1 < self.attempts
+    }
+}
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -31,6 +31,12 @@
         #[arg(long, value_enum, default_value_t = LogFormat::Text, env = "MEDLARRILLD_LOG_FORMAT")]
         log_format: LogFormat,
     },
+    /// Run on a platform that lists endpoints and routes, until told to stop.
+    Route {
+        /// Settings file, JSON with comments.
+        #[arg(long, env = "MEDLARRILLD_SETTINGS")]
+        settings: PathBuf,
+    },
     /// Check a settings file and report all findings.
     Check {
         /// Settings file, JSON with comments.
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -58,6 +58,9 @@
     /// Callers can't be served.
     #[display("{_0}")]
     Server(ServerError),
+    /// The router can't start.
+    #[display("{_0}")]
+    Router(medlarrill_router::start::StartError),
 }
 
 /// Where a daemon listens, printed as one line once it does.
@@ -79,6 +82,9 @@
         } => Settings::read(&settings)
             .map_err(StartError::from)
             .and_then(|settings| run(settings, log_format)),
+        Command::Route { settings } => {
+            medlarrill_router::start::run(&settings).map_err(StartError::from)
+        }
         Command::Check { settings } => Settings::read(&settings)
             .map(|_| println!("{}: no findings", settings.display()))
             .map_err(StartError::from),
--- /dev/null
+++ b/crates/router/src/endpoints/connections.rs
@@ -0,0 +1,193 @@
+//! Kept connections to endpoints, one request at a time on each.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use derive_more::{Debug, Display, Error};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::EndpointId;
+use medlarrill_core::routing::endpoint::Endpoint;
+use medlarrill_net::now::now;
+
+use crate::socket;
+
+/// Longest time to connect: endpoints are some milliseconds away and take one to accept.
+const CONNECT: Millis = Millis(400);
+/// How long a connection is kept idle where the endpoint doesn't say.
+const KEEP: Millis = Millis(4000);
+/// Kept connections are given up this long before the endpoint does, so that its close doesn't
+/// cross a request: a delay of lost packets, and the second to which the time is rounded.
+const KEEP_MARGIN: Millis = Millis(1200);
+/// Idle connections kept for one endpoint. Others call it too; it takes some hundreds.
+const SPARE: usize = 16;
+
+/// Result of sending a request.
+pub type Result<T> = std::result::Result<T, SendError>;
+
+/// Why there is no head of an answer.
+#[derive(Debug, Display, Error)]
+pub enum SendError {
+    /// There was no connection; nothing was sent.
+    #[display("not sent: {_0}")]
+    NotSent(#[error(not(source))] String),
+    /// The exchange broke off after the request was handed to a connection.
+    #[display("lost: {_0}")]
+    Lost(#[error(not(source))] String),
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+#[derive(Debug)]
+struct Idle {
+    #[debug(skip)]
+    sender: Sender,
+    until: Millis,
+}
+
+type Table = HashMap<EndpointId, Vec<Idle>>;
+
+/// Connections to all endpoints.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct Connections {
+    idle: Arc<Mutex<Table>>,
+}
+
+/// A connection whose answer is being read.
+#[derive(Debug)]
+pub struct Kept {
+    #[debug(skip)]
+    sender: Sender,
+    connections: Connections,
+    id: EndpointId,
+}
+
+/// A request whose answer has begun.
+#[derive(Debug)]
+pub struct Sent {
+    /// The answer.
+    pub answer: Response<Incoming>,
+    /// Its connection; closed when this is dropped before the answer's end.
+    pub kept: Kept,
+    /// Whether the connection was made for this request.
+    pub fresh: bool,
+}
+
+impl Connections {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Saying whether anything was sent.
+    pub async fn send(&self, endpoint: &Endpoint, request: Request<Full<Bytes>>) -> Result<Sent> {
+        let mut request = request;
+        while let Some(mut sender) = self.take(&endpoint.id) {
+            match sender.try_send_request(request).await {
+                Ok(answer) => return Ok(self.sent(endpoint, sender, answer, false)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(SendError::Lost(error.into_error().to_string())),
+                },
+            }
+        }
+        let mut sender = self.connect(endpoint.address).await?;
+        match sender.try_send_request(request).await {
+            Ok(answer) => Ok(self.sent(endpoint, sender, answer, true)),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let cause = error.into_error().to_string();
+                Err(match unsent {
+                    true => SendError::NotSent(cause),
+                    false => SendError::Lost(cause),
+                })
+            }
+        }
+    }
+
+    fn sent(
+        &self,
+        endpoint: &Endpoint,
+        sender: Sender,
+        answer: Response<Incoming>,
+        fresh: bool,
+    ) -> Sent {
+        let kept = Kept {
+            sender,
+            connections: self.clone(),
+            id: endpoint.id.clone(),
+        };
+        Sent {
+            answer,
+            kept,
+            fresh,
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Sender> {
+        let stream = socket::connect(address, CONNECT)
+            .await
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
+        let (sender, connection) = Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(target: "endpoints", "endpoints: connection to {address} ended: {error}");
+            }
+        });
+        Ok(sender)
+    }
+
+    /// The connection that was used last, if it can be used again.
+    fn take(&self, id: &EndpointId) -> Option<Sender> {
+        let mut table = self.lock();
+        let idle = table.get_mut(id)?;
+        let now = now();
+        while let Some(Idle { sender, until }) = idle.pop() {
+            if now < until && sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn sweep(&self) {
+        let now = now();
+        self.lock().retain(|_, idle| {
+            idle.retain(|idle| now < idle.until && !idle.sender.is_closed());
+            !idle.is_empty()
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Kept {
+    /// Keeps the connection for further requests, after the whole answer was read.
+    pub fn release(self, keep: Option<Millis>) {
+        if self.sender.is_closed() {
+            return;
+        }
+        let until = now() + (keep.unwrap_or(KEEP) - KEEP_MARGIN);
+        let idle = Idle {
+            sender: self.sender,
+            until,
+        };
+        let mut table = self.connections.lock();
+        let spare = table.entry(self.id).or_default();
+        if spare.len() < SPARE {
+            spare.push(idle);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/entry/dispatch.rs
@@ -0,0 +1,219 @@
+//! Sends a request to endpoints until one answers.
+
+use bytes::Bytes;
+use derive_more::Debug;
+use http::{HeaderMap, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::EndpointId;
+use medlarrill_core::routing::attempt::Fault;
+use medlarrill_core::routing::plan::{Next, Plan, Refusal};
+use medlarrill_net::now::now;
+use medlarrill_platform::headers;
+
+use super::order::Order;
+use super::trace::Trace;
+use crate::endpoints::{Kept, SendError, Sent};
+use crate::placement::Flight;
+
+/// Time beyond the deadline in which an endpoint's own answer to it may come.
+const GRACE: Millis = Millis(80);
+/// Largest answer that isn't a stream.
+const ANSWER_MAX: usize = 8 << 20;
+
+/// What came of a request.
+#[derive(Debug)]
+pub enum Answered {
+    /// A whole answer.
+    Whole(Whole),
+    /// The start of a stream.
+    Events(Box<Opened>),
+    /// No answer that can be handed on.
+    Nothing(Refusal),
+}
+
+/// An endpoint's whole answer.
+#[derive(Debug)]
+pub struct Whole {
+    /// Its status.
+    pub status: StatusCode,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A stream that has begun.
+#[derive(Debug)]
+pub struct Opened {
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// The events.
+    pub body: Incoming,
+    /// Its connection.
+    pub kept: Kept,
+    /// How long the connection may be idle.
+    pub keep: Option<Millis>,
+    /// The request at its endpoint.
+    pub flight: Flight,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+}
+
+/// A failed attempt, with the endpoint's answer if that can be handed on.
+#[derive(Debug)]
+struct Failed {
+    fault: Fault,
+    cause: String,
+    answer: Option<Whole>,
+}
+
+impl Failed {
+    fn new(fault: Fault, cause: impl ToString) -> Self {
+        Self {
+            fault,
+            cause: cause.to_string(),
+            answer: None,
+        }
+    }
+}
+
+type Result<T> = std::result::Result<T, Failed>;
+
+/// Sends a request until an endpoint answers, or nothing more can be done.
+pub async fn dispatch(
+    order: &Order,
+    plan: &mut Plan,
+    last_event: Option<u64>,
+    trace: &mut Trace,
+) -> Answered {
+    let placement = &order.shared.placement;
+    let mut failure = None;
+    let refusal = loop {
+        let shared = order.call.shared().filter(|_| order.route.cached);
+        let Some((choice, flight)) = placement.choose(&order.pool, shared, plan, now()) else {
+            break plan.refusal(plan.deadline() <= now());
+        };
+        let left = plan.deadline().since(now());
+        trace.attempt(&choice, left);
+        let id = choice.endpoint.id.clone();
+        let request = order.to_endpoint(&choice, left, last_event);
+        let wait = patience(plan);
+        let sending = order.shared.connections.send(&choice.endpoint, request);
+        let sent = tokio::time::timeout(wait.as_duration(), sending).await;
+        let result = match sent {
+            Ok(Ok(sent)) => receive(order, plan, sent, flight, id.clone()).await,
+            Ok(Err(SendError::NotSent(cause))) => Err(Failed::new(Fault::NotSent, cause)),
+            Ok(Err(SendError::Lost(cause))) => Err(Failed::new(Fault::Lost, cause)),
+            Err(_) => Err(Failed::new(Fault::Slow, format!("no head in {wait}"))),
+        };
+        let failed = match result {
+            Ok(answered) => {
+                placement.good(&id, now());
+                return answered;
+            }
+            Err(failed) => failed,
+        };
+        let next = fail(order, plan, &id, &failed, trace);
+        failure = failed.answer.or(failure);
+        if let Next::GiveUp(refusal) = next {
+            break refusal;
+        }
+    };
+    match (refusal, failure) {
+        (Refusal::Unknown | Refusal::Timeout, Some(answer)) => Answered::Whole(answer),
+        _ => Answered::Nothing(refusal),
+    }
+}
+
+/// Takes note of a failed attempt and says what follows.
+fn fail(order: &Order, plan: &mut Plan, id: &EndpointId, failed: &Failed, trace: &Trace) -> Next {
+    let placement = &order.shared.placement;
+    let now = now();
+    placement.bad(id, failed.fault, now);
+    let spend = || placement.spend(&order.pool, now);
+    let next = plan.fail(id, failed.fault, spend, now);
+    trace.fault(failed.fault, &failed.cause, next == Next::Again);
+    next
+}
+
+/// Longest wait for the head of an answer.
+fn patience(plan: &Plan) -> Millis {
+    let patience = plan.patience(now());
+    let left = plan.deadline().since(now());
+    if patience >= left { left + GRACE } else { patience }
+}
+
+/// Judges the head of an answer, and reads its body unless it is a stream.
+async fn receive(
+    order: &Order,
+    plan: &Plan,
+    sent: Sent,
+    flight: Flight,
+    endpoint: EndpointId,
+) -> Result<Answered> {
+    let (head, body) = sent.answer.into_parts();
+    let told = headers::answer(&head.headers);
+    if let Some(load) = told.load {
+        order.shared.placement.report(&endpoint, load, now());
+    }
+    if sent.fresh {
+        order.shared.metrics.connects.inc();
+    }
+    if told.attempt.as_ref().is_some_and(|id| *id != order.call.attempt) {
+        return Err(Failed::new(Fault::Foreign, "another attempt's answer"));
+    }
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(Failed::new(Fault::OtherEndpoint, "another endpoint has the address"));
+    }
+    if told.not_run {
+        return Err(Failed::new(Fault::Rejected, head.status));
+    }
+    if told.attempt.is_none() {
+        return Err(Failed::new(Fault::Foreign, "an answer without the attempt's id"));
+    }
+    if told.encoded || head.status.is_success() && !told.signed {
+        return Err(Failed::new(Fault::Lost, "not the endpoint's own answer"));
+    }
+    let headers = headers::to_caller(&head.headers);
+    if head.status == StatusCode::OK && told.events {
+        return Ok(Answered::Events(Box::new(Opened {
+            headers,
+            body,
+            kept: sent.kept,
+            keep: told.keep,
+            flight,
+            endpoint,
+        })));
+    }
+    let left = plan.deadline().since(now()) + GRACE;
+    let reading = Limited::new(body, ANSWER_MAX).collect();
+    let body = match tokio::time::timeout(left.as_duration(), reading).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => return Err(Failed::new(Fault::Cut, error)),
+        Err(_) => return Err(Failed::new(Fault::Slow, "the answer didn't end")),
+    };
+    sent.kept.release(told.keep);
+    judge(Whole {
+        status: head.status,
+        headers,
+        body,
+    })
+}
+
+/// Whether a whole answer is handed on at once, or is a failure of the endpoint.
+fn judge(answer: Whole) -> Result<Answered> {
+    let status = answer.status;
+    let promises = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    if !status.is_server_error() && !promises {
+        return Ok(Answered::Whole(answer));
+    }
+    Err(Failed {
+        fault: Fault::Failed,
+        cause: status.to_string(),
+        // Such a status would tell the caller that the request hasn't run, which the endpoint
+        // doesn't say.
+        answer: (!promises).then_some(answer),
+    })
+}
--- /dev/null
+++ b/crates/router/src/entry/handler.rs
@@ -0,0 +1,158 @@
+//! Reads a request, checks it, and has it answered.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::request::Parts;
+use http::{Request, Uri};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::config::Configuration;
+use medlarrill_core::routing::plan::{Plan, Refusal};
+use medlarrill_core::routing::stop::Stage;
+use medlarrill_net::now::now;
+use medlarrill_platform::headers;
+
+use super::answer::{Answer, Reason, own, whole};
+use super::dispatch::{Answered, dispatch};
+use super::order::Order;
+use super::relay;
+use super::trace::Trace;
+use crate::shared::Shared;
+
+/// Longest time for a body to arrive; callers send some tens of kilobytes over fast links.
+const BODY_WAIT: Millis = Millis::from_secs(10);
+
+/// A refusal with what is wrong.
+type Refused = (Reason, String);
+type Result<T> = std::result::Result<T, Refused>;
+
+/// Answers one request.
+pub async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
+    let arrived = now();
+    let mut trace = Trace::new(&shared, arrived);
+    let mut answer = match read(&shared, request, &mut trace).await {
+        Ok(order) => serve(order, arrived, trace).await,
+        Err((reason, detail)) => refuse(trace, reason, &detail),
+    };
+    if shared.stage(now()) != Stage::Serving {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
+fn refuse(mut trace: Trace, reason: Reason, detail: &str) -> Answer {
+    trace.refused(reason);
+    own(reason, detail)
+}
+
+/// Reads and checks a request.
+async fn read(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    trace: &mut Trace,
+) -> Result<Order> {
+    if shared.stage(now()) >= Stage::Draining {
+        return Err((Reason::Stopping, String::new()));
+    }
+    let Some(config) = shared.config.borrow().clone() else {
+        return Err((Reason::NoConfiguration, String::new()));
+    };
+    let (parts, body) = request.into_parts();
+    let call = headers::call(&parts.headers).map_err(|error| (Reason::BadHead, error.to_string()));
+    if let Ok(call) = &call {
+        trace.request(&call.attempt);
+    }
+    let path = parts.uri.path();
+    let route = host(&parts).and_then(|host| config.route(host, path));
+    let Some(route) = route.cloned() else {
+        return Err((Reason::NoRoute, format!("version {}", config.version)));
+    };
+    let call = call?;
+    let account = config
+        .account(&route, call.key.as_deref())
+        .map_err(|denied| (Reason::Denied(denied), format!("version {}", config.version)))?
+        .cloned();
+    let pool = route.pool(shared.placement.draw()).cloned();
+    let Some(pool) = pool else {
+        return Err((Reason::NoRoute, format!("route {} has no pool", route.name)));
+    };
+    let body = read_body(&config, body).await?;
+    let order = Order {
+        shared: Arc::clone(shared),
+        config,
+        route,
+        account,
+        pool,
+        call,
+        method: parts.method,
+        uri: origin_form(&parts.uri),
+        headers: parts.headers,
+        body,
+    };
+    trace.order(&order);
+    Ok(order)
+}
+
+/// The host that the caller asked for, without a port.
+fn host(parts: &Parts) -> Option<&str> {
+    let named = parts.headers.get(header::HOST);
+    let host = match parts.uri.host() {
+        Some(host) => host,
+        None => named?.to_str().ok()?,
+    };
+    Some(host.split_once(':').map_or(host, |(host, _)| host))
+}
+
+/// Path and query only, as an endpoint is asked.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(Uri::default, Uri::from)
+}
+
+async fn read_body(config: &Configuration, body: Incoming) -> Result<Bytes> {
+    let most = usize::try_from(config.limits.body.0).unwrap_or(usize::MAX);
+    let too_large = || (Reason::TooLarge, format!("at most {most} bytes"));
+    if body.size_hint().lower() > most as u64 {
+        return Err(too_large());
+    }
+    let read = Limited::new(body, most).collect();
+    match tokio::time::timeout(BODY_WAIT.as_duration(), read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => Err((Reason::BadBody, error.to_string())),
+        Err(_) => Err((Reason::SlowBody, format!("not whole after {BODY_WAIT}"))),
+    }
+}
+
+/// Has a request answered by an endpoint.
+async fn serve(order: Order, arrived: Millis, mut trace: Trace) -> Answer {
+    let wait = order.call.wait.unwrap_or(Millis::MAX);
+    let mut plan = Plan::new(&order.route, arrived + wait.min(order.route.timeout));
+    order.shared.placement.request(&order.pool, now());
+    let first = order.call.last_event;
+    match dispatch(&order, &mut plan, first, &mut trace).await {
+        Answered::Whole(answer) => {
+            trace.head(answer.status.as_u16());
+            trace.bytes(answer.body.len());
+            trace.answered();
+            whole(answer.status, answer.headers, answer.body)
+        }
+        Answered::Events(opened) => {
+            trace.head(200);
+            relay::start(order, plan, *opened, trace)
+        }
+        Answered::Nothing(refusal) => refuse(trace, Reason::Refused(refusal), detail(refusal)),
+    }
+}
+
+const fn detail(refusal: Refusal) -> &'static str {
+    match refusal {
+        Refusal::NotRun => "no endpoint took it; it has not run and will not",
+        Refusal::Unknown => "it may have run, and no whole answer came",
+        Refusal::Timeout => "it may have run, and time is up",
+    }
+}
--- /dev/null
+++ b/crates/router/src/entry/order.rs
@@ -0,0 +1,81 @@
+//! A request that was read and may be sent to endpoints.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use derive_more::Debug;
+use http::header::{self, HeaderMap, HeaderValue};
+use http::{Method, Request, Uri};
+use http_body_util::Full;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::PoolId;
+use medlarrill_core::routing::choose::Choice;
+use medlarrill_core::routing::config::{Account, Configuration, Priority, Route};
+use medlarrill_core::routing::request::Call;
+use medlarrill_platform::headers::{self, Outgoing};
+
+use crate::shared::Shared;
+
+/// A request, checked against one configuration.
+#[derive(Debug)]
+pub struct Order {
+    /// What the daemon's tasks share.
+    #[debug(skip)]
+    pub shared: Arc<Shared>,
+    /// The configuration it was checked against.
+    #[debug("{}", config.version)]
+    pub config: Arc<Configuration>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its account.
+    pub account: Option<Arc<Account>>,
+    /// The pool that serves it.
+    pub pool: PoolId,
+    /// Its head, decoded.
+    pub call: Call,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers as they came.
+    #[debug(skip)]
+    pub headers: HeaderMap,
+    /// Its body.
+    #[debug("{} bytes", body.len())]
+    pub body: Bytes,
+}
+
+impl Order {
+    /// Its rank, by the account before the route.
+    pub fn priority(&self) -> Priority {
+        let account = self.account.as_ref();
+        let rank = account.and_then(|account| account.priority);
+        rank.unwrap_or(self.route.priority)
+    }
+
+    /// The request as an endpoint gets it.
+    pub fn to_endpoint(
+        &self,
+        choice: &Choice,
+        wait: Millis,
+        last_event: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let outgoing = Outgoing {
+            endpoint: &choice.endpoint.id,
+            wait,
+            account: self.account.as_ref().map(|account| &account.id),
+            priority: self.route.cached.then(|| self.priority()),
+            source: choice.source.as_ref().map(|source| source.address),
+            last_event,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = headers::to_endpoint(&self.headers, &outgoing);
+        if self.body.is_empty() && self.headers.contains_key(header::CONTENT_LENGTH) {
+            let none = HeaderValue::from_static("0");
+            request.headers_mut().insert(header::CONTENT_LENGTH, none);
+        }
+        request
+    }
+}
--- /dev/null
+++ b/crates/router/src/entry/trace.rs
@@ -0,0 +1,147 @@
+//! One line of log for each request, when it ends.
+
+use std::sync::Arc;
+
+use derive_more::Debug;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::EndpointId;
+use medlarrill_core::routing::attempt::Fault;
+use medlarrill_core::routing::choose::Choice;
+use medlarrill_net::now::now;
+
+use super::answer::Reason;
+use super::order::Order;
+use crate::metrics::{Metrics, seconds};
+use crate::shared::Shared;
+
+/// What happened to a request; logged when it is dropped.
+#[derive(Debug)]
+pub struct Trace {
+    #[debug(skip)]
+    shared: Arc<Shared>,
+    arrived: Millis,
+    request: String,
+    route: String,
+    account: String,
+    version: u64,
+    endpoint: Option<EndpointId>,
+    attempts: u32,
+    first: Option<Millis>,
+    bytes: u64,
+    outcome: Option<&'static str>,
+    status: u16,
+}
+
+impl Trace {
+    /// The trace of a request whose head has arrived.
+    pub fn new(shared: &Arc<Shared>, arrived: Millis) -> Self {
+        shared.metrics.requests.inc();
+        shared.metrics.in_flight.inc();
+        Self {
+            shared: Arc::clone(shared),
+            arrived,
+            request: String::new(),
+            route: String::new(),
+            account: String::new(),
+            version: 0,
+            endpoint: None,
+            attempts: 0,
+            first: None,
+            bytes: 0,
+            outcome: None,
+            status: 0,
+        }
+    }
+
+    /// Notes what was asked for.
+    pub fn order(&mut self, order: &Order) {
+        self.request.clone_from(&order.call.attempt);
+        self.route.clone_from(&order.route.name);
+        self.version = order.config.version.0;
+        if let Some(account) = &order.account {
+            account.id.as_str().clone_into(&mut self.account);
+        }
+    }
+
+    /// Notes the request's id.
+    pub fn request(&mut self, id: &str) {
+        id.clone_into(&mut self.request);
+    }
+
+    /// Notes an attempt and logs why it goes where it goes.
+    pub fn attempt(&mut self, choice: &Choice, left: Millis) {
+        self.attempts += 1;
+        self.endpoint = Some(choice.endpoint.id.clone());
+        log::info!(
+            target: "entry", request = self.request, attempt = self.attempts,
+            endpoint = choice.endpoint.id.as_str(), why:% = choice.why, load = choice.load,
+            bound = choice.bound, trial = choice.trial, left = left.0,
+            source = choice.source.as_ref().map_or("", |source| source.id.as_str());
+            "entry: sent"
+        );
+    }
+
+    /// Logs a failed attempt.
+    pub fn fault(&self, fault: Fault, cause: &str, again: bool) {
+        Metrics::count(&self.shared.metrics.faults, fault.code());
+        if again {
+            Metrics::count(&self.shared.metrics.retries, fault.code());
+        }
+        log::info!(
+            target: "entry", request = self.request, attempt = self.attempts,
+            endpoint = self.endpoint.as_ref().map_or("", EndpointId::as_str),
+            fault = fault.code(), cause, outcome:% = fault.outcome(), again,
+            passed = now().since(self.arrived).0;
+            "entry: attempt failed"
+        );
+    }
+
+    /// Notes the head of the answer.
+    pub fn head(&mut self, status: u16) {
+        let first = now().since(self.arrived);
+        self.first = Some(first);
+        self.status = status;
+        self.shared.metrics.first.observe(seconds(first));
+    }
+
+    /// Notes bytes of the answer.
+    pub fn bytes(&mut self, count: usize) {
+        self.bytes += count as u64;
+    }
+
+    /// Notes that an endpoint's answer was handed on whole.
+    pub fn answered(&mut self) {
+        self.outcome = Some("answered");
+        self.shared.metrics.answered.inc();
+    }
+
+    /// Notes that the entry answered itself.
+    pub fn refused(&mut self, reason: Reason) {
+        self.outcome = Some(reason.code());
+        self.status = reason.status().as_u16();
+        Metrics::count(&self.shared.metrics.refusals, reason.code());
+    }
+
+    /// Notes that a stream couldn't go on.
+    pub fn broken(&mut self) {
+        self.outcome = Some("broken-off");
+        Metrics::count(&self.shared.metrics.refusals, "broken-off");
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        let whole = now().since(self.arrived);
+        let metrics = &self.shared.metrics;
+        metrics.in_flight.dec();
+        metrics.whole.observe(seconds(whole));
+        log::info!(
+            target: "entry", request = self.request, route = self.route, account = self.account,
+            version = self.version, endpoint = self.endpoint.as_ref().map_or("", EndpointId::as_str),
+            attempts = self.attempts, status = self.status, bytes = self.bytes,
+            first = self.first.map_or(0, |first| first.0), whole = whole.0,
+            outcome = self.outcome.unwrap_or("caller-left");
+            "entry: ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/router/src/placement.rs
@@ -0,0 +1,158 @@
+//! What is known of endpoints, and where the next request goes.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use derive_more::Debug;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::{DataCentreId, EndpointId, PoolId};
+use medlarrill_core::routing::attempt::Fault;
+use medlarrill_core::routing::budget::{self, Budget};
+use medlarrill_core::routing::choose::{Candidate, Choice, choose};
+use medlarrill_core::routing::directory::{Change, Directory};
+use medlarrill_core::routing::endpoint::Endpoint;
+use medlarrill_core::routing::health::Health;
+use medlarrill_core::routing::load::{Loads, Report};
+use medlarrill_core::routing::plan::Plan;
+use medlarrill_core::routing::request::SharedPrefix;
+use rand::RngExt;
+use rand_pcg::Pcg32;
+
+/// State behind a lock that is held for a few instructions, never while waiting.
+#[derive(Debug)]
+pub struct Placement {
+    state: Mutex<State>,
+    near: DataCentreId,
+}
+
+#[derive(Debug)]
+struct State {
+    directory: Directory,
+    loads: Loads,
+    health: Health,
+    budget: Budget,
+    #[debug(skip)]
+    rng: Pcg32,
+}
+
+/// A request at an endpoint, counted until it is dropped.
+#[derive(Debug)]
+pub struct Flight {
+    placement: Arc<Placement>,
+    id: EndpointId,
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.placement.lock().loads.end(&self.id);
+    }
+}
+
+impl Placement {
+    /// Nothing is known yet.
+    pub fn new(near: DataCentreId, repeats: budget::Settings, daemons: u32, seed: u64) -> Self {
+        Self {
+            state: Mutex::new(State {
+                directory: Directory::default(),
+                loads: Loads::default(),
+                health: Health::default(),
+                budget: Budget::new(repeats, daemons),
+                rng: Pcg32::new(seed, seed),
+            }),
+            near,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A random number from 0 to 1.
+    pub fn draw(&self) -> f64 {
+        self.lock().rng.random()
+    }
+
+    /// Changes the list of endpoints.
+    pub fn change(&self, change: impl FnOnce(&mut Directory) -> Vec<Change>) -> Vec<Change> {
+        let mut state = self.lock();
+        let changes = change(&mut state.directory);
+        for change in &changes {
+            if let Change::Removed(id) = change {
+                state.loads.forget(id);
+                state.health.forget(id);
+            }
+        }
+        changes
+    }
+
+    /// How many endpoints are known.
+    pub fn endpoints(&self) -> usize {
+        self.lock().directory.len()
+    }
+
+    /// Sets the repeats that the fleet may send.
+    pub fn configure(&self, repeats: budget::Settings) {
+        self.lock().budget.configure(repeats);
+    }
+
+    /// Counts a caller's request.
+    pub fn request(&self, pool: &PoolId, now: Millis) {
+        self.lock().budget.request(pool, now);
+    }
+
+    /// Takes a repeat from the budget.
+    pub fn spend(&self, pool: &PoolId, now: Millis) -> bool {
+        self.lock().budget.spend(pool, now)
+    }
+
+    /// Picks an endpoint that takes new work, and counts the request there.
+    pub fn choose(
+        self: &Arc<Self>,
+        pool: &PoolId,
+        shared: Option<SharedPrefix>,
+        plan: &Plan,
+        now: Millis,
+    ) -> Option<(Choice, Flight)> {
+        let mut state = self.lock();
+        let state = &mut *state;
+        let candidates = state.candidates(pool, plan, now);
+        let trial = plan.is_idempotent();
+        let choice = choose(&candidates, shared, &self.near, trial, &mut state.rng)?;
+        let id = choice.endpoint.id.clone();
+        state.loads.begin(&id);
+        if choice.trial {
+            state.health.trial(&id, now);
+        }
+        let placement = Arc::clone(self);
+        Some((choice, Flight { placement, id }))
+    }
+
+    /// Takes what an endpoint tells of its work.
+    pub fn report(&self, id: &EndpointId, report: Report, now: Millis) {
+        self.lock().loads.report(id, report, now);
+    }
+
+    /// Notes a good answer.
+    pub fn good(&self, id: &EndpointId, now: Millis) {
+        self.lock().health.good(id, now);
+    }
+
+    /// Notes a failed attempt.
+    pub fn bad(&self, id: &EndpointId, fault: Fault, now: Millis) {
+        self.lock().health.bad(id, fault, now);
+    }
+}
+
+impl State {
+    fn candidates(&self, pool: &PoolId, plan: &Plan, now: Millis) -> Vec<Candidate> {
+        let listed = self.directory.pool(pool).iter();
+        let ready: Vec<&Arc<Endpoint>> = listed.filter(|endpoint| !endpoint.leaving).collect();
+        let mean = self.health.mean(ready.iter().map(|endpoint| &endpoint.id), now);
+        let candidate = |endpoint: &Arc<Endpoint>| Candidate {
+            load: self.loads.total(&endpoint.id, now),
+            standing: self.health.standing(&endpoint.id, mean, now),
+            tried: plan.has_tried(&endpoint.id),
+            endpoint: Arc::clone(endpoint),
+        };
+        ready.into_iter().map(candidate).collect()
+    }
+}
--- /dev/null
+++ b/crates/router/src/shared.rs
@@ -0,0 +1,56 @@
+//! What the tasks of a daemon share.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use derive_more::Debug;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::config::Configuration;
+use medlarrill_core::routing::stop::{Stage, Stop};
+use tokio::sync::watch;
+
+use crate::endpoints::Connections;
+use crate::metrics::Metrics;
+use crate::placement::Placement;
+use crate::settings::Settings;
+
+/// The configuration in force, none before the first was read.
+pub type InForce = Option<Arc<Configuration>>;
+
+/// Shared by all tasks.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings at the start.
+    pub settings: Settings,
+    /// The configuration in force.
+    pub config: watch::Receiver<InForce>,
+    /// Whether the list of endpoints was read.
+    pub listed: watch::Receiver<bool>,
+    /// Endpoints and where requests go.
+    pub placement: Arc<Placement>,
+    /// Connections to endpoints.
+    pub connections: Connections,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// The graceful stop.
+    pub stop: Mutex<Stop>,
+}
+
+impl Shared {
+    /// The stage of the graceful stop.
+    pub fn stage(&self, now: Millis) -> Stage {
+        let stop = self.stop.lock().unwrap_or_else(PoisonError::into_inner);
+        stop.stage(now)
+    }
+
+    /// Notes the signal to stop.
+    pub fn ask_stop(&self, now: Millis) {
+        let mut stop = self.stop.lock().unwrap_or_else(PoisonError::into_inner);
+        stop.ask(now);
+    }
+
+    /// Whether this daemon should be given connections.
+    pub fn is_ready(&self, now: Millis) -> bool {
+        let known = self.config.borrow().is_some() && *self.listed.borrow();
+        known && self.stage(now) == Stage::Serving
+    }
+}
--- /dev/null
+++ b/crates/router/src/socket.rs
@@ -0,0 +1,60 @@
+//! Options of sockets.
+
+use std::io::Result;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use medlarrill_core::clock::Millis;
+use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1024;
+/// Silence after which the other side is asked whether it lives, and pause between questions.
+const PROBE: Duration = Duration::from_secs(1);
+/// Questions without an answer after which a connection is dead.
+const PROBES: u32 = 3;
+/// Longest time that sent bytes stay unacknowledged.
+const UNACKED: Duration = Duration::from_secs(4);
+
+/// Listens, also right after another process did.
+///
+/// # Errors
+///
+/// When the address can't be had.
+pub fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Connects within a time.
+///
+/// # Errors
+///
+/// When there is no connection in that time.
+pub async fn connect(address: SocketAddr, wait: Millis) -> Result<TcpStream> {
+    let connecting = TcpStream::connect(address);
+    let stream = tokio::time::timeout(wait.as_duration(), connecting).await??;
+    prepare(&stream)?;
+    Ok(stream)
+}
+
+/// Sends small writes at once, and finds out when the other side is gone without a word.
+///
+/// # Errors
+///
+/// When the options can't be set.
+pub fn prepare(stream: &TcpStream) -> Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKED))
+}
--- /dev/null
+++ b/crates/router/src/start.rs
@@ -0,0 +1,172 @@
+//! Starts the tasks of a daemon on the platform, and stops them in order.
+
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+
+use derive_more::{Debug, Display, Error, From};
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::stop::{Stage, Stop};
+use medlarrill_net::now::now;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::endpoints::Connections;
+use crate::entry::{serve_callers, serve_metrics, serve_ready};
+use crate::logs::{self, Dropped};
+use crate::metrics::Metrics;
+use crate::placement::Placement;
+use crate::settings::{Settings, SettingsError};
+use crate::shared::Shared;
+use crate::socket;
+use crate::store;
+
+/// Daemons that share the fleet's slack of repeats where nobody has said how many there are;
+/// more than the largest fleet served, so that the whole stays within its budget.
+const DAEMONS: u32 = 100;
+/// Between two looks at what is due: idle connections, a changed settings file.
+const HOUSEKEEPING: Millis = Millis::from_secs(1);
+/// Between two looks whether a stopping daemon has finished its requests.
+const STOP_CHECK: Millis = Millis(25);
+/// Time in which a stopping daemon without requests still refuses new ones, since callers keep
+/// connections that they use again.
+const LINGER: Millis = Millis(1000);
+/// Time for the last log lines to be written.
+const LAST_LINES: Millis = Millis(60);
+
+/// Result of running a daemon.
+pub type Result<T> = std::result::Result<T, StartError>;
+
+/// Why a daemon can't start.
+#[derive(Debug, Display, Error, From)]
+pub enum StartError {
+    /// Settings can't be used.
+    #[display("{_0}")]
+    Settings(SettingsError),
+    /// A socket or signal handler failed.
+    #[display("{_0}")]
+    Io(std::io::Error),
+}
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+///
+/// When it can't start.
+pub fn run(path: &Path) -> Result<()> {
+    let settings = Settings::read(path)?;
+    let dropped = logs::start();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(path.to_owned(), settings, dropped))
+}
+
+async fn serve(path: PathBuf, settings: Settings, dropped: Dropped) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let shared = start(&settings)?;
+    log::info!(
+        target: "start", daemon = settings.daemon.as_str(), data_centre = settings.data_centre.as_str(),
+        callers:% = settings.listen.callers, platform:% = settings.platform, passed = now().0;
+        "start: listening"
+    );
+    let mut ticks = tokio::time::interval(HOUSEKEEPING.as_duration());
+    let mut modified = modified(&path);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(&path, &shared, "signal"),
+            _ = ticks.tick() => {
+                let latest = self::modified(&path);
+                if latest != modified {
+                    modified = latest;
+                    reload(&path, &shared, "file");
+                }
+                housekeep(&shared, &dropped);
+            }
+        }
+    }
+    stop(&shared).await;
+    Ok(())
+}
+
+fn start(settings: &Settings) -> Result<Arc<Shared>> {
+    let callers = socket::listen(settings.listen.callers)?;
+    let ready = socket::listen(settings.listen.ready)?;
+    let scrapes = socket::listen(settings.listen.metrics)?;
+    let (in_force, config) = watch::channel(None);
+    let (listed, is_listed) = watch::channel(false);
+    let near = settings.data_centre.clone();
+    let placement = Placement::new(near, settings.repeats.into(), DAEMONS, rand::random());
+    let placement = Arc::new(placement);
+    let metrics = Arc::new(Metrics::new());
+    let shared = Arc::new(Shared {
+        settings: settings.clone(),
+        config,
+        listed: is_listed,
+        placement: Arc::clone(&placement),
+        connections: Connections::default(),
+        metrics: Arc::clone(&metrics),
+        stop: Mutex::new(Stop::new(settings.grace)),
+    });
+    let address = settings.platform;
+    let endpoints = store::follow_endpoints(address, Arc::clone(&metrics), placement, listed);
+    tokio::spawn(store::follow_configuration(address, metrics, in_force));
+    tokio::spawn(endpoints);
+    tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
+    tokio::spawn(serve_ready(ready, Arc::clone(&shared)));
+    tokio::spawn(serve_metrics(scrapes, Arc::clone(&shared)));
+    Ok(shared)
+}
+
+fn modified(path: &Path) -> Option<std::time::SystemTime> {
+    std::fs::metadata(path).and_then(|data| data.modified()).ok()
+}
+
+/// Takes over what may change while the daemon runs; addresses take effect at the next start.
+fn reload(path: &Path, shared: &Shared, cause: &'static str) {
+    match Settings::read(path) {
+        Ok(settings) => {
+            shared.placement.configure(settings.repeats.into());
+            let same = settings == shared.settings;
+            log::info!(target: "start", cause, same; "start: settings read again");
+        }
+        Err(error) => {
+            log::error!(target: "start", cause; "start: settings stay as they were: {error}");
+        }
+    }
+}
+
+fn housekeep(shared: &Shared, dropped: &Dropped) {
+    shared.connections.sweep();
+    let lines = dropped.load(std::sync::atomic::Ordering::Relaxed);
+    shared.metrics.dropped.set(i64::try_from(lines).unwrap_or(i64::MAX));
+}
+
+/// Finishes what was taken. New requests are served for a while, then refused.
+async fn stop(shared: &Shared) {
+    let asked = now();
+    shared.ask_stop(asked);
+    let in_flight = || shared.metrics.in_flight.get();
+    log::info!(target: "start", in_flight = in_flight(); "start: stopping");
+    let mut quiet = None;
+    loop {
+        tokio::time::sleep(STOP_CHECK.as_duration()).await;
+        let now = now();
+        let stage = shared.stage(now);
+        if stage == Stage::Ended {
+            break;
+        }
+        let is_quiet = stage == Stage::Draining && in_flight() == 0;
+        let since = *quiet.get_or_insert(now);
+        if !is_quiet {
+            quiet = None;
+        } else if now.since(since) >= LINGER {
+            break;
+        }
+    }
+    log::info!(target: "start", in_flight = in_flight(), passed = now().since(asked).0; "start: stopped");
+    tokio::time::sleep(LAST_LINES.as_duration()).await;
+}
--- /dev/null
+++ b/crates/router/src/store/client.rs
@@ -0,0 +1,124 @@
+//! One kept connection to the store.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use derive_more::{Debug, Display, Error};
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use medlarrill_core::clock::Millis;
+
+use crate::socket;
+
+/// Longest time to connect: the store answers in some milliseconds.
+const CONNECT: Millis = Millis(700);
+/// Largest answer; the store's lists end at about 1 MB.
+const BODY_MAX: usize = 4 << 20;
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+/// Why a call has no usable answer.
+#[derive(Debug, Display, Error)]
+pub enum CallError {
+    /// No answer came in time.
+    #[display("no answer within {_0}")]
+    Timeout(#[error(not(source))] Millis),
+    /// The connection failed.
+    #[display("{_0}")]
+    Io(std::io::Error),
+    /// The exchange failed.
+    #[display("{_0}")]
+    Http(#[error(not(source))] String),
+    /// The store refused the call.
+    #[display("status {_0}")]
+    Status(#[error(not(source))] StatusCode),
+    /// The answer can't be read.
+    #[display("{_0}")]
+    Decode(medlarrill_platform::store::DecodeError),
+}
+
+impl CallError {
+    /// Whether the store says that the history asked for is gone.
+    pub fn is_gone(&self) -> bool {
+        matches!(self, Self::Status(StatusCode::GONE))
+    }
+}
+
+/// A connection that is made when it is needed.
+#[derive(Debug)]
+pub struct Client {
+    address: SocketAddr,
+    #[debug(skip)]
+    sender: Option<SendRequest<Empty<Bytes>>>,
+}
+
+impl Client {
+    /// A client that isn't connected yet.
+    pub const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            sender: None,
+        }
+    }
+
+    /// Reads a path. A connection on which a call failed isn't used again, since answers to
+    /// that call may come later.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer of status 200 in time.
+    pub async fn get(&mut self, path: &str, wait: Millis) -> Result<Bytes> {
+        let sender = self.sender.take().filter(|sender| !sender.is_closed());
+        let call = self.call(sender, path);
+        let (sender, body) = tokio::time::timeout(wait.as_duration(), call)
+            .await
+            .map_err(|_| CallError::Timeout(wait))??;
+        self.sender = Some(sender);
+        body
+    }
+
+    async fn call(
+        &self,
+        sender: Option<SendRequest<Empty<Bytes>>>,
+        path: &str,
+    ) -> Result<(SendRequest<Empty<Bytes>>, Result<Bytes>)> {
+        let mut sender = match sender {
+            Some(sender) => sender,
+            None => self.connect().await?,
+        };
+        sender.ready().await.map_err(http)?;
+        let request = Request::get(path)
+            .header(http::header::HOST, self.address.to_string())
+            .body(Empty::new())
+            .map_err(|error| CallError::Http(error.to_string()))?;
+        let answer = sender.send_request(request).await.map_err(http)?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), BODY_MAX).collect().await;
+        let body = body.map_err(|error| CallError::Http(error.to_string()))?;
+        let result = match status {
+            StatusCode::OK => Ok(body.to_bytes()),
+            _ => Err(CallError::Status(status)),
+        };
+        Ok((sender, result))
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>> {
+        let stream = socket::connect(self.address, CONNECT)
+            .await
+            .map_err(CallError::Io)?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(http)?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(target: "store", "store: connection ended: {error}");
+            }
+        });
+        Ok(sender)
+    }
+}
+
+fn http(error: hyper::Error) -> CallError {
+    CallError::Http(error.to_string())
+}
