Router: cached parts are fetched from whoever held them before an endpoint joined or left

Also in this commit, a second try: first parts that many prefixes share are fetched from whoever read them lately.

--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -12,10 +12,12 @@
 use rand::RngExt;
 use rand_pcg::Pcg32;
 
-use crate::ids::DataCentreId;
+use crate::clock::Millis;
+use crate::ids::{DataCentreId, EndpointId};
 use crate::placement::Node;
 use crate::routing::endpoint::Endpoint;
 use crate::routing::health::Standing;
+use crate::routing::holders::Holders;
 use crate::routing::request::SharedPrefix;
 
 /// Load bound, as a multiple of the pool's mean. Lies below the 2 that endpoints may be given
@@ -30,7 +32,11 @@
 /// milliseconds takes as long as reading the tokens again (48 a millisecond).
 const FETCH_MIN: u64 = 400;
 
-/// An endpoint that may be picked.
+/// Time after which an endpoint that joined holds the prefixes that it ranks first for: those in
+/// use return within about ten seconds.
+const SETTLED: Millis = Millis::from_secs(10);
+
+/// An endpoint that may be picked, or is leaving.
 #[derive(Clone)]
 #[derive(Debug)]
 pub struct Candidate {
@@ -42,6 +48,8 @@
     pub standing: Standing,
     /// Whether this request was sent there before.
     pub tried: bool,
+    /// How long it has been listed.
+    pub age: Millis,
 }
 
 /// Why an endpoint was picked.
@@ -82,13 +90,14 @@
 /// `trial` says whether the request may be spent on an endpoint that is avoided.
 pub fn choose(
     candidates: &[Candidate],
-    shared: Option<SharedPrefix>,
+    shared: Option<&SharedPrefix>,
     near: &DataCentreId,
     trial: bool,
     rng: &mut Pcg32,
 ) -> Option<Choice> {
-    let usable = usable(candidates, trial);
-    let bound = bound(candidates);
+    let ready: Vec<&Candidate> = candidates.iter().filter(|c| !c.endpoint.leaving).collect();
+    let usable = usable(&ready, trial);
+    let bound = bound(&ready);
     let choice = match shared {
         Some(prefix) => by_rank(candidates, &usable, prefix, bound),
         None => by_load(&usable, near, rng),
@@ -97,15 +106,15 @@
 }
 
 /// The best group of candidates that isn't empty.
-fn usable(candidates: &[Candidate], trial: bool) -> Vec<&Candidate> {
+fn usable<'a>(ready: &[&'a Candidate], trial: bool) -> Vec<&'a Candidate> {
     let groups: [&dyn Fn(&Candidate) -> bool; 4] = [
         &|c| !c.tried && (c.standing == Standing::Good || trial && c.standing == Standing::Trial),
         &|c| !c.tried && c.standing != Standing::Down,
         &|c| !c.tried,
         &|_| true,
     ];
-    let pick = |group: &dyn Fn(&Candidate) -> bool| -> Vec<&Candidate> {
-        candidates.iter().filter(|c| group(c)).collect()
+    let pick = |group: &dyn Fn(&Candidate) -> bool| -> Vec<&'a Candidate> {
+        ready.iter().copied().filter(|c| group(c)).collect()
     };
     groups
         .into_iter()
@@ -117,35 +126,66 @@
 fn by_rank(
     all: &[Candidate],
     usable: &[&Candidate],
-    prefix: SharedPrefix,
+    prefix: &SharedPrefix,
     bound: f64,
 ) -> Option<Choice> {
-    let score = |c: &Candidate| {
-        let id = c.endpoint.id.as_str();
-        Node::new((), id).score(prefix.key)
-    };
-    let mut ranked: Vec<(f64, &Candidate)> = usable.iter().map(|c| (score(c), *c)).collect();
-    ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let under = ranked.iter().find(|(_, c)| c.load <= bound);
-    let least = || {
-        ranked
-            .iter()
-            .min_by(|a, b| a.1.load.total_cmp(&b.1.load))
-    };
-    let (_, picked) = under.or_else(least)?;
-    let first = all
-        .iter()
-        .max_by(|a, b| score(a).total_cmp(&score(b)))
-        .filter(|first| first.standing != Standing::Down);
-    let elsewhere = first.filter(|first| first.endpoint.id != picked.endpoint.id);
-    let source = elsewhere.filter(|_| prefix.tokens.0 >= FETCH_MIN);
-    let is_first = ranked.first().is_some_and(|(_, c)| c.endpoint.id == picked.endpoint.id);
+    let mut ranked = usable.to_vec();
+    rank(&mut ranked, prefix);
+    let under = ranked.iter().find(|c| c.load <= bound);
+    let least = || ranked.iter().min_by(|a, b| a.load.total_cmp(&b.load));
+    let picked = under.or_else(least)?;
+    let is_first = ranked.first().is_some_and(|first| std::ptr::eq(*first, *picked));
     let why = match is_first {
         true => Why::First,
         false => Why::Next,
     };
-    let choice = choice(picked, why);
-    Some(choice.with_source(source.map(|source| Arc::clone(&source.endpoint))))
+    let worth = prefix.tokens.0 >= FETCH_MIN;
+    let holder = holder(all, prefix).filter(|holder| !std::ptr::eq(*holder, *picked));
+    let source = holder.filter(|_| worth);
+    Some(choice(picked, why).with_source(source.map(|source| Arc::clone(&source.endpoint))))
+}
+
+/// Sorts by rank for a prefix, the first in front.
+fn rank(candidates: &mut [&Candidate], prefix: &SharedPrefix) {
+    candidates.sort_by_cached_key(|c| {
+        let score = Node::new((), c.endpoint.id.as_str()).score(prefix.key);
+        // Scores are above zero, so that their bits sort as they do.
+        std::cmp::Reverse(score.to_bits())
+    });
+}
+
+/// Where a prefix was read before, most likely: the first in rank that has been there for a
+/// while, be it leaving.
+fn holder<'a>(all: &'a [Candidate], prefix: &SharedPrefix) -> Option<&'a Candidate> {
+    let reachable = all.iter().filter(|c| c.standing != Standing::Down);
+    let mut ranked: Vec<&Candidate> = reachable.collect();
+    rank(&mut ranked, prefix);
+    ranked.into_iter().find(|c| c.age >= SETTLED)
+}
+
+/// From where an engine that may lack the first parts of a prefix can fetch them: from one that
+/// read the longest run of them lately, unless the engine itself did.
+pub fn lender(
+    candidates: &[Candidate],
+    prefix: &SharedPrefix,
+    picked: &EndpointId,
+    holders: &Holders,
+    now: Millis,
+) -> Option<Arc<Endpoint>> {
+    let well = |id: &EndpointId| {
+        candidates
+            .iter()
+            .find(|c| c.endpoint.id == *id && c.standing == Standing::Good)
+    };
+    for run in prefix.runs.iter().rev() {
+        if holders.holds(*run, picked, now) {
+            return None;
+        }
+        if let Some(lender) = holders.places(*run, now).find_map(well) {
+            return Some(Arc::clone(&lender.endpoint));
+        }
+    }
+    None
 }
 
 fn by_load(usable: &[&Candidate], near: &DataCentreId, rng: &mut Pcg32) -> Option<Choice> {
@@ -181,7 +221,7 @@
 }
 
 /// Load up to which an endpoint is given more.
-pub fn bound(candidates: &[Candidate]) -> f64 {
+pub fn bound(candidates: &[&Candidate]) -> f64 {
     let sum: f64 = candidates.iter().map(|c| c.load).sum();
     let mean = sum / candidates.len().max(1) as f64;
     BOUND * mean + GRAIN
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -42,6 +42,8 @@
     missing: HashMap<EndpointId, Millis>,
     /// When the platform was last reached after an outage.
     back: Option<Millis>,
+    /// When endpoints joined that weren't in the first list.
+    joined: HashMap<EndpointId, Millis>,
 }
 
 impl Directory {
@@ -55,6 +57,11 @@
         self.endpoints.get(id)
     }
 
+    /// When an endpoint joined, none if it was there from the start.
+    pub fn joined(&self, id: &EndpointId) -> Option<Millis> {
+        self.joined.get(id).copied()
+    }
+
     /// How many endpoints are listed or may be back.
     pub fn len(&self) -> usize {
         self.endpoints.len()
@@ -76,8 +83,12 @@
     pub fn replace(&mut self, listed: Vec<Endpoint>, now: Millis) -> Vec<Change> {
         let mut changes = Vec::new();
         let ids: Vec<EndpointId> = listed.iter().map(|endpoint| endpoint.id.clone()).collect();
+        let is_first = self.is_empty();
         for endpoint in listed {
-            changes.extend(self.list(endpoint));
+            changes.extend(self.list(endpoint, now));
+        }
+        if is_first {
+            self.joined.clear();
         }
         let mut unlisted: Vec<EndpointId> = self.endpoints.keys().cloned().collect();
         unlisted.retain(|id| !ids.contains(id));
@@ -88,13 +99,14 @@
     }
 
     /// Takes one entry that is new or changed.
-    pub fn list(&mut self, endpoint: Endpoint) -> Option<Change> {
+    pub fn list(&mut self, endpoint: Endpoint, now: Millis) -> Option<Change> {
         self.missing.remove(&endpoint.id);
         if self.endpoints.get(&endpoint.id).map(Arc::as_ref) == Some(&endpoint) {
             return None;
         }
         let endpoint = Arc::new(endpoint);
-        self.drop_entry(&endpoint.id);
+        self.unlist(&endpoint.id);
+        self.joined.entry(endpoint.id.clone()).or_insert(now);
         self.endpoints
             .insert(endpoint.id.clone(), Arc::clone(&endpoint));
         let pool = self.pools.entry(endpoint.pool.clone()).or_default();
@@ -134,6 +146,11 @@
 
     fn drop_entry(&mut self, id: &EndpointId) {
         self.missing.remove(id);
+        self.joined.remove(id);
+        self.unlist(id);
+    }
+
+    fn unlist(&mut self, id: &EndpointId) {
         let Some(old) = self.endpoints.remove(id) else {
             return;
         };
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -89,9 +89,10 @@
     trace: &mut Trace,
 ) -> Answered {
     let placement = &order.shared.placement;
+    let shared = order.call.shared().filter(|_| order.route.cached);
+    let shared = shared.as_ref();
     let mut failure = None;
     let refusal = loop {
-        let shared = order.call.shared().filter(|_| order.route.cached);
         let Some((choice, flight)) = placement.choose(&order.pool, shared, plan, now()) else {
             break plan.refusal(plan.deadline() <= now());
         };
@@ -110,7 +111,7 @@
         };
         let failed = match result {
             Ok(answered) => {
-                placement.good(&id, now());
+                placement.good(&id, shared, now());
                 return answered;
             }
             Err(failed) => failed,
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -7,10 +7,11 @@
 use medlarrill_core::ids::{DataCentreId, EndpointId, PoolId};
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::budget::{self, Budget};
-use medlarrill_core::routing::choose::{Candidate, Choice, choose};
+use medlarrill_core::routing::choose::{Candidate, Choice, choose, lender};
 use medlarrill_core::routing::directory::{Change, Directory};
 use medlarrill_core::routing::endpoint::Endpoint;
 use medlarrill_core::routing::health::Health;
+use medlarrill_core::routing::holders::Holders;
 use medlarrill_core::routing::load::{Loads, Report};
 use medlarrill_core::routing::plan::Plan;
 use medlarrill_core::routing::request::SharedPrefix;
@@ -29,6 +30,7 @@
     directory: Directory,
     loads: Loads,
     health: Health,
+    holders: Holders,
     budget: Budget,
     #[debug(skip)]
     rng: Pcg32,
@@ -55,6 +57,7 @@
                 directory: Directory::default(),
                 loads: Loads::default(),
                 health: Health::default(),
+                holders: Holders::default(),
                 budget: Budget::new(repeats, daemons),
                 rng: Pcg32::new(seed, seed),
             }),
@@ -79,6 +82,7 @@
             if let Change::Removed(id) = change {
                 state.loads.forget(id);
                 state.health.forget(id);
+                state.holders.forget(id);
             }
         }
         changes
@@ -108,7 +112,7 @@
     pub fn choose(
         self: &Arc<Self>,
         pool: &PoolId,
-        shared: Option<SharedPrefix>,
+        shared: Option<&SharedPrefix>,
         plan: &Plan,
         now: Millis,
     ) -> Option<(Choice, Flight)> {
@@ -116,8 +120,11 @@
         let state = &mut *state;
         let candidates = state.candidates(pool, plan, now);
         let trial = plan.is_idempotent();
-        let choice = choose(&candidates, shared, &self.near, trial, &mut state.rng)?;
+        let mut choice = choose(&candidates, shared, &self.near, trial, &mut state.rng)?;
         let id = choice.endpoint.id.clone();
+        if let (Some(prefix), None) = (shared, &choice.source) {
+            choice.source = lender(&candidates, prefix, &id, &state.holders, now);
+        }
         state.loads.begin(&id);
         if choice.trial {
             state.health.trial(&id, now);
@@ -131,9 +138,13 @@
         self.lock().loads.report(id, report, now);
     }
 
-    /// Notes a good answer.
-    pub fn good(&self, id: &EndpointId, now: Millis) {
-        self.lock().health.good(id, now);
+    /// Notes a good answer, for which the endpoint has read these parts.
+    pub fn good(&self, id: &EndpointId, shared: Option<&SharedPrefix>, now: Millis) {
+        let mut state = self.lock();
+        state.health.good(id, now);
+        if let Some(prefix) = shared {
+            state.holders.note(&prefix.runs, id, now);
+        }
     }
 
     /// Notes a failed attempt.
@@ -143,16 +154,22 @@
 }
 
 impl State {
+    fn age(&self, id: &EndpointId, now: Millis) -> Millis {
+        let joined = self.directory.joined(id);
+        joined.map_or(Millis::MAX, |joined| now.since(joined))
+    }
+
     fn candidates(&self, pool: &PoolId, plan: &Plan, now: Millis) -> Vec<Candidate> {
-        let listed = self.directory.pool(pool).iter();
-        let ready: Vec<&Arc<Endpoint>> = listed.filter(|endpoint| !endpoint.leaving).collect();
-        let mean = self.health.mean(ready.iter().map(|endpoint| &endpoint.id), now);
+        let listed = self.directory.pool(pool);
+        let ready = listed.iter().filter(|endpoint| !endpoint.leaving);
+        let mean = self.health.mean(ready.map(|endpoint| &endpoint.id), now);
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
             load: self.loads.total(&endpoint.id, now),
             standing: self.health.standing(&endpoint.id, mean, now),
             tried: plan.has_tried(&endpoint.id),
+            age: self.age(&endpoint.id, now),
             endpoint: Arc::clone(endpoint),
         };
-        ready.into_iter().map(candidate).collect()
+        listed.iter().map(candidate).collect()
     }
 }
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -99,7 +99,7 @@
             let changes = placement.change(|directory| match change {
                 wire::Change::Put(object) => {
                     let endpoint = endpoint(&object);
-                    let change = endpoint.and_then(|endpoint| directory.list(endpoint));
+                    let change = endpoint.and_then(|endpoint| directory.list(endpoint, now()));
                     change.into_iter().collect()
                 }
                 wire::Change::Removed(name) => {
