--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -15,7 +15,6 @@
 pub mod endpoint;
 pub mod events;
 pub mod health;
-pub mod holders;
 pub mod load;
 pub mod plan;
 pub mod request;
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -13,11 +13,10 @@
 use rand_pcg::Pcg32;
 
 use crate::clock::Millis;
-use crate::ids::{DataCentreId, EndpointId};
+use crate::ids::DataCentreId;
 use crate::placement::Node;
 use crate::routing::endpoint::Endpoint;
 use crate::routing::health::Standing;
-use crate::routing::holders::Holders;
 use crate::routing::request::SharedPrefix;
 
 /// Load bound, as a multiple of the pool's mean. Lies below the 2 that endpoints may be given
@@ -163,31 +162,6 @@
     ranked.into_iter().find(|c| c.age >= SETTLED)
 }
 
-/// From where an engine that may lack the first parts of a prefix can fetch them: from one that
-/// read the longest run of them lately, unless the engine itself did.
-pub fn lender(
-    candidates: &[Candidate],
-    prefix: &SharedPrefix,
-    picked: &EndpointId,
-    holders: &Holders,
-    now: Millis,
-) -> Option<Arc<Endpoint>> {
-    let well = |id: &EndpointId| {
-        candidates
-            .iter()
-            .find(|c| c.endpoint.id == *id && c.standing == Standing::Good)
-    };
-    for run in prefix.runs.iter().rev() {
-        if holders.holds(*run, picked, now) {
-            return None;
-        }
-        if let Some(lender) = holders.places(*run, now).find_map(well) {
-            return Some(Arc::clone(&lender.endpoint));
-        }
-    }
-    None
-}
-
 fn by_load(usable: &[&Candidate], near: &DataCentreId, rng: &mut Pcg32) -> Option<Choice> {
     let cost = |c: &Candidate| {
         let slots = f64::from(c.endpoint.slots.max(1));
--- a/crates/core/src/routing/request.rs
+++ b/crates/core/src/routing/request.rs
@@ -17,15 +17,13 @@
 }
 
 /// The shared start of a prompt: all parts but the last, which is the request's own.
-#[derive(Clone, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Debug)]
 pub struct SharedPrefix {
     /// Hash of the model and the parts, in order.
     pub key: u64,
     /// Length of the parts together.
     pub tokens: Tokens,
-    /// Hashes of the model and the first parts, the shortest run first; the last is `key`.
-    pub runs: Vec<u64>,
 }
 
 /// A request's head, decoded.
@@ -58,15 +56,12 @@
         }
         let mut hash = Xxh3::new();
         hash.update(self.model.as_bytes());
-        let run = |part: &Part| {
+        for part in shared {
             hash.update(&part.id.to_le_bytes());
-            hash.digest()
-        };
-        let runs: Vec<u64> = shared.iter().map(run).collect();
+        }
         Some(SharedPrefix {
-            key: *runs.last()?,
+            key: hash.digest(),
             tokens: shared.iter().map(|part| part.tokens).sum(),
-            runs,
         })
     }
 }
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -97,7 +97,7 @@
             break plan.refusal(plan.deadline() <= now());
         };
         let left = plan.deadline().since(now());
-        trace.attempt(&choice, left);
+        trace.attempt(&choice, shared, left);
         let id = choice.endpoint.id.clone();
         let request = order.to_endpoint(&choice, left, last_event);
         let wait = patience(plan);
@@ -111,7 +111,7 @@
         };
         let failed = match result {
             Ok(answered) => {
-                placement.good(&id, shared, now());
+                placement.good(&id, now());
                 return answered;
             }
             Err(failed) => failed,
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -7,6 +7,7 @@
 use medlarrill_core::ids::EndpointId;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::choose::Choice;
+use medlarrill_core::routing::request::SharedPrefix;
 use medlarrill_net::now::now;
 
 use super::answer::Reason;
@@ -69,13 +70,14 @@
     }
 
     /// Notes an attempt and logs why it goes where it goes.
-    pub fn attempt(&mut self, choice: &Choice, left: Millis) {
+    pub fn attempt(&mut self, choice: &Choice, shared: Option<&SharedPrefix>, left: Millis) {
         self.attempts += 1;
         self.endpoint = Some(choice.endpoint.id.clone());
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts,
             endpoint = choice.endpoint.id.as_str(), why:% = choice.why, load = choice.load,
             bound = choice.bound, trial = choice.trial, left = left.0,
+            prefix = shared.map_or(0, |shared| shared.key), tokens = shared.map_or(0, |shared| shared.tokens.0),
             source = choice.source.as_ref().map_or("", |source| source.id.as_str());
             "entry: sent"
         );
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -7,11 +7,10 @@
 use medlarrill_core::ids::{DataCentreId, EndpointId, PoolId};
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::budget::{self, Budget};
-use medlarrill_core::routing::choose::{Candidate, Choice, choose, lender};
+use medlarrill_core::routing::choose::{Candidate, Choice, choose};
 use medlarrill_core::routing::directory::{Change, Directory};
 use medlarrill_core::routing::endpoint::Endpoint;
 use medlarrill_core::routing::health::Health;
-use medlarrill_core::routing::holders::Holders;
 use medlarrill_core::routing::load::{Loads, Report};
 use medlarrill_core::routing::plan::Plan;
 use medlarrill_core::routing::request::SharedPrefix;
@@ -30,7 +29,6 @@
     directory: Directory,
     loads: Loads,
     health: Health,
-    holders: Holders,
     budget: Budget,
     #[debug(skip)]
     rng: Pcg32,
@@ -57,7 +55,6 @@
                 directory: Directory::default(),
                 loads: Loads::default(),
                 health: Health::default(),
-                holders: Holders::default(),
                 budget: Budget::new(repeats, daemons),
                 rng: Pcg32::new(seed, seed),
             }),
@@ -82,7 +79,6 @@
             if let Change::Removed(id) = change {
                 state.loads.forget(id);
                 state.health.forget(id);
-                state.holders.forget(id);
             }
         }
         changes
@@ -120,11 +116,8 @@
         let state = &mut *state;
         let candidates = state.candidates(pool, plan, now);
         let trial = plan.is_idempotent();
-        let mut choice = choose(&candidates, shared, &self.near, trial, &mut state.rng)?;
+        let choice = choose(&candidates, shared, &self.near, trial, &mut state.rng)?;
         let id = choice.endpoint.id.clone();
-        if let (Some(prefix), None) = (shared, &choice.source) {
-            choice.source = lender(&candidates, prefix, &id, &state.holders, now);
-        }
         state.loads.begin(&id);
         if choice.trial {
             state.health.trial(&id, now);
@@ -138,13 +131,9 @@
         self.lock().loads.report(id, report, now);
     }
 
-    /// Notes a good answer, for which the endpoint has read these parts.
-    pub fn good(&self, id: &EndpointId, shared: Option<&SharedPrefix>, now: Millis) {
-        let mut state = self.lock();
-        state.health.good(id, now);
-        if let Some(prefix) = shared {
-            state.holders.note(&prefix.runs, id, now);
-        }
+    /// Notes a good answer.
+    pub fn good(&self, id: &EndpointId, now: Millis) {
+        self.lock().health.good(id, now);
     }
 
     /// Notes a failed attempt.
