Router: an endpoint counts as settled when it is as old as its pool

Cause: daemons start before the endpoints list themselves, so that none of them had been there from the start, and prefixes that pause for more than 10 s had no holder.

--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -31,9 +31,13 @@
 /// milliseconds takes as long as reading the tokens again (48 a millisecond).
 const FETCH_MIN: u64 = 400;
 
-/// Time after which an endpoint that joined holds the prefixes that it ranks first for: those in
-/// use return within about ten seconds.
-const SETTLED: Millis = Millis::from_secs(10);
+/// Time after which an endpoint that joined holds the prefixes that it ranks first for. With 10 s
+/// a fifth of the tokens that returned later were read again; the longest pause of prefixes in
+/// use that was seen is about 25 s.
+const SETTLED: Millis = Millis::from_secs(30);
+/// Endpoints that joined together, as at the start of a pool, within this time: none of them
+/// held anything before the others.
+const COHORT: Millis = Millis::from_secs(5);
 
 /// An endpoint that may be picked, or is leaving.
 #[derive(Clone)]
@@ -154,12 +158,14 @@
 }
 
 /// Where a prefix was read before, most likely: the first in rank that has been there for a
-/// while, be it leaving.
+/// while, or as long as any other, be it leaving.
 fn holder<'a>(all: &'a [Candidate], prefix: &SharedPrefix) -> Option<&'a Candidate> {
+    let oldest = all.iter().map(|c| c.age).max()?;
+    let settled = |c: &Candidate| c.age >= SETTLED || oldest.since(c.age) <= COHORT;
     let reachable = all.iter().filter(|c| c.standing != Standing::Down);
     let mut ranked: Vec<&Candidate> = reachable.collect();
     rank(&mut ranked, prefix);
-    ranked.into_iter().find(|c| c.age >= SETTLED)
+    ranked.into_iter().find(|c| settled(c))
 }
 
 fn by_load(usable: &[&Candidate], near: &DataCentreId, rng: &mut Pcg32) -> Option<Choice> {
