--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -137,7 +137,9 @@
     let under = ranked.iter().find(|c| c.load <= bound);
     let least = || ranked.iter().min_by(|a, b| a.load.total_cmp(&b.load));
     let picked = under.or_else(least)?;
-    let is_first = ranked.first().is_some_and(|first| std::ptr::eq(*first, *picked));
+    let is_first = ranked
+        .first()
+        .is_some_and(|first| std::ptr::eq(*first, *picked));
     let why = match is_first {
         true => Why::First,
         false => Why::Next,
@@ -171,13 +173,15 @@
 fn by_load(usable: &[&Candidate], near: &DataCentreId, rng: &mut Pcg32) -> Option<Choice> {
     let cost = |c: &Candidate| {
         let slots = f64::from(c.endpoint.slots.max(1));
-        let far = if c.endpoint.data_centre == *near { 0.0 } else { FAR };
+        let far = if c.endpoint.data_centre == *near {
+            0.0
+        } else {
+            FAR
+        };
         (c.load + far) / slots
     };
-    let mut scored: Vec<(f64, u32, &Candidate)> = usable
-        .iter()
-        .map(|c| (cost(c), rng.random(), *c))
-        .collect();
+    let mut scored: Vec<(f64, u32, &Candidate)> =
+        usable.iter().map(|c| (cost(c), rng.random(), *c)).collect();
     scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
     let (_, _, picked) = scored.first()?;
     Some(choice(picked, Why::Least))
--- a/crates/router/src/entry/answer.rs
+++ b/crates/router/src/entry/answer.rs
@@ -112,7 +112,9 @@
 
 /// An answer whose body is at hand.
 pub fn whole(status: StatusCode, headers: HeaderMap, body: Bytes) -> Answer {
-    let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
+    let body = Full::new(body)
+        .map_err(|never| match never {})
+        .boxed_unsync();
     let mut answer = Response::new(body);
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -143,7 +143,11 @@
 fn patience(plan: &Plan) -> Millis {
     let patience = plan.patience(now());
     let left = plan.deadline().since(now());
-    if patience >= left { left + GRACE } else { patience }
+    if patience >= left {
+        left + GRACE
+    } else {
+        patience
+    }
 }
 
 /// Judges the head of an answer, and reads its body unless it is a stream.
@@ -162,17 +166,27 @@
     if sent.fresh {
         order.shared.metrics.connects.inc();
     }
-    if told.attempt.as_ref().is_some_and(|id| *id != order.call.attempt) {
+    if told
+        .attempt
+        .as_ref()
+        .is_some_and(|id| *id != order.call.attempt)
+    {
         return Err(Failed::new(Fault::Foreign, "another attempt's answer"));
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(Failed::new(Fault::OtherEndpoint, "another endpoint has the address"));
+        return Err(Failed::new(
+            Fault::OtherEndpoint,
+            "another endpoint has the address",
+        ));
     }
     if told.not_run {
         return Err(Failed::new(Fault::Rejected, head.status));
     }
     if told.attempt.is_none() {
-        return Err(Failed::new(Fault::Foreign, "an answer without the attempt's id"));
+        return Err(Failed::new(
+            Fault::Foreign,
+            "an answer without the attempt's id",
+        ));
     }
     if told.encoded || head.status.is_success() && !told.signed {
         return Err(Failed::new(Fault::Lost, "not the endpoint's own answer"));
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -74,7 +74,12 @@
     let call = call?;
     let account = config
         .account(&route, call.key.as_deref())
-        .map_err(|denied| (Reason::Denied(denied), format!("version {}", config.version)))?
+        .map_err(|denied| {
+            (
+                Reason::Denied(denied),
+                format!("version {}", config.version),
+            )
+        })?
         .cloned();
     let pool = route.pool(shared.placement.draw()).cloned();
     let Some(pool) = pool else {
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -43,7 +43,10 @@
     body: Incoming,
     kept: Kept,
     keep: Option<Millis>,
-    #[expect(dead_code, reason = "counts the request at its endpoint until it is dropped")]
+    #[expect(
+        dead_code,
+        reason = "counts the request at its endpoint until it is dropped"
+    )]
     flight: Flight,
     endpoint: EndpointId,
 }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -101,7 +101,11 @@
         r.register("faults", "Failed attempts", self.faults.clone());
         r.register("retries", "Attempts after the first", self.retries.clone());
         r.register("resumed", "Streams resumed", self.resumed.clone());
-        r.register("connects", "Connections to endpoints", self.connects.clone());
+        r.register(
+            "connects",
+            "Connections to endpoints",
+            self.connects.clone(),
+        );
         r.register("calls", "Calls to the platform", self.calls.clone());
         let failed = self.failed_calls.clone();
         r.register("failed_calls", "Calls to the platform that failed", failed);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -122,10 +122,12 @@
     /// With the place of what is wrong in it.
     pub fn parse(path: &str, text: &str) -> Result<Self> {
         let options = ParseOptions::default();
-        let value: serde_json::Value = jsonc_parser::parse_to_serde_value(text, &options)
-            .map_err(|error| SettingsError::Syntax {
-                path: path.to_owned(),
-                cause: error.to_string(),
+        let value: serde_json::Value =
+            jsonc_parser::parse_to_serde_value(text, &options).map_err(|error| {
+                SettingsError::Syntax {
+                    path: path.to_owned(),
+                    cause: error.to_string(),
+                }
             })?;
         serde_path_to_error::deserialize(&value).map_err(|error| SettingsError::Value {
             path: path.to_owned(),
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -122,7 +122,9 @@
 }
 
 fn modified(path: &Path) -> Option<std::time::SystemTime> {
-    std::fs::metadata(path).and_then(|data| data.modified()).ok()
+    std::fs::metadata(path)
+        .and_then(|data| data.modified())
+        .ok()
 }
 
 /// Takes over what may change while the daemon runs; addresses take effect at the next start.
@@ -142,7 +144,10 @@
 fn housekeep(shared: &Shared, dropped: &Dropped) {
     shared.connections.sweep();
     let lines = dropped.load(std::sync::atomic::Ordering::Relaxed);
-    shared.metrics.dropped.set(i64::try_from(lines).unwrap_or(i64::MAX));
+    shared
+        .metrics
+        .dropped
+        .set(i64::try_from(lines).unwrap_or(i64::MAX));
 }
 
 /// Finishes what was taken. New requests are served for a while, then refused.
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -73,7 +73,9 @@
     }
     let number = version.0;
     in_force.send_replace(Some(Arc::new(config)));
-    metrics.version.set(i64::try_from(number).unwrap_or(i64::MAX));
+    metrics
+        .version
+        .set(i64::try_from(number).unwrap_or(i64::MAX));
     log::info!(
         target: "store", version = number, before = before.map_or(0, |before| before.0), revision = object.revision;
         "store: configuration in force"
