--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -5,7 +5,8 @@
 //! ([`config`]), picks an endpoint by cached prompt parts and load ([`choose`]),
 //! and decides after each failed attempt whether to try again ([`plan`]).
 //! What is known of endpoints comes from the platform's list ([`directory`])
-//! and from their answers ([`load`], [`health`]).
+//! and from their answers ([`load`], [`health`]), also from those that other
+//! daemons got ([`exchange`]).
 
 pub mod attempt;
 pub mod budget;
@@ -14,6 +15,7 @@
 pub mod directory;
 pub mod endpoint;
 pub mod events;
+pub mod exchange;
 pub mod health;
 pub mod load;
 pub mod plan;
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -44,6 +44,12 @@
         }
     }
 
+    /// Whether the fault speaks against the endpoint: not where it couldn't be reached from here,
+    /// and not where it is full, of which its load tells.
+    pub const fn is_failure(self) -> bool {
+        !matches!(self, Self::NotSent | Self::Rejected | Self::OtherEndpoint)
+    }
+
     /// Short name, for counters and logs.
     pub const fn code(self) -> &'static str {
         match self {
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -52,6 +52,11 @@
         self.pools.get(pool).map_or(&[], Vec::as_slice)
     }
 
+    /// All endpoints.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.endpoints.values()
+    }
+
     /// An endpoint by id.
     pub fn get(&self, id: &EndpointId) -> Option<&Arc<Endpoint>> {
         self.endpoints.get(id)
--- /dev/null
+++ b/crates/core/src/routing/exchange.rs
@@ -0,0 +1,253 @@
+//! What daemons tell each other of endpoints, through a few of them.
+//!
+//! Each daemon reports its own requests and their outcomes to the hubs: the
+//! first two daemons by rendezvous hashing among those that it knows to live.
+//! A hub adds the reports up and sends each reporter what the others have.
+//! Any daemon that gets reports acts as a hub, so that daemons that disagree
+//! on who lives still hear from someone. The cost is two small messages a
+//! tick and daemon, whatever the size of the fleet.
+
+mod message;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use derive_more::Debug;
+
+use crate::clock::Millis;
+use crate::ids::EndpointId;
+use crate::placement::{Node, key_of};
+
+pub use message::{Entry, Message, Peer, Report, Summary};
+
+/// Daemons to which each reports.
+const HUBS: usize = 2;
+/// Silence after which a daemon counts as gone. Five ticks of the slow pace: a datagram or two
+/// may be lost.
+const SILENT: Millis = Millis(1300);
+/// Silence after which a daemon is forgotten.
+const FORGOTTEN: Millis = Millis::from_secs(10);
+/// Between reports in a small fleet.
+const TICK: Millis = Millis(100);
+/// Between reports in a large fleet: a hub sends and receives four messages a second for each
+/// daemon then, about 700 a second at 84 daemons.
+const SLOW_TICK: Millis = Millis(250);
+/// Fleet from which on ticks are slow.
+const LARGE: usize = 16;
+/// Between two reports to a seed, which join parts of the fleet that lost each other.
+const SEED_PAUSE: Millis = Millis(2000);
+/// Between two lists of daemons in summaries.
+const LIST_PAUSE: Millis = Millis(500);
+
+/// Name under which hubs are ranked.
+const HUB_KEY: &str = "hub";
+
+/// A message and where it goes.
+pub type Outgoing = (SocketAddr, Message);
+
+/// One daemon's part in the exchange.
+#[derive(Clone)]
+#[derive(Debug)]
+pub struct Exchange {
+    me: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    /// Daemons, and when each last showed life.
+    seen: HashMap<SocketAddr, Millis>,
+    reports: HashMap<SocketAddr, (Millis, Report)>,
+    seeded: Option<Millis>,
+    next_seed: usize,
+    listed: Option<Millis>,
+}
+
+/// What others have at one endpoint, and how their requests ended since the last tick.
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug)]
+pub struct Others {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Good answers.
+    pub good: u32,
+    /// Failed attempts.
+    pub bad: u32,
+}
+
+impl Others {
+    /// Forgets outcomes: each hub tells them, and they count once.
+    const fn clear_outcomes(&mut self) {
+        self.good = 0;
+        self.bad = 0;
+    }
+}
+
+/// Short form of an endpoint's id in messages.
+pub fn short_id(id: &EndpointId) -> u32 {
+    // The upper half of a 64-bit hash; among 4,500 endpoints two share one with odds of 1 in 400.
+    (key_of(id.as_str()) >> u32::BITS) as u32
+}
+
+impl Exchange {
+    /// The part of the daemon that is reached at `me`.
+    pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            me,
+            seeds: seeds.into_iter().filter(|seed| *seed != me).collect(),
+            seen: HashMap::new(),
+            reports: HashMap::new(),
+            seeded: None,
+            next_seed: 0,
+            listed: None,
+        }
+    }
+
+    /// Adds daemons to ask when none is known.
+    pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        for seed in seeds {
+            if seed != self.me && !self.seeds.contains(&seed) {
+                self.seeds.push(seed);
+            }
+        }
+    }
+
+    /// Daemons that live, this one included.
+    pub fn live(&self, now: Millis) -> usize {
+        1 + self.others(now).count()
+    }
+
+    /// Pause until the next tick.
+    pub fn pause(&self, now: Millis) -> Millis {
+        match self.live(now) >= LARGE {
+            true => SLOW_TICK,
+            false => TICK,
+        }
+    }
+
+    /// The hubs, first in rank first; this daemon may be one.
+    pub fn hubs(&self, now: Millis) -> Vec<SocketAddr> {
+        let key = key_of(HUB_KEY);
+        let score = |address: &SocketAddr| Node::new((), &address.to_string()).score(key);
+        let all = self.others(now).chain([self.me]);
+        let mut ranked: Vec<SocketAddr> = all.collect();
+        ranked.sort_by(|a, b| score(b).total_cmp(&score(a)).then(a.cmp(b)));
+        ranked.truncate(HUBS);
+        ranked
+    }
+
+    fn others(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
+        let live = move |(_, at): &(&SocketAddr, &Millis)| now.since(**at) < SILENT;
+        self.seen.iter().filter(live).map(|(address, _)| *address)
+    }
+
+    /// What is due: this daemon's report, and summaries of the reports it got.
+    pub fn tick(&mut self, own: Report, now: Millis) -> Vec<Outgoing> {
+        self.seen.retain(|_, at| now.since(*at) < FORGOTTEN);
+        self.reports.retain(|_, (at, _)| now.since(*at) < SILENT);
+        let mut out = self.summaries(&own, now);
+        let mut targets = self.hubs(now);
+        targets.retain(|hub| *hub != self.me);
+        targets.extend(self.due_seed(now));
+        targets.dedup();
+        let report = |hub| (hub, Message::Report(own.clone()));
+        out.extend(targets.into_iter().map(report));
+        // Outcomes are told once.
+        for (_, report) in self.reports.values_mut() {
+            report.clear_outcomes();
+        }
+        out
+    }
+
+    /// A seed that is to be asked now.
+    fn due_seed(&mut self, now: Millis) -> Option<SocketAddr> {
+        let alone = self.live(now) == 1;
+        let waited = self.seeded.is_none_or(|at| now.since(at) >= SEED_PAUSE);
+        if self.seeds.is_empty() || !alone && !waited {
+            return None;
+        }
+        self.seeded = Some(now);
+        self.next_seed = (self.next_seed + 1) % self.seeds.len();
+        self.seeds.get(self.next_seed).copied()
+    }
+
+    /// What each reporter has to know of the others, this daemon included.
+    fn summaries(&mut self, own: &Report, now: Millis) -> Vec<Outgoing> {
+        let mut total = Summary::default();
+        total.add(own);
+        for (_, report) in self.reports.values() {
+            total.add(report);
+        }
+        let peers = self.due_list(now);
+        let summary = |(address, (_, report)): (&SocketAddr, &(Millis, Report))| {
+            let mut others = total.without(report);
+            others.peers.clone_from(&peers);
+            (*address, Message::Summary(others))
+        };
+        self.reports.iter().map(summary).collect()
+    }
+
+    /// The daemons that live, if it is time to tell.
+    fn due_list(&mut self, now: Millis) -> Vec<Peer> {
+        if self.listed.is_some_and(|at| now.since(at) < LIST_PAUSE) {
+            return Vec::new();
+        }
+        self.listed = Some(now);
+        let peer = |(address, at): (&SocketAddr, &Millis)| Peer::new(*address, now.since(*at));
+        let live = self.seen.iter().filter(|(_, at)| now.since(**at) < SILENT);
+        live.filter_map(peer).collect()
+    }
+
+    /// What the reports that this daemon got say of the others.
+    pub fn gathered(&self) -> HashMap<u32, Others> {
+        let mut total = Summary::default();
+        for (_, report) in self.reports.values() {
+            total.add(report);
+        }
+        total.by_endpoint()
+    }
+
+    /// Whether this daemon has reports of others.
+    pub fn is_hub(&self) -> bool {
+        !self.reports.is_empty()
+    }
+
+    /// Takes a message; returns what others have, if it is a summary.
+    pub fn receive(
+        &mut self,
+        from: SocketAddr,
+        message: Message,
+        now: Millis,
+    ) -> Option<HashMap<u32, Others>> {
+        self.seen.insert(from, now);
+        match message {
+            Message::Report(mut report) => {
+                // Outcomes of a report that wasn't summed up yet aren't lost.
+                if let Some((_, earlier)) = self.reports.remove(&from) {
+                    report.keep_outcomes(&earlier);
+                }
+                self.reports.insert(from, (now, report));
+                None
+            }
+            Message::Summary(summary) => {
+                for peer in &summary.peers {
+                    self.hear(peer, now);
+                }
+                let mut others = summary.by_endpoint();
+                if self.hubs(now).first() != Some(&from) {
+                    others.values_mut().for_each(Others::clear_outcomes);
+                }
+                Some(others)
+            }
+        }
+    }
+
+    /// Takes word that a daemon showed life some time ago.
+    fn hear(&mut self, peer: &Peer, now: Millis) {
+        let Some(address) = peer.address() else {
+            return;
+        };
+        if address == self.me {
+            return;
+        }
+        let at = now - peer.age();
+        let seen = self.seen.entry(address).or_insert(at);
+        *seen = (*seen).max(at);
+    }
+}
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -61,7 +61,13 @@
     }
 
     fn answer(&mut self, failure: f64, now: Millis) {
-        self.failures = self.failures(now) * (1.0 - NEWEST) + failure * NEWEST;
+        self.answers(1, failure, now);
+    }
+
+    /// Takes several answers at once, of which a share failed.
+    fn answers(&mut self, count: u32, failed: f64, now: Millis) {
+        let old = (1.0 - NEWEST).powf(f64::from(count));
+        self.failures = self.failures(now) * old + failed * (1.0 - old);
         self.at = now;
     }
 }
@@ -90,12 +96,18 @@
                 record.until = now + Millis(pause.min(PAUSE_MAX.0));
                 record.refused += 1;
             }
-            // Being full is no illness; load tells of it.
-            Fault::Rejected => {}
             Fault::OtherEndpoint => record.until = now + PAUSE_MAX,
-            Fault::Lost | Fault::Foreign | Fault::Slow | Fault::Failed | Fault::Cut => {
-                record.answer(1.0, now);
-            }
+            _ if fault.is_failure() => record.answer(1.0, now),
+            _ => {}
+        }
+    }
+
+    /// Notes how requests of other daemons went.
+    pub fn others(&mut self, id: &EndpointId, good: u32, bad: u32, now: Millis) {
+        let count = good + bad;
+        if count > 0 {
+            let record = self.records.entry(id.clone()).or_default();
+            record.answers(count, f64::from(bad) / f64::from(count), now);
         }
     }
 
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -1,8 +1,9 @@
 //! How much work each endpoint has, as one daemon sees it.
 //!
 //! A daemon knows its own requests exactly. What the others have there it
-//! learns from the load that endpoints tell in their answers, less its own
-//! requests at that time; the older that is, the less it counts.
+//! learns from the others, and from the load that endpoints tell in their
+//! answers, less its own requests at that time; the older that is, the less it
+//! counts.
 
 use std::collections::HashMap;
 
@@ -64,6 +65,16 @@
         work.at = now;
     }
 
+    /// Takes what other daemons have at an endpoint.
+    pub fn others(&mut self, id: &EndpointId, in_flight: u32, now: Millis) {
+        if in_flight == 0 && !self.work.contains_key(id) {
+            return;
+        }
+        let work = self.work.entry(id.clone()).or_default();
+        work.others = in_flight;
+        work.at = now;
+    }
+
     /// Forgets an endpoint without requests of this daemon.
     pub fn forget(&mut self, id: &EndpointId) {
         if self.own(id) == 0 {
@@ -71,6 +82,11 @@
         }
     }
 
+    /// Endpoints and this daemon's requests there.
+    pub fn in_flight(&self) -> impl Iterator<Item = (&EndpointId, u32)> {
+        self.work.iter().map(|(id, work)| (id, work.own))
+    }
+
     /// Requests of this daemon at an endpoint.
     pub fn own(&self, id: &EndpointId) -> u32 {
         self.work.get(id).map_or(0, |work| work.own)
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,6 +3,7 @@
 //! Five rooms, with arrows one way. `entry` takes callers' requests, asks
 //! `placement` where they go, and sends them through `endpoints`. `store`
 //! follows the platform and tells `placement` and the entry what is in force.
+//! `peers` tells `placement` what other daemons see of endpoints.
 //! The decisions are those of `medlarrill_core::routing`; the platform's
 //! names and formats are those of `medlarrill_platform`.
 
@@ -10,6 +11,7 @@
 pub mod entry;
 pub mod logs;
 pub mod metrics;
+pub mod peers;
 pub mod placement;
 pub mod settings;
 pub mod shared;
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -1,5 +1,6 @@
 //! What is known of endpoints, and where the next request goes.
 
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use derive_more::Debug;
@@ -10,6 +11,7 @@
 use medlarrill_core::routing::choose::{Candidate, Choice, choose};
 use medlarrill_core::routing::directory::{Change, Directory};
 use medlarrill_core::routing::endpoint::Endpoint;
+use medlarrill_core::routing::exchange;
 use medlarrill_core::routing::health::Health;
 use medlarrill_core::routing::load::{Loads, Report};
 use medlarrill_core::routing::plan::Plan;
@@ -30,10 +32,19 @@
     loads: Loads,
     health: Health,
     budget: Budget,
+    outcomes: HashMap<EndpointId, Outcomes>,
     #[debug(skip)]
     rng: Pcg32,
 }
 
+/// How this daemon's requests ended since the last report.
+#[derive(Clone, Copy, Default)]
+#[derive(Debug)]
+struct Outcomes {
+    good: u32,
+    bad: u32,
+}
+
 /// A request at an endpoint, counted until it is dropped.
 #[derive(Debug)]
 pub struct Flight {
@@ -56,6 +67,7 @@
                 loads: Loads::default(),
                 health: Health::default(),
                 budget: Budget::new(repeats, daemons),
+                outcomes: HashMap::new(),
                 rng: Pcg32::new(seed, seed),
             }),
             near,
@@ -133,12 +145,53 @@
 
     /// Notes a good answer.
     pub fn good(&self, id: &EndpointId, now: Millis) {
-        self.lock().health.good(id, now);
+        let mut state = self.lock();
+        state.health.good(id, now);
+        state.outcomes.entry(id.clone()).or_default().good += 1;
     }
 
     /// Notes a failed attempt.
     pub fn bad(&self, id: &EndpointId, fault: Fault, now: Millis) {
-        self.lock().health.bad(id, fault, now);
+        let mut state = self.lock();
+        state.health.bad(id, fault, now);
+        if fault.is_failure() {
+            state.outcomes.entry(id.clone()).or_default().bad += 1;
+        }
+    }
+
+    /// What other daemons are told: requests in flight, and outcomes since the last report.
+    pub fn own_report(&self) -> exchange::Report {
+        let mut state = self.lock();
+        let mut outcomes = std::mem::take(&mut state.outcomes);
+        let entry = |(id, in_flight): (&EndpointId, u32)| {
+            let Outcomes { good, bad } = outcomes.remove(id).unwrap_or_default();
+            exchange::Entry {
+                endpoint: exchange::short_id(id),
+                in_flight,
+                good,
+                bad,
+            }
+        };
+        let entries = state.loads.in_flight().map(entry);
+        let entries = entries.filter(|entry| entry.in_flight + entry.good + entry.bad > 0);
+        exchange::Report {
+            entries: entries.collect(),
+        }
+    }
+
+    /// Takes what the other daemons have at endpoints, all of them together.
+    pub fn others(&self, others: &HashMap<u32, exchange::Others>, daemons: usize, now: Millis) {
+        let mut state = self.lock();
+        let state = &mut *state;
+        let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
+        state.budget.share_with(daemons);
+        for endpoint in state.directory.all() {
+            let short = exchange::short_id(&endpoint.id);
+            let others = others.get(&short).copied().unwrap_or_default();
+            state.loads.others(&endpoint.id, others.in_flight, now);
+            let health = &mut state.health;
+            health.others(&endpoint.id, others.good, others.bad, now);
+        }
     }
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -59,6 +59,9 @@
     pub listen: Listen,
     /// Address of the platform's object store.
     pub platform: SocketAddr,
+    /// Addresses on VMs of some daemons; may be out of date, and only the VM counts.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Time from the signal to stop until the process is killed.
     pub grace: Millis,
     /// Repeats that the fleet may send.
@@ -76,6 +79,8 @@
     pub ready: SocketAddr,
     /// For metrics.
     pub metrics: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
 }
 
 /// Repeats that the fleet may send to a pool.
@@ -115,6 +120,13 @@
         }
     }
 
+    /// Where the daemons on the seeds' VMs listen for other daemons: on the same port as this one.
+    pub fn peer_seeds(&self) -> Vec<SocketAddr> {
+        let port = self.listen.peers.port();
+        let seed = |seed: &SocketAddr| SocketAddr::new(seed.ip(), port);
+        self.seeds.iter().map(seed).collect()
+    }
+
     /// Reads the text of a settings file.
     ///
     /// # Errors
--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -6,7 +6,7 @@
 
 use medlarrill_core::clock::Millis;
 use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 1024;
@@ -31,6 +31,17 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Opens a socket for datagrams.
+///
+/// # Errors
+///
+/// When the address can't be had.
+pub fn datagrams(address: SocketAddr) -> Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    UdpSocket::from_std(socket)
+}
+
 /// Connects within a time.
 ///
 /// # Errors
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -14,6 +14,7 @@
 use crate::entry::{serve_callers, serve_metrics, serve_ready};
 use crate::logs::{self, Dropped};
 use crate::metrics::Metrics;
+use crate::peers::exchange;
 use crate::placement::Placement;
 use crate::settings::{Settings, SettingsError};
 use crate::shared::Shared;
@@ -96,6 +97,7 @@
     let callers = socket::listen(settings.listen.callers)?;
     let ready = socket::listen(settings.listen.ready)?;
     let scrapes = socket::listen(settings.listen.metrics)?;
+    let socket = socket::datagrams(settings.listen.peers)?;
     let (in_force, config) = watch::channel(None);
     let (listed, is_listed) = watch::channel(false);
     let near = settings.data_centre.clone();
@@ -115,6 +117,7 @@
     let endpoints = store::follow_endpoints(address, Arc::clone(&metrics), placement, listed);
     tokio::spawn(store::follow_configuration(address, metrics, in_force));
     tokio::spawn(endpoints);
+    tokio::spawn(exchange(socket, Arc::clone(&shared)));
     tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
     tokio::spawn(serve_ready(ready, Arc::clone(&shared)));
     tokio::spawn(serve_metrics(scrapes, Arc::clone(&shared)));
