--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -4,7 +4,7 @@
 //! configuration. An entry finds the route and the account of a request
 //! ([`config`]), picks an endpoint by cached prompt parts and load ([`choose`]),
 //! and decides after each failed attempt whether to try again ([`plan`]).
-//! What is known of endpoints comes from the platform's list ([`directory`])
+//! What is known of endpoints comes from the platform's list ([`mirror`], [`directory`])
 //! and from their answers ([`load`], [`health`]), also from those that other
 //! daemons got ([`exchange`]).
 
@@ -18,6 +18,7 @@
 pub mod exchange;
 pub mod health;
 pub mod load;
+pub mod mirror;
 pub mod plan;
 pub mod request;
 pub mod stop;
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -39,8 +39,14 @@
 /// Between two lists of daemons in summaries.
 const LIST_PAUSE: Millis = Millis(500);
 
+/// Daemons of a large fleet that follow the platform: each change is read so often, instead of
+/// once a daemon. Three, so that two may freeze or be cut off at once.
+const WATCHERS: usize = 3;
+
 /// Name under which hubs are ranked.
 const HUB_KEY: &str = "hub";
+/// Name under which watchers are ranked.
+const WATCH_KEY: &str = "watch";
 
 /// A message and where it goes.
 pub type Outgoing = (SocketAddr, Message);
@@ -51,14 +57,24 @@
 pub struct Exchange {
     me: SocketAddr,
     seeds: Vec<SocketAddr>,
-    /// Daemons, and when each last showed life.
-    seen: HashMap<SocketAddr, Millis>,
+    /// Other daemons.
+    seen: HashMap<SocketAddr, Seen>,
     reports: HashMap<SocketAddr, (Millis, Report)>,
     seeded: Option<Millis>,
     next_seed: usize,
     listed: Option<Millis>,
 }
 
+/// What is known of another daemon.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+struct Seen {
+    /// When it last showed life.
+    at: Millis,
+    /// Whether it had lost the platform then.
+    cut_off: bool,
+}
+
 /// What others have at one endpoint, and how their requests ended since the last tick.
 #[derive(Clone, Copy, PartialEq, Eq, Default)]
 #[derive(Debug)]
@@ -123,23 +139,37 @@
 
     /// The hubs, first in rank first; this daemon may be one.
     pub fn hubs(&self, now: Millis) -> Vec<SocketAddr> {
-        let key = key_of(HUB_KEY);
-        let score = |address: &SocketAddr| Node::new((), &address.to_string()).score(key);
         let all = self.others(now).chain([self.me]);
-        let mut ranked: Vec<SocketAddr> = all.collect();
-        ranked.sort_by(|a, b| score(b).total_cmp(&score(a)).then(a.cmp(b)));
-        ranked.truncate(HUBS);
-        ranked
+        first_ranked(all, HUB_KEY, HUBS)
+    }
+
+    /// The daemons that follow the platform for all: in a small fleet each does.
+    ///
+    /// Daemons that have lost the platform aren't chosen, unless all have.
+    pub fn watchers(&self, cut_off: bool, now: Millis) -> Vec<SocketAddr> {
+        let all = || self.others(now).chain([self.me]);
+        if self.live(now) < LARGE {
+            return all().collect();
+        }
+        let reaches = |address: &SocketAddr| match self.seen.get(address) {
+            Some(seen) => !seen.cut_off,
+            None => !cut_off,
+        };
+        let chosen = first_ranked(all().filter(reaches), WATCH_KEY, WATCHERS);
+        match chosen.is_empty() {
+            true => first_ranked(all(), WATCH_KEY, WATCHERS),
+            false => chosen,
+        }
     }
 
     fn others(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
-        let live = move |(_, at): &(&SocketAddr, &Millis)| now.since(**at) < SILENT;
+        let live = move |(_, seen): &(&SocketAddr, &Seen)| now.since(seen.at) < SILENT;
         self.seen.iter().filter(live).map(|(address, _)| *address)
     }
 
     /// What is due: this daemon's report, and summaries of the reports it got.
     pub fn tick(&mut self, own: Report, now: Millis) -> Vec<Outgoing> {
-        self.seen.retain(|_, at| now.since(*at) < FORGOTTEN);
+        self.seen.retain(|_, seen| now.since(seen.at) < FORGOTTEN);
         self.reports.retain(|_, (at, _)| now.since(*at) < SILENT);
         let mut out = self.summaries(&own, now);
         let mut targets = self.hubs(now);
@@ -189,8 +219,13 @@
             return Vec::new();
         }
         self.listed = Some(now);
-        let peer = |(address, at): (&SocketAddr, &Millis)| Peer::new(*address, now.since(*at));
-        let live = self.seen.iter().filter(|(_, at)| now.since(**at) < SILENT);
+        let live = self
+            .seen
+            .iter()
+            .filter(|(_, seen)| now.since(seen.at) < SILENT);
+        let peer = |(address, seen): (&SocketAddr, &Seen)| {
+            Peer::new(*address, now.since(seen.at), seen.cut_off)
+        };
         live.filter_map(peer).collect()
     }
 
@@ -215,7 +250,11 @@
         message: Message,
         now: Millis,
     ) -> Option<HashMap<u32, Others>> {
-        self.seen.insert(from, now);
+        let cut_off = match &message {
+            Message::Report(report) => report.cut_off,
+            Message::Summary(_) => self.seen.get(&from).is_some_and(|seen| seen.cut_off),
+        };
+        self.seen.insert(from, Seen { at: now, cut_off });
         match message {
             Message::Report(mut report) => {
                 // Outcomes of a report that wasn't summed up yet aren't lost.
@@ -246,8 +285,27 @@
         if address == self.me {
             return;
         }
-        let at = now - peer.age();
-        let seen = self.seen.entry(address).or_insert(at);
-        *seen = (*seen).max(at);
+        let heard = Seen {
+            at: now - peer.age(),
+            cut_off: peer.cut_off,
+        };
+        let seen = self.seen.entry(address).or_insert(heard);
+        if heard.at > seen.at {
+            *seen = heard;
+        }
     }
 }
+
+/// The first daemons by rendezvous hashing for a key.
+fn first_ranked(
+    daemons: impl Iterator<Item = SocketAddr>,
+    key: &str,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let key = key_of(key);
+    let score = |address: &SocketAddr| Node::new((), &address.to_string()).score(key);
+    let mut ranked: Vec<SocketAddr> = daemons.collect();
+    ranked.sort_by(|a, b| score(b).total_cmp(&score(a)).then(a.cmp(b)));
+    ranked.truncate(count);
+    ranked
+}
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -37,6 +37,9 @@
     /// Endpoints with requests in flight or outcomes.
     #[prost(message, repeated, tag = "1")]
     pub entries: Vec<Entry>,
+    /// Whether the daemon has lost the platform.
+    #[prost(bool, tag = "2")]
+    pub cut_off: bool,
 }
 
 /// A daemon that lives.
@@ -52,6 +55,9 @@
     /// Milliseconds since it last showed life.
     #[prost(uint64, tag = "3")]
     pub silent: u64,
+    /// Whether it has lost the platform.
+    #[prost(bool, tag = "4")]
+    pub cut_off: bool,
 }
 
 /// What daemons have at endpoints together.
@@ -118,7 +124,7 @@
 
 impl Peer {
     /// A daemon that showed life some time ago; none if it isn't reached by IPv4.
-    pub fn new(address: SocketAddr, silent: Millis) -> Option<Self> {
+    pub fn new(address: SocketAddr, silent: Millis, cut_off: bool) -> Option<Self> {
         let IpAddr::V4(ip) = address.ip() else {
             return None;
         };
@@ -126,6 +132,7 @@
             ip: ip.into(),
             port: address.port().into(),
             silent: silent.0,
+            cut_off,
         })
     }
 
--- a/crates/router/src/entry/server.rs
+++ b/crates/router/src/entry/server.rs
@@ -25,13 +25,11 @@
 const HEAD: ByteSize = ByteSize(16 << 10);
 /// Bytes read ahead on one connection.
 const BUFFER: usize = 64 << 10;
-/// Pause after a failed accept, mostly for want of descriptors.
-const ACCEPT_PAUSE: Millis = Millis(20);
 
 /// Takes callers' connections until the process ends.
 pub async fn serve_callers(listener: TcpListener, shared: Arc<Shared>) {
     loop {
-        let stream = accept(&listener).await;
+        let stream = socket::accept(&listener).await;
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
             shared.metrics.connections.inc();
@@ -90,7 +88,7 @@
     F: Fn(&Request<Incoming>) -> Response<Full<Bytes>> + Send + Sync + 'static,
 {
     loop {
-        let stream = accept(&listener).await;
+        let stream = socket::accept(&listener).await;
         let answer = Arc::clone(&answer);
         tokio::spawn(async move {
             let service = service_fn(|request| {
@@ -107,17 +105,3 @@
         });
     }
 }
-
-async fn accept(listener: &TcpListener) -> TcpStream {
-    loop {
-        let accepted = listener.accept().await;
-        let prepared = accepted.and_then(|(stream, _)| socket::prepare(&stream).map(|()| stream));
-        match prepared {
-            Ok(stream) => return stream,
-            Err(error) => {
-                log::warn!(target: "entry", cause:% = error; "entry: a connection can't be taken");
-                tokio::time::sleep(ACCEPT_PAUSE.as_duration()).await;
-            }
-        }
-    }
-}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,8 +1,10 @@
 //! Tells other daemons what this one sees of endpoints, and hears what they see.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use derive_more::Debug;
+use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::exchange::{Exchange, Message};
 use medlarrill_net::now::now;
 use tokio::net::UdpSocket;
@@ -12,8 +14,57 @@
 /// Largest datagram.
 const DATAGRAM: usize = 64 << 10;
 
+/// Silence after which no relay counts as heard.
+const RELAY_SILENT: Millis = Millis(1200);
+
+/// Who follows the platform.
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug)]
+pub struct Watch {
+    /// The daemons that do, first in rank first.
+    pub watchers: Vec<SocketAddr>,
+    /// Whether this daemon does.
+    pub is_watcher: bool,
+    /// Whether another daemon's copy is being followed.
+    pub is_relayed: bool,
+    /// When another daemon's copy was last heard of.
+    heard: Option<Millis>,
+}
+
+/// Who follows the platform, as seen here.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct Roster(Arc<Mutex<Watch>>);
+
+impl Roster {
+    /// What is seen now.
+    pub fn borrow(&self) -> Watch {
+        let watch = self.lock();
+        let heard = watch.heard.is_some_and(|at| now().since(at) < RELAY_SILENT);
+        Watch {
+            is_relayed: heard,
+            ..watch.clone()
+        }
+    }
+
+    /// Notes that another daemon's copy was heard of.
+    pub fn heard_relay(&self, at: Millis) {
+        self.lock().heard = Some(at);
+    }
+
+    fn set(&self, watchers: Vec<SocketAddr>, me: SocketAddr) {
+        let mut watch = self.lock();
+        watch.is_watcher = watchers.contains(&me);
+        watch.watchers = watchers;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Watch> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Takes part in the exchange until the process ends.
-pub async fn exchange(socket: UdpSocket, shared: Arc<Shared>) {
+pub async fn exchange(socket: UdpSocket, shared: Arc<Shared>, roster: Roster) {
     let settings = &shared.settings;
     let mut exchange = Exchange::new(settings.listen.peers, settings.peer_seeds());
     let mut buffer = vec![0; DATAGRAM];
@@ -29,6 +80,8 @@
             },
             () = tokio::time::sleep(wait.as_duration()) => {
                 tick(&mut exchange, &shared, &socket).await;
+                let cut_off = shared.copies.is_cut_off();
+                roster.set(exchange.watchers(cut_off, now()), settings.listen.peers);
                 due = now() + exchange.pause(now());
                 live = report_live(&exchange, live);
             }
@@ -58,7 +111,7 @@
             .placement
             .others(&exchange.gathered(), exchange.live(at), at);
     }
-    let own = shared.placement.own_report();
+    let own = shared.placement.own_report(shared.copies.is_cut_off());
     for (to, message) in exchange.tick(own, at) {
         if let Err(error) = socket.send_to(&message.encode(), to).await {
             log::debug!(target: "peers", "peers: nothing sent to {to}: {error}");
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -9,7 +9,7 @@
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::budget::{self, Budget};
 use medlarrill_core::routing::choose::{Candidate, Choice, choose};
-use medlarrill_core::routing::directory::{Change, Directory};
+use medlarrill_core::routing::directory::Directory;
 use medlarrill_core::routing::endpoint::Endpoint;
 use medlarrill_core::routing::exchange;
 use medlarrill_core::routing::health::Health;
@@ -83,17 +83,17 @@
         self.lock().rng.random()
     }
 
-    /// Changes the list of endpoints.
-    pub fn change(&self, change: impl FnOnce(&mut Directory) -> Vec<Change>) -> Vec<Change> {
+    /// Takes an endpoint's entry; says whether it is new or changed.
+    pub fn list(&self, endpoint: Endpoint, now: Millis) -> bool {
+        self.lock().directory.list(endpoint, now)
+    }
+
+    /// Drops an endpoint's entry; says whether it was there.
+    pub fn remove(&self, id: &EndpointId) -> bool {
         let mut state = self.lock();
-        let changes = change(&mut state.directory);
-        for change in &changes {
-            if let Change::Removed(id) = change {
-                state.loads.forget(id);
-                state.health.forget(id);
-            }
-        }
-        changes
+        state.loads.forget(id);
+        state.health.forget(id);
+        state.directory.remove(id)
     }
 
     /// How many endpoints are known.
@@ -160,7 +160,7 @@
     }
 
     /// What other daemons are told: requests in flight, and outcomes since the last report.
-    pub fn own_report(&self) -> exchange::Report {
+    pub fn own_report(&self, cut_off: bool) -> exchange::Report {
         let mut state = self.lock();
         let mut outcomes = std::mem::take(&mut state.outcomes);
         let entry = |(id, in_flight): (&EndpointId, u32)| {
@@ -176,6 +176,7 @@
         let entries = entries.filter(|entry| entry.in_flight + entry.good + entry.bad > 0);
         exchange::Report {
             entries: entries.collect(),
+            cut_off,
         }
     }
 
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -4,7 +4,6 @@
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::config::Configuration;
 use medlarrill_core::routing::stop::{Stage, Stop};
 use tokio::sync::watch;
 
@@ -12,9 +11,7 @@
 use crate::metrics::Metrics;
 use crate::placement::Placement;
 use crate::settings::Settings;
-
-/// The configuration in force, none before the first was read.
-pub type InForce = Option<Arc<Configuration>>;
+use crate::store::{Copies, InForce};
 
 /// Shared by all tasks.
 #[derive(Debug)]
@@ -27,6 +24,8 @@
     pub listed: watch::Receiver<bool>,
     /// Endpoints and where requests go.
     pub placement: Arc<Placement>,
+    /// Copies of the platform's objects.
+    pub copies: Arc<Copies>,
     /// Connections to endpoints.
     pub connections: Connections,
     /// Counters.
--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -17,6 +17,9 @@
 /// Longest time that sent bytes stay unacknowledged.
 const UNACKED: Duration = Duration::from_secs(4);
 
+/// Pause after a failed accept, mostly for want of descriptors.
+const ACCEPT_PAUSE: Millis = Millis(20);
+
 /// Listens, also right after another process did.
 ///
 /// # Errors
@@ -69,3 +72,18 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(UNACKED))
 }
+
+/// Takes the next connection.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        let accepted = listener.accept().await;
+        let prepared = accepted.and_then(|(stream, _)| prepare(&stream).map(|()| stream));
+        match prepared {
+            Ok(stream) => return stream,
+            Err(error) => {
+                log::warn!(target: "socket", cause:% = error; "socket: a connection can't be taken");
+                tokio::time::sleep(ACCEPT_PAUSE.as_duration()).await;
+            }
+        }
+    }
+}
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -14,12 +14,12 @@
 use crate::entry::{serve_callers, serve_metrics, serve_ready};
 use crate::logs::{self, Dropped};
 use crate::metrics::Metrics;
-use crate::peers::exchange;
+use crate::peers::{Roster, exchange};
 use crate::placement::Placement;
 use crate::settings::{Settings, SettingsError};
 use crate::shared::Shared;
 use crate::socket;
-use crate::store;
+use crate::store::{self, Copies, Sinks, Store};
 
 /// Daemons that share the fleet's slack of repeats where nobody has said how many there are;
 /// more than the largest fleet served, so that the whole stays within its budget.
@@ -97,27 +97,38 @@
     let callers = socket::listen(settings.listen.callers)?;
     let ready = socket::listen(settings.listen.ready)?;
     let scrapes = socket::listen(settings.listen.metrics)?;
-    let socket = socket::datagrams(settings.listen.peers)?;
+    let relays = socket::listen(settings.listen.peers)?;
+    let datagrams = socket::datagrams(settings.listen.peers)?;
     let (in_force, config) = watch::channel(None);
     let (listed, is_listed) = watch::channel(false);
     let near = settings.data_centre.clone();
     let placement = Placement::new(near, settings.repeats.into(), DAEMONS, rand::random());
     let placement = Arc::new(placement);
     let metrics = Arc::new(Metrics::new());
+    let sinks = Sinks {
+        in_force,
+        placement: Arc::clone(&placement),
+        metrics: Arc::clone(&metrics),
+    };
+    let copies = Arc::new(Copies::new(sinks, listed));
+    let roster = Roster::default();
     let shared = Arc::new(Shared {
         settings: settings.clone(),
         config,
         listed: is_listed,
-        placement: Arc::clone(&placement),
+        placement,
+        copies: Arc::clone(&copies),
         connections: Connections::default(),
         metrics: Arc::clone(&metrics),
         stop: Mutex::new(Stop::new(settings.grace)),
     });
-    let address = settings.platform;
-    let endpoints = store::follow_endpoints(address, Arc::clone(&metrics), placement, listed);
-    tokio::spawn(store::follow_configuration(address, metrics, in_force));
-    tokio::spawn(endpoints);
-    tokio::spawn(exchange(socket, Arc::clone(&shared)));
+    let store = Store {
+        copies,
+        roster: roster.clone(),
+        metrics,
+    };
+    tokio::spawn(store::run(store, settings.platform, relays));
+    tokio::spawn(exchange(datagrams, Arc::clone(&shared), roster));
     tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
     tokio::spawn(serve_ready(ready, Arc::clone(&shared)));
     tokio::spawn(serve_metrics(scrapes, Arc::clone(&shared)));
--- /dev/null
+++ b/crates/router/src/store/copies.rs
@@ -0,0 +1,131 @@
+//! The copies, one of each kind, and who is told of their changes.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use derive_more::Debug;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::mirror::{Mirror, Update};
+use medlarrill_platform::store::Kind;
+use tokio::sync::{broadcast, watch};
+
+use super::effect::Sinks;
+
+/// The kinds that are kept.
+pub const KINDS: [Kind; 2] = [Kind::Configuration, Kind::Endpoints];
+/// Changes that a follower may lag behind before it has to ask anew.
+const LAG: usize = 256;
+
+/// Changes of one kind, as they took effect here.
+pub type Effects = Arc<(Kind, Update)>;
+
+/// The copies.
+#[derive(Debug)]
+pub struct Copies {
+    configuration: Mutex<Mirror>,
+    endpoints: Mutex<Mirror>,
+    sinks: Sinks,
+    effects: broadcast::Sender<Effects>,
+    /// Set once the endpoints were listed.
+    listed: watch::Sender<bool>,
+    /// Whether calls to the platform fail.
+    cut_off: AtomicBool,
+}
+
+impl Copies {
+    /// Copies of nothing.
+    pub fn new(sinks: Sinks, listed: watch::Sender<bool>) -> Self {
+        Self {
+            configuration: Mutex::default(),
+            endpoints: Mutex::default(),
+            sinks,
+            effects: broadcast::Sender::new(LAG),
+            listed,
+            cut_off: AtomicBool::new(false),
+        }
+    }
+
+    fn lock(&self, kind: Kind) -> MutexGuard<'_, Mirror> {
+        let mirror = match kind {
+            Kind::Configuration => &self.configuration,
+            Kind::Endpoints => &self.endpoints,
+        };
+        mirror.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The revision that a copy has reached.
+    pub fn revision(&self, kind: Kind) -> Option<u64> {
+        self.lock(kind).revision()
+    }
+
+    /// Time since a copy was last known to be up to date.
+    pub fn age(&self, kind: Kind, now: Millis) -> Option<Millis> {
+        self.lock(kind).age(now)
+    }
+
+    /// What brings a copy of a revision up to this one, and the changes from then on.
+    pub fn subscribe(
+        &self,
+        kind: Kind,
+        revision: Option<u64>,
+    ) -> (Option<Update>, broadcast::Receiver<Effects>) {
+        let mirror = self.lock(kind);
+        (mirror.since(revision), self.effects.subscribe())
+    }
+
+    /// Takes an update that was up to date at `heard`.
+    pub fn apply(&self, kind: Kind, update: Update, heard: Millis, now: Millis) {
+        let mut mirror = self.lock(kind);
+        let changes = mirror.apply(update, heard, now);
+        self.tell(kind, &mirror, changes);
+        if kind == Kind::Endpoints {
+            self.listed
+                .send_if_modified(|listed| !std::mem::replace(listed, true));
+        }
+    }
+
+    /// Drops objects that were missing for too long.
+    pub fn tick(&self, now: Millis) {
+        for kind in KINDS {
+            let mut mirror = self.lock(kind);
+            let changes = mirror.tick(now);
+            self.tell(kind, &mirror, changes);
+        }
+    }
+
+    fn tell(
+        &self,
+        kind: Kind,
+        mirror: &Mirror,
+        changes: Vec<medlarrill_core::routing::mirror::Change>,
+    ) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in &changes {
+            self.sinks.take(kind, change);
+        }
+        let update = Update {
+            whole: false,
+            changes,
+            revision: mirror.revision().unwrap_or_default(),
+        };
+        // Fails only where nobody follows this daemon.
+        self.effects.send(Arc::new((kind, update))).ok();
+    }
+
+    /// Notes that the platform answers again after an outage of this length.
+    pub fn platform_back(&self, kind: Kind, outage: Millis, now: Millis) {
+        self.lock(kind).platform_back(outage, now);
+    }
+
+    /// Notes whether calls to the platform fail.
+    pub fn set_cut_off(&self, cut_off: bool) {
+        self.cut_off.store(cut_off, Ordering::Relaxed);
+    }
+
+    /// Whether calls to the platform fail.
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/router/src/store/direct.rs
@@ -0,0 +1,197 @@
+//! Follows the platform itself: a list, then the changes since.
+
+use std::net::SocketAddr;
+
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::mirror::{Change, Object, Update};
+use medlarrill_net::now::now;
+use medlarrill_platform::store::{self as wire, Kind};
+use rand::RngExt;
+
+use super::Store;
+use super::client::{CallError, Client, Result};
+
+/// Longest time that the platform holds a call for changes. A connection that went silent is
+/// found out after this and [`ANSWER`]; each such call costs as much as any other.
+const HOLD: Millis = Millis(1500);
+/// Longest time for an answer beyond the time that the platform holds it. It answers in some
+/// milliseconds, in a fifth of a second when it is slow.
+const ANSWER: Millis = Millis(900);
+/// Longest first pause after a failed call.
+const BACKOFF: Millis = Millis(200);
+/// Longest pause between failed calls; bounds how late changes are seen after an outage.
+const BACKOFF_MAX: Millis = Millis(800);
+/// Pause after changes of the configuration, in which further ones are gathered. Versions have
+/// to be in force within 2 s; this takes a tenth of that.
+const CONFIGURATION_PAUSE: Millis = Millis(200);
+/// Pause after changes of endpoints. A leaving endpoint gets no new work after 2 s at most;
+/// gathering for half of that saves four of five calls while endpoints report.
+const ENDPOINTS_PAUSE: Millis = Millis(900);
+/// Between two looks whether this daemon has to follow the platform.
+const IDLE: Millis = Millis(50);
+/// Age of a copy at which a daemon that doesn't follow the platform asks it, where no relay is
+/// heard. Beyond the age that copies reach while the platform holds a call.
+const STALE: Millis = Millis(2600);
+/// Time for which a daemon that lost the platform isn't chosen to follow it.
+const CUT_OFF: Millis = Millis::from_secs(5);
+
+/// Follows one kind until the process ends, whenever it falls to this daemon.
+pub async fn follow(store: Store, platform: SocketAddr, kind: Kind) {
+    let mut follower = Follower {
+        client: Client::new(platform),
+        kind,
+        store,
+        heard: now(),
+        failures: 0,
+        failed: None,
+    };
+    loop {
+        if follower.is_due() {
+            follower.step().await;
+        } else {
+            follower.forgive();
+            tokio::time::sleep(IDLE.as_duration()).await;
+        }
+    }
+}
+
+struct Follower {
+    client: Client,
+    kind: Kind,
+    store: Store,
+    /// When the platform last answered.
+    heard: Millis,
+    failures: u32,
+    /// When a call last failed.
+    failed: Option<Millis>,
+}
+
+impl Follower {
+    /// Whether this daemon has to ask the platform: it is chosen, knows nothing, or hears of
+    /// nobody who knows more.
+    fn is_due(&self) -> bool {
+        let roster = self.store.roster.borrow();
+        let age = self.store.copies.age(self.kind, now());
+        let is_stale = age.is_none_or(|age| age > STALE);
+        roster.is_watcher || age.is_none() || is_stale && !roster.is_relayed
+    }
+
+    async fn step(&mut self) {
+        let result = match self.store.copies.revision(self.kind) {
+            None => self.list().await,
+            Some(revision) => self.watch(revision).await,
+        };
+        let result = match result {
+            Err(error) if error.is_gone() => {
+                log::info!(target: "store", kind:% = self.kind; "store: history gone, listing anew");
+                self.list().await
+            }
+            result => result,
+        };
+        if let Err(error) = result {
+            self.fail(&error).await;
+        }
+    }
+
+    async fn list(&mut self) -> Result<()> {
+        let mut objects: Vec<Object> = Vec::new();
+        let mut first = None;
+        loop {
+            let after = objects.last().map(|object| object.name.as_str());
+            let path = wire::list_path(self.kind, after);
+            let asked = now();
+            let body = self.call(&path, ANSWER).await?;
+            let page = wire::page(&body).map_err(CallError::Decode)?;
+            // Changes between two pages come again with the changes since the first.
+            let (revision, heard) = *first.get_or_insert((page.revision, asked));
+            let is_last = !page.more || page.objects.is_empty();
+            objects.extend(page.objects);
+            if is_last {
+                let update = Update {
+                    whole: true,
+                    changes: objects.into_iter().map(Change::Put).collect(),
+                    revision,
+                };
+                self.store.copies.apply(self.kind, update, heard, now());
+                return Ok(());
+            }
+        }
+    }
+
+    async fn watch(&mut self, revision: u64) -> Result<()> {
+        let path = wire::watch_path(self.kind, revision, HOLD);
+        let body = self.call(&path, HOLD + ANSWER).await?;
+        let heard = now();
+        let changes = wire::changes(&body).map_err(CallError::Decode)?;
+        let is_quiet = changes.changes.is_empty();
+        let update = Update {
+            whole: false,
+            changes: changes.changes,
+            revision: changes.revision,
+        };
+        self.store.copies.apply(self.kind, update, heard, heard);
+        if !is_quiet {
+            let pause = match self.kind {
+                Kind::Configuration => CONFIGURATION_PAUSE,
+                Kind::Endpoints => ENDPOINTS_PAUSE,
+            };
+            tokio::time::sleep(pause.as_duration()).await;
+        }
+        Ok(())
+    }
+
+    async fn call(&mut self, path: &str, wait: Millis) -> Result<bytes::Bytes> {
+        self.store.metrics.calls.inc();
+        let asked = now();
+        let body = self.client.get(path, wait).await;
+        if matches!(&body, Ok(_)) || matches!(&body, Err(error) if error.is_gone()) {
+            self.answered(asked);
+        }
+        body
+    }
+
+    fn answered(&mut self, asked: Millis) {
+        let at = now();
+        if self.failures > 0 {
+            let outage = asked.since(self.heard);
+            log::info!(
+                target: "store", kind:% = self.kind, silent = outage.0, failures = self.failures;
+                "store: answers again"
+            );
+            self.store.copies.platform_back(self.kind, outage, at);
+        }
+        self.failures = 0;
+        self.failed = None;
+        self.heard = at;
+        self.store.copies.set_cut_off(false);
+    }
+
+    /// Makes this daemon eligible again some time after it lost the platform.
+    fn forgive(&mut self) {
+        self.heard = now();
+        self.failures = 0;
+        if self.failed.is_some_and(|at| now().since(at) >= CUT_OFF) {
+            self.failed = None;
+            self.store.copies.set_cut_off(false);
+        }
+    }
+
+    async fn fail(&mut self, error: &CallError) {
+        self.store.metrics.failed_calls.inc();
+        self.failed = Some(now());
+        self.store.copies.set_cut_off(true);
+        let silent = now().since(self.heard);
+        if self.failures == 0 {
+            log::warn!(
+                target: "store", kind:% = self.kind, silent = silent.0, cause:% = error;
+                "store: lost, what is known stays"
+            );
+        } else {
+            log::debug!(target: "store", "store: {} fails: {error}", self.kind);
+        }
+        let most = (BACKOFF.0 << self.failures.min(4)).min(BACKOFF_MAX.0);
+        self.failures += 1;
+        let pause = Millis(rand::rng().random_range(most / 2..=most));
+        tokio::time::sleep(pause.as_duration()).await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/store/relay.rs
@@ -0,0 +1,182 @@
+//! Copies that follow other daemons' copies, over connections between daemons.
+//!
+//! A follower says which revisions it has reached; the other side sends what
+//! is newer, then each change as it takes effect there, and at least twice a
+//! second how old its copies are. A follower has two such connections, so that
+//! one daemon that freezes or is cut off delays nothing.
+
+mod message;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error, From};
+use futures_util::{SinkExt, StreamExt};
+use medlarrill_core::clock::Millis;
+use medlarrill_net::now::now;
+use medlarrill_platform::store::Kind;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::broadcast::error::RecvError;
+use tokio::task::JoinHandle;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use self::message::{Ask, Tell};
+use super::Store;
+use super::copies::KINDS;
+use crate::socket;
+
+/// Daemons that one follows at a time.
+const SOURCES: usize = 2;
+/// Longest time to connect to a daemon.
+const CONNECT: Millis = Millis(400);
+/// Between two words on how old the copies are.
+const BEAT: Millis = Millis(500);
+/// Silence after which a connection is given up.
+const SILENT: Millis = Millis(1200);
+/// Between two looks at whom to follow.
+const LOOK: Millis = Millis(250);
+/// Largest message: the platform's values end at 1 MiB, a list holds some hundred small ones.
+const FRAME: usize = 8 << 20;
+/// Longest time for a follower's first message.
+const ASK: Millis = Millis(2000);
+
+/// Result of following or serving a copy.
+type Result<T> = std::result::Result<T, RelayError>;
+
+/// Why a connection ended.
+#[derive(Debug, Display, Error, From)]
+enum RelayError {
+    #[display("{_0}")]
+    Io(std::io::Error),
+    #[display("{_0}")]
+    Decode(prost::DecodeError),
+    #[display("nothing came in time")]
+    Silent,
+    #[display("the other side closed it")]
+    Closed,
+    #[display("too far behind")]
+    Behind,
+}
+
+type Link = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn link(stream: TcpStream) -> Link {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+/// Serves the copies to other daemons until the process ends.
+pub async fn serve(store: Store, listener: TcpListener) {
+    loop {
+        let stream = socket::accept(&listener).await;
+        let store = store.clone();
+        tokio::spawn(async move {
+            if let Err(error) = serve_one(&store, link(stream)).await {
+                log::debug!(target: "relay", "relay: a follower left: {error}");
+            }
+        });
+    }
+}
+
+async fn serve_one(store: &Store, mut link: Link) -> Result<()> {
+    let ask = tokio::time::timeout(ASK.as_duration(), link.next()).await;
+    let ask = ask.map_err(|_| RelayError::Silent)?;
+    let ask = Ask::read(&ask.ok_or(RelayError::Closed)??)?;
+    let mut effects = None;
+    for kind in KINDS {
+        let (update, receiver) = store.copies.subscribe(kind, ask.revision(kind));
+        // The receiver of the first kind sees the changes of both from then on.
+        effects.get_or_insert(receiver);
+        if let Some(update) = update {
+            send(store, &mut link, kind, Some(&update)).await?;
+        }
+    }
+    let Some(mut effects) = effects else {
+        return Ok(());
+    };
+    let mut beat = tokio::time::interval(BEAT.as_duration());
+    loop {
+        tokio::select! {
+            effect = effects.recv() => match effect {
+                Ok(effect) => send(store, &mut link, effect.0, Some(&effect.1)).await?,
+                Err(RecvError::Lagged(_)) => return Err(RelayError::Behind),
+                Err(RecvError::Closed) => return Ok(()),
+            },
+            _ = beat.tick() => {
+                for kind in KINDS {
+                    send(store, &mut link, kind, None).await?;
+                }
+            }
+        }
+    }
+}
+
+async fn send(
+    store: &Store,
+    link: &mut Link,
+    kind: Kind,
+    update: Option<&medlarrill_core::routing::mirror::Update>,
+) -> Result<()> {
+    let Some(age) = store.copies.age(kind, now()) else {
+        return Ok(());
+    };
+    let sending = link.send(Tell::new(kind, update, age).encode());
+    let sent = tokio::time::timeout(SILENT.as_duration(), sending).await;
+    Ok(sent.map_err(|_| RelayError::Silent)??)
+}
+
+/// Follows the daemons that follow the platform, while this one isn't among them.
+pub async fn follow(store: Store) {
+    let mut links: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
+    let mut ticks = tokio::time::interval(LOOK.as_duration());
+    loop {
+        ticks.tick().await;
+        let targets = targets(&store);
+        links.retain(|address, task| {
+            let wanted = targets.contains(address);
+            if !wanted {
+                task.abort();
+            }
+            wanted && !task.is_finished()
+        });
+        for target in targets {
+            let store = store.clone();
+            links
+                .entry(target)
+                .or_insert_with(|| tokio::spawn(follow_one(store, target)));
+        }
+    }
+}
+
+fn targets(store: &Store) -> Vec<SocketAddr> {
+    let roster = store.roster.borrow();
+    match roster.is_watcher {
+        true => Vec::new(),
+        false => roster.watchers.iter().copied().take(SOURCES).collect(),
+    }
+}
+
+async fn follow_one(store: Store, source: SocketAddr) {
+    if let Err(error) = take(&store, source).await {
+        log::info!(target: "relay", source:%, cause:% = error; "relay: source lost");
+    }
+}
+
+async fn take(store: &Store, source: SocketAddr) -> Result<()> {
+    let mut link = link(socket::connect(source, CONNECT).await?);
+    let reached = KINDS.map(|kind| (kind, store.copies.revision(kind)));
+    link.send(Ask::new(&reached).encode()).await?;
+    log::info!(target: "relay", source:%; "relay: follows");
+    loop {
+        let frame = tokio::time::timeout(SILENT.as_duration(), link.next()).await;
+        let frame = frame.map_err(|_| RelayError::Silent)?;
+        let tell = Tell::read(&frame.ok_or(RelayError::Closed)??)?;
+        let at = now();
+        store.roster.heard_relay(at);
+        if let Some((kind, update, age)) = tell.into_update() {
+            store.copies.apply(kind, update, at - age, at);
+        }
+    }
+}
