Router: an endpoint that was tried isn't tried again, and a fresh daemon spends no slack

Outcomes that the second hub passed on were counted twice there; found by the test of outcomes, mended here too.

--- a/crates/core/src/routing/budget.rs
+++ b/crates/core/src/routing/budget.rs
@@ -3,6 +3,8 @@
 //! The fleet may repeat a share of the requests of a window, and some more.
 //! Each daemon spends its own part of that without asking the others: the
 //! share of the requests that it took itself, and an equal part of the rest.
+//! For a window after its start it spends no part of the rest, since it may
+//! have spent that before it was killed.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -41,15 +43,17 @@
 pub struct Budget {
     settings: Settings,
     daemons: u32,
+    started: Millis,
     pools: HashMap<PoolId, Counts>,
 }
 
 impl Budget {
-    /// A budget for one of `daemons` daemons.
-    pub fn new(settings: Settings, daemons: u32) -> Self {
+    /// The budget of a daemon that starts now.
+    pub fn new(settings: Settings, now: Millis) -> Self {
         Self {
             settings,
-            daemons: daemons.max(1),
+            daemons: 1,
+            started: now,
             pools: HashMap::new(),
         }
     }
@@ -72,8 +76,15 @@
 
     /// Takes one repeat, unless the window's are spent.
     pub fn spend(&mut self, pool: &PoolId, now: Millis) -> bool {
-        let Settings { ratio, slack, .. } = self.settings;
-        let slack = slack / f64::from(self.daemons);
+        let Settings {
+            ratio,
+            slack,
+            window,
+        } = self.settings;
+        let slack = match now.since(self.started) >= window {
+            true => slack / f64::from(self.daemons),
+            false => 0.0,
+        };
         let counts = self.counts(pool, now);
         let allowed = USED * (ratio * counts.requests.len() as f64 + slack);
         let fits = (counts.repeats.len() + 1) as f64 <= allowed;
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -108,13 +108,13 @@
     choice.map(|choice| Choice { bound, ..choice })
 }
 
-/// The best group of candidates that isn't empty.
+/// The best group of candidates that isn't empty. One that was tried isn't tried again: it is
+/// full or failing, and a second answer would cost a repeat that others need.
 fn usable<'a>(ready: &[&'a Candidate], trial: bool) -> Vec<&'a Candidate> {
-    let groups: [&dyn Fn(&Candidate) -> bool; 4] = [
+    let groups: [&dyn Fn(&Candidate) -> bool; 3] = [
         &|c| !c.tried && (c.standing == Standing::Good || trial && c.standing == Standing::Trial),
         &|c| !c.tried && c.standing != Standing::Down,
         &|c| !c.tried,
-        &|_| true,
     ];
     let pick = |group: &dyn Fn(&Candidate) -> bool| -> Vec<&'a Candidate> {
         ready.iter().copied().filter(|c| group(c)).collect()
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -88,7 +88,7 @@
 }
 
 impl Others {
-    /// Forgets outcomes: each hub tells them, and they count once.
+    /// Forgets outcomes.
     const fn clear_outcomes(&mut self) {
         self.good = 0;
         self.bad = 0;
@@ -230,12 +230,21 @@
     }
 
     /// What the reports that this daemon got say of the others.
-    pub fn gathered(&self) -> HashMap<u32, Others> {
+    pub fn gathered(&self, now: Millis) -> HashMap<u32, Others> {
         let mut total = Summary::default();
         for (_, report) in self.reports.values() {
             total.add(report);
         }
-        total.by_endpoint()
+        self.heard_from(self.me, &total, now)
+    }
+
+    /// What a hub says. Each hub tells outcomes, and those of the first count.
+    fn heard_from(&self, hub: SocketAddr, summary: &Summary, now: Millis) -> HashMap<u32, Others> {
+        let mut others = summary.by_endpoint();
+        if self.hubs(now).first() != Some(&hub) {
+            others.values_mut().for_each(Others::clear_outcomes);
+        }
+        others
     }
 
     /// Whether this daemon has reports of others.
@@ -268,11 +277,7 @@
                 for peer in &summary.peers {
                     self.hear(peer, now);
                 }
-                let mut others = summary.by_endpoint();
-                if self.hubs(now).first() != Some(&from) {
-                    others.values_mut().for_each(Others::clear_outcomes);
-                }
-                Some(others)
+                Some(self.heard_from(from, &summary, now))
             }
         }
     }
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,18 @@
+//! Routing straight to endpoints: each decision by itself, and loads told between daemons.
+
+mod routing {
+    mod bound;
+    mod budget;
+    mod choose;
+    mod config;
+    mod directory;
+    mod events;
+    mod exchange;
+    mod health;
+    mod load;
+    mod mirror;
+    mod plan;
+    mod request;
+    mod stop;
+    mod support;
+}
--- /dev/null
+++ b/crates/core/tests/routing/bound.rs
@@ -0,0 +1,182 @@
+//! The load bound over many daemons that each see a sliver of the traffic, in model time.
+//!
+//! Requests arrive at random daemons; a fifth of them share one prefix. Each daemon knows its
+//! own requests, and those of others as of its last summary.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::choose::{Candidate, choose};
+use medlarrill_core::routing::endpoint::Endpoint;
+use medlarrill_core::routing::exchange::{Entry, Exchange, Report, short_id};
+use medlarrill_core::routing::health::Standing;
+use medlarrill_core::routing::load::Loads;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use super::support::{endpoint, prefix};
+
+/// Load over which an endpoint is given too much: twice the mean and 3.
+const TWICE: f64 = 2.0;
+const GRAIN: f64 = 3.0;
+/// Prefixes in use.
+const PREFIXES: u64 = 200;
+/// Share of requests with the one hot prefix.
+const HOT: f64 = 0.2;
+/// Length of a request.
+const LENGTH: u64 = 1500;
+/// Requests a second at one endpoint.
+const PACE: u64 = 8;
+const TICK: u64 = 250;
+
+struct Fleet {
+    daemons: Vec<(Exchange, Loads)>,
+    endpoints: Vec<Arc<Endpoint>>,
+    at_endpoint: HashMap<String, f64>,
+    rng: Pcg32,
+    told: bool,
+}
+
+impl Fleet {
+    fn new(daemons: u16, endpoints: usize, told: bool) -> Self {
+        let address = |number: u16| SocketAddr::from(([10, 0, 0, 1], number));
+        let seeds = vec![address(1), address(2)];
+        let daemon = |number| {
+            (
+                Exchange::new(address(number), seeds.clone()),
+                Loads::default(),
+            )
+        };
+        let endpoint = |number| Arc::new(endpoint(&format!("e{number}")));
+        Self {
+            daemons: (1..=daemons).map(daemon).collect(),
+            endpoints: (0..endpoints).map(endpoint).collect(),
+            at_endpoint: HashMap::new(),
+            rng: Pcg32::seed_from_u64(7),
+            told,
+        }
+    }
+
+    /// Share of requests that reached an endpoint over twice the mean, after a warm-up.
+    fn play(&mut self, length: u64) -> f64 {
+        let mut ends: Vec<(u64, usize, usize)> = Vec::new();
+        let (mut over, mut all) = (0.0, 0.0);
+        let pause = 1000.0 / (PACE * self.endpoints.len() as u64) as f64;
+        let mut next = 0.0;
+        for now in 0..length {
+            ends.retain(|(at, daemon, endpoint)| {
+                if *at == now {
+                    let id = &self.endpoints[*endpoint].id;
+                    self.daemons[*daemon].1.end(id);
+                    *self.at_endpoint.entry(id.to_string()).or_default() -= 1.0;
+                }
+                *at > now
+            });
+            if self.told && now % TICK == 0 {
+                self.exchange(Millis(now));
+            }
+            while next <= now as f64 {
+                next += pause;
+                let daemon = self.rng.random_range(0..self.daemons.len());
+                let (endpoint, is_over) = self.send(daemon, Millis(now));
+                ends.push((now + LENGTH, daemon, endpoint));
+                if now > 3 * LENGTH {
+                    all += 1.0;
+                    over += if is_over { 1.0 } else { 0.0 };
+                }
+            }
+        }
+        over / all
+    }
+
+    fn send(&mut self, daemon: usize, now: Millis) -> (usize, bool) {
+        let key = match self.rng.random::<f64>() < HOT {
+            true => 0,
+            false => self.rng.random_range(1..PREFIXES),
+        };
+        let loads = &mut self.daemons[daemon].1;
+        let candidate = |endpoint: &Arc<Endpoint>| Candidate {
+            endpoint: Arc::clone(endpoint),
+            load: loads.total(&endpoint.id, now),
+            standing: Standing::Good,
+            tried: false,
+            age: Millis(60_000),
+        };
+        let all: Vec<Candidate> = self.endpoints.iter().map(candidate).collect();
+        let near = "near".parse().expect("a name");
+        let choice = choose(&all, Some(&prefix(key)), &near, false, &mut self.rng);
+        let id = choice.expect("a choice").endpoint.id.clone();
+        loads.begin(&id);
+        let mean = self.at_endpoint.values().sum::<f64>() / self.endpoints.len() as f64;
+        let held = self.at_endpoint.entry(id.to_string()).or_default();
+        let is_over = *held > TWICE * mean + GRAIN;
+        *held += 1.0;
+        let same = |endpoint: &Arc<Endpoint>| endpoint.id == id;
+        (
+            self.endpoints.iter().position(same).expect("known"),
+            is_over,
+        )
+    }
+
+    fn exchange(&mut self, now: Millis) {
+        let mut sent = Vec::new();
+        for (number, (exchange, loads)) in self.daemons.iter_mut().enumerate() {
+            let entry = |(id, in_flight)| Entry {
+                endpoint: short_id(id),
+                in_flight,
+                good: 0,
+                bad: 0,
+            };
+            let own = Report {
+                entries: loads.in_flight().map(entry).collect(),
+                cut_off: false,
+            };
+            if exchange.is_hub() {
+                take(loads, &self.endpoints, &exchange.gathered(now), now);
+            }
+            let from = SocketAddr::from(([10, 0, 0, 1], number as u16 + 1));
+            let out = exchange.tick(own, now);
+            sent.extend(out.into_iter().map(|(to, message)| (from, to, message)));
+        }
+        for (from, to, message) in sent {
+            let (exchange, loads) = &mut self.daemons[usize::from(to.port()) - 1];
+            if let Some(others) = exchange.receive(from, message, now) {
+                take(loads, &self.endpoints, &others, now);
+            }
+        }
+    }
+}
+
+fn take(
+    loads: &mut Loads,
+    endpoints: &[Arc<Endpoint>],
+    others: &HashMap<u32, medlarrill_core::routing::exchange::Others>,
+    now: Millis,
+) {
+    for endpoint in endpoints {
+        let others = others.get(&short_id(&endpoint.id));
+        let in_flight = others.map_or(0, |others| others.in_flight);
+        loads.others(&endpoint.id, in_flight, now);
+    }
+}
+
+#[gtest]
+fn at_84_daemons_told_loads_keep_endpoints_under_twice_the_mean() {
+    let share = Fleet::new(84, 60, true).play(8000);
+    expect_that!(share, lt(0.03));
+}
+
+#[gtest]
+fn at_350_daemons_too() {
+    let share = Fleet::new(350, 60, true).play(8000);
+    expect_that!(share, lt(0.03));
+}
+
+#[gtest]
+fn daemons_that_know_only_their_own_requests_pass_it() {
+    let share = Fleet::new(84, 60, false).play(8000);
+    expect_that!(share, gt(0.03));
+}
--- /dev/null
+++ b/crates/core/tests/routing/exchange.rs
@@ -0,0 +1,176 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::exchange::{Entry, Exchange, Message, Others, Report};
+
+fn address(number: u16) -> SocketAddr {
+    ([10, 0, 0, 1], number).into()
+}
+
+fn report(endpoint: u32, in_flight: u32, good: u32, bad: u32) -> Report {
+    Report {
+        entries: vec![Entry {
+            endpoint,
+            in_flight,
+            good,
+            bad,
+        }],
+        cut_off: false,
+    }
+}
+
+/// Daemons that tick together; datagrams between all but the lost ones arrive at once.
+struct Fleet {
+    daemons: Vec<Exchange>,
+    heard: Vec<HashMap<u32, Others>>,
+    /// Failed attempts that each has heard of.
+    bad: Vec<u32>,
+    lost: Vec<usize>,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let seeds = vec![address(0), address(1)];
+        let daemon = |number| Exchange::new(address(number as u16), seeds.clone());
+        Self {
+            daemons: (0..count).map(daemon).collect(),
+            heard: vec![HashMap::new(); count],
+            bad: vec![0; count],
+            lost: Vec::new(),
+        }
+    }
+
+    fn round(&mut self, reports: impl Fn(usize) -> Report, now: Millis) {
+        let mut sent = Vec::new();
+        for number in 0..self.daemons.len() {
+            if self.lost.contains(&number) {
+                continue;
+            }
+            if self.daemons[number].is_hub() {
+                self.heard[number] = self.daemons[number].gathered(now);
+                let bad = self.heard[number].values().map(|others| others.bad);
+                self.bad[number] += bad.sum::<u32>();
+            }
+            let out = self.daemons[number].tick(reports(number), now);
+            sent.extend(out.into_iter().map(|(to, message)| (number, to, message)));
+        }
+        for (from, to, message) in sent {
+            let to = usize::from(to.port());
+            if self.lost.contains(&to) {
+                continue;
+            }
+            let bytes = message.encode();
+            let message = Message::decode(&bytes).expect("a datagram").expect("known");
+            if let Some(others) = self.daemons[to].receive(address(from as u16), message, now) {
+                self.bad[to] += others.values().map(|others| others.bad).sum::<u32>();
+                self.heard[to] = others;
+            }
+        }
+    }
+
+    fn run(&mut self, rounds: u64, from: u64, reports: impl Fn(usize) -> Report) -> u64 {
+        for round in 0..rounds {
+            self.round(&reports, Millis(from + round * 100));
+        }
+        from + rounds * 100
+    }
+}
+
+#[gtest]
+fn every_daemon_hears_what_all_others_have() {
+    let mut fleet = Fleet::new(30);
+    let now = fleet.run(30, 0, |_| report(7, 2, 0, 0));
+    for number in 0..30 {
+        let others = fleet.heard[number].get(&7).copied().unwrap_or_default();
+        expect_that!(others.in_flight, eq(58), "daemon {number}");
+        expect_that!(fleet.daemons[number].live(Millis(now)), eq(30));
+    }
+}
+
+#[gtest]
+fn daemons_agree_on_two_hubs_and_replace_one_that_is_lost() {
+    let mut fleet = Fleet::new(20);
+    let now = fleet.run(30, 0, |_| Report::default());
+    let hubs = fleet.daemons[5].hubs(Millis(now));
+    expect_that!(hubs.len(), eq(2));
+    for daemon in &fleet.daemons {
+        expect_that!(daemon.hubs(Millis(now)), eq(&hubs));
+    }
+    fleet.lost = hubs.iter().map(|hub| usize::from(hub.port())).collect();
+    let now = fleet.run(40, now, |_| report(7, 1, 0, 0));
+    let lost = fleet.lost.clone();
+    for number in (0..20).filter(|number| !lost.contains(number)) {
+        let live = fleet.daemons[number].live(Millis(now));
+        expect_that!(live, eq(18), "daemon {number}");
+        let others = fleet.heard[number].get(&7).copied().unwrap_or_default();
+        expect_that!(others.in_flight, eq(17), "daemon {number}");
+    }
+}
+
+#[gtest]
+fn each_outcome_is_heard_once() {
+    let mut fleet = Fleet::new(12);
+    let now = fleet.run(30, 0, |_| Report::default());
+    let told = |number: usize| match number {
+        3 => report(9, 0, 1, 4),
+        _ => Report::default(),
+    };
+    fleet.round(told, Millis(now));
+    fleet.run(6, now + 100, |_| Report::default());
+    for number in (0..12).filter(|number| *number != 3) {
+        expect_that!(fleet.bad[number], eq(4), "daemon {number}");
+    }
+    expect_that!(fleet.bad[3], eq(0));
+}
+
+#[gtest]
+fn a_daemon_that_was_cut_off_is_heard_again() {
+    let mut fleet = Fleet::new(10);
+    let now = fleet.run(20, 0, |_| Report::default());
+    fleet.lost = vec![4];
+    let now = fleet.run(40, now, |_| Report::default());
+    expect_that!(fleet.daemons[2].live(Millis(now)), eq(9));
+    fleet.lost.clear();
+    let now = fleet.run(40, now, |_| Report::default());
+    expect_that!(fleet.daemons[2].live(Millis(now)), eq(10));
+    expect_that!(fleet.daemons[4].live(Millis(now)), eq(10));
+}
+
+#[gtest]
+fn in_a_small_fleet_each_daemon_follows_the_platform_in_a_large_one_three_do() {
+    let mut small = Fleet::new(9);
+    let now = small.run(20, 0, |_| Report::default());
+    expect_that!(small.daemons[2].watchers(false, Millis(now)).len(), eq(9));
+    let mut large = Fleet::new(84);
+    let now = large.run(20, 0, |_| Report::default());
+    let watchers = large.daemons[2].watchers(false, Millis(now));
+    expect_that!(watchers.len(), eq(3));
+    expect_that!(
+        large.daemons[50].watchers(false, Millis(now)),
+        eq(&watchers)
+    );
+}
+
+#[gtest]
+fn daemons_that_lost_the_platform_are_replaced_as_watchers() {
+    let mut fleet = Fleet::new(30);
+    let now = fleet.run(20, 0, |_| Report::default());
+    let before = fleet.daemons[2].watchers(false, Millis(now));
+    let lost = usize::from(before[0].port());
+    let cut_off = |number: usize| Report {
+        cut_off: number == lost,
+        ..Report::default()
+    };
+    let now = fleet.run(20, now, cut_off);
+    let after = fleet.daemons[2].watchers(false, Millis(now));
+    expect_that!(after, not(contains(eq(&before[0]))));
+    expect_that!(after.len(), eq(3));
+}
+
+#[gtest]
+fn bytes_that_are_no_datagram_are_an_error() {
+    expect_that!(Message::decode(b"\xff\xff\xff"), err(anything()));
+    expect_that!(Message::decode(b""), ok(none()));
+}
--- /dev/null
+++ b/crates/core/tests/routing/health.rs
@@ -0,0 +1,101 @@
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::attempt::Fault;
+use medlarrill_core::routing::health::{Health, Standing};
+
+use super::support::id;
+
+#[gtest]
+fn failures_well_above_the_pools_mean_make_an_endpoint_bad_and_time_heals_it() {
+    let mut health = Health::default();
+    for at in 0..4 {
+        health.bad(&id("a"), Fault::Failed, Millis(1000 + at));
+    }
+    health.trial(&id("a"), Millis(1004));
+    expect_that!(
+        health.standing(&id("a"), 0.05, Millis(1010)),
+        eq(Standing::Bad)
+    );
+    expect_that!(
+        health.standing(&id("a"), 0.05, Millis(1800)),
+        eq(Standing::Trial)
+    );
+    expect_that!(
+        health.standing(&id("a"), 0.05, Millis(12_000)),
+        eq(Standing::Good)
+    );
+}
+
+#[gtest]
+fn a_single_failure_and_a_failing_pool_are_no_reason_to_avoid_an_endpoint() {
+    let mut health = Health::default();
+    health.bad(&id("a"), Fault::Failed, Millis(0));
+    expect_that!(
+        health.standing(&id("a"), 0.0, Millis(0)),
+        eq(Standing::Good)
+    );
+    for _ in 0..10 {
+        health.bad(&id("a"), Fault::Failed, Millis(0));
+    }
+    let ids = [id("a")];
+    let mean = health.mean(ids.iter(), Millis(0));
+    expect_that!(
+        health.standing(&id("a"), mean, Millis(0)),
+        eq(Standing::Good)
+    );
+}
+
+#[gtest]
+fn an_endpoint_without_connection_is_down_for_a_while_that_doubles() {
+    let mut health = Health::default();
+    health.bad(&id("a"), Fault::NotSent, Millis(0));
+    expect_that!(
+        health.standing(&id("a"), 0.0, Millis(200)),
+        eq(Standing::Down)
+    );
+    expect_that!(
+        health.standing(&id("a"), 0.0, Millis(300)),
+        eq(Standing::Good)
+    );
+    health.bad(&id("a"), Fault::NotSent, Millis(300));
+    expect_that!(
+        health.standing(&id("a"), 0.0, Millis(700)),
+        eq(Standing::Down)
+    );
+    health.good(&id("a"), Millis(900));
+    health.bad(&id("a"), Fault::NotSent, Millis(900));
+    expect_that!(
+        health.standing(&id("a"), 0.0, Millis(1200)),
+        eq(Standing::Good)
+    );
+}
+
+#[gtest]
+fn being_full_is_no_illness() {
+    let mut health = Health::default();
+    for _ in 0..20 {
+        health.bad(&id("a"), Fault::Rejected, Millis(0));
+    }
+    expect_that!(
+        health.standing(&id("a"), 0.0, Millis(0)),
+        eq(Standing::Good)
+    );
+}
+
+#[gtest]
+fn what_other_daemons_saw_counts_like_own_answers() {
+    let (mut own, mut told) = (Health::default(), Health::default());
+    for _ in 0..5 {
+        own.bad(&id("a"), Fault::Lost, Millis(0));
+    }
+    told.others(&id("a"), 0, 5, Millis(0));
+    let (one, other) = (
+        own.failures(&id("a"), Millis(0)),
+        told.failures(&id("a"), Millis(0)),
+    );
+    expect_that!(one, near(other, 1e-9));
+    expect_that!(
+        told.standing(&id("a"), 0.0, Millis(0)),
+        not(eq(Standing::Good))
+    );
+}
--- /dev/null
+++ b/crates/core/tests/routing/mirror.rs
@@ -0,0 +1,174 @@
+use bytes::Bytes;
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::mirror::{Change, GRACE, Mirror, Object, Update};
+
+fn object(name: &str, revision: u64) -> Object {
+    Object {
+        name: name.into(),
+        revision,
+        spec: Bytes::from_static(b"{}"),
+    }
+}
+
+fn put(name: &str, revision: u64) -> Change {
+    Change::Put(object(name, revision))
+}
+
+fn removed(name: &str, revision: u64) -> Change {
+    Change::Removed {
+        name: name.into(),
+        revision,
+    }
+}
+
+fn list(changes: Vec<Change>, revision: u64) -> Update {
+    Update {
+        whole: true,
+        changes,
+        revision,
+    }
+}
+
+fn changes(changes: Vec<Change>, revision: u64) -> Update {
+    Update {
+        whole: false,
+        changes,
+        revision,
+    }
+}
+
+/// A mirror that has listed `a` and `b` at revision 10.
+fn mirror() -> Mirror {
+    let mut mirror = Mirror::default();
+    mirror.apply(
+        list(vec![put("a", 3), put("b", 7)], 10),
+        Millis(0),
+        Millis(0),
+    );
+    mirror
+}
+
+#[gtest]
+fn sources_that_lag_or_repeat_themselves_change_nothing() {
+    let mut mirror = mirror();
+    let at = Millis(1);
+    expect_that!(
+        mirror.apply(changes(vec![put("a", 12)], 12), at, at).len(),
+        eq(1)
+    );
+    expect_that!(
+        mirror.apply(changes(vec![put("a", 12)], 12), at, at).len(),
+        eq(0)
+    );
+    expect_that!(
+        mirror.apply(changes(vec![put("a", 11)], 11), at, at).len(),
+        eq(0)
+    );
+    expect_that!(
+        mirror
+            .apply(list(vec![put("a", 3), put("b", 7)], 10), at, at)
+            .len(),
+        eq(0)
+    );
+    expect_that!(mirror.revision(), some(eq(12)));
+}
+
+#[gtest]
+fn an_older_put_after_a_removal_does_not_bring_an_object_back() {
+    let mut mirror = mirror();
+    let at = Millis(1);
+    mirror.apply(changes(vec![removed("b", 14)], 14), at, at);
+    expect_that!(
+        mirror.apply(changes(vec![put("b", 13)], 13), at, at).len(),
+        eq(0)
+    );
+    expect_that!(
+        mirror.apply(changes(vec![put("b", 15)], 15), at, at).len(),
+        eq(1)
+    );
+}
+
+#[gtest]
+fn a_whole_list_removes_what_it_lacks_but_nothing_newer() {
+    let mut mirror = mirror();
+    let at = Millis(1);
+    mirror.apply(changes(vec![put("c", 20)], 20), at, at);
+    let gone = mirror.apply(list(vec![put("a", 3)], 18), at, at);
+    expect_that!(gone, elements_are![eq(&removed("b", 20))]);
+}
+
+#[gtest]
+fn after_an_outage_a_missing_object_is_kept_until_the_grace_has_passed() {
+    let mut mirror = mirror();
+    mirror.platform_back(Millis(4000), Millis(5000));
+    let at = Millis(5100);
+    expect_that!(
+        mirror.apply(list(vec![put("a", 3)], 12), at, at).len(),
+        eq(0)
+    );
+    expect_that!(mirror.tick(Millis(6900)).len(), eq(0));
+    expect_that!(mirror.tick(Millis(5000) + GRACE).len(), eq(1));
+}
+
+#[gtest]
+fn an_object_that_is_back_within_the_grace_stays() {
+    let mut mirror = mirror();
+    mirror.platform_back(Millis(4000), Millis(5000));
+    let at = Millis(5100);
+    mirror.apply(list(vec![put("a", 3)], 12), at, at);
+    let at = Millis(5900);
+    mirror.apply(changes(vec![put("b", 13)], 13), at, at);
+    expect_that!(mirror.tick(Millis(9000)).len(), eq(0));
+}
+
+#[gtest]
+fn without_an_outage_a_removal_takes_effect_at_once() {
+    let mut mirror = mirror();
+    mirror.platform_back(Millis(300), Millis(5000));
+    let at = Millis(5100);
+    expect_that!(
+        mirror
+            .apply(changes(vec![removed("b", 12)], 12), at, at)
+            .len(),
+        eq(1)
+    );
+}
+
+#[gtest]
+fn a_follower_is_brought_up_to_date_from_where_it_is() {
+    let mut mirror = mirror();
+    let at = Millis(1);
+    mirror.apply(changes(vec![put("c", 12), removed("a", 13)], 13), at, at);
+    let update = mirror.since(Some(10)).expect("an update");
+    expect_that!(update.whole, eq(false));
+    expect_that!(
+        update.changes,
+        unordered_elements_are![eq(&put("c", 12)), eq(&removed("a", 13))]
+    );
+    let whole = mirror.since(Some(4)).expect("an update");
+    expect_that!(whole.whole, eq(true));
+    expect_that!(whole.changes.len(), eq(2));
+    expect_that!(Mirror::default().since(None), none());
+}
+
+#[gtest]
+fn a_removal_that_waited_reaches_a_follower_that_is_at_its_revision() {
+    let mut mirror = mirror();
+    mirror.platform_back(Millis(4000), Millis(5000));
+    let at = Millis(5100);
+    mirror.apply(list(vec![put("a", 3)], 12), at, at);
+    mirror.tick(Millis(8000));
+    let update = mirror.since(Some(12)).expect("an update");
+    expect_that!(update.changes, elements_are![eq(&removed("b", 12))]);
+}
+
+#[gtest]
+fn its_age_counts_from_when_it_was_last_known_to_be_up_to_date() {
+    let mut mirror = mirror();
+    expect_that!(mirror.age(Millis(300)), some(eq(Millis(300))));
+    mirror.apply(changes(Vec::new(), 10), Millis(200), Millis(250));
+    expect_that!(mirror.age(Millis(300)), some(eq(Millis(100))));
+    mirror.apply(changes(Vec::new(), 10), Millis(100), Millis(300));
+    expect_that!(mirror.age(Millis(300)), some(eq(Millis(100))));
+}
--- /dev/null
+++ b/crates/core/tests/routing/support.rs
@@ -0,0 +1,76 @@
+//! Endpoints, candidates and routes for these tests.
+
+use std::sync::Arc;
+
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::{EndpointId, PoolId};
+use medlarrill_core::routing::choose::Candidate;
+use medlarrill_core::routing::config::{Priority, Repeat, Route, Share};
+use medlarrill_core::routing::endpoint::Endpoint;
+use medlarrill_core::routing::health::Standing;
+use medlarrill_core::routing::request::SharedPrefix;
+use medlarrill_core::units::Tokens;
+
+pub fn id(name: &str) -> EndpointId {
+    name.parse().expect("a name")
+}
+
+pub fn pool() -> PoolId {
+    "pool".parse().expect("a name")
+}
+
+pub fn endpoint(name: &str) -> Endpoint {
+    Endpoint {
+        id: id(name),
+        pool: pool(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        data_centre: "near".parse().expect("a name"),
+        slots: 8,
+        leaving: false,
+        cold: Millis::ZERO,
+    }
+}
+
+pub fn candidate(name: &str, load: f64) -> Candidate {
+    Candidate {
+        endpoint: Arc::new(endpoint(name)),
+        load,
+        standing: Standing::Good,
+        tried: false,
+        age: Millis(60_000),
+    }
+}
+
+pub fn candidates(count: usize, load: f64) -> Vec<Candidate> {
+    (0..count)
+        .map(|number| candidate(&format!("e{number}"), load))
+        .collect()
+}
+
+pub fn prefix(key: u64) -> SharedPrefix {
+    SharedPrefix {
+        key,
+        tokens: Tokens(10_000),
+    }
+}
+
+pub fn route(repeat: Repeat, attempts: u32) -> Route {
+    Route {
+        name: "route".into(),
+        host: "host".into(),
+        prefix: "/a/".into(),
+        repeat,
+        stream: repeat == Repeat::Resume,
+        cached: false,
+        attempts,
+        timeout: Millis(10_000),
+        target: Millis(1000),
+        gap: Millis(600),
+        priority: Priority(1),
+        open: false,
+        shares: vec![Share {
+            pool: pool(),
+            weight: 1.0,
+        }],
+    }
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -109,7 +109,7 @@
     if exchange.is_hub() {
         shared
             .placement
-            .others(&exchange.gathered(), exchange.live(at), at);
+            .others(&exchange.gathered(at), exchange.live(at), at);
     }
     let own = shared.placement.own_report(shared.copies.is_cut_off());
     for (to, message) in exchange.tick(own, at) {
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -60,13 +60,13 @@
 
 impl Placement {
     /// Nothing is known yet.
-    pub fn new(near: DataCentreId, repeats: budget::Settings, daemons: u32, seed: u64) -> Self {
+    pub fn new(near: DataCentreId, repeats: budget::Settings, seed: u64, now: Millis) -> Self {
         Self {
             state: Mutex::new(State {
                 directory: Directory::default(),
                 loads: Loads::default(),
                 health: Health::default(),
-                budget: Budget::new(repeats, daemons),
+                budget: Budget::new(repeats, now),
                 outcomes: HashMap::new(),
                 rng: Pcg32::new(seed, seed),
             }),
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -21,9 +21,6 @@
 use crate::socket;
 use crate::store::{self, Copies, Sinks, Store};
 
-/// Daemons that share the fleet's slack of repeats where nobody has said how many there are;
-/// more than the largest fleet served, so that the whole stays within its budget.
-const DAEMONS: u32 = 100;
 /// Between two looks at what is due: idle connections, a changed settings file.
 const HOUSEKEEPING: Millis = Millis::from_secs(1);
 /// Between two looks whether a stopping daemon has finished its requests.
@@ -102,7 +99,7 @@
     let (in_force, config) = watch::channel(None);
     let (listed, is_listed) = watch::channel(false);
     let near = settings.data_centre.clone();
-    let placement = Placement::new(near, settings.repeats.into(), DAEMONS, rand::random());
+    let placement = Placement::new(near, settings.repeats.into(), rand::random(), now());
     let placement = Arc::new(placement);
     let metrics = Arc::new(Metrics::new());
     let sinks = Sinks {
