Router: hot prefixes are spread by their share of the fleet's traffic

Ruled out: the pace of reports alone. Hubs count requests by prefix and tell the shares of hot ones; each is spread over as many places as its share needs, drawn by the room left.

--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -27,6 +27,9 @@
 /// Requests that a longer way to another data centre counts as, for requests without cached
 /// parts: it costs about 1 ms, a request in a queue of six slots about 10 ms.
 const FAR: f64 = 0.5;
+/// Load that one hot prefix may bring to each of its places, against the mean load of the pool.
+/// With half of the mean, what the others bring fits beside it under the bound.
+const HOT_LOAD: f64 = 0.5;
 /// Shortest prefix worth a transfer between engines; below, the transfer's set-up of some
 /// milliseconds takes as long as reading the tokens again (48 a millisecond).
 const FETCH_MIN: u64 = 400;
@@ -90,10 +93,12 @@
 
 /// Picks an endpoint for a request that has shared prompt parts, or none.
 ///
+/// `share` is the prefix's share of the pool's traffic, as far as it is known to be large.
 /// `trial` says whether the request may be spent on an endpoint that is avoided.
 pub fn choose(
     candidates: &[Candidate],
     shared: Option<&SharedPrefix>,
+    share: f64,
     near: &DataCentreId,
     trial: bool,
     rng: &mut Pcg32,
@@ -102,7 +107,10 @@
     let usable = usable(&ready, trial);
     let bound = bound(&ready);
     let choice = match shared {
-        Some(prefix) => by_rank(candidates, &usable, prefix, bound),
+        Some(prefix) => {
+            let places = places(share, ready.len());
+            by_rank(candidates, &usable, prefix, bound, places, rng)
+        }
         None => by_load(&usable, near, rng),
     };
     choice.map(|choice| Choice { bound, ..choice })
@@ -131,25 +139,50 @@
     usable: &[&Candidate],
     prefix: &SharedPrefix,
     bound: f64,
+    places: usize,
+    rng: &mut Pcg32,
 ) -> Option<Choice> {
     let mut ranked = usable.to_vec();
     rank(&mut ranked, prefix);
-    let under = ranked.iter().find(|c| c.load <= bound);
-    let least = || ranked.iter().min_by(|a, b| a.load.total_cmp(&b.load));
-    let picked = under.or_else(least)?;
+    let under = ranked.iter().copied().filter(|c| c.load <= bound);
+    let open: Vec<&Candidate> = under.take(places).collect();
+    let least = || {
+        let all = ranked.iter().copied();
+        all.min_by(|a, b| a.load.total_cmp(&b.load))
+    };
+    let picked = by_room(&open, bound, rng).or_else(least)?;
     let is_first = ranked
         .first()
-        .is_some_and(|first| std::ptr::eq(*first, *picked));
+        .is_some_and(|first| std::ptr::eq(*first, picked));
     let why = match is_first {
         true => Why::First,
         false => Why::Next,
     };
     let worth = prefix.tokens.0 >= FETCH_MIN;
-    let holder = holder(all, prefix).filter(|holder| !std::ptr::eq(*holder, *picked));
+    let holder = holder(all, prefix).filter(|holder| !std::ptr::eq(*holder, picked));
     let source = holder.filter(|_| worth);
     Some(choice(picked, why).with_source(source.map(|source| Arc::clone(&source.endpoint))))
 }
 
+/// Places among which a prefix with a share of the pool's traffic is spread.
+fn places(share: f64, endpoints: usize) -> usize {
+    let places = (share * endpoints as f64 / HOT_LOAD).ceil();
+    (places as usize).clamp(1, endpoints.max(1))
+}
+
+/// One of some candidates, drawn by the room that they have under the bound, so that daemons
+/// that see the same loads don't all fill the same one.
+fn by_room<'a>(open: &[&'a Candidate], bound: f64, rng: &mut Pcg32) -> Option<&'a Candidate> {
+    let room = |c: &Candidate| bound - c.load + 1.0;
+    let total: f64 = open.iter().map(|c| room(c)).sum();
+    let mut left = rng.random::<f64>() * total;
+    let drawn = open.iter().find(|c| {
+        left -= room(c);
+        left < 0.0
+    });
+    drawn.or(open.first()).copied()
+}
+
 /// Sorts by rank for a prefix, the first in front.
 fn rank(candidates: &mut [&Candidate], prefix: &SharedPrefix) {
     candidates.sort_by_cached_key(|c| {
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -7,6 +7,7 @@
 //! on who lives still hear from someone. The cost is two small messages a
 //! tick and daemon, whatever the size of the fleet.
 
+mod hot;
 mod message;
 
 use std::collections::HashMap;
@@ -18,7 +19,9 @@
 use crate::ids::EndpointId;
 use crate::placement::{Node, key_of};
 
-pub use message::{Entry, Message, Peer, Report, Summary};
+use hot::Counts;
+use message::Totals;
+pub use message::{Entry, Hot, Message, Peer, Report, Sent, Summary};
 
 /// Daemons to which each reports.
 const HUBS: usize = 2;
@@ -56,6 +59,7 @@
 #[derive(Debug)]
 pub struct Exchange {
     me: SocketAddr,
+    ranks: Ranks,
     seeds: Vec<SocketAddr>,
     /// Other daemons.
     seen: HashMap<SocketAddr, Seen>,
@@ -63,16 +67,36 @@
     seeded: Option<Millis>,
     next_seed: usize,
     listed: Option<Millis>,
+    counts: Counts,
 }
 
 /// What is known of another daemon.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, PartialEq)]
 #[derive(Debug)]
 struct Seen {
     /// When it last showed life.
     at: Millis,
     /// Whether it had lost the platform then.
     cut_off: bool,
+    ranks: Ranks,
+}
+
+/// A daemon's scores for the roles; the highest hold them.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug)]
+struct Ranks {
+    hub: f64,
+    watcher: f64,
+}
+
+impl Ranks {
+    fn of(address: SocketAddr) -> Self {
+        let node = Node::new((), &address.to_string());
+        Self {
+            hub: node.score(key_of(HUB_KEY)),
+            watcher: node.score(key_of(WATCH_KEY)),
+        }
+    }
 }
 
 /// What others have at one endpoint, and how their requests ended since the last tick.
@@ -87,6 +111,17 @@
     pub bad: u32,
 }
 
+/// What a daemon hears of the others.
+#[derive(Clone, PartialEq, Default)]
+#[derive(Debug)]
+pub struct Heard {
+    /// What they have at endpoints, by the endpoints' short ids.
+    pub endpoints: HashMap<u32, Others>,
+    /// Shared prefixes that get much of the fleet's traffic, by the short forms of their keys,
+    /// and their shares of it.
+    pub hot: HashMap<u32, f64>,
+}
+
 impl Others {
     /// Forgets outcomes.
     const fn clear_outcomes(&mut self) {
@@ -95,10 +130,15 @@
     }
 }
 
+/// Short form of a prefix's key in messages.
+pub const fn short_key(key: u64) -> u32 {
+    (key >> u32::BITS) as u32
+}
+
 /// Short form of an endpoint's id in messages.
 pub fn short_id(id: &EndpointId) -> u32 {
     // The upper half of a 64-bit hash; among 4,500 endpoints two share one with odds of 1 in 400.
-    (key_of(id.as_str()) >> u32::BITS) as u32
+    short_key(key_of(id.as_str()))
 }
 
 impl Exchange {
@@ -106,12 +146,14 @@
     pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
         Self {
             me,
+            ranks: Ranks::of(me),
             seeds: seeds.into_iter().filter(|seed| *seed != me).collect(),
             seen: HashMap::new(),
             reports: HashMap::new(),
             seeded: None,
             next_seed: 0,
             listed: None,
+            counts: Counts::default(),
         }
     }
 
@@ -139,32 +181,38 @@
 
     /// The hubs, first in rank first; this daemon may be one.
     pub fn hubs(&self, now: Millis) -> Vec<SocketAddr> {
-        let all = self.others(now).chain([self.me]);
-        first_ranked(all, HUB_KEY, HUBS)
+        let own = (self.me, self.ranks.hub);
+        let others = self
+            .others(now)
+            .map(|(address, seen)| (address, seen.ranks.hub));
+        first_ranked(others.chain([own]), HUBS)
     }
 
     /// The daemons that follow the platform for all: in a small fleet each does.
     ///
     /// Daemons that have lost the platform aren't chosen, unless all have.
     pub fn watchers(&self, cut_off: bool, now: Millis) -> Vec<SocketAddr> {
-        let all = || self.others(now).chain([self.me]);
+        let rank = |(address, seen): (SocketAddr, Seen)| (address, seen.ranks.watcher);
+        let own = (self.me, self.ranks.watcher);
         if self.live(now) < LARGE {
-            return all().collect();
+            let others = self.others(now).map(|(address, _)| address);
+            return others.chain([self.me]).collect();
         }
-        let reaches = |address: &SocketAddr| match self.seen.get(address) {
-            Some(seen) => !seen.cut_off,
-            None => !cut_off,
-        };
-        let chosen = first_ranked(all().filter(reaches), WATCH_KEY, WATCHERS);
+        let reach = self.others(now).filter(|(_, seen)| !seen.cut_off);
+        let own_reach = (!cut_off).then_some(own);
+        let chosen = first_ranked(reach.map(rank).chain(own_reach), WATCHERS);
         match chosen.is_empty() {
-            true => first_ranked(all(), WATCH_KEY, WATCHERS),
+            true => first_ranked(self.others(now).map(rank).chain([own]), WATCHERS),
             false => chosen,
         }
     }
 
-    fn others(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
+    fn others(&self, now: Millis) -> impl Iterator<Item = (SocketAddr, Seen)> {
         let live = move |(_, seen): &(&SocketAddr, &Seen)| now.since(seen.at) < SILENT;
-        self.seen.iter().filter(live).map(|(address, _)| *address)
+        self.seen
+            .iter()
+            .filter(live)
+            .map(|(address, seen)| (*address, *seen))
     }
 
     /// What is due: this daemon's report, and summaries of the reports it got.
@@ -199,15 +247,20 @@
 
     /// What each reporter has to know of the others, this daemon included.
     fn summaries(&mut self, own: &Report, now: Millis) -> Vec<Outgoing> {
-        let mut total = Summary::default();
+        let mut total = Totals::default();
         total.add(own);
+        self.counts.fade(now);
+        self.counts.add(own);
         for (_, report) in self.reports.values() {
             total.add(report);
+            self.counts.add(report);
         }
+        let hot = self.counts.hot();
         let peers = self.due_list(now);
         let summary = |(address, (_, report)): (&SocketAddr, &(Millis, Report))| {
             let mut others = total.without(report);
             others.peers.clone_from(&peers);
+            others.hot.clone_from(&hot);
             (*address, Message::Summary(others))
         };
         self.reports.iter().map(summary).collect()
@@ -230,21 +283,24 @@
     }
 
     /// What the reports that this daemon got say of the others.
-    pub fn gathered(&self, now: Millis) -> HashMap<u32, Others> {
-        let mut total = Summary::default();
+    pub fn gathered(&self, now: Millis) -> Heard {
+        let mut total = Totals::default();
         for (_, report) in self.reports.values() {
             total.add(report);
         }
-        self.heard_from(self.me, &total, now)
+        let mut summary = total.without(&Report::default());
+        summary.hot = self.counts.hot();
+        self.heard_from(self.me, &summary, now)
     }
 
     /// What a hub says. Each hub tells outcomes, and those of the first count.
-    fn heard_from(&self, hub: SocketAddr, summary: &Summary, now: Millis) -> HashMap<u32, Others> {
-        let mut others = summary.by_endpoint();
+    fn heard_from(&self, hub: SocketAddr, summary: &Summary, now: Millis) -> Heard {
+        let mut heard = summary.heard();
         if self.hubs(now).first() != Some(&hub) {
-            others.values_mut().for_each(Others::clear_outcomes);
+            let others = heard.endpoints.values_mut();
+            others.for_each(Others::clear_outcomes);
         }
-        others
+        heard
     }
 
     /// Whether this daemon has reports of others.
@@ -253,17 +309,20 @@
     }
 
     /// Takes a message; returns what others have, if it is a summary.
-    pub fn receive(
-        &mut self,
-        from: SocketAddr,
-        message: Message,
-        now: Millis,
-    ) -> Option<HashMap<u32, Others>> {
+    pub fn receive(&mut self, from: SocketAddr, message: Message, now: Millis) -> Option<Heard> {
         let cut_off = match &message {
             Message::Report(report) => report.cut_off,
             Message::Summary(_) => self.seen.get(&from).is_some_and(|seen| seen.cut_off),
         };
-        self.seen.insert(from, Seen { at: now, cut_off });
+        let ranks = self.ranks_of(from);
+        self.seen.insert(
+            from,
+            Seen {
+                at: now,
+                cut_off,
+                ranks,
+            },
+        );
         match message {
             Message::Report(mut report) => {
                 // Outcomes of a report that wasn't summed up yet aren't lost.
@@ -282,6 +341,11 @@
         }
     }
 
+    fn ranks_of(&self, address: SocketAddr) -> Ranks {
+        let known = self.seen.get(&address).map(|seen| seen.ranks);
+        known.unwrap_or_else(|| Ranks::of(address))
+    }
+
     /// Takes word that a daemon showed life some time ago.
     fn hear(&mut self, peer: &Peer, now: Millis) {
         let Some(address) = peer.address() else {
@@ -293,6 +357,7 @@
         let heard = Seen {
             at: now - peer.age(),
             cut_off: peer.cut_off,
+            ranks: self.ranks_of(address),
         };
         let seen = self.seen.entry(address).or_insert(heard);
         if heard.at > seen.at {
@@ -301,16 +366,10 @@
     }
 }
 
-/// The first daemons by rendezvous hashing for a key.
-fn first_ranked(
-    daemons: impl Iterator<Item = SocketAddr>,
-    key: &str,
-    count: usize,
-) -> Vec<SocketAddr> {
-    let key = key_of(key);
-    let score = |address: &SocketAddr| Node::new((), &address.to_string()).score(key);
-    let mut ranked: Vec<SocketAddr> = daemons.collect();
-    ranked.sort_by(|a, b| score(b).total_cmp(&score(a)).then(a.cmp(b)));
+/// The daemons with the highest scores, the highest first.
+fn first_ranked(daemons: impl Iterator<Item = (SocketAddr, f64)>, count: usize) -> Vec<SocketAddr> {
+    let mut ranked: Vec<(SocketAddr, f64)> = daemons.collect();
+    ranked.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
     ranked.truncate(count);
-    ranked
+    ranked.into_iter().map(|(address, _)| address).collect()
 }
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use prost::{DecodeError, Message as _, Oneof};
 
-use super::Others;
+use super::{Heard, Others};
 use crate::clock::Millis;
 
 /// Result of reading a datagram.
@@ -40,6 +40,38 @@
     /// Whether the daemon has lost the platform.
     #[prost(bool, tag = "2")]
     pub cut_off: bool,
+    /// Requests with shared prefixes that were sent since the last report.
+    #[prost(message, repeated, tag = "3")]
+    pub sent: Vec<Sent>,
+}
+
+/// Requests with one shared prefix.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct Sent {
+    /// Short form of the prefix's key.
+    #[prost(fixed32, tag = "1")]
+    pub prefix: u32,
+    /// Requests.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+
+/// A shared prefix that gets much of the traffic.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct Hot {
+    /// Short form of the prefix's key.
+    #[prost(fixed32, tag = "1")]
+    pub prefix: u32,
+    /// Its share of the requests with shared prefixes, in millionths.
+    #[prost(uint32, tag = "2")]
+    pub share: u32,
+}
+
+impl Hot {
+    /// The share of all requests.
+    pub const WHOLE: f64 = 1e6;
 }
 
 /// A daemon that lives.
@@ -70,6 +102,9 @@
     /// Daemons that live; not in every summary.
     #[prost(message, repeated, tag = "2")]
     pub peers: Vec<Peer>,
+    /// Shared prefixes that get much of the traffic.
+    #[prost(message, repeated, tag = "3")]
+    pub hot: Vec<Hot>,
 }
 
 /// A datagram.
@@ -149,16 +184,18 @@
 }
 
 impl Report {
-    /// Forgets outcomes that were told.
+    /// Forgets what is told once.
     pub fn clear_outcomes(&mut self) {
+        self.sent.clear();
         for entry in &mut self.entries {
             entry.good = 0;
             entry.bad = 0;
         }
     }
 
-    /// Adds the outcomes of an earlier report.
+    /// Adds what an earlier report told once.
     pub fn keep_outcomes(&mut self, earlier: &Self) {
+        self.sent.extend_from_slice(&earlier.sent);
         for old in &earlier.entries {
             if old.good == 0 && old.bad == 0 {
                 continue;
@@ -178,24 +215,25 @@
     }
 }
 
-impl Summary {
+/// Reports added up, by endpoint.
+#[derive(Clone, PartialEq, Default)]
+#[derive(Debug)]
+pub struct Totals(HashMap<u32, Entry>);
+
+impl Totals {
     /// Adds a report.
     pub fn add(&mut self, report: &Report) {
         for entry in &report.entries {
-            let same = |sum: &&mut Entry| sum.endpoint == entry.endpoint;
-            match self.entries.iter_mut().find(same) {
-                Some(sum) => {
-                    sum.in_flight += entry.in_flight;
-                    sum.good += entry.good;
-                    sum.bad += entry.bad;
-                }
-                None => self.entries.push(*entry),
-            }
+            let sum = self.0.entry(entry.endpoint).or_default();
+            sum.endpoint = entry.endpoint;
+            sum.in_flight += entry.in_flight;
+            sum.good += entry.good;
+            sum.bad += entry.bad;
         }
     }
 
     /// The same less one of the reports that were added.
-    pub fn without(&self, report: &Report) -> Self {
+    pub fn without(&self, report: &Report) -> Summary {
         let own: HashMap<u32, &Entry> = report
             .entries
             .iter()
@@ -212,16 +250,26 @@
                 bad: sum.bad.saturating_sub(own.bad),
             }
         };
-        let entries = self.entries.iter().map(rest);
+        let entries = self.0.values().map(rest);
         let told = |entry: &Entry| entry.in_flight + entry.good + entry.bad > 0;
-        Self {
+        Summary {
             entries: entries.filter(told).collect(),
-            peers: Vec::new(),
+            ..Summary::default()
+        }
+    }
+}
+
+impl Summary {
+    /// The entries by endpoint, and hot prefixes.
+    pub fn heard(&self) -> Heard {
+        let share = |hot: &Hot| (hot.prefix, f64::from(hot.share) / Hot::WHOLE);
+        Heard {
+            endpoints: self.by_endpoint(),
+            hot: self.hot.iter().map(share).collect(),
         }
     }
 
-    /// The entries by endpoint.
-    pub fn by_endpoint(&self) -> HashMap<u32, Others> {
+    fn by_endpoint(&self) -> HashMap<u32, Others> {
         let others = |entry: &Entry| Others {
             in_flight: entry.in_flight,
             good: entry.good,
--- a/crates/core/tests/routing/bound.rs
+++ b/crates/core/tests/routing/bound.rs
@@ -11,7 +11,9 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::choose::{Candidate, choose};
 use medlarrill_core::routing::endpoint::Endpoint;
-use medlarrill_core::routing::exchange::{Entry, Exchange, Report, short_id};
+use medlarrill_core::routing::exchange::{
+    Entry, Exchange, Heard, Report, Sent, short_id, short_key,
+};
 use medlarrill_core::routing::health::Standing;
 use medlarrill_core::routing::load::Loads;
 use rand::{RngExt, SeedableRng};
@@ -38,6 +40,8 @@
     at_endpoint: HashMap<String, f64>,
     rng: Pcg32,
     told: bool,
+    sent: Vec<Vec<Sent>>,
+    hot: Vec<HashMap<u32, f64>>,
 }
 
 impl Fleet {
@@ -57,6 +61,8 @@
             at_endpoint: HashMap::new(),
             rng: Pcg32::seed_from_u64(7),
             told,
+            sent: vec![Vec::new(); usize::from(daemons)],
+            hot: vec![HashMap::new(); usize::from(daemons)],
         }
     }
 
@@ -107,7 +113,13 @@
         };
         let all: Vec<Candidate> = self.endpoints.iter().map(candidate).collect();
         let near = "near".parse().expect("a name");
-        let choice = choose(&all, Some(&prefix(key)), &near, false, &mut self.rng);
+        let share = self.hot[daemon].get(&short_key(prefix(key).key)).copied();
+        self.sent[daemon].push(Sent {
+            prefix: short_key(prefix(key).key),
+            count: 1,
+        });
+        let share = share.unwrap_or_default();
+        let choice = choose(&all, Some(&prefix(key)), share, &near, false, &mut self.rng);
         let id = choice.expect("a choice").endpoint.id.clone();
         loads.begin(&id);
         let mean = self.at_endpoint.values().sum::<f64>() / self.endpoints.len() as f64;
@@ -132,10 +144,13 @@
             };
             let own = Report {
                 entries: loads.in_flight().map(entry).collect(),
-                cut_off: false,
+                sent: std::mem::take(&mut self.sent[number]),
+                ..Report::default()
             };
             if exchange.is_hub() {
-                take(loads, &self.endpoints, &exchange.gathered(now), now);
+                let heard = exchange.gathered(now);
+                take(loads, &self.endpoints, &heard, now);
+                self.hot[number] = heard.hot;
             }
             let from = SocketAddr::from(([10, 0, 0, 1], number as u16 + 1));
             let out = exchange.tick(own, now);
@@ -143,21 +158,17 @@
         }
         for (from, to, message) in sent {
             let (exchange, loads) = &mut self.daemons[usize::from(to.port()) - 1];
-            if let Some(others) = exchange.receive(from, message, now) {
-                take(loads, &self.endpoints, &others, now);
+            if let Some(heard) = exchange.receive(from, message, now) {
+                take(loads, &self.endpoints, &heard, now);
+                self.hot[usize::from(to.port()) - 1] = heard.hot;
             }
         }
     }
 }
 
-fn take(
-    loads: &mut Loads,
-    endpoints: &[Arc<Endpoint>],
-    others: &HashMap<u32, medlarrill_core::routing::exchange::Others>,
-    now: Millis,
-) {
+fn take(loads: &mut Loads, endpoints: &[Arc<Endpoint>], heard: &Heard, now: Millis) {
     for endpoint in endpoints {
-        let others = others.get(&short_id(&endpoint.id));
+        let others = heard.endpoints.get(&short_id(&endpoint.id));
         let in_flight = others.map_or(0, |others| others.in_flight);
         loads.others(&endpoint.id, in_flight, now);
     }
--- a/crates/core/tests/routing/choose.rs
+++ b/crates/core/tests/routing/choose.rs
@@ -14,12 +14,12 @@
 
 fn by_prefix(all: &[Candidate], key: u64) -> Choice {
     let mut rng = Pcg32::seed_from_u64(1);
-    choose(all, Some(&prefix(key)), &near(), false, &mut rng).expect("a choice")
+    choose(all, Some(&prefix(key)), 0.0, &near(), false, &mut rng).expect("a choice")
 }
 
 fn by_load(all: &[Candidate], trial: bool) -> Choice {
     let mut rng = Pcg32::seed_from_u64(1);
-    choose(all, None, &near(), trial, &mut rng).expect("a choice")
+    choose(all, None, 0.0, &near(), trial, &mut rng).expect("a choice")
 }
 
 fn position(all: &[Candidate], choice: &Choice) -> usize {
@@ -59,7 +59,7 @@
     all[0].tried = true;
     all[1].tried = true;
     let mut rng = Pcg32::seed_from_u64(1);
-    expect_that!(choose(&all, None, &near(), true, &mut rng), none());
+    expect_that!(choose(&all, None, 0.0, &near(), true, &mut rng), none());
 }
 
 #[gtest]
@@ -93,6 +93,24 @@
     }
 }
 
+#[gtest]
+fn a_hot_prefix_is_spread_over_places_by_its_share() {
+    let all = candidates(20, 4.0);
+    let mut rng = Pcg32::seed_from_u64(1);
+    let mut places = |share| {
+        let mut seen = std::collections::HashSet::new();
+        for _ in 0..300 {
+            let choice = choose(&all, Some(&prefix(7)), share, &near(), false, &mut rng);
+            seen.insert(choice.expect("a choice").endpoint.id.clone());
+        }
+        seen.len()
+    };
+    expect_that!(places(0.0), eq(1));
+    expect_that!(places(0.02), eq(1));
+    expect_that!(places(0.1), eq(4));
+    expect_that!(places(0.2), eq(8));
+}
+
 #[gtest]
 fn a_leaving_endpoint_gets_no_work_and_lends_what_it_holds() {
     let mut all = candidates(6, 3.0);
--- a/crates/core/tests/routing/exchange.rs
+++ b/crates/core/tests/routing/exchange.rs
@@ -3,7 +3,7 @@
 
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::exchange::{Entry, Exchange, Message, Others, Report};
+use medlarrill_core::routing::exchange::{Entry, Exchange, Message, Others, Report, Sent};
 
 fn address(number: u16) -> SocketAddr {
     ([10, 0, 0, 1], number).into()
@@ -17,7 +17,7 @@
             good,
             bad,
         }],
-        cut_off: false,
+        ..Report::default()
     }
 }
 
@@ -27,6 +27,8 @@
     heard: Vec<HashMap<u32, Others>>,
     /// Failed attempts that each has heard of.
     bad: Vec<u32>,
+    /// Hot prefixes that each has heard of.
+    hot: Vec<HashMap<u32, f64>>,
     lost: Vec<usize>,
 }
 
@@ -38,6 +40,7 @@
             daemons: (0..count).map(daemon).collect(),
             heard: vec![HashMap::new(); count],
             bad: vec![0; count],
+            hot: vec![HashMap::new(); count],
             lost: Vec::new(),
         }
     }
@@ -49,7 +52,9 @@
                 continue;
             }
             if self.daemons[number].is_hub() {
-                self.heard[number] = self.daemons[number].gathered(now);
+                let heard = self.daemons[number].gathered(now);
+                self.hot[number] = heard.hot;
+                self.heard[number] = heard.endpoints;
                 let bad = self.heard[number].values().map(|others| others.bad);
                 self.bad[number] += bad.sum::<u32>();
             }
@@ -63,7 +68,9 @@
             }
             let bytes = message.encode();
             let message = Message::decode(&bytes).expect("a datagram").expect("known");
-            if let Some(others) = self.daemons[to].receive(address(from as u16), message, now) {
+            if let Some(heard) = self.daemons[to].receive(address(from as u16), message, now) {
+                let others = heard.endpoints;
+                self.hot[to] = heard.hot;
                 self.bad[to] += others.values().map(|others| others.bad).sum::<u32>();
                 self.heard[to] = others;
             }
@@ -125,6 +132,32 @@
     expect_that!(fleet.bad[3], eq(0));
 }
 
+#[gtest]
+fn every_daemon_hears_of_a_prefix_that_gets_much_of_the_traffic() {
+    let mut fleet = Fleet::new(20);
+    let sent = |number: usize| Report {
+        sent: vec![
+            Sent {
+                prefix: 1,
+                count: 1,
+            },
+            Sent {
+                prefix: 100 + number as u32,
+                count: 4,
+            },
+        ],
+        ..Report::default()
+    };
+    let now = fleet.run(40, 0, sent);
+    for number in 0..20 {
+        let share = fleet.hot[number].get(&1).copied().unwrap_or_default();
+        expect_that!(share, near(0.2, 0.02), "daemon {number}");
+    }
+    let now = fleet.run(150, now, |_| Report::default());
+    fleet.run(10, now, |_| Report::default());
+    expect_that!(fleet.hot[7].len(), eq(0));
+}
+
 #[gtest]
 fn a_daemon_that_was_cut_off_is_heard_again() {
     let mut fleet = Fleet::new(10);
--- a/crates/core/tests/routing/support.rs
+++ b/crates/core/tests/routing/support.rs
@@ -49,7 +49,7 @@
 
 pub fn prefix(key: u64) -> SharedPrefix {
     SharedPrefix {
-        key,
+        key: xxh(key),
         tokens: Tokens(10_000),
     }
 }
@@ -74,3 +74,8 @@
         }],
     }
 }
+
+/// Spreads small numbers over all keys.
+fn xxh(key: u64) -> u64 {
+    medlarrill_core::placement::key_of(&key.to_string())
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -99,17 +99,16 @@
         }
     };
     let at = now();
-    if let Some(others) = exchange.receive(from, message, at) {
-        shared.placement.others(&others, exchange.live(at), at);
+    if let Some(heard) = exchange.receive(from, message, at) {
+        shared.placement.others(heard, exchange.live(at), at);
     }
 }
 
 async fn tick(exchange: &mut Exchange, shared: &Shared, socket: &UdpSocket) {
     let at = now();
     if exchange.is_hub() {
-        shared
-            .placement
-            .others(&exchange.gathered(at), exchange.live(at), at);
+        let heard = exchange.gathered(at);
+        shared.placement.others(heard, exchange.live(at), at);
     }
     let own = shared.placement.own_report(shared.copies.is_cut_off());
     for (to, message) in exchange.tick(own, at) {
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -33,6 +33,10 @@
     health: Health,
     budget: Budget,
     outcomes: HashMap<EndpointId, Outcomes>,
+    /// Requests sent with each shared prefix since the last report.
+    sent: HashMap<u32, u32>,
+    /// Shares of hot prefixes in the fleet's traffic.
+    hot: HashMap<u32, f64>,
     #[debug(skip)]
     rng: Pcg32,
 }
@@ -68,6 +72,8 @@
                 health: Health::default(),
                 budget: Budget::new(repeats, now),
                 outcomes: HashMap::new(),
+                sent: HashMap::new(),
+                hot: HashMap::new(),
                 rng: Pcg32::new(seed, seed),
             }),
             near,
@@ -128,7 +134,9 @@
         let state = &mut *state;
         let candidates = state.candidates(pool, plan, now);
         let trial = plan.is_idempotent();
-        let choice = choose(&candidates, shared, &self.near, trial, &mut state.rng)?;
+        let share = shared.map_or(0.0, |prefix| state.count(prefix));
+        let rng = &mut state.rng;
+        let choice = choose(&candidates, shared, share, &self.near, trial, rng)?;
         let id = choice.endpoint.id.clone();
         state.loads.begin(&id);
         if choice.trial {
@@ -163,6 +171,8 @@
     pub fn own_report(&self, cut_off: bool) -> exchange::Report {
         let mut state = self.lock();
         let mut outcomes = std::mem::take(&mut state.outcomes);
+        let sent = std::mem::take(&mut state.sent).into_iter();
+        let sent = sent.map(|(prefix, count)| exchange::Sent { prefix, count });
         let entry = |(id, in_flight): (&EndpointId, u32)| {
             let Outcomes { good, bad } = outcomes.remove(id).unwrap_or_default();
             exchange::Entry {
@@ -177,18 +187,20 @@
         exchange::Report {
             entries: entries.collect(),
             cut_off,
+            sent: sent.collect(),
         }
     }
 
     /// Takes what the other daemons have at endpoints, all of them together.
-    pub fn others(&self, others: &HashMap<u32, exchange::Others>, daemons: usize, now: Millis) {
+    pub fn others(&self, heard: exchange::Heard, daemons: usize, now: Millis) {
         let mut state = self.lock();
         let state = &mut *state;
         let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
         state.budget.share_with(daemons);
+        state.hot = heard.hot;
         for endpoint in state.directory.all() {
             let short = exchange::short_id(&endpoint.id);
-            let others = others.get(&short).copied().unwrap_or_default();
+            let others = heard.endpoints.get(&short).copied().unwrap_or_default();
             state.loads.others(&endpoint.id, others.in_flight, now);
             let health = &mut state.health;
             health.others(&endpoint.id, others.good, others.bad, now);
@@ -197,6 +209,13 @@
 }
 
 impl State {
+    /// Counts a request with a shared prefix; returns the prefix's share of the fleet's traffic.
+    fn count(&mut self, prefix: &SharedPrefix) -> f64 {
+        let key = exchange::short_key(prefix.key);
+        *self.sent.entry(key).or_default() += 1;
+        self.hot.get(&key).copied().unwrap_or_default()
+    }
+
     fn age(&self, id: &EndpointId, now: Millis) -> Millis {
         let joined = self.directory.joined(id);
         joined.map_or(Millis::MAX, |joined| now.since(joined))
