--- a/crates/core/src/routing/budget.rs
+++ b/crates/core/src/routing/budget.rs
@@ -3,8 +3,8 @@
 //! The fleet may repeat a share of the requests of a window, and some more.
 //! Each daemon spends its own part of that without asking the others: the
 //! share of the requests that it took itself, and an equal part of the rest.
-//! For a window after its start it spends no part of the rest, since it may
-//! have spent that before it was killed.
+//! For a window after its start it spends less of the rest, since it may have
+//! spent its part before it was killed, and may not know yet how many share it.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -13,9 +13,17 @@
 use crate::clock::Millis;
 use crate::ids::PoolId;
 
-/// Part of what is allowed that is used. What is left covers requests that the endpoint
-/// counts in another window than we do.
+/// Part of the share of requests that is used. What is left covers requests that endpoints
+/// count in another window than we do.
 const USED: f64 = 0.9;
+/// Part of the rest that is used in the steady state, and by a daemon in the first window after
+/// its start. Together they stay below the whole, so that the fleet keeps its budget when all
+/// daemons are killed and start again within a window.
+const SLACK: f64 = 0.6;
+/// See [`SLACK`].
+const SLACK_AT_START: f64 = 0.35;
+/// Daemons that are taken to share the rest at the start, if fewer are known.
+const DAEMONS_AT_START: u32 = 16;
 
 /// What the fleet may repeat.
 #[derive(Clone, Copy, PartialEq)]
@@ -82,11 +90,11 @@
             window,
         } = self.settings;
         let slack = match now.since(self.started) >= window {
-            true => slack / f64::from(self.daemons),
-            false => 0.0,
+            true => SLACK * slack / f64::from(self.daemons),
+            false => SLACK_AT_START * slack / f64::from(self.daemons.max(DAEMONS_AT_START)),
         };
         let counts = self.counts(pool, now);
-        let allowed = USED * (ratio * counts.requests.len() as f64 + slack);
+        let allowed = USED * ratio * counts.requests.len() as f64 + slack;
         let fits = (counts.repeats.len() + 1) as f64 <= allowed;
         if fits {
             counts.repeats.push_back(now);
--- /dev/null
+++ b/crates/daemon/tests/route.rs
@@ -0,0 +1,10 @@
+//! A daemon that routes on the platform, as a process of its own, against the platform's
+//! stand-ins.
+
+mod route {
+    mod answers;
+    mod requests;
+    mod setup;
+    mod stop;
+    mod store;
+}
--- /dev/null
+++ b/crates/daemon/tests/route/setup.rs
@@ -0,0 +1,124 @@
+//! Stand-ins and daemons of one test.
+
+use std::path::Path;
+use std::time::Duration;
+
+use medlarrill_platform_standin::{
+    Behaviour, Call, Caller, Endpoint, Ledger, Reply, Store, configuration,
+};
+use medlarrill_testkit::routed::{Routed, Setup};
+use tempfile::TempDir;
+
+pub const POOL: &str = "pool";
+/// Longest time for a change to take effect.
+const EFFECT: Duration = Duration::from_secs(10);
+
+pub struct Bench {
+    pub store: Store,
+    pub ledger: Ledger,
+    pub endpoints: Vec<Endpoint>,
+    pub daemons: Vec<Routed>,
+    folder: TempDir,
+}
+
+impl Bench {
+    /// A store with a configuration and this many endpoints, and one daemon that knows them.
+    pub async fn start(endpoints: usize) -> Self {
+        let mut bench = Self::without_daemon(endpoints).await;
+        bench.add_daemon(&[]);
+        bench.ready(0, endpoints).await;
+        bench
+    }
+
+    pub async fn without_daemon(count: usize) -> Self {
+        let store = Store::start().await.expect("a store");
+        store.put("config", "main", configuration(7, POOL));
+        let ledger = Ledger::default();
+        let mut endpoints = Vec::new();
+        for number in 0..count {
+            let id = format!("e-{number}");
+            let endpoint = Endpoint::start(&id, ledger.clone(), number as u64);
+            let endpoint = endpoint.await.expect("an endpoint");
+            store.put("servers", &id, endpoint.entry(POOL, "ready"));
+            endpoints.push(endpoint);
+        }
+        Self {
+            store,
+            ledger,
+            endpoints,
+            daemons: Vec::new(),
+            folder: TempDir::new().expect("a folder"),
+        }
+    }
+
+    /// Starts a daemon that is told of others.
+    pub fn add_daemon(&mut self, seeds: &[usize]) {
+        let seeds = seeds.iter().map(|seed| self.daemons[*seed].listen[3]);
+        let number = self.daemons.len();
+        let name = format!("d-{number}");
+        let mut setup = Setup::new(&name, self.store.address()).with_seeds(seeds.collect());
+        // Each daemon has a VM of its own; for other daemons all listen on one port.
+        let port = self
+            .daemons
+            .first()
+            .map_or(0, |first| first.listen[3].port());
+        let ip = [127, 0, 1, 1 + number as u8];
+        setup.listen = [0, 0, 0, port].map(|port| (ip, port).into());
+        let binary = Path::new(env!("CARGO_BIN_EXE_medlarrilld"));
+        let daemon = Routed::start(binary, self.folder.path(), &setup).expect("a daemon");
+        self.daemons.push(daemon);
+    }
+
+    /// Waits until a daemon knows the configuration and so many endpoints.
+    pub async fn ready(&self, daemon: usize, endpoints: usize) {
+        self.until(daemon, "configuration in force", 1).await;
+        self.until(daemon, "endpoint listed", endpoints).await;
+    }
+
+    /// Waits until a daemon has logged so many lines with a text.
+    pub async fn until(&self, daemon: usize, text: &str, count: usize) {
+        let waiting = async {
+            while self.daemons[daemon].lines_with(text).len() < count {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let waited = tokio::time::timeout(EFFECT, waiting).await;
+        let lines = || self.daemons[daemon].lines().join("\n");
+        assert!(
+            waited.is_ok(),
+            "no {count} lines with `{text}` in time:\n{}",
+            lines()
+        );
+    }
+
+    pub fn caller(&self) -> Caller {
+        Caller::new(self.daemons[0].callers())
+    }
+
+    /// Sends a request on a connection of its own.
+    pub async fn send(&self, call: &Call) -> Reply {
+        self.caller().send(call).await
+    }
+
+    /// Sets how all endpoints behave.
+    pub fn behave(&self, behaviour: Behaviour) {
+        for endpoint in &self.endpoints {
+            endpoint.behave(behaviour);
+        }
+    }
+
+    pub fn behave_one(&self, endpoint: usize, behaviour: Behaviour) {
+        self.endpoints[endpoint].behave(behaviour);
+    }
+
+    pub async fn pause(millis: u64) {
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+    }
+}
+
+/// The body of a whole stream.
+pub fn stream_body(attempt: &str, from: u64, to: u64) -> String {
+    (from..=to)
+        .map(|number| format!("id: {number}\ndata: {attempt}/{number}\n\n"))
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/tests/route/store.rs
@@ -0,0 +1,141 @@
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use medlarrill_platform_standin::{Call, Outage, configuration};
+
+use super::setup::{Bench, POOL};
+
+const OUTAGES: [Outage; 3] = [Outage::Silent, Outage::Busy, Outage::Reset];
+
+#[tokio::test]
+async fn a_daemon_without_configuration_is_not_ready_and_refuses_truly() {
+    let mut bench = Bench::without_daemon(1).await;
+    bench.store.fail(Outage::Reset);
+    bench.add_daemon(&[]);
+    let ready = bench.daemons[0].listen[1];
+    let reply = bench.send(&Call::new("r-1", "/plain/x")).await;
+    assert_that!(reply.promises_not_run(), eq(true));
+    assert_that!(
+        medlarrill_testkit::routed::read(ready, "/ready"),
+        err(anything())
+    );
+    bench.store.fail(Outage::None);
+    bench.ready(0, 1).await;
+    assert_that!(
+        medlarrill_testkit::routed::read(ready, "/ready"),
+        ok(anything())
+    );
+    assert_that!(
+        bench.send(&Call::new("r-2", "/plain/x")).await.is_success(),
+        eq(true)
+    );
+}
+
+#[tokio::test]
+async fn requests_are_served_through_outages_of_every_form_and_changes_follow() {
+    for outage in OUTAGES {
+        let bench = Bench::start(2).await;
+        bench.store.fail(outage);
+        bench.until(0, "store: lost", 1).await;
+        assert_that!(
+            bench.send(&Call::new("r-1", "/plain/x")).await.is_success(),
+            eq(true)
+        );
+        bench.store.put("config", "main", configuration(9, POOL));
+        bench.store.fail(Outage::None);
+        bench.until(0, "configuration in force", 2).await;
+    }
+}
+
+#[tokio::test]
+async fn a_lower_version_is_never_put_in_force() {
+    let bench = Bench::start(1).await;
+    bench.store.put("config", "main", configuration(5, POOL));
+    bench.store.put("config", "main", configuration(8, POOL));
+    bench.until(0, "configuration in force", 2).await;
+    let lines = bench.daemons[0].lines_with("configuration in force");
+    assert_that!(lines[1], contains_substring("\"version\":8"));
+}
+
+#[tokio::test]
+async fn a_configuration_that_can_not_be_read_is_reported_with_its_place() {
+    let bench = Bench::start(1).await;
+    let mut broken = configuration(9, POOL);
+    broken["routes"][1]["timeout_ms"] = "soon".into();
+    bench.store.put("config", "main", broken);
+    bench.until(0, "routes[1].timeout_ms", 1).await;
+    assert_that!(
+        bench.send(&Call::new("r-1", "/plain/x")).await.is_success(),
+        eq(true)
+    );
+}
+
+#[tokio::test]
+async fn lost_history_is_listed_anew() {
+    let bench = Bench::start(2).await;
+    bench.store.fail(Outage::Busy);
+    bench.until(0, "store: lost", 2).await;
+    bench.store.remove("servers", "e-1");
+    bench.store.put("config", "main", configuration(9, POOL));
+    bench.store.forget();
+    bench.store.fail(Outage::None);
+    bench.until(0, "history gone", 1).await;
+    bench.until(0, "configuration in force", 2).await;
+    bench.until(0, "endpoint gone", 1).await;
+}
+
+#[tokio::test]
+async fn a_leaving_endpoint_gets_no_new_work() {
+    let bench = Bench::start(2).await;
+    let entry = bench.endpoints[0].entry(POOL, "draining");
+    bench.store.put("servers", "e-0", entry);
+    let told = Instant::now();
+    bench.until(0, "\"leaving\":true", 1).await;
+    assert_that!(told.elapsed(), lt(Duration::from_secs(2)));
+    for number in 0..20 {
+        let attempt = format!("r-{number}");
+        bench.send(&Call::new(&attempt, "/plain/x")).await;
+        assert_that!(bench.ledger.runs(&attempt)[0].endpoint.as_str(), eq("e-1"));
+    }
+}
+
+#[tokio::test]
+async fn an_entry_that_lapsed_in_an_outage_is_used_until_it_had_time_to_be_back() {
+    let bench = Bench::start(1).await;
+    bench.store.fail(Outage::Reset);
+    bench.until(0, "store: lost", 1).await;
+    Bench::pause(1800).await;
+    bench.store.remove("servers", "e-0");
+    bench.store.fail(Outage::None);
+    bench.until(0, "store: answers again", 1).await;
+    assert_that!(
+        bench.send(&Call::new("r-1", "/plain/x")).await.is_success(),
+        eq(true)
+    );
+    bench.until(0, "endpoint gone", 1).await;
+    let reply = bench.send(&Call::new("r-2", "/plain/x")).await;
+    assert_that!(reply.promises_not_run(), eq(true));
+}
+
+#[tokio::test]
+async fn a_list_of_several_pages_is_read_whole() {
+    let bench = Bench::without_daemon(1).await;
+    for number in 100..220 {
+        let entry = bench.endpoints[0].entry("another", "ready");
+        bench.store.put("servers", &format!("f-{number}"), entry);
+    }
+    let mut bench = bench;
+    bench.add_daemon(&[]);
+    bench.ready(0, 121).await;
+}
+
+#[tokio::test]
+async fn daemons_find_each_other_and_share_what_they_see() {
+    let mut bench = Bench::without_daemon(2).await;
+    bench.add_daemon(&[]);
+    bench.add_daemon(&[0]);
+    bench.add_daemon(&[0]);
+    for daemon in 0..3 {
+        bench.until(daemon, "\"live\":3", 1).await;
+    }
+}
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -16,7 +16,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{Roster, exchange};
 use crate::placement::Placement;
-use crate::settings::{Settings, SettingsError};
+use crate::settings::{Listen, Settings, SettingsError};
 use crate::shared::Shared;
 use crate::socket;
 use crate::store::{self, Copies, Sinks, Store};
@@ -64,9 +64,11 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let shared = start(&settings)?;
+    let listen = shared.settings.listen;
     log::info!(
         target: "start", daemon = settings.daemon.as_str(), data_centre = settings.data_centre.as_str(),
-        callers:% = settings.listen.callers, platform:% = settings.platform, passed = now().0;
+        callers:% = listen.callers, ready:% = listen.ready, metrics:% = listen.metrics,
+        peers:% = listen.peers, platform:% = settings.platform, passed = now().0;
         "start: listening"
     );
     let mut ticks = tokio::time::interval(HOUSEKEEPING.as_duration());
@@ -95,7 +97,13 @@
     let ready = socket::listen(settings.listen.ready)?;
     let scrapes = socket::listen(settings.listen.metrics)?;
     let relays = socket::listen(settings.listen.peers)?;
-    let datagrams = socket::datagrams(settings.listen.peers)?;
+    let listen = Listen {
+        callers: callers.local_addr()?,
+        ready: ready.local_addr()?,
+        metrics: scrapes.local_addr()?,
+        peers: relays.local_addr()?,
+    };
+    let datagrams = socket::datagrams(listen.peers)?;
     let (in_force, config) = watch::channel(None);
     let (listed, is_listed) = watch::channel(false);
     let near = settings.data_centre.clone();
@@ -110,7 +118,10 @@
     let copies = Arc::new(Copies::new(sinks, listed));
     let roster = Roster::default();
     let shared = Arc::new(Shared {
-        settings: settings.clone(),
+        settings: Settings {
+            listen,
+            ..settings.clone()
+        },
         config,
         listed: is_listed,
         placement,
@@ -143,8 +154,7 @@
     match Settings::read(path) {
         Ok(settings) => {
             shared.placement.configure(settings.repeats.into());
-            let same = settings == shared.settings;
-            log::info!(target: "start", cause, same; "start: settings read again");
+            log::info!(target: "start", cause; "start: settings read again");
         }
         Err(error) => {
             log::error!(target: "start", cause; "start: settings stay as they were: {error}");
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod platform;
 mod readiness;
+pub mod routed;
 pub mod service;
 pub mod wait;
 
