--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -8,6 +8,7 @@
 //! and from their answers ([`load`], [`health`]), also from those that other
 //! daemons got ([`exchange`]).
 
+pub mod answer;
 pub mod attempt;
 pub mod budget;
 pub mod choose;
--- /dev/null
+++ b/crates/core/src/routing/answer.rs
@@ -0,0 +1,72 @@
+//! What the head of an endpoint's answer says, and whether it can be handed on.
+
+use derive_more::Debug;
+
+use crate::clock::Millis;
+use crate::routing::attempt::Fault;
+use crate::routing::load::Report;
+
+/// The endpoint isn't the one that the request was meant for.
+const MISDIRECTED: u16 = 421;
+
+/// The head of an answer.
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug)]
+pub struct AnswerHead {
+    /// Its status.
+    pub status: u16,
+    /// The attempt that it answers, if it says so.
+    pub attempt: Option<String>,
+    /// Whether the endpoint says that it didn't run the request.
+    pub not_run: bool,
+    /// Whether it bears the endpoint's signature.
+    pub signed: bool,
+    /// The endpoint's work.
+    pub load: Option<Report>,
+    /// How long the connection may be idle.
+    pub keep: Option<Millis>,
+    /// Whether the body is a stream of events.
+    pub events: bool,
+    /// Whether the body was encoded on the way, so that it isn't the endpoint's.
+    pub encoded: bool,
+}
+
+impl AnswerHead {
+    /// Why this isn't the endpoint's answer to an attempt, with words for the log.
+    pub fn fault(&self, attempt: &str) -> Option<(Fault, &'static str)> {
+        if self.attempt.as_deref().is_some_and(|id| id != attempt) {
+            return Some((Fault::Foreign, "another attempt's answer"));
+        }
+        if self.status == MISDIRECTED {
+            return Some((Fault::OtherEndpoint, "another endpoint has the address"));
+        }
+        if self.not_run {
+            return Some((Fault::Rejected, "the endpoint takes no more"));
+        }
+        if self.attempt.is_none() {
+            return Some((Fault::Foreign, "an answer without the attempt's id"));
+        }
+        if self.encoded {
+            return Some((Fault::Lost, "the body was encoded on the way"));
+        }
+        if self.is_success() && !self.signed {
+            return Some((Fault::Lost, "a success without signature"));
+        }
+        None
+    }
+
+    /// Whether the endpoint says that it ran the request to a good end.
+    pub const fn is_success(&self) -> bool {
+        matches!(self.status, 200..300)
+    }
+
+    /// Whether the endpoint says that it failed.
+    pub const fn is_failure(&self) -> bool {
+        self.status >= 500 || self.says_not_run()
+    }
+
+    /// Whether the status would tell a caller that the request hasn't run.
+    pub const fn says_not_run(&self) -> bool {
+        matches!(self.status, 408 | 421 | 429 | 503)
+    }
+}
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -66,7 +66,7 @@
 struct Failed {
     fault: Fault,
     cause: String,
-    answer: Option<Whole>,
+    answer: Option<Box<Whole>>,
 }
 
 impl Failed {
@@ -123,7 +123,7 @@
         }
     };
     match (refusal, failure) {
-        (Refusal::Unknown | Refusal::Timeout, Some(answer)) => Answered::Whole(answer),
+        (Refusal::Unknown | Refusal::Timeout, Some(answer)) => Answered::Whole(*answer),
         _ => Answered::Nothing(refusal),
     }
 }
@@ -159,37 +159,15 @@
     endpoint: EndpointId,
 ) -> Result<Answered> {
     let (head, body) = sent.answer.into_parts();
-    let told = headers::answer(&head.headers);
+    let told = headers::answer(head.status, &head.headers);
     if let Some(load) = told.load {
         order.shared.placement.report(&endpoint, load, now());
     }
     if sent.fresh {
         order.shared.metrics.connects.inc();
     }
-    if told
-        .attempt
-        .as_ref()
-        .is_some_and(|id| *id != order.call.attempt)
-    {
-        return Err(Failed::new(Fault::Foreign, "another attempt's answer"));
-    }
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(Failed::new(
-            Fault::OtherEndpoint,
-            "another endpoint has the address",
-        ));
-    }
-    if told.not_run {
-        return Err(Failed::new(Fault::Rejected, head.status));
-    }
-    if told.attempt.is_none() {
-        return Err(Failed::new(
-            Fault::Foreign,
-            "an answer without the attempt's id",
-        ));
-    }
-    if told.encoded || head.status.is_success() && !told.signed {
-        return Err(Failed::new(Fault::Lost, "not the endpoint's own answer"));
+    if let Some((fault, cause)) = told.fault(&order.call.attempt) {
+        return Err(Failed::new(fault, cause));
     }
     let headers = headers::to_caller(&head.headers);
     if head.status == StatusCode::OK && told.events {
@@ -202,33 +180,29 @@
             endpoint,
         })));
     }
-    let left = plan.deadline().since(now()) + GRACE;
-    let reading = Limited::new(body, ANSWER_MAX).collect();
-    let body = match tokio::time::timeout(left.as_duration(), reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => return Err(Failed::new(Fault::Cut, error)),
-        Err(_) => return Err(Failed::new(Fault::Slow, "the answer didn't end")),
-    };
+    let body = read(plan, body).await?;
     sent.kept.release(told.keep);
-    judge(Whole {
+    let whole = Whole {
         status: head.status,
         headers,
         body,
-    })
+    };
+    if !told.is_failure() {
+        return Ok(Answered::Whole(whole));
+    }
+    let mut failed = Failed::new(Fault::Failed, head.status);
+    // A status that tells the caller that the request hasn't run would be untrue.
+    failed.answer = (!told.says_not_run()).then(|| Box::new(whole));
+    Err(failed)
 }
 
-/// Whether a whole answer is handed on at once, or is a failure of the endpoint.
-fn judge(answer: Whole) -> Result<Answered> {
-    let status = answer.status;
-    let promises = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-    if !status.is_server_error() && !promises {
-        return Ok(Answered::Whole(answer));
+/// Reads a body that isn't a stream.
+async fn read(plan: &Plan, body: Incoming) -> Result<Bytes> {
+    let left = plan.deadline().since(now()) + GRACE;
+    let reading = Limited::new(body, ANSWER_MAX).collect();
+    match tokio::time::timeout(left.as_duration(), reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) => Err(Failed::new(Fault::Cut, error)),
+        Err(_) => Err(Failed::new(Fault::Slow, "the answer didn't end")),
     }
-    Err(Failed {
-        fault: Fault::Failed,
-        cause: status.to_string(),
-        // Such a status would tell the caller that the request hasn't run, which the endpoint
-        // doesn't say.
-        answer: (!promises).then_some(answer),
-    })
 }
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -144,7 +144,7 @@
         self.store.metrics.calls.inc();
         let asked = now();
         let body = self.client.get(path, wait).await;
-        if matches!(&body, Ok(_)) || matches!(&body, Err(error) if error.is_gone()) {
+        if body.as_ref().err().is_none_or(CallError::is_gone) {
             self.answered(asked);
         }
         body
