--- a/crates/daemon/tests/route/setup.rs
+++ b/crates/daemon/tests/route/setup.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and daemons of one test.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -53,10 +54,15 @@
 
     /// Starts a daemon that is told of others.
     pub fn add_daemon(&mut self, seeds: &[usize]) {
+        self.add_daemon_behind(seeds, self.store.address());
+    }
+
+    /// Starts a daemon that reaches the store at another address.
+    pub fn add_daemon_behind(&mut self, seeds: &[usize], platform: SocketAddr) {
         let seeds = seeds.iter().map(|seed| self.daemons[*seed].listen[3]);
         let number = self.daemons.len();
         let name = format!("d-{number}");
-        let mut setup = Setup::new(&name, self.store.address()).with_seeds(seeds.collect());
+        let mut setup = Setup::new(&name, platform).with_seeds(seeds.collect());
         // Each daemon has a VM of its own; for other daemons all listen on one port.
         let port = self
             .daemons
--- a/crates/daemon/tests/route/store.rs
+++ b/crates/daemon/tests/route/store.rs
@@ -2,6 +2,7 @@
 
 use googletest::prelude::*;
 use medlarrill_platform_standin::{Call, Outage, configuration};
+use medlarrill_testkit::proxy::{Harm, Proxy};
 
 use super::setup::{Bench, POOL};
 
@@ -129,6 +130,22 @@
     bench.ready(0, 121).await;
 }
 
+#[tokio::test]
+async fn a_daemon_that_alone_lost_the_platform_is_kept_up_to_date_by_others() {
+    let mut bench = Bench::without_daemon(1).await;
+    bench.add_daemon(&[]);
+    let proxy = Proxy::start(bench.store.address()).await.expect("a proxy");
+    bench.add_daemon_behind(&[0], proxy.address);
+    for daemon in 0..2 {
+        bench.ready(daemon, 1).await;
+        bench.until(daemon, "\"live\":2", 1).await;
+    }
+    proxy.harm(Harm::Reset);
+    bench.until(1, "store: lost", 1).await;
+    bench.store.put("config", "main", configuration(9, POOL));
+    bench.until(1, "configuration in force", 2).await;
+}
+
 #[tokio::test]
 async fn daemons_find_each_other_and_share_what_they_see() {
     let mut bench = Bench::without_daemon(2).await;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -18,9 +18,11 @@
 const RELAY_SILENT: Millis = Millis(1200);
 
 /// Who follows the platform.
-#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Clone, PartialEq, Eq)]
 #[derive(Debug)]
 pub struct Watch {
+    /// This daemon.
+    pub me: SocketAddr,
     /// The daemons that do, first in rank first.
     pub watchers: Vec<SocketAddr>,
     /// Whether this daemon does.
@@ -32,11 +34,22 @@
 }
 
 /// Who follows the platform, as seen here.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 #[derive(Debug)]
 pub struct Roster(Arc<Mutex<Watch>>);
 
 impl Roster {
+    /// A daemon that knows of no other.
+    pub fn new(me: SocketAddr) -> Self {
+        Self(Arc::new(Mutex::new(Watch {
+            me,
+            watchers: Vec::new(),
+            is_watcher: false,
+            is_relayed: false,
+            heard: None,
+        })))
+    }
+
     /// What is seen now.
     pub fn borrow(&self) -> Watch {
         let watch = self.lock();
@@ -52,9 +65,9 @@
         self.lock().heard = Some(at);
     }
 
-    fn set(&self, watchers: Vec<SocketAddr>, me: SocketAddr) {
+    fn set(&self, watchers: Vec<SocketAddr>) {
         let mut watch = self.lock();
-        watch.is_watcher = watchers.contains(&me);
+        watch.is_watcher = watchers.contains(&watch.me);
         watch.watchers = watchers;
     }
 
@@ -81,7 +94,7 @@
             () = tokio::time::sleep(wait.as_duration()) => {
                 tick(&mut exchange, &shared, &socket).await;
                 let cut_off = shared.copies.is_cut_off();
-                roster.set(exchange.watchers(cut_off, now()), settings.listen.peers);
+                roster.set(exchange.watchers(cut_off, now()));
                 due = now() + exchange.pause(now());
                 live = report_live(&exchange, live);
             }
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -116,7 +116,7 @@
         metrics: Arc::clone(&metrics),
     };
     let copies = Arc::new(Copies::new(sinks, listed));
-    let roster = Roster::default();
+    let roster = Roster::new(listen.peers);
     let shared = Arc::new(Shared {
         settings: Settings {
             listen,
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -127,7 +127,7 @@
     Ok(sent.map_err(|_| RelayError::Silent)??)
 }
 
-/// Follows the daemons that follow the platform, while this one isn't among them.
+/// Follows the daemons that follow the platform, while this one isn't among them or has lost it.
 pub async fn follow(store: Store) {
     let mut links: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
     let mut ticks = tokio::time::interval(LOOK.as_duration());
@@ -152,10 +152,14 @@
 
 fn targets(store: &Store) -> Vec<SocketAddr> {
     let roster = store.roster.borrow();
-    match roster.is_watcher {
-        true => Vec::new(),
-        false => roster.watchers.iter().copied().take(SOURCES).collect(),
+    if roster.is_watcher && !store.copies.is_cut_off() {
+        return Vec::new();
     }
+    let others = roster
+        .watchers
+        .iter()
+        .filter(|watcher| **watcher != roster.me);
+    others.copied().take(SOURCES).collect()
 }
 
 async fn follow_one(store: Store, source: SocketAddr) {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod http;
 pub mod platform;
+pub mod proxy;
 mod readiness;
 pub mod routed;
 pub mod service;
