--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -50,6 +50,8 @@
     pub endpoint: Arc<Endpoint>,
     /// Requests that it has, estimated.
     pub load: f64,
+    /// How old the part of the load is that others brought, if it was ever heard of.
+    pub load_age: Option<Millis>,
     /// How it stands.
     pub standing: Standing,
     /// Whether this request was sent there before.
@@ -85,6 +87,8 @@
     pub why: Why,
     /// Its load when picked.
     pub load: f64,
+    /// How old the part of the load is that others brought, if it was ever heard of.
+    pub load_age: Option<Millis>,
     /// Load up to which it would have been given more.
     pub bound: f64,
     /// Whether it was picked on trial.
@@ -226,6 +230,7 @@
         source: None,
         why,
         load: picked.load,
+        load_age: picked.load_age,
         bound: 0.0,
         trial: picked.standing == Standing::Trial,
     }
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -92,6 +92,12 @@
         self.work.get(id).map_or(0, |work| work.own)
     }
 
+    /// Time since others' work at an endpoint was last heard of, none if never.
+    pub fn age(&self, id: &EndpointId, now: Millis) -> Option<Millis> {
+        let heard = self.work.get(id).filter(|work| work.at > Millis::ZERO);
+        heard.map(|work| now.since(work.at))
+    }
+
     /// Requests at an endpoint, estimated.
     pub fn total(&self, id: &EndpointId, now: Millis) -> f64 {
         let Some(work) = self.work.get(id) else {
--- a/crates/core/tests/routing/bound.rs
+++ b/crates/core/tests/routing/bound.rs
@@ -107,6 +107,7 @@
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
             endpoint: Arc::clone(endpoint),
             load: loads.total(&endpoint.id, now),
+            load_age: None,
             standing: Standing::Good,
             tried: false,
             age: Millis(60_000),
--- a/crates/core/tests/routing/support.rs
+++ b/crates/core/tests/routing/support.rs
@@ -35,6 +35,7 @@
     Candidate {
         endpoint: Arc::new(endpoint(name)),
         load,
+        load_age: None,
         standing: Standing::Good,
         tried: false,
         age: Millis(60_000),
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -55,17 +55,17 @@
     request: Request<Incoming>,
     trace: &mut Trace,
 ) -> Result<Order> {
+    let (parts, body) = request.into_parts();
+    let call = headers::call(&parts.headers).map_err(|error| (Reason::BadHead, error.to_string()));
+    if let Ok(call) = &call {
+        trace.request(&call.attempt);
+    }
     if shared.stage(now()) >= Stage::Draining {
         return Err((Reason::Stopping, String::new()));
     }
     let Some(config) = shared.config.borrow().clone() else {
         return Err((Reason::NoConfiguration, String::new()));
     };
-    let (parts, body) = request.into_parts();
-    let call = headers::call(&parts.headers).map_err(|error| (Reason::BadHead, error.to_string()));
-    if let Ok(call) = &call {
-        trace.request(&call.attempt);
-    }
     let path = parts.uri.path();
     let route = host(&parts).and_then(|host| config.route(host, path));
     let Some(route) = route.cloned() else {
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -9,6 +9,7 @@
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::request::SharedPrefix;
 use medlarrill_net::now::now;
+use medlarrill_platform::store::Kind;
 
 use super::answer::Reason;
 use super::order::Order;
@@ -73,9 +74,11 @@
     pub fn attempt(&mut self, choice: &Choice, shared: Option<&SharedPrefix>, left: Millis) {
         self.attempts += 1;
         self.endpoint = Some(choice.endpoint.id.clone());
+        let list_age = self.shared.copies.age(Kind::Endpoints, now());
         log::info!(
-            target: "entry", request = self.request, attempt = self.attempts,
+            target: "entry", request = self.request, attempt = self.attempts, version = self.version,
             endpoint = choice.endpoint.id.as_str(), why:% = choice.why, load = choice.load,
+            load_age = choice.load_age.map(|age| age.0), list_age = list_age.map(|age| age.0),
             bound = choice.bound, trial = choice.trial, left = left.0,
             prefix = shared.map_or(0, |shared| shared.key), tokens = shared.map_or(0, |shared| shared.tokens.0),
             source = choice.source.as_ref().map_or("", |source| source.id.as_str());
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -227,6 +227,7 @@
         let mean = self.health.mean(ready.map(|endpoint| &endpoint.id), now);
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
             load: self.loads.total(&endpoint.id, now),
+            load_age: self.loads.age(&endpoint.id, now),
             standing: self.health.standing(&endpoint.id, mean, now),
             tried: plan.has_tried(&endpoint.id),
             age: self.age(&endpoint.id, now),
