--- a/crates/daemon/tests/route/requests.rs
+++ b/crates/daemon/tests/route/requests.rs
@@ -1,6 +1,6 @@
 use googletest::prelude::*;
 use medlarrill_platform_standin::{Call, Reply};
-use medlarrill_testkit::routed::field;
+use medlarrill_testkit::routed::{WAIT, field};
 
 use super::setup::Bench;
 
@@ -97,7 +97,7 @@
     let mut caller = medlarrill_platform_standin::Caller::new(bench.daemons[0].listen[2]);
     let refused = caller.send(&Call::new("m-1", "/metrics")).await;
     assert_that!(status(&refused), eq(405));
-    let text = medlarrill_testkit::routed::read(bench.daemons[0].listen[2], "/metrics");
+    let text = medlarrill_testkit::routed::read(bench.daemons[0].listen[2], "/metrics", WAIT);
     let text = text.expect("metrics");
     assert_that!(text, contains_substring("medlarrill_requests_total 1"));
     assert_that!(text, contains_substring("medlarrill_first_seconds_count 1"));
--- a/crates/daemon/tests/route/setup.rs
+++ b/crates/daemon/tests/route/setup.rs
@@ -1,12 +1,12 @@
 //! Stand-ins and daemons of one test.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::time::Duration;
 
 use medlarrill_platform_standin::{
     Behaviour, Call, Caller, Endpoint, Ledger, Reply, Store, configuration,
 };
+use medlarrill_testkit::fleet::Program;
 use medlarrill_testkit::routed::{Routed, Setup};
 use tempfile::TempDir;
 
@@ -70,8 +70,8 @@
             .map_or(0, |first| first.listen[3].port());
         let ip = [127, 0, 1, 1 + number as u8];
         setup.listen = [0, 0, 0, port].map(|port| (ip, port).into());
-        let binary = Path::new(env!("CARGO_BIN_EXE_medlarrilld"));
-        let daemon = Routed::start(binary, self.folder.path(), &setup).expect("a daemon");
+        let program = Program::new(env!("CARGO_BIN_EXE_medlarrilld"));
+        let daemon = Routed::start(&program, self.folder.path(), &setup).expect("a daemon");
         self.daemons.push(daemon);
     }
 
--- a/crates/daemon/tests/route/stop.rs
+++ b/crates/daemon/tests/route/stop.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use medlarrill_platform_standin::{Behaviour, Call};
-use medlarrill_testkit::routed::read;
+use medlarrill_testkit::routed::{WAIT, read};
 use nix::sys::signal::Signal;
 
 use super::setup::{Bench, stream_body};
@@ -20,7 +20,7 @@
     bench.daemons[0].signal(Signal::SIGTERM).expect("a signal");
     bench.until(0, "start: stopping", 1).await;
     let ready = bench.daemons[0].listen[1];
-    assert_that!(read(ready, "/ready"), err(anything()));
+    assert_that!(read(ready, "/ready", WAIT), err(anything()));
     let late = bench.send(&Call::new("r-1", "/plain/x")).await;
     assert_that!(late.is_success(), eq(true));
     let closes = late
--- a/crates/daemon/tests/route/store.rs
+++ b/crates/daemon/tests/route/store.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use medlarrill_platform_standin::{Call, Outage, configuration};
 use medlarrill_testkit::proxy::{Harm, Proxy};
+use medlarrill_testkit::routed::WAIT;
 
 use super::setup::{Bench, POOL};
 
@@ -17,13 +18,13 @@
     let reply = bench.send(&Call::new("r-1", "/plain/x")).await;
     assert_that!(reply.promises_not_run(), eq(true));
     assert_that!(
-        medlarrill_testkit::routed::read(ready, "/ready"),
+        medlarrill_testkit::routed::read(ready, "/ready", WAIT),
         err(anything())
     );
     bench.store.fail(Outage::None);
     bench.ready(0, 1).await;
     assert_that!(
-        medlarrill_testkit::routed::read(ready, "/ready"),
+        medlarrill_testkit::routed::read(ready, "/ready", WAIT),
         ok(anything())
     );
     assert_that!(
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod load;
 pub mod policy;
 pub mod sample;
+pub mod soak;
 pub mod spread;
--- /dev/null
+++ b/crates/lab/src/soak.rs
@@ -0,0 +1,171 @@
+//! A randomized soak of daemons that route on the platform.
+//!
+//! The real program runs as several processes; faults come from outside it, in
+//! series and on top of each other: signals, proxies that delay, cut, silence
+//! or reset connections, stand-ins that misbehave. What callers and endpoints
+//! see is checked against what the pages promise. A seed gives the same plan
+//! again, though not the same interleaving.
+
+mod check;
+mod plan;
+mod traffic;
+mod world;
+
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use clap::Parser;
+use derive_more::{Debug, Display, Error, From};
+use medlarrill_testkit::fleet::Program;
+use medlarrill_testkit::routed::ProcessError;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+
+pub use self::check::Violation;
+use self::check::check;
+use self::plan::Plan;
+use self::traffic::Traffic;
+use self::world::World;
+
+/// Time after the last fault in which the fleet has to be well again.
+const RECOVERY: Duration = Duration::from_secs(4);
+/// Soaks that run at a time. Each has up to six daemons.
+const AT_ONCE: usize = 3;
+
+/// Result of a soak.
+pub type Result<T> = std::result::Result<T, SoakError>;
+
+/// Why a soak can't be run, or what it found.
+#[derive(Debug, Display, Error, From)]
+pub enum SoakError {
+    /// A stand-in or a file fails.
+    #[display("{_0}")]
+    Io(std::io::Error),
+    /// A daemon can't be handled.
+    #[display("{_0}")]
+    Process(ProcessError),
+    /// A task of the soak failed.
+    #[display("{_0}")]
+    Task(tokio::task::JoinError),
+    /// A daemon didn't end when it was told to.
+    #[display("{_0} didn't end in time")]
+    #[from(skip)]
+    Late(#[error(not(source))] String),
+    /// Promises were broken.
+    #[display("{} of the seeds broke a promise: {_0:?}", _0.len())]
+    #[from(skip)]
+    Broken(#[error(not(source))] Vec<u64>),
+}
+
+/// What to soak.
+#[derive(Clone, Debug)]
+#[derive(Parser)]
+pub struct Options {
+    /// Seeds, each one soak; fresh ones if none is given.
+    #[arg(long, value_delimiter = ',')]
+    pub seeds: Vec<u64>,
+    /// How many fresh seeds.
+    #[arg(long, default_value_t = 10)]
+    pub count: u64,
+    /// Seconds of each soak.
+    #[arg(long, default_value_t = 12)]
+    pub seconds: u64,
+    /// Where logs of seeds that broke a promise are kept.
+    #[arg(long, default_value = "target/soak")]
+    pub keep: PathBuf,
+}
+
+/// What one soak saw.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Its seed.
+    pub seed: u64,
+    /// Faults that were injected.
+    pub faults: usize,
+    /// Requests sent, and those answered with success.
+    pub requests: (usize, usize),
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+}
+
+/// Runs soaks, a few at a time, and prints a line for each.
+///
+/// # Errors
+///
+/// When one can't be run, or with the seeds that broke a promise.
+pub async fn run(program: Program, options: Options) -> Result<()> {
+    let fresh = || (0..options.count).map(|_| rand::random::<u32>().into());
+    let seeds: Vec<u64> = match options.seeds.is_empty() {
+        true => fresh().collect(),
+        false => options.seeds.clone(),
+    };
+    let mut broken = Vec::new();
+    for group in seeds.chunks(AT_ONCE) {
+        let mut running = tokio::task::JoinSet::new();
+        for seed in group {
+            running.spawn(soak(program.clone(), *seed, options.clone()));
+        }
+        while let Some(outcome) = running.join_next().await {
+            let outcome = outcome??;
+            tell(&outcome);
+            if !outcome.violations.is_empty() {
+                broken.push(outcome.seed);
+            }
+        }
+    }
+    println!(
+        "{} passed, {} failed",
+        seeds.len() - broken.len(),
+        broken.len()
+    );
+    match broken.is_empty() {
+        true => Ok(()),
+        false => Err(SoakError::Broken(broken)),
+    }
+}
+
+fn tell(outcome: &Outcome) {
+    let (sent, served) = outcome.requests;
+    println!(
+        "seed {}: {} faults, {served} of {sent} served, {} broken promises",
+        outcome.seed,
+        outcome.faults,
+        outcome.violations.len()
+    );
+    for violation in &outcome.violations {
+        println!("    {violation}");
+    }
+}
+
+async fn soak(program: Program, seed: u64, options: Options) -> Result<Outcome> {
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let length = Duration::from_secs(options.seconds);
+    let plan = Plan::new(&mut rng, length);
+    let mut world = World::start(program, seed, &plan).await?;
+    let from = Instant::now();
+    let traffic = Traffic::start(world.doors.clone(), seed);
+    for step in plan.steps() {
+        tokio::time::sleep_until((from + step.at).into()).await;
+        match step.begins {
+            true => world.begin(step.event).await?,
+            false => world.end_of(step.event).await?,
+        }
+    }
+    world.settle().await?;
+    tokio::time::sleep(RECOVERY).await;
+    let calls = traffic.stop().await?;
+    let recovered = traffic::probe(&world.doors, seed).await;
+    let violations = check(&world, &calls, &recovered);
+    if !violations.is_empty() {
+        world.keep(&options.keep, seed, &violations).await?;
+    }
+    Ok(Outcome {
+        seed,
+        faults: plan.events.len(),
+        requests: (
+            calls.len(),
+            calls.iter().filter(|sent| sent.reply.is_success()).count(),
+        ),
+        violations,
+    })
+}
--- /dev/null
+++ b/crates/lab/src/soak/check.rs
@@ -0,0 +1,221 @@
+//! What callers and endpoints saw, against what the pages promise.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use derive_more::{Debug, Display};
+use medlarrill_platform_standin::{Reply, Run};
+
+use super::plan::Fault;
+use super::traffic::{PATHS, Sent};
+use super::world::World;
+
+/// Events of a stream at the stand-in endpoints.
+const EVENTS: u64 = 6;
+/// Most endpoints that may run an idempotent request, as the configuration says.
+const ATTEMPTS: usize = 2;
+/// Time around trouble in which its effects may still be felt: connections that were harmed are
+/// found out, endpoints are tried again.
+const TROUBLE: Duration = Duration::from_millis(4500);
+/// Time after which a leaving endpoint gets no new work.
+const LEAVING: Duration = Duration::from_millis(2500);
+
+/// A broken promise.
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Display)]
+pub enum Violation {
+    /// An answer isn't the request's own.
+    #[display("{request} got an answer that isn't its own: {answer}")]
+    Mixed {
+        /// The request.
+        request: String,
+        /// The answer, in words.
+        answer: String,
+    },
+    /// A request ran too often.
+    #[display("{request} ran {runs} times")]
+    Repeated {
+        /// The request.
+        request: String,
+        /// Its runs.
+        runs: usize,
+    },
+    /// A refusal said that a request hasn't run, and it has.
+    #[display("{request} was refused with {status} and has run")]
+    Untrue {
+        /// The request.
+        request: String,
+        /// The status.
+        status: u16,
+    },
+    /// A caller's key came through, or another account's name.
+    #[display("{request} reached an endpoint with a key or the wrong account")]
+    Leaked {
+        /// The request.
+        request: String,
+    },
+    /// A request was lost with nothing but planned work around.
+    #[display("{request} at daemon {daemon} was lost in planned work: {reply}")]
+    Lost {
+        /// The request.
+        request: String,
+        /// The daemon.
+        daemon: usize,
+        /// What came, in words.
+        reply: String,
+    },
+    /// A leaving endpoint got new work.
+    #[display("{request} reached {endpoint} {late} ms after it was leaving")]
+    Drained {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: String,
+        /// Time since the platform knew.
+        late: u128,
+    },
+    /// A request failed after all trouble had ended.
+    #[display("{request} at daemon {daemon} failed after recovery: {reply}")]
+    NotRecovered {
+        /// The request.
+        request: String,
+        /// The daemon.
+        daemon: usize,
+        /// What came, in words.
+        reply: String,
+    },
+    /// A daemon ended by itself.
+    #[display("daemon {_0} ended by itself")]
+    Ended(usize),
+}
+
+/// All broken promises of a soak.
+pub fn check(world: &World, calls: &[Sent], recovered: &[Sent]) -> Vec<Violation> {
+    let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
+    for run in world.ledger.all() {
+        runs.entry(run.attempt.clone()).or_default().push(run);
+    }
+    let none = Vec::new();
+    let mut found: Vec<Violation> = world.ended.iter().copied().map(Violation::Ended).collect();
+    for sent in calls.iter().chain(recovered) {
+        let ran = runs.get(&sent.call.attempt).unwrap_or(&none);
+        found.extend(mixed(sent));
+        found.extend(repeated(sent, ran));
+        found.extend(leaked(sent, ran));
+        found.extend(lost(world, sent, ran));
+        found.extend(ran.iter().filter_map(|run| drained(world, run)));
+    }
+    found.extend(recovered.iter().filter_map(not_recovered));
+    found
+}
+
+fn words(reply: &Reply) -> String {
+    let status = reply.status.map_or(0, |status| status.as_u16());
+    let end = if reply.whole { "whole" } else { "cut" };
+    format!("status {status}, {} bytes, {end}", reply.body.len())
+}
+
+/// The whole body that a request is answered with.
+fn expected(sent: &Sent) -> String {
+    let attempt = &sent.call.attempt;
+    match sent.call.path.contains("/stream") {
+        true => (1..=EVENTS)
+            .map(|number| format!("id: {number}\ndata: {attempt}/{number}\n\n"))
+            .collect(),
+        false => format!("{attempt} {}", sent.call.body.len()),
+    }
+}
+
+fn mixed(sent: &Sent) -> Option<Violation> {
+    let reply = &sent.reply;
+    if !reply.status?.is_success() {
+        return None;
+    }
+    let expected = expected(sent);
+    let signed = reply.headers.contains_key("medlarrill-response-seal");
+    let right = match reply.whole {
+        true => reply.body == expected.as_bytes(),
+        false => expected.as_bytes().starts_with(&reply.body),
+    };
+    (!right || !signed).then(|| Violation::Mixed {
+        request: sent.call.attempt.clone(),
+        answer: format!("{}: {:?}", words(reply), reply.body),
+    })
+}
+
+fn repeated(sent: &Sent, ran: &[Run]) -> Option<Violation> {
+    let request = sent.call.attempt.clone();
+    if sent.reply.promises_not_run() && !ran.is_empty() {
+        let status = sent.reply.status?.as_u16();
+        return Some(Violation::Untrue { request, status });
+    }
+    let idempotent = PATHS.contains(&(sent.call.path.as_str(), true));
+    let most = if idempotent { ATTEMPTS } else { 1 };
+    let runs = ran.len();
+    (runs > most).then_some(Violation::Repeated { request, runs })
+}
+
+fn leaked(sent: &Sent, ran: &[Run]) -> Option<Violation> {
+    let wrong = |run: &Run| run.leaked || run.account.as_deref() != Some("account");
+    ran.iter().any(wrong).then(|| Violation::Leaked {
+        request: sent.call.attempt.clone(),
+    })
+}
+
+/// Whether anything but planned work was going on, or had ended shortly before.
+fn is_troubled(world: &World, from: Instant, to: Instant) -> bool {
+    world.done.iter().any(|done| {
+        let end = done.from + done.fault.length() + TROUBLE;
+        !done.fault.is_planned() && done.from <= to && end >= from
+    })
+}
+
+fn lost(world: &World, sent: &Sent, ran: &[Run]) -> Option<Violation> {
+    let reply = &sent.reply;
+    let answered = reply.status.is_some() && reply.whole;
+    // A request that crosses the end of a daemon's stop on a kept connection has not run.
+    if answered || ran.is_empty() || is_troubled(world, sent.from, sent.to) {
+        return None;
+    }
+    Some(Violation::Lost {
+        request: sent.call.attempt.clone(),
+        daemon: sent.daemon,
+        reply: words(reply),
+    })
+}
+
+fn drained(world: &World, run: &Run) -> Option<Violation> {
+    let at: Instant = run.at.into_std();
+    let number: usize = run.endpoint.strip_prefix("e-")?.parse().ok()?;
+    let leaving = world.done.iter().find(|done| match &done.fault {
+        Fault::Drain(endpoint, length) => {
+            let from = done.from + LEAVING;
+            *endpoint == number && at > from && at < done.from + *length
+        }
+        _ => false,
+    })?;
+    // Another event may have listed it as ready meanwhile.
+    let relisted = world.done.iter().any(|done| match &done.fault {
+        Fault::Drain(endpoint, length) | Fault::Unlist(endpoint, length) => {
+            let end = done.from + *length;
+            *endpoint == number && end > leaving.from && end < at
+        }
+        _ => false,
+    });
+    if relisted || is_troubled(world, leaving.from, at) {
+        return None;
+    }
+    Some(Violation::Drained {
+        request: run.attempt.clone(),
+        endpoint: run.endpoint.clone(),
+        late: at.duration_since(leaving.from).as_millis(),
+    })
+}
+
+fn not_recovered(sent: &Sent) -> Option<Violation> {
+    (!sent.reply.is_success()).then(|| Violation::NotRecovered {
+        request: sent.call.attempt.clone(),
+        daemon: sent.daemon,
+        reply: words(&sent.reply),
+    })
+}
--- /dev/null
+++ b/crates/lab/src/soak/plan.rs
@@ -0,0 +1,187 @@
+//! The faults of one soak, drawn from its seed.
+
+use std::time::Duration;
+
+use derive_more::Debug;
+use medlarrill_platform_standin::{Behaviour, Outage};
+use medlarrill_testkit::proxy::Harm;
+use rand::RngExt;
+use rand_pcg::Pcg32;
+
+/// Mean pause between two faults; several last longer, so that they overlap.
+const PAUSE_MS: u64 = 700;
+/// Time at the start without faults.
+const CALM: Duration = Duration::from_millis(1500);
+
+/// What happens to what.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Fault {
+    /// A daemon is told to stop, and started again when it has ended.
+    Stop(usize),
+    /// A daemon is killed, and started again.
+    Kill(usize),
+    /// A daemon stands still.
+    Freeze(usize, Duration),
+    /// A daemon is told to read its settings again.
+    Reload(usize),
+    /// Connections of a daemon to the store are harmed.
+    HarmStore(usize, Harm, Duration),
+    /// Connections to an endpoint are harmed.
+    HarmEndpoint(usize, Harm, Duration),
+    /// The store fails.
+    Store(Outage, Duration),
+    /// The store forgets its history.
+    Forget,
+    /// A new version of the configuration.
+    Configure,
+    /// An endpoint behaves badly.
+    Behave(usize, Behaviour, Duration),
+    /// An endpoint announces that it leaves, and is listed again later.
+    Drain(usize, Duration),
+    /// An endpoint's entry is removed, and listed again later.
+    Unlist(usize, Duration),
+}
+
+impl Fault {
+    /// Whether operators plan such a thing; all else is trouble.
+    pub const fn is_planned(&self) -> bool {
+        matches!(
+            self,
+            Self::Stop(_) | Self::Reload(_) | Self::Configure | Self::Drain(..) | Self::Forget
+        )
+    }
+
+    /// How long it lasts.
+    pub const fn length(&self) -> Duration {
+        match self {
+            Self::Freeze(_, length)
+            | Self::HarmStore(_, _, length)
+            | Self::HarmEndpoint(_, _, length)
+            | Self::Store(_, length)
+            | Self::Behave(_, _, length)
+            | Self::Drain(_, length)
+            | Self::Unlist(_, length) => *length,
+            Self::Stop(_) | Self::Kill(_) | Self::Reload(_) | Self::Forget | Self::Configure => {
+                Duration::ZERO
+            }
+        }
+    }
+}
+
+/// A fault and its time.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Event {
+    /// Time since the start of traffic.
+    pub at: Duration,
+    /// The fault.
+    pub fault: Fault,
+}
+
+/// The begin or the end of an event.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Step<'a> {
+    /// Time since the start of traffic.
+    pub at: Duration,
+    /// Whether the event begins.
+    pub begins: bool,
+    /// The event.
+    pub event: &'a Event,
+}
+
+/// A soak.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Plan {
+    /// Daemons.
+    pub daemons: usize,
+    /// Endpoints.
+    pub endpoints: usize,
+    /// Faults, by time.
+    pub events: Vec<Event>,
+}
+
+impl Plan {
+    /// Draws a plan.
+    pub fn new(rng: &mut Pcg32, length: Duration) -> Self {
+        let mut plan = Self {
+            daemons: rng.random_range(2..=5),
+            endpoints: rng.random_range(3..=6),
+            events: Vec::new(),
+        };
+        // A fifth of the soaks hold planned work only, so that its stricter promises are checked.
+        let planned = rng.random_bool(0.2);
+        let mut at = CALM;
+        while at < length {
+            let fault = plan.draw(rng);
+            if fault.is_planned() || !planned {
+                plan.events.push(Event { at, fault });
+            }
+            at += Duration::from_millis(rng.random_range(0..2 * PAUSE_MS));
+        }
+        plan
+    }
+
+    /// Begins and ends of the events, by time.
+    pub fn steps(&self) -> Vec<Step<'_>> {
+        let steps = |event| {
+            let step = |at, begins| Step { at, begins, event };
+            let end = event.at + event.fault.length();
+            [step(event.at, true), step(end, false)]
+        };
+        let mut steps: Vec<Step<'_>> = self.events.iter().flat_map(steps).collect();
+        steps.sort_by_key(|step| step.at);
+        steps
+    }
+
+    fn draw(&self, rng: &mut Pcg32) -> Fault {
+        let daemon = rng.random_range(0..self.daemons);
+        let endpoint = rng.random_range(0..self.endpoints);
+        let length = Duration::from_millis(rng.random_range(200..3500));
+        match rng.random_range(0..14) {
+            0 | 1 => Fault::Stop(daemon),
+            2 => Fault::Kill(daemon),
+            3 => Fault::Freeze(daemon, length),
+            4 => Fault::Reload(daemon),
+            5 => Fault::HarmStore(daemon, harm(rng), length),
+            6 => Fault::HarmEndpoint(endpoint, harm(rng), length),
+            7 => Fault::Store(outage(rng), length),
+            8 => Fault::Forget,
+            9 => Fault::Configure,
+            10 | 11 => Fault::Behave(endpoint, behaviour(rng), length),
+            12 => Fault::Drain(endpoint, length),
+            _ => Fault::Unlist(endpoint, length),
+        }
+    }
+}
+
+fn harm(rng: &mut Pcg32) -> Harm {
+    match rng.random_range(0..5) {
+        0 => Harm::Delay(Duration::from_millis(rng.random_range(10..200))),
+        1 => Harm::Silence,
+        2 => Harm::CutThere,
+        3 => Harm::CutBack,
+        _ => Harm::Reset,
+    }
+}
+
+fn outage(rng: &mut Pcg32) -> Outage {
+    match rng.random_range(0..3) {
+        0 => Outage::Silent,
+        1 => Outage::Busy,
+        _ => Outage::Reset,
+    }
+}
+
+fn behaviour(rng: &mut Pcg32) -> Behaviour {
+    let mut behaviour = Behaviour::default();
+    let share = rng.random_range(0.1..1.0);
+    match rng.random_range(0..7) {
+        0 => behaviour.fails = share,
+        1 => behaviour.full = share,
+        2 => behaviour.hangs = share,
+        3 => behaviour.drops = share,
+        4 => behaviour.cuts = share,
+        5 => behaviour.foreign = share,
+        _ => behaviour.pace = Duration::from_millis(rng.random_range(50..600)),
+    }
+    behaviour
+}
--- /dev/null
+++ b/crates/lab/src/soak/traffic.rs
@@ -0,0 +1,167 @@
+//! Callers: they send requests through daemons that the balancer would pick,
+//! and keep connections until these are gone.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use derive_more::Debug;
+use medlarrill_platform_standin::{Call, Caller, Reply};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use tokio::task::JoinSet;
+
+use super::Result;
+
+/// Callers that send at a time.
+const CALLERS: u64 = 8;
+/// Longest pause of a caller between two requests.
+const PAUSE_MS: u64 = 60;
+/// Requests through each daemon after recovery.
+const PROBES: usize = 6;
+/// Paths, and whether their requests may run more than once.
+pub const PATHS: [(&str, bool); 4] = [
+    ("/plain/x", true),
+    ("/once/x", false),
+    ("/stream/x", true),
+    ("/stream-once/x", false),
+];
+
+/// A daemon as callers and the balancer see it.
+#[derive(Debug)]
+pub struct Door {
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Whether the balancer gives it new connections.
+    pub open: AtomicBool,
+}
+
+/// All daemons.
+pub type Doors = Arc<Vec<Door>>;
+
+/// A request and its reply.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// The request.
+    pub call: Call,
+    /// The reply.
+    pub reply: Reply,
+    /// When it was sent.
+    pub from: Instant,
+    /// When the reply ended.
+    pub to: Instant,
+    /// The daemon.
+    pub daemon: usize,
+}
+
+/// Running callers.
+#[derive(Debug)]
+pub struct Traffic {
+    sent: Arc<Mutex<Vec<Sent>>>,
+    ends: Arc<AtomicBool>,
+    callers: JoinSet<()>,
+}
+
+impl Traffic {
+    /// Starts callers.
+    pub fn start(doors: Doors, seed: u64) -> Self {
+        let sent = Arc::<Mutex<Vec<Sent>>>::default();
+        let ends = Arc::new(AtomicBool::new(false));
+        let mut callers = JoinSet::new();
+        for number in 0..CALLERS {
+            let rng = Pcg32::seed_from_u64(seed ^ (number << 32));
+            let (doors, sent, ends) = (Arc::clone(&doors), Arc::clone(&sent), Arc::clone(&ends));
+            callers.spawn(call(doors, sent, ends, rng, number));
+        }
+        Self {
+            sent,
+            ends,
+            callers,
+        }
+    }
+
+    /// Lets callers finish; returns what they sent.
+    pub async fn stop(mut self) -> Result<Vec<Sent>> {
+        self.ends.store(true, Ordering::Relaxed);
+        while let Some(ended) = self.callers.join_next().await {
+            ended?;
+        }
+        let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(std::mem::take(&mut *sent))
+    }
+}
+
+async fn call(
+    doors: Doors,
+    sent: Arc<Mutex<Vec<Sent>>>,
+    ends: Arc<AtomicBool>,
+    mut rng: Pcg32,
+    caller: u64,
+) {
+    let mut kept: Option<(usize, Caller)> = None;
+    let mut number = 0;
+    while !ends.load(Ordering::Relaxed) {
+        number += 1;
+        let (daemon, mut connection) = match kept.take().filter(|_| rng.random_bool(0.8)) {
+            Some(kept) => kept,
+            None => {
+                let daemon = pick(&doors, &mut rng);
+                (daemon, Caller::new(doors[daemon].callers))
+            }
+        };
+        let (path, _) = PATHS[rng.random_range(0..PATHS.len())];
+        let wait = rng.random_range(500..3000);
+        let body = vec![b'x'; rng.random_range(0..2000)];
+        let call = Call::new(format!("c{caller}-{number}"), path);
+        let call = call.with_wait(wait).with_body(body);
+        let from = Instant::now();
+        let reply = connection.send(&call).await;
+        if reply.status.is_some() {
+            kept = Some((daemon, connection));
+        }
+        let done = Sent {
+            call,
+            reply,
+            from,
+            to: Instant::now(),
+            daemon,
+        };
+        sent.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(done);
+        let pause = rng.random_range(0..PAUSE_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+fn pick(doors: &Doors, rng: &mut Pcg32) -> usize {
+    let open: Vec<usize> = (0..doors.len())
+        .filter(|daemon| doors[*daemon].open.load(Ordering::Relaxed))
+        .collect();
+    match open.is_empty() {
+        true => rng.random_range(0..doors.len()),
+        false => open[rng.random_range(0..open.len())],
+    }
+}
+
+/// Requests through each daemon, one after the other, when all should be well.
+pub async fn probe(doors: &Doors, seed: u64) -> Vec<Sent> {
+    let mut sent = Vec::new();
+    for (daemon, door) in doors.iter().enumerate() {
+        for number in 0..PROBES {
+            let (path, _) = PATHS[number % PATHS.len()];
+            let call = Call::new(format!("p{seed}-{daemon}-{number}"), path);
+            let from = Instant::now();
+            let reply = Caller::new(door.callers).send(&call).await;
+            sent.push(Sent {
+                call,
+                reply,
+                from,
+                to: Instant::now(),
+                daemon,
+            });
+        }
+    }
+    sent
+}
--- /dev/null
+++ b/crates/lab/src/soak/world.rs
@@ -0,0 +1,311 @@
+//! Daemons, stand-ins and proxies of one soak, and the faults done to them.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use derive_more::Debug;
+use medlarrill_platform_standin::{Behaviour, Endpoint, Ledger, Outage, Store, configuration};
+use medlarrill_testkit::fleet::Program;
+use medlarrill_testkit::proxy::{Harm, Proxy};
+use medlarrill_testkit::routed::{Routed, Setup, read};
+use nix::sys::signal::Signal;
+use tempfile::TempDir;
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
+
+use super::check::Violation;
+use super::plan::{Event, Fault, Plan};
+use super::traffic::{Door, Doors};
+use super::{Result, SoakError};
+
+/// The one pool.
+const POOL: &str = "pool";
+/// Between two questions of the balancer; two without a good answer close a door.
+const BALANCER: Duration = Duration::from_millis(1000);
+/// Pause between the end of a daemon and its next start.
+const RESTART: Duration = Duration::from_millis(200);
+
+/// Between two looks whether a daemon has ended.
+const LOOK: Duration = Duration::from_millis(20);
+/// Longest time for a stop: the grace period, a freeze, and a second.
+const LONGEST_STOP: Duration = Duration::from_secs(14);
+
+/// A span of time in which something was done.
+#[derive(Clone, Debug)]
+pub struct Done {
+    /// What.
+    pub fault: Fault,
+    /// When it began.
+    pub from: Instant,
+}
+
+/// A daemon over its restarts.
+#[derive(Debug)]
+struct Daemon {
+    setup: Setup,
+    routed: Mutex<Routed>,
+    /// Whether it was told to end and isn't up again.
+    ending: AtomicBool,
+    /// Log lines of processes that ended.
+    earlier: Mutex<Vec<String>>,
+}
+
+/// The daemons and what surrounds them.
+#[derive(Debug)]
+pub struct World {
+    /// Daemons as callers see them.
+    pub doors: Doors,
+    /// Runs at endpoints.
+    pub ledger: Ledger,
+    /// What was done so far.
+    pub done: Vec<Done>,
+    /// Daemons that ended by themselves.
+    pub ended: Vec<usize>,
+    store: Store,
+    endpoints: Vec<(Endpoint, Proxy)>,
+    program: Program,
+    daemons: Vec<Arc<Daemon>>,
+    /// Between daemons and the store.
+    proxies: Vec<Proxy>,
+    restarts: Vec<JoinHandle<Result<()>>>,
+    version: u64,
+    balancer: JoinHandle<()>,
+    folder: TempDir,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.balancer.abort();
+    }
+}
+
+impl World {
+    /// Starts all and waits until each daemon knows all endpoints.
+    pub async fn start(program: Program, seed: u64, plan: &Plan) -> Result<Self> {
+        let store = Store::start().await?;
+        store.put("config", "main", configuration(1, POOL));
+        let ledger = Ledger::default();
+        let mut endpoints = Vec::new();
+        for number in 0..plan.endpoints {
+            let id = format!("e-{number}");
+            let endpoint = Endpoint::start(&id, ledger.clone(), seed + number as u64).await?;
+            let proxy = Proxy::start(endpoint.address()).await?;
+            store.put("servers", &id, entry(&endpoint, &proxy, "ready"));
+            endpoints.push((endpoint, proxy));
+        }
+        let folder = TempDir::new()?;
+        let mut world = Self {
+            doors: Doors::default(),
+            ledger,
+            done: Vec::new(),
+            ended: Vec::new(),
+            store,
+            endpoints,
+            program,
+            daemons: Vec::new(),
+            proxies: Vec::new(),
+            restarts: Vec::new(),
+            version: 1,
+            balancer: tokio::spawn(async {}),
+            folder,
+        };
+        let mut doors = Vec::new();
+        for number in 0..plan.daemons {
+            doors.push(world.add(seed, number).await?);
+        }
+        world.doors = Arc::new(doors);
+        for daemon in &world.daemons {
+            let routed = daemon.routed.lock().await;
+            routed.wait_for("configuration in force")?;
+            routed.wait_for("endpoint listed")?;
+        }
+        let ready = world
+            .daemons
+            .iter()
+            .map(|daemon| daemon.setup.listen[1])
+            .collect();
+        world.balancer = tokio::spawn(balance(Arc::clone(&world.doors), ready));
+        Ok(world)
+    }
+
+    async fn add(&mut self, seed: u64, number: usize) -> Result<Door> {
+        let proxy = Proxy::start(self.store.address()).await?;
+        // Each daemon has a VM of its own: an address of the loopback network.
+        let [.., high, low] = seed.to_be_bytes();
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 10 + high % 200, low, 1 + number as u8));
+        let peers = |daemon: &Arc<Daemon>| daemon.setup.listen[3];
+        let port = self.daemons.first().map_or(0, |first| peers(first).port());
+        let mut setup = Setup::new(&format!("d-{number}"), proxy.address);
+        setup.listen = [0, 0, 0, port].map(|port| SocketAddr::new(ip, port));
+        setup.seeds = self.daemons.iter().map(peers).take(2).collect();
+        let routed = Routed::start(&self.program, self.folder.path(), &setup)?;
+        setup.listen = routed.listen;
+        let door = Door {
+            callers: routed.callers(),
+            open: AtomicBool::new(true),
+        };
+        self.daemons.push(Arc::new(Daemon {
+            setup,
+            routed: Mutex::new(routed),
+            ending: AtomicBool::new(false),
+            earlier: Mutex::default(),
+        }));
+        self.proxies.push(proxy);
+        Ok(door)
+    }
+
+    /// Does what an event says.
+    pub async fn begin(&mut self, event: &Event) -> Result<()> {
+        self.done.push(Done {
+            fault: event.fault.clone(),
+            from: Instant::now(),
+        });
+        match &event.fault {
+            Fault::Stop(daemon) => self.end(*daemon, Signal::SIGTERM).await?,
+            Fault::Kill(daemon) => self.end(*daemon, Signal::SIGKILL).await?,
+            Fault::Freeze(daemon, _) => self.signal(*daemon, Signal::SIGSTOP).await,
+            Fault::Reload(daemon) => self.signal(*daemon, Signal::SIGHUP).await,
+            Fault::HarmStore(daemon, harm, _) => self.proxies[*daemon].harm(*harm),
+            Fault::HarmEndpoint(endpoint, harm, _) => self.endpoints[*endpoint].1.harm(*harm),
+            Fault::Store(outage, _) => self.store.fail(*outage),
+            Fault::Forget => self.store.forget(),
+            Fault::Configure => {
+                self.version += 1;
+                let next = configuration(self.version, POOL);
+                self.store.put("config", "main", next);
+            }
+            Fault::Behave(endpoint, behaviour, _) => self.endpoints[*endpoint].0.behave(*behaviour),
+            Fault::Drain(endpoint, _) => self.list(*endpoint, "draining"),
+            Fault::Unlist(endpoint, _) => {
+                let id = self.endpoints[*endpoint].0.id().to_owned();
+                self.store.remove("servers", &id);
+            }
+        }
+        self.watch_ends().await
+    }
+
+    /// Ends what an event did.
+    pub async fn end_of(&mut self, event: &Event) -> Result<()> {
+        match &event.fault {
+            Fault::Freeze(daemon, _) => self.signal(*daemon, Signal::SIGCONT).await,
+            Fault::HarmStore(daemon, ..) => self.proxies[*daemon].harm(Harm::None),
+            Fault::HarmEndpoint(endpoint, ..) => self.endpoints[*endpoint].1.harm(Harm::None),
+            Fault::Store(..) => self.store.fail(Outage::None),
+            Fault::Behave(endpoint, ..) => self.endpoints[*endpoint].0.behave(Behaviour::default()),
+            Fault::Drain(endpoint, _) | Fault::Unlist(endpoint, _) => self.list(*endpoint, "ready"),
+            _ => {}
+        }
+        self.watch_ends().await
+    }
+
+    /// Waits until daemons that were ended run again.
+    pub async fn settle(&mut self) -> Result<()> {
+        for restart in self.restarts.drain(..) {
+            restart.await??;
+        }
+        self.watch_ends().await
+    }
+
+    /// Signals a daemon; one that is about to be started again may have gone.
+    async fn signal(&self, daemon: usize, signal: Signal) {
+        self.daemons[daemon].routed.lock().await.signal(signal).ok();
+    }
+
+    /// Has a daemon ended by a signal, and started again once it has.
+    async fn end(&mut self, daemon: usize, signal: Signal) -> Result<()> {
+        self.signal(daemon, signal).await;
+        let ending = Arc::clone(&self.daemons[daemon]);
+        if ending.ending.swap(true, Ordering::Relaxed) {
+            return Ok(());
+        }
+        let program = self.program.clone();
+        let folder = self.folder.path().to_owned();
+        let restart = tokio::spawn(async move { ending.restart(&program, &folder).await });
+        self.restarts.push(restart);
+        Ok(())
+    }
+
+    /// Notes daemons that ended although nobody told them to, and starts them again.
+    async fn watch_ends(&mut self) -> Result<()> {
+        for number in 0..self.daemons.len() {
+            let daemon = &self.daemons[number];
+            let is_ending = daemon.ending.load(Ordering::Relaxed);
+            if !is_ending && daemon.routed.lock().await.has_ended()? {
+                self.ended.push(number);
+                self.end(number, Signal::SIGKILL).await?;
+            }
+        }
+        Ok(())
+    }
+
+    fn list(&self, endpoint: usize, state: &str) {
+        let (endpoint, proxy) = &self.endpoints[endpoint];
+        let entry = entry(endpoint, proxy, state);
+        self.store.put("servers", endpoint.id(), entry);
+    }
+
+    /// Keeps the plan, the logs and the broken promises of a soak.
+    pub async fn keep(&self, folder: &Path, seed: u64, violations: &[Violation]) -> Result<()> {
+        let folder = folder.join(seed.to_string());
+        std::fs::create_dir_all(&folder)?;
+        let done: String = self.done.iter().map(|done| format!("{done:?}\n")).collect();
+        let broken: String = violations
+            .iter()
+            .map(|broken| format!("{broken}\n"))
+            .collect();
+        std::fs::write(folder.join("broken.txt"), broken + &done)?;
+        for (number, daemon) in self.daemons.iter().enumerate() {
+            let mut lines = daemon.earlier.lock().await.clone();
+            lines.extend(daemon.routed.lock().await.lines());
+            std::fs::write(folder.join(format!("d-{number}.log")), lines.join("\n"))?;
+        }
+        Ok(())
+    }
+}
+
+impl Daemon {
+    /// Waits until the process has ended, and starts it again with the same addresses.
+    async fn restart(&self, program: &Program, folder: &Path) -> Result<()> {
+        let from = Instant::now();
+        while !self.routed.lock().await.has_ended()? {
+            if from.elapsed() > LONGEST_STOP {
+                return Err(SoakError::Late(self.setup.name.clone()));
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        let mut routed = self.routed.lock().await;
+        self.earlier.lock().await.extend(routed.lines());
+        tokio::time::sleep(RESTART).await;
+        *routed = Routed::start(program, folder, &self.setup)?;
+        self.ending.store(false, Ordering::Relaxed);
+        Ok(())
+    }
+}
+
+/// An endpoint's entry, with its proxy's address.
+fn entry(endpoint: &Endpoint, proxy: &Proxy, state: &str) -> serde_json::Value {
+    let mut entry = endpoint.entry(POOL, state);
+    entry["address"] = proxy.address.to_string().into();
+    entry
+}
+
+/// Asks each daemon whether it takes connections, as the balancer does.
+async fn balance(doors: Doors, ready: Vec<SocketAddr>) {
+    let mut misses = vec![0; ready.len()];
+    let mut ticks = tokio::time::interval(BALANCER);
+    loop {
+        ticks.tick().await;
+        for (number, address) in ready.iter().enumerate() {
+            let address = *address;
+            let asked = tokio::task::spawn_blocking(move || read(address, "/ready", BALANCER));
+            let good = asked.await.is_ok_and(|answer| answer.is_ok());
+            misses[number] = if good { 0 } else { misses[number] + 1 };
+            doors[number]
+                .open
+                .store(misses[number] < 2, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/soak.rs
@@ -0,0 +1,34 @@
+//! A short soak with fixed seeds, and each seed that ever broke a promise.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use medlarrill_lab::child::main_with;
+use medlarrill_lab::soak::{self, Options};
+
+/// Seeds of every run.
+const SEEDS: [u64; 3] = [1, 2, 3];
+/// Seeds that broke a promise, with the cause.
+const BROKEN: [u64; 0] = [];
+/// Seconds of each soak.
+const SECONDS: u64 = 8;
+
+/// What the test runner passes; names of tests choose none of these.
+#[derive(Parser)]
+struct Passed {
+    #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+    _words: Vec<String>,
+}
+
+fn main() -> ExitCode {
+    main_with("soak", |children, _: Passed| {
+        let options = Options {
+            seeds: SEEDS.into_iter().chain(BROKEN).collect(),
+            count: 0,
+            seconds: SECONDS,
+            keep: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
+        };
+        soak::run(children.daemon, options)
+    })
+}
--- a/crates/testkit/src/routed.rs
+++ b/crates/testkit/src/routed.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -13,8 +13,10 @@
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 
+use crate::fleet::Program;
+
 /// Longest time to start and to end.
-const WAIT: Duration = Duration::from_secs(20);
+pub const WAIT: Duration = Duration::from_secs(20);
 /// Between two looks.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -106,10 +108,12 @@
     /// # Errors
     ///
     /// When it doesn't.
-    pub fn start(binary: &Path, folder: &Path, setup: &Setup) -> Result<Self> {
+    pub fn start(program: &Program, folder: &Path, setup: &Setup) -> Result<Self> {
         let settings = folder.join(format!("{}.jsonc", setup.name));
         std::fs::write(&settings, setup.text())?;
-        let mut child = Command::new(binary)
+        let mut child = program
+            .command()
+            .into_std()
             .args(["route", "--settings"])
             .arg(&settings)
             .stdin(Stdio::null())
@@ -190,6 +194,15 @@
         Ok(kill(Pid::from_raw(pid), signal)?)
     }
 
+    /// Whether it has ended.
+    ///
+    /// # Errors
+    ///
+    /// When that can't be told.
+    pub fn has_ended(&mut self) -> Result<bool> {
+        Ok(self.child.try_wait()?.is_some())
+    }
+
     /// Waits until it has ended; returns how long that took.
     ///
     /// # Errors
@@ -224,10 +237,10 @@
 ///
 /// # Errors
 ///
-/// When it can't be reached or doesn't answer with 200.
-pub fn read(address: SocketAddr, path: &str) -> Result<String> {
-    let mut stream = TcpStream::connect(address)?;
-    stream.set_read_timeout(Some(WAIT))?;
+/// When it can't be reached in time or doesn't answer with 200.
+pub fn read(address: SocketAddr, path: &str, wait: Duration) -> Result<String> {
+    let mut stream = TcpStream::connect_timeout(&address, wait)?;
+    stream.set_read_timeout(Some(wait))?;
     write!(
         stream,
         "GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
