Copies know of an outage by their age; a daemon that has just started waits for its configuration

Entries lapsed while the store was down for 3.5 s; daemons that began to follow it after its return had seen no call fail, and passed the removals on at once. Ruled out: overload (no endpoint rejected anything then) and the exchange (loads were 60 to 100 ms old). A copy that wasn't up to date for 2.8 s now keeps what is missing for 2 s. Also 165 requests refused for want of a configuration at daemons that had started some milliseconds before: they wait for it, at most until 600 ms after the start. Both tests failed first. The test of a removal without outage is told that the store was heard meanwhile, since its copy would be out of date otherwise.

--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -22,6 +22,10 @@
 /// After an outage of this length entries may have lapsed: they do after three heartbeats of
 /// silence, and one heartbeat is a safe lower bound.
 const LAPSE: Millis = Millis(1000);
+/// A copy that wasn't known to be up to date for this long has seen an outage, whoever met it.
+/// Longer than the platform holds a call for changes and the pause after one (2.4 s together);
+/// entries lapse after 3.6 s of silence at the shortest that was seen.
+const OUT_OF_DATE: Millis = Millis(2800);
 /// Removals that are remembered for daemons that lag.
 const REMOVALS: usize = 1024;
 
@@ -102,6 +106,12 @@
 
     /// Takes an update that was up to date at `heard`; returns what changes here.
     pub fn apply(&mut self, update: Update, heard: Millis, now: Millis) -> Vec<Change> {
+        let gap = self
+            .heard
+            .map_or(Millis::ZERO, |before| heard.since(before));
+        if gap >= OUT_OF_DATE && self.grace(now).is_none() {
+            self.back = Some(now);
+        }
         self.heard = self.heard.max(Some(heard));
         let mut changed = Vec::new();
         if update.whole {
--- a/crates/core/tests/routing/mirror.rs
+++ b/crates/core/tests/routing/mirror.rs
@@ -122,9 +122,41 @@
     expect_that!(mirror.tick(Millis(9000)).len(), eq(0));
 }
 
+#[gtest]
+fn a_copy_that_was_out_of_date_for_long_knows_of_the_outage_by_itself() {
+    // A daemon that begins to follow the platform after an outage has seen no call fail.
+    let mut mirror = mirror();
+    let at = Millis(4000);
+    expect_that!(
+        mirror
+            .apply(changes(vec![removed("b", 12)], 12), at, at)
+            .len(),
+        eq(0)
+    );
+    expect_that!(
+        mirror.tick(at + GRACE),
+        elements_are![eq(&removed("b", 12))]
+    );
+}
+
+#[gtest]
+fn a_copy_that_waited_for_changes_has_seen_no_outage() {
+    let mut mirror = mirror();
+    let at = Millis(2500);
+    expect_that!(
+        mirror
+            .apply(changes(vec![removed("b", 12)], 12), at, at)
+            .len(),
+        eq(1)
+    );
+}
+
 #[gtest]
 fn without_an_outage_a_removal_takes_effect_at_once() {
     let mut mirror = mirror();
+    for at in [Millis(2500), Millis(5000)] {
+        mirror.apply(changes(Vec::new(), 10), at, at);
+    }
     mirror.platform_back(Millis(300), Millis(5000));
     let at = Millis(5100);
     expect_that!(
--- a/crates/daemon/tests/route/store.rs
+++ b/crates/daemon/tests/route/store.rs
@@ -33,6 +33,16 @@
     );
 }
 
+#[tokio::test]
+async fn a_request_that_meets_a_daemon_just_started_waits_for_its_configuration() {
+    let mut bench = Bench::without_daemon(1).await;
+    let proxy = Proxy::start(bench.store.address()).await.expect("a proxy");
+    proxy.harm(Harm::Delay(Duration::from_millis(60)));
+    bench.add_daemon_behind(&[], proxy.address);
+    let reply = bench.send(&Call::new("r-1", "/once/x")).await;
+    assert_that!(reply.is_success(), eq(true), "{reply:?}");
+}
+
 #[tokio::test]
 async fn requests_are_served_through_outages_of_every_form_and_changes_follow() {
     for outage in OUTAGES {
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -25,6 +25,11 @@
 /// Longest time for a body to arrive; callers send some tens of kilobytes over fast links.
 const BODY_WAIT: Millis = Millis::from_secs(10);
 
+/// Time since the start within which requests wait for the first configuration. It is read
+/// within some 20 ms, some 200 where many daemons start at once; a refused caller would lose
+/// more, since it comes back once only.
+const STARTING: Millis = Millis(600);
+
 /// A refusal with what is wrong.
 type Refused = (Reason, String);
 type Result<T> = std::result::Result<T, Refused>;
@@ -63,7 +68,7 @@
     if shared.stage(now()) >= Stage::Draining {
         return Err((Reason::Stopping, String::new()));
     }
-    let Some(config) = shared.config.borrow().clone() else {
+    let Some(config) = configuration(shared).await else {
         return Err((Reason::NoConfiguration, String::new()));
     };
     let path = parts.uri.path();
@@ -102,6 +107,23 @@
     Ok(order)
 }
 
+/// The configuration in force. A daemon that has just started is about to read one, and the
+/// list of endpoints.
+async fn configuration(shared: &Shared) -> Option<Arc<Configuration>> {
+    let wait = STARTING.since(now());
+    let mut config = shared.config.clone();
+    let mut listed = shared.listed.clone();
+    if wait > Millis::ZERO {
+        let known = async {
+            config.wait_for(Option::is_some).await.ok();
+            listed.wait_for(|listed| *listed).await.ok();
+        };
+        // Where it is too late, the request is refused below.
+        tokio::time::timeout(wait.as_duration(), known).await.ok();
+    }
+    shared.config.borrow().clone()
+}
+
 /// The host that the caller asked for, without a port.
 fn host(parts: &Parts) -> Option<&str> {
     let named = parts.headers.get(header::HOST);
