--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -82,6 +82,8 @@
     missing: BTreeMap<String, (Millis, u64)>,
     /// When the copy was last known to be up to date.
     heard: Option<Millis>,
+    /// Since when calls to the platform fail, and when one last did, here or at a source.
+    failing: Option<(Millis, Millis)>,
     /// When the platform was last reached after an outage.
     back: Option<Millis>,
 }
@@ -104,8 +106,26 @@
         }
     }
 
+    /// Notes that calls to the platform fail, here or at a source.
+    pub fn fail(&mut self, since: Millis, now: Millis) {
+        let (first, _) = self.failing.unwrap_or((since, now));
+        self.failing = Some((first.min(since), now));
+    }
+
+    /// For how long calls to the platform have failed, none if they don't.
+    pub fn failing(&self, now: Millis) -> Option<Millis> {
+        self.failing.map(|(first, _)| now.since(first))
+    }
+
     /// Takes an update that was up to date at `heard`; returns what changes here.
     pub fn apply(&mut self, update: Update, heard: Millis, now: Millis) -> Vec<Change> {
+        if let Some((first, last)) = self.failing
+            && heard > last
+        {
+            self.failing = None;
+            let since = self.heard.map_or(first, |before| before.max(first));
+            self.platform_back(heard.since(since), now);
+        }
         let gap = self
             .heard
             .map_or(Millis::ZERO, |before| heard.since(before));
--- a/crates/core/tests/routing/mirror.rs
+++ b/crates/core/tests/routing/mirror.rs
@@ -139,6 +139,41 @@
     );
 }
 
+#[gtest]
+fn a_copy_that_was_told_of_an_outage_keeps_what_is_missing_after_it() {
+    // The platform answered a waiting call well into its outage, and other daemons met failures.
+    let mut mirror = mirror();
+    let at = Millis(1500);
+    mirror.apply(changes(Vec::new(), 10), at, at);
+    mirror.fail(Millis(1600), Millis(2000));
+    mirror.fail(Millis(1600), Millis(3400));
+    expect_that!(mirror.failing(Millis(3500)), some(eq(Millis(1900))));
+    let at = Millis(3600);
+    expect_that!(
+        mirror
+            .apply(changes(vec![removed("b", 12)], 12), at, at)
+            .len(),
+        eq(0)
+    );
+    expect_that!(mirror.failing(at), none());
+}
+
+#[gtest]
+fn an_outage_of_one_source_is_none_where_another_is_up_to_date() {
+    let mut mirror = mirror();
+    for at in [1000, 1500, 2000, 2500] {
+        mirror.fail(Millis(100), Millis(at - 10));
+        mirror.apply(changes(Vec::new(), 10), Millis(at), Millis(at));
+    }
+    let at = Millis(2600);
+    expect_that!(
+        mirror
+            .apply(changes(vec![removed("b", 12)], 12), at, at)
+            .len(),
+        eq(1)
+    );
+}
+
 #[gtest]
 fn a_copy_that_waited_for_changes_has_seen_no_outage() {
     let mut mirror = mirror();
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -114,9 +114,14 @@
         self.effects.send(Arc::new((kind, update))).ok();
     }
 
-    /// Notes that the platform answers again after an outage of this length.
-    pub fn platform_back(&self, kind: Kind, outage: Millis, now: Millis) {
-        self.lock(kind).platform_back(outage, now);
+    /// Notes that calls to the platform fail, here or at a source.
+    pub fn fail(&self, kind: Kind, since: Millis, now: Millis) {
+        self.lock(kind).fail(since, now);
+    }
+
+    /// For how long calls to the platform have failed, none if they don't.
+    pub fn failing(&self, kind: Kind, now: Millis) -> Option<Millis> {
+        self.lock(kind).failing(now)
     }
 
     /// Notes whether calls to the platform fail.
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -43,6 +43,7 @@
         store,
         heard: now(),
         failures: 0,
+        failing: None,
         failed: None,
     };
     loop {
@@ -62,6 +63,8 @@
     /// When the platform last answered.
     heard: Millis,
     failures: u32,
+    /// Since when calls fail.
+    failing: Option<Millis>,
     /// When a call last failed.
     failed: Option<Millis>,
 }
@@ -158,9 +161,9 @@
                 target: "store", kind:% = self.kind, silent = outage.0, failures = self.failures;
                 "store: answers again"
             );
-            self.store.copies.platform_back(self.kind, outage, at);
         }
         self.failures = 0;
+        self.failing = None;
         self.failed = None;
         self.heard = at;
         self.store.copies.set_cut_off(false);
@@ -170,6 +173,7 @@
     fn forgive(&mut self) {
         self.heard = now();
         self.failures = 0;
+        self.failing = None;
         if self.failed.is_some_and(|at| now().since(at) >= CUT_OFF) {
             self.failed = None;
             self.store.copies.set_cut_off(false);
@@ -178,7 +182,10 @@
 
     async fn fail(&mut self, error: &CallError) {
         self.store.metrics.failed_calls.inc();
-        self.failed = Some(now());
+        let at = now();
+        let since = *self.failing.get_or_insert(at);
+        self.store.copies.fail(self.kind, since, at);
+        self.failed = Some(at);
         self.store.copies.set_cut_off(true);
         let silent = now().since(self.heard);
         if self.failures == 0 {
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -122,7 +122,8 @@
     let Some(age) = store.copies.age(kind, now()) else {
         return Ok(());
     };
-    let sending = link.send(Tell::new(kind, update, age).encode());
+    let failing = store.copies.failing(kind, now());
+    let sending = link.send(Tell::new(kind, update, age, failing).encode());
     let sent = tokio::time::timeout(SILENT.as_duration(), sending).await;
     Ok(sent.map_err(|_| RelayError::Silent)??)
 }
@@ -179,6 +180,9 @@
         let tell = Tell::read(&frame.ok_or(RelayError::Closed)??)?;
         let at = now();
         store.roster.heard_relay(at);
+        if let Some((kind, span)) = tell.failed_for() {
+            store.copies.fail(kind, at - span, at);
+        }
         if let Some((kind, update, age)) = tell.into_update() {
             store.copies.apply(kind, update, at - age, at);
         }
--- a/crates/router/src/store/relay/message.rs
+++ b/crates/router/src/store/relay/message.rs
@@ -51,6 +51,9 @@
     puts: Vec<Put>,
     #[prost(message, repeated, tag = "6")]
     removals: Vec<Removal>,
+    /// Milliseconds for which calls to the platform have failed.
+    #[prost(uint64, optional, tag = "7")]
+    failing: Option<u64>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -128,10 +131,11 @@
 
 impl Tell {
     /// Changes, or none and only the age.
-    pub fn new(kind: Kind, update: Option<&Update>, age: Millis) -> Self {
+    pub fn new(kind: Kind, update: Option<&Update>, age: Millis, failing: Option<Millis>) -> Self {
         let mut tell = Self {
             kind: code(kind),
             age: age.0,
+            failing: failing.map(|span| span.0),
             ..Self::default()
         };
         let Some(update) = update else {
@@ -165,6 +169,11 @@
         Self::decode(bytes)
     }
 
+    /// The kind, and for how long calls to the platform have failed where this comes from.
+    pub fn failed_for(&self) -> Option<(Kind, Millis)> {
+        Some((kind(self.kind)?, Millis(self.failing?)))
+    }
+
     /// The kind, its changes and their age; none of a kind that only newer daemons know.
     pub fn into_update(self) -> Option<(Kind, Update, Millis)> {
         let kind = kind(self.kind)?;
