Placement: judge endpoints that fall silent (failed try)

Cause sought: requests sent to an endpoint that went dark before its connections show it. Requests that hang count as load, here and at the other daemons, so the bound holds further ones back already. The test of a dark endpoint passes without the change, too.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -22,4 +22,5 @@
 pub mod mirror;
 pub mod plan;
 pub mod request;
+pub mod silence;
 pub mod stop;
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -26,8 +26,10 @@
 const PAUSE: Millis = Millis(250);
 /// Longest pause after failed connections.
 const PAUSE_MAX: Millis = Millis(2000);
-/// Between two requests that try an endpoint that is avoided for its failure share.
-const TRIAL: Millis = Millis(700);
+/// Between two requests of the fleet that try an endpoint that is avoided for its failure share.
+const TRIAL: Millis = Millis(100);
+/// Between two such requests of one daemon at the least.
+const OWN_TRIAL: Millis = Millis(700);
 
 /// How an endpoint stands.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -132,8 +134,8 @@
         if count > 0.0 { sum / count } else { 0.0 }
     }
 
-    /// How an endpoint stands against the mean of its pool.
-    pub fn standing(&self, id: &EndpointId, mean: f64, now: Millis) -> Standing {
+    /// How an endpoint stands against the mean of its pool, at one of some daemons.
+    pub fn standing(&self, id: &EndpointId, mean: f64, daemons: u32, now: Millis) -> Standing {
         let Some(record) = self.records.get(id) else {
             return Standing::Good;
         };
@@ -143,7 +145,8 @@
         if record.failures(now) <= mean + MARGIN {
             return Standing::Good;
         }
-        match now.since(record.tried) >= TRIAL {
+        let pause = OWN_TRIAL.max(Millis(TRIAL.0 * u64::from(daemons)));
+        match now.since(record.tried) >= pause {
             true => Standing::Trial,
             false => Standing::Bad,
         }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -13,6 +13,7 @@
     mod mirror;
     mod plan;
     mod request;
+    mod silence;
     mod stop;
     mod support;
 }
--- a/crates/core/tests/routing/health.rs
+++ b/crates/core/tests/routing/health.rs
@@ -13,15 +13,15 @@
     }
     health.trial(&id("a"), Millis(1004));
     expect_that!(
-        health.standing(&id("a"), 0.05, Millis(1010)),
+        health.standing(&id("a"), 0.05, 1, Millis(1010)),
         eq(Standing::Bad)
     );
     expect_that!(
-        health.standing(&id("a"), 0.05, Millis(1800)),
+        health.standing(&id("a"), 0.05, 1, Millis(1800)),
         eq(Standing::Trial)
     );
     expect_that!(
-        health.standing(&id("a"), 0.05, Millis(12_000)),
+        health.standing(&id("a"), 0.05, 1, Millis(12_000)),
         eq(Standing::Good)
     );
 }
@@ -31,7 +31,7 @@
     let mut health = Health::default();
     health.bad(&id("a"), Fault::Failed, Millis(0));
     expect_that!(
-        health.standing(&id("a"), 0.0, Millis(0)),
+        health.standing(&id("a"), 0.0, 1, Millis(0)),
         eq(Standing::Good)
     );
     for _ in 0..10 {
@@ -40,7 +40,7 @@
     let ids = [id("a")];
     let mean = health.mean(ids.iter(), Millis(0));
     expect_that!(
-        health.standing(&id("a"), mean, Millis(0)),
+        health.standing(&id("a"), mean, 1, Millis(0)),
         eq(Standing::Good)
     );
 }
@@ -50,22 +50,22 @@
     let mut health = Health::default();
     health.bad(&id("a"), Fault::NotSent, Millis(0));
     expect_that!(
-        health.standing(&id("a"), 0.0, Millis(200)),
+        health.standing(&id("a"), 0.0, 1, Millis(200)),
         eq(Standing::Down)
     );
     expect_that!(
-        health.standing(&id("a"), 0.0, Millis(300)),
+        health.standing(&id("a"), 0.0, 1, Millis(300)),
         eq(Standing::Good)
     );
     health.bad(&id("a"), Fault::NotSent, Millis(300));
     expect_that!(
-        health.standing(&id("a"), 0.0, Millis(700)),
+        health.standing(&id("a"), 0.0, 1, Millis(700)),
         eq(Standing::Down)
     );
     health.good(&id("a"), Millis(900));
     health.bad(&id("a"), Fault::NotSent, Millis(900));
     expect_that!(
-        health.standing(&id("a"), 0.0, Millis(1200)),
+        health.standing(&id("a"), 0.0, 1, Millis(1200)),
         eq(Standing::Good)
     );
 }
@@ -77,7 +77,7 @@
         health.bad(&id("a"), Fault::Rejected, Millis(0));
     }
     expect_that!(
-        health.standing(&id("a"), 0.0, Millis(0)),
+        health.standing(&id("a"), 0.0, 1, Millis(0)),
         eq(Standing::Good)
     );
 }
@@ -95,7 +95,20 @@
     );
     expect_that!(one, near(other, 1e-9));
     expect_that!(
-        told.standing(&id("a"), 0.0, Millis(0)),
+        told.standing(&id("a"), 0.0, 1, Millis(0)),
         not(eq(Standing::Good))
     );
 }
+
+#[gtest]
+fn a_large_fleet_tries_an_endpoint_no_more_often_than_a_small_one() {
+    let mut health = Health::default();
+    for _ in 0..10 {
+        health.bad(&id("a"), Fault::Lost, Millis(0));
+    }
+    health.trial(&id("a"), Millis(0));
+    let at = |daemons, now| health.standing(&id("a"), 0.0, daemons, Millis(now));
+    expect_that!(at(7, 700), eq(Standing::Trial));
+    expect_that!(at(30, 700), eq(Standing::Bad));
+    expect_that!(at(30, 3000), eq(Standing::Trial));
+}
--- a/crates/daemon/tests/route/answers.rs
+++ b/crates/daemon/tests/route/answers.rs
@@ -2,8 +2,9 @@
 
 use googletest::prelude::*;
 use medlarrill_platform_standin::{Behaviour, Call, Reply};
+use medlarrill_testkit::proxy::{Harm, Proxy};
 
-use super::setup::{Bench, stream_body};
+use super::setup::{Bench, POOL, stream_body};
 
 fn status(reply: &Reply) -> u16 {
     reply.status.map_or(0, |status| status.as_u16())
@@ -141,6 +142,29 @@
     assert_that!(from.elapsed(), lt(Duration::from_millis(1100)));
 }
 
+#[tokio::test]
+async fn an_endpoint_that_goes_dark_costs_few_requests() {
+    let bench = Bench::start(2).await;
+    let proxy = Proxy::start(bench.endpoints[0].address()).await;
+    let proxy = proxy.expect("a proxy");
+    let mut entry = bench.endpoints[0].entry(POOL, "ready");
+    entry["address"] = proxy.address.to_string().into();
+    bench.store.put("servers", "e-0", entry);
+    bench.until(0, "endpoint listed", 3).await;
+    proxy.harm(Harm::Silence);
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..80 {
+        let mut caller = bench.caller();
+        let call = Call::new(format!("r-{number}"), "/once/x").with_wait(2500);
+        calls.spawn(async move { caller.send(&call).await });
+        Bench::pause(50).await;
+    }
+    let replies = calls.join_all().await;
+    let lost = replies.iter().filter(|reply| !reply.is_success()).count();
+    // Half of 0.9 s at 20 a second, and what was sent meanwhile; 30 or more without judgement.
+    assert_that!(lost, le(16));
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_ends_the_work_at_the_endpoint() {
     let bench = Bench::start(1).await;
