--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -22,5 +22,4 @@
 pub mod mirror;
 pub mod plan;
 pub mod request;
-pub mod silence;
 pub mod stop;
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -13,7 +13,6 @@
     mod mirror;
     mod plan;
     mod request;
-    mod silence;
     mod stop;
     mod support;
 }
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -160,7 +160,6 @@
 ) -> Result<Answered> {
     let (head, body) = sent.answer.into_parts();
     let told = headers::answer(head.status, &head.headers);
-    order.shared.placement.sign(&endpoint, now());
     if let Some(load) = told.load {
         order.shared.placement.report(&endpoint, load, now());
     }
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -136,8 +136,6 @@
             Ok(None) => Piece::End,
             Ok(Some(Ok(frame))) => {
                 let bytes = frame.into_data().unwrap_or_default();
-                let placement = &self.order.shared.placement;
-                placement.sign(&source.endpoint, now());
                 match resumes {
                     true => Piece::Bytes(self.splitter.push(&bytes)),
                     false => Piece::Bytes(bytes),
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -123,9 +123,6 @@
         let heard = exchange.gathered(at);
         shared.placement.others(heard, exchange.live(at), at);
     }
-    for id in shared.placement.note_silent(at) {
-        log::info!(target: "peers", endpoint = id.as_str(); "peers: endpoint has fallen silent");
-    }
     let own = shared.placement.own_report(shared.copies.is_cut_off());
     for (to, message) in exchange.tick(own, at) {
         if let Err(error) = socket.send_to(&message.encode(), to).await {
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -12,11 +12,10 @@
 use medlarrill_core::routing::directory::Directory;
 use medlarrill_core::routing::endpoint::Endpoint;
 use medlarrill_core::routing::exchange;
-use medlarrill_core::routing::health::{Health, Standing};
+use medlarrill_core::routing::health::Health;
 use medlarrill_core::routing::load::{Loads, Report};
 use medlarrill_core::routing::plan::Plan;
 use medlarrill_core::routing::request::SharedPrefix;
-use medlarrill_core::routing::silence::Silence;
 use rand::RngExt;
 use rand_pcg::Pcg32;
 
@@ -32,7 +31,6 @@
     directory: Directory,
     loads: Loads,
     health: Health,
-    silence: Silence,
     /// Daemons that live.
     daemons: u32,
     budget: Budget,
@@ -62,9 +60,7 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        let mut state = self.placement.lock();
-        state.loads.end(&self.id);
-        state.silence.end(&self.id);
+        self.placement.lock().loads.end(&self.id);
     }
 }
 
@@ -76,7 +72,6 @@
                 directory: Directory::default(),
                 loads: Loads::default(),
                 health: Health::default(),
-                silence: Silence::default(),
                 daemons: 1,
                 budget: Budget::new(repeats, now),
                 outcomes: HashMap::new(),
@@ -147,7 +142,6 @@
         let choice = choose(&candidates, shared, share, &self.near, trial, rng)?;
         let id = choice.endpoint.id.clone();
         state.loads.begin(&id);
-        state.silence.begin(&id, now);
         if choice.trial {
             state.health.trial(&id, now);
         }
@@ -160,26 +154,9 @@
         self.lock().loads.report(id, report, now);
     }
 
-    /// Notes a sign of life, as the head of an answer or an event.
-    pub fn sign(&self, id: &EndpointId, now: Millis) {
-        self.lock().silence.sign(id, now);
-    }
-
-    /// Notes endpoints that have fallen silent; returns them.
-    pub fn note_silent(&self, now: Millis) -> Vec<EndpointId> {
-        let mut state = self.lock();
-        let fallen = state.silence.take_new(now);
-        for id in &fallen {
-            state.health.bad(id, Fault::Slow, now);
-            state.outcomes.entry(id.clone()).or_default().bad += 1;
-        }
-        fallen
-    }
-
     /// Notes a good answer.
     pub fn good(&self, id: &EndpointId, now: Millis) {
         let mut state = self.lock();
-        state.silence.sign(id, now);
         state.health.good(id, now);
         state.outcomes.entry(id.clone()).or_default().good += 1;
     }
@@ -188,7 +165,7 @@
     pub fn bad(&self, id: &EndpointId, fault: Fault, now: Millis) {
         let mut state = self.lock();
         state.health.bad(id, fault, now);
-        if fault.is_failure() || fault == Fault::NotSent {
+        if fault.is_failure() {
             state.outcomes.entry(id.clone()).or_default().bad += 1;
         }
     }
@@ -229,9 +206,6 @@
             let short = exchange::short_id(&endpoint.id);
             let others = heard.endpoints.get(&short).copied().unwrap_or_default();
             state.loads.others(&endpoint.id, others.in_flight, now);
-            if others.good > 0 {
-                state.silence.sign(&endpoint.id, now);
-            }
             let health = &mut state.health;
             health.others(&endpoint.id, others.good, others.bad, now);
         }
@@ -246,14 +220,6 @@
         self.hot.get(&key).copied().unwrap_or_default()
     }
 
-    fn standing(&self, id: &EndpointId, mean: f64, now: Millis) -> Standing {
-        let standing = self.health.standing(id, mean, self.daemons, now);
-        match self.silence.is_silent(id, now) {
-            true => standing.max(Standing::Bad),
-            false => standing,
-        }
-    }
-
     fn age(&self, id: &EndpointId, now: Millis) -> Millis {
         let joined = self.directory.joined(id);
         joined.map_or(Millis::MAX, |joined| now.since(joined))
@@ -266,7 +232,7 @@
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
             load: self.loads.total(&endpoint.id, now),
             load_age: self.loads.age(&endpoint.id, now),
-            standing: self.standing(&endpoint.id, mean, now),
+            standing: self.health.standing(&endpoint.id, mean, self.daemons, now),
             tried: plan.has_tried(&endpoint.id),
             age: self.age(&endpoint.id, now),
             endpoint: Arc::clone(endpoint),
