--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -11,6 +11,7 @@
     mod health;
     mod load;
     mod mirror;
+    mod pace;
     mod plan;
     mod request;
     mod stop;
--- a/crates/daemon/tests/route/answers.rs
+++ b/crates/daemon/tests/route/answers.rs
@@ -184,7 +184,7 @@
 async fn another_endpoint_at_the_address_does_not_run_the_request() {
     let bench = Bench::start(2).await;
     // The list says that the second id lives where the first one listens.
-    let entry = bench.endpoints[0].entry(super::setup::POOL, "ready");
+    let entry = bench.endpoints[0].entry(POOL, "ready");
     bench.store.put("servers", "e-1", entry);
     bench.until(0, "endpoint listed", 3).await;
     for number in 0..10 {
