--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -20,7 +20,6 @@
 pub mod health;
 pub mod load;
 pub mod mirror;
-pub mod pace;
 pub mod plan;
 pub mod request;
 pub mod stop;
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -52,8 +52,6 @@
     pub load: f64,
     /// How old the part of the load is that others brought, if it was ever heard of.
     pub load_age: Option<Millis>,
-    /// Milliseconds that it takes for one request without queue, if known.
-    pub work: Option<f64>,
     /// How it stands.
     pub standing: Standing,
     /// Whether this request was sent there before.
@@ -91,8 +89,6 @@
     pub load: f64,
     /// How old the part of the load is that others brought, if it was ever heard of.
     pub load_age: Option<Millis>,
-    /// Milliseconds that it takes for one request without queue, if known.
-    pub work: Option<f64>,
     /// Load up to which it would have been given more.
     pub bound: f64,
     /// Whether it was picked on trial.
@@ -212,8 +208,6 @@
 }
 
 fn by_load(usable: &[&Candidate], near: &DataCentreId, rng: &mut Pcg32) -> Option<Choice> {
-    let known: Vec<f64> = usable.iter().filter_map(|c| c.work).collect();
-    let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
     let cost = |c: &Candidate| {
         let slots = f64::from(c.endpoint.slots.max(1));
         let far = if c.endpoint.data_centre == *near {
@@ -221,9 +215,7 @@
         } else {
             FAR
         };
-        // Where no pace is known all count alike.
-        let work = c.work.unwrap_or(mean).max(1.0);
-        (c.load + 1.0 + far) / slots * work
+        (c.load + far) / slots
     };
     let mut scored: Vec<(f64, u32, &Candidate)> =
         usable.iter().map(|c| (cost(c), rng.random(), *c)).collect();
@@ -239,7 +231,6 @@
         why,
         load: picked.load,
         load_age: picked.load_age,
-        work: picked.work,
         bound: 0.0,
         trial: picked.standing == Standing::Trial,
     }
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -25,9 +25,6 @@
     /// It didn't run and won't; the caller may come back.
     #[display("not-run")]
     NotRun,
-    /// It would have waited too long; it didn't run and won't.
-    #[display("overloaded")]
-    Overloaded(Millis),
     /// It may have run, and no whole answer came.
     #[display("unknown")]
     Unknown,
@@ -53,7 +50,6 @@
     repeat: Repeat,
     attempts: u32,
     target: Millis,
-    stream: bool,
     /// When the caller or the route's timeout ends the wait.
     deadline: Millis,
     /// Attempts that ran, or may have.
@@ -69,7 +65,6 @@
             repeat: route.repeat,
             attempts: route.attempts.max(1),
             target: route.target,
-            stream: route.stream,
             deadline,
             ran: 0,
             sent: 0,
@@ -82,12 +77,6 @@
         self.repeat.is_idempotent()
     }
 
-    /// Time in which a queue should have passed, none for streams: engines share their time among
-    /// the requests that run, and queue by urgency.
-    pub fn queue_target(&self) -> Option<Millis> {
-        (!self.stream).then_some(self.target)
-    }
-
     /// When the wait ends.
     pub const fn deadline(&self) -> Millis {
         self.deadline
@@ -133,14 +122,6 @@
         Next::GiveUp(self.refusal(late))
     }
 
-    /// What to say when the queues are too long, for this time.
-    pub const fn overloaded(&self, wait: Millis) -> Refusal {
-        match self.ran > 0 {
-            true => Refusal::Unknown,
-            false => Refusal::Overloaded(wait),
-        }
-    }
-
     /// What to say when there is no endpoint to send to.
     pub fn refusal(&self, late: bool) -> Refusal {
         match (self.ran > 0, late) {
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -11,7 +11,6 @@
     mod health;
     mod load;
     mod mirror;
-    mod pace;
     mod plan;
     mod request;
     mod stop;
--- a/crates/core/tests/routing/bound.rs
+++ b/crates/core/tests/routing/bound.rs
@@ -108,7 +108,6 @@
             endpoint: Arc::clone(endpoint),
             load: loads.total(&endpoint.id, now),
             load_age: None,
-            work: None,
             standing: Standing::Good,
             tried: false,
             age: Millis(60_000),
--- a/crates/core/tests/routing/choose.rs
+++ b/crates/core/tests/routing/choose.rs
@@ -148,17 +148,6 @@
     expect_that!(by_load(&all, false).endpoint.id.as_str(), eq("e0"));
 }
 
-#[gtest]
-fn a_slow_endpoint_gets_less_work() {
-    let mut all = candidates(2, 0.0);
-    all[0].work = Some(300.0);
-    all[1].work = Some(60.0);
-    all[1].load = 3.0;
-    expect_that!(by_load(&all, false).endpoint.id.as_str(), eq("e1"));
-    all[1].load = 5.0;
-    expect_that!(by_load(&all, false).endpoint.id.as_str(), eq("e0"));
-}
-
 #[gtest]
 fn endpoints_that_fail_are_avoided_and_tried_now_and_then() {
     let mut all = candidates(3, 2.0);
--- a/crates/core/tests/routing/support.rs
+++ b/crates/core/tests/routing/support.rs
@@ -36,7 +36,6 @@
         endpoint: Arc::new(endpoint(name)),
         load,
         load_age: None,
-        work: None,
         standing: Standing::Good,
         tried: false,
         age: Millis(60_000),
--- a/crates/router/src/entry/answer.rs
+++ b/crates/router/src/entry/answer.rs
@@ -73,7 +73,6 @@
             Self::TooLarge => "body-too-large",
             Self::SlowBody => "slow-body",
             Self::Refused(Refusal::NotRun) => "not-run",
-            Self::Refused(Refusal::Overloaded(_)) => "overloaded",
             Self::Refused(Refusal::Unknown) => "unknown",
             Self::Refused(Refusal::Timeout) => "timeout",
         }
@@ -82,9 +81,7 @@
     /// The status; 503 and 408 promise that the request hasn't run.
     pub const fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration
-            | Self::Stopping
-            | Self::Refused(Refusal::NotRun | Refusal::Overloaded(_)) => {
+            Self::NoConfiguration | Self::Stopping | Self::Refused(Refusal::NotRun) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -107,11 +104,7 @@
     headers.insert(header::CONTENT_TYPE, json);
     if reason.status() == StatusCode::SERVICE_UNAVAILABLE {
         let (least, most) = COME_BACK;
-        let queue = match reason {
-            Reason::Refused(Refusal::Overloaded(wait)) => wait,
-            _ => Millis::ZERO,
-        };
-        let wait = queue + Millis(rand::rng().random_range(least.0..=most.0));
+        let wait = Millis(rand::rng().random_range(least.0..=most.0));
         headers.insert(header::RETRY_AFTER, headers::retry_after(wait));
     }
     answer
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -15,7 +15,7 @@
 use super::order::Order;
 use super::trace::Trace;
 use crate::endpoints::{Kept, SendError, Sent};
-use crate::placement::{Flight, Pick};
+use crate::placement::Flight;
 
 /// Time beyond the deadline in which an endpoint's own answer to it may come.
 const GRACE: Millis = Millis(80);
@@ -93,16 +93,9 @@
     let shared = shared.as_ref();
     let mut failure = None;
     let refusal = loop {
-        let pick = placement.choose(&order.pool, shared, plan, now());
-        let (choice, flight) = match pick {
-            Pick::Endpoint(choice, flight) => (choice, flight),
-            Pick::Overloaded(choice, overload) => {
-                trace.overloaded(&choice, overload);
-                break plan.overloaded(overload.wait);
-            }
-            Pick::Nobody => break plan.refusal(plan.deadline() <= now()),
+        let Some((choice, flight)) = placement.choose(&order.pool, shared, plan, now()) else {
+            break plan.refusal(plan.deadline() <= now());
         };
-        let began = now();
         let left = plan.deadline().since(now());
         trace.attempt(&choice, shared, left);
         let id = choice.endpoint.id.clone();
@@ -119,9 +112,6 @@
         let failed = match result {
             Ok(answered) => {
                 placement.good(&id, now());
-                if let Answered::Whole(_) = answered {
-                    placement.pace(&choice, now().since(began));
-                }
                 return answered;
             }
             Err(failed) => failed,
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -178,7 +178,6 @@
 
 const fn detail(refusal: Refusal) -> &'static str {
     match refusal {
-        Refusal::Overloaded(_) => "its answer would come too late; it has not run and will not",
         Refusal::NotRun => "no endpoint took it; it has not run and will not",
         Refusal::Unknown => "it may have run, and no whole answer came",
         Refusal::Timeout => "it may have run, and time is up",
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -7,7 +7,6 @@
 use medlarrill_core::ids::EndpointId;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::choose::Choice;
-use medlarrill_core::routing::pace::Overload;
 use medlarrill_core::routing::request::SharedPrefix;
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
@@ -87,16 +86,6 @@
         );
     }
 
-    /// Logs that a request isn't sent, since its answer would come too late.
-    pub fn overloaded(&self, choice: &Choice, overload: Overload) {
-        log::info!(
-            target: "entry", request = self.request, endpoint = choice.endpoint.id.as_str(),
-            load = choice.load, load_age = choice.load_age.map(|age| age.0), work = choice.work,
-            predicted = overload.predicted, wait = overload.wait.0;
-            "entry: not sent, queues are too long"
-        );
-    }
-
     /// Logs a failed attempt.
     pub fn fault(&self, fault: Fault, cause: &str, again: bool) {
         Metrics::count(&self.shared.metrics.faults, fault.code());
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -14,7 +14,6 @@
 use medlarrill_core::routing::exchange;
 use medlarrill_core::routing::health::Health;
 use medlarrill_core::routing::load::{Loads, Report};
-use medlarrill_core::routing::pace::{Overload, Paces, admit};
 use medlarrill_core::routing::plan::Plan;
 use medlarrill_core::routing::request::SharedPrefix;
 use rand::RngExt;
@@ -32,7 +31,6 @@
     directory: Directory,
     loads: Loads,
     health: Health,
-    paces: Paces,
     /// Daemons that live.
     daemons: u32,
     budget: Budget,
@@ -53,17 +51,6 @@
     bad: u32,
 }
 
-/// Where a request goes.
-#[derive(Debug)]
-pub enum Pick {
-    /// To an endpoint.
-    Endpoint(Choice, Flight),
-    /// Nowhere: even the best endpoint would answer too late.
-    Overloaded(Choice, Overload),
-    /// Nowhere: there is none that wasn't tried.
-    Nobody,
-}
-
 /// A request at an endpoint, counted until it is dropped.
 #[derive(Debug)]
 pub struct Flight {
@@ -85,7 +72,6 @@
                 directory: Directory::default(),
                 loads: Loads::default(),
                 health: Health::default(),
-                paces: Paces::default(),
                 daemons: 1,
                 budget: Budget::new(repeats, now),
                 outcomes: HashMap::new(),
@@ -116,7 +102,6 @@
         let mut state = self.lock();
         state.loads.forget(id);
         state.health.forget(id);
-        state.paces.forget(id);
         state.directory.remove(id)
     }
 
@@ -147,30 +132,21 @@
         shared: Option<&SharedPrefix>,
         plan: &Plan,
         now: Millis,
-    ) -> Pick {
+    ) -> Option<(Choice, Flight)> {
         let mut state = self.lock();
         let state = &mut *state;
         let candidates = state.candidates(pool, plan, now);
         let trial = plan.is_idempotent();
         let share = shared.map_or(0.0, |prefix| state.count(prefix));
         let rng = &mut state.rng;
-        let Some(choice) = choose(&candidates, shared, share, &self.near, trial, rng) else {
-            return Pick::Nobody;
-        };
-        if let Some(target) = plan.queue_target() {
-            let slots = choice.endpoint.slots;
-            let draw = rng.random();
-            if let Err(overload) = admit(choice.work, choice.load, slots, target, draw) {
-                return Pick::Overloaded(choice, overload);
-            }
-        }
+        let choice = choose(&candidates, shared, share, &self.near, trial, rng)?;
         let id = choice.endpoint.id.clone();
         state.loads.begin(&id);
         if choice.trial {
             state.health.trial(&id, now);
         }
         let placement = Arc::clone(self);
-        Pick::Endpoint(choice, Flight { placement, id })
+        Some((choice, Flight { placement, id }))
     }
 
     /// Takes what an endpoint tells of its work.
@@ -185,13 +161,6 @@
         state.outcomes.entry(id.clone()).or_default().good += 1;
     }
 
-    /// Notes how long a whole answer took that met a load.
-    pub fn pace(&self, choice: &Choice, took: Millis) {
-        let Choice { endpoint, load, .. } = choice;
-        let paces = &mut self.lock().paces;
-        paces.answer(&endpoint.id, took, *load, endpoint.slots);
-    }
-
     /// Notes a failed attempt.
     pub fn bad(&self, id: &EndpointId, fault: Fault, now: Millis) {
         let mut state = self.lock();
@@ -263,7 +232,6 @@
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
             load: self.loads.total(&endpoint.id, now),
             load_age: self.loads.age(&endpoint.id, now),
-            work: self.paces.work(&endpoint.id),
             standing: self.health.standing(&endpoint.id, mean, self.daemons, now),
             tried: plan.has_tried(&endpoint.id),
             age: self.age(&endpoint.id, now),
