--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Millis;
 use crate::ids::{AccountId, PoolId};
-use crate::units::{ByteSize, Tokens};
+use crate::units::ByteSize;
 
 /// Version of a configuration; versions rise, not always by one.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
@@ -101,25 +101,11 @@
 }
 
 /// What is configured of a pool.
-#[derive(Clone, PartialEq)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug)]
 pub struct Pool {
-    /// Path of its health check.
-    pub health: String,
     /// Most connections that one endpoint takes from all callers.
     pub connections: u32,
-    /// Model engines only.
-    pub engine: Option<Engine>,
-}
-
-/// What is configured of a pool of model engines.
-#[derive(Clone, PartialEq)]
-#[derive(Debug)]
-pub struct Engine {
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Tokens that fit in memory.
-    pub memory: Tokens,
 }
 
 /// A client account.
@@ -140,8 +126,6 @@
     pub head: ByteSize,
     /// Largest body.
     pub body: ByteSize,
-    /// Longest time for a head to arrive.
-    pub head_wait: Millis,
     /// Longest time that an idle connection is kept.
     pub idle: Millis,
 }
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -30,11 +30,6 @@
         self.endpoints.values()
     }
 
-    /// An endpoint by id.
-    pub fn get(&self, id: &EndpointId) -> Option<&Arc<Endpoint>> {
-        self.endpoints.get(id)
-    }
-
     /// When an endpoint was first listed.
     pub fn joined(&self, id: &EndpointId) -> Option<Millis> {
         self.joined.get(id).copied()
--- a/crates/core/src/routing/endpoint.rs
+++ b/crates/core/src/routing/endpoint.rs
@@ -4,7 +4,6 @@
 
 use derive_more::Debug;
 
-use crate::clock::Millis;
 use crate::ids::{DataCentreId, EndpointId, PoolId};
 
 /// An endpoint as it is listed. Each start of its process has an id of its own.
@@ -23,6 +22,4 @@
     pub slots: u32,
     /// Whether it will stop, and takes no new work.
     pub leaving: bool,
-    /// How much longer it is slow after its start, when listed.
-    pub cold: Millis,
 }
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -157,15 +157,6 @@
         }
     }
 
-    /// Adds daemons to ask when none is known.
-    pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
-        for seed in seeds {
-            if seed != self.me && !self.seeds.contains(&seed) {
-                self.seeds.push(seed);
-            }
-        }
-    }
-
     /// Daemons that live, this one included.
     pub fn live(&self, now: Millis) -> usize {
         1 + self.others(now).count()
--- a/crates/core/src/routing/request.rs
+++ b/crates/core/src/routing/request.rs
@@ -41,8 +41,6 @@
     pub model: String,
     /// Parts of the prompt, in order.
     pub parts: Vec<Part>,
-    /// Prompt tokens and most tokens of the answer.
-    pub usage: Option<(Tokens, Tokens)>,
     /// Last event that the caller has of a stream.
     pub last_event: Option<u64>,
 }
--- a/crates/core/tests/routing/config.rs
+++ b/crates/core/tests/routing/config.rs
@@ -13,7 +13,6 @@
 const LIMITS: CallerLimits = CallerLimits {
     head: ByteSize(16_384),
     body: ByteSize(1 << 20),
-    head_wait: Millis(3000),
     idle: Millis(15_000),
 };
 
--- a/crates/core/tests/routing/support.rs
+++ b/crates/core/tests/routing/support.rs
@@ -27,7 +27,6 @@
         data_centre: "near".parse().expect("a name"),
         slots: 8,
         leaving: false,
-        cold: Millis::ZERO,
     }
 }
 
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -2,4 +2,4 @@
 
 mod connections;
 
-pub use connections::{Connections, Kept, SendError, Sent};
+pub use connections::{Connections, Kept, SendError, Sent, spare};
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -25,8 +25,11 @@
 /// Kept connections are given up this long before the endpoint does, so that its close doesn't
 /// cross a request: a delay of lost packets, and the second to which the time is rounded.
 const KEEP_MARGIN: Millis = Millis(1200);
-/// Idle connections kept for one endpoint. Others call it too; it takes some hundreds.
-const SPARE: usize = 16;
+/// Most idle connections kept for one endpoint.
+const SPARE: u32 = 16;
+/// Part of the connections that an endpoint takes that all daemons may keep idle together; the
+/// rest is for those in use.
+const IDLE_PART: f64 = 0.5;
 
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, SendError>;
@@ -173,9 +176,15 @@
     }
 }
 
+/// Idle connections that one of some daemons keeps for an endpoint that takes so many.
+pub fn spare(connections: u32, daemons: u32) -> usize {
+    let part = f64::from(connections) * IDLE_PART / f64::from(daemons.max(1));
+    (part as u32).clamp(1, SPARE) as usize
+}
+
 impl Kept {
     /// Keeps the connection for further requests, after the whole answer was read.
-    pub fn release(self, keep: Option<Millis>) {
+    pub fn release(self, keep: Option<Millis>, spare: usize) {
         if self.sender.is_closed() {
             return;
         }
@@ -185,9 +194,9 @@
             until,
         };
         let mut table = self.connections.lock();
-        let spare = table.entry(self.id).or_default();
-        if spare.len() < SPARE {
-            spare.push(idle);
+        let kept = table.entry(self.id).or_default();
+        if kept.len() < spare {
+            kept.push(idle);
         }
     }
 }
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -181,7 +181,7 @@
         })));
     }
     let body = read(plan, body).await?;
-    sent.kept.release(told.keep);
+    sent.kept.release(told.keep, order.spare());
     let whole = Whole {
         status: head.status,
         headers,
--- a/crates/router/src/entry/order.rs
+++ b/crates/router/src/entry/order.rs
@@ -14,6 +14,7 @@
 use medlarrill_core::routing::request::Call;
 use medlarrill_platform::headers::{self, Outgoing};
 
+use crate::endpoints::spare;
 use crate::shared::Shared;
 
 /// A request, checked against one configuration.
@@ -53,6 +54,13 @@
         rank.unwrap_or(self.route.priority)
     }
 
+    /// Idle connections that this daemon keeps for an endpoint of the pool.
+    pub fn spare(&self) -> usize {
+        let pool = self.config.pools.get(&self.pool);
+        let connections = pool.map_or(0, |pool| pool.connections);
+        spare(connections, self.shared.placement.daemons())
+    }
+
     /// The request as an endpoint gets it.
     pub fn to_endpoint(
         &self,
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -188,7 +188,7 @@
     fn end(&mut self) {
         self.trace.answered();
         if let Some(source) = self.source.take() {
-            source.kept.release(source.keep);
+            source.kept.release(source.keep, self.order.spare());
         }
     }
 }
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -110,6 +110,11 @@
         self.lock().directory.len()
     }
 
+    /// Daemons that live.
+    pub fn daemons(&self) -> u32 {
+        self.lock().daemons
+    }
+
     /// Sets the repeats that the fleet may send.
     pub fn configure(&self, repeats: budget::Settings) {
         self.lock().budget.configure(repeats);
