--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -1,15 +1,16 @@
 //! The copies, one of each kind, and who is told of their changes.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::mirror::{Mirror, Update};
+use medlarrill_core::routing::mirror::{Change, Mirror, Update};
 use medlarrill_platform::store::Kind;
 use tokio::sync::{broadcast, watch};
 
 use super::effect::Sinks;
+use super::relay::Packed;
 
 /// The kinds that are kept.
 pub const KINDS: [Kind; 2] = [Kind::Configuration, Kind::Endpoints];
@@ -17,13 +18,20 @@
 const LAG: usize = 256;
 
 /// Changes of one kind, as they took effect here.
-pub type Effects = Arc<(Kind, Update)>;
+pub type Effects = (Kind, Packed);
+
+/// A copy, and all of it coded for followers until it changes.
+#[derive(Debug, Default)]
+struct Copy {
+    mirror: Mirror,
+    whole: Option<Packed>,
+}
 
 /// The copies.
 #[derive(Debug)]
 pub struct Copies {
-    configuration: Mutex<Mirror>,
-    endpoints: Mutex<Mirror>,
+    configuration: Mutex<Copy>,
+    endpoints: Mutex<Copy>,
     sinks: Sinks,
     effects: broadcast::Sender<Effects>,
     /// Set once the endpoints were listed.
@@ -45,22 +53,22 @@
         }
     }
 
-    fn lock(&self, kind: Kind) -> MutexGuard<'_, Mirror> {
-        let mirror = match kind {
+    fn lock(&self, kind: Kind) -> MutexGuard<'_, Copy> {
+        let copy = match kind {
             Kind::Configuration => &self.configuration,
             Kind::Endpoints => &self.endpoints,
         };
-        mirror.lock().unwrap_or_else(PoisonError::into_inner)
+        copy.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The revision that a copy has reached.
     pub fn revision(&self, kind: Kind) -> Option<u64> {
-        self.lock(kind).revision()
+        self.lock(kind).mirror.revision()
     }
 
     /// Time since a copy was last known to be up to date.
     pub fn age(&self, kind: Kind, now: Millis) -> Option<Millis> {
-        self.lock(kind).age(now)
+        self.lock(kind).mirror.age(now)
     }
 
     /// What brings a copy of a revision up to this one, and the changes from then on.
@@ -68,16 +76,24 @@
         &self,
         kind: Kind,
         revision: Option<u64>,
-    ) -> (Option<Update>, broadcast::Receiver<Effects>) {
-        let mirror = self.lock(kind);
-        (mirror.since(revision), self.effects.subscribe())
+    ) -> (Option<Packed>, broadcast::Receiver<Effects>) {
+        let mut copy = self.lock(kind);
+        let update = copy.mirror.since(revision);
+        let packed = update.map(|update| match (update.whole, &copy.whole) {
+            (true, Some(whole)) => whole.clone(),
+            _ => Packed::new(&update),
+        });
+        if revision.is_none() {
+            copy.whole.clone_from(&packed);
+        }
+        (packed, self.effects.subscribe())
     }
 
     /// Takes an update that was up to date at `heard`.
     pub fn apply(&self, kind: Kind, update: Update, heard: Millis, now: Millis) {
-        let mut mirror = self.lock(kind);
-        let changes = mirror.apply(update, heard, now);
-        self.tell(kind, &mirror, changes);
+        let mut copy = self.lock(kind);
+        let changes = copy.mirror.apply(update, heard, now);
+        self.tell(kind, &mut copy, changes);
         if kind == Kind::Endpoints {
             self.listed
                 .send_if_modified(|listed| !std::mem::replace(listed, true));
@@ -87,18 +103,13 @@
     /// Drops objects that were missing for too long.
     pub fn tick(&self, now: Millis) {
         for kind in KINDS {
-            let mut mirror = self.lock(kind);
-            let changes = mirror.tick(now);
-            self.tell(kind, &mirror, changes);
+            let mut copy = self.lock(kind);
+            let changes = copy.mirror.tick(now);
+            self.tell(kind, &mut copy, changes);
         }
     }
 
-    fn tell(
-        &self,
-        kind: Kind,
-        mirror: &Mirror,
-        changes: Vec<medlarrill_core::routing::mirror::Change>,
-    ) {
+    fn tell(&self, kind: Kind, copy: &mut Copy, changes: Vec<Change>) {
         if changes.is_empty() {
             return;
         }
@@ -108,20 +119,24 @@
         let update = Update {
             whole: false,
             changes,
-            revision: mirror.revision().unwrap_or_default(),
+            revision: copy.mirror.revision().unwrap_or_default(),
         };
-        // Fails only where nobody follows this daemon.
-        self.effects.send(Arc::new((kind, update))).ok();
+        copy.whole = None;
+        if self.effects.receiver_count() == 0 {
+            return;
+        }
+        // Fails only where the last follower has just left.
+        self.effects.send((kind, Packed::new(&update))).ok();
     }
 
     /// Notes that calls to the platform fail, here or at a source.
     pub fn fail(&self, kind: Kind, since: Millis, now: Millis) {
-        self.lock(kind).fail(since, now);
+        self.lock(kind).mirror.fail(since, now);
     }
 
     /// For how long calls to the platform have failed, none if they don't.
     pub fn failing(&self, kind: Kind, now: Millis) -> Option<Millis> {
-        self.lock(kind).failing(now)
+        self.lock(kind).mirror.failing(now)
     }
 
     /// Notes whether calls to the platform fail.
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -32,6 +32,11 @@
 /// Age of a copy at which a daemon that doesn't follow the platform asks it, where no relay is
 /// heard. Beyond the age that copies reach while the platform holds a call.
 const STALE: Millis = Millis(2600);
+/// Time for which a daemon that knows nothing, and was refused by the platform, waits for a copy
+/// of another daemon.
+const OTHERS: Millis = Millis(1500);
+/// Time for which a part of a list is worth going on from.
+const PART: Millis = Millis(3000);
 /// Time for which a daemon that lost the platform isn't chosen to follow it.
 const CUT_OFF: Millis = Millis::from_secs(5);
 
@@ -39,6 +44,7 @@
 pub async fn follow(store: Store, platform: SocketAddr, kind: Kind) {
     let mut follower = Follower {
         client: Client::new(platform),
+        part: None,
         kind,
         store,
         heard: now(),
@@ -56,8 +62,19 @@
     }
 }
 
+/// The first parts of a list.
+struct Part {
+    objects: Vec<Object>,
+    /// The platform's revision of the first part.
+    revision: u64,
+    /// When the first part was asked for.
+    heard: Millis,
+}
+
 struct Follower {
     client: Client,
+    /// What was read of a list before a call failed.
+    part: Option<Part>,
     kind: Kind,
     store: Store,
     /// When the platform last answered.
@@ -74,9 +91,12 @@
     /// nobody who knows more.
     fn is_due(&self) -> bool {
         let roster = self.store.roster.borrow();
-        let age = self.store.copies.age(self.kind, now());
-        let is_stale = age.is_none_or(|age| age > STALE);
-        roster.is_watcher || age.is_none() || is_stale && !roster.is_relayed
+        let Some(age) = self.store.copies.age(self.kind, now()) else {
+            // Where many daemons start at once the platform refuses some; others soon know more.
+            let asked = self.failed.is_some_and(|at| now().since(at) < OTHERS);
+            return roster.is_watcher || !asked;
+        };
+        roster.is_watcher || age > STALE && !roster.is_relayed
     }
 
     async fn step(&mut self) {
@@ -97,30 +117,55 @@
     }
 
     async fn list(&mut self) -> Result<()> {
-        let mut objects: Vec<Object> = Vec::new();
-        let mut first = None;
+        let mut part = self
+            .part
+            .take()
+            .filter(|part| now().since(part.heard) < PART);
         loop {
-            let after = objects.last().map(|object| object.name.as_str());
-            let path = wire::list_path(self.kind, after);
-            let asked = now();
-            let body = self.call(&path, ANSWER).await?;
-            let page = wire::page(&body).map_err(CallError::Decode)?;
-            // Changes between two pages come again with the changes since the first.
-            let (revision, heard) = *first.get_or_insert((page.revision, asked));
-            let is_last = !page.more || page.objects.is_empty();
-            objects.extend(page.objects);
-            if is_last {
-                let update = Update {
-                    whole: true,
-                    changes: objects.into_iter().map(Change::Put).collect(),
-                    revision,
-                };
-                self.store.copies.apply(self.kind, update, heard, now());
-                return Ok(());
+            let result = self.list_part(&mut part).await;
+            if !matches!(result, Ok(true)) {
+                // A call that failed may be repeated; what was read before it stays.
+                self.part = part.filter(|_| result.is_err());
+                return result.map(|_| ());
             }
         }
     }
 
+    /// Reads one part of a list; says whether more follow.
+    async fn list_part(&mut self, part: &mut Option<Part>) -> Result<bool> {
+        let after = part.as_ref().and_then(|part| part.objects.last());
+        let path = wire::list_path(self.kind, after.map(|object| object.name.as_str()));
+        let asked = now();
+        let body = self.call(&path, ANSWER).await?;
+        let page = wire::page(&body).map_err(CallError::Decode)?;
+        // Changes between two parts come again with the changes since the first.
+        let read = part.get_or_insert_with(|| Part {
+            objects: Vec::new(),
+            revision: page.revision,
+            heard: asked,
+        });
+        let is_last = !page.more || page.objects.is_empty();
+        read.objects.extend(page.objects);
+        if !is_last {
+            return Ok(true);
+        }
+        let Some(Part {
+            objects,
+            revision,
+            heard,
+        }) = part.take()
+        else {
+            return Ok(false);
+        };
+        let update = Update {
+            whole: true,
+            changes: objects.into_iter().map(Change::Put).collect(),
+            revision,
+        };
+        self.store.copies.apply(self.kind, update, heard, now());
+        Ok(false)
+    }
+
     async fn watch(&mut self, revision: u64) -> Result<()> {
         let path = wire::watch_path(self.kind, revision, HOLD);
         let body = self.call(&path, HOLD + ANSWER).await?;
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+pub use self::message::Packed;
 use self::message::{Ask, Tell};
 use super::Store;
 use super::copies::KINDS;
@@ -90,7 +91,7 @@
         // The receiver of the first kind sees the changes of both from then on.
         effects.get_or_insert(receiver);
         if let Some(update) = update {
-            send(store, &mut link, kind, Some(&update)).await?;
+            send(store, &mut link, kind, Some(update)).await?;
         }
     }
     let Some(mut effects) = effects else {
@@ -100,7 +101,7 @@
     loop {
         tokio::select! {
             effect = effects.recv() => match effect {
-                Ok(effect) => send(store, &mut link, effect.0, Some(&effect.1)).await?,
+                Ok((kind, update)) => send(store, &mut link, kind, Some(update)).await?,
                 Err(RecvError::Lagged(_)) => return Err(RelayError::Behind),
                 Err(RecvError::Closed) => return Ok(()),
             },
@@ -113,12 +114,7 @@
     }
 }
 
-async fn send(
-    store: &Store,
-    link: &mut Link,
-    kind: Kind,
-    update: Option<&medlarrill_core::routing::mirror::Update>,
-) -> Result<()> {
+async fn send(store: &Store, link: &mut Link, kind: Kind, update: Option<Packed>) -> Result<()> {
     let Some(age) = store.copies.age(kind, now()) else {
         return Ok(());
     };
@@ -183,7 +179,7 @@
         if let Some((kind, span)) = tell.failed_for() {
             store.copies.fail(kind, at - span, at);
         }
-        if let Some((kind, update, age)) = tell.into_update() {
+        if let Some((kind, update, age)) = tell.into_update()? {
             store.copies.apply(kind, update, at - age, at);
         }
     }
--- a/crates/router/src/store/relay/message.rs
+++ b/crates/router/src/store/relay/message.rs
@@ -11,11 +11,12 @@
 use medlarrill_platform::store::Kind;
 use prost::{DecodeError, Message};
 
-/// Contents from this size on are compressed. The configuration of some hundred routes takes
-/// 100 KB plain and a tenth of that compressed; links of 10 Mbit/s carry it to 84 daemons.
+/// Updates from this size on are compressed, once for all followers. A list of some hundred
+/// endpoints or a configuration of some hundred routes takes 100 KB plain and a fifth of that
+/// compressed; links of 10 Mbit/s carry it to 84 daemons.
 const COMPRESSED: usize = 1024;
-/// Largest contents; the platform's values end at 1 MiB.
-const CONTENTS: u64 = 4 << 20;
+/// Largest update, plain.
+const UPDATE: u64 = 32 << 20;
 
 /// Which revisions a follower has reached.
 #[derive(Clone, PartialEq)]
@@ -43,17 +44,34 @@
     /// Milliseconds since the copy was known to be up to date.
     #[prost(uint64, tag = "2")]
     age: u64,
-    #[prost(uint64, tag = "3")]
+    /// Milliseconds for which calls to the platform have failed.
+    #[prost(uint64, optional, tag = "3")]
+    failing: Option<u64>,
+    /// Changes, coded as `Changes`.
+    #[prost(bytes = "bytes", tag = "4")]
+    changes: Bytes,
+    #[prost(bool, tag = "5")]
+    compressed: bool,
+}
+
+/// An update, coded once for all followers.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Packed {
+    bytes: Bytes,
+    compressed: bool,
+}
+
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+struct Changes {
+    #[prost(uint64, tag = "1")]
     revision: u64,
-    #[prost(bool, tag = "4")]
+    #[prost(bool, tag = "2")]
     whole: bool,
-    #[prost(message, repeated, tag = "5")]
+    #[prost(message, repeated, tag = "3")]
     puts: Vec<Put>,
-    #[prost(message, repeated, tag = "6")]
+    #[prost(message, repeated, tag = "4")]
     removals: Vec<Removal>,
-    /// Milliseconds for which calls to the platform have failed.
-    #[prost(uint64, optional, tag = "7")]
-    failing: Option<u64>,
 }
 
 #[derive(Clone, PartialEq)]
@@ -65,8 +83,6 @@
     revision: u64,
     #[prost(bytes = "bytes", tag = "3")]
     contents: Bytes,
-    #[prost(bool, tag = "4")]
-    compressed: bool,
 }
 
 #[derive(Clone, PartialEq)]
@@ -129,30 +145,50 @@
     }
 }
 
-impl Tell {
-    /// Changes, or none and only the age.
-    pub fn new(kind: Kind, update: Option<&Update>, age: Millis, failing: Option<Millis>) -> Self {
-        let mut tell = Self {
-            kind: code(kind),
-            age: age.0,
-            failing: failing.map(|span| span.0),
-            ..Self::default()
-        };
-        let Some(update) = update else {
-            return tell;
+impl Packed {
+    /// Codes an update.
+    pub fn new(update: &Update) -> Self {
+        let mut changes = Changes {
+            revision: update.revision,
+            whole: update.whole,
+            ..Changes::default()
         };
-        tell.revision = update.revision;
-        tell.whole = update.whole;
         for change in &update.changes {
             match change {
-                Change::Put(object) => tell.puts.push(Put::new(object)),
-                Change::Removed { name, revision } => tell.removals.push(Removal {
+                Change::Put(object) => changes.puts.push(Put {
+                    name: object.name.clone(),
+                    revision: object.revision,
+                    contents: object.spec.clone(),
+                }),
+                Change::Removed { name, revision } => changes.removals.push(Removal {
                     name: name.clone(),
                     revision: *revision,
                 }),
             }
         }
-        tell
+        let plain = Bytes::from(changes.encode_to_vec());
+        let compressed = compress(&plain);
+        Self {
+            compressed: compressed.is_some(),
+            bytes: compressed.unwrap_or(plain),
+        }
+    }
+}
+
+impl Tell {
+    /// Changes, or none and only the age.
+    pub fn new(kind: Kind, packed: Option<Packed>, age: Millis, failing: Option<Millis>) -> Self {
+        let packed = packed.unwrap_or(Packed {
+            bytes: Bytes::new(),
+            compressed: false,
+        });
+        Self {
+            kind: code(kind),
+            age: age.0,
+            failing: failing.map(|span| span.0),
+            changes: packed.bytes,
+            compressed: packed.compressed,
+        }
     }
 
     /// The message.
@@ -175,64 +211,53 @@
     }
 
     /// The kind, its changes and their age; none of a kind that only newer daemons know.
-    pub fn into_update(self) -> Option<(Kind, Update, Millis)> {
-        let kind = kind(self.kind)?;
-        let puts = self.puts.into_iter().filter_map(Put::into_change);
-        let removals = self.removals.into_iter().map(|removal| Change::Removed {
+    ///
+    /// # Errors
+    ///
+    /// When the changes can't be read.
+    pub fn into_update(self) -> std::io::Result<Option<(Kind, Update, Millis)>> {
+        let Some(kind) = kind(self.kind) else {
+            return Ok(None);
+        };
+        let changes = match self.compressed {
+            true => decompress(&self.changes)?,
+            false => self.changes,
+        };
+        let changes = Changes::decode(changes)?;
+        let puts = changes.puts.into_iter().map(|put| {
+            Change::Put(Object {
+                name: put.name,
+                revision: put.revision,
+                spec: put.contents,
+            })
+        });
+        let removals = changes.removals.into_iter().map(|removal| Change::Removed {
             name: removal.name,
             revision: removal.revision,
         });
         let update = Update {
-            whole: self.whole,
+            whole: changes.whole,
             changes: puts.chain(removals).collect(),
-            revision: self.revision,
-        };
-        Some((kind, update, Millis(self.age)))
-    }
-}
-
-impl Put {
-    fn new(object: &Object) -> Self {
-        let compressed = compress(&object.spec);
-        Self {
-            name: object.name.clone(),
-            revision: object.revision,
-            compressed: compressed.is_some(),
-            contents: compressed.unwrap_or_else(|| object.spec.clone()),
-        }
-    }
-
-    fn into_change(self) -> Option<Change> {
-        let spec = match self.compressed {
-            false => self.contents,
-            true => decompress(&self.contents)
-                .inspect_err(|error| {
-                    log::error!(target: "relay", object = self.name, cause:% = error; "relay: contents can't be read");
-                })
-                .ok()?,
+            revision: changes.revision,
         };
-        Some(Change::Put(Object {
-            name: self.name,
-            revision: self.revision,
-            spec,
-        }))
+        Ok(Some((kind, update, Millis(self.age))))
     }
 }
 
-fn compress(contents: &Bytes) -> Option<Bytes> {
-    if contents.len() < COMPRESSED {
+fn compress(plain: &Bytes) -> Option<Bytes> {
+    if plain.len() < COMPRESSED {
         return None;
     }
     let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
-    // Writing to memory doesn't fail; if it did, the contents travel plain.
-    encoder.write_all(contents).ok()?;
+    // Writing to memory doesn't fail; if it did, the update travels plain.
+    encoder.write_all(plain).ok()?;
     encoder.finish().ok().map(Bytes::from)
 }
 
-fn decompress(contents: &[u8]) -> std::io::Result<Bytes> {
+fn decompress(packed: &[u8]) -> std::io::Result<Bytes> {
     let mut plain = Vec::new();
-    ZlibDecoder::new(contents)
-        .take(CONTENTS)
+    ZlibDecoder::new(packed)
+        .take(UPDATE)
         .read_to_end(&mut plain)?;
     Ok(plain.into())
 }
