--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -132,12 +132,11 @@
         return None;
     }
     let expected = expected(sent);
-    let signed = reply.headers.contains_key("medlarrill-response-seal");
     let right = match reply.whole {
         true => reply.body == expected.as_bytes(),
         false => expected.as_bytes().starts_with(&reply.body),
     };
-    (!right || !signed).then(|| Violation::Mixed {
+    (!right || !reply.is_signed()).then(|| Violation::Mixed {
         request: sent.call.attempt.clone(),
         answer: format!("{}: {:?}", words(reply), reply.body),
     })
