Exchange: only summaries of hubs that most daemons report to count

Cause: each daemon reports to a seed every two seconds, and whoever gets reports answers with a summary of them. A seed that isn't a hub sums up the few reports of the last 1.3 s, and its summary replaced what the hubs had said of loads: in a fleet of 75, daemons saw loads of 1 and of 20 for the same endpoint at the same moment.

Ruled out: lost datagrams (it happens without any in the test) and outcomes (those of the first hub alone counted before, too).

Test: summaries_of_a_few_daemons_never_hide_what_the_rest_have; before, daemons heard of 2, 28 and 30 requests where others had 58. The existing fleet's seeds now speak last in each round, which made every_daemon_hears_what_all_others_have fail, too (2 instead of 58).

--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -46,6 +46,13 @@
 /// once a daemon. Three, so that two may freeze or be cut off at once.
 const WATCHERS: usize = 3;
 
+/// Part of the daemons of the widest summary that another must sum up to count; hubs differ by
+/// the reports that were lost or are on their way.
+const WIDE: f64 = 0.8;
+/// Time after which a summary that no other was as wide as counts no more: two slow ticks, and
+/// as much again for datagrams that are late.
+const WIDE_FOR: Millis = Millis(900);
+
 /// Name under which hubs are ranked.
 const HUB_KEY: &str = "hub";
 /// Name under which watchers are ranked.
@@ -68,6 +75,8 @@
     next_seed: usize,
     listed: Option<Millis>,
     counts: Counts,
+    /// Daemons in the widest summary of late, and when it came.
+    widest: (u32, Millis),
 }
 
 /// What is known of another daemon.
@@ -154,6 +163,7 @@
             next_seed: 0,
             listed: None,
             counts: Counts::default(),
+            widest: (0, Millis::ZERO),
         }
     }
 
@@ -248,8 +258,10 @@
         }
         let hot = self.counts.hot();
         let peers = self.due_list(now);
+        let daemons = self.gathered_from();
         let summary = |(address, (_, report)): (&SocketAddr, &(Millis, Report))| {
             let mut others = total.without(report);
+            others.daemons = daemons;
             others.peers.clone_from(&peers);
             others.hot.clone_from(&hot);
             (*address, Message::Summary(others))
@@ -273,25 +285,48 @@
         live.filter_map(peer).collect()
     }
 
-    /// What the reports that this daemon got say of the others.
-    pub fn gathered(&self, now: Millis) -> Heard {
+    /// Daemons whose reports this one has, itself included.
+    fn gathered_from(&self) -> u32 {
+        let others = u32::try_from(self.reports.len()).unwrap_or(u32::MAX);
+        others.saturating_add(1)
+    }
+
+    /// What the reports that this daemon got say of the others, unless it knows better.
+    pub fn gathered(&mut self, now: Millis) -> Option<Heard> {
         let mut total = Totals::default();
         for (_, report) in self.reports.values() {
             total.add(report);
         }
         let mut summary = total.without(&Report::default());
         summary.hot = self.counts.hot();
+        summary.daemons = self.gathered_from();
         self.heard_from(self.me, &summary, now)
     }
 
-    /// What a hub says. Each hub tells outcomes, and those of the first count.
-    fn heard_from(&self, hub: SocketAddr, summary: &Summary, now: Millis) -> Heard {
+    /// What a daemon says, if it is a hub that most others report to. Each hub tells outcomes, and
+    /// those of the first count.
+    fn heard_from(&mut self, from: SocketAddr, summary: &Summary, now: Millis) -> Option<Heard> {
+        let hubs = self.hubs(now);
+        if !self.is_wide(hubs.contains(&from), summary.daemons, now) {
+            return None;
+        }
         let mut heard = summary.heard();
-        if self.hubs(now).first() != Some(&hub) {
+        if hubs.first() != Some(&from) {
             let others = heard.endpoints.values_mut();
             others.for_each(Others::clear_outcomes);
         }
-        heard
+        Some(heard)
+    }
+
+    /// Whether a summary of so many daemons counts. A seed sums up the few reports that it got of
+    /// late, and so does a hub that was chosen just now.
+    fn is_wide(&mut self, is_hub: bool, daemons: u32, now: Millis) -> bool {
+        let (most, at) = self.widest;
+        let is_old = now.since(at) >= WIDE_FOR;
+        if is_old || is_hub && daemons >= most {
+            self.widest = (daemons, now);
+        }
+        is_old || is_hub && f64::from(daemons) >= WIDE * f64::from(most)
     }
 
     /// Whether this daemon has reports of others.
@@ -299,7 +334,7 @@
         !self.reports.is_empty()
     }
 
-    /// Takes a message; returns what others have, if it is a summary.
+    /// Takes a message; returns what others have, if it is a summary that says it.
     pub fn receive(&mut self, from: SocketAddr, message: Message, now: Millis) -> Option<Heard> {
         let cut_off = match &message {
             Message::Report(report) => report.cut_off,
@@ -327,7 +362,7 @@
                 for peer in &summary.peers {
                     self.hear(peer, now);
                 }
-                Some(self.heard_from(from, &summary, now))
+                self.heard_from(from, &summary, now)
             }
         }
     }
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -105,6 +105,9 @@
     /// Shared prefixes that get much of the traffic.
     #[prost(message, repeated, tag = "3")]
     pub hot: Vec<Hot>,
+    /// How many daemons it sums up.
+    #[prost(uint32, tag = "4")]
+    pub daemons: u32,
 }
 
 /// A datagram.
--- a/crates/core/tests/routing/bound.rs
+++ b/crates/core/tests/routing/bound.rs
@@ -149,9 +149,11 @@
                 ..Report::default()
             };
             if exchange.is_hub() {
-                let heard = exchange.gathered(now);
-                take(loads, &self.endpoints, &heard, now);
-                self.hot[number] = heard.hot;
+                let gathered = exchange.gathered(now);
+                if let Some(heard) = gathered {
+                    take(loads, &self.endpoints, &heard, now);
+                    self.hot[number] = heard.hot;
+                }
             }
             let from = SocketAddr::from(([10, 0, 0, 1], number as u16 + 1));
             let out = exchange.tick(own, now);
--- a/crates/core/tests/routing/exchange.rs
+++ b/crates/core/tests/routing/exchange.rs
@@ -3,7 +3,7 @@
 
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::exchange::{Entry, Exchange, Message, Others, Report, Sent};
+use medlarrill_core::routing::exchange::{Entry, Exchange, Heard, Message, Others, Report, Sent};
 
 fn address(number: u16) -> SocketAddr {
     ([10, 0, 0, 1], number).into()
@@ -34,8 +34,9 @@
 
 impl Fleet {
     fn new(count: usize) -> Self {
-        let seeds = vec![address(0), address(1)];
-        let daemon = |number| Exchange::new(address(number as u16), seeds.clone());
+        // Their summaries are the last in each round.
+        let seeds = [count - 1, count - 2].map(|number| address(number as u16));
+        let daemon = |number| Exchange::new(address(number as u16), seeds.to_vec());
         Self {
             daemons: (0..count).map(daemon).collect(),
             heard: vec![HashMap::new(); count],
@@ -52,11 +53,10 @@
                 continue;
             }
             if self.daemons[number].is_hub() {
-                let heard = self.daemons[number].gathered(now);
-                self.hot[number] = heard.hot;
-                self.heard[number] = heard.endpoints;
-                let bad = self.heard[number].values().map(|others| others.bad);
-                self.bad[number] += bad.sum::<u32>();
+                let gathered = self.daemons[number].gathered(now);
+                if let Some(heard) = gathered {
+                    self.hear(number, heard);
+                }
             }
             let out = self.daemons[number].tick(reports(number), now);
             sent.extend(out.into_iter().map(|(to, message)| (number, to, message)));
@@ -69,14 +69,18 @@
             let bytes = message.encode();
             let message = Message::decode(&bytes).expect("a datagram").expect("known");
             if let Some(heard) = self.daemons[to].receive(address(from as u16), message, now) {
-                let others = heard.endpoints;
-                self.hot[to] = heard.hot;
-                self.bad[to] += others.values().map(|others| others.bad).sum::<u32>();
-                self.heard[to] = others;
+                self.hear(to, heard);
             }
         }
     }
 
+    fn hear(&mut self, number: usize, heard: Heard) {
+        let bad = heard.endpoints.values().map(|others| others.bad);
+        self.bad[number] += bad.sum::<u32>();
+        self.hot[number] = heard.hot;
+        self.heard[number] = heard.endpoints;
+    }
+
     fn run(&mut self, rounds: u64, from: u64, reports: impl Fn(usize) -> Report) -> u64 {
         for round in 0..rounds {
             self.round(&reports, Millis(from + round * 100));
@@ -96,6 +100,25 @@
     }
 }
 
+#[gtest]
+fn summaries_of_a_few_daemons_never_hide_what_the_rest_have() {
+    let mut fleet = Fleet::new(30);
+    // They start one after the other, so that they ask seeds one after the other, too.
+    let mut now = 0;
+    for started in 1..=30 {
+        fleet.lost = (started..30).collect();
+        now = fleet.run(1, now, |_| report(7, 2, 0, 0));
+    }
+    now = fleet.run(30, now, |_| report(7, 2, 0, 0));
+    for round in 0..40 {
+        fleet.round(|_| report(7, 2, 0, 0), Millis(now + round * 100));
+        for number in 0..30 {
+            let others = fleet.heard[number].get(&7).copied().unwrap_or_default();
+            expect_that!(others.in_flight, eq(58), "round {round}, daemon {number}");
+        }
+    }
+}
+
 #[gtest]
 fn daemons_agree_on_two_hubs_and_replace_one_that_is_lost() {
     let mut fleet = Fleet::new(20);
