Admission to plain pools that are asked for more than they can run

Change: each daemon takes a share of its requests, moved slowly against the time that requests take there (requests in flight by answers a second, both told by the hubs), and refuses the others at once, unsent. A refused caller is told to come back after a tenth to three tenths of the target: its time counts from its first try, so a second one may be in time.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -20,6 +20,7 @@
 pub mod health;
 pub mod load;
 pub mod mirror;
+pub mod overload;
 pub mod plan;
 pub mod request;
 pub mod stop;
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -25,6 +25,12 @@
     /// It didn't run and won't; the caller may come back.
     #[display("not-run")]
     NotRun,
+    /// Its pool is asked for more than it can run; it didn't run and won't.
+    #[display("overloaded")]
+    Overloaded {
+        /// When the caller may come back.
+        wait: Millis,
+    },
     /// It may have run, and no whole answer came.
     #[display("unknown")]
     Unknown,
@@ -50,6 +56,7 @@
     repeat: Repeat,
     attempts: u32,
     target: Millis,
+    stream: bool,
     /// When the caller or the route's timeout ends the wait.
     deadline: Millis,
     /// Attempts that ran, or may have.
@@ -65,6 +72,7 @@
             repeat: route.repeat,
             attempts: route.attempts.max(1),
             target: route.target,
+            stream: route.stream,
             deadline,
             ran: 0,
             sent: 0,
@@ -77,6 +85,15 @@
         self.repeat.is_idempotent()
     }
 
+    /// Time within which a request that wasn't sent yet should be answered; none for streams,
+    /// since engines share their time among all requests and queue by urgency.
+    pub const fn queue_target(&self) -> Option<Millis> {
+        match self.stream || self.sent > 0 {
+            true => None,
+            false => Some(self.target),
+        }
+    }
+
     /// When the wait ends.
     pub const fn deadline(&self) -> Millis {
         self.deadline
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -11,6 +11,7 @@
     mod health;
     mod load;
     mod mirror;
+    mod overload;
     mod plan;
     mod request;
     mod stop;
--- a/crates/router/src/entry/answer.rs
+++ b/crates/router/src/entry/answer.rs
@@ -73,6 +73,7 @@
             Self::TooLarge => "body-too-large",
             Self::SlowBody => "slow-body",
             Self::Refused(Refusal::NotRun) => "not-run",
+            Self::Refused(Refusal::Overloaded { .. }) => "overloaded",
             Self::Refused(Refusal::Unknown) => "unknown",
             Self::Refused(Refusal::Timeout) => "timeout",
         }
@@ -81,7 +82,9 @@
     /// The status; 503 and 408 promise that the request hasn't run.
     pub const fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::Stopping | Self::Refused(Refusal::NotRun) => {
+            Self::NoConfiguration
+            | Self::Stopping
+            | Self::Refused(Refusal::NotRun | Refusal::Overloaded { .. }) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -95,6 +98,17 @@
     }
 }
 
+impl Reason {
+    /// When a refused caller may come back.
+    fn come_back(self) -> Millis {
+        let (least, most) = COME_BACK;
+        match self {
+            Self::Refused(Refusal::Overloaded { wait }) => wait,
+            _ => Millis(rand::rng().random_range(least.0..=most.0)),
+        }
+    }
+}
+
 /// The entry's own answer.
 pub fn own(reason: Reason, detail: &str) -> Answer {
     let text = serde_json::json!({ "error": reason.to_string(), "detail": detail }).to_string();
@@ -103,9 +117,10 @@
     let json = HeaderValue::from_static("application/json");
     headers.insert(header::CONTENT_TYPE, json);
     if reason.status() == StatusCode::SERVICE_UNAVAILABLE {
-        let (least, most) = COME_BACK;
-        let wait = Millis(rand::rng().random_range(least.0..=most.0));
-        headers.insert(header::RETRY_AFTER, headers::retry_after(wait));
+        headers.insert(
+            header::RETRY_AFTER,
+            headers::retry_after(reason.come_back()),
+        );
     }
     answer
 }
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -15,7 +15,7 @@
 use super::order::Order;
 use super::trace::Trace;
 use crate::endpoints::{Kept, SendError, Sent};
-use crate::placement::Flight;
+use crate::placement::{Flight, Pick};
 
 /// Time beyond the deadline in which an endpoint's own answer to it may come.
 const GRACE: Millis = Millis(80);
@@ -93,8 +93,15 @@
     let shared = shared.as_ref();
     let mut failure = None;
     let refusal = loop {
-        let Some((choice, flight)) = placement.choose(&order.pool, shared, plan, now()) else {
-            break plan.refusal(plan.deadline() <= now());
+        let (choice, flight) = match placement.choose(&order.pool, shared, plan, now()) {
+            Pick::Endpoint(choice, flight) => (choice, flight),
+            Pick::Overloaded(overload) => {
+                trace.overloaded(&overload);
+                break Refusal::Overloaded {
+                    wait: overload.wait,
+                };
+            }
+            Pick::Nothing => break plan.refusal(plan.deadline() <= now()),
         };
         let left = plan.deadline().since(now());
         trace.attempt(&choice, shared, left);
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -179,6 +179,7 @@
 const fn detail(refusal: Refusal) -> &'static str {
     match refusal {
         Refusal::NotRun => "no endpoint took it; it has not run and will not",
+        Refusal::Overloaded { .. } => "its pool has too much to do; it has not run and will not",
         Refusal::Unknown => "it may have run, and no whole answer came",
         Refusal::Timeout => "it may have run, and time is up",
     }
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -14,6 +14,7 @@
 use super::answer::Reason;
 use super::order::Order;
 use crate::metrics::{Metrics, seconds};
+use crate::placement::Overload;
 use crate::shared::Shared;
 
 /// What happened to a request; logged when it is dropped.
@@ -86,6 +87,18 @@
         );
     }
 
+    /// Logs why a pool isn't given the request.
+    pub fn overloaded(&self, overload: &Overload) {
+        let Overload { choice, share, .. } = overload;
+        log::info!(
+            target: "entry", request = self.request, version = self.version,
+            endpoint = choice.endpoint.id.as_str(), load = choice.load,
+            load_age = choice.load_age.map(|age| age.0), expected = overload.expected,
+            share, wait = overload.wait.0;
+            "entry: pool overloaded"
+        );
+    }
+
     /// Logs a failed attempt.
     pub fn fault(&self, fault: Fault, cause: &str, again: bool) {
         Metrics::count(&self.shared.metrics.faults, fault.code());
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -14,6 +14,7 @@
 use medlarrill_core::routing::exchange;
 use medlarrill_core::routing::health::Health;
 use medlarrill_core::routing::load::{Loads, Report};
+use medlarrill_core::routing::overload::{self, Paces, Valve};
 use medlarrill_core::routing::plan::Plan;
 use medlarrill_core::routing::request::SharedPrefix;
 use rand::RngExt;
@@ -34,6 +35,9 @@
     /// Daemons that live.
     daemons: u32,
     budget: Budget,
+    paces: Paces,
+    /// Admission to plain pools.
+    valves: HashMap<PoolId, Valve>,
     outcomes: HashMap<EndpointId, Outcomes>,
     /// Requests sent with each shared prefix since the last report.
     sent: HashMap<u32, u32>,
@@ -51,6 +55,30 @@
     bad: u32,
 }
 
+/// Where a request goes.
+#[derive(Debug)]
+pub enum Pick {
+    /// To this endpoint.
+    Endpoint(Choice, Flight),
+    /// Nowhere, since its pool is asked for too much.
+    Overloaded(Box<Overload>),
+    /// Nowhere, since there is no endpoint that wasn't tried.
+    Nothing,
+}
+
+/// Why a request isn't given to a pool.
+#[derive(Debug)]
+pub struct Overload {
+    /// The endpoint that would have got it.
+    pub choice: Choice,
+    /// How long it would have taken there, in milliseconds.
+    pub expected: f64,
+    /// The share of requests that are taken.
+    pub share: f64,
+    /// When the caller may come back.
+    pub wait: Millis,
+}
+
 /// A request at an endpoint, counted until it is dropped.
 #[derive(Debug)]
 pub struct Flight {
@@ -74,6 +102,8 @@
                 health: Health::default(),
                 daemons: 1,
                 budget: Budget::new(repeats, now),
+                paces: Paces::default(),
+                valves: HashMap::new(),
                 outcomes: HashMap::new(),
                 sent: HashMap::new(),
                 hot: HashMap::new(),
@@ -102,6 +132,7 @@
         let mut state = self.lock();
         state.loads.forget(id);
         state.health.forget(id);
+        state.paces.forget(id);
         state.directory.remove(id)
     }
 
@@ -137,21 +168,26 @@
         shared: Option<&SharedPrefix>,
         plan: &Plan,
         now: Millis,
-    ) -> Option<(Choice, Flight)> {
+    ) -> Pick {
         let mut state = self.lock();
         let state = &mut *state;
         let candidates = state.candidates(pool, plan, now);
         let trial = plan.is_idempotent();
         let share = shared.map_or(0.0, |prefix| state.count(prefix));
         let rng = &mut state.rng;
-        let choice = choose(&candidates, shared, share, &self.near, trial, rng)?;
+        let Some(choice) = choose(&candidates, shared, share, &self.near, trial, rng) else {
+            return Pick::Nothing;
+        };
+        if let Some(overload) = state.overload(pool, &choice, plan, now) {
+            return Pick::Overloaded(Box::new(overload));
+        }
         let id = choice.endpoint.id.clone();
         state.loads.begin(&id);
         if choice.trial {
             state.health.trial(&id, now);
         }
         let placement = Arc::clone(self);
-        Some((choice, Flight { placement, id }))
+        Pick::Endpoint(choice, Flight { placement, id })
     }
 
     /// Takes what an endpoint tells of its work.
@@ -163,6 +199,7 @@
     pub fn good(&self, id: &EndpointId, now: Millis) {
         let mut state = self.lock();
         state.health.good(id, now);
+        state.paces.answers(id, 1, now);
         state.outcomes.entry(id.clone()).or_default().good += 1;
     }
 
@@ -170,6 +207,9 @@
     pub fn bad(&self, id: &EndpointId, fault: Fault, now: Millis) {
         let mut state = self.lock();
         state.health.bad(id, fault, now);
+        if fault == Fault::Failed {
+            state.paces.answers(id, 1, now);
+        }
         if fault.is_failure() {
             state.outcomes.entry(id.clone()).or_default().bad += 1;
         }
@@ -213,6 +253,8 @@
             state.loads.others(&endpoint.id, others.in_flight, now);
             let health = &mut state.health;
             health.others(&endpoint.id, others.good, others.bad, now);
+            let answers = others.good + others.bad;
+            state.paces.answers(&endpoint.id, answers, now);
         }
     }
 }
@@ -225,6 +267,30 @@
         self.hot.get(&key).copied().unwrap_or_default()
     }
 
+    /// Whether a pool is asked for more than it can run, so that this request isn't taken.
+    fn overload(
+        &mut self,
+        pool: &PoolId,
+        choice: &Choice,
+        plan: &Plan,
+        now: Millis,
+    ) -> Option<Overload> {
+        let target = plan.queue_target()?;
+        let expected = self.paces.time(&choice.endpoint.id, choice.load, now)?;
+        let valve = self.valves.entry(pool.clone()).or_default();
+        let share = valve.take(expected, target, now);
+        let is_queueing = choice.load > f64::from(choice.endpoint.slots);
+        if !is_queueing || self.rng.random::<f64>() < share {
+            return None;
+        }
+        Some(Overload {
+            choice: choice.clone(),
+            expected,
+            share,
+            wait: overload::come_back(target, self.rng.random()),
+        })
+    }
+
     fn age(&self, id: &EndpointId, now: Millis) -> Millis {
         let joined = self.directory.joined(id);
         joined.map_or(Millis::MAX, |joined| now.since(joined))
