--- a/crates/core/tests/routing/overload.rs
+++ b/crates/core/tests/routing/overload.rs
@@ -152,7 +152,7 @@
         let answers = recent.map(|known| known.answers).sum();
         for (number, (paces, _)) in self.daemons.iter_mut().enumerate() {
             // Daemons tick at different times.
-            if (now + number as u64 * 7) % TICK == 0 {
+            if (now + number as u64 * 7).is_multiple_of(TICK) {
                 paces.answers(&id("e"), answers, Millis(now));
             }
         }
