--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -119,10 +119,10 @@
 
 async fn tick(exchange: &mut Exchange, shared: &Shared, socket: &UdpSocket) {
     let at = now();
-    if exchange.is_hub() {
-        if let Some(heard) = exchange.gathered(at) {
-            shared.placement.others(heard, exchange.live(at), at);
-        }
+    if exchange.is_hub()
+        && let Some(heard) = exchange.gathered(at)
+    {
+        shared.placement.others(heard, exchange.live(at), at);
     }
     let own = shared.placement.own_report(shared.copies.is_cut_off());
     for (to, message) in exchange.tick(own, at) {
