--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -207,11 +207,6 @@
     ranked.into_iter().find(|c| settled(c))
 }
 
-/// Load for each slot that an idle endpoint counts as.
-const IDLE: f64 = 0.3;
-/// Power to which less load is preferred.
-const SHARP: f64 = 2.0;
-
 fn by_load(usable: &[&Candidate], near: &DataCentreId, rng: &mut Pcg32) -> Option<Choice> {
     let cost = |c: &Candidate| {
         let slots = f64::from(c.endpoint.slots.max(1));
@@ -222,14 +217,10 @@
         };
         (c.load + far) / slots
     };
-    let weight = |c: &Candidate| (cost(c) + IDLE).powf(-SHARP);
-    let total: f64 = usable.iter().map(|c| weight(c)).sum();
-    let mut left = rng.random::<f64>() * total;
-    let drawn = usable.iter().find(|c| {
-        left -= weight(c);
-        left < 0.0
-    });
-    let picked = drawn.or(usable.first()).copied()?;
+    let mut scored: Vec<(f64, u32, &Candidate)> =
+        usable.iter().map(|c| (cost(c), rng.random(), *c)).collect();
+    scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    let (_, _, picked) = scored.first()?;
     Some(choice(picked, Why::Least))
 }
 
