Store: a first list that is over the store's rate is read from an old copy

Cause: where many daemons start at once, the store refuses lists beyond its rate. A daemon that was refused waited 1.5 s for another daemon's copy, or asked again for pages that counted, too.

Change: a list of endpoints that is refused for the rate is asked for once more as one that may be seconds old, which doesn't count; the changes since its revision follow at once. The configuration is never taken so, since an older one may allow what was taken back. A copy of unknown age is used and doesn't count as up to date.

--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -117,8 +117,17 @@
         self.failing.map(|(first, _)| now.since(first))
     }
 
-    /// Takes an update that was up to date at `heard`; returns what changes here.
-    pub fn apply(&mut self, update: Update, heard: Millis, now: Millis) -> Vec<Change> {
+    /// Takes an update that was up to date at `heard`, if that is known; returns what changes
+    /// here.
+    pub fn apply(&mut self, update: Update, heard: Option<Millis>, now: Millis) -> Vec<Change> {
+        if let Some(heard) = heard {
+            self.hear(heard, now);
+        }
+        self.take(update, now)
+    }
+
+    /// Notes that the copy was up to date at `heard`.
+    fn hear(&mut self, heard: Millis, now: Millis) {
         if let Some((first, last)) = self.failing
             && heard > last
         {
@@ -133,6 +142,9 @@
             self.back = Some(now);
         }
         self.heard = self.heard.max(Some(heard));
+    }
+
+    fn take(&mut self, update: Update, now: Millis) -> Vec<Change> {
         let mut changed = Vec::new();
         if update.whole {
             changed.extend(self.remove_others(&update, now));
--- a/crates/core/tests/routing/mirror.rs
+++ b/crates/core/tests/routing/mirror.rs
@@ -43,7 +43,7 @@
     let mut mirror = Mirror::default();
     mirror.apply(
         list(vec![put("a", 3), put("b", 7)], 10),
-        Millis(0),
+        Some(Millis(0)),
         Millis(0),
     );
     mirror
@@ -54,20 +54,26 @@
     let mut mirror = mirror();
     let at = Millis(1);
     expect_that!(
-        mirror.apply(changes(vec![put("a", 12)], 12), at, at).len(),
+        mirror
+            .apply(changes(vec![put("a", 12)], 12), Some(at), at)
+            .len(),
         eq(1)
     );
     expect_that!(
-        mirror.apply(changes(vec![put("a", 12)], 12), at, at).len(),
+        mirror
+            .apply(changes(vec![put("a", 12)], 12), Some(at), at)
+            .len(),
         eq(0)
     );
     expect_that!(
-        mirror.apply(changes(vec![put("a", 11)], 11), at, at).len(),
+        mirror
+            .apply(changes(vec![put("a", 11)], 11), Some(at), at)
+            .len(),
         eq(0)
     );
     expect_that!(
         mirror
-            .apply(list(vec![put("a", 3), put("b", 7)], 10), at, at)
+            .apply(list(vec![put("a", 3), put("b", 7)], 10), Some(at), at)
             .len(),
         eq(0)
     );
@@ -78,13 +84,17 @@
 fn an_older_put_after_a_removal_does_not_bring_an_object_back() {
     let mut mirror = mirror();
     let at = Millis(1);
-    mirror.apply(changes(vec![removed("b", 14)], 14), at, at);
+    mirror.apply(changes(vec![removed("b", 14)], 14), Some(at), at);
     expect_that!(
-        mirror.apply(changes(vec![put("b", 13)], 13), at, at).len(),
+        mirror
+            .apply(changes(vec![put("b", 13)], 13), Some(at), at)
+            .len(),
         eq(0)
     );
     expect_that!(
-        mirror.apply(changes(vec![put("b", 15)], 15), at, at).len(),
+        mirror
+            .apply(changes(vec![put("b", 15)], 15), Some(at), at)
+            .len(),
         eq(1)
     );
 }
@@ -93,8 +103,8 @@
 fn a_whole_list_removes_what_it_lacks_but_nothing_newer() {
     let mut mirror = mirror();
     let at = Millis(1);
-    mirror.apply(changes(vec![put("c", 20)], 20), at, at);
-    let gone = mirror.apply(list(vec![put("a", 3)], 18), at, at);
+    mirror.apply(changes(vec![put("c", 20)], 20), Some(at), at);
+    let gone = mirror.apply(list(vec![put("a", 3)], 18), Some(at), at);
     expect_that!(gone, elements_are![eq(&removed("b", 20))]);
 }
 
@@ -104,7 +114,9 @@
     mirror.platform_back(Millis(4000), Millis(5000));
     let at = Millis(5100);
     expect_that!(
-        mirror.apply(list(vec![put("a", 3)], 12), at, at).len(),
+        mirror
+            .apply(list(vec![put("a", 3)], 12), Some(at), at)
+            .len(),
         eq(0)
     );
     expect_that!(mirror.tick(Millis(6900)).len(), eq(0));
@@ -116,9 +128,9 @@
     let mut mirror = mirror();
     mirror.platform_back(Millis(4000), Millis(5000));
     let at = Millis(5100);
-    mirror.apply(list(vec![put("a", 3)], 12), at, at);
+    mirror.apply(list(vec![put("a", 3)], 12), Some(at), at);
     let at = Millis(5900);
-    mirror.apply(changes(vec![put("b", 13)], 13), at, at);
+    mirror.apply(changes(vec![put("b", 13)], 13), Some(at), at);
     expect_that!(mirror.tick(Millis(9000)).len(), eq(0));
 }
 
@@ -129,7 +141,7 @@
     let at = Millis(4000);
     expect_that!(
         mirror
-            .apply(changes(vec![removed("b", 12)], 12), at, at)
+            .apply(changes(vec![removed("b", 12)], 12), Some(at), at)
             .len(),
         eq(0)
     );
@@ -144,14 +156,14 @@
     // The platform answered a waiting call well into its outage, and other daemons met failures.
     let mut mirror = mirror();
     let at = Millis(1500);
-    mirror.apply(changes(Vec::new(), 10), at, at);
+    mirror.apply(changes(Vec::new(), 10), Some(at), at);
     mirror.fail(Millis(1600), Millis(2000));
     mirror.fail(Millis(1600), Millis(3400));
     expect_that!(mirror.failing(Millis(3500)), some(eq(Millis(1900))));
     let at = Millis(3600);
     expect_that!(
         mirror
-            .apply(changes(vec![removed("b", 12)], 12), at, at)
+            .apply(changes(vec![removed("b", 12)], 12), Some(at), at)
             .len(),
         eq(0)
     );
@@ -163,12 +175,12 @@
     let mut mirror = mirror();
     for at in [1000, 1500, 2000, 2500] {
         mirror.fail(Millis(100), Millis(at - 10));
-        mirror.apply(changes(Vec::new(), 10), Millis(at), Millis(at));
+        mirror.apply(changes(Vec::new(), 10), Some(Millis(at)), Millis(at));
     }
     let at = Millis(2600);
     expect_that!(
         mirror
-            .apply(changes(vec![removed("b", 12)], 12), at, at)
+            .apply(changes(vec![removed("b", 12)], 12), Some(at), at)
             .len(),
         eq(1)
     );
@@ -180,7 +192,7 @@
     let at = Millis(2500);
     expect_that!(
         mirror
-            .apply(changes(vec![removed("b", 12)], 12), at, at)
+            .apply(changes(vec![removed("b", 12)], 12), Some(at), at)
             .len(),
         eq(1)
     );
@@ -190,13 +202,13 @@
 fn without_an_outage_a_removal_takes_effect_at_once() {
     let mut mirror = mirror();
     for at in [Millis(2500), Millis(5000)] {
-        mirror.apply(changes(Vec::new(), 10), at, at);
+        mirror.apply(changes(Vec::new(), 10), Some(at), at);
     }
     mirror.platform_back(Millis(300), Millis(5000));
     let at = Millis(5100);
     expect_that!(
         mirror
-            .apply(changes(vec![removed("b", 12)], 12), at, at)
+            .apply(changes(vec![removed("b", 12)], 12), Some(at), at)
             .len(),
         eq(1)
     );
@@ -206,7 +218,11 @@
 fn a_follower_is_brought_up_to_date_from_where_it_is() {
     let mut mirror = mirror();
     let at = Millis(1);
-    mirror.apply(changes(vec![put("c", 12), removed("a", 13)], 13), at, at);
+    mirror.apply(
+        changes(vec![put("c", 12), removed("a", 13)], 13),
+        Some(at),
+        at,
+    );
     let update = mirror.since(Some(10)).expect("an update");
     expect_that!(update.whole, eq(false));
     expect_that!(
@@ -224,7 +240,7 @@
     let mut mirror = mirror();
     mirror.platform_back(Millis(4000), Millis(5000));
     let at = Millis(5100);
-    mirror.apply(list(vec![put("a", 3)], 12), at, at);
+    mirror.apply(list(vec![put("a", 3)], 12), Some(at), at);
     mirror.tick(Millis(8000));
     let update = mirror.since(Some(12)).expect("an update");
     expect_that!(update.changes, elements_are![eq(&removed("b", 12))]);
@@ -234,8 +250,33 @@
 fn its_age_counts_from_when_it_was_last_known_to_be_up_to_date() {
     let mut mirror = mirror();
     expect_that!(mirror.age(Millis(300)), some(eq(Millis(300))));
-    mirror.apply(changes(Vec::new(), 10), Millis(200), Millis(250));
+    mirror.apply(changes(Vec::new(), 10), Some(Millis(200)), Millis(250));
     expect_that!(mirror.age(Millis(300)), some(eq(Millis(100))));
-    mirror.apply(changes(Vec::new(), 10), Millis(100), Millis(300));
+    mirror.apply(changes(Vec::new(), 10), Some(Millis(100)), Millis(300));
     expect_that!(mirror.age(Millis(300)), some(eq(Millis(100))));
 }
+
+#[gtest]
+fn a_list_of_unknown_age_is_used_but_counts_as_not_up_to_date() {
+    let mut mirror = Mirror::default();
+    let at = Millis(5000);
+    mirror.apply(list(vec![put("a", 3), put("b", 7)], 10), None, at);
+    expect_that!(mirror.revision(), some(eq(10)));
+    expect_that!(mirror.age(at), none());
+    // What went since is gone at once: there was no outage.
+    let gone = mirror.apply(changes(vec![removed("b", 12)], 12), Some(at), at);
+    expect_that!(gone.len(), eq(1));
+    expect_that!(mirror.age(at), some(eq(Millis::ZERO)));
+}
+
+#[gtest]
+fn an_old_list_takes_nothing_away_that_is_newer() {
+    let mut mirror = mirror();
+    let at = Millis(100);
+    mirror.apply(changes(vec![put("c", 20)], 20), Some(at), at);
+    expect_that!(
+        mirror.apply(list(vec![put("a", 3)], 5), None, at).len(),
+        eq(0)
+    );
+    expect_that!(mirror.revision(), some(eq(20)));
+}
--- a/crates/daemon/tests/route/store.rs
+++ b/crates/daemon/tests/route/store.rs
@@ -141,6 +141,20 @@
     bench.ready(0, 121).await;
 }
 
+#[tokio::test]
+async fn a_list_that_the_store_refuses_for_its_rate_is_read_from_an_old_copy_and_brought_up_to_date()
+ {
+    let mut bench = Bench::without_daemon(2).await;
+    bench.store.fail(Outage::Rate);
+    bench.store.remove("servers", "e-1");
+    bench.add_daemon(&[]);
+    bench.ready(0, 2).await;
+    bench.until(0, "endpoint gone", 1).await;
+    let reply = bench.send(&Call::new("r-1", "/plain/x")).await;
+    assert_that!(reply.is_success(), eq(true), "{reply:?}");
+    assert_that!(bench.ledger.runs("r-1")[0].endpoint.as_str(), eq("e-0"));
+}
+
 #[tokio::test]
 async fn a_daemon_that_alone_lost_the_platform_is_kept_up_to_date_by_others() {
     let mut bench = Bench::without_daemon(1).await;
--- a/crates/router/src/store/client.rs
+++ b/crates/router/src/store/client.rs
@@ -45,6 +45,11 @@
     pub fn is_gone(&self) -> bool {
         matches!(self, Self::Status(StatusCode::GONE))
     }
+
+    /// Whether the store refused the call since there were too many.
+    pub fn is_over_rate(&self) -> bool {
+        matches!(self, Self::Status(StatusCode::TOO_MANY_REQUESTS))
+    }
 }
 
 /// A connection that is made when it is needed.
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -89,8 +89,8 @@
         (packed, self.effects.subscribe())
     }
 
-    /// Takes an update that was up to date at `heard`.
-    pub fn apply(&self, kind: Kind, update: Update, heard: Millis, now: Millis) {
+    /// Takes an update that was up to date at `heard`, if that is known.
+    pub fn apply(&self, kind: Kind, update: Update, heard: Option<Millis>, now: Millis) {
         let mut copy = self.lock(kind);
         let changes = copy.mirror.apply(update, heard, now);
         self.tell(kind, &mut copy, changes);
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -5,7 +5,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::mirror::{Change, Object, Update};
 use medlarrill_net::now::now;
-use medlarrill_platform::store::{self as wire, Kind};
+use medlarrill_platform::store::{self as wire, Freshness, Kind};
 use rand::RngExt;
 
 use super::Store;
@@ -45,6 +45,7 @@
     let mut follower = Follower {
         client: Client::new(platform),
         part: None,
+        freshness: Freshness::Latest,
         kind,
         store,
         heard: now(),
@@ -75,6 +76,8 @@
     client: Client,
     /// What was read of a list before a call failed.
     part: Option<Part>,
+    /// How fresh the next list has to be.
+    freshness: Freshness,
     kind: Kind,
     store: Store,
     /// When the platform last answered.
@@ -101,7 +104,7 @@
 
     async fn step(&mut self) {
         let result = match self.store.copies.revision(self.kind) {
-            None => self.list().await,
+            None => self.first_list().await,
             Some(revision) => self.watch(revision).await,
         };
         let result = match result {
@@ -116,6 +119,22 @@
         }
     }
 
+    /// Reads the first list. Where many daemons start at once, the store's rate allows some of
+    /// them; the others take a list of endpoints that may be seconds old, and go on from there.
+    /// The configuration isn't taken so, since an older one may allow what was taken back.
+    async fn first_list(&mut self) -> Result<()> {
+        let result = self.list().await;
+        let is_over_rate = result.as_ref().is_err_and(CallError::is_over_rate);
+        if !is_over_rate || self.kind != Kind::Endpoints {
+            return result;
+        }
+        log::info!(target: "store", kind:% = self.kind; "store: over its rate, reading an old list");
+        self.freshness = Freshness::Stale;
+        let result = self.list().await;
+        self.freshness = Freshness::Latest;
+        result
+    }
+
     async fn list(&mut self) -> Result<()> {
         let mut part = self
             .part
@@ -134,7 +153,8 @@
     /// Reads one part of a list; says whether more follow.
     async fn list_part(&mut self, part: &mut Option<Part>) -> Result<bool> {
         let after = part.as_ref().and_then(|part| part.objects.last());
-        let path = wire::list_path(self.kind, after.map(|object| object.name.as_str()));
+        let after = after.map(|object| object.name.as_str());
+        let path = wire::list_path(self.kind, after, self.freshness);
         let asked = now();
         let body = self.call(&path, ANSWER).await?;
         let page = wire::page(&body).map_err(CallError::Decode)?;
@@ -144,6 +164,8 @@
             revision: page.revision,
             heard: asked,
         });
+        // Copies that answer with old lists may lag one behind the other.
+        read.revision = read.revision.min(page.revision);
         let is_last = !page.more || page.objects.is_empty();
         read.objects.extend(page.objects);
         if !is_last {
@@ -162,6 +184,7 @@
             changes: objects.into_iter().map(Change::Put).collect(),
             revision,
         };
+        let heard = (self.freshness == Freshness::Latest).then_some(heard);
         self.store.copies.apply(self.kind, update, heard, now());
         Ok(false)
     }
@@ -177,7 +200,9 @@
             changes: changes.changes,
             revision: changes.revision,
         };
-        self.store.copies.apply(self.kind, update, heard, heard);
+        self.store
+            .copies
+            .apply(self.kind, update, Some(heard), heard);
         if !is_quiet {
             let pause = match self.kind {
                 Kind::Configuration => CONFIGURATION_PAUSE,
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -180,7 +180,7 @@
             store.copies.fail(kind, at - span, at);
         }
         if let Some((kind, update, age)) = tell.into_update()? {
-            store.copies.apply(kind, update, at - age, at);
+            store.copies.apply(kind, update, Some(at - age), at);
         }
     }
 }
