Repeats: the budget isn't charged where no endpoint is left to try

Cause: a failed attempt that may be repeated took a repeat from the budget and was logged as sent again before it turned out that all endpoints of its pool had been tried.

Test: where_no_endpoint_is_left_a_failure_is_no_repeat (failed before).

--- a/crates/daemon/tests/route/answers.rs
+++ b/crates/daemon/tests/route/answers.rs
@@ -70,6 +70,19 @@
     assert_that!(slowest, lt(Duration::from_secs(3)));
 }
 
+#[tokio::test]
+async fn where_no_endpoint_is_left_a_failure_is_no_repeat() {
+    let bench = Bench::start(1).await;
+    bench.behave(always(|b| b.fails = 1.0));
+    let reply = bench.send(&Call::new("r-1", "/plain/x")).await;
+    assert_that!(status(&reply), eq(500));
+    bench.behave(always(|b| b.full = 1.0));
+    let reply = bench.send(&Call::new("r-2", "/plain/x")).await;
+    assert_that!(reply.promises_not_run(), eq(true), "{reply:?}");
+    bench.until(0, "attempt failed", 2).await;
+    assert_that!(bench.daemons[0].lines_with("\"again\":true").len(), eq(0));
+}
+
 #[tokio::test]
 async fn an_idempotent_request_is_answered_by_a_second_endpoint() {
     for set in [
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -137,11 +137,7 @@
 
 /// Takes note of a failed attempt and says what follows.
 fn fail(order: &Order, plan: &mut Plan, id: &EndpointId, failed: &Failed, trace: &Trace) -> Next {
-    let placement = &order.shared.placement;
-    let now = now();
-    placement.bad(id, failed.fault, now);
-    let spend = || placement.spend(&order.pool, now);
-    let next = plan.fail(id, failed.fault, spend, now);
+    let next = order.fail(plan, id, failed.fault, now());
     trace.fault(failed.fault, &failed.cause, next == Next::Again);
     next
 }
--- a/crates/router/src/entry/order.rs
+++ b/crates/router/src/entry/order.rs
@@ -8,9 +8,11 @@
 use http::{Method, Request, Uri};
 use http_body_util::Full;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::ids::PoolId;
+use medlarrill_core::ids::{EndpointId, PoolId};
+use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::config::{Account, Configuration, Priority, Route};
+use medlarrill_core::routing::plan::{Next, Plan};
 use medlarrill_core::routing::request::Call;
 use medlarrill_platform::headers::{self, Outgoing};
 
@@ -61,6 +63,16 @@
         spare(connections, self.shared.placement.daemons())
     }
 
+    /// Takes note of a failed attempt and says what follows. Where no endpoint is left to try,
+    /// the budget of repeats isn't charged.
+    pub fn fail(&self, plan: &mut Plan, id: &EndpointId, fault: Fault, now: Millis) -> Next {
+        let placement = &self.shared.placement;
+        placement.bad(id, fault, now);
+        let has_other = placement.has_other(&self.pool, plan, id);
+        let spend = || has_other && placement.spend(&self.pool, now);
+        plan.fail(id, fault, spend, now)
+    }
+
     /// The request as an endpoint gets it.
     pub fn to_endpoint(
         &self,
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -162,13 +162,12 @@
         let id = source.endpoint.clone();
         // Ends the work at the endpoint before the same request runs at another.
         drop(source);
-        let now = now();
-        let placement = &self.order.shared.placement;
-        placement.bad(&id, fault, now);
-        let spend = || placement.spend(&self.order.pool, now);
         let next = match self.may_resume() {
-            true => self.plan.fail(&id, fault, spend, now),
-            false => Next::GiveUp(self.plan.refusal(false)),
+            true => self.order.fail(&mut self.plan, &id, fault, now()),
+            false => {
+                self.order.shared.placement.bad(&id, fault, now());
+                Next::GiveUp(self.plan.refusal(false))
+            }
         };
         self.trace.fault(fault, cause, next == Next::Again);
         if next != Next::Again {
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -156,6 +156,13 @@
         self.lock().budget.request(pool, now);
     }
 
+    /// Whether a pool has an endpoint that takes new work and wasn't tried, other than this one.
+    pub fn has_other(&self, pool: &PoolId, plan: &Plan, id: &EndpointId) -> bool {
+        let state = self.lock();
+        let mut ready = state.directory.pool(pool).iter().filter(|e| !e.leaving);
+        ready.any(|endpoint| endpoint.id != *id && !plan.has_tried(&endpoint.id))
+    }
+
     /// Takes a repeat from the budget.
     pub fn spend(&self, pool: &PoolId, now: Millis) -> bool {
         self.lock().budget.spend(pool, now)
