Exchange: hubs and watchers on strong VMs, small lists of daemons

Cause: at 300 daemons each hub told each daemon of all others twice a second, 18 KB a second and daemon from two hubs, and links of 10 Mbit/s carried the copies of the configuration and of 3,000 endpoints to all followers of the first two of the three watchers.

Change: in a large fleet a hub tells of the daemons that may hold a role soon, eight for each, and how many live. Roles go to daemons on strong VMs first (a setting, from the platform's figure for the link), then by rendezvous hashing. Followers are spread over the watchers. A hub shows itself to the daemons that another part of the fleet may take for hubs, since parts no longer learn all of each other through a seed (the test of strong VMs with other seeds failed without).

--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -8,7 +8,9 @@
 //! tick and daemon, whatever the size of the fleet.
 
 mod hot;
+mod hub;
 mod message;
+mod roles;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,11 +19,12 @@
 
 use crate::clock::Millis;
 use crate::ids::EndpointId;
-use crate::placement::{Node, key_of};
+use crate::placement::key_of;
 
 use hot::Counts;
-use message::Totals;
 pub use message::{Entry, Hot, Message, Peer, Report, Sent, Summary};
+use roles::{Ranks, Role, holders};
+pub use roles::{Strength, sources};
 
 /// Daemons to which each reports.
 const HUBS: usize = 2;
@@ -41,6 +44,9 @@
 const SEED_PAUSE: Millis = Millis(2000);
 /// Between two lists of daemons in summaries.
 const LIST_PAUSE: Millis = Millis(500);
+/// Daemons that are told of for each role in a large fleet, the first in rank: enough to replace
+/// those that hold it, several times over. Lists of all took 18 KB a second and daemon at 300.
+const TOLD: usize = 8;
 
 /// Daemons of a large fleet that follow the platform: each change is read so often, instead of
 /// once a daemon. Three, so that two may freeze or be cut off at once.
@@ -53,11 +59,6 @@
 /// as much again for datagrams that are late.
 const WIDE_FOR: Millis = Millis(900);
 
-/// Name under which hubs are ranked.
-const HUB_KEY: &str = "hub";
-/// Name under which watchers are ranked.
-const WATCH_KEY: &str = "watch";
-
 /// A message and where it goes.
 pub type Outgoing = (SocketAddr, Message);
 
@@ -73,10 +74,13 @@
     reports: HashMap<SocketAddr, (Millis, Report)>,
     seeded: Option<Millis>,
     next_seed: usize,
+    announced: Option<Millis>,
     listed: Option<Millis>,
     counts: Counts,
     /// Daemons in the widest summary of late, and when it came.
     widest: (u32, Millis),
+    /// How many daemons live as a hub last told, and when.
+    told: (usize, Millis),
 }
 
 /// What is known of another daemon.
@@ -90,24 +94,6 @@
     ranks: Ranks,
 }
 
-/// A daemon's scores for the roles; the highest hold them.
-#[derive(Clone, Copy, PartialEq)]
-#[derive(Debug)]
-struct Ranks {
-    hub: f64,
-    watcher: f64,
-}
-
-impl Ranks {
-    fn of(address: SocketAddr) -> Self {
-        let node = Node::new((), &address.to_string());
-        Self {
-            hub: node.score(key_of(HUB_KEY)),
-            watcher: node.score(key_of(WATCH_KEY)),
-        }
-    }
-}
-
 /// What others have at one endpoint, and how their requests ended since the last tick.
 #[derive(Clone, Copy, PartialEq, Eq, Default)]
 #[derive(Debug)]
@@ -155,21 +141,36 @@
     pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
         Self {
             me,
-            ranks: Ranks::of(me),
+            ranks: Ranks::new(me, Strength::default()),
             seeds: seeds.into_iter().filter(|seed| *seed != me).collect(),
             seen: HashMap::new(),
             reports: HashMap::new(),
             seeded: None,
             next_seed: 0,
+            announced: None,
             listed: None,
             counts: Counts::default(),
             widest: (0, Millis::ZERO),
+            told: (0, Millis::ZERO),
+        }
+    }
+
+    /// Sets how strong this daemon's VM is.
+    pub fn with_strength(self, strength: Strength) -> Self {
+        Self {
+            ranks: Ranks::new(self.me, strength),
+            ..self
         }
     }
 
     /// Daemons that live, this one included.
     pub fn live(&self, now: Millis) -> usize {
-        1 + self.others(now).count()
+        let (told, at) = self.told;
+        let seen = 1 + self.others(now).count();
+        match now.since(at) < SILENT {
+            true => seen.max(told),
+            false => seen,
+        }
     }
 
     /// Pause until the next tick.
@@ -182,30 +183,28 @@
 
     /// The hubs, first in rank first; this daemon may be one.
     pub fn hubs(&self, now: Millis) -> Vec<SocketAddr> {
-        let own = (self.me, self.ranks.hub);
-        let others = self
-            .others(now)
-            .map(|(address, seen)| (address, seen.ranks.hub));
-        first_ranked(others.chain([own]), HUBS)
+        let own = (self.me, self.ranks);
+        let others = self.others(now).map(ranked);
+        holders(others.chain([own]), Role::Hub, HUBS)
     }
 
     /// The daemons that follow the platform for all: in a small fleet each does.
     ///
     /// Daemons that have lost the platform aren't chosen, unless all have.
     pub fn watchers(&self, cut_off: bool, now: Millis) -> Vec<SocketAddr> {
-        let rank = |(address, seen): (SocketAddr, Seen)| (address, seen.ranks.watcher);
-        let own = (self.me, self.ranks.watcher);
+        let own = (self.me, self.ranks);
         if self.live(now) < LARGE {
             let others = self.others(now).map(|(address, _)| address);
             return others.chain([self.me]).collect();
         }
         let reach = self.others(now).filter(|(_, seen)| !seen.cut_off);
         let own_reach = (!cut_off).then_some(own);
-        let chosen = first_ranked(reach.map(rank).chain(own_reach), WATCHERS);
-        match chosen.is_empty() {
-            true => first_ranked(self.others(now).map(rank).chain([own]), WATCHERS),
-            false => chosen,
+        let chosen = holders(reach.map(ranked).chain(own_reach), Role::Watcher, WATCHERS);
+        if !chosen.is_empty() {
+            return chosen;
         }
+        let all = self.others(now).map(ranked).chain([own]);
+        holders(all, Role::Watcher, WATCHERS)
     }
 
     fn others(&self, now: Millis) -> impl Iterator<Item = (SocketAddr, Seen)> {
@@ -224,7 +223,11 @@
         let mut targets = self.hubs(now);
         targets.retain(|hub| *hub != self.me);
         targets.extend(self.due_seed(now));
+        targets.extend(self.due_announcement(now));
+        targets.sort_unstable();
         targets.dedup();
+        let mut own = own;
+        own.strength = self.ranks.strength().0;
         let report = |hub| (hub, Message::Report(own.clone()));
         out.extend(targets.into_iter().map(report));
         // Outcomes are told once.
@@ -246,63 +249,6 @@
         self.seeds.get(self.next_seed).copied()
     }
 
-    /// What each reporter has to know of the others, this daemon included.
-    fn summaries(&mut self, own: &Report, now: Millis) -> Vec<Outgoing> {
-        let mut total = Totals::default();
-        total.add(own);
-        self.counts.fade(now);
-        self.counts.add(own);
-        for (_, report) in self.reports.values() {
-            total.add(report);
-            self.counts.add(report);
-        }
-        let hot = self.counts.hot();
-        let peers = self.due_list(now);
-        let daemons = self.gathered_from();
-        let summary = |(address, (_, report)): (&SocketAddr, &(Millis, Report))| {
-            let mut others = total.without(report);
-            others.daemons = daemons;
-            others.peers.clone_from(&peers);
-            others.hot.clone_from(&hot);
-            (*address, Message::Summary(others))
-        };
-        self.reports.iter().map(summary).collect()
-    }
-
-    /// The daemons that live, if it is time to tell.
-    fn due_list(&mut self, now: Millis) -> Vec<Peer> {
-        if self.listed.is_some_and(|at| now.since(at) < LIST_PAUSE) {
-            return Vec::new();
-        }
-        self.listed = Some(now);
-        let live = self
-            .seen
-            .iter()
-            .filter(|(_, seen)| now.since(seen.at) < SILENT);
-        let peer = |(address, seen): (&SocketAddr, &Seen)| {
-            Peer::new(*address, now.since(seen.at), seen.cut_off)
-        };
-        live.filter_map(peer).collect()
-    }
-
-    /// Daemons whose reports this one has, itself included.
-    fn gathered_from(&self) -> u32 {
-        let others = u32::try_from(self.reports.len()).unwrap_or(u32::MAX);
-        others.saturating_add(1)
-    }
-
-    /// What the reports that this daemon got say of the others, unless it knows better.
-    pub fn gathered(&mut self, now: Millis) -> Option<Heard> {
-        let mut total = Totals::default();
-        for (_, report) in self.reports.values() {
-            total.add(report);
-        }
-        let mut summary = total.without(&Report::default());
-        summary.hot = self.counts.hot();
-        summary.daemons = self.gathered_from();
-        self.heard_from(self.me, &summary, now)
-    }
-
     /// What a daemon says, if it is a hub that most others report to. Each hub tells outcomes, and
     /// those of the first count.
     fn heard_from(&mut self, from: SocketAddr, summary: &Summary, now: Millis) -> Option<Heard> {
@@ -329,18 +275,17 @@
         is_old || is_hub && f64::from(daemons) >= WIDE * f64::from(most)
     }
 
-    /// Whether this daemon has reports of others.
-    pub fn is_hub(&self) -> bool {
-        !self.reports.is_empty()
-    }
-
     /// Takes a message; returns what others have, if it is a summary that says it.
     pub fn receive(&mut self, from: SocketAddr, message: Message, now: Millis) -> Option<Heard> {
         let cut_off = match &message {
             Message::Report(report) => report.cut_off,
             Message::Summary(_) => self.seen.get(&from).is_some_and(|seen| seen.cut_off),
         };
-        let ranks = self.ranks_of(from);
+        let strength = match &message {
+            Message::Report(report) => report.strength,
+            Message::Summary(summary) => summary.strength,
+        };
+        let ranks = self.ranks_of(from, Strength(strength));
         self.seen.insert(
             from,
             Seen {
@@ -362,14 +307,18 @@
                 for peer in &summary.peers {
                     self.hear(peer, now);
                 }
+                if self.hubs(now).contains(&from) {
+                    self.told = (summary.live as usize, now);
+                }
                 self.heard_from(from, &summary, now)
             }
         }
     }
 
-    fn ranks_of(&self, address: SocketAddr) -> Ranks {
+    fn ranks_of(&self, address: SocketAddr, strength: Strength) -> Ranks {
         let known = self.seen.get(&address).map(|seen| seen.ranks);
-        known.unwrap_or_else(|| Ranks::of(address))
+        let same = known.filter(|ranks| ranks.strength() == strength);
+        same.unwrap_or_else(|| Ranks::new(address, strength))
     }
 
     /// Takes word that a daemon showed life some time ago.
@@ -383,7 +332,7 @@
         let heard = Seen {
             at: now - peer.age(),
             cut_off: peer.cut_off,
-            ranks: self.ranks_of(address),
+            ranks: self.ranks_of(address, Strength(peer.strength)),
         };
         let seen = self.seen.entry(address).or_insert(heard);
         if heard.at > seen.at {
@@ -392,10 +341,6 @@
     }
 }
 
-/// The daemons with the highest scores, the highest first.
-fn first_ranked(daemons: impl Iterator<Item = (SocketAddr, f64)>, count: usize) -> Vec<SocketAddr> {
-    let mut ranked: Vec<(SocketAddr, f64)> = daemons.collect();
-    ranked.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
-    ranked.truncate(count);
-    ranked.into_iter().map(|(address, _)| address).collect()
+const fn ranked((address, seen): (SocketAddr, Seen)) -> (SocketAddr, Ranks) {
+    (address, seen.ranks)
 }
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use prost::{DecodeError, Message as _, Oneof};
 
-use super::{Heard, Others};
+use super::{Heard, Others, Strength};
 use crate::clock::Millis;
 
 /// Result of reading a datagram.
@@ -43,6 +43,9 @@
     /// Requests with shared prefixes that were sent since the last report.
     #[prost(message, repeated, tag = "3")]
     pub sent: Vec<Sent>,
+    /// How strong the daemon's VM is.
+    #[prost(uint32, tag = "4")]
+    pub strength: u32,
 }
 
 /// Requests with one shared prefix.
@@ -90,6 +93,9 @@
     /// Whether it has lost the platform.
     #[prost(bool, tag = "4")]
     pub cut_off: bool,
+    /// How strong its VM is.
+    #[prost(uint32, tag = "5")]
+    pub strength: u32,
 }
 
 /// What daemons have at endpoints together.
@@ -99,7 +105,7 @@
     /// Endpoints with requests in flight or outcomes.
     #[prost(message, repeated, tag = "1")]
     pub entries: Vec<Entry>,
-    /// Daemons that live; not in every summary.
+    /// Daemons that live, in a large fleet the first in rank; not in every summary.
     #[prost(message, repeated, tag = "2")]
     pub peers: Vec<Peer>,
     /// Shared prefixes that get much of the traffic.
@@ -108,6 +114,12 @@
     /// How many daemons it sums up.
     #[prost(uint32, tag = "4")]
     pub daemons: u32,
+    /// How many daemons live.
+    #[prost(uint32, tag = "5")]
+    pub live: u32,
+    /// How strong the hub's VM is.
+    #[prost(uint32, tag = "6")]
+    pub strength: u32,
 }
 
 /// A datagram.
@@ -171,9 +183,18 @@
             port: address.port().into(),
             silent: silent.0,
             cut_off,
+            strength: 0,
         })
     }
 
+    /// Sets how strong its VM is.
+    pub const fn with_strength(self, strength: Strength) -> Self {
+        Self {
+            strength: strength.0,
+            ..self
+        }
+    }
+
     /// Where it is reached; none if the port is none.
     pub fn address(&self) -> Option<SocketAddr> {
         let port = u16::try_from(self.port).ok()?;
--- /dev/null
+++ b/crates/core/src/routing/exchange/roles.rs
@@ -0,0 +1,103 @@
+//! Who holds a role: daemons are ranked alike by all that know them.
+//!
+//! Daemons on strong VMs come first: what a hub or a watcher sends grows with
+//! the fleet, and VMs differ by a factor of twenty. Among those that are about
+//! alike, rendezvous hashing decides.
+
+use std::cmp::Ordering;
+use std::net::SocketAddr;
+
+use derive_more::Debug;
+
+use crate::placement::{Node, key_of};
+use crate::units::LinkRate;
+
+/// Name under which hubs are ranked.
+const HUB_KEY: &str = "hub";
+/// Name under which watchers are ranked.
+const WATCH_KEY: &str = "watch";
+
+/// How strong a daemon's VM is, in steps of a factor of four.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Debug)]
+pub struct Strength(pub u32);
+
+impl Strength {
+    /// The strength of a VM with this link.
+    pub fn of_link(link: LinkRate) -> Self {
+        let mbits = link.0 as u32;
+        Self(mbits.checked_ilog2().unwrap_or_default() / 2)
+    }
+}
+
+/// What daemons do for each other.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+pub enum Role {
+    /// Adds up reports.
+    Hub,
+    /// Follows the platform.
+    Watcher,
+}
+
+/// A daemon's rank for each role.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug)]
+pub struct Ranks {
+    strength: Strength,
+    hub: f64,
+    watcher: f64,
+}
+
+impl Ranks {
+    /// The ranks of a daemon.
+    pub fn new(address: SocketAddr, strength: Strength) -> Self {
+        let node = Node::new((), &address.to_string());
+        Self {
+            strength,
+            hub: node.score(key_of(HUB_KEY)),
+            watcher: node.score(key_of(WATCH_KEY)),
+        }
+    }
+
+    /// How strong its VM is.
+    pub const fn strength(&self) -> Strength {
+        self.strength
+    }
+
+    const fn score(&self, role: Role) -> f64 {
+        match role {
+            Role::Hub => self.hub,
+            Role::Watcher => self.watcher,
+        }
+    }
+
+    /// Order for a role, the first in rank first.
+    pub fn order(&self, other: &Self, role: Role) -> Ordering {
+        let by_score = other.score(role).total_cmp(&self.score(role));
+        other.strength.cmp(&self.strength).then(by_score)
+    }
+}
+
+/// The daemons that hold a role, the first in rank first.
+pub fn holders(
+    daemons: impl Iterator<Item = (SocketAddr, Ranks)>,
+    role: Role,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let mut ranked: Vec<(SocketAddr, Ranks)> = daemons.collect();
+    ranked.sort_by(|(a, ranks), (b, others)| ranks.order(others, role).then(a.cmp(b)));
+    ranked.truncate(count);
+    ranked.into_iter().map(|(address, _)| address).collect()
+}
+
+/// The watchers whose copies a daemon follows; daemons are spread over the watchers.
+pub fn sources(me: SocketAddr, watchers: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+    let key = key_of(&me.to_string());
+    let score = |address: &SocketAddr| Node::new((), &address.to_string()).score(key);
+    let mut others: Vec<SocketAddr> = watchers.to_vec();
+    others.retain(|watcher| *watcher != me);
+    others.sort_by(|a, b| score(b).total_cmp(&score(a)).then(a.cmp(b)));
+    others.truncate(count);
+    others
+}
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -55,6 +55,12 @@
 #[display("{_0}/s")]
 pub struct Rate(pub f64);
 
+/// What a link carries, written `200Mbit/s`.
+#[derive(Clone, Copy, PartialEq, PartialOrd, Default)]
+#[derive(Debug, Display, SerializeDisplay, DeserializeFromStr)]
+#[display("{_0}Mbit/s")]
+pub struct LinkRate(pub f64);
+
 const SCALES: [(&str, u64); 4] = [
     ("GiB", 1 << 30),
     ("MiB", 1 << 20),
@@ -101,11 +107,21 @@
 
     fn from_str(text: &str) -> Result<Self> {
         let bad = || UnitError::new(text, "a rate: write a number and /s");
-        let number = text.trim().strip_suffix("/s").ok_or_else(bad)?;
-        let number: f64 = number.trim().parse().map_err(|_| bad())?;
-        if !number.is_finite() || number < 0.0 {
-            return Err(bad());
-        }
-        Ok(Self(number))
+        number_before(text, "/s").map(Self).ok_or_else(bad)
+    }
+}
+
+impl FromStr for LinkRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = || UnitError::new(text, "a link's rate: write a number and Mbit/s");
+        number_before(text, "Mbit/s").map(Self).ok_or_else(bad)
     }
 }
+
+/// The number before a unit, none if there is none or it is negative.
+fn number_before(text: &str, unit: &str) -> Option<f64> {
+    let number: f64 = text.trim().strip_suffix(unit)?.trim().parse().ok()?;
+    (number.is_finite() && number >= 0.0).then_some(number)
+}
--- a/crates/core/tests/routing/exchange.rs
+++ b/crates/core/tests/routing/exchange.rs
@@ -3,7 +3,10 @@
 
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::exchange::{Entry, Exchange, Heard, Message, Others, Report, Sent};
+use medlarrill_core::routing::exchange::{
+    Entry, Exchange, Heard, Message, Others, Report, Sent, Strength, sources,
+};
+use medlarrill_core::units::LinkRate;
 
 fn address(number: u16) -> SocketAddr {
     ([10, 0, 0, 1], number).into()
@@ -225,6 +228,113 @@
     expect_that!(after.len(), eq(3));
 }
 
+#[gtest]
+fn what_a_hub_tells_of_daemons_stays_small_however_many_there_are() {
+    let mut hub = Exchange::new(address(0), Vec::new());
+    let now = Millis(1000);
+    for number in 1..=300 {
+        let cut_off = number % 2 == 0;
+        let report = Report {
+            cut_off,
+            ..Report::default()
+        };
+        hub.receive(address(number), Message::Report(report), now);
+    }
+    let told = hub.tick(Report::default(), now);
+    let summary = told.iter().find_map(|(_, message)| match message {
+        Message::Summary(summary) => Some(summary),
+        Message::Report(_) => None,
+    });
+    let summary = summary.expect("a summary");
+    expect_that!(summary.peers.len(), eq(16));
+    expect_that!(summary.live, eq(301));
+    let follow = summary.peers.iter().filter(|peer| !peer.cut_off);
+    expect_that!(follow.count(), ge(8));
+}
+
+#[gtest]
+fn a_large_fleet_replaces_hubs_and_watchers_that_are_lost_together() {
+    let mut fleet = Fleet::new(84);
+    let now = fleet.run(30, 0, |_| Report::default());
+    let mut lost = fleet.daemons[5].hubs(Millis(now));
+    lost.extend(fleet.daemons[5].watchers(false, Millis(now)));
+    fleet.lost = lost
+        .iter()
+        .map(|daemon| usize::from(daemon.port()))
+        .collect();
+    let now = fleet.run(40, now, |_| Report::default());
+    let left: Vec<usize> = (0..84).filter(|n| !fleet.lost.contains(n)).collect();
+    let one = &fleet.daemons[left[0]];
+    let (hubs, watchers) = (one.hubs(Millis(now)), one.watchers(false, Millis(now)));
+    for number in &left {
+        let daemon = &fleet.daemons[*number];
+        expect_that!(daemon.hubs(Millis(now)), eq(&hubs));
+        expect_that!(daemon.watchers(false, Millis(now)), eq(&watchers));
+        expect_that!(daemon.live(Millis(now)), eq(left.len()));
+    }
+    expect_that!(hubs.iter().any(|hub| lost.contains(hub)), eq(false));
+    expect_that!(watchers.len(), eq(3));
+}
+
+#[gtest]
+fn daemons_on_strong_vms_hold_the_roles_while_they_live() {
+    let mut fleet = Fleet::new(40);
+    let strong = [3, 17, 31];
+    for number in strong {
+        // They are told of other daemons than the rest.
+        let seeds = vec![address(0), address(1)];
+        let daemon = Exchange::new(address(number), seeds);
+        let link = LinkRate(200.0);
+        fleet.daemons[usize::from(number)] = daemon.with_strength(Strength::of_link(link));
+    }
+    let now = fleet.run(50, 0, |_| Report::default());
+    let strong = strong.map(address);
+    for daemon in &fleet.daemons {
+        let hubs = daemon.hubs(Millis(now));
+        expect_that!(hubs.iter().all(|hub| strong.contains(hub)), eq(true));
+        let mut watchers = daemon.watchers(false, Millis(now));
+        watchers.sort();
+        expect_that!(watchers, eq(&strong.to_vec()));
+    }
+    fleet.lost = vec![3, 17];
+    let now = fleet.run(40, now, |_| Report::default());
+    let watchers = fleet.daemons[9].watchers(false, Millis(now));
+    expect_that!(watchers.len(), eq(3));
+    expect_that!(watchers[0], eq(address(31)));
+}
+
+#[gtest]
+fn followers_are_spread_over_the_watchers() {
+    let watchers = [1, 2, 3].map(address);
+    let mut counts = HashMap::new();
+    for number in 10..310 {
+        let chosen = sources(address(number), &watchers, 2);
+        expect_that!(chosen.len(), eq(2));
+        for source in chosen {
+            *counts.entry(source).or_insert(0) += 1;
+        }
+    }
+    expect_that!(
+        counts.values().all(|count| (160..240).contains(count)),
+        eq(true),
+        "{counts:?}"
+    );
+    expect_that!(
+        sources(watchers[0], &watchers, 2).contains(&watchers[0]),
+        eq(false)
+    );
+}
+
+#[gtest]
+fn links_within_a_factor_of_two_or_so_count_alike() {
+    let of = |mbits| Strength::of_link(LinkRate(mbits));
+    expect_that!(of(150.0), eq(of(200.0)));
+    expect_that!(of(200.0), gt(of(10.0)));
+    expect_that!(of(0.0), eq(Strength::default()));
+    expect_that!("200.0Mbit/s".parse::<LinkRate>(), ok(eq(&LinkRate(200.0))));
+    expect_that!("fast".parse::<LinkRate>(), err(anything()));
+}
+
 #[gtest]
 fn bytes_that_are_no_datagram_are_an_error() {
     expect_that!(Message::decode(b"\xff\xff\xff"), err(anything()));
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -5,7 +5,7 @@
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::exchange::{Exchange, Message};
+use medlarrill_core::routing::exchange::{Exchange, Message, Strength};
 use medlarrill_net::now::now;
 use tokio::net::UdpSocket;
 
@@ -79,7 +79,8 @@
 /// Takes part in the exchange until the process ends.
 pub async fn exchange(socket: UdpSocket, shared: Arc<Shared>, roster: Roster) {
     let settings = &shared.settings;
-    let mut exchange = Exchange::new(settings.listen.peers, settings.peer_seeds());
+    let exchange = Exchange::new(settings.listen.peers, settings.peer_seeds());
+    let mut exchange = exchange.with_strength(Strength::of_link(settings.link));
     let mut buffer = vec![0; DATAGRAM];
     let mut live = 0;
     let mut due = now();
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -243,6 +243,7 @@
             entries: entries.collect(),
             cut_off,
             sent: sent.collect(),
+            ..exchange::Report::default()
         }
     }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -8,6 +8,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::{DaemonId, DataCentreId};
 use medlarrill_core::routing::budget;
+use medlarrill_core::units::LinkRate;
 use serde::Deserialize;
 
 /// Result of reading settings.
@@ -62,6 +63,9 @@
     /// Addresses on VMs of some daemons; may be out of date, and only the VM counts.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// What the VM's link carries; daemons on strong VMs do more for the others.
+    #[serde(default)]
+    pub link: LinkRate,
     /// Time from the signal to stop until the process is killed.
     pub grace: Millis,
     /// Repeats that the fleet may send.
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -13,6 +13,7 @@
 use derive_more::{Display, Error, From};
 use futures_util::{SinkExt, StreamExt};
 use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::exchange::sources;
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
 use tokio::net::{TcpListener, TcpStream};
@@ -152,11 +153,7 @@
     if roster.is_watcher && !store.copies.is_cut_off() {
         return Vec::new();
     }
-    let others = roster
-        .watchers
-        .iter()
-        .filter(|watcher| **watcher != roster.me);
-    others.copied().take(SOURCES).collect()
+    sources(roster.me, &roster.watchers, SOURCES)
 }
 
 async fn follow_one(store: Store, source: SocketAddr) {
