Logs: endpoints that are avoided, and who follows the platform

Endpoints are judged anew once a tick, so lines are bounded by ticks and changes. Test: an_endpoint_that_fails_is_logged_as_avoided_and_as_used_again.

--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -25,6 +25,11 @@
         self.pools.get(pool).map_or(&[], Vec::as_slice)
     }
 
+    /// Endpoints of each pool.
+    pub fn pools(&self) -> impl Iterator<Item = &[Arc<Endpoint>]> {
+        self.pools.values().map(Vec::as_slice)
+    }
+
     /// All endpoints.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.endpoints.values()
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -45,6 +45,13 @@
     Down,
 }
 
+impl Standing {
+    /// Whether other endpoints are preferred.
+    pub const fn is_avoided(self) -> bool {
+        !matches!(self, Self::Good)
+    }
+}
+
 /// What is remembered of one endpoint.
 #[derive(Clone, Copy, Default)]
 #[derive(Debug)]
--- a/crates/daemon/tests/route/answers.rs
+++ b/crates/daemon/tests/route/answers.rs
@@ -70,6 +70,21 @@
     assert_that!(slowest, lt(Duration::from_secs(3)));
 }
 
+#[tokio::test]
+async fn an_endpoint_that_fails_is_logged_as_avoided_and_as_used_again() {
+    let bench = Bench::start(3).await;
+    bench.behave_one(0, always(|b| b.fails = 1.0));
+    let judged = |avoided: bool| format!("\"avoided\":{avoided},\"endpoint\":\"e-0\"");
+    for number in 0..40 {
+        bench
+            .send(&Call::new(format!("r-{number}"), "/plain/x"))
+            .await;
+    }
+    bench.until(0, &judged(true), 1).await;
+    bench.behave_one(0, Behaviour::default());
+    bench.until(0, &judged(false), 1).await;
+}
+
 #[tokio::test]
 async fn where_no_endpoint_is_left_a_failure_is_no_repeat() {
     let bench = Bench::start(1).await;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -95,7 +95,9 @@
             () = tokio::time::sleep(wait.as_duration()) => {
                 tick(&mut exchange, &shared, &socket).await;
                 let cut_off = shared.copies.is_cut_off();
-                roster.set(exchange.watchers(cut_off, now()));
+                let watchers = exchange.watchers(cut_off, now());
+                report_roles(&roster, &watchers, exchange.live(now()));
+                roster.set(watchers);
                 due = now() + exchange.pause(now());
                 live = report_live(&exchange, live);
             }
@@ -125,6 +127,7 @@
     {
         shared.placement.others(heard, exchange.live(at), at);
     }
+    shared.placement.review(at);
     let own = shared.placement.own_report(shared.copies.is_cut_off());
     for (to, message) in exchange.tick(own, at) {
         if let Err(error) = socket.send_to(&message.encode(), to).await {
@@ -133,6 +136,15 @@
     }
 }
 
+/// Logs a change in who follows the platform.
+fn report_roles(roster: &Roster, watchers: &[SocketAddr], live: usize) {
+    let before = roster.borrow();
+    let is_watcher = watchers.contains(&before.me);
+    if before.is_watcher != is_watcher {
+        log::info!(target: "peers", is_watcher, live, watchers:? = watchers; "peers: follows the platform");
+    }
+}
+
 /// Logs a change in the number of daemons that live.
 fn report_live(exchange: &Exchange, before: usize) -> usize {
     let at = now();
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -1,6 +1,6 @@
 //! What is known of endpoints, and where the next request goes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use derive_more::Debug;
@@ -12,7 +12,7 @@
 use medlarrill_core::routing::directory::Directory;
 use medlarrill_core::routing::endpoint::Endpoint;
 use medlarrill_core::routing::exchange;
-use medlarrill_core::routing::health::Health;
+use medlarrill_core::routing::health::{Health, Standing};
 use medlarrill_core::routing::load::{Loads, Report};
 use medlarrill_core::routing::overload::{self, Paces, Valve};
 use medlarrill_core::routing::plan::Plan;
@@ -32,6 +32,8 @@
     directory: Directory,
     loads: Loads,
     health: Health,
+    /// Endpoints that are avoided, as last logged.
+    avoided: HashSet<EndpointId>,
     /// Daemons that live.
     daemons: u32,
     budget: Budget,
@@ -47,6 +49,17 @@
     rng: Pcg32,
 }
 
+/// How an endpoint is judged.
+#[derive(Debug)]
+struct Verdict {
+    endpoint: EndpointId,
+    standing: Standing,
+    /// Its failure share.
+    failures: f64,
+    /// That of its pool.
+    mean: f64,
+}
+
 /// How this daemon's requests ended since the last report.
 #[derive(Clone, Copy, Default)]
 #[derive(Debug)]
@@ -100,6 +113,7 @@
                 directory: Directory::default(),
                 loads: Loads::default(),
                 health: Health::default(),
+                avoided: HashSet::new(),
                 daemons: 1,
                 budget: Budget::new(repeats, now),
                 paces: Paces::default(),
@@ -132,6 +146,7 @@
         let mut state = self.lock();
         state.loads.forget(id);
         state.health.forget(id);
+        state.avoided.remove(id);
         state.paces.forget(id);
         state.directory.remove(id)
     }
@@ -247,6 +262,24 @@
         }
     }
 
+    /// Logs which endpoints are avoided from now on, and which no more.
+    pub fn review(&self, now: Millis) {
+        let changes = self.lock().review(now);
+        for Verdict {
+            endpoint,
+            standing,
+            failures,
+            mean,
+        } in changes
+        {
+            let avoided = standing.is_avoided();
+            log::info!(
+                target: "placement", endpoint = endpoint.as_str(), avoided, standing:? = standing, failures, mean;
+                "placement: endpoint judged anew"
+            );
+        }
+    }
+
     /// Takes what the other daemons have at endpoints, all of them together.
     pub fn others(&self, heard: exchange::Heard, daemons: usize, now: Millis) {
         let mut state = self.lock();
@@ -268,6 +301,40 @@
 }
 
 impl State {
+    /// Endpoints that are avoided from now on, or no more.
+    fn review(&mut self, now: Millis) -> Vec<Verdict> {
+        let mut changes = Vec::new();
+        for pool in self.directory.pools() {
+            let mean = self.mean_failures(pool, now);
+            for endpoint in pool {
+                let id = &endpoint.id;
+                let standing = self.health.standing(id, mean, self.daemons, now);
+                if standing.is_avoided() == self.avoided.contains(id) {
+                    continue;
+                }
+                changes.push(Verdict {
+                    endpoint: id.clone(),
+                    standing,
+                    failures: self.health.failures(id, now),
+                    mean,
+                });
+            }
+        }
+        for verdict in &changes {
+            match verdict.standing.is_avoided() {
+                true => self.avoided.insert(verdict.endpoint.clone()),
+                false => self.avoided.remove(&verdict.endpoint),
+            };
+        }
+        changes
+    }
+
+    /// Mean failure share of the endpoints of a pool that take new work.
+    fn mean_failures(&self, pool: &[Arc<Endpoint>], now: Millis) -> f64 {
+        let ready = pool.iter().filter(|endpoint| !endpoint.leaving);
+        self.health.mean(ready.map(|endpoint| &endpoint.id), now)
+    }
+
     /// Counts a request with a shared prefix; returns the prefix's share of the fleet's traffic.
     fn count(&mut self, prefix: &SharedPrefix) -> f64 {
         let key = exchange::short_key(prefix.key);
@@ -306,8 +373,7 @@
 
     fn candidates(&self, pool: &PoolId, plan: &Plan, now: Millis) -> Vec<Candidate> {
         let listed = self.directory.pool(pool);
-        let ready = listed.iter().filter(|endpoint| !endpoint.leaving);
-        let mean = self.health.mean(ready.map(|endpoint| &endpoint.id), now);
+        let mean = self.mean_failures(listed, now);
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
             load: self.loads.total(&endpoint.id, now),
             load_age: self.loads.age(&endpoint.id, now),
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -16,7 +16,7 @@
 use medlarrill_net::now::now;
 use tokio::net::TcpListener;
 
-pub use self::copies::{Copies, Effects};
+pub use self::copies::Copies;
 pub use self::effect::{InForce, Sinks};
 use crate::metrics::Metrics;
 use crate::peers::Roster;
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -18,7 +18,7 @@
 const LAG: usize = 256;
 
 /// Changes of one kind, as they took effect here.
-pub type Effects = (Kind, Packed);
+type Effects = (Kind, Packed);
 
 /// A copy, and all of it coded for followers until it changes.
 #[derive(Debug, Default)]
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -49,7 +49,6 @@
         kind,
         store,
         heard: now(),
-        failures: 0,
         failing: None,
         failed: None,
     };
@@ -82,13 +81,19 @@
     store: Store,
     /// When the platform last answered.
     heard: Millis,
-    failures: u32,
-    /// Since when calls fail.
-    failing: Option<Millis>,
-    /// When a call last failed.
+    /// The failed calls since the last answer, if there are any.
+    failing: Option<Failing>,
+    /// When a call last failed, until it is forgiven.
     failed: Option<Millis>,
 }
 
+/// Calls that failed one after the other.
+#[derive(Clone, Copy)]
+struct Failing {
+    since: Millis,
+    calls: u32,
+}
+
 impl Follower {
     /// Whether this daemon has to ask the platform: it is chosen, knows nothing, or hears of
     /// nobody who knows more.
@@ -225,15 +230,13 @@
 
     fn answered(&mut self, asked: Millis) {
         let at = now();
-        if self.failures > 0 {
+        if let Some(failing) = self.failing.take() {
             let outage = asked.since(self.heard);
             log::info!(
-                target: "store", kind:% = self.kind, silent = outage.0, failures = self.failures;
+                target: "store", kind:% = self.kind, silent = outage.0, failures = failing.calls;
                 "store: answers again"
             );
         }
-        self.failures = 0;
-        self.failing = None;
         self.failed = None;
         self.heard = at;
         self.store.copies.set_cut_off(false);
@@ -242,7 +245,6 @@
     /// Makes this daemon eligible again some time after it lost the platform.
     fn forgive(&mut self) {
         self.heard = now();
-        self.failures = 0;
         self.failing = None;
         if self.failed.is_some_and(|at| now().since(at) >= CUT_OFF) {
             self.failed = None;
@@ -253,12 +255,18 @@
     async fn fail(&mut self, error: &CallError) {
         self.store.metrics.failed_calls.inc();
         let at = now();
-        let since = *self.failing.get_or_insert(at);
-        self.store.copies.fail(self.kind, since, at);
+        let first = Failing {
+            since: at,
+            calls: 0,
+        };
+        let failing = self.failing.get_or_insert(first);
+        let earlier = failing.calls;
+        failing.calls += 1;
+        self.store.copies.fail(self.kind, failing.since, at);
         self.failed = Some(at);
         self.store.copies.set_cut_off(true);
         let silent = now().since(self.heard);
-        if self.failures == 0 {
+        if earlier == 0 {
             log::warn!(
                 target: "store", kind:% = self.kind, silent = silent.0, cause:% = error;
                 "store: lost, what is known stays"
@@ -266,8 +274,7 @@
         } else {
             log::debug!(target: "store", "store: {} fails: {error}", self.kind);
         }
-        let most = (BACKOFF.0 << self.failures.min(4)).min(BACKOFF_MAX.0);
-        self.failures += 1;
+        let most = (BACKOFF.0 << earlier.min(4)).min(BACKOFF_MAX.0);
         let pause = Millis(rand::rng().random_range(most / 2..=most));
         tokio::time::sleep(pause.as_duration()).await;
     }
