Stop: idle connections are closed before requests are refused

Change: idle connections are closed 2.1 s after the signal, when the balancer has asked twice, so that callers connect elsewhere without spending a retry. Requests that cross it, and connections made after it, are served as before.

Tests: idle_connections_are_closed_before_requests_are_refused (the real program; failed before). The test of a short grace expects the new stage between the two that it knew, and both bounds of it.

--- a/crates/core/tests/routing/stop.rs
+++ b/crates/core/tests/routing/stop.rs
@@ -8,6 +8,9 @@
     expect_that!(stop.stage(Millis(5000)), eq(Stage::Serving));
     stop.ask(Millis(5000));
     expect_that!(stop.stage(Millis(5000)), eq(Stage::Leaving));
+    // The balancer has asked twice.
+    expect_that!(stop.stage(Millis(5000) + Millis(2000)), eq(Stage::Leaving));
+    expect_that!(stop.stage(Millis(5000) + Millis(2100)), eq(Stage::Closing));
     expect_that!(stop.stage(Millis(5000) + SERVE), eq(Stage::Draining));
     expect_that!(stop.stage(Millis(13_000) - MARGIN), eq(Stage::Ended));
 }
@@ -24,6 +27,7 @@
 fn a_short_grace_leaves_half_of_it_to_finish_requests() {
     let mut stop = Stop::new(Millis(2000));
     stop.ask(Millis(0));
-    expect_that!(stop.stage(Millis(900)), eq(Stage::Leaving));
+    expect_that!(stop.stage(Millis(700)), eq(Stage::Leaving));
+    expect_that!(stop.stage(Millis(900)), eq(Stage::Closing));
     expect_that!(stop.stage(Millis(1000)), eq(Stage::Draining));
 }
--- a/crates/daemon/tests/route/stop.rs
+++ b/crates/daemon/tests/route/stop.rs
@@ -38,6 +38,19 @@
     assert_that!(bench.ledger.runs("r-2").len(), eq(0));
 }
 
+#[tokio::test]
+async fn idle_connections_are_closed_before_requests_are_refused() {
+    let bench = Bench::start(1).await;
+    let mut caller = bench.caller();
+    let first = caller.send(&Call::new("r-1", "/plain/x")).await;
+    assert_that!(first.is_success(), eq(true));
+    assert_that!(caller.is_open(), eq(true));
+    bench.daemons[0].signal(Signal::SIGTERM).expect("a signal");
+    bench.until(0, "start: stopping", 1).await;
+    Bench::pause(3000).await;
+    assert_that!(caller.is_open(), eq(false));
+}
+
 #[tokio::test]
 async fn a_second_signal_cuts_nothing_off() {
     let bench = Bench::start(1).await;
--- a/crates/router/src/entry/server.rs
+++ b/crates/router/src/entry/server.rs
@@ -47,13 +47,23 @@
         let shared = Arc::clone(shared);
         async move { Ok::<_, Infallible>(handle(shared, request).await) }
     });
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle.as_duration())
         .max_header_size(head)
         .max_buf_size(BUFFER.max(head))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut closing = shared.closing.subscribe();
+    // A connection that is made later still has its first request served.
+    let is_closing = *closing.borrow_and_update();
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        Ok(()) = closing.changed(), if !is_closing => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         log::debug!(target: "entry", "entry: caller's connection ended: {error}");
     }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -32,6 +32,8 @@
     pub metrics: Arc<Metrics>,
     /// The graceful stop.
     pub stop: Mutex<Stop>,
+    /// Set when idle connections of callers are to be closed.
+    pub closing: watch::Sender<bool>,
 }
 
 impl Shared {
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -129,6 +129,7 @@
         connections: Connections::default(),
         metrics: Arc::clone(&metrics),
         stop: Mutex::new(Stop::new(settings.grace)),
+        closing: watch::Sender::new(false),
     });
     let store = Store {
         copies,
@@ -185,6 +186,11 @@
         if stage == Stage::Ended {
             break;
         }
+        if stage >= Stage::Closing {
+            shared
+                .closing
+                .send_if_modified(|closing| !std::mem::replace(closing, true));
+        }
         let is_quiet = stage == Stage::Draining && in_flight() == 0;
         let since = *quiet.get_or_insert(now);
         if !is_quiet {
