--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -15,10 +15,6 @@
 /// Part of the target after which an attempt that may be repeated counts as stuck. Answers of
 /// endpoints that are well but busy stay under it on the heaviest days measured.
 const STUCK: f64 = 2.0;
-/// Part of the time left after which it counts as stuck at the latest: another attempt needs as
-/// much. Routes with a target of 2 s and callers that wait for 3 s lost every answer that an
-/// endpoint lost.
-const STUCK_LEFT: f64 = 0.5;
 /// Shortest time after which an attempt counts as stuck.
 const STUCK_MIN: Millis = Millis(600);
 
@@ -119,8 +115,8 @@
         if !self.may_run_again() {
             return left;
         }
-        let stuck = (self.target.0 as f64 * STUCK).min(left.0 as f64 * STUCK_LEFT);
-        left.min(Millis(stuck as u64).max(STUCK_MIN))
+        let stuck = Millis((self.target.0 as f64 * STUCK) as u64);
+        left.min(stuck.max(STUCK_MIN))
     }
 
     /// Decides what follows from a failure; `spend` takes one repeat from the budget.
