--- a/crates/core/src/routing/overload.rs
+++ b/crates/core/src/routing/overload.rs
@@ -37,6 +37,9 @@
 const EXCESS_MAX: f64 = 1.0;
 /// Smallest share that is taken, so that an estimate that is wrong is found out.
 const TAKEN_MIN: f64 = 0.2;
+/// Requests for each slot that may always wait: a service whose runs take most of the target
+/// would otherwise be refused work that keeps it busy.
+const QUEUE_MIN: f64 = 1.0;
 /// Parts of the target after which a refused caller may come back: its time counts from the
 /// first try, so that a second one soon after may still be in time. In model time, at 120
 /// requests a second for 100 that can run, about 78 in 100 are in time, and about 58 where they
@@ -130,6 +133,11 @@
     }
 }
 
+/// Whether so many requests are at an endpoint that some may be refused.
+pub fn may_refuse(load: f64, slots: u32) -> bool {
+    load > f64::from(slots) * (1.0 + QUEUE_MIN)
+}
+
 /// When a refused caller may come back, for a draw between 0 and 1.
 pub fn come_back(target: Millis, draw: f64) -> Millis {
     let (least, most) = COME_BACK;
--- a/crates/core/tests/routing/overload.rs
+++ b/crates/core/tests/routing/overload.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::overload::{Paces, Valve, come_back};
+use medlarrill_core::routing::overload::{Paces, Valve, come_back, may_refuse};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -103,7 +103,7 @@
             return true;
         };
         let share = valve.take(time, TARGET, Millis(now));
-        self.rng.random::<f64>() < share
+        !may_refuse(load, SLOTS as u32) || self.rng.random::<f64>() < share
     }
 
     /// Plays a minute with a rate of requests, with or without admission.
@@ -209,6 +209,12 @@
     expect_that!(rounds, all!(gt(205), lt(260)));
 }
 
+#[gtest]
+fn a_round_of_requests_may_always_wait() {
+    expect_that!(may_refuse(12.0, 6), eq(false));
+    expect_that!(may_refuse(13.0, 6), eq(true));
+}
+
 #[gtest]
 fn a_refused_caller_comes_back_while_it_can_still_be_answered_in_time() {
     expect_that!(come_back(TARGET, 0.0), eq(Millis(30)));
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -361,8 +361,8 @@
         let expected = self.paces.time(&choice.endpoint.id, choice.load, now)?;
         let valve = self.valves.entry(pool.clone()).or_default();
         let share = valve.take(expected, target, now);
-        let is_queueing = choice.load > f64::from(choice.endpoint.slots);
-        if !is_queueing || self.rng.random::<f64>() < share {
+        let may_refuse = overload::may_refuse(choice.load, choice.endpoint.slots);
+        if !may_refuse || self.rng.random::<f64>() < share {
             return None;
         }
         Some(Overload {
