Placement: prefixes that went elsewhere than rank says are told, and fetched from there

Hypothesis: shared parts are read again because the source of a fetch follows from rank and age alone. A prompt that was passed on for load, or while its place was away, left its prefix where no rule names it; the first in rank, back again, counts as its holder and fetches from nobody.

What failed before it was read is taken back.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -19,6 +19,7 @@
 pub mod events;
 pub mod exchange;
 pub mod health;
+pub mod holders;
 pub mod load;
 pub mod mirror;
 pub mod overload;
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -3,7 +3,8 @@
 //! A prompt goes where its shared parts rank first by rendezvous hashing, so
 //! that all daemons send it to the same place without a word, also right after
 //! a start. It passes on to the next in rank while the load there is over the
-//! bound, and takes the cached parts along from the first. Requests without
+//! bound, and takes the cached parts along from the first, or from whoever is
+//! known to have got them since. Requests without
 //! shared parts go to the least loaded endpoint, the same data centre first.
 
 use std::sync::Arc;
@@ -58,6 +59,8 @@
     pub tried: bool,
     /// How long it has been listed.
     pub age: Millis,
+    /// Time since it was sent the prompt's shared parts, as far as that is known.
+    pub sent: Option<Millis>,
 }
 
 /// Why an endpoint was picked.
@@ -93,6 +96,8 @@
     pub bound: f64,
     /// Whether it was picked on trial.
     pub trial: bool,
+    /// Whether other daemons can't tell by rank and age that the prompt goes here.
+    pub moved: bool,
 }
 
 /// Picks an endpoint for a request that has shared prompt parts, or none.
@@ -162,10 +167,32 @@
         true => Why::First,
         false => Why::Next,
     };
-    let worth = prefix.tokens.0 >= FETCH_MIN;
-    let holder = holder(all, prefix).filter(|holder| !std::ptr::eq(*holder, picked));
-    let source = holder.filter(|_| worth);
-    Some(choice(picked, why).with_source(source.map(|source| Arc::clone(&source.endpoint))))
+    let holder = holder(all, prefix);
+    let moved = !holder.is_some_and(|holder| std::ptr::eq(holder, picked));
+    let source = match is_worth_fetching(prefix) {
+        true if moved => other_holder(all, picked).or(holder),
+        true if picked.sent.is_none() => other_holder(all, picked),
+        _ => None,
+    };
+    Some(Choice {
+        source: source.map(|source| Arc::clone(&source.endpoint)),
+        moved,
+        ..choice(picked, why)
+    })
+}
+
+/// Whether a prefix is long enough for a transfer between engines.
+pub const fn is_worth_fetching(prefix: &SharedPrefix) -> bool {
+    prefix.tokens.0 >= FETCH_MIN
+}
+
+/// The endpoint that was sent the prompt's shared parts last, other than this one.
+fn other_holder<'a>(all: &'a [Candidate], picked: &Candidate) -> Option<&'a Candidate> {
+    let reachable = all
+        .iter()
+        .filter(|c| c.standing != Standing::Down && !c.tried);
+    let others = reachable.filter(|c| !std::ptr::eq(*c, picked) && c.sent.is_some());
+    others.min_by_key(|c| c.sent)
 }
 
 /// Places among which a prefix with a share of the pool's traffic is spread.
@@ -233,12 +260,7 @@
         load_age: picked.load_age,
         bound: 0.0,
         trial: picked.standing == Standing::Trial,
-    }
-}
-
-impl Choice {
-    fn with_source(self, source: Option<Arc<Endpoint>>) -> Self {
-        Self { source, ..self }
+        moved: false,
     }
 }
 
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -22,7 +22,7 @@
 use crate::routing::endpoint::InstanceId;
 
 use hot::Counts;
-pub use message::{Entry, Hot, Message, Peer, Report, Sent, Summary};
+pub use message::{Entry, Hot, Message, Moved, Peer, Report, Sent, Summary};
 use roles::{Ranks, Role, holders};
 pub use roles::{Strength, sources};
 
@@ -52,6 +52,10 @@
 /// once a daemon. Three, so that two may freeze or be cut off at once.
 const WATCHERS: usize = 3;
 
+/// Prefixes in one report or summary that went elsewhere than rank and age say. With a tick of
+/// 250 ms these take 3 KB a second at most; the rest is read again where it goes next.
+pub const MOVES: usize = 64;
+
 /// Part of the daemons of the widest summary that another must sum up to count; hubs differ by
 /// the reports that were lost or are on their way.
 const WIDE: f64 = 0.8;
@@ -115,6 +119,8 @@
     /// Shared prefixes that get much of the fleet's traffic, by the short forms of their keys,
     /// and their shares of it.
     pub hot: HashMap<u32, f64>,
+    /// Prefixes that went elsewhere than rank and age say.
+    pub moved: Vec<Moved>,
 }
 
 impl Others {
--- a/crates/core/src/routing/exchange/hub.rs
+++ b/crates/core/src/routing/exchange/hub.rs
@@ -1,10 +1,11 @@
 //! The part of the exchange that a hub has: it adds reports up and tells the sums.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use super::message::{Message, Peer, Report, Totals};
+use super::message::{Message, Moved, Peer, Report, Totals};
 use super::roles::{Role, holders};
-use super::{Exchange, Heard, LARGE, LIST_PAUSE, Outgoing, SEED_PAUSE, Seen, TOLD, ranked};
+use super::{Exchange, Heard, LARGE, LIST_PAUSE, MOVES, Outgoing, SEED_PAUSE, Seen, TOLD, ranked};
 use crate::clock::Millis;
 
 impl Exchange {
@@ -30,6 +31,7 @@
             self.counts.add(report);
         }
         let hot = self.counts.hot();
+        let moved = self.moved(own);
         let peers = self.due_list(now);
         let live = u32::try_from(1 + self.others(now).count()).unwrap_or(u32::MAX);
         let daemons = self.gathered_from();
@@ -41,11 +43,20 @@
             others.strength = strength;
             others.peers.clone_from(&peers);
             others.hot.clone_from(&hot);
+            others.moved.clone_from(&moved);
             (*address, Message::Summary(others))
         };
         self.reports.iter().map(summary).collect()
     }
 
+    /// Prefixes that went elsewhere than rank and age say, as this daemon and its reporters tell.
+    fn moved(&self, own: &Report) -> Vec<Moved> {
+        let told = self.reports.values().map(|(_, report)| report);
+        let moved = told.chain([own]).flat_map(|report| &report.moved);
+        let unique: BTreeSet<Moved> = moved.copied().take(MOVES).collect();
+        unique.into_iter().collect()
+    }
+
     /// The daemons that live, if it is time to tell.
     fn due_list(&mut self, now: Millis) -> Vec<Peer> {
         if self.listed.is_some_and(|at| now.since(at) < LIST_PAUSE) {
@@ -91,6 +102,7 @@
         }
         let mut summary = total.without(&Report::default());
         summary.hot = self.counts.hot();
+        summary.moved = self.moved(&Report::default());
         summary.daemons = self.gathered_from();
         self.heard_from(self.me, &summary, now)
     }
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -46,6 +46,9 @@
     /// How strong the daemon's VM is.
     #[prost(uint32, tag = "4")]
     pub strength: u32,
+    /// Prefixes that went elsewhere than rank and age say, since the last report.
+    #[prost(message, repeated, tag = "5")]
+    pub moved: Vec<Moved>,
 }
 
 /// Requests with one shared prefix.
@@ -60,6 +63,18 @@
     pub count: u32,
 }
 
+/// A shared prefix and an endpoint that was sent it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(prost::Message)]
+pub struct Moved {
+    /// Short form of the prefix's key.
+    #[prost(fixed32, tag = "1")]
+    pub prefix: u32,
+    /// Short form of the instance's id.
+    #[prost(fixed32, tag = "2")]
+    pub endpoint: u32,
+}
+
 /// A shared prefix that gets much of the traffic.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(prost::Message)]
@@ -120,6 +135,9 @@
     /// How strong the hub's VM is.
     #[prost(uint32, tag = "6")]
     pub strength: u32,
+    /// Prefixes that went elsewhere than rank and age say.
+    #[prost(message, repeated, tag = "7")]
+    pub moved: Vec<Moved>,
 }
 
 /// A datagram.
@@ -211,6 +229,7 @@
     /// Forgets what is told once.
     pub fn clear_outcomes(&mut self) {
         self.sent.clear();
+        self.moved.clear();
         for entry in &mut self.entries {
             entry.good = 0;
             entry.bad = 0;
@@ -220,6 +239,7 @@
     /// Adds what an earlier report told once.
     pub fn keep_outcomes(&mut self, earlier: &Self) {
         self.sent.extend_from_slice(&earlier.sent);
+        self.moved.extend_from_slice(&earlier.moved);
         for old in &earlier.entries {
             if old.good == 0 && old.bad == 0 {
                 continue;
@@ -290,6 +310,7 @@
         Heard {
             endpoints: self.by_endpoint(),
             hot: self.hot.iter().map(share).collect(),
+            moved: self.moved.clone(),
         }
     }
 
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -17,11 +17,12 @@
 use crate::routing::attempt::Fault;
 use crate::routing::birth::{Births, Entry};
 use crate::routing::budget::{self, Budget};
-use crate::routing::choose::{Candidate, Choice, choose};
+use crate::routing::choose::{Candidate, Choice, choose, is_worth_fetching};
 use crate::routing::directory::Directory;
 use crate::routing::endpoint::{Endpoint, InstanceId};
 use crate::routing::exchange;
 use crate::routing::health::{Health, PoolFailures, Standing};
+use crate::routing::holders::Holders;
 use crate::routing::load::{Loads, Report};
 use crate::routing::overload::{self, Paces, Valve};
 use crate::routing::plan::Plan;
@@ -49,6 +50,9 @@
     outcomes: HashMap<InstanceId, Outcomes>,
     /// Requests sent with each shared prefix since the last report.
     sent: HashMap<u32, u32>,
+    holders: Holders,
+    /// Prefixes that went elsewhere than rank and age say, since the last report.
+    moved: Vec<exchange::Moved>,
     /// Shares of hot prefixes in the fleet's traffic.
     hot: HashMap<u32, f64>,
     #[debug(skip)]
@@ -130,6 +134,8 @@
             valves: HashMap::new(),
             outcomes: HashMap::new(),
             sent: HashMap::new(),
+            holders: Holders::default(),
+            moved: Vec::new(),
             hot: HashMap::new(),
             rng: Pcg32::new(seed, seed),
         }
@@ -173,7 +179,7 @@
         plan: &Plan,
         now: Millis,
     ) -> Result<Choice> {
-        let candidates = self.candidates(pool, plan, now);
+        let candidates = self.candidates(pool, shared, plan, now);
         let trial = plan.is_idempotent();
         let share = shared.map_or(0.0, |prefix| self.count(prefix));
         let rng = &mut self.rng;
@@ -182,6 +188,9 @@
         if let Some(overload) = self.overload(pool, &choice, plan, now) {
             return Err(NoPlace::Overloaded(Box::new(overload)));
         }
+        if let Some(prefix) = shared {
+            self.note_sent(prefix, &choice, now);
+        }
         let id = &choice.endpoint.id;
         self.loads.begin(id);
         if choice.trial {
@@ -190,6 +199,25 @@
         Ok(choice)
     }
 
+    /// Remembers where a prefix goes, and tells of it where others can't know.
+    fn note_sent(&mut self, prefix: &SharedPrefix, choice: &Choice, now: Millis) {
+        if !is_worth_fetching(prefix) {
+            return;
+        }
+        let prefix = exchange::short_key(prefix.key);
+        let endpoint = exchange::short_id(&choice.endpoint.id);
+        let is_new = self.holders.note(prefix, endpoint, now);
+        if is_new && choice.moved && self.moved.len() < exchange::MOVES {
+            self.moved.push(exchange::Moved { prefix, endpoint });
+        }
+    }
+
+    /// Notes that an endpoint to which a prefix was sent hasn't read it.
+    pub fn take_back(&mut self, prefix: &SharedPrefix, id: &InstanceId) {
+        let prefix = exchange::short_key(prefix.key);
+        self.holders.take_back(prefix, exchange::short_id(id));
+    }
+
     /// Counts a request at an endpoint no more.
     pub fn end(&mut self, id: &InstanceId) {
         self.loads.end(id);
@@ -246,6 +274,7 @@
             entries: entries.collect(),
             cut_off,
             sent: sent.collect(),
+            moved: std::mem::take(&mut self.moved),
             ..exchange::Report::default()
         }
     }
@@ -256,6 +285,9 @@
         self.budget.share_with(daemons);
         self.daemons = daemons;
         self.hot = heard.hot;
+        for exchange::Moved { prefix, endpoint } in heard.moved {
+            self.holders.note(prefix, endpoint, now);
+        }
         for endpoint in self.directory.all() {
             let short = exchange::short_id(&endpoint.id);
             let others = heard.endpoints.get(&short).copied().unwrap_or_default();
@@ -399,7 +431,19 @@
         joined.map_or(Millis::MAX, |joined| now.since(joined))
     }
 
-    fn candidates(&self, pool: &PoolId, plan: &Plan, now: Millis) -> Vec<Candidate> {
+    fn candidates(
+        &self,
+        pool: &PoolId,
+        shared: Option<&SharedPrefix>,
+        plan: &Plan,
+        now: Millis,
+    ) -> Vec<Candidate> {
+        let prefix = shared.map(|prefix| exchange::short_key(prefix.key));
+        let prefix = prefix.filter(|prefix| self.holders.is_known(*prefix));
+        let sent = |id: &InstanceId| {
+            let prefix = prefix?;
+            self.holders.age(prefix, exchange::short_id(id), now)
+        };
         let listed = self.directory.pool(pool);
         let failures = self.failures(listed, now);
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
@@ -408,6 +452,7 @@
             standing: self.standing(&endpoint.id, failures, now).0,
             tried: plan.has_tried(&endpoint.id),
             age: self.age(&endpoint.id, now),
+            sent: sent(&endpoint.id),
             endpoint: Arc::clone(endpoint),
         };
         listed.iter().map(candidate).collect()
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -10,6 +10,7 @@
     mod events;
     mod exchange;
     mod health;
+    mod holders;
     mod load;
     mod mirror;
     mod overload;
--- a/crates/core/tests/routing/bound.rs
+++ b/crates/core/tests/routing/bound.rs
@@ -105,6 +105,7 @@
         };
         let loads = &mut self.daemons[daemon].1;
         let candidate = |endpoint: &Arc<Endpoint>| Candidate {
+            sent: None,
             endpoint: Arc::clone(endpoint),
             load: loads.total(&endpoint.id, now),
             load_age: None,
--- a/crates/core/tests/routing/support.rs
+++ b/crates/core/tests/routing/support.rs
@@ -44,6 +44,7 @@
         standing: Standing::Good,
         tried: false,
         age: Millis(60_000),
+        sent: None,
     }
 }
 
--- a/crates/core/tests/routing/view.rs
+++ b/crates/core/tests/routing/view.rs
@@ -107,7 +107,7 @@
     };
     let heard = Heard {
         endpoints: HashMap::from([(short_id(&old), told)]),
-        hot: HashMap::new(),
+        ..Heard::default()
     };
     view.others(heard, 4, START);
     let picked = pick(&mut view, key, START);
@@ -157,3 +157,69 @@
     let again = view.list(instance(born("a", 900)), START + Millis(3500));
     expect_that!(again, eq(&Listed::Same));
 }
+
+/// Brings what one daemon tells to another, as a hub does.
+fn tell(from: &mut View, to: &mut View, now: Millis) {
+    let report = from.own_report(false);
+    let heard = Heard {
+        moved: report.moved,
+        ..Heard::default()
+    };
+    to.others(heard, 2, now);
+}
+
+#[gtest]
+fn a_prefix_that_was_passed_on_is_fetched_from_where_it_went_by_other_daemons_too() {
+    let (mut one, mut two) = (settled(), settled());
+    let key = key_of_a();
+    let first = born("a", 500);
+    let busy = Report {
+        running: 8,
+        waiting: 40,
+        slots: 8,
+    };
+    one.report(&first, busy, START);
+    let passed = pick(&mut one, key, START);
+    expect_that!(passed.endpoint.id, not(eq(&first)));
+    expect_that!(passed.moved, eq(true));
+    tell(&mut one, &mut two, START);
+    // The first in rank has room again, and has never read the prefix.
+    let back = pick(&mut two, key, START + Millis(2000));
+    expect_that!(back.endpoint.id, eq(&first));
+    let source = back.source.expect("a source");
+    expect_that!(source.id, eq(&passed.endpoint.id));
+    expect_that!(back.moved, eq(false));
+    // Now it has.
+    expect_that!(pick(&mut two, key, START + Millis(2100)).source, none());
+}
+
+#[gtest]
+fn what_goes_where_rank_says_is_not_told_and_what_does_not_is_told_once() {
+    let mut view = settled();
+    let key = key_of_a();
+    pick(&mut view, key, START);
+    expect_that!(view.own_report(false).moved.len(), eq(0));
+    view.remove(&id("a").endpoint);
+    view.list(instance(born("a", 900)), START);
+    for _ in 0..5 {
+        pick(&mut view, key, START);
+    }
+    expect_that!(view.own_report(false).moved.len(), eq(1));
+}
+
+#[gtest]
+fn a_prefix_is_not_fetched_from_where_an_attempt_with_it_failed() {
+    let mut view = settled();
+    let key = key_of_a();
+    let busy = Report {
+        running: 8,
+        waiting: 40,
+        slots: 8,
+    };
+    view.report(&born("a", 500), busy, START);
+    let passed = pick(&mut view, key, START).endpoint.id.clone();
+    view.take_back(&prefix(key), &passed);
+    let back = pick(&mut view, key, START + Millis(9000));
+    expect_that!(back.endpoint.id, eq(&born("a", 500)));
+    expect_that!(back.source, none());
+}
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use medlarrill_core::clock::Millis;
+use medlarrill_core::outcome::Outcome;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::endpoint::InstanceId;
 use medlarrill_core::routing::plan::{Next, Plan, Refusal};
@@ -124,6 +125,11 @@
             }
             Err(failed) => failed,
         };
+        if let Some(prefix) = shared
+            && failed.fault.outcome() != Outcome::Ran
+        {
+            placement.take_back(prefix, &id);
+        }
         let next = fail(order, plan, &id, &failed, trace);
         failure = failed.answer.or(failure);
         if let Next::GiveUp(refusal) = next {
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -105,6 +105,11 @@
         Ok((choice, Flight { placement, id }))
     }
 
+    /// Notes that an endpoint to which a prefix was sent hasn't read it.
+    pub fn take_back(&self, prefix: &SharedPrefix, id: &InstanceId) {
+        self.lock().take_back(prefix, id);
+    }
+
     /// Takes what an endpoint tells of its work.
     pub fn report(&self, id: &InstanceId, report: Report, now: Millis) {
         self.lock().report(id, report, now);
