--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -8,7 +8,7 @@
 mod copies;
 mod direct;
 mod effect;
-mod relay;
+pub mod relay;
 mod unreadable;
 
 use std::sync::Arc;
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -5,7 +5,7 @@
 //! second how old its copies are. A follower has two such connections, so that
 //! one daemon that freezes or is cut off delays nothing.
 
-mod message;
+pub mod message;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
