--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -2,13 +2,13 @@
 
 use bytes::Bytes;
 use derive_more::Debug;
-use http::{HeaderMap, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::outcome::Outcome;
 use medlarrill_core::routing::attempt::Fault;
-use medlarrill_core::routing::endpoint::InstanceId;
+use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
 use medlarrill_core::routing::plan::{Next, Plan, Refusal};
 use medlarrill_core::routing::view::NoPlace;
 use medlarrill_net::now::now;
@@ -107,18 +107,9 @@
         };
         let left = plan.deadline().since(now());
         trace.attempt(&choice, shared, left);
-        let id = choice.endpoint.id.clone();
         let request = order.to_endpoint(&choice, left, last_event);
-        let wait = patience(plan);
-        let sending = order.shared.connections.send(&choice.endpoint, request);
-        let sent = tokio::time::timeout(wait.as_duration(), sending).await;
-        let result = match sent {
-            Ok(Ok(sent)) => receive(order, plan, sent, flight, id.clone()).await,
-            Ok(Err(SendError::NotSent(cause))) => Err(Failed::new(Fault::NotSent, cause)),
-            Ok(Err(SendError::Lost(cause))) => Err(Failed::new(Fault::Lost, cause)),
-            Err(_) => Err(Failed::new(Fault::Slow, format!("no head in {wait}"))),
-        };
-        let failed = match result {
+        let id = choice.endpoint.id.clone();
+        let failed = match attempt(order, plan, &choice.endpoint, flight, request).await {
             Ok(answered) => {
                 placement.good(&id, now());
                 return answered;
@@ -142,6 +133,24 @@
     }
 }
 
+/// Sends a request to one endpoint and waits for its answer.
+async fn attempt(
+    order: &Order,
+    plan: &Plan,
+    endpoint: &Endpoint,
+    flight: Flight,
+    request: Request<Full<Bytes>>,
+) -> Result<Answered> {
+    let wait = patience(plan);
+    let sending = order.shared.connections.send(endpoint, request);
+    match tokio::time::timeout(wait.as_duration(), sending).await {
+        Ok(Ok(sent)) => receive(order, plan, sent, flight, endpoint.id.clone()).await,
+        Ok(Err(SendError::NotSent(cause))) => Err(Failed::new(Fault::NotSent, cause)),
+        Ok(Err(SendError::Lost(cause))) => Err(Failed::new(Fault::Lost, cause)),
+        Err(_) => Err(Failed::new(Fault::Slow, format!("no head in {wait}"))),
+    }
+}
+
 /// Takes note of a failed attempt and says what follows.
 fn fail(order: &Order, plan: &mut Plan, id: &InstanceId, failed: &Failed, trace: &Trace) -> Next {
     let next = order.fail(plan, id, failed.fault, now());
