--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -8,6 +8,7 @@
 //! [`directory`]) and from their answers ([`load`], [`health`]), also from those that other
 //! daemons got ([`exchange`]).
 
+pub mod ablation;
 pub mod answer;
 pub mod attempt;
 pub mod birth;
--- a/crates/core/src/routing/budget.rs
+++ b/crates/core/src/routing/budget.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::Millis;
 use crate::ids::PoolId;
+use crate::routing::ablation::{Mechanism, is_on};
 
 /// Part of the share of requests that is used. What is left covers requests that endpoints
 /// count in another window than we do.
@@ -95,7 +96,7 @@
         };
         let counts = self.counts(pool, now);
         let allowed = USED * ratio * counts.requests.len() as f64 + slack;
-        let fits = (counts.repeats.len() + 1) as f64 <= allowed;
+        let fits = (counts.repeats.len() + 1) as f64 <= allowed || !is_on(Mechanism::Budget);
         if fits {
             counts.repeats.push_back(now);
         }
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -16,6 +16,7 @@
 use crate::clock::Millis;
 use crate::ids::DataCentreId;
 use crate::placement::Node;
+use crate::routing::ablation::{Mechanism, is_on};
 use crate::routing::endpoint::Endpoint;
 use crate::routing::health::Standing;
 use crate::routing::request::SharedPrefix;
@@ -25,6 +26,8 @@
 const BOUND: f64 = 1.5;
 /// Load allowed beyond the bound, in requests; lets a nearly idle pool keep its places.
 const GRAIN: f64 = 2.0;
+/// Bound where the mechanism is switched off: more requests than any endpoint has.
+const UNBOUNDED: f64 = 1e9;
 /// Requests that a longer way to another data centre counts as, for requests without cached
 /// parts: it costs about 1 ms, a request in a queue of six slots about 10 ms.
 const FAR: f64 = 0.5;
@@ -169,7 +172,7 @@
     };
     let holder = holder(all, prefix);
     let moved = !holder.is_some_and(|holder| std::ptr::eq(holder, picked));
-    let source = match is_worth_fetching(prefix) {
+    let source = match is_worth_fetching(prefix) && is_on(Mechanism::Fetch) {
         true if moved => other_holder(all, picked).or(holder),
         true if picked.sent.is_none() => other_holder(all, picked),
         _ => None,
@@ -197,6 +200,9 @@
 
 /// Places among which a prefix with a share of the pool's traffic is spread.
 fn places(share: f64, endpoints: usize) -> usize {
+    if !is_on(Mechanism::HotSpread) {
+        return 1;
+    }
     let places = (share * endpoints as f64 / HOT_LOAD).ceil();
     (places as usize).clamp(1, endpoints.max(1))
 }
@@ -227,7 +233,9 @@
 /// while, or as long as any other, be it leaving.
 fn holder<'a>(all: &'a [Candidate], prefix: &SharedPrefix) -> Option<&'a Candidate> {
     let oldest = all.iter().map(|c| c.age).max()?;
-    let settled = |c: &Candidate| c.age >= SETTLED || oldest.since(c.age) <= COHORT;
+    let settled = |c: &Candidate| {
+        !is_on(Mechanism::Settled) || c.age >= SETTLED || oldest.since(c.age) <= COHORT
+    };
     let reachable = all.iter().filter(|c| c.standing != Standing::Down);
     let mut ranked: Vec<&Candidate> = reachable.collect();
     rank(&mut ranked, prefix);
@@ -237,7 +245,7 @@
 fn by_load(usable: &[&Candidate], near: &DataCentreId, rng: &mut Pcg32) -> Option<Choice> {
     let cost = |c: &Candidate| {
         let slots = f64::from(c.endpoint.slots.max(1));
-        let far = if c.endpoint.data_centre == *near {
+        let far = if c.endpoint.data_centre == *near || !is_on(Mechanism::Near) {
             0.0
         } else {
             FAR
@@ -266,6 +274,9 @@
 
 /// Load up to which an endpoint is given more.
 pub fn bound(candidates: &[&Candidate]) -> f64 {
+    if !is_on(Mechanism::Bound) {
+        return UNBOUNDED;
+    }
     let sum: f64 = candidates.iter().map(|c| c.load).sum();
     let mean = sum / candidates.len().max(1) as f64;
     BOUND * mean + GRAIN
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -11,6 +11,7 @@
 use derive_more::Debug;
 
 use crate::clock::Millis;
+use crate::routing::ablation::{Mechanism, is_on};
 use crate::routing::attempt::Fault;
 use crate::routing::endpoint::InstanceId;
 
@@ -170,11 +171,11 @@
         if now < record.until {
             return Standing::Down;
         }
-        if record.failures(now) <= others + MARGIN {
+        if record.failures(now) <= others + MARGIN || !is_on(Mechanism::FailureShare) {
             return Standing::Good;
         }
         let pause = OWN_TRIAL.max(Millis(TRIAL.0 * u64::from(daemons)));
-        match now.since(record.tried) >= pause {
+        match now.since(record.tried) >= pause && is_on(Mechanism::Trials) {
             true => Standing::Trial,
             false => Standing::Bad,
         }
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Millis;
 use crate::outcome::Outcome;
+use crate::routing::ablation::{Mechanism, is_on};
 use crate::routing::attempt::Fault;
 use crate::routing::config::{Repeat, Route};
 use crate::routing::endpoint::InstanceId;
@@ -112,7 +113,7 @@
     /// How long this attempt may take to begin its answer.
     pub fn patience(&self, now: Millis) -> Millis {
         let left = self.deadline.since(now);
-        if !self.may_run_again() {
+        if !self.may_run_again() || !is_on(Mechanism::Stuck) {
             return left;
         }
         let stuck = Millis((self.target.0 as f64 * STUCK) as u64);
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::Millis;
 use crate::ids::{DataCentreId, EndpointId, PoolId};
+use crate::routing::ablation::{Mechanism, is_on};
 use crate::routing::attempt::Fault;
 use crate::routing::birth::{Births, Entry};
 use crate::routing::budget::{self, Budget};
@@ -201,7 +202,7 @@
 
     /// Remembers where a prefix goes, and tells of it where others can't know.
     fn note_sent(&mut self, prefix: &SharedPrefix, choice: &Choice, now: Millis) {
-        if !is_worth_fetching(prefix) {
+        if !is_worth_fetching(prefix) || !is_on(Mechanism::ToldPrefixes) {
             return;
         }
         let prefix = exchange::short_key(prefix.key);
@@ -291,7 +292,9 @@
         for endpoint in self.directory.all() {
             let short = exchange::short_id(&endpoint.id);
             let others = heard.endpoints.get(&short).copied().unwrap_or_default();
-            self.loads.others(&endpoint.id, others.in_flight, now);
+            if is_on(Mechanism::ToldLoads) {
+                self.loads.others(&endpoint.id, others.in_flight, now);
+            }
             let health = &mut self.health;
             health.others(&endpoint.id, others.good, others.bad, now);
             let answers = others.good + others.bad;
@@ -410,7 +413,7 @@
         plan: &Plan,
         now: Millis,
     ) -> Option<Overload> {
-        let target = plan.queue_target()?;
+        let target = plan.queue_target().filter(|_| is_on(Mechanism::Valve))?;
         let expected = self.paces.time(&choice.endpoint.id, choice.load, now)?;
         let valve = self.valves.entry(pool.clone()).or_default();
         let share = valve.take(expected, target, now);
--- a/crates/router/src/entry/order.rs
+++ b/crates/router/src/entry/order.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::PoolId;
+use medlarrill_core::routing::ablation::{Mechanism, is_on};
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::config::{Account, Configuration, Priority, Route};
@@ -81,11 +82,12 @@
         wait: Millis,
         last_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
+        let is_urgent = self.route.cached && is_on(Mechanism::Urgency);
         let outgoing = Outgoing {
             endpoint: &choice.endpoint.id.endpoint,
             wait,
             account: self.account.as_ref().map(|account| &account.id),
-            priority: self.route.cached.then(|| self.priority()),
+            priority: is_urgent.then(|| self.priority()),
             source: choice.source.as_ref().map(|source| source.address),
             last_event,
         };
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -53,12 +53,24 @@
 pub fn run(path: &Path) -> Result<()> {
     let settings = Settings::read(path)?;
     let dropped = logs::start();
+    #[cfg(feature = "ablation")]
+    switch_off()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     runtime.block_on(serve(path.to_owned(), settings, dropped))
 }
 
+/// Switches off the mechanisms that the environment names.
+#[cfg(feature = "ablation")]
+fn switch_off() -> Result<()> {
+    let names = std::env::var("MEDLARRILL_WITHOUT").unwrap_or_default();
+    log::warn!(target: "start", names; "start: a lab build, without some mechanisms");
+    let unknown = |name| std::io::Error::other(format!("no mechanism is called {name}"));
+    medlarrill_core::routing::ablation::switch_off(&names).map_err(unknown)?;
+    Ok(())
+}
+
 async fn serve(path: PathBuf, settings: Settings, dropped: Dropped) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -13,6 +13,7 @@
 use derive_more::{Display, Error, From};
 use futures_util::{SinkExt, StreamExt};
 use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::ablation::{Mechanism, is_on};
 use medlarrill_core::routing::exchange::sources;
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
@@ -150,7 +151,7 @@
 
 fn targets(store: &Store) -> Vec<SocketAddr> {
     let roster = store.roster.borrow();
-    if roster.is_watcher && !store.copies.is_cut_off() {
+    if roster.is_watcher && !store.copies.is_cut_off() || !is_on(Mechanism::Relays) {
         return Vec::new();
     }
     sources(roster.me, &roster.watchers, SOURCES)
