Soak: endpoints that start again under their ids, and entries of other writers

Drawn from numbers of their own, so that the plans of earlier seeds stay as they were but for what is added. 15 fresh seeds of 12 s beside ablation runs on a busy machine: none broke a promise.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -141,6 +141,7 @@
     let mut rng = Pcg32::seed_from_u64(seed);
     let length = Duration::from_secs(options.seconds);
     let plan = Plan::new(&mut rng, length);
+    let plan = plan.with_entries(&mut Pcg32::seed_from_u64(!seed), length);
     let mut world = World::start(program, seed, &plan).await?;
     let from = Instant::now();
     let traffic = Traffic::start(world.doors.clone(), seed);
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -195,7 +195,10 @@
     })?;
     // Another event may have listed it as ready meanwhile.
     let relisted = world.done.iter().any(|done| match &done.fault {
-        Fault::Drain(endpoint, length) | Fault::Unlist(endpoint, length) => {
+        Fault::Restart(endpoint) => *endpoint == number && done.from > leaving.from,
+        Fault::Drain(endpoint, length)
+        | Fault::Unlist(endpoint, length)
+        | Fault::Foreign(endpoint, _, length) => {
             let end = done.from + *length;
             *endpoint == number && end > leaving.from && end < at
         }
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -40,6 +40,23 @@
     Drain(usize, Duration),
     /// An endpoint's entry is removed, and listed again later.
     Unlist(usize, Duration),
+    /// An endpoint starts again under its id.
+    Restart(usize),
+    /// Another writer replaces an endpoint's entry, which is listed again later.
+    Foreign(usize, Foreign, Duration),
+}
+
+/// An entry that names no endpoint.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Foreign {
+    /// Text in place of fields.
+    Text,
+    /// A field is missing.
+    Missing,
+    /// A field is of another type.
+    OtherType,
+    /// A state that nobody knows.
+    State,
 }
 
 impl Fault {
@@ -60,10 +77,14 @@
             | Self::Store(_, length)
             | Self::Behave(_, _, length)
             | Self::Drain(_, length)
-            | Self::Unlist(_, length) => *length,
-            Self::Stop(_) | Self::Kill(_) | Self::Reload(_) | Self::Forget | Self::Configure => {
-                Duration::ZERO
-            }
+            | Self::Unlist(_, length)
+            | Self::Foreign(_, _, length) => *length,
+            Self::Stop(_)
+            | Self::Kill(_)
+            | Self::Reload(_)
+            | Self::Forget
+            | Self::Configure
+            | Self::Restart(_) => Duration::ZERO,
         }
     }
 }
@@ -95,8 +116,10 @@
     pub daemons: usize,
     /// Endpoints.
     pub endpoints: usize,
-    /// Faults, by time.
+    /// Faults.
     pub events: Vec<Event>,
+    /// Whether endpoints tell when they started.
+    pub births: bool,
 }
 
 impl Plan {
@@ -106,6 +129,7 @@
             daemons: rng.random_range(2..=5),
             endpoints: rng.random_range(3..=6),
             events: Vec::new(),
+            births: false,
         };
         // A fifth of the soaks hold planned work only, so that its stricter promises are checked.
         let planned = rng.random_bool(0.2);
@@ -120,6 +144,35 @@
         plan
     }
 
+    /// Adds what happens to entries, but for soaks of planned work only. Drawn from numbers of its
+    /// own, so that the rest of a seed's plan stays as it was.
+    pub fn with_entries(mut self, rng: &mut Pcg32, length: Duration) -> Self {
+        self.births = rng.random_bool(0.7);
+        if self.events.iter().all(|event| event.fault.is_planned()) {
+            return self;
+        }
+        let mut at = CALM;
+        while at < length {
+            at += Duration::from_millis(rng.random_range(0..4 * PAUSE_MS));
+            let fault = self.draw_entry(rng);
+            self.events.push(Event { at, fault });
+        }
+        self
+    }
+
+    fn draw_entry(&self, rng: &mut Pcg32) -> Fault {
+        let endpoint = rng.random_range(0..self.endpoints);
+        let length = Duration::from_millis(rng.random_range(200..3500));
+        let foreign = match rng.random_range(0..8) {
+            0 => Foreign::Text,
+            1 => Foreign::Missing,
+            2 => Foreign::OtherType,
+            3 => Foreign::State,
+            _ => return Fault::Restart(endpoint),
+        };
+        Fault::Foreign(endpoint, foreign, length)
+    }
+
     /// Begins and ends of the events, by time.
     pub fn steps(&self) -> Vec<Step<'_>> {
         let steps = |event| {
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -12,12 +12,13 @@
 use medlarrill_testkit::proxy::{Harm, Proxy};
 use medlarrill_testkit::routed::{Routed, Setup, read};
 use nix::sys::signal::Signal;
+use serde_json::Value;
 use tempfile::TempDir;
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 
 use super::check::Violation;
-use super::plan::{Event, Fault, Plan};
+use super::plan::{Event, Fault, Foreign, Plan};
 use super::traffic::{Door, Doors};
 use super::{Result, SoakError};
 
@@ -33,6 +34,9 @@
 /// Longest time for a stop: the grace period, a freeze, and a second.
 const LONGEST_STOP: Duration = Duration::from_secs(14);
 
+/// When endpoints that tell it first started, in milliseconds since the Unix epoch.
+const FIRST_BIRTH: u64 = 1_790_000_000_000;
+
 /// A span of time in which something was done.
 #[derive(Clone, Debug)]
 pub struct Done {
@@ -72,6 +76,8 @@
     proxies: Vec<Proxy>,
     restarts: Vec<JoinHandle<Result<()>>>,
     version: u64,
+    /// When each endpoint started, if they tell.
+    births: Vec<Option<u64>>,
     balancer: JoinHandle<()>,
     folder: TempDir,
 }
@@ -93,7 +99,6 @@
             let id = format!("e-{number}");
             let endpoint = Endpoint::start(&id, ledger.clone(), seed + number as u64).await?;
             let proxy = Proxy::start(endpoint.address()).await?;
-            store.put("servers", &id, entry(&endpoint, &proxy, "ready"));
             endpoints.push((endpoint, proxy));
         }
         let folder = TempDir::new()?;
@@ -109,9 +114,11 @@
             proxies: Vec::new(),
             restarts: Vec::new(),
             version: 1,
+            births: vec![plan.births.then_some(FIRST_BIRTH); plan.endpoints],
             balancer: tokio::spawn(async {}),
             folder,
         };
+        (0..plan.endpoints).for_each(|endpoint| world.list(endpoint, "ready"));
         let mut doors = Vec::new();
         for number in 0..plan.daemons {
             doors.push(world.add(seed, number).await?);
@@ -183,6 +190,16 @@
                 let id = self.endpoints[*endpoint].0.id().to_owned();
                 self.store.remove("servers", &id);
             }
+            Fault::Restart(endpoint) => {
+                let born = &mut self.births[*endpoint];
+                *born = born.map(|born| born + 1000);
+                self.list(*endpoint, "ready");
+            }
+            Fault::Foreign(endpoint, foreign, _) => {
+                let entry = foreign.of(self.entry(*endpoint, "ready"));
+                let id = self.endpoints[*endpoint].0.id();
+                self.store.put("servers", id, entry);
+            }
         }
         self.watch_ends().await
     }
@@ -195,7 +212,11 @@
             Fault::HarmEndpoint(endpoint, ..) => self.endpoints[*endpoint].1.harm(Harm::None),
             Fault::Store(..) => self.store.fail(Outage::None),
             Fault::Behave(endpoint, ..) => self.endpoints[*endpoint].0.behave(Behaviour::default()),
-            Fault::Drain(endpoint, _) | Fault::Unlist(endpoint, _) => self.list(*endpoint, "ready"),
+            Fault::Drain(endpoint, _)
+            | Fault::Unlist(endpoint, _)
+            | Fault::Foreign(endpoint, ..) => {
+                self.list(*endpoint, "ready");
+            }
             _ => {}
         }
         self.watch_ends().await
@@ -242,9 +263,20 @@
     }
 
     fn list(&self, endpoint: usize, state: &str) {
-        let (endpoint, proxy) = &self.endpoints[endpoint];
-        let entry = entry(endpoint, proxy, state);
-        self.store.put("servers", endpoint.id(), entry);
+        let entry = self.entry(endpoint, state);
+        self.store
+            .put("servers", self.endpoints[endpoint].0.id(), entry);
+    }
+
+    /// An endpoint's entry, with its proxy's address.
+    fn entry(&self, number: usize, state: &str) -> Value {
+        let (endpoint, proxy) = &self.endpoints[number];
+        let mut entry = endpoint.entry(POOL, state);
+        entry["address"] = proxy.address.to_string().into();
+        if let Some(born) = self.births[number] {
+            entry["born"] = born.into();
+        }
+        entry
     }
 
     /// Keeps the plan, the logs and the broken promises of a soak.
@@ -285,11 +317,20 @@
     }
 }
 
-/// An endpoint's entry, with its proxy's address.
-fn entry(endpoint: &Endpoint, proxy: &Proxy, state: &str) -> serde_json::Value {
-    let mut entry = endpoint.entry(POOL, state);
-    entry["address"] = proxy.address.to_string().into();
-    entry
+impl Foreign {
+    /// What another writer makes of an entry.
+    fn of(self, mut entry: Value) -> Value {
+        let Some(fields) = entry.as_object_mut() else {
+            return entry;
+        };
+        match self {
+            Self::Text => return "text".into(),
+            Self::Missing => fields.remove("address"),
+            Self::OtherType => fields.insert("slots".to_owned(), "eight".into()),
+            Self::State => fields.insert("state".to_owned(), "resting".into()),
+        };
+        entry
+    }
 }
 
 /// Asks each daemon whether it takes connections, as the balancer does.
