--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -5,6 +5,9 @@
 //! belongs to one instance of an endpoint: when that starts again, it is known
 //! anew.
 
+mod entries;
+mod judge;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
@@ -13,22 +16,25 @@
 use rand_pcg::Pcg32;
 
 use crate::clock::Millis;
-use crate::ids::{DataCentreId, EndpointId, PoolId};
+use crate::ids::{DataCentreId, PoolId};
 use crate::routing::ablation::{Mechanism, is_on};
 use crate::routing::attempt::Fault;
-use crate::routing::birth::{Births, Entry};
+use crate::routing::birth::Births;
 use crate::routing::budget::{self, Budget};
 use crate::routing::choose::{Candidate, Choice, choose, is_worth_fetching};
 use crate::routing::directory::Directory;
 use crate::routing::endpoint::{Endpoint, InstanceId};
 use crate::routing::exchange;
-use crate::routing::health::{Health, PoolFailures, Standing};
+use crate::routing::health::Health;
 use crate::routing::holders::Holders;
 use crate::routing::load::{Loads, Report};
 use crate::routing::overload::{self, Paces, Valve};
 use crate::routing::plan::Plan;
 use crate::routing::request::SharedPrefix;
 
+pub use entries::Listed;
+pub use judge::Verdict;
+
 /// Result of looking for an endpoint.
 pub type Result<T> = std::result::Result<T, NoPlace>;
 
@@ -60,19 +66,6 @@
     rng: Pcg32,
 }
 
-/// How an endpoint is judged.
-#[derive(Debug)]
-pub struct Verdict {
-    /// The endpoint.
-    pub endpoint: InstanceId,
-    /// How it stands.
-    pub standing: Standing,
-    /// Its failure share.
-    pub failures: f64,
-    /// The mean of its pool's others.
-    pub others: f64,
-}
-
 /// How this daemon's requests ended since the last report.
 #[derive(Clone, Copy, Default)]
 #[derive(Debug)]
@@ -81,20 +74,6 @@
     bad: u32,
 }
 
-/// What an endpoint's entry changed.
-#[derive(Clone, PartialEq, Eq)]
-#[derive(Debug)]
-pub enum Listed {
-    /// Nothing.
-    Same,
-    /// The endpoint is new, or its entry says something else.
-    Changed,
-    /// The endpoint started again: this instance is gone.
-    Restarted(InstanceId),
-    /// It was of no use.
-    Ignored(Entry),
-}
-
 /// Why a request is given to no endpoint.
 #[derive(Debug, Display, Error)]
 pub enum NoPlace {
@@ -302,102 +281,6 @@
         }
     }
 
-    /// Takes an endpoint's entry; says what it changed.
-    pub fn list(&mut self, endpoint: Endpoint, now: Millis) -> Listed {
-        let was_told = self.births.is_told();
-        let entry = self.births.judge(&endpoint.id, now);
-        if self.births.is_told() && !was_told {
-            self.remove_unborn();
-        }
-        match entry {
-            Entry::Current => {}
-            Entry::Late => return Listed::Ignored(entry),
-            Entry::Foreign => {
-                self.remove(&endpoint.id.endpoint);
-                return Listed::Ignored(entry);
-            }
-        }
-        let id = endpoint.id.clone();
-        let before = self.directory.instance(&id.endpoint).cloned();
-        if !self.directory.list(endpoint, now) {
-            return Listed::Same;
-        }
-        match before.filter(|before| *before != id) {
-            Some(old) => {
-                self.forget(&old);
-                Listed::Restarted(old)
-            }
-            None => Listed::Changed,
-        }
-    }
-
-    /// Drops an endpoint's entry; says whether it was there.
-    pub fn remove(&mut self, id: &EndpointId) -> bool {
-        if let Some(instance) = self.directory.instance(id).cloned() {
-            self.forget(&instance);
-        }
-        self.directory.remove(id)
-    }
-
-    /// Drops entries that don't say when their endpoint started, now that endpoints do.
-    fn remove_unborn(&mut self) {
-        let unborn = self.directory.all().filter(|known| known.id.born.is_none());
-        let names: Vec<EndpointId> = unborn.map(|known| known.id.endpoint.clone()).collect();
-        for name in names {
-            self.remove(&name);
-        }
-    }
-
-    /// Forgets what is known of an instance.
-    fn forget(&mut self, id: &InstanceId) {
-        self.loads.forget(id);
-        self.health.forget(id);
-        self.avoided.remove(id);
-        self.paces.forget(id);
-        self.outcomes.remove(id);
-    }
-
-    /// Endpoints that are avoided from now on, or no more.
-    pub fn review(&mut self, now: Millis) -> Vec<Verdict> {
-        let mut changes = Vec::new();
-        for pool in self.directory.pools() {
-            let failures = self.failures(pool, now);
-            for endpoint in pool {
-                let id = &endpoint.id;
-                let (standing, others) = self.standing(id, failures, now);
-                if standing.is_avoided() == self.avoided.contains(id) {
-                    continue;
-                }
-                changes.push(Verdict {
-                    endpoint: id.clone(),
-                    standing,
-                    failures: self.health.failures(id, now),
-                    others,
-                });
-            }
-        }
-        for verdict in &changes {
-            match verdict.standing.is_avoided() {
-                true => self.avoided.insert(verdict.endpoint.clone()),
-                false => self.avoided.remove(&verdict.endpoint),
-            };
-        }
-        changes
-    }
-
-    /// Failure shares of the endpoints of a pool that take new work.
-    fn failures(&self, pool: &[Arc<Endpoint>], now: Millis) -> PoolFailures {
-        let ready = pool.iter().filter(|endpoint| !endpoint.leaving);
-        self.health.pool(ready.map(|endpoint| &endpoint.id), now)
-    }
-
-    /// How an endpoint stands, and the mean failure share of its pool's others.
-    fn standing(&self, id: &InstanceId, pool: PoolFailures, now: Millis) -> (Standing, f64) {
-        let others = pool.others(self.health.failures(id, now));
-        let standing = self.health.standing(id, others, self.daemons, now);
-        (standing, others)
-    }
-
     /// Counts a request with a shared prefix; returns the prefix's share of the fleet's traffic.
     fn count(&mut self, prefix: &SharedPrefix) -> f64 {
         let key = exchange::short_key(prefix.key);
--- /dev/null
+++ b/crates/core/src/routing/view/entries.rs
@@ -0,0 +1,80 @@
+//! Entries of endpoints: what becomes known, and what is forgotten with an instance.
+
+use derive_more::Debug;
+
+use super::View;
+use crate::clock::Millis;
+use crate::ids::EndpointId;
+use crate::routing::birth::Entry;
+use crate::routing::endpoint::{Endpoint, InstanceId};
+
+/// What an endpoint's entry changed.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
+pub enum Listed {
+    /// Nothing.
+    Same,
+    /// The endpoint is new, or its entry says something else.
+    Changed,
+    /// The endpoint started again: this instance is gone.
+    Restarted(InstanceId),
+    /// It was of no use.
+    Ignored(Entry),
+}
+
+impl View {
+    /// Takes an endpoint's entry; says what it changed.
+    pub fn list(&mut self, endpoint: Endpoint, now: Millis) -> Listed {
+        let was_told = self.births.is_told();
+        let entry = self.births.judge(&endpoint.id, now);
+        if self.births.is_told() && !was_told {
+            self.remove_unborn();
+        }
+        match entry {
+            Entry::Current => {}
+            Entry::Late => return Listed::Ignored(entry),
+            Entry::Foreign => {
+                self.remove(&endpoint.id.endpoint);
+                return Listed::Ignored(entry);
+            }
+        }
+        let id = endpoint.id.clone();
+        let before = self.directory.instance(&id.endpoint).cloned();
+        if !self.directory.list(endpoint, now) {
+            return Listed::Same;
+        }
+        match before.filter(|before| *before != id) {
+            Some(old) => {
+                self.forget(&old);
+                Listed::Restarted(old)
+            }
+            None => Listed::Changed,
+        }
+    }
+
+    /// Drops an endpoint's entry; says whether it was there.
+    pub fn remove(&mut self, id: &EndpointId) -> bool {
+        if let Some(instance) = self.directory.instance(id).cloned() {
+            self.forget(&instance);
+        }
+        self.directory.remove(id)
+    }
+
+    /// Drops entries that don't say when their endpoint started, now that endpoints do.
+    fn remove_unborn(&mut self) {
+        let unborn = self.directory.all().filter(|known| known.id.born.is_none());
+        let names: Vec<EndpointId> = unborn.map(|known| known.id.endpoint.clone()).collect();
+        for name in names {
+            self.remove(&name);
+        }
+    }
+
+    /// Forgets what is known of an instance.
+    fn forget(&mut self, id: &InstanceId) {
+        self.loads.forget(id);
+        self.health.forget(id);
+        self.avoided.remove(id);
+        self.paces.forget(id);
+        self.outcomes.remove(id);
+    }
+}
