Store: a daemon that knows nothing asks again soon

Change: the first pause, 100 to 200 ms, is kept until something is known. The decision is a function of its own in core.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -11,6 +11,7 @@
 pub mod ablation;
 pub mod answer;
 pub mod attempt;
+pub mod backoff;
 pub mod birth;
 pub mod budget;
 pub mod choose;
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -1,6 +1,7 @@
 //! Routing straight to endpoints: each decision by itself, and loads told between daemons.
 
 mod routing {
+    mod backoff;
     mod birth;
     mod bound;
     mod budget;
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::backoff;
 use medlarrill_core::routing::mirror::{Change, Object, Update};
 use medlarrill_net::now::now;
 use medlarrill_platform::store::{self as wire, Freshness, Kind};
@@ -17,10 +18,6 @@
 /// Longest time for an answer beyond the time that the platform holds it. It answers in some
 /// milliseconds, in a fifth of a second when it is slow.
 const ANSWER: Millis = Millis(900);
-/// Longest first pause after a failed call.
-const BACKOFF: Millis = Millis(200);
-/// Longest pause between failed calls; bounds how late changes are seen after an outage.
-const BACKOFF_MAX: Millis = Millis(800);
 /// Pause after changes of the configuration, in which further ones are gathered. Versions have
 /// to be in force within 2 s; this takes a tenth of that.
 const CONFIGURATION_PAUSE: Millis = Millis(200);
@@ -279,8 +276,8 @@
         } else {
             log::debug!(target: "store", "store: {} fails: {error}", self.kind);
         }
-        let most = (BACKOFF.0 << earlier.min(4)).min(BACKOFF_MAX.0);
-        let pause = Millis(rand::rng().random_range(most / 2..=most));
+        let knows = self.store.copies.age(self.kind, at).is_some();
+        let pause = backoff::pause(earlier + 1, knows, rand::rng().random());
         tokio::time::sleep(pause.as_duration()).await;
     }
 }
