--- a/crates/daemon/tests/route/store.rs
+++ b/crates/daemon/tests/route/store.rs
@@ -222,4 +222,13 @@
     assert_that!(lines.last().expect("a line"), contains_substring("e-0@500"));
     let reply = bench.send(&Call::new("r-1", "/plain/x")).await;
     assert_that!(reply.is_success(), eq(true));
+    // Where endpoints tell when they started, an entry that doesn't is another writer's.
+    let foreign = bench.endpoints[1].entry(POOL, "ready");
+    bench.store.put("servers", "e-1", foreign);
+    bench.until(0, "\"place\":\"born\"", 1).await;
+    for number in 0..10 {
+        let attempt = format!("r-2-{number}");
+        bench.send(&Call::new(&attempt, "/plain/x")).await;
+        assert_that!(bench.ledger.runs(&attempt)[0].endpoint.as_str(), eq("e-0"));
+    }
 }
--- a/crates/router/src/store/effect.rs
+++ b/crates/router/src/store/effect.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use medlarrill_core::ids::EndpointId;
+use medlarrill_core::routing::birth::Entry;
 use medlarrill_core::routing::config::Configuration;
 use medlarrill_core::routing::mirror::{Change, Object};
 use medlarrill_core::routing::view::Listed;
@@ -102,6 +103,11 @@
                 revision = object.revision;
                 "store: endpoint started again"
             ),
+            Listed::Ignored(Entry::Foreign) => {
+                let error = objects::birth_missing();
+                self.unreadable
+                    .report(Kind::Endpoints, &object.name, &error);
+            }
             Listed::Ignored(entry) => log::debug!(
                 target: "store", endpoint:% = id, entry:? = entry, revision = object.revision;
                 "store: entry ignored"
