Soak: a restart excuses a drained endpoint only before the run; small clean-ups

Found in a last read of the change. The soak's check let a restart of an endpoint after a run excuse that run; it now has the same bounds as the other faults that list an endpoint again (stricter). Without change of behaviour: the last change of each object is found without copying names or building a map, also for whole lists; calls that failed are counted in one variable; reports of unreadable entries have one owner and need no shared pointer; the two parts of Reason are one.

--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -9,7 +9,7 @@
 //! lives. After such a time a removal waits for [`GRACE`], in which a living
 //! endpoint lists itself again.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 use bytes::Bytes;
 use derive_more::Debug;
@@ -101,14 +101,15 @@
 /// The last change of each object, in order. The revision of a removal is an upper bound, so that
 /// an entry that lapsed and came back within one update would otherwise seem to be gone.
 fn last_of_each(changes: Vec<Change>) -> Vec<Change> {
-    let last: HashMap<String, usize> = changes
-        .iter()
-        .enumerate()
-        .map(|(at, change)| (change.name().to_owned(), at))
+    let mut names = HashSet::new();
+    let from_last = changes.iter().rev();
+    let is_last: Vec<bool> = from_last
+        .map(|change| names.insert(change.name()))
         .collect();
-    let is_last = |(at, change): &(usize, Change)| last.get(change.name()) == Some(at);
-    let kept = changes.into_iter().enumerate().filter(is_last);
-    kept.map(|(_, change)| change).collect()
+    let judged = changes.into_iter().zip(is_last.into_iter().rev());
+    judged
+        .filter_map(|(change, is_last)| is_last.then_some(change))
+        .collect()
 }
 
 impl Mirror {
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -195,11 +195,11 @@
     })?;
     // Another event may have listed it as ready meanwhile.
     let relisted = world.done.iter().any(|done| match &done.fault {
-        Fault::Restart(endpoint) => *endpoint == number && done.from > leaving.from,
-        Fault::Drain(endpoint, length)
-        | Fault::Unlist(endpoint, length)
-        | Fault::Foreign(endpoint, _, length) => {
-            let end = done.from + *length;
+        Fault::Drain(endpoint, _)
+        | Fault::Unlist(endpoint, _)
+        | Fault::Foreign(endpoint, ..)
+        | Fault::Restart(endpoint) => {
+            let end = done.from + done.fault.length();
             *endpoint == number && end > leaving.from && end < at
         }
         _ => false,
--- a/crates/router/src/entry/answer.rs
+++ b/crates/router/src/entry/answer.rs
@@ -96,9 +96,7 @@
             Self::Refused(Refusal::Timeout) => StatusCode::GATEWAY_TIMEOUT,
         }
     }
-}
 
-impl Reason {
     /// When a refused caller may come back.
     fn come_back(self) -> Millis {
         let (least, most) = COME_BACK;
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -126,7 +126,7 @@
         in_force,
         placement: Arc::clone(&placement),
         metrics: Arc::clone(&metrics),
-        unreadable: Arc::new(Unreadable::new(Arc::clone(&metrics))),
+        unreadable: Unreadable::new(Arc::clone(&metrics)),
     };
     let copies = Arc::new(Copies::new(sinks, listed));
     let roster = Roster::new(listen.peers);
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -262,13 +262,13 @@
             calls: 0,
         };
         let failing = self.failing.get_or_insert(first);
-        let earlier = failing.calls;
         failing.calls += 1;
+        let calls = failing.calls;
         self.store.copies.fail(self.kind, failing.since, at);
         self.failed = Some(at);
         self.store.copies.set_cut_off(true);
         let silent = now().since(self.heard);
-        if earlier == 0 {
+        if calls == 1 {
             log::warn!(
                 target: "store", kind:% = self.kind, silent = silent.0, cause:% = error;
                 "store: lost, what is known stays"
@@ -277,7 +277,7 @@
             log::debug!(target: "store", "store: {} fails: {error}", self.kind);
         }
         let knows = self.store.copies.age(self.kind, at).is_some();
-        let pause = backoff::pause(earlier + 1, knows, rand::rng().random());
+        let pause = backoff::pause(calls, knows, rand::rng().random());
         tokio::time::sleep(pause.as_duration()).await;
     }
 }
--- a/crates/router/src/store/effect.rs
+++ b/crates/router/src/store/effect.rs
@@ -29,7 +29,7 @@
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// Who is told of entries that can't be read.
-    pub unreadable: Arc<Unreadable>,
+    pub unreadable: Unreadable,
 }
 
 impl Sinks {
