--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -36,6 +36,11 @@
     /// A point that never comes.
     pub const MAX: Self = Self(u64::MAX);
 
+    /// What is left after this span of something that falls by half in each half-life.
+    pub fn fading(self, half_life: Self) -> f64 {
+        0.5_f64.powf(self.as_secs_f64() / half_life.as_secs_f64())
+    }
+
     /// A span of whole seconds.
     pub const fn from_secs(secs: u64) -> Self {
         Self(secs * 1000)
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -4,8 +4,8 @@
 //! that all daemons send it to the same place without a word, also right after
 //! a start. It passes on to the next in rank while the load there is over the
 //! bound, and takes the cached parts along from the first, or from whoever is
-//! known to have got them since. Requests without
-//! shared parts go to an endpoint drawn by load, mostly of the same data centre.
+//! known to have got them since. Requests without shared parts go to an endpoint
+//! drawn by load, mostly of the same data centre.
 
 use std::sync::Arc;
 
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -13,10 +13,9 @@
 #[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct Directory {
-    endpoints: HashMap<EndpointId, Arc<Endpoint>>,
+    /// Each endpoint, and when this instance of it was first listed.
+    endpoints: HashMap<EndpointId, (Arc<Endpoint>, Millis)>,
     pools: HashMap<PoolId, Vec<Arc<Endpoint>>>,
-    /// When each instance was first listed.
-    joined: HashMap<InstanceId, Millis>,
 }
 
 impl Directory {
@@ -32,12 +31,12 @@
 
     /// All endpoints.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
-        self.endpoints.values()
+        self.endpoints.values().map(|(endpoint, _)| endpoint)
     }
 
     /// The instance of an endpoint that is listed.
     pub fn instance(&self, id: &EndpointId) -> Option<&InstanceId> {
-        self.endpoints.get(id).map(|endpoint| &endpoint.id)
+        self.endpoints.get(id).map(|(endpoint, _)| &endpoint.id)
     }
 
     /// Whether this instance is listed.
@@ -47,7 +46,8 @@
 
     /// When an instance was first listed.
     pub fn joined(&self, id: &InstanceId) -> Option<Millis> {
-        self.joined.get(id).copied()
+        let (endpoint, joined) = self.endpoints.get(&id.endpoint)?;
+        (endpoint.id == *id).then_some(*joined)
     }
 
     /// How many endpoints are listed.
@@ -62,39 +62,29 @@
 
     /// Takes one entry; says whether it is new or changed.
     pub fn list(&mut self, endpoint: Endpoint, now: Millis) -> bool {
-        let known = self.endpoints.get(&endpoint.id.endpoint);
-        if known.map(Arc::as_ref) == Some(&endpoint) {
+        let name = endpoint.id.endpoint.clone();
+        let known = self.endpoints.get(&name);
+        if known.is_some_and(|(known, _)| **known == endpoint) {
             return false;
         }
+        let joined = self.joined(&endpoint.id).unwrap_or(now);
+        self.remove(&name);
         let endpoint = Arc::new(endpoint);
-        if let Some(old) = self.unlist(&endpoint.id.endpoint)
-            && old.id != endpoint.id
-        {
-            self.joined.remove(&old.id);
-        }
-        self.joined.entry(endpoint.id.clone()).or_insert(now);
         let pool = self.pools.entry(endpoint.pool.clone()).or_default();
         let at = pool.partition_point(|other| other.id < endpoint.id);
         pool.insert(at, Arc::clone(&endpoint));
-        let name = endpoint.id.endpoint.clone();
-        self.endpoints.insert(name, endpoint);
+        self.endpoints.insert(name, (endpoint, joined));
         true
     }
 
     /// Drops an entry; says whether it was there.
     pub fn remove(&mut self, id: &EndpointId) -> bool {
-        let Some(old) = self.unlist(id) else {
+        let Some((old, _)) = self.endpoints.remove(id) else {
             return false;
         };
-        self.joined.remove(&old.id);
-        true
-    }
-
-    fn unlist(&mut self, id: &EndpointId) -> Option<Arc<Endpoint>> {
-        let old = self.endpoints.remove(id)?;
         if let Some(pool) = self.pools.get_mut(&old.pool) {
             pool.retain(|other| other.id.endpoint != *id);
         }
-        Some(old)
+        true
     }
 }
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -198,17 +198,26 @@
 
     /// The daemons that follow the platform for all: in a small fleet each does.
     ///
-    /// Daemons that have lost the platform aren't chosen, unless all have.
+    /// Daemons that have lost the platform aren't chosen, unless all have. One that was turned
+    /// away at its start knows nothing that could be followed: where the platform turned away six
+    /// of nine, following such a one cost 0.3 s of the 1.0 s to their first configuration.
     pub fn watchers(&self, cut_off: bool, now: Millis) -> Vec<SocketAddr> {
         let own = (self.me, self.ranks);
         if self.live(now) < LARGE {
-            let mut others = self.reachers(now);
-            others.push(self.me);
-            return others;
+            let address = |(address, _): (SocketAddr, Seen)| address;
+            let mut chosen: Vec<SocketAddr> = self.reachers(now).map(address).collect();
+            if chosen.is_empty() {
+                chosen.extend(self.others(now).map(address));
+            }
+            chosen.push(self.me);
+            return chosen;
         }
-        let reach = self.others(now).filter(|(_, seen)| !seen.cut_off);
         let own_reach = (!cut_off).then_some(own);
-        let chosen = holders(reach.map(ranked).chain(own_reach), Role::Watcher, WATCHERS);
+        let chosen = holders(
+            self.reachers(now).map(ranked).chain(own_reach),
+            Role::Watcher,
+            WATCHERS,
+        );
         if !chosen.is_empty() {
             return chosen;
         }
@@ -216,17 +225,9 @@
         holders(all, Role::Watcher, WATCHERS)
     }
 
-    /// The other daemons that reach the platform, or all where none does. One that was turned away
-    /// at its start knows nothing that could be followed: where the platform turned away six of
-    /// nine, following such a one cost 0.3 s of the 1.0 s to their first configuration.
-    fn reachers(&self, now: Millis) -> Vec<SocketAddr> {
-        let address = |(address, _): (SocketAddr, Seen)| address;
-        let reach = self.others(now).filter(|(_, seen)| !seen.cut_off);
-        let reach: Vec<SocketAddr> = reach.map(address).collect();
-        match reach.is_empty() {
-            true => self.others(now).map(address).collect(),
-            false => reach,
-        }
+    /// The other daemons that reach the platform.
+    fn reachers(&self, now: Millis) -> impl Iterator<Item = (SocketAddr, Seen)> {
+        self.others(now).filter(|(_, seen)| !seen.cut_off)
     }
 
     fn others(&self, now: Millis) -> impl Iterator<Item = (SocketAddr, Seen)> {
--- a/crates/core/src/routing/exchange/hot.rs
+++ b/crates/core/src/routing/exchange/hot.rs
@@ -42,8 +42,7 @@
 
     /// Lets counts fade.
     pub fn fade(&mut self, now: Millis) {
-        let passed = now.since(self.at).as_secs_f64();
-        let left = 0.5_f64.powf(passed / HALF_LIFE.as_secs_f64());
+        let left = now.since(self.at).fading(HALF_LIFE);
         self.at = now;
         self.total *= left;
         self.prefixes.retain(|_, count| {
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -88,8 +88,7 @@
 
 impl Record {
     fn failures(&self, now: Millis) -> f64 {
-        let age = now.since(self.at).as_secs_f64();
-        self.failures * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+        self.failures * now.since(self.at).fading(HALF_LIFE)
     }
 
     fn answer(&mut self, failure: f64, now: Millis) {
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -114,8 +114,7 @@
         let Some(work) = self.work.get(id) else {
             return 0.0;
         };
-        let age = now.since(work.at).as_secs_f64();
-        let fresh = 0.5_f64.powf(age / HALF_LIFE.as_secs_f64());
+        let fresh = now.since(work.at).fading(HALF_LIFE);
         f64::from(work.own) + f64::from(work.others) * fresh
     }
 }
--- a/crates/core/tests/routing/view.rs
+++ b/crates/core/tests/routing/view.rs
@@ -43,6 +43,15 @@
     picked.expect("an endpoint")
 }
 
+/// What an endpoint tells whose slots are taken, while so many requests wait.
+const fn busy(waiting: u32) -> Report {
+    Report {
+        running: 8,
+        waiting,
+        slots: 8,
+    }
+}
+
 /// A pool of three that has been there for a minute.
 fn settled() -> View {
     let mut view = view();
@@ -63,12 +72,7 @@
 fn an_endpoint_that_starts_again_under_its_id_has_no_work_and_no_failures() {
     let mut view = settled();
     let old = born("a", 500);
-    let report = Report {
-        running: 8,
-        waiting: 30,
-        slots: 8,
-    };
-    view.report(&old, report, START);
+    view.report(&old, busy(30), START);
     for _ in 0..10 {
         view.bad(&old, Fault::Lost, START);
     }
@@ -173,12 +177,7 @@
     let (mut one, mut two) = (settled(), settled());
     let key = key_of_a();
     let first = born("a", 500);
-    let busy = Report {
-        running: 8,
-        waiting: 40,
-        slots: 8,
-    };
-    one.report(&first, busy, START);
+    one.report(&first, busy(40), START);
     let passed = pick(&mut one, key, START);
     expect_that!(passed.endpoint.id, not(eq(&first)));
     expect_that!(passed.moved, eq(true));
@@ -211,12 +210,7 @@
 fn a_prefix_is_not_fetched_from_where_an_attempt_with_it_failed() {
     let mut view = settled();
     let key = key_of_a();
-    let busy = Report {
-        running: 8,
-        waiting: 40,
-        slots: 8,
-    };
-    view.report(&born("a", 500), busy, START);
+    view.report(&born("a", 500), busy(40), START);
     let passed = pick(&mut view, key, START).endpoint.id.clone();
     view.take_back(&prefix(key), &passed);
     let back = pick(&mut view, key, START + Millis(9000));
