Relay: a source that isn't reached is tried again after 100 ms, and isn't logged as lost

Cause: a daemon that knows nothing looks for a source every 20 ms; where a whole fleet starts, 1,223 lines told of refused connections in half a second. Change: the pause after a failure is the old one, and only a source that was followed is logged.

--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -35,7 +35,7 @@
 const BEAT: Millis = Millis(500);
 /// Silence after which a connection is given up.
 const SILENT: Millis = Millis(1200);
-/// Between two looks at whom to follow.
+/// Between two looks at whom to follow, and before a source that was lost is followed again.
 const LOOK: Millis = Millis(100);
 /// The same at a daemon that knows nothing, and refuses its callers until it has found one that
 /// does.
@@ -170,13 +170,21 @@
 }
 
 async fn follow_one(store: Store, source: SocketAddr) {
-    if let Err(error) = take(&store, source).await {
+    let lost = match socket::connect(source, CONNECT).await {
+        Ok(stream) => take(&store, source, link(stream)).await,
+        Err(error) => {
+            // Logged as lost only if it was followed: where a whole fleet starts, most aren't up.
+            log::debug!(target: "relay", "relay: source {source} isn't reached: {error}");
+            Ok(())
+        }
+    };
+    if let Err(error) = lost {
         log::info!(target: "relay", source:%, cause:% = error; "relay: source lost");
     }
+    tokio::time::sleep(LOOK.as_duration()).await;
 }
 
-async fn take(store: &Store, source: SocketAddr) -> Result<()> {
-    let mut link = link(socket::connect(source, CONNECT).await?);
+async fn take(store: &Store, source: SocketAddr, mut link: Link) -> Result<()> {
     let reached = KINDS.map(|kind| (kind, store.copies.revision(kind)));
     link.send(Ask::new(&reached).encode()).await?;
     log::info!(target: "relay", source:%; "relay: follows");
