--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -18,7 +18,9 @@
 mod members;
 mod message;
 mod own;
+mod report;
 mod roles;
+mod tell;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -30,7 +32,7 @@
 use crate::routing::endpoint::InstanceId;
 
 pub use board::{Answers, Board, Copy, Delta, Version};
-use hub::{Hub, shares};
+use hub::Hub;
 pub use members::Centre;
 use members::{Members, ranked};
 pub use message::{
@@ -283,6 +285,14 @@
         chosen
     }
 
+    /// Whether this daemon leaves the platform to others: in a large fleet all do but hubs and
+    /// watchers.
+    pub fn is_served(&self, cut_off: bool, now: Millis) -> bool {
+        let me = self.members.me;
+        let has_role = || self.hubs(now).contains(&me) || self.watchers(cut_off, now).contains(&me);
+        self.is_large(now) && !has_role()
+    }
+
     /// What is due: this daemon's report, and sums of the reports it got.
     pub fn tick(&mut self, own: Report, now: Millis) -> Vec<Outgoing> {
         self.members.forget(now);
@@ -295,84 +305,6 @@
         out
     }
 
-    /// This daemon's report to its hubs, and to others signs of life.
-    fn reports(&mut self, own: Report, now: Millis) -> Vec<Outgoing> {
-        let me = self.members.me;
-        let own = Report {
-            strength: self.members.ranks.strength().0,
-            centre: self.members.centre.0,
-            ..own
-        };
-        let mut hubs = self.hubs(now);
-        hubs.retain(|hub| *hub != me);
-        let mut shown = self.due_announcement(now);
-        shown.extend(self.due_seed(now));
-        shown.retain(|daemon| !hubs.contains(daemon));
-        shown.sort_unstable();
-        shown.dedup();
-        let short = Report {
-            wish: Wish::Peers.into(),
-            entries: Vec::new(),
-            sent: Vec::new(),
-            moved: Vec::new(),
-            ..own.clone()
-        };
-        let source = self.source(now);
-        let full = |hub| {
-            (
-                hub,
-                Message::Report(self.report_to(hub, source, own.clone())),
-            )
-        };
-        let reports = hubs.into_iter().map(full);
-        let shows = shown
-            .into_iter()
-            .map(|to| (to, Message::Report(short.clone())));
-        reports.chain(shows).collect()
-    }
-
-    fn report_to(&self, hub: SocketAddr, source: Option<SocketAddr>, own: Report) -> Report {
-        let wish = match source == Some(hub) {
-            true => Wish::Sums,
-            false => Wish::Life,
-        };
-        let told = self.hubs.get(&hub);
-        Report {
-            reached: told.and_then(|told| told.sums.reached()),
-            wish: wish.into(),
-            ..own
-        }
-    }
-
-    /// A seed that is to be asked now.
-    fn due_seed(&mut self, now: Millis) -> Option<SocketAddr> {
-        let is_hub = self.hubs(now).contains(&self.members.me);
-        let pause = match (self.live(now), self.hears_hub(now)) {
-            (1, _) => Millis::ZERO,
-            (_, false) => LIST_PAUSE,
-            (_, true) if is_hub => SHOW_PAUSE,
-            (_, true) => SEED_PAUSE,
-        };
-        let waited = self.seeded.is_none_or(|at| now.since(at) >= pause);
-        if self.seeds.is_empty() || !waited {
-            return None;
-        }
-        self.seeded = Some(now);
-        self.next_seed = (self.next_seed + 1) % self.seeds.len();
-        self.seeds.get(self.next_seed).copied()
-    }
-
-    fn hears_hub(&self, now: Millis) -> bool {
-        let hears = |hub: SocketAddr| match hub == self.members.me {
-            true => self.is_hub(),
-            false => {
-                let told = self.hubs.get(&hub);
-                told.is_some_and(|told| now.since(told.at) < QUIET)
-            }
-        };
-        self.source(now).is_some_and(hears)
-    }
-
     /// Whether sums of so many daemons count. A hub that was chosen just now sums up the few
     /// reports that it got by then.
     fn is_wide(&mut self, daemons: u32, now: Millis) -> bool {
@@ -395,13 +327,14 @@
         self.members.hear(from, strength, centre, cut_off, now);
         match message {
             Message::Report(report) => {
-                self.take_report(from, &report, now);
+                let counts = self.area(now).is_none_or(|area| area == centre);
+                self.hub.report(from, &report, counts, now);
                 None
             }
             Message::Summary(summary) => self.take_summary(from, &summary, now),
             Message::Subtotal(subtotal) => {
                 self.hear_of(subtotal.peers.as_ref(), now);
-                self.take_subtotal(from, &subtotal, now);
+                self.hub.take(from, &subtotal, now);
                 None
             }
         }
@@ -440,3 +373,18 @@
         })
     }
 }
+
+/// Whether a pause has passed; notes that it has.
+fn is_due(last: &mut Option<Millis>, pause: Millis, now: Millis) -> bool {
+    if last.is_some_and(|at| now.since(at) < pause) {
+        return false;
+    }
+    *last = Some(now);
+    true
+}
+
+/// Shares of hot prefixes.
+pub fn shares(hot: &[Hot]) -> HashMap<u32, f64> {
+    let share = |hot: &Hot| (hot.prefix, f64::from(hot.share) / Hot::WHOLE);
+    hot.iter().map(share).collect()
+}
--- /dev/null
+++ b/crates/core/src/routing/exchange/report.rs
@@ -0,0 +1,98 @@
+//! What a daemon reports, and to whom it shows that it lives.
+
+use std::net::SocketAddr;
+
+use super::members::{TOLD, ranked};
+use super::message::{Message, Report, Wish};
+use super::roles::{Role, holders};
+use super::{Exchange, LIST_PAUSE, Outgoing, QUIET, SEED_PAUSE, SHOW_PAUSE, is_due};
+use crate::clock::Millis;
+
+impl Exchange {
+    /// This daemon's report to its hubs, and to others signs of life.
+    pub(super) fn reports(&mut self, own: Report, now: Millis) -> Vec<Outgoing> {
+        let me = self.members.me;
+        let own = Report {
+            strength: self.members.ranks.strength().0,
+            centre: self.members.centre.0,
+            ..own
+        };
+        let mut hubs = self.hubs(now);
+        hubs.retain(|hub| *hub != me);
+        let mut shown = self.due_announcement(now);
+        shown.extend(self.due_seed(now));
+        shown.retain(|daemon| !hubs.contains(daemon));
+        shown.sort_unstable();
+        shown.dedup();
+        let short = Report {
+            wish: Wish::Peers.into(),
+            entries: Vec::new(),
+            sent: Vec::new(),
+            moved: Vec::new(),
+            ..own.clone()
+        };
+        let source = self.source(now);
+        let full = |hub| (hub, self.report_to(hub, source, own.clone()));
+        let reports = hubs.into_iter().map(full);
+        let shows = shown.into_iter().map(|to| (to, short.clone()));
+        let all = reports.chain(shows);
+        all.map(|(to, report)| (to, Message::Report(report)))
+            .collect()
+    }
+
+    fn report_to(&self, hub: SocketAddr, source: Option<SocketAddr>, own: Report) -> Report {
+        let wish = match source == Some(hub) {
+            true => Wish::Sums,
+            false => Wish::Life,
+        };
+        let told = self.hubs.get(&hub);
+        Report {
+            reached: told.and_then(|told| told.sums.reached()),
+            wish: wish.into(),
+            ..own
+        }
+    }
+
+    /// A seed that is to be asked now.
+    fn due_seed(&mut self, now: Millis) -> Option<SocketAddr> {
+        let is_hub = self.hubs(now).contains(&self.members.me);
+        let pause = match (self.live(now), self.hears_hub(now)) {
+            (1, _) => Millis::ZERO,
+            (_, false) => LIST_PAUSE,
+            (_, true) if is_hub => SHOW_PAUSE,
+            (_, true) => SEED_PAUSE,
+        };
+        let waited = self.seeded.is_none_or(|at| now.since(at) >= pause);
+        if self.seeds.is_empty() || !waited {
+            return None;
+        }
+        self.seeded = Some(now);
+        self.next_seed = (self.next_seed + 1) % self.seeds.len();
+        self.seeds.get(self.next_seed).copied()
+    }
+
+    fn hears_hub(&self, now: Millis) -> bool {
+        let hears = |hub: SocketAddr| match hub == self.members.me {
+            true => self.is_hub(),
+            false => {
+                let told = self.hubs.get(&hub);
+                told.is_some_and(|told| now.since(told.at) < QUIET)
+            }
+        };
+        self.source(now).is_some_and(hears)
+    }
+
+    /// Daemons to which this one shows itself as a hub now: those that may be taken for one by a
+    /// part of the fleet that doesn't know this daemon.
+    fn due_announcement(&mut self, now: Millis) -> Vec<SocketAddr> {
+        if !self.hubs(now).contains(&self.members.me)
+            || !is_due(&mut self.announced, SHOW_PAUSE, now)
+        {
+            return Vec::new();
+        }
+        let area = self.area(now);
+        let near = self.members.others(now);
+        let near = near.filter(|(_, seen)| area.is_none_or(|area| seen.centre == area));
+        holders(near.map(ranked), Role::Hub, TOLD)
+    }
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -29,6 +29,8 @@
     pub is_watcher: bool,
     /// The daemons whose copies this one follows while it doesn't.
     pub sources: Vec<SocketAddr>,
+    /// Whether it leaves the platform to others.
+    pub is_served: bool,
     /// Daemons that may live, from the settings.
     pub seeds: Vec<SocketAddr>,
     /// Whether another daemon's copy is being followed.
@@ -57,6 +59,7 @@
             watchers: Vec::new(),
             is_watcher: false,
             sources: Vec::new(),
+            is_served: false,
             seeds,
             is_relayed: false,
             heard: None,
@@ -78,11 +81,13 @@
         self.lock().heard = Some(at);
     }
 
-    fn set(&self, watchers: Vec<SocketAddr>, sources: Vec<SocketAddr>) {
+    /// Notes who follows the platform, as the exchange sees it.
+    fn renew(&self, exchange: &Exchange, cut_off: bool, at: Millis) {
         let mut watch = self.lock();
-        watch.sources = sources;
-        watch.is_watcher = watchers.contains(&watch.me);
-        watch.watchers = watchers;
+        watch.watchers = exchange.watchers(cut_off, at);
+        watch.sources = exchange.sources(cut_off, at);
+        watch.is_served = exchange.is_served(cut_off, at);
+        watch.is_watcher = watch.watchers.contains(&watch.me);
     }
 
     fn lock(&self) -> MutexGuard<'_, Watch> {
@@ -126,11 +131,9 @@
 
 /// Notes who follows the platform now; returns how many daemons live.
 fn renew(exchange: &Exchange, shared: &Shared, roster: &Roster, live: usize) -> usize {
-    let at = now();
-    let cut_off = shared.copies.is_cut_off();
-    let watchers = exchange.watchers(cut_off, at);
-    report_roles(roster, &watchers, exchange.live(at));
-    roster.set(watchers, exchange.sources(cut_off, at));
+    let before = roster.borrow();
+    roster.renew(exchange, shared.copies.is_cut_off(), now());
+    report_roles(&before, &roster.borrow(), exchange.live(now()));
     report_live(exchange, live)
 }
 
@@ -170,11 +173,10 @@
 }
 
 /// Logs a change in who follows the platform.
-fn report_roles(roster: &Roster, watchers: &[SocketAddr], live: usize) {
-    let before = roster.borrow();
-    let is_watcher = watchers.contains(&before.me);
+fn report_roles(before: &Watch, after: &Watch, live: usize) {
+    let is_watcher = after.is_watcher;
     if before.is_watcher != is_watcher {
-        log::info!(target: "peers", is_watcher, live, watchers:? = watchers; "peers: follows the platform");
+        log::info!(target: "peers", is_watcher, live, watchers:? = after.watchers; "peers: follows the platform");
     }
 }
 
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -11,6 +11,7 @@
 
 use super::Store;
 use super::client::{CallError, Client, Result};
+use crate::peers::Watch;
 
 /// Longest time that the platform holds a call for changes. A connection that went silent is
 /// found out after this and [`ANSWER`]; each such call costs as much as any other.
@@ -26,6 +27,8 @@
 const ENDPOINTS_PAUSE: Millis = Millis(900);
 /// Between two looks whether this daemon has to follow the platform.
 const IDLE: Millis = Millis(50);
+/// The same at a daemon that knows nothing yet.
+const EARLY: Millis = Millis(5);
 /// Age of a copy at which a daemon that doesn't follow the platform asks it, where no relay is
 /// heard. Beyond the age that copies reach while the platform holds a call.
 const STALE: Millis = Millis(2600);
@@ -35,6 +38,12 @@
 /// Time in which daemons that aren't seeds wait for others' copies when the whole fleet starts for
 /// the first time. Callers come after 10 s and more; 295 daemons would make 590 calls.
 pub const FIRST_START: Millis = Millis(3000);
+/// Time since the start in which seeds tell a daemon of the fleet, if they live: a round trip.
+const HEAR: Millis = Millis(10);
+/// Time since the start in which daemons that have hubs to serve them wait for these. Where 295
+/// daemons start at once, lists for all of them take the platform's link of 1 Gbit/s 0.25 s; for
+/// the hubs alone, and from there on, a third of that.
+const HELP: Millis = Millis(150);
 /// Time for which a part of a list is worth going on from.
 const PART: Millis = Millis(3000);
 /// Time for which a daemon that lost the platform isn't chosen to follow it.
@@ -57,7 +66,7 @@
             follower.step().await;
         } else {
             follower.forgive();
-            tokio::time::sleep(IDLE.as_duration()).await;
+            tokio::time::sleep(follower.pause().as_duration()).await;
         }
     }
 }
@@ -102,12 +111,31 @@
         let Some(age) = self.store.copies.age(self.kind, now()) else {
             // Where many daemons start at once the platform refuses some; others soon know more.
             let asked = self.failed.is_some_and(|at| now().since(at) < OTHERS);
-            let waits = self.store.first_start && now() < FIRST_START && !roster.is_seed();
-            return (roster.is_watcher || !asked) && !waits;
+            return (roster.is_watcher || !asked) && !self.waits(&roster);
         };
         roster.is_watcher || age > STALE && !roster.is_relayed
     }
 
+    /// Whether a daemon that has just started leaves it to others to ask for what it doesn't know.
+    fn waits(&self, roster: &Watch) -> bool {
+        let passed = now();
+        if self.store.first_start && !roster.is_seed() {
+            return passed < FIRST_START;
+        }
+        let longest = match roster.is_served {
+            true => HELP,
+            false => HEAR,
+        };
+        !roster.seeds.is_empty() && passed < longest
+    }
+
+    fn pause(&self) -> Millis {
+        match self.store.copies.revision(self.kind) {
+            Some(_) => IDLE,
+            None => EARLY,
+        }
+    }
+
     async fn step(&mut self) {
         let result = match self.store.copies.revision(self.kind) {
             None => self.first_list().await,
