--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -17,6 +17,10 @@
 /// Silence after which no relay counts as heard.
 const RELAY_SILENT: Millis = Millis(1200);
 
+/// Between two looks at which endpoints are judged anew. They walk all endpoints, for the log
+/// alone.
+const REVIEW: Millis = Millis(500);
+
 /// Who follows the platform.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Debug)]
@@ -106,6 +110,7 @@
     let mut buffer = vec![0; DATAGRAM];
     let mut live = 0;
     let mut due = now();
+    let mut reviewed = now();
     loop {
         let wait = due.since(now());
         tokio::select! {
@@ -121,6 +126,10 @@
                 Err(error) => log::debug!(target: "peers", "peers: nothing received: {error}"),
             },
             () = tokio::time::sleep(wait.as_duration()) => {
+                if now().since(reviewed) >= REVIEW {
+                    reviewed = now();
+                    shared.placement.review(reviewed);
+                }
                 tick(&mut exchange, &shared, &socket).await;
                 live = renew(&exchange, &shared, &roster, live);
                 due = now() + exchange.pause();
@@ -159,7 +168,6 @@
     {
         shared.placement.others(heard, exchange.live(at), at);
     }
-    shared.placement.review(at);
     let own = shared.placement.own_report(shared.copies.is_cut_off());
     send(socket, exchange.tick(own, at)).await;
 }
