--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -52,7 +52,7 @@
 const QUIET: Millis = Millis(600);
 /// Between reports. A load is known after half a tick at the daemon that brings it and half a tick
 /// at each hub on the way; a hub of 59 daemons reads 590 reports a second.
-const TICK: Millis = Millis(100);
+pub const TICK: Millis = Millis(100);
 /// Fleet from which on data centres have hubs of their own, and some daemons follow the platform
 /// for all.
 const LARGE: usize = 16;
@@ -208,11 +208,6 @@
         self.live(now) >= LARGE
     }
 
-    /// Pause until the next tick.
-    pub const fn pause(&self) -> Millis {
-        TICK
-    }
-
     /// The hubs of this daemon, first in rank first; it may be one itself.
     pub fn hubs(&self, now: Millis) -> Vec<SocketAddr> {
         if self.is_large(now) {
--- a/crates/core/tests/routing/centres.rs
+++ b/crates/core/tests/routing/centres.rs
@@ -166,7 +166,7 @@
         }
         let report = daemon.report();
         let out = daemon.exchange.tick(report, now);
-        daemon.due = self.now + daemon.exchange.pause().0;
+        daemon.due = self.now + TICK.0;
         self.send(number, out);
     }
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -5,7 +5,7 @@
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::exchange::{Centre, Exchange, Message, Outgoing, Strength};
+use medlarrill_core::routing::exchange::{Centre, Exchange, Message, Outgoing, Strength, TICK};
 use medlarrill_net::now::now;
 use tokio::net::UdpSocket;
 
@@ -132,7 +132,7 @@
                 }
                 tick(&mut exchange, &shared, &socket).await;
                 live = renew(&exchange, &shared, &roster, live);
-                due = now() + exchange.pause();
+                due = now() + TICK;
             }
         }
     }
