--- a/crates/core/tests/routing/centres.rs
+++ b/crates/core/tests/routing/centres.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::exchange::{
-    Centre, Entry, Exchange, Heard, Message, Outgoing, Report,
+    Centre, Entry, Exchange, Heard, Message, Outgoing, Report, TICK,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
