--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -22,4 +22,5 @@
     mod stop;
     mod support;
     mod view;
+    mod world;
 }
--- a/crates/router/tests/relay_properties.rs
+++ b/crates/router/tests/relay_properties.rs
@@ -29,6 +29,15 @@
     puts.into_iter().chain(removals).collect()
 }
 
+#[test]
+fn a_copy_that_is_old_is_not_relied_on_unless_the_platform_is_away() {
+    let tell = |age, failing| Tell::new(Kind::Endpoints, None, Millis(age), failing);
+    // The platform holds a call and pauses after it for 2.4 s together.
+    assert!(tell(2400, None).is_fresh());
+    assert!(!tell(3500, None).is_fresh());
+    assert!(tell(60_000, Some(Millis(500))).is_fresh());
+}
+
 proptest! {
     #[test]
     fn any_bytes_are_read_or_refused(bytes in vec(any::<u8>(), 0..512)) {
