--- a/crates/core/tests/routing/centres.rs
+++ b/crates/core/tests/routing/centres.rs
@@ -39,8 +39,7 @@
 /// Milliseconds at which half and 99 of 100 know of a request, and KB a second between data
 /// centres and at the busiest daemon. Before, with one pair of hubs for the fleet and ticks of
 /// 250 ms: 214, 399, 118 and 60 with 30 daemons; 246, 397, 956 and 470 with 100; 243, 424, 7,592
-/// and 3,647 with 295. Since then: 182, 322, 99 and 30; 171, 343, 215 and 97; 170, 335, 548 and
-/// 408.
+/// and 3,647 with 295. Now: 170, 357, 96 and 30; 163, 352, 217 and 97; 181, 338, 545 and 399.
 #[gtest]
 fn loads_are_known_sooner_and_in_fewer_bytes() {
     for (daemons, probes, between_most, busiest_most) in [
