--- a/crates/core/src/routing/exchange/hot.rs
+++ b/crates/core/src/routing/exchange/hot.rs
@@ -18,7 +18,7 @@
 const DROP: f64 = 0.5;
 /// Prefixes that are counted.
 const PREFIXES: usize = 8192;
-/// Requests of a prefix from which on other data centres are told of it: half of a dozen of these
+/// Requests of a prefix from which on other data centres are told of it: four that count so many
 /// make [`COUNT_MIN`] together.
 const TOLD_MIN: f64 = 2.0;
 /// Prefixes of which other data centres are told, the most frequent ones; with a share of
