--- a/crates/core/tests/routing/plain.rs
+++ b/crates/core/tests/routing/plain.rs
@@ -306,6 +306,16 @@
     }
 }
 
+/// Expects more than `after` of all requests in time.
+fn expect_in_time(works: &[f64], per_second: f64, before: f64, after: f64) {
+    let got = World::new(works).play(per_second);
+    expect_that!(
+        got.in_time,
+        gt(after),
+        "{per_second}: {got:?}, {before} before"
+    );
+}
+
 /// Shares in time before are those of a fleet in which each daemon picks the least loaded.
 #[gtest]
 fn a_pool_below_its_capacity_answers_in_time_though_loads_are_known_late() {
@@ -318,12 +328,7 @@
         (&[60.0; 3], 220.0, 0.377, 0.94),
         (&[30.0; 12], 1200.0, 0.860, 0.99),
     ] {
-        let got = World::new(works).play(per_second);
-        expect_that!(
-            got.in_time,
-            gt(after),
-            "{per_second}: {got:?}, {before} before"
-        );
+        expect_in_time(works, per_second, before, after);
     }
 }
 
@@ -334,12 +339,7 @@
         // A third of the pool five times slower, at two thirds of what is left.
         (&[30.0, 30.0, 150.0], 220.0, 0.864, 0.83),
     ] {
-        let got = World::new(works).play(per_second);
-        expect_that!(
-            got.in_time,
-            gt(after),
-            "{per_second}: {got:?}, {before} before"
-        );
+        expect_in_time(works, per_second, before, after);
     }
 }
 
