Homes: nothing is sent to an endpoint that hasn't answered this home yet

Change: a slot is unheard until its endpoint has answered once; requests wait there, a few ms, or are passed on if it says that it is leaving.

Test without the fleet: nothing_is_sent_before_the_endpoint_has_answered.

--- a/crates/core/src/admission/event.rs
+++ b/crates/core/src/admission/event.rs
@@ -66,6 +66,8 @@
     /// The endpoint takes work.
     #[default]
     Ready,
+    /// The endpoint hasn't answered this home yet. It may be leaving, so that requests wait.
+    Unheard,
     /// The endpoint takes no new work; what runs goes on.
     Leaving,
     /// The endpoint can't be reached or the evidence about it is too old.
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -240,6 +240,22 @@
     expect_that!(home.in_flight(), eq(16 - 7));
 }
 
+/// A daemon that stands in for a frozen home hasn't heard that the endpoint is leaving.
+#[gtest]
+fn nothing_is_sent_before_the_endpoint_has_answered() {
+    for (state, sent) in [(State::Ready, 2), (State::Leaving, 0)] {
+        let mut home = open_home(settings(), 1);
+        home.handle(Event::State(State::Unheard), Millis(10));
+        let before = home.handle(Event::Offer(offer(0, "a", "a1")), Millis(10));
+        expect_that!(before, is_empty());
+        home.handle(Event::Offer(offer(1, "a", "a1")), Millis(11));
+        expect_that!((home.in_flight(), home.queued()), eq((0, 2)));
+        let actions = home.handle(Event::State(state), Millis(12));
+        expect_that!(dispatched(&actions), eq(sent));
+        expect_that!((actions.len(), home.queued()), eq((2, 0)));
+    }
+}
+
 #[gtest]
 fn leaving_sends_the_queue_elsewhere_and_lets_the_rest_finish() {
     for state in [State::Leaving, State::Unreachable, State::Moved] {
--- a/crates/daemon/src/home/slot.rs
+++ b/crates/daemon/src/home/slot.rs
@@ -33,12 +33,16 @@
     pub own: bool,
     leaving: bool,
     moved: bool,
-    heard: Millis,
+    /// When it was made, from when its endpoint has time for a first answer.
+    since: Millis,
+    /// When the newest question that was answered had been asked.
+    heard: Option<Millis>,
     poller: Option<Poller>,
 }
 
 impl Slot {
-    /// A slot that starts now; it is taken as heard of, and polled at once.
+    /// A slot that starts now. It is polled at once, and requests wait for the first answer: an endpoint may be leaving
+    /// that a former home knows of, not this one.
     pub fn new(pool: PoolId, terms: &Pool, address: SocketAddr, rng: Pcg32, now: Millis) -> Self {
         Self {
             pool,
@@ -48,7 +52,8 @@
             own: false,
             leaving: false,
             moved: false,
-            heard: now,
+            since: now,
+            heard: None,
             poller: None,
         }
     }
@@ -74,7 +79,7 @@
 
     /// Takes the answer to a poll of time `asked`.
     pub fn polled(&mut self, load: &endpoint::Load, asked: Millis, now: Millis) -> Vec<Action> {
-        self.heard = asked.max(self.heard);
+        self.heard = self.heard.max(Some(asked));
         self.leaving = load.state == endpoint::State::Leaving;
         let age = wall().since(load.as_of);
         let report = Report {
@@ -115,7 +120,7 @@
     }
 
     fn state(&self, now: Millis) -> State {
-        if now.since(self.heard) > STALE {
+        if now.since(self.heard.unwrap_or(self.since)) > STALE {
             return State::Unreachable;
         }
         if self.moved {
@@ -124,6 +129,9 @@
         if self.drained || self.leaving {
             return State::Leaving;
         }
+        if self.heard.is_none() {
+            return State::Unheard;
+        }
         State::Ready
     }
 }
