Exchange: whom a daemon follows is worked out once a tick; fading stands once

Cause: at each tick the router asked the exchange for watchers, sources and whether it is served, and each of the three sorted the daemons by rank anew. Four files of the core wrote the same half-life with exp2 on their own.

Change: Exchange::following gives all three; Millis::fading is used by the limits, admission, placement and the endpoints' state. Behaviour as before.

Checks: core tests and the route tests of the daemon green.

--- a/crates/core/src/admission/drain.rs
+++ b/crates/core/src/admission/drain.rs
@@ -5,7 +5,7 @@
 use crate::clock::Millis;
 
 /// Busy time after which a measurement counts half.
-const HALF_LIFE_MS: f64 = 10_000.0;
+const HALF_LIFE: Millis = Millis::from_secs(10);
 /// Busy time for which the estimate from single requests stands in.
 const PRIOR_MS: f64 = 2_000.0;
 /// Part by which one request moves the estimate of a slot's speed.
@@ -47,7 +47,7 @@
         let passed = now.since(self.at);
         self.at = self.at.max(now);
         if self.busy {
-            let decay = (-(passed.0 as f64) / HALF_LIFE_MS).exp2();
+            let decay = passed.fading(HALF_LIFE);
             self.cleared *= decay;
             self.span = self.span * decay + passed.0 as f64;
             self.total += passed;
--- a/crates/core/src/endpoint_state/record.rs
+++ b/crates/core/src/endpoint_state/record.rs
@@ -155,8 +155,7 @@
     }
 
     fn score_at(&self, settings: &Settings, now: Millis) -> f64 {
-        let halves = now.since(self.scored).0 as f64 / settings.half_life.0 as f64;
-        self.score * (-halves).exp2()
+        self.score * now.since(self.scored).fading(settings.half_life)
     }
 
     pub fn state(&self, settings: &Settings, now: Millis) -> EndpointState {
--- a/crates/core/src/limits/share.rs
+++ b/crates/core/src/limits/share.rs
@@ -7,7 +7,7 @@
 use super::Limits;
 
 /// Time in which an entry without an owner goes half the way to its even part.
-const RAMP_MS: f64 = 2_000.0;
+const RAMP: Millis = Millis::from_secs(2);
 /// Longest time for which unused rate adds up.
 const BURST_SECS: f64 = 0.5;
 /// Fewest requests that add up.
@@ -113,7 +113,7 @@
         let Some(lost) = self.lost else {
             return last;
         };
-        let kept = (-(now.since(lost).0 as f64) / RAMP_MS).exp2();
+        let kept = now.since(lost).fading(RAMP);
         last * kept + even * (1.0 - kept)
     }
 }
--- a/crates/core/src/placement/load/view.rs
+++ b/crates/core/src/placement/load/view.rs
@@ -291,8 +291,7 @@
 
 /// What is left of a sum of this age, from 1 down to 0.
 fn fading(age: Millis) -> f64 {
-    let stale = age.since(STALE).as_secs_f64();
-    (-stale / FADE.as_secs_f64()).exp2()
+    age.since(STALE).fading(FADE)
 }
 
 impl EndpointView {
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -118,6 +118,19 @@
     hot: HashMap<u32, f64>,
 }
 
+/// From whom a daemon learns what the platform says.
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug)]
+pub struct Following {
+    /// The daemons that follow the platform for all, first in rank first.
+    pub watchers: Vec<SocketAddr>,
+    /// The daemons whose copies of its objects this one follows while it doesn't itself.
+    pub sources: Vec<SocketAddr>,
+    /// Whether this daemon leaves the platform to others: in a large fleet all do but hubs and
+    /// watchers.
+    pub is_served: bool,
+}
+
 /// What others have at one endpoint, and how their requests ended since the last tick.
 #[derive(Clone, Copy, PartialEq, Eq, Default)]
 #[derive(Debug)]
@@ -264,28 +277,21 @@
         holders(all, Role::Watcher, WATCHERS)
     }
 
-    /// Daemons whose copies of the platform's objects this one follows. In a large fleet hubs
-    /// follow the watchers and the others their hubs, so that a change crosses to a data centre
-    /// as often as that has hubs, not daemons.
-    pub fn sources(&self, cut_off: bool, now: Millis) -> Vec<SocketAddr> {
+    /// Whom this daemon follows. In a large fleet hubs follow the watchers and the others their
+    /// hubs, so that a change crosses to a data centre as often as that has hubs, not daemons.
+    pub fn following(&self, cut_off: bool, now: Millis) -> Following {
         let me = self.members.me;
         let watchers = self.watchers(cut_off, now);
         let hubs = self.hubs(now);
-        if !self.is_large(now) || hubs.contains(&me) {
-            return sources(me, &watchers, SOURCES);
-        }
-        let mut chosen = hubs;
+        let has_hubs = self.is_large(now) && !hubs.contains(&me);
+        let mut chosen = if has_hubs { hubs } else { Vec::new() };
         chosen.extend(sources(me, &watchers, SOURCES));
         chosen.truncate(SOURCES);
-        chosen
-    }
-
-    /// Whether this daemon leaves the platform to others: in a large fleet all do but hubs and
-    /// watchers.
-    pub fn is_served(&self, cut_off: bool, now: Millis) -> bool {
-        let me = self.members.me;
-        let has_role = || self.hubs(now).contains(&me) || self.watchers(cut_off, now).contains(&me);
-        self.is_large(now) && !has_role()
+        Following {
+            is_served: has_hubs && !watchers.contains(&me),
+            sources: chosen,
+            watchers,
+        }
     }
 
     /// What is due: this daemon's report, and sums of the reports it got.
--- a/crates/core/tests/routing/centres.rs
+++ b/crates/core/tests/routing/centres.rs
@@ -183,8 +183,9 @@
     world.lost.clear();
     world.daemons[63].due = world.now + 1;
     world.run(10);
-    let sources = world.daemons[63].exchange.sources(false, Millis(world.now));
-    expect_that!(sources.len(), eq(2));
+    let exchange = &world.daemons[63].exchange;
+    let following = exchange.following(false, Millis(world.now));
+    expect_that!(following.sources.len(), eq(2));
     world.run(300);
     expect_that!(world.wrong(63), lt(WELL));
 }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -5,7 +5,9 @@
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::exchange::{Centre, Exchange, Message, Outgoing, Strength, TICK};
+use medlarrill_core::routing::exchange::{
+    Centre, Exchange, Following, Message, Outgoing, Strength, TICK,
+};
 use medlarrill_net::now::now;
 use tokio::net::UdpSocket;
 
@@ -27,14 +29,10 @@
 pub struct Watch {
     /// This daemon.
     pub me: SocketAddr,
-    /// The daemons that do, first in rank first.
-    pub watchers: Vec<SocketAddr>,
-    /// Whether this daemon does.
+    /// From whom it learns what the platform says.
+    pub following: Following,
+    /// Whether it follows the platform itself.
     pub is_watcher: bool,
-    /// The daemons whose copies this one follows while it doesn't.
-    pub sources: Vec<SocketAddr>,
-    /// Whether it leaves the platform to others.
-    pub is_served: bool,
     /// Daemons that may live, from the settings.
     pub seeds: Vec<SocketAddr>,
     /// Whether another daemon's copy is being followed.
@@ -60,10 +58,8 @@
     pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
         Self(Arc::new(Mutex::new(Watch {
             me,
-            watchers: Vec::new(),
+            following: Following::default(),
             is_watcher: false,
-            sources: Vec::new(),
-            is_served: false,
             seeds,
             is_relayed: false,
             heard: None,
@@ -87,11 +83,10 @@
 
     /// Notes who follows the platform, as the exchange sees it.
     fn renew(&self, exchange: &Exchange, cut_off: bool, at: Millis) {
+        let following = exchange.following(cut_off, at);
         let mut watch = self.lock();
-        watch.watchers = exchange.watchers(cut_off, at);
-        watch.sources = exchange.sources(cut_off, at);
-        watch.is_served = exchange.is_served(cut_off, at);
-        watch.is_watcher = watch.watchers.contains(&watch.me);
+        watch.is_watcher = following.watchers.contains(&watch.me);
+        watch.following = following;
     }
 
     fn lock(&self) -> MutexGuard<'_, Watch> {
@@ -184,7 +179,7 @@
 fn report_roles(before: &Watch, after: &Watch, live: usize) {
     let is_watcher = after.is_watcher;
     if before.is_watcher != is_watcher {
-        log::info!(target: "peers", is_watcher, live, watchers:? = after.watchers; "peers: follows the platform");
+        log::info!(target: "peers", is_watcher, live, watchers:? = after.following.watchers; "peers: follows the platform");
     }
 }
 
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -128,7 +128,7 @@
         if self.store.first_start && !roster.is_seed() {
             return passed < FIRST_START;
         }
-        let longest = match roster.is_served {
+        let longest = match roster.following.is_served {
             true => HELP,
             false => HEAR,
         };
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -166,7 +166,7 @@
     if roster.is_watcher && !store.copies.is_cut_off() {
         return Vec::new();
     }
-    roster.sources
+    roster.following.sources
 }
 
 async fn follow_one(store: Store, source: SocketAddr) {
