--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -20,9 +20,9 @@
     /// Short form of the endpoint's id.
     #[prost(fixed32, tag = "1")]
     pub endpoint: u32,
-    /// Requests in flight.
+    /// Load that the daemon's requests bring, in running requests.
     #[prost(uint32, tag = "2")]
-    pub in_flight: u32,
+    pub load: u32,
     /// Good answers since the last report.
     #[prost(uint32, tag = "3")]
     pub good: u32,
@@ -35,7 +35,7 @@
 #[derive(Clone, PartialEq, Eq)]
 #[derive(prost::Message)]
 pub struct Report {
-    /// Endpoints with requests in flight or outcomes.
+    /// Endpoints with load or outcomes.
     #[prost(message, repeated, tag = "1")]
     pub entries: Vec<Entry>,
     /// Whether the daemon has lost the platform.
