--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -24,7 +24,7 @@
 /// Load bound, as a multiple of the pool's mean. Lies below the 2 that endpoints may be given
 /// at most, since loads are known with a lag of one answer.
 const BOUND: f64 = 1.5;
-/// Load allowed beyond the bound, in running requests; lets a nearly idle pool keep its places.
+/// Load allowed beyond the bound, in requests; lets a nearly idle pool keep its places.
 const GRAIN: f64 = 2.0;
 /// Bound where the mechanism is switched off: more requests than any endpoint has.
 const UNBOUNDED: f64 = 1e9;
@@ -58,7 +58,7 @@
 pub struct Candidate {
     /// The endpoint.
     pub endpoint: Arc<Endpoint>,
-    /// Its load, estimated, in running requests.
+    /// Requests that it has, estimated.
     pub load: f64,
     /// How old the part of the load is that others brought, if it was ever heard of.
     pub load_age: Option<Millis>,
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -135,8 +135,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, Default)]
 #[derive(Debug)]
 pub struct Others {
-    /// Load that they bring.
-    pub load: u32,
+    /// Requests in flight.
+    pub in_flight: u32,
     /// Good answers.
     pub good: u32,
     /// Failed attempts.
--- a/crates/core/src/routing/exchange/board.rs
+++ b/crates/core/src/routing/exchange/board.rs
@@ -56,9 +56,9 @@
     /// Short forms of endpoints' ids.
     #[prost(fixed32, repeated, tag = "3")]
     pub endpoints: Vec<u32>,
-    /// Loads, in running requests.
+    /// Requests in flight.
     #[prost(uint32, repeated, tag = "4")]
-    pub load: Vec<u32>,
+    pub in_flight: Vec<u32>,
     /// Good answers since the board was made.
     #[prost(uint32, repeated, tag = "5")]
     pub good: Vec<u32>,
@@ -71,7 +71,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Default)]
 #[derive(Debug)]
 struct Sum {
-    load: u32,
+    in_flight: u32,
     good: u32,
     bad: u32,
 }
@@ -121,11 +121,11 @@
     fn is_due(&self, now: Millis) -> bool {
         let age = now.since(self.at);
         if self.sum == self.told {
-            return self.sum.load > 0 && age >= RENEW;
+            return self.sum.in_flight > 0 && age >= RENEW;
         }
-        let moved = self.sum.load.abs_diff(self.told.load);
+        let moved = self.sum.in_flight.abs_diff(self.told.in_flight);
         let good = self.sum.good.wrapping_sub(self.told.good);
-        moved > self.told.load / COARSE
+        moved > self.told.in_flight / COARSE
             || self.sum.bad != self.told.bad
             || good >= GOOD_STEP
             || moved > 0 && age >= SETTLE
@@ -170,13 +170,13 @@
         sum.bad = sum.bad.wrapping_add(answers.bad);
     }
 
-    /// Sets the loads, and makes a new version of what has changed enough.
+    /// Sets the requests in flight, and makes a new version of what has changed enough.
     pub fn mark(&mut self, loads: &HashMap<u32, u32>, now: Millis) {
         for row in self.rows.values_mut() {
-            row.sum.load = 0;
+            row.sum.in_flight = 0;
         }
-        for (endpoint, load) in loads {
-            self.sum(*endpoint).load = *load;
+        for (endpoint, in_flight) in loads {
+            self.sum(*endpoint).in_flight = *in_flight;
         }
         self.version.number += 1;
         for row in self.rows.values_mut().filter(|row| row.is_due(now)) {
@@ -185,7 +185,7 @@
             row.at = now;
         }
         self.rows
-            .retain(|_, row| row.sum.load > 0 || now.since(row.at) < IDLE);
+            .retain(|_, row| row.sum.in_flight > 0 || now.since(row.at) < IDLE);
     }
 
     /// What brings a copy that has reached a version up to this one.
@@ -199,7 +199,7 @@
         };
         for (endpoint, row) in self.rows.iter().filter(|(_, row)| row.number > base) {
             delta.endpoints.push(*endpoint);
-            delta.load.push(row.told.load);
+            delta.in_flight.push(row.told.in_flight);
             delta.good.push(row.told.good);
             delta.bad.push(row.told.bad);
         }
@@ -209,16 +209,18 @@
 
 impl Delta {
     fn rows(&self) -> impl Iterator<Item = (u32, Sum)> {
-        let loads = self.endpoints.iter().zip(&self.load);
+        let loads = self.endpoints.iter().zip(&self.in_flight);
         let answers = self.good.iter().zip(&self.bad);
-        loads.zip(answers).map(|((endpoint, load), (good, bad))| {
-            let sum = Sum {
-                load: *load,
-                good: *good,
-                bad: *bad,
-            };
-            (*endpoint, sum)
-        })
+        loads
+            .zip(answers)
+            .map(|((endpoint, in_flight), (good, bad))| {
+                let sum = Sum {
+                    in_flight: *in_flight,
+                    good: *good,
+                    bad: *bad,
+                };
+                (*endpoint, sum)
+            })
     }
 }
 
@@ -254,7 +256,7 @@
         }
         if delta.base == 0 {
             for sum in self.rows.values_mut() {
-                sum.load = 0;
+                sum.in_flight = 0;
             }
         }
         self.version = Some(delta.version);
@@ -273,9 +275,9 @@
         }
     }
 
-    /// Endpoints and their loads.
+    /// Endpoints and their requests in flight.
     pub fn loads(&self) -> impl Iterator<Item = (u32, u32)> {
-        let load = |(endpoint, sum): (&u32, &Sum)| (*endpoint, sum.load);
+        let load = |(endpoint, sum): (&u32, &Sum)| (*endpoint, sum.in_flight);
         self.rows.iter().map(load)
     }
 }
--- a/crates/core/src/routing/exchange/hub.rs
+++ b/crates/core/src/routing/exchange/hub.rs
@@ -162,7 +162,7 @@
         self.reports.values().filter(counts)
     }
 
-    /// Loads that the reporters bring.
+    /// Requests in flight of the reporters.
     pub fn loads(&self, centre: Option<Centre>) -> HashMap<u32, u32> {
         let mut loads = HashMap::new();
         for report in self.counted(centre) {
@@ -174,19 +174,19 @@
     /// Adds what other data centres have.
     pub fn add_centres(&self, loads: &mut HashMap<u32, u32>) {
         for (_, told) in self.centres.chosen() {
-            for (endpoint, load) in told.copy.loads() {
-                let sum = loads.entry(endpoint).or_default();
-                *sum = sum.saturating_add(load);
+            for (endpoint, in_flight) in told.copy.loads() {
+                let load = loads.entry(endpoint).or_default();
+                *load = load.saturating_add(in_flight);
             }
         }
     }
 }
 
-/// Adds a report's loads.
+/// Adds a report's requests in flight.
 pub fn add(loads: &mut HashMap<u32, u32>, entries: &[Entry]) {
     for entry in entries {
         let load = loads.entry(entry.endpoint).or_default();
-        *load = load.saturating_add(entry.load);
+        *load = load.saturating_add(entry.in_flight);
     }
 }
 
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -20,9 +20,9 @@
     /// Short form of the endpoint's id.
     #[prost(fixed32, tag = "1")]
     pub endpoint: u32,
-    /// Load that the daemon's requests bring, in running requests.
+    /// Requests in flight.
     #[prost(uint32, tag = "2")]
-    pub load: u32,
+    pub in_flight: u32,
     /// Good answers since the last report.
     #[prost(uint32, tag = "3")]
     pub good: u32,
@@ -35,7 +35,7 @@
 #[derive(Clone, PartialEq, Eq)]
 #[derive(prost::Message)]
 pub struct Report {
-    /// Endpoints with load or outcomes.
+    /// Endpoints with requests in flight or outcomes.
     #[prost(message, repeated, tag = "1")]
     pub entries: Vec<Entry>,
     /// Whether the daemon has lost the platform.
--- a/crates/core/src/routing/exchange/own.rs
+++ b/crates/core/src/routing/exchange/own.rs
@@ -28,7 +28,7 @@
 impl Own {
     /// Notes a report.
     pub fn note(&mut self, report: &Report, now: Millis) {
-        let load = |entry: &super::Entry| (entry.endpoint, entry.load);
+        let load = |entry: &super::Entry| (entry.endpoint, entry.in_flight);
         self.loads = report.entries.iter().map(load).collect();
         self.answers.retain(|_, (_, at)| now.since(*at) < BACK);
         for entry in &report.entries {
@@ -47,10 +47,10 @@
     /// What the others have, by the sums and the answers that are news in them.
     pub fn others(&mut self, sums: &Copy, news: Vec<(u32, Answers)>) -> Heard {
         let mut heard = Heard::default();
-        for (endpoint, load) in sums.loads() {
+        for (endpoint, in_flight) in sums.loads() {
             let own = self.loads.get(&endpoint).copied().unwrap_or_default();
             let others = Others {
-                load: load.saturating_sub(own),
+                in_flight: in_flight.saturating_sub(own),
                 ..Others::default()
             };
             heard.endpoints.insert(endpoint, others);
--- a/crates/core/src/routing/exchange/tell.rs
+++ b/crates/core/src/routing/exchange/tell.rs
@@ -180,8 +180,8 @@
             moved: std::mem::take(&mut self.hub.unheard),
             ..Heard::default()
         };
-        for (endpoint, load) in loads {
-            heard.endpoints.entry(endpoint).or_default().load = load;
+        for (endpoint, in_flight) in loads {
+            heard.endpoints.entry(endpoint).or_default().in_flight = in_flight;
         }
         for (endpoint, answers) in self.hub.news.drain() {
             let others: &mut Others = heard.endpoints.entry(endpoint).or_default();
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -4,10 +4,6 @@
 //! learns from the others, and from the load that endpoints tell in their
 //! answers, less its own requests at that time; the older that is, the less it
 //! counts.
-//!
-//! A load is counted in running requests. A prompt that isn't read yet counts
-//! as several: who comes next waits for it to be read, and hardly for streams
-//! that run.
 
 use std::collections::HashMap;
 
@@ -15,46 +11,11 @@
 
 use crate::clock::Millis;
 use crate::routing::endpoint::InstanceId;
-use crate::routing::request::SharedPrefix;
 
 /// Age at which a report of others' work counts half. Model answers take one to two seconds
 /// here, so most of what a report counted has ended after twice this.
 const HALF_LIFE: Millis = Millis(1500);
 
-/// Load of a request until its first event, against one that runs.
-///
-/// An endpoint reads prompts one after the other, a long one in a quarter of a second, so that
-/// four that wait make the next caller's first event later than a second. By number alone four
-/// that wait would count as little as four that run.
-const READING: u32 = 3;
-
-/// How far a request is at its endpoint.
-#[derive(Clone, Copy, PartialEq, Eq)]
-#[derive(Debug)]
-pub enum Stage {
-    /// Its prompt waits to be read, or is being read.
-    Reading,
-    /// It runs.
-    Running,
-}
-
-impl Stage {
-    /// How a request begins; those without a prompt run at once.
-    pub const fn first(prompt: Option<&SharedPrefix>) -> Self {
-        match prompt {
-            Some(_) => Self::Reading,
-            None => Self::Running,
-        }
-    }
-
-    const fn load(self) -> u32 {
-        match self {
-            Self::Reading => READING,
-            Self::Running => 1,
-        }
-    }
-}
-
 /// What an endpoint tells of its work.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug)]
@@ -87,26 +48,18 @@
 
 impl Loads {
     /// Counts a request that is sent.
-    pub fn begin(&mut self, id: &InstanceId, stage: Stage) {
+    pub fn begin(&mut self, id: &InstanceId) {
         let work = self.work.entry(id.clone()).or_default();
-        work.own += stage.load();
+        work.own += 1;
         work.gone = false;
     }
 
-    /// Counts a request whose prompt was read as running.
-    pub fn run(&mut self, id: &InstanceId, stage: Stage) {
-        if let Some(work) = self.work.get_mut(id) {
-            let less = stage.load() - Stage::Running.load();
-            work.own = work.own.saturating_sub(less);
-        }
-    }
-
     /// Counts a request that has ended.
-    pub fn end(&mut self, id: &InstanceId, stage: Stage) {
+    pub fn end(&mut self, id: &InstanceId) {
         let Some(work) = self.work.get_mut(id) else {
             return;
         };
-        work.own = work.own.saturating_sub(stage.load());
+        work.own = work.own.saturating_sub(1);
         if work.gone && work.own == 0 {
             self.work.remove(id);
         }
@@ -121,12 +74,12 @@
     }
 
     /// Takes what other daemons have at an endpoint.
-    pub fn others(&mut self, id: &InstanceId, load: u32, now: Millis) {
-        if load == 0 && !self.work.contains_key(id) {
+    pub fn others(&mut self, id: &InstanceId, in_flight: u32, now: Millis) {
+        if in_flight == 0 && !self.work.contains_key(id) {
             return;
         }
         let work = self.work.entry(id.clone()).or_default();
-        work.others = load;
+        work.others = in_flight;
         work.at = now;
     }
 
@@ -140,12 +93,12 @@
         }
     }
 
-    /// Endpoints and what this daemon's requests are there.
-    pub fn told(&self) -> impl Iterator<Item = (&InstanceId, u32)> {
+    /// Endpoints and this daemon's requests there.
+    pub fn in_flight(&self) -> impl Iterator<Item = (&InstanceId, u32)> {
         self.work.iter().map(|(id, work)| (id, work.own))
     }
 
-    /// Load of this daemon's requests at an endpoint.
+    /// Requests of this daemon at an endpoint.
     pub fn own(&self, id: &InstanceId) -> u32 {
         self.work.get(id).map_or(0, |work| work.own)
     }
@@ -156,7 +109,7 @@
         heard.map(|work| now.since(work.at))
     }
 
-    /// Load of an endpoint, estimated.
+    /// Requests at an endpoint, estimated.
     pub fn total(&self, id: &InstanceId, now: Millis) -> f64 {
         let Some(work) = self.work.get(id) else {
             return 0.0;
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -27,7 +27,7 @@
 use crate::routing::exchange;
 use crate::routing::health::Health;
 use crate::routing::holders::Holders;
-use crate::routing::load::{Loads, Report, Stage};
+use crate::routing::load::{Loads, Report};
 use crate::routing::overload::{self, Paces, Valve};
 use crate::routing::plan::Plan;
 use crate::routing::request::SharedPrefix;
@@ -172,7 +172,7 @@
             self.note_sent(prefix, &choice, now);
         }
         let id = &choice.endpoint.id;
-        self.loads.begin(id, Stage::first(shared));
+        self.loads.begin(id);
         if choice.trial {
             self.health.trial(id, now);
         }
@@ -198,14 +198,9 @@
         self.holders.take_back(prefix, exchange::short_id(id));
     }
 
-    /// Counts a request whose prompt was read as running.
-    pub fn run(&mut self, id: &InstanceId, stage: Stage) {
-        self.loads.run(id, stage);
-    }
-
     /// Counts a request at an endpoint no more.
-    pub fn end(&mut self, id: &InstanceId, stage: Stage) {
-        self.loads.end(id, stage);
+    pub fn end(&mut self, id: &InstanceId) {
+        self.loads.end(id);
     }
 
     /// Takes what an endpoint tells of its work.
@@ -239,22 +234,22 @@
         }
     }
 
-    /// What other daemons are told: loads, and outcomes since the last report.
+    /// What other daemons are told: requests in flight, and outcomes since the last report.
     pub fn own_report(&mut self, cut_off: bool) -> exchange::Report {
         let mut outcomes = std::mem::take(&mut self.outcomes);
         let sent = std::mem::take(&mut self.sent).into_iter();
         let sent = sent.map(|(prefix, count)| exchange::Sent { prefix, count });
-        let entry = |(id, load): (&InstanceId, u32)| {
+        let entry = |(id, in_flight): (&InstanceId, u32)| {
             let Outcomes { good, bad } = outcomes.remove(id).unwrap_or_default();
             exchange::Entry {
                 endpoint: exchange::short_id(id),
-                load,
+                in_flight,
                 good,
                 bad,
             }
         };
-        let entries = self.loads.told().map(entry);
-        let entries = entries.filter(|entry| entry.load + entry.good + entry.bad > 0);
+        let entries = self.loads.in_flight().map(entry);
+        let entries = entries.filter(|entry| entry.in_flight + entry.good + entry.bad > 0);
         exchange::Report {
             entries: entries.collect(),
             cut_off,
@@ -277,7 +272,7 @@
             let short = exchange::short_id(&endpoint.id);
             let others = heard.endpoints.get(&short).copied().unwrap_or_default();
             if is_on(Mechanism::ToldLoads) {
-                self.loads.others(&endpoint.id, others.load, now);
+                self.loads.others(&endpoint.id, others.in_flight, now);
             }
             let health = &mut self.health;
             health.others(&endpoint.id, others.good, others.bad, now);
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -174,7 +174,7 @@
     order: &Order,
     plan: &Plan,
     sent: Sent,
-    mut flight: Flight,
+    flight: Flight,
     endpoint: InstanceId,
 ) -> Result<Answered> {
     let (head, body) = sent.answer.into_parts();
@@ -190,8 +190,6 @@
     }
     let headers = headers::to_caller(&head.headers);
     if head.status == StatusCode::OK && told.events {
-        // The head of a stream comes with its first event.
-        flight.run();
         return Ok(Answered::Events(Box::new(Opened {
             headers,
             body,
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -10,7 +10,7 @@
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
 use medlarrill_core::routing::exchange;
-use medlarrill_core::routing::load::{Report, Stage};
+use medlarrill_core::routing::load::Report;
 use medlarrill_core::routing::plan::Plan;
 use medlarrill_core::routing::request::SharedPrefix;
 use medlarrill_core::routing::view::{Listed, Result, Verdict, View};
@@ -24,20 +24,11 @@
 pub struct Flight {
     placement: Arc<Placement>,
     id: InstanceId,
-    stage: Stage,
-}
-
-impl Flight {
-    /// Notes that the request runs, its prompt being read.
-    pub fn run(&mut self) {
-        let before = std::mem::replace(&mut self.stage, Stage::Running);
-        self.placement.lock().run(&self.id, before);
-    }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.placement.lock().end(&self.id, self.stage);
+        self.placement.lock().end(&self.id);
     }
 }
 
@@ -111,12 +102,7 @@
         let choice = self.lock().choose(pool, shared, plan, now)?;
         let placement = Arc::clone(self);
         let id = choice.endpoint.id.clone();
-        let flight = Flight {
-            placement,
-            id,
-            stage: Stage::first(shared),
-        };
-        Ok((choice, flight))
+        Ok((choice, Flight { placement, id }))
     }
 
     /// Notes that an endpoint to which a prefix was sent hasn't read it.
@@ -139,7 +125,7 @@
         self.lock().bad(id, fault, now);
     }
 
-    /// What other daemons are told: loads, and outcomes since the last report.
+    /// What other daemons are told: requests in flight, and outcomes since the last report.
     pub fn own_report(&self, cut_off: bool) -> exchange::Report {
         self.lock().own_report(cut_off)
     }
