--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -18,6 +18,7 @@
     mod overload;
     mod plain;
     mod plan;
+    mod prompts;
     mod request;
     mod stop;
     mod support;
--- a/crates/core/tests/routing/plain.rs
+++ b/crates/core/tests/routing/plain.rs
@@ -7,13 +7,12 @@
 use medlarrill_core::routing::budget;
 use medlarrill_core::routing::config::{Repeat, Route};
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
-use medlarrill_core::routing::exchange::{Entry, Heard, Others, Report};
 use medlarrill_core::routing::plan::Plan;
 use medlarrill_core::routing::view::{NoPlace, View};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
-use super::support::{endpoint, pool, route};
+use super::support::{Told, endpoint, pool, route};
 
 const DAEMONS: usize = 60;
 const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
@@ -70,7 +69,7 @@
     rng: Pcg32,
     servers: Vec<Server>,
     daemons: Vec<View>,
-    reports: Vec<Report>,
+    told: Told,
     got: Got,
     asked: f64,
     /// Requests asked and answered in time, by caller.
@@ -126,7 +125,7 @@
             rng: Pcg32::seed_from_u64(5),
             servers: works.iter().enumerate().map(server).collect(),
             daemons: (0..DAEMONS).map(view).collect(),
-            reports: vec![Report::default(); DAEMONS],
+            told: Told::new(TICK),
             got: Got::default(),
             asked: 0.0,
             by_caller: HashMap::new(),
@@ -233,50 +232,6 @@
         }
     }
 
-    /// Daemons report at their own ticks; a hub tells each the sum of what it has.
-    fn tell(&mut self, now: u64) {
-        for number in 0..DAEMONS {
-            if (now + number as u64 * 4).is_multiple_of(TICK) {
-                self.reports[number] = self.daemons[number].own_report(false);
-            }
-        }
-        if !now.is_multiple_of(TICK) {
-            return;
-        }
-        let mut sums: HashMap<u32, Others> = HashMap::new();
-        for Entry {
-            endpoint,
-            in_flight,
-            good,
-            bad,
-        } in self.reports.iter().flat_map(|r| &r.entries)
-        {
-            let sum = sums.entry(*endpoint).or_default();
-            sum.in_flight += in_flight;
-            sum.good += good;
-            sum.bad += bad;
-        }
-        for (number, daemon) in self.daemons.iter_mut().enumerate() {
-            let mut heard = sums.clone();
-            for own in &self.reports[number].entries {
-                let sum = heard.entry(own.endpoint).or_default();
-                sum.in_flight -= own.in_flight;
-                sum.good -= own.good;
-                sum.bad -= own.bad;
-            }
-            let heard = Heard {
-                endpoints: heard,
-                ..Heard::default()
-            };
-            daemon.others(heard, DAEMONS, Millis(now));
-        }
-        // Outcomes are told once.
-        for entry in self.reports.iter_mut().flat_map(|r| &mut r.entries) {
-            entry.good = 0;
-            entry.bad = 0;
-        }
-    }
-
     /// Shares in time by caller, of what each asked.
     fn play_by_caller(mut self, per_second: f64) -> Vec<(Caller, f64)> {
         self.play_on(per_second);
@@ -297,7 +252,7 @@
     fn play_on(&mut self, per_second: f64) {
         for now in 0..LENGTH {
             (0..self.servers.len()).for_each(|at| self.run(at, now));
-            self.tell(now);
+            self.told.tell(&mut self.daemons, now);
             self.come_back(now);
             if self.rng.random::<f64>() < per_second / 1000.0 {
                 self.arrive(now);
--- /dev/null
+++ b/crates/core/tests/routing/prompts.rs
@@ -0,0 +1,255 @@
+//! Engines that hold nothing yet, before many daemons: how soon callers get their first event.
+//!
+//! An engine reads prompts one after the other; what it has read of a shared prefix it keeps.
+//! Long summaries, questions and short labels arrive together, as many as keep five or six of them
+//! at each engine.
+
+use std::collections::{HashSet, VecDeque};
+
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::budget;
+use medlarrill_core::routing::config::Repeat;
+use medlarrill_core::routing::endpoint::InstanceId;
+use medlarrill_core::routing::plan::Plan;
+use medlarrill_core::routing::request::SharedPrefix;
+use medlarrill_core::routing::view::View;
+use medlarrill_core::units::Tokens;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use super::support::{Told, endpoint, pool, prefix, route};
+
+const DAEMONS: usize = 60;
+const ENGINES: usize = 60;
+/// Time until daemons know what the others have: one tick.
+const TICK: u64 = 200;
+/// Tokens read in a millisecond.
+const PACE: f64 = 38.0;
+/// Time to fetch a prefix from another engine.
+const FETCH: f64 = 30.0;
+/// Time to the first event that callers want.
+const TARGET: u64 = 1000;
+/// Requests for one prefix.
+const RETURNS: f64 = 4.5;
+/// The first seconds, in which next to nothing is kept.
+const COLD: u64 = 3000;
+const LENGTH: u64 = 20_000;
+
+/// A kind of request.
+#[derive(Clone, Copy)]
+struct Kind {
+    /// Requests a second for each engine.
+    rate: f64,
+    /// Tokens that it shares with a few others.
+    shared: f64,
+    /// Tokens of its own.
+    own: f64,
+    /// Time from the first event to the last.
+    stream: u64,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind {
+        rate: 1.3,
+        shared: 10_500.0,
+        own: 1300.0,
+        stream: 1100,
+    },
+    Kind {
+        rate: 2.2,
+        shared: 700.0,
+        own: 130.0,
+        stream: 900,
+    },
+    Kind {
+        rate: 1.9,
+        shared: 2000.0,
+        own: 360.0,
+        stream: 100,
+    },
+];
+
+struct Run {
+    asked: u64,
+    daemon: usize,
+    kind: Kind,
+    key: u64,
+    /// Whether the prefix comes from another engine.
+    fetched: bool,
+    /// Tokens that are still to be read; unknown before the reading begins.
+    left: Option<f64>,
+}
+
+struct Engine {
+    id: InstanceId,
+    kept: HashSet<u64>,
+    waiting: VecDeque<Run>,
+    running: Vec<(u64, usize)>,
+}
+
+impl Engine {
+    /// Reads for a millisecond; returns the requests whose first event comes.
+    fn read(&mut self) -> Vec<Run> {
+        let mut room = PACE;
+        let mut read = Vec::new();
+        while room > 0.0
+            && let Some(run) = self.waiting.front_mut()
+        {
+            let shared = match (self.kept.contains(&run.key), run.fetched) {
+                (true, _) => 0.0,
+                (false, true) => FETCH * PACE,
+                (false, false) => run.kind.shared,
+            };
+            let left = run.left.get_or_insert(run.kind.own + shared);
+            let step = left.min(room);
+            *left -= step;
+            room -= step;
+            if *left <= 0.0 {
+                self.kept.insert(run.key);
+                read.extend(self.waiting.pop_front());
+            }
+        }
+        read
+    }
+}
+
+/// What callers got.
+#[derive(Clone, Copy, Default, Debug)]
+struct Got {
+    /// Share of first events in time, of requests of the first seconds.
+    cold: f64,
+    /// The same, of all later ones.
+    warm: f64,
+    /// Tokens of shared prefixes read, against those of one reading each.
+    readings: f64,
+}
+
+struct World {
+    rng: Pcg32,
+    engines: Vec<Engine>,
+    daemons: Vec<View>,
+    told: Told,
+    /// Requests and those in time: of the first seconds, and of later ones.
+    counts: [(f64, f64); 2],
+    readings: f64,
+    prefixes: HashSet<u64>,
+}
+
+impl World {
+    fn new() -> Self {
+        let repeats = budget::Settings {
+            ratio: 0.2,
+            window: Millis(10_000),
+            slack: 50.0,
+        };
+        let name = |number: usize| format!("e{number}");
+        let view = |number: usize| {
+            let near = "near".parse().expect("a name");
+            let mut view = View::new(near, repeats, number as u64, Millis(0));
+            (0..ENGINES).for_each(|at| {
+                view.list(endpoint(&name(at)), Millis(0));
+            });
+            view
+        };
+        let engine = |number: usize| Engine {
+            id: endpoint(&name(number)).id,
+            kept: HashSet::new(),
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+        };
+        Self {
+            rng: Pcg32::seed_from_u64(3),
+            engines: (0..ENGINES).map(engine).collect(),
+            daemons: (0..DAEMONS).map(view).collect(),
+            told: Told::new(TICK),
+            counts: [(0.0, 0.0); 2],
+            readings: 0.0,
+            prefixes: HashSet::new(),
+        }
+    }
+
+    fn run(&mut self, at: usize, now: u64) {
+        let engine = &mut self.engines[at];
+        for run in engine.read() {
+            engine.running.push((now + run.kind.stream, run.daemon));
+            let counts = &mut self.counts[usize::from(run.asked >= COLD)];
+            counts.0 += 1.0;
+            counts.1 += f64::from(u8::from(now - run.asked <= TARGET));
+        }
+        let over = |run: &mut (u64, usize)| run.0 <= now;
+        for (_, daemon) in engine.running.extract_if(.., over) {
+            let view = &mut self.daemons[daemon];
+            view.end(&engine.id);
+            view.good(&engine.id, Millis(now));
+        }
+    }
+
+    fn arrive(&mut self, kind: Kind, keys: std::ops::Range<u64>, now: u64) {
+        let daemon = self.rng.random_range(0..DAEMONS);
+        let key = self.rng.random_range(keys);
+        let shared = SharedPrefix {
+            tokens: Tokens(kind.shared as u64),
+            ..prefix(key)
+        };
+        let plan = Plan::new(&route(Repeat::Resume, 2), Millis(now + 10_000));
+        let view = &mut self.daemons[daemon];
+        let choice = view.choose(&pool(), Some(&shared), &plan, Millis(now));
+        let choice = choice.expect("an engine");
+        let holds = |id: &InstanceId| {
+            let mut engines = self.engines.iter();
+            engines.any(|engine| engine.id == *id && engine.kept.contains(&key))
+        };
+        let fetched = choice
+            .source
+            .as_ref()
+            .is_some_and(|source| holds(&source.id));
+        if !fetched && !holds(&choice.endpoint.id) {
+            self.readings += 1.0;
+        }
+        self.prefixes.insert(key);
+        let is_picked = |engine: &&mut Engine| engine.id == choice.endpoint.id;
+        let engine = self.engines.iter_mut().find(is_picked).expect("an engine");
+        engine.waiting.push_back(Run {
+            asked: now,
+            daemon,
+            kind,
+            key,
+            fetched,
+            left: None,
+        });
+    }
+
+    /// So many times the usual requests.
+    fn play(mut self, scale: f64) -> Got {
+        for now in 0..LENGTH {
+            (0..ENGINES).for_each(|at| self.run(at, now));
+            self.told.tell(&mut self.daemons, now);
+            let mut first = 0;
+            for kind in KINDS {
+                let per_ms = scale * kind.rate * ENGINES as f64 / 1000.0;
+                let keys = first..first + (per_ms * LENGTH as f64 / RETURNS) as u64;
+                first = keys.end;
+                if self.rng.random::<f64>() < per_ms {
+                    self.arrive(kind, keys, now);
+                }
+            }
+        }
+        let [cold, warm] = self.counts.map(|(all, in_time)| in_time / all);
+        Got {
+            cold,
+            warm,
+            readings: self.readings / self.prefixes.len() as f64,
+        }
+    }
+}
+
+/// At twice the usual load 946 in 1,000 first events of the first three seconds are in time, all
+/// but 2 in 1,000 later on.
+#[gtest]
+fn a_cold_pool_at_twice_its_usual_load_keeps_few_callers_waiting() {
+    let got = World::new().play(2.0);
+    expect_that!(got.cold, gt(0.93), "{got:?}");
+    expect_that!(got.warm, gt(0.99), "{got:?}");
+    expect_that!(got.readings, lt(1.15), "{got:?}");
+}
--- a/crates/core/tests/routing/support.rs
+++ b/crates/core/tests/routing/support.rs
@@ -1,5 +1,6 @@
 //! Endpoints, candidates and routes for these tests.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use medlarrill_core::clock::Millis;
@@ -7,8 +8,10 @@
 use medlarrill_core::routing::choose::Candidate;
 use medlarrill_core::routing::config::{Priority, Repeat, Route, Share};
 use medlarrill_core::routing::endpoint::{Born, Endpoint, InstanceId};
+use medlarrill_core::routing::exchange::{Entry, Heard, Others, Report};
 use medlarrill_core::routing::health::Standing;
 use medlarrill_core::routing::request::SharedPrefix;
+use medlarrill_core::routing::view::View;
 use medlarrill_core::units::Tokens;
 
 /// An endpoint that doesn't say when it started.
@@ -86,3 +89,65 @@
 fn xxh(key: u64) -> u64 {
     medlarrill_core::placement::key_of(&key.to_string())
 }
+
+/// Daemons that report at their own ticks; a hub tells each the sum of what the others have.
+pub struct Told {
+    tick: u64,
+    reports: Vec<Report>,
+}
+
+impl Told {
+    /// Nothing was reported yet; `tick` is the time between two reports of a daemon, and between
+    /// two summaries of the hub.
+    pub fn new(tick: u64) -> Self {
+        Self {
+            tick,
+            reports: Vec::new(),
+        }
+    }
+
+    pub fn tell(&mut self, daemons: &mut [View], now: u64) {
+        self.reports.resize_with(daemons.len(), Report::default);
+        for (number, daemon) in daemons.iter_mut().enumerate() {
+            if (now + number as u64 * 4).is_multiple_of(self.tick) {
+                self.reports[number] = daemon.own_report(false);
+            }
+        }
+        if !now.is_multiple_of(self.tick) {
+            return;
+        }
+        let mut sums: HashMap<u32, Others> = HashMap::new();
+        for Entry {
+            endpoint,
+            in_flight,
+            good,
+            bad,
+        } in self.reports.iter().flat_map(|r| &r.entries)
+        {
+            let sum = sums.entry(*endpoint).or_default();
+            sum.in_flight += in_flight;
+            sum.good += good;
+            sum.bad += bad;
+        }
+        let count = daemons.len();
+        for (number, daemon) in daemons.iter_mut().enumerate() {
+            let mut heard = sums.clone();
+            for own in &self.reports[number].entries {
+                let sum = heard.entry(own.endpoint).or_default();
+                sum.in_flight -= own.in_flight;
+                sum.good -= own.good;
+                sum.bad -= own.bad;
+            }
+            let heard = Heard {
+                endpoints: heard,
+                ..Heard::default()
+            };
+            daemon.others(heard, count, Millis(now));
+        }
+        // Outcomes are told once.
+        for entry in self.reports.iter_mut().flat_map(|r| &mut r.entries) {
+            entry.good = 0;
+            entry.bad = 0;
+        }
+    }
+}
