Homes: only a daemon that stands in waits for an endpoint's first answer

Cause: all three failed runs that were traced sent as stand-ins (the slot was not the daemon's own). Homes that have just started waited too, which delays chats that return after a restart, without a failure that asks for it.

--- a/crates/core/tests/routing/prompts.rs
+++ b/crates/core/tests/routing/prompts.rs
@@ -22,9 +22,10 @@
 
 const DAEMONS: usize = 60;
 const ENGINES: usize = 60;
-/// Time until daemons know what the others have: one tick.
+/// Between two reports of a daemon, and between two summaries of the hub, in milliseconds like all
+/// times here.
 const TICK: u64 = 200;
-/// Tokens read in a millisecond.
+/// Tokens read in a millisecond, beside the streams that run.
 const PACE: f64 = 38.0;
 /// Time to fetch a prefix from another engine.
 const FETCH: f64 = 30.0;
@@ -121,7 +122,7 @@
     cold: f64,
     /// The same, of all later ones.
     warm: f64,
-    /// Tokens of shared prefixes read, against those of one reading each.
+    /// Requests whose engine had to read their shared prefix, for each prefix; at least one.
     readings: f64,
 }
 
@@ -130,9 +131,11 @@
     engines: Vec<Engine>,
     daemons: Vec<View>,
     told: Told,
-    /// Requests and those in time: of the first seconds, and of later ones.
+    /// Requests, and those in time, that arrived in the first seconds and later.
     counts: [(f64, f64); 2],
+    /// Requests whose engine had to read their shared prefix.
     readings: f64,
+    /// Prefixes that were asked for.
     prefixes: HashSet<u64>,
 }
 
--- a/crates/daemon/src/home/slot.rs
+++ b/crates/daemon/src/home/slot.rs
@@ -41,8 +41,7 @@
 }
 
 impl Slot {
-    /// A slot that starts now. It is polled at once, and requests wait for the first answer: an endpoint may be leaving
-    /// that a former home knows of, not this one.
+    /// A slot that starts now, and is polled at once.
     pub fn new(pool: PoolId, terms: &Pool, address: SocketAddr, rng: Pcg32, now: Millis) -> Self {
         Self {
             pool,
@@ -129,7 +128,9 @@
         if self.drained || self.leaving {
             return State::Leaving;
         }
-        if self.heard.is_none() {
+        // The home knows whether its endpoint is leaving; who stands in for it doesn't yet. A home
+        // that has just started doesn't wait: beside load that cost returning chats their cache.
+        if !self.own && self.heard.is_none() {
             return State::Unheard;
         }
         State::Ready
