--- a/crates/core/tests/routing/centres.rs
+++ b/crates/core/tests/routing/centres.rs
@@ -9,6 +9,13 @@
 
 use super::world::{World, address};
 
+/// A hundred daemons over five data centres that know each other.
+fn settled() -> World {
+    let mut world = World::new(100, 5, 110);
+    world.run(3000);
+    world
+}
+
 fn hubs(world: &World, number: usize) -> Vec<usize> {
     let hubs = world.daemons[number].exchange.hubs(Millis(world.now));
     hubs.iter().map(|hub| usize::from(hub.port()) - 1).collect()
@@ -68,8 +75,7 @@
 
 #[gtest]
 fn each_data_centre_has_two_hubs_and_all_daemons_know_all_loads() {
-    let mut world = World::new(100, 5, 110);
-    world.run(3000);
+    let mut world = settled();
     for number in 0..100 {
         let hubs = hubs(&world, number);
         expect_that!(hubs.len(), eq(2));
@@ -96,8 +102,7 @@
 
 #[gtest]
 fn hubs_that_die_are_replaced_within_two_seconds() {
-    let mut world = World::new(100, 5, 110);
-    world.run(3000);
+    let mut world = settled();
     let first = hubs(&world, 3)[0];
     world.lost = vec![first];
     world.run(2000);
@@ -110,8 +115,7 @@
 
 #[gtest]
 fn a_hub_that_freezes_is_passed_over_and_tells_nothing_old_when_it_wakes() {
-    let mut world = World::new(100, 5, 110);
-    world.run(3000);
+    let mut world = settled();
     let hub = hubs(&world, 3)[0];
     world.daemons[hub].frozen = Some(world.now + 5000);
     world.run(2000);
@@ -132,8 +136,7 @@
 
 #[gtest]
 fn a_hub_that_half_of_its_daemons_cant_reach_is_passed_over() {
-    let mut world = World::new(100, 5, 110);
-    world.run(3000);
+    let mut world = settled();
     let hub = hubs(&world, 3)[0];
     let is_cut = move |number: usize| {
         number % 5 == hub % 5 && (number / 5).is_multiple_of(2) && number != hub
@@ -146,8 +149,7 @@
 
 #[gtest]
 fn a_hub_that_starts_again_is_heard_anew() {
-    let mut world = World::new(100, 5, 110);
-    world.run(3000);
+    let mut world = settled();
     let hub = hubs(&world, 3)[0];
     let seeds = vec![address(0), address(1), address(2)];
     let exchange = Exchange::new(address(hub), seeds);
@@ -160,8 +162,7 @@
 #[gtest]
 fn a_data_centre_that_is_cut_off_knows_its_own_and_is_joined_again() {
     for length in [3000, 15_000] {
-        let mut world = World::new(100, 5, 110);
-        world.run(3000);
+        let mut world = settled();
         world.passes = Box::new(|from, to| (from % 5 == 0) == (to % 5 == 0));
         world.run(length);
         for number in 0..100 {
--- a/crates/core/tests/routing/plain.rs
+++ b/crates/core/tests/routing/plain.rs
@@ -4,7 +4,6 @@
 
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::budget;
 use medlarrill_core::routing::config::{Repeat, Route};
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
 use medlarrill_core::routing::plan::Plan;
@@ -12,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
-use super::support::{Told, endpoint, pool, route};
+use super::support::{Told, endpoint, pool, route, view};
 
 const DAEMONS: usize = 60;
 const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
@@ -102,14 +101,8 @@
 impl World {
     /// Endpoints whose runs take these times.
     fn new(works: &[f64]) -> Self {
-        let repeats = budget::Settings {
-            ratio: 0.2,
-            window: Millis(10_000),
-            slack: 50.0,
-        };
-        let view = |number: usize| {
-            let near = data_centre(number).parse().expect("a name");
-            let mut view = View::new(near, repeats, number as u64, Millis(0));
+        let daemon = |number: usize| {
+            let mut view = view(data_centre(number), number as u64);
             (0..works.len()).for_each(|at| {
                 view.list(listed(at), Millis(0));
             });
@@ -124,7 +117,7 @@
         Self {
             rng: Pcg32::seed_from_u64(5),
             servers: works.iter().enumerate().map(server).collect(),
-            daemons: (0..DAEMONS).map(view).collect(),
+            daemons: (0..DAEMONS).map(daemon).collect(),
             told: Told::new(TICK),
             got: Got::default(),
             asked: 0.0,
--- a/crates/core/tests/routing/prompts.rs
+++ b/crates/core/tests/routing/prompts.rs
@@ -8,7 +8,6 @@
 
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::budget;
 use medlarrill_core::routing::config::Repeat;
 use medlarrill_core::routing::endpoint::InstanceId;
 use medlarrill_core::routing::plan::Plan;
@@ -18,7 +17,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
-use super::support::{Told, endpoint, pool, prefix, route};
+use super::support::{Told, endpoint, pool, prefix, route, view};
 
 const DAEMONS: usize = 60;
 const ENGINES: usize = 60;
@@ -141,15 +140,9 @@
 
 impl World {
     fn new() -> Self {
-        let repeats = budget::Settings {
-            ratio: 0.2,
-            window: Millis(10_000),
-            slack: 50.0,
-        };
         let name = |number: usize| format!("e{number}");
-        let view = |number: usize| {
-            let near = "near".parse().expect("a name");
-            let mut view = View::new(near, repeats, number as u64, Millis(0));
+        let daemon = |number: usize| {
+            let mut view = view("near", number as u64);
             (0..ENGINES).for_each(|at| {
                 view.list(endpoint(&name(at)), Millis(0));
             });
@@ -164,7 +157,7 @@
         Self {
             rng: Pcg32::seed_from_u64(3),
             engines: (0..ENGINES).map(engine).collect(),
-            daemons: (0..DAEMONS).map(view).collect(),
+            daemons: (0..DAEMONS).map(daemon).collect(),
             told: Told::new(TICK),
             counts: [(0.0, 0.0); 2],
             readings: 0.0,
--- a/crates/core/tests/routing/support.rs
+++ b/crates/core/tests/routing/support.rs
@@ -5,6 +5,7 @@
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::PoolId;
+use medlarrill_core::routing::budget;
 use medlarrill_core::routing::choose::Candidate;
 use medlarrill_core::routing::config::{Priority, Repeat, Route, Share};
 use medlarrill_core::routing::endpoint::{Born, Endpoint, InstanceId};
@@ -64,6 +65,17 @@
     }
 }
 
+/// A daemon in a data centre that knows nothing yet.
+pub fn view(near: &str, seed: u64) -> View {
+    let repeats = budget::Settings {
+        ratio: 0.2,
+        window: Millis(10_000),
+        slack: 50.0,
+    };
+    let near = near.parse().expect("a name");
+    View::new(near, repeats, seed, Millis(0))
+}
+
 pub fn route(repeat: Repeat, attempts: u32) -> Route {
     Route {
         name: "route".into(),
--- a/crates/core/tests/routing/view.rs
+++ b/crates/core/tests/routing/view.rs
@@ -4,7 +4,6 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::birth::Entry;
-use medlarrill_core::routing::budget;
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::config::Repeat;
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
@@ -13,19 +12,10 @@
 use medlarrill_core::routing::plan::Plan;
 use medlarrill_core::routing::view::{Listed, View};
 
-use super::support::{born, endpoint, id, pool, prefix, route};
+use super::support::{born, endpoint, id, pool, prefix, route, view};
 
 const START: Millis = Millis(60_000);
 
-fn view() -> View {
-    let repeats = budget::Settings {
-        ratio: 0.2,
-        window: Millis(10_000),
-        slack: 50.0,
-    };
-    View::new("near".parse().expect("a name"), repeats, 7, Millis(0))
-}
-
 fn instance(id: InstanceId) -> Endpoint {
     let name = id.endpoint.as_str().to_owned();
     Endpoint {
@@ -54,7 +44,7 @@
 
 /// A pool of three that has been there for a minute.
 fn settled() -> View {
-    let mut view = view();
+    let mut view = view("near", 7);
     for name in ["a", "b", "c"] {
         view.list(instance(born(name, 500)), Millis(0));
     }
@@ -139,7 +129,7 @@
 
 #[gtest]
 fn an_entry_without_a_birth_is_dropped_once_endpoints_tell_theirs() {
-    let mut view = view();
+    let mut view = view("near", 7);
     view.list(endpoint("a"), Millis(0));
     expect_that!(view.endpoints(), eq(1));
     view.list(instance(born("b", 500)), Millis(10));
