--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -190,7 +190,7 @@
         }
         let work = offer.prompt.0.saturating_add(offer.output.0).max(1);
         let waiting = Waiting::new(offer, work, now);
-        if !matches!(self.state, State::Ready | State::Unheard) {
+        if !self.state.admits() {
             let action = self.turn_away(&waiting, Reason::NoEndpoint, AFTER_GONE);
             actions.push(action);
             return None;
@@ -228,7 +228,7 @@
             self.bound = Bound::new(now);
         }
         self.state = state;
-        if matches!(state, State::Ready | State::Unheard) {
+        if state.admits() {
             return;
         }
         while let Some((waiting, _)) = self.queue.pop(|_| true) {
--- a/crates/core/src/admission/event.rs
+++ b/crates/core/src/admission/event.rs
@@ -76,6 +76,13 @@
     Moved,
 }
 
+impl State {
+    /// Whether requests may wait for the endpoint.
+    pub const fn admits(self) -> bool {
+        matches!(self, Self::Ready | Self::Unheard)
+    }
+}
+
 /// How a request that ran came to its end.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug)]
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -223,12 +223,7 @@
 
     /// The hubs of this daemon, first in rank first; it may be one itself.
     pub fn hubs(&self, now: Millis) -> Vec<SocketAddr> {
-        if self.is_large(now) {
-            return self.members.hubs_of(self.members.centre, now);
-        }
-        let own = (self.members.me, self.members.ranks);
-        let others = self.members.others(now).map(ranked);
-        holders(others.chain([own]), Role::Hub, HUBS)
+        self.members.hubs_of(self.area(now), now)
     }
 
     /// The hub that is asked for sums. Daemons are spread over the hubs; one that hears from many
--- a/crates/core/src/routing/exchange/hub.rs
+++ b/crates/core/src/routing/exchange/hub.rs
@@ -119,10 +119,7 @@
     /// Counts what a report tells once.
     pub fn count(&mut self, report: &Report, is_own: bool) {
         for entry in &report.entries {
-            let answers = Answers {
-                good: entry.good,
-                bad: entry.bad,
-            };
+            let answers = entry.answers();
             self.local.count(entry.endpoint, answers);
             self.count_fleet(entry.endpoint, answers, is_own);
         }
@@ -166,7 +163,7 @@
     pub fn loads(&self, centre: Option<Centre>) -> HashMap<u32, u32> {
         let mut loads = HashMap::new();
         for report in self.counted(centre) {
-            add(&mut loads, &report.entries);
+            add(&mut loads, loads_of(&report.entries));
         }
         loads
     }
@@ -174,22 +171,26 @@
     /// Adds what other data centres have.
     pub fn add_centres(&self, loads: &mut HashMap<u32, u32>) {
         for (_, told) in self.centres.chosen() {
-            for (endpoint, in_flight) in told.copy.loads() {
-                let load = loads.entry(endpoint).or_default();
-                *load = load.saturating_add(in_flight);
-            }
+            add(loads, told.copy.loads());
         }
     }
 }
 
-/// Adds a report's requests in flight.
-pub fn add(loads: &mut HashMap<u32, u32>, entries: &[Entry]) {
-    for entry in entries {
-        let load = loads.entry(entry.endpoint).or_default();
-        *load = load.saturating_add(entry.in_flight);
+/// Adds requests in flight by endpoint.
+pub fn add(loads: &mut HashMap<u32, u32>, others: impl Iterator<Item = (u32, u32)>) {
+    for (endpoint, in_flight) in others {
+        let load = loads.entry(endpoint).or_default();
+        *load = load.saturating_add(in_flight);
     }
 }
 
+/// A report's endpoints and its requests in flight there.
+pub fn loads_of(entries: &[Entry]) -> impl Iterator<Item = (u32, u32)> {
+    entries
+        .iter()
+        .map(|entry| (entry.endpoint, entry.in_flight))
+}
+
 /// Notes prefixes, no more than one message takes.
 fn note(known: &mut BTreeSet<Moved>, moved: &[Moved]) {
     let room = MOVES.saturating_sub(known.len());
--- a/crates/core/src/routing/exchange/members.rs
+++ b/crates/core/src/routing/exchange/members.rs
@@ -8,7 +8,7 @@
 
 use super::message::Peer;
 use super::roles::{Ranks, Role, Strength, holders};
-use super::{HUBS, LARGE, SILENT};
+use super::{HUBS, LARGE, SILENT, short_key};
 use crate::clock::Millis;
 use crate::ids::DataCentreId;
 
@@ -31,7 +31,7 @@
 
 impl From<&DataCentreId> for Centre {
     fn from(id: &DataCentreId) -> Self {
-        Self((xxh3_64(id.as_str().as_bytes()) >> u32::BITS) as u32)
+        Self(short_key(xxh3_64(id.as_str().as_bytes())))
     }
 }
 
@@ -100,10 +100,12 @@
         self.others(now).filter(|(_, seen)| !seen.cut_off)
     }
 
-    /// The daemons of one data centre that hold the hubs' role, this one among them if it does.
-    pub fn hubs_of(&self, centre: Centre, now: Millis) -> Vec<SocketAddr> {
-        let others = self.others(now).filter(|(_, seen)| seen.centre == centre);
-        let own = (centre == self.centre).then_some((self.me, self.ranks));
+    /// The daemons that hold the hubs' role in one data centre, or in the whole fleet; this one
+    /// among them if it does.
+    pub fn hubs_of(&self, area: Option<Centre>, now: Millis) -> Vec<SocketAddr> {
+        let is_here = |centre| area.is_none_or(|area| centre == area);
+        let others = self.others(now).filter(|(_, seen)| is_here(seen.centre));
+        let own = is_here(self.centre).then_some((self.me, self.ranks));
         holders(others.map(ranked).chain(own), Role::Hub, HUBS)
     }
 
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -6,7 +6,7 @@
 use prost::{DecodeError, Message as _, Oneof};
 
 use super::Strength;
-use super::board::{Delta, Version};
+use super::board::{Answers, Delta, Version};
 use super::members::Centre;
 use crate::clock::Millis;
 
@@ -31,6 +31,16 @@
     pub bad: u32,
 }
 
+impl Entry {
+    /// Its answers since the last report.
+    pub const fn answers(&self) -> Answers {
+        Answers {
+            good: self.good,
+            bad: self.bad,
+        }
+    }
+}
+
 /// What one daemon has at endpoints.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(prost::Message)]
--- a/crates/core/src/routing/exchange/own.rs
+++ b/crates/core/src/routing/exchange/own.rs
@@ -9,6 +9,7 @@
 use derive_more::Debug;
 
 use super::board::{Answers, Copy};
+use super::hub::loads_of;
 use super::message::Report;
 use super::{Heard, Others};
 use crate::clock::Millis;
@@ -28,14 +29,10 @@
 impl Own {
     /// Notes a report.
     pub fn note(&mut self, report: &Report, now: Millis) {
-        let load = |entry: &super::Entry| (entry.endpoint, entry.in_flight);
-        self.loads = report.entries.iter().map(load).collect();
+        self.loads = loads_of(&report.entries).collect();
         self.answers.retain(|_, (_, at)| now.since(*at) < BACK);
         for entry in &report.entries {
-            let answers = Answers {
-                good: entry.good,
-                bad: entry.bad,
-            };
+            let answers = entry.answers();
             if answers != Answers::default() {
                 let (known, at) = self.answers.entry(entry.endpoint).or_default();
                 known.add(answers);
--- a/crates/core/src/routing/exchange/report.rs
+++ b/crates/core/src/routing/exchange/report.rs
@@ -62,11 +62,9 @@
             (_, true) if is_hub => SHOW_PAUSE,
             (_, true) => SEED_PAUSE,
         };
-        let waited = self.seeded.is_none_or(|at| now.since(at) >= pause);
-        if self.seeds.is_empty() || !waited {
+        if self.seeds.is_empty() || !is_due(&mut self.seeded, pause, now) {
             return None;
         }
-        self.seeded = Some(now);
         self.next_seed = (self.next_seed + 1) % self.seeds.len();
         self.seeds.get(self.next_seed).copied()
     }
--- a/crates/core/src/routing/exchange/tell.rs
+++ b/crates/core/src/routing/exchange/tell.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use super::hub::add;
+use super::hub::{add, loads_of};
 use super::members::Centre;
 use super::message::{Message, Moved, Peers, Report, Subtotal, Summary};
 use super::{BEAT, Exchange, Heard, LIST_PAUSE, Others, Outgoing, is_due, shares};
@@ -80,7 +80,7 @@
         self.hub.count(own, true);
         let area = self.area(now);
         let mut loads = self.hub.loads(area);
-        add(&mut loads, &own.entries);
+        add(&mut loads, loads_of(&own.entries));
         self.hub.local.mark(&loads, now);
         if area.is_some() {
             self.hub.add_centres(&mut loads);
@@ -151,7 +151,7 @@
         for centre in self.members.other_centres(now) {
             let peers = || Peers::new(&self.members.worth_telling(centre, now));
             let peers = is_listed.then(peers);
-            for hub in self.members.hubs_of(centre, now) {
+            for hub in self.members.hubs_of(Some(centre), now) {
                 let told = self.hub.centres.told(&hub);
                 let reached = told.and_then(|told| told.reached);
                 let subtotal = Subtotal {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -31,8 +31,6 @@
     pub me: SocketAddr,
     /// From whom it learns what the platform says.
     pub following: Following,
-    /// Whether it follows the platform itself.
-    pub is_watcher: bool,
     /// Daemons that may live, from the settings.
     pub seeds: Vec<SocketAddr>,
     /// Whether another daemon's copy is being followed.
@@ -42,6 +40,11 @@
 }
 
 impl Watch {
+    /// Whether this daemon follows the platform itself.
+    pub fn is_watcher(&self) -> bool {
+        self.following.watchers.contains(&self.me)
+    }
+
     /// Whether other daemons' settings may name this one; so it is where none are named.
     pub fn is_seed(&self) -> bool {
         self.seeds.is_empty() || self.seeds.contains(&self.me)
@@ -59,7 +62,6 @@
         Self(Arc::new(Mutex::new(Watch {
             me,
             following: Following::default(),
-            is_watcher: false,
             seeds,
             is_relayed: false,
             heard: None,
@@ -83,10 +85,7 @@
 
     /// Notes who follows the platform, as the exchange sees it.
     fn renew(&self, exchange: &Exchange, cut_off: bool, at: Millis) {
-        let following = exchange.following(cut_off, at);
-        let mut watch = self.lock();
-        watch.is_watcher = following.watchers.contains(&watch.me);
-        watch.following = following;
+        self.lock().following = exchange.following(cut_off, at);
     }
 
     fn lock(&self) -> MutexGuard<'_, Watch> {
@@ -177,8 +176,8 @@
 
 /// Logs a change in who follows the platform.
 fn report_roles(before: &Watch, after: &Watch, live: usize) {
-    let is_watcher = after.is_watcher;
-    if before.is_watcher != is_watcher {
+    let is_watcher = after.is_watcher();
+    if before.is_watcher() != is_watcher {
         log::info!(target: "peers", is_watcher, live, watchers:? = after.following.watchers; "peers: follows the platform");
     }
 }
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -115,11 +115,11 @@
         let Some(age) = self.store.copies.age(self.kind, now()) else {
             // Where many daemons start at once the platform refuses some; others soon know more.
             let asked = self.failed.is_some_and(|at| now().since(at) < OTHERS);
-            return (roster.is_watcher || !asked) && !self.waits(&roster);
+            return (roster.is_watcher() || !asked) && !self.waits(&roster);
         };
         // Where all daemons start again, each knows of too few others to leave it to them.
         let is_settled = now() >= SETTLED;
-        roster.is_watcher && is_settled || age > STALE && !roster.is_relayed
+        roster.is_watcher() && is_settled || age > STALE && !roster.is_relayed
     }
 
     /// Whether a daemon that has just started leaves it to others to ask for what it doesn't know.
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -163,7 +163,7 @@
         // Those that others would follow wait, too.
         return sources(roster.me, &roster.seeds, 1);
     }
-    if roster.is_watcher && !store.copies.is_cut_off() {
+    if roster.is_watcher() && !store.copies.is_cut_off() {
         return Vec::new();
     }
     roster.following.sources
