Entry: the log tells which requests ask for the same

Cause: in the incident the log couldn't tell whether the request that was cut off at each end of an endpoint was one request that came again, or many.

Change: a fingerprint of host, path, account and body, in the lines of a failed attempt and of a request's end. No decision depends on it.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -20,6 +20,7 @@
 pub mod endpoint;
 pub mod events;
 pub mod exchange;
+pub mod fingerprint;
 pub mod health;
 pub mod holders;
 pub mod load;
--- /dev/null
+++ b/crates/core/src/routing/fingerprint.rs
@@ -0,0 +1,41 @@
+//! What makes two requests the same one.
+//!
+//! A caller that sends a request again gives it a new id and may reach another
+//! daemon. What stays is what it asks for: host, path, account and body.
+
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use derive_more::{Debug, Display};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::ids::AccountId;
+
+/// Hash of what a request asks for.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Display)]
+#[debug("{self}")]
+#[display("{_0:016x}")]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// The fingerprint of a request; `path` includes the query.
+    pub fn new(host: &str, path: &str, account: Option<&AccountId>, body: &[u8]) -> Self {
+        let account = account.map_or("", AccountId::as_str);
+        let mut hash = Xxh3::new();
+        for part in [host.as_bytes(), path.as_bytes(), account.as_bytes(), body] {
+            // Lengths keep apart what would be alike when joined.
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        Self(hash.digest())
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -11,6 +11,7 @@
     mod directory;
     mod events;
     mod exchange;
+    mod fingerprint;
     mod health;
     mod holders;
     mod load;
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Incoming};
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::config::Configuration;
+use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::plan::{Plan, Refusal};
 use medlarrill_core::routing::stop::Stage;
 use medlarrill_net::now::now;
@@ -91,6 +92,10 @@
         return Err((Reason::NoRoute, format!("route {} has no pool", route.name)));
     };
     let body = read_body(&config, body).await?;
+    let uri = origin_form(&parts.uri);
+    let host = host(&parts).unwrap_or_default();
+    let caller = account.as_ref().map(|account| &account.id);
+    let fingerprint = Fingerprint::new(host, &uri.to_string(), caller, &body);
     let order = Order {
         shared: Arc::clone(shared),
         config,
@@ -98,8 +103,9 @@
         account,
         pool,
         call,
+        fingerprint,
         method: parts.method,
-        uri: origin_form(&parts.uri),
+        uri,
         headers: parts.headers,
         body,
     };
--- a/crates/router/src/entry/order.rs
+++ b/crates/router/src/entry/order.rs
@@ -14,6 +14,7 @@
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::config::{Account, Configuration, Priority, Route};
 use medlarrill_core::routing::endpoint::InstanceId;
+use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::plan::{Next, Plan};
 use medlarrill_core::routing::request::Call;
 use medlarrill_platform::headers::{self, Outgoing};
@@ -38,6 +39,8 @@
     pub pool: PoolId,
     /// Its head, decoded.
     pub call: Call,
+    /// What tells whether another request asks for the same.
+    pub fingerprint: Fingerprint,
     /// Its method.
     pub method: Method,
     /// Its path and query.
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -7,6 +7,7 @@
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::endpoint::InstanceId;
+use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::request::SharedPrefix;
 use medlarrill_core::routing::view::Overload;
 use medlarrill_net::now::now;
@@ -26,6 +27,7 @@
     request: String,
     route: String,
     account: String,
+    fingerprint: Fingerprint,
     version: u64,
     endpoint: Option<InstanceId>,
     attempts: u32,
@@ -46,6 +48,7 @@
             request: String::new(),
             route: String::new(),
             account: String::new(),
+            fingerprint: Fingerprint::default(),
             version: 0,
             endpoint: None,
             attempts: 0,
@@ -61,6 +64,7 @@
         self.request.clone_from(&order.call.attempt);
         self.route.clone_from(&order.route.name);
         self.version = order.config.version.0;
+        self.fingerprint = order.fingerprint;
         if let Some(account) = &order.account {
             account.id.as_str().clone_into(&mut self.account);
         }
@@ -107,7 +111,7 @@
         }
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts,
-            endpoint = self.endpoint(),
+            endpoint = self.endpoint(), fingerprint:% = self.fingerprint,
             fault = fault.code(), cause, outcome:% = fault.outcome(), again,
             passed = now().since(self.arrived).0;
             "entry: attempt failed"
@@ -161,7 +165,7 @@
         metrics.whole.observe(seconds(whole));
         log::info!(
             target: "entry", request = self.request, route = self.route, account = self.account,
-            version = self.version, endpoint = self.endpoint(),
+            fingerprint:% = self.fingerprint, version = self.version, endpoint = self.endpoint(),
             attempts = self.attempts, status = self.status, bytes = self.bytes,
             first = self.first.map_or(0, |first| first.0), whole = whole.0,
             outcome = self.outcome.unwrap_or("caller-left");
