Quarantine: evidence against requests, and how it is told between daemons

Cause of the incident: what daemons know of failures they know by endpoint. A request that ends whoever runs it comes again under a new id at any daemon, and nothing stands against it.

Change, not used by the entry yet: losses are kept by a request's fingerprint. Whoever only ran beside one that lost more isn't blamed; a whole answer clears.

Ruled out: endpoints counted per daemon (the request came to another daemon each time); asking the store at each loss (outages, and two calls a loss); counting in a home of the fingerprint (one more hop, and lost with its daemon).

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -27,6 +27,7 @@
 pub mod mirror;
 pub mod overload;
 pub mod plan;
+pub mod quarantine;
 pub mod request;
 pub mod stop;
 pub mod view;
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -13,6 +13,7 @@
 
 mod board;
 mod centres;
+mod evidence;
 mod hot;
 mod hub;
 mod members;
@@ -30,8 +31,11 @@
 
 use crate::clock::Millis;
 use crate::routing::endpoint::InstanceId;
+use crate::routing::quarantine::{Evidence, Snapshot};
 
 pub use board::{Answers, Board, Copy, Delta, Version};
+pub use evidence::Findings;
+use evidence::Spread;
 use hub::Hub;
 pub use members::Centre;
 use members::{Members, ranked};
@@ -95,6 +99,7 @@
     /// What hubs told this daemon.
     hubs: HashMap<SocketAddr, Told>,
     own: Own,
+    evidence: Spread,
     seeds: Vec<SocketAddr>,
     seeded: Option<Millis>,
     next_seed: usize,
@@ -116,6 +121,8 @@
     /// How many daemons report to it.
     gathered: u32,
     hot: HashMap<u32, f64>,
+    /// Digest of the evidence that it holds.
+    digest: u64,
 }
 
 /// From whom a daemon learns what the platform says.
@@ -177,6 +184,7 @@
             hub: Hub::new(0),
             hubs: HashMap::new(),
             own: Own::default(),
+            evidence: Spread::default(),
             seeds: seeds.into_iter().filter(|seed| *seed != me).collect(),
             seeded: None,
             next_seed: 0,
@@ -289,10 +297,21 @@
         }
     }
 
+    /// Sets the evidence against requests that this daemon holds.
+    pub fn hold(&mut self, held: Snapshot) {
+        self.evidence.hold(held);
+    }
+
+    /// Evidence that other daemons told since this was last asked.
+    pub fn learnt(&mut self) -> Vec<Evidence> {
+        self.evidence.learnt()
+    }
+
     /// What is due: this daemon's report, and sums of the reports it got.
     pub fn tick(&mut self, own: Report, now: Millis) -> Vec<Outgoing> {
         self.members.forget(now);
         self.hub.forget(now);
+        self.evidence.forget(now);
         self.hubs.retain(|_, told| now.since(told.at) < SILENT);
         self.cut_off = own.cut_off;
         self.own.note(&own, now);
@@ -320,6 +339,12 @@
             Message::Subtotal(subtotal) => (subtotal.strength, subtotal.centre, subtotal.cut_off),
         };
         let (strength, centre) = (Strength(strength), Centre(centre));
+        let findings = match &message {
+            Message::Report(report) => report.findings.as_ref(),
+            Message::Summary(summary) => summary.findings.as_ref(),
+            Message::Subtotal(subtotal) => subtotal.findings.as_ref(),
+        };
+        self.evidence.take(findings);
         self.members.hear(from, strength, centre, cut_off, now);
         match message {
             Message::Report(report) => {
@@ -347,6 +372,7 @@
         let told = self.hubs.entry(from).or_default();
         told.at = now;
         told.gathered = summary.gathered;
+        told.digest = summary.digest;
         let is_source = self.source(now) == Some(from);
         if is_source {
             self.told = (summary.live as usize, now);
--- a/crates/core/src/routing/exchange/centres.rs
+++ b/crates/core/src/routing/exchange/centres.rs
@@ -25,6 +25,8 @@
     pub prefixes: Prefixes,
     /// What it has reached of this daemon's sums.
     pub reached: Option<Version>,
+    /// Digest of the evidence that it holds.
+    pub digest: u64,
     at: Millis,
 }
 
@@ -56,6 +58,7 @@
             told.prefixes.clone_from(prefixes);
         }
         told.reached = subtotal.reached;
+        told.digest = subtotal.digest;
         let counted = subtotal.delta.as_ref();
         let counted = counted.and_then(|delta| told.copy.take(delta));
         let is_chosen = self.chosen().any(|(hub, _)| hub == from);
--- a/crates/core/src/routing/exchange/hub.rs
+++ b/crates/core/src/routing/exchange/hub.rs
@@ -27,6 +27,20 @@
     pub reached: Option<Version>,
     /// Whether it asks for the sums.
     pub wants_sums: bool,
+    /// Digest of the evidence that it holds.
+    pub digest: u64,
+}
+
+/// A daemon that asked who lives.
+#[derive(Clone, Copy)]
+#[derive(Debug)]
+pub struct Asked {
+    /// Where it is reached.
+    pub by: SocketAddr,
+    /// Its data centre.
+    pub centre: Centre,
+    /// Digest of the evidence that it holds.
+    pub digest: u64,
 }
 
 /// What a hub sums up.
@@ -35,8 +49,8 @@
 pub struct Hub {
     /// The last report of each daemon.
     pub reports: HashMap<SocketAddr, Received>,
-    /// Who asked who lives, and in which data centre they are.
-    pub asked: Vec<(SocketAddr, Centre)>,
+    /// Who asked who lives.
+    pub asked: Vec<Asked>,
     /// Sums over the reports, for hubs of other data centres.
     pub local: Board,
     /// Sums over the fleet, for the reporters.
@@ -109,10 +123,15 @@
             entries: report.entries.clone(),
             reached: report.reached,
             wants_sums: wish == Wish::Sums,
+            digest: report.digest,
         };
         self.reports.insert(from, received);
         if !is_full {
-            self.asked.push((from, centre));
+            self.asked.push(Asked {
+                by: from,
+                centre,
+                digest: report.digest,
+            });
         }
     }
 
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -7,6 +7,7 @@
 
 use super::Strength;
 use super::board::{Answers, Delta, Version};
+use super::evidence::Findings;
 use super::members::Centre;
 use crate::clock::Millis;
 
@@ -69,6 +70,12 @@
     /// What is asked for.
     #[prost(enumeration = "Wish", tag = "8")]
     pub wish: i32,
+    /// Evidence against requests.
+    #[prost(message, optional, tag = "9")]
+    pub findings: Option<Findings>,
+    /// Digest of all evidence that the daemon holds.
+    #[prost(fixed64, tag = "10")]
+    pub digest: u64,
 }
 
 /// What a report asks its receiver for.
@@ -233,6 +240,12 @@
     /// Whether the hub has lost the platform.
     #[prost(bool, tag = "10")]
     pub cut_off: bool,
+    /// Evidence against requests.
+    #[prost(message, optional, tag = "11")]
+    pub findings: Option<Findings>,
+    /// Digest of all evidence that the hub holds.
+    #[prost(fixed64, tag = "12")]
+    pub digest: u64,
 }
 
 /// Requests with shared prefixes in one data centre, the old ones fading.
@@ -278,6 +291,12 @@
     /// What the hub has reached of the receiver's sums.
     #[prost(message, optional, tag = "9")]
     pub reached: Option<Version>,
+    /// Evidence against requests.
+    #[prost(message, optional, tag = "10")]
+    pub findings: Option<Findings>,
+    /// Digest of all evidence that the hub holds.
+    #[prost(fixed64, tag = "11")]
+    pub digest: u64,
 }
 
 /// A datagram.
--- a/crates/core/src/routing/exchange/report.rs
+++ b/crates/core/src/routing/exchange/report.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::evidence::News;
 use super::members::{TOLD, ranked};
 use super::message::{Message, Report, Wish};
 use super::roles::{Role, holders};
@@ -15,6 +16,7 @@
         let own = Report {
             strength: self.members.ranks.strength().0,
             centre: self.members.centre.0,
+            digest: self.evidence.digest(),
             ..own
         };
         let mut hubs = self.hubs(now);
@@ -32,7 +34,7 @@
             ..own.clone()
         };
         let source = self.source(now);
-        let full = |hub| (hub, self.report_to(hub, source, own.clone()));
+        let full = |hub| (hub, self.report_to(hub, source, own.clone(), now));
         let reports = hubs.into_iter().map(full);
         let shows = shown.into_iter().map(|to| (to, short.clone()));
         let all = reports.chain(shows);
@@ -40,13 +42,21 @@
             .collect()
     }
 
-    fn report_to(&self, hub: SocketAddr, source: Option<SocketAddr>, own: Report) -> Report {
+    fn report_to(
+        &mut self,
+        hub: SocketAddr,
+        source: Option<SocketAddr>,
+        own: Report,
+        now: Millis,
+    ) -> Report {
         let wish = match source == Some(hub) {
             true => Wish::Sums,
             false => Wish::Life,
         };
         let told = self.hubs.get(&hub);
+        let digest = told.map(|told| told.digest);
         Report {
+            findings: self.evidence.findings(hub, digest, News::Own, now),
             reached: told.and_then(|told| told.sums.reached()),
             wish: wish.into(),
             ..own
--- a/crates/core/src/routing/exchange/tell.rs
+++ b/crates/core/src/routing/exchange/tell.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 
-use super::hub::{add, loads_of};
+use super::evidence::News;
+use super::hub::{Asked, add, loads_of};
 use super::members::Centre;
 use super::message::{Message, Moved, Peers, Report, Subtotal, Summary};
 use super::{BEAT, Exchange, Heard, LIST_PAUSE, Others, Outgoing, is_due, shares};
@@ -17,10 +18,11 @@
     /// callers before it knows whom to follow.
     pub fn answers(&mut self, now: Millis) -> Vec<Outgoing> {
         let asked = std::mem::take(&mut self.hub.asked);
-        let answer = |(to, centre)| {
+        let answer = |Asked { by, centre, digest }| {
             let mut summary = self.summary(now);
             summary.peers = Some(Peers::new(&self.members.worth_telling(centre, now)));
-            (to, Message::Summary(summary))
+            summary.findings = self.evidence.findings(by, Some(digest), News::All, now);
+            (by, Message::Summary(summary))
         };
         asked.into_iter().map(answer).collect()
     }
@@ -34,6 +36,7 @@
             centre: self.members.centre.0,
             gathered: self.gathered_from(now),
             cut_off: self.cut_off,
+            digest: self.evidence.digest(),
             ..Summary::default()
         }
     }
@@ -117,6 +120,8 @@
             if report.wants_sums {
                 summary.delta = Some(self.hub.fleet.since(report.reached));
                 summary.moved.clone_from(&moved);
+                let digest = Some(report.digest);
+                summary.findings = self.evidence.findings(*address, digest, News::All, now);
                 if is_listed {
                     summary.peers = list(report.centre);
                     summary.hot.clone_from(&self.hub.hot);
@@ -145,6 +150,7 @@
             moved: moved.into_iter().collect(),
             centre: self.members.centre.0,
             cut_off: self.cut_off,
+            digest: self.evidence.digest(),
             ..Subtotal::default()
         };
         let mut out = Vec::new();
@@ -154,9 +160,11 @@
             for hub in self.members.hubs_of(Some(centre), now) {
                 let told = self.hub.centres.told(&hub);
                 let reached = told.and_then(|told| told.reached);
+                let digest = told.map(|told| told.digest);
                 let subtotal = Subtotal {
                     delta: Some(self.hub.local.since(reached)),
                     peers: peers.clone(),
+                    findings: self.evidence.findings(hub, digest, News::All, now),
                     reached: told.and_then(|told| told.copy.reached()),
                     ..common.clone()
                 };
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -10,6 +10,7 @@
     mod config;
     mod directory;
     mod events;
+    mod evidence;
     mod exchange;
     mod fingerprint;
     mod health;
@@ -20,6 +21,7 @@
     mod plain;
     mod plan;
     mod prompts;
+    mod quarantine;
     mod request;
     mod stop;
     mod support;
--- /dev/null
+++ b/crates/core/tests/routing/quarantine.rs
@@ -0,0 +1,177 @@
+//! Which requests are quarantined, by the endpoints that were lost with them.
+
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::fingerprint::Fingerprint;
+use medlarrill_core::routing::quarantine::{Evidence, Finding, HOLD, KEPT, Quarantine};
+
+const CRASHING: Fingerprint = Fingerprint(1);
+const BESIDE: Fingerprint = Fingerprint(2);
+const NOW: Millis = Millis(5000);
+
+/// A quarantine that knows requests and the endpoints that were lost with them.
+fn after(losses: &[(Fingerprint, &[u32])]) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for (fingerprint, endpoints) in losses {
+        for endpoint in *endpoints {
+            quarantine.lost(*fingerprint, *endpoint, NOW);
+        }
+    }
+    quarantine
+}
+
+fn is_held(quarantine: &Quarantine, fingerprint: Fingerprint) -> bool {
+    quarantine.wait(fingerprint, NOW).is_some()
+}
+
+#[gtest]
+fn three_endpoints_lost_with_a_request_are_enough_and_two_are_not() {
+    expect_that!(is_held(&after(&[(CRASHING, &[1, 2])]), CRASHING), eq(false));
+    let held = after(&[(CRASHING, &[1, 2, 3])]);
+    expect_that!(held.wait(CRASHING, NOW), some(eq(HOLD)));
+    expect_that!(held.count(), eq(1));
+}
+
+#[gtest]
+fn an_endpoint_counts_once_however_many_daemons_lost_it() {
+    let mut quarantine = after(&[(CRASHING, &[1, 1, 1, 2])]);
+    let heard = quarantine.evidence(CRASHING, NOW);
+    quarantine.learn(&heard, NOW);
+    expect_that!(is_held(&quarantine, CRASHING), eq(false));
+}
+
+#[gtest]
+fn a_change_is_told_once_with_whether_this_daemon_had_a_part() {
+    let mut quarantine = after(&[(CRASHING, &[1, 2])]);
+    let changes = quarantine.lost(CRASHING, 3, NOW);
+    expect_that!(changes.len(), eq(1));
+    expect_that!(changes[0].begins, eq(true));
+    expect_that!(changes[0].is_own, eq(true));
+    expect_that!(changes[0].lost, eq(3));
+    expect_that!(quarantine.lost(CRASHING, 3, NOW).is_empty(), eq(true));
+    let mut other = Quarantine::default();
+    let changes = other.learn(&quarantine.evidence(CRASHING, NOW), NOW);
+    expect_that!(changes[0].is_own, eq(false));
+    let changes = other.forget(NOW + HOLD);
+    expect_that!(changes[0].begins, eq(false));
+}
+
+#[gtest]
+fn what_only_ran_beside_is_not_to_blame() {
+    let quarantine = after(&[(CRASHING, &[1, 2, 3, 4]), (BESIDE, &[2, 3, 4])]);
+    expect_that!(is_held(&quarantine, CRASHING), eq(true));
+    expect_that!(is_held(&quarantine, BESIDE), eq(false));
+}
+
+#[gtest]
+fn of_two_that_were_lost_together_each_time_the_next_loss_tells() {
+    let mut quarantine = after(&[(CRASHING, &[1, 2, 3]), (BESIDE, &[1, 2, 3])]);
+    expect_that!(quarantine.count(), eq(0));
+    quarantine.lost(CRASHING, 4, NOW);
+    expect_that!(is_held(&quarantine, CRASHING), eq(true));
+    expect_that!(is_held(&quarantine, BESIDE), eq(false));
+}
+
+#[gtest]
+fn two_that_end_endpoints_and_met_are_both_held_after_five_at_the_most() {
+    let mut quarantine = after(&[(CRASHING, &[1, 2, 3]), (BESIDE, &[3, 2, 5])]);
+    expect_that!(quarantine.count(), eq(0));
+    quarantine.lost(CRASHING, 6, NOW);
+    quarantine.lost(CRASHING, 7, NOW);
+    expect_that!(is_held(&quarantine, CRASHING), eq(true));
+    quarantine.lost(BESIDE, 8, NOW);
+    quarantine.lost(BESIDE, 9, NOW);
+    expect_that!(is_held(&quarantine, BESIDE), eq(true));
+}
+
+#[gtest]
+fn a_whole_answer_clears_a_request_here_and_elsewhere() {
+    let mut quarantine = after(&[(CRASHING, &[1, 2, 3])]);
+    let mut other = Quarantine::default();
+    other.learn(&quarantine.evidence(CRASHING, NOW), NOW);
+    expect_that!(is_held(&other, CRASHING), eq(true));
+    quarantine.served(CRASHING, NOW);
+    expect_that!(is_held(&quarantine, CRASHING), eq(false));
+    other.learn(&quarantine.snapshot(NOW).own, NOW);
+    expect_that!(is_held(&other, CRASHING), eq(false));
+}
+
+#[gtest]
+fn content_that_is_served_often_is_not_blamed_where_many_endpoints_are_lost_at_once() {
+    let mut served = Quarantine::default();
+    served.served(BESIDE, NOW);
+    for endpoint in 1..9 {
+        served.lost(BESIDE, endpoint, NOW);
+    }
+    expect_that!(is_held(&served, BESIDE), eq(false));
+    // A daemon that never served it hears from one that did.
+    let mut other = after(&[(BESIDE, &[1, 2, 3, 4, 5])]);
+    let heard = other.snapshot(NOW).all;
+    expect_that!(is_held(&other, BESIDE), eq(true));
+    let mut third = Quarantine::default();
+    third.served(BESIDE, NOW);
+    third.learn(&heard, NOW);
+    expect_that!(is_held(&third, BESIDE), eq(false));
+    other.learn(&third.snapshot(NOW).own, NOW);
+    expect_that!(is_held(&other, BESIDE), eq(false));
+}
+
+#[gtest]
+fn it_is_tried_again_after_a_while_and_one_more_loss_is_enough_then() {
+    let mut quarantine = after(&[(CRASHING, &[1, 2, 3])]);
+    let later = NOW + HOLD;
+    expect_that!(quarantine.wait(CRASHING, later), none());
+    quarantine.lost(CRASHING, 4, later);
+    expect_that!(quarantine.wait(CRASHING, later), some(eq(HOLD)));
+}
+
+#[gtest]
+fn all_is_forgotten_in_the_end() {
+    let mut quarantine = after(&[(CRASHING, &[1, 2, 3]), (BESIDE, &[1])]);
+    quarantine.served(BESIDE, NOW);
+    quarantine.forget(NOW + KEPT);
+    expect_that!(quarantine.snapshot(NOW + KEPT).all.is_empty(), eq(true));
+    expect_that!(quarantine.count(), eq(0));
+}
+
+#[gtest]
+fn a_flood_of_losses_takes_bounded_room_and_frees_nobody() {
+    let mut quarantine = after(&[(CRASHING, &[1, 2, 3]), (BESIDE, &[4, 5])]);
+    for number in 0..20_000 {
+        let at = NOW + Millis(1 + number / 100);
+        let other = Fingerprint(1000 + number);
+        quarantine.lost(other, 100 + number as u32 % 50, at);
+        quarantine.served(Fingerprint(1_000_000 + number), at);
+    }
+    expect_that!(quarantine.snapshot(NOW).all.len(), le(512));
+    expect_that!(is_held(&quarantine, CRASHING), eq(true));
+    quarantine.lost(BESIDE, 6, NOW);
+    expect_that!(is_held(&quarantine, BESIDE), eq(true));
+}
+
+#[gtest]
+fn what_happened_before_a_daemons_start_keeps_its_age() {
+    let lost = |endpoint| Evidence {
+        fingerprint: CRASHING,
+        finding: Finding::Lost(endpoint),
+        age: Millis(HOLD.0 - 1000),
+    };
+    let mut started = Quarantine::default();
+    started.learn(&[lost(1), lost(2), lost(3)], Millis(100));
+    let wait = started.wait(CRASHING, Millis(100));
+    expect_that!(wait, some(eq(Millis(1000))));
+    expect_that!(started.wait(CRASHING, Millis(1100)), none());
+}
+
+#[gtest]
+fn those_who_know_the_same_have_the_same_digest_in_whatever_order_they_learnt_it() {
+    let one = after(&[(CRASHING, &[1, 2, 3]), (BESIDE, &[3])]);
+    let mut other = after(&[(BESIDE, &[3])]);
+    expect_that!(
+        other.snapshot(NOW).digest,
+        not(eq(one.snapshot(NOW).digest))
+    );
+    other.learn(&one.snapshot(NOW).all, NOW + Millis(300));
+    expect_that!(other.snapshot(NOW).digest, eq(one.snapshot(NOW).digest));
+    expect_that!(Quarantine::default().snapshot(NOW).digest, eq(0));
+}
--- a/crates/core/tests/routing/world.rs
+++ b/crates/core/tests/routing/world.rs
@@ -10,6 +10,7 @@
 use medlarrill_core::routing::exchange::{
     Centre, Entry, Exchange, Heard, Message, Outgoing, Report, TICK,
 };
+use medlarrill_core::routing::quarantine::Quarantine;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -22,6 +23,7 @@
 
 pub struct Daemon {
     pub exchange: Exchange,
+    pub quarantine: Quarantine,
     pub centre: usize,
     pub due: u64,
     flights: Vec<u32>,
@@ -41,6 +43,7 @@
 /// A fleet over some data centres.
 pub struct World {
     pub daemons: Vec<Daemon>,
+    centres: usize,
     endpoints: u32,
     pub now: u64,
     mail: BTreeMap<u64, Vec<(usize, usize, Vec<u8>)>>,
@@ -60,28 +63,13 @@
 impl World {
     pub fn new(daemons: usize, centres: usize, endpoints: u32) -> Self {
         let mut rng = Pcg32::seed_from_u64(11);
-        let seeds = vec![address(0), address(1), address(2)];
-        let daemon = |number| {
-            let centre = number % centres;
-            let exchange = Exchange::new(address(number), seeds.clone());
-            Daemon {
-                exchange: exchange
-                    .with_centre(Centre(centre as u32 + 1))
-                    .with_epoch(number as u32),
-                centre,
-                due: 1000 + rng.random_range(0..300),
-                flights: Vec::new(),
-                bad: 0,
-                heard: Heard::default(),
-                heard_bad: 0,
-                frozen: None,
-                behind: 0,
-                sent: 0,
-                received: 0,
-            }
+        let mut daemon = |number| {
+            let due = 1000 + rng.random_range(0..300);
+            Daemon::new(number, centres, due)
         };
         Self {
-            daemons: (0..daemons).map(daemon).collect(),
+            daemons: (0..daemons).map(&mut daemon).collect(),
+            centres,
             endpoints,
             now: 1000,
             mail: BTreeMap::new(),
@@ -92,6 +80,17 @@
         }
     }
 
+    /// Starts a lost daemon again, which knows nothing of before.
+    pub fn restart(&mut self, number: usize) {
+        self.lost.retain(|lost| *lost != number);
+        let started = Daemon::new(number, self.centres, self.now);
+        let epoch = self.now as u32;
+        self.daemons[number] = Daemon {
+            exchange: started.exchange.with_epoch(epoch),
+            ..started
+        };
+    }
+
     pub fn run(&mut self, length: u64) {
         for _ in 0..length {
             self.now += 1;
@@ -139,6 +138,8 @@
             if let Some(heard) = daemon.exchange.receive(address(from), message, now) {
                 daemon.hear(heard);
             }
+            let learnt = daemon.exchange.learnt();
+            daemon.quarantine.learn(&learnt, now);
             let answers = daemon.exchange.answers(now);
             self.send(to, answers);
         }
@@ -163,6 +164,7 @@
             daemon.hear(heard);
         }
         let report = daemon.report();
+        daemon.exchange.hold(daemon.quarantine.snapshot(now));
         let out = daemon.exchange.tick(report, now);
         daemon.due = self.now + TICK.0;
         self.send(number, out);
@@ -260,6 +262,28 @@
 }
 
 impl Daemon {
+    fn new(number: usize, centres: usize, due: u64) -> Self {
+        let seeds = vec![address(0), address(1), address(2)];
+        let centre = number % centres;
+        let exchange = Exchange::new(address(number), seeds);
+        Self {
+            exchange: exchange
+                .with_centre(Centre(centre as u32 + 1))
+                .with_epoch(number as u32),
+            quarantine: Quarantine::default(),
+            centre,
+            due,
+            flights: Vec::new(),
+            bad: 0,
+            heard: Heard::default(),
+            heard_bad: 0,
+            frozen: None,
+            behind: 0,
+            sent: 0,
+            received: 0,
+        }
+    }
+
     fn report(&mut self) -> Report {
         let mut counts: BTreeMap<u32, u32> = BTreeMap::new();
         for flight in &self.flights {
