Quarantine: news are told for a second, and all evidence sooner again

Cause: news went out in four ticks, which all were lost with odds of 1 in 81; all evidence was sent at the first differing digest, while news still spread, and then not again for three seconds, so that one more lost datagram left a daemon unaware.

Change: news go out for a second; pauses between two times that all is sent begin at 0.3 s and double to ten seconds until digests agree.

--- a/crates/core/src/routing/exchange/evidence.rs
+++ b/crates/core/src/routing/exchange/evidence.rs
@@ -17,10 +17,11 @@
 use crate::routing::fingerprint::Fingerprint;
 use crate::routing::quarantine::{Evidence, Finding, Snapshot};
 
-/// Between two times that all evidence is sent to a daemon that holds none.
-const STARTER_PAUSE: Millis = Millis(300);
-/// The same for one that holds other evidence: while news spread digests differ anyway.
-const PAUSE: Millis = Millis(3000);
+/// Between the first two times that all evidence is sent to a daemon that holds other. Each
+/// further pause is twice as long, until both hold the same.
+const FIRST_PAUSE: Millis = Millis(300);
+/// Longest such pause: where more is found than is kept, daemons keep different parts of it.
+const LONGEST_PAUSE: Millis = Millis::from_secs(10);
 /// Stands for a clearance in the place of an endpoint.
 const SERVED: u32 = 0;
 
@@ -84,8 +85,17 @@
 pub struct Spread {
     held: Snapshot,
     learnt: Vec<Evidence>,
-    /// When daemons were last sent all of it.
-    pushed: HashMap<SocketAddr, Millis>,
+    /// Daemons that were sent all of it and hold something else still.
+    pushed: HashMap<SocketAddr, Pushed>,
+}
+
+/// The last time that a daemon was sent all evidence.
+#[derive(Clone, Copy)]
+#[derive(Debug)]
+struct Pushed {
+    at: Millis,
+    /// Until the next time.
+    pause: Millis,
 }
 
 impl Spread {
@@ -120,7 +130,6 @@
         now: Millis,
     ) -> Option<Findings> {
         if self.is_push_due(to, digest, now) {
-            self.pushed.insert(to, now);
             return Findings::new(&self.held.all);
         }
         let news = match news {
@@ -130,21 +139,26 @@
         Findings::new(news)
     }
 
-    fn is_push_due(&self, to: SocketAddr, digest: Option<u64>, now: Millis) -> bool {
-        let other = digest.filter(|digest| *digest != self.held.digest);
-        let Some(other) = other.filter(|_| !self.held.all.is_empty()) else {
+    /// Whether a daemon is to be sent all evidence now; notes that it is.
+    fn is_push_due(&mut self, to: SocketAddr, digest: Option<u64>, now: Millis) -> bool {
+        let differs = digest.is_some_and(|digest| digest != self.held.digest);
+        if !differs || self.held.all.is_empty() {
+            self.pushed.remove(&to);
             return false;
-        };
-        let pause = match other {
-            0 => STARTER_PAUSE,
-            _ => PAUSE,
-        };
-        let last = self.pushed.get(&to);
-        last.is_none_or(|at| now.since(*at) >= pause)
+        }
+        let last = self.pushed.get(&to).copied();
+        if last.is_some_and(|last| now.since(last.at) < last.pause) {
+            return false;
+        }
+        let pause = last.map_or(FIRST_PAUSE, |last| last.pause + last.pause);
+        let pause = pause.min(LONGEST_PAUSE);
+        self.pushed.insert(to, Pushed { at: now, pause });
+        true
     }
 
-    /// Forgets daemons that needn't be spared any more.
+    /// Forgets daemons that haven't been told anything for long.
     pub fn forget(&mut self, now: Millis) {
-        self.pushed.retain(|_, at| now.since(*at) < PAUSE);
+        let is_recent = |last: &Pushed| now.since(last.at) <= LONGEST_PAUSE + LONGEST_PAUSE;
+        self.pushed.retain(|_, last| is_recent(last));
     }
 }
--- a/crates/core/src/routing/quarantine.rs
+++ b/crates/core/src/routing/quarantine.rs
@@ -43,7 +43,7 @@
 /// Requests that were served and are remembered.
 const SERVED: usize = 4096;
 /// Time for which what was learnt is told again, since datagrams are lost.
-const FRESH: Millis = Millis(400);
+const FRESH: Millis = Millis(1000);
 /// Added to the daemon's clock in here, so that what happened before its start has a time, too.
 const SHIFT: Millis = KEPT;
 
