Entry: a request that ended three endpoints is sent to none for a while

What callers saw: streams cut off sixteen to twenty times in a row, beside one request that came again and again and ended each endpoint that began it.

Cause: nothing in the fleet knew a request by what it asks for, only by its id, which is new at each try; failures were known by endpoint. Class: a retry loop outside of the system that multiplies one bad input, without a breaker keyed by that input.

Change: a lost connection is evidence against the fingerprint of what it carried, a whole answer clears it. While a request is quarantined each daemon refuses it at once with 503, reason quarantined, not run, and the time after which it may come back; asked before each attempt, also of a resumed stream. A request that ran already and then meets the quarantine ends as unknown.

Ruled out as a cure: fewer attempts or a smaller budget of repeats (each id reached one endpoint), avoiding endpoints (each end is a new one).

--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -50,6 +50,12 @@
         !matches!(self, Self::NotSent | Self::Rejected | Self::OtherEndpoint)
     }
 
+    /// Whether the connection ended while the endpoint had the request, as it does where the
+    /// endpoint itself ends.
+    pub const fn is_loss(self) -> bool {
+        matches!(self, Self::Lost | Self::Cut)
+    }
+
     /// Short name, for counters and logs.
     pub const fn code(self) -> &'static str {
         match self {
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -8,6 +8,7 @@
 use crate::routing::attempt::Fault;
 use crate::routing::config::{Repeat, Route};
 use crate::routing::endpoint::InstanceId;
+use crate::routing::fingerprint::Fingerprint;
 
 /// Attempts that certainly didn't run and aren't counted against the route's own limit.
 const UNRUN_MAX: u32 = 2;
@@ -32,6 +33,13 @@
         /// When the caller may come back.
         wait: Millis,
     },
+    /// Requests that ask for the same have ended the endpoints that ran them; this one didn't run
+    /// and won't.
+    #[display("quarantined")]
+    Quarantined {
+        /// When the caller may come back.
+        wait: Millis,
+    },
     /// It may have run, and no whole answer came.
     #[display("unknown")]
     Unknown,
@@ -60,6 +68,8 @@
     stream: bool,
     /// When the caller or the route's timeout ends the wait.
     deadline: Millis,
+    /// What it asks for, if that is known.
+    fingerprint: Option<Fingerprint>,
     /// Attempts that ran, or may have.
     ran: u32,
     sent: u32,
@@ -75,12 +85,24 @@
             target: route.target,
             stream: route.stream,
             deadline,
+            fingerprint: None,
             ran: 0,
             sent: 0,
             tried: Vec::new(),
         }
     }
 
+    /// Sets what the request asks for.
+    pub const fn with_fingerprint(mut self, fingerprint: Fingerprint) -> Self {
+        self.fingerprint = Some(fingerprint);
+        self
+    }
+
+    /// What the request asks for, if that is known.
+    pub const fn fingerprint(&self) -> Option<Fingerprint> {
+        self.fingerprint
+    }
+
     /// Whether a second run does no harm.
     pub const fn is_idempotent(&self) -> bool {
         self.repeat.is_idempotent()
@@ -149,6 +171,14 @@
         }
     }
 
+    /// What to say when no endpoint is to be sent the request for a while.
+    pub fn quarantined(&self, wait: Millis) -> Refusal {
+        match self.ran {
+            0 => Refusal::Quarantined { wait },
+            _ => Refusal::Unknown,
+        }
+    }
+
     fn may_repeat(&self, fault: Fault) -> bool {
         let harmless = fault.outcome() == Outcome::NotRun || self.repeat.is_idempotent();
         let unrun = self.sent - self.ran;
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -30,6 +30,7 @@
 use crate::routing::load::{Loads, Report};
 use crate::routing::overload::{self, Paces, Valve};
 use crate::routing::plan::Plan;
+use crate::routing::quarantine::{Change, Quarantine};
 use crate::routing::request::SharedPrefix;
 
 pub use entries::Listed;
@@ -62,6 +63,7 @@
     moved: Vec<exchange::Moved>,
     /// Shares of hot prefixes in the fleet's traffic.
     hot: HashMap<u32, f64>,
+    quarantine: Quarantine,
     #[debug(skip)]
     rng: Pcg32,
 }
@@ -80,6 +82,12 @@
     /// Its pool is asked for too much.
     #[display("overloaded")]
     Overloaded(#[error(not(source))] Box<Overload>),
+    /// Requests that ask for the same have ended the endpoints that ran them.
+    #[display("quarantined")]
+    Quarantined {
+        /// For how long no endpoint is sent it.
+        wait: Millis,
+    },
     /// There is no endpoint that wasn't tried.
     #[display("no endpoint")]
     Nothing,
@@ -117,6 +125,7 @@
             holders: Holders::default(),
             moved: Vec::new(),
             hot: HashMap::new(),
+            quarantine: Quarantine::default(),
             rng: Pcg32::new(seed, seed),
         }
     }
@@ -151,7 +160,7 @@
     ///
     /// # Errors
     ///
-    /// When there is none, or its pool is asked for too much.
+    /// When there is none, its pool is asked for too much, or the request is quarantined.
     pub fn choose(
         &mut self,
         pool: &PoolId,
@@ -159,6 +168,11 @@
         plan: &Plan,
         now: Millis,
     ) -> Result<Choice> {
+        // Asked before each attempt: the first one may have been the loss that was missing.
+        let held = plan.fingerprint();
+        if let Some(wait) = held.and_then(|held| self.quarantine.wait(held, now)) {
+            return Err(NoPlace::Quarantined { wait });
+        }
         let candidates = self.candidates(pool, shared, plan, now);
         let trial = plan.is_idempotent();
         let share = shared.map_or(0.0, |prefix| self.count(prefix));
@@ -234,6 +248,19 @@
         }
     }
 
+    /// Notes that an endpoint was lost with a request. It counts also where the endpoint isn't
+    /// listed any more.
+    pub fn lost(&mut self, plan: &Plan, id: &InstanceId, now: Millis) -> Vec<Change> {
+        let lost = plan.fingerprint();
+        let lost = lost.map(|lost| self.quarantine.lost(lost, exchange::short_id(id), now));
+        lost.unwrap_or_default()
+    }
+
+    /// Evidence against requests, and who is quarantined by it.
+    pub const fn quarantine(&mut self) -> &mut Quarantine {
+        &mut self.quarantine
+    }
+
     /// What other daemons are told: requests in flight, and outcomes since the last report.
     pub fn own_report(&mut self, cut_off: bool) -> exchange::Report {
         let mut outcomes = std::mem::take(&mut self.outcomes);
--- a/crates/router/src/entry/answer.rs
+++ b/crates/router/src/entry/answer.rs
@@ -74,6 +74,7 @@
             Self::SlowBody => "slow-body",
             Self::Refused(Refusal::NotRun) => "not-run",
             Self::Refused(Refusal::Overloaded { .. }) => "overloaded",
+            Self::Refused(Refusal::Quarantined { .. }) => "quarantined",
             Self::Refused(Refusal::Unknown) => "unknown",
             Self::Refused(Refusal::Timeout) => "timeout",
         }
@@ -84,9 +85,9 @@
         match self {
             Self::NoConfiguration
             | Self::Stopping
-            | Self::Refused(Refusal::NotRun | Refusal::Overloaded { .. }) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            | Self::Refused(
+                Refusal::NotRun | Refusal::Overloaded { .. } | Refusal::Quarantined { .. },
+            ) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Denied(_) => StatusCode::UNAUTHORIZED,
             Self::BadHead | Self::BadBody => StatusCode::BAD_REQUEST,
@@ -101,7 +102,7 @@
     fn come_back(self) -> Millis {
         let (least, most) = COME_BACK;
         match self {
-            Self::Refused(Refusal::Overloaded { wait }) => wait,
+            Self::Refused(Refusal::Overloaded { wait } | Refusal::Quarantined { wait }) => wait,
             _ => Millis(rand::rng().random_range(least.0..=most.0)),
         }
     }
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -103,6 +103,7 @@
                     wait: overload.wait,
                 };
             }
+            Err(NoPlace::Quarantined { wait }) => break plan.quarantined(wait),
             Err(NoPlace::Nothing) => break plan.refusal(plan.deadline() <= now()),
         };
         let left = plan.deadline().since(now());
@@ -112,6 +113,9 @@
         let failed = match attempt(order, plan, &choice.endpoint, flight, request).await {
             Ok(answered) => {
                 placement.good(&id, now());
+                if let Answered::Whole(_) = answered {
+                    placement.served(plan, now());
+                }
                 return answered;
             }
             Err(failed) => failed,
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -170,7 +170,8 @@
 /// Has a request answered by an endpoint.
 async fn serve(order: Order, arrived: Millis, mut trace: Trace) -> Answer {
     let wait = order.call.wait.unwrap_or(Millis::MAX);
-    let mut plan = Plan::new(&order.route, arrived + wait.min(order.route.timeout));
+    let plan = Plan::new(&order.route, arrived + wait.min(order.route.timeout));
+    let mut plan = plan.with_fingerprint(order.fingerprint);
     order.shared.placement.request(&order.pool, now());
     let first = order.call.last_event;
     match dispatch(&order, &mut plan, first, &mut trace).await {
@@ -192,6 +193,9 @@
     match refusal {
         Refusal::NotRun => "no endpoint took it; it has not run and will not",
         Refusal::Overloaded { .. } => "its pool has too much to do; it has not run and will not",
+        Refusal::Quarantined { .. } => {
+            "requests like it ended the endpoints that ran them; it has not run and will not"
+        }
         Refusal::Unknown => "it may have run, and no whole answer came",
         Refusal::Timeout => "it may have run, and time is up",
     }
--- a/crates/router/src/entry/order.rs
+++ b/crates/router/src/entry/order.rs
@@ -71,13 +71,22 @@
     /// Takes note of a failed attempt and says what follows. Where no endpoint is left to try,
     /// the budget of repeats isn't charged.
     pub fn fail(&self, plan: &mut Plan, id: &InstanceId, fault: Fault, now: Millis) -> Next {
+        self.note_fault(plan, id, fault, now);
         let placement = &self.shared.placement;
-        placement.bad(id, fault, now);
         let has_other = placement.has_other(&self.pool, plan, id);
         let spend = || has_other && placement.spend(&self.pool, now);
         plan.fail(id, fault, spend, now)
     }
 
+    /// Takes note of a failed attempt that nothing follows.
+    pub fn note_fault(&self, plan: &Plan, id: &InstanceId, fault: Fault, now: Millis) {
+        let placement = &self.shared.placement;
+        placement.bad(id, fault, now);
+        if fault.is_loss() {
+            placement.lost(plan, id, now);
+        }
+    }
+
     /// The request as an endpoint gets it.
     pub fn to_endpoint(
         &self,
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -165,7 +165,7 @@
         let next = match self.may_resume() {
             true => self.order.fail(&mut self.plan, &id, fault, now()),
             false => {
-                self.order.shared.placement.bad(&id, fault, now());
+                self.order.note_fault(&self.plan, &id, fault, now());
                 Next::GiveUp(self.plan.refusal(false))
             }
         };
@@ -186,6 +186,7 @@
 
     fn end(&mut self) {
         self.trace.answered();
+        self.order.shared.placement.served(&self.plan, now());
         if let Some(source) = self.source.take() {
             source.kept.release(source.keep, self.order.spare());
         }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -153,6 +153,7 @@
     if let Some(heard) = exchange.receive(from, message, at) {
         shared.placement.others(heard, exchange.live(at), at);
     }
+    shared.placement.learn(&exchange.learnt(), at);
 }
 
 async fn tick(exchange: &mut Exchange, shared: &Shared, socket: &UdpSocket) {
@@ -162,6 +163,7 @@
     {
         shared.placement.others(heard, exchange.live(at), at);
     }
+    exchange.hold(shared.placement.evidence(at));
     let own = shared.placement.own_report(shared.copies.is_cut_off());
     send(socket, exchange.tick(own, at)).await;
 }
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -12,6 +12,7 @@
 use medlarrill_core::routing::exchange;
 use medlarrill_core::routing::load::Report;
 use medlarrill_core::routing::plan::Plan;
+use medlarrill_core::routing::quarantine::{Change, Evidence, Snapshot};
 use medlarrill_core::routing::request::SharedPrefix;
 use medlarrill_core::routing::view::{Listed, Result, Verdict, View};
 
@@ -91,7 +92,7 @@
     ///
     /// # Errors
     ///
-    /// When there is none, or its pool is asked for too much.
+    /// When there is none, its pool is asked for too much, or the request is quarantined.
     pub fn choose(
         self: &Arc<Self>,
         pool: &PoolId,
@@ -125,6 +126,57 @@
         self.lock().bad(id, fault, now);
     }
 
+    /// Notes that an endpoint was lost with a request.
+    pub fn lost(&self, plan: &Plan, id: &InstanceId, now: Millis) {
+        let changes = self.lock().lost(plan, id, now);
+        self.report_changes(&changes);
+    }
+
+    /// Notes that a request was answered whole.
+    pub fn served(&self, plan: &Plan, now: Millis) {
+        if let Some(served) = plan.fingerprint() {
+            let changes = self.lock().quarantine().served(served, now);
+            self.report_changes(&changes);
+        }
+    }
+
+    /// Takes what other daemons know against requests.
+    pub fn learn(&self, evidence: &[Evidence], now: Millis) {
+        if !evidence.is_empty() {
+            let changes = self.lock().quarantine().learn(evidence, now);
+            self.report_changes(&changes);
+        }
+    }
+
+    /// What other daemons are to know against requests.
+    pub fn evidence(&self, now: Millis) -> Snapshot {
+        self.lock().quarantine().snapshot(now)
+    }
+
+    /// Requests that are quarantined.
+    pub fn quarantined(&self) -> usize {
+        self.lock().quarantine().count()
+    }
+
+    /// Logs which requests are quarantined from now on, and which no more.
+    fn report_changes(&self, changes: &[Change]) {
+        for change in changes {
+            let Change {
+                fingerprint,
+                lost,
+                is_own,
+                ..
+            } = change;
+            match change.begins {
+                true => log::warn!(
+                    target: "quarantine", fingerprint:%, lost, is_own;
+                    "quarantine: begins, the request ends the endpoints that run it"
+                ),
+                false => log::info!(target: "quarantine", fingerprint:%; "quarantine: ends"),
+            }
+        }
+    }
+
     /// What other daemons are told: requests in flight, and outcomes since the last report.
     pub fn own_report(&self, cut_off: bool) -> exchange::Report {
         self.lock().own_report(cut_off)
@@ -132,6 +184,8 @@
 
     /// Logs which endpoints are avoided from now on, and which no more.
     pub fn review(&self, now: Millis) {
+        let forgotten = self.lock().quarantine().forget(now);
+        self.report_changes(&forgotten);
         let changes = self.lock().review(now);
         for Verdict {
             endpoint,
