Store: the platform keeps which requests are quarantined

Cause: daemons tell each other of losses, and no VM has a disk. Where all daemons are killed at once the fleet knows nothing, and a request that comes again ends three more endpoints.

Change: each quarantined request is an object of a kind of our own, created by whoever lost endpoints with it and by hubs, read by hubs a second after their start, removed when nothing stands against the request any more. What to do follows from what is known, so that an outage only delays it; nothing waits for it. Objects that can't be read stand for nothing and are left.

Ruled out: writing each loss (one object a loss, and most are of requests that only ran beside), reading at every daemon (a call a start), one object for all (conflicts).

Tests first failed: nine sent again after all were killed, 0 now; also where the platform was away during the losses, in three forms. An entry of 1970 is removed.

The test of what ran beside puts four requests at each endpoint instead of two: once, beside load, only two of three ends met one, so that it proved nothing. Its check is the same.

--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -133,6 +133,8 @@
     pub watchers: Vec<SocketAddr>,
     /// The daemons whose copies of its objects this one follows while it doesn't itself.
     pub sources: Vec<SocketAddr>,
+    /// Whether this daemon is a hub.
+    pub is_hub: bool,
     /// Whether this daemon leaves the platform to others: in a large fleet all do but hubs and
     /// watchers.
     pub is_served: bool,
@@ -286,11 +288,13 @@
         let me = self.members.me;
         let watchers = self.watchers(cut_off, now);
         let hubs = self.hubs(now);
-        let has_hubs = self.is_large(now) && !hubs.contains(&me);
+        let is_hub = hubs.contains(&me);
+        let has_hubs = self.is_large(now) && !is_hub;
         let mut chosen = if has_hubs { hubs } else { Vec::new() };
         chosen.extend(sources(me, &watchers, SOURCES));
         chosen.truncate(SOURCES);
         Following {
+            is_hub,
             is_served: has_hubs && !watchers.contains(&me),
             sources: chosen,
             watchers,
--- a/crates/core/src/routing/quarantine.rs
+++ b/crates/core/src/routing/quarantine.rs
@@ -13,6 +13,7 @@
 
 mod blame;
 mod evidence;
+mod keeper;
 mod suspect;
 
 use std::collections::HashMap;
@@ -24,6 +25,7 @@
 
 use blame::Blame;
 pub use evidence::{Evidence, Finding, Snapshot};
+pub use keeper::{Keeper, Kept, Step};
 use suspect::{Row, Suspect};
 
 /// Endpoints that a request may end before it is quarantined. With fewer, a request that ran
--- /dev/null
+++ b/crates/core/src/routing/quarantine/keeper.rs
@@ -0,0 +1,121 @@
+//! What of the quarantine the platform keeps, for daemons that all start anew.
+//!
+//! Daemons tell each other of losses and need no platform for it. Only where
+//! all of them end at once is that lost. So each quarantined request is also
+//! an object of the platform, written by whoever lost endpoints with it and by
+//! hubs, and read by hubs once after their start. What is wanted follows from
+//! what is known, step by step: a call that fails is made again, and an outage
+//! only delays it.
+
+use std::collections::HashSet;
+
+use derive_more::Debug;
+
+use super::evidence::{Evidence, Finding};
+use super::{HOLD, Quarantine, SHIFT};
+use crate::clock::Millis;
+use crate::routing::fingerprint::Fingerprint;
+
+/// A quarantined request as the platform keeps it.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
+pub struct Kept {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Short ids of the endpoints that were lost with it.
+    pub endpoints: Vec<u32>,
+    /// When the last of them was lost, since the Unix epoch.
+    pub lost_at: Millis,
+}
+
+impl Kept {
+    /// What it says at a time since the Unix epoch.
+    pub fn evidence(&self, wall: Millis) -> impl Iterator<Item = Evidence> {
+        let age = wall.since(self.lost_at);
+        let endpoints = self.endpoints.iter();
+        endpoints.map(move |endpoint| Evidence {
+            fingerprint: self.fingerprint,
+            finding: Finding::Lost(*endpoint),
+            age,
+        })
+    }
+}
+
+/// The next call to the platform.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+pub enum Step {
+    /// Read what it keeps.
+    List,
+    /// Have it keep a request.
+    Create(Fingerprint),
+    /// Remove a request.
+    Remove(Fingerprint),
+}
+
+/// What one daemon knows of what the platform keeps.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct Keeper {
+    has_listed: bool,
+    kept: HashSet<Fingerprint>,
+}
+
+impl Keeper {
+    /// What is to be done next; `is_hub` says whether this daemon stands for others.
+    pub fn next(&self, known: &Quarantine, is_hub: bool) -> Option<Step> {
+        if is_hub && !self.has_listed {
+            return Some(Step::List);
+        }
+        let is_gone = |kept: &&Fingerprint| !known.is_suspect(**kept);
+        if let Some(gone) = self.kept.iter().find(is_gone) {
+            return Some(Step::Remove(*gone));
+        }
+        let mut wanted = known.held().filter(|(_, is_own)| is_hub || *is_own);
+        let missing = wanted.find(|(held, _)| !self.kept.contains(held));
+        missing.map(|(held, _)| Step::Create(held))
+    }
+
+    /// Notes what the platform keeps.
+    pub fn listed(&mut self, kept: impl Iterator<Item = Fingerprint>) {
+        self.has_listed = true;
+        self.kept.extend(kept);
+    }
+
+    /// Notes that the platform keeps a request.
+    pub fn created(&mut self, fingerprint: Fingerprint) {
+        self.kept.insert(fingerprint);
+    }
+
+    /// Notes that it doesn't any more.
+    pub fn removed(&mut self, fingerprint: Fingerprint) {
+        self.kept.remove(&fingerprint);
+    }
+}
+
+impl Quarantine {
+    /// Requests that are quarantined, and whether this daemon itself lost them.
+    pub fn held(&self) -> impl Iterator<Item = (Fingerprint, bool)> {
+        let is_own = |held| self.change(held, true).is_own;
+        self.held.keys().map(move |held| (*held, is_own(*held)))
+    }
+
+    /// Whether an endpoint was lost with a request that wasn't served since.
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.is_some_and(|suspect| !suspect.lost.is_empty())
+    }
+
+    /// A quarantined request as the platform is to keep it.
+    pub fn kept(&self, fingerprint: Fingerprint, now: Millis, wall: Millis) -> Option<Kept> {
+        let until = self.held.get(&fingerprint)?;
+        let suspect = self.suspects.get(&fingerprint)?;
+        let age = (now + SHIFT + HOLD).since(*until);
+        let endpoints = suspect.lost.iter().filter_map(|row| row.finding.endpoint());
+        Some(Kept {
+            fingerprint,
+            endpoints: endpoints.collect(),
+            lost_at: wall - age,
+        })
+    }
+}
--- a/crates/daemon/tests/route/crash.rs
+++ b/crates/daemon/tests/route/crash.rs
@@ -8,7 +8,7 @@
 //! ended endpoints before, here or elsewhere, so that nothing ever stopped it.
 
 use googletest::prelude::*;
-use medlarrill_platform_standin::{Behaviour, Call, Reply};
+use medlarrill_platform_standin::{Behaviour, Call, Outage, Reply};
 use medlarrill_testkit::routed::field;
 
 use super::setup::Bench;
@@ -146,9 +146,9 @@
     let mut cut = 0;
     for round in 0..20 {
         bench.behave(slow);
-        // One at each endpoint, so that the one that ends runs it.
+        // Several at each endpoint, so that whichever ends runs one.
         let mut beside = Vec::new();
-        for number in 0..ENDPOINTS * 2 {
+        for number in 0..ENDPOINTS * 4 {
             let mut caller = bench.caller();
             let call = long(round * 100 + number);
             beside.push(tokio::spawn(async move { caller.send(&call).await }));
@@ -190,3 +190,60 @@
     let ends = daemon.lines_with("quarantine: begins");
     assert_that!(ends[0], contains_substring(fingerprint.as_str()));
 }
+
+/// Kills all daemons and sends the crashing request to each that starts again.
+async fn sent_after_all_were_killed(bench: &mut Bench) -> usize {
+    bench.restart_all();
+    for number in 0..DAEMONS {
+        bench.ready(number, ENDPOINTS).await;
+    }
+    Bench::pause(KNOWN_MS).await;
+    let before = sent(bench);
+    send_again(bench, "/stream-once/x").await;
+    sent(bench) - before
+}
+
+#[tokio::test]
+async fn it_is_known_after_all_daemons_were_killed_at_once() {
+    let mut bench = fleet().await;
+    crash_three(&mut bench, "/stream-once/x").await;
+    Bench::pause(KNOWN_MS).await;
+    assert_that!(sent_after_all_were_killed(&mut bench).await, eq(0));
+}
+
+#[tokio::test]
+async fn it_is_kept_once_an_outage_of_the_platform_has_ended() {
+    for outage in [Outage::Silent, Outage::Busy, Outage::Reset] {
+        let mut bench = fleet().await;
+        bench.store.fail(outage);
+        crash_three(&mut bench, "/stream-once/x").await;
+        Bench::pause(KNOWN_MS).await;
+        let before = sent(&bench);
+        send_again(&mut bench, "/stream-once/x").await;
+        assert_that!(sent(&bench) - before, eq(0), "during the outage");
+        bench.store.fail(Outage::None);
+        Bench::pause(KNOWN_MS + 1000).await;
+        assert_that!(sent_after_all_were_killed(&mut bench).await, eq(0));
+    }
+}
+
+#[tokio::test]
+async fn what_the_platform_keeps_is_removed_when_it_is_too_old_and_left_if_it_can_not_be_read() {
+    let mut bench = Bench::without_daemon(1).await;
+    let old = serde_json::json!({ "endpoints": [1, 2, 3], "lost_at": 1_000 });
+    bench.store.put("quarantine", "00000000000000aa", old);
+    bench
+        .store
+        .put("quarantine", "00000000000000bb", "text".into());
+    bench.add_daemon(&[]);
+    bench.ready(0, 1).await;
+    bench.until(0, "an entry can't be read", 1).await;
+    for _ in 0..500 {
+        if !bench.store.has("quarantine", "00000000000000aa") {
+            break;
+        }
+        Bench::pause(10).await;
+    }
+    let left = vec!["00000000000000bb".to_owned()];
+    assert_that!(bench.store.names("quarantine"), eq(&left));
+}
--- a/crates/daemon/tests/route/setup.rs
+++ b/crates/daemon/tests/route/setup.rs
@@ -85,6 +85,15 @@
         self.daemons.push(daemon);
     }
 
+    /// Kills all daemons at once and starts as many, which know nothing of before.
+    pub fn restart_all(&mut self) {
+        let count = self.daemons.len();
+        self.daemons.clear();
+        for number in 0..count {
+            self.add_daemon(if number == 0 { &[] } else { &[0] });
+        }
+    }
+
     /// Waits until a daemon knows the configuration and so many endpoints.
     pub async fn ready(&self, daemon: usize, endpoints: usize) {
         self.until(daemon, "configuration in force", 1).await;
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -10,9 +10,10 @@
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
 use medlarrill_core::routing::exchange;
+use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::load::Report;
 use medlarrill_core::routing::plan::Plan;
-use medlarrill_core::routing::quarantine::{Change, Evidence, Snapshot};
+use medlarrill_core::routing::quarantine::{Change, Evidence, Keeper, Kept, Snapshot, Step};
 use medlarrill_core::routing::request::SharedPrefix;
 use medlarrill_core::routing::view::{Listed, Result, Verdict, View};
 
@@ -153,6 +154,16 @@
         self.lock().quarantine().snapshot(now)
     }
 
+    /// What is to be done next for the platform to keep the quarantine.
+    pub fn next_kept(&self, keeper: &Keeper, is_hub: bool) -> Option<Step> {
+        keeper.next(self.lock().quarantine(), is_hub)
+    }
+
+    /// A quarantined request as the platform is to keep it.
+    pub fn kept(&self, fingerprint: Fingerprint, now: Millis, wall: Millis) -> Option<Kept> {
+        self.lock().quarantine().kept(fingerprint, now, wall)
+    }
+
     /// Requests that are quarantined.
     pub fn quarantined(&self) -> usize {
         self.lock().quarantine().count()
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -129,6 +129,7 @@
     let store = Store {
         copies: Arc::clone(&copies),
         roster: roster.clone(),
+        placement: Arc::clone(&placement),
         metrics: Arc::clone(&metrics),
         first_start: settings.first_start,
     };
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -8,6 +8,7 @@
 mod copies;
 mod direct;
 mod effect;
+mod quarantine;
 pub mod relay;
 mod unreadable;
 
@@ -22,6 +23,7 @@
 pub use self::unreadable::Unreadable;
 use crate::metrics::Metrics;
 use crate::peers::Roster;
+use crate::placement::Placement;
 
 /// Between two looks for objects that were missing for too long.
 const SWEEP: Millis = Millis(100);
@@ -33,6 +35,8 @@
     pub copies: Arc<Copies>,
     /// Who lives, and who follows the platform.
     pub roster: Roster,
+    /// Where the quarantine is known.
+    pub placement: Arc<Placement>,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// Whether the whole fleet starts for the first time.
@@ -54,6 +58,7 @@
         futures_util::future::join_all(kinds),
         relay::serve(store.clone(), listener),
         relay::follow(store.clone()),
+        quarantine::keep(store.clone(), platform),
         sweep(&store.copies),
     );
 }
--- a/crates/router/src/store/client.rs
+++ b/crates/router/src/store/client.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use derive_more::{Debug, Display, Error};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use medlarrill_core::clock::Millis;
+use medlarrill_platform::store::Call;
 
 use crate::socket;
 
@@ -49,6 +50,16 @@
         matches!(self, Self::Status(StatusCode::GONE))
     }
 
+    /// Whether the store says that the object exists already.
+    pub fn exists(&self) -> bool {
+        matches!(self, Self::Status(StatusCode::CONFLICT))
+    }
+
+    /// Whether the store says that there is no such object.
+    pub fn is_missing(&self) -> bool {
+        matches!(self, Self::Status(StatusCode::NOT_FOUND))
+    }
+
     /// Whether the store refused the call since there were too many.
     pub fn is_over_rate(&self) -> bool {
         matches!(self, Self::Status(StatusCode::TOO_MANY_REQUESTS))
@@ -60,7 +71,7 @@
 pub struct Client {
     address: SocketAddr,
     #[debug(skip)]
-    sender: Option<SendRequest<Empty<Bytes>>>,
+    sender: Option<SendRequest<Full<Bytes>>>,
 }
 
 impl Client {
@@ -72,15 +83,15 @@
         }
     }
 
-    /// Reads a path. A connection on which a call failed isn't used again, since answers to
+    /// Makes a call. A connection on which one failed isn't used again, since answers to
     /// that call may come later.
     ///
     /// # Errors
     ///
-    /// When there is no answer of status 200 in time.
-    pub async fn get(&mut self, path: &str, wait: Millis) -> Result<Bytes> {
+    /// When there is no answer in time that says that it was done.
+    pub async fn call(&mut self, call: &Call, wait: Millis) -> Result<Bytes> {
         let sender = self.sender.take().filter(|sender| !sender.is_closed());
-        let call = self.call(sender, path);
+        let call = self.exchange(sender, call);
         let (sender, body) = tokio::time::timeout(wait.as_duration(), call)
             .await
             .map_err(|_| CallError::Timeout(wait))??;
@@ -88,32 +99,34 @@
         body
     }
 
-    async fn call(
+    async fn exchange(
         &self,
-        sender: Option<SendRequest<Empty<Bytes>>>,
-        path: &str,
-    ) -> Result<(SendRequest<Empty<Bytes>>, Result<Bytes>)> {
+        sender: Option<SendRequest<Full<Bytes>>>,
+        call: &Call,
+    ) -> Result<(SendRequest<Full<Bytes>>, Result<Bytes>)> {
         let mut sender = match sender {
             Some(sender) => sender,
             None => self.connect().await?,
         };
         sender.ready().await.map_err(http)?;
-        let request = Request::get(path)
+        let request = Request::builder()
+            .method(&call.method)
+            .uri(&call.path)
             .header(http::header::HOST, self.address.to_string())
-            .body(Empty::new())
+            .body(Full::new(call.body.clone()))
             .map_err(|error| CallError::Http(error.to_string()))?;
         let answer = sender.send_request(request).await.map_err(http)?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), BODY_MAX).collect().await;
         let body = body.map_err(|error| CallError::Http(error.to_string()))?;
-        let result = match status {
-            StatusCode::OK => Ok(body.to_bytes()),
-            _ => Err(CallError::Status(status)),
+        let result = match status.is_success() {
+            true => Ok(body.to_bytes()),
+            false => Err(CallError::Status(status)),
         };
         Ok((sender, result))
     }
 
-    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>> {
+    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
         let stream = socket::connect(self.address, CONNECT)
             .await
             .map_err(CallError::Io)?;
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -1,5 +1,6 @@
 //! The copies, one of each kind, and who is told of their changes.
 
+use std::fmt::Display;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -63,12 +64,17 @@
     }
 
     /// Reports parts of the platform's answers that can't be read.
-    pub fn report(&self, kind: Kind, errors: &[DecodeError]) {
+    pub fn report(&self, kind: impl Display + std::marker::Copy, errors: &[DecodeError]) {
         for error in errors {
-            self.sinks.unreadable.report(kind, "", error);
+            self.report_one(kind, "", error);
         }
     }
 
+    /// Reports an object that can't be read; without a name where that can't be either.
+    pub fn report_one(&self, kind: impl Display, name: &str, error: &DecodeError) {
+        self.sinks.unreadable.report(kind, name, error);
+    }
+
     /// The revision that a copy has reached.
     pub fn revision(&self, kind: Kind) -> Option<u64> {
         self.lock(kind).mirror.revision()
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -6,7 +6,7 @@
 use medlarrill_core::routing::backoff;
 use medlarrill_core::routing::mirror::{Change, Object, Update};
 use medlarrill_net::now::now;
-use medlarrill_platform::store::{self as wire, Freshness, Kind};
+use medlarrill_platform::store::{self as wire, Call, Freshness, Kind};
 use rand::RngExt;
 
 use super::Store;
@@ -261,7 +261,8 @@
     async fn call(&mut self, path: &str, wait: Millis) -> Result<bytes::Bytes> {
         self.store.metrics.calls.inc();
         let asked = now();
-        let body = self.client.get(path, wait).await;
+        let call = Call::get(path.to_owned());
+        let body = self.client.call(&call, wait).await;
         if body.as_ref().err().is_none_or(CallError::is_gone) {
             self.answered(asked);
         }
--- a/crates/router/src/store/unreadable.rs
+++ b/crates/router/src/store/unreadable.rs
@@ -1,12 +1,13 @@
 //! Entries of the store that can't be read: counted all, logged within bounds.
 
+use std::fmt::Display;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::line_limit::LineLimit;
 use medlarrill_net::now::now;
-use medlarrill_platform::store::{DecodeError, Kind};
+use medlarrill_platform::store::DecodeError;
 
 use crate::metrics::Metrics;
 
@@ -33,7 +34,7 @@
     }
 
     /// Reports an entry; the name is empty where that can't be read either.
-    pub fn report(&self, kind: Kind, name: &str, error: &DecodeError) {
+    pub fn report(&self, kind: impl Display, name: &str, error: &DecodeError) {
         self.metrics.unreadable.inc();
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(left_out) = lines.take(now()) else {
