Tests: each test of the router has loopback addresses of its own

Seen: 5 of 162 tests failed with six runs at once, each as a daemon that didn't start to listen. Cause: all daemons of a test listen on one port, each at an address of its own, and all tests used the same addresses; the port that the first one was given was taken at another's. With addresses by process and test 0 of 162 failed, six runs at once.

--- a/crates/daemon/tests/route/setup.rs
+++ b/crates/daemon/tests/route/setup.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and daemons of one test.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use medlarrill_platform_standin::{
@@ -20,8 +21,14 @@
     pub endpoints: Vec<Endpoint>,
     pub daemons: Vec<Routed>,
     folder: TempDir,
+    /// Part of the loopback addresses that is this test's own: its daemons need one port that is
+    /// free at all of theirs.
+    network: [u8; 2],
 }
 
+/// Tests of this process so far.
+static TESTS: AtomicU8 = AtomicU8::new(0);
+
 impl Bench {
     /// A store with a configuration and this many endpoints, and one daemon that knows them.
     pub async fn start(endpoints: usize) -> Self {
@@ -49,6 +56,10 @@
             endpoints,
             daemons: Vec::new(),
             folder: TempDir::new().expect("a folder"),
+            network: [
+                1 + (std::process::id() % 250) as u8,
+                TESTS.fetch_add(1, Ordering::Relaxed),
+            ],
         }
     }
 
@@ -77,7 +88,8 @@
             .daemons
             .first()
             .map_or(0, |first| first.listen[3].port());
-        let ip = [127, 0, 1, 1 + number as u8];
+        let [process, test] = self.network;
+        let ip = [127, process, test, 1 + number as u8];
         setup.first_start = first_start;
         setup.listen = [0, 0, 0, port].map(|port| (ip, port).into());
         let program = Program::new(env!("CARGO_BIN_EXE_medlarrilld"));
