Quarantine: an answer whose end isn't marked clears nobody

Found by reading: an answer without length and chunks ends with its connection, so that the end of an endpoint passes for the end of a stream. It cleared the request for a minute and would have kept the quarantine open.

Change: only an answer with a length or in chunks clears.

--- a/crates/core/src/routing/answer.rs
+++ b/crates/core/src/routing/answer.rs
@@ -27,6 +27,9 @@
     pub keep: Option<Millis>,
     /// Whether the body is a stream of events.
     pub events: bool,
+    /// Whether the body's end is marked, by a length or in chunks, so that a connection that ends
+    /// can't pass for it.
+    pub framed: bool,
     /// Whether the body was encoded on the way, so that it isn't the endpoint's.
     pub encoded: bool,
 }
--- a/crates/daemon/tests/route/crash.rs
+++ b/crates/daemon/tests/route/crash.rs
@@ -10,8 +10,10 @@
 use googletest::prelude::*;
 use medlarrill_platform_standin::{Behaviour, Call, Outage, Reply};
 use medlarrill_testkit::routed::field;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
-use super::setup::Bench;
+use super::setup::{Bench, POOL};
 
 const CRASHING: &[u8] = b"crashing";
 const FRAGILE: Behaviour = Behaviour {
@@ -191,6 +193,62 @@
     assert_that!(ends[0], contains_substring(fingerprint.as_str()));
 }
 
+/// Answers each connection's first request with the head of a stream whose end isn't marked, and
+/// closes it, as an endpoint does that ends just then.
+async fn answer_without_end(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut head = vec![0; 4096];
+        let read = stream.read(&mut head).await.unwrap_or_default();
+        let head = String::from_utf8_lossy(&head[..read]).to_lowercase();
+        let attempt = head.split("medlarrill-attempt-id: ").nth(1);
+        let attempt = attempt.and_then(|rest| rest.split("\r\n").next());
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nmedlarrill-attempt-id: {}\r\n\
+             medlarrill-response-seal: s\r\nconnection: close\r\n\r\n",
+            attempt.unwrap_or_default()
+        );
+        stream.write_all(answer.as_bytes()).await.ok();
+    }
+}
+
+#[tokio::test]
+async fn an_answer_whose_end_is_not_marked_clears_nobody() {
+    let mut bench = Bench::without_daemon(ENDPOINTS).await;
+    bench.behave(FRAGILE);
+    for endpoint in &bench.endpoints {
+        bench.store.remove("servers", endpoint.id());
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut entry = bench.endpoints[0].entry(POOL, "ready");
+    entry["address"] = listener.local_addr().expect("a port").to_string().into();
+    bench.store.put("servers", "endless", entry);
+    tokio::spawn(answer_without_end(listener));
+    for number in 0..DAEMONS {
+        bench.add_daemon(if number == 0 { &[] } else { &[0] });
+        bench.ready(number, 1).await;
+    }
+    for number in 0..DAEMONS {
+        bench.until(number, &format!("\"live\":{DAEMONS}"), 1).await;
+        let call = crashing(900 + number, "/stream-once/x");
+        let reply = bench.send_to(number, &call).await;
+        assert_that!(reply.status.map(|status| status.as_u16()), some(eq(200)));
+    }
+    bench.store.remove("servers", "endless");
+    for endpoint in &bench.endpoints {
+        let entry = endpoint.entry(POOL, "ready");
+        bench.store.put("servers", endpoint.id(), entry);
+    }
+    for number in 0..DAEMONS {
+        bench.ready(number, 1 + ENDPOINTS).await;
+        bench.until(number, "endpoint gone", 1).await;
+    }
+    crash_three(&mut bench, "/stream-once/x").await;
+    Bench::pause(KNOWN_MS).await;
+    let before = sent(&bench);
+    send_again(&mut bench, "/stream-once/x").await;
+    assert_that!(sent(&bench) - before, eq(0));
+}
+
 /// Kills all daemons and sends the crashing request to each that starts again.
 async fn sent_after_all_were_killed(bench: &mut Bench) -> usize {
     bench.restart_all();
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -44,6 +44,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// Whether the body's end was marked.
+    pub is_framed: bool,
 }
 
 /// A stream that has begun.
@@ -57,6 +59,8 @@
     pub kept: Kept,
     /// How long the connection may be idle.
     pub keep: Option<Millis>,
+    /// Whether the stream's end will be marked.
+    pub is_framed: bool,
     /// The request at its endpoint.
     pub flight: Flight,
     /// The endpoint.
@@ -113,7 +117,9 @@
         let failed = match attempt(order, plan, &choice.endpoint, flight, request).await {
             Ok(answered) => {
                 placement.good(&id, now());
-                if let Answered::Whole(_) = answered {
+                if let Answered::Whole(whole) = &answered
+                    && whole.is_framed
+                {
                     placement.served(plan, now());
                 }
                 return answered;
@@ -199,6 +205,7 @@
             body,
             kept: sent.kept,
             keep: told.keep,
+            is_framed: told.framed,
             flight,
             endpoint,
         })));
@@ -209,6 +216,7 @@
         status: head.status,
         headers,
         body,
+        is_framed: told.framed,
     };
     if !told.is_failure() {
         return Ok(Answered::Whole(whole));
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -43,6 +43,7 @@
     body: Incoming,
     kept: Kept,
     keep: Option<Millis>,
+    is_framed: bool,
     #[expect(
         dead_code,
         reason = "counts the request at its endpoint until it is dropped"
@@ -87,6 +88,7 @@
             body: opened.body,
             kept: opened.kept,
             keep: opened.keep,
+            is_framed: opened.is_framed,
             flight: opened.flight,
             endpoint: opened.endpoint,
         }
@@ -186,8 +188,11 @@
 
     fn end(&mut self) {
         self.trace.answered();
-        self.order.shared.placement.served(&self.plan, now());
         if let Some(source) = self.source.take() {
+            // An endpoint that ends in an answer without a marked end seems to have ended that.
+            if source.is_framed {
+                self.order.shared.placement.served(&self.plan, now());
+            }
             source.kept.release(source.keep, self.order.spare());
         }
     }
