--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -15,6 +15,7 @@
     mod fingerprint;
     mod health;
     mod holders;
+    mod keeper;
     mod load;
     mod mirror;
     mod overload;
--- /dev/null
+++ b/crates/core/tests/routing/keeper.rs
@@ -0,0 +1,97 @@
+//! What the platform is told to keep of the quarantine, and what it keeps is worth at a start.
+
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::fingerprint::Fingerprint;
+use medlarrill_core::routing::quarantine::{HOLD, KEPT, Keeper, Kept, Quarantine, Step};
+
+const CRASHING: Fingerprint = Fingerprint(1);
+const NOW: Millis = Millis(5000);
+const WALL: Millis = Millis(1_800_000_000_000);
+
+fn quarantined() -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for endpoint in 1..4 {
+        quarantine.lost(CRASHING, endpoint, NOW);
+    }
+    quarantine
+}
+
+fn kept() -> Kept {
+    quarantined()
+        .kept(CRASHING, NOW, WALL)
+        .expect("quarantined")
+}
+
+#[gtest]
+fn a_hub_reads_once_what_is_kept_and_no_other_daemon_does() {
+    let known = Quarantine::default();
+    let mut keeper = Keeper::default();
+    expect_that!(keeper.next(&known, false), none());
+    expect_that!(keeper.next(&known, true), some(eq(Step::List)));
+    keeper.listed(std::iter::empty());
+    expect_that!(keeper.next(&known, true), none());
+}
+
+#[gtest]
+fn whoever_lost_endpoints_has_it_kept_and_hubs_do_and_each_once() {
+    let known = quarantined();
+    let mut finder = Keeper::default();
+    expect_that!(finder.next(&known, false), some(eq(Step::Create(CRASHING))));
+    finder.created(CRASHING);
+    expect_that!(finder.next(&known, false), none());
+    let mut other = Quarantine::default();
+    other.learn(&known.evidence(CRASHING, NOW), NOW);
+    expect_that!(Keeper::default().next(&other, false), none());
+    let mut hub = Keeper::default();
+    hub.listed(std::iter::empty());
+    expect_that!(hub.next(&other, true), some(eq(Step::Create(CRASHING))));
+}
+
+#[gtest]
+fn two_losses_are_not_kept() {
+    let mut known = Quarantine::default();
+    known.lost(CRASHING, 1, NOW);
+    known.lost(CRASHING, 2, NOW);
+    expect_that!(Keeper::default().next(&known, false), none());
+    expect_that!(known.kept(CRASHING, NOW, WALL), none());
+}
+
+#[gtest]
+fn what_was_served_or_is_old_is_removed() {
+    let mut known = quarantined();
+    let mut keeper = Keeper::default();
+    keeper.created(CRASHING);
+    known.served(CRASHING, NOW);
+    expect_that!(keeper.next(&known, false), some(eq(Step::Remove(CRASHING))));
+    keeper.removed(CRASHING);
+    expect_that!(keeper.next(&known, false), none());
+    // A hub that reads an old one learns nothing from it.
+    let mut started = Quarantine::default();
+    let evidence: Vec<_> = kept().evidence(WALL + KEPT).collect();
+    started.learn(&evidence, Millis(1000));
+    let mut hub = Keeper::default();
+    hub.listed([CRASHING].into_iter());
+    expect_that!(hub.next(&started, true), some(eq(Step::Remove(CRASHING))));
+}
+
+#[gtest]
+fn a_daemon_that_starts_holds_what_is_left_of_the_time() {
+    let kept = kept();
+    expect_that!(kept.lost_at, eq(WALL));
+    let mut started = Quarantine::default();
+    let evidence: Vec<_> = kept.evidence(WALL + Millis(60_000)).collect();
+    started.learn(&evidence, Millis(1000));
+    let wait = started.wait(CRASHING, Millis(1000));
+    expect_that!(wait, some(eq(Millis(HOLD.0 - 60_000))));
+    let again = started.kept(CRASHING, Millis(1000), WALL + Millis(60_000));
+    expect_that!(again, some(eq(&kept)));
+}
+
+#[gtest]
+fn a_time_of_day_that_was_set_back_makes_no_loss_older_or_younger_than_now() {
+    let mut started = Quarantine::default();
+    let evidence: Vec<_> = kept().evidence(WALL - Millis(60_000)).collect();
+    started.learn(&evidence, Millis(1000));
+    expect_that!(started.wait(CRASHING, Millis(1000)), some(eq(HOLD)));
+}
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -54,6 +54,8 @@
     pub version: Gauge,
     /// Endpoints known.
     pub endpoints: Gauge,
+    /// Requests that are quarantined.
+    pub quarantined: Gauge,
     /// Log lines that were dropped.
     pub dropped: Gauge,
     /// Seconds from a request's head to the head of its answer.
@@ -87,6 +89,7 @@
             connections: Gauge::default(),
             version: Gauge::default(),
             endpoints: Gauge::default(),
+            quarantined: Gauge::default(),
             dropped: Gauge::default(),
             first: Histogram::new(LATENCIES),
             whole: Histogram::new(LATENCIES),
@@ -127,6 +130,8 @@
         r.register("connections", "Callers' connections", connections);
         r.register("version", "Configuration in force", self.version.clone());
         r.register("endpoints", "Endpoints known", self.endpoints.clone());
+        let quarantined = self.quarantined.clone();
+        r.register("quarantined", "Requests that are sent nowhere", quarantined);
         r.register("log_dropped", "Log lines dropped", self.dropped.clone());
     }
 
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -190,6 +190,11 @@
 
 fn housekeep(shared: &Shared, dropped: &Dropped) {
     shared.connections.sweep();
+    let quarantined = shared.placement.quarantined();
+    shared
+        .metrics
+        .quarantined
+        .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
     let lines = dropped.load(std::sync::atomic::Ordering::Relaxed);
     shared
         .metrics
