Quarantine: each further loss holds a request longer, and the platform is told

Cause, by reading: with the same ten minutes each time, a request that is sent for hours would be tried six times an hour, an endpoint lost each time; and what the platform keeps was never brought up to date.

An object of the platform is replaced when there are more losses.

Tests: the times, what is forgotten when, and the step to replace.

--- a/crates/core/src/routing/quarantine.rs
+++ b/crates/core/src/routing/quarantine.rs
@@ -34,8 +34,13 @@
 /// Time since the last loss for which a request is quarantined. After that it is tried once more:
 /// the endpoints may have been mended.
 pub const HOLD: Millis = Millis::from_secs(600);
-/// Time for which a loss counts, so that a request that is tried again needs no three more.
-pub const KEPT: Millis = Millis::from_secs(3600);
+/// How many times longer each further loss holds a request, so that it is tried three times a day
+/// at the most.
+pub const GROWTH: u64 = 6;
+/// Longest time for which a request is held, and for which its losses count.
+pub const KEPT: Millis = Millis::from_secs(86_400);
+/// Time for which losses count that aren't enough.
+pub const DOUBTED: Millis = Millis::from_secs(3600);
 /// Time for which a whole answer clears a request of all losses, before and after: content that
 /// is asked for often runs at endpoints that end for other reasons.
 const CLEARED: Millis = Millis::from_secs(60);
@@ -200,7 +205,7 @@
             let endpoints = suspect.lost.iter().filter_map(|row| row.finding.endpoint());
             (*fingerprint, endpoints.collect())
         }));
-        let until = |suspect: &Suspect| suspect.last_loss() + HOLD;
+        let until = Suspect::held_until;
         let blamed = self.suspects.iter();
         let blamed = blamed.filter(|(fingerprint, suspect)| {
             until(suspect) > now && blame.is_to_blame(**fingerprint)
--- a/crates/core/src/routing/quarantine/keeper.rs
+++ b/crates/core/src/routing/quarantine/keeper.rs
@@ -7,12 +7,12 @@
 //! what is known, step by step: a call that fails is made again, and an outage
 //! only delays it.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 
 use derive_more::Debug;
 
 use super::evidence::{Evidence, Finding};
-use super::{HOLD, Quarantine, SHIFT};
+use super::{Change, Quarantine, SHIFT};
 use crate::clock::Millis;
 use crate::routing::fingerprint::Fingerprint;
 
@@ -49,6 +49,8 @@
     List,
     /// Have it keep a request.
     Create(Fingerprint),
+    /// Have it keep that a request ended more endpoints since.
+    Replace(Fingerprint),
     /// Remove a request.
     Remove(Fingerprint),
 }
@@ -58,7 +60,8 @@
 #[derive(Debug)]
 pub struct Keeper {
     has_listed: bool,
-    kept: HashSet<Fingerprint>,
+    /// Requests that are kept, and with how many losses.
+    kept: HashMap<Fingerprint, usize>,
 }
 
 impl Keeper {
@@ -68,23 +71,30 @@
             return Some(Step::List);
         }
         let is_gone = |kept: &&Fingerprint| !known.is_suspect(**kept);
-        if let Some(gone) = self.kept.iter().find(is_gone) {
+        if let Some(gone) = self.kept.keys().find(is_gone) {
             return Some(Step::Remove(*gone));
         }
-        let mut wanted = known.held().filter(|(_, is_own)| is_hub || *is_own);
-        let missing = wanted.find(|(held, _)| !self.kept.contains(held));
-        missing.map(|(held, _)| Step::Create(held))
+        let wanted = known.held().filter(|held| is_hub || held.is_own);
+        let mut steps = wanted.filter_map(|held| match self.kept.get(&held.fingerprint) {
+            None => Some(Step::Create(held.fingerprint)),
+            Some(kept) if *kept < held.lost => Some(Step::Replace(held.fingerprint)),
+            Some(_) => None,
+        });
+        steps.next()
     }
 
     /// Notes what the platform keeps.
-    pub fn listed(&mut self, kept: impl Iterator<Item = Fingerprint>) {
+    pub fn listed(&mut self, kept: &[Kept]) {
         self.has_listed = true;
-        self.kept.extend(kept);
+        let counted = kept
+            .iter()
+            .map(|kept| (kept.fingerprint, kept.endpoints.len()));
+        self.kept.extend(counted);
     }
 
     /// Notes that the platform keeps a request.
-    pub fn created(&mut self, fingerprint: Fingerprint) {
-        self.kept.insert(fingerprint);
+    pub fn written(&mut self, kept: &Kept) {
+        self.kept.insert(kept.fingerprint, kept.endpoints.len());
     }
 
     /// Notes that it doesn't any more.
@@ -94,10 +104,9 @@
 }
 
 impl Quarantine {
-    /// Requests that are quarantined, and whether this daemon itself lost them.
-    pub fn held(&self) -> impl Iterator<Item = (Fingerprint, bool)> {
-        let is_own = |held| self.change(held, true).is_own;
-        self.held.keys().map(move |held| (*held, is_own(*held)))
+    /// Requests that are quarantined.
+    pub fn held(&self) -> impl Iterator<Item = Change> {
+        self.held.keys().map(|held| self.change(*held, true))
     }
 
     /// Whether an endpoint was lost with a request that wasn't served since.
@@ -108,9 +117,9 @@
 
     /// A quarantined request as the platform is to keep it.
     pub fn kept(&self, fingerprint: Fingerprint, now: Millis, wall: Millis) -> Option<Kept> {
-        let until = self.held.get(&fingerprint)?;
+        self.held.get(&fingerprint)?;
         let suspect = self.suspects.get(&fingerprint)?;
-        let age = (now + SHIFT + HOLD).since(*until);
+        let age = (now + SHIFT).since(suspect.last_loss());
         let endpoints = suspect.lost.iter().filter_map(|row| row.finding.endpoint());
         Some(Kept {
             fingerprint,
--- a/crates/core/src/routing/quarantine/suspect.rs
+++ b/crates/core/src/routing/quarantine/suspect.rs
@@ -3,7 +3,7 @@
 use derive_more::Debug;
 
 use super::evidence::{Evidence, Finding};
-use super::{CLEARED, KEPT};
+use super::{CLEARED, DOUBTED, ENOUGH, GROWTH, HOLD, KEPT};
 use crate::clock::Millis;
 use crate::routing::fingerprint::Fingerprint;
 
@@ -41,6 +41,14 @@
         times.max().unwrap_or_default()
     }
 
+    /// Until when it is held, if it is to blame.
+    pub fn held_until(&self) -> Millis {
+        let further = self.lost.len().saturating_sub(ENOUGH);
+        let further = u32::try_from(further).unwrap_or(u32::MAX);
+        let hold = Millis(HOLD.0.saturating_mul(GROWTH.saturating_pow(further)));
+        self.last_loss() + hold.min(KEPT)
+    }
+
     /// Losses and the clearance.
     pub fn rows(&self) -> impl Iterator<Item = &Row> {
         self.lost.iter().chain(&self.served)
@@ -83,6 +91,13 @@
 
     /// Drops what is too old to count; says whether anything is left.
     pub fn forget(&mut self, now: Millis) -> bool {
+        let longest = match self.lost.len() {
+            ENOUGH.. => KEPT,
+            _ => DOUBTED,
+        };
+        if now.since(self.last_loss()) >= longest {
+            self.lost.clear();
+        }
         self.lost.retain(|row| now.since(row.at) < KEPT);
         self.served = self.served.filter(|row| now.since(row.at) < CLEARED);
         self.rows().next().is_some()
--- a/crates/core/tests/routing/keeper.rs
+++ b/crates/core/tests/routing/keeper.rs
@@ -29,7 +29,7 @@
     let mut keeper = Keeper::default();
     expect_that!(keeper.next(&known, false), none());
     expect_that!(keeper.next(&known, true), some(eq(Step::List)));
-    keeper.listed(std::iter::empty());
+    keeper.listed(&[]);
     expect_that!(keeper.next(&known, true), none());
 }
 
@@ -38,16 +38,28 @@
     let known = quarantined();
     let mut finder = Keeper::default();
     expect_that!(finder.next(&known, false), some(eq(Step::Create(CRASHING))));
-    finder.created(CRASHING);
+    finder.written(&kept());
     expect_that!(finder.next(&known, false), none());
     let mut other = Quarantine::default();
     other.learn(&known.evidence(CRASHING, NOW), NOW);
     expect_that!(Keeper::default().next(&other, false), none());
     let mut hub = Keeper::default();
-    hub.listed(std::iter::empty());
+    hub.listed(&[]);
     expect_that!(hub.next(&other, true), some(eq(Step::Create(CRASHING))));
 }
 
+#[gtest]
+fn a_further_loss_is_kept_too() {
+    let mut known = quarantined();
+    let mut keeper = Keeper::default();
+    keeper.written(&kept());
+    known.lost(CRASHING, 4, NOW);
+    let step = keeper.next(&known, false);
+    expect_that!(step, some(eq(Step::Replace(CRASHING))));
+    keeper.written(&known.kept(CRASHING, NOW, WALL).expect("quarantined"));
+    expect_that!(keeper.next(&known, false), none());
+}
+
 #[gtest]
 fn two_losses_are_not_kept() {
     let mut known = Quarantine::default();
@@ -61,7 +73,7 @@
 fn what_was_served_or_is_old_is_removed() {
     let mut known = quarantined();
     let mut keeper = Keeper::default();
-    keeper.created(CRASHING);
+    keeper.written(&kept());
     known.served(CRASHING, NOW);
     expect_that!(keeper.next(&known, false), some(eq(Step::Remove(CRASHING))));
     keeper.removed(CRASHING);
@@ -71,7 +83,7 @@
     let evidence: Vec<_> = kept().evidence(WALL + KEPT).collect();
     started.learn(&evidence, Millis(1000));
     let mut hub = Keeper::default();
-    hub.listed([CRASHING].into_iter());
+    hub.listed(&[kept()]);
     expect_that!(hub.next(&started, true), some(eq(Step::Remove(CRASHING))));
 }
 
--- a/crates/core/tests/routing/quarantine.rs
+++ b/crates/core/tests/routing/quarantine.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::fingerprint::Fingerprint;
-use medlarrill_core::routing::quarantine::{Evidence, Finding, HOLD, KEPT, Quarantine};
+use medlarrill_core::routing::quarantine::{DOUBTED, Evidence, Finding, HOLD, KEPT, Quarantine};
 
 const CRASHING: Fingerprint = Fingerprint(1);
 const BESIDE: Fingerprint = Fingerprint(2);
@@ -117,12 +117,25 @@
 }
 
 #[gtest]
-fn it_is_tried_again_after_a_while_and_one_more_loss_is_enough_then() {
+fn it_is_tried_again_after_a_while_and_each_further_loss_holds_it_longer() {
     let mut quarantine = after(&[(CRASHING, &[1, 2, 3])]);
-    let later = NOW + HOLD;
-    expect_that!(quarantine.wait(CRASHING, later), none());
-    quarantine.lost(CRASHING, 4, later);
-    expect_that!(quarantine.wait(CRASHING, later), some(eq(HOLD)));
+    let mut now = NOW;
+    for (endpoint, hold) in [(4, 60), (5, 360), (6, 1440)] {
+        now += quarantine.wait(CRASHING, now).expect("held");
+        quarantine.forget(now);
+        expect_that!(quarantine.wait(CRASHING, now), none());
+        quarantine.lost(CRASHING, endpoint, now);
+        let minutes = quarantine.wait(CRASHING, now).map(|wait| wait.0 / 60_000);
+        expect_that!(minutes, some(eq(hold)), "after {endpoint}");
+    }
+}
+
+#[gtest]
+fn what_is_not_enough_is_forgotten_sooner() {
+    let mut quarantine = after(&[(CRASHING, &[1, 2, 3]), (BESIDE, &[4, 5])]);
+    quarantine.forget(NOW + DOUBTED);
+    expect_that!(quarantine.is_suspect(CRASHING), eq(true));
+    expect_that!(quarantine.is_suspect(BESIDE), eq(false));
 }
 
 #[gtest]
--- a/crates/router/src/store/client.rs
+++ b/crates/router/src/store/client.rs
@@ -109,10 +109,14 @@
             None => self.connect().await?,
         };
         sender.ready().await.map_err(http)?;
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(&call.method)
             .uri(&call.path)
-            .header(http::header::HOST, self.address.to_string())
+            .header(http::header::HOST, self.address.to_string());
+        if !call.body.is_empty() {
+            request = request.header(http::header::CONTENT_TYPE, "application/json");
+        }
+        let request = request
             .body(Full::new(call.body.clone()))
             .map_err(|error| CallError::Http(error.to_string()))?;
         let answer = sender.send_request(request).await.map_err(http)?;
--- a/crates/router/src/store/quarantine.rs
+++ b/crates/router/src/store/quarantine.rs
@@ -77,7 +77,8 @@
         };
         match step {
             Step::List => self.list().await?,
-            Step::Create(fingerprint) => self.create(fingerprint).await?,
+            Step::Create(fingerprint) => self.write(fingerprint, Call::create).await?,
+            Step::Replace(fingerprint) => self.write(fingerprint, Call::replace).await?,
             Step::Remove(fingerprint) => self.remove(fingerprint).await?,
         }
         Ok(true)
@@ -109,22 +110,30 @@
         let evidence: Vec<_> = all.iter().flat_map(|kept| kept.evidence(wall)).collect();
         self.store.placement.learn(&evidence, at);
         log::info!(target: "store", count = all.len(); "store: the kept quarantine is read");
-        self.keeper.listed(all.iter().map(|kept| kept.fingerprint));
+        self.keeper.listed(&all);
         Ok(())
     }
 
-    async fn create(&mut self, fingerprint: Fingerprint) -> Result<()> {
+    async fn write(
+        &mut self,
+        fingerprint: Fingerprint,
+        call: fn(&str, &str, &serde_json::Value) -> Call,
+    ) -> Result<()> {
         let Some(kept) = self.store.placement.kept(fingerprint, now(), wall()) else {
             return Ok(());
         };
         let (name, spec) = (fingerprint.to_string(), objects::kept_spec(&kept));
-        let call = Call::create(wire::QUARANTINE, &name, &spec);
-        match self.call(&call).await {
+        match self.call(&call(wire::QUARANTINE, &name, &spec)).await {
             // Another daemon was first, or the answer to an earlier call was lost.
             Err(error) if error.exists() => {}
+            // Removed since; it is made anew.
+            Err(error) if error.is_missing() => {
+                self.keeper.removed(fingerprint);
+                return Ok(());
+            }
             result => drop(result?),
         }
-        self.keeper.created(fingerprint);
+        self.keeper.written(&kept);
         Ok(())
     }
 
