Admission: a home's own request that waited at its engine is no work of others

Cause: of the chats that missed their cache each was spilled by the home of the place that it returned to, with nothing in flight there, a load of 176 tokens and a mean of 44. The load came from a report: the engine counts the whole prompt of a request that waits (225 tokens), the home only what isn't cached (49). The difference counted as work of others until the next report half a second later, and in an idle pool one request's worth is over the bound. Misses in a row (six at 0.9 to 1.2 s) are one such half second.

Ruled out: entries lost on the way (the chats' places were known), homes on probation (none was), a batch that wasn't sent.

Change: where a report has waiting requests and no more than the home's own, nothing is taken for work of others.

--- a/crates/core/src/admission/bound.rs
+++ b/crates/core/src/admission/bound.rs
@@ -92,7 +92,10 @@
             let unseen = u64::from((report.slots / UNSEEN_DIVISOR).max(1)) * grain;
             return own + report.tokens.0 + unseen;
         }
-        let above = report.tokens.0.saturating_sub(past.work);
+        let above = match waits_alone(report, past) {
+            true => 0,
+            false => report.tokens.0.saturating_sub(past.work),
+        };
         if above > 0 {
             return own + above;
         }
@@ -115,6 +118,13 @@
     }
 }
 
+/// Whether requests waited at the endpoint, and all that it had were the home's own. Engines count
+/// the whole prompt of one that waits, the home only what isn't cached: the difference is no work
+/// of others, and would keep returning chats away from their cache.
+const fn waits_alone(report: &Report, past: &Past) -> bool {
+    report.waiting > 0 && report.running + report.waiting <= past.count
+}
+
 /// The multiple of a mean of some age: what may go beyond the mean shrinks as it gets stale.
 fn allowed(multiple: f64, age: Millis) -> f64 {
     let span = MEAN_STALE.since(MEAN_FRESH).as_secs_f64();
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -303,6 +303,28 @@
     expect_that!(home.load(Millis(900)), eq(Tokens(2_000)));
 }
 
+/// Chats that returned after a daemon was replaced found no cache, six in a row: a report had
+/// caught one of the home's own requests while it waited, when the engine counts also the prompt
+/// that it has cached. For half a second, until the next report, that stood for work of others,
+/// and in a pool that was idle it put the endpoint over its bound.
+#[gtest]
+fn its_own_requests_that_waited_are_no_work_of_others() {
+    for (waiting, others) in [(1, 0), (2, 700)] {
+        let mut home = open_home(settings(), 1);
+        fill(&mut home, 1, 110);
+        let ending = Ending::Done;
+        home.handle(Event::Finished { id: id(0), ending }, Millis(130));
+        let report = Report {
+            as_of: Millis(120),
+            waiting,
+            tokens: Tokens(900),
+            ..Report::default()
+        };
+        home.handle(Event::Report(report), Millis(140));
+        expect_that!(home.load(Millis(140)), eq(Tokens(others)));
+    }
+}
+
 #[gtest]
 fn an_endpoint_that_refused_is_left_alone_for_a_moment() {
     let mut home = open_home(settings(), 1);
