Soak: a request that ends endpoints, again and again

In half of the soaks in which endpoints tell when they started, one caller sends a request that ends each endpoint that runs it, at any daemon; endpoints start again under their id. Checked: once three ends were seen and three seconds have passed, endpoints are sent no more than three, through stops, kills, freezes, outages of the platform and harmed connections. Excused are daemons that were ended or stood still just before, and what all daemons forgot while the platform was away.

--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -7,8 +7,8 @@
 use medlarrill_platform_standin::{Reply, Run};
 
 use super::plan::Fault;
-use super::traffic::{PATHS, Sent};
-use super::world::World;
+use super::traffic::{CRASHING_ID, PATHS, Sent};
+use super::world::{Done, World};
 
 /// Events of a stream at the stand-in endpoints.
 const EVENTS: u64 = 6;
@@ -17,6 +17,16 @@
 /// Time around trouble in which its effects may still be felt: connections that were harmed are
 /// found out, endpoints are tried again.
 const TROUBLE: Duration = Duration::from_millis(4500);
+/// Endpoints that a request may end before it is refused, and how often it may be sent after that.
+const ENOUGH: usize = 3;
+/// See [`ENOUGH`].
+const SENT_MAX: usize = 3;
+/// Time in which all daemons come to know it.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Time in which a daemon sees and tells that an endpoint has ended.
+const SEEN: Duration = Duration::from_millis(500);
+/// Time after which connections that were harmed are found out.
+const SETTLE: Duration = Duration::from_secs(1);
 /// Time after which a leaving endpoint gets no new work.
 const LEAVING: Duration = Duration::from_millis(2500);
 
@@ -84,6 +94,12 @@
         /// What came, in words.
         reply: String,
     },
+    /// A request that ended endpoints was sent on and on.
+    #[display("a request that had ended {ENOUGH} endpoints was sent to {runs} more")]
+    Crashed {
+        /// Endpoints that it reached once all had to know.
+        runs: usize,
+    },
     /// A daemon ended by itself.
     #[display("daemon {_0} ended by itself")]
     Ended(usize),
@@ -106,6 +122,7 @@
         found.extend(ran.iter().filter_map(|run| drained(world, run)));
     }
     found.extend(recovered.iter().filter_map(not_recovered));
+    found.extend(crashed(world, calls, &runs));
     found
 }
 
@@ -214,6 +231,56 @@
     })
 }
 
+/// Whether anything kept a daemon or an endpoint from being heard at a time, or before.
+fn is_harmed(world: &World, at: Instant, before: Duration, harms: impl Fn(&Fault) -> bool) -> bool {
+    world.done.iter().any(|done| {
+        let end = done.from + done.fault.length() + before;
+        harms(&done.fault) && done.from <= at + SEEN && end >= at
+    })
+}
+
+/// Runs of the request that ends endpoints, beyond those that are allowed.
+fn crashed(world: &World, calls: &[Sent], runs: &HashMap<String, Vec<Run>>) -> Option<Violation> {
+    let crashing = |sent: &&Sent| sent.call.attempt.starts_with(CRASHING_ID);
+    let mut all: Vec<(Instant, usize, &Run)> = Vec::new();
+    for sent in calls.iter().filter(crashing) {
+        let ran = runs.get(&sent.call.attempt).into_iter().flatten();
+        all.extend(ran.map(|run| (run.at.into_std(), sent.daemon, run)));
+    }
+    all.sort_by_key(|(at, ..)| *at);
+    // Ends that a daemon saw: it wasn't harmed, nor was its way to the endpoint.
+    let is_seen = |(at, daemon, run): &&(Instant, usize, &Run)| {
+        let endpoint = run.endpoint.strip_prefix("e-")?.parse::<usize>().ok()?;
+        let harms = |fault: &Fault| match fault {
+            Fault::HarmEndpoint(harmed, ..) => *harmed == endpoint,
+            fault => fault.harms_daemon(*daemon),
+        };
+        (!is_harmed(world, *at, SETTLE, harms)).then_some(())
+    };
+    let seen = all.iter().filter(|run| is_seen(run).is_some());
+    let known = seen.map(|(at, ..)| *at).nth(ENOUGH - 1)? + CONTACT;
+    let late = all.iter().filter(|(at, daemon, _)| {
+        let harms = |fault: &Fault| fault.harms_daemon(*daemon);
+        *at > known && !is_harmed(world, *at, CONTACT, harms) && !is_forgotten(world, known, *at)
+    });
+    let runs = late.count();
+    (runs > SENT_MAX).then_some(Violation::Crashed { runs })
+}
+
+/// Whether all that daemons knew may be gone: each was ended since, and the platform, which would
+/// have kept it, was out of reach.
+fn is_forgotten(world: &World, known: Instant, at: Instant) -> bool {
+    let since = |done: &&Done| done.from + TROUBLE >= known && done.from <= at;
+    let ended = |daemon: usize| {
+        let mut ends = world.done.iter().filter(since);
+        ends.any(
+            |done| matches!(done.fault, Fault::Stop(ended) | Fault::Kill(ended) if ended == daemon),
+        )
+    };
+    let is_away = |done: &Done| matches!(done.fault, Fault::Store(..) | Fault::HarmStore(..));
+    (0..world.doors.len()).all(ended) && world.done.iter().filter(since).any(is_away)
+}
+
 fn not_recovered(sent: &Sent) -> Option<Violation> {
     (!sent.reply.is_success()).then(|| Violation::NotRecovered {
         request: sent.call.attempt.clone(),
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -44,6 +44,8 @@
     Restart(usize),
     /// Another writer replaces an endpoint's entry, which is listed again later.
     Foreign(usize, Foreign, Duration),
+    /// A request has ended an endpoint, which is started again.
+    Crash(usize),
 }
 
 /// An entry that names no endpoint.
@@ -68,6 +70,14 @@
         )
     }
 
+    /// Whether it may keep a daemon from sending, seeing or telling anything.
+    pub const fn harms_daemon(&self, number: usize) -> bool {
+        match self {
+            Self::Stop(daemon) | Self::Kill(daemon) | Self::Freeze(daemon, _) => *daemon == number,
+            _ => false,
+        }
+    }
+
     /// How long it lasts.
     pub const fn length(&self) -> Duration {
         match self {
@@ -84,7 +94,8 @@
             | Self::Reload(_)
             | Self::Forget
             | Self::Configure
-            | Self::Restart(_) => Duration::ZERO,
+            | Self::Restart(_)
+            | Self::Crash(_) => Duration::ZERO,
         }
     }
 }
@@ -120,6 +131,8 @@
     pub events: Vec<Event>,
     /// Whether endpoints tell when they started.
     pub births: bool,
+    /// Path of a request that comes again and again and ends each endpoint that runs it.
+    pub crashing: Option<&'static str>,
 }
 
 impl Plan {
@@ -130,6 +143,7 @@
             endpoints: rng.random_range(3..=6),
             events: Vec::new(),
             births: false,
+            crashing: None,
         };
         // A fifth of the soaks hold planned work only, so that its stricter promises are checked.
         let planned = rng.random_bool(0.2);
@@ -160,6 +174,17 @@
         self
     }
 
+    /// Adds a request that ends endpoints, to half of the soaks in which these tell when they
+    /// started; by that their starts are told apart. Drawn from numbers of its own, too.
+    pub fn with_crashing(mut self, rng: &mut Pcg32) -> Self {
+        let is_planned = self.events.iter().all(|event| event.fault.is_planned());
+        let paths = ["/plain/x", "/once/x", "/stream/x", "/stream-once/x"];
+        let path = paths[rng.random_range(0..paths.len())];
+        let comes = rng.random_bool(0.5) && self.births && !is_planned;
+        self.crashing = comes.then_some(path);
+        self
+    }
+
     fn draw_entry(&self, rng: &mut Pcg32) -> Fault {
         let endpoint = rng.random_range(0..self.endpoints);
         let length = Duration::from_millis(rng.random_range(200..3500));
--- a/crates/lab/src/soak/traffic.rs
+++ b/crates/lab/src/soak/traffic.rs
@@ -13,13 +13,18 @@
 use tokio::task::JoinSet;
 
 use super::Result;
+use super::world::CRASHING;
 
 /// Callers that send at a time.
 const CALLERS: u64 = 8;
+/// Pauses of the caller whose request ends endpoints.
+const CRASHING_PAUSE_MS: std::ops::Range<u64> = 200..500;
 /// Longest pause of a caller between two requests.
 const PAUSE_MS: u64 = 60;
 /// Requests through each daemon after recovery.
 const PROBES: usize = 6;
+/// Begin of the ids of the request that ends endpoints.
+pub const CRASHING_ID: &str = "crash-";
 /// Paths, and whether their requests may run more than once.
 pub const PATHS: [(&str, bool); 4] = [
     ("/plain/x", true),
@@ -81,6 +86,14 @@
         }
     }
 
+    /// Has one caller more send a request that ends endpoints, again and again.
+    pub fn with_crashing(mut self, doors: Doors, seed: u64, path: &'static str) -> Self {
+        let rng = Pcg32::seed_from_u64(seed ^ u64::MAX);
+        let (sent, ends) = (Arc::clone(&self.sent), Arc::clone(&self.ends));
+        self.callers.spawn(crash(doors, sent, ends, rng, path));
+        self
+    }
+
     /// Lets callers finish; returns what they sent.
     pub async fn stop(mut self) -> Result<Vec<Sent>> {
         self.ends.store(true, Ordering::Relaxed);
@@ -135,6 +148,35 @@
     }
 }
 
+async fn crash(
+    doors: Doors,
+    sent: Arc<Mutex<Vec<Sent>>>,
+    ends: Arc<AtomicBool>,
+    mut rng: Pcg32,
+    path: &'static str,
+) {
+    let mut number = 0;
+    while !ends.load(Ordering::Relaxed) {
+        number += 1;
+        let daemon = pick(&doors, &mut rng);
+        let call = Call::new(format!("{CRASHING_ID}{number}"), path).with_body(CRASHING);
+        let from = Instant::now();
+        let reply = Caller::new(doors[daemon].callers).send(&call).await;
+        let done = Sent {
+            call,
+            reply,
+            from,
+            to: Instant::now(),
+            daemon,
+        };
+        sent.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(done);
+        let pause = rng.random_range(CRASHING_PAUSE_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
 fn pick(doors: &Doors, rng: &mut Pcg32) -> usize {
     let open: Vec<usize> = (0..doors.len())
         .filter(|daemon| doors[*daemon].open.load(Ordering::Relaxed))
