--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -21,30 +21,32 @@
 mod own;
 mod report;
 mod roles;
+mod short;
 mod tell;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use derive_more::Debug;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
-use crate::routing::endpoint::InstanceId;
 use crate::routing::quarantine::{Evidence, Snapshot};
 
 pub use board::{Answers, Board, Copy, Delta, Version};
 pub use evidence::Findings;
 use evidence::Spread;
+use hot::shares;
 use hub::Hub;
 pub use members::Centre;
 use members::{Members, ranked};
 pub use message::{
-    Entry, Hot, Message, Moved, Peer, Peers, Prefixes, Report, Sent, Subtotal, Summary, Wish,
+    Entry, Hot, Message, Moved, Peer, Peers, Prefixes, Report, Sender, Sent, Subtotal, Summary,
+    Wish,
 };
 use own::Own;
 use roles::{Ranks, Role, first_for, holders};
 pub use roles::{Strength, sources};
+pub use short::{short_id, short_key};
 
 /// Hubs of a data centre, or of a small fleet.
 const HUBS: usize = 2;
@@ -165,19 +167,6 @@
     pub moved: Vec<Moved>,
 }
 
-/// Short form of a prefix's key in messages.
-pub const fn short_key(key: u64) -> u32 {
-    (key >> u32::BITS) as u32
-}
-
-/// Short form of an endpoint's instance in messages: what is told of one instance doesn't count
-/// for the next one.
-pub fn short_id(id: &InstanceId) -> u32 {
-    let born = id.born.map_or(0, |born| born.0);
-    // The upper half of a 64-bit hash; among 4,500 endpoints two share one with odds of 1 in 400.
-    short_key(xxh3_64_with_seed(id.endpoint.as_str().as_bytes(), born))
-}
-
 impl Exchange {
     /// The part of the daemon that is reached at `me`.
     pub fn new(me: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
@@ -337,17 +326,12 @@
 
     /// Takes a message; returns what others have, if it is a summary that says it.
     pub fn receive(&mut self, from: SocketAddr, message: Message, now: Millis) -> Option<Heard> {
-        let (strength, centre, cut_off) = match &message {
-            Message::Report(report) => (report.strength, report.centre, report.cut_off),
-            Message::Summary(summary) => (summary.strength, summary.centre, summary.cut_off),
-            Message::Subtotal(subtotal) => (subtotal.strength, subtotal.centre, subtotal.cut_off),
-        };
-        let (strength, centre) = (Strength(strength), Centre(centre));
-        let findings = match &message {
-            Message::Report(report) => report.findings.as_ref(),
-            Message::Summary(summary) => summary.findings.as_ref(),
-            Message::Subtotal(subtotal) => subtotal.findings.as_ref(),
-        };
+        let Sender {
+            strength,
+            centre,
+            cut_off,
+            findings,
+        } = message.sender();
         self.evidence.take(findings);
         self.members.hear(from, strength, centre, cut_off, now);
         match message {
@@ -408,9 +392,3 @@
     *last = Some(now);
     true
 }
-
-/// Shares of hot prefixes.
-pub fn shares(hot: &[Hot]) -> HashMap<u32, f64> {
-    let share = |hot: &Hot| (hot.prefix, f64::from(hot.share) / Hot::WHOLE);
-    hot.iter().map(share).collect()
-}
--- a/crates/core/src/routing/exchange/hot.rs
+++ b/crates/core/src/routing/exchange/hot.rs
@@ -95,3 +95,9 @@
             .collect()
     }
 }
+
+/// Shares of hot prefixes.
+pub fn shares(hot: &[Hot]) -> HashMap<u32, f64> {
+    let share = |hot: &Hot| (hot.prefix, f64::from(hot.share) / Hot::WHOLE);
+    hot.iter().map(share).collect()
+}
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -329,7 +329,52 @@
     Subtotal(Subtotal),
 }
 
+/// What each message says of its sender.
+#[derive(Clone, Copy)]
+#[derive(Debug)]
+pub struct Sender<'a> {
+    /// How strong its VM is.
+    pub strength: Strength,
+    /// Its data centre.
+    pub centre: Centre,
+    /// Whether it has lost the platform.
+    pub cut_off: bool,
+    /// Evidence against requests that it tells.
+    pub findings: Option<&'a Findings>,
+}
+
+impl<'a> Sender<'a> {
+    const fn new(
+        strength: u32,
+        centre: u32,
+        cut_off: bool,
+        findings: &'a Option<Findings>,
+    ) -> Self {
+        Self {
+            strength: Strength(strength),
+            centre: Centre(centre),
+            cut_off,
+            findings: findings.as_ref(),
+        }
+    }
+}
+
 impl Message {
+    /// What it says of its sender.
+    pub const fn sender(&self) -> Sender<'_> {
+        match self {
+            Self::Report(told) => {
+                Sender::new(told.strength, told.centre, told.cut_off, &told.findings)
+            }
+            Self::Summary(told) => {
+                Sender::new(told.strength, told.centre, told.cut_off, &told.findings)
+            }
+            Self::Subtotal(told) => {
+                Sender::new(told.strength, told.centre, told.cut_off, &told.findings)
+            }
+        }
+    }
+
     /// The datagram.
     pub fn encode(self) -> Bytes {
         let content = match self {
--- a/crates/core/src/routing/exchange/tell.rs
+++ b/crates/core/src/routing/exchange/tell.rs
@@ -3,10 +3,11 @@
 use std::collections::HashMap;
 
 use super::evidence::News;
+use super::hot::shares;
 use super::hub::{Asked, add, loads_of};
 use super::members::Centre;
 use super::message::{Message, Moved, Peers, Report, Subtotal, Summary};
-use super::{BEAT, Exchange, Heard, LIST_PAUSE, Others, Outgoing, is_due, shares};
+use super::{BEAT, Exchange, Heard, LIST_PAUSE, Others, Outgoing, is_due};
 use crate::clock::Millis;
 
 /// Between two words to the hubs of other data centres. Each of these has two, and both are told
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -7,6 +7,7 @@
 use medlarrill_testkit::proxy::Harm;
 use rand::RngExt;
 use rand_pcg::Pcg32;
+use serde_json::Value;
 
 /// Mean pause between two faults; several last longer, so that they overlap.
 const PAUSE_MS: u64 = 700;
@@ -61,6 +62,22 @@
     State,
 }
 
+impl Foreign {
+    /// What another writer makes of an entry.
+    pub fn of(self, mut entry: Value) -> Value {
+        let Some(fields) = entry.as_object_mut() else {
+            return entry;
+        };
+        match self {
+            Self::Text => return "text".into(),
+            Self::Missing => fields.remove("address"),
+            Self::OtherType => fields.insert("slots".to_owned(), "eight".into()),
+            Self::State => fields.insert("state".to_owned(), "resting".into()),
+        };
+        entry
+    }
+}
+
 impl Fault {
     /// Whether operators plan such a thing; all else is trouble.
     pub const fn is_planned(&self) -> bool {
--- a/crates/lab/src/soak/traffic.rs
+++ b/crates/lab/src/soak/traffic.rs
@@ -133,16 +133,7 @@
         if reply.status.is_some() {
             kept = Some((daemon, connection));
         }
-        let done = Sent {
-            call,
-            reply,
-            from,
-            to: Instant::now(),
-            daemon,
-        };
-        sent.lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(done);
+        note(&sent, call, reply, from, daemon);
         let pause = rng.random_range(0..PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
@@ -162,21 +153,24 @@
         let call = Call::new(format!("{CRASHING_ID}{number}"), path).with_body(CRASHING);
         let from = Instant::now();
         let reply = Caller::new(doors[daemon].callers).send(&call).await;
-        let done = Sent {
-            call,
-            reply,
-            from,
-            to: Instant::now(),
-            daemon,
-        };
-        sent.lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(done);
+        note(&sent, call, reply, from, daemon);
         let pause = rng.random_range(CRASHING_PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
 }
 
+/// Notes a request that has ended now.
+fn note(sent: &Mutex<Vec<Sent>>, call: Call, reply: Reply, from: Instant, daemon: usize) {
+    let mut sent = sent.lock().unwrap_or_else(PoisonError::into_inner);
+    sent.push(Sent {
+        call,
+        reply,
+        from,
+        to: Instant::now(),
+        daemon,
+    });
+}
+
 fn pick(doors: &Doors, rng: &mut Pcg32) -> usize {
     let open: Vec<usize> = (0..doors.len())
         .filter(|daemon| doors[*daemon].open.load(Ordering::Relaxed))
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinHandle;
 
 use super::check::Violation;
-use super::plan::{Event, Fault, Foreign, Plan};
+use super::plan::{Event, Fault, Plan};
 use super::traffic::{Door, Doors};
 use super::{Result, SoakError};
 
@@ -374,22 +374,6 @@
     }
 }
 
-impl Foreign {
-    /// What another writer makes of an entry.
-    fn of(self, mut entry: Value) -> Value {
-        let Some(fields) = entry.as_object_mut() else {
-            return entry;
-        };
-        match self {
-            Self::Text => return "text".into(),
-            Self::Missing => fields.remove("address"),
-            Self::OtherType => fields.insert("slots".to_owned(), "eight".into()),
-            Self::State => fields.insert("state".to_owned(), "resting".into()),
-        };
-        entry
-    }
-}
-
 /// Asks each daemon whether it takes connections, as the balancer does.
 async fn balance(doors: Doors, ready: Vec<SocketAddr>) {
     let mut misses = vec![0; ready.len()];
--- a/crates/router/src/entry/order.rs
+++ b/crates/router/src/entry/order.rs
@@ -78,7 +78,7 @@
         plan.fail(id, fault, spend, now)
     }
 
-    /// Takes note of a failed attempt that nothing follows.
+    /// Takes note of a failed attempt, and of an endpoint that was lost with it.
     pub fn note_fault(&self, plan: &Plan, id: &InstanceId, fault: Fault, now: Millis) {
         let placement = &self.shared.placement;
         placement.bad(id, fault, now);
