Drained data centres, and a slow start that the whole fleet keeps to

What callers saw: nothing yet; the platform's operators saw requests reach a data centre that they had evacuated, and endpoints that had just started get more requests a second than they bear.

Cause: nothing read the objects that drain a data centre, and of an endpoint's cold time only the field's presence was checked.

Drains: a kind of its own, copied and relayed as the configuration is. A daemon that doesn't know what is drained serves nothing. Endpoints that are drained stay sources of cached parts.

Slow start: each daemon has a share of an endpoint's rate that it never exceeds; as many daemons as the endpoint bears requests a second may send it one each, drawn by rendezvous from a list of daemons that the platform keeps. No word of another daemon is needed, and one that hears of fewer has no larger share. Long prefixes warm an endpoint, the rest returns over the time of a start. One that was lost, or whose data centre is taken back, counts as starting; so do all at a daemon that hears of nobody for 3 s.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -29,5 +29,6 @@
 pub mod plan;
 pub mod quarantine;
 pub mod request;
+pub mod slow_start;
 pub mod stop;
 pub mod view;
--- a/crates/core/src/routing/answer.rs
+++ b/crates/core/src/routing/answer.rs
@@ -23,6 +23,8 @@
     pub signed: bool,
     /// The endpoint's work.
     pub load: Option<Report>,
+    /// For how long it still has to be spared, if it says so.
+    pub warming: Option<Millis>,
     /// How long the connection may be idle.
     pub keep: Option<Millis>,
     /// Whether the body is a stream of events.
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -20,10 +20,14 @@
 use crate::routing::endpoint::Endpoint;
 use crate::routing::health::Standing;
 use crate::routing::request::SharedPrefix;
+use crate::routing::slow_start::Allowance;
 
 /// Load bound, as a multiple of the pool's mean. Lies below the 2 that endpoints may be given
 /// at most, since loads are known with a lag of one answer.
 const BOUND: f64 = 1.5;
+/// The same against the mean of all endpoints, those in drained data centres included: these have
+/// next to no load and yet count in the multiple of the mean that endpoints may be given.
+const BOUND_OF_ALL: f64 = 1.75;
 /// Load allowed beyond the bound, in requests; lets a nearly idle pool keep its places.
 const GRAIN: f64 = 2.0;
 /// Bound where the mechanism is switched off: more requests than any endpoint has.
@@ -52,7 +56,7 @@
 /// held anything before the others.
 const COHORT: Millis = Millis::from_secs(5);
 
-/// An endpoint that may be picked, or is leaving.
+/// An endpoint that may be picked, or takes no new work but may hold cached parts.
 #[derive(Clone)]
 #[derive(Debug)]
 pub struct Candidate {
@@ -66,12 +70,23 @@
     pub standing: Standing,
     /// Whether this request was sent there before.
     pub tried: bool,
+    /// Whether its data centre is drained.
+    pub drained: bool,
+    /// What may be sent there.
+    pub allowance: Allowance,
     /// How long it has been listed.
     pub age: Millis,
     /// Time since it was sent the prompt's shared parts, as far as that is known.
     pub sent: Option<Millis>,
 }
 
+impl Candidate {
+    /// Whether it takes new work, be it little.
+    pub fn takes_work(&self) -> bool {
+        !self.endpoint.leaving && !self.drained
+    }
+}
+
 /// Why an endpoint was picked.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug, Display)]
@@ -105,6 +120,8 @@
     pub bound: f64,
     /// Whether it was picked on trial.
     pub trial: bool,
+    /// What could be sent there when it was picked.
+    pub allowance: Allowance,
     /// Whether other daemons can't tell by rank and age that the prompt goes here.
     pub moved: bool,
 }
@@ -121,9 +138,9 @@
     trial: bool,
     rng: &mut Pcg32,
 ) -> Option<Choice> {
-    let ready: Vec<&Candidate> = candidates.iter().filter(|c| !c.endpoint.leaving).collect();
-    let usable = usable(&ready, trial);
-    let bound = bound(&ready);
+    let ready: Vec<&Candidate> = candidates.iter().filter(|c| c.takes_work()).collect();
+    let usable = usable(&ready, shared, trial);
+    let bound = bound(candidates);
     let choice = match shared {
         Some(prefix) => {
             let places = places(share, ready.len());
@@ -136,14 +153,23 @@
 
 /// The best group of candidates that isn't empty. One that was tried isn't tried again: it is
 /// full or failing, and a second answer would cost a repeat that others need.
-fn usable<'a>(ready: &[&'a Candidate], trial: bool) -> Vec<&'a Candidate> {
-    let groups: [&dyn Fn(&Candidate) -> bool; 3] = [
-        &|c| !c.tried && (c.standing == Standing::Good || trial && c.standing == Standing::Trial),
-        &|c| !c.tried && c.standing != Standing::Down,
-        &|c| !c.tried,
+fn usable<'a>(
+    ready: &[&'a Candidate],
+    shared: Option<&SharedPrefix>,
+    trial: bool,
+) -> Vec<&'a Candidate> {
+    let is_well =
+        |c: &Candidate| c.standing == Standing::Good || trial && c.standing == Standing::Trial;
+    let groups: [&dyn Fn(&Candidate) -> bool; 4] = [
+        &|c| is_well(c) && c.allowance.suits(shared, is_worth_fetching),
+        &is_well,
+        &|c| c.standing != Standing::Down,
+        &|_| true,
     ];
     let pick = |group: &dyn Fn(&Candidate) -> bool| -> Vec<&'a Candidate> {
-        ready.iter().copied().filter(|c| group(c)).collect()
+        let open = ready.iter().copied();
+        let open = open.filter(|c| !c.tried && c.allowance.is_open());
+        open.filter(|c| group(c)).collect()
     };
     groups
         .into_iter()
@@ -275,16 +301,23 @@
         load_age: picked.load_age,
         bound: 0.0,
         trial: picked.standing == Standing::Trial,
+        allowance: picked.allowance,
         moved: false,
     }
 }
 
 /// Load up to which an endpoint is given more.
-pub fn bound(candidates: &[&Candidate]) -> f64 {
+fn bound(candidates: &[Candidate]) -> f64 {
     if !is_on(Mechanism::Bound) {
         return UNBOUNDED;
     }
-    let sum: f64 = candidates.iter().map(|c| c.load).sum();
-    let mean = sum / candidates.len().max(1) as f64;
-    BOUND * mean + GRAIN
+    let staying = candidates.iter().filter(|c| !c.endpoint.leaving);
+    let open = mean_load(staying.clone().filter(|c| !c.drained));
+    let all = mean_load(staying);
+    (BOUND * open).min(BOUND_OF_ALL * all) + GRAIN
+}
+
+fn mean_load<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> f64 {
+    let loads: Vec<f64> = candidates.map(|c| c.load).collect();
+    loads.iter().sum::<f64>() / loads.len().max(1) as f64
 }
--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::Millis;
 use crate::ids::{AccountId, PoolId};
+use crate::routing::slow_start::SlowStart;
 use crate::units::ByteSize;
 
 /// Version of a configuration; versions rise, not always by one.
@@ -101,11 +102,13 @@
 }
 
 /// What is configured of a pool.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, PartialEq)]
 #[derive(Debug)]
 pub struct Pool {
     /// Most connections that one endpoint takes from all callers.
     pub connections: u32,
+    /// How its endpoints are spared after a start, if they have to be.
+    pub slow_start: Option<SlowStart>,
 }
 
 /// A client account.
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -39,6 +39,12 @@
         self.endpoints.get(id).map(|(endpoint, _)| &endpoint.id)
     }
 
+    /// A listed instance.
+    pub fn get(&self, id: &InstanceId) -> Option<&Arc<Endpoint>> {
+        let (endpoint, _) = self.endpoints.get(&id.endpoint)?;
+        (endpoint.id == *id).then_some(endpoint)
+    }
+
     /// Whether this instance is listed.
     pub fn is_listed(&self, id: &InstanceId) -> bool {
         self.instance(&id.endpoint) == Some(id)
--- a/crates/core/src/routing/endpoint.rs
+++ b/crates/core/src/routing/endpoint.rs
@@ -5,6 +5,7 @@
 use derive_more::{Debug, Display, FromStr};
 use serde::Deserialize;
 
+use crate::clock::Millis;
 use crate::ids::{DataCentreId, EndpointId, PoolId};
 
 /// When an endpoint's process started: milliseconds since the Unix epoch, by its own clock.
@@ -49,3 +50,13 @@
     /// Whether it will stop, and takes no new work.
     pub leaving: bool,
 }
+
+/// An endpoint's entry in the platform's list.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
+pub struct Listing {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// For how long it still has to be spared after its start, as of the entry.
+    pub warming: Millis,
+}
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -216,6 +216,12 @@
         }
     }
 
+    /// Daemons that live, as far as this one knows them, itself among them.
+    pub fn known(&self, now: Millis) -> Vec<SocketAddr> {
+        let others = self.members.others(now).map(|(address, _)| address);
+        others.chain([self.members.me]).collect()
+    }
+
     fn is_large(&self, now: Millis) -> bool {
         self.live(now) >= LARGE
     }
--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -118,6 +118,11 @@
         self.revision
     }
 
+    /// An object by its name.
+    pub fn get(&self, name: &str) -> Option<&Object> {
+        self.objects.get(name)
+    }
+
     /// Time since it was last known to be up to date, none before the first list.
     pub fn age(&self, now: Millis) -> Option<Millis> {
         self.heard.map(|heard| now.since(heard))
--- /dev/null
+++ b/crates/core/src/routing/slow_start.rs
@@ -0,0 +1,270 @@
+//! Slow start: endpoints that bear few requests a second for a while.
+//!
+//! The rate that such an endpoint bears holds for the whole fleet, within each
+//! second. That is too short for daemons to tell each other what they sent, so
+//! each has a share of its own that it never exceeds, and needs nobody's word
+//! to keep to it. Shares are dealt by rank over the list of daemons that the
+//! platform keeps: as many daemons as the endpoint bears requests a second may
+//! send it one each, the others none. A daemon that hears from fewer others
+//! has no larger share, and one that isn't on the list, or has just started,
+//! has none.
+//!
+//! Two lists of different age deal some shares twice, at most as many as the
+//! daemons by which they differ.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use derive_more::Debug;
+
+use crate::clock::Millis;
+use crate::ids::PoolId;
+use crate::placement::{Node, key_of};
+use crate::routing::endpoint::InstanceId;
+use crate::routing::request::SharedPrefix;
+use crate::units::Rate;
+
+/// Time in which a daemon sends its share: a second, and what the ways of two requests may differ
+/// by.
+const WINDOW: Millis = Millis(1100);
+/// Time without word of any other daemon after which all endpoints with a slow start are taken as
+/// starting: the list of endpoints may be out of date by as much.
+const ALONE: Millis = Millis(3000);
+
+/// How endpoints of a pool are spared.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug)]
+pub struct SlowStart {
+    /// Requests that a starting endpoint bears from the whole fleet.
+    pub rate: Rate,
+    /// How long it is spared after a start.
+    pub span: Millis,
+}
+
+/// What a daemon may send to an endpoint now.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug)]
+pub enum Allowance {
+    /// Anything.
+    All,
+    /// This part of all prefixes, since it has started a short time ago.
+    Part(f64),
+    /// One request.
+    One,
+    /// Nothing.
+    Nothing,
+}
+
+impl Allowance {
+    /// Whether a request may be sent that could go elsewhere as well. What a starting endpoint is
+    /// given should fill its cache; short prompts go elsewhere.
+    pub fn suits(
+        self,
+        shared: Option<&SharedPrefix>,
+        is_long: impl Fn(&SharedPrefix) -> bool,
+    ) -> bool {
+        match (self, shared) {
+            (Self::All, _) | (Self::Part(_), None) => true,
+            (Self::Part(part), Some(prefix)) => part >= fraction(prefix.key),
+            (Self::One, Some(prefix)) => is_long(prefix),
+            (Self::One, None) | (Self::Nothing, _) => false,
+        }
+    }
+
+    /// Whether a request may be sent at all.
+    pub const fn is_open(self) -> bool {
+        !matches!(self, Self::Nothing)
+    }
+}
+
+/// A key's place among all keys, 0 to 1.
+fn fraction(key: u64) -> f64 {
+    key as f64 / u64::MAX as f64
+}
+
+/// Endpoints that are spared, as one daemon sees it.
+#[derive(Clone)]
+#[derive(Debug)]
+pub struct SlowStarts {
+    /// When this daemon started.
+    started: Millis,
+    pools: HashMap<PoolId, SlowStart>,
+    /// Parts of the platform's list of daemons.
+    parts: BTreeMap<String, Vec<SocketAddr>>,
+    /// This daemon, if the platform lists it.
+    me: Option<Node<SocketAddr>>,
+    /// All daemons that the platform lists.
+    fleet: Vec<Node<SocketAddr>>,
+    /// Since when no other daemon was heard of.
+    alone: Option<Millis>,
+    /// Until when each endpoint is spared.
+    spared: HashMap<InstanceId, Millis>,
+    /// When this daemon last sent to each endpoint that was spared.
+    sent: HashMap<InstanceId, VecDeque<Millis>>,
+    /// Requests that this daemon may send to each endpoint in a window, as far as they were
+    /// reckoned since the list of daemons changed.
+    shares: HashMap<InstanceId, usize>,
+}
+
+impl SlowStarts {
+    /// Nothing is known yet.
+    pub fn new(now: Millis) -> Self {
+        Self {
+            started: now,
+            pools: HashMap::new(),
+            parts: BTreeMap::new(),
+            me: None,
+            fleet: Vec::new(),
+            alone: None,
+            spared: HashMap::new(),
+            sent: HashMap::new(),
+            shares: HashMap::new(),
+        }
+    }
+
+    /// Sets which pools have a slow start.
+    pub fn configure(&mut self, pools: HashMap<PoolId, SlowStart>) {
+        self.pools = pools;
+        self.shares.clear();
+    }
+
+    /// Whether any pool has one.
+    pub fn is_needed(&self) -> bool {
+        !self.pools.is_empty()
+    }
+
+    /// Sets a part of the platform's list of daemons; says which daemon is this one.
+    pub fn deal(&mut self, me: SocketAddr, part: &str, daemons: Vec<SocketAddr>) {
+        self.parts.insert(part.to_owned(), daemons);
+        // Several parts may name a daemon.
+        let all: BTreeSet<SocketAddr> = self.parts.values().flatten().copied().collect();
+        let node = |daemon: SocketAddr| Node::new(daemon, &daemon.to_string());
+        self.fleet = all.into_iter().map(node).collect();
+        self.me = self.fleet.iter().find(|node| node.id == me).cloned();
+        self.shares.clear();
+    }
+
+    /// Whether the platform lists a daemon.
+    pub fn is_listed(&self, daemon: &SocketAddr) -> bool {
+        self.fleet.iter().any(|node| node.id == *daemon)
+    }
+
+    /// Notes how many daemons live, this one included.
+    pub fn hear(&mut self, live: usize, now: Millis) {
+        match live {
+            0 | 1 => _ = self.alone.get_or_insert(now),
+            _ => self.alone = None,
+        }
+    }
+
+    /// Spares an endpoint for some time. What was known of a longer time stays, since word of it
+    /// may be late.
+    pub fn spare(&mut self, id: &InstanceId, left: Millis, now: Millis) {
+        if left == Millis::ZERO {
+            return;
+        }
+        let until = self.spared.entry(id.clone()).or_default();
+        *until = (*until).max(now + left);
+    }
+
+    /// Spares an endpoint of a pool for as long as after a start.
+    pub fn presume(&mut self, id: &InstanceId, pool: &PoolId, now: Millis) {
+        if let Some(slow) = self.pools.get(pool) {
+            let span = slow.span;
+            self.spare(id, span, now);
+        }
+    }
+
+    /// Forgets an endpoint.
+    pub fn forget(&mut self, id: &InstanceId) {
+        self.spared.remove(id);
+        self.sent.remove(id);
+        self.shares.remove(id);
+    }
+
+    /// Endpoints that are spared now.
+    pub fn spared(&self, now: Millis) -> impl Iterator<Item = &InstanceId> {
+        let spared = self.spared.iter().filter(move |(_, until)| now < **until);
+        spared.map(|(id, _)| id)
+    }
+
+    /// What may be sent to an endpoint of a pool.
+    pub fn allowance(&mut self, id: &InstanceId, pool: &PoolId, now: Millis) -> Allowance {
+        let Some(slow) = self.pools.get(pool).copied() else {
+            return Allowance::All;
+        };
+        let until = self.spared.get(id).copied();
+        if until.is_some_and(|until| now < until) || self.is_alone(now) {
+            return match self.has_left(id, slow.rate, now) {
+                true => Allowance::One,
+                false => Allowance::Nothing,
+            };
+        }
+        match until.map(|until| now.since(until)) {
+            Some(warm) if warm < slow.span => {
+                Allowance::Part(warm.as_secs_f64() / slow.span.as_secs_f64())
+            }
+            _ => Allowance::All,
+        }
+    }
+
+    /// Notes that a request is sent to an endpoint that is spared.
+    pub fn sent(&mut self, id: &InstanceId, now: Millis) {
+        self.sent.entry(id.clone()).or_default().push_back(now);
+    }
+
+    /// Drops what has no effect any more.
+    pub fn tidy(&mut self, now: Millis) {
+        let spans = self.pools.values().map(|slow| slow.span).max();
+        let windows = self.pools.values().map(|slow| window(slow.rate)).max();
+        let (span, window) = (spans.unwrap_or_default(), windows.unwrap_or_default());
+        self.spared.retain(|_, until| now < *until + span);
+        for sent in self.sent.values_mut() {
+            sent.retain(|at| now.since(*at) < window);
+        }
+        self.sent.retain(|_, sent| !sent.is_empty());
+    }
+
+    /// Whether the list of endpoints may be out of date since no other daemon is heard.
+    fn is_alone(&self, now: Millis) -> bool {
+        let is_long = self.alone.is_some_and(|since| now.since(since) >= ALONE);
+        is_long && self.fleet.len() > 1
+    }
+
+    /// Whether this daemon's share of an endpoint's rate isn't used up.
+    fn has_left(&mut self, id: &InstanceId, rate: Rate, now: Millis) -> bool {
+        let window = window(rate);
+        // What an earlier process of this daemon has sent isn't known.
+        if now.since(self.started) < window {
+            return false;
+        }
+        let sent = self.sent.get(id);
+        let recent = sent.into_iter().flatten();
+        let recent = recent.filter(|at| now.since(**at) < window).count();
+        if let Some(share) = self.shares.get(id) {
+            return recent < *share;
+        }
+        let share = self.share(id, rate);
+        self.shares.insert(id.clone(), share);
+        recent < share
+    }
+
+    /// Requests that this daemon may send in a window.
+    fn share(&self, id: &InstanceId, rate: Rate) -> usize {
+        let Some(me) = &self.me else {
+            return 0;
+        };
+        let key = key_of(&id.to_string());
+        let order = |node: &Node<SocketAddr>| (node.score(key).to_bits(), node.id);
+        let own = order(me);
+        let rank = self.fleet.iter().filter(|node| order(node) > own).count();
+        let seats = (rate.0 as usize).max(1);
+        let daemons = self.fleet.len();
+        seats / daemons + usize::from(rank < seats % daemons)
+    }
+}
+
+/// The time in which a share is sent; longer where an endpoint bears less than one a second.
+fn window(rate: Rate) -> Millis {
+    Millis((WINDOW.0 as f64 / rate.0.min(1.0)) as u64)
+}
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -5,6 +5,7 @@
 //! belongs to one instance of an endpoint: when that starts again, it is known
 //! anew.
 
+mod drains;
 mod entries;
 mod judge;
 
@@ -32,7 +33,9 @@
 use crate::routing::plan::Plan;
 use crate::routing::quarantine::{Change, Quarantine};
 use crate::routing::request::SharedPrefix;
+use crate::routing::slow_start::{Allowance, SlowStarts};
 
+pub use drains::{Drain, Spared};
 pub use entries::Listed;
 pub use judge::Verdict;
 
@@ -64,6 +67,11 @@
     /// Shares of hot prefixes in the fleet's traffic.
     hot: HashMap<u32, f64>,
     quarantine: Quarantine,
+    /// Data centres whose endpoints take no new work.
+    drained: HashSet<DataCentreId>,
+    slow_starts: SlowStarts,
+    /// Endpoints that are spared, as last logged.
+    spared: HashSet<InstanceId>,
     #[debug(skip)]
     rng: Pcg32,
 }
@@ -126,6 +134,9 @@
             moved: Vec::new(),
             hot: HashMap::new(),
             quarantine: Quarantine::default(),
+            drained: HashSet::new(),
+            slow_starts: SlowStarts::new(now),
+            spared: HashSet::new(),
             rng: Pcg32::new(seed, seed),
         }
     }
@@ -151,8 +162,13 @@
     }
 
     /// Whether a pool has an endpoint that takes new work and wasn't tried, other than this one.
-    pub fn has_other(&self, pool: &PoolId, plan: &Plan, id: &InstanceId) -> bool {
-        let mut ready = self.directory.pool(pool).iter().filter(|e| !e.leaving);
+    pub fn has_other(&mut self, pool: &PoolId, plan: &Plan, id: &InstanceId, now: Millis) -> bool {
+        let allowances = self.allowances(pool, now);
+        let ready = |(endpoint, allowance): &(&Arc<Endpoint>, Allowance)| {
+            !endpoint.leaving && !self.is_drained(endpoint) && allowance.is_open()
+        };
+        let listed = self.directory.pool(pool).iter().zip(allowances);
+        let mut ready = listed.filter(ready).map(|(endpoint, _)| endpoint);
         ready.any(|endpoint| endpoint.id != *id && !plan.has_tried(&endpoint.id))
     }
 
@@ -187,6 +203,9 @@
         }
         let id = &choice.endpoint.id;
         self.loads.begin(id);
+        if choice.allowance == Allowance::One {
+            self.slow_starts.sent(id, now);
+        }
         if choice.trial {
             self.health.trial(id, now);
         }
@@ -240,6 +259,10 @@
             return;
         }
         self.health.bad(id, fault, now);
+        if fault.is_loss() || fault == Fault::NotSent {
+            // It may have started again.
+            self.presume_started(id, now);
+        }
         if fault == Fault::Failed {
             self.paces.answers(id, 1, now);
         }
@@ -345,12 +368,13 @@
     }
 
     fn candidates(
-        &self,
+        &mut self,
         pool: &PoolId,
         shared: Option<&SharedPrefix>,
         plan: &Plan,
         now: Millis,
     ) -> Vec<Candidate> {
+        let allowances = self.allowances(pool, now);
         let prefix = shared.map(|prefix| exchange::short_key(prefix.key));
         let prefix = prefix.filter(|prefix| self.holders.is_known(*prefix));
         let sent = |id: &InstanceId| {
@@ -359,15 +383,17 @@
         };
         let listed = self.directory.pool(pool);
         let failures = self.failures(listed, now);
-        let candidate = |endpoint: &Arc<Endpoint>| Candidate {
+        let candidate = |(endpoint, allowance): (&Arc<Endpoint>, Allowance)| Candidate {
             load: self.loads.total(&endpoint.id, now),
             load_age: self.loads.age(&endpoint.id, now),
             standing: self.standing(&endpoint.id, failures, now).0,
             tried: plan.has_tried(&endpoint.id),
+            drained: self.is_drained(endpoint),
+            allowance,
             age: self.age(&endpoint.id, now),
             sent: sent(&endpoint.id),
             endpoint: Arc::clone(endpoint),
         };
-        listed.iter().map(candidate).collect()
+        listed.iter().zip(allowances).map(candidate).collect()
     }
 }
--- a/crates/core/src/routing/view/entries.rs
+++ b/crates/core/src/routing/view/entries.rs
@@ -76,5 +76,6 @@
         self.avoided.remove(id);
         self.paces.forget(id);
         self.outcomes.remove(id);
+        self.slow_starts.forget(id);
     }
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -9,6 +9,7 @@
     mod choose;
     mod config;
     mod directory;
+    mod drains;
     mod events;
     mod evidence;
     mod exchange;
@@ -24,6 +25,7 @@
     mod prompts;
     mod quarantine;
     mod request;
+    mod slow_start;
     mod stop;
     mod support;
     mod view;
--- a/crates/core/tests/routing/bound.rs
+++ b/crates/core/tests/routing/bound.rs
@@ -16,6 +16,7 @@
 };
 use medlarrill_core::routing::health::Standing;
 use medlarrill_core::routing::load::Loads;
+use medlarrill_core::routing::slow_start::Allowance;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -111,6 +112,8 @@
             load_age: None,
             standing: Standing::Good,
             tried: false,
+            drained: false,
+            allowance: Allowance::All,
             age: Millis(60_000),
         };
         let all: Vec<Candidate> = self.endpoints.iter().map(candidate).collect();
--- a/crates/core/tests/routing/support.rs
+++ b/crates/core/tests/routing/support.rs
@@ -12,6 +12,7 @@
 use medlarrill_core::routing::exchange::{Entry, Heard, Others, Report};
 use medlarrill_core::routing::health::Standing;
 use medlarrill_core::routing::request::SharedPrefix;
+use medlarrill_core::routing::slow_start::Allowance;
 use medlarrill_core::routing::view::View;
 use medlarrill_core::units::Tokens;
 
@@ -47,6 +48,8 @@
         load_age: None,
         standing: Standing::Good,
         tried: false,
+        drained: false,
+        allowance: Allowance::All,
         age: Millis(60_000),
         sent: None,
     }
--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -4,6 +4,7 @@
 mod route {
     mod answers;
     mod crash;
+    mod drains;
     mod requests;
     mod setup;
     mod stop;
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -192,6 +192,9 @@
     if let Some(load) = told.load {
         order.shared.placement.report(&endpoint, load, now());
     }
+    if let Some(left) = told.warming {
+        order.shared.placement.spare(&endpoint, left, now());
+    }
     if sent.fresh {
         order.shared.metrics.connects.inc();
     }
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -125,7 +125,9 @@
         // Where it is too late, the request is refused below.
         tokio::time::timeout(wait.as_duration(), known).await.ok();
     }
-    shared.config.borrow().clone()
+    // Endpoints that aren't known to take work get none.
+    let is_listed = *shared.listed.borrow();
+    shared.config.borrow().clone().filter(|_| is_listed)
 }
 
 /// The host that the caller asked for, without a port.
--- a/crates/router/src/entry/order.rs
+++ b/crates/router/src/entry/order.rs
@@ -73,7 +73,7 @@
     pub fn fail(&self, plan: &mut Plan, id: &InstanceId, fault: Fault, now: Millis) -> Next {
         self.note_fault(plan, id, fault, now);
         let placement = &self.shared.placement;
-        let has_other = placement.has_other(&self.pool, plan, id);
+        let has_other = placement.has_other(&self.pool, plan, id, now);
         let spend = || has_other && placement.spend(&self.pool, now);
         plan.fail(id, fault, spend, now)
     }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -56,6 +56,10 @@
     pub endpoints: Gauge,
     /// Requests that are quarantined.
     pub quarantined: Gauge,
+    /// Endpoints that are spared after a start.
+    pub spared: Gauge,
+    /// Data centres that are drained.
+    pub drains: Gauge,
     /// Log lines that were dropped.
     pub dropped: Gauge,
     /// Seconds from a request's head to the head of its answer.
@@ -90,6 +94,8 @@
             version: Gauge::default(),
             endpoints: Gauge::default(),
             quarantined: Gauge::default(),
+            spared: Gauge::default(),
+            drains: Gauge::default(),
             dropped: Gauge::default(),
             first: Histogram::new(LATENCIES),
             whole: Histogram::new(LATENCIES),
@@ -132,6 +138,9 @@
         r.register("endpoints", "Endpoints known", self.endpoints.clone());
         let quarantined = self.quarantined.clone();
         r.register("quarantined", "Requests that are sent nowhere", quarantined);
+        let spared = self.spared.clone();
+        r.register("slow_starts", "Endpoints that are spared", spared);
+        r.register("drains", "Data centres drained", self.drains.clone());
         r.register("log_dropped", "Log lines dropped", self.dropped.clone());
     }
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -33,6 +33,10 @@
     pub following: Following,
     /// Daemons that may live, from the settings.
     pub seeds: Vec<SocketAddr>,
+    /// The hubs of this daemon, first in rank first.
+    pub hubs: Vec<SocketAddr>,
+    /// Daemons that live, as far as this one knows them, itself among them.
+    pub known: Arc<[SocketAddr]>,
     /// Whether another daemon's copy is being followed.
     pub is_relayed: bool,
     /// When another daemon's copy was last heard of.
@@ -62,6 +66,8 @@
         Self(Arc::new(Mutex::new(Watch {
             me,
             following: Following::default(),
+            hubs: Vec::new(),
+            known: Arc::default(),
             seeds,
             is_relayed: false,
             heard: None,
@@ -85,7 +91,13 @@
 
     /// Notes who follows the platform, as the exchange sees it.
     fn renew(&self, exchange: &Exchange, cut_off: bool, at: Millis) {
-        self.lock().following = exchange.following(cut_off, at);
+        let mut watch = self.lock();
+        watch.following = exchange.following(cut_off, at);
+        watch.hubs = exchange.hubs(at);
+        watch.known = match watch.following.is_hub {
+            true => exchange.known(at).into(),
+            false => Arc::default(),
+        };
     }
 
     fn lock(&self) -> MutexGuard<'_, Watch> {
@@ -137,6 +149,7 @@
     let before = roster.borrow();
     roster.renew(exchange, shared.copies.is_cut_off(), now());
     report_roles(&before, &roster.borrow(), exchange.live(now()));
+    shared.placement.hear(exchange.live(now()), now());
     report_live(exchange, live)
 }
 
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -1,5 +1,7 @@
 //! What is known of endpoints, shared by the tasks of a daemon.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use derive_more::Debug;
@@ -15,7 +17,8 @@
 use medlarrill_core::routing::plan::Plan;
 use medlarrill_core::routing::quarantine::{Change, Evidence, Keeper, Kept, Snapshot, Step};
 use medlarrill_core::routing::request::SharedPrefix;
-use medlarrill_core::routing::view::{Listed, Result, Verdict, View};
+use medlarrill_core::routing::slow_start::SlowStart;
+use medlarrill_core::routing::view::{Drain, Listed, Result, Spared, Verdict, View};
 
 /// State behind a lock that is held for a few instructions, never while waiting.
 #[derive(Debug)]
@@ -80,8 +83,8 @@
     }
 
     /// Whether a pool has an endpoint that takes new work and wasn't tried, other than this one.
-    pub fn has_other(&self, pool: &PoolId, plan: &Plan, id: &InstanceId) -> bool {
-        self.lock().has_other(pool, plan, id)
+    pub fn has_other(&self, pool: &PoolId, plan: &Plan, id: &InstanceId, now: Millis) -> bool {
+        self.lock().has_other(pool, plan, id, now)
     }
 
     /// Takes a repeat from the budget.
@@ -197,6 +200,7 @@
     pub fn review(&self, now: Millis) {
         let forgotten = self.lock().quarantine().forget(now);
         self.report_changes(&forgotten);
+        self.report_spared(&self.lock().review_spared(now));
         let changes = self.lock().review(now);
         for Verdict {
             endpoint,
@@ -213,6 +217,96 @@
         }
     }
 
+    /// Logs which endpoints are spared from now on, and which no more, in one line: where a data
+    /// centre comes back they are many.
+    fn report_spared(&self, changes: &Spared) {
+        let names = |ids: &[InstanceId]| {
+            let names: Vec<String> = ids.iter().map(InstanceId::to_string).collect();
+            names.join(", ")
+        };
+        let (begins, ends) = (names(&changes.begins), names(&changes.ends));
+        if !begins.is_empty() || !ends.is_empty() {
+            log::info!(
+                target: "placement", begins, ends;
+                "placement: endpoints in slow start"
+            );
+        }
+    }
+
+    /// Gives endpoints of a data centre no new work.
+    pub fn drain(&self, data_centre: &DataCentreId, revision: u64, now: Millis) {
+        let Some(effect) = self.lock().drain(data_centre.clone(), now) else {
+            return;
+        };
+        let Drain {
+            endpoints,
+            emptied,
+            busy,
+        } = effect;
+        let name = data_centre.as_str();
+        log::info!(
+            target: "placement", data_centre = name, revision, endpoints, busy;
+            "placement: data centre drained"
+        );
+        if busy >= 1.0 || !emptied.is_empty() {
+            log::warn!(
+                target: "placement", data_centre = name, busy, emptied:? = emptied;
+                "placement: what is left can't carry the work of a drained data centre"
+            );
+        }
+    }
+
+    /// Ends the drain of a data centre.
+    pub fn restore(&self, data_centre: &DataCentreId, revision: u64, now: Millis) {
+        if self.lock().restore(data_centre, now) {
+            let name = data_centre.as_str();
+            log::info!(
+                target: "placement", data_centre = name, revision;
+                "placement: data centre takes work again"
+            );
+        }
+    }
+
+    /// Data centres that are drained.
+    pub fn drains(&self) -> usize {
+        self.lock().drains()
+    }
+
+    /// Sets which pools have a slow start.
+    pub fn set_slow_starts(&self, pools: HashMap<PoolId, SlowStart>) {
+        self.lock().configure(pools);
+    }
+
+    /// Whether any pool has a slow start.
+    pub fn has_slow_starts(&self) -> bool {
+        self.lock().has_slow_starts()
+    }
+
+    /// Endpoints that are spared after a start.
+    pub fn spared(&self) -> usize {
+        self.lock().spared()
+    }
+
+    /// Spares an endpoint for the time that it or its entry tells.
+    pub fn spare(&self, id: &InstanceId, left: Millis, now: Millis) {
+        self.lock().spare(id, left, now);
+    }
+
+    /// Sets the daemons that a part of the platform's list names.
+    pub fn deal(&self, me: SocketAddr, part: &str, daemons: Vec<SocketAddr>) {
+        self.lock().deal(me, part, daemons);
+    }
+
+    /// Those of some daemons that the platform doesn't list.
+    pub fn unlisted(&self, daemons: &[SocketAddr]) -> Vec<SocketAddr> {
+        self.lock().unlisted(daemons)
+    }
+
+    /// Notes how many daemons live, this one included.
+    pub fn hear(&self, live: usize, now: Millis) {
+        self.lock().hear(live, now);
+    }
+
     /// Takes what the other daemons have at endpoints, all of them together.
     pub fn others(&self, heard: exchange::Heard, daemons: usize, now: Millis) {
         self.lock().others(heard, daemons, now);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -67,6 +67,10 @@
     /// daemons then wait for what others read of the platform.
     #[serde(default)]
     pub first_start: bool,
+    /// Whether operators drain data centres through the platform; requests then wait until it is
+    /// known which.
+    #[serde(default = "yes")]
+    pub drains: bool,
     /// What the VM's link carries; daemons on strong VMs do more for the others.
     #[serde(default)]
     pub link: LinkRate,
@@ -76,6 +80,10 @@
     pub repeats: Repeats,
 }
 
+const fn yes() -> bool {
+    true
+}
+
 /// Addresses of the daemon.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug, Deserialize)]
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -1,5 +1,6 @@
 //! Starts the tasks of a daemon on the platform, and stops them in order.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 
@@ -120,7 +121,7 @@
     let placement = Placement::new(near, settings.repeats.into(), rand::random(), now());
     let placement = Arc::new(placement);
     let metrics = Arc::new(Metrics::new());
-    let (copies, config, is_listed) = copies(&placement, &metrics);
+    let (copies, config, is_listed) = copies(settings, listen.peers, &placement, &metrics);
     let settings = Settings {
         listen,
         ..settings.clone()
@@ -130,6 +131,7 @@
         copies: Arc::clone(&copies),
         roster: roster.clone(),
         placement: Arc::clone(&placement),
+        data_centre: settings.data_centre.clone(),
         metrics: Arc::clone(&metrics),
         first_start: settings.first_start,
     };
@@ -155,6 +157,8 @@
 /// Empty copies of the platform's objects, the configuration that they put in force, and whether
 /// the endpoints were listed.
 fn copies(
+    settings: &Settings,
+    me: SocketAddr,
     placement: &Arc<Placement>,
     metrics: &Arc<Metrics>,
 ) -> (Arc<Copies>, watch::Receiver<InForce>, watch::Receiver<bool>) {
@@ -163,10 +167,12 @@
     let sinks = Sinks {
         in_force,
         placement: Arc::clone(placement),
+        me,
         metrics: Arc::clone(metrics),
         unreadable: Unreadable::new(Arc::clone(metrics)),
     };
-    (Arc::new(Copies::new(sinks, listed)), config, is_listed)
+    let copies = Copies::new(sinks, settings.drains, listed);
+    (Arc::new(copies), config, is_listed)
 }
 
 fn modified(path: &Path) -> Option<std::time::SystemTime> {
@@ -195,6 +201,16 @@
         .metrics
         .quarantined
         .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
+    let spared = shared.placement.spared();
+    shared
+        .metrics
+        .spared
+        .set(i64::try_from(spared).unwrap_or(i64::MAX));
+    let drains = shared.placement.drains();
+    shared
+        .metrics
+        .drains
+        .set(i64::try_from(drains).unwrap_or(i64::MAX));
     let lines = dropped.load(std::sync::atomic::Ordering::Relaxed);
     shared
         .metrics
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -1,4 +1,5 @@
-//! Keeps copies of the platform's objects: the configuration and the endpoints.
+//! Keeps copies of the platform's objects: the configuration, the endpoints, the data centres that
+//! are drained, and the daemons.
 //!
 //! Some daemons follow the platform itself ([`direct`]); the others follow
 //! those ([`relay`]). Whatever the source, a change goes into the copy, from
@@ -6,6 +7,7 @@
 
 mod client;
 mod copies;
+mod daemons;
 mod direct;
 mod effect;
 mod quarantine;
@@ -15,6 +17,7 @@
 use std::sync::Arc;
 
 use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::DataCentreId;
 use medlarrill_net::now::now;
 use tokio::net::TcpListener;
 
@@ -35,22 +38,16 @@
     pub copies: Arc<Copies>,
     /// Who lives, and who follows the platform.
     pub roster: Roster,
-    /// Where the quarantine is known.
+    /// Endpoints, and what is known against requests.
     pub placement: Arc<Placement>,
+    /// Where this daemon runs.
+    pub data_centre: DataCentreId,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// Whether the whole fleet starts for the first time.
     pub first_start: bool,
 }
 
-impl Store {
-    /// Whether something is known of every kind.
-    fn knows_all(&self) -> bool {
-        let is_known = |kind| self.copies.revision(kind).is_some();
-        copies::KINDS.into_iter().all(is_known)
-    }
-}
-
 /// Keeps the copies up to date until the process ends.
 pub async fn run(store: Store, platform: std::net::SocketAddr, listener: TcpListener) {
     let kinds = copies::KINDS.map(|kind| direct::follow(store.clone(), platform, kind));
@@ -59,6 +56,7 @@
         relay::serve(store.clone(), listener),
         relay::follow(store.clone()),
         quarantine::keep(store.clone(), platform),
+        daemons::keep(store.clone(), platform),
         sweep(&store.copies),
     );
 }
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -6,7 +6,7 @@
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::mirror::{Change, Mirror, Update};
+use medlarrill_core::routing::mirror::{Change, Mirror, Object, Update};
 use medlarrill_platform::store::{DecodeError, Kind};
 use tokio::sync::{broadcast, watch};
 
@@ -14,7 +14,12 @@
 use super::relay::Packed;
 
 /// The kinds that are kept.
-pub const KINDS: [Kind; 2] = [Kind::Configuration, Kind::Endpoints];
+pub const KINDS: [Kind; 4] = [
+    Kind::Configuration,
+    Kind::Drains,
+    Kind::Endpoints,
+    Kind::Daemons,
+];
 /// Changes that a follower may lag behind before it has to ask anew.
 const LAG: usize = 256;
 
@@ -33,10 +38,14 @@
 #[derive(Debug)]
 pub struct Copies {
     configuration: Mutex<Copy>,
+    drains: Mutex<Copy>,
     endpoints: Mutex<Copy>,
+    daemons: Mutex<Copy>,
     sinks: Sinks,
     effects: broadcast::Sender<Effects>,
-    /// Set once the endpoints were listed.
+    /// Whether the platform may drain data centres.
+    has_drains: bool,
+    /// Set once the endpoints were listed, and which of them take work.
     listed: watch::Sender<bool>,
     /// Whether calls to the platform fail.
     cut_off: AtomicBool,
@@ -44,12 +53,15 @@
 
 impl Copies {
     /// Copies of nothing.
-    pub fn new(sinks: Sinks, listed: watch::Sender<bool>) -> Self {
+    pub fn new(sinks: Sinks, has_drains: bool, listed: watch::Sender<bool>) -> Self {
         Self {
             configuration: Mutex::default(),
+            drains: Mutex::default(),
             endpoints: Mutex::default(),
+            daemons: Mutex::default(),
             sinks,
             effects: broadcast::Sender::new(LAG),
+            has_drains,
             listed,
             cut_off: AtomicBool::new(false),
         }
@@ -58,7 +70,9 @@
     fn lock(&self, kind: Kind) -> MutexGuard<'_, Copy> {
         let copy = match kind {
             Kind::Configuration => &self.configuration,
+            Kind::Drains => &self.drains,
             Kind::Endpoints => &self.endpoints,
+            Kind::Daemons => &self.daemons,
         };
         copy.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -75,6 +89,26 @@
         self.sinks.unreadable.report(kind, name, error);
     }
 
+    /// Whether a kind has to be known before requests can be served.
+    pub const fn is_needed(&self, kind: Kind) -> bool {
+        match kind {
+            Kind::Configuration | Kind::Endpoints => true,
+            Kind::Drains => self.has_drains,
+            Kind::Daemons => false,
+        }
+    }
+
+    /// Whether all is known that has to be.
+    pub fn knows_all(&self) -> bool {
+        let mut needed = KINDS.into_iter().filter(|kind| self.is_needed(*kind));
+        needed.all(|kind| self.revision(kind).is_some())
+    }
+
+    /// An object as it was last copied.
+    pub fn get(&self, kind: Kind, name: &str) -> Option<Object> {
+        self.lock(kind).mirror.get(name).cloned()
+    }
+
     /// The revision that a copy has reached.
     pub fn revision(&self, kind: Kind) -> Option<u64> {
         self.lock(kind).mirror.revision()
@@ -114,7 +148,10 @@
             self.effects.send((kind, None)).ok();
         }
         self.tell(kind, &mut copy, changes);
-        if kind == Kind::Endpoints {
+        drop(copy);
+        let places = [Kind::Endpoints, Kind::Drains];
+        let mut needed = places.into_iter().filter(|kind| self.is_needed(*kind));
+        if needed.all(|kind| self.revision(kind).is_some()) {
             self.listed
                 .send_if_modified(|listed| !std::mem::replace(listed, true));
         }
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -25,6 +25,8 @@
 /// Pause after changes of endpoints. A leaving endpoint gets no new work after 2 s at most;
 /// gathering for half of that saves four of five calls while endpoints report.
 const ENDPOINTS_PAUSE: Millis = Millis(900);
+/// Between two lists of daemons.
+pub const DAEMONS_PAUSE: Millis = Millis::from_secs(5);
 /// Between two looks whether this daemon has to follow the platform.
 const IDLE: Millis = Millis(50);
 /// The same at a daemon that knows nothing yet.
@@ -112,6 +114,11 @@
     /// nobody who knows more.
     fn is_due(&self) -> bool {
         let roster = self.store.roster.borrow();
+        match self.kind {
+            Kind::Daemons => return self.is_list_due(&roster),
+            Kind::Drains if !self.store.copies.is_needed(Kind::Drains) => return false,
+            _ => {}
+        }
         let Some(age) = self.store.copies.age(self.kind, now()) else {
             // Where many daemons start at once the platform refuses some; others soon know more.
             let asked = self.failed.is_some_and(|at| now().since(at) < OTHERS);
@@ -122,6 +129,15 @@
         roster.is_watcher() && is_settled || age > STALE && !roster.is_relayed
     }
 
+    /// Whether the list of daemons is to be read again. It changes rarely and may be old, so that
+    /// no call waits for changes.
+    fn is_list_due(&self, roster: &Watch) -> bool {
+        let age = self.store.copies.age(self.kind, now());
+        let is_old = age.is_none_or(|age| age >= DAEMONS_PAUSE);
+        let is_watcher = roster.is_watcher() && now() >= SETTLED;
+        is_watcher && is_old && self.store.placement.has_slow_starts()
+    }
+
     /// Whether a daemon that has just started leaves it to others to ask for what it doesn't know.
     fn waits(&self, roster: &Watch) -> bool {
         let passed = now();
@@ -145,6 +161,7 @@
     async fn step(&mut self) {
         let result = match self.store.copies.revision(self.kind) {
             None => self.first_list().await,
+            Some(_) if self.kind == Kind::Daemons => self.list().await,
             Some(revision) => self.watch(revision).await,
         };
         let result = match result {
@@ -250,8 +267,8 @@
             .apply(self.kind, update, Some(heard), heard);
         if !is_quiet {
             let pause = match self.kind {
-                Kind::Configuration => CONFIGURATION_PAUSE,
-                Kind::Endpoints => ENDPOINTS_PAUSE,
+                Kind::Configuration | Kind::Drains => CONFIGURATION_PAUSE,
+                Kind::Endpoints | Kind::Daemons => ENDPOINTS_PAUSE,
             };
             tokio::time::sleep(pause.as_duration()).await;
         }
--- a/crates/router/src/store/effect.rs
+++ b/crates/router/src/store/effect.rs
@@ -1,11 +1,12 @@
 //! What changes of objects do here.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use medlarrill_core::ids::EndpointId;
 use medlarrill_core::routing::birth::Entry;
 use medlarrill_core::routing::config::Configuration;
-use medlarrill_core::routing::endpoint::Endpoint;
+use medlarrill_core::routing::endpoint::{Endpoint, Listing};
 use medlarrill_core::routing::mirror::{Change, Object};
 use medlarrill_core::routing::view::Listed;
 use medlarrill_net::now::now;
@@ -39,6 +40,8 @@
     pub in_force: watch::Sender<InForce>,
     /// Endpoints.
     pub placement: Arc<Placement>,
+    /// Where this daemon listens for others.
+    pub me: SocketAddr,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// Who is told of entries that can't be read.
@@ -52,6 +55,8 @@
             Kind::Configuration => changes.iter().for_each(|change| self.take_version(change)),
             Kind::Endpoints if changes.len() >= MANY => self.list_many(changes),
             Kind::Endpoints => changes.iter().for_each(|change| self.take_entry(change)),
+            Kind::Drains => changes.iter().for_each(|change| self.take_drain(change)),
+            Kind::Daemons => changes.iter().for_each(|change| self.take_daemons(change)),
         }
         let count = self.placement.endpoints();
         let endpoints = &self.metrics.endpoints;
@@ -68,6 +73,36 @@
         }
     }
 
+    fn take_drain(&self, change: &Change) {
+        match change {
+            Change::Put(object) => match objects::drained(&object.name) {
+                Ok(name) => self.placement.drain(&name, object.revision, now()),
+                Err(error) => self.unreadable.report(Kind::Drains, &object.name, &error),
+            },
+            Change::Removed { name, revision } => {
+                // A name that can't be read has drained nothing.
+                if let Ok(name) = objects::drained(name) {
+                    self.placement.restore(&name, *revision, now());
+                }
+            }
+        }
+    }
+
+    fn take_daemons(&self, change: &Change) {
+        let (name, daemons) = match change {
+            Change::Put(object) => match objects::daemons(object) {
+                Ok(daemons) => (&object.name, daemons),
+                Err(error) => {
+                    self.unreadable.report(Kind::Daemons, &object.name, &error);
+                    return;
+                }
+            },
+            Change::Removed { name, .. } => (name, Vec::new()),
+        };
+        log::info!(target: "store", part = name, count = daemons.len(); "store: daemons listed");
+        self.placement.deal(self.me, name, daemons);
+    }
+
     fn take_entry(&self, change: &Change) {
         match change {
             Change::Put(object) => {
@@ -120,6 +155,9 @@
         if before.is_some_and(|before| before >= version) {
             return;
         }
+        let pools = config.pools.iter();
+        let slow = pools.filter_map(|(name, pool)| Some((name.clone(), pool.slow_start?)));
+        self.placement.set_slow_starts(slow.collect());
         self.in_force.send_replace(Some(Arc::new(config)));
         let number = i64::try_from(version.0).unwrap_or(i64::MAX);
         self.metrics.version.set(number);
@@ -133,8 +171,8 @@
     /// Takes an endpoint's entry. Anyone may write entries: one that can't be read, or that isn't
     /// the endpoint's own, names no endpoint to use, whatever stood there before.
     fn list(&self, object: &Object) -> Option<Known> {
-        let endpoint = match objects::endpoint(object) {
-            Ok(endpoint) => endpoint,
+        let Listing { endpoint, warming } = match objects::endpoint(object) {
+            Ok(listing) => listing,
             Err(error) => {
                 self.unreadable
                     .report(Kind::Endpoints, &object.name, &error);
@@ -143,6 +181,9 @@
             }
         };
         let listed = self.placement.list(endpoint.clone(), now());
+        if !matches!(listed, Listed::Ignored(_)) {
+            self.placement.spare(&endpoint.id, warming, now());
+        }
         if listed == Listed::Ignored(Entry::Foreign) {
             let error = objects::birth_missing();
             self.unreadable
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -146,7 +146,7 @@
                 .entry(target)
                 .or_insert_with(|| tokio::spawn(follow_one(store, target)));
         }
-        let pause = match store.knows_all() {
+        let pause = match store.copies.knows_all() {
             true => LOOK,
             false => EARLY_LOOK,
         };
@@ -159,7 +159,7 @@
     if !is_on(Mechanism::Relays) {
         return Vec::new();
     }
-    if store.first_start && now() < FIRST_START && !store.knows_all() {
+    if store.first_start && now() < FIRST_START && !store.copies.knows_all() {
         // Those that others would follow wait, too.
         return sources(roster.me, &roster.seeds, 1);
     }
--- a/crates/router/src/store/relay/message.rs
+++ b/crates/router/src/store/relay/message.rs
@@ -102,6 +102,8 @@
     match kind {
         Kind::Configuration => 1,
         Kind::Endpoints => 2,
+        Kind::Drains => 3,
+        Kind::Daemons => 4,
     }
 }
 
@@ -109,6 +111,8 @@
     match code {
         1 => Some(Kind::Configuration),
         2 => Some(Kind::Endpoints),
+        3 => Some(Kind::Drains),
+        4 => Some(Kind::Daemons),
         _ => None,
     }
 }
