Soak: a data centre that is drained, endpoints that have to be spared; fewer calls for both

Drained data centres are asked for with a longer hold, as three daemons follow them and what operators write doesn't lapse (so its removal waits for nothing after an outage, test first); the list of daemons is read every 20 s after the first ten.

--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -5,9 +5,9 @@
 //! its last change, and so does each removal: the higher one wins, in any
 //! order.
 //!
-//! Entries lapse while the platform is away, although what they stand for
-//! lives. After such a time a removal waits for [`GRACE`], in which a living
-//! endpoint lists itself again.
+//! Entries of endpoints lapse while the platform is away, although what they
+//! stand for lives. After such a time a removal waits for [`GRACE`], in which a
+//! living endpoint lists itself again. What operators write doesn't lapse.
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
@@ -73,6 +73,8 @@
 #[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct Mirror {
+    /// Whether its objects stay until someone removes them.
+    lasts: bool,
     revision: Option<u64>,
     objects: BTreeMap<String, Object>,
     removals: VecDeque<(u64, String)>,
@@ -113,6 +115,14 @@
 }
 
 impl Mirror {
+    /// A copy of objects that don't lapse.
+    pub fn lasting() -> Self {
+        Self {
+            lasts: true,
+            ..Self::default()
+        }
+    }
+
     /// The revision that it has reached, none before the first list.
     pub const fn revision(&self) -> Option<u64> {
         self.revision
@@ -295,6 +305,6 @@
     /// Until when an object that is missing now may be back.
     fn grace(&self, now: Millis) -> Option<Millis> {
         let until = self.back? + GRACE;
-        (now < until).then_some(until)
+        (now < until && !self.lasts).then_some(until)
     }
 }
--- a/crates/core/tests/routing/mirror.rs
+++ b/crates/core/tests/routing/mirror.rs
@@ -315,3 +315,15 @@
     expect_that!(update.changes.len(), eq(1));
     expect_that!(matches!(update.changes[0], Change::Put(_)), eq(true));
 }
+
+#[gtest]
+fn what_operators_remove_is_gone_at_once_after_an_outage() {
+    for (mut copy, waits) in [(Mirror::lasting(), false), (Mirror::default(), true)] {
+        let start = Millis(60_000);
+        copy.apply(list(vec![put("z", 3)], 3), Some(start), start);
+        copy.fail(start, start + Millis(3000));
+        let back = start + Millis(6000);
+        let changes = copy.apply(list(Vec::new(), 9), Some(back), back);
+        expect_that!(changes.is_empty(), eq(waits));
+    }
+}
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -8,7 +8,7 @@
 
 use super::plan::Fault;
 use super::traffic::{CRASHING_ID, PATHS, Sent};
-use super::world::{Done, World};
+use super::world::{Done, SPARED, World};
 
 /// Events of a stream at the stand-in endpoints.
 const EVENTS: u64 = 6;
@@ -84,6 +84,24 @@
         /// Time since the platform knew.
         late: u128,
     },
+    /// An endpoint in a drained data centre got new work.
+    #[display("{request} reached {endpoint} {late} ms after its data centre was drained")]
+    Evacuated {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: String,
+        /// Time since the platform knew.
+        late: u128,
+    },
+    /// An endpoint that has to be spared got too many requests in a second.
+    #[display("e-{endpoint} got {runs} requests in a second while it had to be spared")]
+    Flooded {
+        /// The endpoint.
+        endpoint: usize,
+        /// The requests.
+        runs: usize,
+    },
     /// A request failed after all trouble had ended.
     #[display("{request} at daemon {daemon} failed after recovery: {reply}")]
     NotRecovered {
@@ -120,7 +138,9 @@
         found.extend(leaked(sent, ran));
         found.extend(lost(world, sent, ran));
         found.extend(ran.iter().filter_map(|run| drained(world, run)));
+        found.extend(ran.iter().filter_map(|run| evacuated(world, run)));
     }
+    found.extend(flooded(world, runs.values().flatten()));
     found.extend(recovered.iter().filter_map(not_recovered));
     found.extend(crashed(world, calls, &runs));
     found
@@ -231,6 +251,57 @@
     })
 }
 
+fn evacuated(world: &World, run: &Run) -> Option<Violation> {
+    let at: Instant = run.at.into_std();
+    let number: usize = run.endpoint.strip_prefix("e-")?.parse().ok()?;
+    let drains = || {
+        let drains = world.done.iter();
+        drains.filter(|done| number % 2 == 1 && matches!(done.fault, Fault::DrainCentre(_)))
+    };
+    let drain = drains().find(|done| {
+        let end = done.from + done.fault.length();
+        at > done.from + LEAVING && at < end
+    })?;
+    // Another one may have ended meanwhile.
+    let is_restored = drains().any(|done| {
+        let end = done.from + done.fault.length();
+        end > drain.from && end < at
+    });
+    if is_restored || is_troubled(world, drain.from, at) {
+        return None;
+    }
+    Some(Violation::Evacuated {
+        request: run.attempt.clone(),
+        endpoint: run.endpoint.clone(),
+        late: at.duration_since(drain.from).as_millis(),
+    })
+}
+
+/// Endpoints that got more than they bear while they had to be spared.
+fn flooded<'a>(world: &World, runs: impl Iterator<Item = &'a Run> + Clone) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for done in &world.done {
+        let Fault::Warm(endpoint, length) = done.fault else {
+            continue;
+        };
+        let name = format!("e-{endpoint}");
+        let known = done.from + LEAVING..done.from + length;
+        let here = runs.clone().filter(|run| run.endpoint == name);
+        let times = here.map(|run| run.at.into_std());
+        let mut times: Vec<Instant> = times.filter(|at| known.contains(at)).collect();
+        times.sort_unstable();
+        let within = |from: &Instant| {
+            let second = *from..*from + Duration::from_secs(1);
+            times.iter().filter(|at| second.contains(at)).count()
+        };
+        let runs = times.iter().map(within).max().unwrap_or_default();
+        if runs > SPARED && !is_troubled(world, done.from, known.end) {
+            found.push(Violation::Flooded { endpoint, runs });
+        }
+    }
+    found
+}
+
 /// Whether anything kept a daemon or an endpoint from being heard at a time, or before.
 fn is_harmed(world: &World, at: Instant, before: Duration, harms: impl Fn(&Fault) -> bool) -> bool {
     world.done.iter().any(|done| {
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -47,6 +47,10 @@
     Foreign(usize, Foreign, Duration),
     /// A request has ended an endpoint, which is started again.
     Crash(usize),
+    /// The second data centre is drained, and restored later.
+    DrainCentre(Duration),
+    /// An endpoint tells that it has to be spared for a while.
+    Warm(usize, Duration),
 }
 
 /// An entry that names no endpoint.
@@ -83,7 +87,13 @@
     pub const fn is_planned(&self) -> bool {
         matches!(
             self,
-            Self::Stop(_) | Self::Reload(_) | Self::Configure | Self::Drain(..) | Self::Forget
+            Self::Stop(_)
+                | Self::Reload(_)
+                | Self::Configure
+                | Self::Drain(..)
+                | Self::Forget
+                | Self::DrainCentre(_)
+                | Self::Warm(..)
         )
     }
 
@@ -105,7 +115,9 @@
             | Self::Behave(_, _, length)
             | Self::Drain(_, length)
             | Self::Unlist(_, length)
-            | Self::Foreign(_, _, length) => *length,
+            | Self::Foreign(_, _, length)
+            | Self::DrainCentre(length)
+            | Self::Warm(_, length) => *length,
             Self::Stop(_)
             | Self::Kill(_)
             | Self::Reload(_)
@@ -150,6 +162,8 @@
     pub births: bool,
     /// Path of a request that comes again and again and ends each endpoint that runs it.
     pub crashing: Option<&'static str>,
+    /// Whether every second endpoint runs in another data centre, and all have a slow start.
+    pub places: bool,
 }
 
 impl Plan {
@@ -161,6 +175,7 @@
             events: Vec::new(),
             births: false,
             crashing: None,
+            places: false,
         };
         // A fifth of the soaks hold planned work only, so that its stricter promises are checked.
         let planned = rng.random_bool(0.2);
@@ -202,6 +217,23 @@
         self
     }
 
+    /// Adds drains of a data centre and endpoints that have to be spared, to half of the soaks.
+    /// Drawn from numbers of its own, too.
+    pub fn with_places(mut self, rng: &mut Pcg32, length: Duration) -> Self {
+        self.places = rng.random_bool(0.5);
+        let mut at = CALM;
+        while self.places && at < length {
+            let lasts = Duration::from_millis(rng.random_range(3000..6000));
+            let fault = match rng.random_bool(0.3) {
+                true => Fault::DrainCentre(lasts),
+                false => Fault::Warm(rng.random_range(0..self.endpoints), lasts),
+            };
+            self.events.push(Event { at, fault });
+            at += Duration::from_millis(rng.random_range(0..4 * PAUSE_MS));
+        }
+        self
+    }
+
     fn draw_entry(&self, rng: &mut Pcg32) -> Fault {
         let endpoint = rng.random_range(0..self.endpoints);
         let length = Duration::from_millis(rng.random_range(200..3500));
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -25,6 +25,14 @@
 
 /// The one pool.
 const POOL: &str = "pool";
+/// The data centre of every second endpoint, where there are two.
+const SECOND: &str = "dc-b";
+/// The platform's kind of objects that drain data centres.
+const DRAINS: &str = "evacuations";
+/// Requests a second that an endpoint bears while it has to be spared.
+pub const SPARED: usize = 4;
+/// Seconds for which endpoints are spared after a start.
+const SLOW_START: f64 = 1.0;
 /// Between two questions of the balancer; two without a good answer close a door.
 const BALANCER: Duration = Duration::from_millis(1000);
 /// Pause between the end of a daemon and its next start.
@@ -88,6 +96,10 @@
     births: Vec<Option<u64>>,
     /// When endpoints were found to have ended.
     crashed: Vec<Option<Instant>>,
+    /// Whether there are two data centres and slow starts.
+    places: bool,
+    /// Until when endpoints have to be spared.
+    warming: Vec<Option<Instant>>,
     balancer: JoinHandle<()>,
     folder: TempDir,
 }
@@ -102,15 +114,8 @@
     /// Starts all and waits until each daemon knows all endpoints.
     pub async fn start(program: Program, seed: u64, plan: &Plan) -> Result<Self> {
         let store = Store::start().await?;
-        store.put("config", "main", configuration(1, POOL));
         let ledger = Ledger::default();
-        let mut endpoints = Vec::new();
-        for number in 0..plan.endpoints {
-            let id = format!("e-{number}");
-            let endpoint = Endpoint::start(&id, ledger.clone(), seed + number as u64).await?;
-            let proxy = Proxy::start(endpoint.address()).await?;
-            endpoints.push((endpoint, proxy));
-        }
+        let endpoints = start_endpoints(plan.endpoints, &ledger, seed).await?;
         let folder = TempDir::new()?;
         let mut world = Self {
             doors: Doors::default(),
@@ -126,9 +131,12 @@
             version: 1,
             births: vec![plan.births.then_some(FIRST_BIRTH); plan.endpoints],
             crashed: vec![None; plan.endpoints],
+            places: plan.places,
+            warming: vec![None; plan.endpoints],
             balancer: tokio::spawn(async {}),
             folder,
         };
+        world.configure();
         (0..plan.endpoints).for_each(|endpoint| world.behave(endpoint, Behaviour::default()));
         (0..plan.endpoints).for_each(|endpoint| world.list(endpoint, "ready"));
         let mut doors = Vec::new();
@@ -193,8 +201,14 @@
             Fault::Forget => self.store.forget(),
             Fault::Configure => {
                 self.version += 1;
-                let next = configuration(self.version, POOL);
-                self.store.put("config", "main", next);
+                self.configure();
+            }
+            Fault::DrainCentre(_) => {
+                self.store.put(DRAINS, SECOND, serde_json::json!({}));
+            }
+            Fault::Warm(endpoint, length) => {
+                self.warming[*endpoint] = Some(Instant::now() + *length);
+                self.list(*endpoint, "ready");
             }
             Fault::Behave(endpoint, behaviour, _) => self.behave(*endpoint, *behaviour),
             Fault::Crash(_) => {}
@@ -227,14 +241,27 @@
             Fault::Behave(endpoint, ..) => self.behave(*endpoint, Behaviour::default()),
             Fault::Drain(endpoint, _)
             | Fault::Unlist(endpoint, _)
+            | Fault::Warm(endpoint, _)
             | Fault::Foreign(endpoint, ..) => {
                 self.list(*endpoint, "ready");
             }
+            Fault::DrainCentre(_) => {
+                self.store.remove(DRAINS, SECOND);
+            }
             _ => {}
         }
         self.watch_ends().await
     }
 
+    fn configure(&self) {
+        let mut config = configuration(self.version, POOL);
+        if self.places {
+            config["services"][0]["cold_per_s"] = SPARED.into();
+            config["services"][0]["cold_start_s"] = SLOW_START.into();
+        }
+        self.store.put("config", "main", config);
+    }
+
     fn behave(&self, endpoint: usize, behaviour: Behaviour) {
         self.endpoints[endpoint].0.behave(Behaviour {
             crashes_on: Some(CRASHING),
@@ -333,6 +360,13 @@
         if let Some(born) = self.births[number] {
             entry["born"] = born.into();
         }
+        if self.places && number % 2 == 1 {
+            entry["zone"] = SECOND.into();
+        }
+        if let Some(until) = self.warming[number] {
+            let left = until.saturating_duration_since(Instant::now());
+            entry["cold_remaining_ms"] = (left.as_millis() as u64).into();
+        }
         entry
     }
 
@@ -374,6 +408,22 @@
     }
 }
 
+/// Starts endpoints, each behind a proxy.
+async fn start_endpoints(
+    count: usize,
+    ledger: &Ledger,
+    seed: u64,
+) -> Result<Vec<(Endpoint, Proxy)>> {
+    let mut endpoints = Vec::new();
+    for number in 0..count {
+        let id = format!("e-{number}");
+        let endpoint = Endpoint::start(&id, ledger.clone(), seed + number as u64).await?;
+        let proxy = Proxy::start(endpoint.address()).await?;
+        endpoints.push((endpoint, proxy));
+    }
+    Ok(endpoints)
+}
+
 /// Asks each daemon whether it takes connections, as the balancer does.
 async fn balance(doors: Doors, ready: Vec<SocketAddr>) {
     let mut misses = vec![0; ready.len()];
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -56,7 +56,10 @@
     pub fn new(sinks: Sinks, has_drains: bool, listed: watch::Sender<bool>) -> Self {
         Self {
             configuration: Mutex::default(),
-            drains: Mutex::default(),
+            drains: Mutex::new(Copy {
+                mirror: Mirror::lasting(),
+                whole: None,
+            }),
             endpoints: Mutex::default(),
             daemons: Mutex::default(),
             sinks,
--- a/crates/router/src/store/daemons.rs
+++ b/crates/router/src/store/daemons.rs
@@ -26,6 +26,8 @@
 /// Longest time for an answer: it comes in some milliseconds, in a fifth of a second from a slow
 /// platform.
 const ANSWER: Millis = Millis(900);
+/// Time in which a hub writes before the next one in rank does.
+const TURN: Millis = Millis::from_secs(8);
 /// Silence after which a daemon is taken from the list.
 const FORGOTTEN: Millis = Millis::from_secs(3600);
 
@@ -78,12 +80,12 @@
         }
         // The next hub in rank writes where the first one doesn't, and each again after its copy
         // had time to show what was written.
-        let turn = Millis(DAEMONS_PAUSE.0 * 2 * rank as u64);
+        let turn = Millis(TURN.0 * rank as u64);
         let since = *self.missing.get_or_insert(now());
         if now() < since + turn {
             return Ok(());
         }
-        self.missing = Some(now() + Millis(DAEMONS_PAUSE.0 * 2));
+        self.missing = Some(now() + DAEMONS_PAUSE + TURN);
         self.write(&roster.known).await
     }
 
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -16,6 +16,9 @@
 /// Longest time that the platform holds a call for changes. A connection that went silent is
 /// found out after this and [`ANSWER`]; each such call costs as much as any other.
 const HOLD: Millis = Millis(1500);
+/// The same for drained data centres, which change rarely. Where the connection of one daemon that
+/// follows the platform went silent, those of the others tell.
+const DRAINS_HOLD: Millis = Millis(4000);
 /// Longest time for an answer beyond the time that the platform holds it. It answers in some
 /// milliseconds, in a fifth of a second when it is slow.
 const ANSWER: Millis = Millis(900);
@@ -25,8 +28,12 @@
 /// Pause after changes of endpoints. A leaving endpoint gets no new work after 2 s at most;
 /// gathering for half of that saves four of five calls while endpoints report.
 const ENDPOINTS_PAUSE: Millis = Millis(900);
+/// Time since the start in which hubs may be writing the daemons that started together.
+const DAEMONS_JOIN: Millis = Millis::from_secs(10);
+/// Between two lists of daemons in that time.
+const DAEMONS_EARLY: Millis = Millis(2500);
 /// Between two lists of daemons.
-pub const DAEMONS_PAUSE: Millis = Millis::from_secs(5);
+pub const DAEMONS_PAUSE: Millis = Millis::from_secs(20);
 /// Between two looks whether this daemon has to follow the platform.
 const IDLE: Millis = Millis(50);
 /// The same at a daemon that knows nothing yet.
@@ -133,7 +140,11 @@
     /// no call waits for changes.
     fn is_list_due(&self, roster: &Watch) -> bool {
         let age = self.store.copies.age(self.kind, now());
-        let is_old = age.is_none_or(|age| age >= DAEMONS_PAUSE);
+        let pause = match now() < DAEMONS_JOIN {
+            true => DAEMONS_EARLY,
+            false => DAEMONS_PAUSE,
+        };
+        let is_old = age.is_none_or(|age| age >= pause);
         let is_watcher = roster.is_watcher() && now() >= SETTLED;
         is_watcher && is_old && self.store.placement.has_slow_starts()
     }
@@ -251,8 +262,12 @@
     }
 
     async fn watch(&mut self, revision: u64) -> Result<()> {
-        let path = wire::watch_path(self.kind, revision, HOLD);
-        let body = self.call(&path, HOLD + ANSWER).await?;
+        let hold = match self.kind {
+            Kind::Drains => DRAINS_HOLD,
+            _ => HOLD,
+        };
+        let path = wire::watch_path(self.kind, revision, hold);
+        let body = self.call(&path, hold + ANSWER).await?;
         let heard = now();
         let changes = wire::changes(&body).map_err(CallError::Decode)?;
         self.store.copies.report(self.kind, &changes.unreadable);
