Choosing an endpoint: no sorting, one look at each table, a faster hash

Cause: each choice built a candidate for every endpoint of a pool with eight looks into tables keyed by ids, and sorted all of them twice by a score with a logarithm. Now the first in rank is found in one pass by the hash itself, what is remembered of an endpoint is looked up once a table, and the tables use foldhash.

The choices are the same: a property test holds them against a plain version that sorts (any standing, age, allowance, load, share). Orders by rank and by score differ only where two scores round to one number.

An index by rank that is kept along would be the second way; not built.

--- a/crates/core/src/placement/rendezvous.rs
+++ b/crates/core/src/placement/rendezvous.rs
@@ -55,6 +55,11 @@
         Self { weight, ..self }
     }
 
+    /// Its rank for a key among nodes of weight 1; the highest wins, as by score.
+    pub fn rank(&self, key: u64) -> u64 {
+        fraction(key, self.seed)
+    }
+
     /// Its score for a key; the highest wins.
     pub fn score(&self, key: u64) -> f64 {
         score(key, self.seed, self.weight)
@@ -63,12 +68,17 @@
 
 /// Score of a seeded node for a key, above zero.
 pub(super) fn score(key: u64, seed: u64, weight: f64) -> f64 {
-    let hash = xxh3_64_with_seed(&key.to_le_bytes(), seed);
     let whole = (1u64 << FRACTION_BITS) as f64;
-    let fraction = ((hash >> (u64::BITS - FRACTION_BITS)) as f64 + 0.5) / whole;
+    let fraction = (fraction(key, seed) as f64 + 0.5) / whole;
     -weight / fraction.ln()
 }
 
+/// What a seeded node draws for a key, of [`FRACTION_BITS`].
+fn fraction(key: u64, seed: u64) -> u64 {
+    let hash = xxh3_64_with_seed(&key.to_le_bytes(), seed);
+    hash >> (u64::BITS - FRACTION_BITS)
+}
+
 /// Nodes that share keys.
 #[derive(Clone, PartialEq)]
 #[derive(Debug)]
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -138,26 +138,52 @@
     trial: bool,
     rng: &mut Pcg32,
 ) -> Option<Choice> {
-    let ready: Vec<&Candidate> = candidates.iter().filter(|c| c.takes_work()).collect();
-    let usable = usable(&ready, shared, trial);
+    let ranked: Vec<Ranked<'_>> = candidates.iter().map(|c| Ranked::new(c, shared)).collect();
+    let usable = usable(&ranked, shared, trial);
     let bound = bound(candidates);
     let choice = match shared {
         Some(prefix) => {
-            let places = places(share, ready.len());
-            by_rank(candidates, &usable, prefix, bound, places, rng)
+            let ready = candidates.iter().filter(|c| c.takes_work()).count();
+            let places = places(share, ready);
+            by_rank(&ranked, &usable, prefix, bound, places, rng)
         }
         None => by_load(&usable, near, rng),
     };
     choice.map(|choice| Choice { bound, ..choice })
 }
 
+/// A candidate and its rank for a prefix.
+#[derive(Clone, Copy)]
+struct Ranked<'a> {
+    candidate: &'a Candidate,
+    /// The highest is first.
+    rank: u64,
+}
+
+impl<'a> Ranked<'a> {
+    fn new(candidate: &'a Candidate, shared: Option<&SharedPrefix>) -> Self {
+        let node = || Node::new((), candidate.endpoint.id.endpoint.as_str());
+        let rank = shared.map_or(0, |prefix| node().rank(prefix.key));
+        Self { candidate, rank }
+    }
+}
+
+/// The first in rank.
+fn first<'a>(ranked: impl Iterator<Item = Ranked<'a>>) -> Option<&'a Candidate> {
+    let first = ranked.reduce(|first, next| match next.rank > first.rank {
+        true => next,
+        false => first,
+    });
+    first.map(|first| first.candidate)
+}
+
 /// The best group of candidates that isn't empty. One that was tried isn't tried again: it is
 /// full or failing, and a second answer would cost a repeat that others need.
 fn usable<'a>(
-    ready: &[&'a Candidate],
+    ranked: &[Ranked<'a>],
     shared: Option<&SharedPrefix>,
     trial: bool,
-) -> Vec<&'a Candidate> {
+) -> Vec<Ranked<'a>> {
     let is_well =
         |c: &Candidate| c.standing == Standing::Good || trial && c.standing == Standing::Trial;
     let groups: [&dyn Fn(&Candidate) -> bool; 4] = [
@@ -166,10 +192,11 @@
         &|c| c.standing != Standing::Down,
         &|_| true,
     ];
-    let pick = |group: &dyn Fn(&Candidate) -> bool| -> Vec<&'a Candidate> {
-        let open = ready.iter().copied();
-        let open = open.filter(|c| !c.tried && c.allowance.is_open());
-        open.filter(|c| group(c)).collect()
+    let open = |c: &Candidate| c.takes_work() && !c.tried && c.allowance.is_open();
+    let pick = |group: &dyn Fn(&Candidate) -> bool| -> Vec<Ranked<'a>> {
+        let all = ranked.iter().copied();
+        all.filter(|r| open(r.candidate) && group(r.candidate))
+            .collect()
     };
     groups
         .into_iter()
@@ -179,31 +206,29 @@
 }
 
 fn by_rank(
-    all: &[Candidate],
-    usable: &[&Candidate],
+    all: &[Ranked<'_>],
+    usable: &[Ranked<'_>],
     prefix: &SharedPrefix,
     bound: f64,
     places: usize,
     rng: &mut Pcg32,
 ) -> Option<Choice> {
-    let mut ranked = usable.to_vec();
-    rank(&mut ranked, prefix);
-    let under = ranked.iter().copied().filter(|c| c.load <= bound);
-    let open: Vec<&Candidate> = under.take(places).collect();
+    let open = open_places(usable, bound, places);
     let least = || {
-        let all = ranked.iter().copied();
-        all.min_by(|a, b| a.load.total_cmp(&b.load))
+        let order = |a: &&Ranked<'_>, b: &&Ranked<'_>| {
+            let by_load = a.candidate.load.total_cmp(&b.candidate.load);
+            by_load.then(b.rank.cmp(&a.rank))
+        };
+        usable.iter().min_by(order).map(|least| least.candidate)
     };
     let room = |c: &Candidate| bound - c.load + 1.0;
     let picked = draw(&open, room, rng).or_else(least)?;
-    let is_first = ranked
-        .first()
-        .is_some_and(|first| std::ptr::eq(*first, picked));
+    let is_first = first(usable.iter().copied()).is_some_and(|first| std::ptr::eq(first, picked));
     let why = match is_first {
         true => Why::First,
         false => Why::Next,
     };
-    let holder = holder(all, prefix);
+    let holder = holder(all);
     let moved = !holder.is_some_and(|holder| std::ptr::eq(holder, picked));
     let source = match is_worth_fetching(prefix) && is_on(Mechanism::Fetch) {
         true if moved => other_holder(all, picked).or(holder),
@@ -217,16 +242,27 @@
     })
 }
 
+/// The first in rank that are under the bound, as many as a prefix has places.
+fn open_places<'a>(usable: &[Ranked<'a>], bound: f64, places: usize) -> Vec<&'a Candidate> {
+    let under = usable.iter().copied().filter(|r| r.candidate.load <= bound);
+    if places == 1 {
+        return first(under).into_iter().collect();
+    }
+    let mut under: Vec<Ranked<'a>> = under.collect();
+    under.sort_by_key(|r| std::cmp::Reverse(r.rank));
+    under.truncate(places);
+    under.into_iter().map(|r| r.candidate).collect()
+}
+
 /// Whether a prefix is long enough for a transfer between engines.
 pub const fn is_worth_fetching(prefix: &SharedPrefix) -> bool {
     prefix.tokens.0 >= FETCH_MIN
 }
 
 /// The endpoint that was sent the prompt's shared parts last, other than this one.
-fn other_holder<'a>(all: &'a [Candidate], picked: &Candidate) -> Option<&'a Candidate> {
-    let reachable = all
-        .iter()
-        .filter(|c| c.standing != Standing::Down && !c.tried);
+fn other_holder<'a>(all: &[Ranked<'a>], picked: &Candidate) -> Option<&'a Candidate> {
+    let candidates = all.iter().map(|r| r.candidate);
+    let reachable = candidates.filter(|c| c.standing != Standing::Down && !c.tried);
     let others = reachable.filter(|c| !std::ptr::eq(*c, picked) && c.sent.is_some());
     others.min_by_key(|c| c.sent)
 }
@@ -240,30 +276,20 @@
     (places as usize).clamp(1, endpoints.max(1))
 }
 
-/// Sorts by rank for a prefix, the first in front.
-fn rank(candidates: &mut [&Candidate], prefix: &SharedPrefix) {
-    candidates.sort_by_cached_key(|c| {
-        let score = Node::new((), c.endpoint.id.endpoint.as_str()).score(prefix.key);
-        // Scores are above zero, so that their bits sort as they do.
-        std::cmp::Reverse(score.to_bits())
-    });
-}
-
 /// Where a prefix was read before, most likely: the first in rank that has been there for a
 /// while, or as long as any other, be it leaving.
-fn holder<'a>(all: &'a [Candidate], prefix: &SharedPrefix) -> Option<&'a Candidate> {
-    let oldest = all.iter().map(|c| c.age).max()?;
+fn holder<'a>(all: &[Ranked<'a>]) -> Option<&'a Candidate> {
+    let oldest = all.iter().map(|r| r.candidate.age).max()?;
     let settled = |c: &Candidate| {
         !is_on(Mechanism::Settled) || c.age >= SETTLED || oldest.since(c.age) <= COHORT
     };
-    let reachable = all.iter().filter(|c| c.standing != Standing::Down);
-    let mut ranked: Vec<&Candidate> = reachable.collect();
-    rank(&mut ranked, prefix);
-    ranked.into_iter().find(|c| settled(c))
+    let reachable = |c: &Candidate| c.standing != Standing::Down;
+    let holders = all.iter().copied();
+    first(holders.filter(|r| reachable(r.candidate) && settled(r.candidate)))
 }
 
 /// One of some endpoints without cached parts to go by, drawn by how little each has to do.
-fn by_load(usable: &[&Candidate], near: &DataCentreId, rng: &mut Pcg32) -> Option<Choice> {
+fn by_load(usable: &[Ranked<'_>], near: &DataCentreId, rng: &mut Pcg32) -> Option<Choice> {
     let weight = |c: &Candidate| {
         let busy = c.load / f64::from(c.endpoint.slots.max(1));
         let way = match c.endpoint.data_centre == *near && is_on(Mechanism::Near) {
@@ -272,7 +298,8 @@
         };
         way / (busy + IDLE).powi(2)
     };
-    let picked = draw(usable, weight, rng)?;
+    let usable: Vec<&Candidate> = usable.iter().map(|r| r.candidate).collect();
+    let picked = draw(&usable, weight, rng)?;
     Some(choice(picked, Why::Drawn))
 }
 
@@ -318,6 +345,7 @@
 }
 
 fn mean_load<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> f64 {
-    let loads: Vec<f64> = candidates.map(|c| c.load).collect();
-    loads.iter().sum::<f64>() / loads.len().max(1) as f64
+    let add = |(sum, count), c: &Candidate| (sum + c.load, count + 1_u32);
+    let (sum, count) = candidates.fold((0.0, 0), add);
+    sum / f64::from(count.max(1))
 }
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use derive_more::Debug;
+use foldhash::fast::RandomState;
 
 use crate::clock::Millis;
 use crate::ids::{EndpointId, PoolId};
@@ -14,7 +15,7 @@
 #[derive(Debug)]
 pub struct Directory {
     /// Each endpoint, and when this instance of it was first listed.
-    endpoints: HashMap<EndpointId, (Arc<Endpoint>, Millis)>,
+    endpoints: HashMap<EndpointId, (Arc<Endpoint>, Millis), RandomState>,
     pools: HashMap<PoolId, Vec<Arc<Endpoint>>>,
 }
 
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 
 use derive_more::Debug;
+use foldhash::fast::RandomState;
 
 use crate::clock::Millis;
 use crate::routing::ablation::{Mechanism, is_on};
@@ -75,6 +76,17 @@
     }
 }
 
+impl FromIterator<Look> for PoolFailures {
+    fn from_iter<I: IntoIterator<Item = Look>>(looks: I) -> Self {
+        let mut pool = Self::default();
+        for look in looks {
+            pool.sum += look.failures;
+            pool.count += 1;
+        }
+        pool
+    }
+}
+
 /// What is remembered of one endpoint.
 #[derive(Clone, Copy, Default)]
 #[derive(Debug)]
@@ -88,6 +100,9 @@
 
 impl Record {
     fn failures(&self, now: Millis) -> f64 {
+        if self.failures == 0.0 {
+            return 0.0;
+        }
         self.failures * now.since(self.at).fading(HALF_LIFE)
     }
 
@@ -103,11 +118,38 @@
     }
 }
 
+/// What is remembered of one endpoint, as of a moment.
+#[derive(Clone, Copy, PartialEq, Default)]
+#[derive(Debug)]
+pub struct Look {
+    /// Its failure share, 0 to 1.
+    pub failures: f64,
+    is_down: bool,
+    tried: Millis,
+}
+
+impl Look {
+    /// How the endpoint stands against the mean of its pool's others, at one of some daemons.
+    pub fn standing(&self, others: f64, daemons: u32, now: Millis) -> Standing {
+        if self.is_down {
+            return Standing::Down;
+        }
+        if self.failures <= others + MARGIN || !is_on(Mechanism::FailureShare) {
+            return Standing::Good;
+        }
+        let pause = OWN_TRIAL.max(Millis(TRIAL.0 * u64::from(daemons)));
+        match now.since(self.tried) >= pause && is_on(Mechanism::Trials) {
+            true => Standing::Trial,
+            false => Standing::Bad,
+        }
+    }
+}
+
 /// What is remembered of all endpoints.
 #[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct Health {
-    records: HashMap<InstanceId, Record>,
+    records: HashMap<InstanceId, Record, RandomState>,
 }
 
 impl Health {
@@ -154,36 +196,26 @@
 
     /// Failure shares of the endpoints of a pool.
     pub fn pool<'a>(&self, ids: impl Iterator<Item = &'a InstanceId>, now: Millis) -> PoolFailures {
-        let mut pool = PoolFailures::default();
-        for id in ids {
-            pool.sum += self.failures(id, now);
-            pool.count += 1;
-        }
-        pool
+        ids.map(|id| self.look(id, now)).collect()
     }
 
     /// How an endpoint stands against the mean of its pool's others, at one of some daemons.
     pub fn standing(&self, id: &InstanceId, others: f64, daemons: u32, now: Millis) -> Standing {
-        let Some(record) = self.records.get(id) else {
-            return Standing::Good;
-        };
-        if now < record.until {
-            return Standing::Down;
-        }
-        if record.failures(now) <= others + MARGIN || !is_on(Mechanism::FailureShare) {
-            return Standing::Good;
-        }
-        let pause = OWN_TRIAL.max(Millis(TRIAL.0 * u64::from(daemons)));
-        match now.since(record.tried) >= pause && is_on(Mechanism::Trials) {
-            true => Standing::Trial,
-            false => Standing::Bad,
-        }
+        self.look(id, now).standing(others, daemons, now)
     }
 
     /// Failure share of an endpoint, 0 to 1.
     pub fn failures(&self, id: &InstanceId, now: Millis) -> f64 {
-        self.records
-            .get(id)
-            .map_or(0.0, |record| record.failures(now))
+        self.look(id, now).failures
+    }
+
+    /// What is remembered of an endpoint, as of now.
+    pub fn look(&self, id: &InstanceId, now: Millis) -> Look {
+        let record = self.records.get(id);
+        record.map_or_else(Look::default, |record| Look {
+            failures: record.failures(now),
+            is_down: now < record.until,
+            tried: record.tried,
+        })
     }
 }
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 
 use derive_more::Debug;
+use foldhash::fast::RandomState;
 
 use crate::clock::Millis;
 use crate::routing::endpoint::InstanceId;
@@ -43,7 +44,7 @@
 #[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct Loads {
-    work: HashMap<InstanceId, Work>,
+    work: HashMap<InstanceId, Work, RandomState>,
 }
 
 impl Loads {
@@ -105,16 +106,25 @@
 
     /// Time since others' work at an endpoint was last heard of, none if never.
     pub fn age(&self, id: &InstanceId, now: Millis) -> Option<Millis> {
-        let heard = self.work.get(id).filter(|work| work.at > Millis::ZERO);
-        heard.map(|work| now.since(work.at))
+        self.look(id, now).1
     }
 
     /// Requests at an endpoint, estimated.
     pub fn total(&self, id: &InstanceId, now: Millis) -> f64 {
+        self.look(id, now).0
+    }
+
+    /// Requests at an endpoint, estimated, and the time since others' work there was last heard of.
+    pub fn look(&self, id: &InstanceId, now: Millis) -> (f64, Option<Millis>) {
         let Some(work) = self.work.get(id) else {
-            return 0.0;
+            return (0.0, None);
+        };
+        let others = match work.others {
+            0 => 0.0,
+            others => f64::from(others) * now.since(work.at).fading(HALF_LIFE),
         };
-        let fresh = now.since(work.at).fading(HALF_LIFE);
-        f64::from(work.own) + f64::from(work.others) * fresh
+        let heard = work.at > Millis::ZERO;
+        let age = heard.then(|| now.since(work.at));
+        (f64::from(work.own) + others, age)
     }
 }
--- a/crates/core/src/routing/slow_start.rs
+++ b/crates/core/src/routing/slow_start.rs
@@ -188,6 +188,12 @@
         spared.map(|(id, _)| id)
     }
 
+    /// Whether there may be an endpoint of a pool to which not all may be sent.
+    pub fn limits(&self, pool: &PoolId, now: Millis) -> bool {
+        let is_any = !self.spared.is_empty() || self.is_alone(now);
+        is_any && self.pools.contains_key(pool)
+    }
+
     /// What may be sent to an endpoint of a pool.
     pub fn allowance(&mut self, id: &InstanceId, pool: &PoolId, now: Millis) -> Allowance {
         let Some(slow) = self.pools.get(pool).copied() else {
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -26,7 +26,7 @@
 use crate::routing::directory::Directory;
 use crate::routing::endpoint::{Endpoint, InstanceId};
 use crate::routing::exchange;
-use crate::routing::health::Health;
+use crate::routing::health::{Health, Look, PoolFailures};
 use crate::routing::holders::Holders;
 use crate::routing::load::{Loads, Report};
 use crate::routing::overload::{self, Paces, Valve};
@@ -382,18 +382,28 @@
             self.holders.age(prefix, exchange::short_id(id), now)
         };
         let listed = self.directory.pool(pool);
-        let failures = self.failures(listed, now);
-        let candidate = |(endpoint, allowance): (&Arc<Endpoint>, Allowance)| Candidate {
-            load: self.loads.total(&endpoint.id, now),
-            load_age: self.loads.age(&endpoint.id, now),
-            standing: self.standing(&endpoint.id, failures, now).0,
-            tried: plan.has_tried(&endpoint.id),
-            drained: self.is_drained(endpoint),
-            allowance,
-            age: self.age(&endpoint.id, now),
-            sent: sent(&endpoint.id),
-            endpoint: Arc::clone(endpoint),
+        let looks: Vec<Look> = listed
+            .iter()
+            .map(|endpoint| self.health.look(&endpoint.id, now))
+            .collect();
+        let ready = listed.iter().zip(&looks).filter(|(e, _)| !e.leaving);
+        let failures: PoolFailures = ready.map(|(_, look)| *look).collect();
+        let candidate = |((endpoint, look), allowance): ((&Arc<Endpoint>, &Look), Allowance)| {
+            let (load, load_age) = self.loads.look(&endpoint.id, now);
+            let others = failures.others(look.failures);
+            Candidate {
+                load,
+                load_age,
+                standing: look.standing(others, self.daemons, now),
+                tried: plan.has_tried(&endpoint.id),
+                drained: self.is_drained(endpoint),
+                allowance,
+                age: self.age(&endpoint.id, now),
+                sent: sent(&endpoint.id),
+                endpoint: Arc::clone(endpoint),
+            }
         };
-        listed.iter().zip(allowances).map(candidate).collect()
+        let listed = listed.iter().zip(&looks).zip(allowances);
+        listed.map(candidate).collect()
     }
 }
--- a/crates/core/src/routing/view/drains.rs
+++ b/crates/core/src/routing/view/drains.rs
@@ -130,6 +130,9 @@
     pub(super) fn allowances(&mut self, pool: &PoolId, now: Millis) -> Vec<Allowance> {
         let listed = self.directory.pool(pool).iter();
         let slow_starts = &mut self.slow_starts;
+        if !slow_starts.limits(pool, now) {
+            return vec![Allowance::All; listed.len()];
+        }
         let allowance = |endpoint: &Arc<Endpoint>| slow_starts.allowance(&endpoint.id, pool, now);
         listed.map(allowance).collect()
     }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -7,6 +7,7 @@
     mod budget;
     mod centres;
     mod choose;
+    mod choose_plain;
     mod config;
     mod directory;
     mod drains;
--- /dev/null
+++ b/crates/core/tests/routing/choose_plain.rs
@@ -0,0 +1,173 @@
+//! The choice of an endpoint against a plain one that sorts all candidates by score.
+
+use std::cmp::Reverse;
+
+use medlarrill_core::clock::Millis;
+use medlarrill_core::placement::Node;
+use medlarrill_core::routing::choose::{Candidate, choose};
+use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
+use medlarrill_core::routing::health::Standing;
+use medlarrill_core::routing::request::SharedPrefix;
+use medlarrill_core::routing::slow_start::Allowance;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use super::support::{candidate, endpoint, prefix};
+
+const SETTLED: Millis = Millis::from_secs(30);
+const COHORT: Millis = Millis::from_secs(5);
+
+/// Where a request goes, and where its cached parts are fetched from.
+type Picked = Option<(InstanceId, Option<InstanceId>)>;
+
+fn sorted<'a>(all: impl Iterator<Item = &'a Candidate>, key: u64) -> Vec<&'a Candidate> {
+    let mut all: Vec<&Candidate> = all.collect();
+    all.sort_by_cached_key(|c| {
+        let score = Node::new((), c.endpoint.id.endpoint.as_str()).score(key);
+        Reverse(score.to_bits())
+    });
+    all
+}
+
+fn mean(candidates: &[&Candidate]) -> f64 {
+    let sum: f64 = candidates.iter().map(|c| c.load).sum();
+    sum / candidates.len().max(1) as f64
+}
+
+fn bound(all: &[Candidate]) -> f64 {
+    let staying: Vec<&Candidate> = all.iter().filter(|c| !c.endpoint.leaving).collect();
+    let open: Vec<&Candidate> = staying.iter().copied().filter(|c| !c.drained).collect();
+    (1.5 * mean(&open)).min(1.75 * mean(&staying)) + 2.0
+}
+
+fn usable<'a>(all: &'a [Candidate], shared: &SharedPrefix, trial: bool) -> Vec<&'a Candidate> {
+    let open = |c: &&Candidate| {
+        !c.endpoint.leaving && !c.drained && !c.tried && c.allowance != Allowance::Nothing
+    };
+    let open: Vec<&Candidate> = all.iter().filter(open).collect();
+    let well =
+        |c: &&Candidate| c.standing == Standing::Good || trial && c.standing == Standing::Trial;
+    let well: Vec<&Candidate> = open.iter().copied().filter(well).collect();
+    let is_long = |prefix: &SharedPrefix| prefix.tokens.0 >= 400;
+    let suits = |c: &&Candidate| c.allowance.suits(Some(shared), is_long);
+    let suited: Vec<&Candidate> = well.iter().copied().filter(suits).collect();
+    let up = open
+        .iter()
+        .copied()
+        .filter(|c| c.standing != Standing::Down);
+    let groups = [suited, well, up.collect(), open];
+    let group = groups.into_iter().find(|group| !group.is_empty());
+    group.unwrap_or_default()
+}
+
+fn plain(
+    all: &[Candidate],
+    shared: &SharedPrefix,
+    share: f64,
+    trial: bool,
+    rng: &mut Pcg32,
+) -> Picked {
+    let bound = bound(all);
+    let ready = all
+        .iter()
+        .filter(|c| !c.endpoint.leaving && !c.drained)
+        .count();
+    let places = (share * ready as f64 / 0.5).ceil() as usize;
+    let places = places.clamp(1, ready.max(1));
+    let ranked = sorted(usable(all, shared, trial).into_iter(), shared.key);
+    let under = ranked.iter().copied().filter(|c| c.load <= bound);
+    let open: Vec<&Candidate> = under.take(places).collect();
+    let total: f64 = open.iter().map(|c| bound - c.load + 1.0).sum();
+    let mut left = rng.random::<f64>() * total;
+    let drawn = open.iter().find(|c| {
+        left -= bound - c.load + 1.0;
+        left < 0.0
+    });
+    let least = ranked.iter().min_by(|a, b| a.load.total_cmp(&b.load));
+    let picked = *drawn.or(open.first()).or(least)?;
+    let oldest = all.iter().map(|c| c.age).max()?;
+    let settled = |c: &&&Candidate| c.age >= SETTLED || oldest.since(c.age) <= COHORT;
+    let reachable = all.iter().filter(|c| c.standing != Standing::Down);
+    let reachable = sorted(reachable, shared.key);
+    let holder = reachable.iter().find(settled).copied();
+    let holders = reachable.iter().filter(|c| !c.tried && c.sent.is_some());
+    let mut others: Vec<&Candidate> = holders.copied().collect();
+    others.retain(|c| !std::ptr::eq(*c, picked));
+    others.sort_by_key(|c| (c.sent, c.endpoint.id.clone()));
+    let other = others.first().copied();
+    let moved = !holder.is_some_and(|holder| std::ptr::eq(holder, picked));
+    let source = match shared.tokens.0 >= 400 {
+        true if moved => other.or(holder),
+        true if picked.sent.is_none() => other,
+        _ => None,
+    };
+    let id = |c: &Candidate| c.endpoint.id.clone();
+    Some((id(picked), source.map(id)))
+}
+
+prop_compose! {
+    fn any_candidate()(
+        (leaving, drained, tried) in (prop::bool::weighted(0.1), prop::bool::weighted(0.2), prop::bool::weighted(0.1)),
+        load in 0_u32..12,
+        standing in 0_usize..8,
+        allowance in 0_usize..8,
+        age in 0_u64..60_000,
+        sent in proptest::option::weighted(0.2, 0_u64..9000),
+    ) -> Candidate {
+        let standings = [Standing::Trial, Standing::Bad, Standing::Down];
+        let allowances = [Allowance::Part(0.5), Allowance::One, Allowance::Nothing];
+        Candidate {
+            drained,
+            tried,
+            endpoint: std::sync::Arc::new(Endpoint { leaving, ..endpoint("e") }),
+            standing: standings.get(standing).copied().unwrap_or(Standing::Good),
+            allowance: allowances.get(allowance).copied().unwrap_or(Allowance::All),
+            age: Millis(age),
+            sent: sent.map(Millis),
+            ..candidate("e", f64::from(load) / 2.0)
+        }
+    }
+}
+
+/// Candidates of a pool, in the order of their ids.
+fn pool(candidates: Vec<Candidate>) -> Vec<Candidate> {
+    let named = |(number, candidate): (usize, Candidate)| {
+        let named = endpoint(&format!("e-{number:03}"));
+        let endpoint = Endpoint {
+            leaving: candidate.endpoint.leaving,
+            ..named
+        };
+        Candidate {
+            endpoint: std::sync::Arc::new(endpoint),
+            ..candidate
+        }
+    };
+    candidates.into_iter().enumerate().map(named).collect()
+}
+
+proptest! {
+    #[test]
+    fn it_is_the_same(
+        candidates in vec(any_candidate(), 0..60),
+        key in 0_u64..1000,
+        tokens in 0_u64..2000,
+        share in prop_oneof![Just(0.0), 0.0..0.3],
+        trial: bool,
+        seed: u64,
+    ) {
+        let all = pool(candidates);
+        let mut shared = prefix(key);
+        shared.tokens.0 = tokens;
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let expected = plain(&all, &shared, share, trial, &mut rng.clone());
+        let near = "near".parse().expect("a name");
+        let choice = choose(&all, Some(&shared), share, &near, trial, &mut rng);
+        let picked = choice.map(|choice| {
+            let source = choice.source.map(|source| source.id.clone());
+            (choice.endpoint.id.clone(), source)
+        });
+        prop_assert_eq!(picked, expected);
+    }
+}
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -155,7 +155,8 @@
         if self.store.first_start && !roster.is_seed() {
             return passed < FIRST_START;
         }
-        let longest = match roster.following.is_served {
+        // Requests wait longer for the list of endpoints, which helpers have later.
+        let longest = match roster.following.is_served || self.kind == Kind::Drains {
             true => HELP,
             false => HEAR,
         };
