Drains are asked for as early as all else at a start; sparing in a file of its own

Callers that come right after a loss of power wait for that, so it is taken back.

Also, with behaviour unchanged: what is spared has a file beside the drained data centres, and nothing is logged under the lock.

--- a/crates/core/src/routing/slow_start.rs
+++ b/crates/core/src/routing/slow_start.rs
@@ -24,8 +24,8 @@
 use crate::routing::request::SharedPrefix;
 use crate::units::Rate;
 
-/// Time in which a daemon sends its share: a second, and what the ways of two requests usually differ
-/// by.
+/// Time in which a daemon sends its share: a second, and what the ways of two requests usually
+/// differ by.
 const WINDOW: Millis = Millis(1020);
 /// Time without word of any other daemon after which all endpoints with a slow start are taken as
 /// starting: the list of endpoints may be out of date by as much.
@@ -99,7 +99,7 @@
     alone: Option<Millis>,
     /// Until when each endpoint is spared.
     spared: HashMap<InstanceId, Millis>,
-    /// When this daemon last sent to each endpoint that was spared.
+    /// When this daemon sent to endpoints that were spared, within the window.
     sent: HashMap<InstanceId, VecDeque<Millis>>,
     /// Requests that this daemon may send to each endpoint in a window, as far as they were
     /// reckoned since the list of daemons changed.
@@ -133,7 +133,7 @@
         !self.pools.is_empty()
     }
 
-    /// Sets a part of the platform's list of daemons; says which daemon is this one.
+    /// Sets a part of the platform's list of daemons, of which `me` is this one.
     pub fn deal(&mut self, me: SocketAddr, part: &str, daemons: Vec<SocketAddr>) {
         self.parts.insert(part.to_owned(), daemons);
         // Several parts may name a daemon.
@@ -264,9 +264,9 @@
         let order = |node: &Node<SocketAddr>| (node.score(key).to_bits(), node.id);
         let own = order(me);
         let rank = self.fleet.iter().filter(|node| order(node) > own).count();
-        let seats = (rate.0 as usize).max(1);
+        let whole = (rate.0 as usize).max(1);
         let daemons = self.fleet.len();
-        seats / daemons + usize::from(rank < seats % daemons)
+        whole / daemons + usize::from(rank < whole % daemons)
     }
 }
 
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -8,6 +8,7 @@
 mod drains;
 mod entries;
 mod judge;
+mod sparing;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -35,9 +36,10 @@
 use crate::routing::request::SharedPrefix;
 use crate::routing::slow_start::{Allowance, SlowStarts};
 
-pub use drains::{Drain, Spared};
+pub use drains::Drain;
 pub use entries::Listed;
 pub use judge::Verdict;
+pub use sparing::Spared;
 
 /// Result of looking for an endpoint.
 pub type Result<T> = std::result::Result<T, NoPlace>;
--- a/crates/core/src/routing/view/drains.rs
+++ b/crates/core/src/routing/view/drains.rs
@@ -1,7 +1,5 @@
-//! Data centres that are drained, and endpoints that are spared after a start.
+//! Data centres that are drained.
 
-use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use derive_more::Debug;
@@ -9,8 +7,7 @@
 use super::View;
 use crate::clock::Millis;
 use crate::ids::{DataCentreId, PoolId};
-use crate::routing::endpoint::{Endpoint, InstanceId};
-use crate::routing::slow_start::{Allowance, SlowStart};
+use crate::routing::endpoint::Endpoint;
 
 /// What the drain of a data centre takes from its pools.
 #[derive(Clone, PartialEq)]
@@ -25,16 +22,6 @@
     pub busy: f64,
 }
 
-/// Endpoints that are spared from now on, or no more.
-#[derive(Clone, PartialEq, Eq, Default)]
-#[derive(Debug)]
-pub struct Spared {
-    /// From now on.
-    pub begins: Vec<InstanceId>,
-    /// No more.
-    pub ends: Vec<InstanceId>,
-}
-
 impl View {
     /// Gives endpoints of a data centre no new work; says what that takes, if it is news.
     pub fn drain(&mut self, data_centre: DataCentreId, now: Millis) -> Option<Drain> {
@@ -62,81 +49,10 @@
         self.drained.len()
     }
 
-    /// Sets which pools have a slow start.
-    pub fn configure(&mut self, pools: HashMap<PoolId, SlowStart>) {
-        self.slow_starts.configure(pools);
-    }
-
-    /// Whether any pool has a slow start.
-    pub fn has_slow_starts(&self) -> bool {
-        self.slow_starts.is_needed()
-    }
-
-    /// Sets the daemons that a part of the platform's list names; all on the list share the rate of
-    /// endpoints that are spared.
-    pub fn deal(&mut self, me: SocketAddr, part: &str, daemons: Vec<SocketAddr>) {
-        self.slow_starts.deal(me, part, daemons);
-    }
-
-    /// Those of some daemons that the platform doesn't list.
-    pub fn unlisted(&self, daemons: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut unlisted = daemons.to_vec();
-        unlisted.retain(|daemon| !self.slow_starts.is_listed(daemon));
-        unlisted
-    }
-
-    /// Notes how many daemons live, this one included.
-    pub fn hear(&mut self, live: usize, now: Millis) {
-        self.slow_starts.hear(live, now);
-    }
-
-    /// Spares a listed endpoint for the time that it or its entry tells.
-    pub fn spare(&mut self, id: &InstanceId, left: Millis, now: Millis) {
-        if self.directory.is_listed(id) {
-            self.slow_starts.spare(id, left, now);
-        }
-    }
-
-    /// Endpoints whose sparing began or ended since this was last asked.
-    pub fn review_spared(&mut self, now: Millis) -> Spared {
-        self.slow_starts.tidy(now);
-        let spared: HashSet<InstanceId> = self.slow_starts.spared(now).cloned().collect();
-        let changes = Spared {
-            begins: spared.difference(&self.spared).cloned().collect(),
-            ends: self.spared.difference(&spared).cloned().collect(),
-        };
-        self.spared = spared;
-        changes
-    }
-
-    /// Endpoints that are spared, as of the last review.
-    pub fn spared(&self) -> usize {
-        self.spared.len()
-    }
-
-    /// Spares an endpoint that may have started again.
-    pub(super) fn presume_started(&mut self, id: &InstanceId, now: Millis) {
-        if let Some(endpoint) = self.directory.get(id) {
-            let pool = endpoint.pool.clone();
-            self.slow_starts.presume(id, &pool, now);
-        }
-    }
-
     pub(super) fn is_drained(&self, endpoint: &Endpoint) -> bool {
         self.drained.contains(&endpoint.data_centre)
     }
 
-    /// What may be sent to each endpoint of a pool, in their order.
-    pub(super) fn allowances(&mut self, pool: &PoolId, now: Millis) -> Vec<Allowance> {
-        let listed = self.directory.pool(pool).iter();
-        let slow_starts = &mut self.slow_starts;
-        if !slow_starts.limits(pool, now) {
-            return vec![Allowance::All; listed.len()];
-        }
-        let allowance = |endpoint: &Arc<Endpoint>| slow_starts.allowance(&endpoint.id, pool, now);
-        listed.map(allowance).collect()
-    }
-
     fn effect(&self, data_centre: &DataCentreId, now: Millis) -> Drain {
         let mut effect = Drain {
             endpoints: 0,
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -200,7 +200,8 @@
     pub fn review(&self, now: Millis) {
         let forgotten = self.lock().quarantine().forget(now);
         self.report_changes(&forgotten);
-        self.report_spared(&self.lock().review_spared(now));
+        let spared = self.lock().review_spared(now);
+        report_spared(&spared);
         let changes = self.lock().review(now);
         for Verdict {
             endpoint,
@@ -217,22 +218,6 @@
         }
     }
 
-    /// Logs which endpoints are spared from now on, and which no more, in one line: where a data
-    /// centre comes back they are many.
-    fn report_spared(&self, changes: &Spared) {
-        let names = |ids: &[InstanceId]| {
-            let names: Vec<String> = ids.iter().map(InstanceId::to_string).collect();
-            names.join(", ")
-        };
-        let (begins, ends) = (names(&changes.begins), names(&changes.ends));
-        if !begins.is_empty() || !ends.is_empty() {
-            log::info!(
-                target: "placement", begins, ends;
-                "placement: endpoints in slow start"
-            );
-        }
-    }
-
     /// Gives endpoints of a data centre no new work.
     pub fn drain(&self, data_centre: &DataCentreId, revision: u64, now: Millis) {
         let Some(effect) = self.lock().drain(data_centre.clone(), now) else {
@@ -312,3 +297,16 @@
         self.lock().others(heard, daemons, now);
     }
 }
+
+/// Logs which endpoints are spared from now on, and which no more, in one line: where a data
+/// centre comes back they are many.
+fn report_spared(changes: &Spared) {
+    let names = |ids: &[InstanceId]| {
+        let names: Vec<String> = ids.iter().map(InstanceId::to_string).collect();
+        names.join(", ")
+    };
+    let (begins, ends) = (names(&changes.begins), names(&changes.ends));
+    if !begins.is_empty() || !ends.is_empty() {
+        log::info!(target: "placement", begins, ends; "placement: endpoints in slow start");
+    }
+}
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -155,8 +155,7 @@
         if self.store.first_start && !roster.is_seed() {
             return passed < FIRST_START;
         }
-        // Requests wait longer for the list of endpoints, which helpers have later.
-        let longest = match roster.following.is_served || self.kind == Kind::Drains {
+        let longest = match roster.following.is_served {
             true => HELP,
             false => HEAR,
         };
