--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -22,8 +22,8 @@
 use crate::routing::request::SharedPrefix;
 use crate::routing::slow_start::Allowance;
 
-/// Load bound, as a multiple of the pool's mean. Lies below the 2 that endpoints may be given
-/// at most, since loads are known with a lag of one answer.
+/// Load bound, as a multiple of the pool's mean. Lies below what endpoints may be given at most,
+/// since loads are known with a lag.
 const BOUND: f64 = 1.5;
 /// The same against the mean of all endpoints, those in drained data centres included: these have
 /// next to no load and yet count in the multiple of the mean that endpoints may be given.
@@ -32,25 +32,22 @@
 const GRAIN: f64 = 2.0;
 /// Bound where the mechanism is switched off: more requests than any endpoint has.
 const UNBOUNDED: f64 = 1e9;
-/// Times that an idle endpoint of the same data centre is picked as often as one elsewhere: a
-/// longer way costs 1 to 3 ms and bytes between data centres, a full queue a hundred ms and more.
+/// Times that an idle endpoint of the same data centre is picked as often as one elsewhere. Not
+/// many, since a full queue costs more time than the longer way.
 const NEAR: f64 = 6.0;
-/// Part of its slots by which an idle endpoint counts as busy. Loads are known a third to half a
-/// second late, many times as long as a run of 30 ms takes: where all pick the least loaded, each
-/// endpoint is flooded in turn. In model time, with 60 daemons and 400 requests a second for 600
-/// that can run, 68 in 100 are in time so, and over 99 drawn. Drawn more sharply (0.3), 88 to 94;
-/// more evenly (2), a third of the endpoints that turns five times slower gets too much.
+/// Part of its slots by which an idle endpoint counts as busy. Loads are known late, many times as
+/// long as a run takes: sharper draws flood the least loaded endpoint, more even ones give too much
+/// to slow endpoints.
 const IDLE: f64 = 0.6;
 /// Load that one hot prefix may bring to each of its places, against the mean load of the pool.
 /// With half of the mean, what the others bring fits beside it under the bound.
 const HOT_LOAD: f64 = 0.5;
-/// Shortest prefix worth a transfer between engines; below, the transfer's set-up of some
-/// milliseconds takes as long as reading the tokens again (48 a millisecond).
+/// Shortest prefix worth a transfer between engines, in tokens; below, the transfer's set-up takes
+/// as long as reading them again.
 const FETCH_MIN: u64 = 400;
 
-/// Time after which an endpoint that joined holds the prefixes that it ranks first for. With 10 s
-/// a fifth of the tokens that returned later were read again; the longest pause of prefixes in
-/// use that was seen is about 25 s.
+/// Time after which an endpoint that joined holds the prefixes that it ranks first for: longer than
+/// most pauses of prefixes in use.
 const SETTLED: Millis = Millis::from_secs(30);
 /// Endpoints that joined together, as at the start of a pool, within this time: none of them
 /// held anything before the others.
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -19,13 +19,11 @@
 /// Weight of the newest answer in the failure share. Three bad answers in a row lift a good
 /// endpoint over [`MARGIN`], a single one doesn't.
 const NEWEST: f64 = 0.15;
-/// Failure share above the mean of the pool's others at which an endpoint is avoided. Plain services here
-/// fail 14 of 100 idempotent requests when well, which must not count against one.
+/// Failure share above the mean of the pool's others at which an endpoint is avoided. Failures that
+/// all of them share must not count against one.
 const MARGIN: f64 = 0.30;
 /// Time in which a failure share falls by half without answers. An endpoint that is well again is
-/// found by trials, eight good ones, within about a second. Where time alone clears it sooner, all
-/// daemons send to it at once: with 3 s, 184 requests in 2 s met one of three endpoints that reset
-/// all connections.
+/// found sooner by trials; where time alone clears one that isn't, all daemons send to it at once.
 const HALF_LIFE: Millis = Millis::from_secs(10);
 /// Pause after a first failed connection; doubles with each further one.
 const PAUSE: Millis = Millis(250);
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -13,8 +13,7 @@
 use crate::clock::Millis;
 use crate::routing::endpoint::InstanceId;
 
-/// Age at which a report of others' work counts half. Model answers take one to two seconds
-/// here, so most of what a report counted has ended after twice this.
+/// Age at which a report of others' work counts half: about the length of a model's answer.
 const HALF_LIFE: Millis = Millis(1500);
 
 /// What an endpoint tells of its work.
--- a/crates/core/src/routing/overload.rs
+++ b/crates/core/src/routing/overload.rs
@@ -19,16 +19,14 @@
 use crate::routing::endpoint::InstanceId;
 
 /// Time over which answers are counted; an endpoint that slows down is noticed in about this.
-/// With 100 answers a second, told by eights or more, the pace is within a tenth.
 const WINDOW: Millis = Millis(2000);
 /// Time for which answers must have been counted before their pace is believed.
 const LEARNT: Millis = Millis(1000);
 /// Part of the target that requests may take before some are refused; leaves room for those
 /// that take longer than the mean.
 const GOAL: f64 = 0.5;
-/// Share refused for each target's length beyond the goal. In model time, at 150 requests a
-/// second for 100 that can run, 63 in 100 are in time; 60 with 1.0, since queues then swing
-/// between empty and full.
+/// Share refused for each target's length beyond the goal; steeper, and queues swing between empty
+/// and full.
 const STEEP: f64 = 0.4;
 /// Share by which refusals grow in a second for each target's length beyond the goal; what
 /// is left by [`STEEP`] is made up for within some seconds.
@@ -41,9 +39,7 @@
 /// would otherwise be refused work that keeps it busy.
 const QUEUE_MIN: f64 = 1.0;
 /// Parts of the target after which a refused caller may come back: its time counts from the
-/// first try, so that a second one soon after may still be in time. In model time, at 120
-/// requests a second for 100 that can run, about 78 in 100 are in time, and about 58 where they
-/// come back after 100 to 600 ms.
+/// first try, so that a second one soon after may still be in time.
 const COME_BACK: (f64, f64) = (0.1, 0.3);
 /// Longest time for which the share moves at once.
 const STEP_MAX: Millis = Millis(1000);
