Entry: the log of a failed attempt tells what the budget of repeats held

Whether a repeat was paid for by the ratio, by the part of the slack, and among how many daemons that was divided couldn't be told from the log; the hypotheses on the incident differ in just that. No change of what is sent.

--- a/crates/core/src/routing/budget.rs
+++ b/crates/core/src/routing/budget.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use derive_more::Debug;
+use derive_more::{Debug, Display};
 
 use crate::clock::Millis;
 use crate::ids::PoolId;
@@ -38,6 +38,25 @@
     pub slack: f64,
 }
 
+/// What a daemon may spend in a pool, and has spent.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug, Display)]
+#[display(
+    "{repeats} of {allowed:.1} repeats, {requests} requests, {slack:.1} of the slack, {daemons} daemons"
+)]
+pub struct State {
+    /// Repeats in the window.
+    pub repeats: usize,
+    /// Repeats that the window allows.
+    pub allowed: f64,
+    /// Requests in the window.
+    pub requests: usize,
+    /// This daemon's part of the slack.
+    pub slack: f64,
+    /// Daemons that are taken to share the slack.
+    pub daemons: u32,
+}
+
 /// Counts of one pool.
 #[derive(Clone, Default)]
 #[derive(Debug)]
@@ -85,22 +104,35 @@
 
     /// Takes one repeat, unless the window's are spent.
     pub fn spend(&mut self, pool: &PoolId, now: Millis) -> bool {
+        let state = self.state(pool, now);
+        let fits = (state.repeats + 1) as f64 <= state.allowed || !is_on(Mechanism::Budget);
+        if fits {
+            self.counts(pool, now).repeats.push_back(now);
+        }
+        fits
+    }
+
+    /// What may be spent in a pool, and was.
+    pub fn state(&mut self, pool: &PoolId, now: Millis) -> State {
         let Settings {
             ratio,
             slack,
             window,
         } = self.settings;
-        let slack = match now.since(self.started) >= window {
-            true => SLACK * slack / f64::from(self.daemons),
-            false => SLACK_AT_START * slack / f64::from(self.daemons.max(DAEMONS_AT_START)),
+        let (part, daemons) = match now.since(self.started) >= window {
+            true => (SLACK, self.daemons),
+            false => (SLACK_AT_START, self.daemons.max(DAEMONS_AT_START)),
         };
+        let slack = part * slack / f64::from(daemons);
         let counts = self.counts(pool, now);
-        let allowed = USED * ratio * counts.requests.len() as f64 + slack;
-        let fits = (counts.repeats.len() + 1) as f64 <= allowed || !is_on(Mechanism::Budget);
-        if fits {
-            counts.repeats.push_back(now);
+        let requests = counts.requests.len();
+        State {
+            repeats: counts.repeats.len(),
+            allowed: USED * ratio * requests as f64 + slack,
+            requests,
+            slack,
+            daemons,
         }
-        fits
     }
 
     fn counts(&mut self, pool: &PoolId, now: Millis) -> &mut Counts {
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -164,7 +164,8 @@
 /// Takes note of a failed attempt and says what follows.
 fn fail(order: &Order, plan: &mut Plan, id: &InstanceId, failed: &Failed, trace: &Trace) -> Next {
     let next = order.fail(plan, id, failed.fault, now());
-    trace.fault(failed.fault, &failed.cause, next == Next::Again);
+    let repeats = order.shared.placement.repeats(&order.pool, now());
+    trace.fault(failed.fault, &failed.cause, next == Next::Again, &repeats);
     next
 }
 
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -171,7 +171,10 @@
                 Next::GiveUp(self.plan.refusal(false))
             }
         };
-        self.trace.fault(fault, cause, next == Next::Again);
+        let placement = &self.order.shared.placement;
+        let repeats = placement.repeats(&self.order.pool, now());
+        self.trace
+            .fault(fault, cause, next == Next::Again, &repeats);
         if next != Next::Again {
             return false;
         }
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -5,6 +5,7 @@
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::attempt::Fault;
+use medlarrill_core::routing::budget::State;
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::endpoint::InstanceId;
 use medlarrill_core::routing::fingerprint::Fingerprint;
@@ -104,7 +105,7 @@
     }
 
     /// Logs a failed attempt.
-    pub fn fault(&self, fault: Fault, cause: &str, again: bool) {
+    pub fn fault(&self, fault: Fault, cause: &str, again: bool, repeats: &State) {
         Metrics::count(&self.shared.metrics.faults, fault.code());
         if again {
             Metrics::count(&self.shared.metrics.retries, fault.code());
@@ -112,7 +113,7 @@
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts,
             endpoint = self.endpoint(), fingerprint:% = self.fingerprint,
-            fault = fault.code(), cause, outcome:% = fault.outcome(), again,
+            fault = fault.code(), cause, outcome:% = fault.outcome(), again, repeats:%,
             passed = now().since(self.arrived).0;
             "entry: attempt failed"
         );
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -92,6 +92,11 @@
         self.lock().budget().spend(pool, now)
     }
 
+    /// What the budget of repeats holds for a pool.
+    pub fn repeats(&self, pool: &PoolId, now: Millis) -> budget::State {
+        self.lock().budget().state(pool, now)
+    }
+
     /// Picks an endpoint that takes new work, and counts the request there.
     ///
     /// # Errors
