Test: repeats of a fleet whose daemons are cut off, killed or stopped in turn, failing as it should

What callers' platform saw: more repeats in a window than the fleet may send. Two tests of a calm fleet pass: the mend may not take from it.

--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -25,6 +25,7 @@
     mod plan;
     mod prompts;
     mod quarantine;
+    mod repeats;
     mod request;
     mod slow_start;
     mod slow_start_ways;
