Tests: a daemon is waited for until it takes connections, and an endpoint that gets few requests is seen

Two tests of the route failed by themselves, 12 of 40 runs of the two alone on: one asked for readiness once the endpoints were listed, while the drains, which a daemon needs as well, were still being read; one took twenty draws for enough to see an endpoint of another data centre that gets one request in eight (0.87 to the 20th is 6 in 100). Both were in the tests, not the daemon: its log shows the later read, and 503 until then is right.

--- a/crates/daemon/tests/route/drains.rs
+++ b/crates/daemon/tests/route/drains.rs
@@ -23,10 +23,13 @@
     bench
 }
 
-/// The endpoints that run twenty requests sent to a daemon.
+/// Requests by which an endpoint that gets one in eight shows itself.
+const DRAWS: usize = 100;
+
+/// The endpoints that run a hundred requests sent to a daemon.
 async fn used(bench: &Bench, daemon: usize, name: &str) -> Vec<String> {
     let mut used = Vec::new();
-    for number in 0..20 {
+    for number in 0..DRAWS {
         let attempt = format!("{name}-{number}");
         bench
             .send_to(daemon, &Call::new(&attempt, "/plain/x"))
--- a/crates/daemon/tests/route/setup.rs
+++ b/crates/daemon/tests/route/setup.rs
@@ -8,7 +8,7 @@
     Behaviour, Call, Caller, Endpoint, Ledger, Reply, Store, configuration,
 };
 use medlarrill_testkit::fleet::Program;
-use medlarrill_testkit::routed::{Routed, Setup};
+use medlarrill_testkit::routed::{Routed, Setup, WAIT};
 use tempfile::TempDir;
 
 pub const POOL: &str = "pool";
@@ -115,6 +115,13 @@
     }
 
     /// Endpoints that a daemon has logged as listed, one a line or many.
+    /// Waits until a daemon takes connections, which it does when it knows all that it needs.
+    pub async fn takes_connections(&self, daemon: usize) {
+        let ready = self.daemons[daemon].listen[1];
+        let is_ready = || medlarrill_testkit::routed::read(ready, "/ready", WAIT).is_ok();
+        self.wait(daemon, "takes connections", is_ready).await;
+    }
+
     fn listed(&self, daemon: usize) -> usize {
         let daemon = &self.daemons[daemon];
         let count = |line: &String| {
--- a/crates/daemon/tests/route/store.rs
+++ b/crates/daemon/tests/route/store.rs
@@ -23,6 +23,7 @@
     );
     bench.store.fail(Outage::None);
     bench.ready(0, 1).await;
+    bench.takes_connections(0).await;
     assert_that!(
         medlarrill_testkit::routed::read(ready, "/ready", WAIT),
         ok(anything())
