Budget of repeats: token buckets filled by parts of the platform's list of daemons

Cause: each daemon kept a window of its own and divided the slack by the daemons that it heard then. Cut off, it took the whole slack; started again, it began with a new part and no memory of the last; and where callers moved to another daemon, both spent for the same requests, one for what it had before the endpoints' window, the other for what it had in it. Ruled out: repeats that we don't count, the logs hold all but two or three of the arrivals.

Now a bucket for each pool is filled by the daemon's own requests and, with time, by its part of the slack, and starts nearly empty. In any window the fleet sends at most what all buckets held at its begin and what was earned in it, whoever earned it and however often daemons started. Parts come from the list that the platform keeps, as the slow start's did: that part of it is core::routing::fleet now, one mechanism for repeats, slow starts and idle connections, and every fleet keeps the list.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -21,6 +21,7 @@
 pub mod events;
 pub mod exchange;
 pub mod fingerprint;
+pub mod fleet;
 pub mod health;
 pub mod holders;
 pub mod load;
--- a/crates/core/src/routing/budget.rs
+++ b/crates/core/src/routing/budget.rs
@@ -1,10 +1,13 @@
 //! Repeats that a daemon may send to each pool.
 //!
-//! The fleet may repeat a share of the requests of a window, and some more.
-//! Each daemon spends its own part of that without asking the others: the
-//! share of the requests that it took itself, and an equal part of the rest.
-//! For a window after its start it spends less of the rest, since it may have
-//! spent its part before it was killed, and may not know yet how many share it.
+//! The fleet may repeat a share of the requests of a window, and some more,
+//! the slack; endpoints count both in windows that begin at any moment. Each
+//! daemon spends without asking the others, from a token bucket for each pool:
+//! its own requests fill it, and time does with a part of the slack. So it
+//! doesn't matter in whose window a request or a repeat falls, which daemon
+//! callers move to, nor how often a daemon starts: in any window the fleet
+//! sends at most what was in all buckets at its begin, and what was earned in
+//! it.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -14,17 +17,18 @@
 use crate::ids::PoolId;
 use crate::routing::ablation::{Mechanism, is_on};
 
-/// Part of the share of requests that is used. What is left covers requests that endpoints
-/// count in another window than we do.
-const USED: f64 = 0.9;
-/// Part of the rest that is used in the steady state, and by a daemon in the first window after
-/// its start. Together they stay below the whole, so that the fleet keeps its budget when all
-/// daemons are killed and start again within a window.
-const SLACK: f64 = 0.6;
-/// See [`SLACK`].
-const SLACK_AT_START: f64 = 0.35;
-/// Daemons that are taken to share the rest at the start, if fewer are known.
-const DAEMONS_AT_START: u32 = 16;
+/// Part of the ratio that a request earns.
+const EARNED: f64 = 0.8;
+/// Part of the ratio that the requests of the last window let a bucket hold. With [`EARNED`] it
+/// stays below 1: what is left covers repeats under way when a window begins.
+const HELD: f64 = 0.15;
+/// Part of the slack that buckets hold.
+const SLACK_HELD: f64 = 0.5;
+/// Part of the slack that buckets earn in a window. With [`SLACK_HELD`] it stays below 1: what is
+/// left covers what starts are given.
+const SLACK_EARNED: f64 = 0.25;
+/// Repeats in the bucket of a daemon that starts, so that it can repeat its first request.
+const AT_START: f64 = 1.0;
 
 /// What the fleet may repeat.
 #[derive(Clone, Copy, PartialEq)]
@@ -38,31 +42,28 @@
     pub slack: f64,
 }
 
-/// What a daemon may spend in a pool, and has spent.
+/// What a bucket holds, and may hold.
 #[derive(Clone, Copy, PartialEq)]
 #[derive(Debug, Display)]
-#[display(
-    "{repeats} of {allowed:.1} repeats, {requests} requests, {slack:.1} of the slack, {daemons} daemons"
-)]
+#[display("{left:.1} of {most:.1} left, {slack:.1} of the slack")]
 pub struct State {
-    /// Repeats in the window.
-    pub repeats: usize,
-    /// Repeats that the window allows.
-    pub allowed: f64,
-    /// Requests in the window.
-    pub requests: usize,
+    /// Repeats that may be sent now.
+    pub left: f64,
+    /// Repeats that the bucket may hold.
+    pub most: f64,
     /// This daemon's part of the slack.
     pub slack: f64,
-    /// Daemons that are taken to share the slack.
-    pub daemons: u32,
 }
 
-/// Counts of one pool.
-#[derive(Clone, Default)]
+/// Repeats that may be sent to one pool.
+#[derive(Clone)]
 #[derive(Debug)]
-struct Counts {
+struct Bucket {
+    tokens: f64,
+    /// When it was last filled.
+    filled: Millis,
+    /// The requests of the last window.
     requests: VecDeque<Millis>,
-    repeats: VecDeque<Millis>,
 }
 
 /// The repeats of one daemon.
@@ -70,17 +71,18 @@
 #[derive(Debug)]
 pub struct Budget {
     settings: Settings,
-    daemons: u32,
+    /// This daemon's part of the slack, of 1.
+    part: f64,
     started: Millis,
-    pools: HashMap<PoolId, Counts>,
+    pools: HashMap<PoolId, Bucket>,
 }
 
 impl Budget {
-    /// The budget of a daemon that starts now.
+    /// The budget of a daemon that starts now, without a part of the slack.
     pub fn new(settings: Settings, now: Millis) -> Self {
         Self {
             settings,
-            daemons: 1,
+            part: 0.0,
             started: now,
             pools: HashMap::new(),
         }
@@ -91,58 +93,68 @@
         self.settings = settings;
     }
 
-    /// Sets how many daemons share the slack.
-    pub fn share_with(&mut self, daemons: u32) {
-        self.daemons = daemons.max(1);
+    /// Sets this daemon's part of the slack, of 1.
+    pub fn set_part(&mut self, part: f64) {
+        self.part = part;
     }
 
     /// Counts a request.
     pub fn request(&mut self, pool: &PoolId, now: Millis) {
-        let counts = self.counts(pool, now);
-        counts.requests.push_back(now);
+        let earned = EARNED * self.settings.ratio;
+        self.fill(pool, now);
+        let bucket = self.bucket(pool);
+        bucket.requests.push_back(now);
+        bucket.tokens += earned;
+        self.fill(pool, now);
     }
 
-    /// Takes one repeat, unless the window's are spent.
+    /// Takes one repeat, unless there is none left.
     pub fn spend(&mut self, pool: &PoolId, now: Millis) -> bool {
-        let state = self.state(pool, now);
-        let fits = (state.repeats + 1) as f64 <= state.allowed || !is_on(Mechanism::Budget);
+        let fits = self.state(pool, now).left >= 1.0;
         if fits {
-            self.counts(pool, now).repeats.push_back(now);
+            self.bucket(pool).tokens -= 1.0;
         }
-        fits
+        fits || !is_on(Mechanism::Budget)
     }
 
-    /// What may be spent in a pool, and was.
+    /// What is left for a pool.
     pub fn state(&mut self, pool: &PoolId, now: Millis) -> State {
+        let most = self.fill(pool, now);
+        State {
+            left: self.bucket(pool).tokens,
+            most,
+            slack: self.part * self.settings.slack,
+        }
+    }
+
+    /// Adds what time has earned; returns what the bucket may hold, beyond which it flows over.
+    fn fill(&mut self, pool: &PoolId, now: Millis) -> f64 {
         let Settings {
             ratio,
             slack,
             window,
         } = self.settings;
-        let (part, daemons) = match now.since(self.started) >= window {
-            true => (SLACK, self.daemons),
-            false => (SLACK_AT_START, self.daemons.max(DAEMONS_AT_START)),
-        };
-        let slack = part * slack / f64::from(daemons);
-        let counts = self.counts(pool, now);
-        let requests = counts.requests.len();
-        State {
-            repeats: counts.repeats.len(),
-            allowed: USED * ratio * requests as f64 + slack,
-            requests,
-            slack,
-            daemons,
+        let slack = self.part * slack;
+        let bucket = self.bucket(pool);
+        while let Some(at) = bucket.requests.front()
+            && now.since(*at) >= window
+        {
+            bucket.requests.pop_front();
         }
+        let passed = now.since(bucket.filled).as_secs_f64() / window.as_secs_f64();
+        bucket.filled = now;
+        let most = SLACK_HELD * slack + HELD * ratio * bucket.requests.len() as f64;
+        let most = most.max(AT_START);
+        bucket.tokens = (bucket.tokens + SLACK_EARNED * slack * passed).min(most);
+        most
     }
 
-    fn counts(&mut self, pool: &PoolId, now: Millis) -> &mut Counts {
-        let window = self.settings.window;
-        let counts = self.pools.entry(pool.clone()).or_default();
-        for times in [&mut counts.requests, &mut counts.repeats] {
-            while times.front().is_some_and(|at| now.since(*at) >= window) {
-                times.pop_front();
-            }
-        }
-        counts
+    fn bucket(&mut self, pool: &PoolId) -> &mut Bucket {
+        let filled = self.started;
+        self.pools.entry(pool.clone()).or_insert_with(|| Bucket {
+            tokens: AT_START,
+            filled,
+            requests: VecDeque::new(),
+        })
     }
 }
--- a/crates/core/src/routing/slow_start.rs
+++ b/crates/core/src/routing/slow_start.rs
@@ -1,35 +1,24 @@
 //! Slow start: endpoints that bear few requests a second for a while.
 //!
 //! The rate that such an endpoint bears holds for the whole fleet, within each
-//! second. That is too short for daemons to tell each other what they sent, so
-//! each has a share of its own that it never exceeds, and needs nobody's word
-//! to keep to it. Shares are dealt by rank over the list of daemons that the
-//! platform keeps: as many daemons as the endpoint bears requests a second may
-//! send it one each, the others none. A daemon that hears from fewer others
-//! has no larger share, and one that isn't on the list, or has just started,
-//! has none.
-//!
-//! Two lists of different age deal some shares twice, at most as many as the
-//! daemons by which they differ.
+//! second. Its units are dealt to the daemons by rank ([`Fleet`]): as many
+//! daemons as the endpoint bears requests a second may send it one each, the
+//! others none.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::net::SocketAddr;
+use std::collections::{HashMap, VecDeque};
 
 use derive_more::Debug;
 
 use crate::clock::Millis;
 use crate::ids::PoolId;
-use crate::placement::{Node, key_of};
 use crate::routing::endpoint::InstanceId;
+use crate::routing::fleet::Fleet;
 use crate::routing::request::SharedPrefix;
 use crate::units::Rate;
 
 /// Time in which a daemon sends its share: a second, and what the ways of two requests usually
 /// differ by.
 const WINDOW: Millis = Millis(1020);
-/// Time without word of any other daemon after which all endpoints with a slow start are taken as
-/// starting: the list of endpoints may be out of date by as much.
-const ALONE: Millis = Millis(3000);
 
 /// How endpoints of a pool are spared.
 #[derive(Clone, Copy, PartialEq)]
@@ -83,20 +72,10 @@
 }
 
 /// Endpoints that are spared, as one daemon sees it.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct SlowStarts {
-    /// When this daemon started.
-    started: Millis,
     pools: HashMap<PoolId, SlowStart>,
-    /// Parts of the platform's list of daemons.
-    parts: BTreeMap<String, Vec<SocketAddr>>,
-    /// This daemon, if the platform lists it.
-    me: Option<Node<SocketAddr>>,
-    /// All daemons that the platform lists.
-    fleet: Vec<Node<SocketAddr>>,
-    /// Since when no other daemon was heard of.
-    alone: Option<Millis>,
     /// Until when each endpoint is spared.
     spared: HashMap<InstanceId, Millis>,
     /// When this daemon sent to endpoints that were spared, within the window.
@@ -107,56 +86,17 @@
 }
 
 impl SlowStarts {
-    /// Nothing is known yet.
-    pub fn new(now: Millis) -> Self {
-        Self {
-            started: now,
-            pools: HashMap::new(),
-            parts: BTreeMap::new(),
-            me: None,
-            fleet: Vec::new(),
-            alone: None,
-            spared: HashMap::new(),
-            sent: HashMap::new(),
-            shares: HashMap::new(),
-        }
-    }
-
     /// Sets which pools have a slow start.
     pub fn configure(&mut self, pools: HashMap<PoolId, SlowStart>) {
         self.pools = pools;
         self.shares.clear();
     }
 
-    /// Whether any pool has one.
-    pub fn is_needed(&self) -> bool {
-        !self.pools.is_empty()
-    }
-
-    /// Sets a part of the platform's list of daemons, of which `me` is this one.
-    pub fn deal(&mut self, me: SocketAddr, part: &str, daemons: Vec<SocketAddr>) {
-        self.parts.insert(part.to_owned(), daemons);
-        // Several parts may name a daemon.
-        let all: BTreeSet<SocketAddr> = self.parts.values().flatten().copied().collect();
-        let node = |daemon: SocketAddr| Node::new(daemon, &daemon.to_string());
-        self.fleet = all.into_iter().map(node).collect();
-        self.me = self.fleet.iter().find(|node| node.id == me).cloned();
+    /// Notes that the list of daemons has changed.
+    pub fn deal_anew(&mut self) {
         self.shares.clear();
     }
 
-    /// Whether the platform lists a daemon.
-    pub fn is_listed(&self, daemon: &SocketAddr) -> bool {
-        self.fleet.iter().any(|node| node.id == *daemon)
-    }
-
-    /// Notes how many daemons live, this one included.
-    pub fn hear(&mut self, live: usize, now: Millis) {
-        match live {
-            0 | 1 => _ = self.alone.get_or_insert(now),
-            _ => self.alone = None,
-        }
-    }
-
     /// Spares an endpoint for some time. What was known of a longer time stays, since word of it
     /// may be late.
     pub fn spare(&mut self, id: &InstanceId, left: Millis, now: Millis) {
@@ -189,19 +129,26 @@
     }
 
     /// Whether there may be an endpoint of a pool to which not all may be sent.
-    pub fn limits(&self, pool: &PoolId, now: Millis) -> bool {
-        let is_any = !self.spared.is_empty() || self.is_alone(now);
+    pub fn limits(&self, pool: &PoolId, fleet: &Fleet, now: Millis) -> bool {
+        let is_any = !self.spared.is_empty() || fleet.is_alone(now);
         is_any && self.pools.contains_key(pool)
     }
 
-    /// What may be sent to an endpoint of a pool.
-    pub fn allowance(&mut self, id: &InstanceId, pool: &PoolId, now: Millis) -> Allowance {
+    /// What may be sent to an endpoint of a pool. A daemon that is alone takes each as starting,
+    /// since its list of endpoints may be out of date.
+    pub fn allowance(
+        &mut self,
+        id: &InstanceId,
+        pool: &PoolId,
+        fleet: &Fleet,
+        now: Millis,
+    ) -> Allowance {
         let Some(slow) = self.pools.get(pool).copied() else {
             return Allowance::All;
         };
         let until = self.spared.get(id).copied();
-        if until.is_some_and(|until| now < until) || self.is_alone(now) {
-            return match self.has_left(id, slow.rate, now) {
+        if until.is_some_and(|until| now < until) || fleet.is_alone(now) {
+            return match self.has_left(id, slow.rate, fleet, now) {
                 true => Allowance::One,
                 false => Allowance::Nothing,
             };
@@ -231,17 +178,11 @@
         self.sent.retain(|_, sent| !sent.is_empty());
     }
 
-    /// Whether the list of endpoints may be out of date since no other daemon is heard.
-    fn is_alone(&self, now: Millis) -> bool {
-        let is_long = self.alone.is_some_and(|since| now.since(since) >= ALONE);
-        is_long && self.fleet.len() > 1
-    }
-
     /// Whether this daemon's share of an endpoint's rate isn't used up.
-    fn has_left(&mut self, id: &InstanceId, rate: Rate, now: Millis) -> bool {
+    fn has_left(&mut self, id: &InstanceId, rate: Rate, fleet: &Fleet, now: Millis) -> bool {
         let window = window(rate);
         // What an earlier process of this daemon has sent isn't known.
-        if now.since(self.started) < window {
+        if fleet.age(now) < window {
             return false;
         }
         let sent = self.sent.get(id);
@@ -250,24 +191,10 @@
         if let Some(share) = self.shares.get(id) {
             return recent < *share;
         }
-        let share = self.share(id, rate);
+        let share = fleet.units(&id.to_string(), (rate.0 as usize).max(1));
         self.shares.insert(id.clone(), share);
         recent < share
     }
-
-    /// Requests that this daemon may send in a window.
-    fn share(&self, id: &InstanceId, rate: Rate) -> usize {
-        let Some(me) = &self.me else {
-            return 0;
-        };
-        let key = key_of(&id.to_string());
-        let order = |node: &Node<SocketAddr>| (node.score(key).to_bits(), node.id);
-        let own = order(me);
-        let rank = self.fleet.iter().filter(|node| order(node) > own).count();
-        let whole = (rate.0 as usize).max(1);
-        let daemons = self.fleet.len();
-        whole / daemons + usize::from(rank < whole % daemons)
-    }
 }
 
 /// The time in which a share is sent; longer where an endpoint bears less than one a second.
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -8,6 +8,7 @@
 mod drains;
 mod entries;
 mod judge;
+mod sharing;
 mod sparing;
 
 use std::collections::{HashMap, HashSet};
@@ -27,6 +28,7 @@
 use crate::routing::directory::Directory;
 use crate::routing::endpoint::{Endpoint, InstanceId};
 use crate::routing::exchange;
+use crate::routing::fleet::Fleet;
 use crate::routing::health::{Health, Look, PoolFailures};
 use crate::routing::holders::Holders;
 use crate::routing::load::{Loads, Report};
@@ -71,6 +73,8 @@
     quarantine: Quarantine,
     /// Data centres whose endpoints take no new work.
     drained: HashSet<DataCentreId>,
+    /// Who shares what the fleet may send.
+    fleet: Fleet,
     slow_starts: SlowStarts,
     /// Endpoints that are spared, as last logged.
     spared: HashSet<InstanceId>,
@@ -137,7 +141,8 @@
             hot: HashMap::new(),
             quarantine: Quarantine::default(),
             drained: HashSet::new(),
-            slow_starts: SlowStarts::new(now),
+            fleet: Fleet::new(now),
+            slow_starts: SlowStarts::default(),
             spared: HashSet::new(),
             rng: Pcg32::new(seed, seed),
         }
@@ -153,9 +158,9 @@
         self.directory.len()
     }
 
-    /// Daemons that live.
-    pub const fn daemons(&self) -> u32 {
-        self.daemons
+    /// Daemons that live, or may.
+    pub fn daemons(&self) -> usize {
+        self.fleet.size().max(self.daemons as usize)
     }
 
     /// Repeats that the fleet may send.
@@ -314,7 +319,6 @@
     /// Takes what the other daemons have at endpoints, all of them together.
     pub fn others(&mut self, heard: exchange::Heard, daemons: usize, now: Millis) {
         let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
-        self.budget.share_with(daemons);
         self.daemons = daemons;
         self.hot = heard.hot;
         for exchange::Moved { prefix, endpoint } in heard.moved {
--- a/crates/core/src/routing/view/sparing.rs
+++ b/crates/core/src/routing/view/sparing.rs
@@ -1,7 +1,6 @@
 //! Endpoints that are spared after a start.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use derive_more::Debug;
@@ -28,29 +27,6 @@
         self.slow_starts.configure(pools);
     }
 
-    /// Whether any pool has a slow start.
-    pub fn has_slow_starts(&self) -> bool {
-        self.slow_starts.is_needed()
-    }
-
-    /// Sets the daemons that a part of the platform's list names; all on the list share the rate of
-    /// endpoints that are spared.
-    pub fn deal(&mut self, me: SocketAddr, part: &str, daemons: Vec<SocketAddr>) {
-        self.slow_starts.deal(me, part, daemons);
-    }
-
-    /// Those of some daemons that the platform doesn't list.
-    pub fn unlisted(&self, daemons: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut unlisted = daemons.to_vec();
-        unlisted.retain(|daemon| !self.slow_starts.is_listed(daemon));
-        unlisted
-    }
-
-    /// Notes how many daemons live, this one included.
-    pub fn hear(&mut self, live: usize, now: Millis) {
-        self.slow_starts.hear(live, now);
-    }
-
     /// Spares a listed endpoint for the time that it or its entry tells.
     pub fn spare(&mut self, id: &InstanceId, left: Millis, now: Millis) {
         if self.directory.is_listed(id) {
@@ -86,11 +62,12 @@
     /// What may be sent to each endpoint of a pool, in their order.
     pub(super) fn allowances(&mut self, pool: &PoolId, now: Millis) -> Vec<Allowance> {
         let listed = self.directory.pool(pool).iter();
-        let slow_starts = &mut self.slow_starts;
-        if !slow_starts.limits(pool, now) {
+        let (slow_starts, fleet) = (&mut self.slow_starts, &self.fleet);
+        if !slow_starts.limits(pool, fleet, now) {
             return vec![Allowance::All; listed.len()];
         }
-        let allowance = |endpoint: &Arc<Endpoint>| slow_starts.allowance(&endpoint.id, pool, now);
+        let allowance =
+            |endpoint: &Arc<Endpoint>| slow_starts.allowance(&endpoint.id, pool, fleet, now);
         listed.map(allowance).collect()
     }
 }
--- a/crates/core/tests/routing/repeats.rs
+++ b/crates/core/tests/routing/repeats.rs
@@ -322,3 +322,17 @@
         expect_that!(counted.granted(), gt(0.9), "seed {seed}");
     }
 }
+
+#[gtest]
+fn a_daemon_told_of_no_others_has_the_whole_slack_until_it_hears_of_one() {
+    let mut view = new_view(0);
+    view.set_sole();
+    let slack = |view: &mut View| view.budget().state(&pool(), Millis(1000)).slack;
+    expect_that!(slack(&mut view), eq(FLEET.slack));
+    view.hear(1, Millis(1000));
+    expect_that!(slack(&mut view), eq(FLEET.slack));
+    view.hear(2, Millis(1000));
+    expect_that!(slack(&mut view), eq(0.0));
+    deal(&mut view, 0, 4);
+    expect_that!(slack(&mut view), eq(FLEET.slack / 4.0));
+}
--- a/crates/core/tests/routing/support.rs
+++ b/crates/core/tests/routing/support.rs
@@ -1,6 +1,8 @@
 //! Endpoints, candidates and routes for these tests.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
 use std::sync::Arc;
 
 use medlarrill_core::clock::Millis;
@@ -10,9 +12,10 @@
 use medlarrill_core::routing::config::{Priority, Repeat, Route, Share};
 use medlarrill_core::routing::endpoint::{Born, Endpoint, InstanceId};
 use medlarrill_core::routing::exchange::{Entry, Heard, Others, Report};
+use medlarrill_core::routing::fleet::Fleet;
 use medlarrill_core::routing::health::Standing;
 use medlarrill_core::routing::request::SharedPrefix;
-use medlarrill_core::routing::slow_start::Allowance;
+use medlarrill_core::routing::slow_start::{Allowance, SlowStarts};
 use medlarrill_core::routing::view::View;
 use medlarrill_core::units::Tokens;
 
@@ -68,6 +71,44 @@
     }
 }
 
+/// Slow starts as a daemon sees them that shares them with others.
+pub struct Starts {
+    fleet: Fleet,
+    starts: SlowStarts,
+}
+
+impl Starts {
+    pub fn new(now: Millis) -> Self {
+        Self {
+            fleet: Fleet::new(now),
+            starts: SlowStarts::default(),
+        }
+    }
+
+    pub fn deal(&mut self, me: SocketAddr, part: &str, daemons: Vec<SocketAddr>) {
+        self.fleet.deal(me, part, daemons);
+        self.starts.deal_anew();
+    }
+
+    pub fn allowance(&mut self, id: &InstanceId, pool: &PoolId, now: Millis) -> Allowance {
+        self.starts.allowance(id, pool, &self.fleet, now)
+    }
+}
+
+impl Deref for Starts {
+    type Target = SlowStarts;
+
+    fn deref(&self) -> &SlowStarts {
+        &self.starts
+    }
+}
+
+impl DerefMut for Starts {
+    fn deref_mut(&mut self) -> &mut SlowStarts {
+        &mut self.starts
+    }
+}
+
 /// A daemon in a data centre that knows nothing yet.
 pub fn view(near: &str, seed: u64) -> View {
     let repeats = budget::Settings {
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -176,8 +176,8 @@
 }
 
 /// Idle connections that one of some daemons keeps for an endpoint that takes so many.
-pub fn spare(connections: u32, daemons: u32) -> usize {
-    let part = f64::from(connections) * IDLE_PART / f64::from(daemons.max(1));
+pub fn spare(connections: u32, daemons: usize) -> usize {
+    let part = f64::from(connections) * IDLE_PART / daemons.max(1) as f64;
     (part as u32).clamp(1, SPARE) as usize
 }
 
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -67,8 +67,8 @@
         self.lock().endpoints()
     }
 
-    /// Daemons that live.
-    pub fn daemons(&self) -> u32 {
+    /// Daemons that live, or may.
+    pub fn daemons(&self) -> usize {
         self.lock().daemons()
     }
 
@@ -267,11 +267,6 @@
         self.lock().configure(pools);
     }
 
-    /// Whether any pool has a slow start.
-    pub fn has_slow_starts(&self) -> bool {
-        self.lock().has_slow_starts()
-    }
-
     /// Endpoints that are spared after a start.
     pub fn spared(&self) -> usize {
         self.lock().spared()
@@ -282,6 +277,11 @@
         self.lock().spare(id, left, now);
     }
 
+    /// Notes that this daemon is told of no others.
+    pub fn set_sole(&self) {
+        self.lock().set_sole();
+    }
+
     /// Sets the daemons that a part of the platform's list names.
     pub fn deal(&self, me: SocketAddr, part: &str, daemons: Vec<SocketAddr>) {
         self.lock().deal(me, part, daemons);
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -119,6 +119,9 @@
     let datagrams = socket::datagrams(listen.peers)?;
     let near = settings.data_centre.clone();
     let placement = Placement::new(near, settings.repeats.into(), rand::random(), now());
+    if settings.seeds.is_empty() {
+        placement.set_sole();
+    }
     let placement = Arc::new(placement);
     let metrics = Arc::new(Metrics::new());
     let (copies, config, is_listed) = copies(settings, listen.peers, &placement, &metrics);
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -140,13 +140,15 @@
     /// no call waits for changes.
     fn is_list_due(&self, roster: &Watch) -> bool {
         let age = self.store.copies.age(self.kind, now());
-        let pause = match now() < DAEMONS_JOIN {
+        // Only hubs know of others for sure.
+        let is_missing = |daemons: &[_]| !self.store.placement.unlisted(daemons).is_empty();
+        let is_short = || is_missing(&[roster.me]) || is_missing(&roster.known);
+        let pause = match now() < DAEMONS_JOIN && is_short() {
             true => DAEMONS_EARLY,
             false => DAEMONS_PAUSE,
         };
         let is_old = age.is_none_or(|age| age >= pause);
-        let is_watcher = roster.is_watcher() && now() >= SETTLED;
-        is_watcher && is_old && self.store.placement.has_slow_starts()
+        roster.is_watcher() && now() >= SETTLED && is_old
     }
 
     /// Whether a daemon that has just started leaves it to others to ask for what it doesn't know.
