List of daemons: one that a new hub never heard stays for an hour from the hub's first look

A daemon that wasn't heard by this hub counted as last seen at the hub's own start. A process over an hour old that becomes a hub dropped such daemons at its first write: those that are cut off lost their part while they still used it, so that parts added up to more than the whole. Found by reading. The test failed before (at the first look already, after ten hours).

--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -11,7 +11,7 @@
 //! Lists of different age deal some parts twice, at most those of the daemons
 //! by which they differ.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use derive_more::Debug;
@@ -22,6 +22,9 @@
 /// Time without word of any other daemon after which this one counts as alone.
 const ALONE: Millis = Millis(3000);
 
+/// Silence after which a daemon is taken from the list.
+const FORGOTTEN: Millis = Millis::from_secs(3600);
+
 /// What one daemon knows of the list, and whether it hears others.
 #[derive(Clone)]
 #[derive(Debug)]
@@ -124,3 +127,22 @@
         units / daemons + usize::from(rank < units % daemons)
     }
 }
+
+/// When daemons were last known to live, as one that writes the list knows.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct Sightings(HashMap<SocketAddr, Millis>);
+
+impl Sightings {
+    /// Notes daemons that live.
+    pub fn see(&mut self, daemons: &[SocketAddr], now: Millis) {
+        self.0.extend(daemons.iter().map(|daemon| (*daemon, now)));
+    }
+
+    /// Whether a daemon that is listed stays so. One that wasn't seen yet counts as seen now: a
+    /// process that is new to this task doesn't know who has lived.
+    pub fn keeps(&mut self, daemon: SocketAddr, now: Millis) -> bool {
+        let seen = self.0.entry(daemon).or_insert(now);
+        now.since(*seen) < FORGOTTEN
+    }
+}
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -15,6 +15,7 @@
     mod evidence;
     mod exchange;
     mod fingerprint;
+    mod fleet;
     mod health;
     mod holders;
     mod keeper;
--- /dev/null
+++ b/crates/core/tests/routing/fleet.rs
@@ -0,0 +1,71 @@
+//! The daemons among which a bound is divided, and how long the list keeps them.
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::fleet::{Fleet, Sightings};
+
+const HOUR: Millis = Millis(3_600_000);
+
+fn address(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7340).into()
+}
+
+fn listed(count: u8) -> Vec<SocketAddr> {
+    (0..count).map(address).collect()
+}
+
+fn fleet(me: u8, count: u8) -> Fleet {
+    let mut fleet = Fleet::new(Millis(0));
+    fleet.deal(address(me), "near", listed(count));
+    fleet
+}
+
+#[gtest]
+fn parts_of_all_daemons_make_the_bound_whomever_they_hear() {
+    let parts = (0..9).map(|me| {
+        let mut fleet = fleet(me, 9);
+        fleet.hear(usize::from(me % 3) + 1, Millis(100));
+        fleet.part(58.0)
+    });
+    expect_that!(parts.sum::<f64>(), near(58.0, 1e-9));
+    for units in [1, 8, 9, 20] {
+        let all = (0..9).map(|me| fleet(me, 9).units("e-1", units));
+        expect_that!(all.sum::<usize>(), eq(units));
+    }
+}
+
+#[gtest]
+fn a_daemon_that_is_not_listed_has_no_part() {
+    let unlisted = fleet(9, 9);
+    expect_that!(unlisted.part(58.0), eq(0.0));
+    expect_that!(unlisted.units("e-1", 20), eq(0));
+    expect_that!(Fleet::new(Millis(0)).part(58.0), eq(0.0));
+}
+
+#[gtest]
+fn a_daemon_named_by_two_parts_of_the_list_counts_once() {
+    let mut fleet = fleet(0, 3);
+    fleet.deal(address(0), "far", vec![address(2), address(3)]);
+    expect_that!(fleet.size(), eq(4));
+}
+
+#[gtest]
+fn a_daemon_that_was_never_heard_stays_listed_for_an_hour_from_the_first_look() {
+    // A process that has run for long and becomes a hub knows nothing of who lived before.
+    let start = Millis(10 * HOUR.0);
+    let mut seen = Sightings::default();
+    expect_that!(seen.keeps(address(1), start), eq(true));
+    expect_that!(seen.keeps(address(1), start + HOUR - Millis(1)), eq(true));
+    expect_that!(seen.keeps(address(1), start + HOUR), eq(false));
+}
+
+#[gtest]
+fn a_daemon_that_falls_silent_stays_listed_for_an_hour() {
+    let mut seen = Sightings::default();
+    seen.see(&[address(1)], Millis(0));
+    seen.see(&[address(1)], HOUR);
+    expect_that!(seen.keeps(address(1), HOUR + HOUR - Millis(1)), eq(true));
+    expect_that!(seen.keeps(address(1), HOUR + HOUR), eq(false));
+}
--- a/crates/router/src/store/daemons.rs
+++ b/crates/router/src/store/daemons.rs
@@ -1,15 +1,16 @@
-//! Has the platform keep which daemons there are, for the shares that each has
-//! of an endpoint's slow start.
+//! Has the platform keep which daemons there are, for the part that each has
+//! of what the fleet may send.
 //!
 //! Each data centre has an object, written by its hubs, which hear from all
 //! daemons there. Daemons that end stay on it for long: a share that nobody uses harms
 //! nobody, and a daemon that starts again finds its own.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::backoff;
+use medlarrill_core::routing::fleet::Sightings;
 use medlarrill_net::now::now;
 use medlarrill_platform::objects;
 use medlarrill_platform::store::{Call, Kind};
@@ -28,15 +29,13 @@
 const ANSWER: Millis = Millis(900);
 /// Time in which a hub writes before the next one in rank does.
 const TURN: Millis = Millis::from_secs(8);
-/// Silence after which a daemon is taken from the list.
-const FORGOTTEN: Millis = Millis::from_secs(3600);
 
 /// Keeps them until the process ends.
 pub async fn keep(store: Store, platform: SocketAddr) {
     let mut keeping = Keeping {
         client: Client::new(platform),
         store,
-        seen: HashMap::new(),
+        seen: Sightings::default(),
         missing: None,
     };
     let mut failures = 0;
@@ -56,8 +55,7 @@
 struct Keeping {
     client: Client,
     store: Store,
-    /// When each daemon was last known to live.
-    seen: HashMap<SocketAddr, Millis>,
+    seen: Sightings,
     /// Since when some daemons aren't listed, or when that was last mended.
     missing: Option<Millis>,
 }
@@ -72,8 +70,7 @@
         if !is_known || now() < SETTLED {
             return Ok(());
         }
-        let known = roster.known.iter();
-        self.seen.extend(known.map(|daemon| (*daemon, now())));
+        self.seen.see(&roster.known, now());
         if self.store.placement.unlisted(&roster.known).is_empty() {
             self.missing = None;
             return Ok(());
@@ -97,11 +94,8 @@
         let listed = object
             .as_ref()
             .and_then(|object| objects::daemons(object).ok());
-        let is_kept = |daemon: &SocketAddr| {
-            let seen = self.seen.get(daemon).copied().unwrap_or_default();
-            now().since(seen) < FORGOTTEN
-        };
-        let kept = listed.into_iter().flatten().filter(is_kept);
+        let kept = listed.into_iter().flatten();
+        let kept = kept.filter(|daemon| self.seen.keeps(*daemon, now()));
         let all: BTreeSet<SocketAddr> = kept.chain(known.iter().copied()).collect();
         let all: Vec<SocketAddr> = all.into_iter().collect();
         let spec = objects::daemons_spec(&all);
