--- a/crates/core/tests/routing/bound.rs
+++ b/crates/core/tests/routing/bound.rs
@@ -43,6 +43,10 @@
     told: bool,
     sent: Vec<Vec<Sent>>,
     hot: Vec<HashMap<u32, f64>>,
+    /// When each third endpoint is drained.
+    drained: u64,
+    /// Times that the usual requests come.
+    surge: f64,
 }
 
 impl Fleet {
@@ -64,6 +68,17 @@
             told,
             sent: vec![Vec::new(); usize::from(daemons)],
             hot: vec![HashMap::new(); usize::from(daemons)],
+            drained: u64::MAX,
+            surge: 1.0,
+        }
+    }
+
+    /// Drains each third endpoint after the warm-up, and brings more requests a little later.
+    fn with_drain(self, surge: f64) -> Self {
+        Self {
+            drained: 3 * LENGTH,
+            surge,
+            ..self
         }
     }
 
@@ -85,8 +100,9 @@
             if self.told && now % TICK == 0 {
                 self.exchange(Millis(now));
             }
+            let surge = if now > 5 * LENGTH { self.surge } else { 1.0 };
             while next <= now as f64 {
-                next += pause;
+                next += pause / surge;
                 let daemon = self.rng.random_range(0..self.daemons.len());
                 let (endpoint, is_over) = self.send(daemon, Millis(now));
                 ends.push((now + LENGTH, daemon, endpoint));
@@ -105,18 +121,20 @@
             false => self.rng.random_range(1..PREFIXES),
         };
         let loads = &mut self.daemons[daemon].1;
-        let candidate = |endpoint: &Arc<Endpoint>| Candidate {
+        let is_drained = now.0 >= self.drained;
+        let candidate = |(number, endpoint): (usize, &Arc<Endpoint>)| Candidate {
             sent: None,
             endpoint: Arc::clone(endpoint),
             load: loads.total(&endpoint.id, now),
             load_age: None,
             standing: Standing::Good,
             tried: false,
-            drained: false,
+            drained: is_drained && number.is_multiple_of(3),
             allowance: Allowance::All,
             age: Millis(60_000),
         };
-        let all: Vec<Candidate> = self.endpoints.iter().map(candidate).collect();
+        let all = self.endpoints.iter().enumerate();
+        let all: Vec<Candidate> = all.map(candidate).collect();
         let near = "near".parse().expect("a name");
         let share = self.hot[daemon].get(&short_key(prefix(key).key)).copied();
         self.sent[daemon].push(Sent {
@@ -200,3 +218,9 @@
     let share = Fleet::new(84, 60, false).play(8000);
     expect_that!(share, gt(0.03));
 }
+
+#[gtest]
+fn while_a_third_is_drained_and_traffic_jumps_the_rest_stay_under_twice_the_mean_of_all() {
+    let share = Fleet::new(68, 60, true).with_drain(1.7).play(14_000);
+    expect_that!(share, lt(0.03));
+}
