Sight: headers of endpoints' answers that nothing reads are counted, each name logged once

What callers saw: requests went to endpoints that had said in their answers that they leave, or that they want no requests for a time. The logs can't tell whether a daemon never reads such a word, or reads it and loses it: no line tells what an answer's head held.

Now medlarrill_unread_headers_total counts them, and each name is logged once with its value, the endpoint and the request, 64 names at most.

--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -190,6 +190,8 @@
 ) -> Result<Answered> {
     let (head, body) = sent.answer.into_parts();
     let told = headers::answer(head.status, &head.headers);
+    let unread = &order.shared.unread;
+    unread.report(&head.headers, &endpoint, &order.call.attempt);
     if let Some(load) = told.load {
         order.shared.placement.report(&endpoint, load, now());
     }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -46,6 +46,8 @@
     pub failed_calls: Counter,
     /// Entries of the store that couldn't be read.
     pub unreadable: Counter,
+    /// Headers of endpoints' answers that nothing reads.
+    pub unread: Counter,
     /// Requests in flight.
     pub in_flight: Gauge,
     /// Callers' connections.
@@ -89,6 +91,7 @@
             calls: Counter::default(),
             failed_calls: Counter::default(),
             unreadable: Counter::default(),
+            unread: Counter::default(),
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             version: Gauge::default(),
@@ -123,6 +126,8 @@
         r.register("failed_calls", "Calls to the platform that failed", failed);
         let unreadable = self.unreadable.clone();
         r.register("unreadable", "Entries that can't be read", unreadable);
+        let unread = self.unread.clone();
+        r.register("unread_headers", "Headers that nothing reads", unread);
         let first = self.first.clone();
         r.register("first_seconds", "Time to the head of an answer", first);
         let whole = self.whole.clone();
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -7,7 +7,7 @@
 use medlarrill_core::routing::stop::{Stage, Stop};
 use tokio::sync::watch;
 
-use crate::endpoints::Connections;
+use crate::endpoints::{Connections, UnreadHeaders};
 use crate::metrics::Metrics;
 use crate::placement::Placement;
 use crate::settings::Settings;
@@ -28,6 +28,8 @@
     pub copies: Arc<Copies>,
     /// Connections to endpoints.
     pub connections: Connections,
+    /// Headers of endpoints' answers that nothing reads.
+    pub unread: UnreadHeaders,
     /// Counters.
     pub metrics: Arc<Metrics>,
     /// The graceful stop.
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -11,7 +11,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::endpoints::Connections;
+use crate::endpoints::{Connections, UnreadHeaders};
 use crate::entry::{serve_callers, serve_metrics, serve_ready};
 use crate::logs::{self, Dropped};
 use crate::metrics::Metrics;
@@ -144,6 +144,7 @@
         placement,
         copies,
         connections: Connections::default(),
+        unread: UnreadHeaders::new(Arc::clone(&metrics)),
         metrics,
         stop: Mutex::new(Stop::new(settings.grace)),
         closing: watch::Sender::new(false),
