Test: endpoints that say that they leave or want a pause get requests, failing as it should

Through the whole daemon against the stand-in, whose answers now may bear what an endpoint says of itself and which records what reaches it.

--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -5,6 +5,7 @@
     mod answers;
     mod crash;
     mod drains;
+    mod own_word;
     mod requests;
     mod setup;
     mod stop;
