Leaving endpoints: what an endpoint says in an answer counts before its entry

Callers saw requests go to endpoints that had said in each answer that they leave; such an endpoint ends when it has finished, and what comes late may be cut off with it.

Cause: nothing read the header. Only the platform's list said who leaves, and that says nothing while the store is away.

Now the word is kept by process (core::routing::notices). The directory takes it over when it is heard and at each later entry of that process, so that all ways that ask for candidates see an endpoint that leaves: nothing else decides where requests go. It ends with a later start of the endpoint, or ten minutes after it was last heard where the endpoint isn't listed; a lapsed entry that returns, or one of an older state, doesn't undo it. Which start spoke follows from its birth: one that began before the answer came and after the one that was listed then is the one that answered.

Ruled out: keeping it by address (another endpoint may have it), ending it at the next entry that says ready (a store that returns says so first), telling other daemons (an endpoint whose leaving the store hasn't taken goes on serving, and each daemon hears it with its first request).

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -26,6 +26,7 @@
 pub mod holders;
 pub mod load;
 pub mod mirror;
+pub mod notices;
 pub mod overload;
 pub mod plan;
 pub mod quarantine;
--- a/crates/core/src/routing/answer.rs
+++ b/crates/core/src/routing/answer.rs
@@ -3,8 +3,10 @@
 use derive_more::Debug;
 
 use crate::clock::Millis;
+use crate::ids::EndpointId;
 use crate::routing::attempt::Fault;
 use crate::routing::load::Report;
+use crate::routing::notices::Notice;
 
 /// The endpoint isn't the one that the request was meant for.
 const MISDIRECTED: u16 = 421;
@@ -17,6 +19,8 @@
     pub status: u16,
     /// The attempt that it answers, if it says so.
     pub attempt: Option<String>,
+    /// The endpoint that it names as its own, if it does.
+    pub endpoint: Option<EndpointId>,
     /// Whether the endpoint says that it didn't run the request.
     pub not_run: bool,
     /// Whether it bears the endpoint's signature.
@@ -25,6 +29,8 @@
     pub load: Option<Report>,
     /// For how long it still has to be spared, if it says so.
     pub warming: Option<Millis>,
+    /// Whether the endpoint says that it will stop.
+    pub leaving: bool,
     /// How long the connection may be idle.
     pub keep: Option<Millis>,
     /// Whether the body is a stream of events.
@@ -60,6 +66,21 @@
         None
     }
 
+    /// Whether what it says of its endpoint is the word of this one: not where another endpoint
+    /// has the address, nor where it answers another attempt.
+    pub fn is_from(&self, endpoint: &EndpointId, attempt: &str) -> bool {
+        let names_other = self.endpoint.as_ref().is_some_and(|id| id != endpoint);
+        let is_foreign = self.attempt.as_deref().is_some_and(|id| id != attempt);
+        self.status != MISDIRECTED && !names_other && !is_foreign
+    }
+
+    /// What the endpoint says of itself.
+    pub const fn notice(&self) -> Notice {
+        Notice {
+            leaving: self.leaving,
+        }
+    }
+
     /// Whether the endpoint says that it ran the request to a good end.
     pub const fn is_success(&self) -> bool {
         matches!(self.status, 200..300)
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -84,6 +84,17 @@
         true
     }
 
+    /// Notes that a listed instance takes no new work, whatever its entry says.
+    pub fn set_leaving(&mut self, id: &InstanceId, now: Millis) {
+        if let Some(known) = self.get(id).filter(|known| !known.leaving) {
+            let endpoint = Endpoint {
+                leaving: true,
+                ..Endpoint::clone(known)
+            };
+            self.list(endpoint, now);
+        }
+    }
+
     /// Drops an entry; says whether it was there.
     pub fn remove(&mut self, id: &EndpointId) -> bool {
         let Some((old, _)) = self.endpoints.remove(id) else {
--- /dev/null
+++ b/crates/core/src/routing/notices.rs
@@ -0,0 +1,118 @@
+//! What endpoints say of themselves in their answers: that they leave, or that
+//! they want no requests for a time.
+//!
+//! Such a notice is newer than what the platform's list says, and no entry
+//! undoes it. It belongs to the process that answered, whoever has the address
+//! later. That process may have started after the one that is listed: whether a
+//! start that the list tells later is the one that spoke follows from its time.
+//! A notice ends with its time, with a new start of the endpoint, or some time
+//! after its entry is gone.
+
+use std::collections::HashMap;
+
+use derive_more::Debug;
+use foldhash::fast::RandomState;
+
+use crate::clock::Millis;
+use crate::ids::EndpointId;
+use crate::routing::endpoint::InstanceId;
+
+/// For how long an endpoint that isn't listed any more may come back as the same process, as it
+/// does where entries lapse in an outage of the platform.
+const KEPT: Millis = Millis::from_secs(600);
+
+/// What one answer says of the endpoint that gave it.
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug)]
+pub struct Notice {
+    /// Whether it will stop, and takes no new work.
+    pub leaving: bool,
+}
+
+impl Notice {
+    /// Whether it says anything.
+    pub const fn is_empty(self) -> bool {
+        !self.leaving
+    }
+}
+
+/// What is known of one endpoint by its own word.
+#[derive(Clone)]
+#[derive(Debug)]
+struct Record {
+    /// The instance that was listed when it was heard.
+    id: InstanceId,
+    leaving: bool,
+    /// When it was last heard.
+    heard: Millis,
+    /// The same, since the Unix epoch.
+    wall: Millis,
+}
+
+impl Record {
+    /// Whether a listed instance is the one that spoke.
+    fn is_of(&self, id: &InstanceId) -> bool {
+        if self.id == *id {
+            return true;
+        }
+        let spoke = |born: u64| born <= self.wall.0;
+        match (self.id.born, id.born) {
+            (Some(before), Some(born)) => born > before && spoke(born.0),
+            (None, Some(born)) => spoke(born.0),
+            (_, None) => false,
+        }
+    }
+}
+
+/// What is known of all endpoints by their own word.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct Notices {
+    records: HashMap<EndpointId, Record, RandomState>,
+}
+
+impl Notices {
+    /// Takes the notice of an endpoint, known as this instance, at a time since the Unix epoch;
+    /// says whether it is news.
+    pub fn note(&mut self, id: &InstanceId, notice: Notice, now: Millis, wall: Millis) -> bool {
+        if notice.is_empty() {
+            return false;
+        }
+        let record = Record {
+            id: id.clone(),
+            leaving: notice.leaving,
+            heard: now,
+            wall,
+        };
+        let known = self.records.get(&id.endpoint);
+        let is_news = !known.is_some_and(|known| known.is_of(id) && known.leaving);
+        self.records.insert(id.endpoint.clone(), record);
+        is_news
+    }
+
+    /// Takes an instance that the platform lists: what an earlier one said ends.
+    pub fn list(&mut self, id: &InstanceId) {
+        let Some(record) = self.records.get_mut(&id.endpoint) else {
+            return;
+        };
+        match record.is_of(id) {
+            true => record.id = id.clone(),
+            false => {
+                self.records.remove(&id.endpoint);
+            }
+        }
+    }
+
+    /// Whether an instance said that it leaves.
+    pub fn is_leaving(&self, id: &InstanceId) -> bool {
+        let record = self.records.get(&id.endpoint);
+        record.is_some_and(|record| record.leaving && record.id == *id)
+    }
+
+    /// Forgets endpoints that aren't listed any more.
+    pub fn tidy(&mut self, is_listed: impl Fn(&EndpointId) -> bool, now: Millis) {
+        let is_recent = |record: &Record| now.since(record.heard) < KEPT;
+        self.records
+            .retain(|name, record| is_listed(name) || is_recent(record));
+    }
+}
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -8,6 +8,7 @@
 mod drains;
 mod entries;
 mod judge;
+mod own_words;
 mod sharing;
 mod sparing;
 
@@ -32,6 +33,7 @@
 use crate::routing::health::{Health, Look, PoolFailures};
 use crate::routing::holders::Holders;
 use crate::routing::load::{Loads, Report};
+use crate::routing::notices::Notices;
 use crate::routing::overload::{self, Paces, Valve};
 use crate::routing::plan::Plan;
 use crate::routing::quarantine::{Change, Quarantine};
@@ -71,6 +73,7 @@
     /// Shares of hot prefixes in the fleet's traffic.
     hot: HashMap<u32, f64>,
     quarantine: Quarantine,
+    notices: Notices,
     /// Data centres whose endpoints take no new work.
     drained: HashSet<DataCentreId>,
     /// Who shares what the fleet may send.
@@ -140,6 +143,7 @@
             moved: Vec::new(),
             hot: HashMap::new(),
             quarantine: Quarantine::default(),
+            notices: Notices::default(),
             drained: HashSet::new(),
             fleet: Fleet::new(now),
             slow_starts: SlowStarts::default(),
--- a/crates/core/src/routing/view/entries.rs
+++ b/crates/core/src/routing/view/entries.rs
@@ -39,6 +39,11 @@
             }
         }
         let id = endpoint.id.clone();
+        self.notices.list(&id);
+        let endpoint = Endpoint {
+            leaving: endpoint.leaving || self.notices.is_leaving(&id),
+            ..endpoint
+        };
         let before = self.directory.instance(&id.endpoint).cloned();
         if !self.directory.list(endpoint, now) {
             return Listed::Same;
--- /dev/null
+++ b/crates/core/src/routing/view/own_words.rs
@@ -0,0 +1,29 @@
+//! What endpoints say of themselves in their answers.
+
+use super::View;
+use crate::clock::Millis;
+use crate::routing::endpoint::InstanceId;
+use crate::routing::notices::Notice;
+
+impl View {
+    /// Takes what an endpoint says of itself, at a time since the Unix epoch; says whether it is
+    /// news. It counts also where the endpoint isn't listed any more, since it may be again.
+    pub fn note(&mut self, id: &InstanceId, notice: Notice, now: Millis, wall: Millis) -> bool {
+        let is_news = self.notices.note(id, notice, now, wall);
+        // A later start may have been listed while the request was under way.
+        if let Some(listed) = self.directory.instance(&id.endpoint).cloned() {
+            self.notices.list(&listed);
+            if self.notices.is_leaving(&listed) {
+                self.directory.set_leaving(&listed, now);
+            }
+        }
+        is_news
+    }
+
+    /// Forgets what endpoints said that are gone.
+    pub fn tidy_notices(&mut self, now: Millis) {
+        let directory = &self.directory;
+        let is_listed = |name: &_| directory.instance(name).is_some();
+        self.notices.tidy(is_listed, now);
+    }
+}
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -21,6 +21,7 @@
     mod keeper;
     mod load;
     mod mirror;
+    mod notices;
     mod overload;
     mod plain;
     mod plan;
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::outcome::Outcome;
+use medlarrill_core::routing::answer::AnswerHead;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
 use medlarrill_core::routing::plan::{Next, Plan, Refusal};
@@ -192,12 +193,7 @@
     let told = headers::answer(head.status, &head.headers);
     let unread = &order.shared.unread;
     unread.report(&head.headers, &endpoint, &order.call.attempt);
-    if let Some(load) = told.load {
-        order.shared.placement.report(&endpoint, load, now());
-    }
-    if let Some(left) = told.warming {
-        order.shared.placement.spare(&endpoint, left, now());
-    }
+    hear(order, &endpoint, &told);
     if sent.fresh {
         order.shared.metrics.connects.inc();
     }
@@ -233,6 +229,20 @@
     Err(failed)
 }
 
+/// Takes note of what an endpoint says of itself in the head of an answer.
+fn hear(order: &Order, id: &InstanceId, told: &AnswerHead) {
+    let placement = &order.shared.placement;
+    if let Some(load) = told.load {
+        placement.report(id, load, now());
+    }
+    if let Some(left) = told.warming {
+        placement.spare(id, left, now());
+    }
+    if told.is_from(&id.endpoint, &order.call.attempt) {
+        placement.note(id, told.notice(), &order.call.attempt, now());
+    }
+}
+
 /// Reads a body that isn't a stream.
 async fn read(plan: &Plan, body: Incoming) -> Result<Bytes> {
     let left = plan.deadline().since(now()) + GRACE;
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -14,11 +14,13 @@
 use medlarrill_core::routing::exchange;
 use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::load::Report;
+use medlarrill_core::routing::notices::Notice;
 use medlarrill_core::routing::plan::Plan;
 use medlarrill_core::routing::quarantine::{Change, Evidence, Keeper, Kept, Snapshot, Step};
 use medlarrill_core::routing::request::SharedPrefix;
 use medlarrill_core::routing::slow_start::SlowStart;
 use medlarrill_core::routing::view::{Drain, Listed, Result, Spared, Verdict, View};
+use medlarrill_net::now::wall;
 
 /// State behind a lock that is held for a few instructions, never while waiting.
 #[derive(Debug)]
@@ -125,6 +127,17 @@
         self.lock().report(id, report, now);
     }
 
+    /// Takes what an endpoint says of itself in the answer to a request.
+    pub fn note(&self, id: &InstanceId, notice: Notice, request: &str, now: Millis) {
+        if notice.is_empty() || !self.lock().note(id, notice, now, wall()) {
+            return;
+        }
+        log::info!(
+            target: "placement", endpoint:% = id, request, leaving = notice.leaving;
+            "placement: endpoint says of itself"
+        );
+    }
+
     /// Notes a good answer.
     pub fn good(&self, id: &InstanceId, now: Millis) {
         self.lock().good(id, now);
@@ -205,6 +218,7 @@
     pub fn review(&self, now: Millis) {
         let forgotten = self.lock().quarantine().forget(now);
         self.report_changes(&forgotten);
+        self.lock().tidy_notices(now);
         let spared = self.lock().review_spared(now);
         report_spared(&spared);
         let changes = self.lock().review(now);
