Closed pools: callers are refused at once and told when an endpoint takes work again

Callers of a pool whose endpoints all leave or all want a pause were told to come back after 0.1 to 0.4 s, to be refused again.

Cause: where no endpoint is left the refusal knew nothing of why.

Now a request that didn't run, in a pool of which no endpoint takes work, is refused as `unavailable`: until the end of the first pause and up to 0.4 s more, so that those refused together don't come back together; a second where all endpoints leave, are drained or gone, about what a new one takes to be listed. Where one takes work, nothing changes.

--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -33,6 +33,12 @@
         /// When the caller may come back.
         wait: Millis,
     },
+    /// No endpoint of its pool takes work; it didn't run and won't.
+    #[display("unavailable")]
+    Unavailable {
+        /// When the caller may come back.
+        wait: Millis,
+    },
     /// Requests that ask for the same have ended the endpoints that ran them; this one didn't run
     /// and won't.
     #[display("quarantined")]
--- a/crates/core/src/routing/view/own_words.rs
+++ b/crates/core/src/routing/view/own_words.rs
@@ -2,9 +2,14 @@
 
 use super::View;
 use crate::clock::Millis;
+use crate::ids::PoolId;
 use crate::routing::endpoint::InstanceId;
 use crate::routing::notices::Notice;
 
+/// Time until a pool that has no endpoint left is asked again: about what a new one takes from its
+/// start until the platform lists it and daemons read that.
+const NEWCOMER: Millis = Millis(1000);
+
 impl View {
     /// Takes what an endpoint says of itself, at a time since the Unix epoch; says whether it is
     /// news. It counts also where the endpoint isn't listed any more, since it may be again.
@@ -20,6 +25,16 @@
         is_news
     }
 
+    /// How long a pool takes no work of which no endpoint takes any now: until the first pause
+    /// ends, or a new endpoint may be listed. None where there is one that takes work.
+    pub fn closed_for(&self, pool: &PoolId, now: Millis) -> Option<Millis> {
+        let listed = self.directory.pool(pool).iter();
+        let staying = listed.filter(|e| !e.leaving && !self.is_drained(e));
+        let pauses = staying.map(|e| self.notices.pause(&e.id, now));
+        let shortest = pauses.min().unwrap_or(NEWCOMER);
+        (shortest > Millis::ZERO).then_some(shortest)
+    }
+
     /// Endpoints that want no requests now.
     pub fn pauses(&self, now: Millis) -> usize {
         self.notices.pauses(now)
--- a/crates/core/tests/routing/notices.rs
+++ b/crates/core/tests/routing/notices.rs
@@ -254,3 +254,34 @@
     expect_that!(is_from(head(200, Some("b"), None)), eq(false));
     expect_that!(is_from(head(200, Some("a"), Some("e-1"))), eq(false));
 }
+
+#[gtest]
+fn a_pool_is_closed_until_the_first_of_its_pauses_ends() {
+    let (first, second) = (endpoint("e-0"), endpoint("e-1"));
+    let mut view = one(&first);
+    view.list(second.clone(), Millis::ZERO);
+    let now = Millis(1000);
+    view.note(&first.id, pause(3000), now, at(now));
+    expect_that!(view.closed_for(&pool(), now), none());
+    view.note(&second.id, pause(2000), now, at(now));
+    expect_that!(view.closed_for(&pool(), now), some(eq(Millis(2000))));
+    view.note(&second.id, LEAVING, now, at(now));
+    expect_that!(view.closed_for(&pool(), now), some(eq(Millis(3000))));
+    expect_that!(view.closed_for(&pool(), Millis(4000)), none());
+    view.note(&first.id, LEAVING, now, at(now));
+    expect_that!(
+        view.closed_for(&pool(), Millis(4000)),
+        some(eq(Millis(1000)))
+    );
+}
+
+#[gtest]
+fn a_pool_without_endpoints_is_closed_and_one_that_is_drained_too() {
+    let e = endpoint("e-0");
+    let mut view = view();
+    expect_that!(view.closed_for(&pool(), Millis::ZERO), some(anything()));
+    view.list(e.clone(), Millis::ZERO);
+    expect_that!(view.closed_for(&pool(), Millis::ZERO), none());
+    view.drain(e.data_centre, Millis::ZERO);
+    expect_that!(view.closed_for(&pool(), Millis::ZERO), some(anything()));
+}
--- a/crates/router/src/entry/answer.rs
+++ b/crates/router/src/entry/answer.rs
@@ -74,6 +74,7 @@
             Self::SlowBody => "slow-body",
             Self::Refused(Refusal::NotRun) => "not-run",
             Self::Refused(Refusal::Overloaded { .. }) => "overloaded",
+            Self::Refused(Refusal::Unavailable { .. }) => "unavailable",
             Self::Refused(Refusal::Quarantined { .. }) => "quarantined",
             Self::Refused(Refusal::Unknown) => "unknown",
             Self::Refused(Refusal::Timeout) => "timeout",
@@ -86,7 +87,10 @@
             Self::NoConfiguration
             | Self::Stopping
             | Self::Refused(
-                Refusal::NotRun | Refusal::Overloaded { .. } | Refusal::Quarantined { .. },
+                Refusal::NotRun
+                | Refusal::Overloaded { .. }
+                | Refusal::Unavailable { .. }
+                | Refusal::Quarantined { .. },
             ) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Denied(_) => StatusCode::UNAUTHORIZED,
@@ -101,9 +105,13 @@
     /// When a refused caller may come back.
     fn come_back(self) -> Millis {
         let (least, most) = COME_BACK;
+        let mut rng = rand::rng();
         match self {
             Self::Refused(Refusal::Overloaded { wait } | Refusal::Quarantined { wait }) => wait,
-            _ => Millis(rand::rng().random_range(least.0..=most.0)),
+            Self::Refused(Refusal::Unavailable { wait }) => {
+                wait + Millis(rng.random_range(0..=most.0))
+            }
+            _ => Millis(rng.random_range(least.0..=most.0)),
         }
     }
 }
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -138,12 +138,25 @@
             break refusal;
         }
     };
+    let refusal = closed(order, refusal, trace);
     match (refusal, failure) {
         (Refusal::Unknown | Refusal::Timeout, Some(answer)) => Answered::Whole(*answer),
         _ => Answered::Nothing(refusal),
     }
 }
 
+/// Tells a caller that is refused when its pool takes work again, where it takes none.
+fn closed(order: &Order, refusal: Refusal, trace: &Trace) -> Refusal {
+    if refusal != Refusal::NotRun {
+        return refusal;
+    }
+    let Some(wait) = order.shared.placement.closed_for(&order.pool, now()) else {
+        return refusal;
+    };
+    trace.closed(&order.pool, wait);
+    Refusal::Unavailable { wait }
+}
+
 /// Sends a request to one endpoint and waits for its answer.
 async fn attempt(
     order: &Order,
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -195,6 +195,9 @@
     match refusal {
         Refusal::NotRun => "no endpoint took it; it has not run and will not",
         Refusal::Overloaded { .. } => "its pool has too much to do; it has not run and will not",
+        Refusal::Unavailable { .. } => {
+            "no endpoint of its pool takes work; it has not run and will not"
+        }
         Refusal::Quarantined { .. } => {
             "requests like it ended the endpoints that ran them; it has not run and will not"
         }
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::PoolId;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::budget::State;
 use medlarrill_core::routing::choose::Choice;
@@ -104,6 +105,15 @@
         );
     }
 
+    /// Logs that no endpoint of a pool takes work.
+    pub fn closed(&self, pool: &PoolId, wait: Millis) {
+        log::info!(
+            target: "entry", request = self.request, version = self.version, pool = pool.as_str(),
+            wait = wait.0;
+            "entry: pool takes no work"
+        );
+    }
+
     /// Logs a failed attempt.
     pub fn fault(&self, fault: Fault, cause: &str, again: bool, repeats: &State) {
         Metrics::count(&self.shared.metrics.faults, fault.code());
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -139,6 +139,11 @@
         );
     }
 
+    /// How long a pool takes no work, if no endpoint of it does now.
+    pub fn closed_for(&self, pool: &PoolId, now: Millis) -> Option<Millis> {
+        self.lock().closed_for(pool, now)
+    }
+
     /// Endpoints that want no requests now.
     pub fn pauses(&self, now: Millis) -> usize {
         self.lock().pauses(now)
