Words of endpoints: loads and cold times of another endpoint at the address aren't the asked one's

An endpoint whose address another one had was spared for that one's cold time, and counted its load, since both were taken from any answer, 421 included.

Cause: what an answer says was booked on the endpoint that was asked, whoever answered. Now all that an answer says of its endpoint passes the same question, whether that endpoint gave it: not a 421, not another attempt's answer, no other name in it.

--- a/crates/daemon/tests/route/own_word.rs
+++ b/crates/daemon/tests/route/own_word.rs
@@ -227,18 +227,36 @@
     assert_that!(arrivals(&bench), eq(1));
 }
 
-#[tokio::test]
-async fn what_another_endpoint_at_the_address_says_is_not_the_listed_ones_word() {
-    let bench = Bench::start(2).await;
-    bench.endpoints[1].say(LEAVING);
+/// Has the list say that the first endpoint lives where the second one listens.
+async fn misplace_first(bench: &Bench) {
     let mut entry = bench.endpoints[0].entry(POOL, "ready");
     entry["address"] = bench.endpoints[1].address().to_string().into();
     bench.store.put("servers", "e-0", entry);
     bench.until(0, "endpoint listed", 3).await;
     for number in 0..DRAWS {
-        send(&bench, format!("r-{number}"), "/plain/x").await;
+        send(bench, format!("r-{number}"), "/plain/x").await;
     }
     bench.until(0, "other-endpoint", 1).await;
+}
+
+#[tokio::test]
+async fn a_cold_time_that_another_endpoint_at_the_address_tells_spares_only_that_one() {
+    let bench = Bench::start(2).await;
+    bench.endpoints[1].say(Notice {
+        extra: Some(("medlarrill-cold-ms", "60000")),
+        ..Notice::default()
+    });
+    misplace_first(&bench).await;
+    bench.until(0, "\"begins\":\"e-1\"", 1).await;
+    let lines = bench.daemons[0].lines_with("endpoints in slow start");
+    assert_that!(lines.len(), eq(1), "{lines:?}");
+}
+
+#[tokio::test]
+async fn what_another_endpoint_at_the_address_says_is_not_the_listed_ones_word() {
+    let bench = Bench::start(2).await;
+    bench.endpoints[1].say(LEAVING);
+    misplace_first(&bench).await;
     let entry = bench.endpoints[0].entry(POOL, "ready");
     bench.store.put("servers", "e-0", entry);
     bench.until(0, "endpoint listed", 4).await;
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -244,6 +244,9 @@
 
 /// Takes note of what an endpoint says of itself in the head of an answer.
 fn hear(order: &Order, id: &InstanceId, told: &AnswerHead) {
+    if !told.is_from(&id.endpoint, &order.call.attempt) {
+        return;
+    }
     let placement = &order.shared.placement;
     if let Some(load) = told.load {
         placement.report(id, load, now());
@@ -251,9 +254,7 @@
     if let Some(left) = told.warming {
         placement.spare(id, left, now());
     }
-    if told.is_from(&id.endpoint, &order.call.attempt) {
-        placement.note(id, told.notice(), &order.call.attempt, now());
-    }
+    placement.note(id, told.notice(), &order.call.attempt, now());
 }
 
 /// Reads a body that isn't a stream.
