Copies: an age that is younger by its way only is no news

Cause: a daemon tells its followers at once when its copy proves newer. An age leaves out the way of its message, so that of two daemons that follow each other each hears of an age some milliseconds younger, tells that at once, and so on: the copy never grows old, and messages go round as fast as the links carry them.

Now only what is 100 ms newer is told before the next beat. Real news from the platform is newer by a call's length. Ruled out: counting the way in (it isn't known), telling with beats only (followers of followers would lag by a beat each).

--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -57,6 +57,11 @@
     },
 }
 
+/// Time by which a copy has to be newer for its followers to be told at once. An age leaves out the
+/// way of its message: copies that follow each other would take each other's word for news, again
+/// and again, and never grow old.
+const NEWS: Millis = Millis(100);
+
 /// Changes that bring a copy up to a revision.
 #[derive(Clone, PartialEq, Eq, Default)]
 #[derive(Debug)]
@@ -138,6 +143,12 @@
         self.heard.map(|heard| now.since(heard))
     }
 
+    /// Whether a copy that was up to date at `heard` is enough newer for followers to be told
+    /// before the next beat.
+    pub fn is_news(&self, heard: Millis) -> bool {
+        self.heard.is_none_or(|before| heard >= before + NEWS)
+    }
+
     /// Notes that the platform answers again after an outage of this length.
     pub fn platform_back(&mut self, outage: Millis, now: Millis) {
         if outage >= LAPSE {
--- a/crates/core/tests/routing/mirror.rs
+++ b/crates/core/tests/routing/mirror.rs
@@ -327,3 +327,47 @@
         expect_that!(changes.is_empty(), eq(waits));
     }
 }
+
+/// Two copies that follow each other after the platform has fallen silent; returns the messages
+/// between them, and what they take for their age at the end.
+fn follow_each_other(way: u64, end: u64) -> (usize, [Millis; 2]) {
+    const BEAT: usize = 500;
+    let mut copies = [mirror(), mirror()];
+    let mut told = 0;
+    let mut under_way = Vec::new();
+    for now in 1..=end {
+        let mut senders = Vec::new();
+        if (now as usize).is_multiple_of(BEAT) {
+            senders.extend([0, 1]);
+        }
+        let arrived: Vec<(u64, usize, Millis)> =
+            under_way.extract_if(.., |(at, _, _)| *at == now).collect();
+        for (_, to, age) in arrived {
+            let heard = Millis(now) - age;
+            if copies[to].is_news(heard) {
+                senders.push(to);
+            }
+            copies[to].apply(changes(vec![], 10), Some(heard), Millis(now));
+        }
+        for from in senders {
+            told += 1;
+            let age = copies[from].age(Millis(now)).expect("listed");
+            under_way.push((now + way, 1 - from, age));
+        }
+    }
+    (
+        told,
+        copies.map(|copy| copy.age(Millis(end)).expect("listed")),
+    )
+}
+
+#[gtest]
+fn copies_that_follow_each_other_in_an_outage_grow_old_and_tell_each_other_at_beats_only() {
+    for way in [1, 3, 20] {
+        let (told, ages) = follow_each_other(way, 10_000);
+        expect_that!(told, le(2 * 20), "{way} ms");
+        for age in ages {
+            expect_that!(age, ge(Millis(9_000)), "{way} ms");
+        }
+    }
+}
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -143,9 +143,8 @@
     /// Takes an update that was up to date at `heard`, if that is known.
     pub fn apply(&self, kind: Kind, update: Update, heard: Option<Millis>, now: Millis) {
         let mut copy = self.lock(kind);
-        let before = copy.mirror.age(now);
+        let is_news = heard.is_some_and(|heard| copy.mirror.is_news(heard));
         let changes = copy.mirror.apply(update, heard, now);
-        let is_news = copy.mirror.age(now) < before;
         if changes.is_empty() && is_news {
             // Followers of followers would otherwise lag by a beat for each daemon on the way.
             self.effects.send((kind, None)).ok();
