Own interface: an engine that refuses with a time to come back gets no work until then

The same cause elsewhere: a home that an engine refused waited 0.5 s, whatever time the engine had asked for, and a refusal that asked for none cut a longer pause short. Callers behind that home were refused by the engine again.

Now a pause is an ending of its own, kept up to ten minutes, and of those that overlap the last to end counts. The wait that waiting callers are judged by counts it already. The test fails with the old wait in its place (two dispatched within the pause, none after it, since all had been before).

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -36,6 +36,8 @@
 
 /// How long dispatch stops after the endpoint refused for want of room.
 const FULL_HOLD: Millis = Millis(500);
+/// Longest pause that an endpoint is given; a longer one is most likely a mistake.
+const PAUSE_MAX: Millis = Millis::from_secs(600);
 /// Shortest time between two looks at a waiting request.
 const REVIEW_STEP: Millis = Millis(50);
 /// Shortest time after which a refused caller is asked back.
@@ -203,8 +205,13 @@
         let Some(flight) = self.flights.remove(id) else {
             return;
         };
-        if ending == Ending::Full {
-            self.hold = Some(now + FULL_HOLD);
+        let pause = match ending {
+            Ending::Full => Some(FULL_HOLD),
+            Ending::Paused(pause) => Some(pause.min(PAUSE_MAX)),
+            Ending::Done | Ending::Failed => None,
+        };
+        if let Some(pause) = pause {
+            self.hold = self.hold.max(Some(now + pause));
             self.queue.correct(&flight.offer, flight.charged, 0);
             return;
         }
--- a/crates/core/src/admission/event.rs
+++ b/crates/core/src/admission/event.rs
@@ -93,6 +93,8 @@
     Failed,
     /// The endpoint refused it for want of room.
     Full,
+    /// The endpoint refused it, and wants no work for this long.
+    Paused(Millis),
 }
 
 /// What a home is told.
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -336,6 +336,24 @@
     expect_that!(dispatched(&home.handle(Event::Tick, wake)), eq(1));
 }
 
+#[gtest]
+fn an_endpoint_that_wants_a_pause_is_left_alone_until_the_last_of_them_ends() {
+    let mut home = open_home(settings(), 1);
+    fill(&mut home, 18, 10);
+    let mut refuse = |number, ending, now| {
+        let ended = Event::Finished {
+            id: id(number),
+            ending,
+        };
+        home.handle(ended, Millis(now))
+    };
+    expect_that!(refuse(0, Ending::Paused(Millis(3000)), 20), is_empty());
+    expect_that!(refuse(1, Ending::Paused(Millis(1000)), 30), is_empty());
+    expect_that!(refuse(2, Ending::Full, 40), is_empty());
+    expect_that!(dispatched(&home.handle(Event::Tick, Millis(3019))), eq(0));
+    expect_that!(dispatched(&home.handle(Event::Tick, Millis(3020))), gt(0));
+}
+
 #[gtest]
 fn flows_without_use_are_forgotten() {
     let mut home = open_home(settings(), 1);
--- a/crates/daemon/src/home/dispatch.rs
+++ b/crates/daemon/src/home/dispatch.rs
@@ -158,9 +158,10 @@
 
     async fn refused(&self, answer: &Answer) -> End {
         let sent = self.pool.refusal != RefusalMeaning::NotRun;
-        let after = endpoint::retry_after(&answer.headers).unwrap_or_default();
-        self.refuse(Reason::EndpointRefused, sent, after).await;
-        End::new(Ending::Full)
+        let after = endpoint::retry_after(&answer.headers);
+        let wait = after.unwrap_or_default();
+        self.refuse(Reason::EndpointRefused, sent, wait).await;
+        End::new(after.map_or(Ending::Full, Ending::Paused))
     }
 
     async fn refuse(&self, reason: Reason, sent: bool, after: Millis) {
