Callers that leave: the engine is told to end before a late frame has the home drop the request

Callers that leave cost engines their grace: the engine worked on.

Cause, by reading the way of a cancel and by the log (`answers what nobody waits for` at that moment): a try that is let go of is closed at once, and the word to cancel goes out from a task of its own. A piece of the answer that comes in between finds no try, and the home is told to drop the request, without a word to the engine. The later word to cancel finds it gone.

Now the try is held until the word to cancel is on its way; what comes meanwhile goes nowhere. Links keep the order.

--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -292,13 +292,15 @@
 
 impl Drop for Try {
     fn drop(&mut self) {
-        self.context.attempts.close(self.id, &mut self.arrivals);
         if self.ended {
+            self.context.attempts.close(self.id, &mut self.arrivals);
             return;
         }
         let context = Arc::clone(&self.context);
         let daemon = self.daemon.clone();
-        let attempt = Some(self.id.into());
+        let (id, attempt) = (self.id, Some(self.id.into()));
+        let (_, closed) = mpsc::unbounded_channel();
+        let mut arrivals = std::mem::replace(&mut self.arrivals, closed);
         tokio::spawn(async move {
             // If the home can't be told, its own timeout ends the work.
             let _ = context
@@ -311,6 +313,9 @@
                     }),
                 )
                 .await;
+            // Held until now: a frame that finds no try has the home drop the request, which
+            // must not reach it before the word that the engine is to end the work.
+            context.attempts.close(id, &mut arrivals);
         });
     }
 }
