Notices: an answer under way while a later start is listed is that one's word, or nobody's

By reading: a notice that came for the instance that was listed when its request was sent replaced what the later start, listed meanwhile, had said: a pause asked of the one ended that the other leaves, once its entry was written again. The test failed so.

Now whose word it is, is settled before it is kept: the listed instance's, if that began before the answer came, else nobody's that is listed. What is kept belongs to the listed instance always.

--- a/crates/core/src/routing/notices.rs
+++ b/crates/core/src/routing/notices.rs
@@ -58,15 +58,21 @@
 impl Record {
     /// Whether a listed instance is the one that spoke.
     fn is_of(&self, id: &InstanceId) -> bool {
-        if self.id == *id {
-            return true;
-        }
-        let spoke = |born: u64| born <= self.wall.0;
-        match (self.id.born, id.born) {
-            (Some(before), Some(born)) => born > before && spoke(born.0),
-            (None, Some(born)) => spoke(born.0),
-            (_, None) => false,
-        }
+        is_speaker(id, &self.id, self.wall)
+    }
+}
+
+/// Whether a listed instance gave the answer that came at `wall`, since the Unix epoch, to a request
+/// that was sent while another one was listed, or the same.
+pub fn is_speaker(listed: &InstanceId, asked: &InstanceId, wall: Millis) -> bool {
+    if listed == asked {
+        return true;
+    }
+    let spoke = |born: u64| born <= wall.0;
+    match (asked.born, listed.born) {
+        (Some(before), Some(born)) => born > before && spoke(born.0),
+        (None, Some(born)) => spoke(born.0),
+        (_, None) => false,
     }
 }
 
--- a/crates/core/src/routing/view/own_words.rs
+++ b/crates/core/src/routing/view/own_words.rs
@@ -4,7 +4,7 @@
 use crate::clock::Millis;
 use crate::ids::PoolId;
 use crate::routing::endpoint::InstanceId;
-use crate::routing::notices::Notice;
+use crate::routing::notices::{Notice, is_speaker};
 
 /// Time until a pool that has no endpoint left is asked again: about what a new one takes from its
 /// start until the platform lists it and daemons read that.
@@ -14,15 +14,15 @@
     /// Takes what an endpoint says of itself, at a time since the Unix epoch; says whether it is
     /// news. It counts also where the endpoint isn't listed any more, since it may be again.
     pub fn note(&mut self, id: &InstanceId, notice: Notice, now: Millis, wall: Millis) -> bool {
-        let is_news = self.notices.note(id, notice, now, wall);
         // A later start may have been listed while the request was under way.
-        if let Some(listed) = self.directory.instance(&id.endpoint).cloned() {
-            self.notices.list(&listed);
-            if self.notices.is_leaving(&listed) {
-                self.directory.set_leaving(&listed, now);
-            }
+        let listed = self.directory.instance(&id.endpoint).unwrap_or(id).clone();
+        if !is_speaker(&listed, id, wall) {
+            return false;
         }
-        is_news
+        if notice.leaving {
+            self.directory.set_leaving(&listed, now);
+        }
+        self.notices.note(&listed, notice, now, wall)
     }
 
     /// How long a pool takes no work of which no endpoint takes any now: until the first pause
--- a/crates/core/tests/routing/notices.rs
+++ b/crates/core/tests/routing/notices.rs
@@ -134,6 +134,17 @@
     expect_that!(is_used(&mut view, Millis(5000)), eq(false));
 }
 
+#[gtest]
+fn a_pause_asked_of_the_start_before_does_not_end_that_the_later_one_leaves() {
+    let (before, later) = (born("e-0", EPOCH), born("e-0", at(Millis(4000))));
+    let mut view = one(&before);
+    view.list(later.clone(), Millis(4500));
+    view.note(&later.id, LEAVING, Millis(5000), at(Millis(5000)));
+    view.note(&before.id, pause(500), Millis(5100), at(Millis(5100)));
+    view.list(Endpoint { slots: 9, ..later }, Millis(5200));
+    expect_that!(is_used(&mut view, Millis(9000)), eq(false));
+}
+
 #[gtest]
 fn an_answer_heard_before_the_listed_start_does_not_speak_for_it() {
     let before = born("e-0", EPOCH);
