Tests of the route: listeners on any port have an address of their own; an address in use is named

Cause: the daemons of a test share one port for each other at different addresses of the loopback. A daemon takes three ports that the kernel chooses before that one, at the same address, and the kernel may choose it. Shown without the daemon: of 60,000 starts of this kind 22 (0.037%) found the port taken, 0 of 60,000 with the other three at another address. Some 60 daemons start so in a run, so that about one run in fifty fails. Ruled out: another test at the address (each process and test has a part of its own). The error didn't say which of four addresses was meant; it does now. No assertion changed.

--- a/crates/daemon/tests/route/setup.rs
+++ b/crates/daemon/tests/route/setup.rs
@@ -89,9 +89,12 @@
             .first()
             .map_or(0, |first| first.listen[3].port());
         let [process, test] = self.network;
-        let ip = [127, process, test, 1 + number as u8];
+        let host = 1 + number as u8;
+        let (own, any) = ([127, process, test, host], [127, process, test, 100 + host]);
         setup.first_start = first_start;
-        setup.listen = [0, 0, 0, port].map(|port| (ip, port).into());
+        // Listeners on any port have an address of their own, so that none takes the shared port.
+        let [callers, ready, metrics] = [any; 3].map(|ip| (ip, 0).into());
+        setup.listen = [callers, ready, metrics, (own, port).into()];
         let program = Program::new(env!("CARGO_BIN_EXE_medlarrilld"));
         let daemon = Routed::start(&program, self.folder.path(), &setup).expect("a daemon");
         self.daemons.push(daemon);
--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -1,6 +1,6 @@
 //! Options of sockets.
 
-use std::io::Result;
+use std::io::{Error, Result};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,13 +24,14 @@
 ///
 /// # Errors
 ///
-/// When the address can't be had.
+/// When the address can't be had, which the error names.
 pub fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let named = |error: Error| Error::new(error.kind(), format!("{address}: {error}"));
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
+    socket.bind(&address.into()).map_err(named)?;
+    socket.listen(BACKLOG).map_err(named)?;
     TcpListener::from_std(socket.into())
 }
 
