Notices: one longest pause, one question whether an endpoint takes work; the view's part is named notices

No behaviour changes. What the last reading of the change found to stand twice: the longest pause (routing and homes), and 'doesn't leave and isn't drained' in three places of the view.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -23,6 +23,7 @@
 use crate::clock::Millis;
 use crate::ids::AttemptId;
 use crate::reason::Reason;
+use crate::retry::LONGEST_PAUSE;
 use crate::units::Tokens;
 
 use bound::Bound;
@@ -36,8 +37,6 @@
 
 /// How long dispatch stops after the endpoint refused for want of room.
 const FULL_HOLD: Millis = Millis(500);
-/// Longest pause that an endpoint is given; a longer one is most likely a mistake.
-const PAUSE_MAX: Millis = Millis::from_secs(600);
 /// Shortest time between two looks at a waiting request.
 const REVIEW_STEP: Millis = Millis(50);
 /// Shortest time after which a refused caller is asked back.
@@ -207,7 +206,7 @@
         };
         let pause = match ending {
             Ending::Full => Some(FULL_HOLD),
-            Ending::Paused(pause) => Some(pause.min(PAUSE_MAX)),
+            Ending::Paused(pause) => Some(pause.min(LONGEST_PAUSE)),
             Ending::Done | Ending::Failed => None,
         };
         if let Some(pause) = pause {
--- a/crates/core/src/routing/notices.rs
+++ b/crates/core/src/routing/notices.rs
@@ -15,13 +15,12 @@
 
 use crate::clock::Millis;
 use crate::ids::EndpointId;
+use crate::retry::LONGEST_PAUSE;
 use crate::routing::endpoint::InstanceId;
 
 /// For how long an endpoint that isn't listed any more may come back as the same process, as it
 /// does where entries lapse in an outage of the platform.
 const KEPT: Millis = Millis::from_secs(600);
-/// Longest pause that is kept; a longer one is most likely a mistake.
-const PAUSE_MAX: Millis = Millis::from_secs(600);
 
 /// What one answer says of the endpoint that gave it.
 #[derive(Clone, Copy, PartialEq, Eq, Default)]
@@ -96,7 +95,7 @@
         let known = known.filter(|known| known.is_of(id));
         let (was_leaving, before) =
             known.map_or((false, Millis::ZERO), |known| (known.leaving, known.until));
-        let until = now + notice.pause.min(PAUSE_MAX);
+        let until = now + notice.pause.min(LONGEST_PAUSE);
         let record = Record {
             id: id.clone(),
             leaving: notice.leaving || was_leaving,
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -8,7 +8,7 @@
 mod drains;
 mod entries;
 mod judge;
-mod own_words;
+mod notices;
 mod sharing;
 mod sparing;
 
@@ -176,7 +176,7 @@
     pub fn has_other(&mut self, pool: &PoolId, plan: &Plan, id: &InstanceId, now: Millis) -> bool {
         let allowances = self.allowances(pool, now);
         let ready = |(endpoint, allowance): &(&Arc<Endpoint>, Allowance)| {
-            !endpoint.leaving && !self.is_drained(endpoint) && allowance.is_open()
+            self.takes_work(endpoint) && allowance.is_open()
         };
         let listed = self.directory.pool(pool).iter().zip(allowances);
         let mut ready = listed.filter(ready).map(|(endpoint, _)| endpoint);
--- a/crates/core/src/routing/view/drains.rs
+++ b/crates/core/src/routing/view/drains.rs
@@ -53,6 +53,11 @@
         self.drained.contains(&endpoint.data_centre)
     }
 
+    /// Whether an endpoint takes new work, be it little.
+    pub(super) fn takes_work(&self, endpoint: &Endpoint) -> bool {
+        !endpoint.leaving && !self.is_drained(endpoint)
+    }
+
     fn effect(&self, data_centre: &DataCentreId, now: Millis) -> Drain {
         let mut effect = Drain {
             endpoints: 0,
@@ -63,7 +68,7 @@
             let lost = pool.iter().filter(|e| e.data_centre == *data_centre);
             let lost = lost.count();
             effect.endpoints += lost;
-            let left = pool.iter().filter(|e| !e.leaving && !self.is_drained(e));
+            let left = pool.iter().filter(|e| self.takes_work(e));
             let slots: u32 = left.map(|endpoint| endpoint.slots).sum();
             match pool.first() {
                 Some(first) if lost > 0 && slots == 0 => effect.emptied.push(first.pool.clone()),
--- a/crates/core/src/routing/view/own_words.rs
+++ b/crates/core/src/routing/view/notices.rs
@@ -29,7 +29,7 @@
     /// ends, or a new endpoint may be listed. None where there is one that takes work.
     pub fn closed_for(&self, pool: &PoolId, now: Millis) -> Option<Millis> {
         let listed = self.directory.pool(pool).iter();
-        let staying = listed.filter(|e| !e.leaving && !self.is_drained(e));
+        let staying = listed.filter(|e| self.takes_work(e));
         let pauses = staying.map(|e| self.notices.pause(&e.id, now));
         let shortest = pauses.min().unwrap_or(NEWCOMER);
         (shortest > Millis::ZERO).then_some(shortest)
