Copies: only endpoints' entries lapse; a log line says when removals wait

Why: the trace of a late removal needed to know which copies hold removals back after what seems an outage. The line is written once for each such spell. The first trial with it showed it for the list of daemons, too, every 20 s at each daemon: that list is read so rarely that it always seems out of date, and nothing of it lapses. Configuration, drains and the list of daemons are kept as what lasts now; for endpoints nothing changes.

--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -313,8 +313,9 @@
         Change::Removed { name, revision }
     }
 
-    /// Until when an object that is missing now may be back.
-    fn grace(&self, now: Millis) -> Option<Millis> {
+    /// Until when an object that is missing now may be back, none where a removal takes effect at
+    /// once.
+    pub fn grace(&self, now: Millis) -> Option<Millis> {
         let until = self.back? + GRACE;
         (now < until && !self.lasts).then_some(until)
     }
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -34,6 +34,16 @@
     whole: Option<Packed>,
 }
 
+impl Copy {
+    /// A copy of objects that only somebody's word removes; entries of endpoints lapse.
+    fn lasting() -> Self {
+        Self {
+            mirror: Mirror::lasting(),
+            whole: None,
+        }
+    }
+}
+
 /// The copies.
 #[derive(Debug)]
 pub struct Copies {
@@ -55,13 +65,10 @@
     /// Copies of nothing.
     pub fn new(sinks: Sinks, has_drains: bool, listed: watch::Sender<bool>) -> Self {
         Self {
-            configuration: Mutex::default(),
-            drains: Mutex::new(Copy {
-                mirror: Mirror::lasting(),
-                whole: None,
-            }),
+            configuration: Mutex::new(Copy::lasting()),
+            drains: Mutex::new(Copy::lasting()),
             endpoints: Mutex::default(),
-            daemons: Mutex::default(),
+            daemons: Mutex::new(Copy::lasting()),
             sinks,
             effects: broadcast::Sender::new(LAG),
             has_drains,
@@ -144,7 +151,16 @@
     pub fn apply(&self, kind: Kind, update: Update, heard: Option<Millis>, now: Millis) {
         let mut copy = self.lock(kind);
         let is_news = heard.is_some_and(|heard| copy.mirror.is_news(heard));
+        let (age, waited) = (copy.mirror.age(now), copy.mirror.grace(now).is_some());
+        let failing = copy.mirror.failing(now);
         let changes = copy.mirror.apply(update, heard, now);
+        if !waited && copy.mirror.grace(now).is_some() {
+            log::info!(
+                target: "store", kind:%, age = age.map_or(0, |age| age.0),
+                failing = failing.map_or(0, |span| span.0);
+                "store: out of date before, removals wait"
+            );
+        }
         if changes.is_empty() && is_news {
             // Followers of followers would otherwise lag by a beat for each daemon on the way.
             self.effects.send((kind, None)).ok();
