Relays: a follower is told what it lacks once that is known, not what changed from nothing

Cause, by the logs of all daemons of a data centre: a daemon whose source was killed follows it again as soon as it listens, 10 to 50 ms before it has its first list. The source had nothing to send then, and sent its first list as changes: all that is there, nothing of what is gone. The follower took its revision with it, so that no later word told it either, and kept eight endpoints. The same where the first list is an old one, whose age isn't known: it was never sent to those who had asked before. Now a link sends, with the first word on a kind that has an age, all that changed since what the follower had when it asked. The other way, a first list told whole by the copy, left the second case. Tests: two through a whole daemon, failed before (changes without the removal; nothing within 20 s).

--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -3,6 +3,7 @@
 
 mod route {
     mod answers;
+    mod copies;
     mod crash;
     mod drains;
     mod own_word;
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -129,22 +129,20 @@
         self.lock(kind).mirror.age(now)
     }
 
-    /// What brings a copy of a revision up to this one, and the changes from then on.
-    pub fn subscribe(
-        &self,
-        kind: Kind,
-        revision: Option<u64>,
-    ) -> (Option<Packed>, broadcast::Receiver<Effects>) {
+    /// Changes of all kinds from now on.
+    pub fn subscribe(&self) -> broadcast::Receiver<Effects> {
+        self.effects.subscribe()
+    }
+
+    /// What brings a copy of a revision up to this one, none before the first list.
+    pub fn since(&self, kind: Kind, revision: Option<u64>) -> Option<Packed> {
         let mut copy = self.lock(kind);
-        let update = copy.mirror.since(revision);
-        let packed = update.map(|update| match (update.whole, &copy.whole) {
-            (true, Some(whole)) => whole.clone(),
-            _ => Packed::new(&update),
-        });
-        if revision.is_none() {
-            copy.whole.clone_from(&packed);
+        let update = copy.mirror.since(revision)?;
+        if !update.whole {
+            return Some(Packed::new(&update));
         }
-        (packed, self.effects.subscribe())
+        let whole = copy.whole.get_or_insert_with(|| Packed::new(&update));
+        Some(whole.clone())
     }
 
     /// Takes an update that was up to date at `heard`, if that is known.
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -89,43 +89,66 @@
     let ask = tokio::time::timeout(ASK.as_duration(), link.next()).await;
     let ask = ask.map_err(|_| RelayError::Silent)?;
     let ask = Ask::read(&ask.ok_or(RelayError::Closed)??)?;
-    let mut effects = None;
-    for kind in KINDS {
-        let (update, receiver) = store.copies.subscribe(kind, ask.revision(kind));
-        // The receiver of the first kind sees the changes of both from then on.
-        effects.get_or_insert(receiver);
-        if let Some(update) = update {
-            send(store, &mut link, kind, Some(update)).await?;
-        }
-    }
-    let Some(mut effects) = effects else {
-        return Ok(());
-    };
+    let mut effects = store.copies.subscribe();
+    let mut follower = Follower::new(store, link, ask);
     let mut beat = tokio::time::interval(BEAT.as_duration());
     loop {
         tokio::select! {
             effect = effects.recv() => match effect {
-                Ok((kind, update)) => send(store, &mut link, kind, update).await?,
+                Ok((kind, update)) => follower.tell(kind, update).await?,
                 Err(RecvError::Lagged(_)) => return Err(RelayError::Behind),
                 Err(RecvError::Closed) => return Ok(()),
             },
             _ = beat.tick() => {
                 for kind in KINDS {
-                    send(store, &mut link, kind, None).await?;
+                    follower.tell(kind, None).await?;
                 }
             }
         }
     }
 }
 
-async fn send(store: &Store, link: &mut Link, kind: Kind, update: Option<Packed>) -> Result<()> {
-    let Some(age) = store.copies.age(kind, now()) else {
-        return Ok(());
-    };
-    let failing = store.copies.failing(kind, now());
-    let sending = link.send(Tell::new(kind, update, age, failing).encode());
-    let sent = tokio::time::timeout(SILENT.as_duration(), sending).await;
-    Ok(sent.map_err(|_| RelayError::Silent)??)
+/// A daemon that follows this one's copies.
+struct Follower<'a> {
+    store: &'a Store,
+    link: Link,
+    /// What it had reached when it asked.
+    ask: Ask,
+    /// The kinds of which it was told what it lacked then.
+    started: Vec<Kind>,
+}
+
+impl<'a> Follower<'a> {
+    const fn new(store: &'a Store, link: Link, ask: Ask) -> Self {
+        Self {
+            store,
+            link,
+            ask,
+            started: Vec::new(),
+        }
+    }
+
+    /// Tells changes of a kind, or only how old the copy is; nothing before that is known.
+    async fn tell(&mut self, kind: Kind, update: Option<Packed>) -> Result<()> {
+        let Some(age) = self.store.copies.age(kind, now()) else {
+            return Ok(());
+        };
+        let update = match self.started.contains(&kind) {
+            true => update,
+            // A copy that knew nothing when it was asked changes from nothing to all it knows,
+            // which doesn't say what the follower has and is gone.
+            false => {
+                let lacks = self.store.copies.since(kind, self.ask.revision(kind));
+                self.started.push(kind);
+                lacks
+            }
+        };
+        let failing = self.store.copies.failing(kind, now());
+        let message = Tell::new(kind, update, age, failing).encode();
+        let sending = self.link.send(message);
+        let sent = tokio::time::timeout(SILENT.as_duration(), sending).await;
+        Ok(sent.map_err(|_| RelayError::Silent)??)
+    }
 }
 
 /// Follows the daemons that follow the platform, while this one isn't among them or has lost it.
