Loads: others' work that grows is carried on for placement by rank

Cause, traced before: a load is known some 0.1 to 0.5 s late, and in that time such an endpoint gets as many requests as lie between the bound and the limit. Now a daemon knows from two words, 0.2 s or more apart, how fast others' work at an endpoint grows, and adds that for the age of the word and the time that it was under way, 0.6 s at most. Work that falls is taken as told.

--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -399,11 +399,17 @@
         let ready = listed.iter().zip(&looks).filter(|(e, _)| !e.leaving);
         let failures: PoolFailures = ready.map(|(_, look)| *look).collect();
         let candidate = |((endpoint, look), allowance): ((&Arc<Endpoint>, &Look), Allowance)| {
-            let (load, load_age) = self.loads.look(&endpoint.id, now);
+            let estimate = self.loads.look(&endpoint.id, now);
+            // Where requests are drawn by load, all daemons would carry on each chance of others'
+            // choices, and shun and fill the same endpoints together.
+            let load = match shared {
+                Some(_) => estimate.grown,
+                None => estimate.told,
+            };
             let others = failures.others(look.failures);
             Candidate {
                 load,
-                load_age,
+                load_age: estimate.age,
                 standing: look.standing(others, self.daemons, now),
                 tried: plan.has_tried(&endpoint.id),
                 drained: self.is_drained(endpoint),
--- a/crates/core/tests/routing/load.rs
+++ b/crates/core/tests/routing/load.rs
@@ -40,3 +40,40 @@
     loads.forget(&id("a"));
     expect_that!(loads.in_flight().count(), eq(0));
 }
+
+/// Loads that heard 10 requests of others, and 14 a fifth of a second later.
+fn growing() -> Loads {
+    let mut loads = Loads::default();
+    loads.others(&id("a"), 10, Millis(1000));
+    loads.others(&id("a"), 14, Millis(1200));
+    loads
+}
+
+#[gtest]
+fn work_of_others_that_grows_is_carried_on_from_when_it_was_told() {
+    let loads = growing();
+    // Two requests in 100 ms, and what is told is 100 ms old.
+    expect_that!(loads.total(&id("a"), Millis(1200)), near(16.0, 1e-9));
+    let seen = loads.look(&id("a"), Millis(1200));
+    expect_that!(seen.told, near(14.0, 1e-9));
+    let seen = loads.look(&id("a"), Millis(1400));
+    expect_that!(seen.grown / seen.told, near(20.0 / 14.0, 1e-9));
+}
+
+#[gtest]
+fn work_of_others_is_not_taken_to_grow_for_long() {
+    let loads = growing();
+    for at in [1700, 3000, 9000] {
+        let seen = loads.look(&id("a"), Millis(at));
+        expect_that!(seen.grown / seen.told, near(26.0 / 14.0, 1e-9));
+    }
+}
+
+#[gtest]
+fn work_of_others_that_falls_or_was_not_told_for_long_does_not_grow() {
+    let mut loads = growing();
+    loads.others(&id("a"), 12, Millis(1400));
+    expect_that!(loads.total(&id("a"), Millis(1400)), near(12.0, 1e-9));
+    loads.others(&id("a"), 30, Millis(2300));
+    expect_that!(loads.total(&id("a"), Millis(2300)), near(30.0, 1e-9));
+}
