Notices: an answer belongs to a process that had started when the request was handed over

What callers would see: 503 unavailable from one daemon while its only endpoint takes work (the test), else an endpoint that one daemon never uses again. Cause, found by reading: a start that the list tells later was taken for the one that spoke if it had begun when the answer was read. A daemon that was frozen reads the old process's answer after the next start. Now the time counts at which the request was handed to its connection: whoever answers had started by then. Tests of whose word it is moved to a file of their own, unchanged.

--- a/crates/core/src/routing/notices.rs
+++ b/crates/core/src/routing/notices.rs
@@ -50,27 +50,28 @@
     until: Millis,
     /// When it was last heard.
     heard: Millis,
-    /// The same, since the Unix epoch.
-    wall: Millis,
+    /// When the request was handed over that it answered, since the Unix epoch.
+    handed: Millis,
 }
 
 impl Record {
     /// Whether a listed instance is the one that spoke.
     fn is_of(&self, id: &InstanceId) -> bool {
-        is_speaker(id, &self.id, self.wall)
+        is_speaker(id, &self.id, self.handed)
     }
 }
 
-/// Whether a listed instance gave the answer that came at `wall`, since the Unix epoch, to a request
-/// that was sent while another one was listed, or the same.
-pub fn is_speaker(listed: &InstanceId, asked: &InstanceId, wall: Millis) -> bool {
+/// Whether a listed instance gave the answer to a request that was handed over at a time since the
+/// Unix epoch, while another instance was listed, or the same. The time of the answer doesn't tell:
+/// a daemon may read it long after the process ended.
+pub fn is_speaker(listed: &InstanceId, asked: &InstanceId, handed: Millis) -> bool {
     if listed == asked {
         return true;
     }
-    let spoke = |born: u64| born <= wall.0;
+    let had_begun = |born: u64| born <= handed.0;
     match (asked.born, listed.born) {
-        (Some(before), Some(born)) => born > before && spoke(born.0),
-        (None, Some(born)) => spoke(born.0),
+        (Some(before), Some(born)) => born > before && had_begun(born.0),
+        (None, Some(born)) => had_begun(born.0),
         (_, None) => false,
     }
 }
@@ -85,9 +86,9 @@
 }
 
 impl Notices {
-    /// Takes the notice of an endpoint, known as this instance, at a time since the Unix epoch;
-    /// says whether it is news.
-    pub fn note(&mut self, id: &InstanceId, notice: Notice, now: Millis, wall: Millis) -> bool {
+    /// Takes the notice of an endpoint, known as this instance, in the answer to a request that was
+    /// handed over at a time since the Unix epoch; says whether it is news.
+    pub fn note(&mut self, id: &InstanceId, notice: Notice, now: Millis, handed: Millis) -> bool {
         if notice.is_empty() {
             return false;
         }
@@ -102,7 +103,7 @@
             // Each answer asks for a time of its own; a shorter one ends none.
             until: before.max(until),
             heard: now,
-            wall,
+            handed,
         };
         self.until = self.until.max(until);
         self.records.insert(id.endpoint.clone(), record);
--- a/crates/core/src/routing/view/notices.rs
+++ b/crates/core/src/routing/view/notices.rs
@@ -11,18 +11,19 @@
 const NEWCOMER: Millis = Millis(1000);
 
 impl View {
-    /// Takes what an endpoint says of itself, at a time since the Unix epoch; says whether it is
-    /// news. It counts also where the endpoint isn't listed any more, since it may be again.
-    pub fn note(&mut self, id: &InstanceId, notice: Notice, now: Millis, wall: Millis) -> bool {
+    /// Takes what an endpoint says of itself in the answer to a request that was handed over at a
+    /// time since the Unix epoch; says whether it is news. It counts also where the endpoint isn't
+    /// listed any more, since it may be again.
+    pub fn note(&mut self, id: &InstanceId, notice: Notice, now: Millis, handed: Millis) -> bool {
         // A later start may have been listed while the request was under way.
         let listed = self.directory.instance(&id.endpoint).unwrap_or(id).clone();
-        if !is_speaker(&listed, id, wall) {
+        if !is_speaker(&listed, id, handed) {
             return false;
         }
         if notice.leaving {
             self.directory.set_leaving(&listed, now);
         }
-        self.notices.note(&listed, notice, now, wall)
+        self.notices.note(&listed, notice, now, handed)
     }
 
     /// How long a pool takes no work of which no endpoint takes any now: until the first pause
--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -11,4 +11,5 @@
     mod setup;
     mod stop;
     mod store;
+    mod whose_word;
 }
--- a/crates/daemon/tests/route/own_word.rs
+++ b/crates/daemon/tests/route/own_word.rs
@@ -4,20 +4,18 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use medlarrill_platform_standin::{Arrival, Behaviour, Call, Endpoint, Notice, Reply};
-use serde_json::Value;
-use tokio::net::TcpListener;
+use medlarrill_platform_standin::{Arrival, Behaviour, Call, Notice, Reply};
 use tokio::time::Instant;
 
 use super::setup::{Bench, POOL};
 
-const LEAVING: Notice = Notice {
+pub const LEAVING: Notice = Notice {
     leaving: true,
     retry_after: None,
     extra: None,
 };
 /// Requests by which an endpoint that gets one in eight shows itself.
-const DRAWS: usize = 100;
+pub const DRAWS: usize = 100;
 /// Time after an answer that asked for a pause in which requests may still be on their way.
 const ON_THE_WAY: Duration = Duration::from_millis(500);
 const PATHS: [&str; 4] = ["/plain/x", "/once/x", "/stream/x", "/stream-once/x"];
@@ -36,11 +34,11 @@
     }
 }
 
-async fn send(bench: &Bench, attempt: String, path: &str) -> Reply {
+pub async fn send(bench: &Bench, attempt: String, path: &str) -> Reply {
     bench.send(&Call::new(attempt, path)).await
 }
 
-async fn send_many(bench: &Bench, name: &str) {
+pub async fn send_many(bench: &Bench, name: &str) {
     for number in 0..DRAWS {
         let path = PATHS[number % PATHS.len()];
         send(bench, format!("{name}-{number}"), path).await;
@@ -48,7 +46,7 @@
 }
 
 /// Sends until the first endpoint has answered once; returns when it got the request.
-async fn until_heard(bench: &Bench) -> Instant {
+pub async fn until_heard(bench: &Bench) -> Instant {
     for number in 0..DRAWS * 10 {
         send(bench, format!("first-{number}"), "/plain/x").await;
         if let Some(arrival) = bench.endpoints[0].arrivals().first() {
@@ -58,7 +56,7 @@
     panic!("the first endpoint got no request");
 }
 
-fn arrivals(bench: &Bench) -> usize {
+pub fn arrivals(bench: &Bench) -> usize {
     bench.endpoints[0].arrivals().len()
 }
 
@@ -166,105 +164,6 @@
     assert_that!(arrivals(&bench), eq(1));
 }
 
-fn born(endpoint: &Endpoint, at: u64) -> Value {
-    let mut entry = endpoint.entry(POOL, "ready");
-    entry["born"] = at.into();
-    entry
-}
-
-fn wall() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or(0, |now| now.as_millis() as u64)
-}
-
-/// Two endpoints that tell when they started, one of which said that it leaves.
-async fn one_leaves_of_two_with_births() -> Bench {
-    let mut bench = Bench::without_daemon(2).await;
-    for endpoint in &bench.endpoints {
-        let entry = born(endpoint, wall() - 60_000);
-        bench.store.put("servers", endpoint.id(), entry);
-    }
-    bench.add_daemon(&[]);
-    bench.ready(0, 2).await;
-    bench.endpoints[0].say(LEAVING);
-    until_heard(&bench).await;
-    bench
-}
-
-#[tokio::test]
-async fn an_endpoint_that_started_again_after_it_had_left_is_used() {
-    let mut bench = one_leaves_of_two_with_births().await;
-    let address = bench.endpoints[0].address();
-    let [_, other] = <[Endpoint; 2]>::try_from(bench.endpoints).expect("two");
-    let listener = listen_again(address).await;
-    let again = Endpoint::on(listener, "e-0", bench.ledger.clone(), 0).await;
-    bench.endpoints = vec![again.expect("an endpoint"), other];
-    let entry = born(&bench.endpoints[0], wall());
-    bench.store.put("servers", "e-0", entry);
-    bench.until(0, "endpoint started again", 1).await;
-    until_heard(&bench).await;
-}
-
-/// Listens where another listener has just ended.
-async fn listen_again(address: std::net::SocketAddr) -> TcpListener {
-    for _ in 0..1000 {
-        if let Ok(listener) = TcpListener::bind(address).await {
-            return listener;
-        }
-        Bench::pause(10).await;
-    }
-    panic!("{address} isn't free");
-}
-
-#[tokio::test]
-async fn a_start_that_the_list_tells_late_does_not_undo_what_that_process_said() {
-    let bench = one_leaves_of_two_with_births().await;
-    // It had started before it answered.
-    let entry = born(&bench.endpoints[0], wall() - 30_000);
-    bench.store.put("servers", "e-0", entry);
-    bench.until(0, "endpoint started again", 1).await;
-    send_many(&bench, "later").await;
-    assert_that!(arrivals(&bench), eq(1));
-}
-
-/// Has the list say that the first endpoint lives where the second one listens.
-async fn misplace_first(bench: &Bench) {
-    let mut entry = bench.endpoints[0].entry(POOL, "ready");
-    entry["address"] = bench.endpoints[1].address().to_string().into();
-    bench.store.put("servers", "e-0", entry);
-    bench.until(0, "endpoint listed", 3).await;
-    for number in 0..DRAWS {
-        send(bench, format!("r-{number}"), "/plain/x").await;
-    }
-    bench.until(0, "other-endpoint", 1).await;
-}
-
-#[tokio::test]
-async fn a_cold_time_that_another_endpoint_at_the_address_tells_spares_only_that_one() {
-    let bench = Bench::start(2).await;
-    bench.endpoints[1].say(Notice {
-        extra: Some(("medlarrill-cold-ms", "60000")),
-        ..Notice::default()
-    });
-    misplace_first(&bench).await;
-    bench.until(0, "\"begins\":\"e-1\"", 1).await;
-    let lines = bench.daemons[0].lines_with("endpoints in slow start");
-    assert_that!(lines.len(), eq(1), "{lines:?}");
-}
-
-#[tokio::test]
-async fn what_another_endpoint_at_the_address_says_is_not_the_listed_ones_word() {
-    let bench = Bench::start(2).await;
-    bench.endpoints[1].say(LEAVING);
-    misplace_first(&bench).await;
-    let entry = bench.endpoints[0].entry(POOL, "ready");
-    bench.store.put("servers", "e-0", entry);
-    bench.until(0, "endpoint listed", 4).await;
-    // It is avoided for a while after it wasn't found.
-    Bench::pause(2500).await;
-    until_heard(&bench).await;
-}
-
 /// Keeps sending until the first endpoint gets a request after the end of its pause.
 async fn send_through(bench: &Bench, end: Instant) {
     let is_after = |arrival: &Arrival| arrival.at >= end;
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
-use medlarrill_net::now::now;
+use medlarrill_net::now::{now, wall};
 
 use crate::socket;
 
@@ -80,6 +80,9 @@
     pub kept: Kept,
     /// Whether the connection was made for this request.
     pub fresh: bool,
+    /// When the request was handed to the connection, since the Unix epoch: whoever answers had
+    /// started by then.
+    pub handed: Millis,
 }
 
 impl Connections {
@@ -91,8 +94,17 @@
     pub async fn send(&self, endpoint: &Endpoint, request: Request<Full<Bytes>>) -> Result<Sent> {
         let mut request = request;
         while let Some(mut sender) = self.take(&endpoint.id) {
+            let handed = wall();
             match sender.try_send_request(request).await {
-                Ok(answer) => return Ok(self.sent(endpoint, sender, answer, false)),
+                Ok(answer) => {
+                    let kept = self.kept(endpoint, sender);
+                    return Ok(Sent {
+                        answer,
+                        kept,
+                        fresh: false,
+                        handed,
+                    });
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(SendError::Lost(error.into_error().to_string())),
@@ -100,8 +112,14 @@
             }
         }
         let mut sender = self.connect(endpoint.address).await?;
+        let handed = wall();
         match sender.try_send_request(request).await {
-            Ok(answer) => Ok(self.sent(endpoint, sender, answer, true)),
+            Ok(answer) => Ok(Sent {
+                answer,
+                kept: self.kept(endpoint, sender),
+                fresh: true,
+                handed,
+            }),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let cause = error.into_error().to_string();
@@ -113,22 +131,11 @@
         }
     }
 
-    fn sent(
-        &self,
-        endpoint: &Endpoint,
-        sender: Sender,
-        answer: Response<Incoming>,
-        fresh: bool,
-    ) -> Sent {
-        let kept = Kept {
+    fn kept(&self, endpoint: &Endpoint, sender: Sender) -> Kept {
+        Kept {
             sender,
             connections: self.clone(),
             id: endpoint.id.clone(),
-        };
-        Sent {
-            answer,
-            kept,
-            fresh,
         }
     }
 
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -206,7 +206,7 @@
     let told = headers::answer(head.status, &head.headers);
     let unread = &order.shared.unread;
     unread.report(&head.headers, &endpoint, &order.call.attempt);
-    hear(order, &endpoint, &told);
+    hear(order, &endpoint, &told, sent.handed);
     if sent.fresh {
         order.shared.metrics.connects.inc();
     }
@@ -242,8 +242,9 @@
     Err(failed)
 }
 
-/// Takes note of what an endpoint says of itself in the head of an answer.
-fn hear(order: &Order, id: &InstanceId, told: &AnswerHead) {
+/// Takes note of what an endpoint says of itself in the head of the answer to a request that was
+/// handed over at a time since the Unix epoch.
+fn hear(order: &Order, id: &InstanceId, told: &AnswerHead, handed: Millis) {
     if !told.is_from(&id.endpoint, &order.call.attempt) {
         return;
     }
@@ -254,7 +255,7 @@
     if let Some(left) = told.warming {
         placement.spare(id, left, now());
     }
-    placement.note(id, told.notice(), &order.call.attempt, now());
+    placement.note(id, told.notice(), handed, &order.call.attempt);
 }
 
 /// Reads a body that isn't a stream.
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -20,7 +20,7 @@
 use medlarrill_core::routing::request::SharedPrefix;
 use medlarrill_core::routing::slow_start::SlowStart;
 use medlarrill_core::routing::view::{Drain, Listed, Result, Spared, Verdict, View};
-use medlarrill_net::now::wall;
+use medlarrill_net::now::now;
 
 /// State behind a lock that is held for a few instructions, never while waiting.
 #[derive(Debug)]
@@ -127,9 +127,10 @@
         self.lock().report(id, report, now);
     }
 
-    /// Takes what an endpoint says of itself in the answer to a request.
-    pub fn note(&self, id: &InstanceId, notice: Notice, request: &str, now: Millis) {
-        if notice.is_empty() || !self.lock().note(id, notice, now, wall()) {
+    /// Takes what an endpoint says of itself in the answer to a request that was handed over at a
+    /// time since the Unix epoch.
+    pub fn note(&self, id: &InstanceId, notice: Notice, handed: Millis, request: &str) {
+        if notice.is_empty() || !self.lock().note(id, notice, now(), handed) {
             return;
         }
         log::info!(
