Soak: endpoints that say in their answers that they leave, or want a pause

Checked: nothing that a caller sent after its daemon had passed on such an answer reaches that process, and at most two requests of a daemon reach an endpoint in the pause that it asked that daemon for, from half a second on. Daemons of a soak share one port as those of the tests do, so that a start could find it taken; listeners on any port have an address of their own here, too. What is done to endpoints and daemons moved to a file of its own.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -148,6 +148,7 @@
     let plan = plan.with_entries(&mut Pcg32::seed_from_u64(!seed), length);
     let plan = plan.with_crashing(&mut Pcg32::seed_from_u64(seed.rotate_left(32)));
     let plan = plan.with_places(&mut Pcg32::seed_from_u64(!seed.rotate_left(32)), length);
+    let plan = plan.with_notices(&mut Pcg32::seed_from_u64(seed.rotate_left(16)), length);
     let mut world = World::start(program, seed, &plan).await?;
     let from = Instant::now();
     let mut traffic = Traffic::start(world.doors.clone(), seed);
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -1,11 +1,15 @@
 //! What callers and endpoints saw, against what the pages promise.
 
+mod notices;
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use derive_more::{Debug, Display};
 use medlarrill_platform_standin::{Reply, Run};
 
+pub use self::notices::PAUSE;
+use self::notices::{left, paused};
 use super::plan::Fault;
 use super::traffic::{CRASHING_ID, PATHS, Sent};
 use super::world::{Done, SPARED, World};
@@ -84,6 +88,26 @@
         /// Time since the platform knew.
         late: u128,
     },
+    /// An endpoint got work of a daemon that had passed on an answer that said that it leaves.
+    #[display("{request} reached e-{endpoint} {late} ms after an answer had said that it leaves")]
+    Heard {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: usize,
+        /// Time since that answer had ended.
+        late: u128,
+    },
+    /// An endpoint got work of a daemon that it had asked for a pause.
+    #[display("e-{endpoint} got {requests} requests of daemon {daemon} in the pause it asked for")]
+    Unpaused {
+        /// The endpoint.
+        endpoint: usize,
+        /// The daemon.
+        daemon: usize,
+        /// The requests.
+        requests: usize,
+    },
     /// An endpoint in a drained data centre got new work.
     #[display("{request} reached {endpoint} {late} ms after its data centre was drained")]
     Evacuated {
@@ -141,6 +165,8 @@
         found.extend(ran.iter().filter_map(|run| evacuated(world, run)));
     }
     found.extend(flooded(world, runs.values().flatten()));
+    found.extend(left(world, calls, &runs));
+    found.extend(paused(world, calls, &runs));
     found.extend(recovered.iter().filter_map(not_recovered));
     found.extend(crashed(world, calls, &runs));
     found
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -51,6 +51,11 @@
     DrainCentre(Duration),
     /// An endpoint tells that it has to be spared for a while.
     Warm(usize, Duration),
+    /// An endpoint says in its answers that it leaves, whatever its entry says; another process
+    /// follows it under its id.
+    Leave(usize, Duration),
+    /// An endpoint refuses all requests, and asks each daemon that sends one for a pause.
+    Pause(usize, Duration),
 }
 
 /// An entry that names no endpoint.
@@ -94,6 +99,7 @@
                 | Self::Forget
                 | Self::DrainCentre(_)
                 | Self::Warm(..)
+                | Self::Leave(..)
         )
     }
 
@@ -117,7 +123,9 @@
             | Self::Unlist(_, length)
             | Self::Foreign(_, _, length)
             | Self::DrainCentre(length)
-            | Self::Warm(_, length) => *length,
+            | Self::Warm(_, length)
+            | Self::Leave(_, length)
+            | Self::Pause(_, length) => *length,
             Self::Stop(_)
             | Self::Kill(_)
             | Self::Reload(_)
@@ -234,6 +242,25 @@
         self
     }
 
+    /// Adds endpoints that say in their answers that they leave or want a pause, to half of the
+    /// soaks in which endpoints tell when they started. Drawn from numbers of its own, too.
+    pub fn with_notices(mut self, rng: &mut Pcg32, length: Duration) -> Self {
+        let is_planned = self.events.iter().all(|event| event.fault.is_planned());
+        let has_notices = rng.random_bool(0.5) && self.births;
+        let mut at = CALM;
+        while has_notices && at < length {
+            let lasts = Duration::from_millis(rng.random_range(2000..5000));
+            let endpoint = rng.random_range(0..self.endpoints);
+            let fault = match is_planned || rng.random_bool(0.5) {
+                true => Fault::Leave(endpoint, lasts),
+                false => Fault::Pause(endpoint, lasts),
+            };
+            self.events.push(Event { at, fault });
+            at += Duration::from_millis(rng.random_range(0..6 * PAUSE_MS));
+        }
+        self
+    }
+
     fn draw_entry(&self, rng: &mut Pcg32) -> Fault {
         let endpoint = rng.random_range(0..self.endpoints);
         let length = Duration::from_millis(rng.random_range(200..3500));
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -1,4 +1,6 @@
-//! Daemons, stand-ins and proxies of one soak, and the faults done to them.
+//! Daemons, stand-ins and proxies of one soak.
+
+mod faults;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
@@ -7,19 +9,17 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Debug;
-use medlarrill_platform_standin::{Behaviour, Endpoint, Ledger, Outage, Store, configuration};
+use medlarrill_platform_standin::{Arrival, Behaviour, Endpoint, Ledger, Store};
 use medlarrill_testkit::fleet::Program;
-use medlarrill_testkit::proxy::{Harm, Proxy};
+use medlarrill_testkit::proxy::Proxy;
 use medlarrill_testkit::routed::{Routed, Setup, read};
 use nix::sys::signal::Signal;
-use serde_json::Value;
 use tempfile::TempDir;
-use tokio::net::TcpListener;
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 
 use super::check::Violation;
-use super::plan::{Event, Fault, Plan};
+use super::plan::{Fault, Plan};
 use super::traffic::{Door, Doors};
 use super::{Result, SoakError};
 
@@ -62,6 +62,13 @@
     pub from: Instant,
 }
 
+/// Events that have an endpoint say something of itself now.
+#[derive(Clone, Copy, Default, Debug)]
+struct Words {
+    leaving: usize,
+    pausing: usize,
+}
+
 /// A daemon over its restarts.
 #[derive(Debug)]
 struct Daemon {
@@ -94,6 +101,8 @@
     version: u64,
     /// When each endpoint started, if they tell.
     births: Vec<Option<u64>>,
+    /// What each endpoint says of itself.
+    words: Vec<Words>,
     /// When endpoints were found to have ended.
     crashed: Vec<Option<Instant>>,
     /// Whether there are two data centres and slow starts.
@@ -130,6 +139,7 @@
             restarts: Vec::new(),
             version: 1,
             births: vec![plan.births.then_some(FIRST_BIRTH); plan.endpoints],
+            words: vec![Words::default(); plan.endpoints],
             crashed: vec![None; plan.endpoints],
             places: plan.places,
             warming: vec![None; plan.endpoints],
@@ -166,7 +176,10 @@
         let peers = |daemon: &Arc<Daemon>| daemon.setup.listen[3];
         let port = self.daemons.first().map_or(0, |first| peers(first).port());
         let mut setup = Setup::new(&format!("d-{number}"), proxy.address);
-        setup.listen = [0, 0, 0, port].map(|port| SocketAddr::new(ip, port));
+        // Listeners on any port have an address of their own, so that none takes the shared port.
+        let any = IpAddr::V4(Ipv4Addr::new(127, 10 + high % 200, low, 101 + number as u8));
+        let [callers, ready, metrics] = [any; 3].map(|ip| SocketAddr::new(ip, 0));
+        setup.listen = [callers, ready, metrics, SocketAddr::new(ip, port)];
         setup.seeds = self.daemons.iter().map(peers).take(2).collect();
         let routed = Routed::start(&self.program, self.folder.path(), &setup)?;
         setup.listen = routed.listen;
@@ -184,128 +197,6 @@
         Ok(door)
     }
 
-    /// Does what an event says.
-    pub async fn begin(&mut self, event: &Event) -> Result<()> {
-        self.done.push(Done {
-            fault: event.fault.clone(),
-            from: Instant::now(),
-        });
-        match &event.fault {
-            Fault::Stop(daemon) => self.end(*daemon, Signal::SIGTERM).await?,
-            Fault::Kill(daemon) => self.end(*daemon, Signal::SIGKILL).await?,
-            Fault::Freeze(daemon, _) => self.signal(*daemon, Signal::SIGSTOP).await,
-            Fault::Reload(daemon) => self.signal(*daemon, Signal::SIGHUP).await,
-            Fault::HarmStore(daemon, harm, _) => self.proxies[*daemon].harm(*harm),
-            Fault::HarmEndpoint(endpoint, harm, _) => self.endpoints[*endpoint].1.harm(*harm),
-            Fault::Store(outage, _) => self.store.fail(*outage),
-            Fault::Forget => self.store.forget(),
-            Fault::Configure => {
-                self.version += 1;
-                self.configure();
-            }
-            Fault::DrainCentre(_) => {
-                self.store.put(DRAINS, SECOND, serde_json::json!({}));
-            }
-            Fault::Warm(endpoint, length) => {
-                self.warming[*endpoint] = Some(Instant::now() + *length);
-                self.list(*endpoint, "ready");
-            }
-            Fault::Behave(endpoint, behaviour, _) => self.behave(*endpoint, *behaviour),
-            Fault::Crash(_) => {}
-            Fault::Drain(endpoint, _) => self.list(*endpoint, "draining"),
-            Fault::Unlist(endpoint, _) => {
-                let id = self.endpoints[*endpoint].0.id().to_owned();
-                self.store.remove("servers", &id);
-            }
-            Fault::Restart(endpoint) => {
-                let born = &mut self.births[*endpoint];
-                *born = born.map(|born| born + 1000);
-                self.list(*endpoint, "ready");
-            }
-            Fault::Foreign(endpoint, foreign, _) => {
-                let entry = foreign.of(self.entry(*endpoint, "ready"));
-                let id = self.endpoints[*endpoint].0.id();
-                self.store.put("servers", id, entry);
-            }
-        }
-        self.watch_ends().await
-    }
-
-    /// Ends what an event did.
-    pub async fn end_of(&mut self, event: &Event) -> Result<()> {
-        match &event.fault {
-            Fault::Freeze(daemon, _) => self.signal(*daemon, Signal::SIGCONT).await,
-            Fault::HarmStore(daemon, ..) => self.proxies[*daemon].harm(Harm::None),
-            Fault::HarmEndpoint(endpoint, ..) => self.endpoints[*endpoint].1.harm(Harm::None),
-            Fault::Store(..) => self.store.fail(Outage::None),
-            Fault::Behave(endpoint, ..) => self.behave(*endpoint, Behaviour::default()),
-            Fault::Drain(endpoint, _)
-            | Fault::Unlist(endpoint, _)
-            | Fault::Warm(endpoint, _)
-            | Fault::Foreign(endpoint, ..) => {
-                self.list(*endpoint, "ready");
-            }
-            Fault::DrainCentre(_) => {
-                self.store.remove(DRAINS, SECOND);
-            }
-            _ => {}
-        }
-        self.watch_ends().await
-    }
-
-    fn configure(&self) {
-        let mut config = configuration(self.version, POOL);
-        if self.places {
-            config["services"][0]["cold_per_s"] = SPARED.into();
-            config["services"][0]["cold_start_s"] = SLOW_START.into();
-        }
-        self.store.put("config", "main", config);
-    }
-
-    fn behave(&self, endpoint: usize, behaviour: Behaviour) {
-        self.endpoints[endpoint].0.behave(Behaviour {
-            crashes_on: Some(CRASHING),
-            ..behaviour
-        });
-    }
-
-    /// Notes endpoints that a request has ended, and starts them again after a while.
-    pub async fn watch_crashes(&mut self, seed: u64) -> Result<()> {
-        for number in 0..self.endpoints.len() {
-            if !self.endpoints[number].0.has_crashed() {
-                continue;
-            }
-            let now = Instant::now();
-            match self.crashed[number] {
-                None => {
-                    self.crashed[number] = Some(now);
-                    let fault = Fault::Crash(number);
-                    let from = now - NOTICED;
-                    self.done.push(Done { fault, from });
-                }
-                Some(at) if now.duration_since(at) >= DOWN => {
-                    self.start_again(number, seed).await?;
-                    self.crashed[number] = None;
-                }
-                Some(_) => {}
-            }
-        }
-        Ok(())
-    }
-
-    /// Starts an endpoint again under its id and at its address.
-    async fn start_again(&mut self, number: usize, seed: u64) -> Result<()> {
-        let (ended, _) = &self.endpoints[number];
-        let (id, address) = (ended.id().to_owned(), ended.address());
-        let listener = TcpListener::bind(address).await?;
-        let endpoint = Endpoint::on(listener, &id, self.ledger.clone(), seed).await?;
-        self.endpoints[number].0 = endpoint;
-        self.behave(number, Behaviour::default());
-        self.births[number] = self.births[number].map(|born| born + 1000);
-        self.list(number, "ready");
-        Ok(())
-    }
-
     /// Waits until daemons that were ended run again.
     pub async fn settle(&mut self) -> Result<()> {
         for restart in self.restarts.drain(..) {
@@ -346,28 +237,9 @@
         Ok(())
     }
 
-    fn list(&self, endpoint: usize, state: &str) {
-        let entry = self.entry(endpoint, state);
-        self.store
-            .put("servers", self.endpoints[endpoint].0.id(), entry);
-    }
-
-    /// An endpoint's entry, with its proxy's address.
-    fn entry(&self, number: usize, state: &str) -> Value {
-        let (endpoint, proxy) = &self.endpoints[number];
-        let mut entry = endpoint.entry(POOL, state);
-        entry["address"] = proxy.address.to_string().into();
-        if let Some(born) = self.births[number] {
-            entry["born"] = born.into();
-        }
-        if self.places && number % 2 == 1 {
-            entry["zone"] = SECOND.into();
-        }
-        if let Some(until) = self.warming[number] {
-            let left = until.saturating_duration_since(Instant::now());
-            entry["cold_remaining_ms"] = (left.as_millis() as u64).into();
-        }
-        entry
+    /// Requests that reached an endpoint since it last started.
+    pub fn arrivals(&self, endpoint: usize) -> Vec<Arrival> {
+        self.endpoints[endpoint].0.arrivals()
     }
 
     /// Keeps the plan, the logs and the broken promises of a soak.
--- /dev/null
+++ b/crates/lab/src/soak/world/faults.rs
@@ -0,0 +1,211 @@
+//! The faults done to daemons, endpoints and the store, and their ends.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use medlarrill_platform_standin::{Behaviour, Endpoint, Notice, Outage, configuration};
+use medlarrill_testkit::proxy::Harm;
+use nix::sys::signal::Signal;
+use serde_json::Value;
+use tokio::net::TcpListener;
+
+use super::super::Result;
+use super::super::check::PAUSE;
+use super::super::plan::{Event, Fault};
+use super::{
+    CRASHING, DOWN, DRAINS, Done, NOTICED, POOL, SECOND, SLOW_START, SPARED, Words, World,
+};
+
+impl World {
+    /// Does what an event says.
+    pub async fn begin(&mut self, event: &Event) -> Result<()> {
+        self.done.push(Done {
+            fault: event.fault.clone(),
+            from: Instant::now(),
+        });
+        match &event.fault {
+            Fault::Stop(daemon) => self.end(*daemon, Signal::SIGTERM).await?,
+            Fault::Kill(daemon) => self.end(*daemon, Signal::SIGKILL).await?,
+            Fault::Freeze(daemon, _) => self.signal(*daemon, Signal::SIGSTOP).await,
+            Fault::Reload(daemon) => self.signal(*daemon, Signal::SIGHUP).await,
+            Fault::HarmStore(daemon, harm, _) => self.proxies[*daemon].harm(*harm),
+            Fault::Store(outage, _) => self.store.fail(*outage),
+            Fault::Forget => self.store.forget(),
+            Fault::Configure => {
+                self.version += 1;
+                self.configure();
+            }
+            Fault::DrainCentre(_) => {
+                self.store.put(DRAINS, SECOND, serde_json::json!({}));
+            }
+            fault => self.begin_at_endpoint(fault),
+        }
+        self.watch_ends().await
+    }
+
+    fn begin_at_endpoint(&mut self, fault: &Fault) {
+        match fault {
+            Fault::HarmEndpoint(endpoint, harm, _) => self.endpoints[*endpoint].1.harm(*harm),
+            Fault::Warm(endpoint, length) => {
+                self.warming[*endpoint] = Some(Instant::now() + *length);
+                self.list(*endpoint, "ready");
+            }
+            Fault::Behave(endpoint, behaviour, _) => self.behave(*endpoint, *behaviour),
+            Fault::Drain(endpoint, _) => self.list(*endpoint, "draining"),
+            Fault::Unlist(endpoint, _) => {
+                let id = self.endpoints[*endpoint].0.id().to_owned();
+                self.store.remove("servers", &id);
+            }
+            Fault::Restart(endpoint) => {
+                let born = &mut self.births[*endpoint];
+                *born = born.map(|born| born + 1000);
+                self.list(*endpoint, "ready");
+            }
+            Fault::Foreign(endpoint, foreign, _) => {
+                let entry = foreign.of(self.entry(*endpoint, "ready"));
+                let id = self.endpoints[*endpoint].0.id();
+                self.store.put("servers", id, entry);
+            }
+            Fault::Leave(endpoint, _) => {
+                self.words[*endpoint].leaving += 1;
+                self.say(*endpoint);
+            }
+            Fault::Pause(endpoint, _) => {
+                self.words[*endpoint].pausing += 1;
+                self.say(*endpoint);
+                let behaviour = Behaviour {
+                    full: 1.0,
+                    ..Behaviour::default()
+                };
+                self.behave(*endpoint, behaviour);
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends what an event did.
+    pub async fn end_of(&mut self, event: &Event) -> Result<()> {
+        match &event.fault {
+            Fault::Freeze(daemon, _) => self.signal(*daemon, Signal::SIGCONT).await,
+            Fault::HarmStore(daemon, ..) => self.proxies[*daemon].harm(Harm::None),
+            Fault::HarmEndpoint(endpoint, ..) => self.endpoints[*endpoint].1.harm(Harm::None),
+            Fault::Store(..) => self.store.fail(Outage::None),
+            Fault::Behave(endpoint, ..) => self.behave(*endpoint, Behaviour::default()),
+            Fault::Leave(endpoint, _) => self.start_in_place(*endpoint),
+            Fault::Pause(endpoint, _) => {
+                self.words[*endpoint].pausing -= 1;
+                self.say(*endpoint);
+                self.behave(*endpoint, Behaviour::default());
+            }
+            Fault::Drain(endpoint, _)
+            | Fault::Unlist(endpoint, _)
+            | Fault::Warm(endpoint, _)
+            | Fault::Foreign(endpoint, ..) => {
+                self.list(*endpoint, "ready");
+            }
+            Fault::DrainCentre(_) => {
+                self.store.remove(DRAINS, SECOND);
+            }
+            _ => {}
+        }
+        self.watch_ends().await
+    }
+
+    pub(super) fn configure(&self) {
+        let mut config = configuration(self.version, POOL);
+        if self.places {
+            config["services"][0]["cold_per_s"] = SPARED.into();
+            config["services"][0]["cold_start_s"] = SLOW_START.into();
+        }
+        self.store.put("config", "main", config);
+    }
+
+    pub(super) fn behave(&self, endpoint: usize, behaviour: Behaviour) {
+        self.endpoints[endpoint].0.behave(Behaviour {
+            crashes_on: Some(CRASHING),
+            ..behaviour
+        });
+    }
+
+    /// Has an endpoint say what it has to, in all its answers.
+    fn say(&self, number: usize) {
+        let Words { leaving, pausing } = self.words[number];
+        self.endpoints[number].0.say(Notice {
+            leaving: leaving > 0,
+            retry_after: (pausing > 0).then_some(PAUSE.text),
+            ..Notice::default()
+        });
+    }
+
+    /// Has the process that said that it leaves be followed by another one under its id.
+    fn start_in_place(&mut self, number: usize) {
+        self.words[number].leaving -= 1;
+        self.say(number);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let now = now.map_or(0, |now| now.as_millis() as u64);
+        let born = &mut self.births[number];
+        *born = born.map(|born| now.max(born + 1));
+        self.list(number, "ready");
+    }
+
+    /// Notes endpoints that a request has ended, and starts them again after a while.
+    pub async fn watch_crashes(&mut self, seed: u64) -> Result<()> {
+        for number in 0..self.endpoints.len() {
+            if !self.endpoints[number].0.has_crashed() {
+                continue;
+            }
+            let now = Instant::now();
+            match self.crashed[number] {
+                None => {
+                    self.crashed[number] = Some(now);
+                    let fault = Fault::Crash(number);
+                    let from = now - NOTICED;
+                    self.done.push(Done { fault, from });
+                }
+                Some(at) if now.duration_since(at) >= DOWN => {
+                    self.start_again(number, seed).await?;
+                    self.crashed[number] = None;
+                }
+                Some(_) => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts an endpoint again under its id and at its address.
+    async fn start_again(&mut self, number: usize, seed: u64) -> Result<()> {
+        let (ended, _) = &self.endpoints[number];
+        let (id, address) = (ended.id().to_owned(), ended.address());
+        let listener = TcpListener::bind(address).await?;
+        let endpoint = Endpoint::on(listener, &id, self.ledger.clone(), seed).await?;
+        self.endpoints[number].0 = endpoint;
+        self.say(number);
+        self.behave(number, Behaviour::default());
+        self.births[number] = self.births[number].map(|born| born + 1000);
+        self.list(number, "ready");
+        Ok(())
+    }
+
+    pub(super) fn list(&self, endpoint: usize, state: &str) {
+        let entry = self.entry(endpoint, state);
+        self.store
+            .put("servers", self.endpoints[endpoint].0.id(), entry);
+    }
+
+    /// An endpoint's entry, with its proxy's address.
+    fn entry(&self, number: usize, state: &str) -> Value {
+        let (endpoint, proxy) = &self.endpoints[number];
+        let mut entry = endpoint.entry(POOL, state);
+        entry["address"] = proxy.address.to_string().into();
+        if let Some(born) = self.births[number] {
+            entry["born"] = born.into();
+        }
+        if self.places && number % 2 == 1 {
+            entry["zone"] = SECOND.into();
+        }
+        if let Some(until) = self.warming[number] {
+            let left = until.saturating_duration_since(Instant::now());
+            entry["cold_remaining_ms"] = (left.as_millis() as u64).into();
+        }
+        entry
+    }
+}
