--- a/crates/core/tests/routing/exchange.rs
+++ b/crates/core/tests/routing/exchange.rs
@@ -124,6 +124,22 @@
     }
 }
 
+#[gtest]
+fn requests_of_daemons_that_stand_still_count_at_their_endpoints_for_a_while() {
+    // Endpoints go on with them, or hold what they can't send.
+    let mut fleet = Fleet::new(30);
+    let now = fleet.run(30, 0, |_| report(7, 2, 0, 0));
+    let hubs = fleet.daemons[5].hubs(Millis(now));
+    let others = (0..30).filter(|number| !hubs.contains(&address(*number as u16)));
+    fleet.lost = others.take(6).collect();
+    fleet.run(15, now, |_| report(7, 2, 0, 0));
+    for number in (0..30).filter(|number| !fleet.lost.contains(number)) {
+        let others = fleet.heard[number].get(&7).copied().unwrap_or_default();
+        // Half of the twelve requests of those that stand still, at least.
+        expect_that!(others.in_flight, ge(46 + 6), "daemon {number}");
+    }
+}
+
 #[gtest]
 fn daemons_agree_on_two_hubs_and_replace_one_that_is_lost() {
     let mut fleet = Fleet::new(20);
