Tests and a benchmark of how a daemon's work grows with the endpoints

Work at 20,000 endpoints against 2,500, processor time, ratio over what would be in proportion (limit 3) or over the same work (limit 3).

--- a/crates/core/benches/choose.rs
+++ b/crates/core/benches/choose.rs
@@ -15,8 +15,8 @@
 use medlarrill_core::routing::view::View;
 use medlarrill_core::units::Tokens;
 
-/// Pools of a site of 75 VMs, of 295, and of the size to design for.
-const SIZES: [usize; 3] = [60, 326, 4500];
+/// Pools of some 75 VMs, of 300, of 1,000, and twice that.
+const SIZES: [usize; 5] = [60, 326, 4500, 10_000, 20_000];
 const NOW: Millis = Millis(60_000);
 
 fn name<T: std::str::FromStr>(text: &str) -> T
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -15,6 +15,7 @@
     mod exchange;
     mod fingerprint;
     mod fleet;
+    mod growth;
     mod health;
     mod instance;
     mod keeper;
