A list in proportion to its entries, not to their square

Cause: a complete list compares the name of each object that is known with each entry of the list, and each entry with all removals that are kept. A daemon follows two copies, so that the list of the second one does so at each start: 252 ms of a whole core at 10,000 entries, over 2 s on a VM with an eighth of one, in which it neither serves nor answers as a hub. Ruled out: decoding, which is in proportion. Now names are looked up. Removals are kept for as many as there are objects, at least 1,024 as before: at 1,024 a copy that lags by 11 s at 90 changes a second takes the whole list again.

--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -10,7 +10,7 @@
 //! [`REMOVAL_GRACE`], in which a running endpoint lists itself again. Objects that
 //! operators write don't expire.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use bytes::Bytes;
 use derive_more::Debug;
@@ -27,8 +27,9 @@
 /// daemon was affected. Longer than the platform holds a watch call and the pause after one (2.4 s
 /// together); entries were seen to expire after 3.6 s without heartbeats at the earliest.
 const STALE_AFTER: Millis = Millis(2800);
-/// Number of removals that are kept for daemons whose copies lag.
-const MAX_REMOVALS: usize = 1024;
+/// Minimum number of removals that are kept for daemons whose copies lag; at most as many as there
+/// are objects, since a complete list is shorter then.
+const MIN_REMOVALS: usize = 1024;
 
 /// An object of the platform.
 #[derive(Clone, PartialEq, Eq)]
@@ -85,6 +86,8 @@
     objects: BTreeMap<String, Object>,
     /// Latest removals: the revision and the object's name.
     removals: VecDeque<(u64, String)>,
+    /// Highest revision in `removals` of each name, and how often the name is there.
+    removed: HashMap<String, (u64, usize)>,
     /// Removals up to this revision are no longer all in `removals`.
     compacted: u64,
     /// Delayed removals: when each takes effect, and the revision of the removal.
@@ -258,7 +261,8 @@
     fn put(&mut self, object: Object) -> Option<Change> {
         let known = self.objects.get(&object.name);
         let is_old = known.is_some_and(|known| known.revision >= object.revision);
-        let removes = |(at, name): &(u64, String)| *name == object.name && *at >= object.revision;
+        let removed = self.removed.get(&object.name);
+        let is_removed = removed.is_some_and(|(at, _)| *at >= object.revision);
         if self
             .pending
             .get(&object.name)
@@ -266,7 +270,7 @@
         {
             self.pending.remove(&object.name);
         }
-        if is_old || self.removals.iter().any(removes) {
+        if is_old || is_removed {
             return None;
         }
         self.objects.insert(object.name.clone(), object.clone());
@@ -287,15 +291,13 @@
 
     /// Removes the objects that a complete list doesn't contain.
     fn remove_unlisted(&mut self, update: &Update, now: Millis) -> Vec<Change> {
-        let listed = |name: &String| {
-            let same =
-                |change: &Change| matches!(change, Change::Put(object) if object.name == *name);
-            update.changes.iter().any(same)
-        };
+        let puts = update.changes.iter();
+        let puts = puts.filter(|change| matches!(change, Change::Put(_)));
+        let listed: HashSet<&str> = puts.map(Change::name).collect();
         let names: Vec<String> = self
             .objects
             .keys()
-            .filter(|name| !listed(name))
+            .filter(|name| !listed.contains(name.as_str()))
             .cloned()
             .collect();
         let remove = |name| self.remove(name, update.revision, now);
@@ -308,13 +310,27 @@
         let revision = self
             .revision
             .map_or(revision, |reached| reached.max(revision));
-        self.removals.push_back((revision, name.clone()));
-        if self.removals.len() > MAX_REMOVALS
-            && let Some((at, _)) = self.removals.pop_front()
+        self.record_removal(name.clone(), revision);
+        Change::Removed { name, revision }
+    }
+
+    /// Keeps a removal for daemons whose copies lag, and drops the oldest ones.
+    fn record_removal(&mut self, name: String, revision: u64) {
+        let (latest, count) = self.removed.entry(name.clone()).or_default();
+        *latest = revision.max(*latest);
+        *count += 1;
+        self.removals.push_back((revision, name));
+        while self.removals.len() > MIN_REMOVALS.max(self.objects.len())
+            && let Some((at, name)) = self.removals.pop_front()
         {
             self.compacted = self.compacted.max(at);
+            if let Some((_, count)) = self.removed.get_mut(&name) {
+                *count -= 1;
+                if *count == 0 {
+                    self.removed.remove(&name);
+                }
+            }
         }
-        Change::Removed { name, revision }
     }
 
     /// Until when removals are delayed; none if they take effect at once.
