Start times of endpoints are pruned when their number has doubled

Cause: each endpoint that is new looked at the start times of all before it, 50 million looks for a list of 10,000. Ruled out: insertion into the sorted pool, whose memory moves were left as they are; with this change alone the test passes. What an entry counts as doesn't change, since the age of a record is checked where it is read. Test: a_first_list_takes_work_in_proportion_to_its_endpoints.

--- a/crates/core/src/routing/instance.rs
+++ b/crates/core/src/routing/instance.rs
@@ -18,6 +18,9 @@
 /// second, so that one whose clock was set back before a restart is accepted after this time.
 const LATE_WRITE: Millis = Millis::from_secs(8);
 
+/// Number of records up to which old ones aren't removed.
+const MIN_RECORDS: usize = 64;
+
 /// What a listed entry refers to.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug)]
@@ -38,6 +41,8 @@
     has_start_times: bool,
     /// Latest start time of each endpoint, and when its last entry arrived.
     latest: HashMap<EndpointId, (StartTime, Millis)>,
+    /// Number of records that remained when old ones were last removed.
+    retained: usize,
 }
 
 impl InstanceTracker {
@@ -65,9 +70,13 @@
         self.has_start_times
     }
 
-    /// Adds an unknown endpoint, and removes those without a recent entry.
+    /// Adds an unknown endpoint. Removes those without a recent entry whenever the number of records
+    /// has doubled: with each insertion, a list would take time by the square of its length.
     fn insert(&mut self, endpoint: EndpointId, started: StartTime, now: Millis) {
-        self.latest.retain(|_, (_, at)| now.since(*at) < LATE_WRITE);
+        if self.latest.len() >= 2 * self.retained.max(MIN_RECORDS) {
+            self.latest.retain(|_, (_, at)| now.since(*at) < LATE_WRITE);
+            self.retained = self.latest.len();
+        }
         self.latest.insert(endpoint, (started, now));
     }
 }
