Updates on other daemons take work by the busy endpoints

Cause: each summary, ten times a second, was applied by a walk over all listed endpoints with a hash of each one's id and four lookups: 1.4 ms at 10,000 endpoints and 6.8 ms at 20,000, 12 to 57 % of the share of a VM with an eighth of a core, though some hundred endpoints are busy. Ruled out: fewer summaries, which would make loads older for all fleets. Now the rows of the summary are applied, found by short id, and endpoints that aren't named have no requests of others. Loads that were idle for 5 s are dropped, so that growth after that is measured from the second report, as for an endpoint that was never busy.

--- a/crates/core/src/routing/exchange/own_share.rs
+++ b/crates/core/src/routing/exchange/own_share.rs
@@ -50,7 +50,7 @@
         new_outcomes: Vec<(u32, OutcomeCounts)>,
     ) -> PeerUpdate {
         let mut update = PeerUpdate::default();
-        for (endpoint, in_flight) in sums.loads() {
+        for (endpoint, in_flight) in sums.loads().filter(|(_, in_flight)| *in_flight > 0) {
             let own = self.loads.get(&endpoint).copied().unwrap_or_default();
             let others = PeerCounts {
                 in_flight: in_flight.saturating_sub(own),
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -27,6 +27,9 @@
 /// Age of a report when a daemon receives it: on average it waits half an interval at the sender,
 /// and half an interval again at the hub.
 const REPORT_DELAY: Millis = Millis(100);
+/// Time for which an endpoint without requests is remembered, so that its growth is measured from
+/// zero when it gets some.
+const IDLE_RETENTION: Millis = Millis::from_secs(5);
 /// Longest time over which the growth of others' load is extrapolated.
 const MAX_EXTRAPOLATION: Millis = Millis(600);
 
@@ -52,10 +55,38 @@
     others: u32,
     at: Millis,
     growth: Growth,
+    /// When there were last requests of any daemon.
+    busy_at: Millis,
+    /// The last update of all endpoints that named this one.
+    update: u64,
     /// Whether the endpoint was removed, so that this is dropped with its last request.
     removed: bool,
 }
 
+impl Load {
+    /// Sets the requests of other daemons, as reported at `now`.
+    fn set_others(&mut self, in_flight: u32, now: Millis) {
+        self.others = in_flight;
+        self.at = now;
+        self.growth.record(in_flight, now);
+        if self.own + in_flight > 0 {
+            self.busy_at = now;
+        }
+    }
+
+    fn estimate(&self, now: Millis) -> Estimate {
+        let age = now.since(self.at);
+        let (own, others) = (f64::from(self.own), f64::from(self.others));
+        let decay = age.decay_factor(HALF_LIFE);
+        let has_report = self.at > Millis::ZERO;
+        Estimate {
+            reported: own + others * decay,
+            extrapolated: own + (others + self.growth.since(age)) * decay,
+            age: has_report.then_some(age),
+        }
+    }
+}
+
 /// How fast the load of other daemons grows.
 #[derive(Clone, Copy, PartialEq, Default)]
 #[derive(Debug)]
@@ -109,6 +140,8 @@
 #[derive(Debug)]
 pub struct LoadTracker {
     loads: HashMap<InstanceId, Load, RandomState>,
+    /// Number of updates of all endpoints so far.
+    updates: u64,
 }
 
 impl LoadTracker {
@@ -144,9 +177,31 @@
             return;
         }
         let load = self.loads.entry(id.clone()).or_default();
-        load.others = in_flight;
-        load.at = now;
-        load.growth.record(in_flight, now);
+        load.set_others(in_flight, now);
+    }
+
+    /// Sets the requests that other daemons have in flight at all endpoints; those that `busy`
+    /// doesn't name have none. Takes time by the number of busy endpoints, not of all.
+    pub fn set_all_others<'a>(
+        &mut self,
+        busy: impl Iterator<Item = (&'a InstanceId, u32)>,
+        now: Millis,
+    ) {
+        self.updates += 1;
+        for (id, in_flight) in busy {
+            if in_flight > 0 {
+                let load = self.loads.entry(id.clone()).or_default();
+                load.set_others(in_flight, now);
+                load.update = self.updates;
+            }
+        }
+        for load in self.loads.values_mut() {
+            if load.update < self.updates && !load.removed {
+                load.set_others(0, now);
+            }
+        }
+        self.loads
+            .retain(|_, load| load.own > 0 || now.since(load.busy_at) < IDLE_RETENTION);
     }
 
     /// Removes an endpoint, once this daemon's last request there has ended.
@@ -181,17 +236,14 @@
 
     /// Estimates the requests at an endpoint.
     pub fn estimate(&self, id: &InstanceId, now: Millis) -> Estimate {
-        let Some(load) = self.loads.get(id) else {
-            return Estimate::default();
-        };
-        let age = now.since(load.at);
-        let (own, others) = (f64::from(load.own), f64::from(load.others));
-        let decay = age.decay_factor(HALF_LIFE);
-        let has_report = load.at > Millis::ZERO;
-        Estimate {
-            reported: own + others * decay,
-            extrapolated: own + (others + load.growth.since(age)) * decay,
-            age: has_report.then_some(age),
-        }
+        let load = self.loads.get(id);
+        load.map_or_else(Estimate::default, |load| load.estimate(now))
+    }
+
+    /// Estimated numbers of requests at all endpoints that have any.
+    pub fn estimates(&self, now: Millis) -> impl Iterator<Item = (&InstanceId, Estimate)> {
+        let is_busy = |load: &Load| load.own > 0 || load.others > 0 || load.growth.rate > 0.0;
+        let busy = self.loads.iter().filter(move |(_, load)| is_busy(load));
+        busy.map(move |(id, load)| (id, load.estimate(now)))
     }
 }
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -345,16 +345,21 @@
         for exchange::PrefixMove { prefix, endpoint } in update.moved {
             self.prefix_index.record(prefix, endpoint, now);
         }
-        for endpoint in self.directory.all() {
-            let short = exchange::short_id(&endpoint.id);
-            let others = update.endpoints.get(&short).copied().unwrap_or_default();
-            if is_on(Mechanism::ToldLoads) {
-                self.loads.set_others(&endpoint.id, others.in_flight, now);
-            }
-            let health = &mut self.health;
-            health.record_others(&endpoint.id, others.good, others.bad, now);
-            let responses = others.good + others.bad;
-            self.response_rates.record(&endpoint.id, responses, now);
+        let directory = &self.directory;
+        let rows = || {
+            update.endpoints.iter().flat_map(|(short, others)| {
+                let endpoints = directory.with_short_id(*short);
+                endpoints.map(move |endpoint| (&endpoint.id, *others))
+            })
+        };
+        for (id, others) in rows() {
+            self.health.record_others(id, others.good, others.bad, now);
+            self.response_rates
+                .record(id, others.good + others.bad, now);
+        }
+        if is_on(Mechanism::ToldLoads) {
+            let busy = rows().map(|(id, others)| (id, others.in_flight));
+            self.loads.set_all_others(busy, now);
         }
     }
 
