Health: records and reviews of the endpoints that have failed

Cause: any response made a record, and twice a second the health of each listed endpoint was computed, for the log only. Now a response of an endpoint without failures leaves no record, records whose failure rate fell below 0.001 are dropped, and a review reads the records. The mean over a pool counts its endpoints, with or without record. Ruled out: a rarer review, which would grow all the same.

--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -23,6 +23,8 @@
 /// An endpoint is avoided if its failure rate exceeds the mean of the pool's others by this.
 /// Failures that all of them share must not count against a single one.
 const MARGIN: f64 = 0.30;
+/// Failure rate that counts as none.
+const NEGLIGIBLE: f64 = 0.001;
 /// Time in which a failure rate halves without responses. Probes detect recovery sooner; if time
 /// alone cleared an endpoint that still fails, all daemons would send to it at once.
 const HALF_LIFE: Millis = Millis::from_secs(10);
@@ -75,6 +77,16 @@
     }
 }
 
+impl PoolFailures {
+    /// The sum over the endpoints that have failed, of `count` endpoints.
+    pub fn new(failed: impl Iterator<Item = HealthSnapshot>, count: usize) -> Self {
+        Self {
+            sum: failed.map(|snapshot| snapshot.failures).sum(),
+            count: u32::try_from(count).unwrap_or(u32::MAX),
+        }
+    }
+}
+
 impl FromIterator<HealthSnapshot> for PoolFailures {
     fn from_iter<I: IntoIterator<Item = HealthSnapshot>>(endpoints: I) -> Self {
         let mut pool = Self::default();
@@ -149,7 +161,7 @@
     }
 }
 
-/// Health of all endpoints as one daemon knows it.
+/// Health of all endpoints as one daemon knows it. Only endpoints that have failed have a record.
 #[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct Health {
@@ -159,9 +171,10 @@
 impl Health {
     /// Records a successful response, or the successful start of a stream.
     pub fn record_success(&mut self, id: &InstanceId, now: Millis) {
-        let record = self.records.entry(id.clone()).or_default();
-        record.refused = 0;
-        record.add(0.0, now);
+        if let Some(record) = self.records.get_mut(id) {
+            record.refused = 0;
+            record.add(0.0, now);
+        }
     }
 
     /// Records a failed attempt.
@@ -182,9 +195,14 @@
     /// Records outcomes that other daemons reported.
     pub fn record_others(&mut self, id: &InstanceId, good: u32, bad: u32, now: Millis) {
         let count = good + bad;
-        if count > 0 {
-            let record = self.records.entry(id.clone()).or_default();
-            record.add_many(count, f64::from(bad) / f64::from(count), now);
+        let failed = f64::from(bad) / f64::from(count);
+        match self.records.get_mut(id) {
+            Some(record) if count > 0 => record.add_many(count, failed, now),
+            None if bad > 0 => {
+                let record = self.records.entry(id.clone()).or_default();
+                record.add_many(count, failed, now);
+            }
+            _ => {}
         }
     }
 
@@ -198,6 +216,19 @@
         self.records.remove(id);
     }
 
+    /// Endpoints that have failed.
+    pub fn recorded(&self) -> impl Iterator<Item = &InstanceId> {
+        self.records.keys()
+    }
+
+    /// Removes the records of endpoints whose failures have lost their weight.
+    pub fn prune(&mut self, now: Millis) {
+        self.records.retain(|_, record| {
+            let is_down = now < record.down_until || record.refused > 0;
+            is_down || record.failures(now) >= NEGLIGIBLE
+        });
+    }
+
     /// Sum of the failure rates of a pool's endpoints.
     pub fn pool<'a>(&self, ids: impl Iterator<Item = &'a InstanceId>, now: Millis) -> PoolFailures {
         ids.map(|id| self.snapshot(id, now)).collect()
--- a/crates/core/src/routing/view/health.rs
+++ b/crates/core/src/routing/view/health.rs
@@ -1,12 +1,13 @@
 //! Health of endpoints compared with the others of their pool.
 
-use std::sync::Arc;
+use std::collections::{BTreeSet, HashMap};
 
 use derive_more::Debug;
 
 use super::View;
 use crate::clock::Millis;
-use crate::routing::endpoint::{Endpoint, InstanceId};
+use crate::ids::PoolId;
+use crate::routing::endpoint::InstanceId;
 use crate::routing::health::{HealthStatus, PoolFailures};
 
 /// An endpoint that is avoided from now on, or no longer.
@@ -23,25 +24,29 @@
 }
 
 impl View {
-    /// Reviews the health of all endpoints; returns those that are avoided since the last review,
-    /// or no longer.
+    /// Reviews the health of all endpoints that have failed; returns those that are avoided since
+    /// the last review, or no longer.
     pub fn review(&mut self, now: Millis) -> Vec<HealthChange> {
+        self.health.prune(now);
+        let failed = self.health.recorded().chain(&self.avoided);
+        let failed: BTreeSet<&InstanceId> = failed.collect();
         let mut changes = Vec::new();
-        for pool in self.directory.pools() {
-            let failures = self.failures(pool, now);
-            for endpoint in pool {
-                let id = &endpoint.id;
-                let (standing, others) = self.health_status(id, failures, now);
-                if standing.is_avoided() == self.avoided.contains(id) {
-                    continue;
-                }
-                changes.push(HealthChange {
-                    endpoint: id.clone(),
-                    standing,
-                    failures: self.health.failures(id, now),
-                    others,
-                });
+        let mut pools: HashMap<&PoolId, PoolFailures> = HashMap::new();
+        for endpoint in failed.into_iter().filter_map(|id| self.directory.get(id)) {
+            let pool = &endpoint.pool;
+            let failures = || self.failures(pool, now);
+            let failures = *pools.entry(pool).or_insert_with(failures);
+            let id = &endpoint.id;
+            let (standing, others) = self.health_status(id, failures, now);
+            if standing.is_avoided() == self.avoided.contains(id) {
+                continue;
             }
+            changes.push(HealthChange {
+                endpoint: id.clone(),
+                standing,
+                failures: self.health.failures(id, now),
+                others,
+            });
         }
         for change in &changes {
             match change.standing.is_avoided() {
@@ -53,9 +58,15 @@
     }
 
     /// Sum of the failure rates of a pool's endpoints that aren't leaving.
-    pub(super) fn failures(&self, pool: &[Arc<Endpoint>], now: Millis) -> PoolFailures {
-        let ready = pool.iter().filter(|endpoint| !endpoint.leaving);
-        self.health.pool(ready.map(|endpoint| &endpoint.id), now)
+    pub(super) fn failures(&self, pool: &PoolId, now: Millis) -> PoolFailures {
+        let Some(listed) = self.directory.get_pool(pool) else {
+            return PoolFailures::default();
+        };
+        let failed = self.health.recorded();
+        let failed = failed.filter_map(|id| self.directory.get(id));
+        let failed = failed.filter(|endpoint| endpoint.pool == *pool && !endpoint.leaving);
+        let failed = failed.map(|endpoint| self.health.snapshot(&endpoint.id, now));
+        PoolFailures::new(failed, listed.staying())
     }
 
     /// Health status of an endpoint, and the mean failure rate of the others of its pool.
