Removals wait once while one of two sources has lost the platform

Cause, by those logs: daemons of casa-ain followed one source that the store had turned away and one that it served. Each word of the first made an outage of it again, each answer that reached the second ended it, and the delay of removals after an outage began anew at 13.2, 15.6 and 16.9 s. Ruled out: the delay itself, which is for entries that lapse while the store is down. A failure that began before the copy was last confirmed by anyone is no outage of the platform. Test: removals_wait_only_once_while_one_of_two_sources_fails.

--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -163,8 +163,13 @@
         }
     }
 
-    /// Records that calls to the platform have failed since a time, here or at a source.
+    /// Records that calls to the platform have failed since a time, here or at a source. It isn't
+    /// unavailable if another daemon's copy was confirmed later: then only some daemons fail to
+    /// reach it, and as long as they do, each confirmation would count as a return of the platform.
     pub fn record_failure(&mut self, since: Millis, now: Millis) {
+        if self.confirmed.is_some_and(|confirmed| confirmed > since) {
+            return;
+        }
         let (first, _) = self.outage.unwrap_or((since, now));
         self.outage = Some((first.min(since), now));
     }
--- a/crates/core/tests/routing/mirror.rs
+++ b/crates/core/tests/routing/mirror.rs
@@ -373,3 +373,27 @@
         }
     }
 }
+
+/// Of two sources one has lost the platform, the other one hasn't.
+#[gtest]
+fn removals_wait_only_once_while_one_of_two_sources_fails() {
+    let mut mirror = mirror();
+    let fails_since = Millis(2000);
+    mirror.record_failure(fails_since, Millis(3500));
+    let confirmed = Millis(3600);
+    mirror.apply(changes(Vec::new(), 10), Some(confirmed), confirmed);
+    let until = mirror.grace(confirmed);
+    expect_that!(until, some(eq(confirmed + REMOVAL_GRACE)));
+    // The other source confirms its copy whenever the platform answers a call that it holds.
+    for now in [4900, 6200].map(Millis) {
+        mirror.record_failure(fails_since, now);
+        let confirmed = now + Millis(100);
+        mirror.apply(changes(Vec::new(), 10), Some(confirmed), confirmed);
+    }
+    let gone = mirror.apply(
+        changes(vec![removed("a", 11)], 11),
+        Some(Millis(6400)),
+        Millis(6400),
+    );
+    expect_that!(gone, elements_are![eq(&removed("a", 11))]);
+}
