Hubs whose sources fail follow all watchers

Seen in the same logs: a watcher that the store served had the change at 13.2 s, and casa-maarif and casa-hay got it at 15.0 and 15.2 s, since their hubs follow two of three watchers, both turned away, until others take their place after 2.4 s of silence each. Test: a_hub_whose_sources_fail_follows_all_watchers.

--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -288,16 +288,20 @@
 
     /// The daemons that this one follows. In a large fleet hubs follow the watchers, and the others
     /// follow their hubs, so that each change is sent to a data centre once for each of its hubs,
-    /// not for each of its daemons.
-    pub fn following(&self, cut_off: bool, now: Millis) -> Following {
+    /// not for each of its daemons. With `is_stale`, because the sources don't reach the platform, a
+    /// hub follows all watchers: another one may reach it.
+    pub fn following(&self, cut_off: bool, is_stale: bool, now: Millis) -> Following {
         let me = self.members.me;
         let watchers = self.watchers(cut_off, now);
         let hubs = self.hubs(now);
         let is_hub = hubs.contains(&me);
         let follows_hubs = self.is_large(now) && !is_hub;
         let mut chosen = if follows_hubs { hubs } else { Vec::new() };
-        chosen.extend(sources(me, &watchers, SOURCES));
-        chosen.truncate(SOURCES);
+        chosen.extend(sources(me, &watchers, WATCHERS));
+        chosen.truncate(match is_hub && is_stale {
+            true => WATCHERS,
+            false => SOURCES,
+        });
         Following {
             is_hub,
             is_indirect: follows_hubs && !watchers.contains(&me),
--- a/crates/core/tests/routing/centres.rs
+++ b/crates/core/tests/routing/centres.rs
@@ -190,12 +190,31 @@
     world.daemons[63].due = world.now + 1;
     world.run(10);
     let exchange = &world.daemons[63].exchange;
-    let following = exchange.following(false, Millis(world.now));
+    let following = exchange.following(false, false, Millis(world.now));
     expect_that!(following.sources.len(), eq(2));
     world.run(300);
     expect_that!(world.load_error(63), lt(MAX_LOAD_ERROR));
 }
 
+/// Two of three watchers may be turned away by the platform; a hub may follow just these.
+#[gtest]
+fn a_hub_whose_sources_fail_follows_all_watchers() {
+    let world = converged();
+    let now = Millis(world.now);
+    for hub in (0..5).flat_map(|number| hubs(&world, number)) {
+        let exchange = &world.daemons[hub].exchange;
+        let mut watchers = exchange.watchers(false, now);
+        watchers.retain(|watcher| *watcher != address(hub));
+        let calm = exchange.following(false, false, now);
+        expect_that!(calm.sources.len(), eq(2));
+        let stale = exchange.following(false, true, now);
+        expect_that!(stale.sources.len(), eq(watchers.len()));
+        for watcher in watchers {
+            expect_that!(stale.sources, contains(eq(&watcher)));
+        }
+    }
+}
+
 #[gtest]
 fn lost_datagrams_cost_no_knowledge() {
     let mut world = World::new(100, 5, 110);
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -12,6 +12,7 @@
 use tokio::net::UdpSocket;
 
 use crate::shared::Shared;
+use crate::store::Copies;
 
 /// Size of the receive buffer, the maximum of a UDP datagram.
 const MAX_DATAGRAM: usize = 64 << 10;
@@ -92,9 +93,10 @@
     }
 
     /// Updates the roles from the exchange.
-    fn update(&self, exchange: &Exchange, cut_off: bool, at: Millis) {
+    fn update(&self, exchange: &Exchange, copies: &Copies, at: Millis) {
         let mut state = self.lock();
-        state.following = exchange.following(cut_off, at);
+        let is_stale = copies.is_outage(at);
+        state.following = exchange.following(copies.is_cut_off(), is_stale, at);
         state.hubs = exchange.hubs(at);
         state.live_daemons = match state.following.is_hub {
             true => exchange.live_daemons(at).into(),
@@ -149,7 +151,7 @@
 /// Updates the roster; returns the number of live daemons.
 fn update(exchange: &Exchange, shared: &Shared, roster: &Roster, live: usize) -> usize {
     let before = roster.snapshot();
-    roster.update(exchange, shared.copies.is_cut_off(), now());
+    roster.update(exchange, &shared.copies, now());
     log_role(&before, &roster.snapshot(), exchange.live_count(now()));
     shared.placement.set_live(exchange.live_count(now()), now());
     log_live(exchange, live)
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -215,6 +215,12 @@
         self.lock(kind).mirror.outage(now)
     }
 
+    /// Whether calls to the platform for a required kind fail, here or at a source.
+    pub fn is_outage(&self, now: Millis) -> bool {
+        let mut required = KINDS.into_iter().filter(|kind| self.is_required(*kind));
+        required.any(|kind| self.outage(kind, now).is_some())
+    }
+
     /// Sets whether this daemon's calls to the platform fail.
     pub fn set_cut_off(&self, cut_off: bool) {
         self.cut_off.store(cut_off, Ordering::Relaxed);
