Pools: endpoints in an ordered map, not in sorted columns

Ruled out: entries in no order, since tests and logs rely on it; one column, which moves less but grows all the same.

--- a/crates/core/src/routing/choose/lazy.rs
+++ b/crates/core/src/routing/choose/lazy.rs
@@ -12,10 +12,10 @@
 use crate::routing::request::SharedPrefix;
 
 /// A pool whose candidates are built on demand.
-pub struct LazyPool<'a, F> {
-    /// The endpoints' ranks for prefixes.
-    pub nodes: &'a [Node<()>],
-    /// Builds the candidate at an index of `nodes`.
+pub struct LazyPool<N, F> {
+    /// The endpoints, each with its ranks for prefixes.
+    pub nodes: N,
+    /// Builds the candidate of an endpoint.
     pub candidate: F,
     /// Loads of the endpoints that take work.
     pub open: LoadSum,
@@ -23,7 +23,7 @@
     pub staying: LoadSum,
     /// The longest time that an endpoint has been listed.
     pub oldest: Millis,
-    /// The endpoints that are known to have been sent the prefix, in the order of `nodes`.
+    /// The endpoints that are known to have been sent the prefix.
     pub located: Vec<Candidate>,
 }
 
@@ -61,25 +61,24 @@
 /// Picks an endpoint for a prefix like [`choose`](super::choose); none if no endpoint under the
 /// bound is healthy and accepts the prefix, so that all have to be compared. Draws from `rng` only
 /// if it picks one.
-pub fn choose_lazily<F: FnMut(usize) -> Candidate>(
-    pool: LazyPool<'_, F>,
+pub fn choose_lazily<'a, T>(
+    pool: LazyPool<impl Iterator<Item = (&'a Node<()>, T)>, impl FnMut(T) -> Candidate>,
     prefix: &SharedPrefix,
     share: f64,
     may_probe: bool,
     rng: &mut Pcg32,
 ) -> Option<Choice> {
-    let LazyPool { nodes, oldest, .. } = pool;
     let mut candidate = pool.candidate;
     let bound = bound_of(pool.open, pool.staying);
     let mut under = Top::new(spread(share, pool.open.count));
     let (mut first, mut holder) = (Top::new(1), Top::new(1));
-    for (index, node) in nodes.iter().enumerate() {
+    for (node, endpoint) in pool.nodes {
         let rank = node.rank(prefix.key);
         if !under.takes(rank) && !holder.takes(rank) {
             continue;
         }
-        let candidate = candidate(index);
-        if may_hold(&candidate, oldest) {
+        let candidate = candidate(endpoint);
+        if may_hold(&candidate, pool.oldest) {
             holder.insert(rank, &candidate);
         }
         if candidate.is_suitable(Some(prefix), may_probe) {
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -13,7 +13,7 @@
 use crate::ids::{EndpointId, PoolId};
 use crate::routing::endpoint::{Endpoint, InstanceId};
 
-pub use pool::Pool;
+pub use pool::{Listed, Pool};
 use short_ids::ShortIds;
 
 /// Index of the listed endpoints.
@@ -28,8 +28,9 @@
 
 impl Directory {
     /// Endpoints of a pool sorted by id, including those that are leaving.
-    pub fn pool(&self, pool: &PoolId) -> &[Arc<Endpoint>] {
-        self.pools.get(pool).map_or(&[], Pool::endpoints)
+    pub fn pool(&self, pool: &PoolId) -> Vec<&Arc<Endpoint>> {
+        let pool = self.get_pool(pool).into_iter();
+        pool.flat_map(Pool::endpoints).collect()
     }
 
     /// A pool with endpoints, including those that are leaving.
@@ -37,9 +38,9 @@
         self.pools.get(pool)
     }
 
-    /// Endpoints of each pool.
-    pub fn pools(&self) -> impl Iterator<Item = &[Arc<Endpoint>]> {
-        self.pools.values().map(Pool::endpoints)
+    /// All pools that have had endpoints.
+    pub fn pools(&self) -> impl Iterator<Item = (&PoolId, &Pool)> {
+        self.pools.iter()
     }
 
     /// The endpoints with a short id; seldom more than one.
--- a/crates/core/src/routing/directory/pool.rs
+++ b/crates/core/src/routing/directory/pool.rs
@@ -1,6 +1,6 @@
 //! The endpoints of one pool.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use derive_more::Debug;
@@ -10,39 +10,46 @@
 use crate::placement::Node;
 use crate::routing::endpoint::{Endpoint, InstanceId};
 
-/// Endpoints of one pool sorted by id; the entries at one index of all columns describe one
-/// endpoint. A choice reads the ranks of all endpoints, so that these lie next to each other.
+/// Endpoints of one pool, sorted by id.
 #[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct Pool {
-    endpoints: Vec<Arc<Endpoint>>,
-    #[debug(skip)]
-    nodes: Vec<Node<()>>,
-    /// When each was first listed.
-    listed: Vec<Millis>,
+    endpoints: BTreeMap<InstanceId, Listed>,
     /// Number of endpoints in each data centre that aren't leaving.
     staying: HashMap<DataCentreId, usize>,
 }
 
+/// A listed endpoint.
+#[derive(Clone)]
+#[derive(Debug)]
+pub struct Listed {
+    /// The endpoint.
+    pub endpoint: Arc<Endpoint>,
+    /// Its ranks for prefixes.
+    pub node: Node<()>,
+    /// When it was first listed.
+    pub since: Millis,
+}
+
 impl Pool {
-    /// The endpoints.
-    pub fn endpoints(&self) -> &[Arc<Endpoint>] {
-        &self.endpoints
+    /// The endpoints with their ranks and ages.
+    pub fn listed(&self) -> impl Iterator<Item = &Listed> {
+        self.endpoints.values()
     }
 
-    /// The endpoints' ranks for prefixes.
-    pub fn nodes(&self) -> &[Node<()>] {
-        &self.nodes
+    /// The endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.listed().map(|listed| &listed.endpoint)
     }
 
-    /// When each endpoint was first listed.
-    pub fn listed(&self) -> &[Millis] {
-        &self.listed
+    /// An endpoint of this pool.
+    pub fn get(&self, id: &InstanceId) -> Option<&Listed> {
+        self.endpoints.get(id)
     }
 
     /// The longest time that an endpoint has been listed.
     pub fn oldest_age(&self, now: Millis) -> Millis {
-        let ages = self.listed.iter().map(|listed| now.since(*listed));
+        let ages = self.listed().map(|listed| now.since(listed.since));
         ages.max().unwrap_or_default()
     }
 
@@ -56,37 +63,26 @@
         self.staying.get(data_centre).copied().unwrap_or_default()
     }
 
-    /// Index of an endpoint.
-    pub fn position(&self, id: &InstanceId) -> Option<usize> {
-        self.endpoints
-            .binary_search_by(|other| other.id.cmp(id))
-            .ok()
-    }
-
-    pub(super) fn insert(&mut self, endpoint: Arc<Endpoint>, listed: Millis) {
-        let at = self
-            .endpoints
-            .partition_point(|other| other.id < endpoint.id);
+    pub(super) fn insert(&mut self, endpoint: Arc<Endpoint>, since: Millis) {
         if !endpoint.leaving {
             let data_centre = endpoint.data_centre.clone();
             *self.staying.entry(data_centre).or_default() += 1;
         }
-        self.nodes
-            .insert(at, Node::new((), endpoint.id.endpoint.as_str()));
-        self.listed.insert(at, listed);
-        self.endpoints.insert(at, endpoint);
+        let listed = Listed {
+            node: Node::new((), endpoint.id.endpoint.as_str()),
+            since,
+            endpoint,
+        };
+        self.endpoints.insert(listed.endpoint.id.clone(), listed);
     }
 
     pub(super) fn remove(&mut self, id: &InstanceId) {
-        if let Some(at) = self.position(id) {
-            let removed = self.endpoints.remove(at);
-            self.nodes.remove(at);
-            self.listed.remove(at);
-            if let Some(staying) = self.staying.get_mut(&removed.data_centre)
-                && !removed.leaving
-            {
-                *staying -= 1;
-            }
+        let removed = self.endpoints.remove(id);
+        let staying = removed.filter(|removed| !removed.endpoint.leaving);
+        if let Some(Listed { endpoint, .. }) = staying
+            && let Some(count) = self.staying.get_mut(&endpoint.data_centre)
+        {
+            *count -= 1;
         }
     }
 }
--- a/crates/core/src/routing/view/choosing.rs
+++ b/crates/core/src/routing/view/choosing.rs
@@ -12,7 +12,7 @@
 use crate::routing::choose::{
     Candidate, Choice, LazyPool, LoadSum, choose, choose_lazily, is_worth_fetching,
 };
-use crate::routing::directory::Pool;
+use crate::routing::directory::{Directory, Listed, Pool};
 use crate::routing::endpoint::{Endpoint, InstanceId};
 use crate::routing::exchange;
 use crate::routing::fleet::Fleet;
@@ -40,7 +40,7 @@
         let (notices, fleet) = (&self.notices, &self.fleet);
         let mut allowances = Allowances::new(pool, notices, &mut self.slow_starts, fleet, now);
         let drained = &self.drained;
-        listed.endpoints().iter().any(|endpoint| {
+        listed.endpoints().any(|endpoint| {
             let takes_work = !endpoint.leaving && !drained.contains(&endpoint.data_centre);
             let is_other = endpoint.id != *id && !plan.has_tried(&endpoint.id);
             takes_work && is_other && allowances.get(&endpoint.id).is_open()
@@ -96,7 +96,6 @@
         let may_probe = plan.is_idempotent();
         let failures = self.failures(pool, now);
         let (open, staying) = self.load_sums(pool, now);
-        let located = shared.map(|prefix| self.locations(pool, prefix));
         let listed = self.directory.get_pool(pool)?;
         let (notices, fleet) = (&self.notices, &self.fleet);
         let mut source = CandidateSource {
@@ -112,11 +111,11 @@
             now,
         };
         if let Some(prefix) = shared {
-            let located = located.into_iter().flatten();
+            let located = locations(&self.prefix_index, &self.directory, listed, prefix);
             let lazy = LazyPool {
-                located: located.map(|at| source.candidate(listed, at)).collect(),
-                nodes: listed.nodes(),
-                candidate: |at| source.candidate(listed, at),
+                located: located.map(|located| source.candidate(located)).collect(),
+                nodes: listed.listed().map(|listed| (&listed.node, listed)),
+                candidate: |listed: &Listed| source.candidate(listed),
                 open,
                 staying,
                 oldest: listed.oldest_age(now),
@@ -126,8 +125,8 @@
                 return choice;
             }
         }
-        let all = 0..listed.endpoints().len();
-        let all: Vec<Candidate> = all.map(|at| source.candidate(listed, at)).collect();
+        let all = listed.listed().map(|listed| source.candidate(listed));
+        let all: Vec<Candidate> = all.collect();
         let (local, rng) = (&self.data_centre, &mut self.rng);
         choose(&all, shared, share, local, may_probe, rng)
     }
@@ -160,19 +159,6 @@
         (open, staying)
     }
 
-    /// Indexes of the endpoints of a pool that were sent a prefix, in ascending order.
-    fn locations(&self, pool: &PoolId, prefix: &SharedPrefix) -> Vec<usize> {
-        let Some(listed) = self.directory.get_pool(pool) else {
-            return Vec::new();
-        };
-        let endpoints = self.prefix_index.locations(exchange::short_key(prefix.key));
-        let endpoints = endpoints.flat_map(|short| self.directory.with_short_id(short));
-        let positions = endpoints.filter_map(|endpoint| listed.position(&endpoint.id));
-        let mut positions: Vec<usize> = positions.collect();
-        positions.sort_unstable();
-        positions
-    }
-
     /// Records where a prefix was sent, and queues a report if other daemons can't derive it.
     fn record_prefix(&mut self, prefix: &SharedPrefix, choice: &Choice, now: Millis) {
         if !is_worth_fetching(prefix) || !is_on(Mechanism::ToldPrefixes) {
@@ -228,6 +214,18 @@
     }
 }
 
+/// The endpoints of a pool that were sent a prefix.
+fn locations<'a>(
+    index: &'a PrefixIndex,
+    directory: &'a Directory,
+    pool: &'a Pool,
+    prefix: &SharedPrefix,
+) -> impl Iterator<Item = &'a Listed> {
+    let short_ids = index.locations(exchange::short_key(prefix.key));
+    let endpoints = short_ids.flat_map(|short| directory.with_short_id(short));
+    endpoints.filter_map(|endpoint| pool.get(&endpoint.id))
+}
+
 /// What may be sent to the endpoints of a pool now.
 struct Allowances<'a> {
     pool: &'a PoolId,
@@ -287,8 +285,8 @@
 }
 
 impl CandidateSource<'_> {
-    fn candidate(&mut self, pool: &Pool, index: usize) -> Candidate {
-        let (endpoint, now) = (&pool.endpoints()[index], self.now);
+    fn candidate(&mut self, listed: &Listed) -> Candidate {
+        let (endpoint, now) = (&listed.endpoint, self.now);
         let id = &endpoint.id;
         let estimate = self.loads.estimate(id, now);
         let health = self.health.snapshot(id, now);
@@ -300,7 +298,7 @@
             tried: self.plan.has_tried(id),
             drained: self.drained.contains(&endpoint.data_centre),
             allowance: self.allowances.get(id),
-            age: now.since(pool.listed()[index]),
+            age: now.since(listed.since),
             prefix_age: self.prefix_age(endpoint),
             endpoint: Arc::clone(endpoint),
         }
--- a/crates/core/src/routing/view/drains.rs
+++ b/crates/core/src/routing/view/drains.rs
@@ -66,20 +66,21 @@
             emptied: Vec::new(),
             busy: 0.0,
         };
-        for pool in self.directory.pools() {
-            let lost = pool.iter().filter(|e| e.data_centre == *data_centre);
+        for (name, pool) in self.directory.pools() {
+            let lost = pool.endpoints().filter(|e| e.data_centre == *data_centre);
             let lost = lost.count();
+            if lost == 0 {
+                continue;
+            }
             effect.endpoints += lost;
-            let left = pool.iter().filter(|e| self.takes_work(e));
+            let left = pool.endpoints().filter(|e| self.takes_work(e));
             let slots: u32 = left.map(|endpoint| endpoint.slots).sum();
-            match pool.first() {
-                Some(first) if lost > 0 && slots == 0 => effect.emptied.push(first.pool.clone()),
-                Some(_) if lost > 0 => {
-                    let load: f64 = pool.iter().map(|e| self.loads.total(&e.id, now)).sum();
-                    effect.busy = effect.busy.max(load / f64::from(slots));
-                }
-                _ => {}
+            if slots == 0 {
+                effect.emptied.push(name.clone());
+                continue;
             }
+            let loads = pool.endpoints().map(|e| self.loads.total(&e.id, now));
+            effect.busy = effect.busy.max(loads.sum::<f64>() / f64::from(slots));
         }
         effect
     }
--- a/crates/core/src/routing/view/notices.rs
+++ b/crates/core/src/routing/view/notices.rs
@@ -3,6 +3,7 @@
 use super::View;
 use crate::clock::Millis;
 use crate::ids::PoolId;
+use crate::routing::directory::Pool;
 use crate::routing::endpoint::InstanceId;
 use crate::routing::notices::{Notice, answered_by};
 
@@ -35,7 +36,8 @@
     /// Time for which no endpoint of a pool takes new work: until the first pause ends, or a new
     /// endpoint may be listed. `None` if an endpoint takes work now.
     pub fn closed_for(&self, pool: &PoolId, now: Millis) -> Option<Millis> {
-        let listed = self.directory.pool(pool).iter();
+        let listed = self.directory.get_pool(pool).into_iter();
+        let listed = listed.flat_map(Pool::endpoints);
         let staying = listed.filter(|e| self.takes_work(e));
         let pauses = staying.map(|e| self.notices.pause(&e.id, now));
         let shortest = pauses.min().unwrap_or(LISTING_DELAY);
--- a/crates/core/tests/routing/choose_plain.rs
+++ b/crates/core/tests/routing/choose_plain.rs
@@ -158,7 +158,7 @@
     let staying = all.iter().filter(|c| !c.endpoint.leaving);
     let mut seen = 0;
     let pool = LazyPool {
-        nodes: &nodes,
+        nodes: nodes.iter().zip(0..),
         candidate: |at: usize| {
             seen += 1;
             all[at].clone()
