A datagram that isn't sent is counted and logged

Cause: a message that the socket refuses, such as one over 64 KB, was told at debug only. Now medlarrill_unsent_total counts it, and a warning names its receiver, length and cause, five lines in ten seconds; a refusal by a daemon that has ended stays at debug.

--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -46,6 +46,8 @@
     pub failed_calls: Counter,
     /// Entries of the store that couldn't be decoded.
     pub unreadable: Counter,
+    /// Datagrams to other daemons that couldn't be sent.
+    pub unsent: Counter,
     /// Response headers of endpoints that nothing reads.
     pub unread_headers: Counter,
     /// Requests in flight.
@@ -93,6 +95,7 @@
             platform_calls: Counter::default(),
             failed_calls: Counter::default(),
             unreadable: Counter::default(),
+            unsent: Counter::default(),
             unread_headers: Counter::default(),
             in_flight: Gauge::default(),
             connections: Gauge::default(),
@@ -133,6 +136,8 @@
         r.register("failed_calls", "Calls to the platform that failed", failed);
         let unreadable = self.unreadable.clone();
         r.register("unreadable", "Entries that can't be read", unreadable);
+        let unsent = self.unsent.clone();
+        r.register("unsent", "Datagrams that can't be sent", unsent);
         let unread_headers = self.unread_headers.clone();
         r.register(
             "unread_headers",
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,5 +1,7 @@
 //! Exchanges reports on endpoints with other daemons over UDP, and keeps the roster of daemons.
 
+mod unsent;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -11,6 +13,7 @@
 use medlarrill_net::now::now;
 use tokio::net::UdpSocket;
 
+use crate::peers::unsent::UnsentReporter;
 use crate::shared::Shared;
 use crate::store::Copies;
 
@@ -117,6 +120,7 @@
         .with_link_class(LinkClass::of_link(settings.link))
         .with_data_centre(DataCentreHash::from(&settings.data_centre))
         .with_epoch(rand::random());
+    let unsent = UnsentReporter::new(Arc::clone(&shared.metrics));
     let mut buffer = vec![0; MAX_DATAGRAM];
     let mut live = 0;
     let mut due = now();
@@ -127,7 +131,7 @@
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
                     receive(&mut exchange, &shared, from, &buffer[..length]);
-                    send(&socket, exchange.replies(now())).await;
+                    send(&socket, exchange.replies(now()), &unsent).await;
                     if live == 1 && exchange.live_count(now()) > 1 {
                         live = update(&exchange, &shared, &roster, live);
                     }
@@ -140,7 +144,8 @@
                     reviewed = now();
                     shared.placement.review(reviewed);
                 }
-                tick(&mut exchange, &shared, &socket).await;
+                let messages = tick(&mut exchange, &shared);
+                send(&socket, messages, &unsent).await;
                 live = update(&exchange, &shared, &roster, live);
                 due = now() + TICK;
             }
@@ -177,7 +182,8 @@
         .merge_evidence(&exchange.take_evidence(), at);
 }
 
-async fn tick(exchange: &mut Exchange, shared: &Shared, socket: &UdpSocket) {
+/// Applies the reports that this daemon received as a hub; returns the messages that are due.
+fn tick(exchange: &mut Exchange, shared: &Shared) -> Vec<Outgoing> {
     let at = now();
     if exchange.has_reports()
         && let Some(reports) = exchange.hub_update(at)
@@ -188,13 +194,14 @@
     }
     exchange.set_evidence(shared.placement.evidence(at));
     let own = shared.placement.take_report(shared.copies.is_cut_off());
-    send(socket, exchange.tick(own, at)).await;
+    exchange.tick(own, at)
 }
 
-async fn send(socket: &UdpSocket, messages: Vec<Outgoing>) {
+async fn send(socket: &UdpSocket, messages: Vec<Outgoing>, unsent: &UnsentReporter) {
     for (to, message) in messages {
-        if let Err(error) = socket.send_to(&message.encode(), to).await {
-            log::debug!(target: "peers", "peers: nothing sent to {to}: {error}");
+        let datagram = message.encode();
+        if let Err(error) = socket.send_to(&datagram, to).await {
+            unsent.report(to, datagram.len(), &error);
         }
     }
 }
