Seeds have no more to do in a larger fleet

Cause: each daemon asks a seed every two seconds for the live daemons. Each answer sorted all that the seed knew, and the seed sent heartbeats for a second after it. Seeds may be the smallest VMs. Model time, 1.2 requests a second and daemon, a seed that is no hub: 294 messages and 23 KB a second at 200 daemons, 1,356 and 112 at 1,000; between data centres 466 KB a second. Ruled out: more seeds, which the settings name; one ask by the hubs alone, since a daemon that hears no hub must ask. Test: seeds_have_no_more_to_do_in_a_larger_fleet, red before. The tests of partitions, late starts and lost datagrams pass (centres, exchange).

--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -15,6 +15,7 @@
 mod hot;
 mod hub;
 mod hub_messages;
+mod listing;
 mod members;
 mod message;
 mod own_share;
@@ -65,6 +66,10 @@
 const LARGE_FLEET: usize = 16;
 /// Time between two reports to a seed, which rejoin the parts of a partitioned fleet.
 const SEED_INTERVAL: Millis = Millis(2000);
+/// Number of daemons that may ask the seeds within [`SEED_INTERVAL`]. In larger fleets each daemon
+/// asks more rarely, so that the load of the seeds, which may be small VMs, doesn't grow with the
+/// fleet; hubs, which are the first to find another part, always ask.
+const SEED_ASKERS: usize = 100;
 /// Time between two announcements of a hub to a seed, and to daemons that other parts of the fleet
 /// may consider hubs. What a seed learns of another part expires after 2.1 s; by then a hub of this
 /// part has asked it.
--- a/crates/core/src/routing/exchange/hub.rs
+++ b/crates/core/src/routing/exchange/hub.rs
@@ -21,7 +21,7 @@
     /// Data centre of the reporter.
     pub centre: DataCentreHash,
     /// Whether the reporter considers this daemon its hub.
-    is_full: bool,
+    pub is_full: bool,
     entries: Vec<ReportEntry>,
     /// The version of this daemon's sums that the reporter has reached.
     pub reached: Option<Version>,
--- a/crates/core/src/routing/exchange/hub_messages.rs
+++ b/crates/core/src/routing/exchange/hub_messages.rs
@@ -15,19 +15,22 @@
 /// Time between two subtotals to the hubs of other data centres. Both hubs of a data centre send to
 /// both hubs of each other one, so a lost subtotal delays the sums by one tick.
 const SUBTOTAL_INTERVAL: Millis = Millis(200);
-
 impl Exchange {
     /// Immediate replies to queries for the live daemons: a daemon that has just started can't
     /// serve its callers before it knows which daemons to follow.
     pub fn replies(&mut self, now: Millis) -> Vec<Outgoing> {
         let queries = std::mem::take(&mut self.hub.queries);
+        if queries.is_empty() {
+            return Vec::new();
+        }
+        let listing = self.members.listing(now);
         let reply = |PeerQuery {
                          from,
                          centre,
                          digest,
                      }| {
             let mut summary = self.summary(now);
-            summary.peers = Some(Peers::new(&self.members.peers_for(centre, now)));
+            summary.peers = Some(Peers::new(&listing.peers_for(centre, now)));
             summary.findings = self
                 .evidence
                 .findings(from, Some(digest), NewEvidence::All, now);
@@ -121,12 +124,15 @@
             .into_iter()
             .collect();
         let mut lists: HashMap<DataCentreHash, Peers> = HashMap::new();
+        let listing = self.members.listing(now);
         let mut list = |to: DataCentreHash| {
-            let peers = || Peers::new(&self.members.peers_for(to, now));
+            let peers = || Peers::new(&listing.peers_for(to, now));
             Some(lists.entry(to).or_insert_with(peers).clone())
         };
         let mut out = Vec::new();
-        for (address, report) in &self.hub.reports {
+        // Others have asked for the live daemons once, and were sent them at once.
+        let reporters = self.hub.reports.iter();
+        for (address, report) in reporters.filter(|(_, report)| report.is_full) {
             let mut summary = common.clone();
             if report.wants_sums {
                 summary.delta = Some(self.hub.fleet.delta_since(report.reached));
@@ -167,8 +173,9 @@
             ..Subtotal::default()
         };
         let mut out = Vec::new();
+        let listing = self.members.listing(now);
         for centre in self.members.other_centres(now) {
-            let peers = || Peers::new(&self.members.peers_for(centre, now));
+            let peers = || Peers::new(&listing.peers_for(centre, now));
             let peers = are_peers_due.then(peers);
             for hub in self.members.hubs_of(Some(centre), now) {
                 let remote = self.hub.remote.get(&hub);
--- a/crates/core/src/routing/exchange/members.rs
+++ b/crates/core/src/routing/exchange/members.rs
@@ -2,13 +2,15 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use derive_more::Debug;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::listing::Listing;
 use super::message::Peer;
 use super::roles::{LinkClass, Ranks, Role, role_holders};
-use super::{HUBS, LARGE_FLEET, SILENCE_TIMEOUT, short_key};
+use super::{HUBS, SILENCE_TIMEOUT, short_key};
 use crate::clock::Millis;
 use crate::ids::DataCentreId;
 
@@ -21,10 +23,9 @@
 const INDIRECT_MARGIN: Millis = Millis(300);
 /// Silence after which a daemon is removed.
 const REMOVAL_TIMEOUT: Millis = Millis::from_secs(10);
-/// Daemons that are listed for each role in a large fleet, the first in rank: enough to replace the
-/// daemons that have it several times over. Lists of all daemons took 18 KB a second for each
-/// daemon at 300.
-pub const LISTED_PER_ROLE: usize = 8;
+/// Time for which a listing is used. Contacts within it are missing; ages are those of the moment at
+/// which it is sent.
+const LISTING_INTERVAL: Millis = Millis(10);
 
 /// Hash of a data centre's id, its short form in messages.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
@@ -64,6 +65,8 @@
     /// Its ranks for the roles.
     pub ranks: Ranks,
     others: HashMap<SocketAddr, Member>,
+    /// The last listing, and when it was made.
+    listing: Option<(Millis, Arc<Listing>)>,
 }
 
 impl Members {
@@ -74,6 +77,7 @@
             centre: DataCentreHash::default(),
             ranks: Ranks::new(me, LinkClass::default()),
             others: HashMap::new(),
+            listing: None,
         }
     }
 
@@ -171,50 +175,20 @@
         }
     }
 
-    /// The live daemons to list for a daemon in a data centre: those that hold a role or may soon
-    /// hold one; all of them in a small fleet.
-    pub fn peers_for(&self, to: DataCentreHash, now: Millis) -> Vec<Peer> {
-        let mut live: Vec<(SocketAddr, Member)> = self.live_others(now).collect();
-        if live.len() > LARGE_FLEET {
-            live = first_in_rank(live, to);
+    /// The live daemons to list in messages. They are ranked again after [`LISTING_INTERVAL`] only:
+    /// each of a thousand daemons that start together asks the same few for the others.
+    pub fn listing(&mut self, now: Millis) -> Arc<Listing> {
+        if let Some((at, listing)) = &self.listing
+            && now.since(*at) < LISTING_INTERVAL
+        {
+            return Arc::clone(listing);
         }
-        let peer = |(address, member): (SocketAddr, Member)| Peer {
-            address,
-            age: now.since(member.at),
-            cut_off: member.cut_off,
-            link_class: member.ranks.link_class(),
-            centre: member.centre,
-        };
-        live.into_iter().map(peer).collect()
+        let listing = Arc::new(Listing::new(self.live_others(now).collect()));
+        self.listing = Some((now, Arc::clone(&listing)));
+        listing
     }
 }
 
-/// The first daemons in rank for each role: watchers of the fleet, hubs of data centre `to`, and
-/// the hubs of each other data centre.
-fn first_in_rank(
-    mut live: Vec<(SocketAddr, Member)>,
-    to: DataCentreHash,
-) -> Vec<(SocketAddr, Member)> {
-    live.sort_by(|(_, a), (_, b)| a.ranks.order(&b.ranks, Role::Watcher));
-    // Half of the entries are the first in rank, even those without a connection to the platform,
-    // so that this is known; the other half prefers daemons that reach it.
-    live[LISTED_PER_ROLE / 2..].sort_by_key(|(_, member)| member.cut_off);
-    let mut rest = live.split_off(LISTED_PER_ROLE);
-    rest.sort_by(|(_, a), (_, b)| a.ranks.order(&b.ranks, Role::Hub));
-    let mut listed: HashMap<DataCentreHash, usize> = HashMap::new();
-    rest.retain(|(_, member)| {
-        let limit = match member.centre == to {
-            true => LISTED_PER_ROLE,
-            false => HUBS,
-        };
-        let count = listed.entry(member.centre).or_default();
-        *count += 1;
-        *count <= limit
-    });
-    live.extend(rest);
-    live
-}
-
 /// Pairs a daemon's address with its ranks.
 pub const fn ranked((address, member): (SocketAddr, Member)) -> (SocketAddr, Ranks) {
     (address, member.ranks)
--- a/crates/core/src/routing/exchange/report.rs
+++ b/crates/core/src/routing/exchange/report.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 
 use super::evidence::NewEvidence;
-use super::members::{LISTED_PER_ROLE, ranked};
+use super::listing::LISTED_PER_ROLE;
+use super::members::ranked;
 use super::message::{Message, Report, Wish};
 use super::roles::{Role, role_holders};
 use super::{
-    ANNOUNCE_INTERVAL, Exchange, Outgoing, PEERS_INTERVAL, QUIET_TIMEOUT, SEED_INTERVAL, is_due,
+    ANNOUNCE_INTERVAL, Exchange, Outgoing, PEERS_INTERVAL, QUIET_TIMEOUT, SEED_ASKERS,
+    SEED_INTERVAL, is_due,
 };
 use crate::clock::Millis;
 
@@ -73,7 +75,7 @@
             (1, _) => Millis::ZERO,
             (_, false) => PEERS_INTERVAL,
             (_, true) if is_hub => ANNOUNCE_INTERVAL,
-            (_, true) => SEED_INTERVAL,
+            (live, true) => Millis(SEED_INTERVAL.0 * (live / SEED_ASKERS).max(1) as u64),
         };
         if self.seeds.is_empty() || !is_due(&mut self.seed_asked_at, interval, now) {
             return None;
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -30,6 +30,7 @@
     mod quarantine;
     mod repeats;
     mod request;
+    mod size;
     mod slow_start;
     mod slow_start_ways;
     mod stop;
--- a/crates/core/tests/routing/world.rs
+++ b/crates/core/tests/routing/world.rs
@@ -40,6 +40,10 @@
     pub clock_lag: u64,
     pub sent: usize,
     pub received: usize,
+    /// Messages sent and received.
+    pub messages: usize,
+    /// Size of the largest message sent.
+    pub largest: usize,
 }
 
 /// The simulated fleet and its network.
@@ -55,6 +59,10 @@
     pub delivers: Box<dyn Fn(usize, usize) -> bool>,
     /// Bytes sent between data centres.
     pub remote_bytes: usize,
+    /// Requests that one daemon starts per second.
+    starts_per_second: f64,
+    /// Most requests that one daemon has in flight.
+    max_in_flight: usize,
     rng: Pcg32,
 }
 
@@ -78,10 +86,21 @@
             lost: Vec::new(),
             delivers: Box::new(|_, _| true),
             remote_bytes: 0,
+            starts_per_second: STARTS_PER_SECOND,
+            max_in_flight: MAX_IN_FLIGHT,
             rng: Pcg32::seed_from_u64(5),
         }
     }
 
+    /// Sets how many requests one daemon starts per second, and has in flight at most.
+    pub fn with_requests(self, starts_per_second: f64, max_in_flight: usize) -> Self {
+        Self {
+            starts_per_second,
+            max_in_flight,
+            ..self
+        }
+    }
+
     /// Restarts a lost daemon with empty state.
     pub fn restart(&mut self, number: usize) {
         self.lost.retain(|lost| *lost != number);
@@ -107,13 +126,13 @@
     }
 
     fn start_requests(&mut self) {
-        let per_ms = STARTS_PER_SECOND * self.daemons.len() as f64 / 1000.0;
+        let per_ms = self.starts_per_second * self.daemons.len() as f64 / 1000.0;
         let count = per_ms.floor() + f64::from(u8::from(self.rng.random::<f64>() < per_ms.fract()));
         for _ in 0..count as usize {
             let number = self.rng.random_range(0..self.daemons.len());
             let endpoint = self.rng.random_range(0..self.endpoints);
             let in_flight = &mut self.daemons[number].in_flight;
-            if in_flight.len() >= MAX_IN_FLIGHT {
+            if in_flight.len() >= self.max_in_flight {
                 in_flight.remove(0);
             }
             in_flight.push(endpoint);
@@ -136,6 +155,7 @@
                 continue;
             }
             daemon.received += bytes.len();
+            daemon.messages += 1;
             let message = Message::decode(&bytes).expect("a datagram").expect("known");
             if let Some(update) = daemon.exchange.receive(address(from), message, now) {
                 daemon.apply_update(update);
@@ -179,7 +199,10 @@
             let to = usize::from(to.port()) - 1;
             let bytes = message.encode().to_vec();
             let is_far = self.daemons[to].data_centre != self.daemons[number].data_centre;
-            self.daemons[number].sent += bytes.len();
+            let sender = &mut self.daemons[number];
+            sender.sent += bytes.len();
+            sender.messages += 1;
+            sender.largest = sender.largest.max(bytes.len());
             if is_far {
                 self.remote_bytes += bytes.len();
             }
@@ -266,6 +289,7 @@
         self.remote_bytes = 0;
         for daemon in &mut self.daemons {
             (daemon.sent, daemon.received) = (0, 0);
+            (daemon.messages, daemon.largest) = (0, 0);
         }
     }
 }
@@ -290,6 +314,8 @@
             clock_lag: 0,
             sent: 0,
             received: 0,
+            messages: 0,
+            largest: 0,
         }
     }
 
