Sums of any number of endpoints are sent in datagrams

Cause: nothing divided a message, and one over 64 KB was dropped with a line at debug. Sums of 10,000 busy endpoints are larger. Now a delta ends at an earlier version where it would have over 4,000 rows, and the next one goes on from there; a version has no more rows than that. Rows from before a copy began may come in any of its first messages, and their outcomes aren't counted. A daemon of before reads such deltas as it did. A delta is built once for all followers that have reached the same version. Ruled out: parts with numbers, which need a state of their own where one is lost; a delta to an earlier version is what a late follower gets anyway. Tests: sums_of_any_number_of_endpoints_are_sent_in_datagrams (10,000 and 25,000 busy endpoints), red before; outcomes_after_the_first_message_are_counted_once.

--- a/crates/core/src/routing/exchange/hub_messages.rs
+++ b/crates/core/src/routing/exchange/hub_messages.rs
@@ -7,6 +7,7 @@
 use super::hub::{PeerQuery, add_loads, loads_of};
 use super::members::DataCentreHash;
 use super::message::{Message, Peers, PrefixMove, Report, Subtotal, Summary};
+use super::sums::Delta;
 use super::{
     Exchange, HEARTBEAT_INTERVAL, Outgoing, PEERS_INTERVAL, PeerCounts, PeerUpdate, is_due,
 };
@@ -130,12 +131,15 @@
             Some(lists.entry(to).or_insert_with(peers).clone())
         };
         let mut out = Vec::new();
+        let mut deltas: HashMap<u32, Delta> = HashMap::new();
         // Others have asked for the live daemons once, and were sent them at once.
         let reporters = self.hub.reports.iter();
         for (address, report) in reporters.filter(|(_, report)| report.is_full) {
             let mut summary = common.clone();
             if report.wants_sums {
-                summary.delta = Some(self.hub.fleet.delta_since(report.reached));
+                let base = self.hub.fleet.base(report.reached);
+                let delta = || self.hub.fleet.delta_from(base);
+                summary.delta = Some(deltas.entry(base).or_insert_with(delta).clone());
                 summary.moved.clone_from(&moved);
                 let digest = Some(report.digest);
                 summary.findings = self
--- a/crates/core/src/routing/exchange/sums.rs
+++ b/crates/core/src/routing/exchange/sums.rs
@@ -34,6 +34,8 @@
 /// Time after which a row without requests in flight is dropped. Receivers know its zero by then.
 const IDLE_TIMEOUT: Millis = Millis::from_secs(60);
 
+/// Largest number of rows in a message: 40 KB, of 64 that a datagram may have.
+const MAX_ROWS: usize = 4000;
 /// A version of one sender's sums.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(prost::Message)]
@@ -68,6 +70,9 @@
     /// Failed attempts since the sender's start.
     #[prost(uint32, repeated, tag = "6")]
     pub bad: Vec<u32>,
+    /// Number of the sender's version. If it is later than `version`, more rows follow.
+    #[prost(uint32, tag = "7")]
+    pub latest: u32,
 }
 
 /// The sums for one endpoint.
@@ -184,7 +189,11 @@
             self.sum(*endpoint).in_flight = *in_flight;
         }
         self.version.number += 1;
-        for row in self.rows.values_mut().filter(|row| row.is_due(now)) {
+        let due = self.rows.values_mut().filter(|row| row.is_due(now));
+        for (count, row) in due.enumerate() {
+            if count > 0 && count % MAX_ROWS == 0 {
+                self.version.number += 1;
+            }
             row.published = row.sum;
             row.number = self.version.number;
             row.at = now;
@@ -193,16 +202,37 @@
             .retain(|_, row| row.sum.in_flight > 0 || now.since(row.at) < IDLE_TIMEOUT);
     }
 
-    /// The rows that update a copy from the version that it has reached to the current one.
-    pub fn delta_since(&self, reached: Option<Version>) -> Delta {
+    /// Number of the version that a copy has reached; zero if it needs all rows.
+    pub fn base(&self, reached: Option<Version>) -> u32 {
         let known = reached.filter(|version| version.epoch == self.version.epoch);
-        let base = known.map_or(0, |version| version.number);
+        known.map_or(0, |version| version.number)
+    }
+
+    /// The rows that update a copy from the version that it has reached; see [`Self::delta_from`].
+    pub fn delta_since(&self, reached: Option<Version>) -> Delta {
+        self.delta_from(self.base(reached))
+    }
+
+    /// The rows that update a copy from version `base`: to the current version, or to an earlier one
+    /// if they don't fit into one message.
+    pub fn delta_from(&self, base: u32) -> Delta {
+        let newer = self.rows.iter().filter(|(_, row)| row.number > base);
+        let mut newer: Vec<(&u32, &Row)> = newer.collect();
+        let mut version = self.version;
+        if newer.len() > MAX_ROWS {
+            newer.sort_by_key(|(_, row)| row.number);
+            // Versions have at most as many rows, so that there is an earlier one to end with.
+            version.number = newer[MAX_ROWS].1.number - 1;
+            newer.retain(|(_, row)| row.number <= version.number);
+            newer.sort_by_key(|(endpoint, _)| **endpoint);
+        }
         let mut delta = Delta {
-            version: self.version,
+            version,
             base,
+            latest: self.version.number,
             ..Delta::default()
         };
-        for (endpoint, row) in self.rows.iter().filter(|(_, row)| row.number > base) {
+        for (endpoint, row) in newer {
             delta.endpoints.push(*endpoint);
             delta.in_flight.push(row.published.in_flight);
             delta.good.push(row.published.good);
@@ -235,6 +265,9 @@
 pub struct SumsCopy {
     version: Option<Version>,
     rows: HashMap<u32, Sum>,
+    /// Number of the sender's version when the copy began. Rows up to it are new to the copy, but
+    /// their outcomes aren't.
+    began_at: u32,
 }
 
 impl SumsCopy {
@@ -257,6 +290,7 @@
             // Outcomes from before the first delta may be old, and aren't counted.
             self.rows = delta.rows().collect();
             self.version = Some(delta.version);
+            self.began_at = delta.latest;
             return Some(Vec::new());
         }
         if delta.base == 0 {
@@ -267,7 +301,10 @@
         self.version = Some(delta.version);
         let set = |(endpoint, sum)| (endpoint, self.set(endpoint, sum));
         let counted: Vec<(u32, OutcomeCounts)> = delta.rows().map(set).collect();
-        Some(counted)
+        match delta.version.number <= self.began_at {
+            true => Some(Vec::new()),
+            false => Some(counted),
+        }
     }
 
     fn set(&mut self, endpoint: u32, sum: Sum) -> OutcomeCounts {
--- a/crates/core/tests/routing/size.rs
+++ b/crates/core/tests/routing/size.rs
@@ -1,20 +1,89 @@
 //! The exchange of a fleet of a thousand daemons before ten thousand endpoints, in model time.
 
+use std::collections::HashMap;
+
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::exchange::{
+    Delta, Message, OutcomeCounts, Summary, SumsCopy, VersionedSums,
+};
 
 use super::world::World;
 
+/// Largest payload of a UDP datagram over IPv4, in bytes.
+const MAX_DATAGRAM: usize = 65_507;
 /// Requests that a daemon starts per second, and has in flight at most, in a fleet whose endpoints
 /// are mostly idle.
 const CALM: (f64, usize) = (1.2, 2);
 
+fn size(delta: &Delta) -> usize {
+    let summary = Summary {
+        delta: Some(delta.clone()),
+        ..Summary::default()
+    };
+    Message::Summary(summary).encode().len()
+}
+
+/// Sums in which every endpoint has a request in flight and has answered before.
+fn busy_sums(endpoints: u32) -> VersionedSums {
+    let mut sums = VersionedSums::new(1);
+    for endpoint in 0..endpoints {
+        let outcomes = OutcomeCounts { good: 300, bad: 0 };
+        sums.count(endpoint, outcomes);
+    }
+    let loads: HashMap<u32, u32> = (0..endpoints).map(|endpoint| (endpoint, 1)).collect();
+    for tick in 0..100 {
+        sums.publish(&loads, Millis(1000 + 10 * tick));
+    }
+    sums
+}
+
+#[gtest]
+fn sums_of_any_number_of_endpoints_are_sent_in_datagrams() {
+    for endpoints in [100, 10_000, 25_000] {
+        let sums = busy_sums(endpoints);
+        let mut copy = SumsCopy::default();
+        for _ in 0..10 {
+            let delta = sums.delta_since(copy.reached());
+            expect_that!(size(&delta), le(MAX_DATAGRAM), "{endpoints}");
+            // Answers from before the copy began are old, whichever message they come in.
+            let news = copy.apply(&delta).unwrap_or_default();
+            expect_that!(news, is_empty(), "{endpoints}");
+        }
+        expect_that!(copy.loads().count(), eq(endpoints as usize));
+    }
+}
+
+#[gtest]
+fn outcomes_after_the_first_message_are_counted_once() {
+    let mut sums = busy_sums(10_000);
+    let mut copy = SumsCopy::default();
+    while copy.loads().count() < 10_000 {
+        let delta = sums.delta_since(copy.reached());
+        expect_that!(copy.apply(&delta), some(is_empty()));
+    }
+    sums.count(17, OutcomeCounts { good: 0, bad: 2 });
+    let loads = copy.loads().collect();
+    sums.publish(&loads, Millis(2000));
+    let news = copy.apply(&sums.delta_since(copy.reached()));
+    let expected = (17, OutcomeCounts { good: 0, bad: 2 });
+    expect_that!(news, some(elements_are![eq(&expected)]));
+}
+
+/// Bytes that a daemon without a role may spend per second on the exchange.
+const MIDDLE_BUDGET: f64 = 20_000.0;
+/// Time in milliseconds until 99 % of the daemons know of a request.
+const MAX_KNOWN: u64 = 400;
+
 /// Messages and bytes per second of each role once the fleet has settled.
 #[derive(Debug)]
 struct Figures {
     middle: (f64, f64),
+    hub: (f64, f64),
     /// The busiest of the seeds that aren't hubs.
     seed: (f64, f64),
+    /// Bytes per second between data centres.
+    remote: f64,
 }
 
 fn settled(daemons: usize) -> World {
@@ -50,10 +119,30 @@
     plain.sort_by(|a, b| a.1.total_cmp(&b.1));
     Figures {
         middle: plain[plain.len() / 2],
+        hub: busiest(&mut hubs.iter().copied()),
         seed: busiest(&mut (0..3).filter(|seed| !hubs.contains(seed))),
+        remote: world.remote_bytes as f64 / seconds as f64,
     }
 }
 
+/// Sorted times until other daemons know of a request, as a summary.
+fn known(world: &mut World) -> (u64, u64) {
+    let times = world.propagation_times(2);
+    (times[times.len() / 2], times[times.len() * 99 / 100])
+}
+
+#[gtest]
+fn a_thousand_daemons_know_of_a_request_soon_and_within_their_budget() {
+    let mut world = settled(1000);
+    let figures = figures(&mut world, 2);
+    let (half, most) = known(&mut world);
+    println!("1,000 daemons: {figures:?}, known after {half} and {most} ms");
+    expect_that!(figures.middle.1, lt(MIDDLE_BUDGET));
+    expect_that!(most, lt(MAX_KNOWN));
+    let largest = world.daemons.iter().map(|daemon| daemon.largest).max();
+    expect_that!(largest, some(lt(MAX_DATAGRAM)));
+}
+
 /// What seeds do grows with the daemons that ask them, unless these ask more rarely.
 #[gtest]
 fn seeds_have_no_more_to_do_in_a_larger_fleet() {
