--- a/crates/core/tests/routing/size.rs
+++ b/crates/core/tests/routing/size.rs
@@ -72,6 +72,8 @@
 
 /// Bytes that a daemon without a role may spend per second on the exchange.
 const MIDDLE_BUDGET: f64 = 20_000.0;
+/// The same for a hub.
+const HUB_BUDGET: f64 = 60_000.0;
 /// How much more either may spend in a fleet of twice the size.
 const MAX_INCREASE: f64 = 1.3;
 /// Time in milliseconds until 99 % of the daemons know of a request.
@@ -155,6 +157,14 @@
     expect_that!(large.remote, lt(2.0 * MAX_INCREASE * small.remote));
 }
 
+#[gtest]
+fn hubs_keep_to_their_budget_in_a_fleet_of_twice_the_size() {
+    let small = figures(&mut settled(1000), 2);
+    expect_that!(small.hub.1, lt(HUB_BUDGET));
+    let large = figures(&mut settled(2000), 2);
+    expect_that!(large.hub.1, lt(MAX_INCREASE * small.hub.1));
+}
+
 /// What seeds do grows with the daemons that ask them, unless these ask more rarely.
 #[gtest]
 fn seeds_have_no_more_to_do_in_a_larger_fleet() {
