--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -8,6 +8,7 @@
 //! the prefix since. Requests without a shared prefix go to a random endpoint,
 //! weighted by load and with preference for the same data centre.
 
+mod bound;
 mod lazy;
 
 use std::sync::Arc;
@@ -25,18 +26,10 @@
 use crate::routing::request::SharedPrefix;
 use crate::routing::slow_start::Allowance;
 
+pub use bound::LoadSum;
+use bound::bound;
 pub use lazy::{LazyPool, choose_lazily};
 
-/// Load bound as a multiple of the pool's mean load. Lower than the load that endpoints are allowed
-/// to reach, since loads are known with a delay.
-const BOUND_FACTOR: f64 = 1.5;
-/// The same for the mean of all endpoints, including those in drained data centres: these have
-/// almost no load, yet they count in the mean that limits the load of endpoints.
-const BOUND_FACTOR_ALL: f64 = 1.75;
-/// Requests allowed on top of the bound; lets prefixes keep their endpoints in a nearly idle pool.
-const BOUND_MARGIN: f64 = 2.0;
-/// Bound if the mechanism is switched off: more requests than any endpoint has.
-const UNBOUNDED: f64 = 1e9;
 /// How much more often an idle endpoint of the same data centre is picked than one elsewhere. Kept
 /// low, since a full queue costs more time than the longer network path.
 const LOCAL_WEIGHT: f64 = 6.0;
@@ -386,41 +379,3 @@
         moved: false,
     }
 }
-
-/// Load of some endpoints of a pool.
-#[derive(Clone, Copy, PartialEq, Default)]
-#[derive(Debug)]
-pub struct LoadSum {
-    /// Sum of their loads.
-    pub load: f64,
-    /// Number of endpoints.
-    pub count: usize,
-}
-
-impl LoadSum {
-    fn of<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> Self {
-        candidates.fold(Self::default(), |sum, candidate| Self {
-            load: sum.load + candidate.load,
-            count: sum.count + 1,
-        })
-    }
-
-    fn mean(self) -> f64 {
-        self.load / self.count.max(1) as f64
-    }
-}
-
-/// Load up to which an endpoint is given further requests.
-fn bound(candidates: &[Candidate]) -> f64 {
-    let staying = candidates.iter().filter(|c| !c.endpoint.leaving);
-    let open = LoadSum::of(staying.clone().filter(|c| !c.drained));
-    bound_of(open, LoadSum::of(staying))
-}
-
-/// The same, from the sums over endpoints that take work and over all that aren't leaving.
-fn bound_of(open: LoadSum, staying: LoadSum) -> f64 {
-    if !is_on(Mechanism::Bound) {
-        return UNBOUNDED;
-    }
-    (BOUND_FACTOR * open.mean()).min(BOUND_FACTOR_ALL * staying.mean()) + BOUND_MARGIN
-}
--- a/crates/core/src/routing/choose/lazy.rs
+++ b/crates/core/src/routing/choose/lazy.rs
@@ -6,7 +6,8 @@
 
 use rand_pcg::Pcg32;
 
-use super::{Candidate, Choice, LoadSum, Places, bound_of, draw_under_bound, may_hold, spread};
+use super::bound::{LoadSum, bound_of};
+use super::{Candidate, Choice, Places, draw_under_bound, may_hold, spread};
 use crate::clock::Millis;
 use crate::placement::Node;
 use crate::routing::request::SharedPrefix;
--- a/crates/core/tests/routing/growth.rs
+++ b/crates/core/tests/routing/growth.rs
@@ -44,6 +44,11 @@
     (0..3).map(run).fold(f64::INFINITY, f64::min)
 }
 
+/// How much more the work grows between the two sizes than in proportion to the endpoints.
+fn excess(cost: impl Fn(usize) -> f64) -> f64 {
+    cost(LARGE) / cost(SMALL) / (LARGE / SMALL) as f64
+}
+
 /// Names of endpoints come in no order.
 fn id(number: usize) -> InstanceId {
     let mixed = (number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24;
@@ -98,8 +103,7 @@
             }
         })
     };
-    let excess = cost(LARGE) / cost(SMALL) / (LARGE / SMALL) as f64;
-    expect_that!(excess, lt(MAX_EXCESS));
+    expect_that!(excess(cost), lt(MAX_EXCESS));
 }
 
 #[gtest]
@@ -112,8 +116,7 @@
             expect_that!(copy.apply(update, Some(NOW), NOW), is_empty());
         })
     };
-    let excess = cost(LARGE) / cost(SMALL) / (LARGE / SMALL) as f64;
-    expect_that!(excess, lt(MAX_EXCESS));
+    expect_that!(excess(cost), lt(MAX_EXCESS));
 }
 
 /// Every entry of a list is compared with the removals that are kept.
@@ -138,8 +141,7 @@
             expect_that!(copy.apply(update, Some(NOW), NOW), is_empty());
         })
     };
-    let excess = cost(LARGE) / cost(SMALL) / (LARGE / SMALL) as f64;
-    expect_that!(excess, lt(MAX_EXCESS));
+    expect_that!(excess(cost), lt(MAX_EXCESS));
 }
 
 #[gtest]
