Requests of a daemon that has fallen silent count for three seconds

Cause: loads were summed over the reports of live daemons only. Now the last report of a silent one counts until it reports again, 3 s at most; it counts in no number of daemons, so that coverage and membership are as before. Ruled out: a longer silence for all, which would keep hubs that are lost. A daemon that was killed counts for 3 s, though its requests have ended.

--- a/crates/core/src/routing/exchange/hub.rs
+++ b/crates/core/src/routing/exchange/hub.rs
@@ -13,6 +13,10 @@
 use super::{MOVES_MAX, SILENCE_TIMEOUT};
 use crate::clock::Millis;
 
+/// Silence after which a daemon's requests no longer count at their endpoints: some longer than most
+/// of them run.
+const SILENT_LOAD_TIMEOUT: Millis = Millis(3000);
+
 /// The parts of a daemon's last report that are needed until its next one.
 #[derive(Clone)]
 #[derive(Debug)]
@@ -31,6 +35,13 @@
     pub digest: u64,
 }
 
+impl ReceivedReport {
+    /// Whether it is summed up for a data centre, or for the fleet.
+    fn is_counted(&self, centre: Option<DataCentreHash>) -> bool {
+        self.is_full && centre.is_none_or(|centre| self.centre == centre)
+    }
+}
+
 /// A daemon's query for the live daemons.
 #[derive(Clone, Copy)]
 #[derive(Debug)]
@@ -49,6 +60,9 @@
 pub struct Hub {
     /// The last report of each daemon.
     pub reports: HashMap<SocketAddr, ReceivedReport>,
+    /// The last reports of daemons that have been silent for [`SILENCE_TIMEOUT`]. Endpoints still
+    /// run the requests of one that stands still or is cut off.
+    silent: HashMap<SocketAddr, ReceivedReport>,
     /// Queries for the live daemons that weren't answered yet.
     pub queries: Vec<PeerQuery>,
     /// Sums over the reports, for hubs of other data centres.
@@ -84,6 +98,7 @@
     pub fn new(epoch: u32) -> Self {
         Self {
             reports: HashMap::new(),
+            silent: HashMap::new(),
             queries: Vec::new(),
             local: VersionedSums::new(epoch),
             fleet: VersionedSums::new(epoch),
@@ -101,10 +116,14 @@
         }
     }
 
-    /// Removes daemons that have been silent for [`SILENCE_TIMEOUT`].
+    /// Removes daemons that have been silent for [`SILENCE_TIMEOUT`]; their loads stay until
+    /// [`SILENT_LOAD_TIMEOUT`].
     pub fn expire(&mut self, now: Millis) {
-        self.reports
-            .retain(|_, report| now.since(report.at) < SILENCE_TIMEOUT);
+        let is_silent = |report: &ReceivedReport| now.since(report.at) >= SILENCE_TIMEOUT;
+        let silent = self.reports.extract_if(|_, report| is_silent(report));
+        self.silent.extend(silent);
+        self.silent
+            .retain(|_, report| now.since(report.at) < SILENT_LOAD_TIMEOUT);
         self.remote.expire(now);
     }
 
@@ -125,6 +144,7 @@
             wants_sums: wish == Wish::Sums,
             digest: report.digest,
         };
+        self.silent.remove(&from);
         self.reports.insert(from, received);
         if !is_full {
             self.queries.push(PeerQuery {
@@ -175,16 +195,16 @@
         &self,
         centre: Option<DataCentreHash>,
     ) -> impl Iterator<Item = &ReceivedReport> {
-        let counts = move |report: &&ReceivedReport| {
-            report.is_full && centre.is_none_or(|centre| report.centre == centre)
-        };
-        self.reports.values().filter(counts)
+        let reports = self.reports.values();
+        reports.filter(move |report| report.is_counted(centre))
     }
 
     /// Requests in flight of the reporters by endpoint.
     pub fn loads(&self, centre: Option<DataCentreHash>) -> HashMap<u32, u32> {
         let mut loads = HashMap::new();
-        for report in self.counted_reports(centre) {
+        let silent = self.silent.values();
+        let silent = silent.filter(|report| report.is_counted(centre));
+        for report in self.counted_reports(centre).chain(silent) {
             add_loads(&mut loads, loads_of(&report.entries));
         }
         loads
