View: a test of the bound by the sums over busy endpoints

The bound of a choice is computed from the loads of endpoints with requests; the test compares it with the means over all, with endpoints that leave and a drained data centre. Sums are computed for prompts only.

--- a/crates/core/src/routing/view/choosing.rs
+++ b/crates/core/src/routing/view/choosing.rs
@@ -95,7 +95,7 @@
         let share = shared.map_or(0.0, |prefix| self.count_prefix(prefix));
         let may_probe = plan.is_idempotent();
         let failures = self.failures(pool, now);
-        let (open, staying) = self.load_sums(pool, now);
+        let sums = shared.map(|_| self.load_sums(pool, now));
         let listed = self.directory.get_pool(pool)?;
         let (notices, fleet) = (&self.notices, &self.fleet);
         let mut source = CandidateSource {
@@ -110,7 +110,7 @@
             failures,
             now,
         };
-        if let Some(prefix) = shared {
+        if let Some((prefix, (open, staying))) = shared.zip(sums) {
             let located = locations(&self.prefix_index, &self.directory, listed, prefix);
             let lazy = LazyPool {
                 located: located.map(|located| source.candidate(located)).collect(),
--- a/crates/core/tests/routing/view.rs
+++ b/crates/core/tests/routing/view.rs
@@ -210,3 +210,47 @@
     expect_that!(back.endpoint.id, eq(&started_at("a", 500)));
     expect_that!(back.source, none());
 }
+
+/// 40 endpoints, half of them in a drained data centre, a quarter leaving; number n has n % 6
+/// requests.
+#[gtest]
+fn the_bound_follows_from_the_loads_of_the_endpoints_that_take_work() {
+    let mut view = view("near", 7);
+    let load = |number: u32| f64::from(number % 6);
+    let is_leaving = |number: u32| number.is_multiple_of(4);
+    let is_far = |number: u32| number.is_multiple_of(2);
+    let name = |number| format!("e{number:02}");
+    let far = "far".parse().expect("a name");
+    for number in 0..40 {
+        let listed = endpoint(&name(number));
+        let data_centre = match is_far(number) {
+            true => "far".parse().expect("a name"),
+            false => listed.data_centre.clone(),
+        };
+        let listed = Endpoint {
+            leaving: is_leaving(number),
+            data_centre,
+            ..listed
+        };
+        view.upsert(listed, Millis(0));
+        let report = LoadReport {
+            running: number % 6,
+            waiting: 0,
+            slots: 8,
+        };
+        view.report(&id(&name(number)), report, START);
+    }
+    let mean = |counts: &dyn Fn(u32) -> bool| {
+        let loads: Vec<f64> = (0..40).filter(|n| counts(*n)).map(load).collect();
+        loads.iter().sum::<f64>() / loads.len() as f64
+    };
+    let staying = mean(&|number| !is_leaving(number));
+    let calm = pick(&mut view, 1, START);
+    view.end(&calm.endpoint.id);
+    expect_that!(calm.bound, near(1.5 * staying + 2.0, 1e-9));
+    view.drain(far, START);
+    let open = mean(&|number| !is_leaving(number) && !is_far(number));
+    let drained = pick(&mut view, 1, START);
+    let expected = (1.5 * open).min(1.75 * staying) + 2.0;
+    expect_that!(drained.bound, near(expected, 1e-9));
+}
