Outcomes that wait for a later version aren't dropped

A row that was never published counts as published long ago, and an idle one of that age is dropped at the end of the same publication. Before versions had a limit it had always been published just before; since then one that waited was lost. Test: outcomes_that_wait_for_a_later_version_are_not_lost, 256 of 1,000 before.

--- a/crates/core/src/routing/exchange/sums.rs
+++ b/crates/core/src/routing/exchange/sums.rs
@@ -147,9 +147,13 @@
             || load_change > 0 && age >= LOAD_DELAY_MAX
             || age >= GOOD_DELAY_MAX
     }
-}
 
-impl Row {
+    /// Whether the row has requests in flight, anything to publish, or was published recently.
+    fn is_kept(&self, now: Millis) -> bool {
+        let is_published = self.sum == self.published;
+        self.sum.in_flight > 0 || !is_published || now.since(self.at) < IDLE_TIMEOUT
+    }
+
     /// The rows with the highest value are published first: failures, then loads that may come near
     /// the bound, then what has waited longest.
     fn urgency(&self, now: Millis) -> (bool, bool, Millis) {
@@ -217,8 +221,7 @@
             row.number = self.version.number;
             row.at = now;
         }
-        self.rows
-            .retain(|_, row| row.sum.in_flight > 0 || now.since(row.at) < IDLE_TIMEOUT);
+        self.rows.retain(|_, row| row.is_kept(now));
     }
 
     /// Number of the version that a copy has reached; zero if it needs all rows.
--- a/crates/core/tests/routing/size.rs
+++ b/crates/core/tests/routing/size.rs
@@ -70,6 +70,25 @@
     expect_that!(news, some(elements_are![eq(&expected)]));
 }
 
+/// More endpoints have answered once than a version has rows, and are idle again.
+#[gtest]
+fn outcomes_that_wait_for_a_later_version_are_not_lost() {
+    let mut sums = VersionedSums::new(1);
+    let mut copy = SumsCopy::default();
+    sums.publish(&HashMap::new(), Millis(90_000));
+    copy.apply(&sums.delta_since(copy.reached()));
+    for endpoint in 0..1000 {
+        sums.count(endpoint, OutcomeCounts { good: 1, bad: 0 });
+    }
+    let mut counted = 0;
+    for tick in 1..10 {
+        sums.publish(&HashMap::new(), Millis(90_000 + 100 * tick));
+        let news = copy.apply(&sums.delta_since(copy.reached()));
+        counted += news.unwrap_or_default().len();
+    }
+    expect_that!(counted, eq(1000));
+}
+
 /// Bytes that a daemon without a role may spend per second on the exchange.
 const MIDDLE_BUDGET: f64 = 20_000.0;
 /// The same for a hub.
