--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -6,6 +6,7 @@
     mod copies;
     mod crash;
     mod drains;
+    mod isolated;
     mod own_word;
     mod requests;
     mod setup;
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -1,4 +1,7 @@
 //! A loopback proxy of TCP connections that harms them on demand.
+//!
+//! What is done to open connections ([`Harm`]) and to new ones ([`Entry`]) is
+//! set separately: in a network partition, either may go on working for a while.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,12 +10,16 @@
 use derive_more::Debug;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// Bytes read at once.
 const BUFFER: usize = 16 << 10;
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Pause before an address that is still in use is bound again.
+const BIND_PAUSE: Duration = Duration::from_millis(2);
 
 /// What is done to connections, open ones included.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
@@ -32,6 +39,18 @@
     Reset,
 }
 
+/// What is done to new connections.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub enum Entry {
+    /// They are accepted.
+    #[default]
+    Open,
+    /// They are refused, as where nothing listens.
+    Refuse,
+    /// Their first packet gets no answer.
+    Hang,
+}
+
 /// A way through the proxy.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Way {
@@ -45,6 +64,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     harm: watch::Sender<Harm>,
+    entry: watch::Sender<Entry>,
     task: JoinHandle<()>,
 }
 
@@ -65,25 +85,103 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let harm = watch::Sender::new(Harm::None);
-        let harmed = harm.subscribe();
-        let task = tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(carry(client, server, harmed.clone()));
-            }
-        });
+        let entry = watch::Sender::new(Entry::Open);
+        let (harmed, entries) = (harm.subscribe(), entry.subscribe());
+        let task = tokio::spawn(admit(listener, server, harmed, entries));
         Ok(Self {
             address,
             harm,
+            entry,
             task,
         })
     }
 
+    /// Sets what is done to new connections from now on.
+    pub fn admit(&self, entry: Entry) {
+        self.entry.send_replace(entry);
+    }
+
     /// Sets what is done to connections from now on.
     pub fn harm(&self, harm: Harm) {
         self.harm.send_replace(harm);
     }
 }
 
+/// Accepts connections, or not, until an error ends the proxy.
+async fn admit(
+    listener: TcpListener,
+    server: SocketAddr,
+    harm: watch::Receiver<Harm>,
+    mut entries: watch::Receiver<Entry>,
+) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = Some(listener);
+    loop {
+        let entry = *entries.borrow_and_update();
+        let changed = match entry {
+            Entry::Open => {
+                let open = match listener.take() {
+                    Some(listener) => listener,
+                    None => bind(address, BACKLOG).await,
+                };
+                tokio::select! {
+                    changed = entries.changed() => changed,
+                    () = accept(&open, server, &harm) => return,
+                }
+            }
+            Entry::Refuse => {
+                listener = None;
+                entries.changed().await
+            }
+            Entry::Hang => {
+                listener = None;
+                let _full = fill(address).await;
+                entries.changed().await
+            }
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+async fn accept(listener: &TcpListener, server: SocketAddr, harm: &watch::Receiver<Harm>) {
+    while let Ok((client, _)) = listener.accept().await {
+        tokio::spawn(carry(client, server, harm.clone()));
+    }
+}
+
+/// Listens on an address that was just released.
+async fn bind(address: SocketAddr, backlog: u32) -> TcpListener {
+    let listen = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(backlog)
+    };
+    loop {
+        match listen() {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(BIND_PAUSE).await,
+        }
+    }
+}
+
+/// Listens with a full queue of connections, so that the kernel drops the first packet of others.
+async fn fill(address: SocketAddr) -> (TcpListener, Vec<TcpStream>) {
+    let listener = bind(address, 0).await;
+    let mut waiting = Vec::new();
+    loop {
+        let connecting = tokio::time::timeout(BIND_PAUSE * 10, TcpStream::connect(address));
+        match connecting.await {
+            Ok(Ok(stream)) => waiting.push(stream),
+            _ => return (listener, waiting),
+        }
+    }
+}
+
 async fn carry(client: TcpStream, server: SocketAddr, mut harm: watch::Receiver<Harm>) {
     if *harm.borrow() == Harm::Reset {
         return;
