--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -30,6 +30,7 @@
 pub mod plan;
 pub mod prefix_index;
 pub mod quarantine;
+pub mod reach;
 pub mod request;
 pub mod slow_start;
 pub mod stop;
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -11,6 +11,10 @@
     /// No connection could be made; nothing was sent.
     #[display("not-sent")]
     NotSent,
+    /// This daemon is cut off from all endpoints, and no other daemon could connect to one for it;
+    /// nothing was sent.
+    #[display("cut-off")]
+    CutOff,
     /// The endpoint is full or busy and states that it didn't run the request.
     #[display("rejected")]
     Rejected,
@@ -38,7 +42,7 @@
     /// Whether the request ran, as far as the fault shows.
     pub const fn outcome(self) -> Outcome {
         match self {
-            Self::NotSent | Self::Rejected | Self::OtherEndpoint => Outcome::NotRun,
+            Self::NotSent | Self::CutOff | Self::Rejected | Self::OtherEndpoint => Outcome::NotRun,
             Self::Failed | Self::Cut => Outcome::Ran,
             Self::Lost | Self::Foreign | Self::Slow => Outcome::Unknown,
         }
@@ -47,7 +51,10 @@
     /// Whether the fault counts against the endpoint's health: not if it couldn't be reached from
     /// here, and not if it is full, which its reported load shows.
     pub const fn is_failure(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Rejected | Self::OtherEndpoint)
+        !matches!(
+            self,
+            Self::NotSent | Self::CutOff | Self::Rejected | Self::OtherEndpoint
+        )
     }
 
     /// Whether the connection was lost while the endpoint had the request, as happens when the
@@ -60,6 +67,7 @@
     pub const fn code(self) -> &'static str {
         match self {
             Self::NotSent => "not-sent",
+            Self::CutOff => "cut-off",
             Self::Rejected => "rejected",
             Self::OtherEndpoint => "other-endpoint",
             Self::Lost => "lost",
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -214,6 +214,17 @@
         others.chain([self.members.me]).collect()
     }
 
+    /// The other live daemons that this one knows; first those of its own data centre, then those
+    /// elsewhere.
+    pub fn live_by_distance(&self, now: Millis) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let (near, far): (Vec<_>, Vec<_>) = self
+            .members
+            .live_others(now)
+            .partition(|(_, member)| member.centre == self.members.centre);
+        let addresses = |daemons: Vec<(SocketAddr, _)>| daemons.into_iter().map(|d| d.0).collect();
+        (addresses(near), addresses(far))
+    }
+
     fn is_large(&self, now: Millis) -> bool {
         self.live_count(now) >= LARGE_FLEET
     }
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -87,6 +87,12 @@
         self.listed.iter().any(|node| node.id == *daemon)
     }
 
+    /// The parts of the platform's list, by their names.
+    pub fn parts(&self) -> impl Iterator<Item = (&str, &[SocketAddr])> {
+        let parts = self.parts.iter();
+        parts.map(|(name, daemons)| (name.as_str(), daemons.as_slice()))
+    }
+
     /// Number of daemons that the platform lists.
     pub const fn size(&self) -> usize {
         self.listed.len()
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -192,6 +192,14 @@
         }
     }
 
+    /// Ends all pauses after failed connections: the endpoints weren't their cause.
+    pub fn end_pauses(&mut self) {
+        for record in self.records.values_mut() {
+            record.down_until = Millis::ZERO;
+            record.refused = 0;
+        }
+    }
+
     /// Records outcomes that other daemons reported.
     pub fn record_others(&mut self, id: &InstanceId, good: u32, bad: u32, now: Millis) {
         let count = good + bad;
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -188,6 +188,10 @@
     }
 
     fn may_retry(&self, fault: Fault) -> bool {
+        if fault == Fault::CutOff {
+            // Another endpoint would be as far away.
+            return false;
+        }
         let is_safe = fault.outcome() == Outcome::NotRun || self.retry.is_idempotent();
         let unrun = self.sent - self.possibly_run;
         is_safe && self.possibly_run < self.max_attempts && unrun <= MAX_UNRUN
--- /dev/null
+++ b/crates/core/src/routing/reach/helpers.rs
@@ -0,0 +1,149 @@
+//! Which daemons to ask for a connection to an endpoint.
+//!
+//! A daemon that is cut off draws helpers at random from all daemons, a few of
+//! its own data centre first, and stays with those that help. So the work is
+//! spread over the fleet, and nobody has to tell all others who can help.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+
+use derive_more::Debug;
+use rand::RngExt;
+use rand::seq::SliceRandom;
+
+use crate::clock::Millis;
+
+/// Helpers that are kept as long as they help.
+const KEPT: usize = 4;
+/// Daemons of the own data centre that are asked before those of others.
+const NEAR_FIRST: usize = 2;
+/// Daemons that are asked for one connection.
+pub const ASKED_MAX: usize = 5;
+/// Daemons that are looked at for each one that is drawn.
+const LOOKS: usize = 8;
+/// Pause of a daemon that helps too many already.
+const BUSY_PAUSE: Millis = Millis(200);
+/// First and longest pause of a daemon that is cut off, too, or that doesn't answer.
+const PAUSE: (Millis, Millis) = (Millis(500), Millis(8000));
+/// Longest pause of a daemon that is cut off: it says so at once, and its links may be back.
+const CUT_OFF_PAUSE: Millis = Millis(1000);
+/// Time for which nobody is asked after all those asked couldn't help.
+const NONE_PAUSE: Millis = Millis(200);
+
+/// Why a daemon doesn't help.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+pub enum Setback {
+    /// It helps too many others, or is about to stop.
+    Busy,
+    /// It reaches no endpoint itself.
+    CutOff,
+    /// It doesn't answer, or doesn't know how to help.
+    Silent,
+}
+
+#[derive(Clone, Copy)]
+#[derive(Debug)]
+struct Pause {
+    until: Millis,
+    span: Millis,
+}
+
+/// The daemons that may help, and what is known of those that were asked.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct Helpers {
+    near: Vec<SocketAddr>,
+    far: Vec<SocketAddr>,
+    /// Those that helped last.
+    kept: Vec<SocketAddr>,
+    pauses: HashMap<SocketAddr, Pause>,
+    /// Until when nobody is asked.
+    none_until: Millis,
+}
+
+impl Helpers {
+    /// Sets the other daemons, those of the own data centre and those elsewhere.
+    pub fn set(&mut self, near: Vec<SocketAddr>, far: Vec<SocketAddr>) {
+        let all: HashSet<&SocketAddr> = near.iter().chain(&far).collect();
+        self.kept.retain(|daemon| all.contains(daemon));
+        self.pauses.retain(|daemon, _| all.contains(daemon));
+        (self.near, self.far) = (near, far);
+    }
+
+    /// The daemons to ask for a connection, in this order; none right after all that were asked
+    /// couldn't help.
+    pub fn candidates(&self, now: Millis, rng: &mut impl RngExt) -> Vec<SocketAddr> {
+        if now < self.none_until {
+            return Vec::new();
+        }
+        let mut chosen = self.kept.clone();
+        chosen.retain(|daemon| self.is_open(daemon, now));
+        chosen.shuffle(rng);
+        let wanted = ASKED_MAX.saturating_sub(chosen.len());
+        let near = self.draw(&self.near, &chosen, wanted, now, rng);
+        let far = self.draw(&self.far, &chosen, wanted, now, rng);
+        let (first, later) = near.split_at(NEAR_FIRST.min(near.len()));
+        chosen.extend(first.iter().chain(&far).chain(later));
+        chosen.truncate(ASKED_MAX);
+        chosen
+    }
+
+    /// Draws `count` daemons that aren't paused or chosen. Looks at a few times as many, so that
+    /// it takes no longer in a large fleet.
+    fn draw(
+        &self,
+        daemons: &[SocketAddr],
+        chosen: &[SocketAddr],
+        count: usize,
+        now: Millis,
+        rng: &mut impl RngExt,
+    ) -> Vec<SocketAddr> {
+        if daemons.is_empty() {
+            return Vec::new();
+        }
+        let (before, after) = daemons.split_at(rng.random_range(0..daemons.len()));
+        let looked = after.iter().chain(before).take(count * LOOKS);
+        let open = looked.filter(|d| !chosen.contains(d) && self.is_open(d, now));
+        open.take(count).copied().collect()
+    }
+
+    fn is_open(&self, daemon: &SocketAddr, now: Millis) -> bool {
+        let pause = self.pauses.get(daemon);
+        pause.is_none_or(|pause| now >= pause.until)
+    }
+
+    /// Records that a daemon helped.
+    pub fn record_help(&mut self, daemon: SocketAddr) {
+        self.none_until = Millis::ZERO;
+        self.pauses.remove(&daemon);
+        if !self.kept.contains(&daemon) {
+            self.kept.push(daemon);
+            if self.kept.len() > KEPT {
+                self.kept.remove(0);
+            }
+        }
+    }
+
+    /// Records that a daemon didn't help; it isn't asked for a while.
+    pub fn record_setback(&mut self, daemon: SocketAddr, setback: Setback, now: Millis) {
+        let (first, longest) = PAUSE;
+        let before = self.pauses.get(&daemon).map_or(Millis::ZERO, |p| p.span);
+        let doubled = Millis(before.0 * 2);
+        let span = match setback {
+            Setback::Busy => BUSY_PAUSE,
+            Setback::CutOff => doubled.clamp(first, CUT_OFF_PAUSE),
+            Setback::Silent => doubled.clamp(first, longest),
+        };
+        if setback != Setback::Busy {
+            self.kept.retain(|kept| *kept != daemon);
+        }
+        let until = now + span;
+        self.pauses.insert(daemon, Pause { until, span });
+    }
+
+    /// Records that nobody could help.
+    pub fn record_none(&mut self, now: Millis) {
+        self.none_until = now + NONE_PAUSE;
+    }
+}
--- a/crates/core/src/routing/view/health.rs
+++ b/crates/core/src/routing/view/health.rs
@@ -57,6 +57,12 @@
         changes
     }
 
+    /// Ends the pauses of endpoints that couldn't be connected to, because of this daemon's own
+    /// links.
+    pub fn end_pauses(&mut self) {
+        self.health.end_pauses();
+    }
+
     /// Sum of the failure rates of a pool's endpoints that aren't leaving.
     pub(super) fn failures(&self, pool: &PoolId, now: Millis) -> PoolFailures {
         let Some(listed) = self.directory.get_pool(pool) else {
--- a/crates/core/src/routing/view/listing.rs
+++ b/crates/core/src/routing/view/listing.rs
@@ -1,6 +1,9 @@
 //! Updates from the platform's list of endpoints, and the removal of an instance's state.
 
+use std::sync::Arc;
+
 use derive_more::Debug;
+use rand::seq::IteratorRandom;
 
 use super::View;
 use crate::clock::Millis;
@@ -65,6 +68,19 @@
         self.directory.remove(id)
     }
 
+    /// The endpoint of an instance, if it is listed and takes new work.
+    pub fn open_endpoint(&self, id: &InstanceId) -> Option<Arc<Endpoint>> {
+        let endpoint = self.directory.get(id);
+        endpoint
+            .filter(|endpoint| self.takes_work(endpoint))
+            .cloned()
+    }
+
+    /// Up to `count` endpoints, drawn at random.
+    pub fn sample(&mut self, count: usize) -> Vec<Arc<Endpoint>> {
+        self.directory.all().cloned().sample(&mut self.rng, count)
+    }
+
     /// Removes endpoints without a start time, once endpoints are listed with one.
     fn remove_without_start(&mut self) {
         let without_start = self
--- a/crates/core/src/routing/view/sharing.rs
+++ b/crates/core/src/routing/view/sharing.rs
@@ -20,6 +20,11 @@
         self.budget.set_share(self.fleet.share(1.0));
     }
 
+    /// The daemons that the platform lists, by their data centres.
+    pub fn listed_daemons(&self) -> impl Iterator<Item = (&str, &[SocketAddr])> {
+        self.fleet.parts()
+    }
+
     /// Those of `daemons` that the platform doesn't list.
     pub fn unlisted(&self, daemons: &[SocketAddr]) -> Vec<SocketAddr> {
         let mut unlisted = daemons.to_vec();
--- /dev/null
+++ b/crates/router/src/detour/carry.rs
@@ -0,0 +1,100 @@
+//! Presents a link to a helper as the endpoint's connection, and carries its bytes at the helper.
+
+use std::io::{Error, ErrorKind, Result};
+use std::pin::Pin;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream::{SplitSink, SplitStream, unfold};
+use futures_util::{SinkExt, StreamExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
+
+use super::message::{End, Piece};
+use crate::socket::Link;
+
+/// Bytes of an endpoint's connection in one frame.
+const PIECE: usize = 16 << 10;
+
+/// A connection that can be read and written.
+pub trait Duplex: AsyncRead + AsyncWrite + Send {}
+
+impl<T: AsyncRead + AsyncWrite + Send> Duplex for T {}
+
+/// The endpoint's connection that a helper carries. Reading fails if it broke, or if the helper was
+/// lost.
+pub fn carried(link: Link) -> Pin<Box<dyn Duplex>> {
+    let (sink, stream) = link.split();
+    let pieces = unfold(Some(stream), async |stream| {
+        let mut stream = stream?;
+        match next_bytes(&mut stream).await {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    });
+    let sink = sink.with(async |bytes: Bytes| Ok::<_, Error>(Piece::Data(bytes).into_message()));
+    let reader = StreamReader::new(Box::pin(pieces));
+    let writer = SinkWriter::new(CopyToBytes::new(Box::pin(sink)));
+    Box::pin(tokio::io::join(reader, writer))
+}
+
+/// The next bytes of the endpoint; `None` when it has closed its connection.
+async fn next_bytes(stream: &mut SplitStream<Link>) -> Result<Option<Bytes>> {
+    let lost = || Error::new(ErrorKind::ConnectionAborted, "the helper was lost");
+    let frame = stream.next().await.ok_or_else(lost)??;
+    match Piece::read(frame.freeze())? {
+        Piece::Data(bytes) => Ok(Some(bytes)),
+        Piece::End(end) if end == End::Closed as i32 => Ok(None),
+        Piece::End(_) => Err(ErrorKind::ConnectionReset.into()),
+    }
+}
+
+/// Carries bytes between a link and an endpoint until either side ends. The endpoint's connection
+/// ends as soon as the daemon that asked for it closes the link.
+pub async fn carry(link: Link, endpoint: TcpStream) -> Result<()> {
+    let (mut sink, stream) = link.split();
+    let (read_half, write_half) = endpoint.into_split();
+    tokio::select! {
+        () = to_endpoint(stream, write_half) => Ok(()),
+        sent = from_endpoint(read_half, &mut sink) => sent,
+    }
+}
+
+/// Writes what the daemon sends; returns when the daemon closes the link.
+async fn to_endpoint(mut stream: SplitStream<Link>, mut endpoint: OwnedWriteHalf) {
+    let mut is_open = true;
+    while let Some(Ok(frame)) = stream.next().await {
+        let Ok(Piece::Data(bytes)) = Piece::read(frame.freeze()) else {
+            return;
+        };
+        // An endpoint may answer before it has read everything, and close its side.
+        is_open = is_open && endpoint.write_all(&bytes).await.is_ok();
+    }
+}
+
+/// Sends what the endpoint answers, and how its connection ended.
+async fn from_endpoint(
+    mut endpoint: OwnedReadHalf,
+    sink: &mut SplitSink<Link, Bytes>,
+) -> Result<()> {
+    let mut buffer = BytesMut::with_capacity(PIECE);
+    loop {
+        buffer.reserve(PIECE);
+        let piece = match (&mut endpoint)
+            .take(PIECE as u64)
+            .read_buf(&mut buffer)
+            .await
+        {
+            Ok(0) => Piece::End(End::Closed.into()),
+            Ok(_) => Piece::Data(buffer.split().freeze()),
+            Err(_) => Piece::End(End::Broken.into()),
+        };
+        let is_end = matches!(piece, Piece::End(_));
+        sink.send(piece.into_message()).await?;
+        if is_end {
+            return Ok(());
+        }
+    }
+}
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -1,7 +1,10 @@
-//! Connections to endpoints, and a report of response headers that nothing reads.
+//! Connections to endpoints and the ways there, and a report of response headers that nothing reads.
 
 mod connections;
+mod heard;
 mod unread;
+mod ways;
 
 pub use connections::{ConnectionPool, LeasedConnection, SendError, Sent, idle_limit};
 pub use unread::UnreadHeaders;
+pub use ways::{Passage, Taken, Ways};
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
@@ -9,16 +10,19 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
 use medlarrill_net::now::{now, wall};
+use tokio::io::{AsyncRead, AsyncWrite};
 
-use crate::socket;
+use super::ways::{ConnectError, Connected, Passage, Taken, Ways};
+use crate::detour::carried;
 
-/// Timeout for connecting: endpoints are some milliseconds away and take one to accept.
-const CONNECT_TIMEOUT: Millis = Millis(400);
+/// Time without a response after which a daemon that hears no endpoint checks whether it is cut off.
+const SILENCE_CHECK: Millis = Millis(250);
 /// Time for which a connection is kept idle if the endpoint announces none.
 const DEFAULT_IDLE: Millis = Millis(4000);
 /// Idle connections are closed this long before the endpoint closes them, so that its close
@@ -40,6 +44,9 @@
     /// No connection could be made; nothing was sent.
     #[display("not sent: {_0}")]
     NotSent(#[error(not(source))] String),
+    /// This daemon is cut off from all endpoints; nothing was sent.
+    #[display("not sent: {_0}")]
+    CutOff(#[error(not(source))] String),
     /// The connection failed after the request was passed to it.
     #[display("lost: {_0}")]
     Lost(#[error(not(source))] String),
@@ -54,13 +61,21 @@
     until: Millis,
 }
 
-type Table = HashMap<InstanceId, Vec<Idle>>;
+/// Idle connections by endpoint.
+#[derive(Default)]
+#[derive(Debug)]
+struct Table {
+    connections: HashMap<InstanceId, Vec<Idle>>,
+    /// Value of [`Ways::silences`] when they were checked last.
+    silences: u64,
+}
 
 /// Idle connections to all endpoints.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 #[derive(Debug)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<Table>>,
+    ways: Arc<Ways>,
 }
 
 /// A connection in use by one request.
@@ -70,6 +85,7 @@
     sender: Sender,
     pool: ConnectionPool,
     id: InstanceId,
+    helper: Option<SocketAddr>,
 }
 
 /// A sent request whose response head was received.
@@ -87,18 +103,41 @@
 }
 
 impl ConnectionPool {
-    /// Sends a request and waits for the head of the response.
+    /// Creates an empty pool.
+    pub fn new(ways: Ways) -> Self {
+        Self {
+            idle: Arc::default(),
+            ways: Arc::new(ways),
+        }
+    }
+
+    /// This daemon's ways to endpoints.
+    pub const fn ways(&self) -> &Arc<Ways> {
+        &self.ways
+    }
+
+    /// Sends a request and waits for the head of the response; sets `taken` when the request is
+    /// handed to a connection.
     ///
     /// # Errors
     ///
     /// When there is no response; the variant says whether the request may have been sent.
-    pub async fn send(&self, endpoint: &Endpoint, request: Request<Full<Bytes>>) -> Result<Sent> {
+    pub async fn send(
+        &self,
+        endpoint: &Endpoint,
+        request: Request<Full<Bytes>>,
+        is_idempotent: bool,
+        taken: &Taken,
+    ) -> Result<Sent> {
         let mut request = request;
-        while let Some(mut sender) = self.take_idle(&endpoint.id) {
+        while self.ways.trusts_kept(is_idempotent)
+            && let Some(mut sender) = self.take_idle(&endpoint.id)
+        {
+            taken.set(Some(Passage::kept(self.ways.silence())));
             let sent_at = wall();
-            match sender.try_send_request(request).await {
+            match self.send_kept(&mut sender, request).await {
                 Ok(answer) => {
-                    let connection = self.lease(endpoint, sender);
+                    let connection = self.lease(endpoint, sender, None);
                     return Ok(Sent {
                         answer,
                         connection,
@@ -107,17 +146,22 @@
                     });
                 }
                 Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        taken.set(None);
+                        request = unsent;
+                    }
                     None => return Err(SendError::Lost(error.into_error().to_string())),
                 },
             }
         }
-        let mut sender = self.connect(endpoint.address).await?;
+        let (connected, passage) = self.ways.connect(endpoint).await?;
+        let mut sender = handshake(connected).await?;
+        taken.set(Some(passage));
         let sent_at = wall();
         match sender.try_send_request(request).await {
             Ok(answer) => Ok(Sent {
                 answer,
-                connection: self.lease(endpoint, sender),
+                connection: self.lease(endpoint, sender, passage.helper),
                 is_new: true,
                 sent_at,
             }),
@@ -132,34 +176,44 @@
         }
     }
 
-    fn lease(&self, endpoint: &Endpoint, sender: Sender) -> LeasedConnection {
+    /// Sends a request on a kept connection. It may be dead: if no endpoint is heard, this daemon
+    /// finds out whether it is cut off while it waits.
+    async fn send_kept(
+        &self,
+        sender: &mut Sender,
+        request: Request<Full<Bytes>>,
+    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let mut sending = pin!(sender.try_send_request(request));
+        tokio::select! {
+            biased;
+            sent = &mut sending => return sent,
+            () = tokio::time::sleep(SILENCE_CHECK.as_duration()) => self.ways.probe_if_suspect(),
+        }
+        sending.await
+    }
+
+    fn lease(
+        &self,
+        endpoint: &Endpoint,
+        sender: Sender,
+        helper: Option<SocketAddr>,
+    ) -> LeasedConnection {
         LeasedConnection {
             sender,
             pool: self.clone(),
             id: endpoint.id.clone(),
+            helper,
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Sender> {
-        let stream = socket::connect(address, CONNECT_TIMEOUT)
-            .await
-            .map_err(|error| SendError::NotSent(error.to_string()))?;
-        let (sender, connection) = Builder::new()
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| SendError::NotSent(error.to_string()))?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(target: "endpoints", "endpoints: connection to {address} ended: {error}");
-            }
-        });
-        Ok(sender)
-    }
-
     /// Takes the most recently used idle connection that is still usable.
     fn take_idle(&self, id: &InstanceId) -> Option<Sender> {
         let mut table = self.lock();
-        let idle = table.get_mut(id)?;
+        let silences = self.ways.silences();
+        if std::mem::replace(&mut table.silences, silences) != silences {
+            table.connections.clear();
+        }
+        let idle = table.connections.get_mut(id)?;
         let now = now();
         while let Some(Idle { sender, until }) = idle.pop() {
             if now < until && sender.is_ready() {
@@ -172,7 +226,7 @@
     /// Closes connections whose idle time has passed.
     pub fn sweep(&self) {
         let now = now();
-        self.lock().retain(|_, idle| {
+        self.lock().connections.retain(|_, idle| {
             idle.retain(|idle| now < idle.until && !idle.sender.is_closed());
             !idle.is_empty()
         });
@@ -183,6 +237,38 @@
     }
 }
 
+impl From<ConnectError> for SendError {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Unreachable(cause) => Self::NotSent(cause),
+            ConnectError::CutOff(cause) => Self::CutOff(cause),
+        }
+    }
+}
+
+/// Starts HTTP on a connection.
+async fn handshake(connected: Connected) -> Result<Sender> {
+    match connected {
+        Connected::Direct(stream) => start_http(stream).await,
+        Connected::Detour(opened) => start_http(carried(opened.link)).await,
+    }
+}
+
+async fn start_http(
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+) -> Result<Sender> {
+    let (sender, connection) = Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| SendError::NotSent(error.to_string()))?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!(target: "endpoints", "endpoints: a connection ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
 /// How many idle connections one daemon may keep to an endpoint that accepts `connections` from
 /// all `daemons` together.
 pub fn idle_limit(connections: u32, daemons: usize) -> usize {
@@ -191,10 +277,15 @@
 }
 
 impl LeasedConnection {
+    /// The daemon that carries the connection, if it isn't direct.
+    pub const fn helper(&self) -> Option<SocketAddr> {
+        self.helper
+    }
+
     /// Returns the connection to the pool after the complete response was read, unless `limit`
     /// idle ones are there already.
     pub fn release(self, idle_timeout: Option<Millis>, limit: usize) {
-        if self.sender.is_closed() {
+        if self.sender.is_closed() || self.helper.is_some() {
             return;
         }
         let until = now() + (idle_timeout.unwrap_or(DEFAULT_IDLE) - IDLE_MARGIN);
@@ -203,7 +294,7 @@
             until,
         };
         let mut table = self.pool.lock();
-        let list = table.entry(self.id).or_default();
+        let list = table.connections.entry(self.id).or_default();
         if list.len() < limit {
             list.push(idle);
         }
--- /dev/null
+++ b/crates/router/src/endpoints/ways.rs
@@ -0,0 +1,394 @@
+//! Connects to endpoints: directly, or through another daemon where this one doesn't reach them.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use derive_more::{Debug, Display};
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
+use medlarrill_core::routing::reach::{Helpers, Reach, ReachChange, Setback, Way};
+use medlarrill_net::now::now;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use tokio::net::TcpStream;
+
+use super::heard::{Heard, HeardAt};
+use crate::detour::{self, AskError, Opened, ask};
+use crate::metrics::Metrics;
+use crate::placement::Placement;
+use crate::socket;
+
+/// Timeout for connecting: endpoints are some milliseconds away and take one to accept.
+const CONNECT_TIMEOUT: Millis = Millis(400);
+/// Time after which a daemon that may be cut off asks others while it still tries to connect.
+const HEAD_START: Millis = Millis(100);
+/// Timeout for probes.
+const PROBE_TIMEOUT: Millis = Millis(300);
+/// Endpoints that are probed at a time.
+const PROBES: usize = 3;
+/// Interval between checks whether to probe endpoints.
+const PROBE_CHECK: Millis = Millis(100);
+/// Daemons that may fail to connect to an endpoint before it counts as unreachable.
+const OPINIONS: usize = 2;
+
+/// Result of connecting.
+pub type Result<T> = std::result::Result<T, ConnectError>;
+
+/// Why there is no connection to an endpoint.
+#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Display)]
+pub enum ConnectError {
+    /// Neither this daemon nor others that it asked could connect.
+    #[display("{_0}")]
+    Unreachable(String),
+    /// This daemon is cut off, and no other could connect for it.
+    #[display("cut off from all endpoints, {_0}")]
+    CutOff(String),
+}
+
+/// A connection to an endpoint.
+#[derive(Debug)]
+pub enum Connected {
+    /// A direct one.
+    Direct(#[debug(skip)] Heard<TcpStream>),
+    /// One that another daemon carries.
+    Detour(Opened),
+}
+
+/// How a request got to its endpoint, for the log.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Passage {
+    /// What was known of the way when it was chosen; `None` for a kept connection.
+    pub way: Option<Way>,
+    /// The daemon that carries the connection.
+    pub helper: Option<SocketAddr>,
+    /// Time since any endpoint was last heard directly.
+    pub silence: Millis,
+}
+
+/// How a request got to its endpoint, set when it is handed to a connection: while this is empty,
+/// nothing was sent.
+#[derive(Debug, Default)]
+pub struct Taken(Mutex<Option<Passage>>);
+
+impl Taken {
+    /// Sets or clears the passage.
+    pub fn set(&self, passage: Option<Passage>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = passage;
+    }
+
+    /// The passage.
+    pub fn get(&self) -> Option<Passage> {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Passage {
+    /// The passage of a request on a kept connection.
+    pub const fn kept(silence: Millis) -> Self {
+        Self {
+            way: None,
+            helper: None,
+            silence,
+        }
+    }
+
+    /// Name of the way, for the log.
+    pub fn name(&self) -> String {
+        self.way
+            .map_or_else(|| "kept".into(), |way| way.to_string())
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    reach: Reach,
+    helpers: Helpers,
+    #[debug(skip)]
+    rng: Pcg32,
+}
+
+/// This daemon's ways to endpoints.
+#[derive(Debug)]
+pub struct Ways {
+    state: Mutex<State>,
+    heard: HeardAt,
+    placement: Arc<Placement>,
+    metrics: Arc<Metrics>,
+    /// How often this daemon was cut off without hearing any endpoint.
+    silences: AtomicU64,
+}
+
+impl Ways {
+    /// Creates the state of a daemon that has connected to nothing yet.
+    pub fn new(placement: Arc<Placement>, metrics: Arc<Metrics>) -> Self {
+        let state = State {
+            reach: Reach::default(),
+            helpers: Helpers::default(),
+            rng: Pcg32::seed_from_u64(rand::random()),
+        };
+        Self {
+            state: Mutex::new(state),
+            heard: HeardAt::default(),
+            placement,
+            metrics,
+            silences: AtomicU64::new(0),
+        }
+    }
+
+    /// How often this daemon was cut off without hearing any endpoint. Connections that were kept
+    /// before may never be heard again.
+    pub fn silences(&self) -> u64 {
+        self.silences.load(Ordering::Relaxed)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.reach.record_heard(self.heard.get());
+        state
+    }
+
+    /// Sets the other daemons, those of this daemon's data centre and those elsewhere.
+    pub fn set_daemons(&self, near: Vec<SocketAddr>, far: Vec<SocketAddr>) {
+        let mut state = self.lock();
+        state.helpers.set(near, far);
+        state.reach.prune(now());
+    }
+
+    /// Whether this daemon reaches no endpoint.
+    pub fn is_cut_off(&self) -> bool {
+        self.lock().reach.is_cut_off()
+    }
+
+    /// Whether a kept connection may be used for a request.
+    pub fn trusts_kept(&self, is_idempotent: bool) -> bool {
+        self.lock().reach.trusts_kept(is_idempotent, now())
+    }
+
+    /// Time since any endpoint was last heard directly.
+    pub fn silence(&self) -> Millis {
+        self.lock().reach.silence(now())
+    }
+
+    /// Whether an attempt on a direct connection may have failed by this daemon's own link.
+    pub fn is_own_failure(&self, id: &InstanceId, is_loss: bool) -> bool {
+        self.lock().reach.is_own_failure(id, is_loss, now())
+    }
+
+    /// Connects to an endpoint; returns how.
+    ///
+    /// # Errors
+    ///
+    /// When neither this daemon nor another one that it asked could connect.
+    pub async fn connect(self: &Arc<Self>, endpoint: &Endpoint) -> Result<(Connected, Passage)> {
+        let (way, silence) = {
+            let state = self.lock();
+            let way = state.reach.way(&endpoint.id, now());
+            (way, state.reach.silence(now()))
+        };
+        let connected = match way {
+            Way::Direct => self.race(endpoint).await,
+            Way::Detour => match self.detour(endpoint).await {
+                Err(_) => self.direct(endpoint).await,
+                opened => opened,
+            },
+            Way::CutOff => self.detour(endpoint).await,
+        }?;
+        let helper = match &connected {
+            Connected::Direct(_) => None,
+            Connected::Detour(opened) => Some(opened.helper),
+        };
+        let passage = Passage {
+            way: Some(way),
+            helper,
+            silence,
+        };
+        Ok((connected, passage))
+    }
+
+    /// Connects directly, or through another daemon if that takes long or fails.
+    async fn race(self: &Arc<Self>, endpoint: &Endpoint) -> Result<Connected> {
+        let mut direct = pin!(self.direct(endpoint));
+        loop {
+            tokio::select! {
+                biased;
+                connected = &mut direct => match connected {
+                    Err(error) if self.asks_others(&endpoint.id) => {
+                        return self.detour(endpoint).await.map_err(|other| match other {
+                            ConnectError::CutOff(_) if !self.is_cut_off() => error,
+                            other => other,
+                        });
+                    }
+                    connected => return connected,
+                },
+                () = tokio::time::sleep(HEAD_START.as_duration()) => {}
+            }
+            self.probe_if_suspect();
+            if self.asks_others(&endpoint.id) {
+                break;
+            }
+        }
+        let mut detour = pin!(self.detour(endpoint));
+        tokio::select! {
+            biased;
+            connected = &mut direct => match connected {
+                Ok(connected) => Ok(connected),
+                Err(error) => detour.await.map_err(|_| error),
+            },
+            opened = &mut detour => match opened {
+                Ok(opened) => {
+                    self.record_unconnected(&endpoint.id);
+                    Ok(opened)
+                }
+                Err(_) => direct.await,
+            },
+        }
+    }
+
+    fn asks_others(&self, id: &InstanceId) -> bool {
+        self.lock().reach.asks_others(id, now())
+    }
+
+    async fn direct(self: &Arc<Self>, endpoint: &Endpoint) -> Result<Connected> {
+        let stream = self.open(endpoint, CONNECT_TIMEOUT).await;
+        match stream {
+            Ok(stream) => Ok(Connected::Direct(self.heard.watch(stream))),
+            Err(error) => {
+                self.probe_if_suspect();
+                Err(ConnectError::Unreachable(error.to_string()))
+            }
+        }
+    }
+
+    /// Connects directly, and records whether that worked.
+    async fn open(&self, endpoint: &Endpoint, wait: Millis) -> std::io::Result<TcpStream> {
+        let stream = socket::connect(endpoint.address, wait).await;
+        match &stream {
+            Ok(_) => self.record_connected(&endpoint.id),
+            Err(_) => self.record_unconnected(&endpoint.id),
+        }
+        stream
+    }
+
+    /// Connects to an endpoint for another daemon.
+    ///
+    /// # Errors
+    ///
+    /// When that fails, or takes long.
+    pub async fn connect_for_other(&self, endpoint: &Endpoint) -> std::io::Result<TcpStream> {
+        self.open(endpoint, detour::CONNECT_TIMEOUT).await
+    }
+
+    /// Connects through another daemon.
+    async fn detour(&self, endpoint: &Endpoint) -> Result<Connected> {
+        let candidates = {
+            let State { helpers, rng, .. } = &mut *self.lock();
+            helpers.candidates(now(), rng)
+        };
+        let mut last = String::from("no other daemon to ask");
+        let mut unreachable = 0;
+        for helper in candidates {
+            match ask(helper, &endpoint.id).await {
+                Ok(opened) => {
+                    self.record_detour(helper, &endpoint.id);
+                    return Ok(Connected::Detour(opened));
+                }
+                Err(error) => {
+                    self.record_refusal(helper, &error);
+                    unreachable += usize::from(error.is_unreachable());
+                    last = format!("{helper}: {error}");
+                }
+            }
+            if unreachable >= OPINIONS {
+                return Err(ConnectError::Unreachable(last));
+            }
+        }
+        if unreachable > 0 {
+            return Err(ConnectError::Unreachable(last));
+        }
+        self.lock().helpers.record_none(now());
+        Err(ConnectError::CutOff(last))
+    }
+
+    fn record_detour(&self, helper: SocketAddr, id: &InstanceId) {
+        Metrics::count(&self.metrics.detours, "open");
+        let mut state = self.lock();
+        state.helpers.record_help(helper);
+        state.reach.record_detour(id, now());
+    }
+
+    fn record_refusal(&self, helper: SocketAddr, error: &AskError) {
+        let setback = error.setback();
+        let reason = match setback {
+            None => "unreachable",
+            Some(Setback::Busy) => "busy",
+            Some(Setback::CutOff) => "cut-off",
+            Some(Setback::Silent) => "silent",
+        };
+        Metrics::count(&self.metrics.detours, reason);
+        if let Some(setback) = setback {
+            self.lock().helpers.record_setback(helper, setback, now());
+        }
+    }
+
+    fn record_connected(&self, id: &InstanceId) {
+        let change = self.lock().reach.record_connected(id, now());
+        self.apply(change);
+    }
+
+    fn record_unconnected(&self, id: &InstanceId) {
+        let known = self.placement.endpoint_count();
+        let change = self.lock().reach.record_unconnected(id, known, now());
+        self.apply(change);
+    }
+
+    /// Logs that this daemon is cut off, or isn't any more.
+    fn apply(&self, change: Option<ReachChange>) {
+        let Some(change) = change else {
+            return;
+        };
+        self.placement.end_pauses();
+        match change {
+            ReachChange::CutOff { endpoints, silence } => {
+                self.metrics.cut_off.set(1);
+                self.silences.fetch_add(1, Ordering::Relaxed);
+                log::warn!(
+                    target: "endpoints", endpoints, silence = silence.0;
+                    "endpoints: none can be reached, others are asked to connect"
+                );
+            }
+            ReachChange::Restored { span } => {
+                self.metrics.cut_off.set(0);
+                log::info!(target: "endpoints", span = span.0; "endpoints: reached again");
+            }
+        }
+    }
+
+    /// Probes endpoints if this daemon may be cut off.
+    pub fn probe_if_suspect(self: &Arc<Self>) {
+        if self.lock().reach.should_probe(true, now()) {
+            tokio::spawn(Arc::clone(self).probe());
+        }
+    }
+
+    /// Connects to some endpoints, to learn whether this daemon reaches any.
+    async fn probe(self: Arc<Self>) {
+        let endpoints = self.placement.sample(PROBES);
+        let probes = endpoints
+            .iter()
+            .map(|endpoint| self.open(endpoint, PROBE_TIMEOUT));
+        futures_util::future::join_all(probes).await;
+    }
+
+    /// Probes endpoints while this daemon is cut off, until the process ends.
+    pub async fn keep_probing(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(PROBE_CHECK.as_duration()).await;
+            if self.lock().reach.should_probe(false, now()) {
+                Arc::clone(&self).probe().await;
+            }
+        }
+    }
+}
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -17,7 +17,7 @@
 
 use super::request::RoutedRequest;
 use super::trace::Trace;
-use crate::endpoints::{LeasedConnection, SendError, Sent};
+use crate::endpoints::{LeasedConnection, Passage, SendError, Sent, Taken};
 use crate::placement::InFlight;
 
 /// Time beyond the deadline in which an endpoint's own timeout response may still arrive.
@@ -74,6 +74,7 @@
     fault: Fault,
     cause: String,
     answer: Option<Box<FullAnswer>>,
+    passage: Option<Passage>,
 }
 
 impl FailedAttempt {
@@ -82,6 +83,17 @@
             fault,
             cause: cause.to_string(),
             answer: None,
+            passage: None,
+        }
+    }
+}
+
+impl From<SendError> for FailedAttempt {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::NotSent(cause) => Self::new(Fault::NotSent, cause),
+            SendError::CutOff(cause) => Self::new(Fault::CutOff, cause),
+            SendError::Lost(cause) => Self::new(Fault::Lost, cause),
         }
     }
 }
@@ -115,21 +127,17 @@
         trace.log_attempt(&choice, shared_prefix, left);
         let request = routed.to_endpoint(&choice, left, last_event);
         let id = choice.endpoint.id.clone();
-        let failed = match attempt(routed, plan, &choice.endpoint, in_flight, request).await {
+        let (result, passage) = attempt(routed, plan, &choice.endpoint, in_flight, request).await;
+        trace.log_detour(passage.as_ref());
+        let failed = match result {
             Ok(dispatched) => {
-                placement.record_success(&id, now());
-                if let Dispatched::Answer(answer) = &dispatched
-                    && answer.is_framed
-                {
-                    placement.record_served(plan, now());
-                }
+                record_success(routed, plan, &id, &dispatched);
                 return dispatched;
             }
-            Err(failed) => failed,
+            Err(failed) => FailedAttempt { passage, ..failed },
         };
-        if let Some(prefix) = shared_prefix
-            && failed.fault.outcome() != Outcome::Ran
-        {
+        let unread = shared_prefix.filter(|_| failed.fault.outcome() != Outcome::Ran);
+        if let Some(prefix) = unread {
             placement.retract_prefix(prefix, &id);
         }
         let next = record_failure(routed, plan, &id, &failed, trace);
@@ -158,24 +166,49 @@
     Refusal::Unavailable { wait }
 }
 
-/// Sends a request to one endpoint and waits for its response.
+/// Sends a request to one endpoint and waits for its response. Also returns how it got there, if it
+/// was sent.
 async fn attempt(
     routed: &RoutedRequest,
     plan: &RetryPlan,
     endpoint: &Endpoint,
     in_flight: InFlight,
     request: Request<Full<Bytes>>,
-) -> Result<Dispatched> {
+) -> (Result<Dispatched>, Option<Passage>) {
     let wait = head_timeout(plan);
-    let sending = routed.shared.connections.send(endpoint, request);
-    match tokio::time::timeout(wait.as_duration(), sending).await {
+    let taken = Taken::default();
+    let connections = &routed.shared.connections;
+    let sending = connections.send(endpoint, request, plan.is_idempotent(), &taken);
+    let sent = tokio::time::timeout(wait.as_duration(), sending).await;
+    let passage = taken.get();
+    let result = match sent {
         Ok(Ok(sent)) => receive(routed, plan, sent, in_flight, endpoint.id.clone()).await,
-        Ok(Err(SendError::NotSent(cause))) => Err(FailedAttempt::new(Fault::NotSent, cause)),
-        Ok(Err(SendError::Lost(cause))) => Err(FailedAttempt::new(Fault::Lost, cause)),
+        Ok(Err(error)) => Err(error.into()),
+        Err(_) if passage.is_none() => Err(FailedAttempt::new(
+            Fault::NotSent,
+            format!("not connected in {wait}"),
+        )),
         Err(_) => Err(FailedAttempt::new(
             Fault::Slow,
             format!("no head in {wait}"),
         )),
+    };
+    (result, passage)
+}
+
+/// Records a successful attempt; a complete response also speaks for the request.
+fn record_success(
+    routed: &RoutedRequest,
+    plan: &RetryPlan,
+    id: &InstanceId,
+    dispatched: &Dispatched,
+) {
+    let placement = &routed.shared.placement;
+    placement.record_success(id, now());
+    if let Dispatched::Answer(answer) = dispatched
+        && answer.is_framed
+    {
+        placement.record_served(plan, now());
     }
 }
 
@@ -187,9 +220,12 @@
     failed: &FailedAttempt,
     trace: &Trace,
 ) -> Next {
-    let next = routed.record_failure(plan, id, failed.fault, now());
+    let helper = failed.passage.and_then(|passage| passage.helper);
+    let next = routed.record_failure(plan, id, failed.fault, helper, now());
     let budget = routed.shared.placement.retry_budget(&routed.pool, now());
-    trace.log_fault(failed.fault, &failed.cause, next == Next::Retry, &budget);
+    let passage = failed.passage.as_ref();
+    let is_retried = next == Next::Retry;
+    trace.log_fault(failed.fault, &failed.cause, is_retried, &budget, passage);
     next
 }
 
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -163,21 +163,24 @@
             return false;
         };
         let id = source.endpoint.clone();
+        let helper = source.connection.helper();
         // Ends the request at this endpoint before it runs at another.
         drop(source);
         let next = match self.may_resume() {
             true => self
                 .routed
-                .record_failure(&mut self.plan, &id, fault, now()),
+                .record_failure(&mut self.plan, &id, fault, helper, now()),
             false => {
-                self.routed.record_fault(&self.plan, &id, fault, now());
+                let routed = &self.routed;
+                routed.record_fault(&self.plan, &id, fault, helper, now());
                 Next::GiveUp(self.plan.refusal(false))
             }
         };
         let placement = &self.routed.shared.placement;
         let budget = placement.retry_budget(&self.routed.pool, now());
+        let is_retried = next == Next::Retry;
         self.trace
-            .log_fault(fault, cause, next == Next::Retry, &budget);
+            .log_fault(fault, cause, is_retried, &budget, None);
         if next != Next::Retry {
             return false;
         }
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -1,5 +1,6 @@
 //! A request with its route and pool, ready to be sent to endpoints.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -75,19 +76,38 @@
         plan: &mut RetryPlan,
         id: &InstanceId,
         fault: Fault,
+        helper: Option<SocketAddr>,
         now: Millis,
     ) -> Next {
-        self.record_fault(plan, id, fault, now);
+        self.record_fault(plan, id, fault, helper, now);
         let placement = &self.shared.placement;
         let has_other = placement.has_alternative(&self.pool, plan, id, now);
         let spend = || has_other && placement.spend_retry(&self.pool, now);
         plan.record_failure(id, fault, spend, now)
     }
 
-    /// Records a failed attempt, and the loss of its endpoint if it was lost.
-    pub fn record_fault(&self, plan: &RetryPlan, id: &InstanceId, fault: Fault, now: Millis) {
+    /// Records a failed attempt, and the loss of its endpoint if it was lost. An attempt that failed
+    /// by this daemon's own links isn't counted against the endpoint. `helper` is the daemon that
+    /// carried the connection, if it wasn't direct.
+    pub fn record_fault(
+        &self,
+        plan: &RetryPlan,
+        id: &InstanceId,
+        fault: Fault,
+        helper: Option<SocketAddr>,
+        now: Millis,
+    ) {
         let placement = &self.shared.placement;
-        placement.record_failure(id, fault, now);
+        let ways = self.shared.connections.ways();
+        let is_of_way = fault.is_loss() || fault == Fault::Slow;
+        let is_own = is_of_way && helper.is_none() && ways.is_own_failure(id, fault.is_loss());
+        if is_own {
+            return;
+        }
+        // A helper that is lost looks the same as an endpoint that is.
+        if helper.is_none() || !is_of_way {
+            placement.record_failure(id, fault, now);
+        }
         if fault.is_loss() {
             placement.record_loss(plan, id, now);
         }
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -17,6 +17,7 @@
 
 use super::answer::Reason;
 use super::request::RoutedRequest;
+use crate::endpoints::Passage;
 use crate::metrics::{Metrics, seconds};
 use crate::shared::Shared;
 
@@ -119,8 +120,33 @@
         );
     }
 
+    /// Logs that an attempt goes through another daemon, and on what that is based.
+    pub fn log_detour(&self, passage: Option<&Passage>) {
+        let Some(Passage {
+            helper: Some(helper),
+            silence,
+            ..
+        }) = passage
+        else {
+            return;
+        };
+        log::info!(
+            target: "entry", request = self.request, attempt = self.attempts,
+            endpoint = self.endpoint(), helper:%, way = passage.map(Passage::name),
+            silence = silence.0;
+            "entry: through another daemon"
+        );
+    }
+
     /// Counts and logs a failed attempt.
-    pub fn log_fault(&self, fault: Fault, cause: &str, is_retried: bool, budget: &State) {
+    pub fn log_fault(
+        &self,
+        fault: Fault,
+        cause: &str,
+        is_retried: bool,
+        budget: &State,
+        passage: Option<&Passage>,
+    ) {
         Metrics::count(&self.shared.metrics.faults, fault.code());
         if is_retried {
             Metrics::count(&self.shared.metrics.retries, fault.code());
@@ -129,6 +155,7 @@
             target: "entry", request = self.request, attempt = self.attempts,
             endpoint = self.endpoint(), fingerprint:% = self.fingerprint,
             fault = fault.code(), cause, outcome:% = fault.outcome(), again = is_retried, repeats:% = budget,
+            way = passage.map(Passage::name), silence = self.shared.connections.ways().silence().0,
             passed = now().since(self.arrived).0;
             "entry: attempt failed"
         );
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,15 +1,19 @@
 //! Routes requests from an entry to the endpoints that a platform lists.
 //!
-//! Five modules, with dependencies in one direction. `entry` takes callers'
+//! Modules depend on each other in one direction. `entry` takes callers'
 //! requests, asks `placement` for an endpoint, and sends them through
 //! `endpoints`. `store` follows the platform's object store and applies its
 //! changes to `placement` and to the active configuration. `peers` passes other
-//! daemons' reports on endpoints to `placement`.
+//! daemons' reports on endpoints to `placement`. Where this daemon doesn't reach
+//! endpoints, `endpoints` connects to them through another one by `detour`;
+//! `links` accepts connections of other daemons.
 //! Decisions are made in `medlarrill_core::routing`; the platform's names and
 //! formats are decoded in `medlarrill_platform`.
 
+pub mod detour;
 pub mod endpoints;
 pub mod entry;
+pub mod links;
 pub mod logs;
 pub mod metrics;
 pub mod peers;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -40,6 +40,8 @@
     pub resumed: Counter,
     /// New connections to endpoints.
     pub connects: Counter,
+    /// Other daemons that were asked to connect to an endpoint, by what came of it.
+    pub detours: Family<ReasonLabel, Counter>,
     /// Calls to the platform.
     pub platform_calls: Counter,
     /// Calls to the platform without a usable response.
@@ -58,6 +60,10 @@
     pub config_version: Gauge,
     /// Known endpoints.
     pub endpoints: Gauge,
+    /// Connections to endpoints that are carried for other daemons.
+    pub helping: Gauge,
+    /// Whether no endpoint can be reached directly: 0 or 1.
+    pub cut_off: Gauge,
     /// Quarantined requests; those with one fingerprint count once.
     pub quarantined: Gauge,
     /// Endpoints in slow start.
@@ -92,6 +98,7 @@
             retries: Family::default(),
             resumed: Counter::default(),
             connects: Counter::default(),
+            detours: Family::default(),
             platform_calls: Counter::default(),
             failed_calls: Counter::default(),
             unreadable: Counter::default(),
@@ -101,6 +108,8 @@
             connections: Gauge::default(),
             config_version: Gauge::default(),
             endpoints: Gauge::default(),
+            helping: Gauge::default(),
+            cut_off: Gauge::default(),
             quarantined: Gauge::default(),
             slow_starts: Gauge::default(),
             drains: Gauge::default(),
@@ -127,6 +136,8 @@
             "Connections to endpoints",
             self.connects.clone(),
         );
+        let detours = self.detours.clone();
+        r.register("detours", "Daemons asked to connect", detours);
         r.register(
             "calls",
             "Calls to the platform",
@@ -169,6 +180,9 @@
             self.config_version.clone(),
         );
         r.register("endpoints", "Endpoints known", self.endpoints.clone());
+        let helping = self.helping.clone();
+        r.register("helping", "Connections carried for others", helping);
+        r.register("cut_off", "No endpoint is reached", self.cut_off.clone());
         let quarantined = self.quarantined.clone();
         r.register("quarantined", "Requests that are sent nowhere", quarantined);
         let slow_starts = self.slow_starts.clone();
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -143,6 +143,7 @@
                 if now().since(reviewed) >= REVIEW_INTERVAL {
                     reviewed = now();
                     shared.placement.review(reviewed);
+                    set_helpers(&exchange, &shared);
                 }
                 let messages = tick(&mut exchange, &shared);
                 send(&socket, messages, &unsent).await;
@@ -153,6 +154,21 @@
     }
 }
 
+/// Sets the daemons that may be asked to connect to endpoints: those known to live, and those that
+/// the platform lists.
+fn set_helpers(exchange: &Exchange, shared: &Shared) {
+    let me = shared.settings.listen.peers;
+    let (mut near, mut far) = exchange.live_by_distance(now());
+    let centre = &shared.settings.data_centre;
+    shared.placement.add_listed(centre, &mut near, &mut far);
+    for daemons in [&mut near, &mut far] {
+        daemons.retain(|daemon| *daemon != me);
+        daemons.sort_unstable();
+        daemons.dedup();
+    }
+    shared.connections.ways().set_daemons(near, far);
+}
+
 /// Updates the roster; returns the number of live daemons.
 fn update(exchange: &Exchange, shared: &Shared, roster: &Roster, live: usize) -> usize {
     let before = roster.snapshot();
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -73,6 +73,36 @@
         self.lock().endpoints()
     }
 
+    /// The endpoint of an instance, if it is listed and takes new work.
+    pub fn open_endpoint(&self, id: &InstanceId) -> Option<Arc<Endpoint>> {
+        self.lock().open_endpoint(id)
+    }
+
+    /// Draws up to `count` endpoints.
+    pub fn sample(&self, count: usize) -> Vec<Arc<Endpoint>> {
+        self.lock().sample(count)
+    }
+
+    /// Ends the pauses of endpoints that couldn't be connected to.
+    pub fn end_pauses(&self) {
+        self.lock().end_pauses();
+    }
+
+    /// Adds the daemons that the platform lists to those of a data centre and those elsewhere.
+    pub fn add_listed(
+        &self,
+        centre: &DataCentreId,
+        near: &mut Vec<SocketAddr>,
+        far: &mut Vec<SocketAddr>,
+    ) {
+        for (part, daemons) in self.lock().listed_daemons() {
+            match part == centre.as_str() {
+                true => near.extend(daemons),
+                false => far.extend(daemons),
+            }
+        }
+    }
+
     /// Number of daemons that are alive or may be.
     pub fn daemon_count(&self) -> usize {
         self.lock().daemons()
--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -7,6 +7,7 @@
 use medlarrill_core::clock::Millis;
 use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 1024;
@@ -20,6 +21,21 @@
 /// Pause after a failed accept, which is mostly due to a lack of file descriptors.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
+/// Maximum size of a message between daemons in bytes: the platform limits values to 1 MiB, and a
+/// list holds some hundred small ones.
+const MAX_FRAME: usize = 8 << 20;
+
+/// A connection between two daemons.
+pub type Link = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Frames the messages of a connection between two daemons.
+pub fn framed(stream: TcpStream) -> Link {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
 /// Opens a listener, also right after another process used the address (`SO_REUSEADDR`).
 ///
 /// # Errors
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -12,8 +12,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::endpoints::{ConnectionPool, UnreadHeaders};
+use crate::endpoints::{ConnectionPool, UnreadHeaders, Ways};
 use crate::entry::{serve_callers, serve_metrics, serve_ready};
+use crate::links;
 use crate::logs::{self, DropCount};
 use crate::metrics::Metrics;
 use crate::peers::{Roster, exchange};
@@ -110,20 +111,15 @@
     let callers = socket::listen(settings.listen.callers)?;
     let ready = socket::listen(settings.listen.ready)?;
     let scrapes = socket::listen(settings.listen.metrics)?;
-    let relays = socket::listen(settings.listen.peers)?;
+    let links = socket::listen(settings.listen.peers)?;
     let listen = Listen {
         callers: callers.local_addr()?,
         ready: ready.local_addr()?,
         metrics: scrapes.local_addr()?,
-        peers: relays.local_addr()?,
+        peers: links.local_addr()?,
     };
     let datagrams = socket::bind_udp(listen.peers)?;
-    let near = settings.data_centre.clone();
-    let placement = Placement::new(near, settings.retries.into(), rand::random(), now());
-    if settings.seeds.is_empty() {
-        placement.set_single();
-    }
-    let placement = Arc::new(placement);
+    let placement = new_placement(settings);
     let metrics = Arc::new(Metrics::new());
     let (copies, config, is_listed) = new_copies(settings, listen.peers, &placement, &metrics);
     let settings = Settings {
@@ -142,16 +138,18 @@
     let shared = Arc::new(Shared {
         config,
         is_listed,
-        placement,
+        placement: Arc::clone(&placement),
         copies,
-        connections: ConnectionPool::default(),
+        connections: ConnectionPool::new(Ways::new(Arc::clone(&placement), Arc::clone(&metrics))),
         unread_headers: UnreadHeaders::new(Arc::clone(&metrics)),
         metrics,
         stop: Mutex::new(Stop::new(settings.grace)),
         closing: watch::Sender::new(false),
         settings,
     });
-    tokio::spawn(store::run(store, shared.settings.platform, relays));
+    tokio::spawn(store::run(store.clone(), shared.settings.platform));
+    tokio::spawn(links::serve(links, store, Arc::clone(&shared)));
+    tokio::spawn(Arc::clone(shared.connections.ways()).keep_probing());
     tokio::spawn(exchange(datagrams, Arc::clone(&shared), roster));
     tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
     tokio::spawn(serve_ready(ready, Arc::clone(&shared)));
@@ -159,6 +157,16 @@
     Ok(shared)
 }
 
+/// Creates the routing state, which knows no endpoints yet.
+fn new_placement(settings: &Settings) -> Arc<Placement> {
+    let near = settings.data_centre.clone();
+    let placement = Placement::new(near, settings.retries.into(), rand::random(), now());
+    if settings.seeds.is_empty() {
+        placement.set_single();
+    }
+    Arc::new(placement)
+}
+
 /// Creates empty copies of the platform's objects; returns them with receivers of the active
 /// configuration and of whether the endpoints were listed.
 fn new_copies(
@@ -219,11 +227,11 @@
     gauge.set(count.try_into().unwrap_or(i64::MAX));
 }
 
-/// Finishes requests in flight. New requests are served for a while, then refused.
+/// Finishes requests in flight, and connections carried for other daemons. New requests are served for a while, then refused.
 async fn stop(shared: &Shared) {
     let stop_time = now();
     shared.request_stop(stop_time);
-    let in_flight = || shared.metrics.in_flight.get();
+    let in_flight = || shared.metrics.in_flight.get() + shared.metrics.helping.get();
     log::info!(target: "start", in_flight = in_flight(); "start: stopping");
     let mut quiet_since = None;
     loop {
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -19,7 +19,6 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::DataCentreId;
 use medlarrill_net::now::now;
-use tokio::net::TcpListener;
 
 pub use self::apply::{ActiveConfig, ChangeApplier};
 pub use self::copies::Copies;
@@ -49,11 +48,10 @@
 }
 
 /// Keeps the copies up to date until the process ends.
-pub async fn run(store: StoreContext, platform: std::net::SocketAddr, listener: TcpListener) {
+pub async fn run(store: StoreContext, platform: std::net::SocketAddr) {
     let kinds = copies::KINDS.map(|kind| direct::follow(store.clone(), platform, kind));
     tokio::join!(
         futures_util::future::join_all(kinds),
-        relay::serve(store.clone(), listener),
         relay::follow(store.clone()),
         quarantine::sync(store.clone(), platform),
         daemons::sync(store.clone(), platform),
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -17,17 +17,15 @@
 use medlarrill_core::routing::exchange::sources;
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast::error::RecvError;
 use tokio::task::JoinHandle;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 pub use self::message::EncodedUpdate;
 use self::message::{Notification, Subscription};
 use super::StoreContext;
 use super::copies::KINDS;
 use super::direct::FIRST_START_WAIT;
-use crate::socket;
+use crate::socket::{self, Link, framed};
 
 /// Timeout for connecting to a daemon.
 const CONNECT_TIMEOUT: Millis = Millis(400);
@@ -40,11 +38,6 @@
 const CHECK_INTERVAL: Millis = Millis(100);
 /// The interval while this daemon lacks a required copy, and therefore refuses its callers.
 const EARLY_CHECK_INTERVAL: Millis = Millis(20);
-/// Maximum size of a message in bytes: the platform limits values to 1 MiB, and a list holds some
-/// hundred small ones.
-const MAX_FRAME: usize = 8 << 20;
-/// Timeout for a follower's subscription.
-const SUBSCRIBE_TIMEOUT: Millis = Millis(2000);
 
 /// Result of following or serving a copy.
 type Result<T> = std::result::Result<T, RelayError>;
@@ -64,33 +57,16 @@
     Behind,
 }
 
-type Connection = Framed<TcpStream, LengthDelimitedCodec>;
-
-fn framed(stream: TcpStream) -> Connection {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME)
-        .new_codec();
-    Framed::new(stream, codec)
-}
-
-/// Serves this daemon's copies to followers until the process ends.
-pub async fn serve(store: StoreContext, listener: TcpListener) {
-    loop {
-        let stream = socket::accept(&listener).await;
-        let store = store.clone();
-        tokio::spawn(async move {
-            if let Err(error) = serve_one(&store, framed(stream)).await {
-                log::debug!(target: "relay", "relay: a follower disconnected: {error}");
-            }
-        });
+/// Serves this daemon's copies to a follower until the connection ends; `first` is its first
+/// message.
+pub async fn serve(store: &StoreContext, connection: Link, first: &[u8]) {
+    if let Err(error) = serve_follower(store, connection, first).await {
+        log::debug!(target: "relay", "relay: a follower disconnected: {error}");
     }
 }
 
-async fn serve_one(store: &StoreContext, mut connection: Connection) -> Result<()> {
-    let subscription =
-        tokio::time::timeout(SUBSCRIBE_TIMEOUT.as_duration(), connection.next()).await;
-    let subscription = subscription.map_err(|_| RelayError::Silent)?;
-    let subscription = Subscription::read(&subscription.ok_or(RelayError::Closed)??)?;
+async fn serve_follower(store: &StoreContext, connection: Link, first: &[u8]) -> Result<()> {
+    let subscription = Subscription::read(first)?;
     let mut events = store.copies.subscribe();
     let mut follower = Follower::new(store, connection, subscription);
     let mut heartbeat = tokio::time::interval(HEARTBEAT.as_duration());
@@ -113,7 +89,7 @@
 /// A daemon that follows this daemon's copies.
 struct Follower<'a> {
     store: &'a StoreContext,
-    connection: Connection,
+    connection: Link,
     /// Revisions that it had reached when it subscribed.
     subscription: Subscription,
     /// Kinds of which the changes that it lacked then were sent to it.
@@ -121,11 +97,7 @@
 }
 
 impl<'a> Follower<'a> {
-    const fn new(
-        store: &'a StoreContext,
-        connection: Connection,
-        subscription: Subscription,
-    ) -> Self {
+    const fn new(store: &'a StoreContext, connection: Link, subscription: Subscription) -> Self {
         Self {
             store,
             connection,
@@ -220,7 +192,7 @@
 async fn receive_updates(
     store: &StoreContext,
     source: SocketAddr,
-    mut connection: Connection,
+    mut connection: Link,
 ) -> Result<()> {
     let reached = KINDS.map(|kind| (kind, store.copies.revision(kind)));
     connection
