--- a/crates/core/src/routing/reach/helpers.rs
+++ b/crates/core/src/routing/reach/helpers.rs
@@ -21,8 +21,9 @@
 pub const ASKED_MAX: usize = 5;
 /// Daemons that are looked at for each one that is drawn.
 const LOOKS: usize = 8;
-/// Pause of a daemon that helps too many already.
-const BUSY_PAUSE: Millis = Millis(200);
+/// Pause of a daemon that helps too many already, or that didn't reach an endpoint either: it may
+/// be cut off from a part of them.
+const SHORT_PAUSE: Millis = Millis(200);
 /// First and longest pause of a daemon that is cut off, too, or that doesn't answer.
 const PAUSE: (Millis, Millis) = (Millis(500), Millis(8000));
 /// Longest pause of a daemon that is cut off: it says so at once, and its links may be back.
@@ -38,6 +39,8 @@
     Busy,
     /// It reaches no endpoint itself.
     CutOff,
+    /// It doesn't reach this endpoint.
+    Unreachable,
     /// It doesn't answer, or doesn't know how to help.
     Silent,
 }
@@ -89,6 +92,13 @@
         chosen
     }
 
+    /// Whether a daemon is likely to be as far from an endpoint as one of those that didn't reach
+    /// it: daemons of the own data centre may be cut off together. Never if there are no others.
+    pub fn is_likely_unreachable(&self, daemon: &SocketAddr, failed: &[SocketAddr]) -> bool {
+        let is_near = |daemon: &SocketAddr| self.near.contains(daemon);
+        !self.far.is_empty() && is_near(daemon) && failed.iter().any(is_near)
+    }
+
     /// Draws `count` daemons that aren't paused or chosen. Looks at a few times as many, so that
     /// it takes no longer in a large fleet.
     fn draw(
@@ -131,7 +141,7 @@
         let before = self.pauses.get(&daemon).map_or(Millis::ZERO, |p| p.span);
         let doubled = Millis(before.0 * 2);
         let span = match setback {
-            Setback::Busy => BUSY_PAUSE,
+            Setback::Busy | Setback::Unreachable => SHORT_PAUSE,
             Setback::CutOff => doubled.clamp(first, CUT_OFF_PAUSE),
             Setback::Silent => doubled.clamp(first, longest),
         };
--- a/crates/router/src/detour/ask.rs
+++ b/crates/router/src/detour/ask.rs
@@ -50,21 +50,17 @@
 }
 
 impl AskError {
-    /// What this says about the daemon that was asked; `None` if it tried to connect, or isn't told
-    /// of the endpoint.
+    /// What this says about the daemon that was asked; `None` if it merely doesn't know the
+    /// endpoint.
     pub const fn setback(&self) -> Option<Setback> {
         match self {
             Self::Refused(Verdict::CutOff) => Some(Setback::CutOff),
             Self::Refused(Verdict::Busy | Verdict::Stopping) => Some(Setback::Busy),
+            Self::Refused(Verdict::Unreachable) => Some(Setback::Unreachable),
             Self::Refused(_) => None,
             Self::Io(_) | Self::Late | Self::Strange => Some(Setback::Silent),
         }
     }
-
-    /// Whether the daemon couldn't connect to the endpoint either.
-    pub const fn is_unreachable(&self) -> bool {
-        matches!(self, Self::Refused(Verdict::Unreachable))
-    }
 }
 
 /// Asks a daemon for a connection to an endpoint.
--- a/crates/router/src/endpoints/ways.rs
+++ b/crates/router/src/endpoints/ways.rs
@@ -31,7 +31,7 @@
 /// Interval between checks whether to probe endpoints.
 const PROBE_CHECK: Millis = Millis(100);
 /// Daemons that may fail to connect to an endpoint before it counts as unreachable.
-const OPINIONS: usize = 2;
+const OPINIONS: usize = 3;
 
 /// Result of connecting.
 pub type Result<T> = std::result::Result<T, ConnectError>;
@@ -288,24 +288,29 @@
             helpers.candidates(now(), rng)
         };
         let mut last = String::from("no other daemon to ask");
-        let mut unreachable = 0;
+        let mut unreachable: Vec<SocketAddr> = Vec::new();
         for helper in candidates {
+            let is_futile = {
+                let helpers = &self.lock().helpers;
+                helpers.is_likely_unreachable(&helper, &unreachable)
+            };
+            if is_futile || unreachable.len() >= OPINIONS {
+                continue;
+            }
             match ask(helper, &endpoint.id).await {
                 Ok(opened) => {
                     self.record_detour(helper, &endpoint.id);
                     return Ok(Connected::Detour(opened));
                 }
                 Err(error) => {
-                    self.record_refusal(helper, &error);
-                    unreachable += usize::from(error.is_unreachable());
+                    if self.record_refusal(helper, &error) == Some(Setback::Unreachable) {
+                        unreachable.push(helper);
+                    }
                     last = format!("{helper}: {error}");
                 }
             }
-            if unreachable >= OPINIONS {
-                return Err(ConnectError::Unreachable(last));
-            }
         }
-        if unreachable > 0 {
+        if !unreachable.is_empty() {
             return Err(ConnectError::Unreachable(last));
         }
         self.lock().helpers.record_none(now());
@@ -319,10 +324,11 @@
         state.reach.record_detour(id, now());
     }
 
-    fn record_refusal(&self, helper: SocketAddr, error: &AskError) {
+    fn record_refusal(&self, helper: SocketAddr, error: &AskError) -> Option<Setback> {
         let setback = error.setback();
         let reason = match setback {
-            None => "unreachable",
+            None => "unknown",
+            Some(Setback::Unreachable) => "unreachable",
             Some(Setback::Busy) => "busy",
             Some(Setback::CutOff) => "cut-off",
             Some(Setback::Silent) => "silent",
@@ -331,6 +337,7 @@
         if let Some(setback) = setback {
             self.lock().helpers.record_setback(helper, setback, now());
         }
+        setback
     }
 
     fn record_connected(&self, id: &InstanceId) {
