--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -5,6 +5,8 @@
     mod answers;
     mod copies;
     mod crash;
+    mod cut;
+    mod detour;
     mod drains;
     mod isolated;
     mod own_word;
--- a/crates/daemon/tests/route/isolated.rs
+++ b/crates/daemon/tests/route/isolated.rs
@@ -4,123 +4,19 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use medlarrill_platform_standin::{Call, View};
-use medlarrill_testkit::proxy::{Entry, Harm, Proxy};
+use medlarrill_platform_standin::{Behaviour, Call};
+use medlarrill_testkit::routed::{WAIT, read};
 use tokio::time::Instant;
 
+use super::cut::{Cut, PATHS, Site};
 use super::setup::Bench;
 
-const PATHS: [&str; 4] = ["/plain/x", "/once/x", "/stream/x", "/stream-once/x"];
 /// Time from a cut until a daemon serves as well as the others again.
 const SETTLE: Duration = Duration::from_secs(1);
-/// Time between two first tries at one daemon.
-const PACE: Duration = Duration::from_millis(40);
 /// First tries at one daemon in a second.
 const A_SECOND: usize = 25;
-
-/// What a cut does to connections to endpoints.
-#[derive(Clone, Copy, PartialEq)]
-enum Cut {
-    /// Open ones fall silent, new ones get no answer.
-    Hang,
-    /// Open ones are reset, new ones are refused.
-    Reset,
-    /// Open ones live on, new ones are refused.
-    NewOnly,
-}
-
-/// Daemons of which some have ways of their own to the endpoints.
-struct Site {
-    bench: Bench,
-    /// The ways of each of the first daemons.
-    ways: Vec<Vec<Proxy>>,
-    _views: Vec<View>,
-}
-
-impl Site {
-    /// The first `harmed` of the daemons have ways that can be cut.
-    async fn start(endpoints: usize, harmed: usize, daemons: usize) -> Self {
-        let mut bench = Bench::without_daemon(endpoints).await;
-        let (mut ways, mut views) = (Vec::new(), Vec::new());
-        for number in 0..daemons {
-            let seeds: &[usize] = if number == 0 { &[] } else { &[0] };
-            if number >= harmed {
-                bench.add_daemon(seeds);
-                continue;
-            }
-            let mut proxies = Vec::new();
-            let mut seen = Vec::new();
-            for endpoint in &bench.endpoints {
-                let proxy = Proxy::start(endpoint.address()).await.expect("a proxy");
-                seen.push((endpoint.address(), proxy.address));
-                proxies.push(proxy);
-            }
-            let view = bench.store.view(seen).await.expect("a view");
-            bench.add_daemon_behind(seeds, view.address());
-            ways.push(proxies);
-            views.push(view);
-        }
-        for daemon in 0..daemons {
-            bench.ready(daemon, endpoints).await;
-            if daemons > 1 {
-                let live = format!("\"live\":{daemons}");
-                bench.until(daemon, &live, 1).await;
-            }
-        }
-        Self {
-            bench,
-            ways,
-            _views: views,
-        }
-    }
-
-    fn cut(&self, daemon: usize, cut: Cut) {
-        let (harm, entry) = match cut {
-            Cut::Hang => (Harm::Silence, Entry::Hang),
-            Cut::Reset => (Harm::Reset, Entry::Refuse),
-            Cut::NewOnly => (Harm::None, Entry::Refuse),
-        };
-        for way in &self.ways[daemon] {
-            way.harm(harm);
-            way.admit(entry);
-        }
-    }
-
-    fn heal(&self, daemon: usize) {
-        for way in &self.ways[daemon] {
-            way.harm(Harm::None);
-            way.admit(Entry::Open);
-        }
-    }
-
-    /// Sends first tries to a daemon, each on a connection of its own; returns those that failed.
-    async fn first_tries(&self, daemon: usize, name: &str, count: usize) -> Vec<String> {
-        let address = self.bench.daemons[daemon].callers();
-        let mut calls = Vec::new();
-        for number in 0..count {
-            let path = PATHS[number % PATHS.len()];
-            let call = Call::new(format!("{name}-{daemon}-{number}"), path);
-            calls.push(tokio::spawn(async move {
-                let reply = medlarrill_platform_standin::Caller::new(address)
-                    .send(&call)
-                    .await;
-                (call, reply)
-            }));
-            tokio::time::sleep(PACE).await;
-        }
-        let mut failed = Vec::new();
-        for call in calls {
-            let (call, reply) = call.await.expect("a reply");
-            if !reply.is_success() {
-                failed.push(format!(
-                    "{} {}: {:?}",
-                    call.attempt, call.path, reply.status
-                ));
-            }
-        }
-        failed
-    }
-}
+/// Time in which a request is refused that can't be served.
+const AT_ONCE: Duration = Duration::from_millis(300);
 
 async fn is_served_as_well_as_others(cut: Cut) {
     let site = Site::start(4, 1, 3).await;
@@ -154,3 +50,88 @@
 async fn a_daemon_that_gets_no_new_connection_to_endpoints_serves_as_well_as_others() {
     is_served_as_well_as_others(Cut::NewOnly).await;
 }
+
+/// The value of a counter with a reason at a daemon.
+fn counted(site: &Site, daemon: usize, name: &str) -> u64 {
+    let text = read(site.bench.daemons[daemon].listen[2], "/metrics", WAIT).expect("metrics");
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+    values.sum()
+}
+
+async fn all_cut_off_refuse_at_once(cut: Cut) {
+    let site = Site::start(4, 2, 2).await;
+    site.cut(0, cut);
+    site.cut(1, cut);
+    site.first_tries(0, "early", A_SECOND).await;
+    site.first_tries(1, "early", A_SECOND).await;
+    let asked = counted(&site, 0, "medlarrill_detours_total");
+    let from = Instant::now();
+    for number in 0..2 * A_SECOND {
+        let attempt = format!("late-{number}");
+        let call = Call::new(&attempt, PATHS[number % PATHS.len()]);
+        let sent = Instant::now();
+        let reply = site.bench.send_to(0, &call).await;
+        assert_that!(sent.elapsed(), lt(AT_ONCE));
+        assert_that!(reply.promises_not_run(), eq(true), "{reply:?}");
+        assert_that!(site.bench.ledger.runs(&attempt), is_empty());
+        Bench::pause(20).await;
+    }
+    // One other daemon, which is asked again after a pause only.
+    let asked = counted(&site, 0, "medlarrill_detours_total") - asked;
+    let most = 2 * (1 + from.elapsed().as_secs());
+    assert_that!(asked, le(most));
+    site.heal(0);
+    site.heal(1);
+    tokio::time::sleep(SETTLE).await;
+    assert_that!(site.first_tries(0, "after", A_SECOND).await, is_empty());
+}
+
+#[tokio::test]
+async fn daemons_that_are_all_cut_off_and_hang_refuse_at_once_and_truly() {
+    all_cut_off_refuse_at_once(Cut::Hang).await;
+}
+
+#[tokio::test]
+async fn daemons_that_are_all_cut_off_and_reset_refuse_at_once_and_truly() {
+    all_cut_off_refuse_at_once(Cut::Reset).await;
+}
+
+#[tokio::test]
+async fn what_a_daemon_that_is_cut_off_sees_is_not_held_against_endpoints() {
+    for cut in [Cut::Hang, Cut::Reset] {
+        let site = Site::start(4, 1, 2).await;
+        site.bench.behave(Behaviour {
+            pace: Duration::from_millis(150),
+            ..Behaviour::default()
+        });
+        let (before, _) = tokio::join!(site.first_tries(0, "before", 2 * A_SECOND), async {
+            Bench::pause(1000).await;
+            site.cut(0, cut);
+        });
+        // Requests that were under way when their ways were cut.
+        assert_that!(before.len(), gt(0));
+        let (_, others) = tokio::join!(
+            site.first_tries(0, "late", 2 * A_SECOND),
+            site.first_tries(1, "late", 2 * A_SECOND)
+        );
+        assert_that!(others, is_empty());
+        let judged = site.bench.daemons[1].lines_with("endpoint judged anew");
+        assert_that!(judged, is_empty());
+        let quarantined = site.bench.daemons[1].lines_with("quarantine: begins");
+        assert_that!(quarantined, is_empty());
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_no_connection_could_be_made_for_has_truly_not_run() {
+    let site = Site::start(1, 1, 1).await;
+    site.cut(0, Cut::Hang);
+    for number in 0..4 {
+        let attempt = format!("r-{number}");
+        let call = Call::new(&attempt, "/once/x").with_wait(250);
+        let reply = site.bench.send_to(0, &call).await;
+        assert_that!(reply.promises_not_run(), eq(true), "{reply:?}");
+        assert_that!(site.bench.ledger.runs(&attempt), is_empty());
+    }
+}
