Lost connections count against endpoints a moment later, unless several were lost together

The loss now counts after 100 ms, if no others came with it; against the request at once, as before.

--- a/crates/core/src/routing/reach.rs
+++ b/crates/core/src/routing/reach.rs
@@ -46,7 +46,7 @@
 /// link is taken for the cause.
 const OWN_LOSSES: usize = 3;
 /// A link that fails resets its connections within this time.
-const LOSS_WINDOW: Millis = Millis(100);
+pub const LOSS_WINDOW: Millis = Millis(100);
 
 /// How to connect to an endpoint.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -106,6 +106,8 @@
     next_probe: Millis,
     /// Endpoints to which connections were lost within [`LOSS_WINDOW`], and when.
     lost: Vec<(InstanceId, Millis)>,
+    /// When this daemon's own link last reset its connections.
+    link_failed_at: Option<Millis>,
 }
 
 impl Reach {
@@ -249,17 +251,29 @@
         true
     }
 
-    /// Records that a direct connection was lost with a request, or that the request got no answer
-    /// in time; returns whether this daemon's own link may be the cause, so that it says nothing
-    /// about the endpoint. `is_loss` if the connection ended.
-    pub fn is_own_failure(&mut self, id: &InstanceId, is_loss: bool, now: Millis) -> bool {
-        let has_way = !self.is_cut_off() && self.way(id, now) == Way::Direct;
-        if !is_loss {
-            return !has_way || !self.hears(now) && self.has_failed(now);
-        }
+    /// Whether an attempt on a direct connection that got no answer in time may have failed by this
+    /// daemon's own link, so that it says nothing about the endpoint.
+    pub fn is_own_silence(&self, id: &InstanceId, now: Millis) -> bool {
+        let is_silent = !self.hears(now) && self.has_failed(now);
+        is_silent || self.way(id, now) != Way::Direct
+    }
+
+    /// Records that a direct connection was lost with a request. Whether this daemon's own link was
+    /// the cause, [`Self::is_own_loss`] knows after [`LOSS_WINDOW`].
+    pub fn record_loss(&mut self, id: &InstanceId, now: Millis) {
         self.lost
             .retain(|(lost, at)| lost != id && now.since(*at) < LOSS_WINDOW);
         self.lost.push((id.clone(), now));
-        !has_way || self.lost.len() >= OWN_LOSSES
+        if self.lost.len() >= OWN_LOSSES {
+            self.link_failed_at = Some(now);
+        }
+    }
+
+    /// Whether a connection to an endpoint that was lost at a time was lost by this daemon's own
+    /// link.
+    pub fn is_own_loss(&self, id: &InstanceId, lost_at: Millis, now: Millis) -> bool {
+        let failed_at = self.link_failed_at;
+        let is_near = |at: Millis| at.since(lost_at) + lost_at.since(at) <= LOSS_WINDOW;
+        failed_at.is_some_and(is_near) || self.way(id, now) != Way::Direct
     }
 }
--- a/crates/daemon/tests/route/isolated.rs
+++ b/crates/daemon/tests/route/isolated.rs
@@ -117,7 +117,8 @@
         );
         assert_that!(others, is_empty());
         let judged = site.bench.daemons[1].lines_with("endpoint judged anew");
-        assert_that!(judged, is_empty());
+        let faults = site.bench.daemons[0].lines_with("attempt failed");
+        assert_that!(judged, is_empty(), "{faults:?}");
         let quarantined = site.bench.daemons[1].lines_with("quarantine: begins");
         assert_that!(quarantined, is_empty());
     }
--- a/crates/router/src/detour.rs
+++ b/crates/router/src/detour.rs
@@ -12,7 +12,7 @@
 mod ask;
 mod carry;
 mod help;
-mod message;
+pub mod message;
 
 pub use ask::{AskError, Opened, ask};
 pub use carry::carried;
--- a/crates/router/src/endpoints/ways.rs
+++ b/crates/router/src/endpoints/ways.rs
@@ -172,9 +172,19 @@
         self.lock().reach.silence(now())
     }
 
-    /// Whether an attempt on a direct connection may have failed by this daemon's own link.
-    pub fn is_own_failure(&self, id: &InstanceId, is_loss: bool) -> bool {
-        self.lock().reach.is_own_failure(id, is_loss, now())
+    /// Whether an attempt on a direct connection may have got no answer by this daemon's own link.
+    pub fn is_own_silence(&self, id: &InstanceId) -> bool {
+        self.lock().reach.is_own_silence(id, now())
+    }
+
+    /// Records that a direct connection was lost with a request.
+    pub fn record_loss(&self, id: &InstanceId) {
+        self.lock().reach.record_loss(id, now());
+    }
+
+    /// Whether a connection that was lost at a time was lost by this daemon's own link.
+    pub fn is_own_loss(&self, id: &InstanceId, lost_at: Millis) -> bool {
+        self.lock().reach.is_own_loss(id, lost_at, now())
     }
 
     /// Connects to an endpoint; returns how.
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -17,7 +17,9 @@
 use medlarrill_core::routing::endpoint::InstanceId;
 use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::plan::{Next, RetryPlan};
+use medlarrill_core::routing::reach::LOSS_WINDOW;
 use medlarrill_core::routing::request::RequestHead;
+use medlarrill_net::now::now;
 use medlarrill_platform::headers::{self, Outgoing};
 
 use crate::endpoints::idle_limit;
@@ -99,18 +101,42 @@
     ) {
         let placement = &self.shared.placement;
         let ways = self.shared.connections.ways();
-        let is_of_way = fault.is_loss() || fault == Fault::Slow;
-        let is_own = is_of_way && helper.is_none() && ways.is_own_failure(id, fault.is_loss());
-        if is_own {
-            return;
+        if fault.is_loss() {
+            self.record_loss(plan, id, fault, helper, now);
+        } else if fault != Fault::Slow || helper.is_none() && !ways.is_own_silence(id) {
+            placement.record_failure(id, fault, now);
         }
+    }
+
+    /// Records that a connection was lost. It counts against the endpoint a moment later, when it is
+    /// known whether others were lost at the same time; against the request at once, since it may be
+    /// sent again.
+    fn record_loss(
+        &self,
+        plan: &RetryPlan,
+        id: &InstanceId,
+        fault: Fault,
+        helper: Option<SocketAddr>,
+        lost_at: Millis,
+    ) {
+        let shared = &self.shared;
+        let ways = shared.connections.ways();
         // A helper that is lost looks the same as an endpoint that is.
-        if helper.is_none() || !is_of_way {
-            placement.record_failure(id, fault, now);
+        if helper.is_some() {
+            return shared.placement.record_loss(plan, id, lost_at);
         }
-        if fault.is_loss() {
-            placement.record_loss(plan, id, now);
+        ways.record_loss(id);
+        if ways.is_own_loss(id, lost_at) {
+            return;
         }
+        shared.placement.record_loss(plan, id, lost_at);
+        let (shared, id) = (Arc::clone(shared), id.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(LOSS_WINDOW.as_duration()).await;
+            if !shared.connections.ways().is_own_loss(&id, lost_at) {
+                shared.placement.record_failure(&id, fault, now());
+            }
+        });
     }
 
     /// Builds the request that is sent to an endpoint.
--- /dev/null
+++ b/crates/router/tests/detour.rs
@@ -0,0 +1,87 @@
+//! Links that carry an endpoint's connection, and their messages.
+
+use std::io::ErrorKind;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::endpoint::{InstanceId, StartTime};
+use medlarrill_platform::store::Kind;
+use medlarrill_router::detour::carried;
+use medlarrill_router::detour::message::{End, Opening, Piece, Reply, Verdict};
+use medlarrill_router::socket::{Link, framed};
+use medlarrill_router::store::relay::message::{Notification, Subscription};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Both ends of a link.
+async fn link() -> (Link, Link) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (near, far) = tokio::join!(TcpStream::connect(address), listener.accept());
+    (
+        framed(near.expect("a link")),
+        framed(far.expect("a link").0),
+    )
+}
+
+/// What is read of an endpoint whose helper sends `pieces` and closes the link.
+async fn read_after(pieces: Vec<Piece>) -> std::io::Result<Vec<u8>> {
+    let (near, mut far) = link().await;
+    for piece in pieces {
+        far.send(piece.into_message())
+            .await
+            .expect("a piece is sent");
+    }
+    drop(far);
+    let mut bytes = Vec::new();
+    carried(near).read_to_end(&mut bytes).await.map(|_| bytes)
+}
+
+fn data() -> Piece {
+    Piece::Data(Bytes::from_static(b"some"))
+}
+
+#[tokio::test]
+async fn only_an_end_that_the_helper_marks_is_the_end_of_an_answer() {
+    let closed = read_after(vec![data(), Piece::End(End::Closed.into())]).await;
+    assert_that!(closed.expect("all bytes"), eq(&b"some".to_vec()));
+    let lost = read_after(vec![data()]).await;
+    let lost = lost.expect_err("no end");
+    assert_that!(lost.kind(), eq(ErrorKind::ConnectionAborted));
+    let broken = read_after(vec![data(), Piece::End(End::Broken.into())]).await;
+    let broken = broken.expect_err("no end");
+    assert_that!(broken.kind(), eq(ErrorKind::ConnectionReset));
+}
+
+#[tokio::test]
+async fn what_is_written_arrives_as_it_was() {
+    let (near, mut far) = link().await;
+    let mut near = carried(near);
+    near.write_all(b"a request")
+        .await
+        .expect("bytes are written");
+    near.flush().await.expect("bytes are sent");
+    let frame = far.next().await.expect("a frame").expect("a frame");
+    let piece = Piece::read(frame.freeze()).expect("a piece");
+    assert_that!(piece, eq(&Piece::Data(Bytes::from_static(b"a request"))));
+}
+
+#[test]
+fn daemons_that_know_no_detours_are_told_apart() {
+    let id = InstanceId::new("e-1".parse().expect("an id"), Some(StartTime(7)));
+    let opening = Opening::new(&id).encode();
+    let wanted = Opening::read(&opening).expect("a request");
+    assert_that!(wanted.id(), some(eq(&id)));
+    // An older daemon takes the request for a subscription without copies, and tells of its own.
+    let subscription = Subscription::read(&opening).expect("a subscription");
+    assert_that!(subscription.revision(Kind::Endpoints), none());
+    let told = Notification::new(Kind::Endpoints, None, Millis(300), Some(Millis(7)));
+    assert_that!(Reply::read(&told.encode()), none());
+    // A newer one takes a subscription for no request.
+    let follows = Subscription::new(&[(Kind::Endpoints, Some(3))]).encode();
+    assert_that!(Opening::read(&follows), none());
+    let reply = Reply::new(Verdict::Busy).encode();
+    assert_that!(Reply::read(&reply), some(eq(Verdict::Busy)));
+}
