Brittle endpoints: the fleet's rejections are shared, and their pools aren't filled beyond the slots

An endpoint that says in its responses that it fails if it turns more than so many requests away in a second was sent whatever came: nothing read the header. Each daemon now has a share of the rejections in whole requests, by the platform's list of daemons, so that it holds for daemons that are new, cut off or hear only half of the fleet; daemons without a share fill such endpoints to a half. What one daemon hears of a pool goes to all with the exchange's messages, some bytes for each brittle pool and none without.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -12,6 +12,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod backoff;
+pub mod brittle;
 pub mod budget;
 pub mod choose;
 pub mod config;
--- a/crates/core/src/routing/answer.rs
+++ b/crates/core/src/routing/answer.rs
@@ -35,6 +35,8 @@
     pub slow_start: Option<Millis>,
     /// Whether the endpoint announces that it will stop.
     pub leaving: bool,
+    /// How many requests the endpoint may turn away in a second before it fails, if it says so.
+    pub brittle: Option<u32>,
     /// Time after which a refused sender may retry.
     pub retry_after: Option<Millis>,
     /// How long the connection may stay idle.
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -24,6 +24,7 @@
 mod report;
 mod roles;
 mod short;
+mod strain;
 mod sums;
 
 use std::collections::HashMap;
@@ -49,6 +50,8 @@
 pub use roles::{LinkClass, sources};
 use roles::{Ranks, preference_order};
 pub use short::{short_id, short_key};
+use strain::StrainRelay;
+pub use strain::{Strain, pool_key};
 pub use sums::{Delta, OutcomeCounts, SumsCopy, Version, VersionedSums};
 
 /// Number of hubs of a data centre, or of a small fleet.
@@ -105,6 +108,7 @@
     hubs: HashMap<SocketAddr, HubState>,
     own: OwnShare,
     evidence: EvidenceSync,
+    strain: StrainRelay,
     seeds: Vec<SocketAddr>,
     /// When a seed was last asked.
     seed_asked_at: Option<Millis>,
@@ -167,6 +171,7 @@
             hubs: HashMap::new(),
             own: OwnShare::default(),
             evidence: EvidenceSync::default(),
+            strain: StrainRelay::default(),
             seeds: seeds.into_iter().filter(|seed| *seed != me).collect(),
             seed_asked_at: None,
             next_seed: 0,
@@ -263,12 +268,19 @@
         self.evidence.take_received()
     }
 
+    /// Returns what other daemons told of brittle pools since the last call.
+    pub fn take_strain(&mut self, now: Millis) -> Option<Strain> {
+        self.strain.take_heard(now)
+    }
+
     /// Returns the messages that are due: this daemon's reports, and as a hub sums of the reports
     /// that it received. `own` is this daemon's report.
     pub fn tick(&mut self, own: Report, now: Millis) -> Vec<Outgoing> {
         self.members.expire(now);
         self.hub.expire(now);
         self.evidence.expire(now);
+        self.strain.expire(now);
+        self.strain.report(own.strain.as_ref(), now);
         self.hubs
             .retain(|_, state| now.since(state.at) < SILENCE_TIMEOUT);
         self.cut_off = own.cut_off;
@@ -308,12 +320,14 @@
             .record_contact(from, link_class, centre, cut_off, now);
         match message {
             Message::Report(report) => {
+                self.strain.report(report.strain.as_ref(), now);
                 let is_counted = self.hub_scope(now).is_none_or(|scope| scope == centre);
                 self.hub.receive(from, &report, is_counted, now);
                 None
             }
             Message::Summary(summary) => self.receive_summary(from, &summary, now),
             Message::Subtotal(subtotal) => {
+                self.strain.subtotal(subtotal.strain.as_ref(), now);
                 self.record_peers(subtotal.peers.as_ref(), now);
                 self.hub.receive_subtotal(from, &subtotal, now);
                 None
@@ -333,6 +347,7 @@
         summary: &Summary,
         now: Millis,
     ) -> Option<PeerUpdate> {
+        self.strain.summary(summary.strain.as_ref(), now);
         self.record_peers(summary.peers.as_ref(), now);
         let state = self.hubs.entry(from).or_default();
         state.at = now;
--- a/crates/core/src/routing/exchange/hub_messages.rs
+++ b/crates/core/src/routing/exchange/hub_messages.rs
@@ -50,6 +50,7 @@
             reporters: self.reporter_count(now),
             cut_off: self.cut_off,
             digest: self.evidence.digest(),
+            strain: self.strain.fleet.strain(now),
             ..Summary::default()
         }
     }
@@ -174,6 +175,7 @@
             centre: self.members.centre.0,
             cut_off: self.cut_off,
             digest: self.evidence.digest(),
+            strain: self.strain.local.strain(now),
             ..Subtotal::default()
         };
         let mut out = Vec::new();
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -8,6 +8,7 @@
 use super::LinkClass;
 use super::evidence::Findings;
 use super::members::DataCentreHash;
+use super::strain::Strain;
 use super::sums::{Delta, OutcomeCounts, Version};
 pub use peers::{Peer, Peers};
 
@@ -76,6 +77,9 @@
     /// Digest of all evidence that the daemon holds.
     #[prost(fixed64, tag = "10")]
     pub digest: u64,
+    /// Brittle pools that the daemon observed.
+    #[prost(message, optional, tag = "11")]
+    pub strain: Option<Strain>,
 }
 
 /// What a report asks its receiver for.
@@ -171,6 +175,9 @@
     /// Digest of all evidence that the hub holds.
     #[prost(fixed64, tag = "12")]
     pub digest: u64,
+    /// Brittle pools of the fleet.
+    #[prost(message, optional, tag = "13")]
+    pub strain: Option<Strain>,
 }
 
 /// Requests with shared prefixes in one data centre, with exponential decay.
@@ -223,6 +230,9 @@
     /// Digest of all evidence that the hub holds.
     #[prost(fixed64, tag = "11")]
     pub digest: u64,
+    /// Brittle pools of the data centre.
+    #[prost(message, optional, tag = "12")]
+    pub strain: Option<Strain>,
 }
 
 /// A message of the exchange.
--- a/crates/core/src/routing/exchange/report.rs
+++ b/crates/core/src/routing/exchange/report.rs
@@ -35,6 +35,7 @@
             entries: Vec::new(),
             sent: Vec::new(),
             moved: Vec::new(),
+            strain: None,
             ..own.clone()
         };
         let source = self.sums_source(now);
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -125,7 +125,7 @@
     /// identifies the limited resource, decides which daemons get the remaining units.
     pub fn unit_share(&self, name: &str, units: usize) -> usize {
         let Some(me) = &self.me else {
-            return 0;
+            return self.share(units as f64) as usize;
         };
         let key = key_of(name);
         let order = |node: &Node<SocketAddr>| (node.score(key).to_bits(), node.id);
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -23,6 +23,7 @@
 use crate::ids::{DataCentreId, PoolId};
 use crate::routing::ablation::{Mechanism, is_on};
 use crate::routing::attempt::Fault;
+use crate::routing::brittle::Brittle;
 use crate::routing::budget::{self, RetryBudget};
 use crate::routing::choose::Choice;
 use crate::routing::directory::Directory;
@@ -74,6 +75,7 @@
     hot_shares: HashMap<u32, f64>,
     quarantine: Quarantine,
     notices: Notices,
+    brittle: Brittle,
     /// Drained data centres: their endpoints take no new work.
     drained: HashSet<DataCentreId>,
     /// The daemons that share the fleet's limits.
@@ -149,6 +151,7 @@
             hot_shares: HashMap::new(),
             quarantine: Quarantine::default(),
             notices: Notices::default(),
+            brittle: Brittle::default(),
             drained: HashSet::new(),
             fleet: Fleet::new(now),
             slow_starts: SlowStarts::default(),
@@ -205,6 +208,9 @@
             return;
         }
         self.health.record_failure(id, fault, now);
+        if fault == Fault::Rejected {
+            self.record_rejection(id, now);
+        }
         if fault.is_loss() || fault == Fault::NotSent {
             // It may have restarted.
             self.presume_restart(id, now);
--- a/crates/core/src/routing/view/choosing.rs
+++ b/crates/core/src/routing/view/choosing.rs
@@ -9,6 +9,7 @@
 use crate::clock::Millis;
 use crate::ids::{DataCentreId, PoolId};
 use crate::routing::ablation::{Mechanism, is_on};
+use crate::routing::brittle::Brittle;
 use crate::routing::choose::{
     Candidate, Choice, LazyPool, LoadSum, choose, choose_lazily, is_worth_fetching,
 };
@@ -98,11 +99,13 @@
         let sums = shared.map(|_| self.load_sums(pool, now));
         let listed = self.directory.get_pool(pool)?;
         let (notices, fleet) = (&self.notices, &self.fleet);
+        let is_brittle = self.brittle.limit(pool, now).is_some();
         let mut source = CandidateSource {
             loads: &self.loads,
             health: &self.health,
             prefix_index: &self.prefix_index,
             drained: &self.drained,
+            brittle: is_brittle.then_some(&mut self.brittle),
             allowances: Allowances::new(pool, notices, &mut self.slow_starts, fleet, now),
             daemons: self.daemons,
             plan,
@@ -276,6 +279,8 @@
     prefix_index: &'a PrefixIndex,
     drained: &'a HashSet<DataCentreId>,
     allowances: Allowances<'a>,
+    /// Limits of a pool whose endpoints fail if they turn many requests away.
+    brittle: Option<&'a mut Brittle>,
     /// Live daemons, which share the probes of an avoided endpoint.
     daemons: u32,
     plan: &'a RetryPlan,
@@ -297,13 +302,22 @@
             health: health.status(others, self.daemons, now),
             tried: self.plan.has_tried(id),
             drained: self.drained.contains(&endpoint.data_centre),
-            allowance: self.allowances.get(id),
+            allowance: self.allowance(endpoint, estimate.extrapolated),
             age: now.since(listed.since),
             prefix_age: self.prefix_age(endpoint),
             endpoint: Arc::clone(endpoint),
         }
     }
 
+    fn allowance(&mut self, endpoint: &Endpoint, load: f64) -> Allowance {
+        let (fleet, now) = (self.allowances.fleet, self.now);
+        let brittle = self.brittle.as_mut();
+        match brittle.is_none_or(|brittle| brittle.accepts(endpoint, load, fleet, now)) {
+            true => self.allowances.get(&endpoint.id),
+            false => Allowance::Nothing,
+        }
+    }
+
     /// The load to compare. Requests without a shared prefix are placed by load: if all daemons
     /// extrapolated random changes of load, they would avoid and fill the same endpoints together.
     const fn load(&self, estimate: Estimate) -> f64 {
--- a/crates/core/src/routing/view/notices.rs
+++ b/crates/core/src/routing/view/notices.rs
@@ -5,6 +5,7 @@
 use crate::ids::PoolId;
 use crate::routing::directory::Pool;
 use crate::routing::endpoint::InstanceId;
+use crate::routing::exchange::Strain;
 use crate::routing::notices::{Notice, answered_by};
 
 /// Time after which a request for a pool without endpoints is retried: about what a new endpoint
@@ -33,6 +34,30 @@
         self.notices.record(&listed, notice, now, sent_at)
     }
 
+    /// Records that a response says how many requests its endpoint may turn away in a second.
+    pub fn record_brittle(&mut self, id: &InstanceId, rejections: u32, now: Millis) {
+        if let Some(endpoint) = self.directory.get(id) {
+            self.brittle.record_limit(&endpoint.pool, rejections, now);
+        }
+    }
+
+    /// What this daemon observed of brittle pools, for the others.
+    pub fn strain(&self, now: Millis) -> Option<Strain> {
+        self.brittle.strain(now).into_message()
+    }
+
+    /// Applies what other daemons tell of brittle pools.
+    pub fn merge_strain(&mut self, strain: &Strain, now: Millis) {
+        self.brittle.merge(strain, now);
+    }
+
+    /// Records that an endpoint turned a request away.
+    pub(super) fn record_rejection(&mut self, id: &InstanceId, now: Millis) {
+        if let Some(endpoint) = self.directory.get(id) {
+            self.brittle.record_rejection(endpoint, now);
+        }
+    }
+
     /// Time for which no endpoint of a pool takes new work: until the first pause ends, or a new
     /// endpoint may be listed. `None` if an endpoint takes work now.
     pub fn closed_for(&self, pool: &PoolId, now: Millis) -> Option<Millis> {
@@ -54,5 +79,6 @@
         let directory = &self.directory;
         let is_listed = |name: &_| directory.instance(name).is_some();
         self.notices.prune(is_listed, now);
+        self.brittle.prune(now);
     }
 }
--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -3,6 +3,7 @@
 
 mod route {
     mod answers;
+    mod brittle;
     mod copies;
     mod crash;
     mod cut;
--- a/crates/daemon/tests/route/crash.rs
+++ b/crates/daemon/tests/route/crash.rs
@@ -17,6 +17,7 @@
 
 const CRASHING: &[u8] = b"crashing";
 const FRAGILE: Behaviour = Behaviour {
+    room: usize::MAX,
     fails: 0.0,
     full: 0.0,
     hangs: 0.0,
--- a/crates/daemon/tests/route/own_word.rs
+++ b/crates/daemon/tests/route/own_word.rs
@@ -12,6 +12,7 @@
 pub const LEAVING: Notice = Notice {
     leaving: true,
     retry_after: None,
+    brittle: None,
     extra: None,
 };
 /// Requests by which an endpoint that gets one in eight shows itself.
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -302,6 +302,9 @@
     if let Some(left) = head.slow_start {
         placement.begin_slow_start(id, left, now());
     }
+    if let Some(rejections) = head.brittle {
+        placement.record_brittle(id, rejections, now());
+    }
     placement.apply_notice(id, head.notice(), sent_at, &routed.call.attempt);
 }
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -196,6 +196,9 @@
     shared
         .placement
         .merge_evidence(&exchange.take_evidence(), at);
+    if let Some(strain) = exchange.take_strain(at) {
+        shared.placement.merge_strain(&strain, at);
+    }
 }
 
 /// Applies the reports that this daemon received as a hub; returns the messages that are due.
@@ -209,7 +212,7 @@
             .update_peers(reports, exchange.live_count(at), at);
     }
     exchange.set_evidence(shared.placement.evidence(at));
-    let own = shared.placement.take_report(shared.copies.is_cut_off());
+    let own = shared.placement.take_report(shared.copies.is_cut_off(), at);
     exchange.tick(own, at)
 }
 
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -269,8 +269,22 @@
     }
 
     /// Returns the report for other daemons: requests in flight, and outcomes since the last call.
-    pub fn take_report(&self, cut_off: bool) -> exchange::Report {
-        self.lock().take_report(cut_off)
+    pub fn take_report(&self, cut_off: bool, now: Millis) -> exchange::Report {
+        let mut view = self.lock();
+        exchange::Report {
+            strain: view.strain(now),
+            ..view.take_report(cut_off)
+        }
+    }
+
+    /// Records that an endpoint may turn only so many requests away in a second.
+    pub fn record_brittle(&self, id: &InstanceId, rejections: u32, now: Millis) {
+        self.lock().record_brittle(id, rejections, now);
+    }
+
+    /// Applies what other daemons tell of brittle pools.
+    pub fn merge_strain(&self, strain: &exchange::Strain, now: Millis) {
+        self.lock().merge_strain(strain, now);
     }
 
     /// Expires old evidence and notices, and logs endpoints whose health or slow start changed.
