--- a/crates/daemon/tests/route/cut.rs
+++ b/crates/daemon/tests/route/cut.rs
@@ -26,7 +26,7 @@
 pub struct Site {
     pub bench: Bench,
     /// The ways of each of the first daemons.
-    ways: Vec<Vec<Proxy>>,
+    pub ways: Vec<Vec<Proxy>>,
     _views: Vec<View>,
 }
 
--- a/crates/daemon/tests/route/detour.rs
+++ b/crates/daemon/tests/route/detour.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use medlarrill_platform_standin::{Behaviour, Call, Caller, Reply};
+use medlarrill_platform_standin::{Behaviour, Call, Caller, Reply, configuration};
 use medlarrill_testkit::routed::field;
 use nix::sys::signal::Signal;
 use tokio::task::JoinHandle;
 
 use super::cut::{Cut, Site};
-use super::setup::{Bench, stream_body};
+use super::setup::{Bench, POOL, stream_body};
 
 /// Time after a cut in which a daemon has found out.
 const FOUND_OUT: u64 = 1000;
@@ -106,8 +106,18 @@
 #[tokio::test]
 async fn a_helper_that_stops_finishes_what_it_carries_and_takes_nothing_new() {
     let mut site = cut_off(4, 2).await;
-    site.bench.behave(slow());
-    let stream = send(&site, "s-1", "/stream-once/x");
+    let mut config = configuration(8, POOL);
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = 9000.into();
+    }
+    site.bench.store.put("config", "main", config);
+    site.bench.until(0, "configuration in force", 2).await;
+    // The stream outlasts the time in which a daemon that stops still serves.
+    let events = 24;
+    site.bench.behave(Behaviour { events, ..slow() });
+    let address = site.bench.daemons[0].callers();
+    let call = Call::new("s-1", "/stream-once/x").with_wait(9000);
+    let stream = tokio::spawn(async move { Caller::new(address).send(&call).await });
     Bench::pause(300).await;
     site.bench.daemons[1]
         .signal(Signal::SIGTERM)
@@ -116,7 +126,8 @@
     let late = send(&site, "r-1", "/once/x").await.expect("a reply");
     assert_that!(late.promises_not_run(), eq(true), "{late:?}");
     let stream = stream.await.expect("a reply");
-    assert_that!(stream.is_success(), eq(true), "{stream:?}");
+    let whole = stream_body("s-1", 1, events);
+    assert_that!(stream.body.as_ref(), eq(whole.as_bytes()), "{stream:?}");
     site.bench.daemons[1].wait().expect("its end");
 }
 
@@ -138,7 +149,7 @@
 #[tokio::test]
 async fn an_endpoint_that_leaves_gets_nothing_through_helpers() {
     let site = cut_off(3, 2).await;
-    let entry = site.bench.endpoints[0].entry(super::setup::POOL, "draining");
+    let entry = site.bench.endpoints[0].entry(POOL, "draining");
     site.bench.store.put("servers", "e-0", entry);
     Bench::pause(500).await;
     let before = site.bench.endpoints[0].arrivals().len();
--- a/crates/daemon/tests/route/isolated.rs
+++ b/crates/daemon/tests/route/isolated.rs
@@ -5,6 +5,7 @@
 
 use googletest::prelude::*;
 use medlarrill_platform_standin::{Behaviour, Call};
+use medlarrill_testkit::proxy::{Entry, Harm};
 use medlarrill_testkit::routed::{WAIT, read};
 use tokio::time::Instant;
 
@@ -97,6 +98,50 @@
     all_cut_off_refuse_at_once(Cut::Reset).await;
 }
 
+#[tokio::test]
+async fn a_request_that_may_run_once_is_not_lost_on_a_connection_that_died_unseen() {
+    let site = Site::start(4, 1, 2).await;
+    assert_that!(site.first_tries(0, "before", A_SECOND).await, is_empty());
+    site.cut(0, Cut::Hang);
+    Bench::pause(400).await;
+    for number in 0..6 {
+        let call = Call::new(format!("once-{number}"), "/once/x");
+        let reply = site.bench.send_to(0, &call).await;
+        assert_that!(reply.is_success(), eq(true), "{reply:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_endpoint_that_is_silent_for_a_second_is_used_again_and_nobody_is_taken_as_cut_off() {
+    let site = Site::start(4, 2, 2).await;
+    for daemon in [0, 1] {
+        site.ways[daemon][0].harm(Harm::Hold);
+        site.ways[daemon][0].admit(Entry::Hang);
+    }
+    let silent = tokio::join!(
+        site.first_tries(0, "silent", A_SECOND),
+        site.first_tries(1, "silent", A_SECOND)
+    );
+    for daemon in [0, 1] {
+        site.ways[daemon][0].harm(Harm::None);
+        site.ways[daemon][0].admit(Entry::Open);
+    }
+    assert_that!(silent.0, is_empty());
+    assert_that!(silent.1, is_empty());
+    let before = site.bench.endpoints[0].arrivals().len();
+    for daemon in [0, 1] {
+        assert_that!(
+            site.first_tries(daemon, "after", A_SECOND).await,
+            is_empty()
+        );
+        let cut_off = site.bench.daemons[daemon].lines_with("none can be reached");
+        assert_that!(cut_off, is_empty());
+    }
+    // A tenth of its share at least.
+    let after = site.bench.endpoints[0].arrivals().len() - before;
+    assert_that!(after, ge(2 * A_SECOND / 40));
+}
+
 #[tokio::test]
 async fn what_a_daemon_that_is_cut_off_sees_is_not_held_against_endpoints() {
     for cut in [Cut::Hang, Cut::Reset] {
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -29,6 +29,8 @@
     None,
     /// Bytes are delayed.
     Delay(Duration),
+    /// Bytes are held back until this ends.
+    Hold,
     /// Bytes vanish, both ways; open connections stay silent for good.
     Silence,
     /// Bytes towards the server vanish.
@@ -214,17 +216,19 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     way: Way,
-    harm: watch::Receiver<Harm>,
+    mut harm: watch::Receiver<Harm>,
     holed: Arc<std::sync::atomic::AtomicBool>,
 ) {
     let mut buffer = vec![0; BUFFER];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        // Without a sender the proxy has ended.
+        harm.wait_for(|harm| *harm != Harm::Hold).await.ok();
         let harm = *harm.borrow();
         let vanishes = match harm {
             Harm::Silence => true,
             Harm::CutThere => way == Way::There,
             Harm::CutBack => way == Way::Back,
-            Harm::None | Harm::Delay(_) | Harm::Reset => false,
+            Harm::None | Harm::Hold | Harm::Delay(_) | Harm::Reset => false,
         };
         if vanishes {
             holed.store(true, std::sync::atomic::Ordering::Relaxed);
