--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -3,6 +3,7 @@
 mod routing {
     mod backoff;
     mod bound;
+    mod brittle;
     mod budget;
     mod centres;
     mod choose;
@@ -28,6 +29,7 @@
     mod prefix_index;
     mod prompts;
     mod quarantine;
+    mod reach;
     mod repeats;
     mod request;
     mod size;
--- a/crates/core/tests/routing/world.rs
+++ b/crates/core/tests/routing/world.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::brittle::Brittle;
 use medlarrill_core::routing::exchange::{
     DataCentreHash, Exchange, Message, Outgoing, PeerUpdate, Report, ReportEntry, TICK,
 };
@@ -26,6 +27,7 @@
 pub struct Daemon {
     pub exchange: Exchange,
     pub quarantine: Quarantine,
+    pub brittle: Brittle,
     pub data_centre: usize,
     pub due: u64,
     in_flight: Vec<u32>,
@@ -162,6 +164,9 @@
             }
             let evidence = daemon.exchange.take_evidence();
             daemon.quarantine.merge(&evidence, now);
+            if let Some(strain) = daemon.exchange.take_strain(now) {
+                daemon.brittle.merge(&strain, now);
+            }
             let replies = daemon.exchange.replies(now);
             self.send(to, replies);
         }
@@ -185,7 +190,10 @@
         {
             daemon.apply_update(update);
         }
-        let report = daemon.report();
+        let report = Report {
+            strain: daemon.brittle.strain(now).into_message(),
+            ..daemon.report()
+        };
         daemon
             .exchange
             .set_evidence(daemon.quarantine.snapshot(now));
@@ -304,6 +312,7 @@
                 .with_data_centre(DataCentreHash(data_centre as u32 + 1))
                 .with_epoch(number as u32),
             quarantine: Quarantine::default(),
+            brittle: Brittle::default(),
             data_centre,
             due,
             in_flight: Vec::new(),
