--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -74,6 +74,9 @@
     /// Seconds of each soak.
     #[arg(long, default_value_t = 12)]
     pub seconds: u64,
+    /// Only daemons that lose their ways to endpoints.
+    #[arg(long)]
+    pub cuts: bool,
     /// Where logs of seeds that broke a promise are kept.
     #[arg(long, default_value = "target/soak")]
     pub keep: PathBuf,
@@ -141,14 +144,23 @@
     }
 }
 
-async fn soak(program: Program, seed: u64, options: Options) -> Result<Outcome> {
-    let mut rng = Pcg32::seed_from_u64(seed);
-    let length = Duration::from_secs(options.seconds);
-    let plan = Plan::new(&mut rng, length);
+/// Draws a plan of all kinds of faults.
+fn draw(rng: &mut Pcg32, seed: u64, length: Duration) -> Plan {
+    let plan = Plan::new(rng, length);
     let plan = plan.with_entries(&mut Pcg32::seed_from_u64(!seed), length);
     let plan = plan.with_crashing(&mut Pcg32::seed_from_u64(seed.rotate_left(32)));
     let plan = plan.with_places(&mut Pcg32::seed_from_u64(!seed.rotate_left(32)), length);
     let plan = plan.with_notices(&mut Pcg32::seed_from_u64(seed.rotate_left(16)), length);
+    plan.with_cuts(&mut Pcg32::seed_from_u64(seed.rotate_left(8)), length)
+}
+
+async fn soak(program: Program, seed: u64, options: Options) -> Result<Outcome> {
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let length = Duration::from_secs(options.seconds);
+    let plan = match options.cuts {
+        true => Plan::of_cuts(&mut rng, length),
+        false => draw(&mut rng, seed, length),
+    };
     let mut world = World::start(program, seed, &plan).await?;
     let from = Instant::now();
     let mut traffic = Traffic::start(world.doors.clone(), seed);
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -1,5 +1,6 @@
 //! What callers and endpoints saw, against what the pages promise.
 
+mod cuts;
 mod notices;
 
 use std::collections::HashMap;
@@ -8,6 +9,7 @@
 use derive_more::{Debug, Display};
 use medlarrill_platform_standin::{Reply, Run};
 
+use self::cuts::cut_off;
 pub use self::notices::PAUSE;
 use self::notices::{left, paused};
 use super::plan::Fault;
@@ -108,6 +110,16 @@
         /// The requests.
         requests: usize,
     },
+    /// A daemon that had lost its ways to all endpoints served too little.
+    #[display("daemon {daemon} served {served} of {sent} requests while it was cut off")]
+    CutOff {
+        /// The daemon.
+        daemon: usize,
+        /// Requests that were served.
+        served: usize,
+        /// Requests.
+        sent: usize,
+    },
     /// An endpoint in a drained data centre got new work.
     #[display("{request} reached {endpoint} {late} ms after its data centre was drained")]
     Evacuated {
@@ -169,6 +181,7 @@
     found.extend(paused(world, calls, &runs));
     found.extend(recovered.iter().filter_map(not_recovered));
     found.extend(crashed(world, calls, &runs));
+    found.extend(cut_off(world, calls));
     found
 }
 
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -56,6 +56,19 @@
     Leave(usize, Duration),
     /// An endpoint refuses all requests, and asks each daemon that sends one for a pause.
     Pause(usize, Duration),
+    /// A daemon loses its ways to all endpoints.
+    CutOff(usize, Cut, Duration),
+}
+
+/// What becomes of connections when a way is cut.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Cut {
+    /// Open ones fall silent, new ones get no answer.
+    Hang,
+    /// Open ones are reset, new ones are refused.
+    Reset,
+    /// Open ones live on, new ones are refused.
+    NewOnly,
 }
 
 /// An entry that names no endpoint.
@@ -125,7 +138,8 @@
             | Self::DrainCentre(length)
             | Self::Warm(_, length)
             | Self::Leave(_, length)
-            | Self::Pause(_, length) => *length,
+            | Self::Pause(_, length)
+            | Self::CutOff(_, _, length) => *length,
             Self::Stop(_)
             | Self::Kill(_)
             | Self::Reload(_)
@@ -261,6 +275,51 @@
         self
     }
 
+    /// Adds daemons that lose their ways to all endpoints, but for soaks of planned work only: one
+    /// after the other, or all at once. Drawn from numbers of its own, too.
+    pub fn with_cuts(self, rng: &mut Pcg32, length: Duration) -> Self {
+        match self.events.iter().all(|event| event.fault.is_planned()) {
+            true => self,
+            false => self.with_cut_daemons(rng, length),
+        }
+    }
+
+    /// Draws a plan in which daemons lose their ways to all endpoints, and hardly anything else
+    /// happens, so that it shows what they serve meanwhile.
+    pub fn of_cuts(rng: &mut Pcg32, length: Duration) -> Self {
+        let mut plan = Self {
+            events: Vec::new(),
+            ..Self::new(rng, Duration::ZERO)
+        };
+        let mut at = CALM;
+        while at < length {
+            let fault = match rng.random_range(0..3) {
+                0 => Fault::Reload(rng.random_range(0..plan.daemons)),
+                1 => Fault::Forget,
+                _ => Fault::Configure,
+            };
+            plan.events.push(Event { at, fault });
+            at += Duration::from_millis(rng.random_range(0..4 * PAUSE_MS));
+        }
+        plan.with_cut_daemons(rng, length)
+    }
+
+    fn with_cut_daemons(mut self, rng: &mut Pcg32, length: Duration) -> Self {
+        let mut at = CALM;
+        while at < length {
+            let lasts = Duration::from_millis(rng.random_range(1500..4500));
+            let cut = [Cut::Hang, Cut::Reset, Cut::NewOnly][rng.random_range(0..3)];
+            let all = rng.random_bool(0.2);
+            let one = rng.random_range(0..self.daemons);
+            for daemon in (0..self.daemons).filter(|daemon| all || *daemon == one) {
+                let fault = Fault::CutOff(daemon, cut, lasts);
+                self.events.push(Event { at, fault });
+            }
+            at += lasts + Duration::from_millis(rng.random_range(0..2 * PAUSE_MS));
+        }
+        self
+    }
+
     fn draw_entry(&self, rng: &mut Pcg32) -> Fault {
         let endpoint = rng.random_range(0..self.endpoints);
         let length = Duration::from_millis(rng.random_range(200..3500));
--- a/crates/lab/src/soak/world/faults.rs
+++ b/crates/lab/src/soak/world/faults.rs
@@ -3,14 +3,14 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use medlarrill_platform_standin::{Behaviour, Endpoint, Notice, Outage, configuration};
-use medlarrill_testkit::proxy::Harm;
+use medlarrill_testkit::proxy::{Entry, Harm};
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use tokio::net::TcpListener;
 
 use super::super::Result;
 use super::super::check::PAUSE;
-use super::super::plan::{Event, Fault};
+use super::super::plan::{Cut, Event, Fault};
 use super::{
     CRASHING, DOWN, DRAINS, Done, NOTICED, POOL, SECOND, SLOW_START, SPARED, Words, World,
 };
@@ -37,6 +37,7 @@
             Fault::DrainCentre(_) => {
                 self.store.put(DRAINS, SECOND, serde_json::json!({}));
             }
+            Fault::CutOff(daemon, cut, _) => self.cut(*daemon, Some(*cut)),
             fault => self.begin_at_endpoint(fault),
         }
         self.watch_ends().await
@@ -102,6 +103,7 @@
             | Fault::Foreign(endpoint, ..) => {
                 self.list(*endpoint, "ready");
             }
+            Fault::CutOff(daemon, ..) => self.cut(*daemon, None),
             Fault::DrainCentre(_) => {
                 self.store.remove(DRAINS, SECOND);
             }
@@ -110,6 +112,20 @@
         self.watch_ends().await
     }
 
+    /// Cuts the ways of a daemon to all endpoints, or mends them.
+    fn cut(&self, daemon: usize, cut: Option<Cut>) {
+        let (harm, entry) = match cut {
+            None => (Harm::None, Entry::Open),
+            Some(Cut::Hang) => (Harm::Silence, Entry::Hang),
+            Some(Cut::Reset) => (Harm::Reset, Entry::Refuse),
+            Some(Cut::NewOnly) => (Harm::None, Entry::Refuse),
+        };
+        for way in &self.ways[daemon].0 {
+            way.harm(harm);
+            way.admit(entry);
+        }
+    }
+
     pub(super) fn configure(&self) {
         let mut config = configuration(self.version, POOL);
         if self.places {
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -31,8 +31,18 @@
             seeds: SEEDS.into_iter().chain(BROKEN).collect(),
             count: 0,
             seconds: SECONDS,
+            cuts: false,
             keep: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         };
-        soak::run(children.daemon, options)
+        let cuts = Options {
+            seeds: SEEDS.into(),
+            cuts: true,
+            keep: options.keep.join("cuts"),
+            ..options.clone()
+        };
+        async {
+            soak::run(children.daemon.clone(), options).await?;
+            soak::run(children.daemon, cuts).await
+        }
     })
 }
