--- a/crates/core/src/routing/reach/helpers.rs
+++ b/crates/core/src/routing/reach/helpers.rs
@@ -18,7 +18,7 @@
 /// Daemons of the own data centre that are asked before those of others.
 const NEAR_FIRST: usize = 2;
 /// Daemons that are asked for one connection.
-pub const ASKED_MAX: usize = 5;
+pub const ASKED_MAX: usize = 8;
 /// Daemons that are looked at for each one that is drawn.
 const LOOKS: usize = 8;
 /// Pause of a daemon that helps too many already, or that didn't reach an endpoint either: it may
@@ -29,7 +29,7 @@
 /// Longest pause of a daemon that is cut off: it says so at once, and its links may be back.
 const CUT_OFF_PAUSE: Millis = Millis(1000);
 /// Time for which nobody is asked after all those asked couldn't help.
-const NONE_PAUSE: Millis = Millis(200);
+const NONE_PAUSE: Millis = Millis(350);
 
 /// Why a daemon doesn't help.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -74,6 +74,11 @@
         (self.near, self.far) = (near, far);
     }
 
+    /// Whether no other daemon is known.
+    pub const fn is_empty(&self) -> bool {
+        self.near.is_empty() && self.far.is_empty()
+    }
+
     /// The daemons to ask for a connection, in this order; none right after all that were asked
     /// couldn't help.
     pub fn candidates(&self, now: Millis, rng: &mut impl RngExt) -> Vec<SocketAddr> {
@@ -152,8 +157,11 @@
         self.pauses.insert(daemon, Pause { until, span });
     }
 
-    /// Records that nobody could help.
+    /// Records that nobody could help. A request for which nobody was asked prolongs nothing: the
+    /// pause has to end at any rate of requests.
     pub fn record_none(&mut self, now: Millis) {
-        self.none_until = now + NONE_PAUSE;
+        if now >= self.none_until {
+            self.none_until = now + NONE_PAUSE;
+        }
     }
 }
--- a/crates/core/tests/routing/reach.rs
+++ b/crates/core/tests/routing/reach.rs
@@ -254,6 +254,23 @@
     assert_that!(asked, le(5 * 10_000 / 200 + 5));
 }
 
+#[test]
+fn requests_that_nobody_is_asked_for_do_not_keep_the_next_ones_from_asking() {
+    let mut helpers = Helpers::default();
+    helpers.set(vec![daemon(0, 1)], vec![daemon(1, 1)]);
+    let mut rng = Pcg32::seed_from_u64(1);
+    for helper in [daemon(0, 1), daemon(1, 1)] {
+        helpers.record_setback(helper, Setback::Busy, START);
+    }
+    helpers.record_none(START);
+    for millis in 0..400 {
+        if helpers.candidates(at(millis), &mut rng).is_empty() {
+            helpers.record_none(at(millis));
+        }
+    }
+    assert_that!(helpers.candidates(at(400), &mut rng).len(), eq(2));
+}
+
 #[test]
 fn helpers_that_were_lost_are_asked_again_later_and_later() {
     let mut helpers = Helpers::default();
--- a/crates/daemon/tests/route/isolated.rs
+++ b/crates/daemon/tests/route/isolated.rs
@@ -52,6 +52,15 @@
     is_served_as_well_as_others(Cut::NewOnly).await;
 }
 
+#[tokio::test]
+async fn a_daemon_that_never_reached_an_endpoint_serves_as_well_as_others() {
+    for cut in [Cut::Hang, Cut::Reset] {
+        let site = Site::start(4, 1, 2).await;
+        site.cut(0, cut);
+        assert_that!(site.first_tries(0, "first", A_SECOND).await, is_empty());
+    }
+}
+
 /// The value of a counter with a reason at a daemon.
 fn counted(site: &Site, daemon: usize, name: &str) -> u64 {
     let text = read(site.bench.daemons[daemon].listen[2], "/metrics", WAIT).expect("metrics");
--- a/crates/router/src/endpoints/ways.rs
+++ b/crates/router/src/endpoints/ways.rs
@@ -157,6 +157,11 @@
         state.reach.prune(now());
     }
 
+    /// Whether no other daemon is known that could help.
+    pub fn knows_nobody(&self) -> bool {
+        self.lock().helpers.is_empty()
+    }
+
     /// Whether this daemon reaches no endpoint.
     pub fn is_cut_off(&self) -> bool {
         self.lock().reach.is_cut_off()
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -144,6 +144,8 @@
                     reviewed = now();
                     shared.placement.review(reviewed);
                     set_helpers(&exchange, &shared);
+                } else if shared.connections.ways().knows_nobody() {
+                    set_helpers(&exchange, &shared);
                 }
                 let messages = tick(&mut exchange, &shared);
                 send(&socket, messages, &unsent).await;
