--- a/crates/daemon/tests/route/isolated.rs
+++ b/crates/daemon/tests/route/isolated.rs
@@ -57,7 +57,9 @@
     for cut in [Cut::Hang, Cut::Reset] {
         let site = Site::start(4, 1, 2).await;
         site.cut(0, cut);
-        assert_that!(site.first_tries(0, "first", A_SECOND).await, is_empty());
+        let failed = site.first_tries(0, "first", A_SECOND).await;
+        let faults = site.bench.daemons[0].lines_with("attempt failed");
+        assert_that!(failed, is_empty(), "{faults:?}");
     }
 }
 
--- a/crates/router/src/endpoints/ways.rs
+++ b/crates/router/src/endpoints/ways.rs
@@ -302,7 +302,10 @@
             let State { helpers, rng, .. } = &mut *self.lock();
             helpers.candidates(now(), rng)
         };
-        let mut last = String::from("no other daemon to ask");
+        if candidates.is_empty() {
+            return Err(ConnectError::CutOff("no other daemon to ask".into()));
+        }
+        let mut last = String::new();
         let mut unreachable: Vec<SocketAddr> = Vec::new();
         for helper in candidates {
             let is_futile = {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -144,8 +144,6 @@
                     reviewed = now();
                     shared.placement.review(reviewed);
                     set_helpers(&exchange, &shared);
-                } else if shared.connections.ways().knows_nobody() {
-                    set_helpers(&exchange, &shared);
                 }
                 let messages = tick(&mut exchange, &shared);
                 send(&socket, messages, &unsent).await;
@@ -153,6 +151,9 @@
                 due = now() + TICK;
             }
         }
+        if shared.connections.ways().knows_nobody() {
+            set_helpers(&exchange, &shared);
+        }
     }
 }
 
