--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -2,9 +2,11 @@
 
 mod connections;
 mod heard;
+mod passage;
 mod unread;
 mod ways;
 
 pub use connections::{ConnectionPool, LeasedConnection, SendError, Sent, idle_limit};
+pub use passage::{Passage, Taken};
 pub use unread::UnreadHeaders;
-pub use ways::{Passage, Taken, Ways};
+pub use ways::Ways;
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -18,7 +18,8 @@
 use medlarrill_net::now::{now, wall};
 use tokio::io::{AsyncRead, AsyncWrite};
 
-use super::ways::{ConnectError, Connected, Passage, Taken, Ways};
+use super::passage::{Passage, Taken};
+use super::ways::{ConnectError, Connected, Ways};
 use crate::detour::carried;
 
 /// Time without a response after which a daemon that hears no endpoint checks whether it is cut off.
@@ -66,8 +67,8 @@
 #[derive(Debug)]
 struct Table {
     connections: HashMap<InstanceId, Vec<Idle>>,
-    /// Value of [`Ways::silences`] when they were checked last.
-    silences: u64,
+    /// Value of [`Ways::cut_offs`] when they were checked last.
+    cut_offs: u64,
 }
 
 /// Idle connections to all endpoints.
@@ -209,8 +210,8 @@
     /// Takes the most recently used idle connection that is still usable.
     fn take_idle(&self, id: &InstanceId) -> Option<Sender> {
         let mut table = self.lock();
-        let silences = self.ways.silences();
-        if std::mem::replace(&mut table.silences, silences) != silences {
+        let cut_offs = self.ways.cut_offs();
+        if std::mem::replace(&mut table.cut_offs, cut_offs) != cut_offs {
             table.connections.clear();
         }
         let idle = table.connections.get_mut(id)?;
--- a/crates/router/src/endpoints/ways.rs
+++ b/crates/router/src/endpoints/ways.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 
 use super::heard::{Heard, HeardAt};
+use super::passage::Passage;
 use crate::detour::{self, AskError, Opened, ask};
 use crate::metrics::Metrics;
 use crate::placement::Placement;
@@ -57,51 +58,6 @@
     Detour(Opened),
 }
 
-/// How a request got to its endpoint, for the log.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Passage {
-    /// What was known of the way when it was chosen; `None` for a kept connection.
-    pub way: Option<Way>,
-    /// The daemon that carries the connection.
-    pub helper: Option<SocketAddr>,
-    /// Time since any endpoint was last heard directly.
-    pub silence: Millis,
-}
-
-/// How a request got to its endpoint, set when it is handed to a connection: while this is empty,
-/// nothing was sent.
-#[derive(Debug, Default)]
-pub struct Taken(Mutex<Option<Passage>>);
-
-impl Taken {
-    /// Sets or clears the passage.
-    pub fn set(&self, passage: Option<Passage>) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = passage;
-    }
-
-    /// The passage.
-    pub fn get(&self) -> Option<Passage> {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl Passage {
-    /// The passage of a request on a kept connection.
-    pub const fn kept(silence: Millis) -> Self {
-        Self {
-            way: None,
-            helper: None,
-            silence,
-        }
-    }
-
-    /// Name of the way, for the log.
-    pub fn name(&self) -> String {
-        self.way
-            .map_or_else(|| "kept".into(), |way| way.to_string())
-    }
-}
-
 #[derive(Debug)]
 struct State {
     reach: Reach,
@@ -117,8 +73,8 @@
     heard: HeardAt,
     placement: Arc<Placement>,
     metrics: Arc<Metrics>,
-    /// How often this daemon was cut off without hearing any endpoint.
-    silences: AtomicU64,
+    /// How often this daemon was cut off.
+    cut_offs: AtomicU64,
 }
 
 impl Ways {
@@ -134,14 +90,14 @@
             heard: HeardAt::default(),
             placement,
             metrics,
-            silences: AtomicU64::new(0),
+            cut_offs: AtomicU64::new(0),
         }
     }
 
-    /// How often this daemon was cut off without hearing any endpoint. Connections that were kept
-    /// before may never be heard again.
-    pub fn silences(&self) -> u64 {
-        self.silences.load(Ordering::Relaxed)
+    /// How often this daemon was cut off. Connections that were kept before may never be heard
+    /// again.
+    pub fn cut_offs(&self) -> u64 {
+        self.cut_offs.load(Ordering::Relaxed)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -378,7 +334,7 @@
         match change {
             ReachChange::CutOff { endpoints, silence } => {
                 self.metrics.cut_off.set(1);
-                self.silences.fetch_add(1, Ordering::Relaxed);
+                self.cut_offs.fetch_add(1, Ordering::Relaxed);
                 log::warn!(
                     target: "endpoints", endpoints, silence = silence.0;
                     "endpoints: none can be reached, others are asked to connect"
