--- a/crates/core/src/routing/brittle.rs
+++ b/crates/core/src/routing/brittle.rs
@@ -6,7 +6,7 @@
 //! also for daemons that hear nothing of each other. Daemons don't fill the
 //! endpoints of such a pool beyond their slots, those without a share only to a
 //! half, and leave an endpoint alone that has turned away their share. What one
-//! daemon learns of a pool it tells the others ([`Strain`]), since those that
+//! daemon learns of a pool it tells the others ([`BrittlePools`]), since those that
 //! send little would learn late.
 
 use std::collections::{HashMap, VecDeque};
@@ -17,7 +17,7 @@
 use crate::clock::Millis;
 use crate::ids::PoolId;
 use crate::routing::endpoint::{Endpoint, InstanceId};
-use crate::routing::exchange::{Strain, pool_key};
+use crate::routing::exchange::{BrittlePools, pool_key};
 use crate::routing::fleet::Fleet;
 
 /// Time for which a pool counts as brittle after a response that says so; all its responses do.
@@ -70,8 +70,8 @@
     }
 
     /// Applies what other daemons tell.
-    pub fn merge(&mut self, strain: &Strain, now: Millis) {
-        for (pool, rejections, left) in strain.pools() {
+    pub fn merge(&mut self, brittle: &BrittlePools, now: Millis) {
+        for (pool, rejections, left) in brittle.pools() {
             let limit = self.limits.entry(pool).or_default();
             limit.rejections = rejections;
             limit.until = limit.until.max(now + left.min(LIMIT_SPAN));
@@ -79,12 +79,12 @@
     }
 
     /// What this daemon observed itself, for the others.
-    pub fn strain(&self, now: Millis) -> Strain {
-        let mut strain = Strain::default();
+    pub fn observed(&self, now: Millis) -> BrittlePools {
+        let mut brittle = BrittlePools::default();
         for (pool, limit) in &self.limits {
-            strain.add(*pool, limit.rejections, limit.own_until.since(now));
+            brittle.add(*pool, limit.rejections, limit.own_until.since(now));
         }
-        strain
+        brittle
     }
 
     /// How many requests an endpoint of a pool may turn away in a second; `None` if any number.
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -11,6 +11,7 @@
 //! disagree on the live daemons still get sums. Only rows that are new to the
 //! receiver are sent ([`VersionedSums`]).
 
+mod brittle_pools;
 mod evidence;
 mod following;
 mod hot;
@@ -24,7 +25,6 @@
 mod report;
 mod roles;
 mod short;
-mod strain;
 mod sums;
 
 use std::collections::HashMap;
@@ -35,6 +35,8 @@
 use crate::clock::Millis;
 use crate::routing::quarantine::{Evidence, Snapshot};
 
+use brittle_pools::BrittleRelay;
+pub use brittle_pools::{BrittlePools, pool_key};
 use evidence::EvidenceSync;
 pub use evidence::Findings;
 pub use following::Following;
@@ -50,8 +52,6 @@
 pub use roles::{LinkClass, sources};
 use roles::{Ranks, preference_order};
 pub use short::{short_id, short_key};
-use strain::StrainRelay;
-pub use strain::{Strain, pool_key};
 pub use sums::{Delta, OutcomeCounts, SumsCopy, Version, VersionedSums};
 
 /// Number of hubs of a data centre, or of a small fleet.
@@ -108,7 +108,7 @@
     hubs: HashMap<SocketAddr, HubState>,
     own: OwnShare,
     evidence: EvidenceSync,
-    strain: StrainRelay,
+    brittle: BrittleRelay,
     seeds: Vec<SocketAddr>,
     /// When a seed was last asked.
     seed_asked_at: Option<Millis>,
@@ -171,7 +171,7 @@
             hubs: HashMap::new(),
             own: OwnShare::default(),
             evidence: EvidenceSync::default(),
-            strain: StrainRelay::default(),
+            brittle: BrittleRelay::default(),
             seeds: seeds.into_iter().filter(|seed| *seed != me).collect(),
             seed_asked_at: None,
             next_seed: 0,
@@ -269,8 +269,8 @@
     }
 
     /// Returns what other daemons told of brittle pools since the last call.
-    pub fn take_strain(&mut self, now: Millis) -> Option<Strain> {
-        self.strain.take_heard(now)
+    pub fn take_brittle_pools(&mut self, now: Millis) -> Option<BrittlePools> {
+        self.brittle.take_heard(now)
     }
 
     /// Returns the messages that are due: this daemon's reports, and as a hub sums of the reports
@@ -279,8 +279,8 @@
         self.members.expire(now);
         self.hub.expire(now);
         self.evidence.expire(now);
-        self.strain.expire(now);
-        self.strain.report(own.strain.as_ref(), now);
+        self.brittle.expire(now);
+        self.brittle.report(own.brittle.as_ref(), now);
         self.hubs
             .retain(|_, state| now.since(state.at) < SILENCE_TIMEOUT);
         self.cut_off = own.cut_off;
@@ -320,14 +320,14 @@
             .record_contact(from, link_class, centre, cut_off, now);
         match message {
             Message::Report(report) => {
-                self.strain.report(report.strain.as_ref(), now);
+                self.brittle.report(report.brittle.as_ref(), now);
                 let is_counted = self.hub_scope(now).is_none_or(|scope| scope == centre);
                 self.hub.receive(from, &report, is_counted, now);
                 None
             }
             Message::Summary(summary) => self.receive_summary(from, &summary, now),
             Message::Subtotal(subtotal) => {
-                self.strain.subtotal(subtotal.strain.as_ref(), now);
+                self.brittle.subtotal(subtotal.brittle.as_ref(), now);
                 self.record_peers(subtotal.peers.as_ref(), now);
                 self.hub.receive_subtotal(from, &subtotal, now);
                 None
@@ -347,7 +347,7 @@
         summary: &Summary,
         now: Millis,
     ) -> Option<PeerUpdate> {
-        self.strain.summary(summary.strain.as_ref(), now);
+        self.brittle.summary(summary.brittle.as_ref(), now);
         self.record_peers(summary.peers.as_ref(), now);
         let state = self.hubs.entry(from).or_default();
         state.at = now;
--- a/crates/core/src/routing/exchange/strain.rs
+++ b/crates/core/src/routing/exchange/brittle_pools.rs
@@ -18,7 +18,7 @@
 /// the columns describe one pool.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(prost::Message)]
-pub struct Strain {
+pub struct BrittlePools {
     /// Short forms of the pools.
     #[prost(fixed32, repeated, tag = "1")]
     pools: Vec<u32>,
@@ -30,7 +30,7 @@
     times: Vec<u32>,
 }
 
-impl Strain {
+impl BrittlePools {
     /// Adds a pool, unless no time is left.
     pub fn add(&mut self, pool: u32, rejections: u32, left: Millis) {
         if left > Millis::ZERO {
@@ -56,12 +56,12 @@
 /// What several daemons told, with the latest time of each.
 #[derive(Clone, Default)]
 #[derive(Debug)]
-pub struct StrainBoard(HashMap<u32, (u32, Millis)>);
+pub struct BrittleTable(HashMap<u32, (u32, Millis)>);
 
-impl StrainBoard {
+impl BrittleTable {
     /// Adds what a daemon tells.
-    pub fn merge(&mut self, strain: Option<&Strain>, now: Millis) {
-        for (pool, rejections, left) in strain.into_iter().flat_map(Strain::pools) {
+    pub fn merge(&mut self, brittle: Option<&BrittlePools>, now: Millis) {
+        for (pool, rejections, left) in brittle.into_iter().flat_map(BrittlePools::pools) {
             let (known, until) = self.0.entry(pool).or_default();
             *known = rejections;
             *until = (*until).max(now + left);
@@ -69,12 +69,12 @@
     }
 
     /// What holds now.
-    pub fn strain(&self, now: Millis) -> Option<Strain> {
-        let mut strain = Strain::default();
+    pub fn current(&self, now: Millis) -> Option<BrittlePools> {
+        let mut brittle = BrittlePools::default();
         for (pool, (rejections, until)) in &self.0 {
-            strain.add(*pool, *rejections, until.since(now));
+            brittle.add(*pool, *rejections, until.since(now));
         }
-        strain.into_message()
+        brittle.into_message()
     }
 
     /// Forgets what is over.
@@ -86,36 +86,36 @@
 /// What a daemon of the exchange knows of brittle pools.
 #[derive(Clone, Default)]
 #[derive(Debug)]
-pub struct StrainRelay {
+pub struct BrittleRelay {
     /// From this daemon and its reporters, for hubs of other data centres.
-    pub local: StrainBoard,
+    pub local: BrittleTable,
     /// From the fleet, for reporters.
-    pub fleet: StrainBoard,
+    pub fleet: BrittleTable,
     /// From all messages since the last look, for this daemon's own view.
-    heard: StrainBoard,
+    heard: BrittleTable,
 }
 
-impl StrainRelay {
+impl BrittleRelay {
     /// Adds what a reporter, or this daemon itself, tells.
-    pub fn report(&mut self, strain: Option<&Strain>, now: Millis) {
-        self.local.merge(strain, now);
-        self.subtotal(strain, now);
+    pub fn report(&mut self, brittle: Option<&BrittlePools>, now: Millis) {
+        self.local.merge(brittle, now);
+        self.subtotal(brittle, now);
     }
 
     /// Adds what a hub of another data centre tells.
-    pub fn subtotal(&mut self, strain: Option<&Strain>, now: Millis) {
-        self.fleet.merge(strain, now);
-        self.summary(strain, now);
+    pub fn subtotal(&mut self, brittle: Option<&BrittlePools>, now: Millis) {
+        self.fleet.merge(brittle, now);
+        self.summary(brittle, now);
     }
 
     /// Adds what a hub tells its reporters.
-    pub fn summary(&mut self, strain: Option<&Strain>, now: Millis) {
-        self.heard.merge(strain, now);
+    pub fn summary(&mut self, brittle: Option<&BrittlePools>, now: Millis) {
+        self.heard.merge(brittle, now);
     }
 
     /// What was heard since the last call.
-    pub fn take_heard(&mut self, now: Millis) -> Option<Strain> {
-        std::mem::take(&mut self.heard).strain(now)
+    pub fn take_heard(&mut self, now: Millis) -> Option<BrittlePools> {
+        std::mem::take(&mut self.heard).current(now)
     }
 
     /// Forgets what is over.
--- a/crates/core/src/routing/exchange/hub_messages.rs
+++ b/crates/core/src/routing/exchange/hub_messages.rs
@@ -50,7 +50,7 @@
             reporters: self.reporter_count(now),
             cut_off: self.cut_off,
             digest: self.evidence.digest(),
-            strain: self.strain.fleet.strain(now),
+            brittle: self.brittle.fleet.current(now),
             ..Summary::default()
         }
     }
@@ -175,7 +175,7 @@
             centre: self.members.centre.0,
             cut_off: self.cut_off,
             digest: self.evidence.digest(),
-            strain: self.strain.local.strain(now),
+            brittle: self.brittle.local.current(now),
             ..Subtotal::default()
         };
         let mut out = Vec::new();
--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -6,9 +6,9 @@
 use prost::{DecodeError, Message as _, Oneof};
 
 use super::LinkClass;
+use super::brittle_pools::BrittlePools;
 use super::evidence::Findings;
 use super::members::DataCentreHash;
-use super::strain::Strain;
 use super::sums::{Delta, OutcomeCounts, Version};
 pub use peers::{Peer, Peers};
 
@@ -79,7 +79,7 @@
     pub digest: u64,
     /// Brittle pools that the daemon observed.
     #[prost(message, optional, tag = "11")]
-    pub strain: Option<Strain>,
+    pub brittle: Option<BrittlePools>,
 }
 
 /// What a report asks its receiver for.
@@ -177,7 +177,7 @@
     pub digest: u64,
     /// Brittle pools of the fleet.
     #[prost(message, optional, tag = "13")]
-    pub strain: Option<Strain>,
+    pub brittle: Option<BrittlePools>,
 }
 
 /// Requests with shared prefixes in one data centre, with exponential decay.
@@ -232,7 +232,7 @@
     pub digest: u64,
     /// Brittle pools of the data centre.
     #[prost(message, optional, tag = "12")]
-    pub strain: Option<Strain>,
+    pub brittle: Option<BrittlePools>,
 }
 
 /// A message of the exchange.
--- a/crates/core/src/routing/exchange/report.rs
+++ b/crates/core/src/routing/exchange/report.rs
@@ -35,7 +35,7 @@
             entries: Vec::new(),
             sent: Vec::new(),
             moved: Vec::new(),
-            strain: None,
+            brittle: None,
             ..own.clone()
         };
         let source = self.sums_source(now);
--- a/crates/core/src/routing/reach.rs
+++ b/crates/core/src/routing/reach.rs
@@ -18,9 +18,9 @@
 use crate::clock::Millis;
 use crate::routing::endpoint::InstanceId;
 
-pub use helpers::{Helpers, Setback};
+pub use helpers::{HelpFailure, Helpers};
 
-/// Silence of all endpoints after which a kept connection isn't trusted with a request that may
+/// Silence of all endpoints after which an idle connection isn't trusted with a request that may
 /// run only once: the request would be lost with it.
 const FRESH: Millis = Millis(300);
 /// The same for a request that may be sent again.
@@ -39,7 +39,7 @@
 const RESTORED_AT: usize = 2;
 /// First and longest time for which an endpoint that only others connected to is reached through
 /// them.
-const DETOUR_SPAN: (Millis, Millis) = (Millis(250), Millis(2000));
+const TUNNEL_SPAN: (Millis, Millis) = (Millis(250), Millis(2000));
 /// First and longest pause between two rounds of probes.
 const PROBE_PAUSE: (Millis, Millis) = (Millis(200), Millis(800));
 /// Lost connections to different endpoints within [`LOSS_WINDOW`] from which on this daemon's own
@@ -51,13 +51,13 @@
 /// How to connect to an endpoint.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug, Display)]
-pub enum Way {
+pub enum Path {
     /// Directly; through another daemon if that takes long or fails.
     #[display("direct")]
     Direct,
     /// Through another daemon: this one doesn't reach the endpoint.
-    #[display("detour")]
-    Detour,
+    #[display("tunnel")]
+    Tunnel,
     /// Through another daemon: this one is cut off from all endpoints.
     #[display("cut-off")]
     CutOff,
@@ -84,12 +84,12 @@
 /// An endpoint that this daemon doesn't reach, but others do.
 #[derive(Clone, Copy)]
 #[derive(Debug)]
-struct Detour {
+struct Tunnel {
     until: Millis,
     span: Millis,
 }
 
-/// What one daemon knows of its own ways to endpoints.
+/// What one daemon knows of its own paths to endpoints.
 #[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct Reach {
@@ -101,7 +101,7 @@
     failed: HashMap<InstanceId, Millis, RandomState>,
     /// Endpoints that were connected to since this daemon is cut off.
     restored: Vec<InstanceId>,
-    detours: HashMap<InstanceId, Detour, RandomState>,
+    tunnels: HashMap<InstanceId, Tunnel, RandomState>,
     probe_pause: Millis,
     next_probe: Millis,
     /// Endpoints to which connections were lost within [`LOSS_WINDOW`], and when.
@@ -120,7 +120,7 @@
     pub fn record_connected(&mut self, id: &InstanceId, now: Millis) -> Option<ReachChange> {
         self.record_heard(now);
         self.failed.clear();
-        self.detours.remove(id);
+        self.tunnels.remove(id);
         let since = self.cut_off_since?;
         if !self.restored.contains(id) {
             self.restored.push(id.clone());
@@ -129,7 +129,7 @@
             return None;
         }
         self.cut_off_since = None;
-        self.detours.clear();
+        self.tunnels.clear();
         self.next_probe = Millis::ZERO;
         Some(ReachChange::Restored {
             span: now.since(since),
@@ -165,33 +165,33 @@
     }
 
     /// Records that another daemon connected to an endpoint that this one didn't reach.
-    pub fn record_detour(&mut self, id: &InstanceId, now: Millis) {
-        let (first, longest) = DETOUR_SPAN;
-        let detour = self.detours.entry(id.clone()).or_insert(Detour {
+    pub fn record_tunnel(&mut self, id: &InstanceId, now: Millis) {
+        let (first, longest) = TUNNEL_SPAN;
+        let tunnel = self.tunnels.entry(id.clone()).or_insert(Tunnel {
             until: now,
             span: Millis::ZERO,
         });
-        if detour.until <= now {
-            detour.span = Millis(detour.span.0 * 2).clamp(first, longest);
-            detour.until = now + detour.span;
+        if tunnel.until <= now {
+            tunnel.span = Millis(tunnel.span.0 * 2).clamp(first, longest);
+            tunnel.until = now + tunnel.span;
         }
     }
 
     /// Forgets endpoints that have long been reached directly or not at all.
     pub fn prune(&mut self, now: Millis) {
-        let (_, longest) = DETOUR_SPAN;
-        self.detours
-            .retain(|_, detour| now.since(detour.until) < longest);
+        let (_, longest) = TUNNEL_SPAN;
+        self.tunnels
+            .retain(|_, tunnel| now.since(tunnel.until) < longest);
     }
 
     /// How to connect to an endpoint.
-    pub fn way(&self, id: &InstanceId, now: Millis) -> Way {
+    pub fn path(&self, id: &InstanceId, now: Millis) -> Path {
         if self.is_cut_off() {
-            return Way::CutOff;
+            return Path::CutOff;
         }
-        match self.detours.get(id) {
-            Some(detour) if now < detour.until => Way::Detour,
-            _ => Way::Direct,
+        match self.tunnels.get(id) {
+            Some(tunnel) if now < tunnel.until => Path::Tunnel,
+            _ => Path::Direct,
         }
     }
 
@@ -222,12 +222,12 @@
         let is_recent = |at: &Millis| now.since(*at) < FAILURE_WINDOW;
         let others = self.failed.iter().filter(|(failed, _)| *failed != id);
         let others = others.filter(|(_, at)| is_recent(at)).count();
-        !self.hears(now) || others + 1 >= ASK_AT || self.way(id, now) != Way::Direct
+        !self.hears(now) || others + 1 >= ASK_AT || self.path(id, now) != Path::Direct
     }
 
-    /// Whether a kept connection may be used: a daemon that hears no endpoint may be cut off without
+    /// Whether an idle connection may be used: a daemon that hears no endpoint may be cut off without
     /// its connections having ended.
-    pub fn trusts_kept(&self, is_idempotent: bool, now: Millis) -> bool {
+    pub fn trusts_idle(&self, is_idempotent: bool, now: Millis) -> bool {
         let fresh = match is_idempotent {
             true => FRESH_IDEMPOTENT,
             false => FRESH,
@@ -255,7 +255,7 @@
     /// daemon's own link, so that it says nothing about the endpoint.
     pub fn is_own_silence(&self, id: &InstanceId, now: Millis) -> bool {
         let is_silent = !self.hears(now) && self.has_failed(now);
-        is_silent || self.way(id, now) != Way::Direct
+        is_silent || self.path(id, now) != Path::Direct
     }
 
     /// Records that a direct connection was lost with a request. Whether this daemon's own link was
@@ -274,6 +274,6 @@
     pub fn is_own_loss(&self, id: &InstanceId, lost_at: Millis, now: Millis) -> bool {
         let failed_at = self.link_failed_at;
         let is_near = |at: Millis| at.since(lost_at) + lost_at.since(at) <= LOSS_WINDOW;
-        failed_at.is_some_and(is_near) || self.way(id, now) != Way::Direct
+        failed_at.is_some_and(is_near) || self.path(id, now) != Path::Direct
     }
 }
--- a/crates/core/src/routing/reach/helpers.rs
+++ b/crates/core/src/routing/reach/helpers.rs
@@ -13,8 +13,8 @@
 
 use crate::clock::Millis;
 
-/// Helpers that are kept as long as they help.
-const KEPT: usize = 4;
+/// Helpers that are asked first, as long as they help.
+const RECENT: usize = 4;
 /// Daemons of the own data centre that are asked before those of others.
 const NEAR_FIRST: usize = 2;
 /// Daemons that are asked for one connection.
@@ -34,7 +34,7 @@
 /// Why a daemon doesn't help.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug)]
-pub enum Setback {
+pub enum HelpFailure {
     /// It helps too many others, or is about to stop.
     Busy,
     /// It reaches no endpoint itself.
@@ -59,7 +59,7 @@
     near: Vec<SocketAddr>,
     far: Vec<SocketAddr>,
     /// Those that helped last.
-    kept: Vec<SocketAddr>,
+    recent: Vec<SocketAddr>,
     pauses: HashMap<SocketAddr, Pause>,
     /// Until when nobody is asked.
     none_until: Millis,
@@ -69,7 +69,7 @@
     /// Sets the other daemons, those of the own data centre and those elsewhere.
     pub fn set(&mut self, near: Vec<SocketAddr>, far: Vec<SocketAddr>) {
         let all: HashSet<&SocketAddr> = near.iter().chain(&far).collect();
-        self.kept.retain(|daemon| all.contains(daemon));
+        self.recent.retain(|daemon| all.contains(daemon));
         self.pauses.retain(|daemon, _| all.contains(daemon));
         (self.near, self.far) = (near, far);
     }
@@ -85,7 +85,7 @@
         if now < self.none_until {
             return Vec::new();
         }
-        let mut chosen = self.kept.clone();
+        let mut chosen = self.recent.clone();
         chosen.retain(|daemon| self.is_open(daemon, now));
         chosen.shuffle(rng);
         let wanted = ASKED_MAX.saturating_sub(chosen.len());
@@ -132,26 +132,26 @@
     pub fn record_help(&mut self, daemon: SocketAddr) {
         self.none_until = Millis::ZERO;
         self.pauses.remove(&daemon);
-        if !self.kept.contains(&daemon) {
-            self.kept.push(daemon);
-            if self.kept.len() > KEPT {
-                self.kept.remove(0);
+        if !self.recent.contains(&daemon) {
+            self.recent.push(daemon);
+            if self.recent.len() > RECENT {
+                self.recent.remove(0);
             }
         }
     }
 
     /// Records that a daemon didn't help; it isn't asked for a while.
-    pub fn record_setback(&mut self, daemon: SocketAddr, setback: Setback, now: Millis) {
+    pub fn record_failure_of(&mut self, daemon: SocketAddr, failure: HelpFailure, now: Millis) {
         let (first, longest) = PAUSE;
         let before = self.pauses.get(&daemon).map_or(Millis::ZERO, |p| p.span);
         let doubled = Millis(before.0 * 2);
-        let span = match setback {
-            Setback::Busy | Setback::Unreachable => SHORT_PAUSE,
-            Setback::CutOff => doubled.clamp(first, CUT_OFF_PAUSE),
-            Setback::Silent => doubled.clamp(first, longest),
+        let span = match failure {
+            HelpFailure::Busy | HelpFailure::Unreachable => SHORT_PAUSE,
+            HelpFailure::CutOff => doubled.clamp(first, CUT_OFF_PAUSE),
+            HelpFailure::Silent => doubled.clamp(first, longest),
         };
-        if setback != Setback::Busy {
-            self.kept.retain(|kept| *kept != daemon);
+        if failure != HelpFailure::Busy {
+            self.recent.retain(|recent| *recent != daemon);
         }
         let until = now + span;
         self.pauses.insert(daemon, Pause { until, span });
--- a/crates/core/src/routing/view/notices.rs
+++ b/crates/core/src/routing/view/notices.rs
@@ -5,7 +5,7 @@
 use crate::ids::PoolId;
 use crate::routing::directory::Pool;
 use crate::routing::endpoint::InstanceId;
-use crate::routing::exchange::Strain;
+use crate::routing::exchange::BrittlePools;
 use crate::routing::notices::{Notice, answered_by};
 
 /// Time after which a request for a pool without endpoints is retried: about what a new endpoint
@@ -42,13 +42,13 @@
     }
 
     /// What this daemon observed of brittle pools, for the others.
-    pub fn strain(&self, now: Millis) -> Option<Strain> {
-        self.brittle.strain(now).into_message()
+    pub fn observed_brittle(&self, now: Millis) -> Option<BrittlePools> {
+        self.brittle.observed(now).into_message()
     }
 
     /// Applies what other daemons tell of brittle pools.
-    pub fn merge_strain(&mut self, strain: &Strain, now: Millis) {
-        self.brittle.merge(strain, now);
+    pub fn merge_brittle_pools(&mut self, brittle: &BrittlePools, now: Millis) {
+        self.brittle.merge(brittle, now);
     }
 
     /// Records that an endpoint turned a request away.
--- a/crates/core/tests/routing/brittle.rs
+++ b/crates/core/tests/routing/brittle.rs
@@ -79,7 +79,7 @@
         eq(true)
     );
     brittle.prune(later);
-    assert_that!(brittle.strain(later).into_message(), none());
+    assert_that!(brittle.observed(later).into_message(), none());
 }
 
 #[test]
--- a/crates/core/tests/routing/reach.rs
+++ b/crates/core/tests/routing/reach.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::endpoint::InstanceId;
-use medlarrill_core::routing::reach::{Helpers, Reach, ReachChange, Setback, Way};
+use medlarrill_core::routing::reach::{HelpFailure, Helpers, Path, Reach, ReachChange};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
@@ -57,7 +57,7 @@
         silence,
     };
     assert_that!(change, some(eq(expected)));
-    assert_that!(reach.way(&endpoint(9), at(500)), eq(Way::CutOff));
+    assert_that!(reach.path(&endpoint(9), at(500)), eq(Path::CutOff));
 }
 
 #[test]
@@ -97,7 +97,7 @@
     }
     reach.record_unconnected(&endpoint(5), KNOWN, at(1000));
     assert_that!(reach.is_cut_off(), eq(true));
-    assert_that!(reach.trusts_kept(false, at(1000)), eq(true));
+    assert_that!(reach.trusts_idle(false, at(1000)), eq(true));
 }
 
 #[test]
@@ -108,7 +108,7 @@
     let change = reach.record_connected(&endpoint(1), at(1500));
     let span = Millis(1000);
     assert_that!(change, some(eq(ReachChange::Restored { span })));
-    assert_that!(reach.way(&endpoint(2), at(1500)), eq(Way::Direct));
+    assert_that!(reach.path(&endpoint(2), at(1500)), eq(Path::Direct));
 }
 
 #[test]
@@ -128,15 +128,15 @@
     let mut tries = 0;
     for now in 0..20_000 {
         reach.record_heard(at(now));
-        if reach.way(&endpoint(0), at(now)) == Way::Direct {
+        if reach.path(&endpoint(0), at(now)) == Path::Direct {
             tries += 1;
-            reach.record_detour(&endpoint(0), at(now));
+            reach.record_tunnel(&endpoint(0), at(now));
         }
     }
     assert_that!(tries, ge(10));
     assert_that!(tries, le(16));
     reach.record_connected(&endpoint(0), at(20_000));
-    assert_that!(reach.way(&endpoint(0), at(20_000)), eq(Way::Direct));
+    assert_that!(reach.path(&endpoint(0), at(20_000)), eq(Path::Direct));
 }
 
 #[test]
@@ -197,7 +197,7 @@
                         found = Some(candidate);
                         break;
                     }
-                    helpers.record_setback(candidate, Setback::CutOff, now);
+                    helpers.record_failure_of(candidate, HelpFailure::CutOff, now);
                 }
                 match found {
                     Some(helper) => {
@@ -246,7 +246,7 @@
         let candidates = helpers.candidates(at(millis), &mut rng);
         asked += candidates.len();
         for candidate in candidates {
-            helpers.record_setback(candidate, Setback::CutOff, at(millis));
+            helpers.record_failure_of(candidate, HelpFailure::CutOff, at(millis));
         }
         helpers.record_none(at(millis));
     }
@@ -260,7 +260,7 @@
     helpers.set(vec![daemon(0, 1)], vec![daemon(1, 1)]);
     let mut rng = Pcg32::seed_from_u64(1);
     for helper in [daemon(0, 1), daemon(1, 1)] {
-        helpers.record_setback(helper, Setback::Busy, START);
+        helpers.record_failure_of(helper, HelpFailure::Busy, START);
     }
     helpers.record_none(START);
     for millis in 0..400 {
@@ -280,7 +280,7 @@
     for millis in 0..60_000 {
         if !helpers.candidates(at(millis), &mut rng).is_empty() {
             asked += 1;
-            helpers.record_setback(daemon(0, 1), Setback::Silent, at(millis));
+            helpers.record_failure_of(daemon(0, 1), HelpFailure::Silent, at(millis));
         }
     }
     assert_that!(asked, ge(8));
--- a/crates/core/tests/routing/world.rs
+++ b/crates/core/tests/routing/world.rs
@@ -164,8 +164,8 @@
             }
             let evidence = daemon.exchange.take_evidence();
             daemon.quarantine.merge(&evidence, now);
-            if let Some(strain) = daemon.exchange.take_strain(now) {
-                daemon.brittle.merge(&strain, now);
+            if let Some(brittle) = daemon.exchange.take_brittle_pools(now) {
+                daemon.brittle.merge(&brittle, now);
             }
             let replies = daemon.exchange.replies(now);
             self.send(to, replies);
@@ -191,7 +191,7 @@
             daemon.apply_update(update);
         }
         let report = Report {
-            strain: daemon.brittle.strain(now).into_message(),
+            brittle: daemon.brittle.observed(now).into_message(),
             ..daemon.report()
         };
         daemon
--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -7,7 +7,6 @@
     mod copies;
     mod crash;
     mod cut;
-    mod detour;
     mod drains;
     mod isolated;
     mod own_word;
@@ -15,5 +14,6 @@
     mod setup;
     mod stop;
     mod store;
+    mod tunnel;
     mod whose_word;
 }
--- a/crates/daemon/tests/route/cut.rs
+++ b/crates/daemon/tests/route/cut.rs
@@ -1,4 +1,4 @@
-//! Daemons that reach the endpoints by ways of their own, which can be cut.
+//! Daemons that reach the endpoints by paths of their own, which can be cut.
 
 use std::time::Duration;
 
@@ -22,19 +22,19 @@
     NewOnly,
 }
 
-/// Daemons of which some have ways of their own to the endpoints.
+/// Daemons of which some have paths of their own to the endpoints.
 pub struct Site {
     pub bench: Bench,
-    /// The ways of each of the first daemons.
-    pub ways: Vec<Vec<Proxy>>,
+    /// The paths of each of the first daemons.
+    pub paths: Vec<Vec<Proxy>>,
     _views: Vec<View>,
 }
 
 impl Site {
-    /// The first `harmed` of the daemons have ways that can be cut.
+    /// The first `harmed` of the daemons have paths that can be cut.
     pub async fn start(endpoints: usize, harmed: usize, daemons: usize) -> Self {
         let mut bench = Bench::without_daemon(endpoints).await;
-        let (mut ways, mut views) = (Vec::new(), Vec::new());
+        let (mut paths, mut views) = (Vec::new(), Vec::new());
         for number in 0..daemons {
             let seeds: &[usize] = if number == 0 { &[] } else { &[0] };
             if number >= harmed {
@@ -50,7 +50,7 @@
             }
             let view = bench.store.view(seen).await.expect("a view");
             bench.add_daemon_behind(seeds, view.address());
-            ways.push(proxies);
+            paths.push(proxies);
             views.push(view);
         }
         for daemon in 0..daemons {
@@ -62,7 +62,7 @@
         }
         Self {
             bench,
-            ways,
+            paths,
             _views: views,
         }
     }
@@ -73,16 +73,16 @@
             Cut::Reset => (Harm::Reset, Entry::Refuse),
             Cut::NewOnly => (Harm::None, Entry::Refuse),
         };
-        for way in &self.ways[daemon] {
-            way.harm(harm);
-            way.admit(entry);
+        for path in &self.paths[daemon] {
+            path.harm(harm);
+            path.admit(entry);
         }
     }
 
     pub fn heal(&self, daemon: usize) {
-        for way in &self.ways[daemon] {
-            way.harm(Harm::None);
-            way.admit(Entry::Open);
+        for path in &self.paths[daemon] {
+            path.harm(Harm::None);
+            path.admit(Entry::Open);
         }
     }
 
--- a/crates/daemon/tests/route/isolated.rs
+++ b/crates/daemon/tests/route/isolated.rs
@@ -1,4 +1,4 @@
-//! Daemons whose ways to the endpoints are cut, while callers, the store and the other daemons
+//! Daemons whose paths to the endpoints are cut, while callers, the store and the other daemons
 //! reach them.
 
 use std::time::Duration;
@@ -77,7 +77,7 @@
     site.cut(1, cut);
     site.first_tries(0, "early", A_SECOND).await;
     site.first_tries(1, "early", A_SECOND).await;
-    let asked = counted(&site, 0, "medlarrill_detours_total");
+    let asked = counted(&site, 0, "medlarrill_tunnels_total");
     let from = Instant::now();
     for number in 0..2 * A_SECOND {
         let attempt = format!("late-{number}");
@@ -90,7 +90,7 @@
         Bench::pause(20).await;
     }
     // One other daemon, which is asked again after a pause only.
-    let asked = counted(&site, 0, "medlarrill_detours_total") - asked;
+    let asked = counted(&site, 0, "medlarrill_tunnels_total") - asked;
     let most = 2 * (1 + from.elapsed().as_secs());
     assert_that!(asked, le(most));
     site.heal(0);
@@ -126,16 +126,16 @@
 async fn an_endpoint_that_is_silent_for_a_second_is_used_again_and_nobody_is_taken_as_cut_off() {
     let site = Site::start(4, 2, 2).await;
     for daemon in [0, 1] {
-        site.ways[daemon][0].harm(Harm::Hold);
-        site.ways[daemon][0].admit(Entry::Hang);
+        site.paths[daemon][0].harm(Harm::Hold);
+        site.paths[daemon][0].admit(Entry::Hang);
     }
     let silent = tokio::join!(
         site.first_tries(0, "silent", A_SECOND),
         site.first_tries(1, "silent", A_SECOND)
     );
     for daemon in [0, 1] {
-        site.ways[daemon][0].harm(Harm::None);
-        site.ways[daemon][0].admit(Entry::Open);
+        site.paths[daemon][0].harm(Harm::None);
+        site.paths[daemon][0].admit(Entry::Open);
     }
     assert_that!(silent.0, is_empty());
     assert_that!(silent.1, is_empty());
@@ -165,7 +165,7 @@
             Bench::pause(1000).await;
             site.cut(0, cut);
         });
-        // Requests that were under way when their ways were cut.
+        // Requests that were under way when their paths were cut.
         assert_that!(before.len(), gt(0));
         let (_, others) = tokio::join!(
             site.first_tries(0, "late", 2 * A_SECOND),
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -74,7 +74,7 @@
     /// Seconds of each soak.
     #[arg(long, default_value_t = 12)]
     pub seconds: u64,
-    /// Only daemons that lose their ways to endpoints.
+    /// Only daemons that lose their paths to endpoints.
     #[arg(long)]
     pub cuts: bool,
     /// Where logs of seeds that broke a promise are kept.
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -110,7 +110,7 @@
         /// The requests.
         requests: usize,
     },
-    /// A daemon that had lost its ways to all endpoints served too little.
+    /// A daemon that had lost its paths to all endpoints served too little.
     #[display("daemon {daemon} served {served} of {sent} requests while it was cut off")]
     CutOff {
         /// The daemon.
--- a/crates/lab/src/soak/check/cuts.rs
+++ b/crates/lab/src/soak/check/cuts.rs
@@ -59,7 +59,7 @@
     })
 }
 
-/// Whether there was a daemon that had its ways all the while.
+/// Whether there was a daemon that had its paths all the while.
 fn has_helper(world: &World, cut: &Done) -> bool {
     let (from, to) = (cut.from - TROUBLE, cut.from + cut.fault.length());
     let is_cut = |number: usize| {
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -56,11 +56,11 @@
     Leave(usize, Duration),
     /// An endpoint refuses all requests, and asks each daemon that sends one for a pause.
     Pause(usize, Duration),
-    /// A daemon loses its ways to all endpoints.
+    /// A daemon loses its paths to all endpoints.
     CutOff(usize, Cut, Duration),
 }
 
-/// What becomes of connections when a way is cut.
+/// What becomes of connections when a path is cut.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Cut {
     /// Open ones fall silent, new ones get no answer.
@@ -275,7 +275,7 @@
         self
     }
 
-    /// Adds daemons that lose their ways to all endpoints, but for soaks of planned work only: one
+    /// Adds daemons that lose their paths to all endpoints, but for soaks of planned work only: one
     /// after the other, or all at once. Drawn from numbers of its own, too.
     pub fn with_cuts(self, rng: &mut Pcg32, length: Duration) -> Self {
         match self.events.iter().all(|event| event.fault.is_planned()) {
@@ -284,7 +284,7 @@
         }
     }
 
-    /// Draws a plan in which daemons lose their ways to all endpoints, and hardly anything else
+    /// Draws a plan in which daemons lose their paths to all endpoints, and hardly anything else
     /// happens, so that it shows what they serve meanwhile.
     pub fn of_cuts(rng: &mut Pcg32, length: Duration) -> Self {
         let mut plan = Self {
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -99,8 +99,8 @@
     daemons: Vec<Arc<Daemon>>,
     /// Between daemons and the store.
     proxies: Vec<Proxy>,
-    /// Each daemon's ways to the endpoints, and the store as it sees it.
-    ways: Vec<(Vec<Proxy>, View)>,
+    /// Each daemon's paths to the endpoints, and the store as it sees it.
+    paths: Vec<(Vec<Proxy>, View)>,
     restarts: Vec<JoinHandle<Result<()>>>,
     version: u64,
     /// When each endpoint started, if they tell.
@@ -140,7 +140,7 @@
             program,
             daemons: Vec::new(),
             proxies: Vec::new(),
-            ways: Vec::new(),
+            paths: Vec::new(),
             restarts: Vec::new(),
             version: 1,
             births: vec![plan.births.then_some(FIRST_BIRTH); plan.endpoints],
@@ -174,16 +174,16 @@
     }
 
     async fn add(&mut self, seed: u64, number: usize) -> Result<Door> {
-        let mut ways = Vec::new();
+        let mut paths = Vec::new();
         let mut seen = Vec::new();
         for (_, endpoint) in &self.endpoints {
-            let way = Proxy::start(endpoint.address).await?;
-            seen.push((endpoint.address, way.address));
-            ways.push(way);
+            let path = Proxy::start(endpoint.address).await?;
+            seen.push((endpoint.address, path.address));
+            paths.push(path);
         }
         let view = self.store.view(seen).await?;
         let proxy = Proxy::start(view.address()).await?;
-        self.ways.push((ways, view));
+        self.paths.push((paths, view));
         // Each daemon has a VM of its own: an address of the loopback network.
         let [.., high, low] = seed.to_be_bytes();
         let ip = IpAddr::V4(Ipv4Addr::new(127, 10 + high % 200, low, 1 + number as u8));
--- a/crates/lab/src/soak/world/faults.rs
+++ b/crates/lab/src/soak/world/faults.rs
@@ -112,7 +112,7 @@
         self.watch_ends().await
     }
 
-    /// Cuts the ways of a daemon to all endpoints, or mends them.
+    /// Cuts the paths of a daemon to all endpoints, or mends them.
     fn cut(&self, daemon: usize, cut: Option<Cut>) {
         let (harm, entry) = match cut {
             None => (Harm::None, Entry::Open),
@@ -120,9 +120,9 @@
             Some(Cut::Reset) => (Harm::Reset, Entry::Refuse),
             Some(Cut::NewOnly) => (Harm::None, Entry::Refuse),
         };
-        for way in &self.ways[daemon].0 {
-            way.harm(harm);
-            way.admit(entry);
+        for path in &self.paths[daemon].0 {
+            path.harm(harm);
+            path.admit(entry);
         }
     }
 
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -1,12 +1,12 @@
-//! Connections to endpoints and the ways there, and a report of response headers that nothing reads.
+//! Connections to endpoints and the paths there, and a report of response headers that nothing reads.
 
 mod connections;
 mod heard;
-mod passage;
+mod path_taken;
+mod paths;
 mod unread;
-mod ways;
 
 pub use connections::{ConnectionPool, LeasedConnection, SendError, Sent, idle_limit};
-pub use passage::{Passage, Taken};
+pub use path_taken::{PathTaken, Taken};
+pub use paths::Paths;
 pub use unread::UnreadHeaders;
-pub use ways::Ways;
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -18,9 +18,9 @@
 use medlarrill_net::now::{now, wall};
 use tokio::io::{AsyncRead, AsyncWrite};
 
-use super::passage::{Passage, Taken};
-use super::ways::{ConnectError, Connected, Ways};
-use crate::detour::carried;
+use super::path_taken::{PathTaken, Taken};
+use super::paths::{ConnectError, Connected, Paths};
+use crate::tunnel::carried;
 
 /// Time without a response after which a daemon that hears no endpoint checks whether it is cut off.
 const SILENCE_CHECK: Millis = Millis(250);
@@ -67,7 +67,7 @@
 #[derive(Debug)]
 struct Table {
     connections: HashMap<InstanceId, Vec<Idle>>,
-    /// Value of [`Ways::cut_offs`] when they were checked last.
+    /// Value of [`Paths::cut_offs`] when they were checked last.
     cut_offs: u64,
 }
 
@@ -76,7 +76,7 @@
 #[derive(Debug)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<Table>>,
-    ways: Arc<Ways>,
+    paths: Arc<Paths>,
 }
 
 /// A connection in use by one request.
@@ -105,16 +105,16 @@
 
 impl ConnectionPool {
     /// Creates an empty pool.
-    pub fn new(ways: Ways) -> Self {
+    pub fn new(paths: Paths) -> Self {
         Self {
             idle: Arc::default(),
-            ways: Arc::new(ways),
+            paths: Arc::new(paths),
         }
     }
 
-    /// This daemon's ways to endpoints.
-    pub const fn ways(&self) -> &Arc<Ways> {
-        &self.ways
+    /// This daemon's paths to endpoints.
+    pub const fn paths(&self) -> &Arc<Paths> {
+        &self.paths
     }
 
     /// Sends a request and waits for the head of the response; sets `taken` when the request is
@@ -131,12 +131,12 @@
         taken: &Taken,
     ) -> Result<Sent> {
         let mut request = request;
-        while self.ways.trusts_kept(is_idempotent)
+        while self.paths.trusts_idle(is_idempotent)
             && let Some(mut sender) = self.take_idle(&endpoint.id)
         {
-            taken.set(Some(Passage::kept(self.ways.silence())));
+            taken.set(Some(PathTaken::idle(self.paths.silence())));
             let sent_at = wall();
-            match self.send_kept(&mut sender, request).await {
+            match self.send_idle(&mut sender, request).await {
                 Ok(answer) => {
                     let connection = self.lease(endpoint, sender, None);
                     return Ok(Sent {
@@ -155,14 +155,14 @@
                 },
             }
         }
-        let (connected, passage) = self.ways.connect(endpoint).await?;
+        let (connected, path_taken) = self.paths.connect(endpoint).await?;
         let mut sender = handshake(connected).await?;
-        taken.set(Some(passage));
+        taken.set(Some(path_taken));
         let sent_at = wall();
         match sender.try_send_request(request).await {
             Ok(answer) => Ok(Sent {
                 answer,
-                connection: self.lease(endpoint, sender, passage.helper),
+                connection: self.lease(endpoint, sender, path_taken.helper),
                 is_new: true,
                 sent_at,
             }),
@@ -177,9 +177,9 @@
         }
     }
 
-    /// Sends a request on a kept connection. It may be dead: if no endpoint is heard, this daemon
+    /// Sends a request on an idle connection. It may be dead: if no endpoint is heard, this daemon
     /// finds out whether it is cut off while it waits.
-    async fn send_kept(
+    async fn send_idle(
         &self,
         sender: &mut Sender,
         request: Request<Full<Bytes>>,
@@ -188,7 +188,7 @@
         tokio::select! {
             biased;
             sent = &mut sending => return sent,
-            () = tokio::time::sleep(SILENCE_CHECK.as_duration()) => self.ways.probe_if_suspect(),
+            () = tokio::time::sleep(SILENCE_CHECK.as_duration()) => self.paths.probe_if_suspect(),
         }
         sending.await
     }
@@ -210,7 +210,7 @@
     /// Takes the most recently used idle connection that is still usable.
     fn take_idle(&self, id: &InstanceId) -> Option<Sender> {
         let mut table = self.lock();
-        let cut_offs = self.ways.cut_offs();
+        let cut_offs = self.paths.cut_offs();
         if std::mem::replace(&mut table.cut_offs, cut_offs) != cut_offs {
             table.connections.clear();
         }
@@ -251,7 +251,7 @@
 async fn handshake(connected: Connected) -> Result<Sender> {
     match connected {
         Connected::Direct(stream) => start_http(stream).await,
-        Connected::Detour(opened) => start_http(carried(opened.link)).await,
+        Connected::Tunnel(opened) => start_http(carried(opened.link)).await,
     }
 }
 
--- a/crates/router/src/endpoints/passage.rs
+++ b/crates/router/src/endpoints/path_taken.rs
@@ -5,13 +5,13 @@
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::reach::Way;
+use medlarrill_core::routing::reach::Path;
 
 /// How a request got to its endpoint, for the log.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Passage {
-    /// What was known of the way when it was chosen; `None` for a kept connection.
-    pub way: Option<Way>,
+pub struct PathTaken {
+    /// What was known of the path when it was chosen; `None` for an idle connection.
+    pub path: Option<Path>,
     /// The daemon that carries the connection.
     pub helper: Option<SocketAddr>,
     /// Time since any endpoint was last heard directly.
@@ -21,33 +21,33 @@
 /// How a request got to its endpoint, set when it is handed to a connection: while this is empty,
 /// nothing was sent.
 #[derive(Debug, Default)]
-pub struct Taken(Mutex<Option<Passage>>);
+pub struct Taken(Mutex<Option<PathTaken>>);
 
 impl Taken {
-    /// Sets or clears the passage.
-    pub fn set(&self, passage: Option<Passage>) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = passage;
+    /// Sets or clears the path_taken.
+    pub fn set(&self, path_taken: Option<PathTaken>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = path_taken;
     }
 
-    /// The passage.
-    pub fn get(&self) -> Option<Passage> {
+    /// The path_taken.
+    pub fn get(&self) -> Option<PathTaken> {
         *self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl Passage {
-    /// The passage of a request on a kept connection.
-    pub const fn kept(silence: Millis) -> Self {
+impl PathTaken {
+    /// The path_taken of a request on an idle connection.
+    pub const fn idle(silence: Millis) -> Self {
         Self {
-            way: None,
+            path: None,
             helper: None,
             silence,
         }
     }
 
-    /// Name of the way, for the log.
+    /// Name of the path, for the log.
     pub fn name(&self) -> String {
-        self.way
-            .map_or_else(|| "kept".into(), |way| way.to_string())
+        self.path
+            .map_or_else(|| "idle".into(), |path| path.to_string())
     }
 }
--- a/crates/router/src/endpoints/ways.rs
+++ b/crates/router/src/endpoints/paths.rs
@@ -8,18 +8,18 @@
 use derive_more::{Debug, Display};
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
-use medlarrill_core::routing::reach::{Helpers, Reach, ReachChange, Setback, Way};
+use medlarrill_core::routing::reach::{HelpFailure, Helpers, Path, Reach, ReachChange};
 use medlarrill_net::now::now;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use tokio::net::TcpStream;
 
 use super::heard::{Heard, HeardAt};
-use super::passage::Passage;
-use crate::detour::{self, AskError, Opened, ask};
+use super::path_taken::PathTaken;
 use crate::metrics::Metrics;
 use crate::placement::Placement;
 use crate::socket;
+use crate::tunnel::{self, OpenError, Opened};
 
 /// Timeout for connecting: endpoints are some milliseconds away and take one to accept.
 const CONNECT_TIMEOUT: Millis = Millis(400);
@@ -32,7 +32,7 @@
 /// Interval between checks whether to probe endpoints.
 const PROBE_CHECK: Millis = Millis(100);
 /// Daemons that may fail to connect to an endpoint before it counts as unreachable.
-const OPINIONS: usize = 3;
+const UNREACHABLE_MAX: usize = 3;
 
 /// Result of connecting.
 pub type Result<T> = std::result::Result<T, ConnectError>;
@@ -55,7 +55,7 @@
     /// A direct one.
     Direct(#[debug(skip)] Heard<TcpStream>),
     /// One that another daemon carries.
-    Detour(Opened),
+    Tunnel(Opened),
 }
 
 #[derive(Debug)]
@@ -66,9 +66,9 @@
     rng: Pcg32,
 }
 
-/// This daemon's ways to endpoints.
+/// This daemon's paths to endpoints.
 #[derive(Debug)]
-pub struct Ways {
+pub struct Paths {
     state: Mutex<State>,
     heard: HeardAt,
     placement: Arc<Placement>,
@@ -77,7 +77,7 @@
     cut_offs: AtomicU64,
 }
 
-impl Ways {
+impl Paths {
     /// Creates the state of a daemon that has connected to nothing yet.
     pub fn new(placement: Arc<Placement>, metrics: Arc<Metrics>) -> Self {
         let state = State {
@@ -94,7 +94,7 @@
         }
     }
 
-    /// How often this daemon was cut off. Connections that were kept before may never be heard
+    /// How often this daemon was cut off. Connections that were idle then may never be heard
     /// again.
     pub fn cut_offs(&self) -> u64 {
         self.cut_offs.load(Ordering::Relaxed)
@@ -114,7 +114,7 @@
     }
 
     /// Whether no other daemon is known that could help.
-    pub fn knows_nobody(&self) -> bool {
+    pub fn has_no_helpers(&self) -> bool {
         self.lock().helpers.is_empty()
     }
 
@@ -123,9 +123,9 @@
         self.lock().reach.is_cut_off()
     }
 
-    /// Whether a kept connection may be used for a request.
-    pub fn trusts_kept(&self, is_idempotent: bool) -> bool {
-        self.lock().reach.trusts_kept(is_idempotent, now())
+    /// Whether an idle connection may be used for a request.
+    pub fn trusts_idle(&self, is_idempotent: bool) -> bool {
+        self.lock().reach.trusts_idle(is_idempotent, now())
     }
 
     /// Time since any endpoint was last heard directly.
@@ -153,30 +153,30 @@
     /// # Errors
     ///
     /// When neither this daemon nor another one that it asked could connect.
-    pub async fn connect(self: &Arc<Self>, endpoint: &Endpoint) -> Result<(Connected, Passage)> {
-        let (way, silence) = {
+    pub async fn connect(self: &Arc<Self>, endpoint: &Endpoint) -> Result<(Connected, PathTaken)> {
+        let (path, silence) = {
             let state = self.lock();
-            let way = state.reach.way(&endpoint.id, now());
-            (way, state.reach.silence(now()))
+            let path = state.reach.path(&endpoint.id, now());
+            (path, state.reach.silence(now()))
         };
-        let connected = match way {
-            Way::Direct => self.race(endpoint).await,
-            Way::Detour => match self.detour(endpoint).await {
+        let connected = match path {
+            Path::Direct => self.race(endpoint).await,
+            Path::Tunnel => match self.tunnel(endpoint).await {
                 Err(_) => self.direct(endpoint).await,
                 opened => opened,
             },
-            Way::CutOff => self.detour(endpoint).await,
+            Path::CutOff => self.tunnel(endpoint).await,
         }?;
         let helper = match &connected {
             Connected::Direct(_) => None,
-            Connected::Detour(opened) => Some(opened.helper),
+            Connected::Tunnel(opened) => Some(opened.helper),
         };
-        let passage = Passage {
-            way: Some(way),
+        let path_taken = PathTaken {
+            path: Some(path),
             helper,
             silence,
         };
-        Ok((connected, passage))
+        Ok((connected, path_taken))
     }
 
     /// Connects directly, or through another daemon if that takes long or fails.
@@ -187,7 +187,7 @@
                 biased;
                 connected = &mut direct => match connected {
                     Err(error) if self.asks_others(&endpoint.id) => {
-                        return self.detour(endpoint).await.map_err(|other| match other {
+                        return self.tunnel(endpoint).await.map_err(|other| match other {
                             ConnectError::CutOff(_) if !self.is_cut_off() => error,
                             other => other,
                         });
@@ -201,14 +201,14 @@
                 break;
             }
         }
-        let mut detour = pin!(self.detour(endpoint));
+        let mut tunnel = pin!(self.tunnel(endpoint));
         tokio::select! {
             biased;
             connected = &mut direct => match connected {
                 Ok(connected) => Ok(connected),
-                Err(error) => detour.await.map_err(|_| error),
+                Err(error) => tunnel.await.map_err(|_| error),
             },
-            opened = &mut detour => match opened {
+            opened = &mut tunnel => match opened {
                 Ok(opened) => {
                     self.record_unconnected(&endpoint.id);
                     Ok(opened)
@@ -249,11 +249,11 @@
     ///
     /// When that fails, or takes long.
     pub async fn connect_for_other(&self, endpoint: &Endpoint) -> std::io::Result<TcpStream> {
-        self.open(endpoint, detour::CONNECT_TIMEOUT).await
+        self.open(endpoint, tunnel::CONNECT_TIMEOUT).await
     }
 
     /// Connects through another daemon.
-    async fn detour(&self, endpoint: &Endpoint) -> Result<Connected> {
+    async fn tunnel(&self, endpoint: &Endpoint) -> Result<Connected> {
         let candidates = {
             let State { helpers, rng, .. } = &mut *self.lock();
             helpers.candidates(now(), rng)
@@ -268,16 +268,16 @@
                 let helpers = &self.lock().helpers;
                 helpers.is_likely_unreachable(&helper, &unreachable)
             };
-            if is_futile || unreachable.len() >= OPINIONS {
+            if is_futile || unreachable.len() >= UNREACHABLE_MAX {
                 continue;
             }
-            match ask(helper, &endpoint.id).await {
+            match tunnel::open(helper, &endpoint.id).await {
                 Ok(opened) => {
-                    self.record_detour(helper, &endpoint.id);
-                    return Ok(Connected::Detour(opened));
+                    self.record_tunnel(helper, &endpoint.id);
+                    return Ok(Connected::Tunnel(opened));
                 }
                 Err(error) => {
-                    if self.record_refusal(helper, &error) == Some(Setback::Unreachable) {
+                    if self.record_refusal(helper, &error) == Some(HelpFailure::Unreachable) {
                         unreachable.push(helper);
                     }
                     last = format!("{helper}: {error}");
@@ -291,27 +291,29 @@
         Err(ConnectError::CutOff(last))
     }
 
-    fn record_detour(&self, helper: SocketAddr, id: &InstanceId) {
-        Metrics::count(&self.metrics.detours, "open");
+    fn record_tunnel(&self, helper: SocketAddr, id: &InstanceId) {
+        Metrics::count(&self.metrics.tunnels, "open");
         let mut state = self.lock();
         state.helpers.record_help(helper);
-        state.reach.record_detour(id, now());
+        state.reach.record_tunnel(id, now());
     }
 
-    fn record_refusal(&self, helper: SocketAddr, error: &AskError) -> Option<Setback> {
-        let setback = error.setback();
-        let reason = match setback {
+    fn record_refusal(&self, helper: SocketAddr, error: &OpenError) -> Option<HelpFailure> {
+        let failure = error.failure();
+        let reason = match failure {
             None => "unknown",
-            Some(Setback::Unreachable) => "unreachable",
-            Some(Setback::Busy) => "busy",
-            Some(Setback::CutOff) => "cut-off",
-            Some(Setback::Silent) => "silent",
+            Some(HelpFailure::Unreachable) => "unreachable",
+            Some(HelpFailure::Busy) => "busy",
+            Some(HelpFailure::CutOff) => "cut-off",
+            Some(HelpFailure::Silent) => "silent",
         };
-        Metrics::count(&self.metrics.detours, reason);
-        if let Some(setback) = setback {
-            self.lock().helpers.record_setback(helper, setback, now());
+        Metrics::count(&self.metrics.tunnels, reason);
+        if let Some(failure) = failure {
+            self.lock()
+                .helpers
+                .record_failure_of(helper, failure, now());
         }
-        setback
+        failure
     }
 
     fn record_connected(&self, id: &InstanceId) {
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -17,7 +17,7 @@
 
 use super::request::RoutedRequest;
 use super::trace::Trace;
-use crate::endpoints::{LeasedConnection, Passage, SendError, Sent, Taken};
+use crate::endpoints::{LeasedConnection, PathTaken, SendError, Sent, Taken};
 use crate::placement::InFlight;
 
 /// Time beyond the deadline in which an endpoint's own timeout response may still arrive.
@@ -74,7 +74,7 @@
     fault: Fault,
     cause: String,
     answer: Option<Box<FullAnswer>>,
-    passage: Option<Passage>,
+    path_taken: Option<PathTaken>,
 }
 
 impl FailedAttempt {
@@ -83,7 +83,7 @@
             fault,
             cause: cause.to_string(),
             answer: None,
-            passage: None,
+            path_taken: None,
         }
     }
 }
@@ -127,14 +127,18 @@
         trace.log_attempt(&choice, shared_prefix, left);
         let request = routed.to_endpoint(&choice, left, last_event);
         let id = choice.endpoint.id.clone();
-        let (result, passage) = attempt(routed, plan, &choice.endpoint, in_flight, request).await;
-        trace.log_detour(passage.as_ref());
+        let (result, path_taken) =
+            attempt(routed, plan, &choice.endpoint, in_flight, request).await;
+        trace.log_tunnel(path_taken.as_ref());
         let failed = match result {
             Ok(dispatched) => {
                 record_success(routed, plan, &id, &dispatched);
                 return dispatched;
             }
-            Err(failed) => FailedAttempt { passage, ..failed },
+            Err(failed) => FailedAttempt {
+                path_taken,
+                ..failed
+            },
         };
         let unread = shared_prefix.filter(|_| failed.fault.outcome() != Outcome::Ran);
         if let Some(prefix) = unread {
@@ -174,17 +178,17 @@
     endpoint: &Endpoint,
     in_flight: InFlight,
     request: Request<Full<Bytes>>,
-) -> (Result<Dispatched>, Option<Passage>) {
+) -> (Result<Dispatched>, Option<PathTaken>) {
     let wait = head_timeout(plan);
     let taken = Taken::default();
     let connections = &routed.shared.connections;
     let sending = connections.send(endpoint, request, plan.is_idempotent(), &taken);
     let sent = tokio::time::timeout(wait.as_duration(), sending).await;
-    let passage = taken.get();
+    let path_taken = taken.get();
     let result = match sent {
         Ok(Ok(sent)) => receive(routed, plan, sent, in_flight, endpoint.id.clone()).await,
         Ok(Err(error)) => Err(error.into()),
-        Err(_) if passage.is_none() => Err(FailedAttempt::new(
+        Err(_) if path_taken.is_none() => Err(FailedAttempt::new(
             Fault::NotSent,
             format!("not connected in {wait}"),
         )),
@@ -193,7 +197,7 @@
             format!("no head in {wait}"),
         )),
     };
-    (result, passage)
+    (result, path_taken)
 }
 
 /// Records a successful attempt; a complete response also speaks for the request.
@@ -220,12 +224,12 @@
     failed: &FailedAttempt,
     trace: &Trace,
 ) -> Next {
-    let helper = failed.passage.and_then(|passage| passage.helper);
+    let helper = failed.path_taken.and_then(|path_taken| path_taken.helper);
     let next = routed.record_failure(plan, id, failed.fault, helper, now());
     let budget = routed.shared.placement.retry_budget(&routed.pool, now());
-    let passage = failed.passage.as_ref();
+    let path_taken = failed.path_taken.as_ref();
     let is_retried = next == Next::Retry;
-    trace.log_fault(failed.fault, &failed.cause, is_retried, &budget, passage);
+    trace.log_fault(failed.fault, &failed.cause, is_retried, &budget, path_taken);
     next
 }
 
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -100,10 +100,10 @@
         now: Millis,
     ) {
         let placement = &self.shared.placement;
-        let ways = self.shared.connections.ways();
+        let paths = self.shared.connections.paths();
         if fault.is_loss() {
             self.record_loss(plan, id, fault, helper, now);
-        } else if fault != Fault::Slow || helper.is_none() && !ways.is_own_silence(id) {
+        } else if fault != Fault::Slow || helper.is_none() && !paths.is_own_silence(id) {
             placement.record_failure(id, fault, now);
         }
     }
@@ -120,20 +120,20 @@
         lost_at: Millis,
     ) {
         let shared = &self.shared;
-        let ways = shared.connections.ways();
+        let paths = shared.connections.paths();
         // A helper that is lost looks the same as an endpoint that is.
         if helper.is_some() {
             return shared.placement.record_loss(plan, id, lost_at);
         }
-        ways.record_loss(id);
-        if ways.is_own_loss(id, lost_at) {
+        paths.record_loss(id);
+        if paths.is_own_loss(id, lost_at) {
             return;
         }
         shared.placement.record_loss(plan, id, lost_at);
         let (shared, id) = (Arc::clone(shared), id.clone());
         tokio::spawn(async move {
             tokio::time::sleep(LOSS_WINDOW.as_duration()).await;
-            if !shared.connections.ways().is_own_loss(&id, lost_at) {
+            if !shared.connections.paths().is_own_loss(&id, lost_at) {
                 shared.placement.record_failure(&id, fault, now());
             }
         });
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -17,7 +17,7 @@
 
 use super::answer::Reason;
 use super::request::RoutedRequest;
-use crate::endpoints::Passage;
+use crate::endpoints::PathTaken;
 use crate::metrics::{Metrics, seconds};
 use crate::shared::Shared;
 
@@ -121,18 +121,18 @@
     }
 
     /// Logs that an attempt goes through another daemon, and on what that is based.
-    pub fn log_detour(&self, passage: Option<&Passage>) {
-        let Some(Passage {
+    pub fn log_tunnel(&self, path_taken: Option<&PathTaken>) {
+        let Some(PathTaken {
             helper: Some(helper),
             silence,
             ..
-        }) = passage
+        }) = path_taken
         else {
             return;
         };
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts,
-            endpoint = self.endpoint(), helper:%, way = passage.map(Passage::name),
+            endpoint = self.endpoint(), helper:%, path = path_taken.map(PathTaken::name),
             silence = silence.0;
             "entry: through another daemon"
         );
@@ -145,7 +145,7 @@
         cause: &str,
         is_retried: bool,
         budget: &State,
-        passage: Option<&Passage>,
+        path_taken: Option<&PathTaken>,
     ) {
         Metrics::count(&self.shared.metrics.faults, fault.code());
         if is_retried {
@@ -155,7 +155,7 @@
             target: "entry", request = self.request, attempt = self.attempts,
             endpoint = self.endpoint(), fingerprint:% = self.fingerprint,
             fault = fault.code(), cause, outcome:% = fault.outcome(), again = is_retried, repeats:% = budget,
-            way = passage.map(Passage::name), silence = self.shared.connections.ways().silence().0,
+            path = path_taken.map(PathTaken::name), silence = self.shared.connections.paths().silence().0,
             passed = now().since(self.arrived).0;
             "entry: attempt failed"
         );
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,12 +5,11 @@
 //! `endpoints`. `store` follows the platform's object store and applies its
 //! changes to `placement` and to the active configuration. `peers` passes other
 //! daemons' reports on endpoints to `placement`. Where this daemon doesn't reach
-//! endpoints, `endpoints` connects to them through another one by `detour`;
+//! endpoints, `endpoints` connects to them through another one by `tunnel`;
 //! `links` accepts connections of other daemons.
 //! Decisions are made in `medlarrill_core::routing`; the platform's names and
 //! formats are decoded in `medlarrill_platform`.
 
-pub mod detour;
 pub mod endpoints;
 pub mod entry;
 pub mod links;
@@ -23,3 +22,4 @@
 pub mod socket;
 pub mod start;
 pub mod store;
+pub mod tunnel;
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -7,10 +7,10 @@
 use medlarrill_core::clock::Millis;
 use tokio::net::TcpListener;
 
-use crate::detour::{Opening, help};
 use crate::shared::Shared;
 use crate::socket::{self, Link, framed};
 use crate::store::{StoreContext, relay};
+use crate::tunnel::{self, Opening};
 
 /// Timeout for the first message.
 const OPENING_TIMEOUT: Millis = Millis(2000);
@@ -36,7 +36,7 @@
         Ok(None) | Err(_) => return,
     };
     match Opening::read(&first) {
-        Some(wanted) => help(shared, link, &wanted).await,
+        Some(wanted) => tunnel::serve(shared, link, &wanted).await,
         None => relay::serve(store, link, &first).await,
     }
 }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -41,7 +41,7 @@
     /// New connections to endpoints.
     pub connects: Counter,
     /// Other daemons that were asked to connect to an endpoint, by what came of it.
-    pub detours: Family<ReasonLabel, Counter>,
+    pub tunnels: Family<ReasonLabel, Counter>,
     /// Calls to the platform.
     pub platform_calls: Counter,
     /// Calls to the platform without a usable response.
@@ -98,7 +98,7 @@
             retries: Family::default(),
             resumed: Counter::default(),
             connects: Counter::default(),
-            detours: Family::default(),
+            tunnels: Family::default(),
             platform_calls: Counter::default(),
             failed_calls: Counter::default(),
             unreadable: Counter::default(),
@@ -136,8 +136,8 @@
             "Connections to endpoints",
             self.connects.clone(),
         );
-        let detours = self.detours.clone();
-        r.register("detours", "Daemons asked to connect", detours);
+        let tunnels = self.tunnels.clone();
+        r.register("tunnels", "Daemons asked to connect", tunnels);
         r.register(
             "calls",
             "Calls to the platform",
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -151,7 +151,7 @@
                 due = now() + TICK;
             }
         }
-        if shared.connections.ways().knows_nobody() {
+        if shared.connections.paths().has_no_helpers() {
             set_helpers(&exchange, &shared);
         }
     }
@@ -169,7 +169,7 @@
         daemons.sort_unstable();
         daemons.dedup();
     }
-    shared.connections.ways().set_daemons(near, far);
+    shared.connections.paths().set_daemons(near, far);
 }
 
 /// Updates the roster; returns the number of live daemons.
@@ -199,8 +199,8 @@
     shared
         .placement
         .merge_evidence(&exchange.take_evidence(), at);
-    if let Some(strain) = exchange.take_strain(at) {
-        shared.placement.merge_strain(&strain, at);
+    if let Some(brittle) = exchange.take_brittle_pools(at) {
+        shared.placement.merge_brittle_pools(&brittle, at);
     }
 }
 
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -272,7 +272,7 @@
     pub fn take_report(&self, cut_off: bool, now: Millis) -> exchange::Report {
         let mut view = self.lock();
         exchange::Report {
-            strain: view.strain(now),
+            brittle: view.observed_brittle(now),
             ..view.take_report(cut_off)
         }
     }
@@ -283,8 +283,8 @@
     }
 
     /// Applies what other daemons tell of brittle pools.
-    pub fn merge_strain(&self, strain: &exchange::Strain, now: Millis) {
-        self.lock().merge_strain(strain, now);
+    pub fn merge_brittle_pools(&self, brittle: &exchange::BrittlePools, now: Millis) {
+        self.lock().merge_brittle_pools(brittle, now);
     }
 
     /// Expires old evidence and notices, and logs endpoints whose health or slow start changed.
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -12,7 +12,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::endpoints::{ConnectionPool, UnreadHeaders, Ways};
+use crate::endpoints::{ConnectionPool, Paths, UnreadHeaders};
 use crate::entry::{serve_callers, serve_metrics, serve_ready};
 use crate::links;
 use crate::logs::{self, DropCount};
@@ -140,7 +140,7 @@
         is_listed,
         placement: Arc::clone(&placement),
         copies,
-        connections: ConnectionPool::new(Ways::new(Arc::clone(&placement), Arc::clone(&metrics))),
+        connections: ConnectionPool::new(Paths::new(Arc::clone(&placement), Arc::clone(&metrics))),
         unread_headers: UnreadHeaders::new(Arc::clone(&metrics)),
         metrics,
         stop: Mutex::new(Stop::new(settings.grace)),
@@ -149,7 +149,7 @@
     });
     tokio::spawn(store::run(store.clone(), shared.settings.platform));
     tokio::spawn(links::serve(links, store, Arc::clone(&shared)));
-    tokio::spawn(Arc::clone(shared.connections.ways()).keep_probing());
+    tokio::spawn(Arc::clone(shared.connections.paths()).keep_probing());
     tokio::spawn(exchange(datagrams, Arc::clone(&shared), roster));
     tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
     tokio::spawn(serve_ready(ready, Arc::clone(&shared)));
--- a/crates/router/src/detour.rs
+++ b/crates/router/src/tunnel.rs
@@ -9,15 +9,15 @@
 //! Bytes are carried in frames, so that a helper that is lost can't be mistaken
 //! for an endpoint that has finished its response.
 
-mod ask;
 mod carry;
-mod help;
 pub mod message;
+mod open;
+mod serve;
 
-pub use ask::{AskError, Opened, ask};
 pub use carry::carried;
-pub use help::help;
-pub use message::{Opening, Wanted};
+pub use message::{Opening, Target};
+pub use open::{OpenError, Opened, open};
+pub use serve::serve;
 
 use medlarrill_core::clock::Millis;
 
--- a/crates/router/src/detour/message.rs
+++ b/crates/router/src/tunnel/message.rs
@@ -11,13 +11,13 @@
 #[derive(Message)]
 pub struct Opening {
     #[prost(message, optional, tag = "2")]
-    wanted: Option<Wanted>,
+    wanted: Option<Target>,
 }
 
 /// The endpoint to connect to.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Message)]
-pub struct Wanted {
+pub struct Target {
     #[prost(string, tag = "1")]
     endpoint: String,
     #[prost(uint64, optional, tag = "2")]
@@ -28,7 +28,7 @@
     /// Asks for a connection to an instance of an endpoint.
     pub fn new(id: &InstanceId) -> Self {
         Self {
-            wanted: Some(Wanted {
+            wanted: Some(Target {
                 endpoint: id.endpoint.as_str().to_owned(),
                 started: id.started.map(|started| started.0),
             }),
@@ -41,12 +41,12 @@
     }
 
     /// What a first message asks for; `None` if it is another message.
-    pub fn read(bytes: &[u8]) -> Option<Wanted> {
+    pub fn read(bytes: &[u8]) -> Option<Target> {
         Self::decode(bytes).ok()?.wanted
     }
 }
 
-impl Wanted {
+impl Target {
     /// The instance to connect to; `None` if its id isn't valid.
     pub fn id(&self) -> Option<InstanceId> {
         let endpoint = self.endpoint.parse().ok()?;
--- a/crates/router/src/detour/ask.rs
+++ b/crates/router/src/tunnel/open.rs
@@ -6,7 +6,7 @@
 use futures_util::{SinkExt, StreamExt};
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::endpoint::InstanceId;
-use medlarrill_core::routing::reach::Setback;
+use medlarrill_core::routing::reach::HelpFailure;
 
 use super::CONNECT_TIMEOUT;
 use super::message::{Opening, Reply, Verdict};
@@ -19,7 +19,7 @@
 const OPEN_MARGIN: Millis = Millis(100);
 
 /// Result of asking a daemon.
-pub type Result<T> = std::result::Result<T, AskError>;
+pub type Result<T> = std::result::Result<T, OpenError>;
 
 /// A connection to an endpoint that another daemon carries.
 #[derive(Debug)]
@@ -33,7 +33,7 @@
 
 /// Why a daemon provides no connection to an endpoint.
 #[derive(Debug, Display, Error, From)]
-pub enum AskError {
+pub enum OpenError {
     /// The daemon can't be reached, or the connection to it failed.
     #[display("{_0}")]
     Io(std::io::Error),
@@ -49,16 +49,16 @@
     Refused(#[error(not(source))] Verdict),
 }
 
-impl AskError {
+impl OpenError {
     /// What this says about the daemon that was asked; `None` if it merely doesn't know the
     /// endpoint.
-    pub const fn setback(&self) -> Option<Setback> {
+    pub const fn failure(&self) -> Option<HelpFailure> {
         match self {
-            Self::Refused(Verdict::CutOff) => Some(Setback::CutOff),
-            Self::Refused(Verdict::Busy | Verdict::Stopping) => Some(Setback::Busy),
-            Self::Refused(Verdict::Unreachable) => Some(Setback::Unreachable),
+            Self::Refused(Verdict::CutOff) => Some(HelpFailure::CutOff),
+            Self::Refused(Verdict::Busy | Verdict::Stopping) => Some(HelpFailure::Busy),
+            Self::Refused(Verdict::Unreachable) => Some(HelpFailure::Unreachable),
             Self::Refused(_) => None,
-            Self::Io(_) | Self::Late | Self::Strange => Some(Setback::Silent),
+            Self::Io(_) | Self::Late | Self::Strange => Some(HelpFailure::Silent),
         }
     }
 }
@@ -68,14 +68,14 @@
 /// # Errors
 ///
 /// When it doesn't reply, can't help, or can't connect to the endpoint either.
-pub async fn ask(helper: SocketAddr, id: &InstanceId) -> Result<Opened> {
+pub async fn open(helper: SocketAddr, id: &InstanceId) -> Result<Opened> {
     let greeting = tokio::time::timeout(REPLY_TIMEOUT.as_duration(), greet(helper, id));
-    let mut link = greeting.await.map_err(|_| AskError::Late)??;
+    let mut link = greeting.await.map_err(|_| OpenError::Late)??;
     let wait = CONNECT_TIMEOUT + OPEN_MARGIN;
     let verdict = tokio::time::timeout(wait.as_duration(), read_reply(&mut link)).await;
-    match verdict.map_err(|_| AskError::Late)?? {
+    match verdict.map_err(|_| OpenError::Late)?? {
         Verdict::Open => Ok(Opened { helper, link }),
-        verdict => Err(AskError::Refused(verdict)),
+        verdict => Err(OpenError::Refused(verdict)),
     }
 }
 
@@ -86,11 +86,11 @@
     link.send(Opening::new(id).encode()).await?;
     match read_reply(&mut link).await? {
         Verdict::Accepted => Ok(link),
-        verdict => Err(AskError::Refused(verdict)),
+        verdict => Err(OpenError::Refused(verdict)),
     }
 }
 
 async fn read_reply(link: &mut Link) -> Result<Verdict> {
-    let frame = link.next().await.ok_or(AskError::Late)??;
-    Reply::read(&frame).ok_or(AskError::Strange)
+    let frame = link.next().await.ok_or(OpenError::Late)??;
+    Reply::read(&frame).ok_or(OpenError::Strange)
 }
--- a/crates/router/src/detour/help.rs
+++ b/crates/router/src/tunnel/serve.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 
 use super::carry::carry;
-use super::message::{Reply, Verdict, Wanted};
+use super::message::{Reply, Target, Verdict};
 use crate::metrics::Metrics;
 use crate::shared::Shared;
 use crate::socket::Link;
@@ -25,11 +25,11 @@
 const HELPED_MAX: i64 = 256;
 
 /// Result of helping.
-type Result<T> = std::result::Result<T, HelpError>;
+type Result<T> = std::result::Result<T, ServeError>;
 
 /// Why a connection to an endpoint isn't carried, or not to its end.
 #[derive(Debug, Display, Error, From)]
-pub enum HelpError {
+pub enum ServeError {
     /// The link failed.
     #[display("{_0}")]
     Io(std::io::Error),
@@ -61,45 +61,45 @@
 }
 
 /// Connects to an endpoint for another daemon, and carries bytes until either side ends.
-pub async fn help(shared: &Shared, link: Link, wanted: &Wanted) {
+pub async fn serve(shared: &Shared, link: Link, wanted: &Target) {
     let mut link = link;
     let guard = HelpGuard::new(&shared.metrics);
     let helped = match connect(shared, &mut link, wanted).await {
-        Ok(endpoint) => carry(link, endpoint).await.map_err(HelpError::Io),
-        Err(HelpError::Refused(verdict)) => {
+        Ok(endpoint) => carry(link, endpoint).await.map_err(ServeError::Io),
+        Err(ServeError::Refused(verdict)) => {
             link.send(Reply::new(verdict).encode()).await.ok();
-            Err(HelpError::Refused(verdict))
+            Err(ServeError::Refused(verdict))
         }
         Err(error) => Err(error),
     };
     drop(guard);
     if let Err(error) = helped {
-        log::debug!(target: "detour", "detour: a connection for another daemon ended: {error}");
+        log::debug!(target: "tunnel", "tunnel: a connection for another daemon ended: {error}");
     }
 }
 
 /// Connects to the endpoint, unless the other daemon leaves before.
-async fn connect(shared: &Shared, link: &mut Link, wanted: &Wanted) -> Result<TcpStream> {
+async fn connect(shared: &Shared, link: &mut Link, wanted: &Target) -> Result<TcpStream> {
     let endpoint = check(shared, wanted)?;
     link.send(Reply::new(Verdict::Accepted).encode()).await?;
-    let connecting = shared.connections.ways().connect_for_other(&endpoint);
+    let connecting = shared.connections.paths().connect_for_other(&endpoint);
     let stream = tokio::select! {
-        connected = connecting => connected.map_err(|_| HelpError::Refused(Verdict::Unreachable))?,
-        _ = link.next() => return Err(HelpError::Left),
+        connected = connecting => connected.map_err(|_| ServeError::Refused(Verdict::Unreachable))?,
+        _ = link.next() => return Err(ServeError::Left),
     };
     link.send(Reply::new(Verdict::Open).encode()).await?;
     Ok(stream)
 }
 
 /// Whether this daemon may help now; returns the endpoint.
-fn check(shared: &Shared, wanted: &Wanted) -> Result<Arc<Endpoint>> {
-    let refused = |verdict| Err(HelpError::Refused(verdict));
+fn check(shared: &Shared, wanted: &Target) -> Result<Arc<Endpoint>> {
+    let refused = |verdict| Err(ServeError::Refused(verdict));
     let metrics = &shared.metrics;
     let limit = ALLOWANCE + PER_REQUEST * metrics.in_flight.get();
     if shared.stage(now()) != Stage::Serving {
         return refused(Verdict::Stopping);
     }
-    if shared.connections.ways().is_cut_off() {
+    if shared.connections.paths().is_cut_off() {
         return refused(Verdict::CutOff);
     }
     if metrics.helping.get() > limit.min(HELPED_MAX) {
@@ -107,5 +107,5 @@
     }
     let id = wanted.id();
     let endpoint = id.and_then(|id| shared.placement.open_endpoint(&id));
-    endpoint.ok_or(HelpError::Refused(Verdict::Unknown))
+    endpoint.ok_or(ServeError::Refused(Verdict::Unknown))
 }
--- a/crates/router/tests/detour.rs
+++ b/crates/router/tests/tunnel.rs
@@ -8,10 +8,10 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::endpoint::{InstanceId, StartTime};
 use medlarrill_platform::store::Kind;
-use medlarrill_router::detour::carried;
-use medlarrill_router::detour::message::{End, Opening, Piece, Reply, Verdict};
 use medlarrill_router::socket::{Link, framed};
 use medlarrill_router::store::relay::message::{Notification, Subscription};
+use medlarrill_router::tunnel::carried;
+use medlarrill_router::tunnel::message::{End, Opening, Piece, Reply, Verdict};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -69,7 +69,7 @@
 }
 
 #[test]
-fn daemons_that_know_no_detours_are_told_apart() {
+fn daemons_that_know_no_tunnels_are_told_apart() {
     let id = InstanceId::new("e-1".parse().expect("an id"), Some(StartTime(7)));
     let opening = Opening::new(&id).encode();
     let wanted = Opening::read(&opening).expect("a request");
