Daemons without a share of a brittle endpoint's rejections stay away for the others' turns

A daemon without a share could have one request a second turned away like the others: 760 rejections in 19 s by 40 daemons that believe a full endpoint to be idle, where 190 are twice what it bears. Now it stays away after one for as long as all daemons take turns at the limit: the new test, which failed before, passes.

--- a/crates/core/src/routing/brittle.rs
+++ b/crates/core/src/routing/brittle.rs
@@ -4,8 +4,9 @@
 //! in a second, counted over all daemons. Each daemon has a share of them in
 //! whole requests, by the platform's list of daemons, so that the limit holds
 //! also for daemons that hear nothing of each other. Daemons don't fill the
-//! endpoints of such a pool beyond their slots, those without a share only to a
-//! half, and leave an endpoint alone that has turned away their share. What one
+//! endpoints of such a pool beyond their slots, and leave an endpoint alone that
+//! has turned away their share. Those without a share fill it only to a half, and
+//! stay away after one rejection for as long as all daemons take turns. What one
 //! daemon learns of a pool it tells the others ([`BrittlePools`]), since those that
 //! send little would learn late.
 
@@ -24,6 +25,8 @@
 const LIMIT_SPAN: Millis = Millis(3000);
 /// Time in which endpoints count the requests that they turn away.
 const WINDOW: Millis = Millis(1000);
+/// Time for which rejections are remembered.
+const REJECTED_SPAN: Millis = Millis::from_secs(60);
 /// Slots of an endpoint that are left free for requests that other daemons send at the same time:
 /// one, and one for each so many.
 const SLOTS_PER_SPARE: f64 = 16.0;
@@ -46,7 +49,7 @@
 pub struct Brittle {
     /// By the short forms of the pools' ids.
     limits: HashMap<u32, Limit, RandomState>,
-    /// Times of this daemon's requests that an endpoint turned away within [`WINDOW`].
+    /// Times of this daemon's requests that an endpoint turned away, as long as they count.
     rejected: HashMap<InstanceId, VecDeque<Millis>, RandomState>,
     /// This daemon's shares of the rejections, cached until the next [`Self::prune`].
     shares: HashMap<InstanceId, usize, RandomState>,
@@ -105,11 +108,12 @@
         };
         let share = self.share(&endpoint.id, rejections, fleet);
         let slots = f64::from(endpoint.slots);
-        let room = match share {
-            0 => slots * CAREFUL_FILL,
-            _ => slots - (slots / SLOTS_PER_SPARE).floor() - 1.0,
+        let (room, window) = match share {
+            0 => (slots * CAREFUL_FILL, turn(rejections, fleet)),
+            _ => (slots - (slots / SLOTS_PER_SPARE).floor() - 1.0, WINDOW),
         };
-        load + 1.0 <= room.max(1.0) && self.recent(&endpoint.id, now) < share.max(1)
+        let recent = self.recent(&endpoint.id, window, now);
+        load + 1.0 <= room.max(1.0) && recent < share.max(1)
     }
 
     /// This daemon's share of the requests that an endpoint may turn away in a second.
@@ -118,10 +122,10 @@
         *self.shares.entry(id.clone()).or_insert_with(share)
     }
 
-    /// This daemon's requests that an endpoint turned away within [`WINDOW`].
-    fn recent(&self, id: &InstanceId, now: Millis) -> usize {
+    /// This daemon's requests that an endpoint turned away within a time.
+    fn recent(&self, id: &InstanceId, window: Millis, now: Millis) -> usize {
         let times = self.rejected.get(id).into_iter().flatten();
-        times.filter(|at| now.since(**at) < WINDOW).count()
+        times.filter(|at| now.since(**at) < window).count()
     }
 
     /// Forgets what is over.
@@ -129,8 +133,14 @@
         self.shares.clear();
         self.limits.retain(|_, limit| now < limit.until);
         self.rejected.retain(|_, times| {
-            times.retain(|at| now.since(*at) < WINDOW);
+            times.retain(|at| now.since(*at) < REJECTED_SPAN);
             !times.is_empty()
         });
     }
 }
+
+/// Time in which all daemons can have one request each turned away by an endpoint.
+fn turn(rejections: u32, fleet: &Fleet) -> Millis {
+    let daemons = fleet.size().max(1) as u64;
+    Millis(WINDOW.0 * daemons / u64::from(rejections.max(1))).max(WINDOW)
+}
--- a/crates/core/tests/routing/brittle.rs
+++ b/crates/core/tests/routing/brittle.rs
@@ -51,6 +51,32 @@
     }
 }
 
+#[test]
+fn daemons_without_a_share_that_were_turned_away_stay_away_for_the_others_turns() {
+    let daemons = 40;
+    let mut rejections = [0; 20];
+    for me in 0..daemons {
+        let (mut brittle, fleet) = (brittle(), fleet(daemons, me));
+        // Each believes that the endpoint is idle, which is full.
+        let full = endpoint("e-1");
+        for (second, count) in rejections.iter_mut().enumerate() {
+            for millis in 0..1000 {
+                let now = START + Millis(1000 * second as u64 + millis);
+                brittle.record_limit(&pool(), LIMIT, now);
+                if brittle.accepts(&full, 0.0, &fleet, now) {
+                    brittle.record_rejection(&full, now);
+                    *count += 1;
+                }
+                if millis == 500 {
+                    brittle.prune(now);
+                }
+            }
+        }
+    }
+    let later: u32 = rejections[1..].iter().sum();
+    assert_that!(later, le(2 * LIMIT * (rejections.len() as u32 - 1)));
+}
+
 #[test]
 fn endpoints_are_filled_to_their_slots_by_some_and_to_a_half_by_others() {
     let accepted = |me, load| brittle().accepts(&endpoint("e-1"), load, &fleet(40, me), START);
