Tests with paths of their own: each daemon has its own addresses before anything is cut

Two of 25 soaks of cuts, beside load, saw a daemon that was cut off served by nobody: the other one had started while the store didn't answer, and copied the list of the first one, with the addresses of that one's proxies, so that both were cut off. The soak and the tests now write the entries again until each daemon has logged its own addresses.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -51,8 +51,8 @@
     /// A task of the soak failed.
     #[display("{_0}")]
     Task(tokio::task::JoinError),
-    /// A daemon didn't end when it was told to.
-    #[display("{_0} didn't end in time")]
+    /// A daemon didn't do in time what was waited for.
+    #[display("{_0} didn't happen in time")]
     #[from(skip)]
     Late(#[error(not(source))] String),
     /// Promises were broken.
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -40,6 +40,8 @@
 
 /// Between two looks whether a daemon has ended.
 const LOOK: Duration = Duration::from_millis(20);
+/// Between two writes of all entries.
+const RELIST: Duration = Duration::from_millis(300);
 /// Longest time for a stop: the grace period, a freeze, and a second.
 const LONGEST_STOP: Duration = Duration::from_secs(14);
 
@@ -173,6 +175,7 @@
             routed.wait_for("configuration in force")?;
             routed.wait_for("endpoint listed")?;
         }
+        world.have_own_addresses().await?;
         let ready = world
             .daemons
             .iter()
@@ -182,6 +185,35 @@
         Ok(world)
     }
 
+    /// Waits until each daemon reaches the endpoints by its own paths: one that starts may have
+    /// copied the list of another daemon, with the addresses of that one. Entries are written again
+    /// until each daemon has read one from the store itself.
+    async fn have_own_addresses(&self) -> Result<()> {
+        let from = Instant::now();
+        while !self.all_have_own_addresses().await {
+            if from.elapsed() > LONGEST_STOP {
+                return Err(SoakError::Late("addresses of each daemon's own".into()));
+            }
+            (0..self.endpoints.len()).for_each(|endpoint| self.list(endpoint, "ready"));
+            tokio::time::sleep(RELIST).await;
+        }
+        Ok(())
+    }
+
+    async fn all_have_own_addresses(&self) -> bool {
+        for (daemon, (paths, _)) in self.daemons.iter().zip(&self.paths) {
+            let routed = daemon.routed.lock().await;
+            let is_listed = |path: &Proxy| {
+                let address = format!("\"address\":\"{}\"", path.address);
+                !routed.lines_with(&address).is_empty()
+            };
+            if !paths.iter().all(is_listed) {
+                return false;
+            }
+        }
+        true
+    }
+
     async fn add(&mut self, seed: u64, number: usize) -> Result<Door> {
         let mut paths = Vec::new();
         let mut seen = Vec::new();
