--- a/crates/router/src/tunnel.rs
+++ b/crates/router/src/tunnel.rs
@@ -14,7 +14,7 @@
 mod open;
 mod serve;
 
-pub use carry::carried;
+pub use carry::{carried, carry};
 pub use message::{Opening, Target};
 pub use open::{OpenError, Opened, open};
 pub use serve::serve;
--- a/crates/router/src/tunnel/carry.rs
+++ b/crates/router/src/tunnel/carry.rs
@@ -1,11 +1,12 @@
 //! Presents a link to a helper as the endpoint's connection, and carries its bytes at the helper.
 
 use std::io::{Error, ErrorKind, Result};
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::{SplitSink, SplitStream, unfold};
 use futures_util::{SinkExt, StreamExt};
+use medlarrill_core::clock::Millis;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -14,6 +15,8 @@
 use super::message::{End, Piece};
 use crate::socket::Link;
 
+/// Time in which the daemon that asked closes the link after the end of the endpoint's connection.
+const CLOSE_TIMEOUT: Millis = Millis(1000);
 /// Bytes of an endpoint's connection in one frame.
 const PIECE: usize = 16 << 10;
 
@@ -56,10 +59,19 @@
 pub async fn carry(link: Link, endpoint: TcpStream) -> Result<()> {
     let (mut sink, stream) = link.split();
     let (read_half, write_half) = endpoint.into_split();
+    let mut forward = pin!(to_endpoint(stream, write_half));
     tokio::select! {
-        () = to_endpoint(stream, write_half) => Ok(()),
-        sent = from_endpoint(read_half, &mut sink) => sent,
+        () = &mut forward => return Ok(()),
+        sent = from_endpoint(read_half, &mut sink) => sent?,
     }
+    // A link that is closed with bytes unread is reset, and the end of the answer may be lost.
+    if tokio::time::timeout(CLOSE_TIMEOUT.as_duration(), forward)
+        .await
+        .is_err()
+    {
+        log::debug!(target: "tunnel", "tunnel: a link wasn't closed after the answer");
+    }
+    Ok(())
 }
 
 /// Writes what the daemon sends; returns when the daemon closes the link.
--- a/crates/router/tests/tunnel.rs
+++ b/crates/router/tests/tunnel.rs
@@ -10,8 +10,8 @@
 use medlarrill_platform::store::Kind;
 use medlarrill_router::socket::{Link, framed};
 use medlarrill_router::store::relay::message::{Notification, Subscription};
-use medlarrill_router::tunnel::carried;
 use medlarrill_router::tunnel::message::{End, Opening, Piece, Reply, Verdict};
+use medlarrill_router::tunnel::{carried, carry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -68,6 +68,30 @@
     assert_that!(piece, eq(&Piece::Data(Bytes::from_static(b"a request"))));
 }
 
+#[tokio::test]
+async fn an_answer_that_comes_before_the_request_was_read_arrives_whole() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let endpoint = TcpStream::connect(address).await.expect("a connection");
+    let (mut server, _) = listener.accept().await.expect("a connection");
+    let (near, far) = link().await;
+    let carrying = tokio::spawn(carry(far, endpoint));
+    let answer = vec![b'a'; 50_000];
+    server.write_all(&answer).await.expect("bytes are written");
+    server.shutdown().await.expect("an end");
+    let (mut reader, mut writer) = tokio::io::split(carried(near));
+    for _ in 0..200 {
+        // The helper may have ended by now; what counts is what arrives.
+        writer.write_all(&[b'r'; 4096]).await.ok();
+        writer.flush().await.ok();
+    }
+    let mut bytes = Vec::new();
+    let read = reader.read_to_end(&mut bytes).await;
+    assert_that!(read.expect("the whole answer"), eq(answer.len()));
+    drop((reader, writer));
+    carrying.await.expect("an end").ok();
+}
+
 #[test]
 fn daemons_that_know_no_tunnels_are_told_apart() {
     let id = InstanceId::new("e-1".parse().expect("an id"), Some(StartTime(7)));
