--- a/crates/router/src/tunnel/carry.rs
+++ b/crates/router/src/tunnel/carry.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
 use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
 
 use super::message::{End, Piece};
@@ -17,6 +18,9 @@
 
 /// Time in which the daemon that asked closes the link after the end of the endpoint's connection.
 const CLOSE_TIMEOUT: Millis = Millis(1000);
+/// Pieces of a request that wait to be written: more than a request of some tens of kilobytes has,
+/// so that a link that is closed is noticed.
+const QUEUED: usize = 64;
 /// Bytes of an endpoint's connection in one frame.
 const PIECE: usize = 16 << 10;
 
@@ -74,14 +78,33 @@
     Ok(())
 }
 
-/// Writes what the daemon sends; returns when the daemon closes the link.
-async fn to_endpoint(mut stream: SplitStream<Link>, mut endpoint: OwnedWriteHalf) {
-    let mut is_open = true;
+/// Writes what the daemon sends; returns when the daemon closes the link, also while the endpoint
+/// reads nothing.
+async fn to_endpoint(stream: SplitStream<Link>, endpoint: OwnedWriteHalf) {
+    let (pieces, queue) = mpsc::channel(QUEUED);
+    tokio::select! {
+        () = read_link(stream, pieces) => {}
+        () = write_endpoint(queue, endpoint) => {}
+    }
+}
+
+/// Queues what the daemon sends; returns when it closes the link.
+async fn read_link(mut stream: SplitStream<Link>, pieces: mpsc::Sender<Bytes>) {
     while let Some(Ok(frame)) = stream.next().await {
         let Ok(Piece::Data(bytes)) = Piece::read(frame.freeze()) else {
             return;
         };
-        // An endpoint may answer before it has read everything, and close its side.
+        if pieces.send(bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Writes queued pieces. An endpoint may answer before it has read everything, and close its side;
+/// then the rest is dropped.
+async fn write_endpoint(mut queue: mpsc::Receiver<Bytes>, mut endpoint: OwnedWriteHalf) {
+    let mut is_open = true;
+    while let Some(bytes) = queue.recv().await {
         is_open = is_open && endpoint.write_all(&bytes).await.is_ok();
     }
 }
--- a/crates/router/tests/tunnel.rs
+++ b/crates/router/tests/tunnel.rs
@@ -1,6 +1,7 @@
 //! Links that carry an endpoint's connection, and their messages.
 
 use std::io::ErrorKind;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -12,6 +13,7 @@
 use medlarrill_router::store::relay::message::{Notification, Subscription};
 use medlarrill_router::tunnel::message::{End, Opening, Piece, Reply, Verdict};
 use medlarrill_router::tunnel::{carried, carry};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -92,6 +94,38 @@
     carrying.await.expect("an end").ok();
 }
 
+#[tokio::test]
+async fn a_daemon_that_leaves_is_noticed_while_the_endpoint_reads_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let endpoint = TcpStream::connect(address).await.expect("a connection");
+    // Little of what is sent fits into the buffers of the endpoint's connection.
+    SockRef::from(&endpoint)
+        .set_send_buffer_size(4096)
+        .expect("an option");
+    let (mut server, _) = listener.accept().await.expect("a connection");
+    SockRef::from(&server)
+        .set_recv_buffer_size(4096)
+        .expect("an option");
+    let (near, far) = link().await;
+    let carrying = tokio::spawn(carry(far, endpoint));
+    let mut near = carried(near);
+    let sent = 40 * 4096;
+    near.write_all(&vec![b'r'; sent])
+        .await
+        .expect("bytes are written");
+    near.flush().await.expect("bytes are sent");
+    drop(near);
+    tokio::time::timeout(Duration::from_secs(1), carrying)
+        .await
+        .expect("it ends")
+        .expect("it ends")
+        .ok();
+    let mut bytes = Vec::new();
+    server.read_to_end(&mut bytes).await.ok();
+    assert_that!(bytes.len(), lt(sent));
+}
+
 #[test]
 fn daemons_that_know_no_tunnels_are_told_apart() {
     let id = InstanceId::new("e-1".parse().expect("an id"), Some(StartTime(7)));
