--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -8,6 +8,7 @@
     mod crash;
     mod cut;
     mod drains;
+    mod ends;
     mod isolated;
     mod own_word;
     mod requests;
--- a/crates/daemon/tests/route/crash.rs
+++ b/crates/daemon/tests/route/crash.rs
@@ -8,7 +8,7 @@
 //! ended endpoints before, here or elsewhere, so that nothing ever stopped it.
 
 use googletest::prelude::*;
-use medlarrill_platform_standin::{Behaviour, Call, Outage, Reply};
+use medlarrill_platform_standin::{Behaviour, Call, Form, Outage, Reply};
 use medlarrill_testkit::routed::field;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -27,6 +27,7 @@
     crashes_on: Some(CRASHING),
     events: 6,
     pace: std::time::Duration::from_millis(10),
+    form: Form::DEFAULT,
 };
 const DAEMONS: usize = 3;
 const ENDPOINTS: usize = 6;
