One rule for the end of a body, in core; the own interface passes on answers without a mark

Callers of the own interface got 'unknown' for whole answers of services that send neither a length nor chunks: net took each end without a mark for a loss. HTTP (RFC 9112, 6.3) lets such a body end with its connection. core::body_end now says how a body ended by its framing and, for a stream of events, by where the stream is; net's Body asks it. A connection closed in order is the end, a reset isn't, and a stream that ends within an event or, without a mark, before any is lost however it is framed. Values of the own platform's store, which don't show by themselves whether they are whole, still need a mark (Body::with_marked_end).

Events are followed line by line (events/tracker.rs): lines may end with a carriage return alone, ids of events longer than 1 MiB are kept, comments and empty lines between events belong to none, and a stream can't resume after a part of an event or after an event without an id, which the next endpoint would repeat.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! timers are in `medlarrill-net` and `medlarrilld`.
 
 pub mod admission;
+pub mod body_end;
 pub mod change;
 pub mod claims;
 pub mod clock;
--- a/crates/core/src/routing/events.rs
+++ b/crates/core/src/routing/events.rs
@@ -1,12 +1,18 @@
 //! Splits an event stream at event boundaries, without changing a byte.
 //!
-//! Only complete events are passed on, so that a stream that breaks off in the
-//! middle of an event can resume at another endpoint: the partial event is
-//! discarded, and the next endpoint starts after the last complete one.
+//! Only complete events are passed on where a stream may resume at another
+//! endpoint after it broke off in the middle of an event: the partial event is
+//! discarded, and the next endpoint starts after the last complete one. Other
+//! streams are only followed, to tell where they end.
+
+mod tracker;
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Debug;
 
+use crate::body_end::StreamPosition;
+use tracker::EventTracker;
+
 /// Longest event that is buffered, in bytes; a longer one is passed on in pieces.
 const MAX_EVENT: usize = 1 << 20;
 
@@ -16,41 +22,64 @@
 pub struct EventSplitter {
     #[debug("{} bytes", buffer.len())]
     buffer: BytesMut,
-    /// Number of bytes at the start of `buffer` without an event boundary.
-    scanned: usize,
-    last_id: Option<u64>,
+    tracker: EventTracker,
+    /// Whether a part of the current event was passed on.
+    has_passed_part: bool,
 }
 
 impl EventSplitter {
     /// A splitter for a stream that starts after the event with this id.
     pub fn new(last_id: Option<u64>) -> Self {
         Self {
-            last_id,
+            tracker: EventTracker::new(last_id),
             ..Self::default()
         }
     }
 
     /// Appends bytes and returns the events that are complete now.
     pub fn push(&mut self, bytes: &Bytes) -> Bytes {
-        self.buffer.extend_from_slice(bytes);
-        let mut end = 0;
-        while let Some(next) = event_end(&self.buffer, self.scanned.max(end)) {
-            let event = &self.buffer[end..next];
-            self.last_id = event_id(event).or(self.last_id);
-            end = next;
+        let Some(end) = self.tracker.advance(bytes) else {
+            self.buffer.extend_from_slice(bytes);
+            return self.take_long_event();
+        };
+        self.has_passed_part = false;
+        let (complete, rest) = (bytes.slice(..end), bytes.slice(end..));
+        let complete = match self.buffer.is_empty() {
+            true => complete,
+            false => {
+                self.buffer.extend_from_slice(&complete);
+                self.buffer.split().freeze()
+            }
+        };
+        self.buffer.extend_from_slice(&rest);
+        match self.take_long_event() {
+            part if part.is_empty() => complete,
+            part => [complete, part].concat().into(),
         }
-        let complete = self.buffer.split_to(end).freeze();
-        self.scanned = self.buffer.len().saturating_sub(3);
-        if self.buffer.len() > MAX_EVENT {
-            self.scanned = 0;
-            return [complete, self.buffer.split().freeze()].concat().into();
+    }
+
+    /// Follows bytes that are passed on as they are.
+    pub fn follow(&mut self, bytes: &Bytes) {
+        self.tracker.advance(bytes);
+    }
+
+    /// Takes the buffered part of an event that is too long to be buffered.
+    fn take_long_event(&mut self) -> Bytes {
+        if self.buffer.len() <= MAX_EVENT {
+            return Bytes::new();
         }
-        complete
+        self.has_passed_part = true;
+        self.buffer.split().freeze()
+    }
+
+    /// Where the stream is.
+    pub const fn position(&self) -> StreamPosition {
+        self.tracker.position()
     }
 
     /// Id of the last complete event.
     pub const fn last_id(&self) -> Option<u64> {
-        self.last_id
+        self.tracker.last_id()
     }
 
     /// Whether a partial event is buffered.
@@ -58,32 +87,15 @@
         !self.buffer.is_empty()
     }
 
-    /// Discards the partial event.
-    pub fn discard_partial(&mut self) {
-        self.buffer.clear();
-        self.scanned = 0;
+    /// Whether a stream that goes on after the last id repeats nothing that was passed on: not
+    /// after a part of an event, nor after an event without an id.
+    pub const fn can_resume(&self) -> bool {
+        !self.has_passed_part && !self.tracker.has_unidentified()
     }
-}
 
-/// End of the first event that ends after `from`; events end with an empty line.
-fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
-    let mut at = from;
-    while let Some(found) = bytes[at..].iter().position(|byte| *byte == b'\n') {
-        let next = at + found + 1;
-        match bytes.get(next..) {
-            Some([b'\n', ..]) => return Some(next + 1),
-            Some([b'\r', b'\n', ..]) => return Some(next + 2),
-            _ => at = next,
-        }
+    /// Discards the partial event; what follows comes from another endpoint.
+    pub fn discard_partial(&mut self) {
+        self.buffer.clear();
+        self.tracker.restart();
     }
-    None
-}
-
-/// The number in an event's `id:` line.
-fn event_id(event: &[u8]) -> Option<u64> {
-    let id = |line: &[u8]| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value).ok()?.trim().parse().ok()
-    };
-    event.split(|byte| *byte == b'\n').find_map(id)
 }
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -21,7 +21,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::outcome::Outcome;
 
-pub use body::Body;
+pub use body::{Body, framing, is_event_stream};
 
 /// Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1).
 const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
--- a/crates/net/src/http/body.rs
+++ b/crates/net/src/http/body.rs
@@ -2,11 +2,13 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Debug;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, Response};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
+use medlarrill_core::body_end::{BodyEnd, Framing};
 use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::events::EventSplitter;
 use tokio::time::{Instant, timeout_at};
 
 use super::{Error, Result, describe};
@@ -21,8 +23,11 @@
     /// The unread rest of the response; `None` after its end or an error.
     #[debug(skip)]
     incoming: Option<Incoming>,
-    /// Whether the end of the body can be distinguished from a lost connection.
-    has_marked_end: bool,
+    framing: Framing,
+    /// Whether only a marked end is taken for the end of a complete body.
+    needs_mark: bool,
+    /// Follows the body if it is a stream of events.
+    events: Option<EventSplitter>,
     /// Deadline for the first chunk.
     #[debug(skip)]
     first_deadline: Option<Instant>,
@@ -36,10 +41,17 @@
 
 impl Body {
     pub(crate) fn new(response: Response<Incoming>, first_deadline: Instant, gap: Millis) -> Self {
-        let has_marked_end = is_framed(response.headers()) || response.body().is_end_stream();
+        let framing = match response.body().is_end_stream() {
+            true => Framing::Length,
+            false => framing(response.headers()),
+        };
+        let is_stream = is_event_stream(response.headers());
+        let events = is_stream.then(EventSplitter::default);
         Self {
             incoming: Some(response.into_body()),
-            has_marked_end,
+            framing,
+            needs_mark: false,
+            events,
             first_deadline: Some(first_deadline),
             gap,
             limit: u64::MAX,
@@ -54,6 +66,14 @@
         self
     }
 
+    /// Takes a body for lost whose end isn't marked, even if its connection was closed in order: for
+    /// content that doesn't show by itself whether it is complete.
+    #[must_use]
+    pub const fn with_marked_end(mut self) -> Self {
+        self.needs_mark = true;
+        self
+    }
+
     /// Bytes read so far.
     pub const fn bytes_read(&self) -> u64 {
         self.read
@@ -64,8 +84,8 @@
     ///
     /// # Errors
     ///
-    /// `Lost` if the body was cut off or its end is not marked, `Timeout` and
-    /// `TooLarge`. An error ends the body and closes the connection.
+    /// `Lost` if the body was cut off, `Timeout` and `TooLarge`. An error ends the body and closes
+    /// the connection.
     pub async fn next(&mut self) -> Option<Result<Bytes>> {
         let incoming = self.incoming.as_mut()?;
         let gap = Instant::now() + self.gap.as_duration();
@@ -84,17 +104,29 @@
         let result = match chunk {
             Some(Ok(data)) if self.read + data.len() as u64 <= self.limit => {
                 self.read += data.len() as u64;
+                if let Some(events) = &mut self.events {
+                    events.follow(&data);
+                }
                 return Some(Ok(data));
             }
             Some(Ok(_)) => Some(Err(Error::TooLarge { limit: self.limit })),
             Some(Err(error)) => Some(Err(error)),
-            None if self.has_marked_end => None,
-            None => Some(Err(Error::lost("the end of the answer is not marked"))),
+            None => self.end_error().map(Err),
         };
         self.incoming = None;
         result
     }
 
+    /// Why a body that has ended isn't complete.
+    fn end_error(&self) -> Option<Error> {
+        let position = self.events.as_ref().map(EventSplitter::position);
+        let end = BodyEnd::of(self.framing, position);
+        match end.is_complete() && (end.is_proof() || !self.needs_mark) {
+            true => None,
+            false => Some(Error::lost(format!("the body ended early: {end}"))),
+        }
+    }
+
     /// Reads the complete body.
     ///
     /// # Errors
@@ -123,11 +155,24 @@
     }
 }
 
-fn is_framed(headers: &HeaderMap) -> bool {
-    let chunked = headers
-        .get_all(TRANSFER_ENCODING)
-        .iter()
+/// How the headers of a response say that the end of its body is marked (RFC 9112, section 6.3).
+pub fn framing(headers: &HeaderMap) -> Framing {
+    let encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    let last = encodings
         .filter_map(|value| value.to_str().ok())
-        .any(|value| value.to_ascii_lowercase().ends_with("chunked"));
-    chunked || headers.contains_key(CONTENT_LENGTH)
+        .next_back();
+    match last {
+        Some(last) if last.trim_end().to_ascii_lowercase().ends_with("chunked") => Framing::Chunks,
+        Some(_) => Framing::Close,
+        None if headers.contains_key(CONTENT_LENGTH) => Framing::Length,
+        None => Framing::Close,
+    }
+}
+
+/// Whether the headers of a response announce a stream of events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers
+        .get(CONTENT_TYPE)
+        .and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
 }
--- a/crates/net/src/platform/exchange.rs
+++ b/crates/net/src/platform/exchange.rs
@@ -150,6 +150,7 @@
 async fn read_body(response: http::Response<Incoming>, until: Instant) -> transport::Result<Bytes> {
     let gap = Millis::from(until - Instant::now());
     Body::new(response, until, gap)
+        .with_marked_end()
         .read_all(MAX_OBJECT + MAX_OVERHEAD)
         .await
 }
--- a/crates/net/tests/platform.rs
+++ b/crates/net/tests/platform.rs
@@ -339,3 +339,18 @@
     expect_that!(result, err(matches_pattern!(Error::Unknown { .. })));
     expect_that!(reached(&platform), eq(1));
 }
+
+#[gtest]
+#[tokio::test]
+async fn object_whose_end_is_not_marked_is_not_read() {
+    let peer = Peer::start().await;
+    let client = Client::new(settings(peer.address));
+    let serve = async {
+        let mut stream = peer.accept().await;
+        read_head(&mut stream).await;
+        let answer = b"HTTP/1.1 200 OK\r\nETag: \"7\"\r\n\r\npart of a value";
+        stream.write_all(answer).await.unwrap();
+    };
+    let (read, ()) = tokio::join!(get(&client, GUARD_TIMEOUT), serve);
+    expect_that!(read, err(matches_pattern!(Error::Unknown { .. })));
+}
