Streams that end within an event are broken off, however their end is framed

Cause: the relay looked at events only on routes that may be resumed; elsewhere it took the end of the body for the end of the stream, also where nothing but a closed connection told it.

Each stream is followed now, and core::body_end decides from the framing and the place in the stream: within an event, or without a mark before any, it is a fault like a lost connection. The route may resume it, else the caller sees no last chunk. What was passed on is written before the connection is dropped.

A body that is a stream of events with another status than 200 is checked, too. The log says of each body how it was framed and ended, and medlarrill_answer_ends_total counts both.

--- a/crates/core/src/routing/answer.rs
+++ b/crates/core/src/routing/answer.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Debug;
 
+use crate::body_end::Framing;
 use crate::clock::Millis;
 use crate::ids::EndpointId;
 use crate::routing::attempt::Fault;
@@ -43,9 +44,8 @@
     pub keep_alive: Option<Millis>,
     /// Whether the body is a stream of events.
     pub events: bool,
-    /// Whether the end of the body is marked, by a length or chunked encoding, so that a closed
-    /// connection can't be mistaken for it.
-    pub framed: bool,
+    /// How the end of the body is marked.
+    pub framing: Framing,
     /// Whether an intermediary encoded the body, so that it isn't as the endpoint sent it.
     pub encoded: bool,
 }
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -2,6 +2,7 @@
 
 use derive_more::{Debug, Display};
 
+use crate::body_end::BodyEnd;
 use crate::outcome::Outcome;
 
 /// Why an attempt has no response that can be passed on to the caller.
@@ -36,15 +37,30 @@
     /// The response was truncated.
     #[display("cut")]
     Cut,
+    /// The stream ended before any event, and nothing marked its end.
+    #[display("no-event")]
+    NoEvent,
 }
 
 impl Fault {
+    /// The fault of a response whose body ended early, with a text for the log; none if it is
+    /// complete.
+    pub const fn of_end(end: BodyEnd) -> Option<(Self, &'static str)> {
+        match end {
+            BodyEnd::Marked | BodyEnd::Closed => None,
+            BodyEnd::WithinEvent => Some((Self::Cut, "ended within an event")),
+            BodyEnd::NoEvent => Some((Self::NoEvent, "ended before any event, without a mark")),
+            BodyEnd::Broken => Some((Self::Cut, "the connection failed")),
+            BodyEnd::Stalled => Some((Self::Slow, "the answer didn't end")),
+        }
+    }
+
     /// Whether the request ran, as far as the fault shows.
     pub const fn outcome(self) -> Outcome {
         match self {
             Self::NotSent | Self::CutOff | Self::Rejected | Self::OtherEndpoint => Outcome::NotRun,
             Self::Failed | Self::Cut => Outcome::Ran,
-            Self::Lost | Self::Foreign | Self::Slow => Outcome::Unknown,
+            Self::Lost | Self::Foreign | Self::Slow | Self::NoEvent => Outcome::Unknown,
         }
     }
 
@@ -75,6 +91,7 @@
             Self::Slow => "slow",
             Self::Failed => "failed",
             Self::Cut => "cut",
+            Self::NoEvent => "no-event",
         }
     }
 }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -1,6 +1,7 @@
 //! HTTP server for callers: reads requests, routes them to endpoints, and relays the responses.
 
 mod answer;
+mod body;
 mod dispatch;
 mod handler;
 mod relay;
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 use derive_more::Debug;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use medlarrill_core::body_end::{EndedBody, Framing};
 use medlarrill_core::clock::Millis;
 use medlarrill_core::outcome::Outcome;
 use medlarrill_core::routing::answer::AnswerHead;
@@ -15,6 +16,7 @@
 use medlarrill_net::now::now;
 use medlarrill_platform::headers;
 
+use super::body::{FailedBody, FullBody};
 use super::request::RoutedRequest;
 use super::trace::Trace;
 use crate::endpoints::{LeasedConnection, PathTaken, SendError, Sent, Taken};
@@ -22,8 +24,6 @@
 
 /// Time beyond the deadline in which an endpoint's own timeout response may still arrive.
 const DEADLINE_GRACE: Millis = Millis(80);
-/// Maximum size of a response that isn't a stream, in bytes.
-const MAX_ANSWER: usize = 8 << 20;
 
 /// Result of dispatching a request.
 #[derive(Debug)]
@@ -45,8 +45,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
-    /// Whether a length or chunks marked the end of the body.
-    pub is_framed: bool,
+    /// How the body ended.
+    pub ended: EndedBody,
 }
 
 /// A stream of events whose head was received.
@@ -60,8 +60,8 @@
     pub connection: LeasedConnection,
     /// Idle time that the endpoint announced for the connection.
     pub idle_timeout: Option<Millis>,
-    /// Whether a length or chunks will mark the end of the stream.
-    pub is_framed: bool,
+    /// How the end of the stream will be marked.
+    pub framing: Framing,
     /// Counts the request at its endpoint.
     pub in_flight: InFlight,
     /// The endpoint that sends the stream.
@@ -74,6 +74,8 @@
     fault: Fault,
     cause: String,
     answer: Option<Box<FullAnswer>>,
+    /// How the response's body ended, if it was read.
+    ended: Option<EndedBody>,
     path_taken: Option<PathTaken>,
 }
 
@@ -83,11 +85,21 @@
             fault,
             cause: cause.to_string(),
             answer: None,
+            ended: None,
             path_taken: None,
         }
     }
 }
 
+impl From<FailedBody> for FailedAttempt {
+    fn from(failed: FailedBody) -> Self {
+        Self {
+            ended: Some(failed.ended),
+            ..Self::new(failed.fault, failed.cause)
+        }
+    }
+}
+
 impl From<SendError> for FailedAttempt {
     fn from(error: SendError) -> Self {
         match error {
@@ -132,7 +144,7 @@
         trace.log_tunnel(path_taken.as_ref());
         let failed = match result {
             Ok(dispatched) => {
-                record_success(routed, plan, &id, &dispatched);
+                record_success(routed, plan, &id, &dispatched, trace);
                 return dispatched;
             }
             Err(failed) => FailedAttempt {
@@ -206,13 +218,12 @@
     plan: &RetryPlan,
     id: &InstanceId,
     dispatched: &Dispatched,
+    trace: &mut Trace,
 ) {
-    let placement = &routed.shared.placement;
-    placement.record_success(id, now());
-    if let Dispatched::Answer(answer) = dispatched
-        && answer.is_framed
-    {
-        placement.record_served(plan, now());
+    routed.shared.placement.record_success(id, now());
+    if let Dispatched::Answer(answer) = dispatched {
+        trace.record_end(Some(answer.ended));
+        routed.record_complete(plan, answer.ended.end);
     }
 }
 
@@ -222,8 +233,9 @@
     plan: &mut RetryPlan,
     id: &InstanceId,
     failed: &FailedAttempt,
-    trace: &Trace,
+    trace: &mut Trace,
 ) -> Next {
+    trace.record_end(failed.ended);
     let helper = failed.path_taken.and_then(|path_taken| path_taken.helper);
     let next = routed.record_failure(plan, id, failed.fault, helper, now());
     let budget = routed.shared.placement.retry_budget(&routed.pool, now());
@@ -263,6 +275,10 @@
     if let Some((fault, cause)) = decoded.fault(&routed.call.attempt) {
         return Err(FailedAttempt::new(fault, cause));
     }
+    let framing = match body.is_end_stream() {
+        true => Framing::Length,
+        false => decoded.framing,
+    };
     let headers = headers::to_caller(&head.headers);
     if head.status == StatusCode::OK && decoded.events {
         return Ok(Dispatched::Stream(Box::new(OpenStream {
@@ -270,24 +286,28 @@
             body,
             connection: sent.connection,
             idle_timeout: decoded.keep_alive,
-            is_framed: decoded.framed,
+            framing,
             in_flight,
             endpoint,
         })));
     }
-    let body = read_body(plan, body).await?;
-    sent.connection
-        .release(decoded.keep_alive, routed.idle_limit());
+    let left = plan.deadline().since(now()) + DEADLINE_GRACE;
+    let body = FullBody::read(body, framing, decoded.events, left).await?;
+    if framing.is_marked() {
+        let limit = routed.idle_limit();
+        sent.connection.release(decoded.keep_alive, limit);
+    }
     let answer = FullAnswer {
         status: head.status,
         headers,
-        body,
-        is_framed: decoded.framed,
+        body: body.bytes,
+        ended: body.ended,
     };
     if !decoded.is_failure() {
         return Ok(Dispatched::Answer(answer));
     }
     let mut failed = FailedAttempt::new(Fault::Failed, head.status);
+    failed.ended = Some(answer.ended);
     // A status that promises that the request hasn't run isn't forwarded: it may have run.
     failed.answer = (!decoded.says_not_run()).then(|| Box::new(answer));
     Err(failed)
@@ -311,14 +331,3 @@
     }
     placement.apply_notice(id, head.notice(), sent_at, &routed.call.attempt);
 }
-
-/// Reads the complete body of a response that isn't a stream.
-async fn read_body(plan: &RetryPlan, body: Incoming) -> Result<Bytes> {
-    let left = plan.deadline().since(now()) + DEADLINE_GRACE;
-    let reading = Limited::new(body, MAX_ANSWER).collect();
-    match tokio::time::timeout(left.as_duration(), reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => Err(FailedAttempt::new(Fault::Cut, error)),
-        Err(_) => Err(FailedAttempt::new(Fault::Slow, "the answer didn't end")),
-    }
-}
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use medlarrill_core::body_end::{BodyEnd, EndedBody, Framing};
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::config::RetryPolicy;
@@ -43,7 +44,7 @@
     body: Incoming,
     connection: LeasedConnection,
     idle_timeout: Option<Millis>,
-    is_framed: bool,
+    framing: Framing,
     #[expect(
         dead_code,
         reason = "counts the request at its endpoint until it is dropped"
@@ -55,8 +56,8 @@
 /// Result of waiting for the next bytes.
 enum Piece {
     Bytes(Bytes),
-    End,
-    Fault(Fault, String),
+    /// The end, with a cause for the log if its connection gave one.
+    End(BodyEnd, Option<String>),
 }
 
 /// Creates the response that relays a stream.
@@ -88,7 +89,7 @@
             body: stream.body,
             connection: stream.connection,
             idle_timeout: stream.idle_timeout,
-            is_framed: stream.is_framed,
+            framing: stream.framing,
             in_flight: stream.in_flight,
             endpoint: stream.endpoint,
         }
@@ -103,45 +104,58 @@
     /// Returns the next bytes for the caller, `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, BrokenStream>> {
         loop {
-            let (fault, cause) = match self.piece().await {
+            let (end, cause) = match self.piece().await {
                 Piece::Bytes(bytes) if bytes.is_empty() => continue,
                 Piece::Bytes(bytes) => {
                     self.trace.add_bytes(bytes.len());
                     return Some(Ok(bytes));
                 }
-                Piece::End => {
-                    self.end();
-                    return None;
-                }
-                Piece::Fault(fault, cause) => (fault, cause),
+                Piece::End(end, cause) => (end, cause),
+            };
+            self.record_end(end);
+            let Some((fault, text)) = Fault::of_end(end) else {
+                self.end(end);
+                return None;
             };
+            let cause = cause.unwrap_or_else(|| text.to_owned());
             if !self.resume(fault, &cause).await {
                 self.trace.record_broken();
+                // The HTTP library drops what it hasn't written yet when a body fails.
+                tokio::task::yield_now().await;
                 return Some(Err(BrokenStream));
             }
         }
     }
 
+    fn record_end(&mut self, end: BodyEnd) {
+        let framing = self.source.as_ref().map(|source| source.framing);
+        let ended = framing.map(|framing| EndedBody { framing, end });
+        self.trace.record_end(ended);
+    }
+
     /// Waits for the next bytes from the source; with resumption allowed, only complete events.
     async fn piece(&mut self) -> Piece {
         let wait = self.wait();
         let resumes = self.may_resume();
         let Some(source) = &mut self.source else {
-            return Piece::Fault(Fault::Cut, "no source".into());
+            return Piece::End(BodyEnd::Broken, Some("no source".into()));
         };
         let frame = tokio::time::timeout(wait.as_duration(), source.body.frame()).await;
         match frame {
-            Err(_) => Piece::Fault(Fault::Slow, format!("no event in {wait}")),
-            Ok(Some(Err(error))) => Piece::Fault(Fault::Cut, error.to_string()),
-            Ok(None) if resumes && self.splitter.has_partial() => {
-                Piece::Fault(Fault::Cut, "ended within an event".into())
+            Err(_) => Piece::End(BodyEnd::Stalled, Some(format!("no event in {wait}"))),
+            Ok(Some(Err(error))) => Piece::End(BodyEnd::Broken, Some(error.to_string())),
+            Ok(None) => {
+                let position = self.splitter.position();
+                Piece::End(BodyEnd::of(source.framing, Some(position)), None)
             }
-            Ok(None) => Piece::End,
             Ok(Some(Ok(frame))) => {
                 let bytes = frame.into_data().unwrap_or_default();
                 match resumes {
                     true => Piece::Bytes(self.splitter.push(&bytes)),
-                    false => Piece::Bytes(bytes),
+                    false => {
+                        self.splitter.follow(&bytes);
+                        Piece::Bytes(bytes)
+                    }
                 }
             }
         }
@@ -166,7 +180,7 @@
         let helper = source.connection.helper();
         // Ends the request at this endpoint before it runs at another.
         drop(source);
-        let next = match self.may_resume() {
+        let next = match self.may_resume() && self.splitter.can_resume() {
             true => self
                 .routed
                 .record_failure(&mut self.plan, &id, fault, helper, now()),
@@ -196,20 +210,14 @@
     }
 
     /// Completes the request and returns the connection to the pool.
-    fn end(&mut self) {
+    fn end(&mut self, end: BodyEnd) {
         self.trace.record_answered();
         if let Some(source) = self.source.take() {
-            // Without framing, a stream ends the same way when its endpoint finishes and when it is
-            // lost.
-            if source.is_framed {
-                self.routed
-                    .shared
-                    .placement
-                    .record_served(&self.plan, now());
+            self.routed.record_complete(&self.plan, end);
+            if source.framing.is_marked() {
+                let limit = self.routed.idle_limit();
+                source.connection.release(source.idle_timeout, limit);
             }
-            source
-                .connection
-                .release(source.idle_timeout, self.routed.idle_limit());
         }
     }
 }
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -8,6 +8,7 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{Method, Request, Uri};
 use http_body_util::Full;
+use medlarrill_core::body_end::BodyEnd;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::PoolId;
 use medlarrill_core::routing::ablation::{Mechanism, is_on};
@@ -88,6 +89,14 @@
         plan.record_failure(id, fault, spend, now)
     }
 
+    /// Records a response that was passed on as complete. Only one whose end was marked speaks for
+    /// the request: the other end looks the same if its endpoint failed just then.
+    pub fn record_complete(&self, plan: &RetryPlan, end: BodyEnd) {
+        if end.is_proof() {
+            self.shared.placement.record_served(plan, now());
+        }
+    }
+
     /// Records a failed attempt, and the loss of its endpoint if it was lost. An attempt that failed
     /// by this daemon's own links isn't counted against the endpoint. `helper` is the daemon that
     /// carried the connection, if it wasn't direct.
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use derive_more::Debug;
+use medlarrill_core::body_end::EndedBody;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::PoolId;
 use medlarrill_core::routing::attempt::Fault;
@@ -36,6 +37,8 @@
     attempts: u32,
     head_time: Option<Millis>,
     bytes: u64,
+    /// How the body of the last response ended.
+    ended: Option<EndedBody>,
     outcome: Option<&'static str>,
     status: u16,
 }
@@ -57,6 +60,7 @@
             attempts: 0,
             head_time: None,
             bytes: 0,
+            ended: None,
             outcome: None,
             status: 0,
         }
@@ -86,6 +90,7 @@
         left: Millis,
     ) {
         self.attempts += 1;
+        self.ended = None;
         self.endpoint = Some(choice.endpoint.id.clone());
         let list_age = self.shared.copies.age(Kind::Endpoints, now());
         log::info!(
@@ -138,6 +143,22 @@
         );
     }
 
+    /// Counts how the body of a response ended, if it was read.
+    pub fn record_end(&mut self, ended: Option<EndedBody>) {
+        self.ended = ended;
+        if let Some(ended) = ended {
+            self.shared.metrics.count_end(ended);
+        }
+    }
+
+    fn framing(&self) -> Option<&'static str> {
+        self.ended.map(|ended| ended.framing.code())
+    }
+
+    fn end(&self) -> Option<&'static str> {
+        self.ended.map(|ended| ended.end.code())
+    }
+
     /// Counts and logs a failed attempt.
     pub fn log_fault(
         &self,
@@ -154,7 +175,8 @@
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts,
             endpoint = self.endpoint(), fingerprint:% = self.fingerprint,
-            fault = fault.code(), cause, outcome:% = fault.outcome(), again = is_retried, repeats:% = budget,
+            fault = fault.code(), cause, framing = self.framing(), end = self.end(),
+            outcome:% = fault.outcome(), again = is_retried, repeats:% = budget,
             path = path_taken.map(PathTaken::name), silence = self.shared.connections.paths().silence().0,
             passed = now().since(self.arrived).0;
             "entry: attempt failed"
@@ -211,6 +233,7 @@
             fingerprint:% = self.fingerprint, version = self.version, endpoint = self.endpoint(),
             attempts = self.attempts, status = self.status, bytes = self.bytes,
             first = self.head_time.map_or(0, |time| time.0), whole = total_time.0,
+            framing = self.framing(), end = self.end(),
             outcome = self.outcome.unwrap_or("caller-left");
             "entry: ended"
         );
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and latency histograms, exported as OpenMetrics text.
 
 use derive_more::Debug;
+use medlarrill_core::body_end::EndedBody;
 use medlarrill_core::clock::Millis;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -21,6 +22,16 @@
     pub reason: &'static str,
 }
 
+/// Labels of the counter of ends of response bodies.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+#[derive(EncodeLabelSet)]
+pub struct EndLabels {
+    /// How the end was to be marked.
+    pub framing: &'static str,
+    /// How the body ended.
+    pub end: &'static str,
+}
+
 /// All metrics of one daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -38,6 +49,8 @@
     pub retries: Family<ReasonLabel, Counter>,
     /// Streams that were resumed at another endpoint.
     pub resumed: Counter,
+    /// Response bodies of endpoints, by framing and end.
+    pub ends: Family<EndLabels, Counter>,
     /// New connections to endpoints.
     pub connects: Counter,
     /// Other daemons that were asked to connect to an endpoint, by what came of it.
@@ -97,6 +110,7 @@
             faults: Family::default(),
             retries: Family::default(),
             resumed: Counter::default(),
+            ends: Family::default(),
             connects: Counter::default(),
             tunnels: Family::default(),
             platform_calls: Counter::default(),
@@ -131,6 +145,7 @@
         r.register("faults", "Failed attempts", self.faults.clone());
         r.register("retries", "Attempts after the first", self.retries.clone());
         r.register("resumed", "Streams resumed", self.resumed.clone());
+        r.register("answer_ends", "Ends of answers", self.ends.clone());
         r.register(
             "connects",
             "Connections to endpoints",
@@ -198,6 +213,15 @@
         family.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Increments the counter of bodies that ended like one.
+    pub fn count_end(&self, ended: EndedBody) {
+        let labels = EndLabels {
+            framing: ended.framing.code(),
+            end: ended.end.code(),
+        };
+        self.ends.get_or_create(&labels).inc();
+    }
+
     /// Encodes all metrics as OpenMetrics text.
     pub fn text(&self) -> String {
         let mut text = String::new();
