A stream that breaks off is reset for callers that know no chunks

A caller that speaks HTTP/1.0 gets a stream without chunks, whose end is that of its connection. Where the stream broke off, the daemon dropped the connection, which closes it in order: the caller took it for complete (the test failed at its first form). Such a connection is reset now; with chunks it is closed as before, since the last chunk is missing and nothing that was sent is lost.

--- a/crates/daemon/tests/route/ends.rs
+++ b/crates/daemon/tests/route/ends.rs
@@ -4,7 +4,8 @@
 
 use googletest::prelude::*;
 use medlarrill_platform_standin::{
-    Behaviour, Call, Caller, End, Ending, Form, Framing, LineEnd, Place, RawCaller, RawReply, event,
+    Behaviour, Call, Caller, End, Ending, Form, Framing, LineEnd, Place, RawCaller, RawReply,
+    Version, event,
 };
 use medlarrill_testkit::routed::{WAIT, field, read};
 
@@ -139,6 +140,37 @@
     }
 }
 
+#[tokio::test]
+async fn a_broken_stream_does_not_look_complete_to_a_caller_without_chunks() {
+    let bench = Bench::start(1).await;
+    for (number, framing) in FRAMINGS.into_iter().enumerate() {
+        for end in ENDS {
+            let form = Form {
+                cut_event: Some(3),
+                ..form(framing, end)
+            };
+            bench.behave(broken(form));
+            let attempt = format!("s-{number}-{end:?}");
+            let caller = RawCaller::new(bench.daemons[0].callers()).with_version(Version::Http10);
+            let reply = caller.send(&call(&attempt, "/stream-once/x")).await;
+            let reply = reply.expect("a reply");
+            assert_that!(reply.looks_complete(), eq(false), "{form:?}: {reply:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_caller_without_chunks_gets_whole_streams() {
+    let bench = Bench::start(1).await;
+    bench.behave(of_form(Form::DEFAULT));
+    let caller = RawCaller::new(bench.daemons[0].callers()).with_version(Version::Http10);
+    let reply = caller.send(&call("s-1", "/stream-once/x")).await;
+    let reply = reply.expect("a reply");
+    assert_that!(reply.looks_complete(), eq(true), "{reply:?}");
+    let body = whole_body(&Form::DEFAULT, "s-1");
+    assert_that!(reply.body.as_ref(), eq(body.as_bytes()));
+}
+
 /// Longer than a daemon buffers.
 const LONG: usize = 3 << 19;
 
--- a/crates/router/src/entry/server.rs
+++ b/crates/router/src/entry/server.rs
@@ -1,10 +1,13 @@
 //! HTTP servers for callers, for readiness checks, and for metrics.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, Version};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -13,6 +16,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::units::ByteSize;
 use medlarrill_net::now::now;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::handler::handle;
@@ -45,28 +49,48 @@
         (limits.head, limits.idle)
     });
     let head = usize::try_from(head.0).unwrap_or(usize::MAX);
-    let service = service_fn(|request| {
+    // Callers that know no chunks tell the end of a stream by that of its connection.
+    let ends_by_close = AtomicBool::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
+        ends_by_close.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let shared = Arc::clone(shared);
-        async move { Ok::<_, Infallible>(handle(shared, request).await) }
+        Box::pin(async move { Ok::<_, Infallible>(handle(shared, request).await) })
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle.as_duration())
         .max_header_size(head)
         .max_buf_size(READ_BUFFER.max(head))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
     let mut closing = shared.closing.subscribe();
     // A connection that is opened after closing began still has its first request served.
     let is_closing = *closing.borrow_and_update();
-    let served = tokio::select! {
-        served = connection.as_mut() => served,
-        Ok(()) = closing.changed(), if !is_closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let mut served = poll_fn(|context| connection.poll_without_shutdown(context));
+    let first = tokio::select! {
+        served = &mut served => Some(served),
+        Ok(()) = closing.changed(), if !is_closing => None,
+    };
+    let served = match first {
+        Some(served) => served,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
     };
-    if let Err(error) = served {
+    let stream = connection.into_parts().io.into_inner();
+    close_caller(stream, served, ends_by_close.into_inner()).await;
+}
+
+/// Closes a caller's connection. One that is closed in order ends a response without chunks, so that
+/// a response that failed needs a reset.
+async fn close_caller(mut stream: TcpStream, served: hyper::Result<()>, ends_by_close: bool) {
+    let closed = match &served {
+        Ok(()) => stream.shutdown().await,
+        Err(error) if error.is_user() && ends_by_close => stream.set_zero_linger(),
+        Err(_) => Ok(()),
+    };
+    let served = served.map_err(|error| error.to_string());
+    if let Err(error) = served.and(closed.map_err(|error| error.to_string())) {
         log::debug!(target: "entry", "entry: caller's connection ended: {error}");
     }
 }
