An endpoint that is gone after an end without a mark was lost with the request

A request whose content ends endpoints was never quarantined if their answers had neither length nor chunks: an endpoint that ends closes its connections in order, so that its answer looked complete, and no loss was recorded. What is known by the connection's end alone isn't proof of either. After a stream without any event, which is seldom, the daemon connects once to find out.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -35,4 +35,5 @@
 pub mod request;
 pub mod slow_start;
 pub mod stop;
+pub mod unmarked;
 pub mod view;
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -39,6 +39,7 @@
 use crate::routing::prefix_index::PrefixIndex;
 use crate::routing::quarantine::{Change, Quarantine};
 use crate::routing::slow_start::SlowStarts;
+use crate::routing::unmarked::UnmarkedEnds;
 
 pub use drains::Drain;
 pub use health::HealthChange;
@@ -74,6 +75,7 @@
     /// Shares of hot prefixes in the fleet's traffic, 0 to 1.
     hot_shares: HashMap<u32, f64>,
     quarantine: Quarantine,
+    unmarked: UnmarkedEnds,
     notices: Notices,
     brittle: Brittle,
     /// Drained data centres: their endpoints take no new work.
@@ -150,6 +152,7 @@
             prefix_moves: Vec::new(),
             hot_shares: HashMap::new(),
             quarantine: Quarantine::default(),
+            unmarked: UnmarkedEnds::default(),
             notices: Notices::default(),
             brittle: Brittle::default(),
             drained: HashSet::new(),
@@ -202,10 +205,11 @@
         self.outcomes.entry(id.clone()).or_default().good += 1;
     }
 
-    /// Records a failed attempt.
-    pub fn record_failure(&mut self, id: &InstanceId, fault: Fault, now: Millis) {
+    /// Records a failed attempt; returns changes of the quarantine.
+    pub fn record_failure(&mut self, id: &InstanceId, fault: Fault, now: Millis) -> Vec<Change> {
+        let changes = self.record_lost(id, fault, now);
         if !self.directory.is_listed(id) {
-            return;
+            return changes;
         }
         self.health.record_failure(id, fault, now);
         if fault == Fault::Rejected {
@@ -221,6 +225,27 @@
         if fault.is_failure() {
             self.outcomes.entry(id.clone()).or_default().bad += 1;
         }
+        changes
+    }
+
+    /// Records that the response to a request ended without a mark.
+    pub fn record_unmarked(&mut self, plan: &RetryPlan, id: &InstanceId, now: Millis) {
+        if let Some(request) = plan.fingerprint() {
+            self.unmarked.record(id, request, now);
+        }
+    }
+
+    /// Records that an endpoint was lost with the requests whose response had just ended without a
+    /// mark, if a fault shows that it is gone.
+    fn record_lost(&mut self, id: &InstanceId, fault: Fault, now: Millis) -> Vec<Change> {
+        let is_gone = fault.is_loss() || matches!(fault, Fault::NotSent | Fault::OtherEndpoint);
+        if !is_gone {
+            return Vec::new();
+        }
+        let endpoint = exchange::short_id(id);
+        let lost = self.unmarked.take_lost(id, now);
+        let record = |request| self.quarantine.record_loss(request, endpoint, now);
+        lost.into_iter().flat_map(record).collect()
     }
 
     /// Records that an endpoint was lost with a request, even if it isn't listed any more. Returns
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -37,6 +37,7 @@
     mod slow_start_ways;
     mod stop;
     mod support;
+    mod unmarked;
     mod view;
     mod world;
 }
--- a/crates/daemon/tests/route/crash.rs
+++ b/crates/daemon/tests/route/crash.rs
@@ -8,7 +8,7 @@
 //! ended endpoints before, here or elsewhere, so that nothing ever stopped it.
 
 use googletest::prelude::*;
-use medlarrill_platform_standin::{Behaviour, Call, Form, Outage, Reply};
+use medlarrill_platform_standin::{Behaviour, Call, Ending, Form, Framing, Outage, Reply};
 use medlarrill_testkit::routed::field;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -312,3 +312,33 @@
     let left = vec!["00000000000000bb".to_owned()];
     assert_that!(bench.store.names("quarantine"), eq(&left));
 }
+
+#[tokio::test]
+async fn a_stream_without_framing_that_ends_all_endpoints_is_refused_by_all_daemons() {
+    let unframed = Behaviour {
+        form: Form {
+            ending: Some(Ending::new(Framing::None)),
+            ..Form::DEFAULT
+        },
+        ..FRAGILE
+    };
+    let mut bench = fleet().await;
+    bench.behave(unframed);
+    let mut crashed = 0;
+    for number in 0..20 {
+        let call = crashing(number, "/stream-once/x");
+        let reply = bench.send_to(number % DAEMONS, &call).await;
+        assert_that!(reply.is_success(), eq(false), "{reply:?}");
+        Bench::pause(100).await;
+        crashed += bench.replace_crashed(unframed).await;
+        if crashed >= ENOUGH {
+            break;
+        }
+        Bench::pause(100).await;
+    }
+    assert_that!(crashed, eq(ENOUGH));
+    Bench::pause(KNOWN_MS).await;
+    let before = sent(&bench);
+    send_again(&mut bench, "/stream-once/x").await;
+    assert_that!(sent(&bench) - before, eq(0));
+}
--- a/crates/router/src/endpoints/paths.rs
+++ b/crates/router/src/endpoints/paths.rs
@@ -252,6 +252,15 @@
         self.open(endpoint, tunnel::CONNECT_TIMEOUT).await
     }
 
+    /// Connects to an endpoint only to learn whether that works.
+    ///
+    /// # Errors
+    ///
+    /// When it doesn't, or takes long.
+    pub async fn connect_for_check(&self, endpoint: &Endpoint) -> std::io::Result<()> {
+        self.open(endpoint, PROBE_TIMEOUT).await.map(drop)
+    }
+
     /// Connects through another daemon.
     async fn tunnel(&self, endpoint: &Endpoint) -> Result<Connected> {
         let candidates = {
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -223,7 +223,7 @@
     routed.shared.placement.record_success(id, now());
     if let Dispatched::Answer(answer) = dispatched {
         trace.record_end(Some(answer.ended));
-        routed.record_complete(plan, answer.ended.end);
+        routed.record_complete(plan, id, answer.ended.end);
     }
 }
 
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -213,7 +213,8 @@
     fn end(&mut self, end: BodyEnd) {
         self.trace.record_answered();
         if let Some(source) = self.source.take() {
-            self.routed.record_complete(&self.plan, end);
+            let routed = &self.routed;
+            routed.record_complete(&self.plan, &source.endpoint, end);
             if source.framing.is_marked() {
                 let limit = self.routed.idle_limit();
                 source.connection.release(source.idle_timeout, limit);
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -26,6 +26,9 @@
 use crate::endpoints::idle_limit;
 use crate::shared::Shared;
 
+/// Time in which a process that ends closes its sockets.
+const EXIT_TIME: Millis = Millis(20);
+
 /// A request that was read completely, checked against one configuration and routed to a pool.
 #[derive(Debug)]
 pub struct RoutedRequest {
@@ -89,11 +92,13 @@
         plan.record_failure(id, fault, spend, now)
     }
 
-    /// Records a response that was passed on as complete. Only one whose end was marked speaks for
-    /// the request: the other end looks the same if its endpoint failed just then.
-    pub fn record_complete(&self, plan: &RetryPlan, end: BodyEnd) {
-        if end.is_proof() {
-            self.shared.placement.record_served(plan, now());
+    /// Records a response that was passed on as complete. One whose end was marked speaks for the
+    /// request; the other end looks the same if its endpoint failed just then.
+    pub fn record_complete(&self, plan: &RetryPlan, id: &InstanceId, end: BodyEnd) {
+        let placement = &self.shared.placement;
+        match end.is_proof() {
+            true => placement.record_served(plan, now()),
+            false => placement.record_unmarked(plan, id, now()),
         }
     }
 
@@ -115,6 +120,31 @@
         } else if fault != Fault::Slow || helper.is_none() && !paths.is_own_silence(id) {
             placement.record_failure(id, fault, now);
         }
+        if fault == Fault::NoEvent {
+            placement.record_unmarked(plan, id, now);
+            self.check_endpoint(id);
+        }
+    }
+
+    /// Connects to an endpoint that closed a connection too early, to learn whether it is gone.
+    fn check_endpoint(&self, id: &InstanceId) {
+        let Some(endpoint) = self.shared.placement.open_endpoint(id) else {
+            return;
+        };
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            tokio::time::sleep(EXIT_TIME.as_duration()).await;
+            if shared
+                .connections
+                .paths()
+                .connect_for_check(&endpoint)
+                .await
+                .is_err()
+            {
+                let placement = &shared.placement;
+                placement.record_failure(&endpoint.id, Fault::NotSent, now());
+            }
+        });
     }
 
     /// Records that a connection was lost. It counts against the endpoint a moment later, when it is
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -197,7 +197,13 @@
 
     /// Records a failed attempt.
     pub fn record_failure(&self, id: &InstanceId, fault: Fault, now: Millis) {
-        self.lock().record_failure(id, fault, now);
+        let changes = self.lock().record_failure(id, fault, now);
+        self.log_quarantine(&changes);
+    }
+
+    /// Records that the response to a request ended without a mark.
+    pub fn record_unmarked(&self, plan: &RetryPlan, id: &InstanceId, now: Millis) {
+        self.lock().record_unmarked(plan, id, now);
     }
 
     /// Records that an endpoint was lost with a request: quarantine evidence against the request.
