--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -6,7 +6,7 @@
 //! takes effect in this daemon, and is sent to the daemons that follow it.
 
 mod apply;
-mod client;
+pub mod client;
 mod copies;
 mod daemons;
 mod direct;
