--- a/crates/daemon/tests/route/tunnel.rs
+++ b/crates/daemon/tests/route/tunnel.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use medlarrill_platform_standin::{Behaviour, Call, Caller, Reply, configuration};
+use medlarrill_platform_standin::{
+    Behaviour, Call, Caller, End, Ending, Form, Framing, Place, RawCaller, RawReply, Reply,
+    configuration,
+};
 use medlarrill_testkit::routed::field;
 use nix::sys::signal::Signal;
 use tokio::task::JoinHandle;
@@ -171,3 +174,78 @@
         .len();
     assert_that!(after, eq(before));
 }
+
+/// Answers without framing, all of which break off at a place unless there is none.
+fn unframed(end: End, cut: Option<Place>) -> Behaviour {
+    Behaviour {
+        cuts: if cut.is_some() { 1.0 } else { 0.0 },
+        form: Form {
+            ending: Some(Ending::new(Framing::None).with_end(end)),
+            cut_place: cut.unwrap_or(Place::Middle),
+            ..Form::DEFAULT
+        },
+        ..Behaviour::default()
+    }
+}
+
+async fn send_raw(site: &Site, attempt: &str, path: &str) -> RawReply {
+    let caller = RawCaller::new(site.bench.daemons[0].callers());
+    let call = Call::new(attempt, path).with_body(attempt.to_owned());
+    caller.send(&call).await.expect("a reply")
+}
+
+#[tokio::test]
+async fn how_an_endpoint_ended_an_answer_is_not_lost_behind_a_helper() {
+    let site = cut_off(3, 2).await;
+    for end in [End::Closed, End::HalfClosed] {
+        site.bench.behave(unframed(end, None));
+        for path in ["/once/x", "/stream-once/x"] {
+            let reply = send_raw(&site, &format!("w-{end:?}{path}"), path).await;
+            assert_that!(reply.status(), eq(200));
+            assert_that!(reply.looks_complete(), eq(true), "{reply:?}");
+        }
+    }
+    for (number, (end, place)) in [
+        (End::Closed, Place::Middle),
+        (End::HalfClosed, Place::BeforeEnd),
+        (End::Reset, Place::Middle),
+        (End::Reset, Place::After),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        site.bench.behave(unframed(end, Some(place)));
+        let reply = send_raw(&site, &format!("c-{number}"), "/stream-once/x").await;
+        assert_that!(
+            reply.looks_complete(),
+            eq(false),
+            "{end:?} {place:?}: {reply:?}"
+        );
+    }
+    site.bench.behave(unframed(End::Reset, Some(Place::Middle)));
+    let reply = send_raw(&site, "b-1", "/once/x").await;
+    assert_that!(reply.status(), eq(502), "{reply:?}");
+    // Sent, through another daemon, failed, ended.
+    site.bench.until(0, "\"request\":\"b-1\"", 4).await;
+    assert_that!(helper(&site, "b-1"), eq(1));
+}
+
+#[tokio::test]
+async fn a_stream_without_framing_does_not_look_complete_when_its_helper_is_killed() {
+    let mut site = cut_off(3, 2).await;
+    site.bench.behave(Behaviour {
+        pace: PACE,
+        ..unframed(End::Closed, None)
+    });
+    let address = site.bench.daemons[0].callers();
+    let call = Call::new("s-1", "/stream-once/x");
+    let stream = tokio::spawn(async move { RawCaller::new(address).send(&call).await });
+    Bench::pause(700).await;
+    assert_that!(helper(&site, "s-1"), eq(1));
+    let signalled = site.bench.daemons[1].signal(Signal::SIGKILL);
+    signalled.expect("a signal");
+    site.bench.daemons[1].wait().expect("its end");
+    let reply = stream.await.expect("a task").expect("a reply");
+    assert_that!(reply.body.is_empty(), eq(false));
+    assert_that!(reply.looks_complete(), eq(false), "{reply:?}");
+}
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -151,7 +151,8 @@
     let plan = plan.with_crashing(&mut Pcg32::seed_from_u64(seed.rotate_left(32)));
     let plan = plan.with_places(&mut Pcg32::seed_from_u64(!seed.rotate_left(32)), length);
     let plan = plan.with_notices(&mut Pcg32::seed_from_u64(seed.rotate_left(16)), length);
-    plan.with_cuts(&mut Pcg32::seed_from_u64(seed.rotate_left(8)), length)
+    let plan = plan.with_cuts(&mut Pcg32::seed_from_u64(seed.rotate_left(8)), length);
+    plan.with_forms(&mut Pcg32::seed_from_u64(seed.rotate_left(24)), length)
 }
 
 async fn soak(program: Program, seed: u64, options: Options) -> Result<Outcome> {
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::{Debug, Display};
-use medlarrill_platform_standin::{Reply, Run};
+use medlarrill_platform_standin::{Reply, Run, event};
 
 use self::cuts::cut_off;
 pub use self::notices::PAUSE;
@@ -169,7 +169,7 @@
     let mut found: Vec<Violation> = world.ended.iter().copied().map(Violation::Ended).collect();
     for sent in calls.iter().chain(recovered) {
         let ran = runs.get(&sent.call.attempt).unwrap_or(&none);
-        found.extend(mixed(sent));
+        found.extend(mixed(world, sent));
         found.extend(repeated(sent, ran));
         found.extend(leaked(sent, ran));
         found.extend(lost(world, sent, ran));
@@ -192,22 +192,23 @@
 }
 
 /// The whole body that a request is answered with.
-fn expected(sent: &Sent) -> String {
+fn expected(world: &World, sent: &Sent) -> String {
     let attempt = &sent.call.attempt;
     match sent.call.path.contains("/stream") {
+        // All endpoints of a soak write events in the same way.
         true => (1..=EVENTS)
-            .map(|number| format!("id: {number}\ndata: {attempt}/{number}\n\n"))
+            .map(|number| event(&world.forms[0], attempt, number))
             .collect(),
         false => format!("{attempt} {}", sent.call.body.len()),
     }
 }
 
-fn mixed(sent: &Sent) -> Option<Violation> {
+fn mixed(world: &World, sent: &Sent) -> Option<Violation> {
     let reply = &sent.reply;
     if !reply.status?.is_success() {
         return None;
     }
-    let expected = expected(sent);
+    let expected = expected(world, sent);
     let right = match reply.whole {
         true => reply.body == expected.as_bytes(),
         false => expected.as_bytes().starts_with(&reply.body),
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use derive_more::Debug;
-use medlarrill_platform_standin::{Behaviour, Outage};
+use medlarrill_platform_standin::{Behaviour, End, Ending, Form, Framing, LineEnd, Outage, Place};
 use medlarrill_testkit::proxy::Harm;
 use rand::RngExt;
 use rand_pcg::Pcg32;
@@ -186,6 +186,8 @@
     pub crashing: Option<&'static str>,
     /// Whether every second endpoint runs in another data centre, and all have a slow start.
     pub places: bool,
+    /// How each endpoint writes its answers.
+    pub forms: Vec<Form>,
 }
 
 impl Plan {
@@ -198,7 +200,9 @@
             births: false,
             crashing: None,
             places: false,
+            forms: Vec::new(),
         };
+        plan.forms = vec![Form::DEFAULT; plan.endpoints];
         // A fifth of the soaks hold planned work only, so that its stricter promises are checked.
         let planned = rng.random_bool(0.2);
         let mut at = CALM;
@@ -275,6 +279,33 @@
         self
     }
 
+    /// Has endpoints mark the ends of their answers in different ways and end connections in
+    /// different ways when answers break off, in half of the soaks; more break off there. Drawn from
+    /// numbers of its own, too.
+    pub fn with_forms(mut self, rng: &mut Pcg32, length: Duration) -> Self {
+        if !rng.random_bool(0.5) {
+            return self;
+        }
+        let lines = [LineEnd::Lf, LineEnd::CrLf, LineEnd::Cr][rng.random_range(0..3)];
+        for form in &mut self.forms {
+            *form = draw_form(rng, lines, self.crashing.is_some());
+        }
+        let is_planned = self.events.iter().all(|event| event.fault.is_planned());
+        let mut at = CALM;
+        while !is_planned && at < length {
+            let cuts = Behaviour {
+                cuts: rng.random_range(0.1..1.0),
+                ..Behaviour::default()
+            };
+            let endpoint = rng.random_range(0..self.endpoints);
+            let lasts = Duration::from_millis(rng.random_range(1000..4000));
+            let fault = Fault::Behave(endpoint, cuts, lasts);
+            self.events.push(Event { at, fault });
+            at += Duration::from_millis(rng.random_range(0..6 * PAUSE_MS));
+        }
+        self
+    }
+
     /// Adds daemons that lose their paths to all endpoints, but for soaks of planned work only: one
     /// after the other, or all at once. Drawn from numbers of its own, too.
     pub fn with_cuts(self, rng: &mut Pcg32, length: Duration) -> Self {
@@ -366,6 +397,25 @@
     }
 }
 
+/// Draws how an endpoint writes its answers. If it may end at any moment, its answers have marks: the
+/// end of one without can't be told from that of a complete answer between two events.
+fn draw_form(rng: &mut Pcg32, lines: LineEnd, may_end: bool) -> Form {
+    let framings = [Framing::Chunks, Framing::Length, Framing::None];
+    let count = framings.len() - usize::from(may_end);
+    let framing = framings[rng.random_range(0..count)];
+    let ends = [End::Closed, End::HalfClosed, End::Reset, End::Marked];
+    let places = [Place::Middle, Place::FirstLine, Place::BeforeEnd];
+    let ending = Ending::new(framing).with_end(ends[rng.random_range(0..ends.len())]);
+    Form {
+        ending: Some(ending),
+        lines,
+        cut_event: rng.random_bool(0.5).then(|| rng.random_range(1..=6)),
+        cut_place: places[rng.random_range(0..places.len())],
+        cuts_streams_only: true,
+        ..Form::DEFAULT
+    }
+}
+
 fn harm(rng: &mut Pcg32) -> Harm {
     match rng.random_range(0..5) {
         0 => Harm::Delay(Duration::from_millis(rng.random_range(10..200))),
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Debug;
-use medlarrill_platform_standin::{Arrival, Behaviour, Endpoint, Ledger, Store, View};
+use medlarrill_platform_standin::{Arrival, Behaviour, Endpoint, Form, Ledger, Store, View};
 use medlarrill_testkit::fleet::Program;
 use medlarrill_testkit::proxy::Proxy;
 use medlarrill_testkit::routed::{Routed, Setup, read};
@@ -120,6 +120,8 @@
     words: Vec<Words>,
     /// When endpoints were found to have ended.
     crashed: Vec<Option<Instant>>,
+    /// How each endpoint writes its answers.
+    pub forms: Vec<Form>,
     /// Whether there are two data centres and slow starts.
     places: bool,
     /// Until when endpoints have to be spared.
@@ -157,6 +159,7 @@
             births: vec![plan.births.then_some(FIRST_BIRTH); plan.endpoints],
             words: vec![Words::default(); plan.endpoints],
             crashed: vec![None; plan.endpoints],
+            forms: plan.forms.clone(),
             places: plan.places,
             warming: vec![None; plan.endpoints],
             balancer: tokio::spawn(async {}),
--- a/crates/lab/src/soak/world/faults.rs
+++ b/crates/lab/src/soak/world/faults.rs
@@ -144,6 +144,7 @@
     pub(super) fn behave(&self, endpoint: usize, behaviour: Behaviour) {
         self.endpoints[endpoint].0.behave(Behaviour {
             crashes_on: Some(CRASHING),
+            form: self.forms[endpoint],
             ..behaviour
         });
     }
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -9,7 +9,7 @@
 
 use derive_more::Debug;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -37,7 +37,7 @@
     CutThere,
     /// Bytes towards the client vanish.
     CutBack,
-    /// Connections are closed, and new ones too.
+    /// Connections are reset, and new ones too.
     Reset,
 }
 
@@ -185,16 +185,18 @@
 }
 
 async fn carry(client: TcpStream, server: SocketAddr, mut harm: watch::Receiver<Harm>) {
+    let mut client = client;
     if *harm.borrow() == Harm::Reset {
+        client.set_zero_linger().ok();
         return;
     }
-    let Ok(server) = TcpStream::connect(server).await else {
+    let Ok(mut server) = TcpStream::connect(server).await else {
         return;
     };
     client.set_nodelay(true).ok();
     server.set_nodelay(true).ok();
-    let (client_in, client_out) = client.into_split();
-    let (server_in, server_out) = server.into_split();
+    let (client_in, client_out) = client.split();
+    let (server_in, server_out) = server.split();
     // Bytes that vanished leave a hole, after which nothing more may be carried.
     let holed = Arc::new(std::sync::atomic::AtomicBool::new(false));
     let there = copy(
@@ -206,21 +208,30 @@
     );
     let back = copy(server_in, client_out, Way::Back, harm.clone(), holed);
     let reset = async { harm.wait_for(|harm| *harm == Harm::Reset).await.map(|_| ()) };
-    tokio::select! {
-        _ = reset => {}
-        _ = async { tokio::join!(there, back) } => {}
+    let is_broken = tokio::select! {
+        _ = reset => true,
+        carried = async { tokio::try_join!(there, back) } => carried.is_err(),
+    };
+    if is_broken {
+        client.set_zero_linger().ok();
+        server.set_zero_linger().ok();
     }
 }
 
+/// Copies one way until that side is closed in order; fails if it is reset, or after a hole.
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     way: Way,
     mut harm: watch::Receiver<Harm>,
     holed: Arc<std::sync::atomic::AtomicBool>,
-) {
+) -> std::io::Result<()> {
     let mut buffer = vec![0; BUFFER];
-    while let Ok(length @ 1..) = from.read(&mut buffer).await {
+    loop {
+        let length = from.read(&mut buffer).await?;
+        if length == 0 {
+            break;
+        }
         // Without a sender the proxy has ended.
         harm.wait_for(|harm| *harm != Harm::Hold).await.ok();
         let harm = *harm.borrow();
@@ -239,9 +250,10 @@
         if let Harm::Delay(span) = harm {
             tokio::time::sleep(span).await;
         }
-        if to.write_all(&buffer[..length]).await.is_err() {
-            return;
-        }
+        to.write_all(&buffer[..length]).await?;
+    }
+    match holed.load(std::sync::atomic::Ordering::Relaxed) {
+        true => Err(std::io::ErrorKind::ConnectionReset.into()),
+        false => to.shutdown().await,
     }
-    to.shutdown().await.ok();
 }
