--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -275,7 +275,9 @@
         Fault::Drain(endpoint, _)
         | Fault::Unlist(endpoint, _)
         | Fault::Foreign(endpoint, ..)
-        | Fault::Restart(endpoint) => {
+        | Fault::Restart(endpoint)
+        | Fault::Warm(endpoint, _)
+        | Fault::Leave(endpoint, _) => {
             let end = done.end();
             *endpoint == number && end > leaving.from && end < at
         }
