An end without mark counts against a request only with lost connections, not with refused ones

Found by reading the diff: requests whose answers had ended without a mark within a second were held against a request as soon as a connection to their endpoint could not be made. A daemon that loses its paths to three endpoints would so have put a request that is often sent, and that all of them had answered, into the quarantine of the whole fleet.

Lost connections count, as before with the guards against the daemon's own link, and only within the 0.2 s in which a process that ends loses them all. After a stream without any event, whose orderly close shows that the path works, the daemon still connects to find out.

--- a/crates/core/src/body_end.rs
+++ b/crates/core/src/body_end.rs
@@ -11,16 +11,14 @@
 /// How the end of a body is marked.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Default)]
 #[derive(Debug, Display)]
+#[display("{}", self.code())]
 pub enum Framing {
     /// By its length, or by a status or method that allows no body.
-    #[display("length")]
     Length,
     /// By a last chunk.
-    #[display("chunks")]
     Chunks,
     /// By nothing but the end of its connection.
     #[default]
-    #[display("close")]
     Close,
 }
 
@@ -55,24 +53,19 @@
 /// How a body ended.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Debug, Display)]
+#[display("{}", self.code())]
 pub enum BodyEnd {
     /// Complete, by its mark.
-    #[display("marked")]
     Marked,
     /// Its connection was closed in order, and nothing tells that the body isn't complete.
-    #[display("closed")]
     Closed,
     /// Truncated: within an event of a stream.
-    #[display("within-event")]
     WithinEvent,
     /// Truncated: before any event of a stream, without a mark.
-    #[display("no-event")]
     NoEvent,
     /// Its connection failed, or ended before the mark.
-    #[display("broken")]
     Broken,
     /// Nothing came in time.
-    #[display("stalled")]
     Stalled,
 }
 
--- a/crates/core/src/routing/unmarked.rs
+++ b/crates/core/src/routing/unmarked.rs
@@ -1,7 +1,8 @@
 //! Remembers requests whose response ended without a mark.
 //!
 //! An endpoint that fails may close its connections in order, as one does that has completed a
-//! response. If it turns out to be gone a moment later, it was lost with these requests.
+//! response. If other connections to it were lost at that moment, it was lost with these requests,
+//! too.
 
 use std::collections::VecDeque;
 
@@ -10,10 +11,12 @@
 use crate::clock::Millis;
 use crate::routing::endpoint::InstanceId;
 use crate::routing::fingerprint::Fingerprint;
+use crate::routing::reach::LOSS_WINDOW;
 
-/// Time after the end of a response within which its endpoint is found to be gone by the next
-/// request that is sent there.
-const WINDOW: Millis = Millis(1000);
+/// Time after the end of a response within which the loss of its endpoint counts against its
+/// request. An endpoint that fails loses its connections within [`LOSS_WINDOW`], and a loss is
+/// recorded that much later.
+const WINDOW: Millis = Millis(2 * LOSS_WINDOW.0);
 /// Requests that are remembered.
 const REQUESTS_MAX: usize = 512;
 
@@ -44,7 +47,7 @@
         });
     }
 
-    /// Takes the requests with which an endpoint was lost that is gone now.
+    /// Takes the requests that were lost with an endpoint whose connections are lost now.
     pub fn take_lost(&mut self, id: &InstanceId, now: Millis) -> Vec<Fingerprint> {
         self.expire(now);
         let mut lost = Vec::new();
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -236,10 +236,10 @@
     }
 
     /// Records that an endpoint was lost with the requests whose response had just ended without a
-    /// mark, if a fault shows that it is gone.
+    /// mark, if a fault shows that its connections were lost. A connection that can't be made may be
+    /// this daemon's own fault.
     fn record_lost(&mut self, id: &InstanceId, fault: Fault, now: Millis) -> Vec<Change> {
-        let is_gone = fault.is_loss() || matches!(fault, Fault::NotSent | Fault::OtherEndpoint);
-        if !is_gone {
+        if !fault.is_loss() {
             return Vec::new();
         }
         let endpoint = exchange::short_id(id);
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -121,28 +121,24 @@
             placement.record_failure(id, fault, now);
         }
         if fault == Fault::NoEvent {
-            placement.record_unmarked(plan, id, now);
-            self.check_endpoint(id);
+            self.check_endpoint(plan, id);
         }
     }
 
-    /// Connects to an endpoint that closed a connection too early, to learn whether it is gone.
-    fn check_endpoint(&self, id: &InstanceId) {
+    /// Connects to an endpoint that ended a response too early, to learn whether it is gone. If so,
+    /// it was lost with the request.
+    fn check_endpoint(&self, plan: &RetryPlan, id: &InstanceId) {
         let Some(endpoint) = self.shared.placement.open_endpoint(id) else {
             return;
         };
-        let shared = Arc::clone(&self.shared);
+        let (shared, plan, ended_at) = (Arc::clone(&self.shared), plan.clone(), now());
         tokio::spawn(async move {
             tokio::time::sleep(EXIT_TIME.as_duration()).await;
-            if shared
-                .connections
-                .paths()
-                .connect_for_check(&endpoint)
-                .await
-                .is_err()
-            {
-                let placement = &shared.placement;
-                placement.record_failure(&endpoint.id, Fault::NotSent, now());
+            let (paths, id) = (shared.connections.paths(), &endpoint.id);
+            let connected = paths.connect_for_check(&endpoint).await;
+            if connected.is_err() && !paths.is_own_loss(id, ended_at) {
+                shared.placement.record_failure(id, Fault::NotSent, now());
+                shared.placement.record_loss(&plan, id, ended_at);
             }
         });
     }
