Ends of bodies: one place for empty bodies and for connections that are kept; no behaviour changed

Read again: that a body known to be empty needs no mark stood in the router and in net, now in Framing::of_body; whether a connection may be kept after a response stood in the relay and in the dispatch, now in RoutedRequest::release; probes use the same connection for a check. The tracker of events kept three ways in which a line may end, and asked for one of them only: a flag.

--- a/crates/core/src/body_end.rs
+++ b/crates/core/src/body_end.rs
@@ -23,6 +23,14 @@
 }
 
 impl Framing {
+    /// The framing of a body that may be known to be empty from its head, which needs no mark.
+    pub const fn of_body(self, is_empty: bool) -> Self {
+        match is_empty {
+            true => Self::Length,
+            false => self,
+        }
+    }
+
     /// Whether a mark tells a complete body from one whose connection ended early.
     pub const fn is_marked(self) -> bool {
         !matches!(self, Self::Close)
--- a/crates/core/src/routing/events/tracker.rs
+++ b/crates/core/src/routing/events/tracker.rs
@@ -11,16 +11,6 @@
 const MAX_LINE: usize = 64;
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
-/// How a line ended.
-#[derive(Clone, Copy, PartialEq, Eq, Default)]
-#[derive(Debug)]
-enum LineEnd {
-    #[default]
-    LineFeed,
-    CarriageReturn,
-    Both,
-}
-
 /// State of the current event.
 #[derive(Clone, Copy, PartialEq, Eq, Default)]
 #[derive(Debug)]
@@ -40,8 +30,8 @@
 pub(super) struct EventTracker {
     /// First bytes of the current line.
     line: Vec<u8>,
-    /// How the last line ended.
-    line_end: LineEnd,
+    /// Whether the last line ended with a carriage return and a line feed.
+    after_both: bool,
     /// Whether the last byte was a carriage return, so that a line feed belongs to it.
     after_return: bool,
     event: EventState,
@@ -114,7 +104,7 @@
     fn read_line(&mut self, bytes: &[u8]) -> usize {
         if self.after_return && bytes[0] == b'\n' {
             self.after_return = false;
-            self.line_end = LineEnd::Both;
+            self.after_both = true;
             if self.event == EventState::Ending {
                 self.end_event();
             }
@@ -133,17 +123,13 @@
     }
 
     fn end_line(&mut self) {
-        let last_end = self.line_end;
-        self.line_end = match self.after_return {
-            true => LineEnd::CarriageReturn,
-            false => LineEnd::LineFeed,
-        };
+        let ends_with_both = std::mem::take(&mut self.after_both);
         let line = std::mem::take(&mut self.line);
         let text = line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(&line);
         match text.first() {
             None if self.event == EventState::None => {}
             // In a stream whose lines end with both, the event lasts until the line feed.
-            None if self.after_return && last_end == LineEnd::Both => {
+            None if self.after_return && ends_with_both => {
                 self.event = EventState::Ending;
             }
             None => self.end_event(),
--- a/crates/net/src/http/body.rs
+++ b/crates/net/src/http/body.rs
@@ -41,10 +41,7 @@
 
 impl Body {
     pub(crate) fn new(response: Response<Incoming>, first_deadline: Instant, gap: Millis) -> Self {
-        let framing = match response.body().is_end_stream() {
-            true => Framing::Length,
-            false => framing(response.headers()),
-        };
+        let framing = framing(response.headers()).of_body(response.body().is_end_stream());
         let is_stream = is_event_stream(response.headers());
         let events = is_stream.then(EventSplitter::default);
         Self {
--- a/crates/router/src/endpoints/paths.rs
+++ b/crates/router/src/endpoints/paths.rs
@@ -370,7 +370,7 @@
         let endpoints = self.placement.sample(PROBES);
         let probes = endpoints
             .iter()
-            .map(|endpoint| self.open(endpoint, PROBE_TIMEOUT));
+            .map(|endpoint| self.connect_for_check(endpoint));
         futures_util::future::join_all(probes).await;
     }
 
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -275,10 +275,7 @@
     if let Some((fault, cause)) = decoded.fault(&routed.call.attempt) {
         return Err(FailedAttempt::new(fault, cause));
     }
-    let framing = match body.is_end_stream() {
-        true => Framing::Length,
-        false => decoded.framing,
-    };
+    let framing = decoded.framing.of_body(body.is_end_stream());
     let headers = headers::to_caller(&head.headers);
     if head.status == StatusCode::OK && decoded.events {
         return Ok(Dispatched::Stream(Box::new(OpenStream {
@@ -293,10 +290,7 @@
     }
     let left = plan.deadline().since(now()) + DEADLINE_GRACE;
     let body = FullBody::read(body, framing, decoded.events, left).await?;
-    if framing.is_marked() {
-        let limit = routed.idle_limit();
-        sent.connection.release(decoded.keep_alive, limit);
-    }
+    routed.release(sent.connection, framing, decoded.keep_alive);
     let answer = FullAnswer {
         status: head.status,
         headers,
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -215,10 +215,7 @@
         if let Some(source) = self.source.take() {
             let routed = &self.routed;
             routed.record_complete(&self.plan, &source.endpoint, end);
-            if source.framing.is_marked() {
-                let limit = self.routed.idle_limit();
-                source.connection.release(source.idle_timeout, limit);
-            }
+            routed.release(source.connection, source.framing, source.idle_timeout);
         }
     }
 }
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -8,7 +8,7 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{Method, Request, Uri};
 use http_body_util::Full;
-use medlarrill_core::body_end::BodyEnd;
+use medlarrill_core::body_end::{BodyEnd, Framing};
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::PoolId;
 use medlarrill_core::routing::ablation::{Mechanism, is_on};
@@ -23,7 +23,7 @@
 use medlarrill_net::now::now;
 use medlarrill_platform::headers::{self, Outgoing};
 
-use crate::endpoints::idle_limit;
+use crate::endpoints::{LeasedConnection, idle_limit};
 use crate::shared::Shared;
 
 /// Time in which a process that ends closes its sockets.
@@ -68,8 +68,21 @@
         rank.unwrap_or(self.route.priority)
     }
 
+    /// Returns the connection of a response that was read to its end to the pool, unless the end of
+    /// the connection ended the response. `idle_timeout` is what the endpoint announced.
+    pub fn release(
+        &self,
+        connection: LeasedConnection,
+        framing: Framing,
+        idle_timeout: Option<Millis>,
+    ) {
+        if framing.is_marked() {
+            connection.release(idle_timeout, self.idle_limit());
+        }
+    }
+
     /// Maximum number of idle connections that this daemon keeps to each endpoint of the pool.
-    pub fn idle_limit(&self) -> usize {
+    fn idle_limit(&self) -> usize {
         let pool = self.config.pools.get(&self.pool);
         let connections = pool.map_or(0, |pool| pool.connections);
         idle_limit(connections, self.shared.placement.daemon_count())
