--- a/crates/core/tests/routing/reach.rs
+++ b/crates/core/tests/routing/reach.rs
@@ -60,24 +60,30 @@
     assert_that!(reach.path(&endpoint(9), at(500)), eq(Path::CutOff));
 }
 
-#[test]
-fn endpoints_that_fail_one_by_one_or_beside_others_that_answer_cut_nobody_off() {
+/// A daemon that hears endpoints, five of which it can't connect to.
+fn five_unreached() -> Reach {
     let mut reach = heard();
-    for number in 0..KNOWN {
-        let now = at(600 * number as u64);
+    for number in 0..5 {
+        reach.record_heard(at(1000));
         assert_that!(
-            reach.record_unconnected(&endpoint(number), KNOWN, now),
+            reach.record_unconnected(&endpoint(number), KNOWN, at(1000)),
             none()
         );
     }
+    reach
+}
+
+#[test]
+fn endpoints_that_fail_one_by_one_or_beside_others_that_answer_cut_nobody_off() {
     let mut reach = heard();
-    for number in 0..5 {
-        reach.record_heard(at(1000));
+    for number in 0..KNOWN {
+        let now = at(600 * number as u64);
         assert_that!(
-            reach.record_unconnected(&endpoint(number), KNOWN, at(1000)),
+            reach.record_unconnected(&endpoint(number), KNOWN, now),
             none()
         );
     }
+    let mut reach = five_unreached();
     assert_that!(reach.record_connected(&endpoint(12), at(1000)), none());
     assert_that!(
         reach.record_unconnected(&endpoint(5), KNOWN, at(1000)),
@@ -87,14 +93,7 @@
 
 #[test]
 fn a_daemon_whose_older_connections_live_on_is_cut_off_if_it_reaches_none_of_six() {
-    let mut reach = heard();
-    for number in 0..5 {
-        reach.record_heard(at(1000));
-        assert_that!(
-            reach.record_unconnected(&endpoint(number), KNOWN, at(1000)),
-            none()
-        );
-    }
+    let mut reach = five_unreached();
     reach.record_unconnected(&endpoint(5), KNOWN, at(1000));
     assert_that!(reach.is_cut_off(), eq(true));
     assert_that!(reach.trusts_idle(false, at(1000)), eq(true));
--- a/crates/daemon/tests/route/crash.rs
+++ b/crates/daemon/tests/route/crash.rs
@@ -17,17 +17,8 @@
 
 const CRASHING: &[u8] = b"crashing";
 const FRAGILE: Behaviour = Behaviour {
-    room: usize::MAX,
-    fails: 0.0,
-    full: 0.0,
-    hangs: 0.0,
-    drops: 0.0,
-    cuts: 0.0,
-    foreign: 0.0,
     crashes_on: Some(CRASHING),
-    events: 6,
-    pace: std::time::Duration::from_millis(10),
-    form: Form::DEFAULT,
+    ..Behaviour::DEFAULT
 };
 const DAEMONS: usize = 3;
 const ENDPOINTS: usize = 6;
