--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -16,5 +16,6 @@
     mod stop;
     mod store;
     mod tunnel;
+    mod versions;
     mod whose_word;
 }
--- a/crates/daemon/tests/route/setup.rs
+++ b/crates/daemon/tests/route/setup.rs
@@ -63,6 +63,15 @@
         }
     }
 
+    /// Starts an endpoint that behaves in a way, and lists it.
+    pub async fn add_endpoint(&mut self, id: &str, behaviour: Behaviour) {
+        let endpoint = Endpoint::start(id, self.ledger.clone(), self.endpoints.len() as u64);
+        let endpoint = endpoint.await.expect("an endpoint");
+        endpoint.behave(behaviour);
+        self.store.put("servers", id, endpoint.entry(POOL, "ready"));
+        self.endpoints.push(endpoint);
+    }
+
     /// Starts a daemon that is told of others.
     pub fn add_daemon(&mut self, seeds: &[usize]) {
         self.add_daemon_behind(seeds, self.store.address());
@@ -144,6 +153,20 @@
             .await;
     }
 
+    /// Waits until all daemons know of each other, from the exchange or the platform's list.
+    pub async fn until_all_live(&self, daemons: usize) {
+        let live = format!("\"live\":{daemons}");
+        let listed = format!("\"count\":{daemons},\"part\"");
+        for daemon in 0..daemons {
+            let knows = || {
+                let lines = self.daemons[daemon].lines();
+                let knows = |line: &String| line.contains(&live) || line.contains(&listed);
+                lines.iter().any(knows)
+            };
+            self.wait(daemon, "all daemons", knows).await;
+        }
+    }
+
     async fn wait(&self, daemon: usize, what: &str, is_so: impl Fn() -> bool) {
         let waiting = async {
             while !is_so() {
