--- a/crates/core/benches/choose.rs
+++ b/crates/core/benches/choose.rs
@@ -43,6 +43,7 @@
         let endpoint = Endpoint {
             id: id.clone(),
             pool: pool(),
+            build: "v1".into(),
             address: ([10, 0, 0, 1], 8080).into(),
             data_centre: name(&format!("dc-{}", number % 3)),
             slots: 64,
--- a/crates/core/benches/listing.rs
+++ b/crates/core/benches/listing.rs
@@ -37,6 +37,7 @@
     Endpoint {
         id: id(number),
         pool: name("pool"),
+        build: "v1".into(),
         address: ([10, 0, 0, 1], 8080).into(),
         data_centre: name(&format!("dc-{}", number % 5)),
         slots: 16,
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -35,5 +35,6 @@
 pub mod request;
 pub mod slow_start;
 pub mod stop;
+pub mod streams;
 pub mod unmarked;
 pub mod view;
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -81,6 +81,12 @@
         !self.endpoint.leaving && !self.drained
     }
 
+    /// Whether another endpoint can use what this one has cached: software versions differ in how
+    /// they write it.
+    fn fits(&self, other: &Self) -> bool {
+        self.endpoint.build == other.endpoint.build
+    }
+
     /// Whether it may be sent the request at all.
     fn is_open(&self) -> bool {
         self.takes_work() && !self.tried && self.allowance.is_open()
@@ -269,8 +275,9 @@
             false => ChoiceReason::Next,
         };
         let moved = !is(self.holder);
+        let holder = self.holder.filter(|holder| holder.fits(picked));
         let source = match is_worth_fetching(prefix) && is_on(Mechanism::Fetch) {
-            true if moved => other_holder(&self.others, picked).or(self.holder),
+            true if moved => other_holder(&self.others, picked).or(holder),
             true if picked.prefix_age.is_none() => other_holder(&self.others, picked),
             _ => None,
         };
@@ -303,6 +310,7 @@
 fn other_holder<'a>(all: &[&'a Candidate], picked: &Candidate) -> Option<&'a Candidate> {
     let candidates = all.iter().copied();
     let reachable = candidates.filter(|c| c.health != HealthStatus::Down && !c.tried);
+    let reachable = reachable.filter(|c| c.fits(picked));
     let others =
         reachable.filter(|c| !Arc::ptr_eq(&c.endpoint, &picked.endpoint) && c.prefix_age.is_some());
     others.min_by_key(|c| c.prefix_age)
--- a/crates/core/src/routing/directory.rs
+++ b/crates/core/src/routing/directory.rs
@@ -12,6 +12,7 @@
 use crate::clock::Millis;
 use crate::ids::{EndpointId, PoolId};
 use crate::routing::endpoint::{Endpoint, InstanceId};
+use crate::routing::streams::history::BuildHistory;
 
 pub use pool::{Listed, Pool};
 use short_ids::ShortIds;
@@ -24,6 +25,7 @@
     endpoints: HashMap<EndpointId, (Arc<Endpoint>, Millis), RandomState>,
     pools: HashMap<PoolId, Pool>,
     short_ids: ShortIds,
+    builds: BuildHistory,
 }
 
 impl Directory {
@@ -75,6 +77,16 @@
         (endpoint.id == *id).then_some(*since)
     }
 
+    /// The software versions that serve in each pool, and those that served lately.
+    pub const fn builds(&self) -> &BuildHistory {
+        &self.builds
+    }
+
+    /// The same, to be changed.
+    pub const fn builds_mut(&mut self) -> &mut BuildHistory {
+        &mut self.builds
+    }
+
     /// Number of listed endpoints.
     pub fn len(&self) -> usize {
         self.endpoints.len()
@@ -97,6 +109,8 @@
         let endpoint = Arc::new(endpoint);
         let pool = self.pools.entry(endpoint.pool.clone()).or_default();
         pool.insert(Arc::clone(&endpoint), since);
+        self.builds
+            .record_listed(&endpoint.pool, &endpoint.build, now);
         self.short_ids.insert(Arc::clone(&endpoint));
         self.endpoints.insert(name, (endpoint, since));
         true
@@ -122,6 +136,7 @@
             pool.remove(&old.id);
         }
         self.short_ids.remove(&old.id);
+        self.builds.record_unlisted(&old.pool, &old.build);
         true
     }
 }
--- a/crates/core/src/routing/directory/pool.rs
+++ b/crates/core/src/routing/directory/pool.rs
@@ -8,7 +8,7 @@
 use crate::clock::Millis;
 use crate::ids::DataCentreId;
 use crate::placement::Node;
-use crate::routing::endpoint::{Endpoint, InstanceId};
+use crate::routing::endpoint::{Build, Endpoint, InstanceId};
 
 /// Endpoints of one pool, sorted by id.
 #[derive(Clone, Default)]
@@ -17,6 +17,8 @@
     endpoints: BTreeMap<InstanceId, Listed>,
     /// Number of endpoints in each data centre that aren't leaving.
     staying: HashMap<DataCentreId, usize>,
+    /// The same of each software version.
+    builds: HashMap<Build, usize>,
 }
 
 /// A listed endpoint.
@@ -63,10 +65,16 @@
         self.staying.get(data_centre).copied().unwrap_or_default()
     }
 
+    /// The same of one software version.
+    pub fn staying_of(&self, build: &Build) -> usize {
+        self.builds.get(build).copied().unwrap_or_default()
+    }
+
     pub(super) fn insert(&mut self, endpoint: Arc<Endpoint>, since: Millis) {
         if !endpoint.leaving {
             let data_centre = endpoint.data_centre.clone();
             *self.staying.entry(data_centre).or_default() += 1;
+            *self.builds.entry(endpoint.build.clone()).or_default() += 1;
         }
         let listed = Listed {
             node: Node::new((), endpoint.id.endpoint.as_str()),
@@ -79,10 +87,17 @@
     pub(super) fn remove(&mut self, id: &InstanceId) {
         let removed = self.endpoints.remove(id);
         let staying = removed.filter(|removed| !removed.endpoint.leaving);
-        if let Some(Listed { endpoint, .. }) = staying
-            && let Some(count) = self.staying.get_mut(&endpoint.data_centre)
-        {
+        let Some(Listed { endpoint, .. }) = staying else {
+            return;
+        };
+        if let Some(count) = self.staying.get_mut(&endpoint.data_centre) {
+            *count -= 1;
+        }
+        if let Some(count) = self.builds.get_mut(&endpoint.build) {
             *count -= 1;
+            if *count == 0 {
+                self.builds.remove(&endpoint.build);
+            }
         }
     }
 }
--- a/crates/core/src/routing/endpoint.rs
+++ b/crates/core/src/routing/endpoint.rs
@@ -1,6 +1,9 @@
 //! Endpoints as the platform lists them.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::Arc;
 
 use derive_more::{Debug, Display, FromStr};
 use serde::Deserialize;
@@ -13,6 +16,33 @@
 #[derive(Debug, Display, FromStr)]
 pub struct StartTime(pub u64);
 
+/// Software version of an endpoint. Versions have no order, and several may serve side by side.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
+#[debug("{self}")]
+pub struct Build(Arc<str>);
+
+impl From<&str> for Build {
+    fn from(name: &str) -> Self {
+        Self(name.into())
+    }
+}
+
+impl FromStr for Build {
+    type Err = Infallible;
+
+    fn from_str(name: &str) -> Result<Self, Infallible> {
+        Ok(name.into())
+    }
+}
+
+impl Build {
+    /// Its name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
 /// One run of an endpoint's process. An endpoint that restarts under the same id has lost its
 /// cache, queue and connections, so that no state of one instance applies to another.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -41,6 +71,8 @@
     pub id: InstanceId,
     /// The pool that it serves.
     pub pool: PoolId,
+    /// Its software version.
+    pub build: Build,
     /// Address that it listens on.
     pub address: SocketAddr,
     /// Data centre that it runs in.
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -7,7 +7,7 @@
 use crate::routing::ablation::{Mechanism, is_on};
 use crate::routing::attempt::Fault;
 use crate::routing::config::{RetryPolicy, Route};
-use crate::routing::endpoint::InstanceId;
+use crate::routing::endpoint::{Build, InstanceId};
 use crate::routing::fingerprint::Fingerprint;
 
 /// Maximum number of retries after attempts that certainly didn't run; these don't count towards
@@ -47,6 +47,10 @@
         /// Time after which the caller may retry.
         wait: Millis,
     },
+    /// The stream can't go on: the software version that began it isn't known, or has no endpoint
+    /// that takes work; this attempt didn't run and won't.
+    #[display("not-resumable")]
+    NotResumable,
     /// It may have run, but no complete response arrived.
     #[display("unknown")]
     Unknown,
@@ -81,6 +85,8 @@
     possibly_run: u32,
     sent: u32,
     tried: Vec<InstanceId>,
+    /// The only software version at which it may run, once that is fixed.
+    build: Option<Build>,
 }
 
 impl RetryPlan {
@@ -96,6 +102,7 @@
             possibly_run: 0,
             sent: 0,
             tried: Vec::new(),
+            build: None,
         }
     }
 
@@ -105,6 +112,26 @@
         self
     }
 
+    /// Restricts further attempts to a software version.
+    pub fn bind(&mut self, build: Build) {
+        self.build = Some(build);
+    }
+
+    /// The only software version at which it may run, once that is fixed.
+    pub const fn build(&self) -> Option<&Build> {
+        self.build.as_ref()
+    }
+
+    /// Whether it may run at a software version.
+    pub fn accepts(&self, build: &Build) -> bool {
+        self.build.as_ref().is_none_or(|only| only == build)
+    }
+
+    /// Whether its first event will decide where its stream may go on.
+    pub fn begins_resumable(&self) -> bool {
+        self.retry == RetryPolicy::Resume && self.build.is_none()
+    }
+
     /// Fingerprint of the request, if known.
     pub const fn fingerprint(&self) -> Option<Fingerprint> {
         self.fingerprint
@@ -173,6 +200,7 @@
     /// The refusal if there is no endpoint to send the request to; `late` if the deadline is over.
     pub fn refusal(&self, late: bool) -> Refusal {
         match (self.possibly_run > 0, late) {
+            (false, _) if self.build.is_some() => Refusal::NotResumable,
             (false, _) => Refusal::NotRun,
             (true, true) => Refusal::Timeout,
             (true, false) => Refusal::Unknown,
--- a/crates/core/src/routing/request.rs
+++ b/crates/core/src/routing/request.rs
@@ -43,9 +43,17 @@
     pub parts: Vec<PromptPart>,
     /// Id of the last event of a stream that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of a stream that the caller takes up; empty
+    /// if it can't be read.
+    pub resumes: Option<String>,
 }
 
 impl RequestHead {
+    /// Whether the caller takes up a stream of which it has received events.
+    pub const fn is_take_up(&self) -> bool {
+        self.last_event.is_some() || self.resumes.is_some()
+    }
+
     /// The shared prefix of the prompt, if it has one.
     pub fn shared(&self) -> Option<SharedPrefix> {
         let (_, shared) = self.parts.split_last()?;
--- /dev/null
+++ b/crates/core/src/routing/streams.rs
@@ -0,0 +1,63 @@
+//! Which software version began a stream, and where the stream may go on.
+//!
+//! What two software versions write doesn't fit together, and endpoints don't
+//! check it: a stream may go on only at the version that began it. The daemon
+//! that passes on its first event records the version ([`memory`]) and tells a few
+//! other daemons, ranked by a hash of the stream ([`holders`]). A daemon that is
+//! asked to go on with a stream that it doesn't know asks the same ones. Where
+//! none of them knows it, the version is certain only if the pool has had a
+//! single one for longer than a stream lives ([`history`]); otherwise the
+//! request is refused ([`lookup`]).
+
+pub mod history;
+pub mod holders;
+pub mod lookup;
+pub mod memory;
+pub mod message;
+
+use derive_more::{Debug, Display};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::ids::{AccountId, PoolId};
+use crate::routing::endpoint::Build;
+
+/// Identifies a stream over all attempts of its caller: a hash of the client account, the host and
+/// the path of its requests, and the id of the attempt that brought its first event. Another
+/// account's requests never have the same key, whatever ids they name.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
+#[debug("{self}")]
+#[display("{_0:016x}")]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// The key of a stream; `path` doesn't include the query.
+    pub fn new(account: Option<&AccountId>, host: &str, path: &str, attempt: &str) -> Self {
+        let account = account.map_or("", AccountId::as_str);
+        Self(hash([account, host, path, attempt]))
+    }
+}
+
+/// A pool and a software version, hashed for messages between daemons.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
+#[debug("{self}")]
+#[display("{_0:016x}")]
+pub struct Origin(pub u64);
+
+impl Origin {
+    /// The origin of streams that endpoints of this version in this pool begin.
+    pub fn new(pool: &PoolId, build: &Build) -> Self {
+        Self(hash([pool.as_str(), build.as_str()]))
+    }
+}
+
+fn hash<const N: usize>(parts: [&str; N]) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        // Hashing the lengths distinguishes parts that are equal when concatenated.
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part.as_bytes());
+    }
+    hash.digest()
+}
--- /dev/null
+++ b/crates/core/src/routing/streams/history.rs
@@ -0,0 +1,151 @@
+//! The software versions that serve in each pool, and those that served lately.
+
+use std::collections::{BTreeMap, HashMap};
+
+use derive_more::Debug;
+
+use super::Origin;
+use crate::clock::Millis;
+use crate::ids::PoolId;
+use crate::routing::endpoint::Build;
+
+/// Time for which a version counts as one that streams may have begun at after its last endpoint
+/// has left the list: longer than callers wait for a stream, and than daemons that lag behind the
+/// list send requests there.
+pub const STREAM_LIFETIME: Millis = Millis::from_secs(20);
+/// Age of the list up to which a single version is certain. Copies of the list reach 2.4 s while
+/// the platform holds a call.
+pub const FRESH_LIST: Millis = Millis(3000);
+/// Time before the first stream begins at a new version while another one serves: until then no
+/// daemon with a fresh list still takes the other one for the only one.
+const NEW_BUILD_PAUSE: Millis = Millis(4000);
+/// Time since the first entry within which listed versions aren't new: the first list arrives in
+/// parts.
+const FIRST_LIST: Millis = Millis(1000);
+
+/// When the versions of each pool were listed.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct BuildHistory {
+    pools: HashMap<PoolId, BTreeMap<Build, Span>>,
+    /// When the first endpoint was listed.
+    began: Option<Millis>,
+    /// Whether the fleet began with this process, so that nothing was listed before.
+    is_first: bool,
+}
+
+/// A version of one pool.
+#[derive(Clone, Copy, Default)]
+#[derive(Debug)]
+struct Span {
+    /// Endpoints that are listed.
+    listed: usize,
+    /// When it was first listed; none if that was in the first list.
+    since: Option<Millis>,
+    /// When it was first seen without endpoints, unless it has some.
+    until: Option<Millis>,
+}
+
+impl Span {
+    fn is_recent(&self, now: Millis) -> bool {
+        let left = self.until.filter(|_| self.listed == 0);
+        left.is_none_or(|until| now.since(until) < STREAM_LIFETIME)
+    }
+
+    fn is_new(&self, now: Millis) -> bool {
+        let since = self.since.filter(|_| self.listed > 0);
+        since.is_some_and(|since| now.since(since) < NEW_BUILD_PAUSE)
+    }
+}
+
+/// What a daemon knows of the versions at which streams may have begun.
+#[derive(Clone, PartialEq, Eq, Default)]
+#[derive(Debug)]
+pub struct BuildEvidence {
+    /// Whether it would know of each version that served within the lifetime of a stream.
+    pub is_complete: bool,
+    /// All versions that it knows to have served within that time.
+    pub recent: Vec<Origin>,
+}
+
+impl BuildHistory {
+    /// Marks this process as one of a fleet that starts for the first time.
+    pub const fn set_first(&mut self) {
+        self.is_first = true;
+    }
+
+    /// Records that an endpoint was listed.
+    pub fn record_listed(&mut self, pool: &PoolId, build: &Build, now: Millis) {
+        let began = *self.began.get_or_insert(now);
+        if !self.pools.contains_key(pool) {
+            self.pools.insert(pool.clone(), BTreeMap::new());
+        }
+        let Some(builds) = self.pools.get_mut(pool) else {
+            return;
+        };
+        if let Some(span) = builds.get_mut(build) {
+            span.listed += 1;
+            span.until = None;
+            return;
+        }
+        let since = (now.since(began) >= FIRST_LIST).then_some(now);
+        builds.insert(
+            build.clone(),
+            Span {
+                listed: 1,
+                since,
+                until: None,
+            },
+        );
+    }
+
+    /// Records that an endpoint isn't listed any more.
+    pub fn record_unlisted(&mut self, pool: &PoolId, build: &Build) {
+        let span = self.pools.get_mut(pool);
+        if let Some(span) = span.and_then(|builds| builds.get_mut(build)) {
+            span.listed = span.listed.saturating_sub(1);
+        }
+    }
+
+    /// Notes which versions have no endpoints left, and forgets those that left long ago.
+    pub fn review(&mut self, now: Millis) {
+        for builds in self.pools.values_mut() {
+            for span in builds.values_mut().filter(|span| span.listed == 0) {
+                span.until.get_or_insert(now);
+            }
+            builds.retain(|_, span| span.is_recent(now));
+        }
+    }
+
+    /// The versions of a pool at which streams may have begun that still live.
+    pub fn recent(&self, pool: &PoolId, now: Millis) -> impl Iterator<Item = &Build> {
+        let builds = self.pools.get(pool).into_iter().flatten();
+        let recent = builds.filter(move |(_, span)| span.is_recent(now));
+        recent.map(|(build, _)| build)
+    }
+
+    /// All versions that serve or served lately.
+    pub fn all(&self, now: Millis) -> impl Iterator<Item = (&PoolId, &Build)> {
+        let pools = self.pools.keys();
+        pools.flat_map(move |pool| self.recent(pool, now).map(move |build| (pool, build)))
+    }
+
+    /// The versions of a pool that were listed so lately that no stream begins there yet.
+    pub fn new_builds(&self, pool: &PoolId, now: Millis) -> Vec<Build> {
+        let builds = self.pools.get(pool).into_iter().flatten();
+        let new = builds.filter(|(_, span)| span.is_new(now));
+        new.map(|(build, _)| build.clone()).collect()
+    }
+
+    /// What this daemon knows by its own list.
+    pub fn evidence(&self, now: Millis) -> BuildEvidence {
+        let is_long = self
+            .began
+            .is_some_and(|began| now.since(began) >= STREAM_LIFETIME);
+        let recent = self.all(now).map(|(pool, build)| Origin::new(pool, build));
+        BuildEvidence {
+            is_complete: is_long || self.is_first && self.began.is_some(),
+            recent: recent.collect(),
+        }
+    }
+}
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -12,6 +12,7 @@
 mod notices;
 mod sharing;
 mod slow_starts;
+mod streams;
 
 use std::collections::{HashMap, HashSet};
 
--- a/crates/core/src/routing/view/choosing.rs
+++ b/crates/core/src/routing/view/choosing.rs
@@ -14,7 +14,7 @@
     Candidate, Choice, LazyPool, LoadSum, choose, choose_lazily, is_worth_fetching,
 };
 use crate::routing::directory::{Directory, Listed, Pool};
-use crate::routing::endpoint::{Endpoint, InstanceId};
+use crate::routing::endpoint::{Build, Endpoint, InstanceId};
 use crate::routing::exchange;
 use crate::routing::fleet::Fleet;
 use crate::routing::health::{Health, PoolFailures};
@@ -26,6 +26,10 @@
 use crate::routing::request::SharedPrefix;
 use crate::routing::slow_start::{Allowance, SlowStarts};
 
+/// Share of a pool's endpoints up to which those of new software versions wait for their first
+/// stream.
+const MAX_PAUSED: f64 = 0.25;
+
 impl View {
     /// Whether a pool has an untried endpoint other than `id` that takes new work.
     pub fn has_other(
@@ -44,6 +48,7 @@
         listed.endpoints().any(|endpoint| {
             let takes_work = !endpoint.leaving && !drained.contains(&endpoint.data_centre);
             let is_other = endpoint.id != *id && !plan.has_tried(&endpoint.id);
+            let is_other = is_other && plan.accepts(&endpoint.build);
             takes_work && is_other && allowances.get(&endpoint.id).is_open()
         })
     }
@@ -94,6 +99,42 @@
         now: Millis,
     ) -> Option<Choice> {
         let share = shared.map_or(0.0, |prefix| self.count_prefix(prefix));
+        let paused = self.paused_builds(pool, plan, now);
+        let choice = self.pick_of(pool, shared, share, plan, &paused, now);
+        if choice.is_some() || paused.is_empty() {
+            return choice;
+        }
+        self.pick_of(pool, shared, share, plan, &[], now)
+    }
+
+    /// The software versions at which a stream isn't begun yet. Those that have served for longer
+    /// take their requests meanwhile, unless few of their endpoints are left.
+    fn paused_builds(&self, pool: &PoolId, plan: &RetryPlan, now: Millis) -> Vec<Build> {
+        if !plan.begins_resumable() {
+            return Vec::new();
+        }
+        let new = self.directory.builds().new_builds(pool, now);
+        let Some(listed) = self.directory.get_pool(pool).filter(|_| !new.is_empty()) else {
+            return Vec::new();
+        };
+        let staying = listed.staying();
+        let paused: usize = new.iter().map(|build| listed.staying_of(build)).sum();
+        match paused as f64 <= MAX_PAUSED * staying as f64 {
+            true => new,
+            false => Vec::new(),
+        }
+    }
+
+    /// Chooses an endpoint of another software version than `paused`.
+    fn pick_of(
+        &mut self,
+        pool: &PoolId,
+        shared: Option<&SharedPrefix>,
+        share: f64,
+        plan: &RetryPlan,
+        paused: &[Build],
+        now: Millis,
+    ) -> Option<Choice> {
         let may_probe = plan.is_idempotent();
         let failures = self.failures(pool, now);
         let sums = shared.map(|_| self.load_sums(pool, now));
@@ -109,6 +150,7 @@
             allowances: Allowances::new(pool, notices, &mut self.slow_starts, fleet, now),
             daemons: self.daemons,
             plan,
+            paused,
             shared,
             failures,
             now,
@@ -284,6 +326,8 @@
     /// Live daemons, which share the probes of an avoided endpoint.
     daemons: u32,
     plan: &'a RetryPlan,
+    /// Software versions at which the request isn't begun.
+    paused: &'a [Build],
     shared: Option<&'a SharedPrefix>,
     failures: PoolFailures,
     now: Millis,
@@ -310,6 +354,9 @@
     }
 
     fn allowance(&mut self, endpoint: &Endpoint, load: f64) -> Allowance {
+        if !self.plan.accepts(&endpoint.build) || self.paused.contains(&endpoint.build) {
+            return Allowance::Nothing;
+        }
         let (fleet, now) = (self.allowances.fleet, self.now);
         let brittle = self.brittle.as_mut();
         match brittle.is_none_or(|brittle| brittle.accepts(endpoint, load, fleet, now)) {
--- a/crates/core/src/routing/view/health.rs
+++ b/crates/core/src/routing/view/health.rs
@@ -28,6 +28,7 @@
     /// the last review, or no longer.
     pub fn review(&mut self, now: Millis) -> Vec<HealthChange> {
         self.health.prune(now);
+        self.directory.builds_mut().review(now);
         let failed = self.health.recorded().chain(&self.avoided);
         let failed: BTreeSet<&InstanceId> = failed.collect();
         let mut changes = Vec::new();
--- /dev/null
+++ b/crates/core/src/routing/view/streams.rs
@@ -0,0 +1,59 @@
+//! Software versions of endpoints, for streams that go on elsewhere.
+
+use super::View;
+use crate::clock::Millis;
+use crate::ids::PoolId;
+use crate::routing::streams::history::BuildEvidence;
+use crate::routing::streams::lookup::Place;
+
+impl View {
+    /// Marks this daemon as one of a fleet that starts for the first time, so that no stream has
+    /// begun before.
+    pub const fn set_first_start(&mut self) {
+        self.directory.builds_mut().set_first();
+    }
+
+    /// The places in some pools at which streams may have begun that still live.
+    pub fn stream_places<'a>(
+        &self,
+        pools: impl Iterator<Item = &'a PoolId>,
+        now: Millis,
+    ) -> Vec<Place> {
+        let builds = |pool| self.directory.builds().recent(pool, now);
+        let places = pools.flat_map(|pool| {
+            builds(pool).map(|build| Place {
+                pool: pool.clone(),
+                build: build.clone(),
+            })
+        });
+        places.collect()
+    }
+
+    /// Whether an endpoint of this software version takes new work.
+    pub fn is_served(&self, place: &Place) -> bool {
+        let pool = self.directory.get_pool(&place.pool);
+        pool.is_some_and(|pool| {
+            let mut endpoints = pool.endpoints();
+            endpoints.any(|endpoint| endpoint.build == place.build && self.takes_work(endpoint))
+        })
+    }
+
+    /// What the list says of the software versions at which streams may have begun.
+    pub fn build_evidence(&self, now: Millis) -> BuildEvidence {
+        self.directory.builds().evidence(now)
+    }
+
+    /// Number of endpoints that aren't leaving, by pool and software version.
+    pub fn build_counts(&self, now: Millis) -> Vec<(Place, usize)> {
+        let builds = self.directory.builds().all(now);
+        let count = |(pool, build): (&PoolId, &_)| {
+            let place = Place {
+                pool: pool.clone(),
+                build: Clone::clone(build),
+            };
+            let listed = self.directory.get_pool(pool);
+            (place, listed.map_or(0, |pool| pool.staying_of(build)))
+        };
+        builds.map(count).collect()
+    }
+}
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -36,6 +36,7 @@
     mod slow_start;
     mod slow_start_ways;
     mod stop;
+    mod streams;
     mod support;
     mod unmarked;
     mod view;
--- /dev/null
+++ b/crates/core/tests/routing/streams.rs
@@ -0,0 +1,334 @@
+//! Which software version began a stream, and where it may go on.
+
+use googletest::prelude::*;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::AccountId;
+use medlarrill_core::routing::config::RetryPolicy;
+use medlarrill_core::routing::endpoint::{Build, Endpoint};
+use medlarrill_core::routing::plan::{Refusal, RetryPlan};
+use medlarrill_core::routing::streams::history::{BuildEvidence, BuildHistory};
+use medlarrill_core::routing::streams::holders::Holders;
+use medlarrill_core::routing::streams::lookup::{
+    LookupError, Place, Reply, single_place, told_origin,
+};
+use medlarrill_core::routing::streams::memory::StreamMemory;
+use medlarrill_core::routing::streams::message::{Answer, Began, Message, Question};
+use medlarrill_core::routing::streams::{Origin, StreamKey};
+use medlarrill_core::routing::view::View;
+
+use super::support::{endpoint, id, pool, prefix, route, view};
+
+fn origin(build: &str) -> Origin {
+    Origin::new(&pool(), &build.into())
+}
+
+fn place(build: &str) -> Place {
+    Place {
+        pool: pool(),
+        build: build.into(),
+    }
+}
+
+fn of_build(name: &str, build: &str) -> Endpoint {
+    Endpoint {
+        build: build.into(),
+        ..endpoint(name)
+    }
+}
+
+fn plan() -> RetryPlan {
+    RetryPlan::new(&route(RetryPolicy::Resume, 3), Millis(60_000))
+}
+
+fn bound_plan(build: &str) -> RetryPlan {
+    let mut plan = plan();
+    plan.bind(build.into());
+    plan
+}
+
+fn evidence(is_complete: bool, builds: &[&str]) -> BuildEvidence {
+    BuildEvidence {
+        is_complete,
+        recent: builds.iter().map(|build| origin(build)).collect(),
+    }
+}
+
+#[gtest]
+fn the_key_of_a_stream_depends_on_account_host_path_and_attempt() {
+    let account = |name: &str| -> AccountId { name.parse().expect("a name") };
+    let (a, b) = (account("a"), account("b"));
+    let key = StreamKey::new(Some(&a), "h", "/p/", "1");
+    expect_that!(key, eq(StreamKey::new(Some(&a), "h", "/p/", "1")));
+    for other in [
+        StreamKey::new(Some(&b), "h", "/p/", "1"),
+        StreamKey::new(None, "h", "/p/", "1"),
+        StreamKey::new(Some(&a), "i", "/p/", "1"),
+        StreamKey::new(Some(&a), "h", "/q/", "1"),
+        StreamKey::new(Some(&a), "h", "/p/", "2"),
+        StreamKey::new(Some(&a), "h", "/p", "/1"),
+    ] {
+        expect_that!(key, not(eq(other)));
+    }
+}
+
+#[gtest]
+fn a_stream_is_remembered_for_a_minute_after_it_was_last_recorded() {
+    let mut memory = StreamMemory::default();
+    memory.record(StreamKey(1), origin("v1"), Millis(0));
+    memory.record(StreamKey(2), origin("v2"), Millis(0));
+    memory.record(StreamKey(1), origin("v1"), Millis(30_000));
+    let at = Millis(70_000);
+    expect_that!(memory.get(StreamKey(1), at), some(some(eq(origin("v1")))));
+    expect_that!(memory.get(StreamKey(2), at), none());
+    memory.record(StreamKey(3), origin("v1"), at);
+    expect_that!(memory.len(), eq(2));
+}
+
+#[gtest]
+fn a_stream_with_two_origins_is_ambiguous() {
+    let mut memory = StreamMemory::default();
+    for build in ["v1", "v2", "v1"] {
+        memory.record(StreamKey(1), origin(build), Millis(0));
+    }
+    expect_that!(memory.get(StreamKey(1), Millis(0)), some(none()));
+}
+
+#[gtest]
+fn the_memory_is_bounded() {
+    let mut memory = StreamMemory::default();
+    for number in 0..150_000 {
+        memory.record(StreamKey(number), origin("v1"), Millis(number / 100));
+    }
+    expect_that!(memory.len(), le(100_000));
+    expect_that!(
+        memory.get(StreamKey(149_999), Millis(1500)),
+        some(anything())
+    );
+}
+
+#[gtest]
+fn daemons_that_know_most_of_the_same_others_ask_whom_they_told() {
+    let daemon = |number: u16| ([127, 0, 0, 1], number).into();
+    // Each leaves itself out, and one doesn't know a few others.
+    let teller = Holders::new((1..1000).map(daemon));
+    let asker = Holders::new((0..1000).filter(|n| *n != 500 && n % 50 != 7).map(daemon));
+    let keys = (0..1000).map(StreamKey);
+    let misses = keys.filter(|key| {
+        let asked = asker.asked(*key);
+        let told = teller.told(*key);
+        assert_that!(told.len(), eq(3));
+        !told.iter().any(|daemon| asked.contains(daemon))
+    });
+    expect_that!(misses.count(), le(1));
+}
+
+#[gtest]
+fn messages_are_read_as_they_were_written() {
+    let streams = [(StreamKey(1), origin("v1")), (StreamKey(2), origin("v2"))];
+    let messages = [
+        Message::Began(Began::new(&streams)),
+        Message::Question(Question::new(7, StreamKey(1))),
+        Message::Answer(Answer::new(7, Reply::Known(origin("v1")))),
+        Message::Answer(Answer::new(7, Reply::Ambiguous)),
+        Message::Answer(Answer::new(
+            7,
+            Reply::Unknown(evidence(true, &["v1", "v2"])),
+        )),
+    ];
+    for message in messages {
+        let read = Message::decode(&message.clone().encode()).expect("a message");
+        expect_that!(read, some(eq(&message)));
+        if let Message::Answer(answer) = &message {
+            let again = Answer::new(answer.token, answer.reply());
+            expect_that!(again, eq(answer));
+        }
+    }
+}
+
+#[gtest]
+fn daemons_that_do_not_know_these_messages_ignore_them() {
+    use medlarrill_core::routing::exchange::Message as OfExchange;
+    let message = Message::Began(Began::new(&[(StreamKey(1), origin("v1"))]));
+    let read = OfExchange::decode(&message.encode()).expect("a datagram");
+    expect_that!(read.is_none(), eq(true));
+}
+
+#[gtest]
+fn replies_that_contradict_each_other_tell_no_origin() {
+    let unknown = Reply::Unknown(evidence(true, &["v1"]));
+    let known = |build| Reply::Known(origin(build));
+    expect_that!(told_origin(std::slice::from_ref(&unknown)), ok(none()));
+    expect_that!(
+        told_origin(&[unknown.clone(), known("v1"), known("v1")]),
+        ok(some(eq(origin("v1"))))
+    );
+    for replies in [[known("v1"), known("v2")], [known("v1"), Reply::Ambiguous]] {
+        expect_that!(told_origin(&replies), err(eq(LookupError::Ambiguous)));
+    }
+}
+
+#[gtest]
+fn a_single_version_is_certain_only_if_someone_would_know_of_others() {
+    let one = || vec![place("v1")];
+    let two = || vec![place("v1"), place("v2")];
+    let reply = |is_complete, builds: &[&str]| [Reply::Unknown(evidence(is_complete, builds))];
+    let certain =
+        |places, own: &BuildEvidence, replies: &[Reply]| single_place(places, own, replies).is_ok();
+    let own = evidence(true, &["v1"]);
+    expect_that!(certain(one(), &own, &[]), eq(true));
+    expect_that!(
+        certain(two(), &evidence(true, &["v1", "v2"]), &[]),
+        eq(false)
+    );
+    expect_that!(certain(vec![], &own, &[]), eq(false));
+    let young = evidence(false, &["v1"]);
+    expect_that!(certain(one(), &young, &[]), eq(false));
+    expect_that!(certain(one(), &young, &reply(false, &["v1"])), eq(false));
+    expect_that!(certain(one(), &young, &reply(true, &["v1"])), eq(true));
+    // Another daemon has seen a version that this one hasn't.
+    expect_that!(
+        certain(one(), &young, &reply(true, &["v1", "v2"])),
+        eq(false)
+    );
+    expect_that!(certain(one(), &own, &reply(false, &["v2"])), eq(false));
+}
+
+#[gtest]
+fn a_version_counts_for_the_lifetime_of_a_stream_after_it_has_left() {
+    let mut history = BuildHistory::default();
+    let (v1, v2) = (Build::from("v1"), Build::from("v2"));
+    history.record_listed(&pool(), &v1, Millis(0));
+    history.record_listed(&pool(), &v2, Millis(10_000));
+    history.record_unlisted(&pool(), &v1);
+    history.review(Millis(11_000));
+    let recent = |history: &BuildHistory, at| history.recent(&pool(), at).count();
+    expect_that!(recent(&history, Millis(30_000)), eq(2));
+    expect_that!(recent(&history, Millis(31_000)), eq(1));
+    // It serves again.
+    history.record_listed(&pool(), &v1, Millis(30_000));
+    history.review(Millis(31_000));
+    expect_that!(recent(&history, Millis(60_000)), eq(2));
+}
+
+#[gtest]
+fn a_process_is_certain_of_what_served_before_only_after_a_while_or_at_the_first_start() {
+    let mut history = BuildHistory::default();
+    expect_that!(history.evidence(Millis(0)).is_complete, eq(false));
+    history.record_listed(&pool(), &"v1".into(), Millis(1000));
+    expect_that!(history.evidence(Millis(20_000)).is_complete, eq(false));
+    expect_that!(history.evidence(Millis(21_000)).is_complete, eq(true));
+    let mut first = BuildHistory::default();
+    first.set_first();
+    expect_that!(first.evidence(Millis(0)).is_complete, eq(false));
+    first.record_listed(&pool(), &"v1".into(), Millis(1000));
+    expect_that!(first.evidence(Millis(1000)).is_complete, eq(true));
+}
+
+/// A view with endpoints of two versions, listed at once.
+fn two_versions() -> View {
+    let mut view = view("near", 1);
+    for number in 0..4 {
+        view.upsert(of_build(&format!("a{number}"), "v1"), Millis(0));
+        view.upsert(of_build(&format!("b{number}"), "v2"), Millis(0));
+    }
+    view
+}
+
+#[gtest]
+fn a_stream_that_has_begun_is_sent_only_to_its_version() {
+    let mut view = two_versions();
+    for build in ["v1", "v2"] {
+        for number in 0..100 {
+            for shared in [None, Some(prefix(number))] {
+                let plan = bound_plan(build);
+                let choice = view.choose(&pool(), shared.as_ref(), &plan, Millis(10));
+                let choice = choice.expect("a choice");
+                expect_that!(choice.endpoint.build.as_str(), eq(build));
+                view.end(&choice.endpoint.id);
+            }
+        }
+    }
+}
+
+#[gtest]
+fn a_stream_whose_version_has_no_endpoint_left_is_not_sent() {
+    let mut view = two_versions();
+    let gone = bound_plan("v3");
+    let choice = view.choose(&pool(), None, &gone, Millis(10));
+    expect_that!(choice.is_err(), eq(true));
+    expect_that!(gone.refusal(false), eq(Refusal::NotResumable));
+    let bound = bound_plan("v1");
+    for number in 1..4 {
+        view.remove(&id(&format!("a{number}")).endpoint);
+    }
+    expect_that!(
+        view.has_other(&pool(), &bound, &id("a0"), Millis(10)),
+        eq(false)
+    );
+    expect_that!(
+        view.has_other(&pool(), &plan(), &id("a0"), Millis(10)),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn cached_prefixes_are_fetched_only_from_endpoints_of_the_same_version() {
+    let mut view = two_versions();
+    for number in 0..200 {
+        // The first choice leaves a trace of the prefix, the second one is bound elsewhere.
+        let prefix = prefix(number);
+        for build in ["v1", "v2", "v1"] {
+            let plan = bound_plan(build);
+            let choice = view.choose(&pool(), Some(&prefix), &plan, Millis(10));
+            let choice = choice.expect("a choice");
+            if let Some(source) = &choice.source {
+                expect_that!(source.build, eq(&choice.endpoint.build));
+            }
+        }
+    }
+}
+
+#[gtest]
+fn no_stream_begins_at_a_new_version_for_some_seconds() {
+    let mut view = view("near", 1);
+    for number in 0..9 {
+        view.upsert(of_build(&format!("a{number}"), "v1"), Millis(0));
+    }
+    view.upsert(of_build("b0", "v2"), Millis(30_000));
+    let begins_at = |view: &mut View, at| {
+        let mut count = 0;
+        for _ in 0..200 {
+            let choice = view.choose(&pool(), None, &plan(), at).expect("a choice");
+            count += usize::from(choice.endpoint.build.as_str() == "v2");
+            view.end(&choice.endpoint.id);
+        }
+        count
+    };
+    expect_that!(begins_at(&mut view, Millis(33_000)), eq(0));
+    expect_that!(begins_at(&mut view, Millis(34_100)), gt(0));
+}
+
+#[gtest]
+fn new_versions_serve_at_once_where_few_other_endpoints_are_left() {
+    let mut view = view("near", 1);
+    view.upsert(of_build("a0", "v1"), Millis(0));
+    view.upsert(of_build("b0", "v2"), Millis(30_000));
+    view.upsert(of_build("b1", "v2"), Millis(30_000));
+    let mut builds = Vec::new();
+    for _ in 0..200 {
+        let choice = view.choose(&pool(), None, &plan(), Millis(30_100));
+        builds.push(choice.expect("a choice").endpoint.build.clone());
+    }
+    expect_that!(builds, contains(eq(&Build::from("v2"))));
+}
+
+#[gtest]
+fn the_version_of_an_endpoint_follows_its_entry() {
+    let mut view = view("near", 1);
+    view.upsert(of_build("a0", "v1"), Millis(0));
+    view.upsert(of_build("a0", "v2"), Millis(30_000));
+    let choice = view.choose(&pool(), None, &bound_plan("v1"), Millis(30_100));
+    expect_that!(choice.is_err(), eq(true));
+    expect_that!(view.is_served(&place("v2")), eq(true));
+    expect_that!(view.is_served(&place("v1")), eq(false));
+}
--- a/crates/core/tests/routing/support.rs
+++ b/crates/core/tests/routing/support.rs
@@ -37,6 +37,7 @@
     Endpoint {
         id: id(name),
         pool: pool(),
+        build: "v1".into(),
         address: ([127, 0, 0, 1], 9000).into(),
         data_centre: "near".parse().expect("a name"),
         slots: 8,
--- a/crates/daemon/tests/route/versions.rs
+++ b/crates/daemon/tests/route/versions.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::setup::{Bench, POOL};
+use super::setup::Bench;
 
 const STREAMS: usize = 16;
 const EVENTS: u64 = 8;
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod request;
 mod server;
+mod take_up;
 mod trace;
 
 pub use server::{serve_callers, serve_metrics, serve_ready};
--- a/crates/router/src/entry/answer.rs
+++ b/crates/router/src/entry/answer.rs
@@ -76,6 +76,7 @@
             Self::Refused(Refusal::Overloaded { .. }) => "overloaded",
             Self::Refused(Refusal::Unavailable { .. }) => "unavailable",
             Self::Refused(Refusal::Quarantined { .. }) => "quarantined",
+            Self::Refused(Refusal::NotResumable) => "not-resumable",
             Self::Refused(Refusal::Unknown) => "unknown",
             Self::Refused(Refusal::Timeout) => "timeout",
         }
@@ -90,7 +91,8 @@
                 Refusal::NotRun
                 | Refusal::Overloaded { .. }
                 | Refusal::Unavailable { .. }
-                | Refusal::Quarantined { .. },
+                | Refusal::Quarantined { .. }
+                | Refusal::NotResumable,
             ) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Denied(_) => StatusCode::UNAUTHORIZED,
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -10,7 +10,7 @@
 use medlarrill_core::outcome::Outcome;
 use medlarrill_core::routing::answer::AnswerHead;
 use medlarrill_core::routing::attempt::Fault;
-use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
+use medlarrill_core::routing::endpoint::{Build, Endpoint, InstanceId};
 use medlarrill_core::routing::plan::{Next, Refusal, RetryPlan};
 use medlarrill_core::routing::view::ChooseError;
 use medlarrill_net::now::now;
@@ -66,6 +66,8 @@
     pub in_flight: InFlight,
     /// The endpoint that sends the stream.
     pub endpoint: InstanceId,
+    /// Its software version.
+    pub build: Build,
 }
 
 /// A failed attempt, with the endpoint's response if that may be forwarded.
@@ -191,14 +193,14 @@
     in_flight: InFlight,
     request: Request<Full<Bytes>>,
 ) -> (Result<Dispatched>, Option<PathTaken>) {
-    let wait = head_timeout(plan);
+    let wait = head_timeout(routed, plan, &endpoint.id);
     let taken = Taken::default();
     let connections = &routed.shared.connections;
     let sending = connections.send(endpoint, request, plan.is_idempotent(), &taken);
     let sent = tokio::time::timeout(wait.as_duration(), sending).await;
     let path_taken = taken.get();
     let result = match sent {
-        Ok(Ok(sent)) => receive(routed, plan, sent, in_flight, endpoint.id.clone()).await,
+        Ok(Ok(sent)) => receive(routed, plan, sent, in_flight, endpoint).await,
         Ok(Err(error)) => Err(error.into()),
         Err(_) if path_taken.is_none() => Err(FailedAttempt::new(
             Fault::NotSent,
@@ -245,11 +247,13 @@
     next
 }
 
-/// Timeout for the head of a response.
-fn head_timeout(plan: &RetryPlan) -> Millis {
+/// Timeout for the head of a response. A stream that has begun isn't given up for being slow if no
+/// other endpoint may go on with it.
+fn head_timeout(routed: &RoutedRequest, plan: &RetryPlan, id: &InstanceId) -> Millis {
     let attempt_timeout = plan.attempt_timeout(now());
     let left = plan.deadline().since(now());
-    if attempt_timeout >= left {
+    let is_only = || plan.build().is_some() && !routed.has_alternative(plan, id);
+    if attempt_timeout >= left || is_only() {
         left + DEADLINE_GRACE
     } else {
         attempt_timeout
@@ -262,13 +266,14 @@
     plan: &RetryPlan,
     sent: Sent,
     in_flight: InFlight,
-    endpoint: InstanceId,
+    endpoint: &Endpoint,
 ) -> Result<Dispatched> {
+    let id = &endpoint.id;
     let (head, body) = sent.answer.into_parts();
     let decoded = headers::read_answer(head.status, &head.headers);
     let unread = &routed.shared.unread_headers;
-    unread.report(&head.headers, &endpoint, &routed.call.attempt);
-    apply_head(routed, &endpoint, &decoded, sent.sent_at);
+    unread.report(&head.headers, id, &routed.call.attempt);
+    apply_head(routed, id, &decoded, sent.sent_at);
     if sent.is_new {
         routed.shared.metrics.connects.inc();
     }
@@ -285,7 +290,8 @@
             idle_timeout: decoded.keep_alive,
             framing,
             in_flight,
-            endpoint,
+            endpoint: id.clone(),
+            build: endpoint.build.clone(),
         })));
     }
     let left = plan.deadline().since(now()) + DEADLINE_GRACE;
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -10,10 +10,13 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::config::{Account, Configuration};
+use medlarrill_core::ids::PoolId;
+use medlarrill_core::routing::config::{Account, Configuration, Route};
+use medlarrill_core::routing::endpoint::Build;
 use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::plan::{Refusal, RetryPlan};
 use medlarrill_core::routing::stop::Stage;
+use medlarrill_core::routing::streams::lookup::Place;
 use medlarrill_net::now::now;
 use medlarrill_platform::headers;
 
@@ -21,6 +24,7 @@
 use super::dispatch::{Dispatched, dispatch};
 use super::relay;
 use super::request::RoutedRequest;
+use super::take_up::{find_place, stream_key};
 use super::trace::Trace;
 use crate::shared::Shared;
 
@@ -80,20 +84,16 @@
         return Err((Reason::NoRoute, format!("version {}", config.version)));
     };
     let call = call?;
-    let account = config
-        .account(&route, call.key.as_deref())
-        .map_err(|denied| {
-            (
-                Reason::Denied(denied),
-                format!("version {}", config.version),
-            )
-        })?
-        .cloned();
-    let pool = route.pool(shared.placement.random()).cloned();
-    let Some(pool) = pool else {
-        return Err((Reason::NoRoute, format!("route {} has no pool", route.name)));
-    };
+    let version = || format!("version {}", config.version);
+    let account = config.account(&route, call.key.as_deref());
+    let account = account.map_err(|denied| (Reason::Denied(denied), version()))?;
+    let account = account.cloned();
     let body = read_body(&config, body).await?;
+    let host = host(&parts).unwrap_or_default();
+    let stream = stream_key(host, parts.uri.path(), account.as_deref(), &call, &route);
+    let place = find_place(shared, &route, &call, stream, trace).await;
+    let place = place.map_err(|_| refused(Refusal::NotResumable))?;
+    let (pool, build) = choose_pool(shared, &route, place)?;
     let fingerprint = fingerprint(&parts, account.as_deref(), &body);
     let routed = RoutedRequest {
         shared: Arc::clone(shared),
@@ -101,6 +101,8 @@
         route,
         account,
         pool,
+        build,
+        stream,
         call,
         fingerprint,
         method: parts.method,
@@ -112,6 +114,20 @@
     Ok(routed)
 }
 
+/// The pool of a request, and the software version at which it must run if it takes up a stream.
+fn choose_pool(
+    shared: &Shared,
+    route: &Route,
+    place: Option<Place>,
+) -> Result<(PoolId, Option<Build>)> {
+    if let Some(Place { pool, build }) = place {
+        return Ok((pool, Some(build)));
+    }
+    let pool = route.pool(shared.placement.random()).cloned();
+    let no_pool = || (Reason::NoRoute, format!("route {} has no pool", route.name));
+    Ok((pool.ok_or_else(no_pool)?, None))
+}
+
 /// Returns the active configuration. A daemon that has just started waits for it and for the list
 /// of endpoints, both of which arrive soon.
 async fn wait_for_config(shared: &Shared) -> Option<Arc<Configuration>> {
@@ -175,6 +191,9 @@
     let wait = routed.call.timeout.unwrap_or(Millis::MAX);
     let plan = RetryPlan::new(&routed.route, arrived + wait.min(routed.route.timeout));
     let mut plan = plan.with_fingerprint(routed.fingerprint);
+    if let Some(build) = &routed.build {
+        plan.bind(build.clone());
+    }
     routed.shared.placement.record_request(&routed.pool, now());
     let last_event = routed.call.last_event;
     match dispatch(&routed, &mut plan, last_event, &mut trace).await {
@@ -192,6 +211,10 @@
     }
 }
 
+fn refused(refusal: Refusal) -> Rejection {
+    (Reason::Refused(refusal), detail(refusal).to_owned())
+}
+
 const fn detail(refusal: Refusal) -> &'static str {
     match refusal {
         Refusal::NotRun => "no endpoint took it; it has not run and will not",
@@ -202,6 +225,10 @@
         Refusal::Quarantined { .. } => {
             "requests like it ended the endpoints that ran them; it has not run and will not"
         }
+        Refusal::NotResumable => {
+            "its stream can't go on, since no endpoint is known to fit to what began it; this attempt \
+             has not run and will not; begin the stream anew"
+        }
         Refusal::Unknown => "it may have run, and no whole answer came",
         Refusal::Timeout => "it may have run, and time is up",
     }
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -10,7 +10,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::config::RetryPolicy;
-use medlarrill_core::routing::endpoint::InstanceId;
+use medlarrill_core::routing::endpoint::{Build, InstanceId};
 use medlarrill_core::routing::events::EventSplitter;
 use medlarrill_core::routing::plan::{Next, RetryPlan};
 use medlarrill_net::now::now;
@@ -36,6 +36,8 @@
     trace: Trace,
     source: Option<Source>,
     splitter: EventSplitter,
+    /// Whether an event was passed on, so that the stream belongs to a software version.
+    has_begun: bool,
 }
 
 /// The endpoint's response from which events are read.
@@ -51,6 +53,7 @@
     )]
     in_flight: InFlight,
     endpoint: InstanceId,
+    build: Build,
 }
 
 /// Result of waiting for the next bytes.
@@ -69,6 +72,7 @@
         routed,
         plan,
         trace,
+        has_begun: false,
     };
     let pieces = unfold(Some(relay), async |relay| {
         let mut relay = relay?;
@@ -92,6 +96,7 @@
             framing: stream.framing,
             in_flight: stream.in_flight,
             endpoint: stream.endpoint,
+            build: stream.build,
         }
     }
 }
@@ -108,6 +113,7 @@
                 Piece::Bytes(bytes) if bytes.is_empty() => continue,
                 Piece::Bytes(bytes) => {
                     self.trace.add_bytes(bytes.len());
+                    self.record_event();
                     return Some(Ok(bytes));
                 }
                 Piece::End(end, cause) => (end, cause),
@@ -127,6 +133,16 @@
         }
     }
 
+    fn record_event(&mut self) {
+        if self.has_begun || !self.may_resume() {
+            return;
+        }
+        self.has_begun = true;
+        if let Some(source) = &self.source {
+            self.routed.record_event(&mut self.plan, &source.build);
+        }
+    }
+
     fn record_end(&mut self, end: BodyEnd) {
         let framing = self.source.as_ref().map(|source| source.framing);
         let ended = framing.map(|framing| EndedBody { framing, end });
@@ -165,12 +181,18 @@
     fn wait(&self) -> Millis {
         let left = self.plan.deadline().since(now());
         let stuck = Millis(self.routed.route.gap.0 * STUCK_GAPS);
-        match self.plan.may_run_again() && stuck > Millis::ZERO {
+        match self.plan.may_run_again() && stuck > Millis::ZERO && self.has_alternative() {
             true => (left + DEADLINE_GRACE).min(stuck),
             false => left + DEADLINE_GRACE,
         }
     }
 
+    /// Whether another endpoint could go on with the stream.
+    fn has_alternative(&self) -> bool {
+        let source = self.source.as_ref();
+        source.is_some_and(|source| self.routed.has_alternative(&self.plan, &source.endpoint))
+    }
+
     /// Resumes the stream at another endpoint; returns false if that isn't possible.
     async fn resume(&mut self, fault: Fault, cause: &str) -> bool {
         let Some(source) = self.source.take() else {
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -15,11 +15,12 @@
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::config::{Account, Configuration, Priority, Route};
-use medlarrill_core::routing::endpoint::InstanceId;
+use medlarrill_core::routing::endpoint::{Build, InstanceId};
 use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::plan::{Next, RetryPlan};
 use medlarrill_core::routing::reach::LOSS_WINDOW;
 use medlarrill_core::routing::request::RequestHead;
+use medlarrill_core::routing::streams::StreamKey;
 use medlarrill_net::now::now;
 use medlarrill_platform::headers::{self, Outgoing};
 
@@ -44,6 +45,10 @@
     pub account: Option<Arc<Account>>,
     /// Pool that serves it.
     pub pool: PoolId,
+    /// Software version at which its stream goes on, if the caller takes one up.
+    pub build: Option<Build>,
+    /// Key of its stream, if it may go on elsewhere.
+    pub stream: Option<StreamKey>,
     /// Decoded head.
     pub call: RequestHead,
     /// Fingerprint, equal for requests with the same host, path, query, account and body.
@@ -81,6 +86,21 @@
         }
     }
 
+    /// Fixes the software version of its stream when an event of the stream is passed on, and records
+    /// it for attempts to come.
+    pub fn record_event(&self, plan: &mut RetryPlan, build: &Build) {
+        plan.bind(build.clone());
+        if let Some(stream) = self.stream {
+            self.shared.streams.record(stream, &self.pool, build);
+        }
+    }
+
+    /// Whether another endpoint could be tried after one.
+    pub fn has_alternative(&self, plan: &RetryPlan, id: &InstanceId) -> bool {
+        let placement = &self.shared.placement;
+        placement.has_alternative(&self.pool, plan, id, now())
+    }
+
     /// Maximum number of idle connections that this daemon keeps to each endpoint of the pool.
     fn idle_limit(&self) -> usize {
         let pool = self.config.pools.get(&self.pool);
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -11,7 +11,8 @@
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::endpoint::InstanceId;
 use medlarrill_core::routing::fingerprint::Fingerprint;
-use medlarrill_core::routing::request::SharedPrefix;
+use medlarrill_core::routing::request::{RequestHead, SharedPrefix};
+use medlarrill_core::routing::streams::lookup::LookupError;
 use medlarrill_core::routing::view::Overload;
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
@@ -21,6 +22,7 @@
 use crate::endpoints::PathTaken;
 use crate::metrics::{Metrics, seconds};
 use crate::shared::Shared;
+use crate::streams::Found;
 
 /// What happened to a request. Dropping it logs the final line.
 #[derive(Debug)]
@@ -95,7 +97,7 @@
         let list_age = self.shared.copies.age(Kind::Endpoints, now());
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts, version = self.version,
-            endpoint:% = choice.endpoint.id, why:% = choice.reason, load = choice.load,
+            endpoint:% = choice.endpoint.id, build = choice.endpoint.build.as_str(), why:% = choice.reason, load = choice.load,
             load_age = choice.load_age.map(|age| age.0), list_age = list_age.map(|age| age.0),
             bound = choice.bound, trial = choice.probe, left = left.0,
             prefix = shared_prefix.map_or(0, |prefix| prefix.key), tokens = shared_prefix.map_or(0, |prefix| prefix.tokens.0),
@@ -104,6 +106,20 @@
         );
     }
 
+    /// Logs where a stream that the caller takes up goes on, and who knew it, or why it can't.
+    pub fn log_take_up(&self, call: &RequestHead, found: &Result<Found, LookupError>) {
+        let place = found.as_ref().ok().map(|found| &found.place);
+        log::info!(
+            target: "entry", request = self.request, resumes = call.resumes.as_deref(),
+            last = call.last_event, pool = place.map(|place| place.pool.as_str()),
+            build = place.map(|place| place.build.as_str()),
+            source = found.as_ref().ok().map(|found| found.source.code()),
+            refused = found.as_ref().err().map(|error| error.code()),
+            passed = now().since(self.arrived).0;
+            "entry: stream taken up"
+        );
+    }
+
     /// Logs that the pool is overloaded, and on what that is based.
     pub fn log_overload(&self, overload: &Overload) {
         let Overload { choice, share, .. } = overload;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod socket;
 pub mod start;
 pub mod store;
+pub mod streams;
 pub mod tunnel;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -3,6 +3,7 @@
 use derive_more::Debug;
 use medlarrill_core::body_end::EndedBody;
 use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::streams::lookup::Place;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -32,6 +33,16 @@
     pub end: &'static str,
 }
 
+/// Labels of the number of endpoints of a software version.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+#[derive(EncodeLabelSet)]
+pub struct BuildLabels {
+    /// The pool.
+    pub pool: String,
+    /// The software version.
+    pub build: String,
+}
+
 /// All metrics of one daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -49,6 +60,12 @@
     pub retries: Family<ReasonLabel, Counter>,
     /// Streams that were resumed at another endpoint.
     pub resumed: Counter,
+    /// Streams that callers took up, by who knew where they began, or why they were refused.
+    pub take_ups: Family<ReasonLabel, Counter>,
+    /// Streams whose origin is remembered.
+    pub streams: Gauge,
+    /// Endpoints that aren't leaving, by pool and software version.
+    pub builds: Family<BuildLabels, Gauge>,
     /// Response bodies of endpoints, by framing and end.
     pub ends: Family<EndLabels, Counter>,
     /// New connections to endpoints.
@@ -110,6 +127,9 @@
             faults: Family::default(),
             retries: Family::default(),
             resumed: Counter::default(),
+            take_ups: Family::default(),
+            streams: Gauge::default(),
+            builds: Family::default(),
             ends: Family::default(),
             connects: Counter::default(),
             tunnels: Family::default(),
@@ -145,6 +165,8 @@
         r.register("faults", "Failed attempts", self.faults.clone());
         r.register("retries", "Attempts after the first", self.retries.clone());
         r.register("resumed", "Streams resumed", self.resumed.clone());
+        let take_ups = self.take_ups.clone();
+        r.register("take_ups", "Streams that callers took up", take_ups);
         r.register("answer_ends", "Ends of answers", self.ends.clone());
         r.register(
             "connects",
@@ -195,6 +217,9 @@
             self.config_version.clone(),
         );
         r.register("endpoints", "Endpoints known", self.endpoints.clone());
+        r.register("streams", "Streams remembered", self.streams.clone());
+        let builds = self.builds.clone();
+        r.register("builds", "Endpoints by software version", builds);
         let helping = self.helping.clone();
         r.register("helping", "Connections carried for others", helping);
         r.register("cut_off", "No endpoint is reached", self.cut_off.clone());
@@ -222,6 +247,19 @@
         self.ends.get_or_create(&labels).inc();
     }
 
+    /// Sets the numbers of endpoints by pool and software version.
+    pub fn set_builds(&self, counts: Vec<(Place, usize)>) {
+        self.builds.clear();
+        for (place, count) in counts {
+            let labels = BuildLabels {
+                pool: place.pool.as_str().to_owned(),
+                build: place.build.as_str().to_owned(),
+            };
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.builds.get_or_create(&labels).set(count);
+        }
+    }
+
     /// Encodes all metrics as OpenMetrics text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bytes::Bytes;
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::exchange::{
@@ -12,10 +13,12 @@
 };
 use medlarrill_net::now::now;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 
 use crate::peers::unsent::UnsentReporter;
 use crate::shared::Shared;
 use crate::store::Copies;
+use crate::streams;
 
 /// Size of the receive buffer, the maximum of a UDP datagram.
 const MAX_DATAGRAM: usize = 64 << 10;
@@ -113,7 +116,12 @@
 }
 
 /// Sends and receives reports until the process ends.
-pub async fn exchange(socket: UdpSocket, shared: Arc<Shared>, roster: Roster) {
+pub async fn exchange(
+    socket: UdpSocket,
+    shared: Arc<Shared>,
+    roster: Roster,
+    mut stream_messages: mpsc::Receiver<streams::Outgoing>,
+) {
     let settings = &shared.settings;
     let exchange = Exchange::new(settings.listen.peers, settings.peer_seeds());
     let mut exchange = exchange
@@ -131,7 +139,7 @@
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
                     receive(&mut exchange, &shared, from, &buffer[..length]);
-                    send(&socket, exchange.replies(now()), &unsent).await;
+                    send(&socket, encoded(exchange.replies(now())), &unsent).await;
                     if live == 1 && exchange.live_count(now()) > 1 {
                         live = update(&exchange, &shared, &roster, live);
                     }
@@ -139,6 +147,12 @@
                 // A datagram sent to a daemon that has ended causes such an error.
                 Err(error) => log::debug!(target: "peers", "peers: nothing received: {error}"),
             },
+            Some(first) = stream_messages.recv() => {
+                let waiting = std::iter::from_fn(|| stream_messages.try_recv().ok());
+                let messages = streams::join([first].into_iter().chain(waiting).collect());
+                let messages = messages.into_iter().map(|(to, message)| (to, message.encode()));
+                send(&socket, messages, &unsent).await;
+            }
             () = tokio::time::sleep(wait.as_duration()) => {
                 if now().since(reviewed) >= REVIEW_INTERVAL {
                     reviewed = now();
@@ -146,7 +160,7 @@
                     set_helpers(&exchange, &shared);
                 }
                 let messages = tick(&mut exchange, &shared);
-                send(&socket, messages, &unsent).await;
+                send(&socket, encoded(messages), &unsent).await;
                 live = update(&exchange, &shared, &roster, live);
                 due = now() + TICK;
             }
@@ -169,6 +183,7 @@
         daemons.sort_unstable();
         daemons.dedup();
     }
+    shared.streams.set_daemons(near.iter().chain(&far).copied());
     shared.connections.paths().set_daemons(near, far);
 }
 
@@ -184,7 +199,7 @@
 fn receive(exchange: &mut Exchange, shared: &Shared, from: SocketAddr, bytes: &[u8]) {
     let message = match Message::decode(bytes) {
         Ok(Some(message)) => message,
-        Ok(None) => return,
+        Ok(None) => return receive_streams(shared, from, bytes),
         Err(error) => {
             log::warn!(target: "peers", from:%, cause:% = error; "peers: a datagram can't be read");
             return;
@@ -204,6 +219,18 @@
     }
 }
 
+/// Handles a datagram that isn't one of the exchange.
+fn receive_streams(shared: &Shared, from: SocketAddr, bytes: &[u8]) {
+    match streams::decode(bytes) {
+        Ok(Some(message)) => shared.streams.receive(from, message),
+        // Only newer daemons know it.
+        Ok(None) => {}
+        Err(error) => {
+            log::warn!(target: "peers", from:%, cause:% = error; "peers: a datagram can't be read");
+        }
+    }
+}
+
 /// Applies the reports that this daemon received as a hub; returns the messages that are due.
 fn tick(exchange: &mut Exchange, shared: &Shared) -> Vec<Outgoing> {
     let at = now();
@@ -219,9 +246,17 @@
     exchange.tick(own, at)
 }
 
-async fn send(socket: &UdpSocket, messages: Vec<Outgoing>, unsent: &UnsentReporter) {
-    for (to, message) in messages {
-        let datagram = message.encode();
+fn encoded(messages: Vec<Outgoing>) -> impl Iterator<Item = (SocketAddr, Bytes)> {
+    let messages = messages.into_iter();
+    messages.map(|(to, message)| (to, message.encode()))
+}
+
+async fn send(
+    socket: &UdpSocket,
+    datagrams: impl Iterator<Item = (SocketAddr, Bytes)>,
+    unsent: &UnsentReporter,
+) {
+    for (to, datagram) in datagrams {
         if let Err(error) = socket.send_to(&datagram, to).await {
             unsent.report(to, datagram.len(), &error);
         }
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -1,5 +1,7 @@
 //! The daemon's routing state, shared by its tasks: endpoints, drains, retry budgets, quarantine.
 
+mod streams;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- /dev/null
+++ b/crates/router/src/placement/streams.rs
@@ -0,0 +1,39 @@
+//! Software versions of endpoints, for streams that go on elsewhere.
+
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::PoolId;
+use medlarrill_core::routing::streams::history::BuildEvidence;
+use medlarrill_core::routing::streams::lookup::Place;
+
+use super::Placement;
+
+impl Placement {
+    /// Marks this daemon as one of a fleet that starts for the first time.
+    pub fn set_first_start(&self) {
+        self.lock().set_first_start();
+    }
+
+    /// The places in some pools at which streams may have begun that still live.
+    pub fn stream_places<'a>(
+        &self,
+        pools: impl Iterator<Item = &'a PoolId>,
+        now: Millis,
+    ) -> Vec<Place> {
+        self.lock().stream_places(pools, now)
+    }
+
+    /// Whether an endpoint of this pool and software version takes new work.
+    pub fn is_served(&self, place: &Place) -> bool {
+        self.lock().is_served(place)
+    }
+
+    /// What the list says of the software versions at which streams may have begun.
+    pub fn build_evidence(&self, now: Millis) -> BuildEvidence {
+        self.lock().build_evidence(now)
+    }
+
+    /// Number of endpoints that aren't leaving, by pool and software version.
+    pub fn build_counts(&self, now: Millis) -> Vec<(Place, usize)> {
+        self.lock().build_counts(now)
+    }
+}
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::placement::Placement;
 use crate::settings::Settings;
 use crate::store::{ActiveConfig, Copies};
+use crate::streams::Streams;
 
 /// State shared by all tasks.
 #[derive(Debug)]
@@ -26,6 +27,8 @@
     pub placement: Arc<Placement>,
     /// Local copies of the platform's objects.
     pub copies: Arc<Copies>,
+    /// Where streams began.
+    pub streams: Streams,
     /// Idle connections to endpoints.
     pub connections: ConnectionPool,
     /// Reporter of endpoints' response headers that nothing reads.
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -9,8 +9,9 @@
 use medlarrill_core::routing::stop::{Stage, Stop};
 use medlarrill_net::now::now;
 use prometheus_client::metrics::gauge::Gauge;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::endpoints::{ConnectionPool, Paths, UnreadHeaders};
 use crate::entry::{serve_callers, serve_metrics, serve_ready};
@@ -23,6 +24,7 @@
 use crate::shared::Shared;
 use crate::socket;
 use crate::store::{self, ActiveConfig, ChangeApplier, Copies, StoreContext, UnreadableReporter};
+use crate::streams::{self, Streams};
 
 /// Interval between sweeps of idle connections and checks for a changed settings file.
 const HOUSEKEEPING_INTERVAL: Millis = Millis::from_secs(1);
@@ -107,18 +109,42 @@
     Ok(())
 }
 
+/// The sockets of a daemon.
+struct Sockets {
+    callers: TcpListener,
+    ready: TcpListener,
+    scrapes: TcpListener,
+    links: TcpListener,
+    datagrams: UdpSocket,
+}
+
+impl Sockets {
+    /// Opens them; returns them with the addresses that were bound.
+    fn open(listen: &Listen) -> Result<(Self, Listen)> {
+        let callers = socket::listen(listen.callers)?;
+        let ready = socket::listen(listen.ready)?;
+        let scrapes = socket::listen(listen.metrics)?;
+        let links = socket::listen(listen.peers)?;
+        let bound = Listen {
+            callers: callers.local_addr()?,
+            ready: ready.local_addr()?,
+            metrics: scrapes.local_addr()?,
+            peers: links.local_addr()?,
+        };
+        let datagrams = socket::bind_udp(bound.peers)?;
+        let sockets = Self {
+            callers,
+            ready,
+            scrapes,
+            links,
+            datagrams,
+        };
+        Ok((sockets, bound))
+    }
+}
+
 fn start(settings: &Settings) -> Result<Arc<Shared>> {
-    let callers = socket::listen(settings.listen.callers)?;
-    let ready = socket::listen(settings.listen.ready)?;
-    let scrapes = socket::listen(settings.listen.metrics)?;
-    let links = socket::listen(settings.listen.peers)?;
-    let listen = Listen {
-        callers: callers.local_addr()?,
-        ready: ready.local_addr()?,
-        metrics: scrapes.local_addr()?,
-        peers: links.local_addr()?,
-    };
-    let datagrams = socket::bind_udp(listen.peers)?;
+    let (sockets, listen) = Sockets::open(&settings.listen)?;
     let placement = new_placement(settings);
     let metrics = Arc::new(Metrics::new());
     let (copies, config, is_listed) = new_copies(settings, listen.peers, &placement, &metrics);
@@ -126,6 +152,8 @@
         listen,
         ..settings.clone()
     };
+    let known = (&placement, &copies, &metrics);
+    let (streams, stream_messages) = Streams::new(known, settings.seeds.is_empty());
     let roster = Roster::new(listen.peers, settings.peer_seeds());
     let store = StoreContext {
         copies: Arc::clone(&copies),
@@ -140,6 +168,7 @@
         is_listed,
         placement: Arc::clone(&placement),
         copies,
+        streams,
         connections: ConnectionPool::new(Paths::new(Arc::clone(&placement), Arc::clone(&metrics))),
         unread_headers: UnreadHeaders::new(Arc::clone(&metrics)),
         metrics,
@@ -147,14 +176,27 @@
         closing: watch::Sender::new(false),
         settings,
     });
+    spawn_tasks(&shared, store, roster, sockets, stream_messages);
+    Ok(shared)
+}
+
+/// Starts the tasks that serve callers and other daemons, and follow the platform.
+fn spawn_tasks(
+    shared: &Arc<Shared>,
+    store: StoreContext,
+    roster: Roster,
+    sockets: Sockets,
+    stream_messages: mpsc::Receiver<streams::Outgoing>,
+) {
+    let own = || Arc::clone(shared);
     tokio::spawn(store::run(store.clone(), shared.settings.platform));
-    tokio::spawn(links::serve(links, store, Arc::clone(&shared)));
+    tokio::spawn(links::serve(sockets.links, store, own()));
     tokio::spawn(Arc::clone(shared.connections.paths()).keep_probing());
-    tokio::spawn(exchange(datagrams, Arc::clone(&shared), roster));
-    tokio::spawn(serve_callers(callers, Arc::clone(&shared)));
-    tokio::spawn(serve_ready(ready, Arc::clone(&shared)));
-    tokio::spawn(serve_metrics(scrapes, Arc::clone(&shared)));
-    Ok(shared)
+    let datagrams = sockets.datagrams;
+    tokio::spawn(exchange(datagrams, own(), roster, stream_messages));
+    tokio::spawn(serve_callers(sockets.callers, own()));
+    tokio::spawn(serve_ready(sockets.ready, own()));
+    tokio::spawn(serve_metrics(sockets.scrapes, own()));
 }
 
 /// Creates the routing state, which knows no endpoints yet.
@@ -164,6 +206,9 @@
     if settings.seeds.is_empty() {
         placement.set_single();
     }
+    if settings.first_start {
+        placement.set_first_start();
+    }
     Arc::new(placement)
 }
 
@@ -221,6 +266,8 @@
     set_gauge(&metrics.drains, placement.drained_count());
     set_gauge(&metrics.pauses, placement.paused_count(now()));
     set_gauge(&metrics.log_dropped, lines);
+    set_gauge(&metrics.streams, shared.streams.len());
+    metrics.set_builds(placement.build_counts(now()));
 }
 
 fn set_gauge(gauge: &Gauge, count: impl TryInto<i64>) {
--- /dev/null
+++ b/crates/router/src/streams.rs
@@ -0,0 +1,200 @@
+//! Where streams began: what this daemon remembers, tells other daemons, and asks them.
+
+mod find;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use derive_more::Debug;
+use medlarrill_core::ids::PoolId;
+use medlarrill_core::routing::endpoint::Build;
+use medlarrill_core::routing::streams::history::{BuildEvidence, FRESH_LIST};
+use medlarrill_core::routing::streams::holders::Holders;
+use medlarrill_core::routing::streams::lookup::{Place, Reply};
+use medlarrill_core::routing::streams::memory::StreamMemory;
+use medlarrill_core::routing::streams::message::{Answer, Began, Message, Question};
+use medlarrill_core::routing::streams::{Origin, StreamKey};
+use medlarrill_net::now::now;
+use medlarrill_platform::store::Kind;
+use tokio::sync::mpsc;
+
+use crate::metrics::Metrics;
+use crate::placement::Placement;
+use crate::store::Copies;
+
+pub use find::Found;
+
+/// Decodes a datagram about streams; `None` for another kind of message.
+///
+/// # Errors
+///
+/// When the bytes aren't Protocol Buffers.
+pub fn decode(bytes: &[u8]) -> Result<Option<Message>, prost::DecodeError> {
+    Message::decode(bytes)
+}
+
+/// Maximum number of messages that wait to be sent; others are dropped and counted.
+const MAX_WAITING: usize = 1024;
+
+/// A message about streams and its destination.
+pub type Outgoing = (SocketAddr, Message);
+
+/// Origins of streams, shared by the tasks that relay them and the one that owns the socket.
+#[derive(Debug)]
+pub struct Streams {
+    state: Mutex<State>,
+    outgoing: mpsc::Sender<Outgoing>,
+    placement: Arc<Placement>,
+    copies: Arc<Copies>,
+    metrics: Arc<Metrics>,
+    /// Whether this daemon is configured without others.
+    is_single: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    memory: StreamMemory,
+    holders: Holders,
+    /// Questions that wait for answers, by token.
+    questions: HashMap<u64, mpsc::UnboundedSender<(SocketAddr, Reply)>>,
+}
+
+impl Streams {
+    /// Creates an empty memory; returns it with the receiver of messages to be sent.
+    pub fn new(
+        (placement, copies, metrics): (&Arc<Placement>, &Arc<Copies>, &Arc<Metrics>),
+        is_single: bool,
+    ) -> (Self, mpsc::Receiver<Outgoing>) {
+        let (outgoing, receiver) = mpsc::channel(MAX_WAITING);
+        let streams = Self {
+            state: Mutex::default(),
+            outgoing,
+            placement: Arc::clone(placement),
+            copies: Arc::clone(copies),
+            metrics: Arc::clone(metrics),
+            is_single,
+        };
+        (streams, receiver)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the other daemons.
+    pub fn set_daemons(&self, daemons: impl IntoIterator<Item = SocketAddr>) {
+        let holders = Holders::new(daemons);
+        self.lock().holders = holders;
+    }
+
+    /// Number of streams that are remembered.
+    pub fn len(&self) -> usize {
+        self.lock().memory.len()
+    }
+
+    /// Whether no stream is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.lock().memory.is_empty()
+    }
+
+    /// Records that a stream begins or goes on at a pool and software version, and tells others.
+    pub fn record(&self, key: StreamKey, pool: &PoolId, build: &Build) {
+        let origin = Origin::new(pool, build);
+        let told = {
+            let mut state = self.lock();
+            state.memory.record(key, origin, now());
+            state.holders.told(key)
+        };
+        for daemon in told {
+            let began = Began::new(&[(key, origin)]);
+            self.send(daemon, Message::Began(began));
+        }
+    }
+
+    /// Handles a message of another daemon.
+    pub fn receive(&self, from: SocketAddr, message: Message) {
+        match message {
+            Message::Began(began) => {
+                let mut state = self.lock();
+                for (key, origin) in began.streams() {
+                    state.memory.record(key, origin, now());
+                }
+            }
+            Message::Question(question) => {
+                let answer = self.answer(question);
+                self.send(from, Message::Answer(answer));
+            }
+            Message::Answer(answer) => {
+                let state = self.lock();
+                if let Some(asker) = state.questions.get(&answer.token) {
+                    // The request that asked may have gone on by another answer.
+                    asker.send((from, answer.reply())).ok();
+                }
+            }
+        }
+    }
+
+    fn answer(&self, question: Question) -> Answer {
+        let known = self.lock().memory.get(question.key(), now());
+        let reply = match known {
+            Some(Some(origin)) => Reply::Known(origin),
+            Some(None) => Reply::Ambiguous,
+            None => Reply::Unknown(self.evidence()),
+        };
+        Answer::new(question.token, reply)
+    }
+
+    /// What this daemon knows of the software versions at which streams may have begun; it isn't
+    /// complete while the list may lag behind.
+    fn evidence(&self) -> BuildEvidence {
+        let evidence = self.placement.build_evidence(now());
+        let is_complete = evidence.is_complete && self.has_fresh_list();
+        BuildEvidence {
+            is_complete,
+            ..evidence
+        }
+    }
+
+    fn has_fresh_list(&self) -> bool {
+        let age = self.copies.age(Kind::Endpoints, now());
+        age.is_some_and(|age| age <= FRESH_LIST)
+    }
+
+    fn send(&self, daemon: SocketAddr, message: Message) {
+        if self.outgoing.try_send((daemon, message)).is_err() {
+            self.metrics.unsent.inc();
+        }
+    }
+
+    /// Counts the result of looking up a stream.
+    fn count(&self, code: &'static str) {
+        Metrics::count(&self.metrics.take_ups, code);
+    }
+}
+
+/// Joins messages that tell one daemon of streams, as far as they fit into a datagram.
+pub fn join(messages: Vec<Outgoing>) -> Vec<Outgoing> {
+    /// Streams in one datagram, of 16 bytes each.
+    const MAX_STREAMS: usize = 64;
+    let mut joined: Vec<Outgoing> = Vec::with_capacity(messages.len());
+    let mut began: HashMap<SocketAddr, Vec<(StreamKey, Origin)>> = HashMap::new();
+    for (daemon, message) in messages {
+        match message {
+            Message::Began(streams) => began.entry(daemon).or_default().extend(streams.streams()),
+            other => joined.push((daemon, other)),
+        }
+    }
+    for (daemon, streams) in began {
+        let parts = streams.chunks(MAX_STREAMS).map(Began::new);
+        joined.extend(parts.map(|part| (daemon, Message::Began(part))));
+    }
+    joined
+}
+
+/// The place among some at which a stream with this origin goes on.
+fn place_of(places: &[Place], origin: Origin) -> Option<Place> {
+    let mut places = places.iter();
+    let is_it = |place: &&Place| Origin::new(&place.pool, &place.build) == origin;
+    places.find(is_it).cloned()
+}
--- /dev/null
+++ b/crates/router/src/streams/find.rs
@@ -0,0 +1,146 @@
+//! Looks up where a stream began that its caller takes up.
+
+use std::net::SocketAddr;
+
+use derive_more::Debug;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::config::Route;
+use medlarrill_core::routing::streams::lookup::{
+    LookupError, Place, Reply, Result, Source, single_place, told_origin,
+};
+use medlarrill_core::routing::streams::message::{Message, Question};
+use medlarrill_core::routing::streams::{Origin, StreamKey};
+use medlarrill_net::now::now;
+use tokio::sync::mpsc;
+
+use super::{Streams, place_of};
+
+/// Time for the answers of other daemons. A VM that has used up its processor share answers up to
+/// a tenth of a second late.
+const ANSWER_TIMEOUT: Millis = Millis(300);
+/// Interval at which a question is sent again, since datagrams are lost.
+const ASK_INTERVAL: Millis = Millis(60);
+
+/// Where a stream goes on, and who knew it.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
+pub struct Found {
+    /// The pool and software version.
+    pub place: Place,
+    /// Who knew it.
+    pub source: Source,
+}
+
+/// Removes a question once nobody waits for its answers.
+struct Asking<'a> {
+    streams: &'a Streams,
+    token: u64,
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.streams.lock().questions.remove(&self.token);
+    }
+}
+
+impl Streams {
+    /// Finds where a stream may go on; `key` is none if its caller doesn't name it.
+    ///
+    /// # Errors
+    ///
+    /// If it can't go on for certain at the software version that began it.
+    pub async fn find(&self, key: Option<StreamKey>, route: &Route) -> Result<Found> {
+        let found = self.look_up(key, route).await;
+        let found = found.and_then(|found| match self.placement.is_served(&found.place) {
+            true => Ok(found),
+            false => Err(LookupError::Gone),
+        });
+        self.count(match &found {
+            Ok(found) => found.source.code(),
+            Err(error) => error.code(),
+        });
+        found
+    }
+
+    async fn look_up(&self, key: Option<StreamKey>, route: &Route) -> Result<Found> {
+        let pools = || route.shares.iter().map(|share| &share.pool);
+        let places = || self.placement.stream_places(pools(), now());
+        let found = |origin: Origin, source: Source| {
+            let place = place_of(&places(), origin).ok_or(LookupError::Gone)?;
+            Ok(Found { place, source })
+        };
+        let own = key.and_then(|key| self.lock().memory.get(key, now()));
+        if let Some(own) = own {
+            return found(own.ok_or(LookupError::Ambiguous)?, Source::Own);
+        }
+        // Without a name, others are only asked for what they know of versions.
+        let replies = self.ask(key.unwrap_or(StreamKey(0))).await?;
+        if let Some(origin) = told_origin(&replies)? {
+            return found(origin, Source::Told);
+        }
+        let place = single_place(places(), &self.evidence(), &replies)?;
+        Ok(Found {
+            place,
+            source: Source::Single,
+        })
+    }
+
+    /// Asks other daemons for a stream. Ends early when one of them knows it or all have answered.
+    ///
+    /// # Errors
+    ///
+    /// If there are others, but none of them answers.
+    async fn ask(&self, key: StreamKey) -> Result<Vec<Reply>> {
+        let mut asked = self.lock().holders.asked(key);
+        if asked.is_empty() {
+            return match self.is_single {
+                true => Ok(Vec::new()),
+                false => Err(LookupError::Unknown),
+            };
+        }
+        let (sender, mut answers) = mpsc::unbounded_channel();
+        let token = rand::random();
+        self.lock().questions.insert(token, sender);
+        let _asking = Asking {
+            streams: self,
+            token,
+        };
+        let mut replies = Vec::new();
+        let until = now() + ANSWER_TIMEOUT;
+        while !asked.is_empty() && now() < until {
+            for daemon in &asked {
+                let question = Question::new(token, key);
+                self.send(*daemon, Message::Question(question));
+            }
+            let again = (now() + ASK_INTERVAL).min(until);
+            while let Some((from, reply)) = next(&mut answers, again).await {
+                if !asked.contains(&from) {
+                    continue;
+                }
+                asked.retain(|daemon| *daemon != from);
+                let is_known = matches!(reply, Reply::Known(_));
+                replies.push(reply);
+                if is_known {
+                    return Ok(replies);
+                }
+                if asked.is_empty() {
+                    break;
+                }
+            }
+        }
+        match replies.is_empty() {
+            true => Err(LookupError::Unknown),
+            false => Ok(replies),
+        }
+    }
+}
+
+/// The next answer, if it comes in time.
+async fn next(
+    answers: &mut mpsc::UnboundedReceiver<(SocketAddr, Reply)>,
+    until: Millis,
+) -> Option<(SocketAddr, Reply)> {
+    let wait = until.since(now());
+    let answer = tokio::time::timeout(wait.as_duration(), answers.recv()).await;
+    answer.ok().flatten()
+}
