Soak: endpoints of several software versions that are replaced, callers that take up streams

A kind of its own (--builds): endpoints name their version in each event, are replaced at their address by others, break streams off and reset connections; daemons are killed, one or all at once, stopped and frozen; the store fails. Callers take up what broke off, twice at most, with Resumes. Checked from what callers see: no stream holds events of two versions, events are its own and follow the last one, and of 12 streams or more that are taken up at daemons in touch, while two endpoints of their version serve, half as many go on as new ones begin.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -77,6 +77,9 @@
     /// Only daemons that lose their paths to endpoints.
     #[arg(long)]
     pub cuts: bool,
+    /// Only endpoints of several software versions, and callers that take up streams.
+    #[arg(long, conflicts_with = "cuts")]
+    pub builds: bool,
     /// Where logs of seeds that broke a promise are kept.
     #[arg(long, default_value = "target/soak")]
     pub keep: PathBuf,
@@ -160,11 +163,12 @@
     let length = Duration::from_secs(options.seconds);
     let plan = match options.cuts {
         true => Plan::of_cuts(&mut rng, length),
+        false if options.builds => Plan::of_builds(&mut rng, length),
         false => draw(&mut rng, seed, length),
     };
     let mut world = World::start(program, seed, &plan).await?;
     let from = Instant::now();
-    let mut traffic = Traffic::start(world.doors.clone(), seed);
+    let mut traffic = Traffic::start(world.doors.clone(), seed, plan.builds);
     if let Some(path) = plan.crashing {
         traffic = traffic.with_crashing(world.doors.clone(), seed, path);
     }
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -1,5 +1,6 @@
 //! What callers and endpoints saw, against what the pages promise.
 
+mod builds;
 mod cuts;
 mod notices;
 
@@ -9,6 +10,7 @@
 use derive_more::{Debug, Display};
 use medlarrill_platform_standin::{Reply, Run, event};
 
+use self::builds::{misplaced, take_ups, versions};
 use self::cuts::cut_off;
 pub use self::notices::PAUSE;
 use self::notices::{left, paused};
@@ -154,6 +156,26 @@
         /// Endpoints that it reached once all had to know.
         runs: usize,
     },
+    /// A stream holds events of several software versions.
+    #[display("the stream of {request} holds events of {builds:?}")]
+    Versions {
+        /// The attempt that began it.
+        request: String,
+        /// The versions.
+        builds: Vec<String>,
+    },
+    /// Too few streams went on that callers took up.
+    #[display(
+        "{went_on} of {taken_up} streams that were taken up went on, {share} of new ones begin"
+    )]
+    TakeUps {
+        /// Streams that went on.
+        went_on: usize,
+        /// Streams that were taken up.
+        taken_up: usize,
+        /// Share of new streams that begin, in hundredths.
+        share: usize,
+    },
     /// A daemon ended by itself.
     #[display("daemon {_0} ended by itself")]
     Ended(usize),
@@ -182,6 +204,10 @@
     found.extend(recovered.iter().filter_map(not_recovered));
     found.extend(crashed(world, calls, &runs));
     found.extend(cut_off(world, calls));
+    if world.builds.are_named {
+        found.extend(versions(calls));
+        found.extend(take_ups(world, calls));
+    }
     found
 }
 
@@ -208,6 +234,9 @@
     if !reply.status?.is_success() {
         return None;
     }
+    if world.builds.are_named && sent.call.path.contains("/stream") {
+        return misplaced(sent);
+    }
     let expected = expected(world, sent);
     let right = match reply.whole {
         true => reply.body == expected.as_bytes(),
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -11,6 +11,8 @@
 
 /// Mean pause between two faults; several last longer, so that they overlap.
 const PAUSE_MS: u64 = 700;
+/// Software versions of endpoints; the last one serves only after a replacement.
+const BUILDS: [&str; 3] = ["v1", "v2", "v3"];
 /// Time at the start without faults.
 const CALM: Duration = Duration::from_millis(1500);
 
@@ -58,6 +60,8 @@
     Pause(usize, Duration),
     /// A daemon loses its paths to all endpoints.
     CutOff(usize, Cut, Duration),
+    /// An endpoint ends, and another one of a software version starts at its address.
+    Replace(usize, &'static str),
 }
 
 /// What becomes of connections when a path is cut.
@@ -146,7 +150,8 @@
             | Self::Forget
             | Self::Configure
             | Self::Restart(_)
-            | Self::Crash(_) => Duration::ZERO,
+            | Self::Crash(_)
+            | Self::Replace(..) => Duration::ZERO,
         }
     }
 }
@@ -188,6 +193,9 @@
     pub places: bool,
     /// How each endpoint writes its answers.
     pub forms: Vec<Form>,
+    /// Whether endpoints have software versions, which their events name, and callers take up
+    /// streams that broke off.
+    pub builds: bool,
 }
 
 impl Plan {
@@ -201,6 +209,7 @@
             crashing: None,
             places: false,
             forms: Vec::new(),
+            builds: false,
         };
         plan.forms = vec![Form::DEFAULT; plan.endpoints];
         // A fifth of the soaks hold planned work only, so that its stricter promises are checked.
@@ -335,6 +344,53 @@
         plan.with_cut_daemons(rng, length)
     }
 
+    /// Draws a plan in which endpoints of several software versions are replaced, streams break off,
+    /// and daemons end, one or all at once.
+    pub fn of_builds(rng: &mut Pcg32, length: Duration) -> Self {
+        let mut plan = Self {
+            events: Vec::new(),
+            daemons: rng.random_range(3..=6),
+            builds: true,
+            ..Self::new(rng, Duration::ZERO)
+        };
+        plan.endpoints = rng.random_range(4..=8);
+        plan.forms = vec![Form::DEFAULT; plan.endpoints];
+        for form in &mut plan.forms {
+            form.build = Some(BUILDS[rng.random_range(0..2)]);
+        }
+        let mut at = CALM;
+        while at < length {
+            plan.draw_build_fault(rng, at);
+            at += Duration::from_millis(rng.random_range(0..2 * PAUSE_MS));
+        }
+        plan
+    }
+
+    fn draw_build_fault(&mut self, rng: &mut Pcg32, at: Duration) {
+        let daemon = rng.random_range(0..self.daemons);
+        let endpoint = rng.random_range(0..self.endpoints);
+        let lasts = Duration::from_millis(rng.random_range(300..2500));
+        let cuts = Behaviour {
+            cuts: rng.random_range(0.2..1.0),
+            ..Behaviour::default()
+        };
+        let fault = match rng.random_range(0..16) {
+            0..4 => Fault::Replace(endpoint, BUILDS[rng.random_range(0..BUILDS.len())]),
+            4..9 => Fault::Behave(endpoint, cuts, lasts),
+            9 | 10 => Fault::Kill(daemon),
+            11 => Fault::Stop(daemon),
+            12 => Fault::Freeze(daemon, lasts),
+            13 => Fault::HarmEndpoint(endpoint, Harm::Reset, lasts),
+            14 => Fault::Store(outage(rng), lasts),
+            _ => {
+                let all = (0..self.daemons).map(Fault::Kill);
+                self.events.extend(all.map(|fault| Event { at, fault }));
+                return;
+            }
+        };
+        self.events.push(Event { at, fault });
+    }
+
     fn with_cut_daemons(mut self, rng: &mut Pcg32, length: Duration) -> Self {
         let mut at = CALM;
         while at < length {
--- a/crates/lab/src/soak/traffic.rs
+++ b/crates/lab/src/soak/traffic.rs
@@ -23,6 +23,10 @@
 const PAUSE_MS: u64 = 60;
 /// Requests through each daemon after recovery.
 const PROBES: usize = 6;
+/// Times that a caller takes up a stream.
+const TAKE_UPS: usize = 2;
+const RESUMES: &str = "resumes";
+const LAST_EVENT: &str = "last-event-id";
 /// Begin of the ids of the request that ends endpoints.
 pub const CRASHING_ID: &str = "crash-";
 /// Paths, and whether their requests may run more than once.
@@ -69,15 +73,15 @@
 }
 
 impl Traffic {
-    /// Starts callers.
-    pub fn start(doors: Doors, seed: u64) -> Self {
+    /// Starts callers; with `takes_up`, they take up streams that broke off.
+    pub fn start(doors: Doors, seed: u64, takes_up: bool) -> Self {
         let sent = Arc::<Mutex<Vec<Sent>>>::default();
         let ends = Arc::new(AtomicBool::new(false));
         let mut callers = JoinSet::new();
         for number in 0..CALLERS {
             let rng = Pcg32::seed_from_u64(seed ^ (number << 32));
             let (doors, sent, ends) = (Arc::clone(&doors), Arc::clone(&sent), Arc::clone(&ends));
-            callers.spawn(call(doors, sent, ends, rng, number));
+            callers.spawn(call(doors, sent, ends, rng, number, takes_up));
         }
         Self {
             sent,
@@ -111,6 +115,7 @@
     ends: Arc<AtomicBool>,
     mut rng: Pcg32,
     caller: u64,
+    takes_up: bool,
 ) {
     let mut kept: Option<(usize, Caller)> = None;
     let mut number = 0;
@@ -133,12 +138,101 @@
         if reply.status.is_some() {
             kept = Some((daemon, connection));
         }
-        note(&sent, call, reply, from, daemon);
+        let again = next_call(&call, &call, &reply).filter(|_| takes_up);
+        note(&sent, call.clone(), reply, from, daemon);
+        if let Some(again) = again {
+            take_up(&doors, &sent, &mut rng, &call, again).await;
+        }
         let pause = rng.random_range(0..PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
 }
 
+/// Takes a stream up that broke off, at most twice.
+async fn take_up(
+    doors: &Doors,
+    sent: &Mutex<Vec<Sent>>,
+    rng: &mut Pcg32,
+    first: &Call,
+    again: Call,
+) {
+    let mut next = Some(again);
+    for _ in 0..TAKE_UPS {
+        let Some(call) = next else {
+            return;
+        };
+        let daemon = pick(doors, rng);
+        let from = Instant::now();
+        let reply = Caller::new(doors[daemon].callers).send(&call).await;
+        next = next_call(first, &call, &reply);
+        note(sent, call, reply, from, daemon);
+    }
+}
+
+/// The call that takes a stream up where a reply broke off; none if it didn't, or the stream can't
+/// go on.
+fn next_call(first: &Call, call: &Call, reply: &Reply) -> Option<Call> {
+    if first.path != "/stream/x"
+        || reply.whole
+        || !reply.status.is_some_and(|status| status.is_success())
+    {
+        return None;
+    }
+    let last = events(&reply.body).last().map(|event| event.id);
+    let last = last.or_else(|| last_event(call))?;
+    let attempt = format!("{}+", call.attempt);
+    let next = Call::new(attempt, &first.path).with_body(first.body.clone());
+    let next = next
+        .with_wait(first.wait)
+        .with_header(RESUMES, &first.attempt);
+    Some(next.with_header(LAST_EVENT, &last.to_string()))
+}
+
+/// An event of a stream, as its endpoint wrote it.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct StreamEvent {
+    /// Its id.
+    pub id: u64,
+    /// The request that was run.
+    pub attempt: String,
+    /// Software version of the endpoint, if it names one.
+    pub build: String,
+}
+
+/// The complete events in a body.
+pub fn events(body: &[u8]) -> Vec<StreamEvent> {
+    let text = String::from_utf8_lossy(body);
+    let event = |lines: &str| {
+        let (id, data) = lines.strip_prefix("id: ")?.split_once("\ndata: ")?;
+        let (attempt, rest) = data.split_once('/')?;
+        Some(StreamEvent {
+            id: id.parse().ok()?,
+            attempt: attempt.into(),
+            build: rest.split_once('@')?.1.into(),
+        })
+    };
+    let complete = text.split_inclusive("\n\n");
+    let complete = complete.filter_map(|lines| lines.strip_suffix("\n\n"));
+    complete.filter_map(event).collect()
+}
+
+/// A header of a call.
+fn header<'a>(call: &'a Call, wanted: &str) -> Option<&'a str> {
+    let mut headers = call.headers.iter();
+    let found = headers.find(|(name, _)| *name == wanted);
+    found.map(|(_, value)| value.as_str())
+}
+
+/// The event after which a call goes on with a stream.
+pub fn last_event(call: &Call) -> Option<u64> {
+    header(call, LAST_EVENT)?.parse().ok()
+}
+
+/// The attempt that brought the first event of the stream that a call takes up.
+pub fn first_attempt(call: &Call) -> Option<&str> {
+    header(call, RESUMES)
+}
+
 async fn crash(
     doors: Doors,
     sent: Arc<Mutex<Vec<Sent>>>,
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -93,6 +93,30 @@
     starts: std::sync::Mutex<Vec<Instant>>,
 }
 
+/// Software versions of the endpoints.
+#[derive(Clone, Debug)]
+pub struct Builds {
+    /// Whether endpoints have any.
+    pub are_named: bool,
+    /// Endpoints that were replaced so far.
+    replaced: usize,
+    /// When each endpoint came to its software version.
+    pub spans: Vec<Vec<(Instant, &'static str)>>,
+}
+
+impl Builds {
+    fn new(plan: &Plan) -> Self {
+        let now = Instant::now();
+        let first = |form: &Form| form.build.map(|build| (now, build));
+        let spans = plan.forms.iter().map(|form| Vec::from_iter(first(form)));
+        Self {
+            are_named: plan.builds,
+            replaced: 0,
+            spans: spans.collect(),
+        }
+    }
+}
+
 /// The daemons and what surrounds them.
 #[derive(Debug)]
 pub struct World {
@@ -122,6 +146,8 @@
     crashed: Vec<Option<Instant>>,
     /// How each endpoint writes its answers.
     pub forms: Vec<Form>,
+    /// Software versions of the endpoints.
+    pub builds: Builds,
     /// Whether there are two data centres and slow starts.
     places: bool,
     /// Until when endpoints have to be spared.
@@ -160,6 +186,7 @@
             words: vec![Words::default(); plan.endpoints],
             crashed: vec![None; plan.endpoints],
             forms: plan.forms.clone(),
+            builds: Builds::new(plan),
             places: plan.places,
             warming: vec![None; plan.endpoints],
             balancer: tokio::spawn(async {}),
--- a/crates/lab/src/soak/world/faults.rs
+++ b/crates/lab/src/soak/world/faults.rs
@@ -1,5 +1,6 @@
 //! The faults done to daemons, endpoints and the store, and their ends.
 
+use std::net::SocketAddr;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use medlarrill_platform_standin::{Behaviour, Endpoint, Notice, Outage, configuration};
@@ -12,7 +13,7 @@
 use super::super::check::PAUSE;
 use super::super::plan::{Cut, Event, Fault};
 use super::{
-    CRASHING, DOWN, DRAINS, Done, NOTICED, POOL, SECOND, SLOW_START, SPARED, Words, World,
+    CRASHING, DOWN, DRAINS, Done, LOOK, NOTICED, POOL, SECOND, SLOW_START, SPARED, Words, World,
 };
 
 impl World {
@@ -39,6 +40,7 @@
                 self.store.put(DRAINS, SECOND, serde_json::json!({}));
             }
             Fault::CutOff(daemon, cut, _) => self.cut(*daemon, Some(*cut)),
+            Fault::Replace(endpoint, build) => self.replace(*endpoint, build).await?,
             fault => self.begin_at_endpoint(fault),
         }
         self.watch_ends().await
@@ -195,6 +197,25 @@
         Ok(())
     }
 
+    /// Ends an endpoint and its entry, and starts one of a software version at its address.
+    async fn replace(&mut self, number: usize, build: &'static str) -> Result<()> {
+        self.builds.replaced += 1;
+        let id = format!("e-{number}-{}", self.builds.replaced);
+        let (old, _) = &self.endpoints[number];
+        let (old_id, address) = (old.id().to_owned(), old.address());
+        old.end();
+        self.store.remove("servers", &old_id);
+        let listener = bind_again(address).await?;
+        let seed = self.builds.replaced as u64;
+        let endpoint = Endpoint::on(listener, &id, self.ledger.clone(), seed).await?;
+        self.endpoints[number].0 = endpoint;
+        self.forms[number].build = Some(build);
+        self.builds.spans[number].push((Instant::now(), build));
+        self.behave(number, Behaviour::default());
+        self.list(number, "ready");
+        Ok(())
+    }
+
     /// Starts an endpoint again under its id and at its address.
     async fn start_again(&mut self, number: usize, seed: u64) -> Result<()> {
         let (ended, _) = &self.endpoints[number];
@@ -233,3 +254,14 @@
         entry
     }
 }
+
+/// Listens at an address whose last listener is about to close.
+async fn bind_again(address: SocketAddr) -> Result<TcpListener> {
+    let until = Instant::now() + DOWN;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(_) if Instant::now() < until => tokio::time::sleep(LOOK).await,
+            bound => return Ok(bound?),
+        }
+    }
+}
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -44,6 +44,7 @@
             count: 0,
             seconds: SECONDS,
             cuts: false,
+            builds: false,
             keep: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         };
         let cuts = Options {
@@ -52,9 +53,16 @@
             keep: options.keep.join("cuts"),
             ..options.clone()
         };
+        let builds = Options {
+            seeds: SEEDS.to_vec(),
+            builds: true,
+            keep: options.keep.join("builds"),
+            ..options.clone()
+        };
         async {
             soak::run(children.daemon.clone(), options).await?;
-            soak::run(children.daemon, cuts).await
+            soak::run(children.daemon.clone(), cuts).await?;
+            soak::run(children.daemon, builds).await
         }
     })
 }
