--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -78,6 +78,8 @@
     quarantine: Quarantine,
     unmarked: UnmarkedEnds,
     notices: Notices,
+    /// When connections to instances were lost that may have been replaced since.
+    doubts: HashMap<InstanceId, Millis>,
     brittle: Brittle,
     /// Drained data centres: their endpoints take no new work.
     drained: HashSet<DataCentreId>,
@@ -155,6 +157,7 @@
             quarantine: Quarantine::default(),
             unmarked: UnmarkedEnds::default(),
             notices: Notices::default(),
+            doubts: HashMap::new(),
             brittle: Brittle::default(),
             drained: HashSet::new(),
             fleet: Fleet::new(now),
--- a/crates/core/src/routing/view/choosing.rs
+++ b/crates/core/src/routing/view/choosing.rs
@@ -5,6 +5,7 @@
 
 use rand::RngExt;
 
+use super::streams::Doubts;
 use super::{ChooseError, Overload, Result, View};
 use crate::clock::Millis;
 use crate::ids::{DataCentreId, PoolId};
@@ -100,11 +101,12 @@
     ) -> Option<Choice> {
         let share = shared.map_or(0.0, |prefix| self.count_prefix(prefix));
         let paused = self.paused_builds(pool, plan, now);
-        let choice = self.pick_of(pool, shared, share, plan, &paused, now);
-        if choice.is_some() || paused.is_empty() {
+        let careful = plan.begins_resumable();
+        let choice = self.pick_of(pool, shared, share, plan, (&paused, careful), now);
+        if choice.is_some() || !careful {
             return choice;
         }
-        self.pick_of(pool, shared, share, plan, &[], now)
+        self.pick_of(pool, shared, share, plan, (&[], false), now)
     }
 
     /// The software versions at which a stream isn't begun yet. Those that have served for longer
@@ -125,14 +127,15 @@
         }
     }
 
-    /// Chooses an endpoint of another software version than `paused`.
+    /// Chooses an endpoint of another software version than those that are paused, and if
+    /// `is_careful`, one whose version isn't in doubt.
     fn pick_of(
         &mut self,
         pool: &PoolId,
         shared: Option<&SharedPrefix>,
         share: f64,
         plan: &RetryPlan,
-        paused: &[Build],
+        (paused, is_careful): (&[Build], bool),
         now: Millis,
     ) -> Option<Choice> {
         let may_probe = plan.is_idempotent();
@@ -151,6 +154,7 @@
             daemons: self.daemons,
             plan,
             paused,
+            doubts: (is_careful || plan.build().is_some()).then(|| Doubts::new(&self.doubts, now)),
             shared,
             failures,
             now,
@@ -328,6 +332,8 @@
     plan: &'a RetryPlan,
     /// Software versions at which the request isn't begun.
     paused: &'a [Build],
+    /// Instances to which it isn't sent, since their software version is in doubt.
+    doubts: Option<Doubts<'a>>,
     shared: Option<&'a SharedPrefix>,
     failures: PoolFailures,
     now: Millis,
@@ -354,7 +360,10 @@
     }
 
     fn allowance(&mut self, endpoint: &Endpoint, load: f64) -> Allowance {
-        if !self.plan.accepts(&endpoint.build) || self.paused.contains(&endpoint.build) {
+        let is_doubtful = self.doubts.as_ref();
+        let is_doubtful = is_doubtful.is_some_and(|doubts| doubts.contain(&endpoint.id));
+        let is_other = !self.plan.accepts(&endpoint.build);
+        if is_other || is_doubtful || self.paused.contains(&endpoint.build) {
             return Allowance::Nothing;
         }
         let (fleet, now) = (self.allowances.fleet, self.now);
--- a/crates/core/src/routing/view/health.rs
+++ b/crates/core/src/routing/view/health.rs
@@ -29,6 +29,7 @@
     pub fn review(&mut self, now: Millis) -> Vec<HealthChange> {
         self.health.prune(now);
         self.directory.builds_mut().review(now);
+        self.prune_doubts(now);
         let failed = self.health.recorded().chain(&self.avoided);
         let failed: BTreeSet<&InstanceId> = failed.collect();
         let mut changes = Vec::new();
--- a/crates/core/src/routing/view/listing.rs
+++ b/crates/core/src/routing/view/listing.rs
@@ -103,5 +103,6 @@
         self.response_rates.forget(id);
         self.outcomes.remove(id);
         self.slow_starts.forget(id);
+        self.doubts.remove(id);
     }
 }
--- a/crates/core/src/routing/view/streams.rs
+++ b/crates/core/src/routing/view/streams.rs
@@ -1,11 +1,56 @@
 //! Software versions of endpoints, for streams that go on elsewhere.
 
+use std::collections::HashMap;
+
 use super::View;
 use crate::clock::Millis;
 use crate::ids::PoolId;
+use crate::routing::endpoint::InstanceId;
 use crate::routing::streams::history::BuildEvidence;
 use crate::routing::streams::lookup::Place;
 
+/// Time after a lost connection within which the endpoint may be another process under the same id
+/// that isn't listed yet: endpoints list themselves when they start, and daemons collect changes of
+/// the list for a second.
+const DOUBT: Millis = Millis(3000);
+
+impl View {
+    /// Records that a connection to an instance was lost, so that another process, maybe of another
+    /// software version, may have taken its id. Where endpoints give no start times, each process
+    /// has an id of its own.
+    pub fn doubt(&mut self, id: &InstanceId, now: Millis) {
+        if id.started.is_some() && self.directory.is_listed(id) {
+            self.doubts.insert(id.clone(), now);
+        }
+    }
+
+    /// Ends the doubt about an instance.
+    pub fn trust(&mut self, id: &InstanceId) {
+        self.doubts.remove(id);
+    }
+
+    pub(super) fn prune_doubts(&mut self, now: Millis) {
+        self.doubts.retain(|_, at| now.since(*at) < DOUBT);
+    }
+}
+
+/// Instances whose software version is in doubt.
+pub(super) struct Doubts<'a> {
+    doubts: &'a HashMap<InstanceId, Millis>,
+    now: Millis,
+}
+
+impl<'a> Doubts<'a> {
+    pub(super) const fn new(doubts: &'a HashMap<InstanceId, Millis>, now: Millis) -> Self {
+        Self { doubts, now }
+    }
+
+    pub(super) fn contain(&self, id: &InstanceId) -> bool {
+        let lost = self.doubts.get(id);
+        lost.is_some_and(|at| self.now.since(*at) < DOUBT)
+    }
+}
+
 impl View {
     /// Marks this daemon as one of a fleet that starts for the first time, so that no stream has
     /// begun before.
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -16,7 +16,7 @@
 use medlarrill_core::routing::streams::{Origin, StreamKey};
 use medlarrill_core::routing::view::View;
 
-use super::support::{endpoint, id, pool, prefix, route, view};
+use super::support::{endpoint, id, pool, prefix, route, started_at, view};
 
 fn origin(build: &str) -> Origin {
     Origin::new(&pool(), &build.into())
@@ -332,3 +332,46 @@
     expect_that!(view.is_served(&place("v2")), eq(true));
     expect_that!(view.is_served(&place("v1")), eq(false));
 }
+
+#[gtest]
+fn an_endpoint_whose_connections_were_lost_may_be_another_process_under_its_id() {
+    let mut view = view("near", 1);
+    let listed = |name: &str, at| Endpoint {
+        id: started_at(name, at),
+        ..of_build(name, "v1")
+    };
+    view.upsert(listed("a0", 1), Millis(0));
+    view.upsert(listed("a1", 1), Millis(0));
+    view.doubt(&started_at("a0", 1), Millis(30_000));
+    let chosen = |view: &mut View, plan: &RetryPlan, at| {
+        let mut names = Vec::new();
+        for _ in 0..100 {
+            let choice = view.choose(&pool(), None, plan, at).expect("a choice");
+            names.push(choice.endpoint.id.endpoint.to_string());
+            view.end(&choice.endpoint.id);
+        }
+        names
+    };
+    for plan in [plan(), bound_plan("v1")] {
+        let names = chosen(&mut view, &plan, Millis(31_000));
+        expect_that!(names, each(eq("a1")));
+        let names = chosen(&mut view, &plan, Millis(33_100));
+        expect_that!(names, contains(eq("a0")));
+    }
+    // A stream that begins goes there if there is no other; one that has begun doesn't.
+    view.doubt(&started_at("a0", 1), Millis(40_000));
+    view.remove(&id("a1").endpoint);
+    let at = Millis(40_100);
+    expect_that!(view.choose(&pool(), None, &plan(), at).is_ok(), eq(true));
+    let bound = bound_plan("v1");
+    expect_that!(view.choose(&pool(), None, &bound, at).is_err(), eq(true));
+    // It is listed anew, as another version.
+    let next = Endpoint {
+        build: "v2".into(),
+        ..listed("a0", 2)
+    };
+    view.upsert(next, Millis(40_200));
+    let at = Millis(40_300);
+    let bound = bound_plan("v2");
+    expect_that!(view.choose(&pool(), None, &bound, at).is_ok(), eq(true));
+}
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -80,6 +80,9 @@
     /// Only endpoints of several software versions, and callers that take up streams.
     #[arg(long, conflicts_with = "cuts")]
     pub builds: bool,
+    /// Daemon of an earlier build, which every second daemon runs.
+    #[arg(long)]
+    pub beside: Option<PathBuf>,
     /// Where logs of seeds that broke a promise are kept.
     #[arg(long, default_value = "target/soak")]
     pub keep: PathBuf,
@@ -166,7 +169,9 @@
         false if options.builds => Plan::of_builds(&mut rng, length),
         false => draw(&mut rng, seed, length),
     };
-    let mut world = World::start(program, seed, &plan).await?;
+    let earlier = options.beside.as_deref().map(Program::new);
+    let programs = std::iter::once(program).chain(earlier).collect();
+    let mut world = World::start(programs, seed, &plan).await?;
     let from = Instant::now();
     let mut traffic = Traffic::start(world.doors.clone(), seed, plan.builds);
     if let Some(path) = plan.crashing {
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -130,7 +130,7 @@
     pub ended: Vec<usize>,
     store: Store,
     endpoints: Vec<(Endpoint, Proxy)>,
-    program: Program,
+    programs: Vec<Program>,
     daemons: Vec<Arc<Daemon>>,
     /// Between daemons and the store.
     proxies: Vec<Proxy>,
@@ -164,7 +164,7 @@
 
 impl World {
     /// Starts all and waits until each daemon knows all endpoints.
-    pub async fn start(program: Program, seed: u64, plan: &Plan) -> Result<Self> {
+    pub async fn start(programs: Vec<Program>, seed: u64, plan: &Plan) -> Result<Self> {
         let store = Store::start().await?;
         let ledger = Ledger::default();
         let endpoints = start_endpoints(plan.endpoints, &ledger, seed).await?;
@@ -176,7 +176,7 @@
             ended: Vec::new(),
             store,
             endpoints,
-            program,
+            programs,
             daemons: Vec::new(),
             proxies: Vec::new(),
             paths: Vec::new(),
@@ -266,7 +266,7 @@
         let [callers, ready, metrics] = [any; 3].map(|ip| SocketAddr::new(ip, 0));
         setup.listen = [callers, ready, metrics, SocketAddr::new(ip, port)];
         setup.seeds = self.daemons.iter().map(peers).take(2).collect();
-        let routed = Routed::start(&self.program, self.folder.path(), &setup)?;
+        let routed = Routed::start(self.program(number), self.folder.path(), &setup)?;
         setup.listen = routed.listen;
         let door = Door {
             callers: routed.callers(),
@@ -283,6 +283,11 @@
         Ok(door)
     }
 
+    /// The program that a daemon runs: they take turns.
+    fn program(&self, daemon: usize) -> &Program {
+        &self.programs[daemon % self.programs.len()]
+    }
+
     /// Waits until daemons that were ended run again.
     pub async fn settle(&mut self) -> Result<()> {
         for restart in self.restarts.drain(..) {
@@ -303,7 +308,7 @@
         if ending.ending.swap(true, Ordering::Relaxed) {
             return Ok(());
         }
-        let program = self.program.clone();
+        let program = self.program(daemon).clone();
         let folder = self.folder.path().to_owned();
         let restart = tokio::spawn(async move { ending.restart(&program, &folder).await });
         self.restarts.push(restart);
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -45,6 +45,7 @@
             seconds: SECONDS,
             cuts: false,
             builds: false,
+            beside: None,
             keep: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         };
         let cuts = Options {
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -197,12 +197,14 @@
         if paths.is_own_loss(id, lost_at) {
             return;
         }
+        shared.placement.doubt(id, lost_at);
         shared.placement.record_loss(plan, id, lost_at);
         let (shared, id) = (Arc::clone(shared), id.clone());
         tokio::spawn(async move {
             tokio::time::sleep(LOSS_WINDOW.as_duration()).await;
-            if !shared.connections.paths().is_own_loss(&id, lost_at) {
-                shared.placement.record_failure(&id, fault, now());
+            match shared.connections.paths().is_own_loss(&id, lost_at) {
+                true => shared.placement.trust(&id),
+                false => shared.placement.record_failure(&id, fault, now()),
             }
         });
     }
--- a/crates/router/src/placement/streams.rs
+++ b/crates/router/src/placement/streams.rs
@@ -2,6 +2,7 @@
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::PoolId;
+use medlarrill_core::routing::endpoint::InstanceId;
 use medlarrill_core::routing::streams::history::BuildEvidence;
 use medlarrill_core::routing::streams::lookup::Place;
 
@@ -13,6 +14,17 @@
         self.lock().set_first_start();
     }
 
+    /// Records that a connection to an instance was lost, so that another process may have taken its
+    /// id.
+    pub fn doubt(&self, id: &InstanceId, now: Millis) {
+        self.lock().doubt(id, now);
+    }
+
+    /// Ends the doubt about an instance.
+    pub fn trust(&self, id: &InstanceId) {
+        self.lock().trust(id);
+    }
+
     /// The places in some pools at which streams may have begun that still live.
     pub fn stream_places<'a>(
         &self,
