Take-ups without a name ask any daemons; holders are ranked anew only when they change

All requests without Resumes asked the same four daemons. With a thousand daemons the ranking was built twice a second though it hardly ever changes.

--- a/crates/core/src/routing/streams/holders.rs
+++ b/crates/core/src/routing/streams/holders.rs
@@ -23,10 +23,20 @@
 impl Holders {
     /// Ranks these daemons; the daemon itself isn't among them.
     pub fn new(daemons: impl IntoIterator<Item = SocketAddr>) -> Self {
-        let node = |daemon: SocketAddr| Node::new(daemon, &daemon.to_string());
-        Self {
-            daemons: daemons.into_iter().map(node).collect(),
+        let mut holders = Self::default();
+        holders.set(daemons);
+        holders
+    }
+
+    /// Ranks other daemons, unless they are the same in the same order.
+    pub fn set(&mut self, daemons: impl IntoIterator<Item = SocketAddr>) {
+        let daemons: Vec<SocketAddr> = daemons.into_iter().collect();
+        let known = self.daemons.iter().map(|node| &node.id);
+        if known.eq(&daemons) {
+            return;
         }
+        let node = |daemon: SocketAddr| Node::new(daemon, &daemon.to_string());
+        self.daemons = daemons.into_iter().map(node).collect();
     }
 
     /// Whether no other daemon is known.
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -99,9 +99,8 @@
         daemons: impl IntoIterator<Item = SocketAddr>,
         keeper: Option<SocketAddr>,
     ) {
-        let holders = Holders::new(daemons);
         let mut state = self.lock();
-        state.holders = holders;
+        state.holders.set(daemons);
         state.keeper = keeper;
     }
 
--- a/crates/router/src/streams/find.rs
+++ b/crates/router/src/streams/find.rs
@@ -73,8 +73,9 @@
         if let Some(own) = own {
             return found(own.ok_or(LookupError::Ambiguous)?, Source::Own);
         }
-        // Without a name, others are only asked for what they know of versions.
-        let replies = self.ask(key.unwrap_or(StreamKey(0))).await;
+        // Without a name, any others are asked for what they know of versions.
+        let asked = key.unwrap_or_else(|| StreamKey(rand::random()));
+        let replies = self.ask(asked).await;
         let told = replies.as_deref().unwrap_or_default();
         if let Some(origin) = told_origin(told)? {
             return found(origin, Source::Told);
