Streams: an alternative is looked for only when one is stuck; simpler names

For each event of a resumable stream the daemon looked for another endpoint of its version, which takes longer the fewer there are. Now only once no event came in time. Names and order by reading.

--- a/crates/core/src/routing/view/choosing.rs
+++ b/crates/core/src/routing/view/choosing.rs
@@ -31,6 +31,15 @@
 /// stream.
 const MAX_PAUSED: f64 = 0.25;
 
+/// What a request that begins a stream avoids while there is something else.
+#[derive(Clone, Copy, Default)]
+struct Caution<'a> {
+    /// Software versions at which streams don't begin yet.
+    paused: &'a [Build],
+    /// Whether endpoints are avoided whose software version is in doubt.
+    avoids_doubts: bool,
+}
+
 impl View {
     /// Whether a pool has an untried endpoint other than `id` that takes new work.
     pub fn has_other(
@@ -101,12 +110,16 @@
     ) -> Option<Choice> {
         let share = shared.map_or(0.0, |prefix| self.count_prefix(prefix));
         let paused = self.paused_builds(pool, plan, now);
-        let careful = plan.begins_resumable();
-        let choice = self.pick_of(pool, shared, share, plan, (&paused, careful), now);
-        if choice.is_some() || !careful {
+        let begins_resumable = plan.begins_resumable();
+        let caution = Caution {
+            paused: &paused,
+            avoids_doubts: begins_resumable,
+        };
+        let choice = self.pick_with(pool, shared, share, plan, caution, now);
+        if choice.is_some() || !begins_resumable {
             return choice;
         }
-        self.pick_of(pool, shared, share, plan, (&[], false), now)
+        self.pick_with(pool, shared, share, plan, Caution::default(), now)
     }
 
     /// The software versions at which a stream isn't begun yet. Those that have served for longer
@@ -127,15 +140,14 @@
         }
     }
 
-    /// Chooses an endpoint of another software version than those that are paused, and if
-    /// `is_careful`, one whose version isn't in doubt.
-    fn pick_of(
+    /// Chooses an endpoint with some caution.
+    fn pick_with(
         &mut self,
         pool: &PoolId,
         shared: Option<&SharedPrefix>,
         share: f64,
         plan: &RetryPlan,
-        (paused, is_careful): (&[Build], bool),
+        caution: Caution<'_>,
         now: Millis,
     ) -> Option<Choice> {
         let may_probe = plan.is_idempotent();
@@ -153,8 +165,9 @@
             allowances: Allowances::new(pool, notices, &mut self.slow_starts, fleet, now),
             daemons: self.daemons,
             plan,
-            paused,
-            doubts: (is_careful || plan.build().is_some()).then(|| Doubts::new(&self.doubts, now)),
+            paused: caution.paused,
+            doubts: (caution.avoids_doubts || plan.build().is_some())
+                .then(|| Doubts::new(&self.doubts, now)),
             shared,
             failures,
             now,
@@ -360,10 +373,7 @@
     }
 
     fn allowance(&mut self, endpoint: &Endpoint, load: f64) -> Allowance {
-        let is_doubtful = self.doubts.as_ref();
-        let is_doubtful = is_doubtful.is_some_and(|doubts| doubts.contain(&endpoint.id));
-        let is_other = !self.plan.accepts(&endpoint.build);
-        if is_other || is_doubtful || self.paused.contains(&endpoint.build) {
+        if !self.fits_version(endpoint) {
             return Allowance::Nothing;
         }
         let (fleet, now) = (self.allowances.fleet, self.now);
@@ -374,6 +384,14 @@
         }
     }
 
+    /// Whether the request may run at the endpoint's software version.
+    fn fits_version(&self, endpoint: &Endpoint) -> bool {
+        let doubts = self.doubts.as_ref();
+        let is_doubtful = doubts.is_some_and(|doubts| doubts.contain(&endpoint.id));
+        let is_paused = self.paused.contains(&endpoint.build);
+        self.plan.accepts(&endpoint.build) && !is_doubtful && !is_paused
+    }
+
     /// The load to compare. Requests without a shared prefix are placed by load: if all daemons
     /// extrapolated random changes of load, they would avoid and fill the same endpoints together.
     const fn load(&self, estimate: Estimate) -> f64 {
--- a/crates/core/src/routing/view/streams.rs
+++ b/crates/core/src/routing/view/streams.rs
@@ -14,6 +14,23 @@
 /// the list for a second.
 const DOUBT: Millis = Millis(3000);
 
+/// Instances whose software version is in doubt.
+pub(super) struct Doubts<'a> {
+    doubts: &'a HashMap<InstanceId, Millis>,
+    now: Millis,
+}
+
+impl<'a> Doubts<'a> {
+    pub(super) const fn new(doubts: &'a HashMap<InstanceId, Millis>, now: Millis) -> Self {
+        Self { doubts, now }
+    }
+
+    pub(super) fn contain(&self, id: &InstanceId) -> bool {
+        let lost = self.doubts.get(id);
+        lost.is_some_and(|at| self.now.since(*at) < DOUBT)
+    }
+}
+
 impl View {
     /// Records that a connection to an instance was lost, so that another process, maybe of another
     /// software version, may have taken its id. Where endpoints give no start times, each process
@@ -32,26 +49,7 @@
     pub(super) fn prune_doubts(&mut self, now: Millis) {
         self.doubts.retain(|_, at| now.since(*at) < DOUBT);
     }
-}
-
-/// Instances whose software version is in doubt.
-pub(super) struct Doubts<'a> {
-    doubts: &'a HashMap<InstanceId, Millis>,
-    now: Millis,
-}
-
-impl<'a> Doubts<'a> {
-    pub(super) const fn new(doubts: &'a HashMap<InstanceId, Millis>, now: Millis) -> Self {
-        Self { doubts, now }
-    }
 
-    pub(super) fn contain(&self, id: &InstanceId) -> bool {
-        let lost = self.doubts.get(id);
-        lost.is_some_and(|at| self.now.since(*at) < DOUBT)
-    }
-}
-
-impl View {
     /// Marks this daemon as one of a fleet that starts for the first time, so that no stream has
     /// begun before.
     pub const fn set_first_start(&mut self) {
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -14,6 +14,7 @@
 use medlarrill_core::routing::events::EventSplitter;
 use medlarrill_core::routing::plan::{Next, RetryPlan};
 use medlarrill_net::now::now;
+use tokio::time::error::Elapsed;
 
 use super::answer::{Answer, BrokenStream, full_answer};
 use super::dispatch::{Dispatched, OpenStream, dispatch};
@@ -56,6 +57,9 @@
     build: Build,
 }
 
+/// The next frame of a body, none at its end; an error if it doesn't come in time.
+type NextFrame = Result<Option<hyper::Result<Frame<Bytes>>>, Elapsed>;
+
 /// Result of waiting for the next bytes.
 enum Piece {
     Bytes(Bytes),
@@ -151,12 +155,16 @@
 
     /// Waits for the next bytes from the source; with resumption allowed, only complete events.
     async fn piece(&mut self) -> Piece {
-        let wait = self.wait();
         let resumes = self.may_resume();
-        let Some(source) = &mut self.source else {
+        let mut wait = self.wait();
+        let mut frame = self.frame(wait).await;
+        if frame.is_err() && !self.has_alternative() {
+            wait = self.time_left();
+            frame = self.frame(wait).await;
+        }
+        let Some(source) = &self.source else {
             return Piece::End(BodyEnd::Broken, Some("no source".into()));
         };
-        let frame = tokio::time::timeout(wait.as_duration(), source.body.frame()).await;
         match frame {
             Err(_) => Piece::End(BodyEnd::Stalled, Some(format!("no event in {wait}"))),
             Ok(Some(Err(error))) => Piece::End(BodyEnd::Broken, Some(error.to_string())),
@@ -177,13 +185,28 @@
         }
     }
 
-    /// Timeout for the next bytes.
+    /// Waits for the next frame of the source.
+    async fn frame(&mut self, wait: Millis) -> NextFrame {
+        let next = async {
+            match &mut self.source {
+                Some(source) => source.body.frame().await,
+                None => None,
+            }
+        };
+        tokio::time::timeout(wait.as_duration(), next).await
+    }
+
+    /// Time until the end of the stream is given up.
+    fn time_left(&self) -> Millis {
+        self.plan.deadline().since(now()) + DEADLINE_GRACE
+    }
+
+    /// Time after which the stream is resumed elsewhere, if it may be.
     fn wait(&self) -> Millis {
-        let left = self.plan.deadline().since(now());
         let stuck = Millis(self.routed.route.gap.0 * STUCK_GAPS);
-        match self.plan.may_run_again() && stuck > Millis::ZERO && self.has_alternative() {
-            true => (left + DEADLINE_GRACE).min(stuck),
-            false => left + DEADLINE_GRACE,
+        match self.plan.may_run_again() && stuck > Millis::ZERO {
+            true => self.time_left().min(stuck),
+            false => self.time_left(),
         }
     }
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -11,6 +11,7 @@
 use medlarrill_core::routing::exchange::{
     DataCentreHash, Exchange, Following, LinkClass, Message, Outgoing, TICK,
 };
+use medlarrill_core::routing::streams::message::Message as StreamMessage;
 use medlarrill_net::now::now;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -224,7 +225,7 @@
 
 /// Handles a datagram that isn't one of the exchange.
 fn receive_streams(shared: &Shared, from: SocketAddr, bytes: &[u8]) {
-    match streams::decode(bytes) {
+    match StreamMessage::decode(bytes) {
         Ok(Some(message)) => shared.streams.receive(from, message),
         // Only newer daemons know it.
         Ok(None) => {}
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -152,9 +152,7 @@
         listen,
         ..settings.clone()
     };
-    let known = (&placement, &copies, &metrics);
-    let (streams, stream_messages) =
-        Streams::new(known, settings.platform, settings.seeds.is_empty());
+    let (streams, stream_messages) = Streams::new(&placement, &copies, &metrics, &settings);
     let roster = Roster::new(listen.peers, settings.peer_seeds());
     let store = StoreContext {
         copies: Arc::clone(&copies),
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -22,6 +22,7 @@
 
 use crate::metrics::Metrics;
 use crate::placement::Placement;
+use crate::settings::Settings;
 use crate::store::Copies;
 use crate::store::client::Client;
 use archive::Reader;
@@ -29,18 +30,12 @@
 pub use archive::keep;
 pub use find::Found;
 
-/// Decodes a datagram about streams; `None` for another kind of message.
-///
-/// # Errors
-///
-/// When the bytes aren't Protocol Buffers.
-pub fn decode(bytes: &[u8]) -> Result<Option<Message>, prost::DecodeError> {
-    Message::decode(bytes)
-}
-
 /// Maximum number of messages that wait to be sent; others are dropped and counted.
 const MAX_WAITING: usize = 1024;
 
+/// Maximum number of streams in one datagram, of 16 bytes each.
+const MAX_JOINED: usize = 64;
+
 /// A message about streams and its destination.
 pub type Outgoing = (SocketAddr, Message);
 
@@ -72,19 +67,20 @@
 impl Streams {
     /// Creates an empty memory; returns it with the receiver of messages to be sent.
     pub fn new(
-        (placement, copies, metrics): (&Arc<Placement>, &Arc<Copies>, &Arc<Metrics>),
-        platform: SocketAddr,
-        is_single: bool,
+        placement: &Arc<Placement>,
+        copies: &Arc<Copies>,
+        metrics: &Arc<Metrics>,
+        settings: &Settings,
     ) -> (Self, mpsc::Receiver<Outgoing>) {
         let (outgoing, receiver) = mpsc::channel(MAX_WAITING);
         let streams = Self {
             state: Mutex::default(),
-            reader: tokio::sync::Mutex::new(Reader::new(Client::new(platform))),
+            reader: tokio::sync::Mutex::new(Reader::new(Client::new(settings.platform))),
             outgoing,
             placement: Arc::clone(placement),
             copies: Arc::clone(copies),
             metrics: Arc::clone(metrics),
-            is_single,
+            is_single: settings.seeds.is_empty(),
         };
         (streams, receiver)
     }
@@ -208,8 +204,6 @@
 
 /// Joins messages that tell one daemon of streams, as far as they fit into a datagram.
 pub fn join(messages: Vec<Outgoing>) -> Vec<Outgoing> {
-    /// Streams in one datagram, of 16 bytes each.
-    const MAX_STREAMS: usize = 64;
     let mut joined: Vec<Outgoing> = Vec::with_capacity(messages.len());
     let mut began: HashMap<SocketAddr, Vec<(StreamKey, Origin)>> = HashMap::new();
     for (daemon, message) in messages {
@@ -219,7 +213,7 @@
         }
     }
     for (daemon, streams) in began {
-        let parts = streams.chunks(MAX_STREAMS).map(Began::new);
+        let parts = streams.chunks(MAX_JOINED).map(Began::new);
         joined.extend(parts.map(|part| (daemon, Message::Began(part))));
     }
     joined
