A stream whose time is up waits for its end once, not twice

Found by reading: once no event had come until the deadline and the 80 ms beyond it, a stream without another endpoint to go on at waited for another 80 ms. Now it waits again only if it was taken for stuck before its time was up. No test: it would assert a time.

--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -157,8 +157,9 @@
     async fn piece(&mut self) -> Piece {
         let resumes = self.may_resume();
         let mut wait = self.wait();
+        let is_last = wait >= self.time_left();
         let mut frame = self.frame(wait).await;
-        if frame.is_err() && !self.has_alternative() {
+        if frame.is_err() && !is_last && !self.has_alternative() {
             wait = self.time_left();
             frame = self.frame(wait).await;
         }
