Store: one client that counts its calls and reads whole lists; one hash of several parts

The archive of streams had its own copies of the quarantine's counted call and of its loop over pages, and keys of streams a copy of the fingerprint's hash. Both are in one place now (CountedClient, hash_parts), with the same values. Tests of versions share how streams that were taken up are judged; their assertions are the same. No behaviour changed.

--- a/crates/core/src/routing/fingerprint.rs
+++ b/crates/core/src/routing/fingerprint.rs
@@ -22,16 +22,22 @@
     /// The fingerprint of a request; `path` includes the query.
     pub fn new(host: &str, path: &str, account: Option<&AccountId>, body: &[u8]) -> Self {
         let account = account.map_or("", AccountId::as_str);
-        let mut hash = Xxh3::new();
-        for part in [host.as_bytes(), path.as_bytes(), account.as_bytes(), body] {
-            // Hashing the lengths distinguishes parts that are equal when concatenated.
-            hash.update(&(part.len() as u64).to_le_bytes());
-            hash.update(part);
-        }
-        Self(hash.digest())
+        let parts = [host.as_bytes(), path.as_bytes(), account.as_bytes(), body];
+        Self(hash_parts(parts))
     }
 }
 
+/// Hashes several parts to one number.
+pub(super) fn hash_parts<const N: usize>(parts: [&[u8]; N]) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        // Hashing the lengths distinguishes parts that are equal when concatenated.
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
+
 impl FromStr for Fingerprint {
     type Err = ParseIntError;
 
--- a/crates/core/src/routing/streams.rs
+++ b/crates/core/src/routing/streams.rs
@@ -20,10 +20,10 @@
 use std::str::FromStr;
 
 use derive_more::{Debug, Display};
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::ids::{AccountId, PoolId};
 use crate::routing::endpoint::Build;
+use crate::routing::fingerprint::hash_parts;
 
 /// Identifies a stream over all attempts of its caller: a hash of the client account, the host and
 /// the path of its requests, and the id of the attempt that brought its first event. Another
@@ -38,7 +38,9 @@
     /// The key of a stream; `path` doesn't include the query.
     pub fn new(account: Option<&AccountId>, host: &str, path: &str, attempt: &str) -> Self {
         let account = account.map_or("", AccountId::as_str);
-        Self(hash([account, host, path, attempt]))
+        Self(hash_parts(
+            [account, host, path, attempt].map(str::as_bytes),
+        ))
     }
 }
 
@@ -52,7 +54,9 @@
 impl Origin {
     /// The origin of streams that endpoints of this version in this pool begin.
     pub fn new(pool: &PoolId, build: &Build) -> Self {
-        Self(hash([pool.as_str(), build.as_str()]))
+        Self(hash_parts(
+            [pool.as_str(), build.as_str()].map(str::as_bytes),
+        ))
     }
 }
 
@@ -73,13 +77,3 @@
         u64::from_str_radix(text, 16).map(Self)
     }
 }
-
-fn hash<const N: usize>(parts: [&str; N]) -> u64 {
-    let mut hash = Xxh3::new();
-    for part in parts {
-        // Hashing the lengths distinguishes parts that are equal when concatenated.
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part.as_bytes());
-    }
-    hash.digest()
-}
--- a/crates/daemon/tests/route/versions.rs
+++ b/crates/daemon/tests/route/versions.rs
@@ -177,6 +177,23 @@
     longest: Duration,
 }
 
+impl TakenUp {
+    /// All streams ended, each of one software version.
+    fn assert_all_whole(&self) {
+        assert_that!(self.wrong, is_empty(), "{self:?}");
+        assert_that!(self.whole, eq(STREAMS), "{self:?}");
+    }
+}
+
+/// Starts all daemons again after they were killed.
+async fn restart_all(bench: &mut Bench) {
+    bench.restart_all();
+    for daemon in 0..bench.daemons.len() {
+        bench.ready(daemon, bench.endpoints.len()).await;
+        bench.takes_connections(daemon).await;
+    }
+}
+
 /// Takes up all streams to their ends at a daemon; `suffix` sets their ids apart.
 async fn finish(bench: &Bench, daemon: usize, begun: &[(String, Part)], suffix: &str) -> TakenUp {
     let address = bench.daemons[daemon].callers();
@@ -233,8 +250,7 @@
     let bench = start(1, &TWO).await;
     let begun = begin(&bench, 0).await;
     let taken_up = finish(&bench, 0, &begun, "again").await;
-    assert_that!(taken_up.wrong, is_empty(), "{taken_up:?}");
-    assert_that!(taken_up.whole, eq(STREAMS), "{taken_up:?}");
+    taken_up.assert_all_whole();
 }
 
 #[tokio::test]
@@ -242,8 +258,7 @@
     let bench = start(4, &TWO).await;
     let begun = begin(&bench, 0).await;
     let taken_up = finish(&bench, 1, &begun, "again").await;
-    assert_that!(taken_up.wrong, is_empty(), "{taken_up:?}");
-    assert_that!(taken_up.whole, eq(STREAMS), "{taken_up:?}");
+    taken_up.assert_all_whole();
 }
 
 #[tokio::test]
@@ -266,8 +281,7 @@
         part.events.extend(second.events);
     }
     let taken_up = finish(&bench, 2, &begun, "third").await;
-    assert_that!(taken_up.wrong, is_empty(), "{taken_up:?}");
-    assert_that!(taken_up.whole, eq(STREAMS), "{taken_up:?}");
+    taken_up.assert_all_whole();
 }
 
 #[tokio::test]
@@ -276,11 +290,7 @@
     // Otherwise daemons that start again learn of streams from the platform.
     bench.store.fail(Outage::Only("streams"));
     let begun = begin(&bench, 0).await;
-    bench.restart_all();
-    for daemon in 0..3 {
-        bench.ready(daemon, TWO.len()).await;
-        bench.takes_connections(daemon).await;
-    }
+    restart_all(&mut bench).await;
     let taken_up = finish(&bench, 0, &begun, "again").await;
     assert_that!(taken_up.wrong, is_empty(), "{taken_up:?}");
     assert_that!(taken_up.refused, eq(STREAMS), "{taken_up:?}");
@@ -297,14 +307,9 @@
     tokio::time::sleep(Duration::from_millis(1600)).await;
     let begun = begin(&bench, 0).await;
     tokio::time::sleep(Duration::from_millis(600)).await;
-    bench.restart_all();
-    for daemon in 0..3 {
-        bench.ready(daemon, TWO.len()).await;
-        bench.takes_connections(daemon).await;
-    }
+    restart_all(&mut bench).await;
     let taken_up = finish(&bench, 0, &begun, "again").await;
-    assert_that!(taken_up.wrong, is_empty(), "{taken_up:?}");
-    assert_that!(taken_up.whole, eq(STREAMS), "{taken_up:?}");
+    taken_up.assert_all_whole();
 }
 
 #[tokio::test]
@@ -313,14 +318,9 @@
     // Time in which the first hub has written.
     tokio::time::sleep(Duration::from_millis(1600)).await;
     let begun = begin(&bench, 0).await;
-    bench.restart_all();
-    for daemon in 0..3 {
-        bench.ready(daemon, 2).await;
-        bench.takes_connections(daemon).await;
-    }
+    restart_all(&mut bench).await;
     let taken_up = finish(&bench, 0, &begun, "again").await;
-    assert_that!(taken_up.wrong, is_empty(), "{taken_up:?}");
-    assert_that!(taken_up.whole, eq(STREAMS), "{taken_up:?}");
+    taken_up.assert_all_whole();
 }
 
 #[tokio::test]
--- a/crates/lab/src/soak/check/builds.rs
+++ b/crates/lab/src/soak/check/builds.rs
@@ -92,6 +92,7 @@
 
 /// Whether nothing kept the daemon from hearing of others.
 fn is_in_touch(world: &World, sent: &Sent) -> bool {
-    let harms = |fault: &_| super::super::plan::Fault::harms_daemon(fault, sent.daemon);
-    !is_harmed(world, sent.to, CONTACT, harms)
+    !is_harmed(world, sent.to, CONTACT, |fault| {
+        fault.harms_daemon(sent.daemon)
+    })
 }
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -8,6 +8,7 @@
 mod apply;
 pub mod client;
 mod copies;
+pub mod counted;
 mod daemons;
 mod direct;
 mod quarantine;
--- a/crates/router/src/store/quarantine.rs
+++ b/crates/router/src/store/quarantine.rs
@@ -2,18 +2,21 @@
 //! all daemons have restarted.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::backoff;
 use medlarrill_core::routing::fingerprint::Fingerprint;
+use medlarrill_core::routing::mirror::Object;
 use medlarrill_core::routing::quarantine::{PlatformSync, Step, StoredRequest};
 use medlarrill_net::now::{now, wall};
 use medlarrill_platform::objects;
-use medlarrill_platform::store::{self as wire, Call, Freshness};
+use medlarrill_platform::store::{self as wire, Call};
 use rand::RngExt;
 
 use super::StoreContext;
 use super::client::{CallError, Client, Result};
+use super::counted::CountedClient;
 
 /// Interval between checks for the next step.
 const CHECK_INTERVAL: Millis = Millis(500);
@@ -25,8 +28,9 @@
 
 /// Keeps the store up to date until the process ends.
 pub async fn sync(store: StoreContext, platform: SocketAddr) {
+    let metrics = Arc::clone(&store.metrics);
     let mut state = QuarantineSync {
-        client: Client::new(platform),
+        client: CountedClient::new(Client::new(platform), metrics, ANSWER_TIMEOUT),
         sync_state: PlatformSync::default(),
         store,
     };
@@ -59,7 +63,7 @@
 }
 
 struct QuarantineSync {
-    client: Client,
+    client: CountedClient,
     sync_state: PlatformSync,
     store: StoreContext,
 }
@@ -86,26 +90,9 @@
 
     async fn list(&mut self) -> Result<()> {
         let mut all: Vec<StoredRequest> = Vec::new();
-        let mut after: Option<String> = None;
-        loop {
-            let path = wire::list_path(wire::QUARANTINE, after.as_deref(), Freshness::Latest);
-            let body = self.call(&Call::get(path)).await?;
-            let page = wire::page(&body).map_err(CallError::Decode)?;
-            let copies = &self.store.copies;
-            copies.report_all_unreadable(wire::QUARANTINE, &page.unreadable);
-            for object in &page.objects {
-                match objects::quarantined(object) {
-                    Ok(stored) => all.push(stored),
-                    Err(error) => copies.report_unreadable(wire::QUARANTINE, &object.name, &error),
-                }
-            }
-            after = page.objects.last().map(|object| object.name.clone());
-            match (page.more, &after) {
-                (false, _) => break,
-                (true, None) => return Err(CallError::Stuck),
-                (true, Some(_)) => {}
-            }
-        }
+        let copies = &self.store.copies;
+        let read = |object: &Object| objects::quarantined(object).map(|stored| all.push(stored));
+        self.client.list(wire::QUARANTINE, copies, read).await?;
         let (at, wall) = (now(), wall());
         let evidence: Vec<_> = all
             .iter()
@@ -130,7 +117,11 @@
             return Ok(());
         };
         let (name, spec) = (fingerprint.to_string(), objects::quarantined_spec(&stored));
-        match self.call(&call(wire::QUARANTINE, &name, &spec)).await {
+        match self
+            .client
+            .call(&call(wire::QUARANTINE, &name, &spec))
+            .await
+        {
             // Another daemon created it first, or the response to an earlier call was lost.
             Err(error) if error.exists() => {}
             // It was removed meanwhile, and is created again in the next step.
@@ -146,20 +137,11 @@
 
     async fn remove(&mut self, fingerprint: Fingerprint) -> Result<()> {
         let call = Call::remove(wire::QUARANTINE, &fingerprint.to_string());
-        match self.call(&call).await {
+        match self.client.call(&call).await {
             Err(error) if error.is_missing() => {}
             result => drop(result?),
         }
         self.sync_state.removed(fingerprint);
         Ok(())
     }
-
-    async fn call(&mut self, call: &Call) -> Result<bytes::Bytes> {
-        self.store.metrics.platform_calls.inc();
-        let answer = self.client.call(call, ANSWER_TIMEOUT).await;
-        if answer.is_err() {
-            self.store.metrics.failed_calls.inc();
-        }
-        answer
-    }
 }
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -24,7 +24,6 @@
 use crate::placement::Placement;
 use crate::settings::Settings;
 use crate::store::Copies;
-use crate::store::client::Client;
 use archive::Reader;
 
 pub use archive::keep;
@@ -75,7 +74,7 @@
         let (outgoing, receiver) = mpsc::channel(MAX_WAITING);
         let streams = Self {
             state: Mutex::default(),
-            reader: tokio::sync::Mutex::new(Reader::new(Client::new(settings.platform))),
+            reader: tokio::sync::Mutex::new(Reader::new(settings.platform, metrics)),
             outgoing,
             placement: Arc::clone(placement),
             copies: Arc::clone(copies),
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -1,24 +1,27 @@
 //! Reads and writes what the platform keeps of streams.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::backoff;
 use medlarrill_core::routing::exchange::LARGE_FLEET;
+use medlarrill_core::routing::mirror::Object;
 use medlarrill_core::routing::streams::Origin;
 use medlarrill_core::routing::streams::archive::{Archive, MAX_STREAMS};
 use medlarrill_net::now::now;
 use medlarrill_platform::objects;
-use medlarrill_platform::store::{self as wire, Call, Freshness};
+use medlarrill_platform::store::{self as wire, Call};
 use rand::RngExt;
 
 use super::Streams;
+use crate::metrics::Metrics;
 use crate::peers::Roster;
 use crate::shared::Shared;
-use crate::store::client::{CallError, Client, Result};
+use crate::store::client::{Client, Result};
+use crate::store::counted::CountedClient;
 
 /// Minimum time between writes while several software versions serve. Streams that began since the
 /// last one are forgotten if all daemons end.
@@ -40,17 +43,23 @@
 /// Reads the archive for requests.
 #[derive(Debug)]
 pub(super) struct Reader {
-    client: Client,
+    client: CountedClient,
     read_at: Option<Millis>,
 }
 
 impl Reader {
-    pub(super) const fn new(client: Client) -> Self {
-        let read_at = None;
-        Self { client, read_at }
+    pub(super) fn new(platform: SocketAddr, metrics: &Arc<Metrics>) -> Self {
+        Self {
+            client: counted(platform, metrics),
+            read_at: None,
+        }
     }
 }
 
+fn counted(platform: SocketAddr, metrics: &Arc<Metrics>) -> CountedClient {
+    CountedClient::new(Client::new(platform), Arc::clone(metrics), ANSWER_TIMEOUT)
+}
+
 impl Streams {
     /// Reads what the platform keeps, unless it was read just now.
     pub(super) async fn read_archive(&self) {
@@ -68,35 +77,20 @@
     }
 
     /// Reads and remembers what the platform keeps; returns the names of its objects.
-    async fn load(&self, client: &mut Client) -> Result<Vec<String>> {
+    async fn load(&self, client: &mut CountedClient) -> Result<Vec<String>> {
         let is_large = self.placement.daemon_count() >= LARGE_FLEET;
         let mut names = Vec::new();
-        let mut after: Option<String> = None;
-        loop {
-            let path = wire::list_path(wire::STREAMS, after.as_deref(), Freshness::Latest);
-            let body = self.call(client, &Call::get(path)).await?;
-            let page = wire::page(&body).map_err(CallError::Decode)?;
-            self.copies
-                .report_all_unreadable(wire::STREAMS, &page.unreadable);
-            for object in &page.objects {
-                names.push(object.name.clone());
-                match objects::streams(object) {
-                    // A fleet that has grown doesn't write it any more.
-                    Ok(_) if is_large && object.name == FLEET => {}
-                    Ok(archive) => self.merge(&archive),
-                    Err(error) => {
-                        self.copies
-                            .report_unreadable(wire::STREAMS, &object.name, &error);
-                    }
-                }
-            }
-            after = page.objects.last().map(|object| object.name.clone());
-            match (page.more, &after) {
-                (false, _) => return Ok(names),
-                (true, None) => return Err(CallError::Stuck),
-                (true, Some(_)) => {}
+        let read = |object: &Object| {
+            names.push(object.name.clone());
+            let archive = objects::streams(object)?;
+            // A fleet that has grown doesn't write it any more.
+            if !(is_large && object.name == FLEET) {
+                self.merge(&archive);
             }
-        }
+            Ok(())
+        };
+        client.list(wire::STREAMS, &self.copies, read).await?;
+        Ok(names)
     }
 
     fn merge(&self, archive: &Archive) {
@@ -107,21 +101,12 @@
         let builds = state.archived.get_or_insert_default();
         builds.extend(archive.builds());
     }
-
-    async fn call(&self, client: &mut Client, call: &Call) -> Result<Bytes> {
-        self.metrics.platform_calls.inc();
-        let answer = client.call(call, ANSWER_TIMEOUT).await;
-        if answer.is_err() {
-            self.metrics.failed_calls.inc();
-        }
-        answer
-    }
 }
 
 /// Keeps the archive up to date until the process ends, while this daemon is the first hub.
 pub async fn keep(shared: Arc<Shared>, roster: Roster) {
     let mut writer = Writer {
-        client: Client::new(shared.settings.platform),
+        client: counted(shared.settings.platform, &shared.metrics),
         shared,
         roster,
         loaded: None,
@@ -144,7 +129,7 @@
 }
 
 struct Writer {
-    client: Client,
+    client: CountedClient,
     shared: Arc<Shared>,
     roster: Roster,
     /// Names of the objects that there were when this daemon became the first hub.
@@ -219,7 +204,7 @@
             true => Call::replace(wire::STREAMS, name, &spec),
             false => Call::create(wire::STREAMS, name, &spec),
         };
-        match shared.streams.call(&mut self.client, &call).await {
+        match self.client.call(&call).await {
             Err(error) if error.exists() => names.push(name.to_owned()),
             Err(error) if error.is_missing() => names.retain(|known| known != name),
             result => {
