Log: the parts of a prompt, and how long an endpoint had been answering, at each failed attempt

What the incident's logs couldn't tell: which parts the requests have in common that are lost with an endpoint, and which of them had only just begun. Sixteen ids a line at most. No change of logic.

--- a/crates/core/src/routing/request.rs
+++ b/crates/core/src/routing/request.rs
@@ -54,9 +54,14 @@
         self.last_event.is_some() || self.resumes.is_some()
     }
 
+    /// Parts of the prompt that other requests may have too: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// The shared prefix of the prompt, if it has one.
     pub fn shared(&self) -> Option<SharedPrefix> {
-        let (_, shared) = self.parts.split_last()?;
+        let shared = self.shared_parts();
         if shared.is_empty() {
             return None;
         }
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -68,6 +68,8 @@
     pub endpoint: InstanceId,
     /// Its software version.
     pub build: Build,
+    /// When the head was received.
+    pub began: Millis,
 }
 
 /// A failed attempt, with the endpoint's response if that may be forwarded.
@@ -79,6 +81,8 @@
     /// How the response's body ended, if it was read.
     ended: Option<EndedBody>,
     path_taken: Option<PathTaken>,
+    /// When the head of the response was received, if its body was cut off.
+    began: Option<Millis>,
 }
 
 impl FailedAttempt {
@@ -89,6 +93,7 @@
             answer: None,
             ended: None,
             path_taken: None,
+            began: None,
         }
     }
 }
@@ -243,7 +248,15 @@
     let budget = routed.shared.placement.retry_budget(&routed.pool, now());
     let path_taken = failed.path_taken.as_ref();
     let is_retried = next == Next::Retry;
-    trace.log_fault(failed.fault, &failed.cause, is_retried, &budget, path_taken);
+    let ran = failed.began.map(|began| now().since(began));
+    trace.log_fault(
+        failed.fault,
+        &failed.cause,
+        ran,
+        is_retried,
+        &budget,
+        path_taken,
+    );
     next
 }
 
@@ -269,6 +282,7 @@
     endpoint: &Endpoint,
 ) -> Result<Dispatched> {
     let id = &endpoint.id;
+    let began = now();
     let (head, body) = sent.answer.into_parts();
     let decoded = headers::read_answer(head.status, &head.headers);
     let unread = &routed.shared.unread_headers;
@@ -292,10 +306,15 @@
             in_flight,
             endpoint: id.clone(),
             build: endpoint.build.clone(),
+            began,
         })));
     }
     let left = plan.deadline().since(now()) + DEADLINE_GRACE;
-    let body = FullBody::read(body, framing, decoded.events, left).await?;
+    let body = FullBody::read(body, framing, decoded.events, left).await;
+    let body = body.map_err(|failed| FailedAttempt {
+        began: Some(began),
+        ..failed.into()
+    })?;
     routed.release(sent.connection, framing, decoded.keep_alive);
     let answer = FullAnswer {
         status: head.status,
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -55,6 +55,8 @@
     in_flight: InFlight,
     endpoint: InstanceId,
     build: Build,
+    /// When the head was received.
+    began: Millis,
 }
 
 /// The next frame of a body, none at its end; an error if it doesn't come in time.
@@ -101,6 +103,7 @@
             in_flight: stream.in_flight,
             endpoint: stream.endpoint,
             build: stream.build,
+            began: stream.began,
         }
     }
 }
@@ -224,6 +227,7 @@
         };
         let id = source.endpoint.clone();
         let helper = source.connection.helper();
+        let ran = now().since(source.began);
         // Ends the request at this endpoint before it runs at another.
         drop(source);
         let next = match self.may_resume() && self.splitter.can_resume() {
@@ -240,7 +244,7 @@
         let budget = placement.retry_budget(&self.routed.pool, now());
         let is_retried = next == Next::Retry;
         self.trace
-            .log_fault(fault, cause, is_retried, &budget, None);
+            .log_fault(fault, cause, Some(ran), is_retried, &budget, None);
         if next != Next::Retry {
             return false;
         }
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -24,6 +24,9 @@
 use crate::shared::Shared;
 use crate::streams::Found;
 
+/// Number of prompt parts in a line of the log.
+const LOGGED_PARTS: usize = 16;
+
 /// What happened to a request. Dropping it logs the final line.
 #[derive(Debug)]
 pub struct Trace {
@@ -34,6 +37,8 @@
     route: String,
     account: String,
     fingerprint: Fingerprint,
+    /// Ids of the prompt parts that other requests may have too.
+    parts: String,
     version: u64,
     endpoint: Option<InstanceId>,
     attempts: u32,
@@ -57,6 +62,7 @@
             route: String::new(),
             account: String::new(),
             fingerprint: Fingerprint::default(),
+            parts: String::new(),
             version: 0,
             endpoint: None,
             attempts: 0,
@@ -74,6 +80,7 @@
         self.route.clone_from(&routed.route.name);
         self.version = routed.config.version.0;
         self.fingerprint = routed.fingerprint;
+        self.parts = part_ids(&routed.call);
         if let Some(account) = &routed.account {
             account.id.as_str().clone_into(&mut self.account);
         }
@@ -175,11 +182,13 @@
         self.ended.map(|ended| ended.end.code())
     }
 
-    /// Counts and logs a failed attempt.
+    /// Counts and logs a failed attempt. `ran` is the time since the head of its response, if there
+    /// was one.
     pub fn log_fault(
         &self,
         fault: Fault,
         cause: &str,
+        ran: Option<Millis>,
         is_retried: bool,
         budget: &State,
         path_taken: Option<&PathTaken>,
@@ -190,8 +199,8 @@
         }
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts,
-            endpoint = self.endpoint(), fingerprint:% = self.fingerprint,
-            fault = fault.code(), cause, framing = self.framing(), end = self.end(),
+            endpoint = self.endpoint(), fingerprint:% = self.fingerprint, parts = self.parts,
+            ran = ran.map(|ran| ran.0), fault = fault.code(), cause, framing = self.framing(), end = self.end(),
             outcome:% = fault.outcome(), again = is_retried, repeats:% = budget,
             path = path_taken.map(PathTaken::name), silence = self.shared.connections.paths().silence().0,
             passed = now().since(self.arrived).0;
@@ -238,6 +247,13 @@
     }
 }
 
+/// The shared parts of a request's prompt, for the log: the first [`LOGGED_PARTS`].
+fn part_ids(call: &RequestHead) -> String {
+    let ids = call.shared_parts().iter().take(LOGGED_PARTS);
+    let ids: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 impl Drop for Trace {
     fn drop(&mut self) {
         let total_time = now().since(self.arrived);
@@ -246,8 +262,8 @@
         metrics.total_seconds.observe(seconds(total_time));
         log::info!(
             target: "entry", request = self.request, route = self.route, account = self.account,
-            fingerprint:% = self.fingerprint, version = self.version, endpoint = self.endpoint(),
-            attempts = self.attempts, status = self.status, bytes = self.bytes,
+            fingerprint:% = self.fingerprint, parts = self.parts, version = self.version,
+            endpoint = self.endpoint(), attempts = self.attempts, status = self.status, bytes = self.bytes,
             first = self.head_time.map_or(0, |time| time.0), whole = total_time.0,
             framing = self.framing(), end = self.end(),
             outcome = self.outcome.unwrap_or("caller-left");
