--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -11,6 +11,7 @@
     mod ends;
     mod isolated;
     mod own_word;
+    mod parts;
     mod requests;
     mod setup;
     mod stop;
--- /dev/null
+++ b/crates/daemon/tests/route/parts.rs
@@ -0,0 +1,492 @@
+//! Requests that share one part of their prompts and end each endpoint that begins to answer them,
+//! beside sound requests of the same account, route and first part. What counts is what endpoints
+//! and callers see on their sockets.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use medlarrill_platform_standin::{
+    Behaviour, Call, Caller, Crash, Ending, Endpoint, Form, Framing, Outage,
+};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::setup::{Bench, POOL};
+
+const DAEMONS: usize = 4;
+const ENDPOINTS: usize = 9;
+/// Time between two requests.
+const STEP: Duration = Duration::from_millis(40);
+/// Of so many requests one has the part.
+const ONE_IN: usize = 6;
+/// Time before the first request with the part.
+const CALM: Duration = Duration::from_millis(2500);
+/// Time after which an endpoint that has ended leaves the list, and after which another follows it.
+const DELISTED: Duration = Duration::from_millis(1000);
+const REPLACED: Duration = Duration::from_millis(1500);
+/// Ends after which the part is known to the fleet, once it had time for it.
+const ENOUGH: usize = 5;
+const CONTACT: Duration = Duration::from_millis(3000);
+/// Requests with the part that may reach endpoints later than that.
+const SENT_MAX: usize = 3;
+/// Time in which sound requests are judged.
+const JUDGED: Duration = Duration::from_millis(3000);
+
+const BAD: &[&str] = &["bad0"];
+const TWO: &[&str] = &["bad0", "bad1"];
+const PACED: Behaviour = Behaviour {
+    pace: Duration::from_millis(15),
+    crash: Some(Crash::of(BAD)),
+    ..Behaviour::DEFAULT
+};
+const LONG: Behaviour = Behaviour {
+    pace: Duration::from_millis(130),
+    ..PACED
+};
+
+/// What is done to the fleet once the part is known.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Event {
+    None,
+    AnotherDaemon,
+    AllKilled,
+    Outage,
+}
+
+/// Requests with a part that ends endpoints.
+#[derive(Clone, Copy)]
+struct Incident {
+    path: &'static str,
+    behaviour: Behaviour,
+    /// Prompt of a request that ends endpoints, but for its last part.
+    bad: fn(usize) -> String,
+    /// Prompt of a sound request, but for its last part.
+    sound: fn(usize) -> String,
+    event: Event,
+}
+
+impl Incident {
+    const fn new(path: &'static str) -> Self {
+        Self {
+            path,
+            behaviour: PACED,
+            bad: |number| format!("aa:200,bad0:300,b{}:80", number % 3),
+            sound: |number| format!("aa:200,c{}:300,b{}:80", number % 5, number % 3),
+            event: Event::None,
+        }
+    }
+}
+
+/// What is seen from outside.
+#[derive(Default)]
+struct Seen {
+    /// When each endpoint was seen to have ended.
+    ends: Vec<Instant>,
+    /// When each sound request was sent, and whether its answer began and was whole.
+    sound: Vec<(Instant, JoinHandle<bool>)>,
+}
+
+struct Play {
+    bench: Bench,
+    incident: Incident,
+    seen: Seen,
+    /// Endpoints that have ended, and when.
+    down: Vec<(usize, Instant)>,
+    /// Endpoints that have fallen silent: their connections stay open.
+    gone: Vec<Endpoint>,
+    number: usize,
+    successors: usize,
+}
+
+impl Play {
+    async fn start(incident: Incident) -> Self {
+        let mut bench = Bench::without_daemon(ENDPOINTS).await;
+        bench.behave(incident.behaviour);
+        for number in 0..DAEMONS {
+            bench.add_daemon(if number == 0 { &[] } else { &[0] });
+            bench.ready(number, ENDPOINTS).await;
+        }
+        bench.until_all_live(DAEMONS).await;
+        Self {
+            bench,
+            incident,
+            seen: Seen::default(),
+            down: Vec::new(),
+            gone: Vec::new(),
+            number: 0,
+            successors: 0,
+        }
+    }
+
+    /// Sends requests for a time; those with the part only if `is_bad`.
+    async fn run(&mut self, time: Duration, is_bad: bool) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            self.number += 1;
+            let number = self.number;
+            match number.is_multiple_of(ONE_IN) {
+                true if is_bad => self.send_bad(number),
+                true => {}
+                false => self.send_sound(number),
+            }
+            tokio::time::sleep(STEP).await;
+            self.replace().await;
+        }
+    }
+
+    fn caller(&self, number: usize) -> Caller {
+        // Neighbouring requests meet different daemons.
+        let daemon = (number * 7 / 3) % self.bench.daemons.len();
+        Caller::new(self.bench.daemons[daemon].callers())
+    }
+
+    fn call(&self, kind: &str, number: usize, prompt: &str) -> Call {
+        let call = Call::new(format!("{kind}-{number}"), self.incident.path);
+        let call = call.with_body(format!("{kind} {number}"));
+        let prompt = format!("{prompt},{:x}:40", 0xd000_0000_usize + number);
+        call.with_header("medlarrill-model", "m")
+            .with_header("medlarrill-prompt-prefix", &prompt)
+    }
+
+    fn send_bad(&self, number: usize) {
+        let call = self.call("bad", number, &(self.incident.bad)(number));
+        let mut caller = self.caller(number);
+        tokio::spawn(async move { caller.send(&call).await });
+    }
+
+    fn send_sound(&mut self, number: usize) {
+        let call = self.call("sound", number, &(self.incident.sound)(number));
+        let mut caller = self.caller(number);
+        let sent = tokio::spawn(async move { caller.send(&call).await.is_success() });
+        self.seen.sound.push((Instant::now(), sent));
+    }
+
+    /// Takes endpoints that have ended off the list, and starts others in their places.
+    async fn replace(&mut self) {
+        let now = Instant::now();
+        for (number, endpoint) in self.bench.endpoints.iter().enumerate() {
+            let is_known = self.down.iter().any(|(down, _)| *down == number);
+            if endpoint.has_crashed() && !is_known {
+                self.seen.ends.push(now);
+                self.down.push((number, now));
+            }
+        }
+        let Bench {
+            store, endpoints, ..
+        } = &mut self.bench;
+        for (number, ended) in &self.down {
+            if now - *ended >= DELISTED {
+                store.remove("servers", endpoints[*number].id());
+            }
+        }
+        let due = |(_, ended): &(usize, Instant)| now - *ended >= REPLACED;
+        let due: Vec<usize> = self
+            .down
+            .extract_if(.., |down| due(down))
+            .map(|(number, _)| number)
+            .collect();
+        for number in due {
+            self.successors += 1;
+            let id = format!("s-{}", self.successors);
+            let next = Endpoint::start(&id, self.bench.ledger.clone(), self.successors as u64);
+            let next = next.await.expect("an endpoint");
+            next.behave(self.incident.behaviour);
+            self.bench
+                .store
+                .put("servers", &id, next.entry(POOL, "ready"));
+            self.gone
+                .push(std::mem::replace(&mut self.bench.endpoints[number], next));
+        }
+    }
+
+    /// Runs until so many endpoints have ended, or a time has passed.
+    async fn run_until_ended(&mut self, count: usize, most: Duration) {
+        let end = Instant::now() + most;
+        while self.seen.ends.len() < count && Instant::now() < end {
+            self.run(STEP, true).await;
+        }
+    }
+
+    async fn cause(&mut self, event: Event) {
+        match event {
+            Event::None => {}
+            Event::Outage => self.bench.store.fail(Outage::Silent),
+            Event::AnotherDaemon => {
+                self.bench.add_daemon(&[0]);
+                self.bench.takes_connections(DAEMONS).await;
+            }
+            Event::AllKilled => {
+                self.bench.restart_all();
+                for number in 0..DAEMONS {
+                    self.bench.takes_connections(number).await;
+                }
+            }
+        }
+    }
+
+    /// When requests with the part were sent to endpoints.
+    fn bad_runs(&self) -> Vec<Instant> {
+        let runs = self.bench.ledger.all();
+        let bad = runs.iter().filter(|run| run.attempt.starts_with("bad-"));
+        bad.map(|run| run.at).collect()
+    }
+
+    /// The share of sound requests sent in a time that were answered, and how many there were.
+    async fn served(&mut self, times: Range<Instant>) -> (f64, usize) {
+        let sent = self.seen.sound.extract_if(.., |(at, _)| times.contains(at));
+        let (mut served, mut all) = (0, 0);
+        for (_, reply) in sent.collect::<Vec<_>>() {
+            all += 1;
+            served += usize::from(reply.await.expect("a reply"));
+        }
+        (served as f64 / all.max(1) as f64, all)
+    }
+}
+
+/// Plays an incident: requests with the part stop reaching endpoints, and sound ones are served.
+async fn is_contained(incident: Incident) {
+    let mut play = Play::start(incident).await;
+    let started = Instant::now();
+    play.run(CALM, false).await;
+    let calm_end = Instant::now();
+    if incident.event == Event::Outage {
+        play.cause(Event::Outage).await;
+    }
+    play.run_until_ended(ENOUGH, Duration::from_secs(6)).await;
+    let ends = play.seen.ends.clone();
+    assert_that!(ends.len(), ge(2), "endpoints ended");
+    let known = ends[ends.len().min(ENOUGH) - 1] + CONTACT;
+    play.run(CONTACT, true).await;
+    if incident.event != Event::Outage {
+        play.cause(incident.event).await;
+    }
+    play.run(CONTACT, true).await;
+    let judged = Instant::now();
+    play.run(JUDGED, true).await;
+    let judged_end = Instant::now();
+    let sent = play.bad_runs();
+    let late = sent.iter().filter(|at| **at > known).count();
+    let before = play.served(started..calm_end).await;
+    let after = play.served(judged..judged_end).await;
+    println!(
+        "{} ended, {late} sent late, sound served {before:?} and {after:?}",
+        play.seen.ends.len()
+    );
+    expect_that!(late, le(SENT_MAX));
+    assert_that!(before.1.min(after.1), ge(20));
+    expect_that!(after.0, ge(before.0 / 2.0));
+}
+
+const UNFRAMED: Behaviour = Behaviour {
+    form: Form {
+        ending: Some(Ending::new(Framing::None)),
+        ..Form::DEFAULT
+    },
+    ..PACED
+};
+
+/// An end after the head and some events.
+const fn after_events(events: u64) -> Behaviour {
+    Behaviour {
+        crash: Some(Crash {
+            events,
+            ..Crash::of(BAD)
+        }),
+        ..PACED
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_part_that_ends_endpoints_after_the_head_of_a_stream_is_contained() {
+    is_contained(Incident::new("/stream-once/x")).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_part_that_ends_endpoints_before_any_head_is_contained() {
+    let behaviour = Behaviour {
+        crash: Some(Crash {
+            after: None,
+            ..Crash::of(BAD)
+        }),
+        ..PACED
+    };
+    is_contained(Incident {
+        behaviour,
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_part_whose_endpoints_close_their_connections_in_order_is_contained() {
+    is_contained(Incident {
+        behaviour: UNFRAMED,
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_part_whose_endpoints_end_in_order_after_an_event_is_contained() {
+    let behaviour = Behaviour {
+        form: UNFRAMED.form,
+        ..after_events(1)
+    };
+    is_contained(Incident {
+        behaviour,
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_part_whose_endpoints_fall_silent_is_contained() {
+    let behaviour = Behaviour {
+        crash: Some(Crash {
+            is_silent: true,
+            ..Crash::of(BAD)
+        }),
+        ..PACED
+    };
+    is_contained(Incident {
+        behaviour,
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_part_in_streams_that_are_resumed_is_contained() {
+    is_contained(Incident {
+        behaviour: after_events(1),
+        ..Incident::new("/stream/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_part_in_idempotent_requests_is_contained() {
+    is_contained(Incident::new("/plain/x")).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_first_part_is_contained() {
+    is_contained(Incident {
+        bad: |number| format!("bad0:200,c{}:300,b{}:80", number % 5, number % 3),
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_part_between_shared_ones_is_contained() {
+    is_contained(Incident {
+        bad: |_| "aa:200,bb:100,bad0:300,cc:80,dd:80".into(),
+        sound: |number| format!("aa:200,bb:100,c{}:300,cc:80,dd:80", number % 5),
+        behaviour: after_events(1),
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_part_that_stands_at_any_place_is_contained() {
+    is_contained(Incident {
+        bad: |number| {
+            let mut parts = vec!["aa:200".to_owned(), format!("b{}:80", number % 3)];
+            parts.insert(number / ONE_IN % 3, "bad0:300".into());
+            parts.join(",")
+        },
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn sound_requests_with_long_streams_are_served() {
+    is_contained(Incident {
+        behaviour: LONG,
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn sound_requests_with_rare_parts_and_long_streams_are_served() {
+    is_contained(Incident {
+        behaviour: LONG,
+        sound: |number| format!("aa:200,ee{:x}:300", number % 40),
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn sound_requests_with_new_parts_are_served() {
+    is_contained(Incident {
+        behaviour: LONG,
+        // A new system prompt each second, first seen during the incident.
+        sound: |number| format!("aa{:x}:200,c{}:300", number / 25, number % 5),
+        bad: |number| format!("aa{:x}:200,bad0:300", number / 25),
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn two_parts_that_end_endpoints_are_both_contained() {
+    is_contained(Incident {
+        behaviour: Behaviour {
+            crash: Some(Crash::of(TWO)),
+            ..PACED
+        },
+        bad: |number| format!("aa:200,bad{}:300", number / ONE_IN % 2),
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_daemon_that_starts_meanwhile_knows_the_part() {
+    is_contained(Incident {
+        event: Event::AnotherDaemon,
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn daemons_that_were_all_killed_know_the_part() {
+    is_contained(Incident {
+        event: Event::AllKilled,
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_part_is_contained_while_the_platform_is_away() {
+    is_contained(Incident {
+        event: Event::Outage,
+        ..Incident::new("/stream-once/x")
+    })
+    .await;
+}
