--- /dev/null
+++ b/crates/core/src/routing/causes.rs
@@ -0,0 +1,69 @@
+//! What in a request may crash the endpoint that runs it.
+//!
+//! Either its whole content, or one of the parts of its prompt that other
+//! requests may have too. What is known of a part holds for one model at one
+//! software version of one pool: another one may read the same part without
+//! harm.
+
+use std::sync::Arc;
+
+use derive_more::Debug;
+
+use crate::ids::PoolId;
+use crate::routing::endpoint::Build;
+use crate::routing::fingerprint::{Fingerprint, hash_parts};
+use crate::routing::request::RequestHead;
+
+/// Parts of a prompt that are considered at either end of it.
+const PARTS_AT_END: usize = 8;
+
+/// What in one request may crash an endpoint.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct Causes {
+    request: Option<Fingerprint>,
+    /// Hashes of the pool, the model and one shared part each.
+    parts: Arc<[u64]>,
+}
+
+impl Causes {
+    /// The whole request.
+    pub fn of_request(request: Fingerprint) -> Self {
+        Self {
+            request: Some(request),
+            parts: Arc::default(),
+        }
+    }
+
+    /// A request with a fingerprint and its shared parts, in a pool.
+    pub fn new(request: Fingerprint, call: &RequestHead, pool: &PoolId) -> Self {
+        let shared = call.shared_parts();
+        let later = shared.len().saturating_sub(PARTS_AT_END).max(PARTS_AT_END);
+        let first = shared.iter().take(PARTS_AT_END);
+        let considered = first.chain(shared.iter().skip(later));
+        let (pool, model) = (pool.as_str().as_bytes(), call.model.as_bytes());
+        let hash = |id: u64| hash_parts([pool, model, &id.to_le_bytes()]);
+        let mut parts: Vec<u64> = considered.map(|part| hash(part.id)).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        Self {
+            request: Some(request),
+            parts: parts.into(),
+        }
+    }
+
+    /// Fingerprint of the whole request, if known.
+    pub const fn request(&self) -> Option<Fingerprint> {
+        self.request
+    }
+
+    /// What may crash an endpoint of a software version.
+    pub fn at(&self, build: &Build) -> Vec<Fingerprint> {
+        let build = build.as_str().as_bytes();
+        let hash = |part: &u64| Fingerprint(hash_parts([&part.to_le_bytes(), build]));
+        self.request
+            .into_iter()
+            .chain(self.parts.iter().map(hash))
+            .collect()
+    }
+}
--- a/crates/core/src/routing/directory/pool.rs
+++ b/crates/core/src/routing/directory/pool.rs
@@ -65,7 +65,12 @@
         self.staying.get(data_centre).copied().unwrap_or_default()
     }
 
-    /// The same of one software version.
+    /// Software versions of endpoints that aren't leaving.
+    pub fn builds(&self) -> impl Iterator<Item = &Build> {
+        self.builds.keys()
+    }
+
+    /// Number of endpoints of one software version that aren't leaving.
     pub fn staying_of(&self, build: &Build) -> usize {
         self.builds.get(build).copied().unwrap_or_default()
     }
--- a/crates/core/src/routing/exchange/evidence.rs
+++ b/crates/core/src/routing/exchange/evidence.rs
@@ -26,19 +26,35 @@
 /// Marks a clearance in the column of endpoints.
 const SERVED: u32 = 0;
 
+/// What a row says.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, prost::Enumeration)]
+#[repr(i32)]
+enum Kind {
+    /// An endpoint was lost.
+    Lost = 0,
+    /// An endpoint was lost that had been answering for long.
+    LostLate = 1,
+    /// A complete response.
+    Served = 2,
+}
+
 /// Evidence; the entries at one index of all columns form a row.
 #[derive(Clone, PartialEq, Eq)]
 #[derive(prost::Message)]
 pub struct Findings {
-    /// Fingerprints of requests.
+    /// Fingerprints of requests and of parts of prompts.
     #[prost(fixed64, repeated, tag = "1")]
     fingerprints: Vec<u64>,
     /// Short ids of the endpoints that were lost; zero for a request that was served.
     #[prost(fixed32, repeated, tag = "2")]
     endpoints: Vec<u32>,
-    /// Time since the loss or the response, in milliseconds.
+    /// Time since the loss or the head of the response, in milliseconds.
     #[prost(uint32, repeated, tag = "3")]
     ages: Vec<u32>,
+    /// What was found. Earlier builds don't send the column; there, endpoint zero marks a response.
+    #[prost(enumeration = "Kind", repeated, tag = "4")]
+    kinds: Vec<i32>,
 }
 
 impl Findings {
@@ -51,19 +67,28 @@
             columns.endpoints.push(endpoint);
             let age = u32::try_from(row.age.0).unwrap_or(u32::MAX);
             columns.ages.push(age);
+            let kind = match row.finding {
+                Finding::Lost(_) => Kind::Lost,
+                Finding::LostLate(_) => Kind::LostLate,
+                Finding::Served => Kind::Served,
+            };
+            columns.kinds.push(kind.into());
         }
         (!evidence.is_empty()).then_some(columns)
     }
 
     /// The rows.
     fn rows(&self) -> impl Iterator<Item = Evidence> {
+        let kinds = self.kinds.iter().map(|kind| Kind::try_from(*kind).ok());
         let found = self.endpoints.iter().zip(&self.ages);
+        let found = found.zip(kinds.chain(std::iter::repeat(None)));
         let rows = self.fingerprints.iter().zip(found);
-        rows.map(|(fingerprint, (endpoint, age))| Evidence {
+        rows.map(|(fingerprint, ((endpoint, age), kind))| Evidence {
             fingerprint: Fingerprint(*fingerprint),
-            finding: match *endpoint {
-                SERVED => Finding::Served,
-                endpoint => Finding::Lost(endpoint),
+            finding: match (kind, *endpoint) {
+                (Some(Kind::Served), _) | (None, SERVED) => Finding::Served,
+                (Some(Kind::LostLate), endpoint) => Finding::LostLate(endpoint),
+                (_, endpoint) => Finding::Lost(endpoint),
             },
             age: Millis(u64::from(*age)),
         })
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -124,15 +124,22 @@
     /// This daemon's share of an integral number of units. Rendezvous hashing of `name`, which
     /// identifies the limited resource, decides which daemons get the remaining units.
     pub fn unit_share(&self, name: &str, units: usize) -> usize {
-        let Some(me) = &self.me else {
+        let Some(rank) = self.rank(name).filter(|_| !self.listed.is_empty()) else {
             return self.share(units as f64) as usize;
         };
+        let daemons = self.listed.len();
+        units / daemons + usize::from(rank < units % daemons)
+    }
+
+    /// This daemon's rank among all for a name, from 0; `None` if the platform doesn't list it.
+    pub fn rank(&self, name: &str) -> Option<usize> {
+        let Some(me) = &self.me else {
+            return (self.is_single && self.listed.is_empty()).then_some(0);
+        };
         let key = key_of(name);
         let order = |node: &Node<SocketAddr>| (node.score(key).to_bits(), node.id);
         let own = order(me);
-        let rank = self.listed.iter().filter(|node| order(node) > own).count();
-        let daemons = self.listed.len();
-        units / daemons + usize::from(rank < units % daemons)
+        Some(self.listed.iter().filter(|node| order(node) > own).count())
     }
 }
 
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -6,6 +6,7 @@
 use crate::outcome::Outcome;
 use crate::routing::ablation::{Mechanism, is_on};
 use crate::routing::attempt::Fault;
+use crate::routing::causes::Causes;
 use crate::routing::config::{RetryPolicy, Route};
 use crate::routing::endpoint::{Build, InstanceId};
 use crate::routing::fingerprint::Fingerprint;
@@ -40,8 +41,8 @@
         /// Time after which the caller may retry.
         wait: Millis,
     },
-    /// Requests with the same fingerprint crashed the endpoints that ran them; this one didn't run
-    /// and won't.
+    /// Requests like it, or with the same part in their prompts, crashed the endpoints that ran them;
+    /// this one didn't run and won't.
     #[display("quarantined")]
     Quarantined {
         /// Time after which the caller may retry.
@@ -79,8 +80,8 @@
     stream: bool,
     /// When the caller's or the route's timeout expires.
     deadline: Millis,
-    /// Fingerprint of the request, if known.
-    fingerprint: Option<Fingerprint>,
+    /// What in the request may crash an endpoint.
+    causes: Causes,
     /// Attempts that ran, or may have.
     possibly_run: u32,
     sent: u32,
@@ -98,7 +99,7 @@
             target: route.target,
             stream: route.stream,
             deadline,
-            fingerprint: None,
+            causes: Causes::default(),
             possibly_run: 0,
             sent: 0,
             tried: Vec::new(),
@@ -107,9 +108,13 @@
     }
 
     /// Sets the fingerprint of the request.
-    pub const fn with_fingerprint(mut self, fingerprint: Fingerprint) -> Self {
-        self.fingerprint = Some(fingerprint);
-        self
+    pub fn with_fingerprint(self, fingerprint: Fingerprint) -> Self {
+        self.with_causes(Causes::of_request(fingerprint))
+    }
+
+    /// Sets what in the request may crash an endpoint.
+    pub fn with_causes(self, causes: Causes) -> Self {
+        Self { causes, ..self }
     }
 
     /// Restricts further attempts to a software version.
@@ -132,9 +137,9 @@
         self.retry == RetryPolicy::Resume && self.build.is_none()
     }
 
-    /// Fingerprint of the request, if known.
-    pub const fn fingerprint(&self) -> Option<Fingerprint> {
-        self.fingerprint
+    /// What in the request may crash an endpoint.
+    pub const fn causes(&self) -> &Causes {
+        &self.causes
     }
 
     /// Whether running the request twice does no harm.
--- a/crates/core/src/routing/quarantine.rs
+++ b/crates/core/src/routing/quarantine.rs
@@ -1,65 +1,73 @@
-//! Quarantine of requests that crash the endpoints that run them.
+//! Quarantine of what crashes the endpoints that run it.
 //!
-//! Such a request takes down everything that runs beside it, and its caller,
-//! who got no response, sends it again: under a new id, to any daemon. Evidence
-//! is therefore keyed by what a request asks for ([`Fingerprint`]), sent to all
-//! daemons, and outlives the attempt. Each endpoint that was lost with a
-//! request counts against it once ([`Evidence`]); at [`LOSS_THRESHOLD`] losses
-//! all daemons stop sending it for a while.
-//!
-//! Of the requests that are lost with an endpoint, all but one merely ran
-//! beside the one to blame. A loss isn't blamed on a request if another one
-//! lost there has lost more endpoints, and a complete response clears a request.
+//! A cause is a whole request, or a part of a prompt that many requests have
+//! ([`Causes`](super::causes)). It takes down everything that runs beside it,
+//! and its callers, who got no response, send it again: under new ids, to any
+//! daemon, altered but for that part. Evidence is therefore keyed by cause, sent
+//! to all daemons, and outlives the attempt. Each endpoint that was lost with a
+//! cause counts against it once ([`Evidence`]); a complete response that began
+//! after a loss clears each cause in its request of that loss. Which causes are
+//! to blame is decided in [`blame`]; all daemons refuse requests with them for a
+//! while. After that one daemon tries one request.
 
 mod blame;
 mod evidence;
 mod platform_sync;
+mod served;
 mod suspect;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use derive_more::Debug;
 
 use crate::clock::Millis;
 use crate::routing::fingerprint::Fingerprint;
 
-use blame::Blame;
+use blame::{Blame, Class};
 pub use evidence::{Evidence, Finding, Snapshot};
 pub use platform_sync::{PlatformSync, Step, StoredRequest};
+use served::ServedMemory;
 use suspect::{Record, Suspect};
 
-/// Lost endpoints at which a request is quarantined. With fewer, a request that twice ran beside
-/// the cause would be taken for it.
+/// Lost endpoints at which a cause is quarantined. With fewer, one that twice ran beside the actual
+/// cause would be taken for it.
 pub const LOSS_THRESHOLD: usize = 3;
-/// Time since the last loss for which a request is quarantined. After that it is tried once more:
-/// the endpoints may have been fixed.
+/// The same for a cause that was served shortly before its first loss.
+const SERVED_LOSS_THRESHOLD: usize = 5;
+/// Time over which the losses of such a cause must extend: others with it would be served meanwhile.
+const SERVED_SPAN: Millis = Millis(3000);
+/// Time after the head of a complete response within which the first loss of its causes counts as
+/// shortly after it.
+const SERVED_WINDOW: Millis = Millis::from_secs(60);
+/// Time since the last loss for which a cause is quarantined. After that it is tried once more: the
+/// endpoints may have been fixed.
 pub const BASE_DURATION: Millis = Millis::from_secs(600);
+/// The same for a cause that was served shortly before: many requests have it, so that a mistake
+/// must be found soon.
+const SERVED_BASE_DURATION: Millis = Millis::from_secs(5);
 /// Factor by which each further loss lengthens the quarantine, so that a request is tried at most
 /// three times a day.
 pub const DURATION_FACTOR: u64 = 6;
-/// Longest time for which a request is quarantined, and for which its losses count.
+/// Longest time for which a cause is quarantined, and for which its losses count.
 pub const RETENTION: Millis = Millis::from_secs(86_400);
 /// Time for which losses below the threshold count.
 pub const SHORT_RETENTION: Millis = Millis::from_secs(3600);
-/// A complete response clears a request of all earlier losses, and of those in this time after it:
-/// content that is requested often also runs at endpoints that fail for other reasons.
-const CLEARANCE: Millis = Millis::from_secs(60);
+/// Time since the head of a response after which its request isn't suspected first.
+const LATE: Millis = Millis(1000);
 /// Losses and clearances that are kept: some 20 KB of memory at 40 bytes each, and a datagram of
-/// 8 KB at 16 bytes each. A lost endpoint leaves as many losses as it ran requests, one to some
-/// dozens.
+/// 9 KB at 17 bytes each. A lost endpoint leaves as many losses as it ran requests, times their
+/// causes.
 const RECORDS_MAX: usize = 512;
-/// Served requests that are remembered.
-const SERVED_MAX: usize = 4096;
 /// Time for which new evidence is sent repeatedly, since datagrams are lost.
 const FRESH_PERIOD: Millis = Millis(1000);
 /// Added to the daemon's clock in this module, so that events before its start have a time too.
 const CLOCK_OFFSET: Millis = RETENTION;
 
-/// A request whose quarantine started or ended.
+/// A cause whose quarantine started or ended.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug)]
 pub struct Change {
-    /// Identifies the request.
+    /// Identifies the cause.
     pub fingerprint: Fingerprint,
     /// Whether it is quarantined from now on.
     pub is_quarantined: bool,
@@ -69,65 +77,126 @@
     pub is_own: bool,
 }
 
-/// Evidence against requests, and the requests that are quarantined because of it.
+/// Causes that are quarantined together: requests that have all of them.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
+struct Hold {
+    causes: Vec<Fingerprint>,
+    until: Millis,
+}
+
+impl Hold {
+    fn applies_to(&self, causes: &[Fingerprint]) -> bool {
+        self.causes.iter().all(|cause| causes.contains(cause))
+    }
+}
+
+/// A cause whose quarantine is over, and which hasn't been served since.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+pub struct Lapse {
+    /// One of the causes, the same at all daemons.
+    pub cause: Fingerprint,
+    /// Time since the end of the quarantine.
+    pub ago: Millis,
+}
+
+/// Evidence against causes, and the causes that are quarantined because of it.
 #[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct Quarantine {
     suspects: HashMap<Fingerprint, Suspect>,
-    /// Quarantined requests, and until when they are.
-    quarantined: HashMap<Fingerprint, Millis>,
-    /// When this daemon last got a complete response to a request.
-    served: HashMap<Fingerprint, Millis>,
+    /// Causes to blame, those included whose quarantine is over.
+    holds: Vec<Hold>,
+    /// Causes that were quarantined at the last assessment, alone or with others.
+    held: BTreeSet<Fingerprint>,
+    served: ServedMemory,
 }
 
 impl Quarantine {
-    /// Records that an endpoint, by its short id, was lost with a request.
-    pub fn record_loss(
+    /// Records that an endpoint, by its short id, was lost with a request that is one cause.
+    pub fn record_loss(&mut self, cause: Fingerprint, endpoint: u32, now: Millis) -> Vec<Change> {
+        self.record_losses(&[cause], endpoint, None, now)
+    }
+
+    /// Records that an endpoint was lost with a request that has these causes; `began` is when the
+    /// head of its response was received.
+    pub fn record_losses(
         &mut self,
-        fingerprint: Fingerprint,
+        causes: &[Fingerprint],
         endpoint: u32,
+        began: Option<Millis>,
         now: Millis,
     ) -> Vec<Change> {
-        let now = now + CLOCK_OFFSET;
-        let served = self.served.get(&fingerprint);
-        let finding = match served.filter(|at| now.since(**at) < CLEARANCE) {
-            Some(_) => Finding::Served,
-            None => Finding::Lost(endpoint),
+        let finding = match began {
+            Some(began) if now.since(began) > LATE => Finding::LostLate(endpoint),
+            _ => Finding::Lost(endpoint),
         };
-        self.record(fingerprint, finding, now)
+        let now = now + CLOCK_OFFSET;
+        let mut is_new = false;
+        for cause in causes {
+            is_new |= self.insert_own(*cause, finding, now, now);
+            is_new |= self.insert_served(*cause, now, now);
+        }
+        match is_new {
+            true => self.reassess(now),
+            false => Vec::new(),
+        }
     }
 
-    /// Records that a request got a complete response.
-    pub fn record_served(&mut self, fingerprint: Fingerprint, now: Millis) -> Vec<Change> {
-        let now = now + CLOCK_OFFSET;
-        if self.served.len() >= SERVED_MAX && !self.served.contains_key(&fingerprint) {
-            self.served.retain(|_, at| now.since(*at) < CLEARANCE);
-            if self.served.len() >= SERVED_MAX {
-                self.served.clear();
+    /// Records that a request that is one cause got a complete response now.
+    pub fn record_served(&mut self, cause: Fingerprint, now: Millis) -> Vec<Change> {
+        self.record_response(&[cause], now, now)
+    }
+
+    /// Records that a request with these causes got a complete response whose head was received at
+    /// `began`.
+    pub fn record_response(
+        &mut self,
+        causes: &[Fingerprint],
+        began: Millis,
+        now: Millis,
+    ) -> Vec<Change> {
+        let (began, now) = (began + CLOCK_OFFSET, now + CLOCK_OFFSET);
+        let mut is_new = false;
+        for cause in causes {
+            self.served.record(*cause, began);
+            if self.suspects.contains_key(cause) {
+                is_new |= self.insert_own(*cause, Finding::Served, began, now);
             }
         }
-        self.served.insert(fingerprint, now);
-        if !self.suspects.contains_key(&fingerprint) {
-            return Vec::new();
+        match is_new {
+            true => self.reassess(now),
+            false => Vec::new(),
         }
-        self.record(fingerprint, Finding::Served, now)
     }
 
-    fn record(&mut self, fingerprint: Fingerprint, finding: Finding, now: Millis) -> Vec<Change> {
+    fn insert_own(
+        &mut self,
+        cause: Fingerprint,
+        finding: Finding,
+        at: Millis,
+        now: Millis,
+    ) -> bool {
         let record = Record {
             finding,
-            at: now,
+            at,
             learned_at: now,
             is_own: true,
         };
-        match self.insert(fingerprint, record, now) {
-            true => self.reassess(now),
-            false => Vec::new(),
-        }
+        self.insert(cause, record, now)
+    }
+
+    /// Inserts when this daemon last served a cause that was lost at a time, if that was after it or
+    /// shortly before; returns whether that is new.
+    fn insert_served(&mut self, cause: Fingerprint, lost_at: Millis, now: Millis) -> bool {
+        let served = self.served.get(cause);
+        let served = served.filter(|at| lost_at < *at + SERVED_WINDOW);
+        served.is_some_and(|at| self.insert_own(cause, Finding::Served, at, now))
     }
 
-    /// Merges evidence of other daemons. A request that was served here is recorded as cleared,
-    /// which is then sent to them.
+    /// Merges evidence of other daemons. A cause that was served here is recorded as such, which is
+    /// then sent to them.
     pub fn merge(&mut self, evidence: &[Evidence], now: Millis) -> Vec<Change> {
         let now = now + CLOCK_OFFSET;
         let mut is_new = false;
@@ -139,15 +208,8 @@
                 is_own: false,
             };
             is_new |= self.insert(received.fingerprint, record, now);
-            let served = self.served.get(&received.fingerprint).copied();
-            if let Some(at) = served {
-                let cleared = Record {
-                    finding: Finding::Served,
-                    at,
-                    is_own: true,
-                    ..record
-                };
-                is_new |= self.insert(received.fingerprint, cleared, now);
+            if received.finding != Finding::Served {
+                is_new |= self.insert_served(received.fingerprint, record.at, now);
             }
         }
         match is_new {
@@ -157,21 +219,17 @@
     }
 
     /// Inserts a record; returns whether it is new.
-    fn insert(&mut self, fingerprint: Fingerprint, record: Record, now: Millis) -> bool {
-        let retention = match record.finding {
-            Finding::Lost(_) => RETENTION,
-            Finding::Served => CLEARANCE,
-        };
-        if now.since(record.at) >= retention {
+    fn insert(&mut self, cause: Fingerprint, record: Record, now: Millis) -> bool {
+        if now.since(record.at) >= RETENTION {
             return false;
         }
-        if !self.suspects.contains_key(&fingerprint) {
+        if !self.suspects.contains_key(&cause) {
             self.evict();
         }
-        self.suspects.entry(fingerprint).or_default().insert(record)
+        self.suspects.entry(cause).or_default().insert(record)
     }
 
-    /// Drops requests with the fewest losses, the oldest first, until another record fits.
+    /// Drops causes with the fewest losses, the oldest first, until another record fits.
     fn evict(&mut self) {
         let count = |suspects: &HashMap<_, Suspect>| {
             let records = suspects.values().map(|suspect| suspect.records().count());
@@ -188,7 +246,7 @@
         }
     }
 
-    /// Drops evidence that is too old; returns the requests whose quarantine ended or started.
+    /// Drops evidence that is too old; returns the causes whose quarantine ended or started.
     pub fn expire(&mut self, now: Millis) -> Vec<Change> {
         if self.suspects.is_empty() {
             return Vec::new();
@@ -198,38 +256,70 @@
         self.reassess(now)
     }
 
-    /// Time left until a quarantined request may be sent again; `None` if it may be sent now.
-    pub fn remaining(&self, fingerprint: Fingerprint, now: Millis) -> Option<Millis> {
-        let until = self.quarantined.get(&fingerprint)?;
-        let left = until.since(now + CLOCK_OFFSET);
+    /// Time left until a request that is one cause may be sent again; `None` if it may be sent now.
+    pub fn remaining(&self, cause: Fingerprint, now: Millis) -> Option<Millis> {
+        self.remaining_of(&[cause], now)
+    }
+
+    /// Time left until a request that has these causes may be sent; `None` if it may be sent now.
+    pub fn remaining_of(&self, causes: &[Fingerprint], now: Millis) -> Option<Millis> {
+        let now = now + CLOCK_OFFSET;
+        let holds = self.holds.iter().filter(|hold| hold.applies_to(causes));
+        let left = holds.map(|hold| hold.until.since(now)).max()?;
         (left > Millis::ZERO).then_some(left)
     }
 
-    /// Recomputes which requests are quarantined; returns the changes.
+    /// The quarantine of these causes that ended last, if none of them is quarantined now.
+    pub fn lapse(&self, causes: &[Fingerprint], now: Millis) -> Option<Lapse> {
+        let now = now + CLOCK_OFFSET;
+        let holds = self.holds.iter().filter(|hold| hold.applies_to(causes));
+        let last = holds.max_by_key(|hold| hold.until)?;
+        (last.until <= now).then(|| Lapse {
+            cause: last.causes.first().copied().unwrap_or_default(),
+            ago: now.since(last.until),
+        })
+    }
+
+    /// Whether any cause is to blame.
+    pub const fn has_holds(&self) -> bool {
+        !self.holds.is_empty()
+    }
+
+    /// Whether a request with these causes is a likely cause of at least two losses, and no other
+    /// cause explains them better.
+    pub fn is_prime_suspect(&self, causes: &[Fingerprint]) -> bool {
+        let lost =
+            |cause: &Fingerprint| self.suspects.get(cause).map_or(0, |known| known.lost.len());
+        causes.iter().any(|cause| lost(cause) > 1) && self.blame(2).is_prime(causes)
+    }
+
+    fn blame(&self, least: usize) -> Blame {
+        let suspects = self.suspects.iter();
+        Blame::new(suspects.map(|(cause, suspect)| (*cause, suspect)), least)
+    }
+
+    /// Recomputes which causes are quarantined; returns the changes.
     fn reassess(&mut self, now: Millis) -> Vec<Change> {
-        let blame = Blame::new(self.suspects.iter().map(|(fingerprint, suspect)| {
-            let endpoints = suspect
-                .lost
+        let classes = self.blame(LOSS_THRESHOLD).classes();
+        let until = |class: &Class| {
+            let known = class
+                .causes
                 .iter()
-                .filter_map(|loss| loss.finding.endpoint());
-            (*fingerprint, endpoints.collect())
-        }));
-        let until = Suspect::quarantined_until;
-        let blamed = self.suspects.iter();
-        let blamed = blamed.filter(|(fingerprint, suspect)| {
-            until(suspect) > now && blame.is_to_blame(**fingerprint)
+                .filter_map(|cause| self.suspects.get(cause));
+            known.map(Suspect::quarantined_until).max()
+        };
+        let holds = classes.into_iter().map(|class| Hold {
+            until: until(&class).unwrap_or_default(),
+            causes: class.causes,
         });
-        let quarantined = blamed.map(|(fingerprint, suspect)| (*fingerprint, until(suspect)));
-        let before = std::mem::replace(&mut self.quarantined, quarantined.collect());
-        let ended = before
-            .keys()
-            .filter(|known| !self.quarantined.contains_key(known));
-        let begun = self
-            .quarantined
-            .keys()
-            .filter(|known| !before.contains_key(known));
-        let ended = ended.map(|fingerprint| self.change(*fingerprint, false));
-        let begun = begun.map(|fingerprint| self.change(*fingerprint, true));
+        self.holds = holds.collect();
+        let holds = self.holds.iter().filter(|hold| hold.until > now);
+        let held = holds.flat_map(|hold| &hold.causes).copied().collect();
+        let before = std::mem::replace(&mut self.held, held);
+        let ended = before.difference(&self.held);
+        let ended = ended.map(|cause| self.change(*cause, false));
+        let begun = self.held.difference(&before);
+        let begun = begun.map(|cause| self.change(*cause, true));
         ended.chain(begun).collect()
     }
 
@@ -243,12 +333,21 @@
         }
     }
 
-    /// How many requests are quarantined.
+    /// Number of causes that are quarantined by themselves.
     pub fn count(&self) -> usize {
-        self.quarantined.len()
+        self.holds
+            .iter()
+            .filter(|hold| hold.causes.len() == 1)
+            .count()
+    }
+
+    /// Number of causes with losses that count against them.
+    pub fn suspects(&self) -> usize {
+        let suspects = self.suspects.values();
+        suspects.filter(|suspect| !suspect.lost.is_empty()).count()
     }
 
-    /// The evidence about one request, as it is sent to other daemons.
+    /// The evidence about one cause, as it is sent to other daemons.
     pub fn evidence(&self, fingerprint: Fingerprint, now: Millis) -> Vec<Evidence> {
         let now = now + CLOCK_OFFSET;
         let records = self.suspects.get(&fingerprint).into_iter();
--- a/crates/core/src/routing/quarantine/evidence.rs
+++ b/crates/core/src/routing/quarantine/evidence.rs
@@ -1,4 +1,4 @@
-//! Evidence for or against a request, as daemons send it to each other.
+//! Evidence for or against a possible cause of crashes, as daemons send it to each other.
 
 use derive_more::Debug;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -6,13 +6,15 @@
 use crate::clock::Millis;
 use crate::routing::fingerprint::Fingerprint;
 
-/// One observation about a request.
+/// One observation about a possible cause.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Debug)]
 pub enum Finding {
-    /// An endpoint, by its short id, was lost while it ran the request.
+    /// An endpoint, by its short id, was lost while it ran a request with the cause.
     Lost(u32),
-    /// The request got a complete response.
+    /// The same, when it had been answering the request for long.
+    LostLate(u32),
+    /// A request with the cause got a complete response; its age is that of the response's head.
     Served,
 }
 
@@ -20,17 +22,22 @@
     /// Short id of the endpoint that was lost; `None` for [`Self::Served`].
     pub const fn endpoint(self) -> Option<u32> {
         match self {
-            Self::Lost(endpoint) => Some(endpoint),
+            Self::Lost(endpoint) | Self::LostLate(endpoint) => Some(endpoint),
             Self::Served => None,
         }
     }
+
+    /// Whether an endpoint was lost that had been answering for long.
+    pub const fn is_late(self) -> bool {
+        matches!(self, Self::LostLate(_))
+    }
 }
 
-/// A finding about one request.
+/// A finding about one possible cause.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug)]
 pub struct Evidence {
-    /// Identifies the request.
+    /// Identifies the cause: a request, or a part of a prompt.
     pub fingerprint: Fingerprint,
     /// What was observed.
     pub finding: Finding,
@@ -42,12 +49,10 @@
     /// Its contribution to the digest of all losses. Clearances contribute nothing: each daemon
     /// renews and drops them by itself.
     pub fn digest(&self) -> u64 {
-        match self.finding {
-            Finding::Lost(endpoint) => {
-                xxh3_64_with_seed(&endpoint.to_le_bytes(), self.fingerprint.0)
-            }
-            Finding::Served => 0,
-        }
+        let lost = self.finding.endpoint();
+        lost.map_or(0, |endpoint| {
+            xxh3_64_with_seed(&endpoint.to_le_bytes(), self.fingerprint.0)
+        })
     }
 }
 
--- a/crates/core/src/routing/quarantine/platform_sync.rs
+++ b/crates/core/src/routing/quarantine/platform_sync.rs
@@ -8,7 +8,7 @@
 //! difference between the quarantine and the store: a failed call is made
 //! again, and an outage only delays it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use derive_more::Debug;
 
@@ -106,11 +106,15 @@
 }
 
 impl Quarantine {
-    /// Quarantined requests.
+    /// Quarantined causes.
     pub fn quarantined(&self) -> impl Iterator<Item = Change> {
-        self.quarantined
-            .keys()
-            .map(|fingerprint| self.change(*fingerprint, true))
+        let causes: BTreeSet<Fingerprint> = self
+            .holds
+            .iter()
+            .flat_map(|hold| &hold.causes)
+            .copied()
+            .collect();
+        causes.into_iter().map(|cause| self.change(cause, true))
     }
 
     /// Whether there is a loss against a request that no complete response has cleared.
@@ -126,7 +130,8 @@
         now: Millis,
         wall: Millis,
     ) -> Option<StoredRequest> {
-        self.quarantined.get(&fingerprint)?;
+        let mut held = self.holds.iter().flat_map(|hold| &hold.causes);
+        held.find(|cause| **cause == fingerprint)?;
         let suspect = self.suspects.get(&fingerprint)?;
         let age = (now + CLOCK_OFFSET).since(suspect.last_loss());
         let endpoints = suspect
--- a/crates/core/src/routing/quarantine/suspect.rs
+++ b/crates/core/src/routing/quarantine/suspect.rs
@@ -1,26 +1,27 @@
-//! Losses and clearance of one request.
+//! Losses and clearance of one possible cause.
 
 use derive_more::Debug;
 
 use super::evidence::{Evidence, Finding};
 use super::{
-    BASE_DURATION, CLEARANCE, DURATION_FACTOR, LOSS_THRESHOLD, RETENTION, SHORT_RETENTION,
+    BASE_DURATION, DURATION_FACTOR, LOSS_THRESHOLD, RETENTION, SERVED_BASE_DURATION, SERVED_WINDOW,
+    SHORT_RETENTION,
 };
 use crate::clock::Millis;
 use crate::routing::fingerprint::Fingerprint;
 
-/// Losses that are kept for one request; further ones prove nothing more.
+/// Losses that are kept for one cause; further ones prove nothing more.
 const LOSSES_MAX: usize = 16;
-/// Time between two recorded clearances of the same request.
-const CLEARANCE_INTERVAL: Millis = Millis::from_secs(10);
+/// Time between two recorded responses that clear a cause of nothing.
+const CLEARANCE_INTERVAL: Millis = Millis(10_000);
 
-/// The evidence about one request.
+/// The evidence about one cause.
 #[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct Suspect {
-    /// Endpoints that were lost with it.
+    /// Endpoints that were lost with it since it was last served.
     pub lost: Vec<Record>,
-    /// Its last complete response.
+    /// Its last complete response, by when that began.
     served: Option<Record>,
 }
 
@@ -43,43 +44,67 @@
         times.max().unwrap_or_default()
     }
 
+    /// Whether it was served shortly before the first loss that counts against it.
+    pub fn was_served(&self) -> bool {
+        let first = self.lost.iter().map(|loss| loss.at).min();
+        let served = self.served.zip(first);
+        served.is_some_and(|(response, first)| first < response.at + SERVED_WINDOW)
+    }
+
     /// Until when it is quarantined, if it is to blame.
     pub fn quarantined_until(&self) -> Millis {
-        let further = self.lost.len().saturating_sub(LOSS_THRESHOLD);
+        let (base, further) = match self.was_served() {
+            true => (SERVED_BASE_DURATION, self.retrials()),
+            false => (
+                BASE_DURATION,
+                self.lost.len().saturating_sub(LOSS_THRESHOLD),
+            ),
+        };
         let further = u32::try_from(further).unwrap_or(u32::MAX);
-        let duration = Millis(
-            BASE_DURATION
-                .0
-                .saturating_mul(DURATION_FACTOR.saturating_pow(further)),
-        );
+        let factor = DURATION_FACTOR.saturating_pow(further);
+        let duration = Millis(base.0.saturating_mul(factor));
         self.last_loss() + duration.min(RETENTION)
     }
 
+    /// How often it was lost again after a pause as long as its first quarantine.
+    fn retrials(&self) -> usize {
+        let mut times: Vec<Millis> = self.lost.iter().map(|loss| loss.at).collect();
+        times.sort_unstable();
+        let pauses = times.windows(2).map(|pair| pair[1].since(pair[0]));
+        pauses
+            .filter(|pause| *pause >= SERVED_BASE_DURATION)
+            .count()
+    }
+
     /// The losses and the clearance.
     pub fn records(&self) -> impl Iterator<Item = &Record> {
         self.lost.iter().chain(&self.served)
     }
 
-    /// Whether a complete response clears it of a loss at this time.
-    fn is_cleared(&self, at: Millis) -> bool {
-        let until = self.served.map(|response| response.at + CLEARANCE);
-        until.is_some_and(|until| at < until)
-    }
-
     /// Inserts a record; returns whether it is new.
     pub fn insert(&mut self, record: Record) -> bool {
         match record.finding {
-            Finding::Lost(_) => self.add_loss(record),
+            Finding::Lost(_) | Finding::LostLate(_) => self.add_loss(record),
             Finding::Served => self.add_clearance(record),
         }
     }
 
     fn add_loss(&mut self, record: Record) -> bool {
-        let is_known = self
-            .lost
-            .iter()
-            .any(|known| known.finding == record.finding);
-        if is_known || self.lost.len() >= LOSSES_MAX || self.is_cleared(record.at) {
+        // A response that began after a loss clears it; one that began before says nothing of what
+        // happened since.
+        if self.served.is_some_and(|response| record.at <= response.at) {
+            return false;
+        }
+        let endpoint = record.finding.endpoint();
+        let mut known = self.lost.iter_mut();
+        if let Some(known) = known.find(|known| known.finding.endpoint() == endpoint) {
+            let is_earlier_run = known.finding.is_late() && !record.finding.is_late();
+            if is_earlier_run {
+                *known = record;
+            }
+            return is_earlier_run;
+        }
+        if self.lost.len() >= LOSSES_MAX {
             return false;
         }
         self.lost.push(record);
@@ -88,13 +113,16 @@
 
     fn add_clearance(&mut self, record: Record) -> bool {
         let last = self.served.map(|known| known.at);
-        if last.is_some_and(|last| record.at < last + CLEARANCE_INTERVAL) {
+        if last.is_some_and(|last| record.at <= last) {
+            return false;
+        }
+        let is_cleared = |loss: &Record| loss.at <= record.at;
+        let clears = self.lost.iter().any(is_cleared);
+        if !clears && last.is_some_and(|last| record.at < last + CLEARANCE_INTERVAL) {
             return false;
         }
+        self.lost.retain(|loss| !is_cleared(loss));
         self.served = Some(record);
-        let cleared = std::mem::take(&mut self.lost);
-        let later = cleared.into_iter().filter(|loss| !self.is_cleared(loss.at));
-        self.lost = later.collect();
         true
     }
 
@@ -108,9 +136,11 @@
             self.lost.clear();
         }
         self.lost.retain(|loss| now.since(loss.at) < RETENTION);
+        // Without it, losses would count as those of a cause that was never served.
+        let is_needed = !self.lost.is_empty();
         self.served = self
             .served
-            .filter(|response| now.since(response.at) < CLEARANCE);
+            .filter(|response| is_needed || now.since(response.at) < SERVED_WINDOW);
         self.records().next().is_some()
     }
 }
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -10,6 +10,7 @@
 mod health;
 mod listing;
 mod notices;
+mod quarantine;
 mod sharing;
 mod slow_starts;
 mod streams;
@@ -30,6 +31,7 @@
 use crate::routing::directory::Directory;
 use crate::routing::endpoint::InstanceId;
 use crate::routing::exchange;
+use crate::routing::fingerprint::Fingerprint;
 use crate::routing::fleet::Fleet;
 use crate::routing::health::Health;
 use crate::routing::instance::InstanceTracker;
@@ -39,6 +41,7 @@
 use crate::routing::plan::RetryPlan;
 use crate::routing::prefix_index::PrefixIndex;
 use crate::routing::quarantine::{Change, Quarantine};
+use crate::routing::runs::Runs;
 use crate::routing::slow_start::SlowStarts;
 use crate::routing::unmarked::UnmarkedEnds;
 
@@ -76,7 +79,10 @@
     /// Shares of hot prefixes in the fleet's traffic, 0 to 1.
     hot_shares: HashMap<u32, f64>,
     quarantine: Quarantine,
+    /// When this daemon last tried a request whose quarantine was over, by its cause.
+    trials: HashMap<Fingerprint, Millis>,
     unmarked: UnmarkedEnds,
+    runs: Runs,
     notices: Notices,
     /// When connections to instances were lost that may have been replaced since.
     doubts: HashMap<InstanceId, Millis>,
@@ -106,7 +112,7 @@
     /// Its pool is overloaded.
     #[display("overloaded")]
     Overloaded(#[error(not(source))] Box<Overload>),
-    /// Requests with the same fingerprint have crashed the endpoints that ran them.
+    /// Requests like it have crashed the endpoints that ran them.
     #[display("quarantined")]
     Quarantined {
         /// Time left until it may be sent again.
@@ -155,7 +161,9 @@
             prefix_moves: Vec::new(),
             hot_shares: HashMap::new(),
             quarantine: Quarantine::default(),
+            trials: HashMap::new(),
             unmarked: UnmarkedEnds::default(),
+            runs: Runs::default(),
             notices: Notices::default(),
             doubts: HashMap::new(),
             brittle: Brittle::default(),
@@ -234,8 +242,8 @@
 
     /// Records that the response to a request ended without a mark.
     pub fn record_unmarked(&mut self, plan: &RetryPlan, id: &InstanceId, now: Millis) {
-        if let Some(request) = plan.fingerprint() {
-            self.unmarked.record(id, request, now);
+        for cause in self.causes(plan, id) {
+            self.unmarked.record(id, cause, now);
         }
     }
 
@@ -252,18 +260,7 @@
         lost.into_iter().flat_map(record).collect()
     }
 
-    /// Records that an endpoint was lost with a request, even if it isn't listed any more. Returns
-    /// changes of the quarantine.
-    pub fn record_loss(&mut self, plan: &RetryPlan, id: &InstanceId, now: Millis) -> Vec<Change> {
-        let lost = plan.fingerprint();
-        let lost = lost.map(|lost| {
-            self.quarantine
-                .record_loss(lost, exchange::short_id(id), now)
-        });
-        lost.unwrap_or_default()
-    }
-
-    /// Evidence against requests, and the requests that are quarantined.
+    /// Evidence against causes of crashes, and those that are quarantined.
     pub const fn quarantine(&mut self) -> &mut Quarantine {
         &mut self.quarantine
     }
--- a/crates/core/src/routing/view/choosing.rs
+++ b/crates/core/src/routing/view/choosing.rs
@@ -31,9 +31,11 @@
 /// stream.
 const MAX_PAUSED: f64 = 0.25;
 
-/// What a request that begins a stream avoids while there is something else.
+/// Software versions and endpoints that a request avoids.
 #[derive(Clone, Copy, Default)]
 struct Caution<'a> {
+    /// Software versions to which it isn't sent whatever else there is.
+    refused: &'a [Build],
     /// Software versions at which streams don't begin yet.
     paused: &'a [Build],
     /// Whether endpoints are avoided whose software version is in doubt.
@@ -76,11 +78,8 @@
         now: Millis,
     ) -> Result<Choice> {
         // Checked before each attempt: the loss of the previous one may have reached the threshold.
-        let request = plan.fingerprint();
-        if let Some(wait) = request.and_then(|request| self.quarantine.remaining(request, now)) {
-            return Err(ChooseError::Quarantined { wait });
-        }
-        let choice = self.pick(pool, shared, plan, now);
+        let verdict = self.check_quarantine(pool, plan, now)?;
+        let choice = self.pick(pool, shared, plan, &verdict.refused, now);
         let choice = choice.ok_or(ChooseError::Nothing)?;
         if let Some(overload) = self.check_overload(pool, &choice, plan, now) {
             return Err(ChooseError::Overloaded(Box::new(overload)));
@@ -88,6 +87,7 @@
         if let Some(prefix) = shared {
             self.record_prefix(prefix, &choice, now);
         }
+        self.record_trials(&verdict, &choice.endpoint.build, now);
         let id = &choice.endpoint.id;
         self.loads.begin(id);
         if choice.allowance == Allowance::One {
@@ -106,12 +106,14 @@
         pool: &PoolId,
         shared: Option<&SharedPrefix>,
         plan: &RetryPlan,
+        refused: &[Build],
         now: Millis,
     ) -> Option<Choice> {
         let share = shared.map_or(0.0, |prefix| self.count_prefix(prefix));
         let paused = self.paused_builds(pool, plan, now);
         let begins_resumable = plan.begins_resumable();
         let caution = Caution {
+            refused,
             paused: &paused,
             avoids_doubts: begins_resumable,
         };
@@ -119,7 +121,11 @@
         if choice.is_some() || !begins_resumable {
             return choice;
         }
-        self.pick_with(pool, shared, share, plan, Caution::default(), now)
+        let caution = Caution {
+            refused,
+            ..Caution::default()
+        };
+        self.pick_with(pool, shared, share, plan, caution, now)
     }
 
     /// The software versions at which a stream isn't begun yet. Those that have served for longer
@@ -165,6 +171,7 @@
             allowances: Allowances::new(pool, notices, &mut self.slow_starts, fleet, now),
             daemons: self.daemons,
             plan,
+            refused: caution.refused,
             paused: caution.paused,
             doubts: (caution.avoids_doubts || plan.build().is_some())
                 .then(|| Doubts::new(&self.doubts, now)),
@@ -343,6 +350,8 @@
     /// Live daemons, which share the probes of an avoided endpoint.
     daemons: u32,
     plan: &'a RetryPlan,
+    /// Software versions that requests like it have crashed.
+    refused: &'a [Build],
     /// Software versions at which the request isn't begun.
     paused: &'a [Build],
     /// Instances to which it isn't sent, since their software version is in doubt.
@@ -388,7 +397,8 @@
     fn fits_version(&self, endpoint: &Endpoint) -> bool {
         let doubts = self.doubts.as_ref();
         let is_doubtful = doubts.is_some_and(|doubts| doubts.contain(&endpoint.id));
-        let is_paused = self.paused.contains(&endpoint.build);
+        let is_paused =
+            self.paused.contains(&endpoint.build) || self.refused.contains(&endpoint.build);
         self.plan.accepts(&endpoint.build) && !is_doubtful && !is_paused
     }
 
--- a/crates/core/src/routing/view/listing.rs
+++ b/crates/core/src/routing/view/listing.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// The listed instance of an endpoint.
+    pub fn instance(&self, id: &EndpointId) -> Option<&InstanceId> {
+        self.directory.instance(id)
+    }
+
     /// Removes an endpoint; returns whether it was listed.
     pub fn remove(&mut self, id: &EndpointId) -> bool {
         if let Some(instance) = self.directory.instance(id).cloned() {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Load, experiments and the demo.
 
+pub mod blame;
 pub mod child;
 pub mod control;
 pub mod demo;
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -38,7 +38,7 @@
     /// A new version of the configuration.
     Configure,
     /// An endpoint behaves badly.
-    Behave(usize, Behaviour, Duration),
+    Behave(usize, Box<Behaviour>, Duration),
     /// An endpoint announces that it leaves, and is listed again later.
     Drain(usize, Duration),
     /// An endpoint's entry is removed, and listed again later.
@@ -308,7 +308,7 @@
             };
             let endpoint = rng.random_range(0..self.endpoints);
             let lasts = Duration::from_millis(rng.random_range(1000..4000));
-            let fault = Fault::Behave(endpoint, cuts, lasts);
+            let fault = Fault::Behave(endpoint, Box::new(cuts), lasts);
             self.events.push(Event { at, fault });
             at += Duration::from_millis(rng.random_range(0..6 * PAUSE_MS));
         }
@@ -376,7 +376,7 @@
         };
         let fault = match rng.random_range(0..16) {
             0..4 => Fault::Replace(endpoint, BUILDS[rng.random_range(0..BUILDS.len())]),
-            4..9 => Fault::Behave(endpoint, cuts, lasts),
+            4..9 => Fault::Behave(endpoint, Box::new(cuts), lasts),
             9 | 10 => Fault::Kill(daemon),
             11 => Fault::Stop(daemon),
             12 => Fault::Freeze(daemon, lasts),
@@ -446,7 +446,7 @@
             7 => Fault::Store(outage(rng), length),
             8 => Fault::Forget,
             9 => Fault::Configure,
-            10 | 11 => Fault::Behave(endpoint, behaviour(rng), length),
+            10 | 11 => Fault::Behave(endpoint, Box::new(behaviour(rng)), length),
             12 => Fault::Drain(endpoint, length),
             _ => Fault::Unlist(endpoint, length),
         }
--- a/crates/lab/src/soak/world/faults.rs
+++ b/crates/lab/src/soak/world/faults.rs
@@ -53,7 +53,7 @@
                 self.warming[*endpoint] = Some(Instant::now() + *length);
                 self.list(*endpoint, "ready");
             }
-            Fault::Behave(endpoint, behaviour, _) => self.behave(*endpoint, *behaviour),
+            Fault::Behave(endpoint, behaviour, _) => self.behave(*endpoint, **behaviour),
             Fault::Drain(endpoint, _) => self.list(*endpoint, "draining"),
             Fault::Unlist(endpoint, _) => {
                 let id = self.endpoints[*endpoint].0.id().to_owned();
--- a/crates/router/src/endpoints/path_taken.rs
+++ b/crates/router/src/endpoints/path_taken.rs
@@ -7,6 +7,8 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::reach::Path;
 
+use crate::placement::SentMarker;
+
 /// How a request got to its endpoint, for the log.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct PathTaken {
@@ -20,18 +22,28 @@
 
 /// How a request got to its endpoint, set when it is handed to a connection: while this is empty,
 /// nothing was sent.
-#[derive(Debug, Default)]
-pub struct Taken(Mutex<Option<PathTaken>>);
+#[derive(Debug)]
+pub struct Taken {
+    path: Mutex<Option<PathTaken>>,
+    marker: SentMarker,
+}
 
 impl Taken {
-    /// Sets or clears the path_taken.
+    /// Of a request that wasn't sent yet.
+    pub const fn new(marker: SentMarker) -> Self {
+        let path = Mutex::new(None);
+        Self { path, marker }
+    }
+
+    /// Sets or clears the path taken.
     pub fn set(&self, path_taken: Option<PathTaken>) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = path_taken;
+        self.marker.set(path_taken.is_some());
+        *self.path.lock().unwrap_or_else(PoisonError::into_inner) = path_taken;
     }
 
-    /// The path_taken.
+    /// The path taken.
     pub fn get(&self) -> Option<PathTaken> {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        *self.path.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -17,7 +17,7 @@
 use medlarrill_platform::headers;
 
 use super::body::{FailedBody, FullBody};
-use super::request::RoutedRequest;
+use super::request::{Failed, RoutedRequest};
 use super::trace::Trace;
 use crate::endpoints::{LeasedConnection, PathTaken, SendError, Sent, Taken};
 use crate::placement::InFlight;
@@ -96,6 +96,12 @@
             began: None,
         }
     }
+
+    /// Sets when the head of the response was received.
+    fn with_head_at(self, began: Millis) -> Self {
+        let began = Some(began);
+        Self { began, ..self }
+    }
 }
 
 impl From<FailedBody> for FailedAttempt {
@@ -151,7 +157,7 @@
         trace.log_tunnel(path_taken.as_ref());
         let failed = match result {
             Ok(dispatched) => {
-                record_success(routed, plan, &id, &dispatched, trace);
+                record_success(routed, &id, &dispatched, trace);
                 return dispatched;
             }
             Err(failed) => FailedAttempt {
@@ -163,7 +169,7 @@
         if let Some(prefix) = unread {
             placement.retract_prefix(prefix, &id);
         }
-        let next = record_failure(routed, plan, &id, &failed, trace);
+        let next = record_failure(routed, plan, &id, &failed, trace).await;
         failed_answer = failed.answer.or(failed_answer);
         if let Next::GiveUp(refusal) = next {
             break refusal;
@@ -199,7 +205,7 @@
     request: Request<Full<Bytes>>,
 ) -> (Result<Dispatched>, Option<PathTaken>) {
     let wait = head_timeout(routed, plan, &endpoint.id);
-    let taken = Taken::default();
+    let taken = Taken::new(in_flight.sent_marker());
     let connections = &routed.shared.connections;
     let sending = connections.send(endpoint, request, plan.is_idempotent(), &taken);
     let sent = tokio::time::timeout(wait.as_duration(), sending).await;
@@ -219,10 +225,9 @@
     (result, path_taken)
 }
 
-/// Records a successful attempt; a complete response also speaks for the request.
+/// Records a successful attempt.
 fn record_success(
     routed: &RoutedRequest,
-    plan: &RetryPlan,
     id: &InstanceId,
     dispatched: &Dispatched,
     trace: &mut Trace,
@@ -230,12 +235,11 @@
     routed.shared.placement.record_success(id, now());
     if let Dispatched::Answer(answer) = dispatched {
         trace.record_end(Some(answer.ended));
-        routed.record_complete(plan, id, answer.ended.end);
     }
 }
 
 /// Records and logs a failed attempt; returns whether to try again.
-fn record_failure(
+async fn record_failure(
     routed: &RoutedRequest,
     plan: &mut RetryPlan,
     id: &InstanceId,
@@ -244,11 +248,17 @@
 ) -> Next {
     trace.record_end(failed.ended);
     let helper = failed.path_taken.and_then(|path_taken| path_taken.helper);
-    let next = routed.record_failure(plan, id, failed.fault, helper, now());
+    let ran = failed.began.map(|began| now().since(began));
+    let lost = Failed {
+        id,
+        fault: failed.fault,
+        helper,
+        began: failed.began,
+    };
+    let next = routed.record_failure(plan, lost).await;
     let budget = routed.shared.placement.retry_budget(&routed.pool, now());
     let path_taken = failed.path_taken.as_ref();
     let is_retried = next == Next::Retry;
-    let ran = failed.began.map(|began| now().since(began));
     trace.log_fault(
         failed.fault,
         &failed.cause,
@@ -283,6 +293,7 @@
 ) -> Result<Dispatched> {
     let id = &endpoint.id;
     let began = now();
+    in_flight.record_sign(began);
     let (head, body) = sent.answer.into_parts();
     let decoded = headers::read_answer(head.status, &head.headers);
     let unread = &routed.shared.unread_headers;
@@ -311,10 +322,7 @@
     }
     let left = plan.deadline().since(now()) + DEADLINE_GRACE;
     let body = FullBody::read(body, framing, decoded.events, left).await;
-    let body = body.map_err(|failed| FailedAttempt {
-        began: Some(began),
-        ..failed.into()
-    })?;
+    let body = body.map_err(|failed| FailedAttempt::from(failed).with_head_at(began))?;
     routed.release(sent.connection, framing, decoded.keep_alive);
     let answer = FullAnswer {
         status: head.status,
@@ -323,6 +331,7 @@
         ended: body.ended,
     };
     if !decoded.is_failure() {
+        routed.record_complete(plan, &in_flight, began, answer.ended.end);
         return Ok(Dispatched::Answer(answer));
     }
     let mut failed = FailedAttempt::new(Fault::Failed, head.status);
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body, Incoming};
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::PoolId;
+use medlarrill_core::routing::causes::Causes;
 use medlarrill_core::routing::config::{Account, Configuration, Route};
 use medlarrill_core::routing::endpoint::Build;
 use medlarrill_core::routing::fingerprint::Fingerprint;
@@ -190,7 +191,8 @@
 async fn serve(routed: RoutedRequest, arrived: Millis, mut trace: Trace) -> Answer {
     let wait = routed.call.timeout.unwrap_or(Millis::MAX);
     let plan = RetryPlan::new(&routed.route, arrived + wait.min(routed.route.timeout));
-    let mut plan = plan.with_fingerprint(routed.fingerprint);
+    let causes = Causes::new(routed.fingerprint, &routed.call, &routed.pool);
+    let mut plan = plan.with_causes(causes);
     if let Some(build) = &routed.build {
         plan.bind(build.clone());
     }
@@ -223,7 +225,8 @@
             "no endpoint of its pool takes work; it has not run and will not"
         }
         Refusal::Quarantined { .. } => {
-            "requests like it ended the endpoints that ran them; it has not run and will not"
+            "requests like it, or with the same part in their prompts, crashed the endpoints that ran them; it \
+             has not run and will not"
         }
         Refusal::NotResumable => {
             "its stream can't go on, since no endpoint is known to fit to what began it; this attempt \
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -18,7 +18,7 @@
 
 use super::answer::{Answer, BrokenStream, full_answer};
 use super::dispatch::{Dispatched, OpenStream, dispatch};
-use super::request::RoutedRequest;
+use super::request::{Failed, RoutedRequest};
 use super::trace::Trace;
 use crate::endpoints::LeasedConnection;
 use crate::placement::InFlight;
@@ -29,6 +29,9 @@
 /// stream is then resumed elsewhere, if it may be.
 const STUCK_GAPS: u64 = 2;
 
+/// Time between two recorded signs of life of an endpoint.
+const SIGN_INTERVAL: Millis = Millis(200);
+
 /// A stream that is being relayed to the caller.
 #[derive(Debug)]
 struct StreamRelay {
@@ -48,15 +51,13 @@
     connection: LeasedConnection,
     idle_timeout: Option<Millis>,
     framing: Framing,
-    #[expect(
-        dead_code,
-        reason = "counts the request at its endpoint until it is dropped"
-    )]
     in_flight: InFlight,
     endpoint: InstanceId,
     build: Build,
     /// When the head was received.
     began: Millis,
+    /// When a sign of life of the endpoint was last recorded.
+    sign_at: Millis,
 }
 
 /// The next frame of a body, none at its end; an error if it doesn't come in time.
@@ -104,6 +105,17 @@
             endpoint: stream.endpoint,
             build: stream.build,
             began: stream.began,
+            sign_at: stream.began,
+        }
+    }
+}
+
+impl Source {
+    /// Records a sign of life of the endpoint, now and then.
+    fn record_sign(&mut self, now: Millis) {
+        if now.since(self.sign_at) >= SIGN_INTERVAL {
+            self.sign_at = now;
+            self.in_flight.record_sign(now);
         }
     }
 }
@@ -166,9 +178,12 @@
             wait = self.time_left();
             frame = self.frame(wait).await;
         }
-        let Some(source) = &self.source else {
+        let Some(source) = &mut self.source else {
             return Piece::End(BodyEnd::Broken, Some("no source".into()));
         };
+        if matches!(frame, Ok(Some(Ok(_)))) {
+            source.record_sign(now());
+        }
         match frame {
             Err(_) => Piece::End(BodyEnd::Stalled, Some(format!("no event in {wait}"))),
             Ok(Some(Err(error))) => Piece::End(BodyEnd::Broken, Some(error.to_string())),
@@ -227,16 +242,20 @@
         };
         let id = source.endpoint.clone();
         let helper = source.connection.helper();
-        let ran = now().since(source.began);
+        let began = source.began;
+        let ran = now().since(began);
         // Ends the request at this endpoint before it runs at another.
         drop(source);
+        let failed = Failed {
+            id: &id,
+            fault,
+            helper,
+            began: Some(began),
+        };
         let next = match self.may_resume() && self.splitter.can_resume() {
-            true => self
-                .routed
-                .record_failure(&mut self.plan, &id, fault, helper, now()),
+            true => self.routed.record_failure(&mut self.plan, failed).await,
             false => {
-                let routed = &self.routed;
-                routed.record_fault(&self.plan, &id, fault, helper, now());
+                self.routed.record_fault(&self.plan, failed, now());
                 Next::GiveUp(self.plan.refusal(false))
             }
         };
@@ -264,7 +283,7 @@
         self.trace.record_answered();
         if let Some(source) = self.source.take() {
             let routed = &self.routed;
-            routed.record_complete(&self.plan, &source.endpoint, end);
+            routed.record_complete(&self.plan, &source.in_flight, source.began, end);
             routed.release(source.connection, source.framing, source.idle_timeout);
         }
     }
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -25,11 +25,30 @@
 use medlarrill_platform::headers::{self, Outgoing};
 
 use crate::endpoints::{LeasedConnection, idle_limit};
+use crate::placement::InFlight;
 use crate::shared::Shared;
 
 /// Time in which a process that ends closes its sockets.
 const EXIT_TIME: Millis = Millis(20);
 
+/// Time in which other daemons' evidence on the loss of an endpoint arrives: two ticks of the
+/// exchange and a hub between.
+const EVIDENCE_TIME: Millis = Millis(250);
+
+/// A failed attempt.
+#[derive(Clone, Copy)]
+#[derive(Debug)]
+pub struct Failed<'a> {
+    /// The endpoint.
+    pub id: &'a InstanceId,
+    /// How it failed.
+    pub fault: Fault,
+    /// The daemon that carried the connection, if it wasn't direct.
+    pub helper: Option<SocketAddr>,
+    /// When the head of the response was received.
+    pub began: Option<Millis>,
+}
+
 /// A request that was read completely, checked against one configuration and routed to a pool.
 #[derive(Debug)]
 pub struct RoutedRequest {
@@ -109,58 +128,63 @@
     }
 
     /// Records a failed attempt; returns whether to try again. If no other endpoint is left to
-    /// try, the retry budget isn't charged.
-    pub fn record_failure(
-        &self,
-        plan: &mut RetryPlan,
-        id: &InstanceId,
-        fault: Fault,
-        helper: Option<SocketAddr>,
-        now: Millis,
-    ) -> Next {
-        self.record_fault(plan, id, fault, helper, now);
+    /// try, the retry budget isn't charged. What probably crashed its endpoint isn't tried again.
+    pub async fn record_failure(&self, plan: &mut RetryPlan, failed: Failed<'_>) -> Next {
+        let Failed { id, fault, .. } = failed;
+        self.record_fault(plan, failed, now());
         let placement = &self.shared.placement;
+        let is_suspect = || fault.is_loss() && placement.is_prime_suspect(plan, id);
+        if is_suspect() {
+            tokio::time::sleep(EVIDENCE_TIME.as_duration()).await;
+        }
+        let may_spread = is_suspect();
+        let now = now();
         let has_other = placement.has_alternative(&self.pool, plan, id, now);
-        let spend = || has_other && placement.spend_retry(&self.pool, now);
+        let spend = || !may_spread && has_other && placement.spend_retry(&self.pool, now);
         plan.record_failure(id, fault, spend, now)
     }
 
     /// Records a response that was passed on as complete. One whose end was marked speaks for the
     /// request; the other end looks the same if its endpoint failed just then.
-    pub fn record_complete(&self, plan: &RetryPlan, id: &InstanceId, end: BodyEnd) {
-        let placement = &self.shared.placement;
-        match end.is_proof() {
-            true => placement.record_served(plan, now()),
-            false => placement.record_unmarked(plan, id, now()),
+    pub fn record_complete(
+        &self,
+        plan: &RetryPlan,
+        in_flight: &InFlight,
+        began: Millis,
+        end: BodyEnd,
+    ) {
+        let (placement, id) = (&self.shared.placement, in_flight.endpoint());
+        if end.is_proof() {
+            return placement.record_response(plan, id, began);
+        }
+        in_flight.record_unmarked(now());
+        placement.record_unmarked(plan, id, now());
+        if placement.suspect_count() > 0 {
+            self.check_endpoint(plan, id, Some(began));
         }
     }
 
     /// Records a failed attempt, and the loss of its endpoint if it was lost. An attempt that failed
-    /// by this daemon's own links isn't counted against the endpoint. `helper` is the daemon that
-    /// carried the connection, if it wasn't direct.
-    pub fn record_fault(
-        &self,
-        plan: &RetryPlan,
-        id: &InstanceId,
-        fault: Fault,
-        helper: Option<SocketAddr>,
-        now: Millis,
-    ) {
+    /// by this daemon's own links isn't counted against the endpoint.
+    pub fn record_fault(&self, plan: &RetryPlan, failed: Failed<'_>, now: Millis) {
+        let Failed {
+            id, fault, helper, ..
+        } = failed;
         let placement = &self.shared.placement;
         let paths = self.shared.connections.paths();
         if fault.is_loss() {
-            self.record_loss(plan, id, fault, helper, now);
+            self.record_loss(plan, failed, now);
         } else if fault != Fault::Slow || helper.is_none() && !paths.is_own_silence(id) {
             placement.record_failure(id, fault, now);
         }
         if fault == Fault::NoEvent {
-            self.check_endpoint(plan, id);
+            self.check_endpoint(plan, id, failed.began);
         }
     }
 
     /// Connects to an endpoint that ended a response too early, to learn whether it is gone. If so,
     /// it was lost with the request.
-    fn check_endpoint(&self, plan: &RetryPlan, id: &InstanceId) {
+    fn check_endpoint(&self, plan: &RetryPlan, id: &InstanceId, began: Option<Millis>) {
         let Some(endpoint) = self.shared.placement.open_endpoint(id) else {
             return;
         };
@@ -171,7 +195,7 @@
             let connected = paths.connect_for_check(&endpoint).await;
             if connected.is_err() && !paths.is_own_loss(id, ended_at) {
                 shared.placement.record_failure(id, Fault::NotSent, now());
-                shared.placement.record_loss(&plan, id, ended_at);
+                shared.placement.record_loss(&plan, id, began, ended_at);
             }
         });
     }
@@ -179,26 +203,22 @@
     /// Records that a connection was lost. It counts against the endpoint a moment later, when it is
     /// known whether others were lost at the same time; against the request at once, since it may be
     /// sent again.
-    fn record_loss(
-        &self,
-        plan: &RetryPlan,
-        id: &InstanceId,
-        fault: Fault,
-        helper: Option<SocketAddr>,
-        lost_at: Millis,
-    ) {
+    fn record_loss(&self, plan: &RetryPlan, failed: Failed<'_>, lost_at: Millis) {
+        let Failed {
+            id, fault, began, ..
+        } = failed;
         let shared = &self.shared;
         let paths = shared.connections.paths();
         // A helper that is lost looks the same as an endpoint that is.
-        if helper.is_some() {
-            return shared.placement.record_loss(plan, id, lost_at);
+        if failed.helper.is_some() {
+            return shared.placement.record_loss(plan, id, began, lost_at);
         }
         paths.record_loss(id);
         if paths.is_own_loss(id, lost_at) {
             return;
         }
         shared.placement.doubt(id, lost_at);
-        shared.placement.record_loss(plan, id, lost_at);
+        shared.placement.record_loss(plan, id, began, lost_at);
         let (shared, id) = (Arc::clone(shared), id.clone());
         tokio::spawn(async move {
             tokio::time::sleep(LOSS_WINDOW.as_duration()).await;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -96,6 +96,8 @@
     pub cut_off: Gauge,
     /// Quarantined requests; those with one fingerprint count once.
     pub quarantined: Gauge,
+    /// Requests and parts of prompts with losses that count against them.
+    pub suspects: Gauge,
     /// Endpoints in slow start.
     pub slow_starts: Gauge,
     /// Drained data centres.
@@ -145,6 +147,7 @@
             helping: Gauge::default(),
             cut_off: Gauge::default(),
             quarantined: Gauge::default(),
+            suspects: Gauge::default(),
             slow_starts: Gauge::default(),
             drains: Gauge::default(),
             pauses: Gauge::default(),
@@ -224,7 +227,17 @@
         r.register("helping", "Connections carried for others", helping);
         r.register("cut_off", "No endpoint is reached", self.cut_off.clone());
         let quarantined = self.quarantined.clone();
-        r.register("quarantined", "Requests that are sent nowhere", quarantined);
+        r.register(
+            "quarantined",
+            "Requests and parts of prompts that are sent nowhere",
+            quarantined,
+        );
+        let suspects = self.suspects.clone();
+        r.register(
+            "suspects",
+            "Requests and parts of prompts that were lost with endpoints",
+            suspects,
+        );
         let slow_starts = self.slow_starts.clone();
         r.register("slow_starts", "Endpoints that are spared", slow_starts);
         r.register("drains", "Data centres drained", self.drains.clone());
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -22,6 +22,7 @@
     Change, Evidence, PlatformSync, Snapshot, Step, StoredRequest,
 };
 use medlarrill_core::routing::request::SharedPrefix;
+use medlarrill_core::routing::runs::RunId;
 use medlarrill_core::routing::slow_start::SlowStart;
 use medlarrill_core::routing::view::{
     Drain, HealthChange, ListingChange, Result, SlowStartChanges, View,
@@ -37,11 +38,61 @@
 pub struct InFlight {
     placement: Arc<Placement>,
     id: InstanceId,
+    run_id: RunId,
+}
+
+/// Tells the state whether a request was handed to a connection.
+#[derive(Debug)]
+pub struct SentMarker {
+    placement: Arc<Placement>,
+    id: InstanceId,
+    run_id: RunId,
+}
+
+impl SentMarker {
+    /// Sets whether it was.
+    pub fn set(&self, is_sent: bool) {
+        let mut view = self.placement.lock();
+        view.runs().set_sent(&self.id, self.run_id, is_sent);
+    }
+}
+
+impl InFlight {
+    /// The endpoint.
+    pub const fn endpoint(&self) -> &InstanceId {
+        &self.id
+    }
+
+    /// Marks the request as sent.
+    pub fn sent_marker(&self) -> SentMarker {
+        SentMarker {
+            placement: Arc::clone(&self.placement),
+            id: self.id.clone(),
+            run_id: self.run_id,
+        }
+    }
+
+    /// Records a head or an event of the response.
+    pub fn record_sign(&self, now: Millis) {
+        let changes = {
+            let mut view = self.placement.lock();
+            view.record_sign(&self.id, self.run_id, now)
+        };
+        self.placement.log_quarantine(&changes);
+    }
+
+    /// Records that the response ended without a mark.
+    pub fn record_unmarked(&self, now: Millis) {
+        let mut view = self.placement.lock();
+        view.runs().record_unmarked(&self.id, self.run_id, now);
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.placement.lock().end(&self.id);
+        let mut view = self.placement.lock();
+        view.end(&self.id);
+        view.runs().end(&self.id, self.run_id, now());
     }
 }
 
@@ -62,12 +113,23 @@
 
     /// Adds or updates an endpoint's entry; returns what changed.
     pub fn upsert(&self, endpoint: Endpoint, now: Millis) -> ListingChange {
-        self.lock().upsert(endpoint, now)
+        let change = self.lock().upsert(endpoint, now);
+        if let ListingChange::Restarted(gone) = &change {
+            let changes = self.lock().record_gone(gone, now);
+            self.log_quarantine(&changes);
+        }
+        change
     }
 
     /// Removes an endpoint's entry; returns whether there was one.
     pub fn remove_entry(&self, id: &EndpointId) -> bool {
-        self.lock().remove(id)
+        let mut view = self.lock();
+        let gone = view.instance(id).cloned();
+        let was_listed = view.remove(id);
+        let changes = gone.map(|gone| view.record_gone(&gone, now()));
+        drop(view);
+        self.log_quarantine(&changes.unwrap_or_default());
+        was_listed
     }
 
     /// Number of known endpoints.
@@ -153,10 +215,17 @@
         plan: &RetryPlan,
         now: Millis,
     ) -> Result<(Choice, InFlight)> {
-        let choice = self.lock().choose(pool, prefix, plan, now)?;
-        let placement = Arc::clone(self);
-        let id = choice.endpoint.id.clone();
-        Ok((choice, InFlight { placement, id }))
+        let mut view = self.lock();
+        let choice = view.choose(pool, prefix, plan, now)?;
+        let (id, build) = (choice.endpoint.id.clone(), &choice.endpoint.build);
+        let run_id = view.runs().begin(&id, build, plan.causes().clone(), now);
+        drop(view);
+        let in_flight = InFlight {
+            placement: Arc::clone(self),
+            id,
+            run_id,
+        };
+        Ok((choice, in_flight))
     }
 
     /// Removes the record that a prefix was sent to an endpoint, which didn't process it.
@@ -208,18 +277,29 @@
         self.lock().record_unmarked(plan, id, now);
     }
 
-    /// Records that an endpoint was lost with a request: quarantine evidence against the request.
-    pub fn record_loss(&self, plan: &RetryPlan, id: &InstanceId, now: Millis) {
-        let changes = self.lock().record_loss(plan, id, now);
+    /// Records that an endpoint was lost with a request: quarantine evidence against the request and
+    /// the parts of its prompt. `began` is when the head of its response was received.
+    pub fn record_loss(
+        &self,
+        plan: &RetryPlan,
+        id: &InstanceId,
+        began: Option<Millis>,
+        now: Millis,
+    ) {
+        let changes = self.lock().record_loss(plan, id, began, now);
+        self.log_quarantine(&changes);
+    }
+
+    /// Records that a request was answered completely: quarantine evidence in its favour. `began` is
+    /// when the head of the response was received.
+    pub fn record_response(&self, plan: &RetryPlan, id: &InstanceId, began: Millis) {
+        let changes = self.lock().record_response(plan, id, began, now());
         self.log_quarantine(&changes);
     }
 
-    /// Records that a request was answered completely: quarantine evidence in its favour.
-    pub fn record_served(&self, plan: &RetryPlan, now: Millis) {
-        if let Some(fingerprint) = plan.fingerprint() {
-            let changes = self.lock().quarantine().record_served(fingerprint, now);
-            self.log_quarantine(&changes);
-        }
+    /// Whether a request is the most likely cause of the loss of several endpoints.
+    pub fn is_prime_suspect(&self, plan: &RetryPlan, id: &InstanceId) -> bool {
+        self.lock().is_prime_suspect(plan, id)
     }
 
     /// Merges other daemons' quarantine evidence.
@@ -252,12 +332,17 @@
             .stored_request(fingerprint, now, wall)
     }
 
-    /// Number of quarantined requests.
+    /// Number of quarantined requests and parts of prompts.
     pub fn quarantined_count(&self) -> usize {
         self.lock().quarantine().count()
     }
 
-    /// Logs requests whose quarantine begins or ends.
+    /// Number of requests and parts of prompts with losses that count against them.
+    pub fn suspect_count(&self) -> usize {
+        self.lock().quarantine().suspects()
+    }
+
+    /// Logs causes whose quarantine begins or ends.
     fn log_quarantine(&self, changes: &[Change]) {
         for change in changes {
             let Change {
@@ -269,7 +354,7 @@
             match change.is_quarantined {
                 true => log::warn!(
                     target: "quarantine", fingerprint:%, lost, is_own;
-                    "quarantine: begins, endpoints that ran the request were lost"
+                    "quarantine: begins, endpoints that ran requests with the cause were lost"
                 ),
                 false => log::info!(target: "quarantine", fingerprint:%; "quarantine: ends"),
             }
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -262,6 +262,7 @@
     let (placement, metrics) = (&shared.placement, &shared.metrics);
     let lines = dropped.load(std::sync::atomic::Ordering::Relaxed);
     set_gauge(&metrics.quarantined, placement.quarantined_count());
+    set_gauge(&metrics.suspects, placement.suspect_count());
     set_gauge(&metrics.slow_starts, placement.slow_start_count());
     set_gauge(&metrics.drains, placement.drained_count());
     set_gauge(&metrics.pauses, placement.paused_count(now()));
