Quarantine: daemons know it as soon as the configuration, operators lift it, logs lead to the part

Daemons that were all killed sent three requests with the part before hubs had read what the platform keeps, a second after their start. The kind is copied like drains now, by watches and from daemon to daemon; removing an object lifts the quarantine. From a refused request's id the log leads to its part, to the endpoints that were lost with it and to who saw them.

Tests in model time of blame, clearance, versions, trials, silent and unmarked ends; on sockets of lifting and of the way through the logs.

--- a/crates/core/src/routing/causes.rs
+++ b/crates/core/src/routing/causes.rs
@@ -22,8 +22,23 @@
 #[derive(Debug)]
 pub struct Causes {
     request: Option<Fingerprint>,
-    /// Hashes of the pool, the model and one shared part each.
-    parts: Arc<[u64]>,
+    parts: Arc<[Part]>,
+}
+
+/// A shared part of a prompt.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+struct Part {
+    id: u64,
+    /// Hash of the pool, the model and the id.
+    hash: u64,
+}
+
+impl Part {
+    fn at(self, build: &Build) -> Fingerprint {
+        let build = build.as_str().as_bytes();
+        Fingerprint(hash_parts([&self.hash.to_le_bytes(), build]))
+    }
 }
 
 impl Causes {
@@ -42,9 +57,12 @@
         let first = shared.iter().take(PARTS_AT_END);
         let considered = first.chain(shared.iter().skip(later));
         let (pool, model) = (pool.as_str().as_bytes(), call.model.as_bytes());
-        let hash = |id: u64| hash_parts([pool, model, &id.to_le_bytes()]);
-        let mut parts: Vec<u64> = considered.map(|part| hash(part.id)).collect();
-        parts.sort_unstable();
+        let part = |id: u64| Part {
+            id,
+            hash: hash_parts([pool, model, &id.to_le_bytes()]),
+        };
+        let mut parts: Vec<Part> = considered.map(|known| part(known.id)).collect();
+        parts.sort_unstable_by_key(|part| part.id);
         parts.dedup();
         Self {
             request: Some(request),
@@ -59,11 +77,13 @@
 
     /// What may crash an endpoint of a software version.
     pub fn at(&self, build: &Build) -> Vec<Fingerprint> {
-        let build = build.as_str().as_bytes();
-        let hash = |part: &u64| Fingerprint(hash_parts([&part.to_le_bytes(), build]));
-        self.request
-            .into_iter()
-            .chain(self.parts.iter().map(hash))
-            .collect()
+        let parts = self.parts.iter().map(|part| part.at(build));
+        self.request.into_iter().chain(parts).collect()
+    }
+
+    /// Id of the part that is a cause at a software version; `None` if it is the whole request.
+    pub fn part(&self, cause: Fingerprint, build: &Build) -> Option<u64> {
+        let part = self.parts.iter().find(|part| part.at(build) == cause);
+        part.map(|part| part.id)
     }
 }
--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -139,6 +139,11 @@
         self.revision
     }
 
+    /// All objects.
+    pub fn objects(&self) -> impl Iterator<Item = &Object> {
+        self.objects.values()
+    }
+
     /// An object by its name.
     pub fn get(&self, name: &str) -> Option<&Object> {
         self.objects.get(name)
--- a/crates/core/src/routing/quarantine.rs
+++ b/crates/core/src/routing/quarantine.rs
@@ -91,14 +91,24 @@
     }
 }
 
-/// A cause whose quarantine is over, and which hasn't been served since.
+/// What a quarantine means for a request. `cause` is one of the causes, the same at all daemons.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug)]
-pub struct Lapse {
-    /// One of the causes, the same at all daemons.
-    pub cause: Fingerprint,
-    /// Time since the end of the quarantine.
-    pub ago: Millis,
+pub enum Standing {
+    /// It isn't sent.
+    Held {
+        /// Why.
+        cause: Fingerprint,
+        /// Time until the end of the quarantine.
+        left: Millis,
+    },
+    /// The quarantine is over, and no request with the cause was served since.
+    Lapsed {
+        /// What was quarantined.
+        cause: Fingerprint,
+        /// Time since the end.
+        ago: Millis,
+    },
 }
 
 /// Evidence against causes, and the causes that are quarantined because of it.
@@ -263,20 +273,27 @@
 
     /// Time left until a request that has these causes may be sent; `None` if it may be sent now.
     pub fn remaining_of(&self, causes: &[Fingerprint], now: Millis) -> Option<Millis> {
-        let now = now + CLOCK_OFFSET;
-        let holds = self.holds.iter().filter(|hold| hold.applies_to(causes));
-        let left = holds.map(|hold| hold.until.since(now)).max()?;
-        (left > Millis::ZERO).then_some(left)
+        match self.standing(causes, now)? {
+            Standing::Held { left, .. } => Some(left),
+            Standing::Lapsed { .. } => None,
+        }
     }
 
-    /// The quarantine of these causes that ended last, if none of them is quarantined now.
-    pub fn lapse(&self, causes: &[Fingerprint], now: Millis) -> Option<Lapse> {
+    /// What the quarantine that ends last means for a request that has these causes.
+    pub fn standing(&self, causes: &[Fingerprint], now: Millis) -> Option<Standing> {
         let now = now + CLOCK_OFFSET;
         let holds = self.holds.iter().filter(|hold| hold.applies_to(causes));
         let last = holds.max_by_key(|hold| hold.until)?;
-        (last.until <= now).then(|| Lapse {
-            cause: last.causes.first().copied().unwrap_or_default(),
-            ago: now.since(last.until),
+        let cause = last.causes.first().copied().unwrap_or_default();
+        Some(match last.until > now {
+            true => Standing::Held {
+                cause,
+                left: last.until.since(now),
+            },
+            false => Standing::Lapsed {
+                cause,
+                ago: now.since(last.until),
+            },
         })
     }
 
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -117,6 +117,10 @@
     Quarantined {
         /// Time left until it may be sent again.
         wait: Millis,
+        /// What is quarantined.
+        cause: Fingerprint,
+        /// Id of the prompt's part that is the cause; `None` if it is the whole request.
+        part: Option<u64>,
     },
     /// No untried endpoint may be sent the request.
     #[display("no endpoint")]
--- a/crates/core/src/routing/view/choosing.rs
+++ b/crates/core/src/routing/view/choosing.rs
@@ -87,7 +87,7 @@
         if let Some(prefix) = shared {
             self.record_prefix(prefix, &choice, now);
         }
-        self.record_trials(&verdict, &choice.endpoint.build, now);
+        self.record_trial(&verdict, &choice.endpoint.build, now);
         let id = &choice.endpoint.id;
         self.loads.begin(id);
         if choice.allowance == Allowance::One {
--- a/crates/core/src/routing/view/quarantine.rs
+++ b/crates/core/src/routing/view/quarantine.rs
@@ -7,7 +7,7 @@
 use crate::routing::exchange;
 use crate::routing::fingerprint::Fingerprint;
 use crate::routing::plan::RetryPlan;
-use crate::routing::quarantine::{Change, Lapse};
+use crate::routing::quarantine::{Change, Standing};
 use crate::routing::runs::{Complete, RunId, Runs, SilentLoss};
 
 /// Time between the trials of two daemons, and of one, after a quarantine: by then it is known how
@@ -19,18 +19,33 @@
 pub(super) struct Verdict {
     /// Software versions to which it isn't sent.
     pub refused: Vec<Build>,
-    /// Causes whose quarantine is over, and which it would try.
-    trials: Vec<Fingerprint>,
+    /// Software versions at which it would try a cause whose quarantine is over.
+    trials: Vec<(Build, Fingerprint)>,
 }
 
 impl View {
-    /// What in a request may crash an instance. Endpoints that aren't listed any more have no known
-    /// software version.
+    /// What in a request may crash an instance.
     pub(super) fn causes(&self, plan: &RetryPlan, id: &InstanceId) -> Vec<Fingerprint> {
+        plan.causes().at(&self.build_of(id))
+    }
+
+    /// Software version of an instance; empty if it isn't listed any more.
+    fn build_of(&self, id: &InstanceId) -> Build {
         let listed = self.directory.get(id);
-        let unknown = Build::from("");
-        plan.causes()
-            .at(listed.map_or(&unknown, |listed| &listed.build))
+        listed.map_or_else(|| Build::from(""), |listed| listed.build.clone())
+    }
+
+    /// What in a request may crash an instance, with the ids of parts of its prompt.
+    pub fn named_causes(
+        &self,
+        plan: &RetryPlan,
+        id: &InstanceId,
+    ) -> Vec<(Fingerprint, Option<u64>)> {
+        let build = self.build_of(id);
+        let causes = plan.causes().at(&build).into_iter();
+        causes
+            .map(|cause| (cause, plan.causes().part(cause, &build)))
+            .collect()
     }
 
     /// Records that an endpoint was lost with a request, even if it isn't listed any more; `began` is
@@ -108,50 +123,56 @@
         }
         let listed = self.directory.get_pool(pool);
         let builds = listed.into_iter().flat_map(|listed| listed.builds());
-        let mut shortest: Option<Millis> = None;
+        let mut first: Option<ChooseError> = None;
         let mut is_open = false;
         for build in builds.filter(|build| plan.accepts(build)) {
             let causes = plan.causes().at(build);
-            let lapse = self.quarantine.lapse(&causes, now);
-            let wait = self.quarantine.remaining_of(&causes, now);
-            let wait = wait.or_else(|| lapse.and_then(|lapse| self.trial_wait(lapse, now)));
-            match wait {
-                Some(wait) => {
-                    shortest = Some(shortest.map_or(wait, |shortest| shortest.min(wait)));
-                    verdict.refused.push(build.clone());
-                }
-                None => {
-                    is_open = true;
-                    verdict.trials.extend(lapse.map(|lapse| lapse.cause));
-                }
+            let standing = self.quarantine.standing(&causes, now);
+            let refusal = standing.and_then(|standing| self.refusal(standing, now));
+            if let Some((cause, wait)) = refusal {
+                verdict.refused.push(build.clone());
+                let part = plan.causes().part(cause, build);
+                _ = first.get_or_insert(ChooseError::Quarantined { wait, cause, part });
+                continue;
+            }
+            is_open = true;
+            if let Some(Standing::Lapsed { cause, .. }) = standing {
+                verdict.trials.push((build.clone(), cause));
             }
         }
-        match shortest {
-            Some(wait) if !is_open => Err(ChooseError::Quarantined { wait }),
+        match first {
+            Some(refusal) if !is_open => Err(refusal),
             _ => Ok(verdict),
         }
     }
 
-    /// Time until this daemon may try a request with a cause whose quarantine is over; `None` if it
-    /// may now. Daemons take turns by rank, since one of them may get no such request.
-    fn trial_wait(&self, lapse: Lapse, now: Millis) -> Option<Millis> {
-        let Some(rank) = self.fleet.rank(&lapse.cause.to_string()) else {
+    /// The cause for which a request isn't sent, and for how long; `None` if it is.
+    fn refusal(&self, standing: Standing, now: Millis) -> Option<(Fingerprint, Millis)> {
+        match standing {
+            Standing::Held { cause, left } => Some((cause, left)),
+            Standing::Lapsed { cause, ago } => Some((cause, self.trial_wait(cause, ago, now)?)),
+        }
+    }
+
+    /// Time until this daemon may try a request with a cause whose quarantine was over some time ago;
+    /// `None` if it may now. Daemons take turns by rank, since one of them may get no such request.
+    fn trial_wait(&self, cause: Fingerprint, ago: Millis, now: Millis) -> Option<Millis> {
+        let Some(rank) = self.fleet.rank(&cause.to_string()) else {
             return Some(TRIAL_INTERVAL);
         };
-        let turn = Millis(TRIAL_INTERVAL.0 * rank as u64).since(lapse.ago);
-        let last = self.trials.get(&lapse.cause);
+        let turn = Millis(TRIAL_INTERVAL.0 * rank as u64).since(ago);
+        let last = self.trials.get(&cause);
         let pause = last.map_or(Millis::ZERO, |last| TRIAL_INTERVAL.since(now.since(*last)));
         let wait = turn.max(pause);
         (wait > Millis::ZERO).then_some(wait)
     }
 
-    /// Records the trials of a request that is sent.
-    pub(super) fn record_trials(&mut self, verdict: &Verdict, build: &Build, now: Millis) {
-        if verdict.trials.is_empty() || verdict.refused.contains(build) {
-            return;
+    /// Records that a request is sent to an endpoint of a software version.
+    pub(super) fn record_trial(&mut self, verdict: &Verdict, build: &Build, now: Millis) {
+        let trial = verdict.trials.iter().find(|(tried, _)| tried == build);
+        if let Some((_, cause)) = trial {
+            self.trials.retain(|_, at| now.since(*at) < TRIAL_INTERVAL);
+            self.trials.insert(*cause, now);
         }
-        self.trials.retain(|_, at| now.since(*at) < TRIAL_INTERVAL);
-        self.trials
-            .extend(verdict.trials.iter().map(|cause| (*cause, now)));
     }
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -24,6 +24,7 @@
     mod mirror;
     mod notices;
     mod overload;
+    mod parts;
     mod plain;
     mod plan;
     mod prefix_index;
@@ -32,6 +33,7 @@
     mod reach;
     mod repeats;
     mod request;
+    mod runs;
     mod size;
     mod slow_start;
     mod slow_start_ways;
--- a/crates/daemon/tests/route/parts.rs
+++ b/crates/daemon/tests/route/parts.rs
@@ -9,6 +9,7 @@
 use medlarrill_platform_standin::{
     Behaviour, Call, Caller, Crash, Ending, Endpoint, Form, Framing, Outage,
 };
+use medlarrill_testkit::routed::field;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -490,3 +491,72 @@
     })
     .await;
 }
+
+/// A play in which the part is known to all daemons and kept on the platform.
+async fn known_part() -> Play {
+    let mut play = Play::start(Incident::new("/stream-once/x")).await;
+    play.run_until_ended(3, Duration::from_secs(6)).await;
+    for daemon in 0..DAEMONS {
+        play.bench.until(daemon, "quarantine: begins", 1).await;
+    }
+    play.run(REPLACED + DELISTED, false).await;
+    assert_that!(play.bench.store.names("quarantine"), not(is_empty()));
+    play
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_operator_lifts_a_quarantine_by_removing_its_object() {
+    let play = known_part().await;
+    let fixed = Behaviour {
+        crash: None,
+        ..PACED
+    };
+    play.bench.behave(fixed);
+    let prompt = (play.incident.bad)(1);
+    for daemon in 0..DAEMONS {
+        let call = play.call("bad", 900 + daemon, &prompt);
+        let reply = play.bench.send_to(daemon, &call).await;
+        expect_that!(reply.promises_not_run(), eq(true), "{reply:?}");
+    }
+    for name in play.bench.store.names("quarantine") {
+        play.bench.store.remove("quarantine", &name);
+    }
+    for daemon in 0..DAEMONS {
+        play.bench.until(daemon, "quarantine: ends", 1).await;
+        let call = play.call("bad", 910 + daemon, &prompt);
+        let reply = play.bench.send_to(daemon, &call).await;
+        expect_that!(reply.is_success(), eq(true), "{reply:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_refused_requests_id_leads_to_the_part_and_to_the_endpoints_that_were_lost_with_it() {
+    let play = known_part().await;
+    let call = play.call("bad", 900, &(play.incident.bad)(1));
+    play.bench.send_to(1, &call).await;
+    play.bench.until(1, "entry: quarantined", 1).await;
+    let refused = play.bench.daemons[1].lines_with("entry: quarantined");
+    let refused = refused.iter().find(|line| line.contains("bad-900"));
+    let refused = refused.expect("a line on the request");
+    expect_that!(field(refused, "part"), some(eq("bad0")));
+    let cause = field(refused, "cause").expect("a cause");
+    let lines = |text: &str| -> Vec<String> {
+        let all = play
+            .bench
+            .daemons
+            .iter()
+            .flat_map(|daemon| daemon.lines_with(text));
+        all.filter(|line| line.contains(&cause)).collect()
+    };
+    expect_that!(lines("quarantine: begins").len(), eq(DAEMONS));
+    let lost = lines("quarantine: endpoint lost with a request");
+    let mut endpoints: Vec<String> = lost
+        .iter()
+        .filter_map(|line| field(line, "endpoint"))
+        .collect();
+    endpoints.sort();
+    endpoints.dedup();
+    expect_that!(endpoints.len(), ge(3));
+}
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -139,14 +139,7 @@
     let refusal = loop {
         let (choice, in_flight) = match placement.choose(&routed.pool, shared_prefix, plan, now()) {
             Ok(placed) => placed,
-            Err(ChooseError::Overloaded(overload)) => {
-                trace.log_overload(&overload);
-                break Refusal::Overloaded {
-                    wait: overload.wait,
-                };
-            }
-            Err(ChooseError::Quarantined { wait }) => break plan.quarantined(wait),
-            Err(ChooseError::Nothing) => break plan.refusal(plan.deadline() <= now()),
+            Err(error) => break not_chosen(&error, plan, trace),
         };
         let left = plan.deadline().since(now());
         trace.log_attempt(&choice, shared_prefix, left);
@@ -182,6 +175,23 @@
     }
 }
 
+/// The refusal of a request for which no endpoint was chosen.
+fn not_chosen(error: &ChooseError, plan: &RetryPlan, trace: &Trace) -> Refusal {
+    match error {
+        ChooseError::Overloaded(overload) => {
+            trace.log_overload(overload);
+            Refusal::Overloaded {
+                wait: overload.wait,
+            }
+        }
+        ChooseError::Quarantined { wait, cause, part } => {
+            trace.log_quarantined(*cause, *part, *wait);
+            plan.quarantined(*wait)
+        }
+        ChooseError::Nothing => plan.refusal(plan.deadline() <= now()),
+    }
+}
+
 /// Turns `NotRun` into `Unavailable`, with the time until the pool takes work again, if no
 /// endpoint of the pool takes any now.
 fn refine_refusal(routed: &RoutedRequest, refusal: Refusal, trace: &Trace) -> Refusal {
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -218,6 +218,7 @@
             return;
         }
         shared.placement.doubt(id, lost_at);
+        self.log_loss(plan, failed);
         shared.placement.record_loss(plan, id, began, lost_at);
         let (shared, id) = (Arc::clone(shared), id.clone());
         tokio::spawn(async move {
@@ -229,6 +230,17 @@
         });
     }
 
+    /// Logs what a lost endpoint counts against.
+    fn log_loss(&self, plan: &RetryPlan, failed: Failed<'_>) {
+        let Failed { id, began, .. } = failed;
+        let ran = began.map(|began| now().since(began).0);
+        let causes = self.shared.placement.causes(plan, id).join(", ");
+        log::info!(
+            target: "quarantine", request = self.call.attempt, endpoint:% = id, ran, causes;
+            "quarantine: endpoint lost with a request"
+        );
+    }
+
     /// Builds the request that is sent to an endpoint.
     pub fn to_endpoint(
         &self,
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -139,6 +139,16 @@
         );
     }
 
+    /// Logs what in the request is quarantined, and for how long; `part` is the part of its prompt,
+    /// `None` if it is the whole request.
+    pub fn log_quarantined(&self, cause: Fingerprint, part: Option<u64>, wait: Millis) {
+        log::info!(
+            target: "entry", request = self.request, cause:%, part = part.map(|id| format!("{id:x}")),
+            wait = wait.0;
+            "entry: quarantined"
+        );
+    }
+
     /// Logs that no endpoint of a pool takes work, and for how long.
     pub fn log_closed_pool(&self, pool: &PoolId, wait: Millis) {
         log::info!(
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -126,7 +126,7 @@
         let mut view = self.lock();
         let gone = view.instance(id).cloned();
         let was_listed = view.remove(id);
-        let changes = gone.map(|gone| view.record_gone(&gone, now()));
+        let changes = gone.as_ref().map(|gone| view.record_gone(gone, now()));
         drop(view);
         self.log_quarantine(&changes.unwrap_or_default());
         was_listed
@@ -290,6 +290,17 @@
         self.log_quarantine(&changes);
     }
 
+    /// What in a request may crash an endpoint, as in the lines on quarantines, with the id of the part
+    /// of its prompt, if it is one.
+    pub fn causes(&self, plan: &RetryPlan, id: &InstanceId) -> Vec<String> {
+        let causes = self.lock().named_causes(plan, id);
+        let text = |(cause, part): (Fingerprint, Option<u64>)| match part {
+            Some(part) => format!("{cause} {part:x}"),
+            None => cause.to_string(),
+        };
+        causes.into_iter().map(text).collect()
+    }
+
     /// Records that a request was answered completely: quarantine evidence in its favour. `began` is
     /// when the head of the response was received.
     pub fn record_response(&self, plan: &RetryPlan, id: &InstanceId, began: Millis) {
@@ -310,6 +321,19 @@
         }
     }
 
+    /// Clears a cause of all that is held against it, here and at other daemons; returns whether there
+    /// was anything.
+    pub fn lift(&self, cause: Fingerprint, now: Millis) -> bool {
+        let mut view = self.lock();
+        if !view.quarantine().is_suspect(cause) {
+            return false;
+        }
+        let changes = view.quarantine().record_served(cause, now);
+        drop(view);
+        self.log_quarantine(&changes);
+        true
+    }
+
     /// Quarantine evidence to send to other daemons.
     pub fn evidence(&self, now: Millis) -> Snapshot {
         self.lock().quarantine().snapshot(now)
--- a/crates/router/src/store/apply.rs
+++ b/crates/router/src/store/apply.rs
@@ -6,10 +6,12 @@
 use medlarrill_core::ids::EndpointId;
 use medlarrill_core::routing::config::Configuration;
 use medlarrill_core::routing::endpoint::{Endpoint, Listing};
+use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::instance::EntryKind;
 use medlarrill_core::routing::mirror::{Change, Object};
+use medlarrill_core::routing::quarantine::Evidence;
 use medlarrill_core::routing::view::ListingChange;
-use medlarrill_net::now::now;
+use medlarrill_net::now::{now, wall};
 use medlarrill_platform::objects;
 use medlarrill_platform::store::{CONFIGURATION, Kind};
 use tokio::sync::watch;
@@ -60,6 +62,9 @@
             Kind::Endpoints => changes.iter().for_each(|change| self.apply_entry(change)),
             Kind::Drains => changes.iter().for_each(|change| self.apply_drain(change)),
             Kind::Daemons => changes.iter().for_each(|change| self.apply_daemons(change)),
+            Kind::Quarantine => changes
+                .iter()
+                .for_each(|change| self.apply_quarantine(change)),
         }
         let count = self.placement.endpoint_count();
         let endpoints = &self.metrics.endpoints;
@@ -106,6 +111,29 @@
         self.placement.set_daemons(self.me, name, daemons);
     }
 
+    /// Applies a quarantined cause. Operators lift the quarantine by removing its object; daemons
+    /// remove it when nothing is held against the cause any more.
+    fn apply_quarantine(&self, change: &Change) {
+        match change {
+            Change::Put(object) => match objects::quarantined(object) {
+                Ok(stored) => {
+                    let evidence: Vec<Evidence> = stored.evidence(wall()).collect();
+                    self.placement.merge_evidence(&evidence, now());
+                }
+                Err(error) => self
+                    .unreadable
+                    .report(Kind::Quarantine, &object.name, &error),
+            },
+            Change::Removed { name, revision } => {
+                // An invalid name holds nothing.
+                let cause: Option<Fingerprint> = name.parse().ok();
+                if cause.is_some_and(|cause| self.placement.lift(cause, now())) {
+                    log::warn!(target: "quarantine", cause = name, revision; "quarantine: lifted");
+                }
+            }
+        }
+    }
+
     fn apply_entry(&self, change: &Change) {
         match change {
             Change::Put(object) => {
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -14,11 +14,12 @@
 use super::relay::EncodedUpdate;
 
 /// The kinds of objects that are copied.
-pub const KINDS: [Kind; 4] = [
+pub const KINDS: [Kind; 5] = [
     Kind::Configuration,
     Kind::Drains,
     Kind::Endpoints,
     Kind::Daemons,
+    Kind::Quarantine,
 ];
 /// Maximum number of changes that a follower may lag behind before it must subscribe again.
 const MAX_LAG: usize = 256;
@@ -51,6 +52,7 @@
     drains: Mutex<KindCopy>,
     endpoints: Mutex<KindCopy>,
     daemons: Mutex<KindCopy>,
+    quarantine: Mutex<KindCopy>,
     applier: ChangeApplier,
     events: broadcast::Sender<ChangeEvent>,
     /// Whether operators drain data centres through the platform.
@@ -69,6 +71,7 @@
             drains: Mutex::new(KindCopy::persistent()),
             endpoints: Mutex::default(),
             daemons: Mutex::new(KindCopy::persistent()),
+            quarantine: Mutex::new(KindCopy::persistent()),
             applier,
             events: broadcast::Sender::new(MAX_LAG),
             has_drains,
@@ -83,6 +86,7 @@
             Kind::Drains => &self.drains,
             Kind::Endpoints => &self.endpoints,
             Kind::Daemons => &self.daemons,
+            Kind::Quarantine => &self.quarantine,
         };
         copy.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -104,7 +108,8 @@
         match kind {
             Kind::Configuration | Kind::Endpoints => true,
             Kind::Drains => self.has_drains,
-            Kind::Daemons => false,
+            // Sources of an earlier build have no copy of what is quarantined.
+            Kind::Daemons | Kind::Quarantine => false,
         }
     }
 
@@ -114,6 +119,11 @@
         required.all(|kind| self.revision(kind).is_some())
     }
 
+    /// Returns the current copies of all objects of a kind.
+    pub fn all(&self, kind: Kind) -> Vec<Object> {
+        self.lock(kind).mirror.objects().cloned().collect()
+    }
+
     /// Returns the current copy of an object.
     pub fn get(&self, kind: Kind, name: &str) -> Option<Object> {
         self.lock(kind).mirror.get(name).cloned()
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -18,7 +18,7 @@
 const WATCH_HOLD: Millis = Millis(1500);
 /// The same for drained data centres, which change rarely. If one watcher's connection went silent,
 /// the other watchers still receive the changes.
-const DRAINS_WATCH_HOLD: Millis = Millis(4000);
+const RARE_WATCH_HOLD: Millis = Millis(4000);
 /// Timeout for a response, in addition to the time for which the platform holds the call. It
 /// answers in some milliseconds, or a fifth of a second when it is slow.
 const ANSWER_TIMEOUT: Millis = Millis(900);
@@ -276,7 +276,7 @@
     /// Waits for changes after a revision and applies them.
     async fn watch(&mut self, revision: u64) -> Result<()> {
         let hold = match self.kind {
-            Kind::Drains => DRAINS_WATCH_HOLD,
+            Kind::Drains | Kind::Quarantine => RARE_WATCH_HOLD,
             _ => WATCH_HOLD,
         };
         let path = wire::watch_path(self.kind, revision, hold);
@@ -298,7 +298,7 @@
         if !is_quiet {
             let pause = match self.kind {
                 Kind::Configuration | Kind::Drains => CONFIGURATION_PAUSE,
-                Kind::Endpoints | Kind::Daemons => ENDPOINTS_PAUSE,
+                Kind::Endpoints | Kind::Daemons | Kind::Quarantine => ENDPOINTS_PAUSE,
             };
             tokio::time::sleep(pause.as_duration()).await;
         }
--- a/crates/router/src/store/quarantine.rs
+++ b/crates/router/src/store/quarantine.rs
@@ -11,7 +11,7 @@
 use medlarrill_core::routing::quarantine::{PlatformSync, Step, StoredRequest};
 use medlarrill_net::now::{now, wall};
 use medlarrill_platform::objects;
-use medlarrill_platform::store::{self as wire, Call};
+use medlarrill_platform::store::{self as wire, Call, Kind};
 use rand::RngExt;
 
 use super::StoreContext;
@@ -80,7 +80,10 @@
             return Ok(false);
         };
         match step {
-            Step::List => self.list().await?,
+            Step::List if self.store.copies.revision(Kind::Quarantine).is_none() => {
+                return Ok(false);
+            }
+            Step::List => self.read_copy(),
             Step::Create(fingerprint) => self.write(fingerprint, Call::create).await?,
             Step::Replace(fingerprint) => self.write(fingerprint, Call::replace).await?,
             Step::Remove(fingerprint) => self.remove(fingerprint).await?,
@@ -88,20 +91,13 @@
         Ok(true)
     }
 
-    async fn list(&mut self) -> Result<()> {
-        let mut all: Vec<StoredRequest> = Vec::new();
-        let copies = &self.store.copies;
-        let read = |object: &Object| objects::quarantined(object).map(|stored| all.push(stored));
-        self.client.list(wire::QUARANTINE, copies, read).await?;
-        let (at, wall) = (now(), wall());
-        let evidence: Vec<_> = all
-            .iter()
-            .flat_map(|stored| stored.evidence(wall))
-            .collect();
-        self.store.placement.merge_evidence(&evidence, at);
-        log::info!(target: "store", count = all.len(); "store: the kept quarantine is read");
-        self.sync_state.listed(&all);
-        Ok(())
+    /// Reads the copy of what is stored; it took effect when it was received.
+    fn read_copy(&mut self) {
+        let objects = self.store.copies.all(Kind::Quarantine);
+        let read = |object: &Object| objects::quarantined(object).ok();
+        let stored: Vec<StoredRequest> = objects.iter().filter_map(read).collect();
+        log::info!(target: "store", count = stored.len(); "store: the kept quarantine is read");
+        self.sync_state.listed(&stored);
     }
 
     async fn write(
--- a/crates/router/src/store/relay/message.rs
+++ b/crates/router/src/store/relay/message.rs
@@ -104,6 +104,7 @@
         Kind::Endpoints => 2,
         Kind::Drains => 3,
         Kind::Daemons => 4,
+        Kind::Quarantine => 5,
     }
 }
 
@@ -113,6 +114,7 @@
         2 => Some(Kind::Endpoints),
         3 => Some(Kind::Drains),
         4 => Some(Kind::Daemons),
+        5 => Some(Kind::Quarantine),
         _ => None,
     }
 }
