A daemon that gets more connections than it can serve closes the others unread

While the load balancer sends most new connections to one small VM, its requests wait behind each other and none is served in time. Now it takes a share of new connections as long as its tasks wait for the processor, and none beyond its file descriptors; the next try of a caller meets another daemon, and nothing has run.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -9,6 +9,7 @@
 //! other daemons ([`exchange`]).
 
 pub mod ablation;
+pub mod accept;
 pub mod answer;
 pub mod attempt;
 pub mod backoff;
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -1,6 +1,7 @@
 //! Direct routing to endpoints: single decisions, and the exchange of loads between daemons.
 
 mod routing {
+    mod accept;
     mod backoff;
     mod bound;
     mod brittle;
--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -6,6 +6,7 @@
     mod brittle;
     mod copies;
     mod crash;
+    mod crowd;
     mod cut;
     mod drains;
     mod ends;
--- a/crates/daemon/tests/route/setup.rs
+++ b/crates/daemon/tests/route/setup.rs
@@ -79,15 +79,20 @@
 
     /// Starts a daemon that reaches the store at another address.
     pub fn add_daemon_behind(&mut self, seeds: &[usize], platform: SocketAddr) {
-        self.add(seeds, platform, false);
+        self.add(seeds, platform, |_| ());
     }
 
     /// Starts such a daemon as one of a fleet that starts for the first time.
     pub fn add_first_daemon(&mut self, seeds: &[usize], platform: SocketAddr) {
-        self.add(seeds, platform, true);
+        self.add(seeds, platform, |setup| setup.first_start = true);
     }
 
-    fn add(&mut self, seeds: &[usize], platform: SocketAddr, first_start: bool) {
+    /// Starts a daemon that may have so many file descriptors.
+    pub fn add_daemon_with_files(&mut self, seeds: &[usize], files: usize) {
+        self.add(seeds, self.store.address(), |setup| setup.files = files);
+    }
+
+    fn add(&mut self, seeds: &[usize], platform: SocketAddr, change: impl FnOnce(&mut Setup)) {
         let seeds = seeds.iter().map(|seed| self.daemons[*seed].listen[3]);
         let number = self.daemons.len();
         let name = format!("d-{number}");
@@ -100,7 +105,7 @@
         let [process, test] = self.network;
         let host = 1 + number as u8;
         let (own, any) = ([127, process, test, host], [127, process, test, 100 + host]);
-        setup.first_start = first_start;
+        change(&mut setup);
         // Listeners on any port have an address of their own, so that none takes the shared port.
         let [callers, ready, metrics] = [any; 3].map(|ip| (ip, 0).into());
         setup.listen = [callers, ready, metrics, (own, port).into()];
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod body;
+mod crowd;
 mod dispatch;
 mod handler;
 mod relay;
@@ -10,4 +11,5 @@
 mod take_up;
 mod trace;
 
+pub use crowd::Crowd;
 pub use server::{serve_callers, serve_metrics, serve_ready};
--- a/crates/router/src/entry/server.rs
+++ b/crates/router/src/entry/server.rs
@@ -34,6 +34,11 @@
 pub async fn serve_callers(listener: TcpListener, shared: Arc<Shared>) {
     loop {
         let stream = socket::accept(&listener).await;
+        if !shared.crowd.takes() {
+            // Its caller knows that nothing has run, and meets another daemon at the next try.
+            drop(stream);
+            continue;
+        }
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
             shared.metrics.connections.inc();
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -54,6 +54,8 @@
     pub answered: Counter,
     /// Requests that were refused or whose stream broke off, by reason.
     pub refusals: Family<ReasonLabel, Counter>,
+    /// Connections of callers that were closed unread, by what was short.
+    pub unread: Family<ReasonLabel, Counter>,
     /// Failed attempts, by fault.
     pub faults: Family<ReasonLabel, Counter>,
     /// Attempts after the first, by the fault of the preceding one.
@@ -126,6 +128,7 @@
             requests: Counter::default(),
             answered: Counter::default(),
             refusals: Family::default(),
+            unread: Family::default(),
             faults: Family::default(),
             retries: Family::default(),
             resumed: Counter::default(),
@@ -165,6 +168,11 @@
         r.register("requests", "Requests taken", self.requests.clone());
         r.register("answered", "Answers handed on", self.answered.clone());
         r.register("refusals", "Requests refused", self.refusals.clone());
+        r.register(
+            "unread",
+            "Callers' connections closed unread",
+            self.unread.clone(),
+        );
         r.register("faults", "Failed attempts", self.faults.clone());
         r.register("retries", "Attempts after the first", self.retries.clone());
         r.register("resumed", "Streams resumed", self.resumed.clone());
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -74,6 +74,10 @@
     /// Rate of the VM's network link; daemons with faster links do more work for the others.
     #[serde(default)]
     pub link: LinkRate,
+    /// File descriptors that the process may have; connections of callers beyond them are closed
+    /// unread.
+    #[serde(default)]
+    pub files: Option<usize>,
     /// Time from the signal to stop until the process is killed.
     pub grace: Millis,
     /// Retry budget of the fleet.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -8,6 +8,7 @@
 use tokio::sync::watch;
 
 use crate::endpoints::{ConnectionPool, UnreadHeaders};
+use crate::entry::Crowd;
 use crate::metrics::Metrics;
 use crate::placement::Placement;
 use crate::settings::Settings;
@@ -31,6 +32,8 @@
     pub streams: Streams,
     /// Idle connections to endpoints.
     pub connections: ConnectionPool,
+    /// Decides which new connections of callers are taken.
+    pub crowd: Arc<Crowd>,
     /// Reporter of endpoints' response headers that nothing reads.
     pub unread_headers: UnreadHeaders,
     /// Metrics of the daemon.
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::endpoints::{ConnectionPool, Paths, UnreadHeaders};
-use crate::entry::{serve_callers, serve_metrics, serve_ready};
+use crate::entry::{Crowd, serve_callers, serve_metrics, serve_ready};
 use crate::links;
 use crate::logs::{self, DropCount};
 use crate::metrics::Metrics;
@@ -170,6 +170,7 @@
         streams,
         connections: ConnectionPool::new(Paths::new(Arc::clone(&placement), Arc::clone(&metrics))),
         unread_headers: UnreadHeaders::new(Arc::clone(&metrics)),
+        crowd: Arc::new(Crowd::new(settings.files, Arc::clone(&metrics))),
         metrics,
         stop: Mutex::new(Stop::new(settings.grace)),
         closing: watch::Sender::new(false),
@@ -194,6 +195,7 @@
     tokio::spawn(streams::keep(own(), roster.clone()));
     let datagrams = sockets.datagrams;
     tokio::spawn(exchange(datagrams, own(), roster, stream_messages));
+    tokio::spawn(Arc::clone(&shared.crowd).watch());
     tokio::spawn(serve_callers(sockets.callers, own()));
     tokio::spawn(serve_ready(sockets.ready, own()));
     tokio::spawn(serve_metrics(sockets.scrapes, own()));
--- a/crates/testkit/src/routed.rs
+++ b/crates/testkit/src/routed.rs
@@ -54,6 +54,8 @@
     pub grace: u64,
     /// Whether all daemons start for the first time.
     pub first_start: bool,
+    /// File descriptors that it may have.
+    pub files: usize,
 }
 
 impl Setup {
@@ -66,6 +68,7 @@
             seeds: Vec::new(),
             grace: 8,
             first_start: false,
+            files: 4096,
         }
     }
 
@@ -80,7 +83,7 @@
             "daemon": self.name, "data-centre": "dc-a",
             "listen": { "callers": callers, "ready": ready, "metrics": metrics, "peers": peers },
             "seeds": self.seeds, "platform": self.platform, "grace": format!("{}s", self.grace),
-            "first-start": self.first_start,
+            "first-start": self.first_start, "files": self.files,
             "repeats": { "ratio": 0.2, "window": "10s", "slack": 1000 },
         });
         format!("// Settings of a test.\n{settings}\n")
