--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -159,6 +159,7 @@
             total_seconds: Histogram::new(LATENCY_BUCKETS),
         };
         metrics.register_counters();
+        metrics.register_times();
         metrics.register_gauges();
         metrics
     }
@@ -203,6 +204,10 @@
             "Headers that nothing reads",
             unread_headers,
         );
+    }
+
+    fn register_times(&mut self) {
+        let r = &mut self.registry;
         let head_seconds = self.head_seconds.clone();
         r.register(
             "first_seconds",
