--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -3,6 +3,7 @@
 mod routing {
     mod accept;
     mod backoff;
+    mod blame_world;
     mod bound;
     mod brittle;
     mod budget;
--- a/crates/core/tests/routing/parts.rs
+++ b/crates/core/tests/routing/parts.rs
@@ -115,14 +115,15 @@
 
 #[gtest]
 fn what_was_answered_for_long_counts_only_where_nothing_else_was_lost() {
-    let lose = |began_ago: u64, with_bad: bool| {
+    let lose = |began_ago: u64, with_others: bool| {
         let mut quarantine = Quarantine::default();
         for number in 0..3 {
             let lost_at = at(10_000 + u64::from(number) * 200);
             let began = Some(lost_at - Millis(began_ago));
             quarantine.record_losses(&[RARE], number, began, lost_at);
-            if with_bad {
-                quarantine.record_losses(&[BAD], number, None, lost_at);
+            if with_others {
+                let other = Fingerprint(100 + u64::from(number));
+                quarantine.record_losses(&[other], number, None, lost_at);
             }
         }
         is_refused(&quarantine, &[RARE], at(11_000))
