Soak: requests that share a part of their prompts and end endpoints, judged from sockets

Judged: at most three requests with the part later than three seconds after the fifth end, and sound requests served at least half as often as before. All requests of soaks have prompts now, with one first part. Plans of builds and of parts have files of their own.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -80,6 +80,9 @@
     /// Only endpoints of several software versions, and callers that take up streams.
     #[arg(long, conflicts_with = "cuts")]
     pub builds: bool,
+    /// Only requests that share a part of their prompts and end endpoints.
+    #[arg(long, conflicts_with_all = ["cuts", "builds"])]
+    pub parts: bool,
     /// Daemon of an earlier build, which every second daemon runs.
     #[arg(long)]
     pub beside: Option<PathBuf>,
@@ -167,6 +170,7 @@
     let plan = match options.cuts {
         true => Plan::of_cuts(&mut rng, length),
         false if options.builds => Plan::of_builds(&mut rng, length),
+        false if options.parts => Plan::of_parts(&mut rng, length),
         false => draw(&mut rng, seed, length),
     };
     let earlier = options.beside.as_deref().map(Program::new);
@@ -175,7 +179,8 @@
     let from = Instant::now();
     let mut traffic = Traffic::start(world.doors.clone(), seed, plan.builds);
     if let Some(path) = plan.crashing {
-        traffic = traffic.with_crashing(world.doors.clone(), seed, path);
+        let is_part = plan.part.is_some();
+        traffic = traffic.with_crashing(world.doors.clone(), seed, path, is_part);
     }
     for step in plan.steps() {
         wait(&mut world, seed, from + step.at).await?;
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -3,6 +3,7 @@
 mod builds;
 mod cuts;
 mod notices;
+mod parts;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -14,6 +15,7 @@
 use self::cuts::cut_off;
 pub use self::notices::PAUSE;
 use self::notices::{left, paused};
+use self::parts::starved;
 use super::plan::Fault;
 use super::traffic::{CRASHING_ID, PATHS, Sent};
 use super::world::{Done, SPARED, World};
@@ -27,6 +29,8 @@
 const TROUBLE: Duration = Duration::from_millis(4500);
 /// Endpoints that a request may end before it is refused, and how often it may be sent after that.
 const ENOUGH: usize = 3;
+/// The same of requests that share a part.
+const ENOUGH_OF_PART: usize = 5;
 /// See [`ENOUGH`].
 const SENT_MAX: usize = 3;
 /// Time in which all daemons come to know it.
@@ -151,7 +155,7 @@
         reply: String,
     },
     /// A request that ended endpoints was sent on and on.
-    #[display("a request that had ended {ENOUGH} endpoints was sent to {runs} more")]
+    #[display("requests that had ended endpoints were sent to {runs} more once all had to know")]
     Crashed {
         /// Endpoints that it reached once all had to know.
         runs: usize,
@@ -176,6 +180,17 @@
         /// Share of new streams that begin, in hundredths.
         share: usize,
     },
+    /// Sound requests were served less than half as often as before, beside requests that end
+    /// endpoints.
+    #[display("{served} of {sent} sound requests were served, {before} in a hundred before")]
+    Starved {
+        /// Requests that were served.
+        served: usize,
+        /// Requests.
+        sent: usize,
+        /// Share that was served before, in hundredths.
+        before: usize,
+    },
     /// A daemon ended by itself.
     #[display("daemon {_0} ended by itself")]
     Ended(usize),
@@ -203,6 +218,7 @@
     found.extend(paused(world, calls, &runs));
     found.extend(recovered.iter().filter_map(not_recovered));
     found.extend(crashed(world, calls, &runs));
+    found.extend(starved(world, calls));
     found.extend(cut_off(world, calls));
     if world.builds.are_named {
         found.extend(versions(calls));
@@ -383,6 +399,11 @@
 
 /// Runs of the request that ends endpoints, beyond those that are allowed.
 fn crashed(world: &World, calls: &[Sent], runs: &HashMap<String, Vec<Run>>) -> Option<Violation> {
+    let enough = if world.part.is_some() {
+        ENOUGH_OF_PART
+    } else {
+        ENOUGH
+    };
     let crashing = |sent: &&Sent| sent.call.attempt.starts_with(CRASHING_ID);
     let mut all: Vec<(Instant, usize, &Run)> = Vec::new();
     for sent in calls.iter().filter(crashing) {
@@ -400,7 +421,7 @@
         (!is_harmed(world, *at, SETTLE, harms)).then_some(())
     };
     let seen = all.iter().filter(|run| is_seen(run).is_some());
-    let known = seen.map(|(at, ..)| *at).nth(ENOUGH - 1)? + CONTACT;
+    let known = seen.map(|(at, ..)| *at).nth(enough - 1)? + CONTACT;
     let late = all.iter().filter(|(at, daemon, _)| {
         let harms = |fault: &Fault| fault.harms_daemon(*daemon);
         *at > known && !is_harmed(world, *at, CONTACT, harms) && !is_forgotten(world, known, *at)
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -1,9 +1,14 @@
 //! The faults of one soak, drawn from its seed.
 
+mod builds;
+mod parts;
+
 use std::time::Duration;
 
 use derive_more::Debug;
-use medlarrill_platform_standin::{Behaviour, End, Ending, Form, Framing, LineEnd, Outage, Place};
+use medlarrill_platform_standin::{
+    Behaviour, Crash, End, Ending, Form, Framing, LineEnd, Outage, Place,
+};
 use medlarrill_testkit::proxy::Harm;
 use rand::RngExt;
 use rand_pcg::Pcg32;
@@ -11,8 +16,6 @@
 
 /// Mean pause between two faults; several last longer, so that they overlap.
 const PAUSE_MS: u64 = 700;
-/// Software versions of endpoints; the last one serves only after a replacement.
-const BUILDS: [&str; 3] = ["v1", "v2", "v3"];
 /// Time at the start without faults.
 const CALM: Duration = Duration::from_millis(1500);
 
@@ -189,6 +192,9 @@
     pub births: bool,
     /// Path of a request that comes again and again and ends each endpoint that runs it.
     pub crashing: Option<&'static str>,
+    /// How endpoints end if it is a part of that request's prompt that ends them, and its body is
+    /// another one each time.
+    pub part: Option<Crash>,
     /// Whether every second endpoint runs in another data centre, and all have a slow start.
     pub places: bool,
     /// How each endpoint writes its answers.
@@ -207,6 +213,7 @@
             events: Vec::new(),
             births: false,
             crashing: None,
+            part: None,
             places: false,
             forms: Vec::new(),
             builds: false,
@@ -344,53 +351,6 @@
         plan.with_cut_daemons(rng, length)
     }
 
-    /// Draws a plan in which endpoints of several software versions are replaced, streams break off,
-    /// and daemons end, one or all at once.
-    pub fn of_builds(rng: &mut Pcg32, length: Duration) -> Self {
-        let mut plan = Self {
-            events: Vec::new(),
-            daemons: rng.random_range(3..=6),
-            builds: true,
-            ..Self::new(rng, Duration::ZERO)
-        };
-        plan.endpoints = rng.random_range(4..=8);
-        plan.forms = vec![Form::DEFAULT; plan.endpoints];
-        for form in &mut plan.forms {
-            form.build = Some(BUILDS[rng.random_range(0..2)]);
-        }
-        let mut at = CALM;
-        while at < length {
-            plan.draw_build_fault(rng, at);
-            at += Duration::from_millis(rng.random_range(0..2 * PAUSE_MS));
-        }
-        plan
-    }
-
-    fn draw_build_fault(&mut self, rng: &mut Pcg32, at: Duration) {
-        let daemon = rng.random_range(0..self.daemons);
-        let endpoint = rng.random_range(0..self.endpoints);
-        let lasts = Duration::from_millis(rng.random_range(300..2500));
-        let cuts = Behaviour {
-            cuts: rng.random_range(0.2..1.0),
-            ..Behaviour::default()
-        };
-        let fault = match rng.random_range(0..16) {
-            0..4 => Fault::Replace(endpoint, BUILDS[rng.random_range(0..BUILDS.len())]),
-            4..9 => Fault::Behave(endpoint, Box::new(cuts), lasts),
-            9 | 10 => Fault::Kill(daemon),
-            11 => Fault::Stop(daemon),
-            12 => Fault::Freeze(daemon, lasts),
-            13 => Fault::HarmEndpoint(endpoint, Harm::Reset, lasts),
-            14 => Fault::Store(outage(rng), lasts),
-            _ => {
-                let all = (0..self.daemons).map(Fault::Kill);
-                self.events.extend(all.map(|fault| Event { at, fault }));
-                return;
-            }
-        };
-        self.events.push(Event { at, fault });
-    }
-
     fn with_cut_daemons(mut self, rng: &mut Pcg32, length: Duration) -> Self {
         let mut at = CALM;
         while at < length {
--- a/crates/lab/src/soak/traffic.rs
+++ b/crates/lab/src/soak/traffic.rs
@@ -27,6 +27,11 @@
 const TAKE_UPS: usize = 2;
 const RESUMES: &str = "resumes";
 const LAST_EVENT: &str = "last-event-id";
+/// Second parts of the prompts of sound requests; the first one is the same for all.
+const SECOND_PARTS: usize = 24;
+const PROMPT: &str = "medlarrill-prompt-prefix";
+/// Ids of parts of prompts that end endpoints, where plans say so.
+pub const BAD_PARTS: &[&str] = &["bad0"];
 /// Begin of the ids of the request that ends endpoints.
 pub const CRASHING_ID: &str = "crash-";
 /// Paths, and whether their requests may run more than once.
@@ -90,11 +95,19 @@
         }
     }
 
-    /// Has one caller more send a request that ends endpoints, again and again.
-    pub fn with_crashing(mut self, doors: Doors, seed: u64, path: &'static str) -> Self {
+    /// Has one caller more send a request that ends endpoints, again and again; with `is_part` it has
+    /// a bad part in its prompt, and another body each time.
+    pub fn with_crashing(
+        mut self,
+        doors: Doors,
+        seed: u64,
+        path: &'static str,
+        is_part: bool,
+    ) -> Self {
         let rng = Pcg32::seed_from_u64(seed ^ u64::MAX);
         let (sent, ends) = (Arc::clone(&self.sent), Arc::clone(&self.ends));
-        self.callers.spawn(crash(doors, sent, ends, rng, path));
+        self.callers
+            .spawn(crash(doors, sent, ends, rng, path, is_part));
         self
     }
 
@@ -132,7 +145,9 @@
         let wait = rng.random_range(500..3000);
         let body = vec![b'x'; rng.random_range(0..2000)];
         let call = Call::new(format!("c{caller}-{number}"), path);
+        let second = number % SECOND_PARTS;
         let call = call.with_wait(wait).with_body(body);
+        let call = call.with_header(PROMPT, &format!("aa:90,c{second:x}:90,{number:x}:9"));
         let from = Instant::now();
         let reply = connection.send(&call).await;
         if reply.status.is_some() {
@@ -239,12 +254,17 @@
     ends: Arc<AtomicBool>,
     mut rng: Pcg32,
     path: &'static str,
+    is_part: bool,
 ) {
     let mut number = 0;
     while !ends.load(Ordering::Relaxed) {
         number += 1;
         let daemon = pick(&doors, &mut rng);
-        let call = Call::new(format!("{CRASHING_ID}{number}"), path).with_body(CRASHING);
+        let call = Call::new(format!("{CRASHING_ID}{number}"), path);
+        let call = match is_part {
+            false => call.with_body(CRASHING),
+            true => bad_part(call, number, &mut rng),
+        };
         let from = Instant::now();
         let reply = Caller::new(doors[daemon].callers).send(&call).await;
         note(&sent, call, reply, from, daemon);
@@ -253,6 +273,15 @@
     }
 }
 
+/// A request with a bad part somewhere in its prompt, no two alike.
+fn bad_part(call: Call, number: usize, rng: &mut Pcg32) -> Call {
+    let mut parts = vec!["aa:90".to_owned(), format!("c{number:x}:90")];
+    parts.insert(rng.random_range(0..=2), format!("{}:90", BAD_PARTS[0]));
+    let prompt = format!("{},{number:x}:9", parts.join(","));
+    let call = call.with_body(format!("body {number}"));
+    call.with_header(PROMPT, &prompt)
+}
+
 /// Notes a request that has ended now.
 fn note(sent: &Mutex<Vec<Sent>>, call: Call, reply: Reply, from: Instant, daemon: usize) {
     let mut sent = sent.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Debug;
-use medlarrill_platform_standin::{Arrival, Behaviour, Endpoint, Form, Ledger, Store, View};
+use medlarrill_platform_standin::{Arrival, Behaviour, Crash, Endpoint, Form, Ledger, Store, View};
 use medlarrill_testkit::fleet::Program;
 use medlarrill_testkit::proxy::Proxy;
 use medlarrill_testkit::routed::{Routed, Setup, read};
@@ -148,6 +148,8 @@
     pub forms: Vec<Form>,
     /// Software versions of the endpoints.
     pub builds: Builds,
+    /// How endpoints end that are sent a bad part of a prompt.
+    pub part: Option<Crash>,
     /// Whether there are two data centres and slow starts.
     places: bool,
     /// Until when endpoints have to be spared.
@@ -187,6 +189,7 @@
             crashed: vec![None; plan.endpoints],
             forms: plan.forms.clone(),
             builds: Builds::new(plan),
+            part: plan.part,
             places: plan.places,
             warming: vec![None; plan.endpoints],
             balancer: tokio::spawn(async {}),
@@ -206,11 +209,8 @@
             routed.wait_for("endpoint listed")?;
         }
         world.have_own_addresses().await?;
-        let ready = world
-            .daemons
-            .iter()
-            .map(|daemon| daemon.setup.listen[1])
-            .collect();
+        let daemons = world.daemons.iter();
+        let ready = daemons.map(|daemon| daemon.setup.listen[1]).collect();
         world.balancer = tokio::spawn(balance(Arc::clone(&world.doors), ready));
         Ok(world)
     }
--- a/crates/lab/src/soak/world/faults.rs
+++ b/crates/lab/src/soak/world/faults.rs
@@ -146,6 +146,7 @@
     pub(super) fn behave(&self, endpoint: usize, behaviour: Behaviour) {
         self.endpoints[endpoint].0.behave(Behaviour {
             crashes_on: Some(CRASHING),
+            crash: self.part,
             form: self.forms[endpoint],
             ..behaviour
         });
@@ -220,7 +221,9 @@
     async fn start_again(&mut self, number: usize, seed: u64) -> Result<()> {
         let (ended, _) = &self.endpoints[number];
         let (id, address) = (ended.id().to_owned(), ended.address());
-        let listener = TcpListener::bind(address).await?;
+        // One that fell silent still holds its address.
+        ended.end();
+        let listener = bind_again(address).await?;
         let endpoint = Endpoint::on(listener, &id, self.ledger.clone(), seed).await?;
         self.endpoints[number].0 = endpoint;
         self.say(number);
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -29,6 +29,8 @@
 ];
 /// Seconds of each soak.
 const SECONDS: u64 = 8;
+/// The same of requests that share a part, which have to be known before sound ones are judged.
+const SECONDS_OF_PARTS: u64 = 14;
 
 /// What the test runner passes; names of tests choose none of these.
 #[derive(Parser)]
@@ -45,6 +47,7 @@
             seconds: SECONDS,
             cuts: false,
             builds: false,
+            parts: false,
             beside: None,
             keep: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         };
@@ -60,8 +63,16 @@
             keep: options.keep.join("builds"),
             ..options.clone()
         };
+        let parts = Options {
+            seeds: SEEDS.to_vec(),
+            seconds: SECONDS_OF_PARTS,
+            parts: true,
+            keep: options.keep.join("parts"),
+            ..options.clone()
+        };
         async {
             soak::run(children.daemon.clone(), options).await?;
+            soak::run(children.daemon.clone(), parts).await?;
             soak::run(children.daemon.clone(), cuts).await?;
             soak::run(children.daemon, builds).await
         }
