Streams go on after all daemons were killed also where none was started as a first one

Cause: the first hub wrote the archive only once it knew all versions of the last 20 s. Now it writes what it knows, with an origin that stands for versions nobody knows: known streams go on, and no version is concluded to be the only one.

The test on sockets failed before, and passes; in model time an archive with that origin concludes nothing.

--- a/crates/core/src/routing/streams.rs
+++ b/crates/core/src/routing/streams.rs
@@ -52,6 +52,9 @@
 pub struct Origin(pub u64);
 
 impl Origin {
+    /// Stands for versions that may have served and that nobody knows.
+    pub const UNKNOWN: Self = Self(0);
+
     /// The origin of streams that endpoints of this version in this pool begin.
     pub fn new(pool: &PoolId, build: &Build) -> Self {
         Self(hash_parts(
--- a/crates/core/src/routing/streams/history.rs
+++ b/crates/core/src/routing/streams/history.rs
@@ -70,14 +70,14 @@
 
 impl BuildEvidence {
     /// Adds what the platform kept of the time before a process, which makes the knowledge of this
-    /// one complete.
+    /// one complete, unless other versions may have served then.
     pub fn with_archived(self, archived: &[Origin]) -> Self {
         let mut recent = self.recent;
         let new = archived.iter().filter(|origin| !recent.contains(origin));
         let new: Vec<Origin> = new.copied().collect();
         recent.extend(new);
         Self {
-            is_complete: true,
+            is_complete: !recent.contains(&Origin::UNKNOWN),
             recent,
         }
     }
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -375,3 +375,24 @@
     let bound = bound_plan("v2");
     expect_that!(view.choose(&pool(), None, &bound, at).is_ok(), eq(true));
 }
+
+#[gtest]
+fn nothing_is_concluded_from_an_archive_that_other_versions_may_be_missing_from() {
+    let own = || evidence(false, &["v1"]);
+    let complete = own().with_archived(&[origin("v1")]);
+    expect_that!(
+        single_place(vec![place("v1")], &complete, &[]),
+        ok(anything())
+    );
+    let partial = own().with_archived(&[origin("v1"), Origin::UNKNOWN]);
+    expect_that!(
+        single_place(vec![place("v1")], &partial, &[]),
+        err(anything())
+    );
+    let own = evidence(true, &["v1"]);
+    let replies = [Reply::Unknown(partial)];
+    expect_that!(
+        single_place(vec![place("v1")], &own, &replies),
+        err(anything())
+    );
+}
--- a/crates/daemon/tests/route/versions.rs
+++ b/crates/daemon/tests/route/versions.rs
@@ -31,6 +31,10 @@
 
 /// Daemons before endpoints of these versions.
 async fn start(daemons: usize, builds: &[&'static str]) -> Bench {
+    start_with(daemons, builds, true).await
+}
+
+async fn start_with(daemons: usize, builds: &[&'static str], is_first: bool) -> Bench {
     let mut bench = Bench::without_daemon(0).await;
     for (number, build) in builds.iter().enumerate() {
         bench
@@ -39,7 +43,10 @@
     }
     for number in 0..daemons {
         let seeds: Vec<usize> = (0..number.min(3)).collect();
-        bench.add_first_daemon(&seeds, bench.store.address());
+        match is_first {
+            true => bench.add_first_daemon(&seeds, bench.store.address()),
+            false => bench.add_daemon(&seeds),
+        }
     }
     for number in 0..daemons {
         bench.ready(number, builds.len()).await;
@@ -312,6 +319,18 @@
     taken_up.assert_all_whole();
 }
 
+#[tokio::test]
+async fn streams_go_on_after_all_daemons_were_killed_of_a_fleet_that_nobody_started_for_the_first_time()
+ {
+    let mut bench = start_with(3, &TWO, false).await;
+    tokio::time::sleep(Duration::from_millis(1600)).await;
+    let begun = begin(&bench, 0).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    restart_all(&mut bench).await;
+    let taken_up = finish(&bench, 0, &begun, "again").await;
+    taken_up.assert_all_whole();
+}
+
 #[tokio::test]
 async fn streams_go_on_after_all_daemons_were_killed_where_one_software_version_serves() {
     let mut bench = start(3, &["v1", "v1"]).await;
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -171,8 +171,12 @@
             self.loaded = Some(streams.load(&mut self.client).await?);
         }
         let evidence = streams.known_builds();
-        let builds: BTreeSet<Origin> = evidence.recent.into_iter().collect();
-        if !evidence.is_complete || !self.is_due(&builds) {
+        let mut builds: BTreeSet<Origin> = evidence.recent.into_iter().collect();
+        if !evidence.is_complete {
+            // Streams that are known can go on; that only one version served can't be concluded.
+            builds.insert(Origin::UNKNOWN);
+        }
+        if !self.is_due(&builds) {
             return Ok(());
         }
         self.write(builds).await
