--- a/crates/core/tests/routing/evidence.rs
+++ b/crates/core/tests/routing/evidence.rs
@@ -161,3 +161,31 @@
     expect_that!(mean_after - mean, lt(0.6));
     expect_that!(most_after - most, lt(6.0));
 }
+
+#[gtest]
+fn news_of_parts_that_crash_endpoints_keep_to_the_budget_at_any_size() {
+    for (daemons, data_centres) in [(9, 4), (100, 5), (295, 5)] {
+        let mut world = converged(daemons, data_centres);
+        let (mean, _) = send_rates(&mut world);
+        world.count_bytes();
+        // Ten requests with three parts each are lost with an endpoint, twice a second.
+        for crash in 0..10_u64 {
+            for request in 0..10_u64 {
+                let number = (crash * 7 + request * 3) as usize % daemons;
+                let causes = [1, 2, 10 + request % 3, 1000 + crash * 10 + request];
+                let now = Millis(world.now);
+                let quarantine = &mut world.daemons[number].quarantine;
+                quarantine.record_losses(&causes.map(Fingerprint), crash as u32, None, now);
+            }
+            world.run(500);
+        }
+        let sent = world
+            .daemons
+            .iter()
+            .map(|daemon| daemon.sent as f64 / 5000.0);
+        let during = sent.sum::<f64>() / daemons as f64;
+        println!("{daemons} daemons: {mean:.1} and {during:.1} KB a second each");
+        // Of the 20 KB that a daemon may spend for control.
+        expect_that!(during - mean, lt(20.0), "{daemons}");
+    }
+}
