Quarantine: one request is tried after a twentieth of its time, by turns; ends without mark are checked for suspects only

A part with three losses may only have run beside others, where endpoints go down and up by turns; all requests with it were refused for ten minutes. One request in the fleet is tried after 30 s now; a loss puts the next trial off six times as long. Daemons take turns of three seconds, so that two never try at once, however long nobody had such a request.

Endpoints that end all answers without a mark were asked by a connection for each answer as long as anything was suspected, up to an hour after one loss; now only for requests with something that is suspected.

--- a/crates/core/src/routing/quarantine.rs
+++ b/crates/core/src/routing/quarantine.rs
@@ -45,6 +45,9 @@
 /// The same for a cause that was served shortly before: many requests have it, so that a mistake
 /// must be found soon.
 const SERVED_BASE_DURATION: Millis = Millis::from_secs(5);
+/// One request in the fleet is tried after this part of a quarantine, since a cause may only have
+/// run beside others.
+const TRIAL_FRACTION: u64 = 20;
 /// Factor by which each further loss lengthens the quarantine, so that a request is tried at most
 /// three times a day.
 pub const DURATION_FACTOR: u64 = 6;
@@ -82,6 +85,8 @@
 #[derive(Debug)]
 struct Hold {
     causes: Vec<Fingerprint>,
+    /// When one request may be tried.
+    trial_at: Millis,
     until: Millis,
 }
 
@@ -102,11 +107,12 @@
         /// Time until the end of the quarantine.
         left: Millis,
     },
-    /// The quarantine is over, and no request with the cause was served since.
-    Lapsed {
-        /// What was quarantined.
+    /// One request is tried, since a part of the quarantine is over, or all of it, and none with the
+    /// cause was served since.
+    Trial {
+        /// What is quarantined, or was.
         cause: Fingerprint,
-        /// Time since the end.
+        /// Time since trials may begin.
         ago: Millis,
     },
 }
@@ -273,30 +279,33 @@
 
     /// Time left until a request that has these causes may be sent; `None` if it may be sent now.
     pub fn remaining_of(&self, causes: &[Fingerprint], now: Millis) -> Option<Millis> {
-        match self.standing(causes, now)? {
-            Standing::Held { left, .. } => Some(left),
-            Standing::Lapsed { .. } => None,
-        }
+        let left = self.hold(causes)?.until.since(now + CLOCK_OFFSET);
+        (left > Millis::ZERO).then_some(left)
     }
 
     /// What the quarantine that ends last means for a request that has these causes.
     pub fn standing(&self, causes: &[Fingerprint], now: Millis) -> Option<Standing> {
         let now = now + CLOCK_OFFSET;
-        let holds = self.holds.iter().filter(|hold| hold.applies_to(causes));
-        let last = holds.max_by_key(|hold| hold.until)?;
-        let cause = last.causes.first().copied().unwrap_or_default();
-        Some(match last.until > now {
+        let hold = self.hold(causes)?;
+        let cause = hold.causes.first().copied().unwrap_or_default();
+        Some(match hold.trial_at > now {
             true => Standing::Held {
                 cause,
-                left: last.until.since(now),
+                left: hold.until.since(now),
             },
-            false => Standing::Lapsed {
+            false => Standing::Trial {
                 cause,
-                ago: now.since(last.until),
+                ago: now.since(hold.trial_at),
             },
         })
     }
 
+    /// The quarantine of these causes that ends last.
+    fn hold(&self, causes: &[Fingerprint]) -> Option<&Hold> {
+        let holds = self.holds.iter().filter(|hold| hold.applies_to(causes));
+        holds.max_by_key(|hold| hold.until)
+    }
+
     /// Whether any cause is to blame.
     pub const fn has_holds(&self) -> bool {
         !self.holds.is_empty()
@@ -318,17 +327,19 @@
     /// Recomputes which causes are quarantined; returns the changes.
     fn reassess(&mut self, now: Millis) -> Vec<Change> {
         let classes = self.blame(LOSS_THRESHOLD).classes();
-        let until = |class: &Class| {
+        let hold = |class: Class| {
             let known = class
                 .causes
                 .iter()
                 .filter_map(|cause| self.suspects.get(cause));
-            known.map(Suspect::quarantined_until).max()
+            let longest = known.max_by_key(|suspect| suspect.quarantined_until())?;
+            Some(Hold {
+                trial_at: longest.tried_at(),
+                until: longest.quarantined_until(),
+                causes: class.causes,
+            })
         };
-        let holds = classes.into_iter().map(|class| Hold {
-            until: until(&class).unwrap_or_default(),
-            causes: class.causes,
-        });
+        let holds = classes.into_iter().filter_map(hold);
         self.holds = holds.collect();
         let holds = self.holds.iter().filter(|hold| hold.until > now);
         let held = holds.flat_map(|hold| &hold.causes).copied().collect();
--- a/crates/core/src/routing/quarantine/suspect.rs
+++ b/crates/core/src/routing/quarantine/suspect.rs
@@ -5,7 +5,7 @@
 use super::evidence::{Evidence, Finding};
 use super::{
     BASE_DURATION, DURATION_FACTOR, LOSS_THRESHOLD, RETENTION, SERVED_BASE_DURATION, SERVED_WINDOW,
-    SHORT_RETENTION,
+    SHORT_RETENTION, TRIAL_FRACTION,
 };
 use crate::clock::Millis;
 use crate::routing::fingerprint::Fingerprint;
@@ -53,6 +53,20 @@
 
     /// Until when it is quarantined, if it is to blame.
     pub fn quarantined_until(&self) -> Millis {
+        self.last_loss() + self.duration()
+    }
+
+    /// From when on one request is tried, if it is to blame.
+    pub fn tried_at(&self) -> Millis {
+        let duration = self.duration();
+        self.last_loss()
+            + match self.was_served() {
+                true => duration,
+                false => Millis(duration.0 / TRIAL_FRACTION),
+            }
+    }
+
+    fn duration(&self) -> Millis {
         let (base, further) = match self.was_served() {
             true => (SERVED_BASE_DURATION, self.retrials()),
             false => (
@@ -62,8 +76,7 @@
         };
         let further = u32::try_from(further).unwrap_or(u32::MAX);
         let factor = DURATION_FACTOR.saturating_pow(further);
-        let duration = Millis(base.0.saturating_mul(factor));
-        self.last_loss() + duration.min(RETENTION)
+        Millis(base.0.saturating_mul(factor)).min(RETENTION)
     }
 
     /// How often it was lost again after a pause as long as its first quarantine.
--- a/crates/core/src/routing/view/quarantine.rs
+++ b/crates/core/src/routing/view/quarantine.rs
@@ -10,16 +10,17 @@
 use crate::routing::quarantine::{Change, Standing};
 use crate::routing::runs::{Complete, RunId, Runs, SilentLoss};
 
-/// Time between the trials of two daemons, and of one, after a quarantine: by then it is known how
-/// the one before ended.
+/// Time of a daemon's turn to try one request: by its end it is known how that ended.
 const TRIAL_INTERVAL: Millis = Millis(3000);
+/// Daemons that take turns, at most.
+const TRIAL_DAEMONS: usize = 64;
 
 /// What the quarantine means for one request.
 #[derive(Default)]
 pub(super) struct Verdict {
     /// Software versions to which it isn't sent.
     pub refused: Vec<Build>,
-    /// Software versions at which it would try a cause whose quarantine is over.
+    /// Software versions at which it would be a trial, and of what.
     trials: Vec<(Build, Fingerprint)>,
 }
 
@@ -100,6 +101,14 @@
         lost.into_iter().flat_map(record).collect()
     }
 
+    /// Whether an endpoint was lost with something that is in a request, too.
+    pub fn is_suspect(&self, plan: &RetryPlan, id: &InstanceId) -> bool {
+        let causes = self.causes(plan, id);
+        causes
+            .iter()
+            .any(|cause| self.quarantine.is_suspect(*cause))
+    }
+
     /// Whether a request is the most likely cause of the loss of several endpoints.
     pub fn is_prime_suspect(&self, plan: &RetryPlan, id: &InstanceId) -> bool {
         let causes = self.causes(plan, id);
@@ -136,7 +145,7 @@
                 continue;
             }
             is_open = true;
-            if let Some(Standing::Lapsed { cause, .. }) = standing {
+            if let Some(Standing::Trial { cause, .. }) = standing {
                 verdict.trials.push((build.clone(), cause));
             }
         }
@@ -150,21 +159,23 @@
     fn refusal(&self, standing: Standing, now: Millis) -> Option<(Fingerprint, Millis)> {
         match standing {
             Standing::Held { cause, left } => Some((cause, left)),
-            Standing::Lapsed { cause, ago } => Some((cause, self.trial_wait(cause, ago, now)?)),
+            Standing::Trial { cause, ago } => Some((cause, self.trial_wait(cause, ago, now)?)),
         }
     }
 
-    /// Time until this daemon may try a request with a cause whose quarantine was over some time ago;
+    /// Time until this daemon may try a request with a cause for which trials began some time ago;
     /// `None` if it may now. Daemons take turns by rank, since one of them may get no such request.
     fn trial_wait(&self, cause: Fingerprint, ago: Millis, now: Millis) -> Option<Millis> {
-        let Some(rank) = self.fleet.rank(&cause.to_string()) else {
+        let turns = self.fleet.size().clamp(1, TRIAL_DAEMONS);
+        let rank = self.fleet.rank(&cause.to_string());
+        let is_turn =
+            rank.is_some_and(|rank| ago.0 / TRIAL_INTERVAL.0 % turns as u64 == rank as u64);
+        if !is_turn {
             return Some(TRIAL_INTERVAL);
-        };
-        let turn = Millis(TRIAL_INTERVAL.0 * rank as u64).since(ago);
+        }
         let last = self.trials.get(&cause);
         let pause = last.map_or(Millis::ZERO, |last| TRIAL_INTERVAL.since(now.since(*last)));
-        let wait = turn.max(pause);
-        (wait > Millis::ZERO).then_some(wait)
+        (pause > Millis::ZERO).then_some(pause)
     }
 
     /// Records that a request is sent to an endpoint of a software version.
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -159,7 +159,7 @@
         }
         in_flight.record_unmarked(now());
         placement.record_unmarked(plan, id, now());
-        if placement.suspect_count() > 0 {
+        if placement.is_suspect(plan, id) {
             self.check_endpoint(plan, id, Some(began));
         }
     }
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -308,6 +308,11 @@
         self.log_quarantine(&changes);
     }
 
+    /// Whether an endpoint was lost with something that is in a request, too.
+    pub fn is_suspect(&self, plan: &RetryPlan, id: &InstanceId) -> bool {
+        self.lock().is_suspect(plan, id)
+    }
+
     /// Whether a request is the most likely cause of the loss of several endpoints.
     pub fn is_prime_suspect(&self, plan: &RetryPlan, id: &InstanceId) -> bool {
         self.lock().is_prime_suspect(plan, id)
