A loss that is found when an endpoint has left the list is told as news

Losses of endpoints that fell silent are found seconds later; they were recorded as learnt at the time of the loss, so that they weren't among the news of the next second and reached other daemons only where digests differed. Found by reading.

--- a/crates/core/src/routing/quarantine.rs
+++ b/crates/core/src/routing/quarantine.rs
@@ -12,6 +12,7 @@
 
 mod blame;
 mod evidence;
+mod hold;
 mod platform_sync;
 mod served;
 mod suspect;
@@ -25,6 +26,8 @@
 
 use blame::{Blame, Class};
 pub use evidence::{Evidence, Finding, Snapshot};
+use hold::Hold;
+pub use hold::Standing;
 pub use platform_sync::{PlatformSync, Step, StoredRequest};
 use served::ServedMemory;
 use suspect::{Record, Suspect};
@@ -80,43 +83,6 @@
     pub is_own: bool,
 }
 
-/// Causes that are quarantined together: requests that have all of them.
-#[derive(Clone, PartialEq, Eq)]
-#[derive(Debug)]
-struct Hold {
-    causes: Vec<Fingerprint>,
-    /// When one request may be tried.
-    trial_at: Millis,
-    until: Millis,
-}
-
-impl Hold {
-    fn applies_to(&self, causes: &[Fingerprint]) -> bool {
-        self.causes.iter().all(|cause| causes.contains(cause))
-    }
-}
-
-/// What a quarantine means for a request. `cause` is one of the causes, the same at all daemons.
-#[derive(Clone, Copy, PartialEq, Eq)]
-#[derive(Debug)]
-pub enum Standing {
-    /// It isn't sent.
-    Held {
-        /// Why.
-        cause: Fingerprint,
-        /// Time until the end of the quarantine.
-        left: Millis,
-    },
-    /// One request is tried, since a part of the quarantine is over, or all of it, and none with the
-    /// cause was served since.
-    Trial {
-        /// What is quarantined, or was.
-        cause: Fingerprint,
-        /// Time since trials may begin.
-        ago: Millis,
-    },
-}
-
 /// Evidence against causes, and the causes that are quarantined because of it.
 #[derive(Clone, Default)]
 #[derive(Debug)]
@@ -135,24 +101,36 @@
         self.record_losses(&[cause], endpoint, None, now)
     }
 
-    /// Records that an endpoint was lost with a request that has these causes; `began` is when the
-    /// head of its response was received.
+    /// Records that an endpoint was lost now with a request that has these causes; `began` is when
+    /// the head of its response was received.
     pub fn record_losses(
         &mut self,
         causes: &[Fingerprint],
         endpoint: u32,
         began: Option<Millis>,
         now: Millis,
+    ) -> Vec<Change> {
+        self.record_losses_at(causes, endpoint, began, now, now)
+    }
+
+    /// The same if the endpoint was lost some time ago, at `lost_at`.
+    pub fn record_losses_at(
+        &mut self,
+        causes: &[Fingerprint],
+        endpoint: u32,
+        began: Option<Millis>,
+        lost_at: Millis,
+        now: Millis,
     ) -> Vec<Change> {
         let finding = match began {
-            Some(began) if now.since(began) > LATE => Finding::LostLate(endpoint),
+            Some(began) if lost_at.since(began) > LATE => Finding::LostLate(endpoint),
             _ => Finding::Lost(endpoint),
         };
-        let now = now + CLOCK_OFFSET;
+        let (lost_at, now) = (lost_at + CLOCK_OFFSET, now + CLOCK_OFFSET);
         let mut is_new = false;
         for cause in causes {
-            is_new |= self.insert_own(*cause, finding, now, now);
-            is_new |= self.insert_served(*cause, now, now);
+            is_new |= self.insert_own(*cause, finding, lost_at, now);
+            is_new |= self.insert_served(*cause, lost_at, now);
         }
         match is_new {
             true => self.reassess(now),
@@ -285,19 +263,8 @@
 
     /// What the quarantine that ends last means for a request that has these causes.
     pub fn standing(&self, causes: &[Fingerprint], now: Millis) -> Option<Standing> {
-        let now = now + CLOCK_OFFSET;
         let hold = self.hold(causes)?;
-        let cause = hold.causes.first().copied().unwrap_or_default();
-        Some(match hold.trial_at > now {
-            true => Standing::Held {
-                cause,
-                left: hold.until.since(now),
-            },
-            false => Standing::Trial {
-                cause,
-                ago: now.since(hold.trial_at),
-            },
-        })
+        Some(hold.standing(now + CLOCK_OFFSET))
     }
 
     /// The quarantine of these causes that ends last.
--- a/crates/core/src/routing/view/quarantine.rs
+++ b/crates/core/src/routing/view/quarantine.rs
@@ -96,7 +96,8 @@
         let endpoint = exchange::short_id(id);
         let lost = self.runs.take_lost(id, now);
         let record = |SilentLoss { causes, began, at }: SilentLoss| {
-            self.quarantine.record_losses(&causes, endpoint, began, at)
+            self.quarantine
+                .record_losses_at(&causes, endpoint, began, at, now)
         };
         lost.into_iter().flat_map(record).collect()
     }
--- a/crates/core/tests/routing/parts.rs
+++ b/crates/core/tests/routing/parts.rs
@@ -83,6 +83,15 @@
     );
 }
 
+#[gtest]
+fn a_loss_that_is_found_late_is_news_all_the_same() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_losses_at(&[BAD], 1, None, at(0), at(4000));
+    let news = quarantine.snapshot(at(4100)).own;
+    expect_that!(news.len(), eq(1));
+    expect_that!(news[0].age, eq(Millis(4100)));
+}
+
 #[gtest]
 fn who_did_not_serve_it_learns_that_it_was_served() {
     let mut served = Quarantine::default();
--- a/crates/lab/src/soak/traffic.rs
+++ b/crates/lab/src/soak/traffic.rs
@@ -29,7 +29,6 @@
 const LAST_EVENT: &str = "last-event-id";
 /// Second parts of the prompts of sound requests; the first one is the same for all.
 const SECOND_PARTS: usize = 24;
-const PROMPT: &str = "medlarrill-prompt-prefix";
 /// Ids of parts of prompts that end endpoints, where plans say so.
 pub const BAD_PARTS: &[&str] = &["bad0"];
 /// Begin of the ids of the request that ends endpoints.
@@ -147,7 +146,7 @@
         let call = Call::new(format!("c{caller}-{number}"), path);
         let second = number % SECOND_PARTS;
         let call = call.with_wait(wait).with_body(body);
-        let call = call.with_header(PROMPT, &format!("aa:90,c{second:x}:90,{number:x}:9"));
+        let call = call.with_prompt(&format!("aa:90,c{second:x}:90,{number:x}:9"));
         let from = Instant::now();
         let reply = connection.send(&call).await;
         if reply.status.is_some() {
@@ -279,7 +278,7 @@
     parts.insert(rng.random_range(0..=2), format!("{}:90", BAD_PARTS[0]));
     let prompt = format!("{},{number:x}:9", parts.join(","));
     let call = call.with_body(format!("body {number}"));
-    call.with_header(PROMPT, &prompt)
+    call.with_prompt(&prompt)
 }
 
 /// Notes a request that has ended now.
