Log: silence of endpoints at each failed attempt, and why an attempt isn't followed by another

`attempt failed` told neither for how long its endpoint had been silent nor whether others were, and `again` was false for want of budget, endpoints and attempts alike. It has `endpoint_silence`, `others_silent`, `others_heard` and `why_not` now; medlarrill_not_retried_total counts the latter, and medlarrill_silence_seconds the silences that ended by themselves.

No decision changes.

--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -70,6 +70,38 @@
     GiveUp(Refusal),
 }
 
+/// Why a request isn't sent to another endpoint.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+pub enum Obstacle {
+    /// It may run only once, and may have run.
+    NotIdempotent,
+    /// It was sent to as many endpoints as its route allows.
+    Attempts,
+    /// Its deadline is over, or nearly.
+    Deadline,
+    /// No other endpoint takes work.
+    NoEndpoint,
+    /// The retry budget is spent.
+    Budget,
+    /// It may have crashed its endpoint.
+    Suspect,
+}
+
+impl Obstacle {
+    /// Short name, for metrics and logs.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::NotIdempotent => "not-idempotent",
+            Self::Attempts => "attempts",
+            Self::Deadline => "deadline",
+            Self::NoEndpoint => "no-endpoint",
+            Self::Budget => "budget",
+            Self::Suspect => "suspect",
+        }
+    }
+}
+
 /// The attempts of one request so far, and its limits on further ones.
 #[derive(Clone)]
 #[derive(Debug)]
@@ -220,6 +252,17 @@
         }
     }
 
+    /// Why the request isn't retried after a fault that was recorded, but for the reasons that
+    /// `spend` knows.
+    pub fn obstacle(&self, fault: Fault, now: Millis) -> Obstacle {
+        let is_safe = fault.outcome() == Outcome::NotRun || self.retry.is_idempotent();
+        match (is_safe, self.deadline.since(now) < MIN_TIME_LEFT) {
+            (false, _) => Obstacle::NotIdempotent,
+            (true, true) => Obstacle::Deadline,
+            (true, false) => Obstacle::Attempts,
+        }
+    }
+
     fn may_retry(&self, fault: Fault) -> bool {
         if fault == Fault::CutOff {
             // Another endpoint would be as far away.
--- a/crates/core/src/routing/runs.rs
+++ b/crates/core/src/routing/runs.rs
@@ -74,6 +74,16 @@
     pub began: Millis,
 }
 
+/// Endpoints with requests of this daemon, by whether they gave a sign of life lately.
+#[derive(Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug)]
+pub struct Silences {
+    /// Those that gave none.
+    pub silent: usize,
+    /// The others.
+    pub heard: usize,
+}
+
 /// Requests at endpoints.
 #[derive(Clone, Default)]
 #[derive(Debug)]
@@ -141,6 +151,34 @@
         complete.collect()
     }
 
+    /// Time since an endpoint gave a sign of life, if it has requests of this daemon.
+    pub fn silence(&self, id: &InstanceId, now: Millis) -> Option<Millis> {
+        let instance = self.instances.get(id)?;
+        let is_busy = !instance.running.is_empty();
+        is_busy.then(|| now.since(instance.last_sign))
+    }
+
+    /// Counts the endpoints with requests of this daemon by whether they have been silent for
+    /// `least`; only those that are `counted`.
+    pub fn silences(
+        &self,
+        counted: impl Fn(&InstanceId) -> bool,
+        least: Millis,
+        now: Millis,
+    ) -> Silences {
+        let mut silences = Silences::default();
+        for (id, instance) in &self.instances {
+            if instance.running.is_empty() || !counted(id) {
+                continue;
+            }
+            match now.since(instance.last_sign) >= least {
+                true => silences.silent += 1,
+                false => silences.heard += 1,
+            }
+        }
+        silences
+    }
+
     /// Records that a response ended without a mark.
     pub fn record_unmarked(&mut self, id: &InstanceId, run_id: RunId, now: Millis) {
         let instance = self.instances.get_mut(id);
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -12,6 +12,7 @@
 mod notices;
 mod quarantine;
 mod sharing;
+mod silence;
 mod slow_starts;
 mod streams;
 
@@ -48,6 +49,7 @@
 pub use drains::Drain;
 pub use health::HealthChange;
 pub use listing::ListingChange;
+pub use silence::SeenSilence;
 pub use slow_starts::SlowStartChanges;
 
 /// Result of choosing an endpoint.
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -36,6 +36,7 @@
     mod repeats;
     mod request;
     mod runs;
+    mod silence;
     mod size;
     mod slow_start;
     mod slow_start_ways;
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -12,12 +12,12 @@
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::endpoint::{Build, Endpoint, InstanceId};
 use medlarrill_core::routing::plan::{Next, Refusal, RetryPlan};
-use medlarrill_core::routing::view::ChooseError;
+use medlarrill_core::routing::view::{ChooseError, SeenSilence};
 use medlarrill_net::now::now;
 use medlarrill_platform::headers;
 
 use super::body::{FailedBody, FullBody};
-use super::request::{Failed, RoutedRequest};
+use super::request::{Decision, Failed, RoutedRequest};
 use super::trace::Trace;
 use crate::endpoints::{LeasedConnection, PathTaken, SendError, Sent, Taken};
 use crate::placement::InFlight;
@@ -83,6 +83,8 @@
     path_taken: Option<PathTaken>,
     /// When the head of the response was received, if its body was cut off.
     began: Option<Millis>,
+    /// The endpoint's silence, if that ended the attempt.
+    silence: Option<SeenSilence>,
 }
 
 impl FailedAttempt {
@@ -94,6 +96,7 @@
             ended: None,
             path_taken: None,
             began: None,
+            silence: None,
         }
     }
 
@@ -227,10 +230,10 @@
             Fault::NotSent,
             format!("not connected in {wait}"),
         )),
-        Err(_) => Err(FailedAttempt::new(
-            Fault::Slow,
-            format!("no head in {wait}"),
-        )),
+        Err(_) => Err(FailedAttempt {
+            silence: routed.shared.placement.silence(&endpoint.id, now()),
+            ..FailedAttempt::new(Fault::Slow, format!("no head in {wait}"))
+        }),
     };
     (result, path_taken)
 }
@@ -257,6 +260,7 @@
     trace: &mut Trace,
 ) -> Next {
     trace.record_end(failed.ended);
+    trace.record_silence(failed.silence);
     let helper = failed.path_taken.and_then(|path_taken| path_taken.helper);
     let ran = failed.began.map(|began| now().since(began));
     let lost = Failed {
@@ -265,15 +269,14 @@
         helper,
         began: failed.began,
     };
-    let next = routed.record_failure(plan, lost).await;
+    let Decision { next, obstacle } = routed.record_failure(plan, lost).await;
     let budget = routed.shared.placement.retry_budget(&routed.pool, now());
     let path_taken = failed.path_taken.as_ref();
-    let is_retried = next == Next::Retry;
     trace.log_fault(
         failed.fault,
         &failed.cause,
         ran,
-        is_retried,
+        obstacle,
         &budget,
         path_taken,
     );
@@ -303,7 +306,7 @@
 ) -> Result<Dispatched> {
     let id = &endpoint.id;
     let began = now();
-    in_flight.record_sign(began);
+    routed.record_sign(&in_flight, began);
     let (head, body) = sent.answer.into_parts();
     let decoded = headers::read_answer(head.status, &head.headers);
     let unread = &routed.shared.unread_headers;
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -12,7 +12,7 @@
 use medlarrill_core::routing::config::RetryPolicy;
 use medlarrill_core::routing::endpoint::{Build, InstanceId};
 use medlarrill_core::routing::events::EventSplitter;
-use medlarrill_core::routing::plan::{Next, RetryPlan};
+use medlarrill_core::routing::plan::{Obstacle, RetryPlan};
 use medlarrill_net::now::now;
 use tokio::time::error::Elapsed;
 
@@ -112,10 +112,10 @@
 
 impl Source {
     /// Records a sign of life of the endpoint, now and then.
-    fn record_sign(&mut self, now: Millis) {
+    fn record_sign(&mut self, routed: &RoutedRequest, now: Millis) {
         if now.since(self.sign_at) >= SIGN_INTERVAL {
             self.sign_at = now;
-            self.in_flight.record_sign(now);
+            routed.record_sign(&self.in_flight, now);
         }
     }
 }
@@ -182,7 +182,7 @@
             return Piece::End(BodyEnd::Broken, Some("no source".into()));
         };
         if matches!(frame, Ok(Some(Ok(_)))) {
-            source.record_sign(now());
+            source.record_sign(&self.routed, now());
         }
         match frame {
             Err(_) => Piece::End(BodyEnd::Stalled, Some(format!("no event in {wait}"))),
@@ -244,6 +244,8 @@
         let helper = source.connection.helper();
         let began = source.began;
         let ran = now().since(began);
+        let silence = self.routed.shared.placement.silence(&id, now());
+        self.trace.record_silence(silence);
         // Ends the request at this endpoint before it runs at another.
         drop(source);
         let failed = Failed {
@@ -252,19 +254,21 @@
             helper,
             began: Some(began),
         };
-        let next = match self.may_resume() && self.splitter.can_resume() {
-            true => self.routed.record_failure(&mut self.plan, failed).await,
+        let obstacle = match self.may_resume() && self.splitter.can_resume() {
+            true => {
+                let decision = self.routed.record_failure(&mut self.plan, failed).await;
+                decision.obstacle
+            }
             false => {
                 self.routed.record_fault(&self.plan, failed, now());
-                Next::GiveUp(self.plan.refusal(false))
+                Some(Obstacle::NotIdempotent)
             }
         };
         let placement = &self.routed.shared.placement;
         let budget = placement.retry_budget(&self.routed.pool, now());
-        let is_retried = next == Next::Retry;
         self.trace
-            .log_fault(fault, cause, Some(ran), is_retried, &budget, None);
-        if next != Next::Retry {
+            .log_fault(fault, cause, Some(ran), obstacle, &budget, None);
+        if obstacle.is_some() {
             return false;
         }
         self.splitter.discard_partial();
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -17,7 +17,7 @@
 use medlarrill_core::routing::config::{Account, Configuration, Priority, Route};
 use medlarrill_core::routing::endpoint::{Build, InstanceId};
 use medlarrill_core::routing::fingerprint::Fingerprint;
-use medlarrill_core::routing::plan::{Next, RetryPlan};
+use medlarrill_core::routing::plan::{Next, Obstacle, RetryPlan};
 use medlarrill_core::routing::reach::LOSS_WINDOW;
 use medlarrill_core::routing::request::RequestHead;
 use medlarrill_core::routing::streams::StreamKey;
@@ -35,6 +35,9 @@
 /// exchange and a hub between.
 const EVIDENCE_TIME: Millis = Millis(250);
 
+/// Shortest silence of an endpoint that is counted.
+const NOTED_SILENCE: Millis = Millis(300);
+
 /// A failed attempt.
 #[derive(Clone, Copy)]
 #[derive(Debug)]
@@ -49,6 +52,16 @@
     pub began: Option<Millis>,
 }
 
+/// What follows a failed attempt.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+pub struct Decision {
+    /// Whether to try again.
+    pub next: Next,
+    /// Why not.
+    pub obstacle: Option<Obstacle>,
+}
+
 /// A request that was read completely, checked against one configuration and routed to a pool.
 #[derive(Debug)]
 pub struct RoutedRequest {
@@ -120,6 +133,13 @@
         placement.has_alternative(&self.pool, plan, id, now())
     }
 
+    /// Records a head or an event of the response, and the silence that it ends.
+    pub fn record_sign(&self, in_flight: &InFlight, now: Millis) {
+        if let Some(silence) = in_flight.record_sign(now).filter(|s| *s >= NOTED_SILENCE) {
+            self.shared.metrics.observe_silence(silence);
+        }
+    }
+
     /// Maximum number of idle connections that this daemon keeps to each endpoint of the pool.
     fn idle_limit(&self) -> usize {
         let pool = self.config.pools.get(&self.pool);
@@ -129,7 +149,7 @@
 
     /// Records a failed attempt; returns whether to try again. If no other endpoint is left to
     /// try, the retry budget isn't charged. What probably crashed its endpoint isn't tried again.
-    pub async fn record_failure(&self, plan: &mut RetryPlan, failed: Failed<'_>) -> Next {
+    pub async fn record_failure(&self, plan: &mut RetryPlan, failed: Failed<'_>) -> Decision {
         let Failed { id, fault, .. } = failed;
         self.record_fault(plan, failed, now());
         let placement = &self.shared.placement;
@@ -140,8 +160,24 @@
         let may_spread = is_suspect();
         let now = now();
         let has_other = placement.has_alternative(&self.pool, plan, id, now);
-        let spend = || !may_spread && has_other && placement.spend_retry(&self.pool, now);
-        plan.record_failure(id, fault, spend, now)
+        let mut obstacle = None;
+        let spend = || {
+            obstacle = match (may_spread, has_other) {
+                (true, _) => Some(Obstacle::Suspect),
+                (false, false) => Some(Obstacle::NoEndpoint),
+                (false, true) => {
+                    let is_spent = placement.spend_retry(&self.pool, now);
+                    (!is_spent).then_some(Obstacle::Budget)
+                }
+            };
+            obstacle.is_none()
+        };
+        let next = plan.record_failure(id, fault, spend, now);
+        let obstacle = obstacle.or_else(|| {
+            let gives_up = next != Next::Retry;
+            gives_up.then(|| plan.obstacle(fault, now))
+        });
+        Decision { next, obstacle }
     }
 
     /// Records a response that was passed on as complete. One whose end was marked speaks for the
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -11,9 +11,10 @@
 use medlarrill_core::routing::choose::Choice;
 use medlarrill_core::routing::endpoint::InstanceId;
 use medlarrill_core::routing::fingerprint::Fingerprint;
+use medlarrill_core::routing::plan::Obstacle;
 use medlarrill_core::routing::request::{RequestHead, SharedPrefix};
 use medlarrill_core::routing::streams::lookup::LookupError;
-use medlarrill_core::routing::view::Overload;
+use medlarrill_core::routing::view::{Overload, SeenSilence};
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
 
@@ -46,6 +47,8 @@
     bytes: u64,
     /// How the body of the last response ended.
     ended: Option<EndedBody>,
+    /// The silence of the last attempt's endpoint when the attempt failed.
+    silence: Option<SeenSilence>,
     outcome: Option<&'static str>,
     status: u16,
 }
@@ -69,6 +72,7 @@
             head_time: None,
             bytes: 0,
             ended: None,
+            silence: None,
             outcome: None,
             status: 0,
         }
@@ -100,6 +104,7 @@
     ) {
         self.attempts += 1;
         self.ended = None;
+        self.silence = None;
         self.endpoint = Some(choice.endpoint.id.clone());
         let list_age = self.shared.copies.age(Kind::Endpoints, now());
         log::info!(
@@ -184,6 +189,11 @@
         }
     }
 
+    /// Records the silence of an endpoint when an attempt failed.
+    pub fn record_silence(&mut self, silence: Option<SeenSilence>) {
+        self.silence = silence;
+    }
+
     fn framing(&self) -> Option<&'static str> {
         self.ended.map(|ended| ended.framing.code())
     }
@@ -193,25 +203,29 @@
     }
 
     /// Counts and logs a failed attempt. `ran` is the time since the head of its response, if there
-    /// was one.
+    /// was one, `obstacle` why it isn't followed by another one.
     pub fn log_fault(
         &self,
         fault: Fault,
         cause: &str,
         ran: Option<Millis>,
-        is_retried: bool,
+        obstacle: Option<Obstacle>,
         budget: &State,
         path_taken: Option<&PathTaken>,
     ) {
         Metrics::count(&self.shared.metrics.faults, fault.code());
-        if is_retried {
-            Metrics::count(&self.shared.metrics.retries, fault.code());
+        match obstacle {
+            None => Metrics::count(&self.shared.metrics.retries, fault.code()),
+            Some(obstacle) => Metrics::count(&self.shared.metrics.obstacles, obstacle.code()),
         }
+        let silence = self.silence;
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts,
             endpoint = self.endpoint(), fingerprint:% = self.fingerprint, parts = self.parts,
             ran = ran.map(|ran| ran.0), fault = fault.code(), cause, framing = self.framing(), end = self.end(),
-            outcome:% = fault.outcome(), again = is_retried, repeats:% = budget,
+            outcome:% = fault.outcome(), again = obstacle.is_none(), why_not = obstacle.map(Obstacle::code),
+            endpoint_silence = silence.map(|seen| seen.lasted.0), others_silent = silence.map(|seen| seen.others.silent),
+            others_heard = silence.map(|seen| seen.others.heard), repeats:% = budget,
             path = path_taken.map(PathTaken::name), silence = self.shared.connections.paths().silence().0,
             passed = now().since(self.arrived).0;
             "entry: attempt failed"
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -60,6 +60,8 @@
     pub faults: Family<ReasonLabel, Counter>,
     /// Attempts after the first, by the fault of the preceding one.
     pub retries: Family<ReasonLabel, Counter>,
+    /// Failed attempts that weren't followed by another one, by the reason.
+    pub obstacles: Family<ReasonLabel, Counter>,
     /// Streams that were resumed at another endpoint.
     pub resumed: Counter,
     /// Streams that callers took up, by who knew where they began, or why they were refused.
@@ -112,6 +114,8 @@
     pub head_seconds: Histogram,
     /// Seconds from a request's head to the end of its response.
     pub total_seconds: Histogram,
+    /// Seconds for which an endpoint with requests gave no sign of life, and then did.
+    pub silence_seconds: Histogram,
 }
 
 impl Default for Metrics {
@@ -131,6 +135,7 @@
             unread: Family::default(),
             faults: Family::default(),
             retries: Family::default(),
+            obstacles: Family::default(),
             resumed: Counter::default(),
             take_ups: Family::default(),
             streams: Gauge::default(),
@@ -157,6 +162,7 @@
             log_dropped: Gauge::default(),
             head_seconds: Histogram::new(LATENCY_BUCKETS),
             total_seconds: Histogram::new(LATENCY_BUCKETS),
+            silence_seconds: Histogram::new(LATENCY_BUCKETS),
         };
         metrics.register_counters();
         metrics.register_times();
@@ -176,6 +182,8 @@
         );
         r.register("faults", "Failed attempts", self.faults.clone());
         r.register("retries", "Attempts after the first", self.retries.clone());
+        let obstacles = self.obstacles.clone();
+        r.register("not_retried", "Failed attempts without another", obstacles);
         r.register("resumed", "Streams resumed", self.resumed.clone());
         let take_ups = self.take_ups.clone();
         r.register("take_ups", "Streams that callers took up", take_ups);
@@ -220,6 +228,12 @@
             "Time to the end of an answer",
             total_seconds,
         );
+        let silence_seconds = self.silence_seconds.clone();
+        r.register(
+            "silence_seconds",
+            "Silences of endpoints that ended",
+            silence_seconds,
+        );
     }
 
     fn register_gauges(&mut self) {
@@ -273,6 +287,11 @@
         self.ends.get_or_create(&labels).inc();
     }
 
+    /// Counts a silence of an endpoint that ended.
+    pub fn observe_silence(&self, silence: Millis) {
+        self.silence_seconds.observe(seconds(silence));
+    }
+
     /// Sets the numbers of endpoints by pool and software version.
     pub fn set_builds(&self, counts: Vec<(Place, usize)>) {
         self.builds.clear();
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -25,7 +25,7 @@
 use medlarrill_core::routing::runs::RunId;
 use medlarrill_core::routing::slow_start::SlowStart;
 use medlarrill_core::routing::view::{
-    Drain, HealthChange, ListingChange, Result, SlowStartChanges, View,
+    Drain, HealthChange, ListingChange, Result, SeenSilence, SlowStartChanges, View,
 };
 use medlarrill_net::now::now;
 
@@ -72,13 +72,14 @@
         }
     }
 
-    /// Records a head or an event of the response.
-    pub fn record_sign(&self, now: Millis) {
-        let changes = {
-            let mut view = self.placement.lock();
-            view.record_sign(&self.id, self.run_id, now)
-        };
+    /// Records a head or an event of the response; returns how long the endpoint had been silent.
+    pub fn record_sign(&self, now: Millis) -> Option<Millis> {
+        let mut view = self.placement.lock();
+        let silence = view.silence_of(&self.id, now);
+        let changes = view.record_sign(&self.id, self.run_id, now);
+        drop(view);
         self.placement.log_quarantine(&changes);
+        silence
     }
 
     /// Records that the response ended without a mark.
@@ -261,6 +262,11 @@
         self.lock().paused_count(now)
     }
 
+    /// The silence of an endpoint that has requests of this daemon.
+    pub fn silence(&self, id: &InstanceId, now: Millis) -> Option<SeenSilence> {
+        self.lock().silence(id, now)
+    }
+
     /// Records a successful attempt.
     pub fn record_success(&self, id: &InstanceId, now: Millis) {
         self.lock().record_success(id, now);
