--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -16,6 +16,7 @@
     mod parts;
     mod requests;
     mod setup;
+    mod silence;
     mod stop;
     mod store;
     mod tunnel;
