--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod load;
 pub mod policy;
 pub mod sample;
+pub mod silence;
 pub mod soak;
 pub mod spread;
