A silent endpoint's answer is kept until another endpoint has begun to answer

What callers saw: streams that may be resumed, and idempotent requests, ended without a complete answer when sound endpoints fell silent for a second; those that run once were served.

Cause: silence was taken for failure and acted on at once. After twice the target gap (before the head: twice the target) the connection was dropped, and only then it was asked whether the budget, the route's attempts and the pool allowed another run. Where they didn't, the answer was cut though its endpoint went on a moment later. Each such attempt also counted as a failure of its endpoint, at all daemons at once.

Now the first source stays open and is read while another endpoint is asked, with a repeat taken from the budget first. Who speaks first is kept, the other ended; so an answer ends only when its endpoint, its deadline or its caller ends it, whatever budget, places or the second endpoint say. None is sought while a third of the pool's busy endpoints are silent, for up to 3 s. An attempt whose answer wasn't needed may be sent to the same endpoint again, so that a request reaches no more endpoints than its route allows. An endpoint that two requests left in silence is avoided by this daemon until it gives a sign, with trials from 0.5 s on; it counts as failing, and is told to others, only if a trial fails or after 3 s.

--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -86,6 +86,10 @@
     Budget,
     /// It may have crashed its endpoint.
     Suspect,
+    /// Another endpoint was sent it already.
+    InFlight,
+    /// So many endpoints are silent that another one most likely is, too.
+    CommonSilence,
 }
 
 impl Obstacle {
@@ -98,6 +102,8 @@
             Self::NoEndpoint => "no-endpoint",
             Self::Budget => "budget",
             Self::Suspect => "suspect",
+            Self::InFlight => "in-flight",
+            Self::CommonSilence => "common-silence",
         }
     }
 }
@@ -114,10 +120,15 @@
     deadline: Millis,
     /// What in the request may crash an endpoint.
     causes: Causes,
-    /// Attempts that ran, or may have.
+    /// Endpoints that ran it, or may have, those included where it runs now.
     possibly_run: u32,
     sent: u32,
     tried: Vec<InstanceId>,
+    /// Endpoints whose response is awaited.
+    in_flight: Vec<InstanceId>,
+    /// One of those that count as having run it, to which it may be sent again: its response was no
+    /// longer needed.
+    spare: Option<InstanceId>,
     /// The only software version at which it may run, once that is fixed.
     build: Option<Build>,
 }
@@ -135,6 +146,8 @@
             possibly_run: 0,
             sent: 0,
             tried: Vec::new(),
+            in_flight: Vec::new(),
+            spare: None,
             build: None,
         }
     }
@@ -193,17 +206,58 @@
         self.deadline
     }
 
-    /// Number of attempts that have failed.
-    pub const fn sent(&self) -> u32 {
-        self.sent
+    /// Whether the request can't be sent to an endpoint, since it was before, or since it may go to no
+    /// more endpoints than it went to.
+    pub fn has_tried(&self, id: &InstanceId) -> bool {
+        match &self.spare {
+            Some(spare) if self.possibly_run >= self.max_attempts => spare != id,
+            _ => self.tried.contains(id),
+        }
     }
 
-    /// Whether the request was sent to an endpoint before.
-    pub fn has_tried(&self, id: &InstanceId) -> bool {
-        self.tried.contains(id)
+    /// Records that the request is sent to an endpoint.
+    pub fn begin(&mut self, endpoint: &InstanceId) {
+        self.sent += 1;
+        self.in_flight.push(endpoint.clone());
+        if self.spare.as_ref() == Some(endpoint) {
+            self.spare = None;
+        } else {
+            self.possibly_run += 1;
+        }
+        if !self.tried.contains(endpoint) {
+            self.tried.push(endpoint.clone());
+        }
+    }
+
+    /// Records that the response of an endpoint isn't needed any more.
+    pub fn abandon(&mut self, endpoint: &InstanceId) {
+        self.in_flight.retain(|id| id != endpoint);
+        self.tried.retain(|id| id != endpoint);
+        self.spare = Some(endpoint.clone());
+    }
+
+    /// Records that all responses but an endpoint's aren't needed any more; returns whose.
+    pub fn abandon_others(&mut self, endpoint: &InstanceId) -> Vec<InstanceId> {
+        let others = self.in_flight.iter().filter(|id| *id != endpoint);
+        let others: Vec<InstanceId> = others.cloned().collect();
+        others.iter().for_each(|id| self.abandon(id));
+        others
     }
 
-    /// Time within which the response to an attempt that starts now must begin.
+    /// Why no other endpoint is sought while one is silent, as far as the request tells.
+    pub fn seek_obstacle(&self, now: Millis) -> Option<Obstacle> {
+        let has_attempt = self.possibly_run < self.max_attempts || self.spare.is_some();
+        let has_time = self.deadline.since(now) >= MIN_TIME_LEFT;
+        match (self.retry.is_idempotent(), has_attempt, has_time) {
+            (false, _, _) => Some(Obstacle::NotIdempotent),
+            (true, false, _) => Some(Obstacle::Attempts),
+            (true, true, false) => Some(Obstacle::Deadline),
+            (true, true, true) => None,
+        }
+    }
+
+    /// Time after which another endpoint is sought if the response to an attempt that starts now
+    /// hasn't begun.
     pub fn attempt_timeout(&self, now: Millis) -> Millis {
         let left = self.deadline.since(now);
         if !self.may_run_again() || !is_on(Mechanism::Stuck) {
@@ -222,11 +276,7 @@
         spend: impl FnOnce() -> bool,
         now: Millis,
     ) -> Next {
-        self.sent += 1;
-        self.tried.push(endpoint.clone());
-        if fault.outcome() != Outcome::NotRun {
-            self.possibly_run += 1;
-        }
+        self.record_end(endpoint, fault);
         let late = self.deadline.since(now) < MIN_TIME_LEFT;
         if !late && self.may_retry(fault) && (fault == Fault::NotSent || spend()) {
             return Next::Retry;
@@ -234,6 +284,17 @@
         Next::GiveUp(self.refusal(late))
     }
 
+    /// Records the end of a failed attempt, if others are still in flight.
+    pub fn record_end(&mut self, endpoint: &InstanceId, fault: Fault) {
+        if !self.in_flight.contains(endpoint) {
+            self.begin(endpoint);
+        }
+        self.in_flight.retain(|id| id != endpoint);
+        if fault.outcome() == Outcome::NotRun {
+            self.possibly_run -= 1;
+        }
+    }
+
     /// The refusal if there is no endpoint to send the request to; `late` if the deadline is over.
     pub fn refusal(&self, late: bool) -> Refusal {
         match (self.possibly_run > 0, late) {
@@ -270,11 +331,12 @@
         }
         let is_safe = fault.outcome() == Outcome::NotRun || self.retry.is_idempotent();
         let unrun = self.sent - self.possibly_run;
-        is_safe && self.possibly_run < self.max_attempts && unrun <= MAX_UNRUN
+        let has_attempt = self.possibly_run < self.max_attempts || self.spare.is_some();
+        is_safe && has_attempt && unrun <= MAX_UNRUN
     }
 
-    /// Whether an abandoned attempt may be followed by another.
-    pub const fn may_run_again(&self) -> bool {
+    /// Whether the next attempt may be followed by another while it is silent.
+    const fn may_run_again(&self) -> bool {
         self.retry.is_idempotent() && self.possibly_run + 1 < self.max_attempts
     }
 }
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -43,13 +43,13 @@
 use crate::routing::prefix_index::PrefixIndex;
 use crate::routing::quarantine::{Change, Quarantine};
 use crate::routing::runs::Runs;
+use crate::routing::silence::SilentEndpoints;
 use crate::routing::slow_start::SlowStarts;
 use crate::routing::unmarked::UnmarkedEnds;
 
 pub use drains::Drain;
 pub use health::HealthChange;
 pub use listing::ListingChange;
-pub use silence::SeenSilence;
 pub use slow_starts::SlowStartChanges;
 
 /// Result of choosing an endpoint.
@@ -85,6 +85,7 @@
     trials: HashMap<Fingerprint, Millis>,
     unmarked: UnmarkedEnds,
     runs: Runs,
+    silent: SilentEndpoints,
     notices: Notices,
     /// When connections to instances were lost that may have been replaced since.
     doubts: HashMap<InstanceId, Millis>,
@@ -170,6 +171,7 @@
             trials: HashMap::new(),
             unmarked: UnmarkedEnds::default(),
             runs: Runs::default(),
+            silent: SilentEndpoints::default(),
             notices: Notices::default(),
             doubts: HashMap::new(),
             brittle: Brittle::default(),
--- a/crates/core/src/routing/view/choosing.rs
+++ b/crates/core/src/routing/view/choosing.rs
@@ -5,6 +5,7 @@
 
 use rand::RngExt;
 
+use super::silence::with_silence;
 use super::streams::Doubts;
 use super::{ChooseError, Overload, Result, View};
 use crate::clock::Millis;
@@ -25,6 +26,7 @@
 use crate::routing::plan::RetryPlan;
 use crate::routing::prefix_index::PrefixIndex;
 use crate::routing::request::SharedPrefix;
+use crate::routing::silence::SilentEndpoints;
 use crate::routing::slow_start::{Allowance, SlowStarts};
 
 /// Share of a pool's endpoints up to which those of new software versions wait for their first
@@ -95,6 +97,7 @@
         }
         if choice.probe {
             self.health.record_probe(id, now);
+            self.silent.record_trial(id, now);
         }
         Ok(choice)
     }
@@ -159,12 +162,14 @@
         let may_probe = plan.is_idempotent();
         let failures = self.failures(pool, now);
         let sums = shared.map(|_| self.load_sums(pool, now));
+        let is_common = self.has_common_silence(pool);
         let listed = self.directory.get_pool(pool)?;
         let (notices, fleet) = (&self.notices, &self.fleet);
         let is_brittle = self.brittle.limit(pool, now).is_some();
         let mut source = CandidateSource {
             loads: &self.loads,
             health: &self.health,
+            silent: (!is_common).then_some(&self.silent),
             prefix_index: &self.prefix_index,
             drained: &self.drained,
             brittle: is_brittle.then_some(&mut self.brittle),
@@ -342,6 +347,8 @@
 struct CandidateSource<'a> {
     loads: &'a LoadTracker,
     health: &'a Health,
+    /// Endpoints that are avoided for their silence.
+    silent: Option<&'a SilentEndpoints>,
     prefix_index: &'a PrefixIndex,
     drained: &'a HashSet<DataCentreId>,
     allowances: Allowances<'a>,
@@ -368,10 +375,14 @@
         let estimate = self.loads.estimate(id, now);
         let health = self.health.snapshot(id, now);
         let others = self.failures.mean_of_others(health.failures);
+        let health = health.status(others, self.daemons, now);
         Candidate {
             load: self.load(estimate),
             load_age: estimate.age,
-            health: health.status(others, self.daemons, now),
+            health: match self.silent {
+                Some(silent) => with_silence(health, silent, id, now),
+                None => health,
+            },
             tried: self.plan.has_tried(id),
             drained: self.drained.contains(&endpoint.data_centre),
             allowance: self.allowance(endpoint, estimate.extrapolated),
--- a/crates/core/src/routing/view/listing.rs
+++ b/crates/core/src/routing/view/listing.rs
@@ -109,5 +109,6 @@
         self.outcomes.remove(id);
         self.slow_starts.forget(id);
         self.doubts.remove(id);
+        self.silent.forget(id);
     }
 }
--- a/crates/core/src/routing/view/silence.rs
+++ b/crates/core/src/routing/view/silence.rs
@@ -1,21 +1,13 @@
 //! Endpoints that give no sign of life while they have requests of this daemon.
 
-use derive_more::Debug;
-
 use super::View;
 use crate::clock::Millis;
+use crate::ids::PoolId;
+use crate::routing::attempt::Fault;
 use crate::routing::endpoint::InstanceId;
+use crate::routing::health::HealthStatus;
 use crate::routing::runs::Silences;
-
-/// The silence of an endpoint among the others of its pool.
-#[derive(Clone, Copy, PartialEq, Eq)]
-#[derive(Debug)]
-pub struct SeenSilence {
-    /// Time since it gave a sign of life.
-    pub lasted: Millis,
-    /// The others with requests of this daemon, by whether they have been silent for half as long.
-    pub others: Silences,
-}
+use crate::routing::silence::{Left, MIN_SILENCE, SeenSilence, SilentEndpoints};
 
 impl View {
     /// Time since an endpoint gave a sign of life, if it has requests of this daemon.
@@ -31,7 +23,64 @@
             let listed = self.directory.get(other);
             other != id && listed.is_some_and(|endpoint| endpoint.pool == *pool)
         };
-        let others = self.runs.silences(is_other, Millis(lasted.0 / 2), now);
+        let least = Millis(lasted.0 / 2).max(MIN_SILENCE);
+        let others: Silences = self.runs.silences(is_other, least, now);
         Some(SeenSilence { lasted, others })
     }
+
+    /// Records that a request that was sent at `sent` isn't answered by its endpoint, or not to its
+    /// end. `silence` is the endpoint's. One that answers others, or that didn't answer a trial, is
+    /// failing; one that is silent is avoided until it gives a sign.
+    pub fn record_unanswered(
+        &mut self,
+        id: &InstanceId,
+        silence: Option<SeenSilence>,
+        sent: Millis,
+        now: Millis,
+    ) -> Left {
+        if !self.directory.is_listed(id) {
+            return Left::Noted;
+        }
+        let is_silent = silence.is_some_and(|silence| silence.is_silent());
+        if !is_silent {
+            self.record_failure(id, Fault::Slow, now);
+            return Left::Noted;
+        }
+        let left = self.silent.record_left(id, sent, now);
+        let hangs = silence.is_some_and(|silence| silence.hangs());
+        if left == Left::TrialFailed || hangs {
+            self.record_failure(id, Fault::Slow, now);
+        }
+        left
+    }
+
+    /// Records that an endpoint gave a sign of life; returns whether it was avoided until now.
+    pub fn end_silence(&mut self, id: &InstanceId) -> bool {
+        self.silent.record_sign(id)
+    }
+
+    /// Whether no endpoint of a pool is avoided for its silence since so many would be.
+    pub(super) fn has_common_silence(&self, pool: &PoolId) -> bool {
+        let mut avoided = 0;
+        for id in self.silent.all_avoided() {
+            let endpoint = self.directory.get(id);
+            avoided += usize::from(endpoint.is_some_and(|e| e.pool == *pool && !e.leaving));
+        }
+        let listed = self.directory.get_pool(pool);
+        SilentEndpoints::is_common(avoided, listed.map_or(0, |pool| pool.staying()))
+    }
+}
+
+/// Health of an endpoint that may be avoided for its silence, too.
+pub(super) fn with_silence(
+    health: HealthStatus,
+    silent: &SilentEndpoints,
+    id: &InstanceId,
+    now: Millis,
+) -> HealthStatus {
+    match silent.avoided(id, now) {
+        None => health,
+        Some(true) => health.max(HealthStatus::Trial),
+        Some(false) => health.max(HealthStatus::Bad),
+    }
 }
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -5,6 +5,7 @@
 mod crowd;
 mod dispatch;
 mod handler;
+mod race;
 mod relay;
 mod request;
 mod server;
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -7,16 +7,17 @@
 use hyper::body::{Body, Incoming};
 use medlarrill_core::body_end::{EndedBody, Framing};
 use medlarrill_core::clock::Millis;
-use medlarrill_core::outcome::Outcome;
 use medlarrill_core::routing::answer::AnswerHead;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::endpoint::{Build, Endpoint, InstanceId};
-use medlarrill_core::routing::plan::{Next, Refusal, RetryPlan};
-use medlarrill_core::routing::view::{ChooseError, SeenSilence};
+use medlarrill_core::routing::plan::{Next, Obstacle, Refusal, RetryPlan};
+use medlarrill_core::routing::silence::SeenSilence;
+use medlarrill_core::routing::view::ChooseError;
 use medlarrill_net::now::now;
 use medlarrill_platform::headers;
 
 use super::body::{FailedBody, FullBody};
+use super::race::{Done, Race};
 use super::request::{Decision, Failed, RoutedRequest};
 use super::trace::Trace;
 use crate::endpoints::{LeasedConnection, PathTaken, SendError, Sent, Taken};
@@ -74,13 +75,13 @@
 
 /// A failed attempt, with the endpoint's response if that may be forwarded.
 #[derive(Debug)]
-struct FailedAttempt {
-    fault: Fault,
+pub struct FailedAttempt {
+    /// How it failed.
+    pub fault: Fault,
     cause: String,
     answer: Option<Box<FullAnswer>>,
     /// How the response's body ended, if it was read.
     ended: Option<EndedBody>,
-    path_taken: Option<PathTaken>,
     /// When the head of the response was received, if its body was cut off.
     began: Option<Millis>,
     /// The endpoint's silence, if that ended the attempt.
@@ -94,7 +95,6 @@
             cause: cause.to_string(),
             answer: None,
             ended: None,
-            path_taken: None,
             began: None,
             silence: None,
         }
@@ -126,46 +126,46 @@
     }
 }
 
-type Result<T> = std::result::Result<T, FailedAttempt>;
+/// Result of one attempt.
+pub type Result<T> = std::result::Result<T, FailedAttempt>;
 
-/// Sends a request until an endpoint answers, or no further attempt is possible.
+/// Sends a request until an endpoint answers, or no further attempt is possible. While an endpoint is
+/// silent, another one is sought; who answers first is kept.
 pub async fn dispatch(
     routed: &RoutedRequest,
     plan: &mut RetryPlan,
     last_event: Option<u64>,
     trace: &mut Trace,
 ) -> Dispatched {
-    let placement = &routed.shared.placement;
-    let shared_prefix = routed.call.shared().filter(|_| routed.route.cached);
-    let shared_prefix = shared_prefix.as_ref();
+    let mut race = Race::new(routed, last_event);
     let mut failed_answer = None;
     let refusal = loop {
-        let (choice, in_flight) = match placement.choose(&routed.pool, shared_prefix, plan, now()) {
-            Ok(placed) => placed,
-            Err(error) => break not_chosen(&error, plan, trace),
+        if race.is_empty()
+            && let Err(error) = race.start(plan, trace)
+        {
+            break not_chosen(&error, plan, trace);
+        }
+        let Some((done, result)) = race.next().await else {
+            race.seek(plan, trace);
+            continue;
         };
-        let left = plan.deadline().since(now());
-        trace.log_attempt(&choice, shared_prefix, left);
-        let request = routed.to_endpoint(&choice, left, last_event);
-        let id = choice.endpoint.id.clone();
-        let (result, path_taken) =
-            attempt(routed, plan, &choice.endpoint, in_flight, request).await;
-        trace.log_tunnel(path_taken.as_ref());
+        trace.return_to(&done.id);
+        trace.log_tunnel(done.path_taken.as_ref());
         let failed = match result {
             Ok(dispatched) => {
-                record_success(routed, &id, &dispatched, trace);
+                record_success(routed, &done.id, &dispatched, trace);
+                race.leave_others(&done, plan, trace);
                 return dispatched;
             }
-            Err(failed) => FailedAttempt {
-                path_taken,
-                ..failed
-            },
+            Err(failed) => failed,
         };
-        let unread = shared_prefix.filter(|_| failed.fault.outcome() != Outcome::Ran);
-        if let Some(prefix) = unread {
-            placement.retract_prefix(prefix, &id);
+        race.retract_prefix(&done.id, &failed);
+        if !race.is_empty() {
+            plan.record_end(&done.id, failed.fault);
+            record_lost_race(routed, plan, &done, &failed, trace);
+            continue;
         }
-        let next = record_failure(routed, plan, &id, &failed, trace).await;
+        let next = record_failure(routed, plan, &done, &failed, trace).await;
         failed_answer = failed.answer.or(failed_answer);
         if let Next::GiveUp(refusal) = next {
             break refusal;
@@ -178,6 +178,36 @@
     }
 }
 
+/// Sends a stream to one other endpoint, which goes on after `last_event`; none if it doesn't answer
+/// with a stream.
+pub async fn resume_once(
+    routed: &RoutedRequest,
+    plan: &mut RetryPlan,
+    last_event: Option<u64>,
+    trace: &mut Trace,
+) -> Option<Box<OpenStream>> {
+    let mut race = Race::new(routed, last_event);
+    race.start(plan, trace).ok()?;
+    race.look_at = None;
+    let (done, result) = race.next().await?;
+    trace.log_tunnel(done.path_taken.as_ref());
+    match result {
+        Ok(dispatched) => {
+            record_success(routed, &done.id, &dispatched, trace);
+            match dispatched {
+                Dispatched::Stream(stream) => Some(stream),
+                _ => None,
+            }
+        }
+        Err(failed) => {
+            race.retract_prefix(&done.id, &failed);
+            plan.record_end(&done.id, failed.fault);
+            record_lost_race(routed, plan, &done, &failed, trace);
+            None
+        }
+    }
+}
+
 /// The refusal of a request for which no endpoint was chosen.
 fn not_chosen(error: &ChooseError, plan: &RetryPlan, trace: &Trace) -> Refusal {
     match error {
@@ -208,16 +238,16 @@
     Refusal::Unavailable { wait }
 }
 
-/// Sends a request to one endpoint and waits for its response. Also returns how it got there, if it
-/// was sent.
-async fn attempt(
+/// Sends a request to one endpoint and waits for its response until the deadline. Also returns how it
+/// got there, if it was sent.
+pub async fn attempt(
     routed: &RoutedRequest,
     plan: &RetryPlan,
     endpoint: &Endpoint,
     in_flight: InFlight,
     request: Request<Full<Bytes>>,
 ) -> (Result<Dispatched>, Option<PathTaken>) {
-    let wait = head_timeout(routed, plan, &endpoint.id);
+    let wait = plan.deadline().since(now()) + DEADLINE_GRACE;
     let taken = Taken::new(in_flight.sent_marker());
     let connections = &routed.shared.connections;
     let sending = connections.send(endpoint, request, plan.is_idempotent(), &taken);
@@ -251,27 +281,55 @@
     }
 }
 
+/// A failed attempt, as it is recorded.
+fn lost<'a>(done: &'a Done, failed: &FailedAttempt) -> Failed<'a> {
+    Failed {
+        id: &done.id,
+        fault: failed.fault,
+        helper: done.path_taken.and_then(|path_taken| path_taken.helper),
+        began: failed.began,
+        sent: done.sent,
+        silence: failed.silence,
+    }
+}
+
 /// Records and logs a failed attempt; returns whether to try again.
 async fn record_failure(
     routed: &RoutedRequest,
     plan: &mut RetryPlan,
-    id: &InstanceId,
+    done: &Done,
     failed: &FailedAttempt,
     trace: &mut Trace,
 ) -> Next {
+    let Decision { next, obstacle } = routed.record_failure(plan, lost(done, failed)).await;
+    log_failure(routed, done, failed, obstacle, trace);
+    next
+}
+
+/// Records and logs a failed attempt beside which another one goes on.
+fn record_lost_race(
+    routed: &RoutedRequest,
+    plan: &RetryPlan,
+    done: &Done,
+    failed: &FailedAttempt,
+    trace: &mut Trace,
+) {
+    routed.record_fault(plan, lost(done, failed), now());
+    log_failure(routed, done, failed, Some(Obstacle::InFlight), trace);
+}
+
+fn log_failure(
+    routed: &RoutedRequest,
+    done: &Done,
+    failed: &FailedAttempt,
+    obstacle: Option<Obstacle>,
+    trace: &mut Trace,
+) {
     trace.record_end(failed.ended);
     trace.record_silence(failed.silence);
-    let helper = failed.path_taken.and_then(|path_taken| path_taken.helper);
     let ran = failed.began.map(|began| now().since(began));
-    let lost = Failed {
-        id,
-        fault: failed.fault,
-        helper,
-        began: failed.began,
-    };
-    let Decision { next, obstacle } = routed.record_failure(plan, lost).await;
     let budget = routed.shared.placement.retry_budget(&routed.pool, now());
-    let path_taken = failed.path_taken.as_ref();
+    let path_taken = done.path_taken.as_ref();
     trace.log_fault(
         failed.fault,
         &failed.cause,
@@ -280,20 +338,6 @@
         &budget,
         path_taken,
     );
-    next
-}
-
-/// Timeout for the head of a response. A stream that has begun isn't given up for being slow if no
-/// other endpoint may go on with it.
-fn head_timeout(routed: &RoutedRequest, plan: &RetryPlan, id: &InstanceId) -> Millis {
-    let attempt_timeout = plan.attempt_timeout(now());
-    let left = plan.deadline().since(now());
-    let is_only = || plan.build().is_some() && !routed.has_alternative(plan, id);
-    if attempt_timeout >= left || is_only() {
-        left + DEADLINE_GRACE
-    } else {
-        attempt_timeout
-    }
 }
 
 /// Checks the head of a response, and reads its body unless it is a stream.
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -1,5 +1,7 @@
 //! Relays a stream of events to the caller, and resumes it at another endpoint if allowed.
 
+use std::pin::pin;
+
 use bytes::Bytes;
 use derive_more::Debug;
 use futures_util::stream::unfold;
@@ -8,6 +10,7 @@
 use hyper::body::{Frame, Incoming};
 use medlarrill_core::body_end::{BodyEnd, EndedBody, Framing};
 use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::ablation::{Mechanism, is_on};
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::config::RetryPolicy;
 use medlarrill_core::routing::endpoint::{Build, InstanceId};
@@ -17,7 +20,8 @@
 use tokio::time::error::Elapsed;
 
 use super::answer::{Answer, BrokenStream, full_answer};
-use super::dispatch::{Dispatched, OpenStream, dispatch};
+use super::dispatch::{Dispatched, OpenStream, dispatch, resume_once};
+use super::race::LOOK_INTERVAL;
 use super::request::{Failed, RoutedRequest};
 use super::trace::Trace;
 use crate::endpoints::LeasedConnection;
@@ -25,9 +29,9 @@
 
 /// Time beyond the deadline in which the end of a stream may still arrive.
 const DEADLINE_GRACE: Millis = Millis(80);
-/// A pause between events counts as stuck from this multiple of the route's target gap on; the
-/// stream is then resumed elsewhere, if it may be.
-const STUCK_GAPS: u64 = 2;
+/// Another endpoint is sought for a stream from this multiple of the route's target gap without an
+/// event on.
+const SILENT_GAPS: u64 = 2;
 
 /// Time between two recorded signs of life of an endpoint.
 const SIGN_INTERVAL: Millis = Millis(200);
@@ -60,8 +64,18 @@
     sign_at: Millis,
 }
 
-/// The next frame of a body, none at its end; an error if it doesn't come in time.
-type NextFrame = Result<Option<hyper::Result<Frame<Bytes>>>, Elapsed>;
+/// The next frame of a body, none at its end.
+type NextFrame = Option<hyper::Result<Frame<Bytes>>>;
+
+/// What came first while another endpoint was sought.
+enum Raced {
+    /// The stream went on, or ended.
+    Frame(NextFrame),
+    /// The other endpoint began to answer.
+    Successor(Box<OpenStream>),
+    /// The other endpoint didn't take the stream.
+    NoSuccessor,
+}
 
 /// Result of waiting for the next bytes.
 enum Piece {
@@ -170,28 +184,43 @@
 
     /// Waits for the next bytes from the source; with resumption allowed, only complete events.
     async fn piece(&mut self) -> Piece {
-        let resumes = self.may_resume();
-        let mut wait = self.wait();
-        let is_last = wait >= self.time_left();
-        let mut frame = self.frame(wait).await;
-        if frame.is_err() && !is_last && !self.has_alternative() {
-            wait = self.time_left();
-            frame = self.frame(wait).await;
+        let mut wait = self.patience();
+        loop {
+            if let Ok(frame) = self.frame(wait).await {
+                return self.read(frame);
+            }
+            let left = self.time_left();
+            if left == Millis::ZERO {
+                return Piece::End(BodyEnd::Stalled, Some("no event until the deadline".into()));
+            }
+            wait = LOOK_INTERVAL.min(left);
+            if !self.seeks() {
+                continue;
+            }
+            match self.race().await {
+                Raced::Frame(frame) => return self.read(frame),
+                Raced::Successor(stream) => self.hand_over(*stream),
+                Raced::NoSuccessor => {}
+            }
         }
+    }
+
+    /// Turns a frame into bytes for the caller.
+    fn read(&mut self, frame: NextFrame) -> Piece {
+        let resumes = self.may_resume();
         let Some(source) = &mut self.source else {
             return Piece::End(BodyEnd::Broken, Some("no source".into()));
         };
-        if matches!(frame, Ok(Some(Ok(_)))) {
+        if matches!(frame, Some(Ok(_))) {
             source.record_sign(&self.routed, now());
         }
         match frame {
-            Err(_) => Piece::End(BodyEnd::Stalled, Some(format!("no event in {wait}"))),
-            Ok(Some(Err(error))) => Piece::End(BodyEnd::Broken, Some(error.to_string())),
-            Ok(None) => {
+            Some(Err(error)) => Piece::End(BodyEnd::Broken, Some(error.to_string())),
+            None => {
                 let position = self.splitter.position();
                 Piece::End(BodyEnd::of(source.framing, Some(position)), None)
             }
-            Ok(Some(Ok(frame))) => {
+            Some(Ok(frame)) => {
                 let bytes = frame.into_data().unwrap_or_default();
                 match resumes {
                     true => Piece::Bytes(self.splitter.push(&bytes)),
@@ -205,7 +234,7 @@
     }
 
     /// Waits for the next frame of the source.
-    async fn frame(&mut self, wait: Millis) -> NextFrame {
+    async fn frame(&mut self, wait: Millis) -> Result<NextFrame, Elapsed> {
         let next = async {
             match &mut self.source {
                 Some(source) => source.body.frame().await,
@@ -217,22 +246,81 @@
 
     /// Time until the end of the stream is given up.
     fn time_left(&self) -> Millis {
-        self.plan.deadline().since(now()) + DEADLINE_GRACE
+        (self.plan.deadline() + DEADLINE_GRACE).since(now())
     }
 
-    /// Time after which the stream is resumed elsewhere, if it may be.
-    fn wait(&self) -> Millis {
-        let stuck = Millis(self.routed.route.gap.0 * STUCK_GAPS);
-        match self.plan.may_run_again() && stuck > Millis::ZERO {
-            true => self.time_left().min(stuck),
+    /// Time without an event after which another endpoint is sought.
+    fn patience(&self) -> Millis {
+        let patience = Millis(self.routed.route.gap.0 * SILENT_GAPS);
+        match self.may_resume() && patience > Millis::ZERO && is_on(Mechanism::Stuck) {
+            true => self.time_left().min(patience),
             false => self.time_left(),
         }
     }
 
-    /// Whether another endpoint could go on with the stream.
-    fn has_alternative(&self) -> bool {
-        let source = self.source.as_ref();
-        source.is_some_and(|source| self.routed.has_alternative(&self.plan, &source.endpoint))
+    /// Whether another endpoint is to be sought for a stream whose source is silent.
+    fn seeks(&mut self) -> bool {
+        let Some(source) = &self.source else {
+            return false;
+        };
+        if !self.may_resume() || !self.splitter.can_resume() {
+            return false;
+        }
+        let id = &source.endpoint;
+        let silence = self.routed.shared.placement.silence(id, now());
+        let obstacle = self.routed.seek(&self.plan, id, silence);
+        self.trace.log_seek(id, silence, obstacle);
+        obstacle.is_none()
+    }
+
+    /// Sends the stream to another endpoint while its source is still read.
+    async fn race(&mut self) -> Raced {
+        let Some(source) = &mut self.source else {
+            return Raced::NoSuccessor;
+        };
+        let last = self.splitter.last_id();
+        let raced = {
+            let resuming = resume_once(&self.routed, &mut self.plan, last, &mut self.trace);
+            let mut resuming = pin!(resuming);
+            tokio::select! {
+                biased;
+                frame = source.body.frame() => match frame {
+                    // The other endpoint goes on where a source broke off.
+                    Some(Err(error)) => match resuming.await {
+                        Some(stream) => Raced::Successor(stream),
+                        None => Raced::Frame(Some(Err(error))),
+                    },
+                    frame => Raced::Frame(frame),
+                },
+                successor = &mut resuming => match successor {
+                    Some(stream) => Raced::Successor(stream),
+                    None => Raced::NoSuccessor,
+                },
+            }
+        };
+        if !matches!(raced, Raced::Successor(_)) {
+            self.plan.abandon_others(&source.endpoint);
+            self.trace.return_to(&source.endpoint);
+        }
+        raced
+    }
+
+    /// Goes on with another endpoint's stream; the source before is let go.
+    fn hand_over(&mut self, stream: OpenStream) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let id = &source.endpoint;
+        let silence = self.routed.shared.placement.silence(id, now());
+        self.trace.log_left(id, silence);
+        if source.connection.helper().is_none() {
+            self.routed.record_left(id, silence, source.began);
+        }
+        self.plan.abandon(id);
+        drop(source);
+        self.splitter.discard_partial();
+        self.routed.shared.metrics.resumed.inc();
+        self.source = Some(stream.into());
     }
 
     /// Resumes the stream at another endpoint; returns false if that isn't possible.
@@ -253,6 +341,8 @@
             fault,
             helper,
             began: Some(began),
+            sent: began,
+            silence,
         };
         let obstacle = match self.may_resume() && self.splitter.can_resume() {
             true => {
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -20,6 +20,7 @@
 use medlarrill_core::routing::plan::{Next, Obstacle, RetryPlan};
 use medlarrill_core::routing::reach::LOSS_WINDOW;
 use medlarrill_core::routing::request::RequestHead;
+use medlarrill_core::routing::silence::SeenSilence;
 use medlarrill_core::routing::streams::StreamKey;
 use medlarrill_net::now::now;
 use medlarrill_platform::headers::{self, Outgoing};
@@ -50,6 +51,10 @@
     pub helper: Option<SocketAddr>,
     /// When the head of the response was received.
     pub began: Option<Millis>,
+    /// When the request was sent.
+    pub sent: Millis,
+    /// The endpoint's silence, if it ended the attempt.
+    pub silence: Option<SeenSilence>,
 }
 
 /// What follows a failed attempt.
@@ -127,10 +132,35 @@
         }
     }
 
-    /// Whether another endpoint could be tried after one.
-    pub fn has_alternative(&self, plan: &RetryPlan, id: &InstanceId) -> bool {
-        let placement = &self.shared.placement;
-        placement.has_alternative(&self.pool, plan, id, now())
+    /// Why no other endpoint is sought while one is silent; if there is no reason, a retry is taken
+    /// from the budget.
+    pub fn seek(
+        &self,
+        plan: &RetryPlan,
+        id: &InstanceId,
+        silence: Option<SeenSilence>,
+    ) -> Option<Obstacle> {
+        let (placement, now) = (&self.shared.placement, now());
+        if let Some(obstacle) = plan.seek_obstacle(now) {
+            return Some(obstacle);
+        }
+        if silence.is_some_and(|silence| silence.is_common()) {
+            return Some(Obstacle::CommonSilence);
+        }
+        if !placement.has_alternative(&self.pool, plan, id, now) {
+            return Some(Obstacle::NoEndpoint);
+        }
+        let is_spent = placement.spend_retry(&self.pool, now);
+        (!is_spent).then_some(Obstacle::Budget)
+    }
+
+    /// Records that the request, which was sent at `sent`, left an endpoint for another one; `silence`
+    /// is the endpoint's.
+    pub fn record_left(&self, id: &InstanceId, silence: Option<SeenSilence>, sent: Millis) {
+        if !self.shared.connections.paths().is_own_silence(id) {
+            let placement = &self.shared.placement;
+            placement.record_unanswered(id, silence, sent, now());
+        }
     }
 
     /// Records a head or an event of the response, and the silence that it ends.
@@ -210,8 +240,10 @@
         let paths = self.shared.connections.paths();
         if fault.is_loss() {
             self.record_loss(plan, failed, now);
-        } else if fault != Fault::Slow || helper.is_none() && !paths.is_own_silence(id) {
+        } else if fault != Fault::Slow {
             placement.record_failure(id, fault, now);
+        } else if helper.is_none() && !paths.is_own_silence(id) {
+            placement.record_unanswered(id, failed.silence, failed.sent, now);
         }
         if fault == Fault::NoEvent {
             self.check_endpoint(plan, id, failed.began);
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -13,8 +13,9 @@
 use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::plan::Obstacle;
 use medlarrill_core::routing::request::{RequestHead, SharedPrefix};
+use medlarrill_core::routing::silence::SeenSilence;
 use medlarrill_core::routing::streams::lookup::LookupError;
-use medlarrill_core::routing::view::{Overload, SeenSilence};
+use medlarrill_core::routing::view::Overload;
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
 
@@ -49,6 +50,8 @@
     ended: Option<EndedBody>,
     /// The silence of the last attempt's endpoint when the attempt failed.
     silence: Option<SeenSilence>,
+    /// Why no other endpoint was sought when that was last looked at.
+    not_sought: Option<Obstacle>,
     outcome: Option<&'static str>,
     status: u16,
 }
@@ -73,6 +76,7 @@
             bytes: 0,
             ended: None,
             silence: None,
+            not_sought: None,
             outcome: None,
             status: 0,
         }
@@ -189,6 +193,42 @@
         }
     }
 
+    /// Records that an endpoint's response goes on, or has failed, though others were tried since.
+    pub fn return_to(&mut self, endpoint: &InstanceId) {
+        self.endpoint = Some(endpoint.clone());
+    }
+
+    /// Logs that another endpoint is sought since one is silent, or why not if that reason is new.
+    pub fn log_seek(
+        &mut self,
+        endpoint: &InstanceId,
+        silence: Option<SeenSilence>,
+        obstacle: Option<Obstacle>,
+    ) {
+        if obstacle.is_some() && self.not_sought == obstacle {
+            return;
+        }
+        self.not_sought = obstacle;
+        let code = obstacle.map_or("sought", Obstacle::code);
+        Metrics::count(&self.shared.metrics.seeks, code);
+        log::info!(
+            target: "entry", request = self.request, attempt = self.attempts, endpoint:%,
+            endpoint_silence = silence.map(|seen| seen.lasted.0), others_silent = silence.map(|seen| seen.others.silent),
+            others_heard = silence.map(|seen| seen.others.heard), why_not = obstacle.map(Obstacle::code),
+            passed = now().since(self.arrived).0;
+            "entry: silent, another endpoint sought"
+        );
+    }
+
+    /// Logs that a response was left for that of another endpoint.
+    pub fn log_left(&self, endpoint: &InstanceId, silence: Option<SeenSilence>) {
+        log::info!(
+            target: "entry", request = self.request, endpoint:%, next = self.endpoint(),
+            endpoint_silence = silence.map(|seen| seen.lasted.0), passed = now().since(self.arrived).0;
+            "entry: left for another endpoint"
+        );
+    }
+
     /// Records the silence of an endpoint when an attempt failed.
     pub fn record_silence(&mut self, silence: Option<SeenSilence>) {
         self.silence = silence;
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -23,9 +23,10 @@
 };
 use medlarrill_core::routing::request::SharedPrefix;
 use medlarrill_core::routing::runs::RunId;
+use medlarrill_core::routing::silence::{Left, SeenSilence};
 use medlarrill_core::routing::slow_start::SlowStart;
 use medlarrill_core::routing::view::{
-    Drain, HealthChange, ListingChange, Result, SeenSilence, SlowStartChanges, View,
+    Drain, HealthChange, ListingChange, Result, SlowStartChanges, View,
 };
 use medlarrill_net::now::now;
 
@@ -77,7 +78,15 @@
         let mut view = self.placement.lock();
         let silence = view.silence_of(&self.id, now);
         let changes = view.record_sign(&self.id, self.run_id, now);
+        let was_avoided = view.end_silence(&self.id);
         drop(view);
+        if was_avoided {
+            let silence = silence.map(|silence| silence.0);
+            log::info!(
+                target: "placement", endpoint:% = self.id, silence;
+                "placement: silent endpoint heard again"
+            );
+        }
         self.placement.log_quarantine(&changes);
         silence
     }
@@ -267,6 +276,25 @@
         self.lock().silence(id, now)
     }
 
+    /// Records that a request that was sent at `sent` isn't answered by its endpoint, or not to its
+    /// end; `silence` is the endpoint's.
+    pub fn record_unanswered(
+        &self,
+        id: &InstanceId,
+        silence: Option<SeenSilence>,
+        sent: Millis,
+        now: Millis,
+    ) {
+        let left = self.lock().record_unanswered(id, silence, sent, now);
+        if left == Left::Avoided {
+            let silence = silence.map(|silence| silence.lasted.0);
+            log::info!(
+                target: "placement", endpoint:% = id, silence;
+                "placement: silent endpoint avoided"
+            );
+        }
+    }
+
     /// Records a successful attempt.
     pub fn record_success(&self, id: &InstanceId, now: Millis) {
         self.lock().record_success(id, now);
