--- a/crates/core/tests/routing/plan.rs
+++ b/crates/core/tests/routing/plan.rs
@@ -1,11 +1,16 @@
 //! When a failed attempt is followed by another, and what the caller is answered otherwise.
 
+use std::collections::HashSet;
+
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::outcome::Outcome;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::config::RetryPolicy;
+use medlarrill_core::routing::endpoint::InstanceId;
 use medlarrill_core::routing::plan::{Next, Refusal, RetryPlan};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 
 use super::support::{id, route};
 
@@ -120,3 +125,49 @@
         eq(Millis(500))
     );
 }
+
+#[gtest]
+fn endpoints_sought_in_silences_stay_within_the_attempts_of_the_route() {
+    let names = ["a", "b", "c", "d", "e"];
+    for seed in 0..2000 {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let attempts = rng.random_range(1..4);
+        let mut plan = plan(RetryPolicy::Resume, attempts);
+        let mut in_flight: Vec<InstanceId> = Vec::new();
+        let mut reached = HashSet::new();
+        let mut may_start = true;
+        for _ in 0..20 {
+            let open = names.iter().map(|name| id(name));
+            let open: Vec<InstanceId> = open
+                .filter(|id| !plan.has_tried(id) && !in_flight.contains(id))
+                .collect();
+            let may_seek = in_flight.len() == 1 && plan.seek_obstacle(Millis(0)).is_none();
+            if (may_start && in_flight.is_empty() || may_seek && rng.random()) && !open.is_empty() {
+                let next = open[rng.random_range(0..open.len())].clone();
+                plan.begin(&next);
+                reached.insert(next.clone());
+                in_flight.push(next);
+            } else if in_flight.len() == 2 {
+                let kept = in_flight[rng.random_range(0..2)].clone();
+                plan.abandon_others(&kept);
+                in_flight = vec![kept];
+            } else if let Some(failed) = in_flight.pop() {
+                let next = plan.record_failure(&failed, Fault::Cut, || true, Millis(0));
+                may_start = next == Next::Retry;
+            }
+        }
+        expect_that!(reached.len(), le(attempts as usize), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn a_stream_that_an_endpoint_breaks_off_after_a_silence_goes_on_at_the_one_that_was_sought() {
+    let mut plan = plan(RetryPolicy::Resume, 2);
+    plan.begin(&id("a"));
+    plan.begin(&id("b"));
+    expect_that!(plan.abandon_others(&id("a")), elements_are![eq(&id("b"))]);
+    let next = plan.record_failure(&id("a"), Fault::Cut, || true, Millis(0));
+    expect_that!(next, eq(Next::Retry));
+    expect_that!(plan.has_tried(&id("b")), eq(false));
+    expect_that!(plan.has_tried(&id("c")), eq(true));
+}
