Soak: parties that stand still for a while and go on, beside planned work

`--silences`: endpoints, daemons and the platform stand still for 0.3 to 3 s, one, some or all of a kind, in series and overlapping, beside stops, reloads, drains and configurations that change limits and target gaps. Judged from callers' sockets: no answer ends sooner than its endpoint, its deadline or its caller ended it.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -83,6 +83,9 @@
     /// Only requests that share a part of their prompts and end endpoints.
     #[arg(long, conflicts_with_all = ["cuts", "builds"])]
     pub parts: bool,
+    /// Only parties that stand still for a while and go on, beside planned work.
+    #[arg(long, conflicts_with_all = ["cuts", "builds", "parts"])]
+    pub silences: bool,
     /// Daemon of an earlier build, which every second daemon runs.
     #[arg(long)]
     pub beside: Option<PathBuf>,
@@ -171,6 +174,7 @@
         true => Plan::of_cuts(&mut rng, length),
         false if options.builds => Plan::of_builds(&mut rng, length),
         false if options.parts => Plan::of_parts(&mut rng, length),
+        false if options.silences => Plan::of_silences(&mut rng, length),
         false => draw(&mut rng, seed, length),
     };
     let earlier = options.beside.as_deref().map(Program::new);
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -4,6 +4,7 @@
 mod cuts;
 mod notices;
 mod parts;
+mod silences;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -16,6 +17,7 @@
 pub use self::notices::PAUSE;
 use self::notices::{left, paused};
 use self::parts::starved;
+use self::silences::ended_early;
 use super::plan::Fault;
 use super::traffic::{CRASHING_ID, PATHS, Sent};
 use super::world::{Done, SPARED, World};
@@ -191,6 +193,18 @@
         /// Share that was served before, in hundredths.
         before: usize,
     },
+    /// An answer was ended by its daemon before its deadline.
+    #[display("{request} at daemon {daemon} ended {early} ms before its deadline: {reply}")]
+    EndedEarly {
+        /// The request.
+        request: String,
+        /// The daemon.
+        daemon: usize,
+        /// What came, in words.
+        reply: String,
+        /// Time left.
+        early: u128,
+    },
     /// A daemon ended by itself.
     #[display("daemon {_0} ended by itself")]
     Ended(usize),
@@ -210,6 +224,9 @@
         found.extend(repeated(sent, ran));
         found.extend(leaked(sent, ran));
         found.extend(lost(world, sent, ran));
+        if world.has_limits {
+            found.extend(ended_early(sent, ran));
+        }
         found.extend(ran.iter().filter_map(|run| drained(world, run)));
         found.extend(ran.iter().filter_map(|run| evacuated(world, run)));
     }
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -2,6 +2,7 @@
 
 mod builds;
 mod parts;
+mod silences;
 
 use std::time::Duration;
 
@@ -63,6 +64,8 @@
     Pause(usize, Duration),
     /// A daemon loses its paths to all endpoints.
     CutOff(usize, Cut, Duration),
+    /// An endpoint neither reads nor writes, and goes on where it was.
+    Hush(usize, Duration),
     /// An endpoint ends, and another one of a software version starts at its address.
     Replace(usize, &'static str),
 }
@@ -135,6 +138,7 @@
     pub const fn length(&self) -> Duration {
         match self {
             Self::Freeze(_, length)
+            | Self::Hush(_, length)
             | Self::HarmStore(_, _, length)
             | Self::HarmEndpoint(_, _, length)
             | Self::Store(_, length)
@@ -202,6 +206,10 @@
     /// Whether endpoints have software versions, which their events name, and callers take up
     /// streams that broke off.
     pub builds: bool,
+    /// Time between events and for plain answers, if it isn't the usual one.
+    pub pace: Option<Duration>,
+    /// Whether versions of the configuration change limits and target gaps, too.
+    pub has_limits: bool,
 }
 
 impl Plan {
@@ -217,6 +225,8 @@
             places: false,
             forms: Vec::new(),
             builds: false,
+            pace: None,
+            has_limits: false,
         };
         plan.forms = vec![Form::DEFAULT; plan.endpoints];
         // A fifth of the soaks hold planned work only, so that its stricter promises are checked.
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -152,6 +152,12 @@
     pub part: Option<Crash>,
     /// Whether there are two data centres and slow starts.
     places: bool,
+    /// Silences of each endpoint that go on.
+    hushed: Vec<usize>,
+    /// See [`Plan::pace`].
+    pace: Option<Duration>,
+    /// See [`Plan::has_limits`].
+    pub has_limits: bool,
     /// Until when endpoints have to be spared.
     warming: Vec<Option<Instant>>,
     balancer: JoinHandle<()>,
@@ -167,11 +173,31 @@
 impl World {
     /// Starts all and waits until each daemon knows all endpoints.
     pub async fn start(programs: Vec<Program>, seed: u64, plan: &Plan) -> Result<Self> {
+        let mut world = Self::before_daemons(programs, seed, plan).await?;
+        let mut doors = Vec::new();
+        for number in 0..plan.daemons {
+            doors.push(world.add(seed, number).await?);
+        }
+        world.doors = Arc::new(doors);
+        for daemon in &world.daemons {
+            let routed = daemon.routed.lock().await;
+            routed.wait_for("configuration in force")?;
+            routed.wait_for("endpoint listed")?;
+        }
+        world.have_own_addresses().await?;
+        let daemons = world.daemons.iter();
+        let ready = daemons.map(|daemon| daemon.setup.listen[1]).collect();
+        world.balancer = tokio::spawn(balance(Arc::clone(&world.doors), ready));
+        Ok(world)
+    }
+
+    /// Starts the store and the endpoints.
+    async fn before_daemons(programs: Vec<Program>, seed: u64, plan: &Plan) -> Result<Self> {
         let store = Store::start().await?;
         let ledger = Ledger::default();
         let endpoints = start_endpoints(plan.endpoints, &ledger, seed).await?;
         let folder = TempDir::new()?;
-        let mut world = Self {
+        let world = Self {
             doors: Doors::default(),
             ledger,
             done: Vec::new(),
@@ -191,27 +217,18 @@
             builds: Builds::new(plan),
             part: plan.part,
             places: plan.places,
+            hushed: vec![0; plan.endpoints],
+            pace: plan.pace,
+            has_limits: plan.has_limits,
             warming: vec![None; plan.endpoints],
             balancer: tokio::spawn(async {}),
             folder,
         };
         world.configure();
-        (0..plan.endpoints).for_each(|endpoint| world.behave(endpoint, Behaviour::default()));
-        (0..plan.endpoints).for_each(|endpoint| world.list(endpoint, "ready"));
-        let mut doors = Vec::new();
-        for number in 0..plan.daemons {
-            doors.push(world.add(seed, number).await?);
+        for endpoint in 0..plan.endpoints {
+            world.behave(endpoint, Behaviour::default());
+            world.list(endpoint, "ready");
         }
-        world.doors = Arc::new(doors);
-        for daemon in &world.daemons {
-            let routed = daemon.routed.lock().await;
-            routed.wait_for("configuration in force")?;
-            routed.wait_for("endpoint listed")?;
-        }
-        world.have_own_addresses().await?;
-        let daemons = world.daemons.iter();
-        let ready = daemons.map(|daemon| daemon.setup.listen[1]).collect();
-        world.balancer = tokio::spawn(balance(Arc::clone(&world.doors), ready));
         Ok(world)
     }
 
--- a/crates/lab/src/soak/world/faults.rs
+++ b/crates/lab/src/soak/world/faults.rs
@@ -16,6 +16,11 @@
     CRASHING, DOWN, DRAINS, Done, LOOK, NOTICED, POOL, SECOND, SLOW_START, SPARED, Words, World,
 };
 
+/// Limits of every second configuration where these change, in milliseconds.
+const SHORT_IDLE: u64 = 700;
+/// Target gap of the same, in milliseconds.
+const SHORT_GAP: u64 = 150;
+
 impl World {
     /// Does what an event says.
     pub async fn begin(&mut self, event: &Event) -> Result<()> {
@@ -53,6 +58,7 @@
                 self.warming[*endpoint] = Some(Instant::now() + *length);
                 self.list(*endpoint, "ready");
             }
+            Fault::Hush(endpoint, _) => self.hush(*endpoint, 1),
             Fault::Behave(endpoint, behaviour, _) => self.behave(*endpoint, **behaviour),
             Fault::Drain(endpoint, _) => self.list(*endpoint, "draining"),
             Fault::Unlist(endpoint, _) => {
@@ -98,6 +104,7 @@
             Fault::HarmStore(daemon, ..) => self.proxies[*daemon].harm(Harm::None),
             Fault::HarmEndpoint(endpoint, ..) => self.endpoints[*endpoint].1.harm(Harm::None),
             Fault::Store(..) => self.store.fail(Outage::None),
+            Fault::Hush(endpoint, _) => self.hush(*endpoint, -1),
             Fault::Behave(endpoint, ..) => self.behave(*endpoint, Behaviour::default()),
             Fault::Leave(endpoint, _) => self.start_in_place(*endpoint),
             Fault::Pause(endpoint, _) => {
@@ -134,12 +141,26 @@
         }
     }
 
+    /// Begins or ends a silence of an endpoint, beside others.
+    fn hush(&mut self, endpoint: usize, change: isize) {
+        let hushed = &mut self.hushed[endpoint];
+        *hushed = hushed.saturating_add_signed(change);
+        self.endpoints[endpoint].0.pause(*hushed > 0);
+    }
+
     pub(super) fn configure(&self) {
         let mut config = configuration(self.version, POOL);
         if self.places {
             config["services"][0]["cold_per_s"] = SPARED.into();
             config["services"][0]["cold_start_s"] = SLOW_START.into();
         }
+        if self.has_limits && self.version.is_multiple_of(2) {
+            config["limits"]["idle_timeout_ms"] = SHORT_IDLE.into();
+            config["limits"]["header_timeout_ms"] = SHORT_IDLE.into();
+            for route in config["routes"].as_array_mut().into_iter().flatten() {
+                route["gap_target_ms"] = SHORT_GAP.into();
+            }
+        }
         self.store.put("config", "main", config);
     }
 
@@ -148,6 +169,7 @@
             crashes_on: Some(CRASHING),
             crash: self.part,
             form: self.forms[endpoint],
+            pace: self.pace.unwrap_or(behaviour.pace),
             ..behaviour
         });
     }
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -48,6 +48,7 @@
             cuts: false,
             builds: false,
             parts: false,
+            silences: false,
             beside: None,
             keep: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         };
@@ -70,9 +71,16 @@
             keep: options.keep.join("parts"),
             ..options.clone()
         };
+        let silences = Options {
+            seeds: SEEDS.to_vec(),
+            silences: true,
+            keep: options.keep.join("silences"),
+            ..options.clone()
+        };
         async {
             soak::run(children.daemon.clone(), options).await?;
             soak::run(children.daemon.clone(), parts).await?;
+            soak::run(children.daemon.clone(), silences).await?;
             soak::run(children.daemon.clone(), cuts).await?;
             soak::run(children.daemon, builds).await
         }
