Connections to an endpoint that fail at the same time are one failure

What callers saw: an endpoint that didn't accept connections for half a second got no requests for two seconds more where several requests had tried it at once.

Cause: the pause after a failed connection doubles with each further one, and eight connections that were tried at the same moment doubled it eight times, to its maximum.

A connection that fails while the endpoint already has a pause was tried before it began, and proves nothing more. The test failed before (down after 300 ms).

--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -181,6 +181,8 @@
     pub fn record_failure(&mut self, id: &InstanceId, fault: Fault, now: Millis) {
         let record = self.records.entry(id.clone()).or_default();
         match fault {
+            // Connections that were tried at the same time fail together, and prove one failure.
+            Fault::NotSent if now < record.down_until => {}
             Fault::NotSent => {
                 let pause = FIRST_PAUSE.0 << record.refused.min(8);
                 record.down_until = now + Millis(pause.min(MAX_PAUSE.0));
--- a/crates/core/tests/routing/health.rs
+++ b/crates/core/tests/routing/health.rs
@@ -94,6 +94,18 @@
     );
 }
 
+#[gtest]
+fn an_endpoint_avoided_for_seconds_since_several_connections_failed_at_once() {
+    let mut health = Health::default();
+    for _ in 0..8 {
+        health.record_failure(&id("a"), Fault::NotSent, Millis(0));
+    }
+    expect_that!(
+        health.status(&id("a"), 0.0, 1, Millis(300)),
+        eq(HealthStatus::Good)
+    );
+}
+
 #[gtest]
 fn being_full_is_no_illness() {
     let mut health = Health::default();
