A stream isn't refused while daemons that may know it are silent

What callers saw: streams that they took up were refused as not resumable, to be begun anew, though daemons that knew them went on half a second later.

Cause: daemons that are asked for a stream got 0.3 s to answer; who didn't was taken to know nothing. A guess from silence that ends what works and that nothing takes back.

A refusal now waits, asking again, until all that were asked have answered, 1.5 s or a third of the route's timeout at most. Streams that are known, or that began where one version serves, don't wait; nor does a refusal if everybody answers.

--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -10,6 +10,7 @@
     mod cut;
     mod drains;
     mod ends;
+    mod hushed_daemons;
     mod incident;
     mod isolated;
     mod own_word;
--- /dev/null
+++ b/crates/daemon/tests/route/hushed_daemons.rs
@@ -0,0 +1,37 @@
+//! Daemons that stand still for a moment and go on where they were.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use medlarrill_platform_standin::Outage;
+use nix::sys::signal::Signal;
+
+use super::setup::Bench;
+use super::versions::{TWO, begin, finish, start};
+
+/// Signals the two daemons that know the streams.
+fn signal(bench: &Bench, signal: Signal) {
+    for daemon in &bench.daemons[..2] {
+        daemon.signal(signal).expect("a signal");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn streams_refused_since_the_daemons_that_know_them_stand_still() {
+    let mut bench = start(2, &TWO).await;
+    let begun = begin(&bench, 0).await;
+    bench.add_daemon(&[0, 1]);
+    bench.ready(2, TWO.len()).await;
+    bench.takes_connections(2).await;
+    bench.until_all_live(3).await;
+    signal(&bench, Signal::SIGSTOP);
+    bench.store.fail(Outage::Silent);
+    let (taken_up, ()) = tokio::join!(finish(&bench, 2, &begun, "again"), async {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        signal(&bench, Signal::SIGCONT);
+        bench.store.fail(Outage::None);
+    });
+    println!("{taken_up:?}");
+    taken_up.assert_all_whole();
+}
--- a/crates/daemon/tests/route/versions.rs
+++ b/crates/daemon/tests/route/versions.rs
@@ -9,7 +9,7 @@
 
 use super::setup::Bench;
 
-const STREAMS: usize = 16;
+pub const STREAMS: usize = 16;
 const EVENTS: u64 = 8;
 /// Events that a caller reads before it loses its connection.
 const READ: usize = 3;
@@ -30,7 +30,7 @@
 }
 
 /// Daemons before endpoints of these versions.
-async fn start(daemons: usize, builds: &[&'static str]) -> Bench {
+pub async fn start(daemons: usize, builds: &[&'static str]) -> Bench {
     start_with(daemons, builds, true).await
 }
 
@@ -60,7 +60,7 @@
 
 /// What a caller got of a stream.
 #[derive(Debug, Default)]
-struct Part {
+pub struct Part {
     status: u16,
     /// Ids and software versions of the events.
     events: Vec<(u64, String)>,
@@ -159,7 +159,7 @@
 }
 
 /// The first events of streams at a daemon, after which their callers lose their connections.
-async fn begin(bench: &Bench, daemon: usize) -> Vec<(String, Part)> {
+pub async fn begin(bench: &Bench, daemon: usize) -> Vec<(String, Part)> {
     let address = bench.daemons[daemon].callers();
     let begin = (0..STREAMS).map(|number| async move {
         let attempt = format!("first-{number}");
@@ -173,9 +173,9 @@
 
 /// What callers get that take up streams.
 #[derive(Debug, Default)]
-struct TakenUp {
+pub struct TakenUp {
     /// Streams that ended, each of one software version.
-    whole: usize,
+    pub whole: usize,
     /// Streams of two software versions, or with a wrong sequence of events.
     wrong: Vec<String>,
     /// Refusals that promise that nothing ran.
@@ -186,7 +186,7 @@
 
 impl TakenUp {
     /// All streams ended, each of one software version.
-    fn assert_all_whole(&self) {
+    pub fn assert_all_whole(&self) {
         assert_that!(self.wrong, is_empty(), "{self:?}");
         assert_that!(self.whole, eq(STREAMS), "{self:?}");
     }
@@ -202,7 +202,12 @@
 }
 
 /// Takes up all streams to their ends at a daemon; `suffix` sets their ids apart.
-async fn finish(bench: &Bench, daemon: usize, begun: &[(String, Part)], suffix: &str) -> TakenUp {
+pub async fn finish(
+    bench: &Bench,
+    daemon: usize,
+    begun: &[(String, Part)],
+    suffix: &str,
+) -> TakenUp {
     let address = bench.daemons[daemon].callers();
     let mut taken_up = TakenUp::default();
     let calls = begun.iter().map(|(first, part)| async move {
@@ -228,7 +233,7 @@
     taken_up
 }
 
-const TWO: [&str; 4] = ["v1", "v1", "v2", "v2"];
+pub const TWO: [&str; 4] = ["v1", "v1", "v2", "v2"];
 
 #[tokio::test]
 async fn a_stream_goes_on_only_at_its_software_version_in_one_answer() {
--- a/crates/router/src/streams/find.rs
+++ b/crates/router/src/streams/find.rs
@@ -18,6 +18,11 @@
 /// Time for the answers of other daemons. A VM that has used up its processor share answers up to
 /// a tenth of a second late.
 const ANSWER_TIMEOUT: Millis = Millis(300);
+/// Longest time for which a stream isn't refused while some of the daemons that were asked are silent:
+/// one that stands still for a second knows it when it goes on.
+const SILENCE_WAIT: Millis = Millis(1500);
+/// The same as a share of the route's timeout, so that the caller may still begin anew.
+const SILENCE_SHARE: u64 = 3;
 /// Interval at which a question is sent again, since datagrams are lost.
 const ASK_INTERVAL: Millis = Millis(60);
 
@@ -31,6 +36,16 @@
     pub source: Source,
 }
 
+/// What other daemons answered.
+#[derive(Debug, Default)]
+struct Answers {
+    replies: Vec<Reply>,
+    /// Whether there are others, and none of them answered.
+    has_none: bool,
+    /// Whether some of those that were asked are silent.
+    has_silent: bool,
+}
+
 /// Removes a question once nobody waits for its answers.
 struct Asking<'a> {
     streams: &'a Streams,
@@ -75,23 +90,31 @@
         }
         // Without a name, any others are asked for what they know of versions.
         let asked = key.unwrap_or_else(|| StreamKey(rand::random()));
-        let replies = self.ask(asked).await;
-        let told = replies.as_deref().unwrap_or_default();
-        if let Some(origin) = told_origin(told)? {
-            return found(origin, Source::Told);
-        }
-        if self.may_have_forgotten(told) {
-            self.read_archive().await;
-            let kept = key.and_then(|key| self.lock().memory.get(key, now()));
-            if let Some(kept) = kept {
-                return found(kept.ok_or(LookupError::Ambiguous)?, Source::Platform);
+        let until = now() + SILENCE_WAIT.min(Millis(route.timeout.0 / SILENCE_SHARE));
+        loop {
+            let answers = self.ask(asked).await;
+            if let Some(origin) = told_origin(&answers.replies)? {
+                return found(origin, Source::Told);
+            }
+            if self.may_have_forgotten(&answers.replies) {
+                self.read_archive().await;
+                let kept = key.and_then(|key| self.lock().memory.get(key, now()));
+                if let Some(kept) = kept {
+                    return found(kept.ok_or(LookupError::Ambiguous)?, Source::Platform);
+                }
+            }
+            let place = match answers.has_none {
+                true => Err(LookupError::Unknown),
+                false => single_place(places(), &self.evidence(), &answers.replies),
+            };
+            if let Ok(place) = place {
+                let source = Source::Single;
+                return Ok(Found { place, source });
+            }
+            if !answers.has_silent || now() >= until {
+                return Err(LookupError::Unknown);
             }
         }
-        let place = single_place(places(), &self.evidence(), &replies?)?;
-        Ok(Found {
-            place,
-            source: Source::Single,
-        })
     }
 
     /// Whether some of the daemons that may have known a stream, this one included, have started
@@ -105,19 +128,15 @@
     }
 
     /// Asks other daemons for a stream. Ends early when one of them knows it or all have answered.
-    ///
-    /// # Errors
-    ///
-    /// If there are others, but none of them answers.
-    async fn ask(&self, key: StreamKey) -> Result<Vec<Reply>> {
+    async fn ask(&self, key: StreamKey) -> Answers {
         let mut asked = {
             let state = self.lock();
             with_keeper(state.holders.asked(key), state.keeper)
         };
         if asked.is_empty() {
-            return match self.is_single {
-                true => Ok(Vec::new()),
-                false => Err(LookupError::Unknown),
+            return Answers {
+                has_none: !self.is_single,
+                ..Answers::default()
             };
         }
         let (sender, mut answers) = mpsc::unbounded_channel();
@@ -142,17 +161,16 @@
                 asked.retain(|daemon| *daemon != from);
                 let is_known = matches!(reply, Reply::Known(_));
                 replies.push(reply);
-                if is_known {
-                    return Ok(replies);
-                }
-                if asked.is_empty() {
+                if is_known || asked.is_empty() {
+                    asked.clear();
                     break;
                 }
             }
         }
-        match replies.is_empty() {
-            true => Err(LookupError::Unknown),
-            false => Ok(replies),
+        Answers {
+            has_none: replies.is_empty(),
+            has_silent: !asked.is_empty(),
+            replies,
         }
     }
 }
