A stream isn't refused while the platform that may know it is silent

What callers saw: after all daemons had been killed, streams that were taken up were refused as not resumable if the platform was silent for half a second then.

Cause: its answer was waited for 0.3 s, and not asked for again for a second.

--- a/crates/daemon/tests/route/hushed_daemons.rs
+++ b/crates/daemon/tests/route/hushed_daemons.rs
@@ -7,7 +7,7 @@
 use nix::sys::signal::Signal;
 
 use super::setup::Bench;
-use super::versions::{TWO, begin, finish, start};
+use super::versions::{TWO, begin, finish, restart_all, start};
 
 /// Signals the two daemons that know the streams.
 fn signal(bench: &Bench, signal: Signal) {
@@ -35,3 +35,20 @@
     println!("{taken_up:?}");
     taken_up.assert_all_whole();
 }
+
+#[gtest]
+#[tokio::test]
+async fn streams_refused_since_the_platform_that_keeps_them_is_silent() {
+    let mut bench = start(2, &TWO).await;
+    let begun = begin(&bench, 0).await;
+    // The archive is written twice a second.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    restart_all(&mut bench).await;
+    bench.store.fail(Outage::Silent);
+    let (taken_up, ()) = tokio::join!(finish(&bench, 0, &begun, "again"), async {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        bench.store.fail(Outage::None);
+    });
+    println!("{taken_up:?}");
+    taken_up.assert_all_whole();
+}
--- a/crates/daemon/tests/route/versions.rs
+++ b/crates/daemon/tests/route/versions.rs
@@ -193,7 +193,7 @@
 }
 
 /// Starts all daemons again after they were killed.
-async fn restart_all(bench: &mut Bench) {
+pub async fn restart_all(bench: &mut Bench) {
     bench.restart_all();
     for daemon in 0..bench.daemons.len() {
         bench.ready(daemon, bench.endpoints.len()).await;
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -37,6 +37,8 @@
 const ANSWER_TIMEOUT: Millis = Millis(300);
 /// Time between two reads for requests that take up streams nobody knows.
 const READ_INTERVAL: Millis = Millis(1000);
+/// The same after one that the platform didn't answer.
+const UNANSWERED_INTERVAL: Millis = Millis(150);
 /// Name of the object of a small fleet, which has no hubs for each data centre.
 const FLEET: &str = "fleet";
 
@@ -44,14 +46,17 @@
 #[derive(Debug)]
 pub(super) struct Reader {
     client: CountedClient,
-    read_at: Option<Millis>,
+    /// When it may be read again.
+    next_read: Millis,
+    is_silent: bool,
 }
 
 impl Reader {
     pub(super) fn new(platform: SocketAddr, metrics: &Arc<Metrics>) -> Self {
         Self {
             client: counted(platform, metrics),
-            read_at: None,
+            next_read: Millis::ZERO,
+            is_silent: false,
         }
     }
 }
@@ -61,19 +66,24 @@
 }
 
 impl Streams {
-    /// Reads what the platform keeps, unless it was read just now.
-    pub(super) async fn read_archive(&self) {
+    /// Reads what the platform keeps, unless it was read just now; returns whether the platform is
+    /// silent.
+    pub(super) async fn read_archive(&self) -> bool {
         let mut reader = self.reader.lock().await;
-        if reader
-            .read_at
-            .is_some_and(|at| now().since(at) < READ_INTERVAL)
-        {
-            return;
+        let began = now();
+        if began < reader.next_read {
+            return reader.is_silent;
         }
-        reader.read_at = Some(now());
-        if let Err(error) = self.load(&mut reader.client).await {
+        let loaded = self.load(&mut reader.client).await;
+        reader.is_silent = loaded.is_err() && now().since(began) >= ANSWER_TIMEOUT;
+        reader.next_read = match reader.is_silent {
+            true => now() + UNANSWERED_INTERVAL,
+            false => began + READ_INTERVAL,
+        };
+        if let Err(error) = loaded {
             log::info!(target: "streams", "streams: the platform's archive isn't read: {error}");
         }
+        reader.is_silent
     }
 
     /// Reads and remembers what the platform keeps; returns the names of its objects.
--- a/crates/router/src/streams/find.rs
+++ b/crates/router/src/streams/find.rs
@@ -18,8 +18,8 @@
 /// Time for the answers of other daemons. A VM that has used up its processor share answers up to
 /// a tenth of a second late.
 const ANSWER_TIMEOUT: Millis = Millis(300);
-/// Longest time for which a stream isn't refused while some of the daemons that were asked are silent:
-/// one that stands still for a second knows it when it goes on.
+/// Longest time for which a stream isn't refused while the platform or some of the daemons that were
+/// asked are silent: one that stands still for a second knows it when it goes on.
 const SILENCE_WAIT: Millis = Millis(1500);
 /// The same as a share of the route's timeout, so that the caller may still begin anew.
 const SILENCE_SHARE: u64 = 3;
@@ -96,8 +96,9 @@
             if let Some(origin) = told_origin(&answers.replies)? {
                 return found(origin, Source::Told);
             }
+            let mut has_silent = answers.has_silent;
             if self.may_have_forgotten(&answers.replies) {
-                self.read_archive().await;
+                has_silent |= self.read_archive().await;
                 let kept = key.and_then(|key| self.lock().memory.get(key, now()));
                 if let Some(kept) = kept {
                     return found(kept.ok_or(LookupError::Ambiguous)?, Source::Platform);
@@ -111,9 +112,10 @@
                 let source = Source::Single;
                 return Ok(Found { place, source });
             }
-            if !answers.has_silent || now() >= until {
+            if !has_silent || now() >= until {
                 return Err(LookupError::Unknown);
             }
+            tokio::time::sleep(ASK_INTERVAL.as_duration()).await;
         }
     }
 
