Endpoints that come back as the same process crashed with nothing

What callers saw: sound requests refused as quarantined, for ten minutes at first, after three endpoints that ran them had been silent until their entries lapsed, and were back half a second later.

Cause: what an endpoint ran in silence until it left the list counts as lost with it, which is a guess: it may have stood still. Nothing took it back, as long as nobody else served the request.

An instance that is listed again after it left is the same process (a restart has another id or start time).

--- a/crates/core/src/routing/quarantine.rs
+++ b/crates/core/src/routing/quarantine.rs
@@ -15,6 +15,7 @@
 mod hold;
 mod platform_sync;
 mod served;
+mod survivors;
 mod suspect;
 
 use std::collections::{BTreeSet, HashMap};
@@ -30,6 +31,7 @@
 pub use hold::Standing;
 pub use platform_sync::{PlatformSync, Step, StoredRequest};
 use served::ServedMemory;
+use survivors::Survivors;
 use suspect::{Record, Suspect};
 
 /// Lost endpoints at which a cause is quarantined. With fewer, one that twice ran beside the actual
@@ -93,6 +95,7 @@
     /// Causes that were quarantined at the last assessment, alone or with others.
     held: BTreeSet<Fingerprint>,
     served: ServedMemory,
+    survivors: Survivors,
 }
 
 impl Quarantine {
@@ -212,9 +215,21 @@
         }
     }
 
+    /// Records that an endpoint, by its short id, that was taken for lost is the same process as
+    /// before: it crashed with nothing. What ends by that shows at the next [`Self::expire`].
+    pub fn record_survivor(&mut self, endpoint: u32, now: Millis) {
+        self.survivors.record(endpoint, now + CLOCK_OFFSET);
+        let is_lost = |loss: &Record| loss.finding.endpoint() == Some(endpoint);
+        for suspect in self.suspects.values_mut() {
+            suspect.lost.retain(|loss| !is_lost(loss));
+        }
+        self.assess();
+    }
+
     /// Inserts a record; returns whether it is new.
     fn insert(&mut self, cause: Fingerprint, record: Record, now: Millis) -> bool {
-        if now.since(record.at) >= RETENTION {
+        let is_refuted = self.survivors.refute(&record);
+        if is_refuted || now.since(record.at) >= RETENTION {
             return false;
         }
         if !self.suspects.contains_key(&cause) {
@@ -293,6 +308,19 @@
 
     /// Recomputes which causes are quarantined; returns the changes.
     fn reassess(&mut self, now: Millis) -> Vec<Change> {
+        self.assess();
+        let holds = self.holds.iter().filter(|hold| hold.until > now);
+        let held = holds.flat_map(|hold| &hold.causes).copied().collect();
+        let before = std::mem::replace(&mut self.held, held);
+        let ended = before.difference(&self.held);
+        let ended = ended.map(|cause| self.change(*cause, false));
+        let begun = self.held.difference(&before);
+        let begun = begun.map(|cause| self.change(*cause, true));
+        ended.chain(begun).collect()
+    }
+
+    /// Recomputes which causes are to blame.
+    fn assess(&mut self) {
         let classes = self.blame(LOSS_THRESHOLD).classes();
         let hold = |class: Class| {
             let known = class
@@ -308,14 +336,6 @@
         };
         let holds = classes.into_iter().filter_map(hold);
         self.holds = holds.collect();
-        let holds = self.holds.iter().filter(|hold| hold.until > now);
-        let held = holds.flat_map(|hold| &hold.causes).copied().collect();
-        let before = std::mem::replace(&mut self.held, held);
-        let ended = before.difference(&self.held);
-        let ended = ended.map(|cause| self.change(*cause, false));
-        let begun = self.held.difference(&before);
-        let begun = begun.map(|cause| self.change(*cause, true));
-        ended.chain(begun).collect()
     }
 
     fn change(&self, fingerprint: Fingerprint, is_quarantined: bool) -> Change {
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -86,6 +86,8 @@
     unmarked: UnmarkedEnds,
     runs: Runs,
     silent: SilentEndpoints,
+    /// Instances that left the list, and when.
+    gone: HashMap<InstanceId, Millis>,
     notices: Notices,
     /// When connections to instances were lost that may have been replaced since.
     doubts: HashMap<InstanceId, Millis>,
@@ -172,6 +174,7 @@
             unmarked: UnmarkedEnds::default(),
             runs: Runs::default(),
             silent: SilentEndpoints::default(),
+            gone: HashMap::new(),
             notices: Notices::default(),
             doubts: HashMap::new(),
             brittle: Brittle::default(),
--- a/crates/core/src/routing/view/listing.rs
+++ b/crates/core/src/routing/view/listing.rs
@@ -9,6 +9,7 @@
 use crate::clock::Millis;
 use crate::ids::EndpointId;
 use crate::routing::endpoint::{Endpoint, InstanceId};
+use crate::routing::exchange;
 use crate::routing::instance::EntryKind;
 
 /// Result of an update from the platform's list.
@@ -42,6 +43,10 @@
             }
         }
         let id = endpoint.id.clone();
+        if self.gone.remove(&id).is_some() {
+            let short = exchange::short_id(&id);
+            self.quarantine.record_survivor(short, now);
+        }
         self.notices.set_listed(&id);
         let endpoint = Endpoint {
             leaving: endpoint.leaving || self.notices.is_leaving(&id),
--- a/crates/core/src/routing/view/quarantine.rs
+++ b/crates/core/src/routing/view/quarantine.rs
@@ -10,6 +10,8 @@
 use crate::routing::quarantine::{Change, Standing};
 use crate::routing::runs::{Complete, RunId, Runs, SilentLoss};
 
+/// Time for which it is remembered that an instance left the list.
+const GONE_MEMORY: Millis = Millis::from_secs(60);
 /// Time of a daemon's turn to try one request: by its end it is known how that ended.
 const TRIAL_INTERVAL: Millis = Millis(3000);
 /// Daemons that take turns, at most.
@@ -95,6 +97,9 @@
     pub fn record_gone(&mut self, id: &InstanceId, now: Millis) -> Vec<Change> {
         let endpoint = exchange::short_id(id);
         let lost = self.runs.take_lost(id, now);
+        self.gone
+            .retain(|_, left_at| now.since(*left_at) < GONE_MEMORY);
+        self.gone.insert(id.clone(), now);
         let record = |SilentLoss { causes, began, at }: SilentLoss| {
             self.quarantine
                 .record_losses_at(&causes, endpoint, began, at, now)
--- a/crates/core/tests/routing/silence.rs
+++ b/crates/core/tests/routing/silence.rs
@@ -192,3 +192,28 @@
         eq(0)
     );
 }
+
+#[gtest]
+fn sound_requests_quarantined_since_silent_endpoints_left_the_list_for_a_while() {
+    let mut view = view("near", 1);
+    let names = ["a", "b", "c", "d", "e", "f"];
+    for name in names {
+        view.upsert(endpoint(name), START);
+    }
+    let request = plan().with_fingerprint(Fingerprint(7));
+    for name in &names[..3] {
+        let causes = request.causes().clone();
+        let run_id = view.runs().begin(&id(name), &"v1".into(), causes, START);
+        view.runs().set_sent(&id(name), run_id, true);
+    }
+    answer(&mut view, &id("f"), START + Millis(2000));
+    for name in &names[..3] {
+        view.remove(&id(name).endpoint);
+        view.record_gone(&id(name), START + Millis(2500));
+    }
+    for name in &names[..3] {
+        view.upsert(endpoint(name), START + Millis(3000));
+    }
+    let choice = view.choose(&pool(), None, &request, START + Millis(3500));
+    expect_that!(choice.is_ok(), eq(true));
+}
