--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -11,6 +11,7 @@
     mod drains;
     mod ends;
     mod hushed_daemons;
+    mod hushed_ways;
     mod incident;
     mod isolated;
     mod own_word;
