--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -4,6 +4,7 @@
 mod body;
 mod crowd;
 mod dispatch;
+mod failed_attempt;
 mod handler;
 mod race;
 mod relay;
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -10,17 +10,17 @@
 use medlarrill_core::routing::answer::AnswerHead;
 use medlarrill_core::routing::attempt::Fault;
 use medlarrill_core::routing::endpoint::{Build, Endpoint, InstanceId};
-use medlarrill_core::routing::plan::{Next, Obstacle, Refusal, RetryPlan};
-use medlarrill_core::routing::silence::SeenSilence;
+use medlarrill_core::routing::plan::{Next, Refusal, RetryPlan};
 use medlarrill_core::routing::view::ChooseError;
 use medlarrill_net::now::now;
 use medlarrill_platform::headers;
 
-use super::body::{FailedBody, FullBody};
-use super::race::{Done, Race};
-use super::request::{Decision, Failed, RoutedRequest};
+use super::body::FullBody;
+use super::failed_attempt::{FailedAttempt, record_failure, record_lost_race};
+use super::race::Race;
+use super::request::RoutedRequest;
 use super::trace::Trace;
-use crate::endpoints::{LeasedConnection, PathTaken, SendError, Sent, Taken};
+use crate::endpoints::{LeasedConnection, PathTaken, Sent, Taken};
 use crate::placement::InFlight;
 
 /// Time beyond the deadline in which an endpoint's own timeout response may still arrive.
@@ -73,59 +73,6 @@
     pub began: Millis,
 }
 
-/// A failed attempt, with the endpoint's response if that may be forwarded.
-#[derive(Debug)]
-pub struct FailedAttempt {
-    /// How it failed.
-    pub fault: Fault,
-    cause: String,
-    answer: Option<Box<FullAnswer>>,
-    /// How the response's body ended, if it was read.
-    ended: Option<EndedBody>,
-    /// When the head of the response was received, if its body was cut off.
-    began: Option<Millis>,
-    /// The endpoint's silence, if that ended the attempt.
-    silence: Option<SeenSilence>,
-}
-
-impl FailedAttempt {
-    fn new(fault: Fault, cause: impl ToString) -> Self {
-        Self {
-            fault,
-            cause: cause.to_string(),
-            answer: None,
-            ended: None,
-            began: None,
-            silence: None,
-        }
-    }
-
-    /// Sets when the head of the response was received.
-    fn with_head_at(self, began: Millis) -> Self {
-        let began = Some(began);
-        Self { began, ..self }
-    }
-}
-
-impl From<FailedBody> for FailedAttempt {
-    fn from(failed: FailedBody) -> Self {
-        Self {
-            ended: Some(failed.ended),
-            ..Self::new(failed.fault, failed.cause)
-        }
-    }
-}
-
-impl From<SendError> for FailedAttempt {
-    fn from(error: SendError) -> Self {
-        match error {
-            SendError::NotSent(cause) => Self::new(Fault::NotSent, cause),
-            SendError::CutOff(cause) => Self::new(Fault::CutOff, cause),
-            SendError::Lost(cause) => Self::new(Fault::Lost, cause),
-        }
-    }
-}
-
 /// Result of one attempt.
 pub type Result<T> = std::result::Result<T, FailedAttempt>;
 
@@ -281,65 +228,6 @@
     }
 }
 
-/// A failed attempt, as it is recorded.
-fn lost<'a>(done: &'a Done, failed: &FailedAttempt) -> Failed<'a> {
-    Failed {
-        id: &done.id,
-        fault: failed.fault,
-        helper: done.path_taken.and_then(|path_taken| path_taken.helper),
-        began: failed.began,
-        sent: done.sent,
-        silence: failed.silence,
-    }
-}
-
-/// Records and logs a failed attempt; returns whether to try again.
-async fn record_failure(
-    routed: &RoutedRequest,
-    plan: &mut RetryPlan,
-    done: &Done,
-    failed: &FailedAttempt,
-    trace: &mut Trace,
-) -> Next {
-    let Decision { next, obstacle } = routed.record_failure(plan, lost(done, failed)).await;
-    log_failure(routed, done, failed, obstacle, trace);
-    next
-}
-
-/// Records and logs a failed attempt beside which another one goes on.
-fn record_lost_race(
-    routed: &RoutedRequest,
-    plan: &RetryPlan,
-    done: &Done,
-    failed: &FailedAttempt,
-    trace: &mut Trace,
-) {
-    routed.record_fault(plan, lost(done, failed), now());
-    log_failure(routed, done, failed, Some(Obstacle::InFlight), trace);
-}
-
-fn log_failure(
-    routed: &RoutedRequest,
-    done: &Done,
-    failed: &FailedAttempt,
-    obstacle: Option<Obstacle>,
-    trace: &mut Trace,
-) {
-    trace.record_end(failed.ended);
-    trace.record_silence(failed.silence);
-    let ran = failed.began.map(|began| now().since(began));
-    let budget = routed.shared.placement.retry_budget(&routed.pool, now());
-    let path_taken = done.path_taken.as_ref();
-    trace.log_fault(
-        failed.fault,
-        &failed.cause,
-        ran,
-        obstacle,
-        &budget,
-        path_taken,
-    );
-}
-
 /// Checks the head of a response, and reads its body unless it is a stream.
 async fn receive(
     routed: &RoutedRequest,
--- a/crates/router/src/entry/race.rs
+++ b/crates/router/src/entry/race.rs
@@ -12,7 +12,8 @@
 use medlarrill_core::routing::view;
 use medlarrill_net::now::now;
 
-use super::dispatch::{Dispatched, FailedAttempt, Result, attempt};
+use super::dispatch::{Dispatched, Result, attempt};
+use super::failed_attempt::FailedAttempt;
 use super::request::RoutedRequest;
 use super::trace::Trace;
 use crate::endpoints::PathTaken;
