--- a/crates/daemon/tests/route/hushed_ways.rs
+++ b/crates/daemon/tests/route/hushed_ways.rs
@@ -146,3 +146,52 @@
     let streams = bench.endpoints.iter().map(|endpoint| endpoint.streams());
     expect_that!(streams.sum::<usize>(), eq(0));
 }
+
+#[gtest]
+#[tokio::test]
+async fn plain_requests_refused_or_unevenly_spread_after_a_silence() {
+    let bench = Bench::start(4).await;
+    bench.behave(Behaviour {
+        pace: Duration::from_millis(30),
+        ..Behaviour::DEFAULT
+    });
+    let silent = &bench.endpoints[..2];
+    let mut waiting = Vec::new();
+    let send = |name: &str, number: usize| {
+        let mut caller = bench.caller();
+        let call = Call::new(format!("{name}-{number}"), "/plain/x");
+        tokio::spawn(async move { caller.send(&call).await })
+    };
+    for number in 0..500 {
+        match number {
+            100 => silent.iter().for_each(|endpoint| endpoint.pause(true)),
+            300 => silent.iter().for_each(|endpoint| endpoint.pause(false)),
+            _ => {}
+        }
+        waiting.push(send("r", number));
+        Bench::pause(5).await;
+    }
+    let mut refused = Vec::new();
+    for (number, reply) in waiting.into_iter().enumerate() {
+        let reply = reply.await.expect("a reply");
+        if !reply.is_success() {
+            refused.push((number, reply.status));
+        }
+    }
+    // The silence ends with request 300; half a second later all is as before.
+    let late = refused.iter().filter(|(number, _)| *number >= 400).count();
+    println!("{} refused, {late} late: {refused:?}", refused.len());
+    expect_that!(late, eq(0));
+    let untrue = refused
+        .iter()
+        .filter(|(_, status)| status.is_none_or(|status| ![429, 503].contains(&status.as_u16())));
+    expect_that!(untrue.count(), eq(0));
+    let after = (400..500).map(|number| format!("r-{number}"));
+    let runs = after.flat_map(|attempt| bench.ledger.runs(&attempt));
+    let names = ["e-0", "e-1"];
+    let at_silent = runs
+        .filter(|run| names.contains(&run.endpoint.as_str()))
+        .count();
+    // Half of 100, less what chance may take.
+    expect_that!(at_silent, ge(35));
+}
