--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -19,6 +19,7 @@
     mod requests;
     mod setup;
     mod silence;
+    mod silence_play;
     mod stop;
     mod store;
     mod tunnel;
