--- a/crates/core/src/routing/ablation.rs
+++ b/crates/core/src/routing/ablation.rs
@@ -31,7 +31,7 @@
     Relays,
     /// Retries are limited by a budget.
     Budget,
-    /// Stuck attempts are abandoned for another endpoint.
+    /// Requests are hedged while their endpoint is silent.
     Stuck,
     /// Requests to engines carry their priority.
     Urgency,
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -16,10 +16,10 @@
 const MAX_UNRUN: u32 = 2;
 /// Minimum time left for a retry to be useful: about a round trip and a short run.
 const MIN_TIME_LEFT: Millis = Millis(40);
-/// Multiple of the target after which an attempt that may be retried counts as stuck. Response
+/// Multiple of the target after which a request that may be retried is hedged. Response
 /// times of healthy but busy endpoints stay below it under the highest load measured.
 const STUCK_FACTOR: f64 = 2.0;
-/// Shortest time after which an attempt counts as stuck.
+/// Shortest time after which a request is hedged.
 const MIN_STUCK_TIME: Millis = Millis(600);
 
 /// Why a request is answered without a response of an endpoint.
@@ -262,8 +262,8 @@
         Some(self.in_flight.swap_remove(index))
     }
 
-    /// Why no other endpoint is sought while one is silent, as far as the request tells.
-    pub fn seek_obstacle(&self, now: Millis) -> Option<Obstacle> {
+    /// Why the request isn't hedged while an endpoint is silent, as far as it tells.
+    pub fn hedge_obstacle(&self, now: Millis) -> Option<Obstacle> {
         let has_time = self.deadline.since(now) >= MIN_TIME_LEFT;
         match (self.retry.is_idempotent(), self.has_attempt(), has_time) {
             (false, _, _) => Some(Obstacle::NotIdempotent),
@@ -273,8 +273,8 @@
         }
     }
 
-    /// Time after which another endpoint is sought if the response to an attempt that starts now
-    /// hasn't begun.
+    /// Time after which the request is hedged if the response to an attempt that starts now hasn't
+    /// begun.
     pub fn attempt_timeout(&self, now: Millis) -> Millis {
         let left = self.deadline.since(now);
         if !self.may_run_again() || !is_on(Mechanism::Stuck) {
--- a/crates/core/src/routing/silence.rs
+++ b/crates/core/src/routing/silence.rs
@@ -1,9 +1,9 @@
 //! Silence of endpoints, and what it is a reason for.
 //!
 //! An endpoint that gives no sign of life may have paused, or hang for good; only time tells them
-//! apart. So a request that waits for a silent endpoint isn't taken from it: another endpoint is
-//! sought, and the first one is let go when the other has begun to answer. What many endpoints do at
-//! once isn't a failure of each of them, so that no other is sought at first. An endpoint that
+//! apart. So a request that waits for a silent endpoint isn't taken from it: it is hedged, and the first
+//! attempt is dropped when the second one is answered. What many endpoints do at once isn't a failure
+//! of each of them, so that requests aren't hedged at first. An endpoint that
 //! requests have left is avoided until it gives a sign, and only counts as failing if it gives none
 //! to a request that tries it later.
 
--- a/crates/core/tests/routing/plan.rs
+++ b/crates/core/tests/routing/plan.rs
@@ -141,8 +141,9 @@
             let open: Vec<InstanceId> = open
                 .filter(|id| !plan.has_tried(id) && !in_flight.contains(id))
                 .collect();
-            let may_seek = in_flight.len() == 1 && plan.seek_obstacle(Millis(0)).is_none();
-            if (may_start && in_flight.is_empty() || may_seek && rng.random()) && !open.is_empty() {
+            let may_hedge = in_flight.len() == 1 && plan.hedge_obstacle(Millis(0)).is_none();
+            if (may_start && in_flight.is_empty() || may_hedge && rng.random()) && !open.is_empty()
+            {
                 let next = open[rng.random_range(0..open.len())].clone();
                 plan.begin(&next);
                 in_flight.push(next);
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -6,7 +6,7 @@
 mod dispatch;
 mod failed_attempt;
 mod handler;
-mod race;
+mod hedge;
 mod relay;
 mod request;
 mod server;
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -16,8 +16,8 @@
 use medlarrill_platform::headers;
 
 use super::body::FullBody;
-use super::failed_attempt::{FailedAttempt, record_failure, record_lost_race};
-use super::race::Race;
+use super::failed_attempt::{FailedAttempt, record_failure, record_lost_hedge};
+use super::hedge::HedgedRequest;
 use super::request::RoutedRequest;
 use super::trace::Trace;
 use crate::endpoints::{LeasedConnection, PathTaken, Sent, Taken};
@@ -77,23 +77,23 @@
 pub type Result<T> = std::result::Result<T, FailedAttempt>;
 
 /// Sends a request until an endpoint answers, or no further attempt is possible. While an endpoint is
-/// silent, another one is sought; who answers first is kept.
+/// silent, the request is hedged; who answers first is kept.
 pub async fn dispatch(
     routed: &RoutedRequest,
     plan: &mut RetryPlan,
     last_event: Option<u64>,
     trace: &mut Trace,
 ) -> Dispatched {
-    let mut race = Race::new(routed, last_event);
+    let mut hedged = HedgedRequest::new(routed, last_event);
     let mut failed_answer = None;
     let refusal = loop {
-        if race.is_empty()
-            && let Err(error) = race.start(plan, trace)
+        if hedged.is_empty()
+            && let Err(error) = hedged.start(plan, trace)
         {
             break not_chosen(&error, plan, trace);
         }
-        let Some((done, result)) = race.next().await else {
-            race.seek(plan, trace);
+        let Some((done, result)) = hedged.next().await else {
+            hedged.hedge(plan, trace);
             continue;
         };
         trace.return_to(&done.id);
@@ -101,15 +101,15 @@
         let failed = match result {
             Ok(dispatched) => {
                 record_success(routed, &done.id, &dispatched, trace);
-                race.leave_others(&done, plan, trace);
+                hedged.drop_others(&done, plan, trace);
                 return dispatched;
             }
             Err(failed) => failed,
         };
-        race.retract_prefix(&done.id, &failed);
-        if !race.is_empty() {
+        hedged.retract_prefix(&done.id, &failed);
+        if !hedged.is_empty() {
             plan.record_end(&done.id, failed.fault);
-            record_lost_race(routed, plan, &done, &failed, trace);
+            record_lost_hedge(routed, plan, &done, &failed, trace);
             continue;
         }
         let next = record_failure(routed, plan, &done, &failed, trace).await;
@@ -133,10 +133,10 @@
     last_event: Option<u64>,
     trace: &mut Trace,
 ) -> Option<Box<OpenStream>> {
-    let mut race = Race::new(routed, last_event);
-    race.start(plan, trace).ok()?;
-    race.look_at = None;
-    let (done, result) = race.next().await?;
+    let mut hedged = HedgedRequest::new(routed, last_event);
+    hedged.start(plan, trace).ok()?;
+    hedged.hedge_at = None;
+    let (done, result) = hedged.next().await?;
     trace.log_tunnel(done.path_taken.as_ref());
     match result {
         Ok(dispatched) => {
@@ -147,9 +147,9 @@
             }
         }
         Err(failed) => {
-            race.retract_prefix(&done.id, &failed);
+            hedged.retract_prefix(&done.id, &failed);
             plan.record_end(&done.id, failed.fault);
-            record_lost_race(routed, plan, &done, &failed, trace);
+            record_lost_hedge(routed, plan, &done, &failed, trace);
             None
         }
     }
--- a/crates/router/src/entry/failed_attempt.rs
+++ b/crates/router/src/entry/failed_attempt.rs
@@ -10,7 +10,7 @@
 
 use super::body::FailedBody;
 use super::dispatch::FullAnswer;
-use super::race::Done;
+use super::hedge::Done;
 use super::request::{Decision, Failed, RoutedRequest};
 use super::trace::Trace;
 use crate::endpoints::SendError;
@@ -97,7 +97,7 @@
 }
 
 /// Records and logs a failed attempt beside which another one goes on.
-pub fn record_lost_race(
+pub fn record_lost_hedge(
     routed: &RoutedRequest,
     plan: &RetryPlan,
     done: &Done,
--- a/crates/router/src/entry/race.rs
+++ b/crates/router/src/entry/hedge.rs
@@ -1,4 +1,5 @@
-//! Attempts of one request that are in flight: one, or a second one while the first is silent.
+//! Hedged requests: a second attempt is sent while the first one is silent, and who answers first is
+//! kept.
 
 use std::pin::Pin;
 
@@ -18,8 +19,8 @@
 use super::trace::Trace;
 use crate::endpoints::PathTaken;
 
-/// Interval between two looks at a silent endpoint.
-pub const LOOK_INTERVAL: Millis = Millis(250);
+/// Interval between two tries to hedge a request whose endpoint is silent.
+pub const HEDGE_INTERVAL: Millis = Millis(250);
 /// Attempts in flight at a time.
 const MAX_ATTEMPTS: usize = 2;
 
@@ -36,9 +37,9 @@
 
 type Running<'a> = Pin<Box<dyn Future<Output = (Done, Result<Dispatched>)> + Send + 'a>>;
 
-/// Attempts of one request that are in flight.
+/// A request with the attempts that are in flight.
 #[derive(Debug)]
-pub struct Race<'a> {
+pub struct HedgedRequest<'a> {
     routed: &'a RoutedRequest,
     shared_prefix: Option<SharedPrefix>,
     last_event: Option<u64>,
@@ -46,11 +47,11 @@
     running: FuturesUnordered<Running<'a>>,
     /// Their endpoints and when they were sent, in this order.
     sent: Vec<(InstanceId, Millis)>,
-    /// When to look next whether another endpoint is sought.
-    pub look_at: Option<Millis>,
+    /// When to hedge it next.
+    pub hedge_at: Option<Millis>,
 }
 
-impl<'a> Race<'a> {
+impl<'a> HedgedRequest<'a> {
     /// No attempt yet; streams go on after `last_event`.
     pub fn new(routed: &'a RoutedRequest, last_event: Option<u64>) -> Self {
         Self {
@@ -59,7 +60,7 @@
             last_event,
             running: FuturesUnordered::new(),
             sent: Vec::new(),
-            look_at: None,
+            hedge_at: None,
         }
     }
 
@@ -80,7 +81,7 @@
         let left = plan.deadline().since(sent);
         trace.log_attempt(&choice, prefix, left);
         let patience = plan.attempt_timeout(sent);
-        self.look_at = (patience < left).then_some(sent + patience);
+        self.hedge_at = (patience < left).then_some(sent + patience);
         let id = choice.endpoint.id.clone();
         plan.begin(&id);
         let request = routed.to_endpoint(&choice, left, self.last_event);
@@ -98,9 +99,9 @@
         Ok(())
     }
 
-    /// Waits for the next attempt that is done; none if it is time to look for another endpoint.
+    /// Waits for the next attempt that is done; none if it is time to hedge.
     pub async fn next(&mut self) -> Option<(Done, Result<Dispatched>)> {
-        let done = match self.look_at {
+        let done = match self.hedge_at {
             None => self.running.next().await,
             Some(at) => {
                 let wait = at.since(now()).as_duration();
@@ -114,9 +115,9 @@
         done
     }
 
-    /// Sends the request to another endpoint, too, unless something is against it.
-    pub fn seek(&mut self, plan: &mut RetryPlan, trace: &mut Trace) {
-        self.look_at = Some(now() + LOOK_INTERVAL);
+    /// Sends the request to a second endpoint, unless something is against it.
+    pub fn hedge(&mut self, plan: &mut RetryPlan, trace: &mut Trace) {
+        self.hedge_at = Some(now() + HEDGE_INTERVAL);
         if self.sent.len() >= MAX_ATTEMPTS {
             return;
         }
@@ -124,23 +125,23 @@
             return;
         };
         let silence = self.routed.shared.placement.silence(id, now());
-        let obstacle = self.routed.seek(plan, id, silence);
-        trace.log_seek(id, silence, obstacle);
+        let obstacle = self.routed.try_hedge(plan, id, silence);
+        trace.log_hedge(id, silence, obstacle);
         match obstacle {
             None => {
                 let id = id.clone();
                 if self.start(plan, trace).is_err() {
-                    trace.log_seek(&id, silence, Some(Obstacle::NoEndpoint));
+                    trace.log_hedge(&id, silence, Some(Obstacle::NoEndpoint));
                 }
-                self.look_at = Some(now() + LOOK_INTERVAL);
+                self.hedge_at = Some(now() + HEDGE_INTERVAL);
             }
-            Some(Obstacle::NotIdempotent | Obstacle::Attempts) => self.look_at = None,
+            Some(Obstacle::NotIdempotent | Obstacle::Attempts) => self.hedge_at = None,
             Some(_) => {}
         }
     }
 
-    /// Lets go the other attempts. Those that were sent before the one that is answered were silent.
-    pub fn leave_others(&mut self, done: &Done, plan: &mut RetryPlan, trace: &Trace) {
+    /// Drops the other attempts. Those that were sent before the one that is answered were silent.
+    pub fn drop_others(&mut self, done: &Done, plan: &mut RetryPlan, trace: &Trace) {
         let placement = &self.routed.shared.placement;
         for (id, sent) in std::mem::take(&mut self.sent) {
             plan.abandon(&id);
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -22,7 +22,7 @@
 
 use super::answer::{Answer, BrokenStream, full_answer};
 use super::dispatch::{Dispatched, OpenStream, dispatch, resume_once};
-use super::race::LOOK_INTERVAL;
+use super::hedge::HEDGE_INTERVAL;
 use super::request::{Failed, RoutedRequest};
 use super::trace::Trace;
 use crate::endpoints::LeasedConnection;
@@ -30,8 +30,7 @@
 
 /// Time beyond the deadline in which the end of a stream may still arrive.
 const DEADLINE_GRACE: Millis = Millis(80);
-/// Another endpoint is sought for a stream from this multiple of the route's target gap without an
-/// event on.
+/// A stream is hedged after this multiple of the route's target gap without an event.
 const SILENT_GAPS: u64 = 2;
 
 /// Time between two recorded signs of life of an endpoint.
@@ -68,8 +67,8 @@
 /// The next frame of a body, none at its end.
 type NextFrame = Option<hyper::Result<Frame<Bytes>>>;
 
-/// What came first while another endpoint was sought.
-enum Raced {
+/// What came first after a stream was hedged.
+enum Hedged {
     /// The stream went on, or ended.
     Frame(NextFrame),
     /// The other endpoint began to answer; with a cause if the stream broke off before.
@@ -206,14 +205,14 @@
             if left == Millis::ZERO {
                 return Piece::End(BodyEnd::Stalled, Some("no event until the deadline".into()));
             }
-            wait = LOOK_INTERVAL.min(left);
-            if !self.seeks() {
+            wait = HEDGE_INTERVAL.min(left);
+            if !self.may_hedge() {
                 continue;
             }
-            match self.race().await {
-                Raced::Frame(frame) => return self.read(frame),
-                Raced::Successor(stream, broken) => self.hand_over(*stream, broken),
-                Raced::NoSuccessor => {}
+            match self.hedge().await {
+                Hedged::Frame(frame) => return self.read(frame),
+                Hedged::Successor(stream, broken) => self.switch_to(*stream, broken),
+                Hedged::NoSuccessor => {}
             }
         }
     }
@@ -262,7 +261,7 @@
         (self.plan.deadline() + DEADLINE_GRACE).since(now())
     }
 
-    /// Time without an event after which another endpoint is sought.
+    /// Time without an event after which the stream is hedged.
     fn patience(&self) -> Millis {
         let patience = Millis(self.routed.route.gap.0 * SILENT_GAPS);
         match self.may_resume() && patience > Millis::ZERO && is_on(Mechanism::Stuck) {
@@ -271,8 +270,8 @@
         }
     }
 
-    /// Whether another endpoint is to be sought for a stream whose source is silent.
-    fn seeks(&mut self) -> bool {
+    /// Whether a stream whose source is silent is hedged now.
+    fn may_hedge(&mut self) -> bool {
         let Some(source) = &self.source else {
             return false;
         };
@@ -281,18 +280,18 @@
         }
         let id = &source.endpoint;
         let silence = self.routed.shared.placement.silence(id, now());
-        let obstacle = self.routed.seek(&self.plan, id, silence);
-        self.trace.log_seek(id, silence, obstacle);
+        let obstacle = self.routed.try_hedge(&self.plan, id, silence);
+        self.trace.log_hedge(id, silence, obstacle);
         obstacle.is_none()
     }
 
     /// Sends the stream to another endpoint while its source is still read.
-    async fn race(&mut self) -> Raced {
+    async fn hedge(&mut self) -> Hedged {
         let Some(source) = &mut self.source else {
-            return Raced::NoSuccessor;
+            return Hedged::NoSuccessor;
         };
         let last = self.splitter.last_id();
-        let raced = {
+        let hedged = {
             let resuming = resume_once(&self.routed, &mut self.plan, last, &mut self.trace);
             let mut resuming = pin!(resuming);
             tokio::select! {
@@ -300,26 +299,26 @@
                 frame = source.body.frame() => match frame {
                     // The other endpoint goes on where a source broke off.
                     Some(Err(error)) => match resuming.await {
-                        Some(stream) => Raced::Successor(stream, Some(error.to_string())),
-                        None => Raced::Frame(Some(Err(error))),
+                        Some(stream) => Hedged::Successor(stream, Some(error.to_string())),
+                        None => Hedged::Frame(Some(Err(error))),
                     },
-                    frame => Raced::Frame(frame),
+                    frame => Hedged::Frame(frame),
                 },
                 successor = &mut resuming => match successor {
-                    Some(stream) => Raced::Successor(stream, None),
-                    None => Raced::NoSuccessor,
+                    Some(stream) => Hedged::Successor(stream, None),
+                    None => Hedged::NoSuccessor,
                 },
             }
         };
-        if !matches!(raced, Raced::Successor(..)) {
+        if !matches!(hedged, Hedged::Successor(..)) {
             self.plan.abandon_others(&source.endpoint);
             self.trace.return_to(&source.endpoint);
         }
-        raced
+        hedged
     }
 
-    /// Goes on with another endpoint's stream; the source before is let go, or has `broken` off.
-    fn hand_over(&mut self, stream: OpenStream, broken: Option<String>) {
+    /// Goes on with another endpoint's stream; the source before is dropped, or has `broken` off.
+    fn switch_to(&mut self, stream: OpenStream, broken: Option<String>) {
         let Some(source) = self.source.take() else {
             return;
         };
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -132,16 +132,16 @@
         }
     }
 
-    /// Why no other endpoint is sought while one is silent; if there is no reason, a retry is taken
+    /// Why the request isn't hedged while an endpoint is silent; if there is no reason, a retry is taken
     /// from the budget.
-    pub fn seek(
+    pub fn try_hedge(
         &self,
         plan: &RetryPlan,
         id: &InstanceId,
         silence: Option<SeenSilence>,
     ) -> Option<Obstacle> {
         let (placement, now) = (&self.shared.placement, now());
-        if let Some(obstacle) = plan.seek_obstacle(now) {
+        if let Some(obstacle) = plan.hedge_obstacle(now) {
             return Some(obstacle);
         }
         if silence.is_some_and(|silence| silence.is_common()) {
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -50,8 +50,8 @@
     ended: Option<EndedBody>,
     /// The silence of the last attempt's endpoint when the attempt failed.
     silence: Option<SeenSilence>,
-    /// Why no other endpoint was sought when that was last looked at.
-    not_sought: Option<Obstacle>,
+    /// Why the request wasn't hedged when that was last tried.
+    not_hedged: Option<Obstacle>,
     outcome: Option<&'static str>,
     status: u16,
 }
@@ -76,7 +76,7 @@
             bytes: 0,
             ended: None,
             silence: None,
-            not_sought: None,
+            not_hedged: None,
             outcome: None,
             status: 0,
         }
@@ -198,25 +198,25 @@
         self.endpoint = Some(endpoint.clone());
     }
 
-    /// Logs that another endpoint is sought since one is silent, or why not if that reason is new.
-    pub fn log_seek(
+    /// Logs that a request is hedged since its endpoint is silent, or why not if that reason is new.
+    pub fn log_hedge(
         &mut self,
         endpoint: &InstanceId,
         silence: Option<SeenSilence>,
         obstacle: Option<Obstacle>,
     ) {
-        if obstacle.is_some() && self.not_sought == obstacle {
+        if obstacle.is_some() && self.not_hedged == obstacle {
             return;
         }
-        self.not_sought = obstacle;
-        let code = obstacle.map_or("sought", Obstacle::code);
-        Metrics::count(&self.shared.metrics.seeks, code);
+        self.not_hedged = obstacle;
+        let code = obstacle.map_or("sent", Obstacle::code);
+        Metrics::count(&self.shared.metrics.hedges, code);
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts, endpoint:%,
             endpoint_silence = silence.map(|seen| seen.lasted.0), others_silent = silence.map(|seen| seen.others.silent),
-            others_heard = silence.map(|seen| seen.others.heard), why_not = obstacle.map(Obstacle::code),
+            others_heard = silence.map(|seen| seen.others.heard), hedged = obstacle.is_none(), why_not = obstacle.map(Obstacle::code),
             passed = now().since(self.arrived).0;
-            "entry: silent, another endpoint sought"
+            "entry: endpoint silent"
         );
     }
 
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -62,8 +62,8 @@
     pub retries: Family<ReasonLabel, Counter>,
     /// Failed attempts that weren't followed by another one, by the reason.
     pub obstacles: Family<ReasonLabel, Counter>,
-    /// Requests whose endpoint was silent, by whether another one was sought, or why not.
-    pub seeks: Family<ReasonLabel, Counter>,
+    /// Requests whose endpoint was silent, by whether they were hedged, or why not.
+    pub hedges: Family<ReasonLabel, Counter>,
     /// Streams that were resumed at another endpoint.
     pub resumed: Counter,
     /// Streams that callers took up, by who knew where they began, or why they were refused.
@@ -138,7 +138,7 @@
             faults: Family::default(),
             retries: Family::default(),
             obstacles: Family::default(),
-            seeks: Family::default(),
+            hedges: Family::default(),
             resumed: Counter::default(),
             take_ups: Family::default(),
             streams: Gauge::default(),
@@ -187,7 +187,11 @@
         r.register("retries", "Attempts after the first", self.retries.clone());
         let obstacles = self.obstacles.clone();
         r.register("not_retried", "Failed attempts without another", obstacles);
-        r.register("seeks", "Endpoints sought in a silence", self.seeks.clone());
+        r.register(
+            "hedges",
+            "Requests hedged in a silence",
+            self.hedges.clone(),
+        );
         r.register("resumed", "Streams resumed", self.resumed.clone());
         let take_ups = self.take_ups.clone();
         r.register("take_ups", "Streams that callers took up", take_ups);
