--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -208,6 +208,8 @@
     pub builds: bool,
     /// Time between events and for plain answers, if it isn't the usual one.
     pub pace: Option<Duration>,
+    /// Retries of the fleet in ten seconds beyond a fifth of its requests.
+    pub slack: u32,
     /// Whether versions of the configuration change limits and target gaps, too.
     pub has_limits: bool,
 }
@@ -226,6 +228,7 @@
             forms: Vec::new(),
             builds: false,
             pace: None,
+            slack: 1000,
             has_limits: false,
         };
         plan.forms = vec![Form::DEFAULT; plan.endpoints];
--- a/crates/lab/src/soak/plan/silences.rs
+++ b/crates/lab/src/soak/plan/silences.rs
@@ -10,6 +10,8 @@
 
 /// Time between events of streams, and for plain answers: silences fall within most of them.
 const PACE: Duration = Duration::from_millis(60);
+/// Budgets of retries: what was cut for want of one is only seen where there is little.
+const SLACKS: [u32; 3] = [0, 8, 1000];
 
 impl Plan {
     /// Draws a plan in which endpoints, daemons and the platform stand still, one, some or all of a
@@ -18,6 +20,7 @@
         let mut plan = Self {
             events: Vec::new(),
             pace: Some(PACE),
+            slack: SLACKS[rng.random_range(0..SLACKS.len())],
             has_limits: true,
             ..Self::new(rng, Duration::ZERO)
         };
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -156,6 +156,8 @@
     hushed: Vec<usize>,
     /// See [`Plan::pace`].
     pace: Option<Duration>,
+    /// See [`Plan::slack`].
+    slack: u32,
     /// See [`Plan::has_limits`].
     pub has_limits: bool,
     /// Until when endpoints have to be spared.
@@ -219,6 +221,7 @@
             places: plan.places,
             hushed: vec![0; plan.endpoints],
             pace: plan.pace,
+            slack: plan.slack,
             has_limits: plan.has_limits,
             warming: vec![None; plan.endpoints],
             balancer: tokio::spawn(async {}),
@@ -282,6 +285,7 @@
         let any = IpAddr::V4(Ipv4Addr::new(127, 10 + high % 200, low, 101 + number as u8));
         let [callers, ready, metrics] = [any; 3].map(|ip| SocketAddr::new(ip, 0));
         setup.listen = [callers, ready, metrics, SocketAddr::new(ip, port)];
+        setup.slack = self.slack;
         setup.seeds = self.daemons.iter().map(peers).take(2).collect();
         let routed = Routed::start(self.program(number), self.folder.path(), &setup)?;
         setup.listen = routed.listen;
--- a/crates/testkit/src/routed.rs
+++ b/crates/testkit/src/routed.rs
@@ -56,6 +56,8 @@
     pub first_start: bool,
     /// File descriptors that it may have.
     pub files: usize,
+    /// Retries of the fleet in ten seconds beyond a fifth of its requests.
+    pub slack: u32,
 }
 
 impl Setup {
@@ -69,6 +71,7 @@
             grace: 8,
             first_start: false,
             files: 4096,
+            slack: 1000,
         }
     }
 
@@ -84,7 +87,7 @@
             "listen": { "callers": callers, "ready": ready, "metrics": metrics, "peers": peers },
             "seeds": self.seeds, "platform": self.platform, "grace": format!("{}s", self.grace),
             "first-start": self.first_start, "files": self.files,
-            "repeats": { "ratio": 0.2, "window": "10s", "slack": 1000 },
+            "repeats": { "ratio": 0.2, "window": "10s", "slack": self.slack },
         });
         format!("// Settings of a test.\n{settings}\n")
     }
