Gone instances are forgotten at the review, and blame is recomputed only if evidence was withdrawn

Each instance that left the list had all remembered ones looked through, which is quadratic when a pool of thousands leaves at once; each that came back had blame recomputed, also where nothing was held against it. Both by reading, not measured. No decision changes, but that an instance may be remembered until the next review after its minute.

--- a/crates/core/src/routing/quarantine.rs
+++ b/crates/core/src/routing/quarantine.rs
@@ -219,11 +219,12 @@
     /// before: it crashed with nothing. What ends by that shows at the next [`Self::expire`].
     pub fn record_survivor(&mut self, endpoint: u32, now: Millis) {
         self.survivors.record(endpoint, now + CLOCK_OFFSET);
-        let is_lost = |loss: &Record| loss.finding.endpoint() == Some(endpoint);
-        for suspect in self.suspects.values_mut() {
-            suspect.lost.retain(|loss| !is_lost(loss));
+        let is_refuted = |loss: &mut Record| loss.finding.endpoint() == Some(endpoint);
+        let suspects = self.suspects.values_mut();
+        let refuted = suspects.map(|suspect| suspect.lost.extract_if(.., is_refuted).count());
+        if refuted.sum::<usize>() > 0 {
+            self.assess();
         }
-        self.assess();
     }
 
     /// Inserts a record; returns whether it is new.
--- a/crates/core/src/routing/view/health.rs
+++ b/crates/core/src/routing/view/health.rs
@@ -30,6 +30,7 @@
         self.health.prune(now);
         self.directory.builds_mut().review(now);
         self.prune_doubts(now);
+        self.prune_gone(now);
         self.silent.prune(now);
         let failed = self.health.recorded().chain(&self.avoided);
         let failed: BTreeSet<&InstanceId> = failed.collect();
--- a/crates/core/src/routing/view/quarantine.rs
+++ b/crates/core/src/routing/view/quarantine.rs
@@ -97,8 +97,6 @@
     pub fn record_gone(&mut self, id: &InstanceId, now: Millis) -> Vec<Change> {
         let endpoint = exchange::short_id(id);
         let lost = self.runs.take_lost(id, now);
-        self.gone
-            .retain(|_, left_at| now.since(*left_at) < GONE_MEMORY);
         self.gone.insert(id.clone(), now);
         let record = |SilentLoss { causes, began, at }: SilentLoss| {
             self.quarantine
@@ -107,6 +105,11 @@
         lost.into_iter().flat_map(record).collect()
     }
 
+    pub(super) fn prune_gone(&mut self, now: Millis) {
+        self.gone
+            .retain(|_, left_at| now.since(*left_at) < GONE_MEMORY);
+    }
+
     /// Whether an endpoint was lost with something that is in a request, too.
     pub fn is_suspect(&self, plan: &RetryPlan, id: &InstanceId) -> bool {
         let causes = self.causes(plan, id);
