Hedged requests: one rule for what is common, one way to record what was left

- Whether silence is common was decided by two formulas, one for silent endpoints and one for avoided ones.
- Attempts without an answer were recorded by two copies of the same check.
- A stream's fault was built twice, and the grace beyond the deadline stood twice.
- `hedge_at` was public and overwritten after each attempt, since sending one and planning its hedge were one step; they are two now.
- A left endpoint's states by early returns; tests begin streams in one place.

--- a/crates/core/src/routing/silence.rs
+++ b/crates/core/src/routing/silence.rs
@@ -55,11 +55,15 @@
     /// Whether the silence has a cause that several endpoints share, and may pass.
     pub fn is_common(&self) -> bool {
         let Silences { silent, heard } = self.others;
-        let share = (silent + 1) as f64 / (silent + heard + 1) as f64;
-        self.is_silent() && !self.hangs() && silent > 0 && share >= COMMON_SHARE
+        self.is_silent() && !self.hangs() && is_common(silent + 1, silent + heard + 1)
     }
 }
 
+/// Whether so many of some endpoints are silent that this has a common cause.
+pub fn is_common(silent: usize, endpoints: usize) -> bool {
+    silent > 1 && silent as f64 >= COMMON_SHARE * endpoints as f64
+}
+
 /// What follows from a request that left a silent endpoint.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug)]
@@ -106,23 +110,19 @@
             pause: FIRST_PAUSE,
         });
         let was_avoided = entry.is_avoided();
-        let is_trial = was_avoided && sent >= entry.last_left;
+        if was_avoided && sent < entry.last_left {
+            return Left::Noted;
+        }
         entry.left += 1;
-        match (was_avoided, is_trial) {
-            (true, true) => {
-                entry.last_left = now;
-                entry.pause = Millis(entry.pause.0 * 2).min(MAX_PAUSE);
-                Left::TrialFailed
-            }
-            (true, false) => Left::Noted,
-            (false, _) => {
-                entry.last_left = now;
-                entry.last_trial = now;
-                match entry.is_avoided() {
-                    true => Left::Avoided,
-                    false => Left::Noted,
-                }
-            }
+        entry.last_left = now;
+        if was_avoided {
+            entry.pause = Millis(entry.pause.0 * 2).min(MAX_PAUSE);
+            return Left::TrialFailed;
+        }
+        entry.last_trial = now;
+        match entry.is_avoided() {
+            true => Left::Avoided,
+            false => Left::Noted,
         }
     }
 
@@ -151,11 +151,6 @@
         avoided.map(|(id, _)| id)
     }
 
-    /// Whether so many of a pool's endpoints are avoided that none should be.
-    pub fn is_common(avoided: usize, endpoints: usize) -> bool {
-        avoided > 1 && avoided as f64 >= COMMON_SHARE * endpoints as f64
-    }
-
     /// Forgets an endpoint.
     pub fn forget(&mut self, id: &InstanceId) {
         self.entries.remove(id);
--- a/crates/core/src/routing/view/silence.rs
+++ b/crates/core/src/routing/view/silence.rs
@@ -7,7 +7,7 @@
 use crate::routing::endpoint::InstanceId;
 use crate::routing::health::HealthStatus;
 use crate::routing::runs::Silences;
-use crate::routing::silence::{Left, MIN_SILENCE, SeenSilence, SilentEndpoints};
+use crate::routing::silence::{Left, MIN_SILENCE, SeenSilence, SilentEndpoints, is_common};
 
 impl View {
     /// Time since an endpoint gave a sign of life, if it has requests of this daemon.
@@ -67,7 +67,7 @@
             avoided += usize::from(endpoint.is_some_and(|e| e.pool == *pool && !e.leaving));
         }
         let listed = self.directory.get_pool(pool);
-        SilentEndpoints::is_common(avoided, listed.map_or(0, |pool| pool.staying()))
+        is_common(avoided, listed.map_or(0, |pool| pool.staying()))
     }
 }
 
--- a/crates/daemon/tests/route/hushed_ways.rs
+++ b/crates/daemon/tests/route/hushed_ways.rs
@@ -1,6 +1,7 @@
 //! Silences on the ways between daemons and endpoints: behind helpers, on kept connections, and with
 //! callers that leave meanwhile.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -10,27 +11,28 @@
 
 use super::cut::{Cut, Site};
 use super::setup::{Bench, stream_body};
+use super::silence_play::PACED;
 
 const STREAMS: usize = 12;
-const PACED: Behaviour = Behaviour {
-    events: 20,
-    pace: Duration::from_millis(60),
-    ..Behaviour::DEFAULT
-};
 
-/// Sends streams to a daemon that reaches endpoints through two others only.
-async fn tunnelled() -> (Site, Vec<JoinHandle<Reply>>) {
-    let site = Site::start(4, 1, 3).await;
-    site.bench.behave(PACED);
-    site.cut(0, Cut::Reset);
-    site.first_tries(0, "before", 8).await;
-    let address = site.bench.daemons[0].callers();
+/// Begins streams at a daemon.
+async fn begin(address: SocketAddr) -> Vec<JoinHandle<Reply>> {
     let streams = (0..STREAMS).map(|number| {
         let call = Call::new(format!("s-{number}"), "/stream/x").with_wait(3900);
         tokio::spawn(async move { Caller::new(address).send(&call).await })
     });
     let streams = streams.collect();
     Bench::pause(400).await;
+    streams
+}
+
+/// Sends streams to a daemon that reaches endpoints through two others only.
+async fn tunnelled() -> (Site, Vec<JoinHandle<Reply>>) {
+    let site = Site::start(4, 1, 3).await;
+    site.bench.behave(PACED);
+    site.cut(0, Cut::Reset);
+    site.first_tries(0, "before", 8).await;
+    let streams = begin(site.bench.daemons[0].callers()).await;
     (site, streams)
 }
 
@@ -77,13 +79,7 @@
 async fn streams_cut_while_their_own_daemon_stands_still() {
     let bench = Bench::start(4).await;
     bench.behave(PACED);
-    let address = bench.daemons[0].callers();
-    let streams = (0..STREAMS).map(|number| {
-        let call = Call::new(format!("s-{number}"), "/stream/x").with_wait(3900);
-        tokio::spawn(async move { Caller::new(address).send(&call).await })
-    });
-    let streams = streams.collect();
-    Bench::pause(400).await;
+    let streams = begin(bench.daemons[0].callers()).await;
     bench.daemons[0].signal(Signal::SIGSTOP).expect("a signal");
     Bench::pause(1500).await;
     bench.daemons[0].signal(Signal::SIGCONT).expect("a signal");
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -23,8 +23,9 @@
 use crate::endpoints::{LeasedConnection, PathTaken, Sent, Taken};
 use crate::placement::InFlight;
 
-/// Time beyond the deadline in which an endpoint's own timeout response may still arrive.
-const DEADLINE_GRACE: Millis = Millis(80);
+/// Time beyond the deadline in which the end of a stream, or an endpoint's own timeout response, may
+/// still arrive.
+pub const DEADLINE_GRACE: Millis = Millis(80);
 
 /// Result of dispatching a request.
 #[derive(Debug)]
@@ -134,8 +135,7 @@
     trace: &mut Trace,
 ) -> Option<Box<OpenStream>> {
     let mut hedged = HedgedRequest::new(routed, last_event);
-    hedged.start(plan, trace).ok()?;
-    hedged.hedge_at = None;
+    hedged.send(plan, trace).ok()?;
     let (done, result) = hedged.next().await?;
     trace.log_tunnel(done.path_taken.as_ref());
     match result {
--- a/crates/router/src/entry/hedge.rs
+++ b/crates/router/src/entry/hedge.rs
@@ -48,7 +48,7 @@
     /// Their endpoints and when they were sent, in this order.
     sent: Vec<(InstanceId, Millis)>,
     /// When to hedge it next.
-    pub hedge_at: Option<Millis>,
+    hedge_at: Option<Millis>,
 }
 
 impl<'a> HedgedRequest<'a> {
@@ -69,19 +69,31 @@
         self.sent.is_empty()
     }
 
-    /// Sends the request to an endpoint.
+    /// Sends the request to an endpoint, to be hedged if that is silent.
     ///
     /// # Errors
     ///
     /// When no endpoint is chosen.
     pub fn start(&mut self, plan: &mut RetryPlan, trace: &mut Trace) -> view::Result<()> {
+        let sent = now();
+        let patience = plan.attempt_timeout(sent);
+        self.send(plan, trace)?;
+        let is_short = patience < plan.deadline().since(sent);
+        self.hedge_at = is_short.then_some(sent + patience);
+        Ok(())
+    }
+
+    /// Sends the request to an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// When no endpoint is chosen.
+    pub fn send(&mut self, plan: &mut RetryPlan, trace: &mut Trace) -> view::Result<()> {
         let (routed, prefix, sent) = (self.routed, self.shared_prefix.as_ref(), now());
         let placement = &routed.shared.placement;
         let (choice, in_flight) = placement.choose(&routed.pool, prefix, plan, sent)?;
         let left = plan.deadline().since(sent);
         trace.log_attempt(&choice, prefix, left);
-        let patience = plan.attempt_timeout(sent);
-        self.hedge_at = (patience < left).then_some(sent + patience);
         let id = choice.endpoint.id.clone();
         plan.begin(&id);
         let request = routed.to_endpoint(&choice, left, self.last_event);
@@ -130,10 +142,9 @@
         match obstacle {
             None => {
                 let id = id.clone();
-                if self.start(plan, trace).is_err() {
+                if self.send(plan, trace).is_err() {
                     trace.log_hedge(&id, silence, Some(Obstacle::NoEndpoint));
                 }
-                self.hedge_at = Some(now() + HEDGE_INTERVAL);
             }
             Some(Obstacle::NotIdempotent | Obstacle::Attempts) => self.hedge_at = None,
             Some(_) => {}
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -21,15 +21,13 @@
 use tokio::time::error::Elapsed;
 
 use super::answer::{Answer, BrokenStream, full_answer};
-use super::dispatch::{Dispatched, OpenStream, dispatch, resume_once};
+use super::dispatch::{DEADLINE_GRACE, Dispatched, OpenStream, dispatch, resume_once};
 use super::hedge::HEDGE_INTERVAL;
 use super::request::{Failed, RoutedRequest};
 use super::trace::Trace;
 use crate::endpoints::LeasedConnection;
 use crate::placement::InFlight;
 
-/// Time beyond the deadline in which the end of a stream may still arrive.
-const DEADLINE_GRACE: Millis = Millis(80);
 /// A stream is hedged after this multiple of the route's target gap without an event.
 const SILENT_GAPS: u64 = 2;
 
@@ -125,10 +123,15 @@
 }
 
 impl Source {
-    /// A fault that ended it, and the endpoint's silence then.
-    fn failed(&self, fault: Fault, silence: Option<SeenSilence>) -> Failed<'_> {
+    /// A fault that ended it, and the silence of its endpoint `id` then.
+    fn failed<'a>(
+        &self,
+        id: &'a InstanceId,
+        fault: Fault,
+        silence: Option<SeenSilence>,
+    ) -> Failed<'a> {
         Failed {
-            id: &self.endpoint,
+            id,
             fault,
             helper: self.connection.helper(),
             began: Some(self.began),
@@ -326,7 +329,7 @@
         let silence = self.routed.shared.placement.silence(id, now());
         self.trace.log_left(id, silence, broken.as_deref());
         if broken.is_some() {
-            let failed = source.failed(Fault::Cut, silence);
+            let failed = source.failed(id, Fault::Cut, silence);
             self.plan.record_end(id, Fault::Cut);
             self.routed.record_fault(&self.plan, failed, now());
         } else {
@@ -347,21 +350,12 @@
             return false;
         };
         let id = source.endpoint.clone();
-        let helper = source.connection.helper();
-        let began = source.began;
-        let ran = now().since(began);
+        let ran = now().since(source.began);
         let silence = self.routed.shared.placement.silence(&id, now());
         self.trace.record_silence(silence);
+        let failed = source.failed(&id, fault, silence);
         // Ends the request at this endpoint before it runs at another.
         drop(source);
-        let failed = Failed {
-            id: &id,
-            fault,
-            helper,
-            began: Some(began),
-            sent: began,
-            silence,
-        };
         let obstacle = match self.may_resume() && self.splitter.can_resume() {
             true => {
                 let decision = self.routed.record_failure(&mut self.plan, failed).await;
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -154,8 +154,8 @@
         (!is_spent).then_some(Obstacle::Budget)
     }
 
-    /// Records that the request, which was sent at `sent`, left an endpoint for another one; `silence`
-    /// is the endpoint's.
+    /// Records that the request, which was sent at `sent`, left an endpoint that didn't answer it;
+    /// `silence` is the endpoint's.
     pub fn record_left(&self, id: &InstanceId, silence: Option<SeenSilence>, sent: Millis) {
         if !self.shared.connections.paths().is_own_silence(id) {
             let placement = &self.shared.placement;
@@ -236,14 +236,12 @@
         let Failed {
             id, fault, helper, ..
         } = failed;
-        let placement = &self.shared.placement;
-        let paths = self.shared.connections.paths();
         if fault.is_loss() {
             self.record_loss(plan, failed, now);
         } else if fault != Fault::Slow {
-            placement.record_failure(id, fault, now);
-        } else if helper.is_none() && !paths.is_own_silence(id) {
-            placement.record_unanswered(id, failed.silence, failed.sent, now);
+            self.shared.placement.record_failure(id, fault, now);
+        } else if helper.is_none() {
+            self.record_left(id, failed.silence, failed.sent);
         }
         if fault == Fault::NoEvent {
             self.check_endpoint(plan, id, failed.began);
