--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -35,6 +35,7 @@
 pub mod quarantine;
 pub mod reach;
 pub mod request;
+pub mod revision;
 pub mod runs;
 pub mod silence;
 pub mod slow_start;
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -111,9 +111,10 @@
         self.silence = None;
         self.endpoint = Some(choice.endpoint.id.clone());
         let list_age = self.shared.copies.age(Kind::Endpoints, now());
+        let era = self.shared.copies.eras().latest();
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts, version = self.version,
-            endpoint:% = choice.endpoint.id, build = choice.endpoint.build.as_str(), why:% = choice.reason, load = choice.load,
+            era = era.map(|era| era.0), endpoint:% = choice.endpoint.id, build = choice.endpoint.build.as_str(), why:% = choice.reason, load = choice.load,
             load_age = choice.load_age.map(|age| age.0), list_age = list_age.map(|age| age.0),
             bound = choice.bound, trial = choice.probe, left = left.0,
             prefix = shared_prefix.map_or(0, |prefix| prefix.key), tokens = shared_prefix.map_or(0, |prefix| prefix.tokens.0),
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -82,6 +82,8 @@
     pub platform_calls: Counter,
     /// Calls to the platform without a usable response.
     pub failed_calls: Counter,
+    /// Answers of the store that name an older era than an earlier one did.
+    pub old_answers: Counter,
     /// Entries of the store that couldn't be decoded.
     pub unreadable: Counter,
     /// Datagrams to other daemons that couldn't be sent.
@@ -94,6 +96,8 @@
     pub connections: Gauge,
     /// Version of the active configuration.
     pub config_version: Gauge,
+    /// Era of the platform's store; 0 if it names none.
+    pub store_era: Gauge,
     /// Known endpoints.
     pub endpoints: Gauge,
     /// Connections to endpoints that are carried for other daemons.
@@ -148,12 +152,14 @@
             tunnels: Family::default(),
             platform_calls: Counter::default(),
             failed_calls: Counter::default(),
+            old_answers: Counter::default(),
             unreadable: Counter::default(),
             unsent: Counter::default(),
             unread_headers: Counter::default(),
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             config_version: Gauge::default(),
+            store_era: Gauge::default(),
             endpoints: Gauge::default(),
             helping: Gauge::default(),
             cut_off: Gauge::default(),
@@ -168,6 +174,7 @@
             silence_seconds: Histogram::new(LATENCY_BUCKETS),
         };
         metrics.register_counters();
+        metrics.register_platform();
         metrics.register_times();
         metrics.register_gauges();
         metrics
@@ -203,6 +210,18 @@
         );
         let tunnels = self.tunnels.clone();
         r.register("tunnels", "Daemons asked to connect", tunnels);
+        let unsent = self.unsent.clone();
+        r.register("unsent", "Datagrams that can't be sent", unsent);
+        let unread_headers = self.unread_headers.clone();
+        r.register(
+            "unread_headers",
+            "Headers that nothing reads",
+            unread_headers,
+        );
+    }
+
+    fn register_platform(&mut self) {
+        let r = &mut self.registry;
         r.register(
             "calls",
             "Calls to the platform",
@@ -210,16 +229,14 @@
         );
         let failed = self.failed_calls.clone();
         r.register("failed_calls", "Calls to the platform that failed", failed);
-        let unreadable = self.unreadable.clone();
-        r.register("unreadable", "Entries that can't be read", unreadable);
-        let unsent = self.unsent.clone();
-        r.register("unsent", "Datagrams that can't be sent", unsent);
-        let unread_headers = self.unread_headers.clone();
+        let old_answers = self.old_answers.clone();
         r.register(
-            "unread_headers",
-            "Headers that nothing reads",
-            unread_headers,
+            "old_answers",
+            "Answers of an older era of the platform",
+            old_answers,
         );
+        let unreadable = self.unreadable.clone();
+        r.register("unreadable", "Entries that can't be read", unreadable);
     }
 
     fn register_times(&mut self) {
@@ -254,6 +271,8 @@
             "Configuration in force",
             self.config_version.clone(),
         );
+        let store_era = self.store_era.clone();
+        r.register("store_era", "Restorations of the platform", store_era);
         r.register("endpoints", "Endpoints known", self.endpoints.clone());
         r.register("streams", "Streams remembered", self.streams.clone());
         let builds = self.builds.clone();
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -11,6 +11,7 @@
 pub mod counted;
 mod daemons;
 mod direct;
+mod eras;
 mod quarantine;
 pub mod relay;
 mod unreadable;
@@ -23,6 +24,7 @@
 
 pub use self::apply::{ActiveConfig, ChangeApplier};
 pub use self::copies::Copies;
+pub use self::eras::Eras;
 pub use self::unreadable::UnreadableReporter;
 use crate::metrics::Metrics;
 use crate::peers::Roster;
--- a/crates/router/src/store/client.rs
+++ b/crates/router/src/store/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client of the platform's store, with one persistent connection.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use derive_more::{Debug, Display, Error};
@@ -9,8 +10,9 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use medlarrill_core::clock::Millis;
-use medlarrill_platform::store::Call;
+use medlarrill_platform::store::{Call, era};
 
+use super::eras::Eras;
 use crate::socket;
 
 /// Timeout for connecting: the store answers in some milliseconds.
@@ -72,6 +74,8 @@
     address: SocketAddr,
     #[debug(skip)]
     sender: Option<SendRequest<Full<Bytes>>>,
+    /// Where the eras of answers are recorded.
+    eras: Option<Arc<Eras>>,
 }
 
 impl Client {
@@ -80,6 +84,15 @@
         Self {
             address,
             sender: None,
+            eras: None,
+        }
+    }
+
+    /// Records the eras of answers.
+    pub fn with_eras(self, eras: &Arc<Eras>) -> Self {
+        Self {
+            eras: Some(Arc::clone(eras)),
+            ..self
         }
     }
 
@@ -121,6 +134,9 @@
             .map_err(|error| CallError::Http(error.to_string()))?;
         let answer = sender.send_request(request).await.map_err(http)?;
         let status = answer.status();
+        if let Some(eras) = &self.eras {
+            eras.record(era(answer.headers()));
+        }
         let body = Limited::new(answer.into_body(), MAX_BODY).collect().await;
         let body = body.map_err(|error| CallError::Http(error.to_string()))?;
         let result = match status.is_success() {
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Display;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
@@ -11,6 +11,7 @@
 use tokio::sync::{broadcast, watch};
 
 use super::apply::ChangeApplier;
+use super::eras::Eras;
 use super::relay::EncodedUpdate;
 
 /// The kinds of objects that are copied.
@@ -54,6 +55,7 @@
     daemons: Mutex<KindCopy>,
     quarantine: Mutex<KindCopy>,
     applier: ChangeApplier,
+    eras: Arc<Eras>,
     events: broadcast::Sender<ChangeEvent>,
     /// Whether operators drain data centres through the platform.
     has_drains: bool,
@@ -72,6 +74,7 @@
             endpoints: Mutex::default(),
             daemons: Mutex::new(KindCopy::persistent()),
             quarantine: Mutex::new(KindCopy::persistent()),
+            eras: Arc::new(Eras::new(Arc::clone(&applier.metrics))),
             applier,
             events: broadcast::Sender::new(MAX_LAG),
             has_drains,
@@ -91,6 +94,11 @@
         copy.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The era of the platform's store.
+    pub const fn eras(&self) -> &Arc<Eras> {
+        &self.eras
+    }
+
     /// Reports all objects in a response of the platform that can't be decoded.
     pub fn report_all_unreadable(&self, kind: impl Display + Copy, errors: &[DecodeError]) {
         for error in errors {
--- a/crates/router/src/store/daemons.rs
+++ b/crates/router/src/store/daemons.rs
@@ -33,7 +33,7 @@
 /// Keeps the list in the store up to date until the process ends.
 pub async fn sync(store: StoreContext, platform: SocketAddr) {
     let mut writer = DaemonListWriter {
-        client: Client::new(platform),
+        client: Client::new(platform).with_eras(store.copies.eras()),
         store,
         last_seen: LastSeen::default(),
         missing_since: None,
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -69,7 +69,7 @@
 /// platform for it.
 pub async fn follow(store: StoreContext, platform: SocketAddr, kind: Kind) {
     let mut follower = StoreFollower {
-        client: Client::new(platform),
+        client: Client::new(platform).with_eras(store.copies.eras()),
         partial: None,
         freshness: Freshness::Latest,
         kind,
@@ -77,6 +77,7 @@
         answered_at: now(),
         failures: None,
         failed_at: None,
+        is_behind: false,
     };
     loop {
         if follower.is_due() {
@@ -111,6 +112,8 @@
     failures: Option<FailureSeries>,
     /// When a call last failed, until a response or [`CUT_OFF_PERIOD`] clears it.
     failed_at: Option<Millis>,
+    /// Whether the last answer was behind the copy, which is logged once.
+    is_behind: bool,
 }
 
 /// Consecutive failed calls.
@@ -239,6 +242,7 @@
         self.store
             .copies
             .report_all_unreadable(self.kind, &page.unreadable);
+        self.log_behind(page.revision);
         if page.more && page.objects.is_empty() {
             return Err(CallError::Stuck);
         }
@@ -286,6 +290,7 @@
         self.store
             .copies
             .report_all_unreadable(self.kind, &changes.unreadable);
+        self.log_behind(changes.revision);
         let is_quiet = changes.changes.is_empty();
         let update = Update {
             complete: false,
@@ -305,6 +310,20 @@
         Ok(())
     }
 
+    /// Logs the first answer of a series whose revision is lower than the copy's: nothing in it is
+    /// newer than what is known.
+    fn log_behind(&mut self, revision: u64) {
+        let known = self.store.copies.revision(self.kind);
+        let is_behind = known.is_some_and(|known| revision < known);
+        if is_behind && !self.is_behind {
+            log::warn!(
+                target: "store", kind:% = self.kind, revision, known;
+                "store: an answer is behind the copy"
+            );
+        }
+        self.is_behind = is_behind;
+    }
+
     async fn call(&mut self, path: &str, wait: Millis) -> Result<bytes::Bytes> {
         self.store.metrics.platform_calls.inc();
         let called_at = now();
--- a/crates/router/src/store/quarantine.rs
+++ b/crates/router/src/store/quarantine.rs
@@ -29,8 +29,9 @@
 /// Keeps the store up to date until the process ends.
 pub async fn sync(store: StoreContext, platform: SocketAddr) {
     let metrics = Arc::clone(&store.metrics);
+    let client = Client::new(platform).with_eras(store.copies.eras());
     let mut state = QuarantineSync {
-        client: CountedClient::new(Client::new(platform), metrics, ANSWER_TIMEOUT),
+        client: CountedClient::new(client, metrics, ANSWER_TIMEOUT),
         sync_state: PlatformSync::default(),
         store,
     };
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -74,7 +74,7 @@
         let (outgoing, receiver) = mpsc::channel(MAX_WAITING);
         let streams = Self {
             state: Mutex::default(),
-            reader: tokio::sync::Mutex::new(Reader::new(settings.platform, metrics)),
+            reader: tokio::sync::Mutex::new(Reader::new(settings.platform, copies.eras(), metrics)),
             outgoing,
             placement: Arc::clone(placement),
             copies: Arc::clone(copies),
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Roster;
 use crate::shared::Shared;
+use crate::store::Eras;
 use crate::store::client::{Client, Result};
 use crate::store::counted::CountedClient;
 
@@ -52,17 +53,18 @@
 }
 
 impl Reader {
-    pub(super) fn new(platform: SocketAddr, metrics: &Arc<Metrics>) -> Self {
+    pub(super) fn new(platform: SocketAddr, eras: &Arc<Eras>, metrics: &Arc<Metrics>) -> Self {
         Self {
-            client: counted(platform, metrics),
+            client: counted(platform, eras, metrics),
             next_read: Millis::ZERO,
             is_silent: false,
         }
     }
 }
 
-fn counted(platform: SocketAddr, metrics: &Arc<Metrics>) -> CountedClient {
-    CountedClient::new(Client::new(platform), Arc::clone(metrics), ANSWER_TIMEOUT)
+fn counted(platform: SocketAddr, eras: &Arc<Eras>, metrics: &Arc<Metrics>) -> CountedClient {
+    let client = Client::new(platform).with_eras(eras);
+    CountedClient::new(client, Arc::clone(metrics), ANSWER_TIMEOUT)
 }
 
 impl Streams {
@@ -116,7 +118,11 @@
 /// Keeps the archive up to date until the process ends, while this daemon is the first hub.
 pub async fn keep(shared: Arc<Shared>, roster: Roster) {
     let mut writer = Writer {
-        client: counted(shared.settings.platform, &shared.metrics),
+        client: counted(
+            shared.settings.platform,
+            shared.copies.eras(),
+            &shared.metrics,
+        ),
         shared,
         roster,
         loaded: None,
