--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -17,6 +17,9 @@
     mod own_word;
     mod parts;
     mod requests;
+    mod restored;
+    mod restored_known;
+    mod restored_play;
     mod setup;
     mod silence;
     mod silence_play;
--- a/crates/daemon/tests/route/crash.rs
+++ b/crates/daemon/tests/route/crash.rs
@@ -16,7 +16,7 @@
 use super::setup::{Bench, POOL};
 
 const CRASHING: &[u8] = b"crashing";
-const FRAGILE: Behaviour = Behaviour {
+pub const FRAGILE: Behaviour = Behaviour {
     crashes_on: Some(CRASHING),
     ..Behaviour::DEFAULT
 };
