--- a/crates/core/benches/listing.rs
+++ b/crates/core/benches/listing.rs
@@ -66,14 +66,14 @@
     let put = |number| {
         Change::Put(Object {
             name: id(number).endpoint.as_str().to_owned(),
-            revision: number as u64 + 1,
+            revision: (number as u64 + 1).into(),
             spec: Bytes::from_static(&[b'x'; 200]),
         })
     };
     Update {
         complete: true,
         changes: (0..endpoints).map(put).collect(),
-        revision: endpoints as u64,
+        revision: (endpoints as u64).into(),
     }
 }
 
--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -2,20 +2,25 @@
 //!
 //! Sources are the platform itself and the copies of other daemons; they may be
 //! ahead of each other and send the same change more than once. Each object and
-//! each removal carries the revision of its last change: the higher revision
-//! wins, in whatever order they arrive.
+//! each removal carries the revision of its last change: within an era of the
+//! store the higher revision wins, in whatever order they arrive. What holds when
+//! the store goes back is in [`restoration`].
 //!
 //! Entries of endpoints expire while the platform is unavailable, although the
 //! endpoints are still running. After such an outage a removal is delayed by
 //! [`REMOVAL_GRACE`], in which a running endpoint lists itself again. Objects that
 //! operators write don't expire.
 
+pub mod restoration;
+
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use bytes::Bytes;
 use derive_more::Debug;
 
+use self::restoration::{Mark, Restoration, Restored, Withheld};
 use crate::clock::Millis;
+use crate::routing::revision::Revision;
 
 /// How long removals are delayed after an outage of the platform: according to the platform's
 /// operators, running endpoints list themselves again within about two seconds.
@@ -38,7 +43,7 @@
     /// Its name within its kind.
     pub name: String,
     /// The platform's revision of its last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// Its contents, as encoded by the platform.
     #[debug("{} bytes", spec.len())]
     pub spec: Bytes,
@@ -55,7 +60,7 @@
         /// Its name.
         name: String,
         /// A revision at which it no longer existed.
-        revision: u64,
+        revision: Revision,
     },
 }
 
@@ -73,7 +78,7 @@
     /// The changes.
     pub changes: Vec<Change>,
     /// The revision that they lead to.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The local copy.
@@ -82,22 +87,36 @@
 pub struct Mirror {
     /// Whether its objects stay until they are explicitly removed, instead of expiring.
     is_persistent: bool,
-    revision: Option<u64>,
+    revision: Option<Revision>,
     objects: BTreeMap<String, Object>,
     /// Latest removals: the revision and the object's name.
-    removals: VecDeque<(u64, String)>,
-    /// Highest revision in `removals` of each name, and how often the name is there.
-    removed: HashMap<String, (u64, usize)>,
+    removals: VecDeque<(Revision, String)>,
+    /// The latest removal of each name in `removals`.
+    removed: HashMap<String, Removal>,
     /// Removals up to this revision are no longer all in `removals`.
-    compacted: u64,
+    compacted: Revision,
     /// Delayed removals: when each takes effect, and the revision of the removal.
-    pending: BTreeMap<String, (Millis, u64)>,
+    pending: BTreeMap<String, (Millis, Revision)>,
     /// When the copy was last known to be up to date.
     confirmed: Option<Millis>,
     /// Since when calls to the platform fail, and when the last one failed, here or at a source.
     outage: Option<(Millis, Millis)>,
     /// When the platform was last reached again after an outage.
     recovered: Option<Millis>,
+    restoration: Restoration,
+    restored: Option<Restored>,
+    withheld: Withheld,
+}
+
+/// The latest removal of an object.
+#[derive(Clone, Copy, Default)]
+#[derive(Debug)]
+struct Removal {
+    revision: Revision,
+    /// Mark of the object that was removed.
+    mark: Option<Mark>,
+    /// How often its name is among the latest removals.
+    count: usize,
 }
 
 impl Change {
@@ -135,7 +154,7 @@
     }
 
     /// The revision that it has reached; none before the first list.
-    pub const fn revision(&self) -> Option<u64> {
+    pub const fn revision(&self) -> Option<Revision> {
         self.revision
     }
 
@@ -187,6 +206,14 @@
     /// Applies an update that was up to date at `confirmed`, if that is known; returns the changes
     /// to this copy.
     pub fn apply(&mut self, update: Update, confirmed: Option<Millis>, now: Millis) -> Vec<Change> {
+        let era = update.revision.era;
+        let update = match self.era() {
+            Some(reached) if era < reached => return self.merge_earlier(update.changes, now),
+            // What the store has lost isn't among its changes.
+            Some(reached) if era > reached && !update.complete => return Vec::new(),
+            Some(reached) if era > reached => self.begin_era(update, now),
+            _ => update,
+        };
         if let Some(confirmed) = confirmed {
             self.confirm(confirmed, now);
         }
@@ -216,10 +243,11 @@
         if update.complete {
             changed.extend(self.remove_unlisted(&update, now));
         }
-        let revision = update.revision;
+        let (revision, is_list) = (update.revision, update.complete);
         for change in last_of_each(update.changes) {
             changed.extend(match change {
-                Change::Put(object) => self.put(object),
+                Change::Put(object) if is_list && self.confirm_listed(&object) => None,
+                Change::Put(object) => self.put(object, now),
                 Change::Removed { name, revision } => self.remove(name, revision, now),
             });
         }
@@ -232,30 +260,36 @@
 
     /// Applies delayed removals that are due; returns them.
     pub fn tick(&mut self, now: Millis) -> Vec<Change> {
-        let due = |(name, (until, at)): (&String, &(Millis, u64))| {
+        let due = |(name, (until, at)): (&String, &(Millis, Revision))| {
             (*until <= now).then(|| (name.clone(), *at))
         };
-        let due: Vec<(String, u64)> = self.pending.iter().filter_map(due).collect();
+        let due: Vec<(String, Revision)> = self.pending.iter().filter_map(due).collect();
         let drop = |(name, at)| self.drop_object(name, at);
-        due.into_iter().map(drop).collect()
+        let mut changes: Vec<Change> = due.into_iter().map(drop).collect();
+        for object in self.release(now) {
+            changes.push(self.store(object));
+        }
+        changes
     }
 
-    /// The changes since a revision; a complete list if they aren't all known.
-    pub fn since(&self, revision: Option<u64>) -> Option<Update> {
+    /// The changes since a revision; a complete list if they aren't all known, or if the revision is
+    /// one of another era.
+    pub fn since(&self, revision: Option<Revision>) -> Option<Update> {
         let reached = self.revision?;
-        let after = revision.filter(|revision| *revision >= self.compacted);
-        let newer = |at: u64| after.is_none_or(|revision| at > revision);
+        let after = revision.filter(|after| after.era == reached.era && *after >= self.compacted);
+        let newer = |at: Revision| after.is_none_or(|revision| at > revision);
+        // An object of an earlier era isn't in the store, so that the other copy may lack it.
         let puts = self
             .objects
             .values()
-            .filter(|object| newer(object.revision));
+            .filter(|object| newer(object.revision) || object.revision.era < reached.era);
         let mut changes: Vec<Change> = puts.cloned().map(Change::Put).collect();
         if after.is_some() {
             // A delayed removal has a revision that the other copy may have passed already. An
             // object that exists again is sent as it is now.
             let is_removed = |name: &String| !self.objects.contains_key(name);
             let removals = self.removals.iter().filter(|(_, name)| is_removed(name));
-            let removed = removals.filter(|(at, _)| newer(at + 1));
+            let removed = removals.filter(|(at, _)| after.is_none_or(|revision| *at >= revision));
             changes.extend(removed.map(|(at, name)| Change::Removed {
                 name: name.clone(),
                 revision: *at,
@@ -268,11 +302,9 @@
         })
     }
 
-    fn put(&mut self, object: Object) -> Option<Change> {
-        let known = self.objects.get(&object.name);
-        let is_old = known.is_some_and(|known| known.revision >= object.revision);
+    fn put(&mut self, object: Object, now: Millis) -> Option<Change> {
         let removed = self.removed.get(&object.name);
-        let is_removed = removed.is_some_and(|(at, _)| *at >= object.revision);
+        let is_removed = removed.is_some_and(|removal| removal.revision >= object.revision);
         if self
             .pending
             .get(&object.name)
@@ -280,14 +312,33 @@
         {
             self.pending.remove(&object.name);
         }
-        if is_old || is_removed {
+        let withheld = self.withheld.get(&object.name);
+        let is_withheld = withheld.is_some_and(|(_, listed)| listed.revision >= object.revision);
+        if is_removed || is_withheld {
+            return None;
+        }
+        let Some(known) = self.objects.get(&object.name) else {
+            let is_missing = self.era().is_some_and(|era| object.revision.era < era);
+            return match is_missing {
+                true => self.put_missing(object, now),
+                false => Some(self.store(object)),
+            };
+        };
+        if !self.is_newer(&object, known, now) {
+            self.keep_known(&object.name, object.revision);
             return None;
         }
+        Some(self.store(object))
+    }
+
+    fn store(&mut self, object: Object) -> Change {
+        self.withheld.remove(&object.name);
         self.objects.insert(object.name.clone(), object.clone());
-        Some(Change::Put(object))
+        Change::Put(object)
     }
 
-    fn remove(&mut self, name: String, revision: u64, now: Millis) -> Option<Change> {
+    fn remove(&mut self, name: String, revision: Revision, now: Millis) -> Option<Change> {
+        self.withheld.remove(&name);
         let known = self.objects.get(&name)?;
         if known.revision > revision {
             return None;
@@ -310,33 +361,43 @@
             .filter(|name| !listed.contains(name.as_str()))
             .cloned()
             .collect();
-        let remove = |name| self.remove(name, update.revision, now);
+        let remove = |name: String| {
+            let known = self.objects.get(&name)?;
+            match known.revision.era < update.revision.era {
+                true => self.remove_missing(name, update.revision, now),
+                false => self.remove(name, update.revision, now),
+            }
+        };
         names.into_iter().filter_map(remove).collect()
     }
 
-    fn drop_object(&mut self, name: String, revision: u64) -> Change {
+    fn drop_object(&mut self, name: String, revision: Revision) -> Change {
         self.pending.remove(&name);
-        self.objects.remove(&name);
+        let mark = self
+            .objects
+            .remove(&name)
+            .and_then(|known| self.mark(&known));
         let revision = self
             .revision
             .map_or(revision, |reached| reached.max(revision));
-        self.record_removal(name.clone(), revision);
+        self.record_removal(name.clone(), revision, mark);
         Change::Removed { name, revision }
     }
 
     /// Keeps a removal for daemons whose copies lag, and drops the oldest ones.
-    fn record_removal(&mut self, name: String, revision: u64) {
-        let (latest, count) = self.removed.entry(name.clone()).or_default();
-        *latest = revision.max(*latest);
-        *count += 1;
+    fn record_removal(&mut self, name: String, revision: Revision, mark: Option<Mark>) {
+        let removal = self.removed.entry(name.clone()).or_default();
+        removal.revision = revision.max(removal.revision);
+        removal.mark = mark;
+        removal.count += 1;
         self.removals.push_back((revision, name));
         while self.removals.len() > MIN_REMOVALS.max(self.objects.len())
             && let Some((at, name)) = self.removals.pop_front()
         {
             self.compacted = self.compacted.max(at);
-            if let Some((_, count)) = self.removed.get_mut(&name) {
-                *count -= 1;
-                if *count == 0 {
+            if let Some(removal) = self.removed.get_mut(&name) {
+                removal.count -= 1;
+                if removal.count == 0 {
                     self.removed.remove(&name);
                 }
             }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -35,6 +35,7 @@
     mod reach;
     mod repeats;
     mod request;
+    mod restoration;
     mod runs;
     mod silence;
     mod size;
--- a/crates/core/tests/routing/growth.rs
+++ b/crates/core/tests/routing/growth.rs
@@ -75,14 +75,14 @@
     let put = |number| {
         Change::Put(Object {
             name: id(number).endpoint.as_str().to_owned(),
-            revision: number as u64 + 1,
+            revision: (number as u64 + 1).into(),
             spec: Bytes::from_static(b"x"),
         })
     };
     Update {
         complete: true,
         changes: (0..endpoints).map(put).collect(),
-        revision: endpoints as u64,
+        revision: (endpoints as u64).into(),
     }
 }
 
@@ -127,12 +127,12 @@
         let mut before = copy(&update);
         let removed = (0..endpoints / 4).map(|number| Change::Removed {
             name: id(number).endpoint.as_str().to_owned(),
-            revision: endpoints as u64 + 1,
+            revision: (endpoints as u64 + 1).into(),
         });
         let removals = Update {
             complete: false,
             changes: removed.collect(),
-            revision: endpoints as u64 + 1,
+            revision: (endpoints as u64 + 1).into(),
         };
         before.apply(removals, Some(NOW), NOW);
         let prepare = || (before.clone(), Some(update.clone()));
--- a/crates/core/tests/routing/mirror.rs
+++ b/crates/core/tests/routing/mirror.rs
@@ -8,7 +8,7 @@
 fn object(name: &str, revision: u64) -> Object {
     Object {
         name: name.into(),
-        revision,
+        revision: revision.into(),
         spec: Bytes::from_static(b"{}"),
     }
 }
@@ -20,7 +20,7 @@
 fn removed(name: &str, revision: u64) -> Change {
     Change::Removed {
         name: name.into(),
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -28,7 +28,7 @@
     Update {
         complete: true,
         changes,
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -36,7 +36,7 @@
     Update {
         complete: false,
         changes,
-        revision,
+        revision: revision.into(),
     }
 }
 
@@ -79,7 +79,7 @@
             .len(),
         eq(0)
     );
-    expect_that!(mirror.revision(), some(eq(12)));
+    expect_that!(mirror.revision(), some(eq(12.into())));
 }
 
 #[gtest]
@@ -225,13 +225,13 @@
         Some(at),
         at,
     );
-    let update = mirror.since(Some(10)).expect("an update");
+    let update = mirror.since(Some(10.into())).expect("an update");
     expect_that!(update.complete, eq(false));
     expect_that!(
         update.changes,
         unordered_elements_are![eq(&put("c", 12)), eq(&removed("a", 13))]
     );
-    let update = mirror.since(Some(4)).expect("an update");
+    let update = mirror.since(Some(4.into())).expect("an update");
     expect_that!(update.complete, eq(true));
     expect_that!(update.changes.len(), eq(2));
     expect_that!(Mirror::default().since(None), none());
@@ -244,7 +244,7 @@
     let at = Millis(5100);
     mirror.apply(list(vec![put("a", 3)], 12), Some(at), at);
     mirror.tick(Millis(8000));
-    let update = mirror.since(Some(12)).expect("an update");
+    let update = mirror.since(Some(12.into())).expect("an update");
     expect_that!(update.changes, elements_are![eq(&removed("b", 12))]);
 }
 
@@ -263,7 +263,7 @@
     let mut mirror = Mirror::default();
     let at = Millis(5000);
     mirror.apply(list(vec![put("a", 3), put("b", 7)], 10), None, at);
-    expect_that!(mirror.revision(), some(eq(10)));
+    expect_that!(mirror.revision(), some(eq(10.into())));
     expect_that!(mirror.age(at), none());
     // A later removal takes effect at once, since there was no outage.
     let applied = mirror.apply(changes(vec![removed("b", 12)], 12), Some(at), at);
@@ -280,7 +280,7 @@
         mirror.apply(list(vec![put("a", 3)], 5), None, at).len(),
         eq(0)
     );
-    expect_that!(mirror.revision(), some(eq(20)));
+    expect_that!(mirror.revision(), some(eq(20.into())));
 }
 
 #[gtest]
@@ -313,7 +313,7 @@
     let at = Millis(100);
     mirror.apply(changes(vec![removed("b", 14)], 14), Some(at), at);
     mirror.apply(changes(vec![put("b", 15)], 15), Some(at), at);
-    let update = mirror.since(Some(12)).expect("an update");
+    let update = mirror.since(Some(12.into())).expect("an update");
     expect_that!(update.changes.len(), eq(1));
     expect_that!(matches!(update.changes[0], Change::Put(_)), eq(true));
 }
--- a/crates/daemon/tests/route/copies.rs
+++ b/crates/daemon/tests/route/copies.rs
@@ -4,6 +4,7 @@
 use futures_util::{SinkExt, StreamExt};
 use googletest::prelude::*;
 use medlarrill_core::routing::mirror::{Change, Update};
+use medlarrill_core::routing::revision::{Era, Revision};
 use medlarrill_platform::store::Kind;
 use medlarrill_platform_standin::Outage;
 use medlarrill_router::store::relay::message::{Notification, Subscription};
@@ -18,7 +19,7 @@
 async fn first_told(source: SocketAddr, kind: Kind, reached: u64) -> Update {
     let stream = TcpStream::connect(source).await.expect("a connection");
     let mut link = Framed::new(stream, LengthDelimitedCodec::new());
-    let ask = Subscription::new(&[(kind, Some(reached))]);
+    let ask = Subscription::new(&[(kind, Some(Revision::new(Era(1), reached)))]);
     link.send(ask.encode()).await.expect("a message is sent");
     loop {
         let frame = link.next().await.expect("a message").expect("a frame");
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -22,6 +22,7 @@
     Change, Evidence, PlatformSync, Snapshot, Step, StoredRequest,
 };
 use medlarrill_core::routing::request::SharedPrefix;
+use medlarrill_core::routing::revision::Revision;
 use medlarrill_core::routing::runs::RunId;
 use medlarrill_core::routing::silence::{Left, SeenSilence};
 use medlarrill_core::routing::slow_start::SlowStart;
@@ -467,7 +468,7 @@
     }
 
     /// Starts the drain of a data centre: its endpoints get no new work.
-    pub fn drain(&self, data_centre: &DataCentreId, revision: u64, now: Millis) {
+    pub fn drain(&self, data_centre: &DataCentreId, revision: Revision, now: Millis) {
         let Some(effect) = self.lock().drain(data_centre.clone(), now) else {
             return;
         };
@@ -478,7 +479,7 @@
         } = effect;
         let name = data_centre.as_str();
         log::info!(
-            target: "placement", data_centre = name, revision, endpoints, busy;
+            target: "placement", data_centre = name, revision = revision.number, endpoints, busy;
             "placement: data centre drained"
         );
         if busy >= 1.0 || !emptied.is_empty() {
@@ -490,11 +491,11 @@
     }
 
     /// Ends the drain of a data centre.
-    pub fn undrain(&self, data_centre: &DataCentreId, revision: u64, now: Millis) {
+    pub fn undrain(&self, data_centre: &DataCentreId, revision: Revision, now: Millis) {
         if self.lock().undrain(data_centre, now) {
             let name = data_centre.as_str();
             log::info!(
-                target: "placement", data_centre = name, revision;
+                target: "placement", data_centre = name, revision = revision.number;
                 "placement: data centre takes work again"
             );
         }
@@ -530,6 +531,19 @@
         self.lock().set_daemons(me, part, daemons);
     }
 
+    /// Adds daemons to those in one part of the platform's list.
+    pub fn add_daemons(&self, me: SocketAddr, part: &str, daemons: &[SocketAddr]) {
+        self.lock().add_daemons(me, part, daemons);
+    }
+
+    /// The daemons in one part of the platform's list.
+    pub fn listed_part(&self, part: &str) -> Vec<SocketAddr> {
+        let view = self.lock();
+        let mut parts = view.listed_daemons();
+        let found = parts.find(|(name, _)| *name == part);
+        found.map_or_else(Vec::new, |(_, daemons)| daemons.to_vec())
+    }
+
     /// Returns those of `daemons` that aren't on the platform's list.
     pub fn unlisted(&self, daemons: &[SocketAddr]) -> Vec<SocketAddr> {
         self.lock().unlisted(daemons)
--- a/crates/router/src/store/apply.rs
+++ b/crates/router/src/store/apply.rs
@@ -10,6 +10,7 @@
 use medlarrill_core::routing::instance::EntryKind;
 use medlarrill_core::routing::mirror::{Change, Object};
 use medlarrill_core::routing::quarantine::Evidence;
+use medlarrill_core::routing::revision::Revision;
 use medlarrill_core::routing::view::ListingChange;
 use medlarrill_net::now::{now, wall};
 use medlarrill_platform::objects;
@@ -33,7 +34,7 @@
 struct AppliedEntry {
     endpoint: Endpoint,
     listed: ListingChange,
-    revision: u64,
+    revision: Revision,
 }
 
 /// Applies changes of objects to the daemon's state.
@@ -71,11 +72,19 @@
         endpoints.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Applies the changes of objects of one kind by which the store was restored.
+    pub fn apply_restored(&self, kind: Kind, changes: &[Change]) {
+        match kind {
+            Kind::Daemons => changes.iter().for_each(|change| self.add_daemons(change)),
+            _ => self.apply(kind, changes),
+        }
+    }
+
     fn apply_configuration(&self, change: &Change) {
         match change {
             Change::Put(object) => self.put_configuration(object),
             Change::Removed { name, revision } => log::warn!(
-                target: "store", object = name, revision;
+                target: "store", object = name, revision = revision.number;
                 "store: configuration removed, the one in force stays"
             ),
         }
@@ -111,6 +120,18 @@
         self.placement.set_daemons(self.me, name, daemons);
     }
 
+    /// Adds listed daemons to those that were listed before the store was restored: a list of before
+    /// lacks some, whose shares the others would use until it is written again.
+    fn add_daemons(&self, change: &Change) {
+        let Change::Put(object) = change else {
+            return;
+        };
+        match objects::daemons(object) {
+            Ok(daemons) => self.placement.add_daemons(self.me, &object.name, &daemons),
+            Err(error) => self.unreadable.report(Kind::Daemons, &object.name, &error),
+        }
+    }
+
     /// Applies a quarantined cause. Operators lift the quarantine by removing its object; daemons
     /// remove it when nothing is held against the cause any more.
     fn apply_quarantine(&self, change: &Change) {
@@ -128,7 +149,8 @@
                 // An invalid name holds nothing.
                 let cause: Option<Fingerprint> = name.parse().ok();
                 if cause.is_some_and(|cause| self.placement.lift(cause, now())) {
-                    log::warn!(target: "quarantine", cause = name, revision; "quarantine: lifted");
+                    log::warn!(target: "quarantine", cause = name, revision = revision.number;
+                        "quarantine: lifted");
                 }
             }
         }
@@ -200,7 +222,7 @@
         self.metrics.config_version.set(number);
         log::info!(
             target: "store", version = version.0, before = before.map_or(0, |before| before.0),
-            revision = object.revision;
+            revision = object.revision.number, era = object.revision.era.0;
             "store: configuration in force"
         );
     }
@@ -238,10 +260,11 @@
         })
     }
 
-    fn remove_entry(&self, name: &str, revision: u64) {
+    fn remove_entry(&self, name: &str, revision: Revision) {
         let id: Option<EndpointId> = name.parse().ok();
         if id.is_some_and(|id| self.placement.remove_entry(&id)) {
-            log::info!(target: "store", endpoint = name, revision; "store: endpoint gone");
+            log::info!(target: "store", endpoint = name, revision = revision.number;
+                "store: endpoint gone");
         }
     }
 }
@@ -258,15 +281,15 @@
     match listed {
         ListingChange::Same | ListingChange::Ignored(EntryKind::Foreign) => {}
         ListingChange::Changed => log::info!(
-            target: "store", endpoint:% = id, pool, address:%, leaving, revision;
+            target: "store", endpoint:% = id, pool, address:%, leaving, revision = revision.number;
             "store: endpoint listed"
         ),
         ListingChange::Restarted(before) => log::info!(
-            target: "store", endpoint:% = id, before:%, pool, address:%, leaving, revision;
+            target: "store", endpoint:% = id, before:%, pool, address:%, leaving, revision = revision.number;
             "store: endpoint started again"
         ),
         ListingChange::Ignored(reason) => log::debug!(
-            target: "store", endpoint:% = id, entry:? = reason, revision;
+            target: "store", endpoint:% = id, entry:? = reason, revision = revision.number;
             "store: entry ignored"
         ),
     }
--- a/crates/router/src/store/client.rs
+++ b/crates/router/src/store/client.rs
@@ -10,6 +10,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::revision::Era;
 use medlarrill_platform::store::{Call, era};
 
 use super::eras::Eras;
@@ -38,6 +39,9 @@
     /// The store answered with an error status.
     #[display("status {_0}")]
     Status(#[error(not(source))] StatusCode),
+    /// The response is one of before the store's last restoration.
+    #[display("answer of era {_0}, which has ended")]
+    OldEra(#[error(not(source))] Era),
     /// The response can't be decoded.
     #[display("{_0}")]
     Decode(medlarrill_platform::store::DecodeError),
@@ -46,6 +50,15 @@
     Stuck,
 }
 
+/// A response with a success status.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its body.
+    pub body: Bytes,
+    /// The era of the store in which it was given.
+    pub era: Era,
+}
+
 impl CallError {
     /// Whether the store no longer has the requested history (410).
     pub fn is_gone(&self) -> bool {
@@ -103,6 +116,15 @@
     ///
     /// When no response with a success status arrives in time.
     pub async fn call(&mut self, call: &Call, wait: Millis) -> Result<Bytes> {
+        self.ask(call, wait).await.map(|answer| answer.body)
+    }
+
+    /// Makes a call; returns the response with its era.
+    ///
+    /// # Errors
+    ///
+    /// When no response with a success status arrives in time, or one of an era that has ended.
+    pub async fn ask(&mut self, call: &Call, wait: Millis) -> Result<Answer> {
         let sender = self.sender.take().filter(|sender| !sender.is_closed());
         let call = self.exchange(sender, call);
         let (sender, body) = tokio::time::timeout(wait.as_duration(), call)
@@ -116,7 +138,7 @@
         &self,
         sender: Option<SendRequest<Full<Bytes>>>,
         call: &Call,
-    ) -> Result<(SendRequest<Full<Bytes>>, Result<Bytes>)> {
+    ) -> Result<(SendRequest<Full<Bytes>>, Result<Answer>)> {
         let mut sender = match sender {
             Some(sender) => sender,
             None => self.connect().await?,
@@ -134,18 +156,30 @@
             .map_err(|error| CallError::Http(error.to_string()))?;
         let answer = sender.send_request(request).await.map_err(http)?;
         let status = answer.status();
-        if let Some(eras) = &self.eras {
-            eras.record(era(answer.headers()));
-        }
+        let era = self.check_era(era(answer.headers()))?;
         let body = Limited::new(answer.into_body(), MAX_BODY).collect().await;
         let body = body.map_err(|error| CallError::Http(error.to_string()))?;
         let result = match status.is_success() {
-            true => Ok(body.to_bytes()),
+            true => Ok(Answer {
+                body: body.to_bytes(),
+                era,
+            }),
             false => Err(CallError::Status(status)),
         };
         Ok((sender, result))
     }
 
+    /// Returns the era of an answer. One that names none is taken for one of the latest era.
+    fn check_era(&self, named: Option<Era>) -> Result<Era> {
+        let Some(eras) = &self.eras else {
+            return Ok(named.unwrap_or_default());
+        };
+        match named.filter(|_| eras.record(named)) {
+            Some(old) => Err(CallError::OldEra(old)),
+            None => Ok(eras.latest().unwrap_or_default()),
+        }
+    }
+
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
         let stream = socket::connect(self.address, CONNECT_TIMEOUT)
             .await
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -6,7 +6,10 @@
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
+use medlarrill_core::routing::mirror::restoration::{Missing, Restoration};
 use medlarrill_core::routing::mirror::{Change, Mirror, Object, Update};
+use medlarrill_core::routing::revision::{Era, Revision};
+use medlarrill_platform::objects;
 use medlarrill_platform::store::{DecodeError, Kind};
 use tokio::sync::{broadcast, watch};
 
@@ -30,20 +33,48 @@
 type ChangeEvent = (Kind, Option<EncodedUpdate>);
 
 /// The copy of one kind, with its complete encoding for followers, cached until it changes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct KindCopy {
     mirror: Mirror,
     encoded: Option<EncodedUpdate>,
 }
 
 impl KindCopy {
-    /// Creates a copy of objects that are kept until removed; entries of endpoints expire.
-    fn persistent() -> Self {
+    fn new(kind: Kind) -> Self {
+        // Entries of endpoints expire; other objects are kept until removed.
+        let mirror = match kind {
+            Kind::Endpoints => Mirror::default(),
+            _ => Mirror::persistent(),
+        };
         Self {
-            mirror: Mirror::persistent(),
+            mirror: mirror.with_restoration(restoration(kind)),
             encoded: None,
         }
     }
+
+    /// The encoding of the complete copy; `None` before the first list.
+    fn complete(&mut self) -> Option<EncodedUpdate> {
+        if self.encoded.is_none() {
+            self.encoded = Some(EncodedUpdate::new(&self.mirror.since(None)?));
+        }
+        self.encoded.clone()
+    }
+}
+
+/// How objects of a kind are treated when the store is restored from a copy.
+const fn restoration(kind: Kind) -> Restoration {
+    let mark: fn(&Object) -> _ = match kind {
+        Kind::Configuration => |object| objects::mark(Kind::Configuration, object),
+        Kind::Endpoints => |object| objects::mark(Kind::Endpoints, object),
+        Kind::Drains | Kind::Daemons | Kind::Quarantine => |_| None,
+    };
+    let missing = match kind {
+        Kind::Configuration | Kind::Daemons => Missing::Kept,
+        Kind::Endpoints => Missing::Expires,
+        Kind::Drains => Missing::Rewritten,
+        Kind::Quarantine => Missing::Forgotten,
+    };
+    Restoration { mark, missing }
 }
 
 /// The local copies of all kinds.
@@ -69,11 +100,11 @@
     /// Creates empty copies.
     pub fn new(applier: ChangeApplier, has_drains: bool, is_listed: watch::Sender<bool>) -> Self {
         Self {
-            configuration: Mutex::new(KindCopy::persistent()),
-            drains: Mutex::new(KindCopy::persistent()),
-            endpoints: Mutex::default(),
-            daemons: Mutex::new(KindCopy::persistent()),
-            quarantine: Mutex::new(KindCopy::persistent()),
+            configuration: Mutex::new(KindCopy::new(Kind::Configuration)),
+            drains: Mutex::new(KindCopy::new(Kind::Drains)),
+            endpoints: Mutex::new(KindCopy::new(Kind::Endpoints)),
+            daemons: Mutex::new(KindCopy::new(Kind::Daemons)),
+            quarantine: Mutex::new(KindCopy::new(Kind::Quarantine)),
             eras: Arc::new(Eras::new(Arc::clone(&applier.metrics))),
             applier,
             events: broadcast::Sender::new(MAX_LAG),
@@ -138,7 +169,7 @@
     }
 
     /// Revision that a copy has reached, `None` before the first list.
-    pub fn revision(&self, kind: Kind) -> Option<u64> {
+    pub fn revision(&self, kind: Kind) -> Option<Revision> {
         self.lock(kind).mirror.revision()
     }
 
@@ -153,16 +184,23 @@
     }
 
     /// The update that brings a copy from a revision up to this one, `None` before the first list.
-    pub fn update_since(&self, kind: Kind, revision: Option<u64>) -> Option<EncodedUpdate> {
+    pub fn update_since(&self, kind: Kind, revision: Option<Revision>) -> Option<EncodedUpdate> {
         let mut copy = self.lock(kind);
         let update = copy.mirror.since(revision)?;
-        if !update.complete {
-            return Some(EncodedUpdate::new(&update));
+        match update.complete {
+            true => copy.complete(),
+            false => Some(EncodedUpdate::new(&update)),
         }
-        let encoded = copy
-            .encoded
-            .get_or_insert_with(|| EncodedUpdate::new(&update));
-        Some(encoded.clone())
+    }
+
+    /// Era that a copy has reached, `None` before the first list.
+    pub fn era(&self, kind: Kind) -> Option<Era> {
+        self.lock(kind).mirror.era()
+    }
+
+    /// Whether removals of a kind wait for entries to be written again.
+    pub fn is_waiting(&self, kind: Kind, now: Millis) -> bool {
+        self.lock(kind).mirror.grace(now).is_some()
     }
 
     /// Applies an update that was up to date at `as_of`, if that is known.
@@ -171,7 +209,12 @@
         let should_notify = as_of.is_some_and(|as_of| copy.mirror.should_notify(as_of));
         let (age, was_waiting) = (copy.mirror.age(now), copy.mirror.grace(now).is_some());
         let outage = copy.mirror.outage(now);
+        let before = copy.mirror.revision();
         let changes = copy.mirror.apply(update, as_of, now);
+        let is_restored = before.is_some_and(|before| Some(before.era) != copy.mirror.era());
+        if let Some(before) = before.filter(|_| is_restored) {
+            log_restored(kind, before, &copy.mirror);
+        }
         if !was_waiting && copy.mirror.grace(now).is_some() {
             log::info!(
                 target: "store", kind:%, age = age.map_or(0, |age| age.0),
@@ -179,11 +222,15 @@
                 "store: out of date before, removals wait"
             );
         }
-        if changes.is_empty() && should_notify {
+        if is_restored {
+            self.publish_era(kind, &mut copy, &changes);
+        } else if changes.is_empty() && should_notify {
             // Without this, copies would lag by one heartbeat for each daemon that relays them.
             self.events.send((kind, None)).ok();
         }
-        self.publish(kind, &mut copy, changes);
+        if !is_restored {
+            self.publish(kind, &mut copy, changes);
+        }
         drop(copy);
         let kinds = [Kind::Endpoints, Kind::Drains];
         let mut required = kinds.into_iter().filter(|kind| self.is_required(*kind));
@@ -202,6 +249,16 @@
         }
     }
 
+    /// Puts the changes of a new era into effect, and sends followers the complete copy: what the
+    /// store has lost isn't among the changes.
+    fn publish_era(&self, kind: Kind, copy: &mut KindCopy, changes: &[Change]) {
+        self.applier.apply_restored(kind, changes);
+        copy.encoded = None;
+        if self.events.receiver_count() > 0 {
+            self.events.send((kind, copy.complete())).ok();
+        }
+    }
+
     /// Puts changes into effect and sends them to followers.
     fn publish(&self, kind: Kind, copy: &mut KindCopy, changes: Vec<Change>) {
         if changes.is_empty() {
@@ -249,3 +306,16 @@
         self.cut_off.load(Ordering::Relaxed)
     }
 }
+
+/// Logs what a restoration of the store means for the copy of a kind.
+fn log_restored(kind: Kind, before: Revision, mirror: &Mirror) {
+    let (Some(revision), Some(restored)) = (mirror.revision(), mirror.restored()) else {
+        return;
+    };
+    log::warn!(
+        target: "store", kind:%, from = before.era.0, to = revision.era.0, known = before.number,
+        revision = revision.number, kept = restored.kept, missing = restored.missing,
+        withheld = restored.withheld;
+        "store: listed anew after a restoration"
+    );
+}
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -1,21 +1,25 @@
 //! Copies objects from the platform's store itself: first a list, then the changes since.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::backoff;
 use medlarrill_core::routing::mirror::{Change, Object, Update};
+use medlarrill_core::routing::revision::{Era, Revision};
 use medlarrill_net::now::now;
 use medlarrill_platform::store::{self as wire, Call, Freshness, Kind};
 use rand::RngExt;
 
 use super::StoreContext;
-use super::client::{CallError, Client, Result};
+use super::client::{Answer, CallError, Client, Result};
 use crate::peers::RosterState;
 
 /// Maximum time for which the platform holds a call for changes. A silent connection is detected
 /// after this and [`ANSWER_TIMEOUT`]; each such call costs as much as any other.
 const WATCH_HOLD: Millis = Millis(1500);
+/// The same after a failed call, whose cause may have been a restoration of the store.
+const PROBE_HOLD: Millis = Millis(1);
 /// The same for drained data centres, which change rarely. If one watcher's connection went silent,
 /// the other watchers still receive the changes.
 const RARE_WATCH_HOLD: Millis = Millis(4000);
@@ -78,6 +82,7 @@
         failures: None,
         failed_at: None,
         is_behind: false,
+        pause: Millis::ZERO,
     };
     loop {
         if follower.is_due() {
@@ -92,8 +97,8 @@
 /// The pages of a list that were read so far.
 struct PartialList {
     objects: Vec<Object>,
-    /// Lowest revision of the pages.
-    revision: u64,
+    /// Lowest revision of the pages, which are all of one era.
+    revision: Revision,
     /// When the first page was requested.
     called_at: Millis,
 }
@@ -114,6 +119,8 @@
     failed_at: Option<Millis>,
     /// Whether the last answer was behind the copy, which is logged once.
     is_behind: bool,
+    /// Pause after the last changes, if no call was made since.
+    pause: Millis,
 }
 
 /// Consecutive failed calls.
@@ -156,10 +163,16 @@
             true => DAEMONS_JOIN_INTERVAL,
             false => DAEMONS_INTERVAL,
         };
-        let is_old = age.is_none_or(|age| age >= pause);
+        let is_old = age.is_none_or(|age| age >= pause) || self.is_of_old_era();
         roster.is_watcher() && now() >= SETTLE_TIME && is_old
     }
 
+    /// Whether the store has been restored since the copy was made.
+    fn is_of_old_era(&self) -> bool {
+        let era = self.store.copies.era(self.kind);
+        era.is_some_and(|era| self.store.copies.eras().is_past(era))
+    }
+
     /// Whether a daemon that has just started waits for others' copies instead of calling the
     /// platform.
     fn waits_for_peers(&self, roster: &RosterState) -> bool {
@@ -184,13 +197,13 @@
     async fn step(&mut self) {
         let result = match self.store.copies.revision(self.kind) {
             None => self.first_list().await,
-            Some(_) if self.kind == Kind::Daemons => self.list().await,
+            Some(_) if self.kind == Kind::Daemons || self.is_of_old_era() => self.list().await,
             Some(revision) => self.watch(revision).await,
         };
         let result = match result {
             Err(error) if error.is_gone() => {
                 log::info!(target: "store", kind:% = self.kind; "store: history gone, listing again");
-                self.list().await
+                self.list_again().await
             }
             result => result,
         };
@@ -199,6 +212,16 @@
         }
     }
 
+    /// Reads a list since the store no longer has the changes. A store that names no era and went back
+    /// has none until it has passed the known revision; it isn't asked all the time until then.
+    async fn list_again(&mut self) -> Result<()> {
+        let result = self.list().await;
+        if self.is_behind {
+            tokio::time::sleep(ENDPOINTS_PAUSE.as_duration()).await;
+        }
+        result
+    }
+
     /// Reads the first list. When many daemons start at once, the store's rate limit admits only
     /// some; the others read a list of endpoints that may be seconds old, and continue from there.
     /// A stale configuration isn't read, since it may allow what has been revoked.
@@ -217,10 +240,12 @@
 
     /// Reads a complete list, continuing one that was partially read before.
     async fn list(&mut self) -> Result<()> {
-        let mut partial = self
-            .partial
-            .take()
-            .filter(|partial| now().since(partial.called_at) < PARTIAL_LIST_MAX_AGE);
+        let eras = self.store.copies.eras();
+        let is_current = |partial: &PartialList| {
+            now().since(partial.called_at) < PARTIAL_LIST_MAX_AGE
+                && !eras.is_past(partial.revision.era)
+        };
+        let mut partial = self.partial.take().filter(is_current);
         loop {
             let result = self.list_page(&mut partial).await;
             if !matches!(result, Ok(true)) {
@@ -237,23 +262,33 @@
         let after = after.map(|object| object.name.as_str());
         let path = wire::list_path(self.kind, after, self.freshness);
         let called_at = now();
-        let body = self.call(&path, ANSWER_TIMEOUT).await?;
-        let page = wire::page(&body).map_err(CallError::Decode)?;
+        let Answer { body, era } = self.call(&path, ANSWER_TIMEOUT).await?;
+        self.check_era(era)?;
+        let page = wire::page(&body).map_err(CallError::Decode)?.in_era(era);
+        let revision = Revision::new(era, page.revision);
         self.store
             .copies
             .report_all_unreadable(self.kind, &page.unreadable);
-        self.log_behind(page.revision);
+        self.log_behind(revision);
         if page.more && page.objects.is_empty() {
             return Err(CallError::Stuck);
         }
+        if partial
+            .as_ref()
+            .is_some_and(|partial| partial.revision.era != era)
+        {
+            // The pages before are of the store as it was before its restoration.
+            *partial = None;
+            return Ok(true);
+        }
         // Changes between two pages are received again with the changes since the first page.
         let list = partial.get_or_insert_with(|| PartialList {
             objects: Vec::new(),
-            revision: page.revision,
+            revision,
             called_at,
         });
         // Stale pages may come from several replicas of the store, of which some lag behind others.
-        list.revision = list.revision.min(page.revision);
+        list.revision = list.revision.min(revision);
         let is_last = !page.more;
         list.objects.extend(page.objects);
         if !is_last {
@@ -277,62 +312,100 @@
         Ok(false)
     }
 
-    /// Waits for changes after a revision and applies them.
-    async fn watch(&mut self, revision: u64) -> Result<()> {
-        let hold = match self.kind {
-            Kind::Drains | Kind::Quarantine => RARE_WATCH_HOLD,
-            _ => WATCH_HOLD,
+    /// Waits for changes after a revision and applies them, unless the store is restored meanwhile:
+    /// then what it has lost isn't among them.
+    async fn watch(&mut self, reached: Revision) -> Result<()> {
+        let hold = self.hold();
+        let path = wire::watch_path(self.kind, reached.number, hold);
+        let eras = Arc::clone(self.store.copies.eras());
+        let answer = tokio::select! {
+            answer = self.call(&path, hold + ANSWER_TIMEOUT) => answer?,
+            () = eras.later_than(reached.era) => return Ok(()),
         };
-        let path = wire::watch_path(self.kind, revision, hold);
-        let body = self.call(&path, hold + ANSWER_TIMEOUT).await?;
+        self.pause = Millis::ZERO;
+        self.check_era(answer.era)?;
+        if answer.era != reached.era {
+            return Ok(());
+        }
         let received = now();
-        let changes = wire::changes(&body).map_err(CallError::Decode)?;
+        let changes = wire::changes(&answer.body).map_err(CallError::Decode)?;
+        let changes = changes.in_era(answer.era);
+        let revision = Revision::new(answer.era, changes.revision);
         self.store
             .copies
             .report_all_unreadable(self.kind, &changes.unreadable);
-        self.log_behind(changes.revision);
+        self.log_behind(revision);
         let is_quiet = changes.changes.is_empty();
         let update = Update {
             complete: false,
             changes: changes.changes,
-            revision: changes.revision,
+            revision,
         };
         self.store
             .copies
             .apply(self.kind, update, Some(received), received);
         if !is_quiet {
-            let pause = match self.kind {
-                Kind::Configuration | Kind::Drains => CONFIGURATION_PAUSE,
-                Kind::Endpoints | Kind::Daemons | Kind::Quarantine => ENDPOINTS_PAUSE,
-            };
-            tokio::time::sleep(pause.as_duration()).await;
+            self.collect().await;
         }
         Ok(())
     }
 
+    /// Refuses an answer of an era before that of the copy, which another daemon may have told.
+    fn check_era(&self, era: Era) -> Result<()> {
+        let reached = self.store.copies.era(self.kind);
+        match reached.is_some_and(|reached| era < reached) {
+            true => Err(CallError::OldEra(era)),
+            false => Ok(()),
+        }
+    }
+
+    /// Waits while further changes are collected. Less long while removals wait, since endpoints
+    /// that list themselves again in time would be removed otherwise.
+    async fn collect(&mut self) {
+        self.pause = match self.kind {
+            Kind::Configuration | Kind::Drains => CONFIGURATION_PAUSE,
+            kind if self.store.copies.is_waiting(kind, now()) => CONFIGURATION_PAUSE,
+            Kind::Endpoints | Kind::Daemons | Kind::Quarantine => ENDPOINTS_PAUSE,
+        };
+        tokio::time::sleep(self.pause.as_duration()).await;
+    }
+
+    /// Time for which the platform holds the next call for changes. The first call after a failed one
+    /// isn't held, and one after a pause less long: it tells whether the store was restored
+    /// meanwhile, after which a held call may miss changes.
+    fn hold(&self) -> Millis {
+        if self.failures.is_some() {
+            return PROBE_HOLD;
+        }
+        match self.kind {
+            Kind::Drains | Kind::Quarantine => RARE_WATCH_HOLD,
+            _ => Millis(WATCH_HOLD.0 - self.pause.0),
+        }
+    }
+
     /// Logs the first answer of a series whose revision is lower than the copy's: nothing in it is
     /// newer than what is known.
-    fn log_behind(&mut self, revision: u64) {
+    fn log_behind(&mut self, revision: Revision) {
         let known = self.store.copies.revision(self.kind);
         let is_behind = known.is_some_and(|known| revision < known);
         if is_behind && !self.is_behind {
             log::warn!(
-                target: "store", kind:% = self.kind, revision, known;
+                target: "store", kind:% = self.kind, revision:%, known = known.map(|known| known.number);
                 "store: an answer is behind the copy"
             );
         }
         self.is_behind = is_behind;
     }
 
-    async fn call(&mut self, path: &str, wait: Millis) -> Result<bytes::Bytes> {
+    async fn call(&mut self, path: &str, wait: Millis) -> Result<Answer> {
         self.store.metrics.platform_calls.inc();
         let called_at = now();
         let call = Call::get(path.to_owned());
-        let body = self.client.call(&call, wait).await;
-        if body.as_ref().err().is_none_or(CallError::is_gone) {
+        let answer = self.client.ask(&call, wait).await;
+        if answer.as_ref().err().is_none_or(CallError::is_gone) {
             self.record_answer(called_at);
         }
-        body
+        answer
     }
 
     /// Records a response to a call that was made at `called_at`, which ends an outage.
--- a/crates/router/src/store/eras.rs
+++ b/crates/router/src/store/eras.rs
@@ -52,6 +52,19 @@
         false
     }
 
+    /// Waits until an answer has named a later era than this one.
+    pub async fn later_than(&self, era: Era) {
+        let mut latest = self.latest.subscribe();
+        let is_later = |latest: &Option<Era>| latest.is_some_and(|latest| latest > era);
+        // The sender lives as long as this.
+        latest.wait_for(is_later).await.ok();
+    }
+
+    /// Whether an answer has named a later era than this one.
+    pub fn is_past(&self, era: Era) -> bool {
+        self.latest().is_some_and(|latest| latest > era)
+    }
+
     /// The highest era so far.
     pub fn latest(&self) -> Option<Era> {
         *self.latest.borrow()
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -55,6 +55,8 @@
     Closed,
     #[display("too far behind")]
     Behind,
+    #[display("the source has changes of a later era")]
+    LaterEra,
 }
 
 /// Serves this daemon's copies to a follower until the connection ends; `first` is its first
@@ -125,8 +127,9 @@
             }
         };
         let outage = self.store.copies.outage(kind, now());
-        let message = Notification::new(kind, update, age, outage).encode();
-        let sending = self.connection.send(message);
+        let era = self.store.copies.era(kind).unwrap_or_default();
+        let message = Notification::new(kind, update, age, outage).with_era(era);
+        let sending = self.connection.send(message.encode());
         let sent = tokio::time::timeout(SILENCE_LIMIT.as_duration(), sending).await;
         Ok(sent.map_err(|_| RelayError::Silent)??)
     }
@@ -204,13 +207,20 @@
         let frame = frame.map_err(|_| RelayError::Silent)?;
         let notification = Notification::read(&frame.ok_or(RelayError::Closed)??)?;
         let at = now();
-        if notification.is_fresh() {
+        let is_old = notification
+            .era()
+            .is_some_and(|(kind, era)| store.copies.era(kind).is_some_and(|own| era < own));
+        if notification.is_fresh() && !is_old {
             store.roster.record_relay(at);
         }
-        if let Some((kind, span)) = notification.outage() {
+        if let Some((kind, span)) = notification.outage().filter(|_| !is_old) {
             store.copies.record_failure(kind, at - span, at);
         }
         if let Some((kind, update, age)) = notification.into_update()? {
+            let era = store.copies.era(kind);
+            if era.is_some_and(|own| own < update.revision.era) && !update.complete {
+                return Err(RelayError::LaterEra);
+            }
             store.copies.apply(kind, update, Some(at - age), at);
         }
     }
--- a/crates/router/src/store/relay/message.rs
+++ b/crates/router/src/store/relay/message.rs
@@ -8,6 +8,7 @@
 use flate2::write::ZlibEncoder;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::mirror::{Change, Object, Update};
+use medlarrill_core::routing::revision::{Era, Revision};
 use medlarrill_platform::store::Kind;
 use prost::{DecodeError, Message};
 
@@ -37,6 +38,9 @@
     kind: u32,
     #[prost(uint64, tag = "2")]
     revision: u64,
+    /// Era of the revision; earlier versions don't send it.
+    #[prost(uint64, tag = "3")]
+    era: u64,
 }
 
 /// Changes of one kind, if there are any, and the age of the source's copy.
@@ -56,6 +60,9 @@
     changes: Bytes,
     #[prost(bool, tag = "5")]
     compressed: bool,
+    /// Era of the changes, or of the copy if there are none.
+    #[prost(uint64, tag = "6")]
+    era: u64,
 }
 
 /// An update, encoded once for all followers.
@@ -63,6 +70,7 @@
 pub struct EncodedUpdate {
     bytes: Bytes,
     compressed: bool,
+    era: Era,
 }
 
 #[derive(Clone, PartialEq)]
@@ -87,6 +95,8 @@
     revision: u64,
     #[prost(bytes = "bytes", tag = "3")]
     contents: Bytes,
+    #[prost(uint64, tag = "4")]
+    era: u64,
 }
 
 #[derive(Clone, PartialEq)]
@@ -96,6 +106,8 @@
     name: String,
     #[prost(uint64, tag = "2")]
     revision: u64,
+    #[prost(uint64, tag = "3")]
+    era: u64,
 }
 
 const fn kind_code(kind: Kind) -> u32 {
@@ -121,11 +133,12 @@
 
 impl Subscription {
     /// Creates a subscription from the revision reached of each kind.
-    pub fn new(reached: &[(Kind, Option<u64>)]) -> Self {
-        let position = |(kind, revision): &(Kind, Option<u64>)| {
+    pub fn new(reached: &[(Kind, Option<Revision>)]) -> Self {
+        let position = |(kind, revision): &(Kind, Option<Revision>)| {
             revision.map(|revision| Position {
                 kind: kind_code(*kind),
-                revision,
+                revision: revision.number,
+                era: revision.era.0,
             })
         };
         Self {
@@ -134,10 +147,10 @@
     }
 
     /// Revision that the follower has reached of a kind, `None` without a copy.
-    pub fn revision(&self, kind: Kind) -> Option<u64> {
+    pub fn revision(&self, kind: Kind) -> Option<Revision> {
         let mut positions = self.positions.iter();
         let found = positions.find(|position| position.kind == kind_code(kind));
-        found.map(|position| position.revision)
+        found.map(|position| Revision::new(Era(position.era), position.revision))
     }
 
     /// Encodes the message.
@@ -159,7 +172,7 @@
     /// Encodes an update, and compresses it if it is large.
     pub fn new(update: &Update) -> Self {
         let mut changes = Changes {
-            revision: update.revision,
+            revision: update.revision.number,
             complete: update.complete,
             ..Changes::default()
         };
@@ -167,12 +180,14 @@
             match change {
                 Change::Put(object) => changes.puts.push(Put {
                     name: object.name.clone(),
-                    revision: object.revision,
+                    revision: object.revision.number,
+                    era: object.revision.era.0,
                     contents: object.spec.clone(),
                 }),
                 Change::Removed { name, revision } => changes.removals.push(Removal {
                     name: name.clone(),
-                    revision: *revision,
+                    revision: revision.number,
+                    era: revision.era.0,
                 }),
             }
         }
@@ -181,6 +196,7 @@
         Self {
             compressed: compressed.is_some(),
             bytes: compressed.unwrap_or(plain),
+            era: update.revision.era,
         }
     }
 }
@@ -196,8 +212,10 @@
         let encoded = encoded.unwrap_or(EncodedUpdate {
             bytes: Bytes::new(),
             compressed: false,
+            era: Era::default(),
         });
         Self {
+            era: encoded.era.0,
             kind: kind_code(kind),
             age: age.0,
             failing: outage.map(|span| span.0),
@@ -206,6 +224,13 @@
         }
     }
 
+    /// Sets the era of the copy, of which only the age is sent.
+    pub fn with_era(self, era: Era) -> Self {
+        let is_age_only = self.changes.is_empty();
+        let era = if is_age_only { era.0 } else { self.era };
+        Self { era, ..self }
+    }
+
     /// Encodes the message.
     pub fn encode(&self) -> Bytes {
         self.encode_to_vec().into()
@@ -220,6 +245,11 @@
         Self::decode(bytes)
     }
 
+    /// The kind, and the era of its changes or, without changes, of the source's copy.
+    pub fn era(&self) -> Option<(Kind, Era)> {
+        Some((kind_of_code(self.kind)?, Era(self.era)))
+    }
+
     /// Whether the source's copy is fresh, or its calls to the platform are known to fail.
     pub const fn is_fresh(&self) -> bool {
         self.age < MAX_FRESH_AGE.0 || self.failing.is_some()
@@ -247,18 +277,18 @@
         let puts = changes.puts.into_iter().map(|put| {
             Change::Put(Object {
                 name: put.name,
-                revision: put.revision,
+                revision: Revision::new(Era(put.era), put.revision),
                 spec: put.contents,
             })
         });
         let removals = changes.removals.into_iter().map(|removal| Change::Removed {
             name: removal.name,
-            revision: removal.revision,
+            revision: Revision::new(Era(removal.era), removal.revision),
         });
         let update = Update {
             complete: changes.complete,
             changes: puts.chain(removals).collect(),
-            revision: changes.revision,
+            revision: Revision::new(Era(self.era), changes.revision),
         };
         Ok(Some((kind, update, Millis(self.age))))
     }
--- a/crates/router/tests/relay_properties.rs
+++ b/crates/router/tests/relay_properties.rs
@@ -3,13 +3,19 @@
 use bytes::Bytes;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::mirror::{Change, Object, Update};
+use medlarrill_core::routing::revision::{Era, Revision};
 use medlarrill_platform::store::Kind;
 use medlarrill_router::store::relay::message::{EncodedUpdate, Notification, Subscription};
 use proptest::collection::vec;
 use proptest::prelude::*;
 
+fn revision() -> impl Strategy<Value = Revision> {
+    let parts = (any::<u64>(), any::<u64>());
+    parts.prop_map(|(era, number)| Revision::new(Era(era), number))
+}
+
 fn change() -> impl Strategy<Value = Change> {
-    let put = ("[a-z0-9-]{0,12}", any::<u64>(), vec(any::<u8>(), 0..200));
+    let put = ("[a-z0-9-]{0,12}", revision(), vec(any::<u8>(), 0..200));
     let put = put.prop_map(|(name, revision, spec)| {
         Change::Put(Object {
             name,
@@ -17,7 +23,7 @@
             spec: spec.into(),
         })
     });
-    let removed = ("[a-z0-9-]{0,12}", any::<u64>());
+    let removed = ("[a-z0-9-]{0,12}", revision());
     let removed = removed.prop_map(|(name, revision)| Change::Removed { name, revision });
     prop_oneof![put, removed]
 }
@@ -51,7 +57,7 @@
     fn an_update_is_read_back_whole(
         changes in vec(change(), 0..20),
         whole: bool,
-        revision: u64,
+        revision in revision(),
         age in 0_u64..1 << 40,
     ) {
         let update = Update { complete: whole, changes, revision };
@@ -72,7 +78,7 @@
         at in any::<prop::sample::Index>(),
         byte: u8,
     ) {
-        let update = Update { complete: true, changes, revision: 9 };
+        let update = Update { complete: true, changes, revision: 9.into() };
         let sent = Notification::new(Kind::Configuration, Some(EncodedUpdate::new(&update)), Millis(1), None);
         let mut sent = sent.encode().to_vec();
         let place = at.index(sent.len());
--- a/crates/router/tests/tunnel.rs
+++ b/crates/router/tests/tunnel.rs
@@ -138,7 +138,7 @@
     let told = Notification::new(Kind::Endpoints, None, Millis(300), Some(Millis(7)));
     assert_that!(Reply::read(&told.encode()), none());
     // A newer one takes a subscription for no request.
-    let follows = Subscription::new(&[(Kind::Endpoints, Some(3))]).encode();
+    let follows = Subscription::new(&[(Kind::Endpoints, Some(3.into()))]).encode();
     assert_that!(Opening::read(&follows), none());
     let reply = Reply::new(Verdict::Busy).encode();
     assert_that!(Reply::read(&reply), some(eq(Verdict::Busy)));
