The list of daemons is written again when the store was restored

Daemons' shares of retries and of slow starts come from a list on the platform. A copy that lacks it, or has one of before, left it so for up to 28 s: hubs compared live daemons with what they knew, not with what the store has, and the copy was read each 20 s. Now a list of an earlier era is read at once, daemons listed before keep their shares, and the first hub writes again what the store lacks, under a condition only if the revision is one of the store's era.

--- a/crates/router/src/store/daemons.rs
+++ b/crates/router/src/store/daemons.rs
@@ -11,6 +11,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::backoff;
 use medlarrill_core::routing::fleet::LastSeen;
+use medlarrill_core::routing::revision::Era;
 use medlarrill_net::now::now;
 use medlarrill_platform::objects;
 use medlarrill_platform::store::{Call, Kind};
@@ -37,6 +38,7 @@
         store,
         last_seen: LastSeen::default(),
         missing_since: None,
+        era: None,
     };
     let mut failures = 0;
     loop {
@@ -59,6 +61,8 @@
     /// Since when some daemons aren't listed; after a write, the time from which on they count as
     /// missing again.
     missing_since: Option<Millis>,
+    /// Era of the store in which `missing_since` was set.
+    era: Option<Era>,
 }
 
 impl DaemonListWriter {
@@ -72,12 +76,13 @@
             return Ok(());
         }
         self.last_seen.mark_live(&roster.live_daemons, now());
-        if self
-            .store
-            .placement
-            .unlisted(&roster.live_daemons)
-            .is_empty()
-        {
+        let era = self.store.copies.era(Kind::Daemons);
+        if self.era != era {
+            // What was written in an earlier era may be lost.
+            self.era = era;
+            self.missing_since = None;
+        }
+        if self.is_written(&roster.live_daemons) {
             self.missing_since = None;
             return Ok(());
         }
@@ -92,20 +97,32 @@
         self.write(&roster.live_daemons).await
     }
 
+    /// Whether the store lists the live daemons, and those that it listed before it was restored.
+    fn is_written(&self, live: &[SocketAddr]) -> bool {
+        let name = self.store.data_centre.as_str();
+        if !self.store.placement.unlisted(live).is_empty() {
+            return false;
+        }
+        let Some(object) = self.store.copies.get(Kind::Daemons, name) else {
+            return live.is_empty();
+        };
+        let stored = objects::daemons(&object).unwrap_or_default();
+        let listed = self.store.placement.listed_part(name);
+        Some(object.revision.era) == self.era && listed.iter().all(|daemon| stored.contains(daemon))
+    }
+
     /// Adds daemons to the object of this data centre.
     async fn write(&mut self, live: &[SocketAddr]) -> Result<()> {
         let name = self.store.data_centre.as_str();
         let object = self.store.copies.get(Kind::Daemons, name);
-        // An object that can't be decoded is reported by the copy, and replaced here.
-        let listed = object
-            .as_ref()
-            .and_then(|object| objects::daemons(object).ok());
-        let retained = listed.into_iter().flatten();
+        let retained = self.store.placement.listed_part(name).into_iter();
         let retained = retained.filter(|daemon| self.last_seen.is_retained(*daemon, now()));
         let all: BTreeSet<SocketAddr> = retained.chain(live.iter().copied()).collect();
         let all: Vec<SocketAddr> = all.into_iter().collect();
         let spec = objects::daemons_spec(&all);
         let kind = Kind::Daemons.to_string();
+        // The store lacks an object of an earlier era.
+        let object = object.filter(|object| Some(object.revision.era) == self.era);
         let call = match object {
             Some(object) => Call::replace_at(&kind, name, object.revision, &spec),
             None => Call::create(&kind, name, &spec),
