The quarantine and the streams' archive are written again when the store was restored

Each daemon remembered what it had written and never looked again, so that after a restoration the platform lacked the quarantine and the streams of the last seconds: had all daemons ended then, callers' streams would have been refused, and the request that ends endpoints sent again. What was written counts for one era only.

The archive has no test of its own.

--- a/crates/router/src/store/quarantine.rs
+++ b/crates/router/src/store/quarantine.rs
@@ -9,6 +9,7 @@
 use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::mirror::Object;
 use medlarrill_core::routing::quarantine::{PlatformSync, Step, StoredRequest};
+use medlarrill_core::routing::revision::Era;
 use medlarrill_net::now::{now, wall};
 use medlarrill_platform::objects;
 use medlarrill_platform::store::{self as wire, Call, Kind};
@@ -33,6 +34,7 @@
     let mut state = QuarantineSync {
         client: CountedClient::new(client, metrics, ANSWER_TIMEOUT),
         sync_state: PlatformSync::default(),
+        era: None,
         store,
     };
     let mut failures = 0;
@@ -66,6 +68,8 @@
 struct QuarantineSync {
     client: CountedClient,
     sync_state: PlatformSync,
+    /// Era of the store that `sync_state` is about.
+    era: Option<Era>,
     store: StoreContext,
 }
 
@@ -75,6 +79,12 @@
         if now() < SETTLE_TIME {
             return Ok(false);
         }
+        let era = self.store.copies.era(Kind::Quarantine);
+        if self.era != era {
+            // What was written in an earlier era may be lost.
+            self.era = era;
+            self.sync_state = PlatformSync::default();
+        }
         let is_hub = self.store.roster.snapshot().following.is_hub;
         let placement = &self.store.placement;
         let Some(step) = placement.next_sync_step(&self.sync_state, is_hub) else {
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -9,6 +9,7 @@
 use medlarrill_core::routing::backoff;
 use medlarrill_core::routing::exchange::LARGE_FLEET;
 use medlarrill_core::routing::mirror::Object;
+use medlarrill_core::routing::revision::Era;
 use medlarrill_core::routing::streams::Origin;
 use medlarrill_core::routing::streams::archive::{Archive, MAX_STREAMS};
 use medlarrill_net::now::now;
@@ -129,6 +130,7 @@
         builds: BTreeSet::new(),
         written: Millis::ZERO,
         written_at: Millis::ZERO,
+        era: None,
     };
     let mut failures = 0;
     loop {
@@ -156,6 +158,8 @@
     written: Millis,
     /// When that was.
     written_at: Millis,
+    /// Era of the store in which that was.
+    era: Option<Era>,
 }
 
 impl Writer {
@@ -180,6 +184,13 @@
         if now() < SETTLE_TIME {
             return Ok(());
         }
+        let era = self.shared.copies.eras().latest();
+        if self.era != era {
+            // What was written in an earlier era may be lost.
+            self.era = era;
+            self.loaded = None;
+            self.builds.clear();
+        }
         let shared = Arc::clone(&self.shared);
         let streams = &shared.streams;
         if self.loaded.is_none() {
