Daemons that start follow others' copies for three seconds, also as watchers

A daemon that starts a moment after a restoration reads the copy, with a key that had been revoked since and an endpoint as ready that had said that it leaves; in a fleet of fewer than 16 daemons, where each reads the store itself, nobody told it otherwise. It now follows two others for its first three seconds, once it has copies of its own; what they kept is newer by its mark.

--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -36,6 +36,9 @@
 /// Interval between checks which sources to follow, and pause before a lost source is followed
 /// again.
 const CHECK_INTERVAL: Millis = Millis(100);
+/// Time since the start of the process in which watchers follow others' copies, too: the store may
+/// have been restored a moment ago, and only daemons of before know what it has lost.
+const KNOWLEDGE_PERIOD: Millis = Millis::from_secs(3);
 /// The interval while this daemon lacks a required copy, and therefore refuses its callers.
 const EARLY_CHECK_INTERVAL: Millis = Millis(20);
 
@@ -171,7 +174,8 @@
         // The regular sources wait, too.
         return sources(roster.me, &roster.seeds, 1);
     }
-    if roster.is_watcher() && !store.copies.is_cut_off() {
+    let is_new = now() < KNOWLEDGE_PERIOD && store.copies.is_complete();
+    if roster.is_watcher() && !store.copies.is_cut_off() && !is_new {
         return Vec::new();
     }
     roster.following.sources
