Daemons that start ask others for what they know once, not for three seconds; leftovers are told by seq

Following others for three seconds brought other daemons' copies into tests whose daemons see endpoints at addresses of their own, and a subscription at the revision of the own list is told nothing of what others kept.

--- a/crates/core/src/routing/mirror/restoration.rs
+++ b/crates/core/src/routing/mirror/restoration.rs
@@ -142,7 +142,7 @@
         Update { changes, ..update }
     }
 
-    /// Whether an object was known to be removed before the restoration.
+    /// Whether an object was known to be removed before the restoration, and hasn't been written since.
     fn is_leftover(&self, change: &Change) -> bool {
         let Change::Put(object) = change else {
             return false;
@@ -150,9 +150,8 @@
         let is_expiring = self.restoration.missing == Missing::Expires;
         let removed = self.removed.get(&object.name);
         let is_removed = removed.is_some_and(|removal| {
-            let mark = (self.restoration.mark)(object);
-            let writers = removal.mark.zip(mark);
-            writers.is_none_or(|(known, listed)| known.is_same_writer(&listed))
+            let marks = removal.mark.zip(self.mark(object));
+            marks.is_none_or(|(known, listed)| listed <= known)
         });
         is_expiring && is_removed && !self.objects.contains_key(&object.name)
     }
@@ -268,6 +267,7 @@
         marks.is_some_and(|(mark, other)| mark.is_same_writer(&other) && mark > other)
     }
 
+    /// How far the writer of an object had come.
     pub(super) fn mark(&self, object: &Object) -> Option<Mark> {
         (self.restoration.mark)(object)
     }
--- a/crates/core/tests/routing/restoration.rs
+++ b/crates/core/tests/routing/restoration.rs
@@ -233,6 +233,18 @@
     }
 }
 
+#[gtest]
+fn an_endpoint_that_was_gone_and_had_written_before_the_list_is_back_at_once() {
+    let mut mirror = endpoints(vec![put("a", at(1, 90), "1 ready 5")]);
+    apply(
+        &mut mirror,
+        changes(at(1, 101), vec![removed("a", at(1, 101))]),
+        5,
+    );
+    let written = list(at(2, 60), vec![put("a", at(2, 55), "1 ready 8")]);
+    expect_that!(apply(&mut mirror, written, 10), len(eq(1)));
+}
+
 #[gtest]
 fn an_entry_that_expires_while_it_is_withheld_does_not_come_back() {
     let mut mirror = endpoints(vec![put("a", at(1, 90), "1 ready 5")]);
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -94,6 +94,8 @@
     is_listed: watch::Sender<bool>,
     /// Whether this daemon's calls to the platform fail.
     cut_off: AtomicBool,
+    /// Whether this daemon has read a list from the platform itself.
+    has_listed: AtomicBool,
 }
 
 impl Copies {
@@ -111,6 +113,7 @@
             has_drains,
             is_listed,
             cut_off: AtomicBool::new(false),
+            has_listed: AtomicBool::new(false),
         }
     }
 
@@ -296,6 +299,16 @@
         required.any(|kind| self.outage(kind, now).is_some())
     }
 
+    /// Records that this daemon has read a list from the platform itself.
+    pub fn set_listed(&self) {
+        self.has_listed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this daemon has read a list from the platform itself.
+    pub fn has_listed(&self) -> bool {
+        self.has_listed.load(Ordering::Relaxed)
+    }
+
     /// Sets whether this daemon's calls to the platform fail.
     pub fn set_cut_off(&self, cut_off: bool) {
         self.cut_off.store(cut_off, Ordering::Relaxed);
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -307,6 +307,7 @@
             changes: objects.into_iter().map(Change::Put).collect(),
             revision,
         };
+        self.store.copies.set_listed();
         let as_of = (self.freshness == Freshness::Latest).then_some(called_at);
         self.store.copies.apply(self.kind, update, as_of, now());
         Ok(false)
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -15,6 +15,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::ablation::{Mechanism, is_on};
 use medlarrill_core::routing::exchange::sources;
+use medlarrill_core::routing::mirror::Update;
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
 use tokio::sync::broadcast::error::RecvError;
@@ -36,9 +37,11 @@
 /// Interval between checks which sources to follow, and pause before a lost source is followed
 /// again.
 const CHECK_INTERVAL: Millis = Millis(100);
-/// Time since the start of the process in which watchers follow others' copies, too: the store may
-/// have been restored a moment ago, and only daemons of before know what it has lost.
+/// Time since the start of the process in which a daemon that reads the platform itself looks for
+/// others to ask what they know.
 const KNOWLEDGE_PERIOD: Millis = Millis::from_secs(3);
+/// Timeout for what another daemon knows.
+const KNOWLEDGE_TIMEOUT: Millis = Millis(1000);
 /// The interval while this daemon lacks a required copy, and therefore refuses its callers.
 const EARLY_CHECK_INTERVAL: Millis = Millis(20);
 
@@ -164,6 +167,58 @@
     }
 }
 
+/// Asks others once for their copies, if this daemon has read its own from the platform: that may
+/// have been restored a moment ago, and only daemons of before know what it has lost.
+pub async fn ask_at_start(store: StoreContext) {
+    while now() < KNOWLEDGE_PERIOD {
+        let sources = store.roster.snapshot().following.sources;
+        if store.copies.is_complete() && !sources.is_empty() {
+            if store.copies.has_listed() {
+                let asked = sources.into_iter().map(|source| ask(&store, source));
+                futures_util::future::join_all(asked).await;
+            }
+            return;
+        }
+        tokio::time::sleep(EARLY_CHECK_INTERVAL.as_duration()).await;
+    }
+}
+
+async fn ask(store: &StoreContext, source: SocketAddr) {
+    let asked = tokio::time::timeout(KNOWLEDGE_TIMEOUT.as_duration(), ask_for_all(store, source));
+    match asked.await.unwrap_or(Err(RelayError::Silent)) {
+        Ok(()) => log::info!(target: "relay", source:%; "relay: asked what is known"),
+        Err(error) => log::info!(
+            target: "relay", source:%, cause:% = error;
+            "relay: not told what is known"
+        ),
+    }
+}
+
+/// Takes what a source knows better than this daemon; what it doesn't list says nothing.
+async fn ask_for_all(store: &StoreContext, source: SocketAddr) -> Result<()> {
+    let mut connection = framed(socket::connect(source, CONNECT_TIMEOUT).await?);
+    let subscription = Subscription::new(&[]);
+    connection.send(subscription.encode()).await?;
+    for _ in KINDS {
+        let notification = next(&mut connection).await?;
+        if let Some((kind, update, _)) = notification.into_update()? {
+            let known = Update {
+                complete: false,
+                ..update
+            };
+            store.copies.apply(kind, known, None, now());
+        }
+    }
+    Ok(())
+}
+
+/// Receives the next message of a source.
+async fn next(connection: &mut Link) -> Result<Notification> {
+    let frame = tokio::time::timeout(SILENCE_LIMIT.as_duration(), connection.next()).await;
+    let frame = frame.map_err(|_| RelayError::Silent)?;
+    Ok(Notification::read(&frame.ok_or(RelayError::Closed)??)?)
+}
+
 /// The daemons to follow now.
 fn targets(store: &StoreContext) -> Vec<SocketAddr> {
     let roster = store.roster.snapshot();
@@ -174,8 +229,7 @@
         // The regular sources wait, too.
         return sources(roster.me, &roster.seeds, 1);
     }
-    let is_new = now() < KNOWLEDGE_PERIOD && store.copies.is_complete();
-    if roster.is_watcher() && !store.copies.is_cut_off() && !is_new {
+    if roster.is_watcher() && !store.copies.is_cut_off() {
         return Vec::new();
     }
     roster.following.sources
@@ -207,25 +261,29 @@
         .await?;
     log::info!(target: "relay", source:%; "relay: follows");
     loop {
-        let frame = tokio::time::timeout(SILENCE_LIMIT.as_duration(), connection.next()).await;
-        let frame = frame.map_err(|_| RelayError::Silent)?;
-        let notification = Notification::read(&frame.ok_or(RelayError::Closed)??)?;
-        let at = now();
-        let is_old = notification
-            .era()
-            .is_some_and(|(kind, era)| store.copies.era(kind).is_some_and(|own| era < own));
-        if notification.is_fresh() && !is_old {
-            store.roster.record_relay(at);
-        }
-        if let Some((kind, span)) = notification.outage().filter(|_| !is_old) {
-            store.copies.record_failure(kind, at - span, at);
-        }
-        if let Some((kind, update, age)) = notification.into_update()? {
-            let era = store.copies.era(kind);
-            if era.is_some_and(|own| own < update.revision.era) && !update.complete {
-                return Err(RelayError::LaterEra);
-            }
-            store.copies.apply(kind, update, Some(at - age), at);
+        let notification = next(&mut connection).await?;
+        receive(store, notification)?;
+    }
+}
+
+/// Applies one message of a source.
+fn receive(store: &StoreContext, notification: Notification) -> Result<()> {
+    let at = now();
+    let is_old = notification
+        .era()
+        .is_some_and(|(kind, era)| store.copies.era(kind).is_some_and(|own| era < own));
+    if notification.is_fresh() && !is_old {
+        store.roster.record_relay(at);
+    }
+    if let Some((kind, span)) = notification.outage().filter(|_| !is_old) {
+        store.copies.record_failure(kind, at - span, at);
+    }
+    if let Some((kind, update, age)) = notification.into_update()? {
+        let era = store.copies.era(kind);
+        if era.is_some_and(|own| own < update.revision.era) && !update.complete {
+            return Err(RelayError::LaterEra);
         }
+        store.copies.apply(kind, update, Some(at - age), at);
     }
+    Ok(())
 }
