--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -1,16 +1,19 @@
 //! Copies objects from the platform's store itself: first a list, then the changes since.
 
+mod list;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::backoff;
-use medlarrill_core::routing::mirror::{Change, Object, Update};
+use medlarrill_core::routing::mirror::Update;
 use medlarrill_core::routing::revision::{Era, Revision};
 use medlarrill_net::now::now;
 use medlarrill_platform::store::{self as wire, Call, Freshness, Kind};
 use rand::RngExt;
 
+use self::list::PartialList;
 use super::StoreContext;
 use super::client::{Answer, CallError, Client, Result};
 use crate::peers::RosterState;
@@ -64,8 +67,6 @@
 /// [`FIRST_START_WAIT`] reduced the calls of a day from 2,692 to 1,733; no daemon got its copies
 /// sooner by it.
 const HUB_WAIT: Millis = Millis(150);
-/// Maximum age of a partially read list that is continued after a failed call.
-const PARTIAL_LIST_MAX_AGE: Millis = Millis(3000);
 /// Time for which a daemon that lost the platform isn't chosen as a watcher.
 const CUT_OFF_PERIOD: Millis = Millis::from_secs(5);
 
@@ -94,15 +95,6 @@
     }
 }
 
-/// The pages of a list that were read so far.
-struct PartialList {
-    objects: Vec<Object>,
-    /// Lowest revision of the pages, which are all of one era.
-    revision: Revision,
-    /// When the first page was requested.
-    called_at: Millis,
-}
-
 struct StoreFollower {
     client: Client,
     /// Pages of a list that were read before a call failed.
@@ -238,81 +230,6 @@
         result
     }
 
-    /// Reads a complete list, continuing one that was partially read before.
-    async fn list(&mut self) -> Result<()> {
-        let eras = self.store.copies.eras();
-        let is_current = |partial: &PartialList| {
-            now().since(partial.called_at) < PARTIAL_LIST_MAX_AGE
-                && !eras.is_past(partial.revision.era)
-        };
-        let mut partial = self.partial.take().filter(is_current);
-        loop {
-            let result = self.list_page(&mut partial).await;
-            if !matches!(result, Ok(true)) {
-                // The failed call may be retried; pages read before it are kept.
-                self.partial = partial.filter(|_| result.is_err());
-                return result.map(|_| ());
-            }
-        }
-    }
-
-    /// Reads one page of a list; returns whether more follow.
-    async fn list_page(&mut self, partial: &mut Option<PartialList>) -> Result<bool> {
-        let after = partial.as_ref().and_then(|partial| partial.objects.last());
-        let after = after.map(|object| object.name.as_str());
-        let path = wire::list_path(self.kind, after, self.freshness);
-        let called_at = now();
-        let Answer { body, era } = self.call(&path, ANSWER_TIMEOUT).await?;
-        self.check_era(era)?;
-        let page = wire::page(&body).map_err(CallError::Decode)?.in_era(era);
-        let revision = Revision::new(era, page.revision);
-        self.store
-            .copies
-            .report_all_unreadable(self.kind, &page.unreadable);
-        self.log_behind(revision);
-        if page.more && page.objects.is_empty() {
-            return Err(CallError::Stuck);
-        }
-        if partial
-            .as_ref()
-            .is_some_and(|partial| partial.revision.era != era)
-        {
-            // The pages before are of the store as it was before its restoration.
-            *partial = None;
-            return Ok(true);
-        }
-        // Changes between two pages are received again with the changes since the first page.
-        let list = partial.get_or_insert_with(|| PartialList {
-            objects: Vec::new(),
-            revision,
-            called_at,
-        });
-        // Stale pages may come from several replicas of the store, of which some lag behind others.
-        list.revision = list.revision.min(revision);
-        let is_last = !page.more;
-        list.objects.extend(page.objects);
-        if !is_last {
-            return Ok(true);
-        }
-        let Some(PartialList {
-            objects,
-            revision,
-            called_at,
-        }) = partial.take()
-        else {
-            return Ok(false);
-        };
-        let update = Update {
-            complete: true,
-            changes: objects.into_iter().map(Change::Put).collect(),
-            revision,
-        };
-        self.store.copies.set_listed();
-        let as_of = (self.freshness == Freshness::Latest).then_some(called_at);
-        self.store.copies.apply(self.kind, update, as_of, now());
-        Ok(false)
-    }
-
     /// Waits for changes after a revision and applies them, unless the store is restored meanwhile:
     /// then what it has lost isn't among them.
     async fn watch(&mut self, reached: Revision) -> Result<()> {
