--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -12,6 +12,7 @@
 mod world;
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use clap::Parser;
@@ -86,6 +87,9 @@
     /// Only parties that stand still for a while and go on, beside planned work.
     #[arg(long, conflicts_with_all = ["cuts", "builds", "parts"])]
     pub silences: bool,
+    /// Only a store that is restored from copies of its own, beside planned work.
+    #[arg(long, conflicts_with_all = ["cuts", "builds", "parts", "silences"])]
+    pub restores: bool,
     /// Daemon of an earlier build, which every second daemon runs.
     #[arg(long)]
     pub beside: Option<PathBuf>,
@@ -167,16 +171,22 @@
     plan.with_forms(&mut Pcg32::seed_from_u64(seed.rotate_left(24)), length)
 }
 
-async fn soak(program: Program, seed: u64, options: Options) -> Result<Outcome> {
+/// Draws a plan of the kind of faults that was asked for.
+fn draw_chosen(seed: u64, options: &Options) -> Plan {
     let mut rng = Pcg32::seed_from_u64(seed);
     let length = Duration::from_secs(options.seconds);
-    let plan = match options.cuts {
+    match options.cuts {
         true => Plan::of_cuts(&mut rng, length),
         false if options.builds => Plan::of_builds(&mut rng, length),
         false if options.parts => Plan::of_parts(&mut rng, length),
         false if options.silences => Plan::of_silences(&mut rng, length),
+        false if options.restores => Plan::of_restores(&mut rng, length),
         false => draw(&mut rng, seed, length),
-    };
+    }
+}
+
+async fn soak(program: Program, seed: u64, options: Options) -> Result<Outcome> {
+    let plan = draw_chosen(seed, &options);
     let earlier = options.beside.as_deref().map(Program::new);
     let programs = std::iter::once(program).chain(earlier).collect();
     let mut world = World::start(programs, seed, &plan).await?;
@@ -186,6 +196,9 @@
         let is_part = plan.part.is_some();
         traffic = traffic.with_crashing(world.doors.clone(), seed, path, is_part);
     }
+    if plan.restores {
+        traffic = traffic.with_versions(world.doors.clone(), Arc::clone(&world.newest));
+    }
     for step in plan.steps() {
         wait(&mut world, seed, from + step.at).await?;
         match step.begins {
@@ -219,6 +232,9 @@
 async fn wait(world: &mut World, seed: u64, until: Instant) -> Result<()> {
     loop {
         world.watch_crashes(seed).await?;
+        if world.has_restores {
+            world.watch_restores();
+        }
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Ok(());
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -4,6 +4,7 @@
 mod cuts;
 mod notices;
 mod parts;
+mod restores;
 mod silences;
 
 use std::collections::HashMap;
@@ -17,6 +18,7 @@
 pub use self::notices::PAUSE;
 use self::notices::{left, paused};
 use self::parts::starved;
+use self::restores::{drained_before, outdated};
 use self::silences::ended_early;
 use super::plan::Fault;
 use super::traffic::{CRASHING_ID, PATHS, Sent};
@@ -205,6 +207,16 @@
         /// Time left.
         early: u128,
     },
+    /// A request was handled by an older version than it had to be.
+    #[display("{request} at daemon {daemon}: {what}")]
+    Outdated {
+        /// The request, with its key.
+        request: String,
+        /// The daemon.
+        daemon: usize,
+        /// What is wrong.
+        what: &'static str,
+    },
     /// A daemon ended by itself.
     #[display("daemon {_0} ended by itself")]
     Ended(usize),
@@ -237,6 +249,10 @@
     found.extend(crashed(world, calls, &runs));
     found.extend(starved(world, calls));
     found.extend(cut_off(world, calls));
+    if world.has_restores {
+        found.extend(outdated(world, calls));
+        found.extend(drained_before(world, calls, &runs));
+    }
     if world.builds.are_named {
         found.extend(versions(calls));
         found.extend(take_ups(world, calls));
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -2,13 +2,14 @@
 
 mod builds;
 mod parts;
+mod restores;
 mod silences;
 
 use std::time::Duration;
 
 use derive_more::Debug;
 use medlarrill_platform_standin::{
-    Behaviour, Crash, End, Ending, Form, Framing, LineEnd, Outage, Place,
+    Behaviour, Crash, End, Ending, Form, Framing, LineEnd, Outage, Place, Watches,
 };
 use medlarrill_testkit::proxy::Harm;
 use rand::RngExt;
@@ -37,6 +38,8 @@
     HarmEndpoint(usize, Harm, Duration),
     /// The store fails.
     Store(Outage, Duration),
+    /// The store is restored from a copy of this age, after being away.
+    Restore(Duration, Duration, Watches),
     /// The store forgets its history.
     Forget,
     /// A new version of the configuration.
@@ -150,6 +153,7 @@
             | Self::Warm(_, length)
             | Self::Leave(_, length)
             | Self::Pause(_, length)
+            | Self::Restore(_, length, _)
             | Self::CutOff(_, _, length) => *length,
             Self::Stop(_)
             | Self::Kill(_)
@@ -212,6 +216,8 @@
     pub slack: u32,
     /// Whether versions of the configuration change limits and target gaps, too.
     pub has_limits: bool,
+    /// Whether the store goes back; each version has a key of its own then.
+    pub restores: bool,
 }
 
 impl Plan {
@@ -230,6 +236,7 @@
             pace: None,
             slack: 1000,
             has_limits: false,
+            restores: false,
         };
         plan.forms = vec![Form::DEFAULT; plan.endpoints];
         // A fifth of the soaks hold planned work only, so that its stricter promises are checked.
--- a/crates/lab/src/soak/traffic.rs
+++ b/crates/lab/src/soak/traffic.rs
@@ -2,7 +2,7 @@
 //! and keep connections until these are gone.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -19,6 +19,10 @@
 const CALLERS: u64 = 8;
 /// Pauses of the caller whose request ends endpoints.
 const CRASHING_PAUSE_MS: std::ops::Range<u64> = 200..500;
+/// Pause of the caller that tries keys of versions, and milliseconds that it waits for a reply.
+const VERSION_PAUSE: Duration = Duration::from_millis(60);
+/// See [`VERSION_PAUSE`].
+const VERSION_WAIT: u64 = 500;
 /// Longest pause of a caller between two requests.
 const PAUSE_MS: u64 = 60;
 /// Requests through each daemon after recovery.
@@ -110,6 +114,14 @@
         self
     }
 
+    /// Has one caller more send requests with the keys of the newest version and of the one before to
+    /// all daemons.
+    pub fn with_versions(mut self, doors: Doors, newest: Arc<AtomicU64>) -> Self {
+        let (sent, ends) = (Arc::clone(&self.sent), Arc::clone(&self.ends));
+        self.callers.spawn(call_versions(doors, sent, ends, newest));
+        self
+    }
+
     /// Lets callers finish; returns what they sent.
     pub async fn stop(mut self) -> Result<Vec<Sent>> {
         self.ends.store(true, Ordering::Relaxed);
@@ -272,6 +284,31 @@
     }
 }
 
+async fn call_versions(
+    doors: Doors,
+    sent: Arc<Mutex<Vec<Sent>>>,
+    ends: Arc<AtomicBool>,
+    newest: Arc<AtomicU64>,
+) {
+    let mut number = 0;
+    while !ends.load(Ordering::Relaxed) {
+        for daemon in (0..doors.len()).filter(|daemon| doors[*daemon].open.load(Ordering::Relaxed))
+        {
+            let newest = newest.load(Ordering::Relaxed);
+            for version in [newest, newest.saturating_sub(1)] {
+                number += 1;
+                let key = format!("v{version}");
+                let call = Call::new(format!("v-{number}"), "/plain/x").with_key(Some(&key));
+                let call = call.with_wait(VERSION_WAIT);
+                let from = Instant::now();
+                let reply = Caller::new(doors[daemon].callers).send(&call).await;
+                note(&sent, call, reply, from, daemon);
+            }
+        }
+        tokio::time::sleep(VERSION_PAUSE).await;
+    }
+}
+
 /// A request with a bad part somewhere in its prompt, no two alike.
 fn bad_part(call: Call, number: usize, rng: &mut Pcg32) -> Call {
     let mut parts = vec!["aa:90".to_owned(), format!("c{number:x}:90")];
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -1,10 +1,11 @@
 //! Daemons, stand-ins and proxies of one soak.
 
 mod faults;
+mod restores;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,8 @@
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 
+pub use self::restores::Leaving;
+use self::restores::Restores;
 use super::check::Violation;
 use super::plan::{Fault, Plan};
 use super::traffic::{Door, Doors};
@@ -160,6 +163,17 @@
     slack: u32,
     /// See [`Plan::has_limits`].
     pub has_limits: bool,
+    /// See [`Plan::restores`].
+    pub has_restores: bool,
+    /// When versions were confirmed, again after a restoration.
+    pub confirmed: Vec<(Instant, u64)>,
+    /// The version that was confirmed last.
+    pub newest: Arc<AtomicU64>,
+    /// When the store was restored.
+    pub restored: Vec<Instant>,
+    /// When endpoints left, where the store is restored.
+    pub leavings: Vec<Leaving>,
+    restores: Restores,
     /// Until when endpoints have to be spared.
     warming: Vec<Option<Instant>>,
     balancer: JoinHandle<()>,
@@ -199,7 +213,7 @@
         let ledger = Ledger::default();
         let endpoints = start_endpoints(plan.endpoints, &ledger, seed).await?;
         let folder = TempDir::new()?;
-        let world = Self {
+        let mut world = Self {
             doors: Doors::default(),
             ledger,
             done: Vec::new(),
@@ -223,6 +237,12 @@
             pace: plan.pace,
             slack: plan.slack,
             has_limits: plan.has_limits,
+            has_restores: plan.restores,
+            confirmed: Vec::new(),
+            newest: Arc::default(),
+            restored: Vec::new(),
+            leavings: Vec::new(),
+            restores: Restores::new(seed),
             warming: vec![None; plan.endpoints],
             balancer: tokio::spawn(async {}),
             folder,
--- a/crates/lab/src/soak/world/faults.rs
+++ b/crates/lab/src/soak/world/faults.rs
@@ -1,6 +1,7 @@
 //! The faults done to daemons, endpoints and the store, and their ends.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use medlarrill_platform_standin::{Behaviour, Endpoint, Notice, Outage, configuration};
@@ -36,6 +37,7 @@
             Fault::Reload(daemon) => self.signal(*daemon, Signal::SIGHUP).await,
             Fault::HarmStore(daemon, harm, _) => self.proxies[*daemon].harm(*harm),
             Fault::Store(outage, _) => self.store.fail(*outage),
+            Fault::Restore(_, away, _) if !away.is_zero() => self.store.fail(Outage::Reset),
             Fault::Forget => self.store.forget(),
             Fault::Configure => {
                 self.version += 1;
@@ -60,7 +62,12 @@
             }
             Fault::Hush(endpoint, _) => self.hush(*endpoint, 1),
             Fault::Behave(endpoint, behaviour, _) => self.behave(*endpoint, **behaviour),
-            Fault::Drain(endpoint, _) => self.list(*endpoint, "draining"),
+            Fault::Drain(endpoint, _) => {
+                self.list(*endpoint, "draining");
+                if self.has_restores {
+                    self.begin_leaving(*endpoint);
+                }
+            }
             Fault::Unlist(endpoint, _) => {
                 let id = self.endpoints[*endpoint].0.id().to_owned();
                 self.store.remove("servers", &id);
@@ -104,6 +111,11 @@
             Fault::HarmStore(daemon, ..) => self.proxies[*daemon].harm(Harm::None),
             Fault::HarmEndpoint(endpoint, ..) => self.endpoints[*endpoint].1.harm(Harm::None),
             Fault::Store(..) => self.store.fail(Outage::None),
+            Fault::Restore(age, _, watches) => self.restore(*age, *watches),
+            Fault::Drain(endpoint, _) if self.has_restores => {
+                self.end_leaving(*endpoint);
+                self.list(*endpoint, "ready");
+            }
             Fault::Hush(endpoint, _) => self.hush(*endpoint, -1),
             Fault::Behave(endpoint, ..) => self.behave(*endpoint, Behaviour::default()),
             Fault::Leave(endpoint, _) => self.start_in_place(*endpoint),
@@ -148,8 +160,12 @@
         self.endpoints[endpoint].0.pause(*hushed > 0);
     }
 
-    pub(super) fn configure(&self) {
+    pub(super) fn configure(&mut self) {
         let mut config = configuration(self.version, POOL);
+        if self.has_restores {
+            let own = format!("v{}", self.version);
+            config["tenants"][0]["api_keys"] = serde_json::json!(["key", own]);
+        }
         if self.places {
             config["services"][0]["cold_per_s"] = SPARED.into();
             config["services"][0]["cold_start_s"] = SLOW_START.into();
@@ -162,6 +178,8 @@
             }
         }
         self.store.put("config", "main", config);
+        self.confirmed.push((Instant::now(), self.version));
+        self.newest.store(self.version, Ordering::Relaxed);
     }
 
     pub(super) fn behave(&self, endpoint: usize, behaviour: Behaviour) {
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -32,6 +32,9 @@
 /// The same of requests that share a part, which have to be known before sound ones are judged.
 const SECONDS_OF_PARTS: u64 = 14;
 
+/// The same of restorations, which come in series.
+const SECONDS_OF_RESTORES: u64 = 14;
+
 /// What the test runner passes; names of tests choose none of these.
 #[derive(Parser)]
 struct Passed {
@@ -49,36 +52,36 @@
             builds: false,
             parts: false,
             silences: false,
+            restores: false,
             beside: None,
             keep: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         };
-        let cuts = Options {
-            seeds: SEEDS.into_iter().chain(BROKEN_CUTS).collect(),
-            cuts: true,
-            keep: options.keep.join("cuts"),
-            ..options.clone()
-        };
-        let builds = Options {
-            seeds: SEEDS.to_vec(),
-            builds: true,
-            keep: options.keep.join("builds"),
-            ..options.clone()
-        };
-        let parts = Options {
-            seeds: SEEDS.to_vec(),
-            seconds: SECONDS_OF_PARTS,
-            parts: true,
-            keep: options.keep.join("parts"),
-            ..options.clone()
-        };
-        let silences = Options {
-            seeds: SEEDS.to_vec(),
-            silences: true,
-            keep: options.keep.join("silences"),
-            ..options.clone()
+        let only = |name: &str, change: fn(&mut Options)| {
+            let mut only = Options {
+                seeds: SEEDS.to_vec(),
+                keep: options.keep.join(name),
+                ..options.clone()
+            };
+            change(&mut only);
+            only
         };
+        let cuts = only("cuts", |cuts| {
+            cuts.cuts = true;
+            cuts.seeds.extend(BROKEN_CUTS);
+        });
+        let builds = only("builds", |builds| builds.builds = true);
+        let silences = only("silences", |silences| silences.silences = true);
+        let parts = only("parts", |parts| {
+            parts.parts = true;
+            parts.seconds = SECONDS_OF_PARTS;
+        });
+        let restores = only("restores", |restores| {
+            restores.restores = true;
+            restores.seconds = SECONDS_OF_RESTORES;
+        });
         async {
             soak::run(children.daemon.clone(), options).await?;
+            soak::run(children.daemon.clone(), restores).await?;
             soak::run(children.daemon.clone(), parts).await?;
             soak::run(children.daemon.clone(), silences).await?;
             soak::run(children.daemon.clone(), cuts).await?;
