An endpoint whose clock was set back before its restart is used again

Callers' requests never reached an endpoint that had left and started again under its id with an earlier start time: its entry was taken for a late write and ignored, and the store reports an entry once, unless more than a counter changes. The comment assumed a write each second. An ignored entry that is still listed after the time of late writes is applied again.

--- a/crates/core/src/routing/instance.rs
+++ b/crates/core/src/routing/instance.rs
@@ -14,9 +14,9 @@
 use crate::routing::endpoint::{InstanceId, StartTime};
 
 /// Time after the last entry of an instance in which an entry with an earlier start time counts as
-/// a late write. Writes were seen to take effect up to 6 s late. Endpoints write about once a
-/// second, so that one whose clock was set back before a restart is accepted after this time.
-const LATE_WRITE: Millis = Millis::from_secs(8);
+/// a late write. Writes were seen to take effect up to 6 s late. An entry that is still listed after
+/// this time is of an endpoint whose clock was set back before it started again.
+pub const LATE_WRITE: Millis = Millis::from_secs(8);
 
 /// Number of records up to which old ones aren't removed.
 const MIN_RECORDS: usize = 64;
--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -4,6 +4,7 @@
 mod route {
     mod answers;
     mod brittle;
+    mod clock_set_back;
     mod copies;
     mod crash;
     mod crowd;
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -234,6 +234,7 @@
         me,
         metrics: Arc::clone(metrics),
         unreadable: UnreadableReporter::new(Arc::clone(metrics)),
+        late: Mutex::default(),
     };
     let copies = Copies::new(applier, settings.drains, listed);
     (Arc::new(copies), config, is_listed)
--- a/crates/router/src/store/apply.rs
+++ b/crates/router/src/store/apply.rs
@@ -1,13 +1,15 @@
 //! Puts changes of the platform's objects into effect in this daemon.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::EndpointId;
 use medlarrill_core::routing::config::Configuration;
 use medlarrill_core::routing::endpoint::{Endpoint, Listing};
 use medlarrill_core::routing::fingerprint::Fingerprint;
-use medlarrill_core::routing::instance::EntryKind;
+use medlarrill_core::routing::instance::{EntryKind, LATE_WRITE};
 use medlarrill_core::routing::mirror::{Change, Object};
 use medlarrill_core::routing::quarantine::Evidence;
 use medlarrill_core::routing::revision::Revision;
@@ -50,9 +52,29 @@
     pub metrics: Arc<Metrics>,
     /// Reporter of entries that can't be decoded.
     pub unreadable: UnreadableReporter,
+    /// Entries that were taken for late writes, and when each is looked at again.
+    pub late: Mutex<BTreeMap<String, (Millis, Object)>>,
 }
 
 impl ChangeApplier {
+    /// Applies entries again that were taken for late writes and have been listed ever since: unless
+    /// more than a counter changes, an endpoint's entry isn't reported again.
+    pub fn review_late(&self, now: Millis) {
+        let due = |_: &String, (at, _): &mut (Millis, Object)| *at <= now;
+        let due: Vec<Object> = self
+            .lock_late()
+            .extract_if(.., due)
+            .map(|(_, (_, object))| object)
+            .collect();
+        for object in due {
+            self.apply_entry(&Change::Put(object));
+        }
+    }
+
+    fn lock_late(&self) -> MutexGuard<'_, BTreeMap<String, (Millis, Object)>> {
+        self.late.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies changes of objects of one kind.
     pub fn apply(&self, kind: Kind, changes: &[Change]) {
         match kind {
@@ -243,6 +265,12 @@
             }
         };
         let listed = self.placement.upsert(endpoint.clone(), now());
+        if listed == ListingChange::Ignored(EntryKind::Late) {
+            let again = (now() + LATE_WRITE, object.clone());
+            self.lock_late().insert(object.name.clone(), again);
+        } else {
+            self.lock_late().remove(&object.name);
+        }
         if !matches!(listed, ListingChange::Ignored(_)) {
             self.placement
                 .begin_slow_start(&endpoint.id, slow_start, now());
@@ -261,6 +289,7 @@
     }
 
     fn remove_entry(&self, name: &str, revision: Revision) {
+        self.lock_late().remove(name);
         let id: Option<EndpointId> = name.parse().ok();
         if id.is_some_and(|id| self.placement.remove_entry(&id)) {
             log::info!(target: "store", endpoint = name, revision = revision.number;
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -250,6 +250,7 @@
             let changes = copy.mirror.tick(now);
             self.publish(kind, &mut copy, changes);
         }
+        self.applier.review_late(now);
     }
 
     /// Puts the changes of a new era into effect, and sends followers the complete copy: what the
