Endpoints that two copies in series lack have their time after the second one

A sound endpoint that the first copy lacked was removed two seconds after the first restoration, though its time to list itself again began anew with the second one.

Test: an_endpoint_that_two_copies_in_series_lack_has_its_time_after_the_second.

--- a/crates/core/src/routing/mirror/restoration.rs
+++ b/crates/core/src/routing/mirror/restoration.rs
@@ -171,6 +171,12 @@
         now: Millis,
     ) -> Option<Change> {
         self.count_restored(|restored, _| restored.missing += 1);
+        // Its writers have their time anew after each restoration.
+        if let Some((_, at)) = self.pending.get(&name)
+            && at.era < revision.era
+        {
+            self.pending.remove(&name);
+        }
         match self.restoration.missing {
             Missing::Expires => return self.remove(name, revision, now),
             Missing::Rewritten => {
--- a/crates/core/tests/routing/restoration.rs
+++ b/crates/core/tests/routing/restoration.rs
@@ -195,6 +195,16 @@
     expect_that!(text(&mirror, "b"), some(eq("1 ready 6")));
 }
 
+#[gtest]
+fn an_endpoint_that_two_copies_in_series_lack_has_its_time_after_the_second() {
+    let mut mirror = endpoints(vec![put("a", at(1, 90), "1 ready 5")]);
+    apply(&mut mirror, list(at(2, 60), Vec::new()), 10);
+    apply(&mut mirror, list(at(3, 50), Vec::new()), 1500);
+    apply(&mut mirror, list(at(3, 50), Vec::new()), 1800);
+    expect_that!(mirror.tick(Millis(1499) + REMOVAL_GRACE), is_empty());
+    expect_that!(mirror.tick(Millis(1500) + REMOVAL_GRACE), len(eq(1)));
+}
+
 #[gtest]
 fn an_endpoint_that_was_gone_is_withheld_while_its_entry_may_be_left_over() {
     let mut mirror = endpoints(vec![put("a", at(1, 90), "1 ready 5")]);
