--- a/crates/daemon/tests/route/drains.rs
+++ b/crates/daemon/tests/route/drains.rs
@@ -13,7 +13,7 @@
 const DRAINS: &str = "evacuations";
 
 /// A bench whose second endpoint runs in another data centre.
-async fn two_data_centres() -> Bench {
+pub async fn two_data_centres() -> Bench {
     let mut bench = Bench::without_daemon(2).await;
     let mut entry = bench.endpoints[1].entry(POOL, "ready");
     entry["zone"] = "dc-b".into();
--- a/crates/daemon/tests/route/restored_known.rs
+++ b/crates/daemon/tests/route/restored_known.rs
@@ -4,6 +4,7 @@
 use medlarrill_platform_standin::{Call, Outage};
 use serde_json::json;
 
+use super::drains::two_data_centres;
 use super::restored_play::{AWAY, Play};
 use super::setup::{Bench, POOL};
 
@@ -153,12 +154,7 @@
 #[gtest]
 #[tokio::test]
 async fn a_drained_data_centre_filled_again_since_the_copy_lacks_its_drain() {
-    let mut bench = Bench::without_daemon(2).await;
-    let mut entry = bench.endpoints[1].entry(POOL, "ready");
-    entry["zone"] = "dc-b".into();
-    bench.store.put("servers", "e-1", entry);
-    bench.add_daemon(&[]);
-    bench.ready(0, 2).await;
+    let bench = two_data_centres().await;
     Bench::pause(1200).await;
     let copy = bench.store.copy();
     bench.store.put("evacuations", "dc-b", json!({}));
