--- a/crates/daemon/tests/route/requests.rs
+++ b/crates/daemon/tests/route/requests.rs
@@ -1,5 +1,7 @@
+use std::time::Duration;
+
 use googletest::prelude::*;
-use medlarrill_platform_standin::{Call, Reply};
+use medlarrill_platform_standin::{Behaviour, Call, Caller, Endpoint, Ledger, Reply};
 use medlarrill_testkit::routed::{WAIT, field};
 
 use super::setup::Bench;
@@ -103,3 +105,26 @@
     assert_that!(text, contains_substring("medlarrill_first_seconds_count 1"));
     assert_that!(text, contains_substring("medlarrill_version 7"));
 }
+
+#[tokio::test]
+async fn a_stream_stated_twice_in_the_load_of_an_endpoint() {
+    let endpoint = Endpoint::start("e", Ledger::default(), 0)
+        .await
+        .expect("an endpoint");
+    endpoint.behave(Behaviour {
+        pace: Duration::from_millis(200),
+        ..Behaviour::default()
+    });
+    let address = endpoint.address();
+    let streams = ["a", "b", "c"].map(|name| {
+        let call = Call::new(name, "/stream/x");
+        tokio::spawn(async move { Caller::new(address).send(&call).await })
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let reply = Caller::new(address).send(&Call::new("d", "/plain/x")).await;
+    let load = reply.headers.get("medlarrill-replica-load");
+    assert_that!(load, some(eq("4,0,8")));
+    for stream in streams {
+        assert_that!(stream.await.expect("a reply").is_success(), eq(true));
+    }
+}
