The own interface: answers of the platform name an era, and followers list anew when it is another one

Cause: a revision was taken for an order, and the platform's protocol said nothing else. Lists and watches now name an era, and a watch names the era of its revision. Eras are compared for equality only, so that a platform that is built anew and counts from the beginning is noticed as well; a late answer of another era costs one list more. Pages of two eras aren't joined.

The stand-in platform counts eras and wakes the watches that wait.

What callers see: nothing yet.

--- a/crates/net/src/platform.rs
+++ b/crates/net/src/platform.rs
@@ -31,7 +31,7 @@
 pub use error::{Error, Refusal, Result};
 pub use follow::{Follow, FollowEvent, Follower, LastContact};
 pub use model::{
-    Change, Changes, Entry, Listing, MAX_OBJECT, Object, Read, Revision, Version, Vm, VmKind,
+    Change, Changes, Entry, Era, Listing, MAX_OBJECT, Object, Read, Revision, Version, Vm, VmKind,
     VmList, VmState,
 };
 pub use retry::RetryOn;
--- a/crates/net/src/platform/calls.rs
+++ b/crates/net/src/platform/calls.rs
@@ -10,7 +10,7 @@
 use super::Client;
 use super::error::{Error, Result};
 use super::exchange::{Call, Reply};
-use super::model::{Changes, Listing, MAX_OBJECT, Object, Read, Revision, Version, VmList};
+use super::model::{Changes, Era, Listing, MAX_OBJECT, Object, Read, Revision, Version, VmList};
 use super::role::{Kind, Role};
 
 /// Longest key, in bytes.
@@ -132,25 +132,33 @@
             .await
     }
 
-    /// Waits up to `poll` for changes under `prefix` after a revision. The
-    /// timeout starts at the end of the poll.
+    /// Waits up to `poll` for changes under `prefix` after a revision of an era.
+    /// The timeout starts at the end of the poll.
     ///
     /// # Errors
     ///
-    /// `Gone` if the revision is no longer held, and as in [`Error`].
+    /// `Gone` if the revision is no longer held or the era is another one, and as
+    /// in [`Error`].
     pub async fn watch(
         &self,
         role: Role,
         prefix: &str,
-        after: Revision,
+        (era, after): (Era, Revision),
         poll: Millis,
         timeout: Millis,
     ) -> Result<Changes> {
         let prefix = escape(prefix);
-        let path = format!("/v1/watch?prefix={prefix}&after={after}&wait={}", poll.0);
+        let path = format!(
+            "/v1/watch?prefix={prefix}&era={era}&after={after}&wait={}",
+            poll.0
+        );
         let changes = |reply: Reply| match reply.status {
             StatusCode::GONE => Err(Error::Gone),
-            _ => parse(reply),
+            // A platform may know nothing of the era that the call names.
+            _ => parse(reply).and_then(|changes: Changes| match changes.era == era {
+                true => Ok(changes),
+                false => Err(Error::Gone),
+            }),
         };
         let call = read_call(role, Kind::Watch, path, poll + timeout);
         self.run(call, changes).await
--- a/crates/net/src/platform/follow.rs
+++ b/crates/net/src/platform/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the objects under a prefix: lists them, then long-polls for changes, and
-//! lists them again when the platform no longer holds the revision.
+//! lists them again when the platform no longer holds the revision or was restored
+//! from a copy.
 
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
@@ -8,7 +9,7 @@
 
 use super::Client;
 use super::error::{Error, Result};
-use super::model::{Change, Entry, Revision};
+use super::model::{Change, Entry, Era, Revision};
 use super::role::Role;
 use crate::now::now;
 
@@ -163,10 +164,10 @@
         while !self.events.is_closed() {
             let step = match from {
                 None => self.list().await,
-                Some(revision) => self.poll(revision).await,
+                Some(position) => self.poll(position).await,
             };
             match step {
-                Ok(revision) => from = Some(revision),
+                Ok(position) => from = Some(position),
                 Err(error) => {
                     if error == Error::Gone {
                         from = None;
@@ -186,7 +187,7 @@
     }
 
     /// Lists all objects; changes made meanwhile are reported after the list.
-    async fn list(&self) -> Result<Revision> {
+    async fn list(&self) -> Result<(Era, Revision)> {
         let follow = &self.follow;
         let mut entries: Vec<Entry> = Vec::new();
         let mut first = None;
@@ -204,18 +205,21 @@
                 )
                 .await?;
             self.record_contact(sent);
-            let revision = *first.get_or_insert(page.revision);
+            let (era, revision) = *first.get_or_insert((page.era, page.revision));
+            if page.era != era {
+                return Err(Error::Gone);
+            }
             let more = page.more && !page.entries.is_empty();
             entries.extend(page.entries);
             if !more {
                 self.send_event(FollowEvent::Listed { revision, entries })
                     .await;
-                return Ok(revision);
+                return Ok((era, revision));
             }
         }
     }
 
-    async fn poll(&mut self, after: Revision) -> Result<Revision> {
+    async fn poll(&mut self, (era, after): (Era, Revision)) -> Result<(Era, Revision)> {
         let follow = &self.follow;
         // After a failure, poll without waiting: a prompt response shows that the
         // platform has recovered.
@@ -227,10 +231,16 @@
         let sent = now();
         let update = self
             .client
-            .watch(follow.role, &follow.prefix, after, poll, follow.timeout)
+            .watch(
+                follow.role,
+                &follow.prefix,
+                (era, after),
+                poll,
+                follow.timeout,
+            )
             .await?;
         if update.revision < after {
-            // The platform was restored to an earlier state.
+            // A platform without eras was restored to an earlier state.
             return Err(Error::Gone);
         }
         self.record_contact(sent);
@@ -240,7 +250,7 @@
             self.send_event(FollowEvent::Changed { revision, changes })
                 .await;
         }
-        Ok(update.revision)
+        Ok((era, update.revision))
     }
 
     fn record_contact(&self, sent: Millis) {
--- a/crates/net/src/platform/model.rs
+++ b/crates/net/src/platform/model.rs
@@ -17,7 +17,14 @@
 #[serde(transparent)]
 pub struct Version(pub u64);
 
-/// Revision of the store, raised by every change.
+/// Era of the platform's objects: another one after each restoration from a copy, which gives out
+/// revisions again. Compared for equality only; 0 if the platform names none.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Default)]
+#[derive(Debug, Display, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
+/// Revision of the store, raised by every change within an era.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 #[derive(Debug, Display, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -48,6 +55,9 @@
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Debug, Deserialize)]
 pub struct Listing {
+    /// The era in which the page was read.
+    #[serde(default)]
+    pub era: Era,
     /// The revision at which the page was read.
     pub revision: Revision,
     /// Objects in key order.
@@ -75,6 +85,9 @@
 #[derive(Clone, PartialEq, Eq)]
 #[derive(Debug, Deserialize)]
 pub struct Changes {
+    /// The era in which the changes were read.
+    #[serde(default)]
+    pub era: Era,
     /// The revision up to which changes are reported.
     pub revision: Revision,
     /// The changes; empty if none happened during the wait.
--- a/crates/net/tests/platform_follow.rs
+++ b/crates/net/tests/platform_follow.rs
@@ -88,6 +88,41 @@
     expect_that!(seen, contains(eq("p/2")));
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_change_never_seen_since_a_waiting_watch_outlived_a_restoration() {
+    let (platform, client) = start().await;
+    platform.put("p/1", "x");
+    let copy = platform.copy();
+    platform.put("p/1", "y");
+    let mut follower = client.follow(Follow::new(Role::Watch, "p/"));
+    next(&mut follower).await;
+    platform.restore(copy);
+    // The revision that the follower knows, given out again.
+    platform.put("p/2", "new");
+    let event = next(&mut follower).await;
+    expect_that!(listed(&event), elements_are![eq(&"p/1"), eq(&"p/2")]);
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_change_never_seen_since_the_platform_counts_its_eras_anew() {
+    let (platform, client) = start().await;
+    platform.put("p/1", "x");
+    let built_anew = platform.copy();
+    for _ in 0..3 {
+        platform.restore(platform.copy());
+    }
+    platform.put("p/1", "y");
+    let follow = Follow::new(Role::Watch, "p/").with_poll(Millis(200));
+    let mut follower = client.follow(follow);
+    next(&mut follower).await;
+    platform.rebuild(built_anew);
+    platform.put("p/2", "new");
+    let event = next(&mut follower).await;
+    expect_that!(listed(&event), elements_are![eq(&"p/1"), eq(&"p/2")]);
+}
+
 #[gtest]
 #[tokio::test]
 async fn follower_lists_again_when_the_revision_was_compacted() {
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -120,7 +120,12 @@
 
     /// Goes back to a copy: what was written since is lost, and its revisions are given out again.
     pub fn restore(&self, copy: Store) {
-        self.shared.store(|store| *store = copy);
+        self.shared.store(|store| store.restore(copy));
+    }
+
+    /// Becomes another platform, which counts revisions and eras on its own.
+    pub fn rebuild(&self, other: Store) {
+        self.shared.store(|store| *store = other);
     }
 
     /// Forgets the changes so far, so that a watch behind them gets 410.
--- a/crates/testkit/src/platform/api.rs
+++ b/crates/testkit/src/platform/api.rs
@@ -31,6 +31,7 @@
 
 #[derive(Serialize)]
 struct Listing {
+    era: u64,
     revision: u64,
     objects: Vec<Entry>,
     more: bool,
@@ -140,6 +141,7 @@
         let more = objects.len() > limit;
         objects.truncate(limit);
         Listing {
+            era: store.era(),
             revision: store.revision(),
             objects,
             more,
--- a/crates/testkit/src/platform/shared.rs
+++ b/crates/testkit/src/platform/shared.rs
@@ -21,7 +21,8 @@
 /// All state of one platform.
 pub(super) struct Shared {
     store: Mutex<Store>,
-    revision: watch::Sender<u64>,
+    /// The era and revision of the last change.
+    position: watch::Sender<(u64, u64)>,
     pub(super) switch: Switch,
     writes: Mutex<Bucket>,
     reads: Mutex<Bucket>,
@@ -34,7 +35,7 @@
     fn default() -> Self {
         Self {
             store: Mutex::default(),
-            revision: watch::Sender::new(0),
+            position: watch::Sender::new((0, 0)),
             switch: Switch::default(),
             writes: Mutex::new(Bucket::new(None)),
             reads: Mutex::new(Bucket::new(None)),
@@ -50,14 +51,14 @@
     pub(super) fn store<T>(&self, work: impl FnOnce(&mut Store) -> T) -> T {
         let mut store = lock(&self.store);
         let done = work(&mut store);
-        let revision = store.revision();
-        let changed = |last: &mut u64| std::mem::replace(last, revision) != revision;
-        self.revision.send_if_modified(changed);
+        let position = (store.era(), store.revision());
+        let changed = |last: &mut (u64, u64)| std::mem::replace(last, position) != position;
+        self.position.send_if_modified(changed);
         done
     }
 
-    pub(super) fn revisions(&self) -> watch::Receiver<u64> {
-        self.revision.subscribe()
+    pub(super) fn positions(&self) -> watch::Receiver<(u64, u64)> {
+        self.position.subscribe()
     }
 
     pub(super) fn set_faults(&self, faults: Faults) {
--- a/crates/testkit/src/platform/store.rs
+++ b/crates/testkit/src/platform/store.rs
@@ -77,6 +77,8 @@
     objects: BTreeMap<String, Object>,
     changes: VecDeque<Change>,
     revision: u64,
+    /// Raised by each restoration.
+    era: u64,
     /// Changes up to and with this revision are forgotten.
     forgotten: u64,
 }
@@ -87,6 +89,17 @@
         self.revision
     }
 
+    /// The era, which each restoration raises.
+    pub const fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Goes back to a copy, in the next era.
+    pub fn restore(&mut self, copy: Self) {
+        let era = self.era + 1;
+        *self = Self { era, ..copy };
+    }
+
     /// The object under `key`.
     pub fn get(&self, key: &str) -> Option<&Object> {
         self.objects.get(key)
--- a/crates/testkit/src/platform/watch.rs
+++ b/crates/testkit/src/platform/watch.rs
@@ -17,6 +17,8 @@
 struct Ask {
     #[serde(default)]
     prefix: String,
+    /// The era of `after`, if the caller names it.
+    era: Option<u64>,
     after: u64,
     #[serde(default)]
     wait: u64,
@@ -25,6 +27,7 @@
 /// The changes that a watch saw.
 #[derive(Serialize)]
 struct Changes {
+    era: u64,
     revision: u64,
     events: Vec<Change>,
 }
@@ -33,14 +36,14 @@
 pub(super) async fn poll(shared: &Shared, uri: &Uri) -> http::Result {
     let ask: Ask = query(uri)?;
     let end = Instant::now() + Duration::from_millis(ask.wait.min(MAX_WAIT));
-    let mut revisions = shared.revisions();
+    let mut positions = shared.positions();
     loop {
-        revisions.borrow_and_update();
+        positions.borrow_and_update();
         let changes = read(shared, &ask)?;
         if !changes.events.is_empty() {
             return Ok(json(StatusCode::OK, &changes));
         }
-        let changed = tokio::time::timeout_at(end, revisions.changed()).await;
+        let changed = tokio::time::timeout_at(end, positions.changed()).await;
         if changed.is_err() {
             return Ok(json(StatusCode::OK, &changes));
         }
@@ -49,10 +52,18 @@
 
 fn read(shared: &Shared, ask: &Ask) -> http::Result<Changes> {
     shared.store(|store| {
+        let era = store.era();
+        if ask.era.is_some_and(|asked| asked != era) {
+            return Err(error(StatusCode::GONE, "the era is another one").into());
+        }
         let events = store
             .changes(&ask.prefix, ask.after)
             .map_err(|e| error(StatusCode::GONE, &e.to_string()))?;
         let revision = store.revision();
-        Ok(Changes { revision, events })
+        Ok(Changes {
+            era,
+            revision,
+            events,
+        })
     })
 }
