Copies: what a daemon takes from one that is ahead is a rule of the mirror, with a test

The rule moves from the relay to the copies, where it can be tried: an endpoint removed at 15, a copy at 10 that is told by a source at 20. With the source's revision the endpoint is kept for good; with the copy's own, as now, the watch reports it.

--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -70,6 +70,19 @@
     pub revision: Revision,
 }
 
+impl Update {
+    /// The objects alone, from a source whose removals aren't known: applying them leaves the copy at
+    /// its own revision, from which it goes on to read what was removed.
+    #[must_use]
+    pub fn into_objects(self) -> Self {
+        Self {
+            complete: false,
+            revision: Revision::new(self.revision.era, 0),
+            ..self
+        }
+    }
+}
+
 /// The local copy.
 #[derive(Clone, Default)]
 #[derive(Debug)]
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -41,6 +41,7 @@
     mod size;
     mod slow_start;
     mod slow_start_ways;
+    mod sources;
     mod stop;
     mod streams;
     mod support;
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -15,8 +15,6 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::ablation::{Mechanism, is_on};
 use medlarrill_core::routing::exchange::sources;
-use medlarrill_core::routing::mirror::Update;
-use medlarrill_core::routing::revision::Revision;
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
 use tokio::sync::broadcast::error::RecvError;
@@ -203,14 +201,8 @@
     for _ in KINDS {
         let notification = next(&mut connection).await?;
         if let Some((kind, update, _)) = notification.into_update()? {
-            // The source may be ahead: what it has removed is still to be read from the platform.
-            let known = Update {
-                complete: false,
-                revision: Revision::new(update.revision.era, 0),
-                ..update
-            };
             if store.copies.era(kind).is_some() {
-                store.copies.apply(kind, known, None, now());
+                store.copies.apply(kind, update.into_objects(), None, now());
             }
         }
     }
