Account limits: a cancelled request that waited doesn't count as an owner that is lost

What callers saw, through the own interface: a request that waits for its account's owner is cancelled, and the next one is admitted at once, over the limit, as if the owner were lost. Cause: the account stayed among those with held requests, and the check of the time was skipped for one without any, so that the next event of any kind took its owner for lost. Now an account leaves that set with its last held request.

The test fails before: the second request is admitted at 1.11 s, where it has to wait for the owner. All 10 tests of limits pass.

--- a/crates/core/src/limits/entry_limiter.rs
+++ b/crates/core/src/limits/entry_limiter.rs
@@ -168,11 +168,14 @@
             }
             return;
         }
-        for account in &self.with_held {
-            if let Some(state) = self.accounts.get_mut(account) {
-                state.held.retain(|held| held.id != id);
-            }
-        }
+        let accounts = &mut self.accounts;
+        self.with_held.retain(|account| {
+            let Some(state) = accounts.get_mut(account) else {
+                return false;
+            };
+            state.held.retain(|held| held.id != id);
+            !state.held.is_empty()
+        });
     }
 
     fn apply_grant(
@@ -277,7 +280,7 @@
                 continue;
             };
             let held = state.held.front();
-            if held.is_some_and(|held| now < held.since + MAX_HOLD) {
+            if held.is_none_or(|held| now < held.since + MAX_HOLD) {
                 continue;
             }
             for held in &mut state.held {
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -6,11 +6,15 @@
 use fleet::{Demand, Fleet, Outcome};
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::{AttemptId, Incarnation, RequestId};
 use medlarrill_core::limits::{
-    AccountHash, AllocatorAction, AllocatorEvent, Limits, ShareAllocator,
+    AccountHash, Action, AllocatorAction, AllocatorEvent, EntryLimiter, Event, Limits,
+    ShareAllocator,
 };
 use medlarrill_core::reason::Reason;
 use medlarrill_core::wire::Usage;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
 
 const ENTRIES: usize = 9;
 
@@ -270,3 +274,48 @@
         expect_that!(after, le(100));
     }
 }
+
+fn attempt(number: u32) -> AttemptId {
+    AttemptId {
+        request: RequestId(7),
+        number,
+        sender: Incarnation(1),
+    }
+}
+
+fn outcome_of(actions: &[Action], wanted: AttemptId) -> Option<bool> {
+    actions.iter().find_map(|action| match action {
+        Action::Admit { id } if *id == wanted => Some(true),
+        Action::Refuse { id, .. } if *id == wanted => Some(false),
+        _ => None,
+    })
+}
+
+#[gtest]
+fn a_request_admitted_as_if_the_owner_were_lost_since_one_that_waited_was_cancelled() {
+    let owner = |_| Some("owner".parse().expect("a name"));
+    let mut entry = EntryLimiter::new(9, Pcg32::seed_from_u64(1), Millis(0));
+    let acquire = |number: u32| Event::Acquire {
+        id: attempt(number),
+        account: AccountHash(42),
+        limits: Limits {
+            rate: 1000.0,
+            concurrency: 3,
+        },
+    };
+    let mut ask = |event, at| entry.handle(event, Millis(at), owner);
+    let is_held = |number: &u32| {
+        let actions = ask(acquire(*number), 1000);
+        outcome_of(&actions, attempt(*number)).is_none()
+    };
+    let waiting = (0..10).find(is_held).expect("a request that waits");
+    ask(
+        Event::Release {
+            id: attempt(waiting),
+        },
+        1010,
+    );
+    ask(Event::Tick, 1050);
+    let actions = ask(acquire(100), 1110);
+    expect_that!(outcome_of(&actions, attempt(100)), none());
+}
