A store that is built anew and counts its eras from the beginning is followed after ten seconds

The era was itself a number that another party counts. A store built anew begins at 1, and daemons that knew a higher era refused all its answers for good; since they told each other the higher one, restarting them in turn didn't help either.

An era is now how often the store began anew, above 48 bits of its own count. All answers of ten seconds that name a lower count, with none of the latest era and no other daemon up to date in it, are those of a store built anew: the next era, which goes through all that a restoration does (listed anew, marks decide, removals wait). Daemons learn it from each other by the copies that they relay, so that one that starts takes the store's answers at once. In those ten seconds they go on with what they know, as in an outage. A daemon that alone reaches a replica that lags doesn't go back, since the others' copies are up to date. What isn't told apart: a store whose new count reaches the known one within the ten seconds is a restoration like any.

Also: a call returned the latest era for an answer of the one before, if another call had raised it in between; now it returns the era that was recorded for it.

--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -13,6 +13,7 @@
     mod config;
     mod directory;
     mod drains;
+    mod eras;
     mod events;
     mod evidence;
     mod exchange;
--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -17,6 +17,7 @@
     mod isolated;
     mod own_word;
     mod parts;
+    mod rebuilt;
     mod requests;
     mod restored;
     mod restored_known;
--- a/crates/daemon/tests/route/requests.rs
+++ b/crates/daemon/tests/route/requests.rs
@@ -96,7 +96,7 @@
 async fn metrics_count_requests_and_their_latency() {
     let bench = Bench::start(1).await;
     bench.send(&Call::new("r-1", "/plain/x")).await;
-    let mut caller = medlarrill_platform_standin::Caller::new(bench.daemons[0].listen[2]);
+    let mut caller = Caller::new(bench.daemons[0].listen[2]);
     let refused = caller.send(&Call::new("m-1", "/metrics")).await;
     assert_that!(status(&refused), eq(405));
     let text = medlarrill_testkit::routed::read(bench.daemons[0].listen[2], "/metrics", WAIT);
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -13,6 +13,7 @@
 use medlarrill_core::routing::fingerprint::Fingerprint;
 use medlarrill_core::routing::plan::Obstacle;
 use medlarrill_core::routing::request::{RequestHead, SharedPrefix};
+use medlarrill_core::routing::revision::Era;
 use medlarrill_core::routing::silence::SeenSilence;
 use medlarrill_core::routing::streams::lookup::LookupError;
 use medlarrill_core::routing::view::Overload;
@@ -114,7 +115,7 @@
         let era = self.shared.copies.eras().latest();
         log::info!(
             target: "entry", request = self.request, attempt = self.attempts, version = self.version,
-            era = era.map(|era| era.0), endpoint:% = choice.endpoint.id, build = choice.endpoint.build.as_str(), why:% = choice.reason, load = choice.load,
+            era = era.map(Era::count), endpoint:% = choice.endpoint.id, build = choice.endpoint.build.as_str(), why:% = choice.reason, load = choice.load,
             load_age = choice.load_age.map(|age| age.0), list_age = list_age.map(|age| age.0),
             bound = choice.bound, trial = choice.probe, left = left.0,
             prefix = shared_prefix.map_or(0, |prefix| prefix.key), tokens = shared_prefix.map_or(0, |prefix| prefix.tokens.0),
--- a/crates/router/src/store/client.rs
+++ b/crates/router/src/store/client.rs
@@ -169,15 +169,12 @@
         Ok((sender, result))
     }
 
-    /// Returns the era of an answer. One that names none is taken for one of the latest era.
+    /// Returns the era of an answer.
     fn check_era(&self, named: Option<Era>) -> Result<Era> {
         let Some(eras) = &self.eras else {
             return Ok(named.unwrap_or_default());
         };
-        match named.filter(|_| eras.record(named)) {
-            Some(old) => Err(CallError::OldEra(old)),
-            None => Ok(eras.latest().unwrap_or_default()),
-        }
+        eras.record(named).map_err(CallError::OldEra)
     }
 
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -208,6 +208,7 @@
 
     /// Applies an update that was up to date at `as_of`, if that is known.
     pub fn apply(&self, kind: Kind, update: Update, as_of: Option<Millis>, now: Millis) {
+        self.eras.learn(update.revision.era);
         let mut copy = self.lock(kind);
         let should_notify = as_of.is_some_and(|as_of| copy.mirror.should_notify(as_of));
         let (age, was_waiting) = (copy.mirror.age(now), copy.mirror.grace(now).is_some());
@@ -327,7 +328,7 @@
         return;
     };
     log::warn!(
-        target: "store", kind:%, from = before.era.0, to = revision.era.0, known = before.number,
+        target: "store", kind:%, from = before.era.count(), to = revision.era.count(), known = before.number,
         revision = revision.number, kept = restored.kept, missing = restored.missing,
         withheld = restored.withheld;
         "store: listed anew after a restoration"
--- a/crates/router/src/store/eras.rs
+++ b/crates/router/src/store/eras.rs
@@ -3,16 +3,16 @@
 use std::sync::Arc;
 
 use derive_more::Debug;
-use medlarrill_core::routing::revision::Era;
+use medlarrill_core::routing::revision::{self, Answer, Era};
+use medlarrill_net::now::now;
 use tokio::sync::watch;
 
 use crate::metrics::Metrics;
 
-/// The highest era that any answer has named, shared by all calls of this daemon.
+/// The latest era, shared by all calls of this daemon.
 #[derive(Debug)]
 pub struct Eras {
-    /// `None` until an answer names one; earlier versions of the platform never do.
-    latest: watch::Sender<Option<Era>>,
+    known: watch::Sender<revision::Eras>,
     metrics: Arc<Metrics>,
 }
 
@@ -20,53 +20,89 @@
     /// Starts without a known era.
     pub fn new(metrics: Arc<Metrics>) -> Self {
         Self {
-            latest: watch::Sender::new(None),
+            known: watch::Sender::new(revision::Eras::default()),
             metrics,
         }
     }
 
-    /// Records the era that an answer names; returns whether it is older than the known one.
-    pub fn record(&self, era: Option<Era>) -> bool {
-        let Some(era) = era else {
-            return false;
+    /// Records the count that an answer names; returns the answer's era. One that names none is taken
+    /// for one of the latest era.
+    ///
+    /// # Errors
+    ///
+    /// The era, if it has ended.
+    pub fn record(&self, named: Option<Era>) -> Result<Era, Era> {
+        let Some(count) = named else {
+            return Ok(self.latest().unwrap_or_default());
         };
-        let latest = self.latest();
-        if latest.is_some_and(|latest| era < latest) {
-            self.metrics.old_answers.inc();
-            log::info!(
-                target: "store", era = era.0, latest = latest.map(|latest| latest.0);
-                "store: answer of an older era"
-            );
-            return true;
-        }
-        let is_new = self
-            .latest
-            .send_if_modified(|latest| latest.replace(era) != Some(era));
-        if is_new {
-            let number = i64::try_from(era.0).unwrap_or(i64::MAX);
-            self.metrics.store_era.set(number);
-            if let Some(before) = latest {
-                log::warn!(target: "store", from = before.0, to = era.0; "store: restored from a copy");
+        let before = self.latest();
+        let mut answer = Answer::Current(count);
+        self.known.send_if_modified(|known| {
+            let before = known.latest();
+            answer = known.record(count, now());
+            known.latest() != before
+        });
+        let from = before.map(Era::count);
+        self.show();
+        match answer {
+            Answer::Current(era) => Ok(era),
+            Answer::Restored(era) => {
+                log::warn!(target: "store", from, to = era.count(); "store: restored from a copy");
+                Ok(era)
+            }
+            Answer::Rebuilt(era) => {
+                log::warn!(
+                    target: "store", from, to = era.count();
+                    "store: built anew, it counts its eras from the beginning"
+                );
+                Ok(era)
+            }
+            Answer::Old(era) => {
+                self.metrics.old_answers.inc();
+                log::info!(
+                    target: "store", era = era.count(), latest = from;
+                    "store: answer of an older era"
+                );
+                Err(era)
             }
         }
-        false
     }
 
-    /// Waits until an answer has named a later era than this one.
+    /// Records the era of a copy that another daemon sent.
+    pub fn learn(&self, era: Era) {
+        self.known.send_if_modified(|known| known.learn(era));
+        self.show();
+    }
+
+    /// Records that another daemon is up to date with an era.
+    pub fn confirm(&self, era: Era) {
+        self.known.send_if_modified(|known| {
+            known.confirm(era);
+            false
+        });
+    }
+
+    fn show(&self) {
+        let era = self.latest().unwrap_or_default();
+        let count = i64::try_from(era.count()).unwrap_or(i64::MAX);
+        self.metrics.store_era.set(count);
+    }
+
+    /// Waits until a later era than this one is known.
     pub async fn later_than(&self, era: Era) {
-        let mut latest = self.latest.subscribe();
-        let is_later = |latest: &Option<Era>| latest.is_some_and(|latest| latest > era);
+        let mut known = self.known.subscribe();
+        let is_later = |known: &revision::Eras| known.latest().is_some_and(|latest| latest > era);
         // The sender lives as long as this.
-        latest.wait_for(is_later).await.ok();
+        known.wait_for(is_later).await.ok();
     }
 
-    /// Whether an answer has named a later era than this one.
+    /// Whether a later era than this one is known.
     pub fn is_past(&self, era: Era) -> bool {
         self.latest().is_some_and(|latest| latest > era)
     }
 
-    /// The highest era so far.
+    /// The latest era.
     pub fn latest(&self) -> Option<Era> {
-        *self.latest.borrow()
+        self.known.borrow().latest()
     }
 }
--- a/crates/router/src/store/relay.rs
+++ b/crates/router/src/store/relay.rs
@@ -200,10 +200,10 @@
     connection.send(subscription.encode()).await?;
     for _ in KINDS {
         let notification = next(&mut connection).await?;
-        if let Some((kind, update, _)) = notification.into_update()? {
-            if store.copies.era(kind).is_some() {
-                store.copies.apply(kind, update.into_objects(), None, now());
-            }
+        if let Some((kind, update, _)) = notification.into_update()?
+            && store.copies.era(kind).is_some()
+        {
+            store.copies.apply(kind, update.into_objects(), None, now());
         }
     }
     Ok(())
@@ -272,6 +272,9 @@
     if notification.is_fresh() && !is_old {
         store.roster.record_relay(at);
     }
+    if let Some(era) = notification.confirmed_era() {
+        store.copies.eras().confirm(era);
+    }
     if let Some((kind, span)) = notification.outage().filter(|_| !is_old) {
         store.copies.record_failure(kind, at - span, at);
     }
--- a/crates/router/src/store/relay/message.rs
+++ b/crates/router/src/store/relay/message.rs
@@ -250,6 +250,14 @@
         Some((kind_of_code(self.kind)?, Era(self.era)))
     }
 
+    /// The era in which the source is up to date with the platform, if it is.
+    pub const fn confirmed_era(&self) -> Option<Era> {
+        match self.age < MAX_FRESH_AGE.0 && self.failing.is_none() {
+            true => Some(Era(self.era)),
+            false => None,
+        }
+    }
+
     /// Whether the source's copy is fresh, or its calls to the platform are known to fail.
     pub const fn is_fresh(&self) -> bool {
         self.age < MAX_FRESH_AGE.0 || self.failing.is_some()
