Tests of growth: the median of nine pairs of measurements

a_first_list_takes_work_in_proportion_to_its_endpoints was known red: 3.05 once where less than 3 is wanted, at a load of 28. Traced: processor time of the large size grows beside other processes, which share the caches, and that of the small one doesn't. Excess of a single pair, alone 0.99 to 1.44; 32 copies at once on 8 cores, 128 values: median 1.67, 95th percentile 2.38, highest 2.998. Longest minima, interleaved, help little (2.778 of 128 at the highest).

The check keeps bound and sizes; what is compared is the median of nine pairs instead of one. As strict: with a scan of all endpoints in upsert (a trial) it is 17.4, by the old measurement 19.2. All six tests of growth, 32 copies at once, three times: 96 of 96 passed. 2.9 s for the six together.

--- a/crates/core/tests/routing/growth.rs
+++ b/crates/core/tests/routing/growth.rs
@@ -2,7 +2,7 @@
 //! proportion where all of them are read, not at all where only some of them change.
 //!
 //! Work is measured as processor time of the test's thread. What is compared is the ratio between
-//! two sizes, so that neither the machine's speed nor its load matters.
+//! two sizes, so that the machine's speed doesn't matter.
 
 use std::collections::HashMap;
 
@@ -25,6 +25,8 @@
 /// How much work may grow that doesn't depend on the number of endpoints; in proportion would be a
 /// factor of eight.
 const MAX_GROWTH: f64 = 3.0;
+/// Measurements of both sizes.
+const PAIRS: usize = 9;
 const NOW: Millis = Millis(60_000);
 
 fn thread_time() -> f64 {
@@ -44,9 +46,17 @@
     (0..3).map(run).fold(f64::INFINITY, f64::min)
 }
 
+/// How much the work grows between the two sizes: the median of several pairs. Beside other
+/// processes, which share the caches, a single one may be twice as high.
+fn growth(cost: impl Fn(usize) -> f64) -> f64 {
+    let mut pairs: Vec<f64> = (0..PAIRS).map(|_| cost(LARGE) / cost(SMALL)).collect();
+    pairs.sort_by(f64::total_cmp);
+    pairs[PAIRS / 2]
+}
+
 /// How much more the work grows between the two sizes than in proportion to the endpoints.
 fn excess(cost: impl Fn(usize) -> f64) -> f64 {
-    cost(LARGE) / cost(SMALL) / (LARGE / SMALL) as f64
+    growth(cost) / (LARGE / SMALL) as f64
 }
 
 /// Names of endpoints come in no order.
@@ -158,7 +168,7 @@
             },
         )
     };
-    expect_that!(cost(LARGE) / cost(SMALL), lt(MAX_GROWTH));
+    expect_that!(growth(cost), lt(MAX_GROWTH));
 }
 
 /// The same requests in flight in both fleets.
@@ -185,7 +195,7 @@
             },
         )
     };
-    expect_that!(cost(LARGE) / cost(SMALL), lt(MAX_GROWTH));
+    expect_that!(growth(cost), lt(MAX_GROWTH));
 }
 
 #[gtest]
@@ -200,5 +210,5 @@
             },
         )
     };
-    expect_that!(cost(LARGE) / cost(SMALL), lt(MAX_GROWTH));
+    expect_that!(growth(cost), lt(MAX_GROWTH));
 }
