Tests: the streams' archive after a restoration

Streams begin, the archive is written, the store goes back to a copy without it, and 1.5 s later all daemons are killed: 16 of 16 go on. With the writer's look at the era switched off (a trial) 16 of 16 are refused, twice of twice.

--- a/crates/daemon/tests/route/restored_known.rs
+++ b/crates/daemon/tests/route/restored_known.rs
@@ -1,12 +1,13 @@
 //! What the daemons knew when the store went back to a copy that lacks it, or has it otherwise.
 
 use googletest::prelude::*;
-use medlarrill_platform_standin::{Call, Outage};
+use medlarrill_platform_standin::{Call, Outage, Watches};
 use serde_json::json;
 
 use super::drains::two_data_centres;
 use super::restored_play::{AWAY, Play};
 use super::setup::{Bench, POOL};
+use super::versions::{TWO, begin, finish, restart_all, start};
 
 #[gtest]
 #[tokio::test]
@@ -233,3 +234,19 @@
     Bench::pause(6000).await;
     expect_that!(play.bench.store.has("daemons", "dc-a"), eq(true));
 }
+
+#[gtest]
+#[tokio::test]
+async fn streams_refused_since_the_store_had_lost_their_archive_before_all_daemons_were_killed() {
+    let mut bench = start(3, &TWO).await;
+    // Time in which the first hub has begun to write.
+    Bench::pause(1600).await;
+    let copy = bench.store.copy();
+    let begun = begin(&bench, 0).await;
+    Bench::pause(600).await;
+    bench.store.restore(copy, Watches::Cut);
+    Bench::pause(1500).await;
+    restart_all(&mut bench).await;
+    let taken_up = finish(&bench, 0, &begun, "again").await;
+    taken_up.assert_all_whole();
+}
