Account limits: daemons that were lost without leaving keep their part of the limits

Cause: limits were divided among the daemons that are heard, as the budget of repeats once was.

Membership remembers lost daemons for ten minutes, and knows who left. Entries divide by the live and the lost ones; an owner divides the part of the limits that the live ones have of all. A daemon that left gives its part up at once, as before.

Not run: a partition through processes.

What it costs: after a crash without a restart accounts have that daemon's part less for ten minutes. What is left: a partition that lasts longer.

--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -44,6 +44,40 @@
 /// second.
 const RATE_UNIT: f64 = 100.0;
 
+/// Numbers of daemons among which limits are divided.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+pub struct Daemons {
+    /// Daemons that are live.
+    pub live: u32,
+    /// Daemons that were lost without leaving. Where they run on, cut off from this one, they use
+    /// their part.
+    pub lost: u32,
+}
+
+impl Daemons {
+    /// Live daemons, of which none was lost.
+    pub const fn live(live: u32) -> Self {
+        Self { live, lost: 0 }
+    }
+
+    /// All of them.
+    const fn all(self) -> u32 {
+        self.live.saturating_add(self.lost)
+    }
+
+    /// The part of an account's limits that the live ones may use.
+    fn part_of(self, limits: Limits) -> Limits {
+        let part = f64::from(self.live) / f64::from(self.all().max(1));
+        let concurrency = f64::from(limits.concurrency) * part;
+        Limits {
+            rate: limits.rate * part,
+            // An account must be able to run requests at any daemon.
+            concurrency: (concurrency as u32).max(1).min(limits.concurrency),
+        }
+    }
+}
+
 /// Limits of an account over all daemons.
 #[derive(Clone, Copy, PartialEq)]
 #[derive(Debug)]
--- a/crates/core/src/limits/entry_limiter.rs
+++ b/crates/core/src/limits/entry_limiter.rs
@@ -11,7 +11,9 @@
 
 use super::entry_account::EntryAccount;
 use super::event::{Action, Event};
-use super::{AccountHash, Limits, STRICT_FLEET_SIZE, cell, column, rate_from_wire, watch_cell};
+use super::{
+    AccountHash, Daemons, Limits, STRICT_FLEET_SIZE, cell, column, rate_from_wire, watch_cell,
+};
 
 /// Longest time for which a request is held until the owner answers.
 const MAX_HOLD: Millis = Millis(200);
@@ -30,7 +32,7 @@
 #[derive(Clone)]
 #[derive(Debug)]
 pub struct EntryLimiter {
-    live: u32,
+    daemons: Daemons,
     accounts: BTreeMap<AccountHash, EntryAccount>,
     admitted: HashMap<AttemptId, AccountHash>,
     peers: HashMap<DaemonId, Peer>,
@@ -48,7 +50,7 @@
     /// A limiter without accounts, at an entry of a fleet of `live` daemons.
     pub fn new(live: u32, rng: Pcg32, now: Millis) -> Self {
         Self {
-            live,
+            daemons: Daemons::live(live),
             accounts: BTreeMap::new(),
             admitted: HashMap::new(),
             peers: HashMap::new(),
@@ -76,7 +78,7 @@
             } => self.acquire(id, account, limits, now, owner_of, &mut actions),
             Event::Release { id } => self.release(id, now),
             Event::Grant { from, grant } => self.apply_grant(&from, &grant, now, &mut actions),
-            Event::Members { live } => self.update_members(live, owner_of),
+            Event::Members(daemons) => self.update_members(daemons, owner_of),
             Event::OwnerLost(owner) => self.mark_owner_lost(&owner, now),
             Event::Tick => {}
         }
@@ -132,9 +134,9 @@
         if state.owner.is_none() {
             state.share.mark_lost(now);
         }
-        state.share.update(limits, self.live, now);
-        if state.held.is_empty() && state.fits(self.live, now) {
-            if self.live > STRICT_FLEET_SIZE {
+        state.share.update(limits, self.daemons.all(), now);
+        if state.held.is_empty() && state.fits(self.daemons.all(), now) {
+            if self.daemons.live > STRICT_FLEET_SIZE {
                 state.maybe_sample(now, &mut self.rng);
             }
             state.admit();
@@ -144,7 +146,7 @@
         }
         let is_exhausted = state.owner.is_none() || now < state.exhausted_until;
         if is_exhausted || state.is_hold_full() {
-            let action = state.refuse(id, self.live, now, &mut self.rng);
+            let action = state.refuse(id, self.daemons.all(), now, &mut self.rng);
             actions.push(action);
             return;
         }
@@ -195,7 +197,7 @@
             if state.owner.as_ref() != Some(from) {
                 continue;
             }
-            state.share.update(state.limits, self.live, now);
+            state.share.update(state.limits, self.daemons.all(), now);
             let concurrency = cell(&grant.shares, row);
             // The owner can grant the difference to others only when it knows that this entry has
             // given it up.
@@ -226,12 +228,12 @@
         };
         while let Some(held) = state.held.front() {
             let (id, asked) = (held.id, held.asked);
-            if state.fits(self.live, now) {
+            if state.fits(self.daemons.all(), now) {
                 state.admit();
                 self.admitted.insert(id, account);
                 actions.push(Action::Admit { id });
             } else if asked.is_some_and(|asked| asked <= answers) {
-                let action = state.refuse(id, self.live, now, &mut self.rng);
+                let action = state.refuse(id, self.daemons.all(), now, &mut self.rng);
                 actions.push(action);
             } else {
                 if asked.is_none() {
@@ -244,8 +246,12 @@
         self.with_held.remove(&account);
     }
 
-    fn update_members(&mut self, live: u32, owner_of: impl Fn(AccountHash) -> Option<DaemonId>) {
-        self.live = live;
+    fn update_members(
+        &mut self,
+        daemons: Daemons,
+        owner_of: impl Fn(AccountHash) -> Option<DaemonId>,
+    ) {
+        self.daemons = daemons;
         for (account, state) in &mut self.accounts {
             let owner = owner_of(*account);
             if owner == state.owner {
@@ -287,7 +293,7 @@
                 held.asked = Some(0);
             }
             state.share.mark_lost(now);
-            state.share.update(state.limits, self.live, now);
+            state.share.update(state.limits, self.daemons.all(), now);
             self.resolve_held(account, u64::MAX, now, actions);
         }
     }
--- a/crates/core/src/limits/event.rs
+++ b/crates/core/src/limits/event.rs
@@ -7,7 +7,7 @@
 use crate::reason::Reason;
 use crate::wire::{Grant, Usage};
 
-use super::{AccountHash, Limits};
+use super::{AccountHash, Daemons, Limits};
 
 /// An event at an entry.
 #[derive(Clone, PartialEq)]
@@ -36,11 +36,8 @@
     },
     /// The link to an owner was lost, or a message to it couldn't be sent.
     OwnerLost(DaemonId),
-    /// The live daemons have changed.
-    Members {
-        /// The number of live daemons.
-        live: u32,
-    },
+    /// The daemons have changed.
+    Members(Daemons),
     /// Time has passed; due at [`EntryLimiter::wake`](super::EntryLimiter::wake).
     Tick,
 }
--- a/crates/core/src/limits/share_allocator.rs
+++ b/crates/core/src/limits/share_allocator.rs
@@ -10,7 +10,7 @@
 
 use super::entry_usage::{GrantRow, Report};
 use super::owned_account::OwnedAccount;
-use super::{AccountHash, GRANT_EXPIRY, Limits, cell, column};
+use super::{AccountHash, Daemons, GRANT_EXPIRY, Limits, cell, column};
 
 /// Time in which a new owner learns from reports what entries hold by its predecessor's grants.
 const LEARNING_TIME: Millis = Millis::from_secs(2);
@@ -26,11 +26,8 @@
         /// Its report.
         usage: Usage,
     },
-    /// The live daemons have changed.
-    Members {
-        /// The number of live daemons.
-        live: u32,
-    },
+    /// The daemons have changed.
+    Members(Daemons),
     /// A daemon is lost, and its requests in flight with it.
     DaemonLost(DaemonId),
     /// Time has passed; sent every few seconds to remove expired entries.
@@ -59,7 +56,7 @@
 #[derive(Clone)]
 #[derive(Debug)]
 pub struct ShareAllocator {
-    live: u32,
+    daemons: Daemons,
     /// Until when a new account may lack entries that hold a former owner's grants.
     learning_until: Millis,
     accounts: HashMap<AccountHash, OwnedAccount>,
@@ -70,7 +67,7 @@
     /// An allocator without accounts, in a fleet of `live` daemons.
     pub fn new(live: u32, now: Millis) -> Self {
         Self {
-            live,
+            daemons: Daemons::live(live),
             learning_until: now + LEARNING_TIME,
             accounts: HashMap::new(),
             peers: HashMap::new(),
@@ -89,8 +86,8 @@
             AllocatorEvent::Usage { from, usage } => {
                 return self.handle_usage(&from, &usage, now, limits_of);
             }
-            AllocatorEvent::Members { live } => {
-                self.live = live;
+            AllocatorEvent::Members(daemons) => {
+                self.daemons = daemons;
                 self.learning_until = now + LEARNING_TIME;
             }
             AllocatorEvent::DaemonLost(daemon) => self.remove_daemon(&daemon),
@@ -140,7 +137,7 @@
                 .accounts
                 .entry(account)
                 .or_insert_with(|| OwnedAccount::new(limits, learning_until, now));
-            state.set_limits(limits, self.live, now);
+            state.set_limits(self.daemons.part_of(limits), self.daemons.live, now);
             let report = Report {
                 seen_grant: usage.acknowledged,
                 share: cell(&usage.shares, index),
--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -141,6 +141,12 @@
         self.state() == State::Gone
     }
 
+    /// Whether it is considered lost without having announced that it leaves: it may run on, cut off
+    /// from this daemon.
+    pub fn is_lost(&self) -> bool {
+        self.liveness == Liveness::Gone && self.announced < Announced::Leaving
+    }
+
     /// The key by which the processes of one name are ordered.
     pub const fn order(&self) -> (u32, Incarnation) {
         (self.epoch, self.incarnation)
--- a/crates/core/tests/support/fleet.rs
+++ b/crates/core/tests/support/fleet.rs
@@ -6,7 +6,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::{AttemptId, DaemonId, Incarnation, RequestId};
 use medlarrill_core::limits::{
-    AccountHash, Action, AllocatorAction, AllocatorEvent, EntryLimiter, Event, Limits,
+    AccountHash, Action, AllocatorAction, AllocatorEvent, Daemons, EntryLimiter, Event, Limits,
     ShareAllocator,
 };
 use medlarrill_core::reason::Reason;
@@ -170,9 +170,13 @@
         let live = (self.nodes.len() - self.gone.len()) as u32;
         let name = self.nodes[node].name.clone();
         for other in 0..self.nodes.len() {
-            self.tell(other, Event::Members { live }, now);
+            self.tell(other, Event::Members(Daemons::live(live)), now);
             let ledger = &mut self.nodes[other].ledger;
-            ledger.handle(AllocatorEvent::Members { live }, Millis(now), |_| None);
+            ledger.handle(
+                AllocatorEvent::Members(Daemons::live(live)),
+                Millis(now),
+                |_| None,
+            );
             ledger.handle(
                 AllocatorEvent::DaemonLost(name.clone()),
                 Millis(now),
--- a/crates/daemon/src/fleet/view.rs
+++ b/crates/daemon/src/fleet/view.rs
@@ -46,6 +46,8 @@
     pub placement: Fleet,
     /// All reachable daemons, including leaving ones, by name.
     pub peers: BTreeMap<DaemonId, Peer>,
+    /// Daemons that were lost without leaving.
+    pub lost: usize,
     /// The region of each data centre that has a daemon.
     pub regions: BTreeMap<DataCentreId, RegionId>,
     /// Whether the view is fresh enough to act on.
@@ -66,6 +68,10 @@
         Self {
             placement,
             peers,
+            lost: membership
+                .members()
+                .filter(|member| member.is_lost())
+                .count(),
             regions,
             fresh,
         }
--- a/crates/daemon/src/limits/task.rs
+++ b/crates/daemon/src/limits/task.rs
@@ -6,7 +6,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::{AttemptId, DaemonId};
 use medlarrill_core::limits::{
-    AccountHash, Action, AllocatorEvent, EntryLimiter, Event, Limits, ShareAllocator,
+    AccountHash, Action, AllocatorEvent, Daemons, EntryLimiter, Event, Limits, ShareAllocator,
 };
 use medlarrill_core::retry::{Budget, Settings};
 use medlarrill_core::wire::Body;
@@ -83,10 +83,13 @@
     }
 
     fn update_members(&mut self, fleet: &mut watch::Receiver<Arc<FleetView>>) {
-        let live = fleet.borrow_and_update().placement.len().max(1);
-        let live = u32::try_from(live).unwrap_or(u32::MAX);
-        self.drive_limiter(Event::Members { live });
-        self.drive_allocator(AllocatorEvent::Members { live });
+        let view = fleet.borrow_and_update().clone();
+        let daemons = Daemons {
+            live: u32::try_from(view.placement.len().max(1)).unwrap_or(u32::MAX),
+            lost: u32::try_from(view.lost).unwrap_or(u32::MAX),
+        };
+        self.drive_limiter(Event::Members(daemons));
+        self.drive_allocator(AllocatorEvent::Members(daemons));
     }
 
     fn update_limits(&mut self, config: &mut watch::Receiver<Arc<ConfigView>>) {
