Claims: a stopped process's record is kept for longer than any key that it answers for

The test fails with the constant: 7 days for keys of 7, 30 and 400 days. Not run through processes. Left: a lifetime that operators shorten just before a stop.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -40,7 +40,7 @@
     Batch, Body, Checkpoint, ClaimEntry, Close, Holder, Open, Record, RecordError, Span, Void,
     object_key, object_number, shard_prefix,
 };
-pub use shutdown::{NumberOutcomes, SHUTDOWN_PREFIX, ShutdownRecord};
+pub use shutdown::{NumberOutcomes, SHUTDOWN_PREFIX, ShutdownRecord, shutdown_retention};
 pub use table::{Claim, ClaimId, Table};
 pub use tickets::{
     Redemption, Ticket, TicketAction, TicketError, TicketEvent, TicketHolder, TicketLimits, Tickets,
--- a/crates/core/src/claims/shutdown.rs
+++ b/crates/core/src/claims/shutdown.rs
@@ -8,12 +8,26 @@
 
 use crate::claims::record::{RecordError, Result};
 use crate::clock::Millis;
+use crate::config::Config;
 use crate::ids::Incarnation;
 use crate::outcome::Outcome;
 
 /// Common prefix of the names of shutdown records.
 pub const SHUTDOWN_PREFIX: &str = "farewell/";
 
+/// Least time for which a record is kept.
+const MIN_RETENTION: Millis = Millis::from_secs(7 * 86_400);
+/// Time for which it is kept beyond the longest lifetime of a key; clocks may differ.
+const RETENTION_MARGIN: Millis = Millis::from_secs(86_400);
+
+/// How long a shutdown record is kept: longer than any key that it answers for.
+pub fn shutdown_retention(config: &Config) -> Millis {
+    let institutions = config.institutions.values();
+    let longest = institutions.map(|institution| institution.contract.key_lifetime);
+    let longest = longest.max().unwrap_or(Millis::ZERO);
+    MIN_RETENTION.max(longest + RETENTION_MARGIN)
+}
+
 /// Outcomes of a process's claims and tickets.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
--- a/crates/core/tests/claims/main.rs
+++ b/crates/core/tests/claims/main.rs
@@ -11,6 +11,7 @@
 mod oracle;
 mod platform;
 mod schedules;
+mod shutdown;
 mod sizes;
 mod steps;
 mod tickets;
--- a/crates/daemon/src/claims/task.rs
+++ b/crates/daemon/src/claims/task.rs
@@ -5,7 +5,7 @@
 
 use medlarrill_core::claims::{
     Claimant, ClaimantAction, ClaimantEvent, KeyHash, KeyedRequest, LogAction, LogEvent, ProcessId,
-    RunOutcome, ShardLog, ShutdownRecord, shard_of,
+    RunOutcome, ShardLog, ShutdownRecord, shard_of, shutdown_retention,
 };
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::{DaemonId, RequestId};
@@ -22,8 +22,6 @@
 use crate::context::Context;
 use crate::fleet::FleetView;
 
-/// Retention of a shutdown record, beyond the longest lifetime of a key.
-const SHUTDOWN_RECORD_RETENTION: Millis = Millis::from_secs(7 * 24 * 3600);
 /// Maximum time between ticks, which pass the wall clock to the shards.
 const MAX_SLEEP: Millis = Millis(1000);
 
@@ -305,7 +303,7 @@
     /// Refuses all requests that aren't running, and writes the shutdown record.
     fn stop(&mut self, done: oneshot::Sender<()>) {
         self.drive_claimant(ClaimantEvent::Stop);
-        let expiry = wall() + SHUTDOWN_RECORD_RETENTION;
+        let expiry = wall() + shutdown_retention(&self.context.config.borrow().config);
         let claimant = self.context.me.incarnation;
         let record = ShutdownRecord::new(claimant, self.claimant.outcomes(), None, expiry);
         let context = Arc::clone(&self.context);
--- a/crates/daemon/tests/route/restored_known.rs
+++ b/crates/daemon/tests/route/restored_known.rs
@@ -192,9 +192,7 @@
     assert_that!(names, not(is_empty()));
     bench.store.fail(Outage::Reset);
     Bench::pause(AWAY).await;
-    bench
-        .store
-        .restore(copy, medlarrill_platform_standin::Watches::Cut);
+    bench.store.restore(copy, Watches::Cut);
     // All endpoints list themselves again.
     for endpoint in &bench.endpoints {
         bench
@@ -226,9 +224,7 @@
     };
     play.bench.store.remove("daemons", "dc-a");
     let lacking = play.bench.store.copy();
-    play.bench
-        .store
-        .restore(copy, medlarrill_platform_standin::Watches::Cut);
+    play.bench.store.restore(copy, Watches::Cut);
     Bench::pause(3000).await;
     play.restore(lacking, AWAY, |_| {}).await;
     Bench::pause(6000).await;
