Eras: ten old answers at least before a store counts as built anew

Found by reading: a daemon with one late answer that then stands still for ten seconds, and finds another late answer when it wakes, would have taken the store for one that was built anew, and had the whole fleet list twice. More answers are asked for now than may wait at a daemon.

--- a/crates/core/src/routing/revision/eras.rs
+++ b/crates/core/src/routing/revision/eras.rs
@@ -8,6 +8,8 @@
 /// Time in which all answers name an earlier era before the store counts as built anew. Answers
 /// that are late, or come from a replica that lags behind, end sooner.
 const REBUILT_AFTER: Millis = Millis::from_secs(10);
+/// Number of such answers at least: more than a daemon that stood still may find waiting.
+const REBUILT_ANSWERS: u32 = 10;
 
 /// What an answer of the store says of its era.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -29,8 +31,16 @@
 pub struct Eras {
     /// `None` until an answer names one; earlier versions of the platform never do.
     latest: Option<Era>,
-    /// Since when all answers are of an earlier era.
-    behind: Option<Millis>,
+    /// Since when all answers are of an earlier era, and how many.
+    behind: Option<Behind>,
+}
+
+/// Answers of an earlier era without one of the latest between them.
+#[derive(Clone, Copy)]
+#[derive(Debug)]
+struct Behind {
+    since: Millis,
+    answers: u32,
 }
 
 impl Eras {
@@ -51,8 +61,12 @@
                 false => Answer::Current(named),
             };
         }
-        let since = *self.behind.get_or_insert(now);
-        if now.since(since) < REBUILT_AFTER {
+        let behind = self.behind.get_or_insert(Behind {
+            since: now,
+            answers: 0,
+        });
+        behind.answers = behind.answers.saturating_add(1);
+        if now.since(behind.since) < REBUILT_AFTER || behind.answers <= REBUILT_ANSWERS {
             return Answer::Old(named);
         }
         let rebuilt = latest.rebuilt(count);
--- a/crates/core/tests/routing/eras.rs
+++ b/crates/core/tests/routing/eras.rs
@@ -60,6 +60,19 @@
     }
 }
 
+#[gtest]
+fn late_answers_before_and_after_a_daemon_stood_still_are_refused() {
+    let mut eras = known();
+    for second in [0, 0, 0, 30, 30, 30, 30, 30, 30] {
+        let answer = eras.record(Era(6), Millis::from_secs(second));
+        expect_that!(answer, eq(Answer::Old(Era(6))));
+    }
+    expect_that!(
+        eras.record(Era(7), Millis::from_secs(31)),
+        eq(Answer::Current(Era(7)))
+    );
+}
+
 #[gtest]
 fn a_daemon_with_old_answers_does_not_go_back_while_another_one_is_up_to_date() {
     let mut eras = known();
