--- a/crates/core/src/limits/entry_account.rs
+++ b/crates/core/src/limits/entry_account.rs
@@ -117,8 +117,8 @@
         }
     }
 
-    pub(super) fn fits(&self, live: u32, now: Millis) -> bool {
-        let limit = self.share.current_concurrency(self.limits, live, now);
+    pub(super) fn fits(&self, daemons: u32, now: Millis) -> bool {
+        let limit = self.share.current_concurrency(self.limits, daemons, now);
         self.in_flight < limit && self.share.has_token()
     }
 
@@ -154,12 +154,18 @@
         }
     }
 
-    pub(super) fn refuse(&self, id: AttemptId, live: u32, now: Millis, rng: &mut Pcg32) -> Action {
-        let limit = self.share.current_concurrency(self.limits, live, now);
+    pub(super) fn refuse(
+        &self,
+        id: AttemptId,
+        daemons: u32,
+        now: Millis,
+        rng: &mut Pcg32,
+    ) -> Action {
+        let limit = self.share.current_concurrency(self.limits, daemons, now);
         let (reason, wait) = if self.in_flight >= limit {
             (Reason::AccountConcurrency, RETRY_AFTER_BUSY)
         } else {
-            let wait = self.share.time_to_token(self.limits, live, now);
+            let wait = self.share.time_to_token(self.limits, daemons, now);
             (Reason::AccountRate, wait)
         };
         let wait = wait
--- a/crates/core/src/limits/share.rs
+++ b/crates/core/src/limits/share.rs
@@ -63,12 +63,12 @@
     }
 
     /// Marks the owner as lost if the grant has expired, and adds tokens for the time elapsed.
-    pub(super) fn update(&mut self, limits: Limits, live: u32, now: Millis) {
+    pub(super) fn update(&mut self, limits: Limits, daemons: u32, now: Millis) {
         let has_grant = self.concurrency > 0 || self.rate > 0.0;
         if has_grant && now >= self.expires {
             self.mark_lost(self.expires);
         }
-        let rate = self.current_rate(limits, live, now);
+        let rate = self.current_rate(limits, daemons, now);
         let elapsed = now.since(self.refilled).as_secs_f64();
         self.refilled = self.refilled.max(now);
         let max_tokens = burst_limit(rate).max(self.tokens);
@@ -76,11 +76,11 @@
     }
 
     /// Concurrency that is allowed now.
-    pub(super) fn current_concurrency(&self, limits: Limits, live: u32, now: Millis) -> u32 {
+    pub(super) fn current_concurrency(&self, limits: Limits, daemons: u32, now: Millis) -> u32 {
         if self.lost_since.is_none() {
             return self.concurrency;
         }
-        let equal_share = f64::from(limits.concurrency) / f64::from(live.max(1));
+        let equal_share = f64::from(limits.concurrency) / f64::from(daemons.max(1));
         let blended = self.blend(f64::from(self.concurrency), equal_share, now);
         // An account must be able to run requests at any entry that has lost the owner.
         (blended as u32).max(1).min(limits.concurrency)
@@ -97,17 +97,17 @@
     }
 
     /// Time until the next token.
-    pub(super) fn time_to_token(&self, limits: Limits, live: u32, now: Millis) -> Millis {
-        let rate = self.current_rate(limits, live, now);
+    pub(super) fn time_to_token(&self, limits: Limits, daemons: u32, now: Millis) -> Millis {
+        let rate = self.current_rate(limits, daemons, now);
         let missing = (1.0 - self.tokens).max(0.0);
         Millis((missing / rate.max(0.1) * 1000.0).ceil() as u64)
     }
 
-    fn current_rate(&self, limits: Limits, live: u32, now: Millis) -> f64 {
+    fn current_rate(&self, limits: Limits, daemons: u32, now: Millis) -> f64 {
         if self.lost_since.is_none() {
             return self.rate;
         }
-        self.blend(self.rate, limits.rate / f64::from(live.max(1)), now)
+        self.blend(self.rate, limits.rate / f64::from(daemons.max(1)), now)
     }
 
     fn blend(&self, granted: f64, equal_share: f64, now: Millis) -> f64 {
