--- a/crates/testkit/tests/platform.rs
+++ b/crates/testkit/tests/platform.rs
@@ -86,7 +86,7 @@
         .unwrap();
     expect_that!(
         page,
-        eq(&json!({"revision": 4, "more": true, "objects": [
+        eq(&json!({"era": 0, "revision": 4, "more": true, "objects": [
             {"key": "a/1", "version": 3, "size": 5},
             {"key": "a/2", "version": 1, "size": 5},
         ]}))
@@ -110,12 +110,15 @@
     platform.put("a/2", "x");
     let seen = watch.await.unwrap();
     let event = json!({"key": "a/2", "version": 3, "deleted": false});
-    expect_that!(seen, eq(&json!({"revision": 3, "events": [event]})));
+    expect_that!(
+        seen,
+        eq(&json!({"era": 0, "revision": 3, "events": [event]}))
+    );
 
     let idle = get_json(at, "/v1/watch?prefix=a/&after=3&wait=1")
         .await
         .unwrap();
-    expect_that!(idle, eq(&json!({"revision": 3, "events": []})));
+    expect_that!(idle, eq(&json!({"era": 0, "revision": 3, "events": []})));
     platform.compact();
     let late = get(at, "/v1/watch?after=2&wait=1").await.unwrap();
     expect_that!(late.status().as_u16(), eq(410));
