--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -69,11 +69,9 @@
     /// The part of an account's limits that the live ones may use.
     fn part_of(self, limits: Limits) -> Limits {
         let part = f64::from(self.live) / f64::from(self.all().max(1));
-        let concurrency = f64::from(limits.concurrency) * part;
         Limits {
             rate: limits.rate * part,
-            // An account must be able to run requests at any daemon.
-            concurrency: (concurrency as u32).max(1).min(limits.concurrency),
+            concurrency: limits.at_least_one(f64::from(limits.concurrency) * part),
         }
     }
 }
@@ -88,6 +86,14 @@
     pub concurrency: u32,
 }
 
+impl Limits {
+    /// A part of the concurrency in whole requests, at least one: an account must be able to run
+    /// requests at any daemon.
+    fn at_least_one(self, concurrency: f64) -> u32 {
+        (concurrency as u32).max(1).min(self.concurrency)
+    }
+}
+
 impl From<&Account> for Limits {
     fn from(account: &Account) -> Self {
         Self {
--- a/crates/core/src/limits/share.rs
+++ b/crates/core/src/limits/share.rs
@@ -82,8 +82,7 @@
         }
         let equal_share = f64::from(limits.concurrency) / f64::from(daemons.max(1));
         let blended = self.blend(f64::from(self.concurrency), equal_share, now);
-        // An account must be able to run requests at any entry that has lost the owner.
-        (blended as u32).max(1).min(limits.concurrency)
+        limits.at_least_one(blended)
     }
 
     /// Takes a token, without a check that there is one.
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -319,3 +319,24 @@
     let actions = ask(acquire(100), 1110);
     expect_that!(outcome_of(&actions, attempt(100)), none());
 }
+
+/// Most requests in flight at daemons that have lost others, of an account with a concurrency of 90.
+fn most_in_flight(live: usize, lost: u32) -> u32 {
+    let mut fleet = Fleet::new(live, vec![demand(900.0, 90, vec![200.0; live])], 3);
+    fleet.lose(lost, 0);
+    fleet.run(15_000);
+    fleet.outcomes[0].most
+}
+
+#[gtest]
+fn a_daemon_that_is_cut_off_grants_itself_whole_limits() {
+    for (live, lost, allowed) in [(1, 8, 10), (4, 5, 40), (5, 4, 50)] {
+        let in_flight = most_in_flight(live, lost);
+        expect_that!(in_flight, all!(le(allowed), ge(allowed / 2)), "{live} of 9");
+    }
+}
+
+#[gtest]
+fn a_daemon_that_the_others_have_left_uses_whole_limits() {
+    expect_that!(most_in_flight(1, 0), eq(90));
+}
--- a/crates/core/tests/support/fleet.rs
+++ b/crates/core/tests/support/fleet.rs
@@ -170,13 +170,8 @@
         let live = (self.nodes.len() - self.gone.len()) as u32;
         let name = self.nodes[node].name.clone();
         for other in 0..self.nodes.len() {
-            self.tell(other, Event::Members(Daemons::live(live)), now);
+            self.tell_daemons(other, Daemons::live(live), now);
             let ledger = &mut self.nodes[other].ledger;
-            ledger.handle(
-                AllocatorEvent::Members(Daemons::live(live)),
-                Millis(now),
-                |_| None,
-            );
             ledger.handle(
                 AllocatorEvent::DaemonLost(name.clone()),
                 Millis(now),
@@ -185,6 +180,21 @@
         }
     }
 
+    /// Has all daemons lose others that were with them, and haven't left.
+    pub fn lose(&mut self, lost: u32, now: u64) {
+        let live = self.nodes.len() as u32;
+        let daemons = Daemons { live, lost };
+        for node in 0..self.nodes.len() {
+            self.tell_daemons(node, daemons, now);
+        }
+    }
+
+    fn tell_daemons(&mut self, node: usize, daemons: Daemons, now: u64) {
+        self.tell(node, Event::Members(daemons), now);
+        let ledger = &mut self.nodes[node].ledger;
+        ledger.handle(AllocatorEvent::Members(daemons), Millis(now), |_| None);
+    }
+
     /// The daemon that owns an account.
     pub fn owner_of(&self, demand: usize) -> usize {
         self.names[&self.owners[&self.demands[demand].account]]
