Lists of daemons after a restoration: joined where that is decided

Adding to a known list had a method in the fleet, the view and the placement, each a copy of the one that sets a list. The change applier joins what is listed with what was known, which it can ask for already, and sets that. One place decodes a list and reports one that can't be decoded. Behaviour is the same; 14 tests of what daemons knew before a restoration pass.

--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -71,13 +71,6 @@
         self.me = self.listed.iter().find(|node| node.id == me).cloned();
     }
 
-    /// Adds daemons to those in one part of the platform's list.
-    pub fn add_listed(&mut self, me: SocketAddr, part: &str, daemons: &[SocketAddr]) {
-        let known = self.parts.get(part).into_iter().flatten();
-        let all: BTreeSet<SocketAddr> = known.chain(daemons).copied().collect();
-        self.set_listed(me, part, all.into_iter().collect());
-    }
-
     /// Sets the number of live daemons, this one included.
     pub fn set_live(&mut self, live: usize, now: Millis) {
         match live {
--- a/crates/core/src/routing/view/sharing.rs
+++ b/crates/core/src/routing/view/sharing.rs
@@ -14,13 +14,6 @@
         self.budget.set_share(self.fleet.share(1.0));
     }
 
-    /// Adds daemons to those in a part of the platform's list.
-    pub fn add_daemons(&mut self, me: SocketAddr, part: &str, daemons: &[SocketAddr]) {
-        self.fleet.add_listed(me, part, daemons);
-        self.slow_starts.clear_shares();
-        self.budget.set_share(self.fleet.share(1.0));
-    }
-
     /// Records that this daemon knows of no others.
     pub fn set_sole(&mut self) {
         self.fleet.set_single();
--- a/crates/router/src/placement.rs
+++ b/crates/router/src/placement.rs
@@ -531,11 +531,6 @@
         self.lock().set_daemons(me, part, daemons);
     }
 
-    /// Adds daemons to those in one part of the platform's list.
-    pub fn add_daemons(&self, me: SocketAddr, part: &str, daemons: &[SocketAddr]) {
-        self.lock().add_daemons(me, part, daemons);
-    }
-
     /// The daemons in one part of the platform's list.
     pub fn listed_part(&self, part: &str) -> Vec<SocketAddr> {
         let view = self.lock();
--- a/crates/router/src/store/apply.rs
+++ b/crates/router/src/store/apply.rs
@@ -1,6 +1,6 @@
 //! Puts changes of the platform's objects into effect in this daemon.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -129,12 +129,9 @@
 
     fn apply_daemons(&self, change: &Change) {
         let (name, daemons) = match change {
-            Change::Put(object) => match objects::daemons(object) {
-                Ok(daemons) => (&object.name, daemons),
-                Err(error) => {
-                    self.unreadable.report(Kind::Daemons, &object.name, &error);
-                    return;
-                }
+            Change::Put(object) => match self.decode_daemons(object) {
+                Some(daemons) => (&object.name, daemons),
+                None => return,
             },
             Change::Removed { name, .. } => (name, Vec::new()),
         };
@@ -148,10 +145,21 @@
         let Change::Put(object) = change else {
             return;
         };
-        match objects::daemons(object) {
-            Ok(daemons) => self.placement.add_daemons(self.me, &object.name, &daemons),
-            Err(error) => self.unreadable.report(Kind::Daemons, &object.name, &error),
-        }
+        let Some(daemons) = self.decode_daemons(object) else {
+            return;
+        };
+        let known = self.placement.listed_part(&object.name);
+        let all: BTreeSet<SocketAddr> = known.into_iter().chain(daemons).collect();
+        let all = all.into_iter().collect();
+        self.placement.set_daemons(self.me, &object.name, all);
+    }
+
+    /// Decodes a list of daemons; reports one that can't be decoded.
+    fn decode_daemons(&self, object: &Object) -> Option<Vec<SocketAddr>> {
+        let daemons = objects::daemons(object);
+        daemons
+            .inspect_err(|error| self.unreadable.report(Kind::Daemons, &object.name, error))
+            .ok()
     }
 
     /// Applies a quarantined cause. Operators lift the quarantine by removing its object; daemons
