Marks of objects: one function for each kind that has them

A match by kind in the platform's folder was called through two closures, each for one arm of it, chosen by another match by kind. The arms are functions now, and the choice stands in one place, with the copies.

--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -64,8 +64,8 @@
 /// How objects of a kind are treated when the store is restored from a copy.
 const fn restoration(kind: Kind) -> Restoration {
     let mark: fn(&Object) -> _ = match kind {
-        Kind::Configuration => |object| objects::mark(Kind::Configuration, object),
-        Kind::Endpoints => |object| objects::mark(Kind::Endpoints, object),
+        Kind::Configuration => objects::configuration_mark,
+        Kind::Endpoints => objects::endpoint_mark,
         Kind::Drains | Kind::Daemons | Kind::Quarantine => |_| None,
     };
     let missing = match kind {
