Eras: one check for what was written in an earlier era, one read for each answer

Lists of daemons, the quarantine and the streams' archive each compared the era that they had written in, set it and forgot, in the same words. An answer's era was read twice, so that a log line could name another 'from' than the one that was compared, and the gauge was set for each answer and update; it is when the era changes now. What a copy tells its followers is one choice of three instead of two that overlap. Behaviour is the same.

--- a/crates/core/src/routing/revision/eras.rs
+++ b/crates/core/src/routing/revision/eras.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Copy, Default)]
 #[derive(Debug)]
 pub struct Eras {
-    /// `None` until an answer names one; earlier versions of the platform never do.
+    /// `None` before the first copy, or answer that names one.
     latest: Option<Era>,
     /// Since when all answers are of an earlier era, and how many.
     behind: Option<Behind>,
--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -11,7 +11,7 @@
 pub mod counted;
 mod daemons;
 mod direct;
-mod eras;
+pub mod eras;
 mod quarantine;
 pub mod relay;
 mod unreadable;
@@ -24,7 +24,6 @@
 
 pub use self::apply::{ActiveConfig, ChangeApplier};
 pub use self::copies::Copies;
-pub use self::eras::Eras;
 pub use self::unreadable::UnreadableReporter;
 use crate::metrics::Metrics;
 use crate::peers::Roster;
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -228,13 +228,12 @@
         }
         if is_restored {
             self.publish_era(kind, &mut copy, &changes);
-        } else if changes.is_empty() && should_notify {
+        } else if !changes.is_empty() {
+            self.publish(kind, &mut copy, changes);
+        } else if should_notify {
             // Without this, copies would lag by one heartbeat for each daemon that relays them.
             self.events.send((kind, None)).ok();
         }
-        if !is_restored {
-            self.publish(kind, &mut copy, changes);
-        }
         drop(copy);
         let kinds = [Kind::Endpoints, Kind::Drains];
         let mut required = kinds.into_iter().filter(|kind| self.is_required(*kind));
--- a/crates/router/src/store/daemons.rs
+++ b/crates/router/src/store/daemons.rs
@@ -17,9 +17,9 @@
 use medlarrill_platform::store::{Call, Kind};
 use rand::RngExt;
 
-use super::StoreContext;
 use super::client::{Client, Result};
 use super::direct::DAEMONS_INTERVAL;
+use super::{StoreContext, eras};
 
 /// Interval between checks for daemons that aren't listed.
 const CHECK_INTERVAL: Millis = Millis(1000);
@@ -77,9 +77,7 @@
         }
         self.last_seen.mark_live(&roster.live_daemons, now());
         let era = self.store.copies.era(Kind::Daemons);
-        if self.era != era {
-            // What was written in an earlier era may be lost.
-            self.era = era;
+        if eras::begins(&mut self.era, era) {
             self.missing_since = None;
         }
         if self.is_written(&roster.live_daemons) {
--- a/crates/router/src/store/eras.rs
+++ b/crates/router/src/store/eras.rs
@@ -9,6 +9,12 @@
 
 use crate::metrics::Metrics;
 
+/// Sets the era of which a writer knows what the store has; returns whether it is another one, so
+/// that what was written before may be lost.
+pub fn begins(written_in: &mut Option<Era>, era: Option<Era>) -> bool {
+    std::mem::replace(written_in, era) != era
+}
+
 /// The latest era, shared by all calls of this daemon.
 #[derive(Debug)]
 pub struct Eras {
@@ -35,15 +41,16 @@
         let Some(count) = named else {
             return Ok(self.latest().unwrap_or_default());
         };
-        let before = self.latest();
-        let mut answer = Answer::Current(count);
-        self.known.send_if_modified(|known| {
-            let before = known.latest();
+        let (mut from, mut answer) = (None, Answer::Current(count));
+        let is_new = self.known.send_if_modified(|known| {
+            from = known.latest();
             answer = known.record(count, now());
-            known.latest() != before
+            known.latest() != from
         });
-        let from = before.map(Era::count);
-        self.show();
+        if is_new {
+            self.show();
+        }
+        let from = from.map(Era::count);
         match answer {
             Answer::Current(era) => Ok(era),
             Answer::Restored(era) => {
@@ -70,8 +77,9 @@
 
     /// Records the era of a copy that another daemon sent.
     pub fn learn(&self, era: Era) {
-        self.known.send_if_modified(|known| known.learn(era));
-        self.show();
+        if self.known.send_if_modified(|known| known.learn(era)) {
+            self.show();
+        }
     }
 
     /// Records that another daemon is up to date with an era.
@@ -82,6 +90,7 @@
         });
     }
 
+    /// Shows the latest era in the metrics.
     fn show(&self) {
         let era = self.latest().unwrap_or_default();
         let count = i64::try_from(era.count()).unwrap_or(i64::MAX);
--- a/crates/router/src/store/quarantine.rs
+++ b/crates/router/src/store/quarantine.rs
@@ -15,9 +15,9 @@
 use medlarrill_platform::store::{self as wire, Call, Kind};
 use rand::RngExt;
 
-use super::StoreContext;
 use super::client::{CallError, Client, Result};
 use super::counted::CountedClient;
+use super::{StoreContext, eras};
 
 /// Interval between checks for the next step.
 const CHECK_INTERVAL: Millis = Millis(500);
@@ -80,9 +80,7 @@
             return Ok(false);
         }
         let era = self.store.copies.era(Kind::Quarantine);
-        if self.era != era {
-            // What was written in an earlier era may be lost.
-            self.era = era;
+        if eras::begins(&mut self.era, era) {
             self.sync_state = PlatformSync::default();
         }
         let is_hub = self.store.roster.snapshot().following.is_hub;
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -21,9 +21,9 @@
 use crate::metrics::Metrics;
 use crate::peers::Roster;
 use crate::shared::Shared;
-use crate::store::Eras;
 use crate::store::client::{Client, Result};
 use crate::store::counted::CountedClient;
+use crate::store::eras::{self, Eras};
 
 /// Minimum time between writes while several software versions serve. Streams that began since the
 /// last one are forgotten if all daemons end.
@@ -185,9 +185,7 @@
             return Ok(());
         }
         let era = self.shared.copies.eras().latest();
-        if self.era != era {
-            // What was written in an earlier era may be lost.
-            self.era = era;
+        if eras::begins(&mut self.era, era) {
             self.loaded = None;
             self.builds.clear();
         }
