Tests of restorations: the same steps under one name

A daemon that joins, a version that daemons know far ahead of the copy, an endpoint that was gone and the list that has it again stood three, four, four and three times.

--- a/crates/core/tests/routing/restoration.rs
+++ b/crates/core/tests/routing/restoration.rs
@@ -87,6 +87,19 @@
     mirror.apply(update, Some(Millis(now)), Millis(now))
 }
 
+/// A copy in which an endpoint is gone.
+fn gone() -> Mirror {
+    let mut mirror = endpoints(vec![put("a", at(1, 90), "1 ready 5")]);
+    let removal = removed("a", at(1, 101));
+    apply(&mut mirror, changes(at(1, 101), vec![removal]), 5);
+    mirror
+}
+
+/// The list of a copy of the store that has the entry of [`gone`] again.
+fn leftover() -> Update {
+    list(at(2, 60), vec![put("a", at(2, 50), "1 ready 5")])
+}
+
 fn text(mirror: &Mirror, name: &str) -> Option<String> {
     let spec = &mirror.get(name)?.spec;
     String::from_utf8(spec.to_vec()).ok()
@@ -207,15 +220,9 @@
 
 #[gtest]
 fn an_endpoint_that_was_gone_is_withheld_while_its_entry_may_be_left_over() {
-    let mut mirror = endpoints(vec![put("a", at(1, 90), "1 ready 5")]);
-    apply(
-        &mut mirror,
-        changes(at(1, 101), vec![removed("a", at(1, 101))]),
-        5,
-    );
-    let copy = || list(at(2, 60), vec![put("a", at(2, 50), "1 ready 5")]);
-    expect_that!(apply(&mut mirror, copy(), 10), is_empty());
-    expect_that!(apply(&mut mirror, copy(), 20), is_empty());
+    let mut mirror = gone();
+    expect_that!(apply(&mut mirror, leftover(), 10), is_empty());
+    expect_that!(apply(&mut mirror, leftover(), 20), is_empty());
     expect_that!(mirror.tick(Millis(9) + LEFTOVER_PERIOD), is_empty());
     expect_that!(text(&mirror, "a"), none());
     expect_that!(mirror.tick(Millis(10) + LEFTOVER_PERIOD), len(eq(1)));
@@ -228,46 +235,23 @@
         changes(at(2, 61), vec![put("a", at(2, 61), "1 ready 6")]),
         list(at(2, 61), vec![put("a", at(2, 61), "2 ready 1")]),
     ] {
-        let mut mirror = endpoints(vec![put("a", at(1, 90), "1 ready 5")]);
-        apply(
-            &mut mirror,
-            changes(at(1, 101), vec![removed("a", at(1, 101))]),
-            5,
-        );
-        apply(
-            &mut mirror,
-            list(at(2, 60), vec![put("a", at(2, 50), "1 ready 5")]),
-            10,
-        );
+        let mut mirror = gone();
+        apply(&mut mirror, leftover(), 10);
         expect_that!(apply(&mut mirror, back, 20), len(eq(1)));
     }
 }
 
 #[gtest]
 fn an_endpoint_that_was_gone_and_had_written_before_the_list_is_back_at_once() {
-    let mut mirror = endpoints(vec![put("a", at(1, 90), "1 ready 5")]);
-    apply(
-        &mut mirror,
-        changes(at(1, 101), vec![removed("a", at(1, 101))]),
-        5,
-    );
+    let mut mirror = gone();
     let written = list(at(2, 60), vec![put("a", at(2, 55), "1 ready 8")]);
     expect_that!(apply(&mut mirror, written, 10), len(eq(1)));
 }
 
 #[gtest]
 fn an_entry_that_expires_while_it_is_withheld_does_not_come_back() {
-    let mut mirror = endpoints(vec![put("a", at(1, 90), "1 ready 5")]);
-    apply(
-        &mut mirror,
-        changes(at(1, 101), vec![removed("a", at(1, 101))]),
-        5,
-    );
-    apply(
-        &mut mirror,
-        list(at(2, 60), vec![put("a", at(2, 50), "1 ready 5")]),
-        10,
-    );
+    let mut mirror = gone();
+    apply(&mut mirror, leftover(), 10);
     apply(
         &mut mirror,
         changes(at(2, 61), vec![removed("a", at(2, 61))]),
--- a/crates/daemon/tests/route/rebuilt.rs
+++ b/crates/daemon/tests/route/rebuilt.rs
@@ -38,10 +38,8 @@
 async fn a_version_never_in_force_at_a_daemon_that_starts_after_the_store_was_built_anew() {
     let mut play = built_anew(2).await;
     Bench::pause(NOTICED).await;
-    play.bench.add_daemon(&[0]);
-    play.bench.ready(2, 3).await;
-    play.bench.takes_connections(2).await;
-    Bench::pause(1000).await;
+    play.join().await;
+    Bench::pause(500).await;
     play.confirm(9, &["key", "new"]);
     for daemon in [2, 0, 1] {
         expect_that!(play.comes_to_serve(daemon, "new", true).await, eq(true));
--- a/crates/daemon/tests/route/restored.rs
+++ b/crates/daemon/tests/route/restored.rs
@@ -60,10 +60,7 @@
 #[tokio::test]
 async fn a_version_never_in_force_since_an_older_one_was_known_at_a_higher_revision() {
     let mut play = Play::start(1, 1).await;
-    let copy = play.bench.store.copy();
-    play.raise(20);
-    play.confirm(8, &["key"]);
-    Bench::pause(500).await;
+    let copy = play.know_far_ahead().await;
     play.restore(copy, AWAY, |play| play.confirm(8, &["key"]))
         .await;
     Bench::pause(1000).await;
@@ -114,10 +111,7 @@
     play.bench.add_daemon_behind(&[0], nowhere);
     play.bench.ready(1, 1).await;
     play.bench.takes_connections(1).await;
-    let copy = play.bench.store.copy();
-    play.raise(20);
-    play.confirm(8, &["key"]);
-    Bench::pause(500).await;
+    let copy = play.know_far_ahead().await;
     play.restore(copy, AWAY, |play| play.confirm(8, &["key"]))
         .await;
     Bench::pause(500).await;
@@ -134,10 +128,7 @@
     Bench::pause(1200).await;
     play.restore(copy, AWAY, |_| {}).await;
     Bench::pause(600).await;
-    play.bench.add_daemon(&[0]);
-    play.bench.ready(1, 2).await;
-    play.bench.takes_connections(1).await;
-    Bench::pause(500).await;
+    play.join().await;
     expect_that!(play.reached(1, 1, 2000).await, eq(0));
     expect_that!(play.reached(0, 1, 500).await, eq(0));
 }
@@ -146,10 +137,7 @@
 #[tokio::test]
 async fn a_version_late_since_a_waiting_watch_outlived_the_restoration() {
     let mut play = Play::start(1, 2).await;
-    let copy = play.bench.store.copy();
-    play.raise(20);
-    play.confirm(8, &["key"]);
-    Bench::pause(500).await;
+    let copy = play.know_far_ahead().await;
     play.bench.store.restore(copy, Watches::Go);
     play.confirm(9, &["new"]);
     play.write(1, "draining");
--- a/crates/daemon/tests/route/restored_known.rs
+++ b/crates/daemon/tests/route/restored_known.rs
@@ -32,10 +32,7 @@
     expect_that!(play.comes_to_serve(0, "key", false).await, eq(true));
     play.restore(copy, AWAY, |_| {}).await;
     Bench::pause(600).await;
-    play.bench.add_daemon(&[0]);
-    play.bench.ready(1, 1).await;
-    play.bench.takes_connections(1).await;
-    Bench::pause(500).await;
+    play.join().await;
     for _ in 0..20 {
         expect_that!(play.serves(1, "key").await, eq(false));
         Bench::pause(50).await;
@@ -125,10 +122,7 @@
 #[tokio::test]
 async fn a_new_endpoint_at_a_low_revision_gets_work() {
     let mut play = Play::start(1, 1).await;
-    let copy = play.bench.store.copy();
-    play.raise(20);
-    play.confirm(8, &["key"]);
-    Bench::pause(500).await;
+    let copy = play.know_far_ahead().await;
     play.restore(copy, AWAY, |_| {}).await;
     Bench::pause(500).await;
     play.bench.add_endpoint("e-1", Default::default()).await;
--- a/crates/daemon/tests/route/restored_play.rs
+++ b/crates/daemon/tests/route/restored_play.rs
@@ -45,6 +45,24 @@
         Self { bench, requests: 0 }
     }
 
+    /// Starts one daemon more, which knows the first one.
+    pub async fn join(&mut self) {
+        let number = self.bench.daemons.len();
+        self.bench.add_daemon(&[0]);
+        self.bench.ready(number, self.bench.endpoints.len()).await;
+        self.bench.takes_connections(number).await;
+        Bench::pause(500).await;
+    }
+
+    /// Has daemons know version 8 at a revision that the copy, which is returned, is far behind.
+    pub async fn know_far_ahead(&self) -> Copy {
+        let copy = self.bench.store.copy();
+        self.raise(20);
+        self.confirm(8, &["key"]);
+        Bench::pause(500).await;
+        copy
+    }
+
     /// A play with daemons that run.
     pub const fn of(bench: Bench) -> Self {
         Self { bench, requests: 0 }
