Review: streams of one version go on at another after all daemons lost power

Cause: single_place counts a young daemon's evidence as complete by what the platform kept, and doesn't look whether that names a version that the daemon's own list lacks. It concludes the only listed version for a stream that nobody knows.

--- /dev/null
+++ b/review/standin/src/main.rs
@@ -0,0 +1,62 @@
+//! Plays one case of the review: `review-standin CASE FOLDER`, from the repository's root.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. With TROUBLE=0 in the
+//! environment it does the same without the disruption.
+
+mod case1;
+mod client;
+mod fleet;
+mod http;
+mod json;
+mod record;
+mod replica;
+mod store;
+mod world;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use record::Record;
+use world::{Outcome, World};
+
+fn main() -> ExitCode {
+    let mut words = std::env::args().skip(1);
+    let (Some(name), Some(folder)) = (words.next(), words.next()) else {
+        eprintln!("review-standin CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    match play(&name, &PathBuf::from(folder), has_trouble) {
+        Ok(true) => {
+            println!("{name}: the rule held (trouble: {has_trouble})");
+            ExitCode::SUCCESS
+        }
+        Ok(false) => {
+            println!("{name}: the rule was broken (trouble: {has_trouble})");
+            ExitCode::from(1)
+        }
+        Err(error) => {
+            println!("{name}: couldn't run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn play(name: &str, folder: &std::path::Path, has_trouble: bool) -> Outcome {
+    let record = Record::new(&folder.join("record.txt")).map_err(|error| error.to_string())?;
+    let scratch = std::env::temp_dir().join(format!("review-{}-{}", name, std::process::id()));
+    std::fs::create_dir_all(&scratch).map_err(|error| error.to_string())?;
+    let outcome = (|| {
+        let mut world = World::new(3, record, &scratch)?;
+        match name {
+            "case1" => case1::run(&mut world, has_trouble),
+            _ => Err(format!("no case is called {name}")),
+        }
+    })();
+    if std::env::var("KEEP").is_ok() {
+        println!("logs are in {}", scratch.display());
+    } else {
+        std::fs::remove_dir_all(&scratch).ok();
+    }
+    outcome
+}
