Review: a daemon whose connections are all taken says that it is ready

Cause: beyond its limit of callers' connections, idle ones included, a daemon closes each new one unread; its readiness doesn't look at that.

Added: review/5, a script in which one daemon of three gets 2,000 kept connections in five seconds.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,6 +7,7 @@
 mod case2;
 mod case3;
 mod case4;
+mod case5;
 mod client;
 mod fleet;
 mod http;
@@ -60,6 +61,7 @@
             "case2" => case2::run(&mut world, has_trouble),
             "case3" => case3::run(&mut world, has_trouble),
             "case4" => case4::run(&mut world, has_trouble),
+            "case5" => case5::run(&mut world, has_trouble),
             _ => Err(format!("no case is called {name}")),
         }
     })();
