streams: log what is known of the versions of a stream that nobody remembers

A take-up's log line says who knew the version, or that it is unknown, but not what was known when a single version was concluded or refused: the list, what the platform kept, and what other daemons answered. Without that line the hypotheses on two reports (joined streams after all daemons ended, refused ones at the last daemon left) can't be told apart.

--- a/crates/router/src/streams/find.rs
+++ b/crates/router/src/streams/find.rs
@@ -108,6 +108,7 @@
                 true => Err(LookupError::Unknown),
                 false => single_place(places(), &self.evidence(), &answers.replies),
             };
+            self.log_evidence(&places(), &answers, place.is_ok());
             if let Ok(place) = place {
                 let source = Source::Single;
                 return Ok(Found { place, source });
@@ -119,6 +120,18 @@
         }
     }
 
+    /// Logs what was known of the versions at which a stream may have begun that nobody remembers.
+    fn log_evidence(&self, places: &[Place], answers: &Answers, is_single: bool) {
+        let own = self.placement.build_evidence(now());
+        let listed: Vec<&str> = places.iter().map(|place| place.build.as_str()).collect();
+        let archived = self.lock().archived.clone();
+        log::info!(
+            target: "streams", is_single, listed:?, served:? = own.recent, is_complete = own.is_complete,
+            is_fresh = self.has_fresh_list(), archived:?, replies:? = answers.replies,
+            has_silent = answers.has_silent; "streams: nobody remembers a stream"
+        );
+    }
+
     /// Whether some of the daemons that may have known a stream, this one included, have started
     /// since, or don't answer.
     fn may_have_forgotten(&self, replies: &[Reply]) -> bool {
