streams: a version that only the platform kept may have begun a stream

Cause: a young daemon's evidence was made complete by adding the versions of the archive (with_archived), and single_place compared the place only with versions that others know and this daemon doesn't. Those that the daemon knew itself, from the archive, were never compared: the archive was taken as proof, and what it names was dropped.

Now one function gets list, archive and replies, and each version that anyone names counts. An archive completes a young daemon's knowledge only if it names the version at which the stream would go on: one written before that version was listed says nothing of what served after it. Daemons say only of their own list that it is complete, as whoever concludes reads the archive itself.

The unit table keeps all rows of single_place and of partial archives.

It refuses more: where another pool is replaced meanwhile, or another version has come to serve beside the streams' own.

--- a/crates/core/src/routing/streams/archive.rs
+++ b/crates/core/src/routing/streams/archive.rs
@@ -9,7 +9,9 @@
 
 use derive_more::Debug;
 
+use super::history::{BuildEvidence, STREAM_LIFETIME};
 use super::{Origin, StreamKey};
+use crate::clock::Millis;
 
 /// Maximum number of streams that are kept; the oldest ones are left out.
 pub const MAX_STREAMS: usize = 1000;
@@ -50,3 +52,38 @@
         streams.flat_map(|(origin, keys)| keys.iter().map(|key| (*key, *origin)))
     }
 }
+
+/// Versions that the platform kept, as far as this process has read them.
+#[derive(Clone, Default)]
+#[derive(Debug)]
+pub struct ArchivedBuilds {
+    /// When each one was last read.
+    builds: BTreeMap<Origin, Millis>,
+    /// Whether no other versions may have served by what was last read; none if nothing was.
+    is_complete: Option<bool>,
+}
+
+impl ArchivedBuilds {
+    /// Records the versions of all archives, as they were read at one time.
+    pub fn record(&mut self, read: impl IntoIterator<Item = Origin>, now: Millis) {
+        let read: BTreeMap<Origin, Millis> = read.into_iter().map(|build| (build, now)).collect();
+        let is_complete = !read.is_empty() && !read.contains_key(&Origin::UNKNOWN);
+        self.is_complete = Some(is_complete);
+        if is_complete {
+            // Its writers know which of the earlier ones have left for good.
+            self.builds.clear();
+        }
+        self.builds.extend(read);
+        self.builds.remove(&Origin::UNKNOWN);
+    }
+
+    /// What they say of the time before they were read; none if nothing was read.
+    pub fn evidence(&self, now: Millis) -> Option<BuildEvidence> {
+        let builds = self.builds.iter();
+        let recent = builds.filter(|(_, at)| now.since(**at) < STREAM_LIFETIME);
+        Some(BuildEvidence {
+            is_complete: self.is_complete?,
+            recent: recent.map(|(build, _)| *build).collect(),
+        })
+    }
+}
--- a/crates/core/src/routing/streams/history.rs
+++ b/crates/core/src/routing/streams/history.rs
@@ -69,17 +69,12 @@
 }
 
 impl BuildEvidence {
-    /// Adds what the platform kept of the time before a process, which makes the knowledge of this
-    /// one complete, unless other versions may have served then.
-    pub fn with_archived(self, archived: &[Origin]) -> Self {
-        let mut recent = self.recent;
-        let new = archived.iter().filter(|origin| !recent.contains(origin));
+    /// Adds versions that others know.
+    pub fn with_recent(mut self, others: &[Origin]) -> Self {
+        let new = others.iter().filter(|other| !self.recent.contains(other));
         let new: Vec<Origin> = new.copied().collect();
-        recent.extend(new);
-        Self {
-            is_complete: !recent.contains(&Origin::UNKNOWN),
-            recent,
-        }
+        self.recent.extend(new);
+        self
     }
 }
 
--- a/crates/core/src/routing/streams/lookup.rs
+++ b/crates/core/src/routing/streams/lookup.rs
@@ -15,8 +15,8 @@
 #[derive(Debug, Display, Error)]
 pub enum LookupError {
     /// Nobody knows at which version it began, and it may have been one of several.
-    #[display("unknown")]
-    Unknown,
+    #[display("unknown: {_0}")]
+    Unknown(#[error(not(source))] Doubt),
     /// Several versions are recorded for it.
     #[display("ambiguous")]
     Ambiguous,
@@ -25,6 +25,27 @@
     Gone,
 }
 
+/// Why no version is certain for a stream that nobody remembers.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Display)]
+pub enum Doubt {
+    /// No endpoint of its route is listed.
+    #[display("unlisted")]
+    Unlisted,
+    /// Several versions are listed.
+    #[display("several")]
+    Several,
+    /// Another version served lately, by what the platform kept or other daemons answered.
+    #[display("unseen")]
+    Unseen,
+    /// Nobody would know of all versions that served lately.
+    #[display("incomplete")]
+    Incomplete,
+    /// No other daemon answered.
+    #[display("alone")]
+    Alone,
+}
+
 /// Who knew the version at which a stream began.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug, Display)]
@@ -59,7 +80,7 @@
     /// Stable code, for metrics and logs.
     pub const fn code(self) -> &'static str {
         match self {
-            Self::Unknown => "unknown",
+            Self::Unknown(_) => "unknown",
             Self::Ambiguous => "ambiguous",
             Self::Gone => "gone",
         }
@@ -107,28 +128,76 @@
     Ok(told)
 }
 
-/// The only place at which a stream that nobody knows can have begun.
-///
-/// `places` are those at which streams of its route may have begun by the list of this daemon, and
-/// `own` is what the daemon knows besides.
-///
-/// # Errors
-///
-/// If there may be several.
-pub fn single_place(places: Vec<Place>, own: &BuildEvidence, replies: &[Reply]) -> Result<Place> {
-    let evidence = || {
-        replies.iter().filter_map(|reply| match reply {
+/// All that is known of the versions at which a stream may have begun that nobody remembers.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(Debug)]
+pub struct Knowledge<'a> {
+    /// The places of its route by this daemon's list.
+    pub places: Vec<Place>,
+    /// What this daemon saw itself.
+    pub own: BuildEvidence,
+    /// What the platform kept; none if it isn't known.
+    pub archived: Option<BuildEvidence>,
+    /// What other daemons answered.
+    pub replies: &'a [Reply],
+}
+
+impl Knowledge<'_> {
+    /// The only place at which the stream can have begun.
+    ///
+    /// A version that isn't listed any more counts as long as anyone says that streams may have
+    /// begun there.
+    ///
+    /// # Errors
+    ///
+    /// If there may be several.
+    pub fn single_place(&self) -> std::result::Result<Place, Doubt> {
+        let [place] = self.places.as_slice() else {
+            return Err(match self.places.is_empty() {
+                true => Doubt::Unlisted,
+                false => Doubt::Several,
+            });
+        };
+        let origin = Origin::new(&place.pool, &place.build);
+        if !self.is_known(origin) {
+            return Err(Doubt::Incomplete);
+        }
+        let seen = self.all().flat_map(|evidence| &evidence.recent);
+        match seen
+            .copied()
+            .all(|seen| self.is_elsewhere(seen) || seen == origin)
+        {
+            true => Ok(place.clone()),
+            false => Err(Doubt::Unseen),
+        }
+    }
+
+    fn replies(&self) -> impl Iterator<Item = &BuildEvidence> {
+        self.replies.iter().filter_map(|reply| match reply {
             Reply::Unknown(evidence) => Some(evidence),
             Reply::Known(_) | Reply::Ambiguous => None,
         })
-    };
-    let is_complete = own.is_complete || evidence().any(|other| other.is_complete);
-    // A version that only others have seen may be one of this route's pools.
-    let has_others = evidence()
-        .flat_map(|other| &other.recent)
-        .any(|origin| !own.recent.contains(origin));
-    match <[Place; 1]>::try_from(places) {
-        Ok([place]) if is_complete && !has_others => Ok(place),
-        _ => Err(LookupError::Unknown),
+    }
+
+    fn all(&self) -> impl Iterator<Item = &BuildEvidence> {
+        let own = std::iter::once(&self.own);
+        own.chain(&self.archived).chain(self.replies())
+    }
+
+    /// Whether someone would know of each version that may have begun the stream.
+    fn is_known(&self, origin: Origin) -> bool {
+        // An archive that lacks the version was written before it was listed; others may have
+        // served since.
+        let archived = self.archived.iter();
+        let mut archived = archived.filter(|kept| kept.recent.contains(&origin));
+        let mut seen = std::iter::once(&self.own).chain(self.replies());
+        seen.any(|evidence| evidence.is_complete) || archived.any(|kept| kept.is_complete)
+    }
+
+    /// Whether a version that this daemon lists belongs to a pool of another route.
+    fn is_elsewhere(&self, origin: Origin) -> bool {
+        let is_listed = self.own.recent.contains(&origin);
+        let mut places = self.places.iter();
+        is_listed && places.all(|place| Origin::new(&place.pool, &place.build) != origin)
     }
 }
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -6,10 +6,11 @@
 use medlarrill_core::routing::config::RetryPolicy;
 use medlarrill_core::routing::endpoint::{Build, Endpoint};
 use medlarrill_core::routing::plan::{Refusal, RetryPlan};
+use medlarrill_core::routing::streams::archive::ArchivedBuilds;
 use medlarrill_core::routing::streams::history::{BuildEvidence, BuildHistory};
 use medlarrill_core::routing::streams::holders::Holders;
 use medlarrill_core::routing::streams::lookup::{
-    LookupError, Place, Reply, single_place, told_origin,
+    Doubt, Knowledge, LookupError, Place, Reply, told_origin,
 };
 use medlarrill_core::routing::streams::memory::StreamMemory;
 use medlarrill_core::routing::streams::message::{Answer, Began, Message, Question};
@@ -167,30 +168,93 @@
     }
 }
 
+/// What is known of a stream: the versions that are listed, what the daemon saw itself, what the
+/// platform kept, and what others answered.
+fn single(
+    listed: &[&str],
+    own: BuildEvidence,
+    archived: Option<BuildEvidence>,
+    replies: &[BuildEvidence],
+) -> std::result::Result<Place, Doubt> {
+    let replies: Vec<Reply> = replies.iter().cloned().map(Reply::Unknown).collect();
+    let knowledge = Knowledge {
+        places: listed.iter().map(|build| place(build)).collect(),
+        own,
+        archived,
+        replies: &replies,
+    };
+    knowledge.single_place()
+}
+
 #[gtest]
 fn a_single_version_is_certain_only_if_someone_would_know_of_others() {
-    let one = || vec![place("v1")];
-    let two = || vec![place("v1"), place("v2")];
-    let reply = |is_complete, builds: &[&str]| [Reply::Unknown(evidence(is_complete, builds))];
-    let certain =
-        |places, own: &BuildEvidence, replies: &[Reply]| single_place(places, own, replies).is_ok();
-    let own = evidence(true, &["v1"]);
-    expect_that!(certain(one(), &own, &[]), eq(true));
+    let own = || evidence(true, &["v1"]);
+    let young = || evidence(false, &["v1"]);
+    expect_that!(single(&["v1"], own(), None, &[]), ok(eq(&place("v1"))));
+    let both = evidence(true, &["v1", "v2"]);
     expect_that!(
-        certain(two(), &evidence(true, &["v1", "v2"]), &[]),
-        eq(false)
+        single(&["v1", "v2"], both.clone(), None, &[]),
+        err(eq(&Doubt::Several))
+    );
+    expect_that!(single(&[], own(), None, &[]), err(eq(&Doubt::Unlisted)));
+    let with_reply = |own, reply| single(&["v1"], own, None, &[reply]);
+    expect_that!(
+        single(&["v1"], young(), None, &[]),
+        err(eq(&Doubt::Incomplete))
     );
-    expect_that!(certain(vec![], &own, &[]), eq(false));
-    let young = evidence(false, &["v1"]);
-    expect_that!(certain(one(), &young, &[]), eq(false));
-    expect_that!(certain(one(), &young, &reply(false, &["v1"])), eq(false));
-    expect_that!(certain(one(), &young, &reply(true, &["v1"])), eq(true));
+    expect_that!(with_reply(young(), young()), err(eq(&Doubt::Incomplete)));
+    expect_that!(with_reply(young(), own()), ok(anything()));
     // Another daemon has seen a version that this one hasn't.
+    expect_that!(with_reply(young(), both), err(eq(&Doubt::Unseen)));
+    let other = evidence(false, &["v2"]);
+    expect_that!(with_reply(own(), other), err(eq(&Doubt::Unseen)));
+}
+
+/// Guards against streams that go on at the version that replaced theirs while all daemons were down:
+/// what the platform kept names one that isn't listed any more.
+#[gtest]
+fn a_version_that_only_the_platform_kept_may_have_begun_the_stream() {
+    let young = || evidence(false, &["v2"]);
+    let kept = |builds: &[&str]| Some(evidence(true, builds));
+    let by_kept = |builds: &[&str]| single(&["v2"], young(), kept(builds), &[]);
+    expect_that!(by_kept(&["v1"]), err(anything()));
+    expect_that!(by_kept(&["v1", "v2"]), err(eq(&Doubt::Unseen)));
+    expect_that!(by_kept(&["v2"]), ok(eq(&place("v2"))));
+    // It was written before any version of the pool was listed.
+    expect_that!(by_kept(&[]), err(eq(&Doubt::Incomplete)));
+    // Other young daemons have read the same.
+    let replies = [evidence(false, &["v2", "v1"])];
     expect_that!(
-        certain(one(), &young, &reply(true, &["v1", "v2"])),
-        eq(false)
+        single(&["v2"], young(), kept(&["v1"]), &replies),
+        err(anything())
+    );
+    let replies = [evidence(true, &["v2", "v1"])];
+    expect_that!(
+        single(&["v2"], young(), None, &replies),
+        err(eq(&Doubt::Unseen))
     );
-    expect_that!(certain(one(), &own, &reply(false, &["v2"])), eq(false));
+}
+
+#[gtest]
+fn a_complete_archive_replaces_what_was_read_before_and_another_one_adds_to_it() {
+    let mut archived = ArchivedBuilds::default();
+    expect_that!(archived.evidence(Millis(0)), none());
+    archived.record([], Millis(0));
+    let none_kept = evidence(false, &[]);
+    expect_that!(archived.evidence(Millis(0)), some(eq(&none_kept)));
+    archived.record([origin("v1")], Millis(0));
+    let read = |archived: &ArchivedBuilds, at| archived.evidence(Millis(at)).expect("was read");
+    expect_that!(read(&archived, 0), eq(&evidence(true, &["v1"])));
+    archived.record([origin("v2"), Origin::UNKNOWN], Millis(1000));
+    let both = read(&archived, 1000);
+    expect_that!(both.is_complete, eq(false));
+    expect_that!(
+        both.recent,
+        unordered_elements_are![eq(&origin("v1")), eq(&origin("v2"))]
+    );
+    expect_that!(read(&archived, 20_000), eq(&evidence(false, &["v2"])));
+    archived.record([origin("v3")], Millis(20_500));
+    expect_that!(read(&archived, 20_500), eq(&evidence(true, &["v3"])));
 }
 
 #[gtest]
@@ -378,21 +442,19 @@
 
 #[gtest]
 fn nothing_is_concluded_from_an_archive_that_other_versions_may_be_missing_from() {
-    let own = || evidence(false, &["v1"]);
-    let complete = own().with_archived(&[origin("v1")]);
-    expect_that!(
-        single_place(vec![place("v1")], &complete, &[]),
-        ok(anything())
-    );
-    let partial = own().with_archived(&[origin("v1"), Origin::UNKNOWN]);
+    let young = || evidence(false, &["v1"]);
+    let after = |read: &[Origin]| {
+        let mut archived = ArchivedBuilds::default();
+        archived.record(read.iter().copied(), Millis(0));
+        single(&["v1"], young(), archived.evidence(Millis(0)), &[])
+    };
+    expect_that!(after(&[origin("v1")]), ok(anything()));
     expect_that!(
-        single_place(vec![place("v1")], &partial, &[]),
-        err(anything())
+        after(&[origin("v1"), Origin::UNKNOWN]),
+        err(eq(&Doubt::Incomplete))
     );
+    // Daemons that have read such an archive may answer so.
+    let reply = evidence(false, &["v1"]).with_recent(&[Origin::UNKNOWN]);
     let own = evidence(true, &["v1"]);
-    let replies = [Reply::Unknown(partial)];
-    expect_that!(
-        single_place(vec![place("v1")], &own, &replies),
-        err(anything())
-    );
+    expect_that!(single(&["v1"], own, None, &[reply]), err(anything()));
 }
--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -20,6 +20,7 @@
     mod own_word;
     mod parts;
     mod rebuilt;
+    mod rejoined;
     mod requests;
     mod restored;
     mod restored_known;
--- /dev/null
+++ b/crates/daemon/tests/route/rejoined.rs
@@ -0,0 +1,201 @@
+//! Streams that callers take up after all daemons ended at once while endpoints were replaced.
+//!
+//! Each case is a sequence of steps; its outcome is counted by the software version that began the
+//! streams.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::setup::Bench;
+use super::versions::{Part, STREAMS, TakenUp, begin, finish, of_build, start};
+
+const DAEMONS: usize = 3;
+
+/// What happens in a case.
+#[derive(Clone, Copy)]
+enum Step {
+    /// An endpoint of a version is listed, in this pool.
+    Come(&'static str, &'static str),
+    /// All endpoints of a version leave the list.
+    Leave(&'static str),
+    /// The daemons have no power from now on.
+    PowerOff,
+    /// They start again.
+    PowerOn,
+    /// Callers begin streams, and lose them after a few events.
+    Begin,
+    /// Nothing for so many milliseconds.
+    Wait(u64),
+}
+
+use Step::{Begin, Come, Leave, PowerOff, PowerOn, Wait};
+
+const POOL: &str = super::setup::POOL;
+
+/// The outcome of a case.
+struct Outcome {
+    /// Streams by the version that began them, with what became of them.
+    taken_up: BTreeMap<String, (usize, TakenUp)>,
+}
+
+impl Outcome {
+    /// No stream goes on at another version than its own.
+    fn assert_none_joined(&self) {
+        for (build, (_, taken_up)) in &self.taken_up {
+            taken_up.assert_none_wrong(build);
+        }
+    }
+
+    /// Streams of a version that began, and those that went on to their ends.
+    fn of(&self, build: &str) -> (usize, usize) {
+        let of = self.taken_up.get(build);
+        of.map_or((0, 0), |(begun, taken_up)| (*begun, taken_up.whole))
+    }
+
+    /// At least half of the streams of a version go on, and some began there.
+    fn assert_half_go_on(&self, build: &str) {
+        let (begun, whole) = self.of(build);
+        assert!(begun > 0, "no stream began at {build}");
+        assert!(2 * whole >= begun, "{build}: {whole} of {begun} go on");
+    }
+}
+
+/// Plays a case before two endpoints of version v1, and takes all streams up at the end.
+async fn play(steps: &[Step]) -> Outcome {
+    let mut bench = start(DAEMONS, &["v1", "v1"]).await;
+    let mut begun = Vec::new();
+    for step in steps {
+        match *step {
+            Come(pool, build) => come(&mut bench, pool, build).await,
+            Leave(build) => leave(&bench, build),
+            PowerOff => bench.daemons.clear(),
+            PowerOn => power_on(&mut bench).await,
+            Begin => begun = begin(&bench, 0).await,
+            Wait(millis) => tokio::time::sleep(Duration::from_millis(millis)).await,
+        }
+    }
+    take_up(&bench, begun).await
+}
+
+async fn come(bench: &mut Bench, pool: &str, build: &'static str) {
+    let id = format!("{build}-{}", bench.endpoints.len());
+    bench.add_endpoint_of(&id, pool, of_build(build)).await;
+}
+
+fn leave(bench: &Bench, build: &str) {
+    for endpoint in bench.endpoints.iter().filter(|e| e.build() == Some(build)) {
+        bench.store.remove("servers", endpoint.id());
+    }
+}
+
+async fn power_on(bench: &mut Bench) {
+    for number in 0..DAEMONS {
+        bench.add_daemon(if number == 0 { &[] } else { &[0] });
+    }
+    let listed = bench.store.names("servers").len();
+    for daemon in 0..DAEMONS {
+        bench.ready(daemon, listed).await;
+        bench.takes_connections(daemon).await;
+    }
+}
+
+/// Takes streams up at another daemon than the one where they began.
+async fn take_up(bench: &Bench, begun: Vec<(String, Part)>) -> Outcome {
+    let mut by_build: BTreeMap<String, Vec<(String, Part)>> = BTreeMap::new();
+    for (attempt, part) in begun {
+        let build = part.builds().first().map(ToString::to_string);
+        let build = build.expect("a stream that has begun");
+        by_build.entry(build).or_default().push((attempt, part));
+    }
+    let mut taken_up = BTreeMap::new();
+    for (build, streams) in by_build {
+        let result = finish(bench, 1, &streams, "again").await;
+        taken_up.insert(build, (streams.len(), result));
+    }
+    Outcome { taken_up }
+}
+
+/// While the daemons are down, v2 takes the place of v1.
+const REPLACED: [Step; 6] = [
+    PowerOff,
+    Come(POOL, "v2"),
+    Come(POOL, "v2"),
+    Leave("v1"),
+    Wait(500),
+    PowerOn,
+];
+/// The daemons are killed once more.
+const AGAIN: [Step; 4] = [Wait(700), PowerOff, Wait(300), PowerOn];
+/// Two endpoints of v2 are listed shortly before streams begin, which soon lose their daemons.
+const LATE: [Step; 5] = [
+    Come(POOL, "v2"),
+    Come(POOL, "v2"),
+    Wait(300),
+    Begin,
+    Wait(300),
+];
+/// Daemons that have just started see v2 come.
+const YOUNG: [Step; 5] = [Wait(2000), PowerOff, Wait(200), PowerOn, Wait(300)];
+
+/// Guards against streams that go on at the version that replaced theirs while all daemons were down.
+#[tokio::test]
+async fn streams_of_a_version_that_left_while_all_daemons_were_down_do_not_go_on_at_another_one() {
+    for again in [&[][..], &AGAIN] {
+        let steps = [&[Wait(2000), Begin, Wait(600)][..], &REPLACED, again].concat();
+        let outcome = play(&steps).await;
+        outcome.assert_none_joined();
+        assert_eq!(outcome.of("v1"), (STREAMS, 0));
+    }
+}
+
+/// Guards against the same where the new version was listed just before.
+#[tokio::test]
+async fn streams_begun_while_a_version_was_new_go_on_only_there() {
+    let leaves = [PowerOff, Leave("v1"), Wait(500), PowerOn];
+    let steps = [&[Wait(2000)][..], &LATE, &leaves].concat();
+    let outcome = play(&steps).await;
+    outcome.assert_none_joined();
+}
+
+/// Guards against the same where the daemons had started just before.
+#[tokio::test]
+async fn streams_begun_at_daemons_that_have_just_started_go_on_only_at_their_version() {
+    let leaves = [Wait(1200), PowerOff, Leave("v1"), Wait(500), PowerOn];
+    for again in [&[][..], &AGAIN] {
+        let steps = [&YOUNG[..], &LATE, &leaves, again].concat();
+        let outcome = play(&steps).await;
+        outcome.assert_none_joined();
+        if outcome.of("v2").0 > 0 {
+            outcome.assert_half_go_on("v2");
+        }
+    }
+}
+
+/// Guards against streams of a version that is withdrawn after they began: they go on at none.
+#[tokio::test]
+async fn streams_of_a_version_that_came_and_left_do_not_go_on_at_the_one_that_stays() {
+    let leaves = [PowerOff, Leave("v2"), Wait(500), PowerOn];
+    for before in [&[Wait(2000)][..], &YOUNG] {
+        let steps = [before, &LATE, &leaves].concat();
+        let outcome = play(&steps).await;
+        outcome.assert_none_joined();
+    }
+}
+
+/// Guards against refusals where both versions had served before, and go on to.
+#[tokio::test]
+async fn streams_of_two_versions_go_on_after_all_daemons_were_killed_several_times() {
+    let both = [
+        Come(POOL, "v2"),
+        Come(POOL, "v2"),
+        Wait(6000),
+        Begin,
+        Wait(600),
+    ];
+    let killed = [PowerOff, Wait(500), PowerOn];
+    let steps = [&both[..], &killed, &AGAIN, &AGAIN].concat();
+    let outcome = play(&steps).await;
+    outcome.assert_none_joined();
+    outcome.assert_half_go_on("v1");
+    outcome.assert_half_go_on("v2");
+}
--- a/crates/daemon/tests/route/setup.rs
+++ b/crates/daemon/tests/route/setup.rs
@@ -65,10 +65,15 @@
 
     /// Starts an endpoint that behaves in a way, and lists it.
     pub async fn add_endpoint(&mut self, id: &str, behaviour: Behaviour) {
+        self.add_endpoint_of(id, POOL, behaviour).await;
+    }
+
+    /// Starts such an endpoint of a pool.
+    pub async fn add_endpoint_of(&mut self, id: &str, pool: &str, behaviour: Behaviour) {
         let endpoint = Endpoint::start(id, self.ledger.clone(), self.endpoints.len() as u64);
         let endpoint = endpoint.await.expect("an endpoint");
         endpoint.behave(behaviour);
-        self.store.put("servers", id, endpoint.entry(POOL, "ready"));
+        self.store.put("servers", id, endpoint.entry(pool, "ready"));
         self.endpoints.push(endpoint);
     }
 
--- a/crates/daemon/tests/route/versions.rs
+++ b/crates/daemon/tests/route/versions.rs
@@ -17,7 +17,7 @@
 /// Time for daemons to tell each other of the streams that began.
 const TOLD: Duration = Duration::from_millis(100);
 
-fn of_build(build: &'static str) -> Behaviour {
+pub fn of_build(build: &'static str) -> Behaviour {
     Behaviour {
         events: EVENTS,
         pace: PACE,
@@ -96,7 +96,8 @@
         self.events.last().map_or(0, |(id, _)| *id)
     }
 
-    fn builds(&self) -> Vec<&str> {
+    /// The software versions of the events.
+    pub fn builds(&self) -> Vec<&str> {
         let mut builds: Vec<&str> = self.events.iter().map(|(_, build)| &build[..]).collect();
         builds.sort_unstable();
         builds.dedup();
@@ -185,6 +186,11 @@
 }
 
 impl TakenUp {
+    /// No stream that an endpoint of a version began went on at another one.
+    pub fn assert_none_wrong(&self, build: &str) {
+        assert_that!(self.wrong, is_empty(), "{build}: {self:?}");
+    }
+
     /// All streams ended, each of one software version.
     pub fn assert_all_whole(&self) {
         assert_that!(self.wrong, is_empty(), "{self:?}");
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -10,6 +10,7 @@
 use derive_more::Debug;
 use medlarrill_core::ids::PoolId;
 use medlarrill_core::routing::endpoint::Build;
+use medlarrill_core::routing::streams::archive::ArchivedBuilds;
 use medlarrill_core::routing::streams::history::{BuildEvidence, FRESH_LIST};
 use medlarrill_core::routing::streams::holders::Holders;
 use medlarrill_core::routing::streams::lookup::{Place, Reply};
@@ -57,8 +58,8 @@
     holders: Holders,
     /// The daemon that keeps streams on the platform, unless this one does.
     keeper: Option<SocketAddr>,
-    /// Software versions that the platform kept; none if it wasn't read or kept nothing.
-    archived: Option<Vec<Origin>>,
+    /// Software versions that the platform kept.
+    archived: ArchivedBuilds,
     /// Questions that wait for answers, by token.
     questions: HashMap<u64, mpsc::UnboundedSender<(SocketAddr, Reply)>>,
 }
@@ -158,23 +159,45 @@
         Answer::new(question.token, reply)
     }
 
-    /// What this daemon knows of the software versions at which streams may have begun; it isn't
-    /// complete while the list may lag behind.
+    /// What this daemon knows of the software versions at which streams may have begun, for others.
     fn evidence(&self) -> BuildEvidence {
-        let evidence = self.known_builds();
-        let is_complete = evidence.is_complete && self.has_fresh_list();
+        let own = self.seen_builds();
+        match self.archived_builds() {
+            Some(archived) if !own.is_complete => own.with_recent(&archived.recent),
+            _ => own,
+        }
+    }
+
+    /// What it saw itself, which isn't complete while its list may lag behind.
+    fn seen_builds(&self) -> BuildEvidence {
+        let seen = self.placement.build_evidence(now());
+        let is_complete = seen.is_complete && self.has_fresh_list();
         BuildEvidence {
             is_complete,
-            ..evidence
+            ..seen
         }
     }
 
-    /// The same, as far as the list goes.
-    fn known_builds(&self) -> BuildEvidence {
-        let own = self.placement.build_evidence(now());
-        match &self.lock().archived {
-            Some(archived) if !own.is_complete => own.with_archived(archived),
-            _ => own,
+    /// What the platform kept of the time before. What served since then is missing while the list
+    /// may lag behind.
+    fn archived_builds(&self) -> Option<BuildEvidence> {
+        let archived = self.lock().archived.evidence(now())?;
+        let is_complete = archived.is_complete && self.has_fresh_list();
+        Some(BuildEvidence {
+            is_complete,
+            ..archived
+        })
+    }
+
+    /// The versions to keep on the platform, and whether no other ones may have served lately.
+    fn builds_to_archive(&self) -> BuildEvidence {
+        let seen = self.placement.build_evidence(now());
+        match self.lock().archived.evidence(now()) {
+            Some(archived) if !seen.is_complete => BuildEvidence {
+                is_complete: archived.is_complete,
+                ..seen.with_recent(&archived.recent)
+            },
+            _ => seen,
         }
     }
 
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -93,26 +93,27 @@
     async fn load(&self, client: &mut CountedClient) -> Result<Vec<String>> {
         let is_large = self.placement.daemon_count() >= LARGE_FLEET;
         let mut names = Vec::new();
+        let mut archives = Vec::new();
         let read = |object: &Object| {
             names.push(object.name.clone());
-            let archive = objects::streams(object)?;
             // A fleet that has grown doesn't write it any more.
             if !(is_large && object.name == FLEET) {
-                self.merge(&archive);
+                archives.push(objects::streams(object)?);
             }
             Ok(())
         };
         client.list(wire::STREAMS, &self.copies, read).await?;
+        self.record_archives(&archives);
         Ok(names)
     }
 
-    fn merge(&self, archive: &Archive) {
+    fn record_archives(&self, archives: &[Archive]) {
         let mut state = self.lock();
-        for (key, origin) in archive.streams() {
+        for (key, origin) in archives.iter().flat_map(Archive::streams) {
             state.memory.record(key, origin, now());
         }
-        let builds = state.archived.get_or_insert_default();
-        builds.extend(archive.builds());
+        let builds = archives.iter().flat_map(Archive::builds);
+        state.archived.record(builds, now());
     }
 }
 
@@ -195,7 +196,7 @@
             // What earlier processes wrote isn't lost by the first write.
             self.loaded = Some(streams.load(&mut self.client).await?);
         }
-        let evidence = streams.known_builds();
+        let evidence = streams.builds_to_archive();
         let mut builds: BTreeSet<Origin> = evidence.recent.into_iter().collect();
         if !evidence.is_complete {
             // Streams that are known can go on; that only one version served can't be concluded.
--- a/crates/router/src/streams/find.rs
+++ b/crates/router/src/streams/find.rs
@@ -5,8 +5,9 @@
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::config::Route;
+use medlarrill_core::routing::streams::history::STREAM_LIFETIME;
 use medlarrill_core::routing::streams::lookup::{
-    LookupError, Place, Reply, Result, Source, single_place, told_origin,
+    Doubt, Knowledge, LookupError, Place, Reply, Result, Source, told_origin,
 };
 use medlarrill_core::routing::streams::message::{Message, Question};
 use medlarrill_core::routing::streams::{Origin, StreamKey};
@@ -104,31 +105,44 @@
                     return found(kept.ok_or(LookupError::Ambiguous)?, Source::Platform);
                 }
             }
+            let knowledge = self.knowledge(places(), &answers.replies);
             let place = match answers.has_none {
-                true => Err(LookupError::Unknown),
-                false => single_place(places(), &self.evidence(), &answers.replies),
+                true => Err(Doubt::Alone),
+                false => knowledge.single_place(),
             };
-            self.log_evidence(&places(), &answers, place.is_ok());
-            if let Ok(place) = place {
-                let source = Source::Single;
-                return Ok(Found { place, source });
+            let is_last = !has_silent || now() >= until;
+            if place.is_ok() || is_last {
+                self.log_knowledge(&knowledge, answers.has_silent);
             }
-            if !has_silent || now() >= until {
-                return Err(LookupError::Unknown);
+            match place {
+                Ok(place) => {
+                    let source = Source::Single;
+                    return Ok(Found { place, source });
+                }
+                Err(doubt) if is_last => return Err(LookupError::Unknown(doubt)),
+                Err(_) => {}
             }
             tokio::time::sleep(ASK_INTERVAL.as_duration()).await;
         }
     }
 
+    fn knowledge<'a>(&self, places: Vec<Place>, replies: &'a [Reply]) -> Knowledge<'a> {
+        Knowledge {
+            places,
+            own: self.seen_builds(),
+            archived: self.archived_builds(),
+            replies,
+        }
+    }
+
     /// Logs what was known of the versions at which a stream may have begun that nobody remembers.
-    fn log_evidence(&self, places: &[Place], answers: &Answers, is_single: bool) {
-        let own = self.placement.build_evidence(now());
-        let listed: Vec<&str> = places.iter().map(|place| place.build.as_str()).collect();
-        let archived = self.lock().archived.clone();
+    fn log_knowledge(&self, knowledge: &Knowledge<'_>, has_silent: bool) {
+        let places = knowledge.places.iter();
+        let listed: Vec<&str> = places.map(|place| place.build.as_str()).collect();
         log::info!(
-            target: "streams", is_single, listed:?, served:? = own.recent, is_complete = own.is_complete,
-            is_fresh = self.has_fresh_list(), archived:?, replies:? = answers.replies,
-            has_silent = answers.has_silent; "streams: nobody remembers a stream"
+            target: "streams", listed:?, own:? = knowledge.own, archived:? = knowledge.archived,
+            replies:? = knowledge.replies, has_silent, is_fresh = self.has_fresh_list();
+            "streams: nobody remembers a stream"
         );
     }
 
@@ -139,7 +153,11 @@
             Reply::Unknown(evidence) => !evidence.is_complete,
             Reply::Known(_) | Reply::Ambiguous => false,
         };
-        !self.evidence().is_complete || replies.is_empty() || replies.iter().any(is_young)
+        let is_new = now() < STREAM_LIFETIME;
+        is_new
+            || !self.seen_builds().is_complete
+            || replies.is_empty()
+            || replies.iter().any(is_young)
     }
 
     /// Asks other daemons for a stream. Ends early when one of them knows it or all have answered.
