streams: the last daemon that is left concludes by the platform's word

Cause: look_up refused if none of the daemons it had asked answered, whatever its own list says. The log shows own evidence complete and fresh with v1, archive v1, replies none, refused unknown. The rule was meant for a daemon that is cut off. That nobody answers doesn't tell a cut from the others' end; whether the platform answers does: what daemons beyond a cut know is in the archive.

Now a daemon is alone only if, besides, the archive wasn't read within 3 s, the age up to which a list is fresh.

--- a/crates/core/src/routing/streams/archive.rs
+++ b/crates/core/src/routing/streams/archive.rs
@@ -9,7 +9,7 @@
 
 use derive_more::Debug;
 
-use super::history::{BuildEvidence, STREAM_LIFETIME};
+use super::history::{BuildEvidence, FRESH_LIST, STREAM_LIFETIME};
 use super::{Origin, StreamKey};
 use crate::clock::Millis;
 
@@ -61,6 +61,8 @@
     builds: BTreeMap<Origin, Millis>,
     /// Whether no other versions may have served by what was last read; none if nothing was.
     is_complete: Option<bool>,
+    /// When that was.
+    read_at: Millis,
 }
 
 impl ArchivedBuilds {
@@ -69,6 +71,7 @@
         let read: BTreeMap<Origin, Millis> = read.into_iter().map(|build| (build, now)).collect();
         let is_complete = !read.is_empty() && !read.contains_key(&Origin::UNKNOWN);
         self.is_complete = Some(is_complete);
+        self.read_at = now;
         if is_complete {
             // Its writers know which of the earlier ones have left for good.
             self.builds.clear();
@@ -77,6 +80,11 @@
         self.builds.remove(&Origin::UNKNOWN);
     }
 
+    /// Whether the platform answered as lately as a list has to be confirmed.
+    pub fn is_fresh(&self, now: Millis) -> bool {
+        self.is_complete.is_some() && now.since(self.read_at) <= FRESH_LIST
+    }
+
     /// What they say of the time before they were read; none if nothing was read.
     pub fn evidence(&self, now: Millis) -> Option<BuildEvidence> {
         let builds = self.builds.iter();
--- a/crates/core/src/routing/streams/lookup.rs
+++ b/crates/core/src/routing/streams/lookup.rs
@@ -41,7 +41,7 @@
     /// Nobody would know of all versions that served lately.
     #[display("incomplete")]
     Incomplete,
-    /// No other daemon answered.
+    /// Neither another daemon nor the platform answered.
     #[display("alone")]
     Alone,
 }
@@ -140,6 +140,8 @@
     pub archived: Option<BuildEvidence>,
     /// What other daemons answered.
     pub replies: &'a [Reply],
+    /// Whether there may be others, and neither they nor the platform have answered lately.
+    pub is_alone: bool,
 }
 
 impl Knowledge<'_> {
@@ -158,6 +160,10 @@
                 false => Doubt::Several,
             });
         };
+        // A daemon that is cut off doesn't hear of new versions.
+        if self.is_alone {
+            return Err(Doubt::Alone);
+        }
         let origin = Origin::new(&place.pool, &place.build);
         if !self.is_known(origin) {
             return Err(Doubt::Incomplete);
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -182,6 +182,7 @@
         own,
         archived,
         replies: &replies,
+        is_alone: false,
     };
     knowledge.single_place()
 }
@@ -235,6 +236,34 @@
     );
 }
 
+/// Guards against refusals at the last daemon that is left, and conclusions of one that is cut off.
+#[gtest]
+fn a_single_version_is_certain_without_other_daemons_only_if_the_platform_answers() {
+    let knowledge = |archived: &ArchivedBuilds, at| Knowledge {
+        places: vec![place("v1")],
+        own: evidence(true, &["v1"]),
+        archived: archived.evidence(at),
+        replies: &[],
+        is_alone: !archived.is_fresh(at),
+    };
+    let mut archived = ArchivedBuilds::default();
+    let alone = knowledge(&archived, Millis(0)).single_place();
+    expect_that!(alone, err(eq(&Doubt::Alone)));
+    archived.record([origin("v1")], Millis(0));
+    let at = |archived: &ArchivedBuilds, at| knowledge(archived, at).single_place();
+    expect_that!(at(&archived, Millis(3000)), ok(eq(&place("v1"))));
+    expect_that!(at(&archived, Millis(3001)), err(eq(&Doubt::Alone)));
+    // The other daemons, which this one can't reach, have seen another version.
+    archived.record([origin("v1"), origin("v2")], Millis(4000));
+    expect_that!(at(&archived, Millis(4000)), err(eq(&Doubt::Unseen)));
+    // Nothing was kept, or not all is known: the daemon's own list is complete.
+    for read in [vec![], vec![Origin::UNKNOWN]] {
+        let mut archived = ArchivedBuilds::default();
+        archived.record(read, Millis(4000));
+        expect_that!(at(&archived, Millis(4000)), ok(anything()));
+    }
+}
+
 #[gtest]
 fn a_complete_archive_replaces_what_was_read_before_and_another_one_adds_to_it() {
     let mut archived = ArchivedBuilds::default();
--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -16,6 +16,7 @@
     mod hushed_ways;
     mod incident;
     mod isolated;
+    mod last_daemon;
     mod losses;
     mod own_word;
     mod parts;
--- a/crates/daemon/tests/route/versions.rs
+++ b/crates/daemon/tests/route/versions.rs
@@ -186,6 +186,11 @@
 }
 
 impl TakenUp {
+    /// Refusals that promise that nothing ran.
+    pub fn refused(&self) -> usize {
+        self.refused
+    }
+
     /// No stream that an endpoint of a version began went on at another one.
     pub fn assert_none_wrong(&self, build: &str) {
         assert_that!(self.wrong, is_empty(), "{build}: {self:?}");
--- a/crates/router/src/streams/find.rs
+++ b/crates/router/src/streams/find.rs
@@ -7,7 +7,7 @@
 use medlarrill_core::routing::config::Route;
 use medlarrill_core::routing::streams::history::STREAM_LIFETIME;
 use medlarrill_core::routing::streams::lookup::{
-    Doubt, Knowledge, LookupError, Place, Reply, Result, Source, told_origin,
+    Knowledge, LookupError, Place, Reply, Result, Source, told_origin,
 };
 use medlarrill_core::routing::streams::message::{Message, Question};
 use medlarrill_core::routing::streams::{Origin, StreamKey};
@@ -105,11 +105,8 @@
                     return found(kept.ok_or(LookupError::Ambiguous)?, Source::Platform);
                 }
             }
-            let knowledge = self.knowledge(places(), &answers.replies);
-            let place = match answers.has_none {
-                true => Err(Doubt::Alone),
-                false => knowledge.single_place(),
-            };
+            let knowledge = self.knowledge(places(), &answers);
+            let place = knowledge.single_place();
             let is_last = !has_silent || now() >= until;
             if place.is_ok() || is_last {
                 self.log_knowledge(&knowledge, answers.has_silent);
@@ -126,12 +123,13 @@
         }
     }
 
-    fn knowledge<'a>(&self, places: Vec<Place>, replies: &'a [Reply]) -> Knowledge<'a> {
+    fn knowledge<'a>(&self, places: Vec<Place>, answers: &'a Answers) -> Knowledge<'a> {
         Knowledge {
             places,
             own: self.seen_builds(),
             archived: self.archived_builds(),
-            replies,
+            replies: &answers.replies,
+            is_alone: answers.has_none && !self.lock().archived.is_fresh(now()),
         }
     }
 
@@ -141,7 +139,7 @@
         let listed: Vec<&str> = places.map(|place| place.build.as_str()).collect();
         log::info!(
             target: "streams", listed:?, own:? = knowledge.own, archived:? = knowledge.archived,
-            replies:? = knowledge.replies, has_silent, is_fresh = self.has_fresh_list();
+            replies:? = knowledge.replies, has_silent, is_alone = knowledge.is_alone, is_fresh = self.has_fresh_list();
             "streams: nobody remembers a stream"
         );
     }
