streams: versions of other pools don't keep a stream from going on

Now a version comes with a hash of its pool, in the archive and in answers, as fields of their own: daemons of earlier builds ignore them, and a version that they tell without a pool still counts as one of any. Versions of pools that aren't the route's don't count.

It also closes a way on which an archive proved what it never knew: a young hub kept "all that served" of a pool that the archive which it had read doesn't name. It now adds a version that none has, for that pool alone.

--- a/crates/core/src/routing/streams.rs
+++ b/crates/core/src/routing/streams.rs
@@ -63,6 +63,28 @@
     }
 }
 
+/// A pool, hashed for messages between daemons.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Display)]
+#[debug("{self}")]
+#[display("{_0:016x}")]
+pub struct PoolHash(pub u64);
+
+impl From<&PoolId> for PoolHash {
+    fn from(pool: &PoolId) -> Self {
+        Self(hash_parts([pool.as_str().as_bytes()]))
+    }
+}
+
+/// Parses the hexadecimal form that `Display` writes.
+impl FromStr for PoolHash {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Parses the hexadecimal form that `Display` writes.
 impl FromStr for StreamKey {
     type Err = ParseIntError;
--- a/crates/core/src/routing/streams/archive.rs
+++ b/crates/core/src/routing/streams/archive.rs
@@ -9,8 +9,8 @@
 
 use derive_more::Debug;
 
-use super::history::{BuildEvidence, FRESH_LIST, STREAM_LIFETIME};
-use super::{Origin, StreamKey};
+use super::history::{BuildEvidence, FRESH_LIST, RecentBuild, STREAM_LIFETIME};
+use super::{Origin, PoolHash, StreamKey};
 use crate::clock::Millis;
 
 /// Maximum number of streams that are kept; the oldest ones are left out.
@@ -23,17 +23,21 @@
     /// Streams by the version that began them; versions that served lately are there without
     /// streams, too.
     pub streams: BTreeMap<Origin, Vec<StreamKey>>,
+    /// The pools of the versions; missing where an earlier build wrote the archive.
+    pub pools: BTreeMap<Origin, PoolHash>,
 }
 
 impl Archive {
     /// Collects versions, and streams with their origins.
     pub fn new(
-        builds: impl IntoIterator<Item = Origin>,
+        builds: impl IntoIterator<Item = RecentBuild>,
         streams: impl IntoIterator<Item = (StreamKey, Origin)>,
     ) -> Self {
         let mut archive = Self::default();
-        for origin in builds {
-            archive.streams.entry(origin).or_default();
+        for build in builds {
+            archive.streams.entry(build.origin).or_default();
+            let pool = build.pool.map(|pool| (build.origin, pool));
+            archive.pools.extend(pool);
         }
         for (key, origin) in streams {
             archive.streams.entry(origin).or_default().push(key);
@@ -42,8 +46,12 @@
     }
 
     /// The versions.
-    pub fn builds(&self) -> impl Iterator<Item = Origin> {
-        self.streams.keys().copied()
+    pub fn builds(&self) -> impl Iterator<Item = RecentBuild> {
+        let origins = self.streams.keys().copied();
+        origins.map(|origin| RecentBuild {
+            origin,
+            pool: self.pools.get(&origin).copied(),
+        })
     }
 
     /// The streams with their origins.
@@ -53,12 +61,37 @@
     }
 }
 
+/// What a daemon keeps of versions on the platform: those that it saw, and until it has seen all
+/// that served lately those that were kept before.
+pub fn builds_to_keep(seen: BuildEvidence, archived: Option<BuildEvidence>) -> BuildEvidence {
+    let Some(archived) = archived.filter(|_| !seen.is_complete) else {
+        return seen;
+    };
+    let is_kept = |build: &&RecentBuild| {
+        let mut kept = archived.recent.iter();
+        kept.any(|kept| {
+            kept.origin == build.origin || kept.pool.is_some_and(|pool| Some(pool) == build.pool)
+        })
+    };
+    // Of a pool that the archive lacks, others may have served since it was written.
+    let unkept = seen.recent.iter().filter(|build| !is_kept(build));
+    let unknown: Vec<RecentBuild> = unkept
+        .filter_map(|build| build.pool)
+        .map(RecentBuild::unknown_of)
+        .collect();
+    let is_complete = archived.is_complete;
+    BuildEvidence {
+        is_complete,
+        ..seen.with_recent(&archived.recent).with_recent(&unknown)
+    }
+}
+
 /// Versions that the platform kept, as far as this process has read them.
 #[derive(Clone, Default)]
 #[derive(Debug)]
 pub struct ArchivedBuilds {
     /// When each one was last read.
-    builds: BTreeMap<Origin, Millis>,
+    builds: BTreeMap<RecentBuild, Millis>,
     /// Whether no other versions may have served by what was last read; none if nothing was.
     is_complete: Option<bool>,
     /// When that was.
@@ -67,17 +100,18 @@
 
 impl ArchivedBuilds {
     /// Records the versions of all archives, as they were read at one time.
-    pub fn record(&mut self, read: impl IntoIterator<Item = Origin>, now: Millis) {
-        let read: BTreeMap<Origin, Millis> = read.into_iter().map(|build| (build, now)).collect();
-        let is_complete = !read.is_empty() && !read.contains_key(&Origin::UNKNOWN);
+    pub fn record(&mut self, read: impl IntoIterator<Item = RecentBuild>, now: Millis) {
+        let is_unknown = |build: &RecentBuild| build.origin == Origin::UNKNOWN;
+        let read: Vec<RecentBuild> = read.into_iter().collect();
+        let is_complete = !read.is_empty() && !read.iter().any(is_unknown);
         self.is_complete = Some(is_complete);
         self.read_at = now;
         if is_complete {
             // Its writers know which of the earlier ones have left for good.
             self.builds.clear();
         }
-        self.builds.extend(read);
-        self.builds.remove(&Origin::UNKNOWN);
+        let read = read.into_iter().filter(|build| !is_unknown(build));
+        self.builds.extend(read.map(|build| (build, now)));
     }
 
     /// Whether the platform answered as lately as a list has to be confirmed.
--- a/crates/core/src/routing/streams/history.rs
+++ b/crates/core/src/routing/streams/history.rs
@@ -4,10 +4,11 @@
 
 use derive_more::Debug;
 
-use super::Origin;
+use super::{Origin, PoolHash};
 use crate::clock::Millis;
 use crate::ids::PoolId;
 use crate::routing::endpoint::Build;
+use crate::routing::fingerprint::hash_parts;
 
 /// Time for which a version counts as one that streams may have begun at after its last endpoint
 /// has left the list: longer than callers wait for a stream, and than daemons that lag behind the
@@ -58,6 +59,40 @@
     }
 }
 
+/// A version that served lately.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug)]
+pub struct RecentBuild {
+    /// The version and its pool.
+    pub origin: Origin,
+    /// The pool; none if a daemon of an earlier build told it.
+    pub pool: Option<PoolHash>,
+}
+
+impl RecentBuild {
+    /// A version of a pool.
+    pub fn new(pool: &PoolId, build: &Build) -> Self {
+        Self {
+            origin: Origin::new(pool, build),
+            pool: Some(pool.into()),
+        }
+    }
+
+    /// Stands for versions of a pool that may have served and that nobody knows.
+    pub fn unknown_of(pool: PoolHash) -> Self {
+        let Origin(unknown) = Origin::UNKNOWN;
+        Self {
+            origin: Origin(hash_parts([&pool.0.to_le_bytes(), &unknown.to_le_bytes()])),
+            pool: Some(pool),
+        }
+    }
+
+    /// A version of an unknown pool.
+    pub const fn of_any_pool(origin: Origin) -> Self {
+        Self { origin, pool: None }
+    }
+}
+
 /// What a daemon knows of the versions at which streams may have begun.
 #[derive(Clone, PartialEq, Eq, Default)]
 #[derive(Debug)]
@@ -65,17 +100,22 @@
     /// Whether it would know of each version that served within the lifetime of a stream.
     pub is_complete: bool,
     /// All versions that it knows to have served within that time.
-    pub recent: Vec<Origin>,
+    pub recent: Vec<RecentBuild>,
 }
 
 impl BuildEvidence {
     /// Adds versions that others know.
-    pub fn with_recent(mut self, others: &[Origin]) -> Self {
-        let new = others.iter().filter(|other| !self.recent.contains(other));
-        let new: Vec<Origin> = new.copied().collect();
+    pub fn with_recent(mut self, others: &[RecentBuild]) -> Self {
+        let new = others.iter().filter(|other| !self.has(other.origin));
+        let new: Vec<RecentBuild> = new.copied().collect();
         self.recent.extend(new);
         self
     }
+
+    /// Whether a version served lately.
+    pub fn has(&self, origin: Origin) -> bool {
+        self.recent.iter().any(|recent| recent.origin == origin)
+    }
 }
 
 impl BuildHistory {
@@ -158,7 +198,9 @@
         let is_long = self
             .began
             .is_some_and(|began| now.since(began) >= STREAM_LIFETIME);
-        let recent = self.all(now).map(|(pool, build)| Origin::new(pool, build));
+        let recent = self
+            .all(now)
+            .map(|(pool, build)| RecentBuild::new(pool, build));
         BuildEvidence {
             is_complete: is_long || self.is_first && self.began.is_some(),
             recent: recent.collect(),
--- a/crates/core/src/routing/streams/lookup.rs
+++ b/crates/core/src/routing/streams/lookup.rs
@@ -2,8 +2,8 @@
 
 use derive_more::{Debug, Display, Error};
 
-use super::Origin;
-use super::history::BuildEvidence;
+use super::history::{BuildEvidence, RecentBuild};
+use super::{Origin, PoolHash};
 use crate::ids::PoolId;
 use crate::routing::endpoint::Build;
 
@@ -134,6 +134,8 @@
 pub struct Knowledge<'a> {
     /// The places of its route by this daemon's list.
     pub places: Vec<Place>,
+    /// The pools of its route.
+    pub pools: Vec<PoolHash>,
     /// What this daemon saw itself.
     pub own: BuildEvidence,
     /// What the platform kept; none if it isn't known.
@@ -169,10 +171,9 @@
             return Err(Doubt::Incomplete);
         }
         let seen = self.all().flat_map(|evidence| &evidence.recent);
-        match seen
-            .copied()
-            .all(|seen| self.is_elsewhere(seen) || seen == origin)
-        {
+        let is_possible = |seen: &&RecentBuild| !self.is_elsewhere(seen);
+        let mut possible = seen.filter(is_possible);
+        match possible.all(|seen| seen.origin == origin) {
             true => Ok(place.clone()),
             false => Err(Doubt::Unseen),
         }
@@ -195,15 +196,13 @@
         // An archive that lacks the version was written before it was listed; others may have
         // served since.
         let archived = self.archived.iter();
-        let mut archived = archived.filter(|kept| kept.recent.contains(&origin));
+        let mut archived = archived.filter(|kept| kept.has(origin));
         let mut seen = std::iter::once(&self.own).chain(self.replies());
         seen.any(|evidence| evidence.is_complete) || archived.any(|kept| kept.is_complete)
     }
 
-    /// Whether a version that this daemon lists belongs to a pool of another route.
-    fn is_elsewhere(&self, origin: Origin) -> bool {
-        let is_listed = self.own.recent.contains(&origin);
-        let mut places = self.places.iter();
-        is_listed && places.all(|place| Origin::new(&place.pool, &place.build) != origin)
+    /// Whether a version certainly belongs to a pool of other routes.
+    fn is_elsewhere(&self, build: &RecentBuild) -> bool {
+        build.pool.is_some_and(|pool| !self.pools.contains(&pool))
     }
 }
--- a/crates/core/src/routing/streams/message.rs
+++ b/crates/core/src/routing/streams/message.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use prost::{DecodeError, Message as _, Oneof};
 
-use super::history::BuildEvidence;
+use super::history::{BuildEvidence, RecentBuild};
 use super::lookup::Reply;
-use super::{Origin, StreamKey};
+use super::{Origin, PoolHash, StreamKey};
 
 /// Streams that began.
 #[derive(Clone, PartialEq, Eq)]
@@ -47,6 +47,9 @@
     is_complete: bool,
     #[prost(fixed64, repeated, tag = "5")]
     recent: Vec<u64>,
+    /// The pool of each of them, 0 if it isn't known; missing from daemons of earlier builds.
+    #[prost(fixed64, repeated, tag = "6")]
+    pools: Vec<u64>,
 }
 
 /// A message about streams.
@@ -126,12 +129,23 @@
             },
             Reply::Unknown(evidence) => Self {
                 is_complete: evidence.is_complete,
-                recent: evidence.recent.iter().map(|origin| origin.0).collect(),
+                recent: evidence.recent.iter().map(|build| build.origin.0).collect(),
+                pools: evidence.recent.iter().map(pool_number).collect(),
                 ..empty
             },
         }
     }
 
+    fn recent(&self) -> Vec<RecentBuild> {
+        let pools = self.pools.iter().copied().chain(std::iter::repeat(0));
+        let recent = self.recent.iter().copied().zip(pools);
+        let build = |(origin, pool)| RecentBuild {
+            origin: Origin(origin),
+            pool: (pool != 0).then_some(PoolHash(pool)),
+        };
+        recent.map(build).collect()
+    }
+
     /// What the daemon knows.
     pub fn reply(&self) -> Reply {
         match self.origin {
@@ -139,12 +153,16 @@
             Some(origin) => Reply::Known(Origin(origin)),
             None => Reply::Unknown(BuildEvidence {
                 is_complete: self.is_complete,
-                recent: self.recent.iter().copied().map(Origin).collect(),
+                recent: self.recent(),
             }),
         }
     }
 }
 
+fn pool_number(build: &RecentBuild) -> u64 {
+    build.pool.map_or(0, |pool| pool.0)
+}
+
 impl Message {
     /// Encodes the message as a datagram.
     pub fn encode(self) -> Bytes {
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -6,15 +6,15 @@
 use medlarrill_core::routing::config::RetryPolicy;
 use medlarrill_core::routing::endpoint::{Build, Endpoint};
 use medlarrill_core::routing::plan::{Refusal, RetryPlan};
-use medlarrill_core::routing::streams::archive::ArchivedBuilds;
-use medlarrill_core::routing::streams::history::{BuildEvidence, BuildHistory};
+use medlarrill_core::routing::streams::archive::{ArchivedBuilds, builds_to_keep};
+use medlarrill_core::routing::streams::history::{BuildEvidence, BuildHistory, RecentBuild};
 use medlarrill_core::routing::streams::holders::Holders;
 use medlarrill_core::routing::streams::lookup::{
     Doubt, Knowledge, LookupError, Place, Reply, told_origin,
 };
 use medlarrill_core::routing::streams::memory::StreamMemory;
 use medlarrill_core::routing::streams::message::{Answer, Began, Message, Question};
-use medlarrill_core::routing::streams::{Origin, StreamKey};
+use medlarrill_core::routing::streams::{Origin, PoolHash, StreamKey};
 use medlarrill_core::routing::view::View;
 
 use super::support::{endpoint, id, pool, prefix, route, started_at, view};
@@ -47,10 +47,18 @@
     plan
 }
 
+fn recent(build: &str) -> RecentBuild {
+    RecentBuild::new(&pool(), &build.into())
+}
+
+fn unknown() -> RecentBuild {
+    RecentBuild::of_any_pool(Origin::UNKNOWN)
+}
+
 fn evidence(is_complete: bool, builds: &[&str]) -> BuildEvidence {
     BuildEvidence {
         is_complete,
-        recent: builds.iter().map(|build| origin(build)).collect(),
+        recent: builds.iter().map(|build| recent(build)).collect(),
     }
 }
 
@@ -179,6 +187,7 @@
     let replies: Vec<Reply> = replies.iter().cloned().map(Reply::Unknown).collect();
     let knowledge = Knowledge {
         places: listed.iter().map(|build| place(build)).collect(),
+        pools: vec![PoolHash::from(&pool())],
         own,
         archived,
         replies: &replies,
@@ -241,6 +250,7 @@
 fn a_single_version_is_certain_without_other_daemons_only_if_the_platform_answers() {
     let knowledge = |archived: &ArchivedBuilds, at| Knowledge {
         places: vec![place("v1")],
+        pools: vec![PoolHash::from(&pool())],
         own: evidence(true, &["v1"]),
         archived: archived.evidence(at),
         replies: &[],
@@ -249,21 +259,76 @@
     let mut archived = ArchivedBuilds::default();
     let alone = knowledge(&archived, Millis(0)).single_place();
     expect_that!(alone, err(eq(&Doubt::Alone)));
-    archived.record([origin("v1")], Millis(0));
+    archived.record([recent("v1")], Millis(0));
     let at = |archived: &ArchivedBuilds, at| knowledge(archived, at).single_place();
     expect_that!(at(&archived, Millis(3000)), ok(eq(&place("v1"))));
     expect_that!(at(&archived, Millis(3001)), err(eq(&Doubt::Alone)));
     // The other daemons, which this one can't reach, have seen another version.
-    archived.record([origin("v1"), origin("v2")], Millis(4000));
+    archived.record([recent("v1"), recent("v2")], Millis(4000));
     expect_that!(at(&archived, Millis(4000)), err(eq(&Doubt::Unseen)));
     // Nothing was kept, or not all is known: the daemon's own list is complete.
-    for read in [vec![], vec![Origin::UNKNOWN]] {
+    for read in [vec![], vec![unknown()]] {
         let mut archived = ArchivedBuilds::default();
         archived.record(read, Millis(4000));
         expect_that!(at(&archived, Millis(4000)), ok(anything()));
     }
 }
 
+/// Guards against refusals of streams of one pool while another pool is replaced.
+#[gtest]
+fn versions_of_other_pools_do_not_matter() {
+    let other = RecentBuild::new(&"other".parse().expect("a name"), &"w1".into());
+    let kept = evidence(true, &["v1"]).with_recent(&[other]);
+    let young = || evidence(false, &["v1"]);
+    expect_that!(
+        single(&["v1"], young(), Some(kept.clone()), &[]),
+        ok(anything())
+    );
+    expect_that!(single(&["v1"], young(), None, &[kept]), ok(anything()));
+    // A daemon of an earlier build doesn't say of which pool it is.
+    let other = RecentBuild::of_any_pool(other.origin);
+    let kept = evidence(true, &["v1"]).with_recent(&[other]);
+    expect_that!(
+        single(&["v1"], young(), Some(kept), &[]),
+        err(eq(&Doubt::Unseen))
+    );
+}
+
+#[gtest]
+fn a_daemon_keeps_what_was_kept_until_it_has_seen_all_itself() {
+    let kept = || Some(evidence(true, &["v1"]));
+    expect_that!(
+        builds_to_keep(evidence(true, &["v2"]), kept()),
+        eq(&evidence(true, &["v2"]))
+    );
+    expect_that!(
+        builds_to_keep(evidence(false, &["v2"]), kept()),
+        eq(&evidence(true, &["v2", "v1"]))
+    );
+    expect_that!(
+        builds_to_keep(evidence(false, &["v2"]), None),
+        eq(&evidence(false, &["v2"]))
+    );
+}
+
+/// Guards against an archive that proves what it has never known: another version of a pool may have
+/// served after it was written, and left since.
+#[gtest]
+fn of_a_pool_that_the_archive_lacks_nothing_is_certain() {
+    let other = RecentBuild::new(&"other".parse().expect("a name"), &"w1".into());
+    let archived = BuildEvidence {
+        is_complete: true,
+        recent: vec![other],
+    };
+    let seen = evidence(false, &["v2"]).with_recent(&[other]);
+    let kept = builds_to_keep(seen.clone(), Some(archived));
+    expect_that!(kept.is_complete, eq(true));
+    expect_that!(
+        single(&["v2"], seen, Some(kept), &[]),
+        err(eq(&Doubt::Unseen))
+    );
+}
+
 #[gtest]
 fn a_complete_archive_replaces_what_was_read_before_and_another_one_adds_to_it() {
     let mut archived = ArchivedBuilds::default();
@@ -271,18 +336,18 @@
     archived.record([], Millis(0));
     let none_kept = evidence(false, &[]);
     expect_that!(archived.evidence(Millis(0)), some(eq(&none_kept)));
-    archived.record([origin("v1")], Millis(0));
+    archived.record([recent("v1")], Millis(0));
     let read = |archived: &ArchivedBuilds, at| archived.evidence(Millis(at)).expect("was read");
     expect_that!(read(&archived, 0), eq(&evidence(true, &["v1"])));
-    archived.record([origin("v2"), Origin::UNKNOWN], Millis(1000));
+    archived.record([recent("v2"), unknown()], Millis(1000));
     let both = read(&archived, 1000);
     expect_that!(both.is_complete, eq(false));
     expect_that!(
         both.recent,
-        unordered_elements_are![eq(&origin("v1")), eq(&origin("v2"))]
+        unordered_elements_are![eq(&recent("v1")), eq(&recent("v2"))]
     );
     expect_that!(read(&archived, 20_000), eq(&evidence(false, &["v2"])));
-    archived.record([origin("v3")], Millis(20_500));
+    archived.record([recent("v3")], Millis(20_500));
     expect_that!(read(&archived, 20_500), eq(&evidence(true, &["v3"])));
 }
 
@@ -472,18 +537,18 @@
 #[gtest]
 fn nothing_is_concluded_from_an_archive_that_other_versions_may_be_missing_from() {
     let young = || evidence(false, &["v1"]);
-    let after = |read: &[Origin]| {
+    let after = |read: &[RecentBuild]| {
         let mut archived = ArchivedBuilds::default();
         archived.record(read.iter().copied(), Millis(0));
         single(&["v1"], young(), archived.evidence(Millis(0)), &[])
     };
-    expect_that!(after(&[origin("v1")]), ok(anything()));
+    expect_that!(after(&[recent("v1")]), ok(anything()));
     expect_that!(
-        after(&[origin("v1"), Origin::UNKNOWN]),
+        after(&[recent("v1"), unknown()]),
         err(eq(&Doubt::Incomplete))
     );
     // Daemons that have read such an archive may answer so.
-    let reply = evidence(false, &["v1"]).with_recent(&[Origin::UNKNOWN]);
+    let reply = evidence(false, &["v1"]).with_recent(&[unknown()]);
     let own = evidence(true, &["v1"]);
     expect_that!(single(&["v1"], own, None, &[reply]), err(anything()));
 }
--- a/crates/daemon/tests/route/rejoined.rs
+++ b/crates/daemon/tests/route/rejoined.rs
@@ -58,6 +58,13 @@
         assert!(begun > 0, "no stream began at {build}");
         assert!(2 * whole >= begun, "{build}: {whole} of {begun} go on");
     }
+
+    /// All streams of a version go on, and some began there.
+    fn assert_all_go_on(&self, build: &str) {
+        let (begun, whole) = self.of(build);
+        assert!(begun > 0, "no stream began at {build}");
+        assert_eq!(whole, begun, "{build}");
+    }
 }
 
 /// Plays a case before two endpoints of version v1, and takes all streams up at the end.
@@ -199,3 +206,20 @@
     outcome.assert_half_go_on("v1");
     outcome.assert_half_go_on("v2");
 }
+
+/// Guards against refusals of streams of one pool while another pool is replaced.
+#[tokio::test]
+async fn streams_go_on_where_another_pool_was_replaced_while_all_daemons_were_down() {
+    let other = [Come("other", "w1"), Wait(2000), Begin];
+    let replaced = [
+        PowerOff,
+        Come("other", "w2"),
+        Leave("w1"),
+        Wait(500),
+        PowerOn,
+    ];
+    let steps = [&other[..], &replaced].concat();
+    let outcome = play(&steps).await;
+    outcome.assert_none_joined();
+    outcome.assert_all_go_on("v1");
+}
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -10,7 +10,7 @@
 use derive_more::Debug;
 use medlarrill_core::ids::PoolId;
 use medlarrill_core::routing::endpoint::Build;
-use medlarrill_core::routing::streams::archive::ArchivedBuilds;
+use medlarrill_core::routing::streams::archive::{ArchivedBuilds, builds_to_keep};
 use medlarrill_core::routing::streams::history::{BuildEvidence, FRESH_LIST};
 use medlarrill_core::routing::streams::holders::Holders;
 use medlarrill_core::routing::streams::lookup::{Place, Reply};
@@ -190,15 +190,9 @@
     }
 
     /// The versions to keep on the platform, and whether no other ones may have served lately.
-    fn builds_to_archive(&self) -> BuildEvidence {
+    fn builds_to_keep(&self) -> BuildEvidence {
         let seen = self.placement.build_evidence(now());
-        match self.lock().archived.evidence(now()) {
-            Some(archived) if !seen.is_complete => BuildEvidence {
-                is_complete: archived.is_complete,
-                ..seen.with_recent(&archived.recent)
-            },
-            _ => seen,
-        }
+        builds_to_keep(seen, self.lock().archived.evidence(now()))
     }
 
     fn has_fresh_list(&self) -> bool {
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -12,6 +12,7 @@
 use medlarrill_core::routing::revision::Era;
 use medlarrill_core::routing::streams::Origin;
 use medlarrill_core::routing::streams::archive::{Archive, MAX_STREAMS};
+use medlarrill_core::routing::streams::history::RecentBuild;
 use medlarrill_net::now::now;
 use medlarrill_platform::objects;
 use medlarrill_platform::store::{self as wire, Call};
@@ -154,7 +155,7 @@
     /// Names of the objects that there were when this daemon became the first hub.
     loaded: Option<Vec<String>>,
     /// Versions that were last written.
-    builds: BTreeSet<Origin>,
+    builds: BTreeSet<RecentBuild>,
     /// When the last streams were recorded that were written.
     written: Millis,
     /// When that was.
@@ -196,11 +197,11 @@
             // What earlier processes wrote isn't lost by the first write.
             self.loaded = Some(streams.load(&mut self.client).await?);
         }
-        let evidence = streams.builds_to_archive();
-        let mut builds: BTreeSet<Origin> = evidence.recent.into_iter().collect();
+        let evidence = streams.builds_to_keep();
+        let mut builds: BTreeSet<RecentBuild> = evidence.recent.into_iter().collect();
         if !evidence.is_complete {
             // Streams that are known can go on; that only one version served can't be concluded.
-            builds.insert(Origin::UNKNOWN);
+            builds.insert(RecentBuild::of_any_pool(Origin::UNKNOWN));
         }
         if !self.is_due(&builds) {
             return Ok(());
@@ -208,13 +209,13 @@
         self.write(builds).await
     }
 
-    fn is_due(&self, builds: &BTreeSet<Origin>) -> bool {
+    fn is_due(&self, builds: &BTreeSet<RecentBuild>) -> bool {
         let last = self.shared.streams.lock().memory.last_recorded();
         let has_new = last.is_some_and(|last| last > self.written);
         *builds != self.builds || has_new && self.shared.placement.has_several_builds(now())
     }
 
-    async fn write(&mut self, builds: BTreeSet<Origin>) -> Result<()> {
+    async fn write(&mut self, builds: BTreeSet<RecentBuild>) -> Result<()> {
         let shared = Arc::clone(&self.shared);
         let from = Millis(now().0.saturating_sub(KEPT.0));
         let (archive, last) = {
--- a/crates/router/src/streams/find.rs
+++ b/crates/router/src/streams/find.rs
@@ -10,7 +10,7 @@
     Knowledge, LookupError, Place, Reply, Result, Source, told_origin,
 };
 use medlarrill_core::routing::streams::message::{Message, Question};
-use medlarrill_core::routing::streams::{Origin, StreamKey};
+use medlarrill_core::routing::streams::{Origin, PoolHash, StreamKey};
 use medlarrill_net::now::now;
 use tokio::sync::mpsc;
 
@@ -105,7 +105,7 @@
                     return found(kept.ok_or(LookupError::Ambiguous)?, Source::Platform);
                 }
             }
-            let knowledge = self.knowledge(places(), &answers);
+            let knowledge = self.knowledge(route, &answers);
             let place = knowledge.single_place();
             let is_last = !has_silent || now() >= until;
             if place.is_ok() || is_last {
@@ -123,9 +123,11 @@
         }
     }
 
-    fn knowledge<'a>(&self, places: Vec<Place>, answers: &'a Answers) -> Knowledge<'a> {
+    fn knowledge<'a>(&self, route: &Route, answers: &'a Answers) -> Knowledge<'a> {
+        let pools = || route.shares.iter().map(|share| &share.pool);
         Knowledge {
-            places,
+            places: self.placement.stream_places(pools(), now()),
+            pools: pools().map(PoolHash::from).collect(),
             own: self.seen_builds(),
             archived: self.archived_builds(),
             replies: &answers.replies,
