streams: a small fleet keeps its streams on the platform also while one version serves

Callers saw: one version serves, all daemons end at once, and meanwhile another version comes to serve beside it.

Cause: streams were archived only while several versions served. What was kept of the time before was "v1 alone"; the list then names v1 and v2, streams begin at both, and nobody can tell the old ones from those.

Larger fleets keep streams only while several versions serve, as before, since a data centre's hub would get all its streams; there the fault stays open.

Reading the archive no longer makes a record of a stream younger, which had kept it for as long as callers asked.

--- a/crates/core/src/routing/streams/archive.rs
+++ b/crates/core/src/routing/streams/archive.rs
@@ -1,8 +1,8 @@
 //! What the platform keeps of streams, for the case that all daemons end at once.
 //!
 //! One hub of each data centre, or of a small fleet, writes the versions that
-//! served lately, and, while several serve, the streams that began in the last
-//! seconds. Daemons read it only if neither they nor those that they ask know a
+//! served lately, and the streams that began in the last seconds; in a large
+//! fleet these only while several versions serve. Daemons read it only if neither they nor those that they ask know a
 //! stream.
 
 use std::collections::BTreeMap;
--- a/crates/core/src/routing/streams/memory.rs
+++ b/crates/core/src/routing/streams/memory.rs
@@ -45,6 +45,14 @@
         self.order.push_back((now, key));
     }
 
+    /// Records a stream of which another daemon, or the platform, says that it began or went on some
+    /// time ago; it isn't a later sign of one that is known.
+    pub fn learn(&mut self, key: StreamKey, origin: Origin, now: Millis) {
+        if self.get(key, now) != Some(Some(origin)) {
+            self.record(key, origin, now);
+        }
+    }
+
     /// What is recorded of a stream: none if nothing, `Some(None)` if its origin is ambiguous.
     pub fn get(&self, key: StreamKey, now: Millis) -> Option<Option<Origin>> {
         let record = self.streams.get(&key)?;
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -93,6 +93,18 @@
     expect_that!(memory.len(), eq(2));
 }
 
+#[gtest]
+fn what_others_kept_of_a_stream_does_not_prolong_its_record() {
+    let mut memory = StreamMemory::default();
+    memory.record(StreamKey(1), origin("v1"), Millis(0));
+    memory.learn(StreamKey(1), origin("v1"), Millis(30_000));
+    memory.learn(StreamKey(2), origin("v1"), Millis(30_000));
+    expect_that!(memory.get(StreamKey(1), Millis(60_000)), none());
+    expect_that!(memory.get(StreamKey(2), Millis(60_000)), some(anything()));
+    memory.learn(StreamKey(2), origin("v2"), Millis(30_000));
+    expect_that!(memory.get(StreamKey(2), Millis(30_000)), some(none()));
+}
+
 #[gtest]
 fn a_stream_with_two_origins_is_ambiguous() {
     let mut memory = StreamMemory::default();
--- a/crates/daemon/tests/route/rejoined.rs
+++ b/crates/daemon/tests/route/rejoined.rs
@@ -131,6 +131,14 @@
     Wait(500),
     PowerOn,
 ];
+/// While the daemons are down, v2 comes to serve beside v1.
+const JOINED: [Step; 5] = [
+    PowerOff,
+    Come(POOL, "v2"),
+    Come(POOL, "v2"),
+    Wait(500),
+    PowerOn,
+];
 /// The daemons are killed once more.
 const AGAIN: [Step; 4] = [Wait(700), PowerOff, Wait(300), PowerOn];
 /// Two endpoints of v2 are listed shortly before streams begin, which soon lose their daemons.
@@ -189,6 +197,27 @@
     }
 }
 
+/// Guards against refusals where another version has come to serve beside the one that began the
+/// streams.
+#[tokio::test]
+async fn streams_go_on_where_another_version_came_while_all_daemons_were_down() {
+    for again in [&[][..], &AGAIN] {
+        let steps = [&[Wait(2000), Begin, Wait(600)][..], &JOINED, again].concat();
+        let outcome = play(&steps).await;
+        outcome.assert_none_joined();
+        outcome.assert_all_go_on("v1");
+    }
+}
+
+/// Guards against the same where the daemons had started just before.
+#[tokio::test]
+async fn streams_of_young_daemons_go_on_where_another_version_came_while_all_were_down() {
+    let steps = [&YOUNG[..], &[Begin, Wait(1500)], &JOINED].concat();
+    let outcome = play(&steps).await;
+    outcome.assert_none_joined();
+    outcome.assert_all_go_on("v1");
+}
+
 /// Guards against refusals where both versions had served before, and go on to.
 #[tokio::test]
 async fn streams_of_two_versions_go_on_after_all_daemons_were_killed_several_times() {
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -113,7 +113,7 @@
     /// Records that a stream begins or goes on at a pool and software version, and tells others.
     pub fn record(&self, key: StreamKey, pool: &PoolId, build: &Build) {
         let origin = Origin::new(pool, build);
-        let is_kept = self.placement.has_several_builds(now());
+        let is_kept = self.are_archived();
         let told = {
             let mut state = self.lock();
             state.memory.record(key, origin, now());
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -92,7 +92,7 @@
 
     /// Reads and remembers what the platform keeps; returns the names of its objects.
     async fn load(&self, client: &mut CountedClient) -> Result<Vec<String>> {
-        let is_large = self.placement.daemon_count() >= LARGE_FLEET;
+        let is_large = self.is_large_fleet();
         let mut names = Vec::new();
         let mut archives = Vec::new();
         let read = |object: &Object| {
@@ -108,10 +108,21 @@
         Ok(names)
     }
 
+    /// Whether streams are kept on the platform as they begin. Where one version serves they go on
+    /// without that, unless all daemons end before another one comes; keeping them meanwhile costs
+    /// a large fleet's hubs too much.
+    pub(super) fn are_archived(&self) -> bool {
+        !self.is_large_fleet() || self.placement.has_several_builds(now())
+    }
+
+    fn is_large_fleet(&self) -> bool {
+        self.placement.daemon_count() >= LARGE_FLEET
+    }
+
     fn record_archives(&self, archives: &[Archive]) {
         let mut state = self.lock();
         for (key, origin) in archives.iter().flat_map(Archive::streams) {
-            state.memory.record(key, origin, now());
+            state.memory.learn(key, origin, now());
         }
         let builds = archives.iter().flat_map(Archive::builds);
         state.archived.record(builds, now());
@@ -170,7 +181,7 @@
         let since = now().since(self.written_at);
         let left = Millis(WRITE_INTERVAL.0.saturating_sub(since.0));
         let is_keeper = self.loaded.is_some();
-        match is_keeper && self.shared.placement.has_several_builds(now()) {
+        match is_keeper && self.shared.streams.are_archived() {
             true => left.max(CHECK_INTERVAL),
             false => WRITE_INTERVAL,
         }
@@ -212,7 +223,7 @@
     fn is_due(&self, builds: &BTreeSet<RecentBuild>) -> bool {
         let last = self.shared.streams.lock().memory.last_recorded();
         let has_new = last.is_some_and(|last| last > self.written);
-        *builds != self.builds || has_new && self.shared.placement.has_several_builds(now())
+        *builds != self.builds || has_new && self.shared.streams.are_archived()
     }
 
     async fn write(&mut self, builds: BTreeSet<RecentBuild>) -> Result<()> {
@@ -225,7 +236,7 @@
             (archive, state.memory.last_recorded())
         };
         let spec = objects::streams_spec(&archive);
-        let name = match shared.placement.daemon_count() >= LARGE_FLEET {
+        let name = match shared.streams.is_large_fleet() {
             true => shared.settings.data_centre.as_str(),
             false => FLEET,
         };
