streams: daemons that were heard of lately are told of streams before others

Cause: the three daemons to tell, and the four to ask, were ranked among the live and the listed ones alike, and the platform lists a daemon for an hour after it ended. It was concluded from the list that they would be there. Whoever was asked in vain also held the request for 1.4 s.

Now those that were heard of within 10 s are told, and others only if there are fewer than three. Two of the others are asked besides, since a daemon that has just started has heard of few; their silence isn't waited for. Large fleets rank as before: there a daemon hears of few others, and the rank must be the same at all.

--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -241,6 +241,11 @@
         (addresses(near), addresses(far))
     }
 
+    /// The other daemons that were heard of lately, also if they are silent by now.
+    pub fn recent_others(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
+        self.members.recent_others(now)
+    }
+
     fn is_large(&self, now: Millis) -> bool {
         self.live_count(now) >= LARGE_FLEET
     }
--- a/crates/core/src/routing/exchange/members.rs
+++ b/crates/core/src/routing/exchange/members.rs
@@ -87,6 +87,16 @@
             .retain(|_, member| now.since(member.at) < REMOVAL_TIMEOUT);
     }
 
+    /// The other daemons that were heard of lately, also if they are silent by now.
+    pub fn recent_others(&self, now: Millis) -> impl Iterator<Item = SocketAddr> {
+        let is_recent = move |member: &Member| now.since(member.at) < REMOVAL_TIMEOUT;
+        let recent = self
+            .others
+            .iter()
+            .filter(move |(_, member)| is_recent(member));
+        recent.map(|(address, _)| *address)
+    }
+
     /// The other live daemons.
     pub fn live_others(&self, now: Millis) -> impl Iterator<Item = (SocketAddr, Member)> {
         let live = move |(_, member): &(&SocketAddr, &Member)| {
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -143,6 +143,27 @@
     expect_that!(misses.count(), le(1));
 }
 
+/// Guards against streams of which only daemons are told that ended long ago.
+#[gtest]
+fn daemons_that_were_heard_of_are_told_before_those_that_are_only_listed() {
+    let daemon = |number: u16| ([127, 0, 0, 1], number).into();
+    let mut holders = Holders::new((1..9).map(daemon));
+    holders.set((1..9).map(daemon), (100..200).map(daemon));
+    for key in (0..100).map(StreamKey) {
+        let told = holders.told(key);
+        expect_that!(told.len(), eq(3));
+        expect_that!(told.iter().all(|daemon| holders.is_heard(daemon)), eq(true));
+        // Some of those that are listed may have started just now, or are out of reach.
+        let asked = holders.asked(key);
+        expect_that!(asked.len(), eq(6));
+        expect_that!(told.iter().all(|daemon| asked.contains(daemon)), eq(true));
+    }
+    // A daemon that has just started has heard of few others.
+    holders.set([daemon(1)], (100..200).map(daemon));
+    expect_that!(holders.told(StreamKey(0)).len(), eq(3));
+    expect_that!(holders.asked(StreamKey(0)).len(), eq(4));
+}
+
 #[gtest]
 fn messages_are_read_as_they_were_written() {
     let streams = [(StreamKey(1), origin("v1")), (StreamKey(2), origin("v2"))];
--- a/crates/daemon/tests/route/last_daemon.rs
+++ b/crates/daemon/tests/route/last_daemon.rs
@@ -4,9 +4,10 @@
 
 use googletest::prelude::*;
 use medlarrill_platform_standin::Outage;
+use medlarrill_testkit::routed::Routed;
 
 use super::setup::Bench;
-use super::versions::{Part, STREAMS, begin, finish, start};
+use super::versions::{Part, STREAMS, TWO, begin, finish, start};
 
 const DAEMONS: usize = 9;
 
@@ -42,3 +43,36 @@
     assert_that!(taken_up.refused(), gt(0), "{taken_up:?}");
     assert_that!(taken_up.whole + taken_up.refused(), eq(STREAMS));
 }
+
+/// Guards against streams that nobody remembers, since only daemons were told that ended long ago.
+#[tokio::test]
+async fn streams_of_a_killed_daemon_go_on_where_many_listed_daemons_have_ended() {
+    let mut bench = start(4, &TWO).await;
+    bench.store.fail(Outage::Only("streams"));
+    let ended: Vec<String> = (1..=40).map(|n| format!("127.99.99.{n}:7340")).collect();
+    let spec = serde_json::json!({ "addresses": ended });
+    bench.store.put("daemons", "dc-b", spec);
+    let count = format!("\"count\":{},\"part\":\"dc-b\"", ended.len());
+    for daemon in 0..4 {
+        bench.until(daemon, &count, 1).await;
+    }
+    // Time in which the others are ranked anew.
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    let hub = first_hub(&bench);
+    let begun = begin(&bench, hub).await;
+    bench.daemons.remove(hub);
+    let taken_up = finish(&bench, 0, &begun, "again").await;
+    taken_up.assert_all_whole();
+}
+
+/// The daemon that all others tell of streams.
+fn first_hub(bench: &Bench) -> usize {
+    let lines = bench.daemons[0].lines_with("\"hubs\":\"[");
+    let (_, hubs) = lines
+        .last()
+        .and_then(|line| line.split_once("\"hubs\":\"["))
+        .expect("hubs");
+    let is_first = |daemon: &Routed| hubs.starts_with(&daemon.listen[3].to_string());
+    let mut daemons = bench.daemons.iter();
+    daemons.position(is_first).expect("a hub that lives")
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -2,6 +2,7 @@
 
 mod unsent;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -9,7 +10,7 @@
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::exchange::{
-    DataCentreHash, Exchange, Following, LinkClass, Message, Outgoing, TICK,
+    DataCentreHash, Exchange, Following, LARGE_FLEET, LinkClass, Message, Outgoing, TICK,
 };
 use medlarrill_core::routing::streams::message::Message as StreamMessage;
 use medlarrill_net::now::now;
@@ -20,7 +21,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::store::Copies;
-use crate::streams;
+use crate::streams::{self, OtherDaemons};
 
 /// Size of the receive buffer, the maximum of a UDP datagram.
 const MAX_DATAGRAM: usize = 64 << 10;
@@ -193,13 +194,34 @@
         daemons.sort_unstable();
         daemons.dedup();
     }
-    let keeper = exchange.hubs(now()).first().copied();
-    let keeper = keeper.filter(|keeper| *keeper != me);
-    let others = near.iter().chain(&far).copied();
-    shared.streams.set_daemons(others, keeper);
+    set_stream_holders(exchange, shared, near.iter().chain(&far));
     shared.connections.paths().set_daemons(near, far);
 }
 
+/// Sets the daemons that are told of streams and asked for them. In a small fleet, where each one
+/// hears of all others, those go before the ones that the platform lists for long after they ended.
+fn set_stream_holders<'a>(
+    exchange: &Exchange,
+    shared: &Shared,
+    others: impl Iterator<Item = &'a SocketAddr>,
+) {
+    let me = shared.settings.listen.peers;
+    let keeper = exchange.hubs(now()).first().copied();
+    let is_large = exchange.live_count(now()) >= LARGE_FLEET;
+    let recent: BTreeSet<SocketAddr> = match is_large {
+        true => BTreeSet::new(),
+        false => exchange.recent_others(now()).collect(),
+    };
+    let unheard = others.filter(|other| !recent.contains(other)).copied();
+    let unheard: Vec<SocketAddr> = unheard.collect();
+    shared.streams.set_daemons(OtherDaemons {
+        heard: recent,
+        unheard,
+        keeper: keeper.filter(|keeper| *keeper != me),
+        is_large,
+    });
+}
+
 /// Updates the roster; returns the number of live daemons.
 fn update(exchange: &Exchange, shared: &Shared, roster: &Roster, live: usize) -> usize {
     let before = roster.snapshot();
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -3,7 +3,7 @@
 mod archive;
 mod find;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -52,12 +52,27 @@
     is_single: bool,
 }
 
+/// The other daemons, for streams.
+#[derive(Debug)]
+pub struct OtherDaemons {
+    /// Those that were heard of lately.
+    pub heard: BTreeSet<SocketAddr>,
+    /// Those that the platform lists besides.
+    pub unheard: Vec<SocketAddr>,
+    /// The one that keeps streams on the platform, unless this one does.
+    pub keeper: Option<SocketAddr>,
+    /// Whether they are a large fleet.
+    pub is_large: bool,
+}
+
 #[derive(Debug, Default)]
 struct State {
     memory: StreamMemory,
     holders: Holders,
     /// The daemon that keeps streams on the platform, unless this one does.
     keeper: Option<SocketAddr>,
+    /// Whether the daemons are a large fleet.
+    is_large: bool,
     /// Software versions that the platform kept.
     archived: ArchivedBuilds,
     /// Questions that wait for answers, by token.
@@ -89,15 +104,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets the other daemons, and which of them keeps streams on the platform.
-    pub fn set_daemons(
-        &self,
-        daemons: impl IntoIterator<Item = SocketAddr>,
-        keeper: Option<SocketAddr>,
-    ) {
+    /// Sets the other daemons.
+    pub fn set_daemons(&self, others: OtherDaemons) {
         let mut state = self.lock();
-        state.holders.set(daemons);
-        state.keeper = keeper;
+        state.holders.set(others.heard, others.unheard);
+        state.keeper = others.keeper;
+        state.is_large = others.is_large;
     }
 
     /// Number of streams that are remembered.
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -112,7 +112,7 @@
     /// without that, unless all daemons end before another one comes; keeping them meanwhile costs
     /// a large fleet's hubs too much.
     pub(super) fn are_archived(&self) -> bool {
-        !self.is_large_fleet() || self.placement.has_several_builds(now())
+        !self.lock().is_large || self.placement.has_several_builds(now())
     }
 
     fn is_large_fleet(&self) -> bool {
--- a/crates/router/src/streams/find.rs
+++ b/crates/router/src/streams/find.rs
@@ -160,6 +160,13 @@
             || replies.iter().any(is_young)
     }
 
+    /// Whether some of these daemons were heard of lately, so that they may go on.
+    fn have_heard(&self, daemons: &[SocketAddr]) -> bool {
+        let state = self.lock();
+        let mut daemons = daemons.iter();
+        daemons.any(|daemon| state.is_large || state.holders.is_heard(daemon))
+    }
+
     /// Asks other daemons for a stream. Ends early when one of them knows it or all have answered.
     async fn ask(&self, key: StreamKey) -> Answers {
         let mut asked = {
@@ -202,7 +209,7 @@
         }
         Answers {
             has_none: replies.is_empty(),
-            has_silent: !asked.is_empty(),
+            has_silent: self.have_heard(&asked),
             replies,
         }
     }
