streams: an archive from before the store went back proves nothing

Callers saw: v2 takes the place of v1, streams begin at v2, all daemons lose power, and the store goes back to a copy from before the release.

Cause: a young daemon took the archive for complete whatever copy it came from. It can't tell an old copy from a current object: the store gives no times, and revisions of the copy are valid ones.

The archive now says in which of the store's eras it was written. One of another era than its reader's answers is incomplete: streams that it has go on, and no single version is concluded from it. Archives of earlier builds name no era and count as before.

--- a/crates/core/src/routing/streams/archive.rs
+++ b/crates/core/src/routing/streams/archive.rs
@@ -12,6 +12,7 @@
 use super::history::{BuildEvidence, FRESH_LIST, RecentBuild, STREAM_LIFETIME};
 use super::{Origin, PoolHash, StreamKey};
 use crate::clock::Millis;
+use crate::routing::revision::Era;
 
 /// Maximum number of streams that are kept; the oldest ones are left out.
 pub const MAX_STREAMS: usize = 1000;
@@ -25,6 +26,8 @@
     pub streams: BTreeMap<Origin, Vec<StreamKey>>,
     /// The pools of the versions; missing where an earlier build wrote the archive.
     pub pools: BTreeMap<Origin, PoolHash>,
+    /// The store's era in which it was written; none if it wasn't known.
+    pub era: Option<Era>,
 }
 
 impl Archive {
@@ -45,6 +48,18 @@
         archive
     }
 
+    /// Sets the era in which it is written.
+    #[must_use]
+    pub fn with_era(self, era: Option<Era>) -> Self {
+        Self { era, ..self }
+    }
+
+    /// Whether it is from before the store went back to a copy, and may lack what was written since.
+    pub fn is_outdated(&self, latest: Option<Era>) -> bool {
+        let count = |era: Option<Era>| era.map(Era::count);
+        self.era.is_some() && count(self.era) != count(latest)
+    }
+
     /// The versions.
     pub fn builds(&self) -> impl Iterator<Item = RecentBuild> {
         let origins = self.streams.keys().copied();
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -6,7 +6,8 @@
 use medlarrill_core::routing::config::RetryPolicy;
 use medlarrill_core::routing::endpoint::{Build, Endpoint};
 use medlarrill_core::routing::plan::{Refusal, RetryPlan};
-use medlarrill_core::routing::streams::archive::{ArchivedBuilds, builds_to_keep};
+use medlarrill_core::routing::revision::Era;
+use medlarrill_core::routing::streams::archive::{Archive, ArchivedBuilds, builds_to_keep};
 use medlarrill_core::routing::streams::history::{BuildEvidence, BuildHistory, RecentBuild};
 use medlarrill_core::routing::streams::holders::Holders;
 use medlarrill_core::routing::streams::lookup::{
@@ -362,6 +363,20 @@
     );
 }
 
+#[gtest]
+fn an_archive_is_outdated_once_the_store_went_back_to_a_copy() {
+    let archive = || Archive::new([recent("v1")], []);
+    let of_third = || archive().with_era(Some(Era(3)));
+    expect_that!(of_third().is_outdated(Some(Era(3))), eq(false));
+    // A daemon that saw the store built anew before counts eras apart, but the store doesn't.
+    let rebuilt = Era(9).rebuilt(Era(3));
+    expect_that!(of_third().is_outdated(Some(rebuilt)), eq(false));
+    expect_that!(of_third().is_outdated(Some(Era(4))), eq(true));
+    expect_that!(of_third().is_outdated(None), eq(true));
+    // An earlier build names no era.
+    expect_that!(archive().is_outdated(Some(Era(4))), eq(false));
+}
+
 #[gtest]
 fn a_complete_archive_replaces_what_was_read_before_and_another_one_adds_to_it() {
     let mut archived = ArchivedBuilds::default();
--- a/crates/daemon/tests/route/rejoined.rs
+++ b/crates/daemon/tests/route/rejoined.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use medlarrill_platform_standin::Watches;
+
 use super::setup::Bench;
 use super::versions::{Part, STREAMS, TakenUp, begin, finish, of_build, start};
 
@@ -24,11 +26,15 @@
     PowerOn,
     /// Callers begin streams, and lose them after a few events.
     Begin,
+    /// The store is copied.
+    Save,
+    /// The store goes back to the copy.
+    Restore,
     /// Nothing for so many milliseconds.
     Wait(u64),
 }
 
-use Step::{Begin, Come, Leave, PowerOff, PowerOn, Wait};
+use Step::{Begin, Come, Leave, PowerOff, PowerOn, Restore, Save, Wait};
 
 const POOL: &str = super::setup::POOL;
 
@@ -71,6 +77,7 @@
 async fn play(steps: &[Step]) -> Outcome {
     let mut bench = start(DAEMONS, &["v1", "v1"]).await;
     let mut begun = Vec::new();
+    let mut copy = bench.store.copy();
     for step in steps {
         match *step {
             Come(pool, build) => come(&mut bench, pool, build).await,
@@ -78,6 +85,8 @@
             PowerOff => bench.daemons.clear(),
             PowerOn => power_on(&mut bench).await,
             Begin => begun = begin(&bench, 0).await,
+            Save => copy = bench.store.copy(),
+            Restore => bench.store.restore(copy.clone(), Watches::Cut),
             Wait(millis) => tokio::time::sleep(Duration::from_millis(millis)).await,
         }
     }
@@ -252,3 +261,22 @@
     outcome.assert_none_joined();
     outcome.assert_all_go_on("v1");
 }
+
+/// Guards against an archive that is as old as the list, since the store went back to a copy while all
+/// daemons were down: both lack the version that began the streams.
+#[tokio::test]
+async fn streams_do_not_go_on_by_an_archive_from_before_the_store_went_back() {
+    let replaced = [
+        Save,
+        Come(POOL, "v2"),
+        Come(POOL, "v2"),
+        Leave("v1"),
+        Wait(1500),
+        Begin,
+        Wait(600),
+    ];
+    let restored = [PowerOff, Restore, PowerOn];
+    let steps = [&[Wait(2000)][..], &replaced, &restored].concat();
+    let outcome = play(&steps).await;
+    outcome.assert_none_joined();
+}
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -124,8 +124,12 @@
         for (key, origin) in archives.iter().flat_map(Archive::streams) {
             state.memory.learn(key, origin, now());
         }
+        let latest = self.copies.eras().latest();
+        let has_outdated = archives.iter().any(|archive| archive.is_outdated(latest));
+        // What was written since the copy isn't there.
+        let unknown = has_outdated.then_some(RecentBuild::of_any_pool(Origin::UNKNOWN));
         let builds = archives.iter().flat_map(Archive::builds);
-        state.archived.record(builds, now());
+        state.archived.record(builds.chain(unknown), now());
     }
 }
 
@@ -232,7 +236,7 @@
         let (archive, last) = {
             let state = shared.streams.lock();
             let recent = state.memory.since(from, MAX_STREAMS);
-            let archive = Archive::new(builds.iter().copied(), recent);
+            let archive = Archive::new(builds.iter().copied(), recent).with_era(self.era);
             (archive, state.memory.last_recorded())
         };
         let spec = objects::streams_spec(&archive);
