--- a/crates/core/src/routing/streams/lookup.rs
+++ b/crates/core/src/routing/streams/lookup.rs
@@ -76,7 +76,28 @@
     }
 }
 
+impl Doubt {
+    /// Stable code, for logs.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::Unlisted => "unlisted",
+            Self::Several => "several",
+            Self::Unseen => "unseen",
+            Self::Incomplete => "incomplete",
+            Self::Alone => "alone",
+        }
+    }
+}
+
 impl LookupError {
+    /// Why no version is certain, if that is why the stream can't go on.
+    pub const fn doubt(self) -> Option<Doubt> {
+        match self {
+            Self::Unknown(doubt) => Some(doubt),
+            Self::Ambiguous | Self::Gone => None,
+        }
+    }
+
     /// Stable code, for metrics and logs.
     pub const fn code(self) -> &'static str {
         match self {
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -134,6 +134,7 @@
             build = place.map(|place| place.build.as_str()),
             source = found.as_ref().ok().map(|found| found.source.code()),
             refused = found.as_ref().err().map(|error| error.code()),
+            doubt = found.as_ref().err().and_then(|error| error.doubt()).map(|doubt| doubt.code()),
             passed = now().since(self.arrived).0;
             "entry: stream taken up"
         );
