--- a/crates/core/src/routing/streams/archive.rs
+++ b/crates/core/src/routing/streams/archive.rs
@@ -2,8 +2,8 @@
 //!
 //! One hub of each data centre, or of a small fleet, writes the versions that
 //! served lately, and the streams that began in the last seconds; in a large
-//! fleet these only while several versions serve. Daemons read it only if neither they nor those that they ask know a
-//! stream.
+//! fleet these only while several versions serve. Daemons read it only if neither
+//! they nor those that they ask know a stream.
 
 use std::collections::BTreeMap;
 
