streams: daemons are told of streams that began before they were heard of

A daemon that has just started knows of others by the platform's list alone, which names those that ended; the streams that begin before the first review that follows the others' first datagrams are told to nobody that lives, the keeper of the archive included, then or later. It was concluded from what wasn't heard yet that nobody was there. Where there was no list either, the first other daemon was taken at once and the second one at the next review.

Now a small fleet's daemon sets whom to tell as soon as it hears of another one, and tells daemons that come to rank among these, or to keep the archive, of what it passed on in the last 20 s (routing/streams/begun.rs). A large fleet's daemons, where ranks change all the time, do it for streams of which nobody was told.

Two rows in routing/streams.rs for the decision and its bound.

--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -246,6 +246,11 @@
         self.members.recent_others(now)
     }
 
+    /// Number of other daemons that were heard of lately.
+    pub fn known_count(&self) -> usize {
+        self.members.known_count()
+    }
+
     fn is_large(&self, now: Millis) -> bool {
         self.live_count(now) >= LARGE_FLEET
     }
--- a/crates/core/src/routing/exchange/members.rs
+++ b/crates/core/src/routing/exchange/members.rs
@@ -97,6 +97,11 @@
         recent.map(|(address, _)| *address)
     }
 
+    /// Number of other daemons that aren't removed yet.
+    pub fn known_count(&self) -> usize {
+        self.others.len()
+    }
+
     /// The other live daemons.
     pub fn live_others(&self, now: Millis) -> impl Iterator<Item = (SocketAddr, Member)> {
         let live = move |(_, member): &(&SocketAddr, &Member)| {
--- a/crates/core/src/routing/streams/holders.rs
+++ b/crates/core/src/routing/streams/holders.rs
@@ -35,14 +35,13 @@
     }
 
     /// Ranks other daemons, unless they are the same in the same order: those that were heard of
-    /// lately, and those that the platform lists besides.
+    /// lately, and those that the platform lists besides. Returns whether some are others.
     pub fn set(
         &mut self,
         heard: impl IntoIterator<Item = SocketAddr>,
         unheard: impl IntoIterator<Item = SocketAddr>,
-    ) {
-        set_nodes(&mut self.heard, heard);
-        set_nodes(&mut self.unheard, unheard);
+    ) -> bool {
+        set_nodes(&mut self.heard, heard) | set_nodes(&mut self.unheard, unheard)
     }
 
     /// Whether no other daemon is known.
@@ -71,14 +70,18 @@
     }
 }
 
-fn set_nodes(nodes: &mut Vec<Node<SocketAddr>>, daemons: impl IntoIterator<Item = SocketAddr>) {
+fn set_nodes(
+    nodes: &mut Vec<Node<SocketAddr>>,
+    daemons: impl IntoIterator<Item = SocketAddr>,
+) -> bool {
     let daemons: Vec<SocketAddr> = daemons.into_iter().collect();
     let known = nodes.iter().map(|node| &node.id);
     if known.eq(&daemons) {
-        return;
+        return false;
     }
     let node = |daemon: SocketAddr| Node::new(daemon, &daemon.to_string());
     *nodes = daemons.into_iter().map(node).collect();
+    true
 }
 
 /// The first daemons in rank for a stream.
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -8,6 +8,7 @@
 use medlarrill_core::routing::plan::{Refusal, RetryPlan};
 use medlarrill_core::routing::revision::Era;
 use medlarrill_core::routing::streams::archive::{Archive, ArchivedBuilds, builds_to_keep};
+use medlarrill_core::routing::streams::begun::BegunStreams;
 use medlarrill_core::routing::streams::history::{BuildEvidence, BuildHistory, RecentBuild};
 use medlarrill_core::routing::streams::holders::Holders;
 use medlarrill_core::routing::streams::lookup::{
@@ -144,6 +145,48 @@
     expect_that!(misses.count(), le(1));
 }
 
+/// Guards against streams of which nobody is told, since they began before another daemon was heard of.
+#[gtest]
+fn daemons_are_told_of_the_streams_that_began_before_they_were_heard_of() {
+    let daemon = |number: u16| ([127, 0, 0, 1], number).into();
+    let streams = || (0..100).map(|number| (StreamKey(number), origin("v1")));
+    for is_large in [false, true] {
+        let mut begun = BegunStreams::default();
+        for (key, origin) in streams() {
+            begun.record(key, origin, &[], Millis(100));
+        }
+        let first = |_| vec![daemon(1)];
+        let untold = begun.take_untold(first, is_large, Millis(200));
+        let all: Vec<_> = streams().map(|(key, v1)| (daemon(1), key, v1)).collect();
+        expect_that!(untold, eq(&all));
+        expect_that!(begun.take_untold(first, is_large, Millis(300)), is_empty());
+        // Others that are heard of later than the first one.
+        let both = |_| vec![daemon(1), daemon(2)];
+        let untold = begun.take_untold(both, is_large, Millis(400));
+        expect_that!(untold.len(), eq(if is_large { 0 } else { 100 }));
+        expect_that!(untold.iter().all(|(to, ..)| *to == daemon(2)), eq(true));
+        // Streams that have ended.
+        let third = |_| vec![daemon(3)];
+        expect_that!(
+            begun.take_untold(third, is_large, Millis(20_100)),
+            is_empty()
+        );
+    }
+}
+
+#[gtest]
+fn the_streams_to_tell_later_are_bounded() {
+    let daemon = ([127, 0, 0, 1], 1).into();
+    let mut begun = BegunStreams::default();
+    for number in 0..10_000 {
+        begun.record(StreamKey(number), origin("v1"), &[], Millis(number / 100));
+    }
+    let untold = begun.take_untold(|_| vec![daemon], false, Millis(100));
+    expect_that!(untold.len(), le(4096));
+    let last = (daemon, StreamKey(9999), origin("v1"));
+    expect_that!(untold.last(), some(eq(&last)));
+}
+
 /// Guards against streams of which only daemons are told that ended long ago.
 #[gtest]
 fn daemons_that_were_heard_of_are_told_before_those_that_are_only_listed() {
--- a/crates/daemon/tests/route/last_daemon.rs
+++ b/crates/daemon/tests/route/last_daemon.rs
@@ -78,6 +78,24 @@
     taken_up.assert_all_whole();
 }
 
+/// Guards against streams of which nobody is told, since their daemon hadn't heard of others yet when
+/// they began.
+#[tokio::test]
+async fn streams_that_began_before_their_daemon_heard_of_others_go_on_at_these() {
+    let mut bench = start(1, &TWO).await;
+    bench.store.fail(Outage::Only("streams"));
+    let begun = begin(&bench, 0).await;
+    bench.add_daemon(&[0]);
+    bench.ready(1, TWO.len()).await;
+    bench.takes_connections(1).await;
+    bench.until_all_live(2).await;
+    // Time in which the first daemon hears of the second one, and tells it.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    bench.daemons.remove(0);
+    let taken_up = finish(&bench, 0, &begun, "again").await;
+    taken_up.assert_all_whole();
+}
+
 /// The daemon that all others tell of streams.
 fn first_hub(bench: &Bench) -> usize {
     let lines = bench.daemons[0].lines_with("\"hubs\":\"[");
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -137,6 +137,7 @@
     let unsent = UnsentReporter::new(Arc::clone(&shared.metrics));
     let mut buffer = vec![0; MAX_DATAGRAM];
     let mut live = 0;
+    let mut known = 0;
     let mut due = now();
     let mut reviewed = now();
     loop {
@@ -176,10 +177,20 @@
         }
         let news = loss_news(&mut exchange, &shared);
         send(&socket, encoded(news), &unsent).await;
-        if shared.connections.paths().has_no_helpers() {
-            set_helpers(&exchange, &shared);
-        }
+        known = set_new_helpers(&exchange, &shared, known);
+    }
+}
+
+/// Sets helpers at once where there are none, or another daemon was heard of; returns the number of
+/// those that are known.
+fn set_new_helpers(exchange: &Exchange, shared: &Shared, before: usize) -> usize {
+    let known = exchange.known_count();
+    // A large fleet's daemons hear of others all the time; the next review is soon enough.
+    let has_new = known > before && before < LARGE_FLEET;
+    if has_new || shared.connections.paths().has_no_helpers() {
+        set_helpers(exchange, shared);
     }
+    known
 }
 
 /// Sets the daemons that may be asked to connect to endpoints: those known to live, and those that
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -11,6 +11,7 @@
 use medlarrill_core::ids::PoolId;
 use medlarrill_core::routing::endpoint::Build;
 use medlarrill_core::routing::streams::archive::{ArchivedBuilds, builds_to_keep};
+use medlarrill_core::routing::streams::begun::BegunStreams;
 use medlarrill_core::routing::streams::history::{BuildEvidence, FRESH_LIST};
 use medlarrill_core::routing::streams::holders::Holders;
 use medlarrill_core::routing::streams::lookup::{Place, Reply};
@@ -68,6 +69,8 @@
 #[derive(Debug, Default)]
 struct State {
     memory: StreamMemory,
+    /// The streams that this daemon passed on lately.
+    begun: BegunStreams,
     holders: Holders,
     /// The daemon that keeps streams on the platform, unless this one does.
     keeper: Option<SocketAddr>,
@@ -104,12 +107,35 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets the other daemons.
+    /// Sets the other daemons, and tells them of streams that began before they were known.
     pub fn set_daemons(&self, others: OtherDaemons) {
-        let mut state = self.lock();
-        state.holders.set(others.heard, others.unheard);
-        state.keeper = others.keeper;
-        state.is_large = others.is_large;
+        let has_new = {
+            let mut state = self.lock();
+            let has_keeper = state.keeper != others.keeper;
+            state.keeper = others.keeper;
+            state.is_large = others.is_large;
+            state.holders.set(others.heard, others.unheard) | has_keeper
+        };
+        if has_new {
+            self.tell_untold();
+        }
+    }
+
+    fn tell_untold(&self) {
+        let is_kept = self.are_archived();
+        let untold = {
+            let state = &mut *self.lock();
+            let keeper = state.keeper.filter(|_| is_kept);
+            let daemons = |key| with_keeper(state.holders.told(key), keeper);
+            state.begun.take_untold(daemons, state.is_large, now())
+        };
+        let messages = untold.into_iter().map(|(daemon, key, origin)| {
+            let began = Began::new(&[(key, origin)]);
+            (daemon, Message::Began(began))
+        });
+        for (daemon, message) in join(messages.collect()) {
+            self.send(daemon, message);
+        }
     }
 
     /// Number of streams that are remembered.
@@ -130,7 +156,9 @@
             let mut state = self.lock();
             state.memory.record(key, origin, now());
             let keeper = state.keeper.filter(|_| is_kept);
-            with_keeper(state.holders.told(key), keeper)
+            let told = with_keeper(state.holders.told(key), keeper);
+            state.begun.record(key, origin, &told, now());
+            told
         };
         for daemon in told {
             let began = Began::new(&[(key, origin)]);
