tests: a daemon that has just stood still may close a connection unread

Traced: nothing of that request is in the daemon's log, and medlarrill_unread_total{reason="processor"} is 1 in both failures of which the metrics were read. Until its next measurement, up to 20 ms after it stood still for over 250 ms, a daemon takes one new connection in fifty (routing/accept.rs), as docs/design/crowd.md has it: nothing has run, and callers try again. The test expected that the first connection be taken.

--- a/crates/daemon/tests/route/whose_word.rs
+++ b/crates/daemon/tests/route/whose_word.rs
@@ -111,7 +111,15 @@
     bench.until(0, "endpoint started again", 1).await;
     let reply = sent.await.expect("a reply");
     assert_that!(reply.is_success(), eq(true), "{reply:?}");
-    let reply = send(&bench, "r-2".to_owned(), "/plain/x").await;
+    // Right after it stood still a daemon closes most new connections unread, for tens of milliseconds.
+    let mut reply = send(&bench, "r-2".to_owned(), "/plain/x").await;
+    for _ in 0..10 {
+        if reply.status.is_some() {
+            break;
+        }
+        Bench::pause(20).await;
+        reply = send(&bench, "r-2".to_owned(), "/plain/x").await;
+    }
     assert_that!(reply.is_success(), eq(true), "{reply:?}");
 }
 
