streams: one place for a route's pools, codes and the unknown version

No behaviour changes. Found by reading the whole change once more:

- the pools of a route were listed by the same closure in look_up and knowledge: Route::pools; the places by Streams::places.
- Doubt and Source wrote each code twice, for Display and for code(): Display writes the code, as in body_end.rs.
- the version that stands for unknown ones was put together at three places: RecentBuild::UNKNOWN.
- Holders::is_empty had no caller; TakenUp::refused was a getter beside public fields.
- known_count's two comments disagreed; two counts are called large fleet (the live daemons, and those that the platform lists too): their comments say which is meant.

--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -87,6 +87,11 @@
 }
 
 impl Route {
+    /// The pools that serve it.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolId> {
+        self.shares.iter().map(|share| &share.pool)
+    }
+
     /// Picks a pool by weight, for a random number between 0 and 1.
     pub fn pool(&self, draw: f64) -> Option<&PoolId> {
         let total: f64 = self.shares.iter().map(|share| share.weight).sum();
--- a/crates/core/src/routing/exchange.rs
+++ b/crates/core/src/routing/exchange.rs
@@ -246,7 +246,7 @@
         self.members.recent_others(now)
     }
 
-    /// Number of other daemons that were heard of lately.
+    /// Number of other daemons that aren't removed yet.
     pub fn known_count(&self) -> usize {
         self.members.known_count()
     }
--- a/crates/core/src/routing/streams.rs
+++ b/crates/core/src/routing/streams.rs
@@ -4,10 +4,11 @@
 //! check it: a stream may go on only at the version that began it. The daemon
 //! that passes on its first event records the version ([`memory`]) and tells a few
 //! other daemons, ranked by a hash of the stream ([`holders`]), also if it hears of
-//! them only later ([`begun`]). A daemon that is asked to go on with a stream that it doesn't know asks the same ones. Where
-//! none of them knows it, the platform may ([`archive`]); else the version is certain only if the pool has had a
-//! single one for longer than a stream lives ([`history`]); otherwise the
-//! request is refused ([`lookup`]).
+//! them only later ([`begun`]). A daemon that is asked to go on with a stream that
+//! it doesn't know asks the same ones. Where none of them knows it, the platform
+//! may ([`archive`]); else the version is certain only if the pool has had a single
+//! one for longer than a stream lives ([`history`]); otherwise the request is
+//! refused ([`lookup`]).
 
 pub mod archive;
 pub mod begun;
--- a/crates/core/src/routing/streams/history.rs
+++ b/crates/core/src/routing/streams/history.rs
@@ -70,6 +70,9 @@
 }
 
 impl RecentBuild {
+    /// Stands for versions of any pool that may have served and that nobody knows.
+    pub const UNKNOWN: Self = Self::of_any_pool(Origin::UNKNOWN);
+
     /// A version of a pool.
     pub fn new(pool: &PoolId, build: &Build) -> Self {
         Self {
--- a/crates/core/src/routing/streams/holders.rs
+++ b/crates/core/src/routing/streams/holders.rs
@@ -44,11 +44,6 @@
         set_nodes(&mut self.heard, heard) | set_nodes(&mut self.unheard, unheard)
     }
 
-    /// Whether no other daemon is known.
-    pub const fn is_empty(&self) -> bool {
-        self.heard.is_empty() && self.unheard.is_empty()
-    }
-
     /// Whether a daemon was heard of lately.
     pub fn is_heard(&self, daemon: &SocketAddr) -> bool {
         self.heard.iter().any(|node| node.id == *daemon)
--- a/crates/core/src/routing/streams/lookup.rs
+++ b/crates/core/src/routing/streams/lookup.rs
@@ -28,39 +28,32 @@
 /// Why no version is certain for a stream that nobody remembers.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug, Display)]
+#[display("{}", self.code())]
 pub enum Doubt {
     /// No endpoint of its route is listed.
-    #[display("unlisted")]
     Unlisted,
     /// Several versions are listed.
-    #[display("several")]
     Several,
     /// Another version served lately, by what the platform kept or other daemons answered.
-    #[display("unseen")]
     Unseen,
     /// Nobody would know of all versions that served lately.
-    #[display("incomplete")]
     Incomplete,
     /// Neither another daemon nor the platform answered.
-    #[display("alone")]
     Alone,
 }
 
 /// Who knew the version at which a stream began.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(Debug, Display)]
+#[display("{}", self.code())]
 pub enum Source {
     /// This daemon passed on an event of it, or was told of it.
-    #[display("own")]
     Own,
     /// Another daemon.
-    #[display("told")]
     Told,
     /// The platform keeps it.
-    #[display("platform")]
     Platform,
     /// No one, but only one version has served.
-    #[display("single")]
     Single,
 }
 
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -53,10 +53,6 @@
     RecentBuild::new(&pool(), &build.into())
 }
 
-fn unknown() -> RecentBuild {
-    RecentBuild::of_any_pool(Origin::UNKNOWN)
-}
-
 fn evidence(is_complete: bool, builds: &[&str]) -> BuildEvidence {
     BuildEvidence {
         is_complete,
@@ -344,7 +340,7 @@
     archived.record([recent("v1"), recent("v2")], Millis(4000));
     expect_that!(at(&archived, Millis(4000)), err(eq(&Doubt::Unseen)));
     // Nothing was kept, or not all is known: the daemon's own list is complete.
-    for read in [vec![], vec![unknown()]] {
+    for read in [vec![], vec![RecentBuild::UNKNOWN]] {
         let mut archived = ArchivedBuilds::default();
         archived.record(read, Millis(4000));
         expect_that!(at(&archived, Millis(4000)), ok(anything()));
@@ -430,7 +426,7 @@
     archived.record([recent("v1")], Millis(0));
     let read = |archived: &ArchivedBuilds, at| archived.evidence(Millis(at)).expect("was read");
     expect_that!(read(&archived, 0), eq(&evidence(true, &["v1"])));
-    archived.record([recent("v2"), unknown()], Millis(1000));
+    archived.record([recent("v2"), RecentBuild::UNKNOWN], Millis(1000));
     let both = read(&archived, 1000);
     expect_that!(both.is_complete, eq(false));
     expect_that!(
@@ -635,11 +631,11 @@
     };
     expect_that!(after(&[recent("v1")]), ok(anything()));
     expect_that!(
-        after(&[recent("v1"), unknown()]),
+        after(&[recent("v1"), RecentBuild::UNKNOWN]),
         err(eq(&Doubt::Incomplete))
     );
     // Daemons that have read such an archive may answer so.
-    let reply = evidence(false, &["v1"]).with_recent(&[unknown()]);
+    let reply = evidence(false, &["v1"]).with_recent(&[RecentBuild::UNKNOWN]);
     let own = evidence(true, &["v1"]);
     expect_that!(single(&["v1"], own, None, &[reply]), err(anything()));
 }
--- a/crates/daemon/tests/route/last_daemon.rs
+++ b/crates/daemon/tests/route/last_daemon.rs
@@ -53,8 +53,8 @@
     tokio::time::sleep(Duration::from_millis(3500)).await;
     let taken_up = finish(&bench, 0, &begun, "again").await;
     taken_up.assert_none_wrong("v1");
-    assert_that!(taken_up.refused(), gt(0), "{taken_up:?}");
-    assert_that!(taken_up.whole + taken_up.refused(), eq(STREAMS));
+    assert_that!(taken_up.refused, gt(0), "{taken_up:?}");
+    assert_that!(taken_up.whole + taken_up.refused, eq(STREAMS));
 }
 
 /// Guards against streams that nobody remembers, since only daemons were told that ended long ago.
--- a/crates/daemon/tests/route/versions.rs
+++ b/crates/daemon/tests/route/versions.rs
@@ -180,17 +180,12 @@
     /// Streams of two software versions, or with a wrong sequence of events.
     wrong: Vec<String>,
     /// Refusals that promise that nothing ran.
-    refused: usize,
+    pub refused: usize,
     /// The longest time of a refusal.
     longest: Duration,
 }
 
 impl TakenUp {
-    /// Refusals that promise that nothing ran.
-    pub fn refused(&self) -> usize {
-        self.refused
-    }
-
     /// No stream that an endpoint of a version began went on at another one.
     pub fn assert_none_wrong(&self, build: &str) {
         assert_that!(self.wrong, is_empty(), "{build}: {self:?}");
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -62,7 +62,7 @@
     pub unheard: Vec<SocketAddr>,
     /// The one that keeps streams on the platform, unless this one does.
     pub keeper: Option<SocketAddr>,
-    /// Whether they are a large fleet.
+    /// Whether those that live are a large fleet.
     pub is_large: bool,
 }
 
@@ -74,7 +74,7 @@
     holders: Holders,
     /// The daemon that keeps streams on the platform, unless this one does.
     keeper: Option<SocketAddr>,
-    /// Whether the daemons are a large fleet.
+    /// Whether the daemons that live are a large fleet.
     is_large: bool,
     /// Software versions that the platform kept.
     archived: ArchivedBuilds,
@@ -111,10 +111,10 @@
     pub fn set_daemons(&self, others: OtherDaemons) {
         let has_new = {
             let mut state = self.lock();
-            let has_keeper = state.keeper != others.keeper;
+            let has_new_keeper = state.keeper != others.keeper;
             state.keeper = others.keeper;
             state.is_large = others.is_large;
-            state.holders.set(others.heard, others.unheard) | has_keeper
+            state.holders.set(others.heard, others.unheard) | has_new_keeper
         };
         if has_new {
             self.tell_untold();
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -10,7 +10,6 @@
 use medlarrill_core::routing::exchange::LARGE_FLEET;
 use medlarrill_core::routing::mirror::Object;
 use medlarrill_core::routing::revision::Era;
-use medlarrill_core::routing::streams::Origin;
 use medlarrill_core::routing::streams::archive::{Archive, MAX_STREAMS};
 use medlarrill_core::routing::streams::history::RecentBuild;
 use medlarrill_net::now::now;
@@ -115,6 +114,7 @@
         !self.lock().is_large || self.placement.has_several_builds(now())
     }
 
+    /// Whether the platform's objects are those of a large fleet: daemons that it lists count, too.
     fn is_large_fleet(&self) -> bool {
         self.placement.daemon_count() >= LARGE_FLEET
     }
@@ -127,7 +127,7 @@
         let latest = self.copies.eras().latest();
         let has_outdated = archives.iter().any(|archive| archive.is_outdated(latest));
         // What was written since the copy isn't there.
-        let unknown = has_outdated.then_some(RecentBuild::of_any_pool(Origin::UNKNOWN));
+        let unknown = has_outdated.then_some(RecentBuild::UNKNOWN);
         let builds = archives.iter().flat_map(Archive::builds);
         state.archived.record(builds.chain(unknown), now());
     }
@@ -216,7 +216,7 @@
         let mut builds: BTreeSet<RecentBuild> = evidence.recent.into_iter().collect();
         if !evidence.is_complete {
             // Streams that are known can go on; that only one version served can't be concluded.
-            builds.insert(RecentBuild::of_any_pool(Origin::UNKNOWN));
+            builds.insert(RecentBuild::UNKNOWN);
         }
         if !self.is_due(&builds) {
             return Ok(());
--- a/crates/router/src/streams/find.rs
+++ b/crates/router/src/streams/find.rs
@@ -79,10 +79,8 @@
     }
 
     async fn look_up(&self, key: Option<StreamKey>, route: &Route) -> Result<Found> {
-        let pools = || route.shares.iter().map(|share| &share.pool);
-        let places = || self.placement.stream_places(pools(), now());
         let found = |origin: Origin, source: Source| {
-            let place = place_of(&places(), origin).ok_or(LookupError::Gone)?;
+            let place = place_of(&self.places(route), origin).ok_or(LookupError::Gone)?;
             Ok(Found { place, source })
         };
         let own = key.and_then(|key| self.lock().memory.get(key, now()));
@@ -123,11 +121,15 @@
         }
     }
 
+    /// The places of a route by this daemon's list.
+    fn places(&self, route: &Route) -> Vec<Place> {
+        self.placement.stream_places(route.pools(), now())
+    }
+
     fn knowledge<'a>(&self, route: &Route, answers: &'a Answers) -> Knowledge<'a> {
-        let pools = || route.shares.iter().map(|share| &share.pool);
         Knowledge {
-            places: self.placement.stream_places(pools(), now()),
-            pools: pools().map(PoolHash::from).collect(),
+            places: self.places(route),
+            pools: route.pools().map(PoolHash::from).collect(),
             own: self.seen_builds(),
             archived: self.archived_builds(),
             replies: &answers.replies,
