--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -2,6 +2,7 @@
 
 mod archive;
 mod find;
+mod writer;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -28,8 +29,8 @@
 use crate::store::Copies;
 use archive::Reader;
 
-pub use archive::keep;
 pub use find::Found;
+pub use writer::keep;
 
 /// Maximum number of messages that wait to be sent; others are dropped and counted.
 const MAX_WAITING: usize = 1024;
