streams: in a release, a first event waits until the platform has its stream

What callers saw: after a loss of power of all daemons in a release, all streams whose first event had come in the last 0.4 s were refused, and refused again at each retry (LOST).

Cause: the archive is written every 400 ms. What began since was known to the daemons alone.

While a pool has several versions, a fleet of up to 15 daemons now writes a tail of the archive, the streams since its last whole write, 50 ms apart. The daemon that writes confirms them to those that told it, and a first event waits for that, 60 ms at most. One that waited in vain lets later ones pass at once until a stream is confirmed again. A tail holds until the archive is written again, so that an old one says nothing of versions.

Weighed: shorter intervals alone (what began in the last write is lost still, and 12 s of streams written each time are over the control budget); a version that is closed for good in the archive (needs the word of each daemon that no stream begins there, and says nothing where two versions go on to serve).

--- a/crates/core/src/routing/exchange/message.rs
+++ b/crates/core/src/routing/exchange/message.rs
@@ -274,7 +274,7 @@
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 struct Datagram {
-    // Tags 1 and 2 were used for reports and summaries without versions; 6 to 8 belong to messages
+    // Tags 1 and 2 were used for reports and summaries without versions; 6 to 8 and 10 belong to messages
     // on streams.
     #[prost(oneof = "Content", tags = "3, 4, 5, 9")]
     content: Option<Content>,
--- a/crates/core/src/routing/streams/archive.rs
+++ b/crates/core/src/routing/streams/archive.rs
@@ -2,8 +2,9 @@
 //!
 //! One hub of each data centre, or of a small fleet, writes the versions that
 //! served lately, and the streams that began in the last seconds; in a large
-//! fleet these only while several versions serve. Daemons read it only if neither
-//! they nor those that they ask know a stream.
+//! fleet these only while several versions serve. A small fleet adds a tail
+//! meanwhile: the streams that began since, written many times a second. Daemons
+//! read it only if neither they nor those that they ask know a stream.
 
 use std::collections::BTreeMap;
 
@@ -12,7 +13,7 @@
 use super::history::{BuildEvidence, RecentBuild, STREAM_LIFETIME};
 use super::{Origin, PoolHash, StreamKey};
 use crate::clock::Millis;
-use crate::routing::revision::Era;
+use crate::routing::revision::{Era, Revision};
 
 /// Maximum number of streams that are kept; the oldest ones are left out.
 pub const MAX_STREAMS: usize = 1000;
@@ -28,6 +29,9 @@
     pub pools: BTreeMap<Origin, PoolHash>,
     /// The store's era in which it was written; none if it wasn't known.
     pub era: Option<Era>,
+    /// For a tail, which has only the streams that began since the whole archive was last written:
+    /// the number of the revision that this write gave the archive.
+    pub after: Option<u64>,
 }
 
 impl Archive {
@@ -54,6 +58,19 @@
         Self { era, ..self }
     }
 
+    /// Marks it as a tail of the archive that has this revision.
+    #[must_use]
+    pub fn with_after(self, archive: Revision) -> Self {
+        let after = Some(archive.number);
+        Self { after, ..self }
+    }
+
+    /// Whether what it says of versions still holds: a tail ends with the next write of the whole
+    /// archive, whose present revision this is.
+    pub fn is_in_force(&self, archive: Option<Revision>) -> bool {
+        self.after.is_none() || self.after == archive.map(|archive| archive.number)
+    }
+
     /// Whether it is from before the store went back to a copy, and may lack what was written since.
     pub fn is_outdated(&self, latest: Option<Era>) -> bool {
         let count = |era: Option<Era>| era.map(Era::count);
--- a/crates/core/src/routing/streams/memory.rs
+++ b/crates/core/src/routing/streams/memory.rs
@@ -20,8 +20,8 @@
     streams: HashMap<StreamKey, Record>,
     /// Streams by the time of each recording.
     order: VecDeque<(Millis, StreamKey)>,
-    /// When a stream was last recorded that isn't only kept elsewhere.
-    last: Option<Millis>,
+    /// Number of recordings of streams that aren't only kept elsewhere.
+    recorded: u64,
 }
 
 #[derive(Clone, Copy)]
@@ -35,7 +35,7 @@
 impl StreamMemory {
     /// Records that a stream began at an origin, or went on there.
     pub fn record(&mut self, key: StreamKey, origin: Origin, now: Millis) {
-        self.last = Some(now);
+        self.recorded += 1;
         self.insert(key, origin, now);
     }
 
@@ -77,9 +77,9 @@
         })
     }
 
-    /// When a stream was last recorded that began or went on just then.
-    pub const fn last_recorded(&self) -> Option<Millis> {
-        self.last
+    /// How often a stream was recorded that began or went on just then.
+    pub const fn recorded(&self) -> u64 {
+        self.recorded
     }
 
     /// Number of streams.
--- a/crates/core/src/routing/streams/message.rs
+++ b/crates/core/src/routing/streams/message.rs
@@ -21,6 +21,14 @@
     origins: Vec<u64>,
 }
 
+/// Streams that the platform has from now on.
+#[derive(Clone, PartialEq, Eq)]
+#[derive(prost::Message)]
+pub struct Kept {
+    #[prost(fixed64, repeated, tag = "1")]
+    streams: Vec<u64>,
+}
+
 /// Asks where a stream began.
 #[derive(Clone, Copy, PartialEq, Eq)]
 #[derive(prost::Message)]
@@ -61,13 +69,15 @@
     Question(Question),
     /// What the other one knows.
     Answer(Answer),
+    /// From the daemon that writes the archive to one that told it of streams.
+    Kept(Kept),
 }
 
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 struct Datagram {
-    // Tags 1 to 5 belong to the exchange.
-    #[prost(oneof = "Content", tags = "6, 7, 8")]
+    // Tags 1 to 5 and 9 belong to the exchange.
+    #[prost(oneof = "Content", tags = "6, 7, 8, 10")]
     content: Option<Content>,
 }
 
@@ -80,6 +90,8 @@
     Question(Question),
     #[prost(message, tag = "8")]
     Answer(Answer),
+    #[prost(message, tag = "10")]
+    Kept(Kept),
 }
 
 impl Began {
@@ -98,6 +110,19 @@
     }
 }
 
+impl Kept {
+    /// Confirms streams.
+    pub fn new(streams: &[StreamKey]) -> Self {
+        let streams = streams.iter().map(|key| key.0).collect();
+        Self { streams }
+    }
+
+    /// The streams.
+    pub fn streams(&self) -> impl Iterator<Item = StreamKey> {
+        self.streams.iter().copied().map(StreamKey)
+    }
+}
+
 impl Question {
     /// Asks for a stream.
     pub const fn new(token: u64, key: StreamKey) -> Self {
@@ -170,6 +195,7 @@
             Self::Began(began) => Content::Began(began),
             Self::Question(question) => Content::Question(question),
             Self::Answer(answer) => Content::Answer(answer),
+            Self::Kept(kept) => Content::Kept(kept),
         };
         let content = Some(content);
         Datagram { content }.encode_to_vec().into()
@@ -186,6 +212,7 @@
             Content::Began(began) => Self::Began(began),
             Content::Question(question) => Self::Question(question),
             Content::Answer(answer) => Self::Answer(answer),
+            Content::Kept(kept) => Self::Kept(kept),
         }))
     }
 }
--- a/crates/daemon/tests/route/rejoined.rs
+++ b/crates/daemon/tests/route/rejoined.rs
@@ -9,7 +9,7 @@
 use medlarrill_platform_standin::Watches;
 
 use super::setup::Bench;
-use super::versions::{Part, STREAMS, TakenUp, begin, finish, of_build, start};
+use super::versions::{Part, STREAMS, TakenUp, begin, finish, first_call, of_build, read, start};
 
 const DAEMONS: usize = 3;
 
@@ -26,6 +26,8 @@
     PowerOn,
     /// Callers begin streams, and lose them after a few events.
     Begin,
+    /// Callers begin streams at all daemons, which lose power once each caller has an event.
+    BeginAndPowerOff,
     /// The store is copied.
     Save,
     /// The store goes back to the copy.
@@ -34,7 +36,7 @@
     Wait(u64),
 }
 
-use Step::{Begin, Come, Leave, PowerOff, PowerOn, Restore, Save, Wait};
+use Step::{Begin, BeginAndPowerOff, Come, Leave, PowerOff, PowerOn, Restore, Save, Wait};
 
 const POOL: &str = super::setup::POOL;
 
@@ -85,6 +87,10 @@
             PowerOff => bench.daemons.clear(),
             PowerOn => power_on(&mut bench).await,
             Begin => begun = begin(&bench, 0).await,
+            BeginAndPowerOff => {
+                begun = begin_at_all(&bench).await;
+                bench.daemons.clear();
+            }
             Save => copy = bench.store.copy(),
             Restore => bench.store.restore(copy.clone(), Watches::Cut),
             Wait(millis) => tokio::time::sleep(Duration::from_millis(millis)).await,
@@ -93,6 +99,17 @@
     take_up(&bench, begun).await
 }
 
+/// The first event of streams at each daemon in turn.
+async fn begin_at_all(bench: &Bench) -> Vec<(String, Part)> {
+    let begin = (0..STREAMS).map(|number| async move {
+        let attempt = format!("first-{number}");
+        let address = bench.daemons[number % DAEMONS].callers();
+        let part = read(address, &first_call(&attempt), 1).await;
+        (attempt, part)
+    });
+    futures_util::future::join_all(begin).await
+}
+
 async fn come(bench: &mut Bench, pool: &str, build: &'static str) {
     let id = format!("{build}-{}", bench.endpoints.len());
     bench.add_endpoint_of(&id, pool, of_build(build)).await;
@@ -245,6 +262,23 @@
     outcome.assert_half_go_on("v2");
 }
 
+/// Guards against refusals of streams whose first event went out just before all daemons lost power.
+#[tokio::test]
+async fn the_youngest_streams_go_on_after_all_daemons_lost_power_in_a_release() {
+    let come = [Wait(2000), Come(POOL, "v2"), Come(POOL, "v2")];
+    let ended = [BeginAndPowerOff, Wait(500), PowerOn];
+    let replaced = [&come[..], &[Leave("v1"), Wait(1000)], &ended].concat();
+    let outcome = play(&replaced).await;
+    outcome.assert_none_joined();
+    outcome.assert_half_go_on("v2");
+
+    let beside = [&come[..], &[Wait(5000)], &ended].concat();
+    let outcome = play(&beside).await;
+    outcome.assert_none_joined();
+    outcome.assert_half_go_on("v1");
+    outcome.assert_half_go_on("v2");
+}
+
 /// Guards against refusals of streams of one pool while another pool is replaced.
 #[tokio::test]
 async fn streams_go_on_where_another_pool_was_replaced_while_all_daemons_were_down() {
--- a/crates/router/src/entry/relay.rs
+++ b/crates/router/src/entry/relay.rs
@@ -165,7 +165,7 @@
                 Piece::Bytes(bytes) if bytes.is_empty() => continue,
                 Piece::Bytes(bytes) => {
                     self.trace.add_bytes(bytes.len());
-                    self.record_event();
+                    self.record_event().await;
                     return Some(Ok(bytes));
                 }
                 Piece::End(end, cause) => (end, cause),
@@ -185,13 +185,14 @@
         }
     }
 
-    fn record_event(&mut self) {
+    async fn record_event(&mut self) {
         if self.has_begun || !self.may_resume() {
             return;
         }
         self.has_begun = true;
         if let Some(source) = &self.source {
-            self.routed.record_event(&mut self.plan, &source.build);
+            let build = &source.build;
+            self.routed.record_event(&mut self.plan, build).await;
         }
     }
 
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -124,12 +124,16 @@
         }
     }
 
-    /// Fixes the software version of its stream when an event of the stream is passed on, and records
-    /// it for attempts to come.
-    pub fn record_event(&self, plan: &mut RetryPlan, build: &Build) {
+    /// Fixes the software version of its stream when an event of the stream is about to be passed on,
+    /// and records it for attempts to come.
+    pub async fn record_event(&self, plan: &mut RetryPlan, build: &Build) {
         plan.bind(build.clone());
-        if let Some(stream) = self.stream {
-            self.shared.streams.record(stream, &self.pool, build);
+        let streams = &self.shared.streams;
+        let recorded = self
+            .stream
+            .map(|key| streams.record(key, &self.pool, build));
+        if let Some(confirmation) = recorded.flatten() {
+            confirmation.wait().await;
         }
     }
 
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -78,6 +78,8 @@
     pub resumed: Counter,
     /// Streams that callers took up, by who knew where they began, or why they were refused.
     pub take_ups: Family<ReasonLabel, Counter>,
+    /// Streams whose first events waited for the platform's archive, by result.
+    pub confirmations: Family<ReasonLabel, Counter>,
     /// Streams whose origin is remembered.
     pub streams: Gauge,
     /// Endpoints that aren't leaving, by pool and software version.
@@ -160,6 +162,7 @@
             hedges: Family::default(),
             resumed: Counter::default(),
             take_ups: Family::default(),
+            confirmations: Family::default(),
             streams: Gauge::default(),
             builds: Family::default(),
             ends: Family::default(),
@@ -224,6 +227,12 @@
         r.register("resumed", "Streams resumed", self.resumed.clone());
         let take_ups = self.take_ups.clone();
         r.register("take_ups", "Streams that callers took up", take_ups);
+        let confirmations = self.confirmations.clone();
+        r.register(
+            "stream_confirmations",
+            "Streams whose first events waited for the platform's archive",
+            confirmations,
+        );
         r.register("answer_ends", "Ends of answers", self.ends.clone());
         r.register(
             "connects",
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -1,6 +1,7 @@
 //! Where streams began: what this daemon remembers, tells other daemons, and asks them.
 
 mod archive;
+mod confirm;
 mod find;
 mod writer;
 
@@ -21,14 +22,16 @@
 use medlarrill_core::routing::streams::{Origin, StreamKey};
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::metrics::Metrics;
 use crate::placement::Placement;
 use crate::settings::Settings;
 use crate::store::Copies;
 use archive::Reader;
+use confirm::Confirmations;
 
+pub use confirm::Confirmation;
 pub use find::Found;
 pub use writer::keep;
 
@@ -46,6 +49,8 @@
 pub struct Streams {
     state: Mutex<State>,
     reader: tokio::sync::Mutex<Reader>,
+    /// Notified when a stream is told that this daemon is to write.
+    unwritten: Notify,
     outgoing: mpsc::Sender<Outgoing>,
     placement: Arc<Placement>,
     copies: Arc<Copies>,
@@ -83,6 +88,7 @@
     logged: Option<Origin>,
     /// Questions that wait for answers, by token.
     questions: HashMap<u64, mpsc::UnboundedSender<(SocketAddr, Reply)>>,
+    confirmations: Confirmations,
 }
 
 impl Streams {
@@ -97,6 +103,7 @@
         let streams = Self {
             state: Mutex::default(),
             reader: tokio::sync::Mutex::new(Reader::new(settings.platform, copies.eras(), metrics)),
+            unwritten: Notify::new(),
             outgoing,
             placement: Arc::clone(placement),
             copies: Arc::clone(copies),
@@ -152,8 +159,10 @@
     }
 
     /// Records that a stream begins or goes on at a pool and software version, and tells others.
-    pub fn record(&self, key: StreamKey, pool: &PoolId, build: &Build) {
+    /// Returns the confirmation for which its next event should wait.
+    pub fn record(&self, key: StreamKey, pool: &PoolId, build: &Build) -> Option<Confirmation<'_>> {
         let origin = Origin::new(pool, build);
+        let confirmation = self.expect_kept(key, pool);
         self.log_new(pool, build);
         let is_kept = self.are_archived();
         let told = {
@@ -162,12 +171,16 @@
             let keeper = state.keeper.filter(|_| is_kept);
             let told = with_keeper(state.holders.told(key), keeper);
             state.begun.record(key, origin, &told, now());
+            if state.confirmations.add_unwritten(None, key) {
+                self.unwritten.notify_one();
+            }
             told
         };
         for daemon in told {
             let began = Began::new(&[(key, origin)]);
             self.send(daemon, Message::Began(began));
         }
+        confirmation
     }
 
     /// Logs that streams begin at a version that other daemons may not have listed yet.
@@ -191,8 +204,12 @@
                 let mut state = self.lock();
                 for (key, origin) in began.streams() {
                     state.memory.record(key, origin, now());
+                    if state.confirmations.add_unwritten(Some(from), key) {
+                        self.unwritten.notify_one();
+                    }
                 }
             }
+            Message::Kept(kept) => self.receive_kept(&kept),
             Message::Question(question) => {
                 let answer = self.answer(question);
                 self.send(from, Message::Answer(answer));
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -37,6 +37,8 @@
 const UNANSWERED_INTERVAL: Millis = Millis(150);
 /// Name of the object of a small fleet, which has no hubs for each data centre.
 pub(super) const FLEET: &str = "fleet";
+/// Name of the object with the streams that began since that one was written.
+pub(super) const TAIL: &str = "fleet-tail";
 
 /// Reads the archive, and what has changed in the list, for requests.
 #[derive(Debug)]
@@ -214,13 +216,13 @@
         let read = |object: &Object| {
             kept.insert(object.name.clone(), object.revision);
             // A fleet that has grown doesn't write it any more.
-            if !(is_large && object.name == FLEET) {
+            if !(is_large && [FLEET, TAIL].contains(&&object.name[..])) {
                 archives.push(objects::streams(object)?);
             }
             Ok(())
         };
         client.list(wire::STREAMS, &self.copies, read).await?;
-        self.record_archives(&archives, called_at);
+        self.record_archives(&archives, kept.get(FLEET).copied(), called_at);
         Ok(kept)
     }
 
@@ -236,17 +238,19 @@
         self.placement.daemon_count() >= LARGE_FLEET
     }
 
-    /// Records archives that were requested at `called_at`.
-    fn record_archives(&self, archives: &[Archive], called_at: Millis) {
+    /// Records archives that were requested at `called_at`, when the fleet's was at `revision`.
+    fn record_archives(&self, archives: &[Archive], revision: Option<Revision>, called_at: Millis) {
         let mut state = self.lock();
         for (key, origin) in archives.iter().flat_map(Archive::streams) {
             state.memory.learn(key, origin, now());
         }
         let latest = self.copies.eras().latest();
-        let has_outdated = archives.iter().any(|archive| archive.is_outdated(latest));
+        let in_force = archives.iter().filter(|kept| kept.is_in_force(revision));
+        let mut outdated = in_force.clone();
+        let has_outdated = outdated.any(|archive| archive.is_outdated(latest));
         // What was written since the copy isn't there.
         let unknown = has_outdated.then_some(RecentBuild::UNKNOWN);
-        let builds = archives.iter().flat_map(Archive::builds);
+        let builds = in_force.flat_map(Archive::builds);
         state.archived.record(builds.chain(unknown), called_at);
     }
 }
--- /dev/null
+++ b/crates/router/src/streams/confirm.rs
@@ -0,0 +1,155 @@
+//! Confirms that the platform has a stream whose first event is about to be passed on.
+//!
+//! While several software versions serve, a stream that only this fleet knows is
+//! lost with the fleet. Its first event waits for the next write of the archive,
+//! for a bounded time.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use derive_more::Debug;
+use medlarrill_core::clock::Millis;
+use medlarrill_core::ids::PoolId;
+use medlarrill_core::routing::streams::StreamKey;
+use medlarrill_core::routing::streams::message::{Kept, Message};
+use medlarrill_net::now::now;
+use tokio::sync::oneshot;
+
+use super::{MAX_JOINED, Streams};
+use crate::metrics::Metrics;
+
+/// Longest time for which a first event waits. Callers notice a pause of twice that.
+const CONFIRM_TIMEOUT: Millis = Millis(60);
+/// Maximum number of streams that wait to be written; of later ones nobody is told.
+const MAX_UNWRITTEN: usize = 4096;
+
+/// The daemon that told of a stream, none for this one.
+type Teller = Option<SocketAddr>;
+
+/// A stream that the platform doesn't have yet.
+pub(super) type Unwritten = (Teller, StreamKey);
+
+/// Streams that the platform doesn't have yet.
+#[derive(Debug, Default)]
+pub(super) struct Confirmations {
+    /// Those whose first events wait here.
+    waiting: HashMap<StreamKey, oneshot::Sender<()>>,
+    /// Those that this daemon is to write.
+    unwritten: Vec<Unwritten>,
+    /// Whether this daemon writes the archive.
+    is_writer: bool,
+    /// Whether the last event waited in vain, and no stream was confirmed since.
+    is_silent: bool,
+}
+
+impl Confirmations {
+    pub(super) fn set_writer(&mut self, is_writer: bool) {
+        self.is_writer = is_writer;
+        if !is_writer {
+            self.unwritten.clear();
+        }
+    }
+
+    /// Notes a stream that this daemon is to write; returns whether it is.
+    pub(super) fn add_unwritten(&mut self, teller: Teller, key: StreamKey) -> bool {
+        if self.is_writer && self.unwritten.len() < MAX_UNWRITTEN {
+            self.unwritten.push((teller, key));
+        }
+        self.is_writer
+    }
+
+    /// The streams that are written now.
+    pub(super) fn take_unwritten(&mut self) -> Vec<Unwritten> {
+        std::mem::take(&mut self.unwritten)
+    }
+
+    fn wait(&mut self, key: StreamKey) -> Option<oneshot::Receiver<()>> {
+        if self.is_silent {
+            return None;
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.insert(key, sender);
+        Some(receiver)
+    }
+
+    fn confirm(&mut self, streams: impl Iterator<Item = StreamKey>) {
+        self.is_silent = false;
+        for key in streams {
+            if let Some(waiting) = self.waiting.remove(&key) {
+                // The caller may have left meanwhile.
+                waiting.send(()).ok();
+            }
+        }
+    }
+}
+
+/// The wait for the confirmation of one stream.
+#[derive(Debug)]
+pub struct Confirmation<'a> {
+    streams: &'a Streams,
+    key: StreamKey,
+    receiver: oneshot::Receiver<()>,
+}
+
+impl Drop for Confirmation<'_> {
+    fn drop(&mut self) {
+        self.streams.lock().confirmations.waiting.remove(&self.key);
+    }
+}
+
+impl Confirmation<'_> {
+    /// Waits until the platform has the stream, or until that takes too long.
+    pub async fn wait(mut self) {
+        let wait = CONFIRM_TIMEOUT.as_duration();
+        let confirmed = tokio::time::timeout(wait, &mut self.receiver).await;
+        let is_late = confirmed.is_err();
+        if is_late {
+            self.streams.lock().confirmations.is_silent = true;
+        }
+        let code = if is_late { "late" } else { "kept" };
+        Metrics::count(&self.streams.metrics.confirmations, code);
+    }
+}
+
+impl Streams {
+    /// Expects the confirmation of a stream that is about to be recorded; none where the platform
+    /// isn't needed for it, or doesn't answer.
+    pub(super) fn expect_kept(&self, key: StreamKey, pool: &PoolId) -> Option<Confirmation<'_>> {
+        if !self.placement.has_several_in(pool, now()) {
+            return None;
+        }
+        let mut state = self.lock();
+        let has_writer = state.confirmations.is_writer || state.keeper.is_some();
+        if state.is_large || !has_writer {
+            return None;
+        }
+        let receiver = state.confirmations.wait(key)?;
+        drop(state);
+        Some(Confirmation {
+            streams: self,
+            key,
+            receiver,
+        })
+    }
+
+    /// Handles the confirmation of another daemon.
+    pub(super) fn receive_kept(&self, kept: &Kept) {
+        self.lock().confirmations.confirm(kept.streams());
+    }
+
+    /// Confirms streams that this daemon has written to those that wait for them.
+    pub(super) fn confirm_written(&self, written: &[Unwritten]) {
+        let mut by_teller: HashMap<Teller, Vec<StreamKey>> = HashMap::new();
+        for (teller, key) in written {
+            by_teller.entry(*teller).or_default().push(*key);
+        }
+        let own = by_teller.remove(&None).unwrap_or_default();
+        self.lock().confirmations.confirm(own.into_iter());
+        for (teller, keys) in by_teller {
+            for keys in keys.chunks(MAX_JOINED) {
+                let daemon = teller.into_iter();
+                daemon.for_each(|daemon| self.send(daemon, Message::Kept(Kept::new(keys))));
+            }
+        }
+    }
+}
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -13,7 +13,9 @@
 use medlarrill_platform::store::{self as wire, Call};
 use rand::RngExt;
 
-use super::archive::{FLEET, counted};
+use super::Streams;
+use super::archive::{FLEET, TAIL, counted};
+use super::confirm::Unwritten;
 use crate::peers::Roster;
 use crate::shared::Shared;
 use crate::store::client::{CallError, Result};
@@ -23,6 +25,8 @@
 /// Minimum time between writes while several software versions serve. Streams that began since the
 /// last one are forgotten if all daemons end.
 const WRITE_INTERVAL: Millis = Millis(400);
+/// Minimum time between writes of the tail.
+const TAIL_INTERVAL: Millis = Millis(50);
 /// Interval between checks for streams to write.
 const CHECK_INTERVAL: Millis = Millis(100);
 /// Time since the start of the process after which daemons agree on who is a hub.
@@ -42,14 +46,14 @@
         roster,
         loaded: None,
         builds: BTreeSet::new(),
-        written: Millis::ZERO,
-        written_at: Millis::ZERO,
+        whole: Written::default(),
+        tail: Written::default(),
         has_conflict: false,
         era: None,
     };
     let mut failures = 0;
     loop {
-        tokio::time::sleep(writer.pause().as_duration()).await;
+        writer.wait().await;
         let Err(error) = writer.step().await else {
             failures = 0;
             continue;
@@ -70,21 +74,60 @@
     loaded: Option<HashMap<String, Revision>>,
     /// Versions that were last written.
     builds: BTreeSet<RecentBuild>,
-    /// When the last streams were recorded that were written.
-    written: Millis,
-    /// When that was.
-    written_at: Millis,
+    /// The last write of the whole archive.
+    whole: Written,
+    /// The last write of its tail.
+    tail: Written,
     /// Whether another daemon had written before the last write.
     has_conflict: bool,
     /// Era of the store in which that was.
     era: Option<Era>,
 }
 
+/// A write of streams.
+#[derive(Clone, Copy, Default)]
+#[derive(Debug)]
+struct Written {
+    /// How many had been recorded.
+    recorded: u64,
+    /// When they were collected.
+    from: Millis,
+    /// When they were written.
+    at: Millis,
+}
+
+impl Written {
+    /// Time until an interval has passed since.
+    fn left(&self, interval: Millis) -> Millis {
+        (self.at + interval).since(now())
+    }
+}
+
 impl Writer {
+    /// Waits for the next step.
+    async fn wait(&self) {
+        let pause = tokio::time::sleep(self.pause().as_duration());
+        if !self.has_tail() {
+            return pause.await;
+        }
+        tokio::select! {
+            () = pause => {}
+            () = self.shared.streams.unwritten.notified() => {
+                tokio::time::sleep(self.tail.left(TAIL_INTERVAL).as_duration()).await;
+            }
+        }
+    }
+
+    /// Whether streams are written as they begin.
+    fn has_tail(&self) -> bool {
+        let streams = &self.shared.streams;
+        let is_large = streams.lock().is_large || streams.is_large_fleet();
+        self.loaded.is_some() && !is_large && self.shared.placement.has_several_builds(now())
+    }
+
     /// Time until the next step.
     fn pause(&self) -> Millis {
-        let since = now().since(self.written_at);
-        let left = Millis(WRITE_INTERVAL.0.saturating_sub(since.0));
+        let left = self.whole.left(WRITE_INTERVAL);
         if self.has_conflict {
             return CHECK_INTERVAL;
         }
@@ -100,6 +143,7 @@
         if roster.hubs.first() != Some(&roster.me) {
             self.loaded = None;
             self.builds.clear();
+            self.shared.streams.lock().confirmations.set_writer(false);
             return Ok(());
         }
         if now() < SETTLE_TIME {
@@ -124,32 +168,78 @@
             // Streams that are known can go on; that only one version served can't be concluded.
             builds.insert(RecentBuild::UNKNOWN);
         }
-        if !self.is_due(&builds) {
-            return Ok(());
+        streams.lock().confirmations.set_writer(true);
+        if self.is_due(&builds) {
+            self.write_whole(builds).await
+        } else if self.has_tail() && self.tail.recorded.max(self.whole.recorded) < recorded(streams)
+        {
+            self.write_tail().await
+        } else {
+            Ok(())
         }
-        self.write(builds).await
     }
 
+    /// Whether the whole archive is written.
     fn is_due(&self, builds: &BTreeSet<RecentBuild>) -> bool {
-        let last = self.shared.streams.lock().memory.last_recorded();
-        let has_new = last.is_some_and(|last| last > self.written);
-        *builds != self.builds || has_new && self.shared.streams.are_archived()
+        let streams = &self.shared.streams;
+        let has_new = recorded(streams) > self.whole.recorded;
+        let may_write = self.whole.left(WRITE_INTERVAL) == Millis::ZERO;
+        *builds != self.builds || has_new && may_write && streams.are_archived()
     }
 
-    async fn write(&mut self, builds: BTreeSet<RecentBuild>) -> Result<()> {
+    async fn write_whole(&mut self, builds: BTreeSet<RecentBuild>) -> Result<()> {
         let shared = Arc::clone(&self.shared);
-        let from = Millis(now().0.saturating_sub(KEPT.0));
-        let (archive, last) = {
-            let state = shared.streams.lock();
-            let recent = state.memory.since(from, MAX_STREAMS);
-            let archive = Archive::new(builds.iter().copied(), recent).with_era(self.era);
-            (archive, state.memory.last_recorded())
-        };
-        let spec = objects::streams_spec(&archive);
         let name = match shared.streams.is_large_fleet() {
             true => shared.settings.data_centre.as_str(),
             false => FLEET,
         };
+        let from = Millis(now().0.saturating_sub(KEPT.0));
+        let (archive, unwritten, mut written) = self.collect(&builds, from);
+        if self.write(name, &archive).await? {
+            self.builds = builds;
+            written.at = now();
+            self.whole = written;
+            shared.streams.confirm_written(&unwritten);
+        }
+        Ok(())
+    }
+
+    /// Writes the streams that were recorded since the whole archive was.
+    async fn write_tail(&mut self) -> Result<()> {
+        let loaded = self.loaded.as_ref();
+        let Some(whole) = loaded.and_then(|kept| kept.get(FLEET)).copied() else {
+            return Ok(());
+        };
+        let (archive, unwritten, mut written) = self.collect(&self.builds, self.whole.from);
+        if self.write(TAIL, &archive.with_after(whole)).await? {
+            written.at = now();
+            self.tail = written;
+            self.shared.streams.confirm_written(&unwritten);
+        }
+        Ok(())
+    }
+
+    /// Collects versions and the streams that were recorded since a moment.
+    fn collect(
+        &self,
+        builds: &BTreeSet<RecentBuild>,
+        from: Millis,
+    ) -> (Archive, Vec<Unwritten>, Written) {
+        let mut state = self.shared.streams.lock();
+        let recent = state.memory.since(from, MAX_STREAMS);
+        let archive = Archive::new(builds.iter().copied(), recent).with_era(self.era);
+        let written = Written {
+            recorded: state.memory.recorded(),
+            from: now(),
+            at: Millis::ZERO,
+        };
+        (archive, state.confirmations.take_unwritten(), written)
+    }
+
+    /// Writes an object, unless another daemon has written it since it was read; returns whether it
+    /// was written.
+    async fn write(&mut self, name: &str, archive: &Archive) -> Result<bool> {
+        let spec = objects::streams_spec(archive);
         let revision = self.loaded.as_ref().and_then(|kept| kept.get(name));
         let call = match revision {
             Some(revision) => Call::replace_at(wire::STREAMS, name, *revision, &spec),
@@ -163,7 +253,7 @@
         if self.has_conflict {
             // Another daemon has written since, or an answer was lost.
             log::info!(target: "streams", "streams: the archive has changed, it is read again");
-            return Ok(());
+            return Ok(false);
         }
         let answer = result?;
         let written = wire::object(&answer.body).map_err(CallError::Decode)?;
@@ -171,9 +261,11 @@
         let mut kept = kept.unwrap_or_default();
         kept.insert(name.to_owned(), revision);
         self.loaded = Some(kept);
-        self.builds = builds;
-        self.written = last.unwrap_or_default();
-        self.written_at = now();
-        Ok(())
+        Ok(true)
     }
 }
+
+/// How many streams were recorded.
+fn recorded(streams: &Streams) -> u64 {
+    streams.lock().memory.recorded()
+}
