--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -475,6 +475,16 @@
     expect_that!(archive().is_outdated(Some(Era(4))), eq(false));
 }
 
+#[gtest]
+fn a_tail_says_nothing_of_versions_once_the_archive_was_written_again() {
+    let archive = Archive::new([recent("v1")], []);
+    expect_that!(archive.is_in_force(Some(7.into())), eq(true));
+    let tail = archive.with_after(7.into());
+    expect_that!(tail.is_in_force(Some(7.into())), eq(true));
+    expect_that!(tail.is_in_force(Some(8.into())), eq(false));
+    expect_that!(tail.is_in_force(None), eq(false));
+}
+
 #[gtest]
 fn a_complete_archive_replaces_what_was_read_before_and_another_one_adds_to_it() {
     let mut archived = ArchivedBuilds::default();
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -199,7 +199,10 @@
             self.builds = builds;
             written.at = now();
             self.whole = written;
-            shared.streams.confirm_written(&unwritten);
+            // Nobody waits while one version serves.
+            if self.has_tail() {
+                shared.streams.confirm_written(&unwritten);
+            }
         }
         Ok(())
     }
