A stop waits until answers are written, not until the HTTP library has them

Callers that read large answers slowly while a daemon stops got a part of them and a closed connection (LOST): their requests had run once and may not run again.

Two causes, both of which took an answer that the HTTP library holds for one that is written. A request counted as in flight until the library had taken its answer, so that the daemon ended a second later. And idle connections were closed by telling the library to finish each, polled without its own closing: one that has taken its last answer counts as finished then, with what it still has to write.

A request is now in flight until the library has flushed its answer, which it does only when nothing is left to write, and the library closes connections itself.

--- a/crates/daemon/tests/route/stop.rs
+++ b/crates/daemon/tests/route/stop.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use medlarrill_platform_standin::{Behaviour, Call};
+use medlarrill_platform_standin::{Behaviour, Call, Form, RawCaller, ReplyEnd};
 use medlarrill_testkit::routed::{WAIT, read};
 use nix::sys::signal::Signal;
 
@@ -84,3 +84,31 @@
         eq(true)
     );
 }
+
+#[gtest]
+#[tokio::test]
+async fn answers_that_callers_read_slowly_are_not_cut_off_by_a_stop() {
+    let bench = Bench::start(1).await;
+    let form = Form {
+        padding: 7 << 20,
+        ..Form::DEFAULT
+    };
+    bench.behave(Behaviour {
+        form,
+        ..Behaviour::default()
+    });
+    // Before the signal, while new requests are served, and while idle connections are closed.
+    let mut replies = Vec::new();
+    for pause in [200, 1000, 1300, 0] {
+        let caller = RawCaller::new(bench.daemons[0].callers());
+        let caller = caller.with_pause(Duration::from_millis(3300));
+        let call = Call::new(format!("r-{pause}"), "/once/x").with_wait(8000);
+        replies.push(tokio::spawn(async move { caller.send(&call).await }));
+        Bench::pause(pause).await;
+        bench.daemons[0].signal(Signal::SIGTERM).expect("a signal");
+    }
+    for reply in replies {
+        let reply = reply.await.expect("a task").expect("a connection");
+        expect_that!(reply.end, eq(ReplyEnd::Marked), "{}", reply.body.len());
+    }
+}
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -12,6 +12,7 @@
 mod server;
 mod take_up;
 mod trace;
+mod unwritten;
 
 pub use crowd::Crowd;
 pub use server::{serve_callers, serve_metrics, serve_ready};
--- a/crates/router/src/entry/server.rs
+++ b/crates/router/src/entry/server.rs
@@ -1,8 +1,6 @@
 //! HTTP servers for callers, for readiness checks, and for metrics.
 
 use std::convert::Infallible;
-use std::future::poll_fn;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -17,10 +15,10 @@
 use medlarrill_core::routing::undelivered::Limits;
 use medlarrill_core::units::ByteSize;
 use medlarrill_net::now::now;
-use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::handler::handle;
+use super::unwritten::Unwritten;
 use crate::guard::Guard;
 use crate::shared::Shared;
 use crate::socket;
@@ -60,14 +58,19 @@
         head,
         head_wait: idle,
     });
-    let stream = guard.clone().watch(stream);
+    let unwritten = Unwritten::new(&shared.metrics);
+    let stream = guard.clone().watch(Arc::clone(&unwritten).watch(stream));
     // Callers that know no chunks tell the end of a stream by that of its connection.
     let ends_by_close = AtomicBool::new(false);
     let service = service_fn(|request: Request<Incoming>| {
         ends_by_close.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let shared = Arc::clone(shared);
         let request = request.map(|body| guard.deliver(body));
-        Box::pin(async move { Ok::<_, Infallible>(handle(shared, request).await) })
+        let pending = unwritten.begin();
+        Box::pin(async move {
+            let answer = handle(shared, request).await;
+            Ok::<_, Infallible>(answer.map(|body| pending.body(body)))
+        })
     });
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -78,33 +81,28 @@
     let mut closing = shared.closing.subscribe();
     // A connection that is opened after closing began still has its first request served.
     let is_closing = *closing.borrow_and_update();
-    let mut served = poll_fn(|context| connection.poll_without_shutdown(context));
-    let first = tokio::select! {
-        served = &mut served => Some(served),
-        Ok(()) = closing.changed(), if !is_closing => None,
-    };
-    let served = match first {
-        Some(served) => served,
-        None => {
+    let served = tokio::select! {
+        served = &mut connection => served,
+        Ok(()) = closing.changed(), if !is_closing => {
             Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|context| connection.poll_without_shutdown(context)).await
+            (&mut connection).await
         }
     };
-    let stream = connection.into_parts().io.into_inner().into_inner();
-    close_caller(stream, served, ends_by_close.into_inner()).await;
+    if let Err(error) = served {
+        let stream = connection.into_parts().io.into_inner().into_inner();
+        abandon_caller(&stream.into_inner(), &error, ends_by_close.into_inner());
+    }
 }
 
-/// Closes a caller's connection. One that is closed in order ends a response without chunks, so that
-/// a response that failed needs a reset.
-async fn close_caller(mut stream: TcpStream, served: hyper::Result<()>, ends_by_close: bool) {
-    let closed = match &served {
-        Ok(()) => stream.shutdown().await,
-        Err(error) if error.is_user() && ends_by_close => stream.set_zero_linger(),
-        Err(_) => Ok(()),
-    };
-    let served = served.map_err(|error| error.to_string());
-    if let Err(error) = served.and(closed.map_err(|error| error.to_string())) {
-        log::debug!(target: "entry", "entry: caller's connection ended: {error}");
+/// Leaves a caller's connection that failed. One that is closed in order ends a response without
+/// chunks, so that a response that failed needs a reset.
+fn abandon_caller(stream: &TcpStream, error: &hyper::Error, ends_by_close: bool) {
+    log::debug!(target: "entry", "entry: caller's connection ended: {error}");
+    if error.is_user()
+        && ends_by_close
+        && let Err(error) = stream.set_zero_linger()
+    {
+        log::debug!(target: "entry", "entry: caller's connection isn't reset: {error}");
     }
 }
 
--- a/crates/router/src/entry/trace.rs
+++ b/crates/router/src/entry/trace.rs
@@ -61,7 +61,6 @@
     /// Starts the trace of a request whose head arrived at `arrived`.
     pub fn new(shared: &Arc<Shared>, arrived: Millis) -> Self {
         shared.metrics.requests.inc();
-        shared.metrics.in_flight.inc();
         Self {
             shared: Arc::clone(shared),
             arrived,
@@ -338,7 +337,6 @@
     fn drop(&mut self) {
         let total_time = now().since(self.arrived);
         let metrics = &self.shared.metrics;
-        metrics.in_flight.dec();
         metrics.total_seconds.observe(seconds(total_time));
         log::info!(
             target: "entry", request = self.request, route = self.route, account = self.account,
--- /dev/null
+++ b/crates/router/src/entry/unwritten.rs
@@ -0,0 +1,169 @@
+//! Counts requests as in flight until their answers are written to the caller's connection.
+//!
+//! The HTTP library takes an answer whole and writes it as fast as the caller
+//! reads. It flushes the stream only when nothing is left to write.
+
+use std::io::{IoSlice, Result};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use derive_more::Debug;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use super::answer::{self, BrokenStream};
+use crate::metrics::Metrics;
+
+/// The answers of one connection that aren't written yet.
+#[derive(Debug)]
+pub struct Unwritten {
+    #[debug(skip)]
+    metrics: Arc<Metrics>,
+    /// Answers that the HTTP library has taken since it last flushed.
+    taken: AtomicI64,
+}
+
+impl Unwritten {
+    /// A connection without requests.
+    pub fn new(metrics: &Arc<Metrics>) -> Arc<Self> {
+        Arc::new(Self {
+            metrics: Arc::clone(metrics),
+            taken: AtomicI64::new(0),
+        })
+    }
+
+    /// Counts a request.
+    pub fn begin(self: &Arc<Self>) -> Pending {
+        self.metrics.in_flight.inc();
+        Pending(Arc::clone(self))
+    }
+
+    /// Notices when the stream of the connection is flushed.
+    pub const fn watch<S>(self: Arc<Self>, stream: S) -> WatchedStream<S> {
+        WatchedStream {
+            stream,
+            unwritten: self,
+        }
+    }
+
+    fn record_flush(&self) {
+        let written = self.taken.swap(0, Ordering::Relaxed);
+        self.metrics.in_flight.dec_by(written);
+    }
+}
+
+impl Drop for Unwritten {
+    fn drop(&mut self) {
+        self.record_flush();
+    }
+}
+
+/// A request whose answer the HTTP library hasn't taken whole; dropped when it has.
+#[derive(Debug)]
+pub struct Pending(Arc<Unwritten>);
+
+impl Pending {
+    /// The body of its answer.
+    pub const fn body(self, body: answer::Body) -> PendingBody {
+        PendingBody {
+            body,
+            _pending: self,
+        }
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        self.0.taken.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub struct PendingBody {
+    #[debug(skip)]
+    body: answer::Body,
+    _pending: Pending,
+}
+
+impl Body for PendingBody {
+    type Data = Bytes;
+    type Error = BrokenStream;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BrokenStream>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The stream of a connection.
+#[derive(Debug)]
+pub struct WatchedStream<S> {
+    #[debug(skip)]
+    stream: S,
+    unwritten: Arc<Unwritten>,
+}
+
+impl<S> WatchedStream<S> {
+    /// The stream itself.
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for WatchedStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for WatchedStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if flushed.is_ready() {
+            self.unwritten.record_flush();
+        }
+        flushed
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
