A daemon full of idle connections makes room for new ones, or isn't ready

A connection held its place by being open, and readiness didn't ask for places.

A new connection now takes the place of the one that has been idle longest, if that is 2 s or more. A daemon that has had no room for any for 2.5 s isn't ready until it has. Connections count from their acceptance.

--- a/crates/daemon/tests/route/crowd.rs
+++ b/crates/daemon/tests/route/crowd.rs
@@ -6,6 +6,7 @@
 
 use googletest::prelude::*;
 use medlarrill_platform_standin::{Behaviour, Call, Caller, Reply};
+use medlarrill_testkit::routed::{WAIT, read};
 use tokio::time::Instant;
 
 use super::setup::Bench;
@@ -112,3 +113,39 @@
         expect_that!(reply.is_success(), eq(true), "{reply:?}");
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_daemon_without_room_for_connections_closes_idle_ones_or_is_not_ready() {
+    for (pace, closes_idle) in [(10, true), (3600, false)] {
+        let mut bench = Bench::without_daemon(1).await;
+        bench.behave(Behaviour {
+            pace: Duration::from_millis(pace),
+            ..Behaviour::DEFAULT
+        });
+        // Room for six connections.
+        bench.add_daemon_with_files(&[], 312);
+        bench.ready(0, 1).await;
+        let kept = (0..6).map(|number| {
+            let mut caller = bench.caller();
+            let call = Call::new(format!("kept-{number}"), "/once/x").with_wait(4000);
+            tokio::spawn(async move { (caller.send(&call).await, caller) })
+        });
+        let kept: Vec<_> = kept.collect();
+        Bench::pause(300).await;
+        let ready = bench.daemons[0].listen[1];
+        let (mut taken, mut not_ready) = (0, 0);
+        for number in 0..30 {
+            let call = Call::new(format!("new-{number}"), "/plain/x").with_wait(100);
+            taken += usize::from(is_read(&bench.send(&call).await));
+            not_ready += usize::from(read(ready, "/ready", WAIT).is_err());
+            Bench::pause(100).await;
+        }
+        expect_that!((taken > 0, not_ready > 0), eq((closes_idle, !closes_idle)));
+        for caller in kept {
+            let (reply, _) = caller.await.expect("a reply");
+            expect_that!(reply.is_success(), eq(true), "{reply:?}");
+        }
+        bench.takes_connections(0).await;
+    }
+}
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -7,6 +7,7 @@
 mod failed_attempt;
 mod handler;
 mod hedge;
+mod idle;
 mod relay;
 mod request;
 mod server;
--- a/crates/router/src/entry/server.rs
+++ b/crates/router/src/entry/server.rs
@@ -40,8 +40,8 @@
             continue;
         }
         let shared = Arc::clone(&shared);
+        shared.metrics.connections.inc();
         tokio::spawn(async move {
-            shared.metrics.connections.inc();
             serve_caller(stream, &shared).await;
             shared.metrics.connections.dec();
         });
@@ -58,7 +58,7 @@
         head,
         head_wait: idle,
     });
-    let unwritten = Unwritten::new(&shared.metrics);
+    let unwritten = Unwritten::new(&shared.metrics, shared.crowd.add_connection());
     let stream = guard.clone().watch(Arc::clone(&unwritten).watch(stream));
     // Callers that know no chunks tell the end of a stream by that of its connection.
     let ends_by_close = AtomicBool::new(false);
@@ -81,9 +81,15 @@
     let mut closing = shared.closing.subscribe();
     // A connection that is opened after closing began still has its first request served.
     let is_closing = *closing.borrow_and_update();
+    let ending = async {
+        tokio::select! {
+            Ok(()) = closing.changed(), if !is_closing => {}
+            () = unwritten.closed() => {}
+        }
+    };
     let served = tokio::select! {
         served = &mut connection => served,
-        Ok(()) = closing.changed(), if !is_closing => {
+        () = ending => {
             Pin::new(&mut connection).graceful_shutdown();
             (&mut connection).await
         }
--- a/crates/router/src/entry/unwritten.rs
+++ b/crates/router/src/entry/unwritten.rs
@@ -1,4 +1,4 @@
-//! Counts requests as in flight until their answers are written to the caller's connection.
+//! Counts requests as in flight, and their connection as busy, until their answers are written to it.
 //!
 //! The HTTP library takes an answer whole and writes it as fast as the caller
 //! reads. It flushes the stream only when nothing is left to write.
@@ -15,6 +15,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::answer::{self, BrokenStream};
+use super::idle::IdleState;
 use crate::metrics::Metrics;
 
 /// The answers of one connection that aren't written yet.
@@ -22,15 +23,20 @@
 pub struct Unwritten {
     #[debug(skip)]
     metrics: Arc<Metrics>,
-    /// Answers that the HTTP library has taken since it last flushed.
+    idle: IdleState,
+    /// Requests whose answers the HTTP library hasn't taken whole.
+    pending: AtomicI64,
+    /// Answers that it has taken since it last flushed.
     taken: AtomicI64,
 }
 
 impl Unwritten {
     /// A connection without requests.
-    pub fn new(metrics: &Arc<Metrics>) -> Arc<Self> {
+    pub fn new(metrics: &Arc<Metrics>, idle: IdleState) -> Arc<Self> {
         Arc::new(Self {
             metrics: Arc::clone(metrics),
+            idle,
+            pending: AtomicI64::new(0),
             taken: AtomicI64::new(0),
         })
     }
@@ -38,9 +44,16 @@
     /// Counts a request.
     pub fn begin(self: &Arc<Self>) -> Pending {
         self.metrics.in_flight.inc();
+        self.pending.fetch_add(1, Ordering::Relaxed);
+        self.idle.set_busy();
         Pending(Arc::clone(self))
     }
 
+    /// Waits until the connection is to be closed, since it has been idle longest.
+    pub async fn closed(&self) {
+        self.idle.closed().await;
+    }
+
     /// Notices when the stream of the connection is flushed.
     pub const fn watch<S>(self: Arc<Self>, stream: S) -> WatchedStream<S> {
         WatchedStream {
@@ -50,14 +63,23 @@
     }
 
     fn record_flush(&self) {
+        let written = self.record_written();
+        if written > 0 && self.pending.load(Ordering::Relaxed) == 0 {
+            self.idle.set_idle();
+        }
+    }
+
+    /// Counts the answers that were taken as written; returns how many these are.
+    fn record_written(&self) -> i64 {
         let written = self.taken.swap(0, Ordering::Relaxed);
         self.metrics.in_flight.dec_by(written);
+        written
     }
 }
 
 impl Drop for Unwritten {
     fn drop(&mut self) {
-        self.record_flush();
+        self.record_written();
     }
 }
 
@@ -77,6 +99,7 @@
 
 impl Drop for Pending {
     fn drop(&mut self) {
+        self.0.pending.fetch_sub(1, Ordering::Relaxed);
         self.0.taken.fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -63,6 +63,6 @@
     /// Whether the load balancer should send connections to this daemon.
     pub fn is_ready(&self, now: Millis) -> bool {
         let is_configured = self.config.borrow().is_some() && *self.is_informed.borrow();
-        is_configured && self.stage(now) == Stage::Serving
+        is_configured && self.stage(now) == Stage::Serving && !self.crowd.is_full(now)
     }
 }
