streams: settings that still call a restart the first start prove nothing

What callers saw: all daemons end and start again with the settings of before, in which first-start is still true, while another version has taken the place of the one that served. A second later streams that had begun at the old version are answered 200 and go on at the new one.

Cause: such a daemon took its first list for all that had ever served. A hub among them read the archive and wrote its own list over it, as complete; the others read that, and it agreed with their lists. The archive that young daemons read was to guard against this, but its own writer had lost what it said. Where the archive's read was refused, the claim was believed without it.

Now the settings count only once this process has read the archive, and not at all once it names a version that this process hasn't listed, or some that nobody knows. Such a daemon is then like any other young one.

The test of first starts in core/tests/routing asserted that the settings alone are enough; it now asserts all five cases.

Left: where nothing was ever archived, as in the first second of a fleet, a restart with these settings can't be told from a first start.

--- a/crates/core/src/routing/streams/history.rs
+++ b/crates/core/src/routing/streams/history.rs
@@ -35,8 +35,10 @@
     began: Option<Millis>,
     /// When entries may last have come and gone unseen.
     gap: Option<Millis>,
-    /// Whether the fleet began with this process, so that nothing was listed before.
+    /// Whether the fleet began with this process by its settings, so that nothing was listed before.
     is_first: bool,
+    /// Whether what the platform kept was read, and doesn't contradict that.
+    is_first_confirmed: bool,
 }
 
 /// A version of one pool.
@@ -126,11 +128,20 @@
 }
 
 impl BuildHistory {
-    /// Marks this process as one of a fleet that starts for the first time.
+    /// Marks this process as one of a fleet that starts for the first time, by its settings. They may
+    /// say so again after a restart, so that nothing follows until the platform's archive was read.
     pub const fn set_first(&mut self) {
         self.is_first = true;
     }
 
+    /// Records versions that the platform kept. The fleet began earlier if they include one that this
+    /// process hasn't seen.
+    pub fn record_kept(&mut self, kept: &[RecentBuild], now: Millis) {
+        let seen = self.evidence(now);
+        self.is_first &= kept.iter().all(|build| seen.has(build.origin));
+        self.is_first_confirmed = self.is_first;
+    }
+
     /// Records that an endpoint was listed.
     pub fn record_listed(&mut self, pool: &PoolId, build: &Build, now: Millis) {
         let began = *self.began.get_or_insert(now);
@@ -241,7 +252,7 @@
         let recent = self
             .all(now)
             .map(|(pool, build)| RecentBuild::new(pool, build));
-        let knows_all = self.is_first && self.began.is_some() && self.gap.is_none();
+        let knows_all = self.is_first_confirmed && self.began.is_some() && self.gap.is_none();
         BuildEvidence {
             is_complete: knows_all || self.is_followed_for(STREAM_LIFETIME, now),
             recent: recent.collect(),
--- a/crates/core/src/routing/view/streams.rs
+++ b/crates/core/src/routing/view/streams.rs
@@ -7,7 +7,7 @@
 use crate::routing::endpoint::{Build, InstanceId};
 use crate::routing::exchange;
 use crate::routing::losses::{OWN, Sign};
-use crate::routing::streams::history::BuildEvidence;
+use crate::routing::streams::history::{BuildEvidence, RecentBuild};
 use crate::routing::streams::lookup::Place;
 
 impl View {
@@ -36,6 +36,11 @@
         self.directory.builds_mut().set_first();
     }
 
+    /// Records software versions that the platform kept.
+    pub fn record_kept(&mut self, kept: &[RecentBuild], now: Millis) {
+        self.directory.builds_mut().record_kept(kept, now);
+    }
+
     /// Records that entries of endpoints may have come and gone unseen.
     pub const fn record_gap(&mut self, now: Millis) {
         self.directory.builds_mut().record_gap(now);
--- a/crates/core/tests/routing/streams.rs
+++ b/crates/core/tests/routing/streams.rs
@@ -386,6 +386,7 @@
             history.set_first();
         }
         history.record_listed(&pool(), &"v1".into(), Millis(0));
+        history.record_kept(&[], Millis(0));
         let mut archived = ArchivedBuilds::default();
         archived.record([recent("v1")], Millis(30_000));
         let is_complete = |history: &BuildHistory, archived: &ArchivedBuilds| {
@@ -526,7 +527,21 @@
     first.set_first();
     expect_that!(first.evidence(Millis(0)).is_complete, eq(false));
     first.record_listed(&pool(), &"v1".into(), Millis(1000));
-    expect_that!(first.evidence(Millis(1000)).is_complete, eq(true));
+    // The settings say the same after a restart.
+    expect_that!(first.evidence(Millis(1000)).is_complete, eq(false));
+    let unseen = [recent("v2"), RecentBuild::UNKNOWN];
+    let kept = [(&[][..], true), (&[recent("v1")], true)];
+    let contradicting = unseen
+        .iter()
+        .map(|kept| (std::slice::from_ref(kept), false));
+    for (kept, expected) in kept.into_iter().chain(contradicting) {
+        let mut first = first.clone();
+        first.record_kept(kept, Millis(1000));
+        expect_that!(first.evidence(Millis(1000)).is_complete, eq(expected));
+        // Once it is known to have begun earlier, nothing takes that back.
+        first.record_kept(&[], Millis(1000));
+        expect_that!(first.evidence(Millis(1000)).is_complete, eq(expected));
+    }
 }
 
 /// A view with endpoints of two versions, listed at once.
--- a/crates/daemon/tests/route/rejoined.rs
+++ b/crates/daemon/tests/route/rejoined.rs
@@ -4,6 +4,7 @@
 //! streams.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use medlarrill_platform_standin::Watches;
@@ -24,6 +25,8 @@
     PowerOff,
     /// They start again.
     PowerOn,
+    /// The same, with settings that call it the first start of the fleet.
+    PowerOnAsFirst,
     /// Callers begin streams, and lose them after a few events.
     Begin,
     /// Callers begin streams at all daemons, which lose power once each caller has an event.
@@ -36,7 +39,9 @@
     Wait(u64),
 }
 
-use Step::{Begin, BeginAndPowerOff, Come, Leave, PowerOff, PowerOn, Restore, Save, Wait};
+use Step::{
+    Begin, BeginAndPowerOff, Come, Leave, PowerOff, PowerOn, PowerOnAsFirst, Restore, Save, Wait,
+};
 
 const POOL: &str = super::setup::POOL;
 
@@ -85,7 +90,8 @@
             Come(pool, build) => come(&mut bench, pool, build).await,
             Leave(build) => leave(&bench, build),
             PowerOff => bench.daemons.clear(),
-            PowerOn => power_on(&mut bench).await,
+            PowerOn => power_on(&mut bench, Bench::add_daemon_behind).await,
+            PowerOnAsFirst => power_on(&mut bench, Bench::add_first_daemon).await,
             Begin => begun = begin(&bench, 0).await,
             BeginAndPowerOff => {
                 begun = begin_at_all(&bench).await;
@@ -121,9 +127,10 @@
     }
 }
 
-async fn power_on(bench: &mut Bench) {
+async fn power_on(bench: &mut Bench, add: impl Fn(&mut Bench, &[usize], SocketAddr)) {
+    let platform = bench.store.address();
     for number in 0..DAEMONS {
-        bench.add_daemon(if number == 0 { &[] } else { &[0] });
+        add(bench, if number == 0 { &[] } else { &[0] }, platform);
     }
     let listed = bench.store.names("servers").len();
     for daemon in 0..DAEMONS {
@@ -189,6 +196,20 @@
     }
 }
 
+/// Guards against the same where settings that were kept call it the first start of the fleet.
+#[tokio::test]
+async fn streams_do_not_go_on_at_another_version_after_a_restart_that_looks_like_the_first_start() {
+    let begun = [Wait(2000), BeginAndPowerOff];
+    let started = [Wait(500), PowerOnAsFirst, Wait(1500)];
+    let replaced = [Come(POOL, "v2"), Come(POOL, "v2"), Leave("v1")];
+    let outcome = play(&[&begun[..], &replaced, &started].concat()).await;
+    outcome.assert_none_joined();
+    assert_eq!(outcome.of("v1"), (STREAMS, 0));
+
+    let outcome = play(&[begun.as_slice(), &started].concat()).await;
+    outcome.assert_all_go_on("v1");
+}
+
 /// Guards against the same where the new version was listed just before.
 #[tokio::test]
 async fn streams_begun_while_a_version_was_new_go_on_only_there() {
--- a/crates/router/src/placement/streams.rs
+++ b/crates/router/src/placement/streams.rs
@@ -3,7 +3,7 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::PoolId;
 use medlarrill_core::routing::endpoint::{Build, InstanceId};
-use medlarrill_core::routing::streams::history::BuildEvidence;
+use medlarrill_core::routing::streams::history::{BuildEvidence, RecentBuild};
 use medlarrill_core::routing::streams::lookup::Place;
 
 use super::Placement;
@@ -26,6 +26,11 @@
         self.lock().trust(id);
     }
 
+    /// Records software versions that the platform kept.
+    pub fn record_kept(&self, kept: &[RecentBuild], now: Millis) {
+        self.lock().record_kept(kept, now);
+    }
+
     /// Records that entries of endpoints may have come and gone unseen.
     pub fn record_gap(&self, now: Millis) {
         self.lock().record_gap(now);
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -240,10 +240,6 @@
 
     /// Records archives that were requested at `called_at`, when the fleet's was at `revision`.
     fn record_archives(&self, archives: &[Archive], revision: Option<Revision>, called_at: Millis) {
-        let mut state = self.lock();
-        for (key, origin) in archives.iter().flat_map(Archive::streams) {
-            state.memory.learn(key, origin, now());
-        }
         let latest = self.copies.eras().latest();
         let in_force = archives.iter().filter(|kept| kept.is_in_force(revision));
         let mut outdated = in_force.clone();
@@ -251,6 +247,12 @@
         // What was written since the copy isn't there.
         let unknown = has_outdated.then_some(RecentBuild::UNKNOWN);
         let builds = in_force.flat_map(Archive::builds);
-        state.archived.record(builds.chain(unknown), called_at);
+        let builds: Vec<RecentBuild> = builds.chain(unknown).collect();
+        self.placement.record_kept(&builds, now());
+        let mut state = self.lock();
+        for (key, origin) in archives.iter().flat_map(Archive::streams) {
+            state.memory.learn(key, origin, now());
+        }
+        state.archived.record(builds, called_at);
     }
 }
