--- a/spec/rejoined.pml
+++ b/spec/rejoined.pml
@@ -46,6 +46,10 @@
 bool read_unknown;
 byte read_era;
 
+/* Whether the daemons' settings still call it the first start; not where nothing was kept. */
+bool first;
+bool first_hub;       /* whether what the hub has read agrees */
+
 byte ends;            /* how often all daemons ended */
 bool named2;          /* whether a daemon knows that version 2 is kept */
 byte version;         /* that began the stream, 0 before */
@@ -58,7 +62,12 @@
 	ends++;
 	seen[1] = false; seen[2] = false;
 	own[1] = false; own[2] = false;
-	complete = false; loaded = false; named2 = false
+	complete = false; loaded = false; named2 = false;
+	first_hub = false;
+	if
+	:: first = kept[1] || kept[2]
+	:: first = false
+	fi
 }
 
 inline copy() {
@@ -76,6 +85,8 @@
 	loaded = false
 }
 
+#define IS_SEEN(kept, list) ((!kept[1] || list[1]) && (!kept[2] || list[2]))
+
 inline load() {
 	loaded = true;
 	read[1] = kept[1]; read[2] = kept[2];
@@ -84,18 +95,25 @@
 #else
 	read_unknown = unknown || stamp != era;
 #endif
-	read_era = era
+	read_era = era;
+#ifdef FIRST_AGAIN
+	first_hub = first
+#else
+	first_hub = first && !read_unknown && IS_SEEN(read, seen)
+#endif
 }
 
+#define KNOWS_ALL (complete || first_hub)
+
 /* A young hub adds what it has read; of a pool of which nothing was kept, others may have served. */
 inline write() {
 #ifdef HUB_TRUSTS_EMPTY
-	unknown = !complete && read_unknown;
+	unknown = !KNOWS_ALL && read_unknown;
 #else
-	unknown = !complete && (read_unknown || (seen[1] || seen[2]) && !read[1] && !read[2]);
+	unknown = !KNOWS_ALL && (read_unknown || (seen[1] || seen[2]) && !read[1] && !read[2]);
 #endif
-	kept[1] = seen[1] || !complete && read[1];
-	kept[2] = seen[2] || !complete && read[2];
+	kept[1] = seen[1] || !KNOWS_ALL && read[1];
+	kept[2] = seen[2] || !KNOWS_ALL && read[2];
 	stamp = read_era
 }
 
@@ -110,7 +128,7 @@
 #ifdef EMPTY_PROVES
 #define AGREES(p) (!kept[3 - p])
 #else
-#define AGREES(p) (kept[p] && !kept[3 - p])
+#define AGREES(p) ((kept[p] || first) && !kept[3 - p])
 #endif
 #endif
 
