streams: a daemon notes its streams itself where the archive's writer doesn't

Cause: the archive was complete without the version, since only the first hub writes it, and not in its first second. A first event waits 60 ms for it, and goes out all the same; whatever began until another hub took over wasn't kept.

A daemon whose first event waited in vain, or that knows no writer, now notes what it knows of streams in an object of its own, and the event waits for that, 50 ms at most. Like the tail, a note holds until the whole archive is written again, and a confirmation of the writer ends the notes. Each daemon has a name of its own there, so that notes don't conflict; they are 400 ms apart.

Weighed: to write the archive itself from several daemons (each write of one is a conflict of the others); to begin no stream at a version that isn't kept (takes half of a pool out of service while a writer stands still).

--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -25,6 +25,7 @@
     mod parts;
     mod rebuilt;
     mod rejoined;
+    mod remains;
     mod requests;
     mod restored;
     mod restored_known;
--- a/crates/daemon/tests/route/rejoined.rs
+++ b/crates/daemon/tests/route/rejoined.rs
@@ -12,10 +12,12 @@
 use super::versions::{Part, STREAMS, TakenUp, begin, finish, first_call, of_build, read, start};
 
 const DAEMONS: usize = 3;
+/// Daemon at which streams are taken up, another one than that where they began.
+const TAKER: usize = 1;
 
 /// What happens in a case.
 #[derive(Clone, Copy)]
-enum Step {
+pub enum Step {
     /// An endpoint of a version is listed, in this pool.
     Come(&'static str, &'static str),
     /// All endpoints of a version leave the list.
@@ -41,34 +43,35 @@
 const POOL: &str = super::setup::POOL;
 
 /// The outcome of a case.
-struct Outcome {
+#[derive(Debug)]
+pub struct Outcome {
     /// Streams by the version that began them, with what became of them.
     taken_up: BTreeMap<String, (usize, TakenUp)>,
 }
 
 impl Outcome {
     /// No stream goes on at another version than its own.
-    fn assert_none_joined(&self) {
+    pub fn assert_none_joined(&self) {
         for (build, (_, taken_up)) in &self.taken_up {
             taken_up.assert_none_wrong(build);
         }
     }
 
     /// Streams of a version that began, and those that went on to their ends.
-    fn of(&self, build: &str) -> (usize, usize) {
+    pub fn of(&self, build: &str) -> (usize, usize) {
         let of = self.taken_up.get(build);
         of.map_or((0, 0), |(begun, taken_up)| (*begun, taken_up.whole))
     }
 
     /// At least half of the streams of a version go on, and some began there.
-    fn assert_half_go_on(&self, build: &str) {
+    pub fn assert_half_go_on(&self, build: &str) {
         let (begun, whole) = self.of(build);
         assert!(begun > 0, "no stream began at {build}");
         assert!(2 * whole >= begun, "{build}: {whole} of {begun} go on");
     }
 
     /// All streams of a version go on, and some began there.
-    fn assert_all_go_on(&self, build: &str) {
+    pub fn assert_all_go_on(&self, build: &str) {
         let (begun, whole) = self.of(build);
         assert!(begun > 0, "no stream began at {build}");
         assert_eq!(whole, begun, "{build}");
@@ -76,7 +79,7 @@
 }
 
 /// Plays a case before two endpoints of version v1, and takes all streams up at the end.
-async fn play(steps: &[Step]) -> Outcome {
+pub async fn play(steps: &[Step]) -> Outcome {
     let mut bench = start(DAEMONS, &["v1", "v1"]).await;
     let mut begun = Vec::new();
     let mut copy = bench.store.copy();
@@ -96,7 +99,7 @@
             Wait(millis) => tokio::time::sleep(Duration::from_millis(millis)).await,
         }
     }
-    take_up(&bench, begun).await
+    take_up_at(&bench, TAKER, begun).await
 }
 
 /// The first event of streams at each daemon in turn.
@@ -110,18 +113,18 @@
     futures_util::future::join_all(begin).await
 }
 
-async fn come(bench: &mut Bench, pool: &str, build: &'static str) {
+pub async fn come(bench: &mut Bench, pool: &str, build: &'static str) {
     let id = format!("{build}-{}", bench.endpoints.len());
     bench.add_endpoint_of(&id, pool, of_build(build)).await;
 }
 
-fn leave(bench: &Bench, build: &str) {
+pub fn leave(bench: &Bench, build: &str) {
     for endpoint in bench.endpoints.iter().filter(|e| e.build() == Some(build)) {
         bench.store.remove("servers", endpoint.id());
     }
 }
 
-async fn power_on(bench: &mut Bench) {
+pub async fn power_on(bench: &mut Bench) {
     for number in 0..DAEMONS {
         bench.add_daemon(if number == 0 { &[] } else { &[0] });
     }
@@ -132,8 +135,8 @@
     }
 }
 
-/// Takes streams up at another daemon than the one where they began.
-async fn take_up(bench: &Bench, begun: Vec<(String, Part)>) -> Outcome {
+/// Takes streams up at a daemon.
+pub async fn take_up_at(bench: &Bench, daemon: usize, begun: Vec<(String, Part)>) -> Outcome {
     let mut by_build: BTreeMap<String, Vec<(String, Part)>> = BTreeMap::new();
     for (attempt, part) in begun {
         let build = part.builds().first().map(ToString::to_string);
@@ -142,7 +145,7 @@
     }
     let mut taken_up = BTreeMap::new();
     for (build, streams) in by_build {
-        let result = finish(bench, 1, &streams, "again").await;
+        let result = finish(bench, daemon, &streams, "again").await;
         taken_up.insert(build, (streams.len(), result));
     }
     Outcome { taken_up }
--- /dev/null
+++ b/crates/daemon/tests/route/remains.rs
@@ -0,0 +1,146 @@
+//! Streams of a version that comes and is withdrawn before its daemons, or the one that writes the
+//! archive, have seen it.
+
+use std::time::Duration;
+
+use medlarrill_testkit::proxy::{Entry, Harm, Proxy};
+use nix::sys::signal::Signal;
+
+use super::rejoined::Step::{self, BeginAndPowerOff, Come, Leave, PowerOff, PowerOn, Wait};
+use super::rejoined::{come, leave, play, power_on, take_up_at};
+use super::setup::{Bench, POOL};
+use super::versions::{Part, begin, of_build};
+
+const DAEMONS: usize = 3;
+/// Time after which the archive names what is listed.
+const SETTLED: u64 = 2500;
+
+/// What keeps the daemon that writes the archive from the list.
+#[derive(Clone, Copy, Debug)]
+enum Lag {
+    /// The platform answers nothing.
+    Silent,
+    /// Its connections hang, and new ones don't.
+    Connections,
+    /// The platform answers late.
+    Slow,
+    /// The process stands still.
+    Still,
+}
+
+const LAGS: [Lag; 4] = [Lag::Silent, Lag::Connections, Lag::Slow, Lag::Still];
+
+/// Daemons that each have a path of their own to the platform.
+struct Fleet {
+    bench: Bench,
+    paths: Vec<Proxy>,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let mut bench = Bench::without_daemon(0).await;
+        for id in ["e-0", "e-1"] {
+            bench.add_endpoint(id, of_build("v1")).await;
+        }
+        let mut fleet = Self {
+            bench,
+            paths: Vec::new(),
+        };
+        for number in 0..DAEMONS {
+            let seeds: Vec<usize> = (0..number).collect();
+            let path = fleet.add_path().await;
+            fleet.bench.add_first_daemon(&seeds, path);
+        }
+        for number in 0..DAEMONS {
+            fleet.bench.ready(number, 2).await;
+            fleet.bench.takes_connections(number).await;
+        }
+        fleet.bench.until_all_live(DAEMONS).await;
+        Bench::pause(SETTLED).await;
+        fleet
+    }
+
+    async fn add_path(&mut self) -> std::net::SocketAddr {
+        let path = Proxy::start(self.bench.store.address()).await;
+        let path = path.expect("a proxy");
+        let address = path.address;
+        self.paths.push(path);
+        address
+    }
+
+    /// The daemon that writes the archive.
+    fn writer(&self) -> usize {
+        let lines = self.bench.daemons[0].lines_with("peers: daemons that live");
+        let hubs = lines.last().and_then(|line| line.split_once("hubs"));
+        let (_, hubs) = hubs.expect("a line with hubs");
+        let rank = |number: &usize| {
+            let address = self.bench.daemons[*number].listen[3].to_string();
+            hubs.find(&address).unwrap_or(usize::MAX)
+        };
+        (0..DAEMONS).min_by_key(rank).expect("a daemon")
+    }
+
+    fn lose_list(&self, daemon: usize, lag: Lag) {
+        match lag {
+            Lag::Silent => {
+                self.paths[daemon].harm(Harm::Silence);
+                self.paths[daemon].admit(Entry::Hang);
+            }
+            Lag::Connections => self.paths[daemon].harm(Harm::Silence),
+            Lag::Slow => self.paths[daemon].harm(Harm::Delay(Duration::from_millis(250))),
+            Lag::Still => self.signal(daemon, Signal::SIGSTOP),
+        }
+    }
+
+    fn signal(&self, daemon: usize, signal: Signal) {
+        let daemon = &self.bench.daemons[daemon];
+        daemon.signal(signal).expect("a signal");
+    }
+
+    /// Lists endpoints of v2, begins streams at a daemon that knows them, and withdraws v2.
+    async fn release_and_withdraw(&mut self, daemon: usize) -> Vec<(String, Part)> {
+        for _ in 0..2 {
+            come(&mut self.bench, POOL, "v2").await;
+        }
+        self.bench.ready(daemon, 4).await;
+        let begun = begin(&self.bench, daemon).await;
+        leave(&self.bench, "v2");
+        begun
+    }
+}
+
+/// Guards against an archive that lacks a version because its writer ended without having seen it.
+#[tokio::test]
+async fn streams_do_not_go_on_by_an_archive_whose_writer_lagged_when_all_daemons_ended() {
+    for lag in LAGS {
+        let mut fleet = Fleet::start().await;
+        let writer = fleet.writer();
+        fleet.lose_list(writer, lag);
+        let begun = fleet.release_and_withdraw((writer + 1) % DAEMONS).await;
+        fleet.bench.daemons.clear();
+        power_on(&mut fleet.bench).await;
+        let outcome = take_up_at(&fleet.bench, 1, begun).await;
+        outcome.assert_none_joined();
+        outcome.assert_half_go_on("v1");
+        assert!(outcome.of("v2").0 > 0, "{lag:?}");
+    }
+}
+
+/// Guards against an archive that lacks the version of streams that began just before all daemons ended.
+#[tokio::test]
+async fn the_first_streams_of_a_version_do_not_go_on_at_another_one_after_all_daemons_ended() {
+    let come = [Come(POOL, "v2"), Come(POOL, "v2")];
+    let ended = [BeginAndPowerOff, Leave("v2"), Wait(500), PowerOn];
+    let rows: [&[Step]; 5] = [
+        &come,
+        &[come[0], come[1], Wait(60)],
+        &[PowerOff, PowerOn, come[0], come[1], Wait(60)],
+        &[PowerOff, come[0], come[1], PowerOn],
+        &[PowerOff, come[0], come[1], PowerOn, Wait(1000)],
+    ];
+    for row in rows {
+        let outcome = play(&[&[Wait(2000)], row, &ended].concat()).await;
+        outcome.assert_none_joined();
+        outcome.assert_half_go_on("v1");
+    }
+}
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -39,6 +39,8 @@
 pub(super) const FLEET: &str = "fleet";
 /// Name of the object with the streams that began since that one was written.
 pub(super) const TAIL: &str = "fleet-tail";
+/// Prefix of the names of the objects of daemons whose streams the others don't confirm.
+pub(super) const NOTE: &str = "fleet-note-";
 
 /// Reads the archive, and what has changed in the list, for requests.
 #[derive(Debug)]
@@ -216,7 +218,8 @@
         let read = |object: &Object| {
             kept.insert(object.name.clone(), object.revision);
             // A fleet that has grown doesn't write it any more.
-            if !(is_large && [FLEET, TAIL].contains(&&object.name[..])) {
+            let is_of_small = [FLEET, TAIL].contains(&&object.name[..]);
+            if !(is_large && (is_of_small || object.name.starts_with(NOTE))) {
                 archives.push(objects::streams(object)?);
             }
             Ok(())
--- a/crates/router/src/streams/confirm.rs
+++ b/crates/router/src/streams/confirm.rs
@@ -20,6 +20,8 @@
 
 /// Longest time for which a first event waits. Callers notice a pause of twice that.
 const CONFIRM_TIMEOUT: Millis = Millis(60);
+/// The same for a note of this daemon, where the daemon that writes the archive doesn't answer.
+const NOTE_TIMEOUT: Millis = Millis(50);
 /// Maximum number of streams that wait to be written; of later ones nobody is told.
 const MAX_UNWRITTEN: usize = 4096;
 
@@ -38,6 +40,8 @@
     unwritten: Vec<Unwritten>,
     /// Whether this daemon writes the archive.
     is_writer: bool,
+    /// Whether this daemon notes its own streams, since no other one confirms them.
+    is_noting: bool,
     /// Whether the last event waited in vain, and no stream was confirmed since.
     is_silent: bool,
 }
@@ -45,17 +49,23 @@
 impl Confirmations {
     pub(super) fn set_writer(&mut self, is_writer: bool) {
         self.is_writer = is_writer;
-        if !is_writer {
+        self.is_noting &= !is_writer;
+        if !is_writer && !self.is_noting {
             self.unwritten.clear();
         }
     }
 
+    pub(super) const fn is_noting(&self) -> bool {
+        self.is_noting
+    }
+
     /// Notes a stream that this daemon is to write; returns whether it is.
     pub(super) fn add_unwritten(&mut self, teller: Teller, key: StreamKey) -> bool {
-        if self.is_writer && self.unwritten.len() < MAX_UNWRITTEN {
+        let is_written = self.is_writer || self.is_noting && teller.is_none();
+        if is_written && self.unwritten.len() < MAX_UNWRITTEN {
             self.unwritten.push((teller, key));
         }
-        self.is_writer
+        is_written
     }
 
     /// The streams that are written now.
@@ -89,6 +99,8 @@
     streams: &'a Streams,
     key: StreamKey,
     receiver: oneshot::Receiver<()>,
+    /// Whether this daemon is to write the stream itself.
+    is_own: bool,
 }
 
 impl Drop for Confirmation<'_> {
@@ -100,15 +112,23 @@
 impl Confirmation<'_> {
     /// Waits until the platform has the stream, or until that takes too long.
     pub async fn wait(mut self) {
-        let wait = CONFIRM_TIMEOUT.as_duration();
-        let confirmed = tokio::time::timeout(wait, &mut self.receiver).await;
-        let is_late = confirmed.is_err();
+        let mut is_late = !self.is_confirmed(CONFIRM_TIMEOUT).await;
+        if is_late && !self.is_own {
+            self.streams.note(self.key);
+            is_late = !self.is_confirmed(NOTE_TIMEOUT).await;
+        }
         if is_late {
             self.streams.lock().confirmations.is_silent = true;
         }
         let code = if is_late { "late" } else { "kept" };
         Metrics::count(&self.streams.metrics.confirmations, code);
     }
+
+    async fn is_confirmed(&mut self, wait: Millis) -> bool {
+        let receiver = &mut self.receiver;
+        let confirmed = tokio::time::timeout(wait.as_duration(), receiver).await;
+        confirmed.is_ok()
+    }
 }
 
 impl Streams {
@@ -119,22 +139,36 @@
             return None;
         }
         let mut state = self.lock();
-        let has_writer = state.confirmations.is_writer || state.keeper.is_some();
-        if state.is_large || !has_writer {
+        if state.is_large {
             return None;
         }
+        let has_writer = state.confirmations.is_writer || state.keeper.is_some();
+        state.confirmations.is_noting |= !has_writer;
+        let is_own = state.confirmations.is_writer || state.confirmations.is_noting;
         let receiver = state.confirmations.wait(key)?;
         drop(state);
         Some(Confirmation {
             streams: self,
             key,
             receiver,
+            is_own,
         })
     }
 
+    /// Writes a stream that no other daemon confirms, and those that begin later.
+    fn note(&self, key: StreamKey) {
+        let mut state = self.lock();
+        let confirmations = &mut state.confirmations;
+        confirmations.is_noting = !confirmations.is_writer;
+        confirmations.add_unwritten(None, key);
+        self.unwritten.notify_one();
+    }
+
     /// Handles the confirmation of another daemon.
     pub(super) fn receive_kept(&self, kept: &Kept) {
-        self.lock().confirmations.confirm(kept.streams());
+        let mut state = self.lock();
+        state.confirmations.is_noting = false;
+        state.confirmations.confirm(kept.streams());
     }
 
     /// Confirms streams that this daemon has written to those that wait for them.
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -14,7 +14,7 @@
 use rand::RngExt;
 
 use super::Streams;
-use super::archive::{FLEET, TAIL, counted};
+use super::archive::{FLEET, NOTE, TAIL, counted};
 use super::confirm::Unwritten;
 use crate::peers::Roster;
 use crate::shared::Shared;
@@ -48,6 +48,8 @@
         builds: BTreeSet::new(),
         whole: Written::default(),
         tail: Written::default(),
+        note: Written::default(),
+        is_hub: false,
         has_conflict: false,
         era: None,
     };
@@ -78,6 +80,10 @@
     whole: Written,
     /// The last write of its tail.
     tail: Written,
+    /// The last write of this daemon's own streams.
+    note: Written,
+    /// Whether this daemon is the first hub.
+    is_hub: bool,
     /// Whether another daemon had written before the last write.
     has_conflict: bool,
     /// Era of the store in which that was.
@@ -92,14 +98,15 @@
     recorded: u64,
     /// When they were collected.
     from: Millis,
-    /// When they were written.
-    at: Millis,
+    /// When they were written, if they were.
+    at: Option<Millis>,
 }
 
 impl Written {
     /// Time until an interval has passed since.
     fn left(&self, interval: Millis) -> Millis {
-        (self.at + interval).since(now())
+        let next = self.at.map(|at| at + interval);
+        next.map_or(Millis::ZERO, |next| next.since(now()))
     }
 }
 
@@ -107,22 +114,31 @@
     /// Waits for the next step.
     async fn wait(&self) {
         let pause = tokio::time::sleep(self.pause().as_duration());
-        if !self.has_tail() {
-            return pause.await;
-        }
         tokio::select! {
             () = pause => {}
             () = self.shared.streams.unwritten.notified() => {
-                tokio::time::sleep(self.tail.left(TAIL_INTERVAL).as_duration()).await;
+                tokio::time::sleep(self.left().as_duration()).await;
             }
         }
     }
 
+    /// Time until streams that have begun are written.
+    fn left(&self) -> Millis {
+        match self.is_hub {
+            true if self.has_tail() => self.tail.left(TAIL_INTERVAL),
+            true => self.pause(),
+            false => self.note.left(WRITE_INTERVAL),
+        }
+    }
+
     /// Whether streams are written as they begin.
     fn has_tail(&self) -> bool {
         let streams = &self.shared.streams;
         let is_large = streams.lock().is_large || streams.is_large_fleet();
-        self.loaded.is_some() && !is_large && self.shared.placement.has_several_builds(now())
+        self.is_hub
+            && self.loaded.is_some()
+            && !is_large
+            && self.shared.placement.has_several_builds(now())
     }
 
     /// Time until the next step.
@@ -131,7 +147,7 @@
         if self.has_conflict {
             return CHECK_INTERVAL;
         }
-        let is_keeper = self.loaded.is_some();
+        let is_keeper = self.is_hub && self.loaded.is_some();
         match is_keeper && self.shared.streams.are_archived() {
             true => left.max(CHECK_INTERVAL),
             false => WRITE_INTERVAL,
@@ -140,20 +156,19 @@
 
     async fn step(&mut self) -> Result<()> {
         let roster = self.roster.snapshot();
-        if roster.hubs.first() != Some(&roster.me) {
+        let is_hub = roster.hubs.first() == Some(&roster.me) && now() >= SETTLE_TIME;
+        if std::mem::replace(&mut self.is_hub, is_hub) != is_hub {
             self.loaded = None;
             self.builds.clear();
-            self.shared.streams.lock().confirmations.set_writer(false);
-            return Ok(());
-        }
-        if now() < SETTLE_TIME {
-            return Ok(());
         }
         let era = self.shared.copies.eras().latest();
         if eras::begins(&mut self.era, era) {
             self.loaded = None;
             self.builds.clear();
         }
+        if !is_hub {
+            return self.write_note().await;
+        }
         let shared = Arc::clone(&self.shared);
         let streams = &shared.streams;
         if self.loaded.is_none() {
@@ -197,7 +212,7 @@
         let (archive, unwritten, mut written) = self.collect(&builds, from);
         if self.write(name, &archive).await? {
             self.builds = builds;
-            written.at = now();
+            written.at = Some(now());
             self.whole = written;
             shared.streams.confirm_written(&unwritten);
         }
@@ -212,13 +227,45 @@
         };
         let (archive, unwritten, mut written) = self.collect(&self.builds, self.whole.from);
         if self.write(TAIL, &archive.with_after(whole)).await? {
-            written.at = now();
+            written.at = Some(now());
             self.tail = written;
             self.shared.streams.confirm_written(&unwritten);
         }
         Ok(())
     }
 
+    /// Writes what this daemon knows of streams while no hub confirms its own.
+    async fn write_note(&mut self) -> Result<()> {
+        let shared = Arc::clone(&self.shared);
+        let streams = &shared.streams;
+        let is_noting = {
+            let confirmations = &mut streams.lock().confirmations;
+            confirmations.set_writer(false);
+            confirmations.is_noting()
+        };
+        let is_needed = is_noting && shared.placement.has_several_builds(now());
+        if !is_needed || streams.is_large_fleet() || recorded(streams) <= self.note.recorded {
+            return Ok(());
+        }
+        let whole = streams.load(&mut self.client).await?;
+        let revision = whole.get(FLEET).copied();
+        self.loaded = Some(whole);
+        // Without the whole archive, versions that nobody knows may have served.
+        let Some(revision) = revision else {
+            return Ok(());
+        };
+        let name = format!("{NOTE}{}", shared.settings.daemon);
+        let builds = streams.builds_to_keep().recent.into_iter().collect();
+        let from = Millis(now().0.saturating_sub(KEPT.0));
+        let (archive, unwritten, mut written) = self.collect(&builds, from);
+        if self.write(&name, &archive.with_after(revision)).await? {
+            written.at = Some(now());
+            self.note = written;
+            streams.confirm_written(&unwritten);
+        }
+        Ok(())
+    }
+
     /// Collects versions and the streams that were recorded since a moment.
     fn collect(
         &self,
@@ -231,7 +278,7 @@
         let written = Written {
             recorded: state.memory.recorded(),
             from: now(),
-            at: Millis::ZERO,
+            at: None,
         };
         (archive, state.confirmations.take_unwritten(), written)
     }
