--- a/crates/daemon/tests/route/remains.rs
+++ b/crates/daemon/tests/route/remains.rs
@@ -12,6 +12,8 @@
 use super::versions::{Part, begin, of_build};
 
 const DAEMONS: usize = 3;
+/// Daemon that starts after the others.
+const YOUNG: usize = DAEMONS;
 /// Time after which the archive names what is listed.
 const SETTLED: u64 = 2500;
 
@@ -92,6 +94,11 @@
         }
     }
 
+    fn find_list(&self, daemon: usize) {
+        self.paths[daemon].harm(Harm::None);
+        self.paths[daemon].admit(Entry::Open);
+    }
+
     fn signal(&self, daemon: usize, signal: Signal) {
         let daemon = &self.bench.daemons[daemon];
         daemon.signal(signal).expect("a signal");
@@ -107,6 +114,50 @@
         leave(&self.bench, "v2");
         begun
     }
+
+    /// Starts a daemon that knows of another one.
+    async fn add_young(&mut self, seed: usize) {
+        let path = self.add_path().await;
+        self.bench.add_daemon_behind(&[seed], path);
+        self.bench.ready(YOUNG, 2).await;
+        self.bench.takes_connections(YOUNG).await;
+    }
+}
+
+/// Guards against a young daemon that believes an archive whose writer lacks a version.
+#[tokio::test]
+async fn a_young_daemon_does_not_join_streams_by_an_archive_whose_writer_lags() {
+    for lag in LAGS {
+        let mut fleet = Fleet::start().await;
+        let writer = fleet.writer();
+        fleet.lose_list(writer, lag);
+        let begun = fleet.release_and_withdraw((writer + 1) % DAEMONS).await;
+        for number in (0..DAEMONS).filter(|number| *number != writer) {
+            fleet.signal(number, Signal::SIGKILL);
+        }
+        fleet.add_young(writer).await;
+        let outcome = take_up_at(&fleet.bench, YOUNG, begun).await;
+        outcome.assert_none_joined();
+        outcome.assert_half_go_on("v1");
+    }
+}
+
+/// Guards against the same where the writer has stood still, and answers before it has read what waits.
+#[tokio::test]
+async fn a_young_daemon_does_not_join_streams_by_the_word_of_one_that_stood_still() {
+    let mut fleet = Fleet::start().await;
+    let writer = fleet.writer();
+    fleet.lose_list(writer, Lag::Still);
+    let begun = fleet.release_and_withdraw((writer + 1) % DAEMONS).await;
+    for number in (0..DAEMONS).filter(|number| *number != writer) {
+        fleet.signal(number, Signal::SIGKILL);
+    }
+    fleet.add_young(writer).await;
+    Bench::pause(3500).await;
+    fleet.signal(writer, Signal::SIGCONT);
+    let outcome = take_up_at(&fleet.bench, YOUNG, begun).await;
+    outcome.assert_none_joined();
+    outcome.assert_half_go_on("v1");
 }
 
 /// Guards against an archive that lacks a version because its writer ended without having seen it.
@@ -144,3 +195,50 @@
         outcome.assert_half_go_on("v1");
     }
 }
+
+/// Guards against an archive that was read between the gaps of its reader and of its writer.
+#[tokio::test]
+async fn streams_are_not_joined_where_the_writer_and_another_daemon_lost_the_platform() {
+    for pause in [0, 1000, 4500] {
+        let mut fleet = Fleet::start().await;
+        let writer = fleet.writer();
+        let (teller, other) = ((writer + 1) % DAEMONS, (writer + 2) % DAEMONS);
+        fleet.lose_list(writer, Lag::Silent);
+        fleet.lose_list(other, Lag::Silent);
+        let begun = fleet.release_and_withdraw(teller).await;
+        fleet.signal(teller, Signal::SIGKILL);
+        for number in [other, writer] {
+            fleet.find_list(number);
+        }
+        Bench::pause(pause).await;
+        let outcome = take_up_at(&fleet.bench, other, begun).await;
+        outcome.assert_none_joined();
+        outcome.assert_half_go_on("v1");
+    }
+}
+
+/// Guards against refusals at a young daemon that the platform turns away, of streams that others know.
+#[tokio::test]
+async fn streams_go_on_at_a_young_daemon_that_the_platform_turns_away() {
+    let mut fleet = Fleet::start().await;
+    let begun = begin(&fleet.bench, 0).await;
+    fleet.add_young(0).await;
+    fleet.paths[YOUNG].harm(Harm::Reset);
+    let outcome = take_up_at(&fleet.bench, YOUNG, begun).await;
+    outcome.assert_all_go_on("v1");
+}
+
+/// Guards against refusals of streams that are known after an entry that nobody saw.
+#[tokio::test]
+async fn streams_go_on_after_an_entry_that_came_and_went_unseen() {
+    let fleet = Fleet::start().await;
+    let begun = begin(&fleet.bench, 0).await;
+    let entry = fleet.bench.endpoints[0].entry(POOL, "ready");
+    fleet.bench.store.put("servers", "brief", entry);
+    fleet.bench.store.remove("servers", "brief");
+    for daemon in 0..DAEMONS {
+        fleet.bench.until(daemon, "come and gone unseen", 1).await;
+    }
+    let outcome = take_up_at(&fleet.bench, 1, begun).await;
+    outcome.assert_all_go_on("v1");
+}
