tests: streams where the platform's record may be behind

Callers would see streams of two versions, or refusals of what daemons remember, around an end of all daemons, in an outage of the platform, in large fleets and beside the archive of a lost data centre: entries of "Left" that no test played.

--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -18,6 +18,7 @@
     mod incident;
     mod isolated;
     mod last_daemon;
+    mod left;
     mod losses;
     mod odd_entries;
     mod out_of_step;
--- a/crates/daemon/tests/route/rejoined.rs
+++ b/crates/daemon/tests/route/rejoined.rs
@@ -6,7 +6,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use medlarrill_platform_standin::Watches;
+use medlarrill_core::routing::streams::archive::Archive;
+use medlarrill_core::routing::streams::history::RecentBuild;
+use medlarrill_platform::objects;
+use medlarrill_platform_standin::{Outage, Watches};
 
 use super::setup::Bench;
 use super::versions::{Part, STREAMS, TakenUp, begin, finish, first_call, of_build, read, start};
@@ -15,7 +18,7 @@
 
 /// What happens in a case.
 #[derive(Clone, Copy)]
-enum Step {
+pub enum Step {
     /// An endpoint of a version is listed, in this pool.
     Come(&'static str, &'static str),
     /// All endpoints of a version leave the list.
@@ -32,43 +35,49 @@
     Save,
     /// The store goes back to the copy.
     Restore,
+    /// A data centre's archive names a version of the pool.
+    Archived(&'static str, &'static str),
+    /// The platform fails in a way from now on.
+    Fail(Outage),
     /// Nothing for so many milliseconds.
     Wait(u64),
 }
 
-use Step::{Begin, BeginAndPowerOff, Come, Leave, PowerOff, PowerOn, Restore, Save, Wait};
+use Step::{
+    Archived, Begin, BeginAndPowerOff, Come, Fail, Leave, PowerOff, PowerOn, Restore, Save, Wait,
+};
 
 const POOL: &str = super::setup::POOL;
 
 /// The outcome of a case.
-struct Outcome {
+pub struct Outcome {
     /// Streams by the version that began them, with what became of them.
     taken_up: BTreeMap<String, (usize, TakenUp)>,
 }
 
 impl Outcome {
     /// No stream goes on at another version than its own.
-    fn assert_none_joined(&self) {
+    pub fn assert_none_joined(&self) {
         for (build, (_, taken_up)) in &self.taken_up {
             taken_up.assert_none_wrong(build);
         }
     }
 
     /// Streams of a version that began, and those that went on to their ends.
-    fn of(&self, build: &str) -> (usize, usize) {
+    pub fn of(&self, build: &str) -> (usize, usize) {
         let of = self.taken_up.get(build);
         of.map_or((0, 0), |(begun, taken_up)| (*begun, taken_up.whole))
     }
 
     /// At least half of the streams of a version go on, and some began there.
-    fn assert_half_go_on(&self, build: &str) {
+    pub fn assert_half_go_on(&self, build: &str) {
         let (begun, whole) = self.of(build);
         assert!(begun > 0, "no stream began at {build}");
         assert!(2 * whole >= begun, "{build}: {whole} of {begun} go on");
     }
 
     /// All streams of a version go on, and some began there.
-    fn assert_all_go_on(&self, build: &str) {
+    pub fn assert_all_go_on(&self, build: &str) {
         let (begun, whole) = self.of(build);
         assert!(begun > 0, "no stream began at {build}");
         assert_eq!(whole, begun, "{build}");
@@ -77,7 +86,12 @@
 
 /// Plays a case before two endpoints of version v1, and takes all streams up at the end.
 async fn play(steps: &[Step]) -> Outcome {
-    let mut bench = start(DAEMONS, &["v1", "v1"]).await;
+    play_at(DAEMONS, steps).await
+}
+
+/// The same with so many daemons.
+pub async fn play_at(daemons: usize, steps: &[Step]) -> Outcome {
+    let mut bench = start(daemons, &["v1", "v1"]).await;
     let mut begun = Vec::new();
     let mut copy = bench.store.copy();
     for step in steps {
@@ -85,7 +99,7 @@
             Come(pool, build) => come(&mut bench, pool, build).await,
             Leave(build) => leave(&bench, build),
             PowerOff => bench.daemons.clear(),
-            PowerOn => power_on(&mut bench).await,
+            PowerOn => power_on(&mut bench, daemons).await,
             Begin => begun = begin(&bench, 0).await,
             BeginAndPowerOff => {
                 begun = begin_at_all(&bench).await;
@@ -93,6 +107,8 @@
             }
             Save => copy = bench.store.copy(),
             Restore => bench.store.restore(copy.clone(), Watches::Cut),
+            Archived(name, build) => archive(&bench, name, build),
+            Fail(outage) => bench.store.fail(outage),
             Wait(millis) => tokio::time::sleep(Duration::from_millis(millis)).await,
         }
     }
@@ -103,7 +119,7 @@
 async fn begin_at_all(bench: &Bench) -> Vec<(String, Part)> {
     let begin = (0..STREAMS).map(|number| async move {
         let attempt = format!("first-{number}");
-        let address = bench.daemons[number % DAEMONS].callers();
+        let address = bench.daemons[number % bench.daemons.len()].callers();
         let part = read(address, &first_call(&attempt), 1).await;
         (attempt, part)
     });
@@ -115,18 +131,25 @@
     bench.add_endpoint_of(&id, pool, of_build(build)).await;
 }
 
+fn archive(bench: &Bench, name: &str, build: &str) {
+    let pool = POOL.parse().expect("a name");
+    let builds = [RecentBuild::new(&pool, &build.into())];
+    let spec = objects::streams_spec(&Archive::new(builds, []));
+    bench.store.put("streams", name, spec);
+}
+
 fn leave(bench: &Bench, build: &str) {
     for endpoint in bench.endpoints.iter().filter(|e| e.build() == Some(build)) {
         bench.store.remove("servers", endpoint.id());
     }
 }
 
-async fn power_on(bench: &mut Bench) {
-    for number in 0..DAEMONS {
+async fn power_on(bench: &mut Bench, daemons: usize) {
+    for number in 0..daemons {
         bench.add_daemon(if number == 0 { &[] } else { &[0] });
     }
     let listed = bench.store.names("servers").len();
-    for daemon in 0..DAEMONS {
+    for daemon in 0..daemons {
         bench.ready(daemon, listed).await;
         bench.takes_connections(daemon).await;
     }
