--- a/crates/daemon/tests/route/rejoined.rs
+++ b/crates/daemon/tests/route/rejoined.rs
@@ -7,7 +7,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use medlarrill_platform_standin::Watches;
+use medlarrill_core::routing::streams::archive::Archive;
+use medlarrill_core::routing::streams::history::RecentBuild;
+use medlarrill_platform::objects;
+use medlarrill_platform_standin::{Outage, Watches};
 
 use super::setup::Bench;
 use super::versions::{Part, STREAMS, TakenUp, begin, finish, first_call, of_build, read, start};
@@ -37,12 +40,17 @@
     Save,
     /// The store goes back to the copy.
     Restore,
+    /// A data centre's archive names a version of the pool.
+    Archived(&'static str, &'static str),
+    /// The platform fails in a way from now on.
+    Fail(Outage),
     /// Nothing for so many milliseconds.
     Wait(u64),
 }
 
 use Step::{
-    Begin, BeginAndPowerOff, Come, Leave, PowerOff, PowerOn, PowerOnAsFirst, Restore, Save, Wait,
+    Archived, Begin, BeginAndPowerOff, Come, Fail, Leave, PowerOff, PowerOn, PowerOnAsFirst,
+    Restore, Save, Wait,
 };
 
 const POOL: &str = super::setup::POOL;
@@ -85,7 +93,12 @@
 
 /// Plays a case before two endpoints of version v1, and takes all streams up at the end.
 pub async fn play(steps: &[Step]) -> Outcome {
-    let mut bench = start(DAEMONS, &["v1", "v1"]).await;
+    play_at(DAEMONS, steps).await
+}
+
+/// The same with so many daemons.
+pub async fn play_at(daemons: usize, steps: &[Step]) -> Outcome {
+    let mut bench = start(daemons, &["v1", "v1"]).await;
     let mut begun = Vec::new();
     let mut copy = bench.store.copy();
     for step in steps {
@@ -93,8 +106,8 @@
             Come(pool, build) => come(&mut bench, pool, build).await,
             Leave(build) => leave(&bench, build),
             PowerOff => bench.daemons.clear(),
-            PowerOn => power_on(&mut bench).await,
-            PowerOnAsFirst => power_on_with(&mut bench, Bench::add_first_daemon).await,
+            PowerOn => power_on(&mut bench, daemons).await,
+            PowerOnAsFirst => power_on_with(&mut bench, daemons, Bench::add_first_daemon).await,
             Begin => begun = begin(&bench, 0).await,
             BeginAndPowerOff => {
                 begun = begin_at_all(&bench).await;
@@ -102,6 +115,8 @@
             }
             Save => copy = bench.store.copy(),
             Restore => bench.store.restore(copy.clone(), Watches::Cut),
+            Archived(name, build) => archive(&bench, name, build),
+            Fail(outage) => bench.store.fail(outage),
             Wait(millis) => tokio::time::sleep(Duration::from_millis(millis)).await,
         }
     }
@@ -112,7 +127,7 @@
 async fn begin_at_all(bench: &Bench) -> Vec<(String, Part)> {
     let begin = (0..STREAMS).map(|number| async move {
         let attempt = format!("first-{number}");
-        let address = bench.daemons[number % DAEMONS].callers();
+        let address = bench.daemons[number % bench.daemons.len()].callers();
         let part = read(address, &first_call(&attempt), 1).await;
         (attempt, part)
     });
@@ -124,6 +139,13 @@
     bench.add_endpoint_of(&id, pool, of_build(build)).await;
 }
 
+fn archive(bench: &Bench, name: &str, build: &str) {
+    let pool = POOL.parse().expect("a name");
+    let builds = [RecentBuild::new(&pool, &build.into())];
+    let spec = objects::streams_spec(&Archive::new(builds, []));
+    bench.store.put("streams", name, spec);
+}
+
 pub fn leave(bench: &Bench, build: &str) {
     for endpoint in bench.endpoints.iter().filter(|e| e.build() == Some(build)) {
         bench.store.remove("servers", endpoint.id());
@@ -131,17 +153,21 @@
 }
 
 /// Starts the daemons again.
-pub async fn power_on(bench: &mut Bench) {
-    power_on_with(bench, Bench::add_daemon_behind).await;
+pub async fn power_on(bench: &mut Bench, daemons: usize) {
+    power_on_with(bench, daemons, Bench::add_daemon_behind).await;
 }
 
-async fn power_on_with(bench: &mut Bench, add: impl Fn(&mut Bench, &[usize], SocketAddr)) {
+async fn power_on_with(
+    bench: &mut Bench,
+    daemons: usize,
+    add: impl Fn(&mut Bench, &[usize], SocketAddr),
+) {
     let platform = bench.store.address();
-    for number in 0..DAEMONS {
+    for number in 0..daemons {
         add(bench, if number == 0 { &[] } else { &[0] }, platform);
     }
     let listed = bench.store.names("servers").len();
-    for daemon in 0..DAEMONS {
+    for daemon in 0..daemons {
         bench.ready(daemon, listed).await;
         bench.takes_connections(daemon).await;
     }
--- a/crates/daemon/tests/route/remains.rs
+++ b/crates/daemon/tests/route/remains.rs
@@ -169,7 +169,7 @@
         fleet.lose_list(writer, lag);
         let begun = fleet.release_and_withdraw((writer + 1) % DAEMONS).await;
         fleet.bench.daemons.clear();
-        power_on(&mut fleet.bench).await;
+        power_on(&mut fleet.bench, DAEMONS).await;
         let outcome = take_up_at(&fleet.bench, 1, begun).await;
         outcome.assert_none_joined();
         outcome.assert_half_go_on("v1");
