One pause of the process closes no new connections

One wait for the processor of 250 ms was taken for a queue that stands, but a single long wait between short ones is a pause, which is over when it is measured. One that fell on the start of an interval also cut the share that is taken.

What counts is now the shorter of two waits in a row, in both places.

Both new tests failed before: on sockets, a daemon stopped for 400 ms closed most of the connections of the next 40 ms; in model time, after one wait.

--- a/crates/core/src/routing/accept.rs
+++ b/crates/core/src/routing/accept.rs
@@ -8,7 +8,9 @@
 //! the processor. Connections that are open go on.
 //!
 //! What is measured is the shortest wait in an interval: a standing queue delays
-//! every task, while a pause of the processor delays only some.
+//! every task, while a pause of the processor delays only some. One long wait
+//! between short ones is a pause of the whole process, which is over when it is
+//! measured.
 
 use derive_more::Debug;
 
@@ -21,7 +23,8 @@
 const INTERVAL: Millis = Millis(200);
 /// Shortest wait of an interval from which on a daemon has too much to do.
 const WAIT_MAX: Millis = Millis(60);
-/// Wait at which only the smallest share is taken until it is over; longer than any pause by quotas.
+/// Wait of two measurements in a row at which only the smallest share is taken until it is over;
+/// longer than any pause by quotas.
 const WAIT_LIMIT: Millis = Millis(250);
 /// Factor by which the share that is taken changes in an interval with too much to do.
 const DECREASE: f64 = 0.7;
@@ -35,7 +38,9 @@
 #[derive(Debug)]
 pub struct AcceptControl {
     share: f64,
-    /// Whether the last wait was at the limit.
+    /// The last wait that was measured.
+    last: Millis,
+    /// Whether the last two waits were at the limit.
     is_full: bool,
     /// Shortest wait in the current interval.
     shortest: Option<Millis>,
@@ -47,6 +52,7 @@
     pub const fn new(now: Millis) -> Self {
         Self {
             share: 1.0,
+            last: Millis::ZERO,
             is_full: false,
             shortest: None,
             interval_end: Millis(now.0 + INTERVAL.0),
@@ -55,8 +61,10 @@
 
     /// Records how long a task waited for the processor; returns the new share if it changed.
     pub fn record_wait(&mut self, wait: Millis, now: Millis) -> Option<f64> {
-        self.is_full = wait >= WAIT_LIMIT;
-        let shortest = self.shortest.map_or(wait, |shortest| shortest.min(wait));
+        let queued = wait.min(std::mem::replace(&mut self.last, wait));
+        self.is_full = queued >= WAIT_LIMIT;
+        let shortest = self.shortest;
+        let shortest = shortest.map_or(queued, |shortest| shortest.min(queued));
         self.shortest = Some(shortest);
         if now < self.interval_end {
             return None;
--- a/crates/core/tests/routing/accept.rs
+++ b/crates/core/tests/routing/accept.rs
@@ -128,3 +128,16 @@
         expect_that!(control.takes(0.999), eq(true));
     }
 }
+
+#[gtest]
+fn one_pause_of_the_whole_process_closes_nothing() {
+    let mut control = AcceptControl::new(Millis(0));
+    let mut now = Millis(0);
+    for quiet in 1..30 {
+        for wait in std::iter::repeat_n(2, quiet).chain([300 + quiet as u64]) {
+            now = now + SAMPLE_INTERVAL + Millis(wait);
+            control.record_wait(Millis(wait), now);
+            expect_that!(control.takes(0.999), eq(true), "{wait}");
+        }
+    }
+}
--- a/crates/daemon/tests/route/crowd.rs
+++ b/crates/daemon/tests/route/crowd.rs
@@ -7,6 +7,7 @@
 use googletest::prelude::*;
 use medlarrill_platform_standin::{Behaviour, Call, Caller, Reply};
 use medlarrill_testkit::routed::{WAIT, read};
+use nix::sys::signal::Signal;
 use tokio::time::Instant;
 
 use super::setup::Bench;
@@ -149,3 +150,22 @@
         bench.takes_connections(0).await;
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_daemon_that_stood_still_for_a_moment_takes_the_connections_that_come_then() {
+    let bench = Bench::start(1).await;
+    let daemon = &bench.daemons[0];
+    daemon.signal(Signal::SIGSTOP).expect("a signal");
+    Bench::pause(400).await;
+    daemon.signal(Signal::SIGCONT).expect("a signal");
+    let sent = (0..20).map(async |number| {
+        Bench::pause(2 * number).await;
+        bench
+            .send(&Call::new(format!("r-{number}"), "/once/x"))
+            .await
+    });
+    for reply in futures_util::future::join_all(sent).await {
+        expect_that!(is_read(&reply), eq(true), "{reply:?}");
+    }
+}
