soak: losses of all daemons after the old version has left

The soak killed all daemons only at random moments of a release, and callers gave up a stream as soon as nobody answered: no stream was taken up after a loss of all daemons, so none could be found lost.

`--losses` has endpoints of a new version take the place of the old ones, which leave; 0 to 4 s later all daemons are killed, sometimes twice, sometimes all but one that stands still, and are back after 0.3 to 2.6 s. Callers come back until their streams go on. No stream may hold events of two versions, and after each loss at least half as many streams must go on as new ones begin, of those whose version two endpoints still serve: of all, and of those that had begun in the last 0.3 s. A kind of its own, so that seeds of `--releases` keep their plans.

--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -23,7 +23,7 @@
 use rand_pcg::Pcg32;
 
 pub use self::check::Violation;
-use self::check::check;
+use self::check::{TakenUp, after_losses, check};
 use self::plan::Plan;
 use self::traffic::{Habits, Traffic};
 use self::world::World;
@@ -84,6 +84,9 @@
     /// Only releases of software versions, beside a daemon that is out of step.
     #[arg(long, group = "kind")]
     pub releases: bool,
+    /// Only losses of all daemons after releases of software versions.
+    #[arg(long, group = "kind")]
+    pub losses: bool,
     /// Only requests that share a part of their prompts and end endpoints.
     #[arg(long, group = "kind")]
     pub parts: bool,
@@ -119,6 +122,8 @@
     pub faults: usize,
     /// Requests sent, and those answered with success.
     pub requests: (usize, usize),
+    /// Streams that callers took up after each loss of all daemons.
+    pub taken_up: Vec<TakenUp>,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
@@ -167,6 +172,10 @@
         outcome.faults,
         outcome.violations.len()
     );
+    for taken_up in &outcome.taken_up {
+        let TakenUp { count, went_on } = taken_up;
+        println!("    {went_on} of {count} streams went on after a loss of all daemons");
+    }
     for violation in &outcome.violations {
         println!("    {violation}");
     }
@@ -190,6 +199,7 @@
     match options.cuts {
         true => Plan::of_cuts(&mut rng, length),
         false if options.builds => Plan::of_builds(&mut rng, length),
+        false if options.losses => Plan::of_losses(&mut rng, length),
         false if options.releases => Plan::of_releases(&mut rng, length),
         false if options.parts => Plan::of_parts(&mut rng, length),
         false if options.silences => Plan::of_silences(&mut rng, length),
@@ -240,6 +250,7 @@
             calls.len(),
             calls.iter().filter(|sent| sent.reply.is_success()).count(),
         ),
+        taken_up: after_losses(&world, &calls),
         violations,
     })
 }
--- a/crates/lab/src/soak/check/builds.rs
+++ b/crates/lab/src/soak/check/builds.rs
@@ -9,7 +9,7 @@
 use super::{CONTACT, EVENTS, Violation, is_harmed, words};
 
 /// Streams that are taken up from which on their share is judged.
-const JUDGED: usize = 12;
+pub(super) const JUDGED: usize = 12;
 /// Endpoints that a software version must have for its streams to be counted.
 const SERVING: usize = 2;
 /// Time for which it must have had them: daemons learn of new ones late.
@@ -88,7 +88,7 @@
 }
 
 /// Whether enough endpoints of a software version served all the while.
-fn is_serving(world: &World, build: &str, sent: &Sent) -> bool {
+pub(super) fn is_serving(world: &World, build: &str, sent: &Sent) -> bool {
     let from = sent.from - SERVED;
     let serves = |spans: &&Vec<(Instant, &'static str)>| {
         let before = spans.iter().rfind(|(at, _)| *at <= from);
--- a/crates/lab/src/soak/world/faults.rs
+++ b/crates/lab/src/soak/world/faults.rs
@@ -13,6 +13,7 @@
 use super::super::Result;
 use super::super::check::PAUSE;
 use super::super::plan::{Cut, Event, Fault, Odd};
+use super::daemon::RESTART;
 use super::{
     CRASHING, DOWN, DRAINS, Done, GONE, LOOK, NOTICED, POOL, SECOND, SLOW_START, SPARED, Words,
     World,
@@ -32,8 +33,9 @@
             ended: None,
         });
         match &event.fault {
-            Fault::Stop(daemon) => self.end(*daemon, Signal::SIGTERM).await?,
-            Fault::Kill(daemon) => self.end(*daemon, Signal::SIGKILL).await?,
+            Fault::Stop(daemon) => self.end(*daemon, Signal::SIGTERM, RESTART).await?,
+            Fault::Kill(daemon) => self.end(*daemon, Signal::SIGKILL, RESTART).await?,
+            Fault::PowerOff(daemon, away) => self.end(*daemon, Signal::SIGKILL, *away).await?,
             Fault::Freeze(daemon, _) => self.signal(*daemon, Signal::SIGSTOP).await,
             Fault::Reload(daemon) => self.signal(*daemon, Signal::SIGHUP).await,
             Fault::HarmStore(daemon, harm, _) => self.proxies[*daemon].harm(*harm),
