streams: an archive proves nothing of endpoints that came and left after it

Callers saw streams of two versions: all daemons end in the first second after a start, or while the platform refuses the archive, a version that came meanwhile is withdrawn before they are back, and its streams go on at the one that stays.

Cause: an archive counts as complete however long ago its writer saw the list. The list of a daemon that starts has what is there, not what came and left since the archive was written.

Change: the archive says up to which revision its writer knew the list. Whoever reads it asks the platform what has changed since; a removed entry that was created later, or a history that is gone, means that versions may have served that nobody knows. A keeper writes at least each 5 s, so that the history is short.

Conclusion: a proof by the archive no longer depends on its age. An archive of an earlier build proves nothing until a keeper of this build has written it. An entry of before that was changed in place to another version and removed isn't seen.

--- a/crates/core/src/routing/streams/archive.rs
+++ b/crates/core/src/routing/streams/archive.rs
@@ -32,6 +32,9 @@
     /// For a tail, which has only the streams that began since the whole archive was last written:
     /// the number of the revision that this write gave the archive.
     pub after: Option<u64>,
+    /// Number of the revision up to which its writer knew the list of endpoints; missing where an
+    /// earlier build wrote the archive.
+    pub seen: Option<u64>,
 }
 
 impl Archive {
@@ -65,6 +68,18 @@
         Self { after, ..self }
     }
 
+    /// Sets the revision up to which its writer knows the list of endpoints.
+    #[must_use]
+    pub fn with_seen(self, list: Option<Revision>) -> Self {
+        let seen = list.map(|list| list.number);
+        Self { seen, ..self }
+    }
+
+    /// Whether no other versions may have served by what its writer knew.
+    pub fn is_complete(&self) -> bool {
+        !self.streams.contains_key(&Origin::UNKNOWN)
+    }
+
     /// Whether what it says of versions still holds: a tail ends with the next write of the whole
     /// archive, whose present revision this is.
     pub fn is_in_force(&self, archive: Option<Revision>) -> bool {
--- a/crates/daemon/tests/route/left.rs
+++ b/crates/daemon/tests/route/left.rs
@@ -35,6 +35,19 @@
     }
 }
 
+/// Guards against an archive that the platform didn't take in time, of before a version came and left.
+#[tokio::test]
+async fn streams_of_a_version_that_the_archive_lacks_are_not_joined() {
+    let young = [&[Wait(2000), PowerOff][..], &V2, &[Wait(200), PowerOn]].concat();
+    let left = [Leave("v2")];
+    check(DAEMONS, &[&young, &[BeginAndPowerOff], &left, &RETURN], &[]).await;
+
+    let refused = [Wait(2000), Fail(Outage::Only("streams"))];
+    let begun = [Wait(5000), Begin, Wait(1000), PowerOff];
+    let back = [Leave("v2"), Fail(Outage::None)];
+    check(DAEMONS, &[&refused, &V2, &begun, &back, &RETURN], &[]).await;
+}
+
 /// Guards against joins of what begins before a young fleet has an archive.
 #[tokio::test]
 async fn streams_of_the_first_second_after_a_start_are_not_joined() {
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -222,10 +222,35 @@
             Ok(())
         };
         client.list(wire::STREAMS, &self.copies, read).await?;
-        self.record_archives(&archives, kept.get(FLEET).copied(), called_at);
+        let whole = kept.get(FLEET).copied();
+        let is_followed = self.is_followed_since(client, &archives, whole).await;
+        self.record_archives(&archives, whole, is_followed, called_at);
         Ok(kept)
     }
 
+    /// Whether no endpoint has come and gone in the list since the last complete archive.
+    async fn is_followed_since(
+        &self,
+        client: &mut CountedClient,
+        archives: &[Archive],
+        whole: Option<Revision>,
+    ) -> bool {
+        let complete = archives
+            .iter()
+            .filter(|kept| kept.is_in_force(whole) && kept.is_complete());
+        let Some(seen) = complete.filter_map(|kept| kept.seen).max() else {
+            return false;
+        };
+        let path = wire::watch_path(Kind::Endpoints, seen, NO_HOLD);
+        match client.ask(&Call::get(path)).await {
+            Ok(answer) => wire::has_unseen_removal(&answer.body, seen).is_ok_and(|has| !has),
+            Err(error) => {
+                log::info!(target: "streams", "streams: no changes since the archive: {error}");
+                false
+            }
+        }
+    }
+
     /// Whether streams are kept on the platform as they begin. Where one version serves they go on
     /// without that, unless all daemons end before another one comes; keeping them meanwhile costs
     /// a large fleet's hubs too much.
@@ -239,7 +264,14 @@
     }
 
     /// Records archives that were requested at `called_at`, when the fleet's was at `revision`.
-    fn record_archives(&self, archives: &[Archive], revision: Option<Revision>, called_at: Millis) {
+    /// Others than the versions that they name may have served unless the list was followed since.
+    fn record_archives(
+        &self,
+        archives: &[Archive],
+        revision: Option<Revision>,
+        is_followed: bool,
+        called_at: Millis,
+    ) {
         let mut state = self.lock();
         for (key, origin) in archives.iter().flat_map(Archive::streams) {
             state.memory.learn(key, origin, now());
@@ -249,7 +281,8 @@
         let mut outdated = in_force.clone();
         let has_outdated = outdated.any(|archive| archive.is_outdated(latest));
         // What was written since the copy isn't there.
-        let unknown = has_outdated.then_some(RecentBuild::UNKNOWN);
+        let may_lack = has_outdated || !archives.is_empty() && !is_followed;
+        let unknown = may_lack.then_some(RecentBuild::UNKNOWN);
         let builds = in_force.flat_map(Archive::builds);
         state.archived.record(builds.chain(unknown), called_at);
     }
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -10,7 +10,7 @@
 use medlarrill_core::routing::streams::history::RecentBuild;
 use medlarrill_net::now::now;
 use medlarrill_platform::objects;
-use medlarrill_platform::store::{self as wire, Call};
+use medlarrill_platform::store::{self as wire, Call, Kind};
 use rand::RngExt;
 
 use super::Streams;
@@ -29,6 +29,9 @@
 const TAIL_INTERVAL: Millis = Millis(50);
 /// Interval between checks for streams to write.
 const CHECK_INTERVAL: Millis = Millis(100);
+/// Longest time between writes: a daemon that reads the archive needs the platform's history since
+/// the last one.
+const MAX_WRITE_INTERVAL: Millis = Millis::from_secs(5);
 /// Time since the start of the process after which daemons agree on who is a hub.
 const SETTLE_TIME: Millis = Millis(1000);
 /// Age up to which streams are kept; most end sooner.
@@ -50,6 +53,7 @@
         tail: Written::default(),
         has_conflict: false,
         era: None,
+        seen: None,
     };
     let mut failures = 0;
     loop {
@@ -82,6 +86,8 @@
     has_conflict: bool,
     /// Era of the store in which that was.
     era: Option<Era>,
+    /// Revision up to which this daemon knew the list of endpoints before the last step.
+    seen: Option<Revision>,
 }
 
 /// A write of streams.
@@ -162,6 +168,7 @@
             streams.read_changes(&mut self.client).await?;
             self.loaded = Some(kept);
         }
+        self.seen = shared.copies.revision(Kind::Endpoints);
         let evidence = streams.builds_to_keep();
         let mut builds: BTreeSet<RecentBuild> = evidence.recent.into_iter().collect();
         if !evidence.is_complete {
@@ -184,7 +191,9 @@
         let streams = &self.shared.streams;
         let has_new = recorded(streams) > self.whole.recorded;
         let may_write = self.whole.left(WRITE_INTERVAL) == Millis::ZERO;
-        *builds != self.builds || has_new && may_write && streams.are_archived()
+        *builds != self.builds
+            || has_new && may_write && streams.are_archived()
+            || self.whole.left(MAX_WRITE_INTERVAL) == Millis::ZERO
     }
 
     async fn write_whole(&mut self, builds: BTreeSet<RecentBuild>) -> Result<()> {
@@ -227,7 +236,8 @@
     ) -> (Archive, Vec<Unwritten>, Written) {
         let mut state = self.shared.streams.lock();
         let recent = state.memory.since(from, MAX_STREAMS);
-        let archive = Archive::new(builds.iter().copied(), recent).with_era(self.era);
+        let archive = Archive::new(builds.iter().copied(), recent);
+        let archive = archive.with_era(self.era).with_seen(self.seen);
         let written = Written {
             recorded: state.memory.recorded(),
             from: now(),
