--- a/crates/daemon/tests/route/remains.rs
+++ b/crates/daemon/tests/route/remains.rs
@@ -99,6 +99,14 @@
         self.paths[daemon].admit(Entry::Open);
     }
 
+    /// Waits until no daemon's own note of streams is left on the platform.
+    async fn until_no_notes(&self) {
+        let is_note = |name: &String| name.starts_with("fleet-note-");
+        while self.bench.store.names("streams").iter().any(is_note) {
+            Bench::pause(50).await;
+        }
+    }
+
     fn signal(&self, daemon: usize, signal: Signal) {
         let daemon = &self.bench.daemons[daemon];
         daemon.signal(signal).expect("a signal");
@@ -174,6 +182,7 @@
         outcome.assert_none_joined();
         outcome.assert_half_go_on("v1");
         assert!(outcome.of("v2").0 > 0, "{lag:?}");
+        fleet.until_no_notes().await;
     }
 }
 
