--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -19,6 +19,7 @@
     mod isolated;
     mod last_daemon;
     mod left;
+    mod left_ids;
     mod losses;
     mod odd_entries;
     mod out_of_step;
--- a/crates/daemon/tests/route/same_id.rs
+++ b/crates/daemon/tests/route/same_id.rs
@@ -12,9 +12,9 @@
 use super::setup::{Bench, POOL};
 use super::versions::{Part, STREAMS, finish, first_call, of_build, read};
 
-const DAEMONS: usize = 3;
+pub const DAEMONS: usize = 3;
 
-fn slow(build: &'static str) -> Behaviour {
+pub fn slow(build: &'static str) -> Behaviour {
     Behaviour {
         pace: Duration::from_millis(120),
         ..of_build(build)
@@ -22,7 +22,7 @@
 }
 
 /// Daemons before endpoints of these versions, whose entries have start times.
-async fn start(builds: &[&'static str]) -> Bench {
+pub async fn start(builds: &[&'static str]) -> Bench {
     let mut bench = Bench::without_daemon(0).await;
     for (number, build) in builds.iter().enumerate() {
         let id = format!("e-{number}");
@@ -44,7 +44,7 @@
 }
 
 /// Reads streams at the first daemon; returns those that broke off.
-fn read_all(bench: &Bench) -> impl Future<Output = Vec<(String, Part)>> + use<> {
+pub fn read_all(bench: &Bench) -> impl Future<Output = Vec<(String, Part)>> + use<> {
     let address = bench.daemons[0].callers();
     let reads = (0..STREAMS).map(|number| {
         tokio::spawn(async move {
@@ -65,7 +65,7 @@
 
 /// Binds the port of an endpoint that has just ended. It may be in use for a moment by a connection
 /// on any port.
-async fn bind_again(address: SocketAddr) -> TcpListener {
+pub async fn bind_again(address: SocketAddr) -> TcpListener {
     let mut tries = 0..100;
     loop {
         match TcpListener::bind(address).await {
@@ -85,19 +85,26 @@
         Bench::pause(10).await;
     }
     Bench::pause(300).await;
-    let old = &bench.endpoints[0];
-    old.end();
-    while !old.has_crashed() {
-        Bench::pause(10).await;
-    }
-    let listener = bind_again(old.address()).await;
-    let next = Endpoint::on(listener, "e-0", bench.ledger.clone(), 0).await;
-    let next = next.expect("an endpoint");
-    next.behave(slow(build));
-    bench.endpoints[0] = next;
+    replace(bench, 1, build).await;
     reading.await
 }
 
+/// Ends the first endpoints at once; they are back under their ids and addresses as `build`.
+pub async fn replace(bench: &mut Bench, count: usize, build: &'static str) {
+    let old = &mut bench.endpoints[..count];
+    old.iter().for_each(Endpoint::end);
+    for (number, endpoint) in old.iter_mut().enumerate() {
+        while !endpoint.has_crashed() {
+            Bench::pause(10).await;
+        }
+        let listener = bind_again(endpoint.address()).await;
+        let id = format!("e-{number}");
+        let next = Endpoint::on(listener, &id, bench.ledger.clone(), 0).await;
+        *endpoint = next.expect("an endpoint");
+        endpoint.behave(slow(build));
+    }
+}
+
 #[tokio::test]
 async fn no_stream_goes_on_at_another_version_under_its_endpoints_id_that_is_not_listed_yet() {
     let mut bench = start(&["v1", "v2"]).await;
