--- a/crates/daemon/tests/route/stop.rs
+++ b/crates/daemon/tests/route/stop.rs
@@ -109,6 +109,7 @@
     }
     for reply in replies {
         let reply = reply.await.expect("a task").expect("a connection");
-        expect_that!(reply.end, eq(ReplyEnd::Marked), "{}", reply.body.len());
+        let (seen, size) = ((reply.status(), reply.end), reply.body.len());
+        expect_that!(seen, eq((200, ReplyEnd::Marked)), "{size} bytes");
     }
 }
