streams: a single version is concluded for the pools of the configuration in force

What callers saw: a stream of a pool to which its route had just been split, taken up without a name at a daemon that had the configuration of before, went on at the single version of the route's old pool (ORDER).

Cause: the list is read once the request has come, the configuration wasn't. The archive's versions of pools that aren't the route's don't count, so that the new pool's version was taken for another route's.

What has changed in the configuration is now read with the list, at one more call for each such read. A single version isn't concluded if the route's pools have changed since the request came, or if the configuration can't be read.

--- a/crates/daemon/tests/route/remains.rs
+++ b/crates/daemon/tests/route/remains.rs
@@ -3,13 +3,15 @@
 
 use std::time::Duration;
 
+use medlarrill_platform_standin::configuration;
 use medlarrill_testkit::proxy::{Entry, Harm, Proxy};
 use nix::sys::signal::Signal;
+use serde_json::{Value, json};
 
 use super::rejoined::Step::{self, BeginAndPowerOff, Come, Leave, PowerOff, PowerOn, Wait};
 use super::rejoined::{come, leave, play, power_on, take_up_at};
 use super::setup::{Bench, POOL};
-use super::versions::{Part, begin, of_build};
+use super::versions::{Part, begin, first_call, of_build, read};
 
 const DAEMONS: usize = 3;
 /// Daemon that starts after the others.
@@ -242,3 +244,46 @@
     let outcome = take_up_at(&fleet.bench, 1, begun).await;
     outcome.assert_all_go_on("v1");
 }
+
+/// Guards against the pools of an old configuration.
+#[tokio::test]
+async fn unnamed_streams_are_not_joined_where_a_daemon_has_the_configuration_of_before() {
+    let mut fleet = Fleet::start().await;
+    let writer = fleet.writer();
+    let (teller, other) = ((writer + 1) % DAEMONS, (writer + 2) % DAEMONS);
+    for _ in 0..2 {
+        come(&mut fleet.bench, "other", "w1").await;
+    }
+    Bench::pause(SETTLED).await;
+    fleet.paths[other].harm(Harm::Silence);
+    fleet
+        .bench
+        .store
+        .put("config", "main", split_configuration());
+    fleet.bench.until(teller, "configuration in force", 2).await;
+    Bench::pause(50).await;
+    fleet.find_list(other);
+    let begun = begin(&fleet.bench, teller).await;
+    let address = fleet.bench.daemons[other].callers();
+    for (first, part) in &begun {
+        let call = first_call(&format!("{first}-again")).with_header("last-event-id", "3");
+        let after = read(address, &call, usize::MAX).await;
+        let goes_on = after.builds().is_empty() || after.builds() == part.builds();
+        assert!(goes_on, "{part:?}, {after:?}");
+    }
+}
+
+/// A configuration in which the streams of another pool have the same route.
+fn split_configuration() -> Value {
+    let mut split = configuration(8, POOL);
+    let share = |pool| json!({ "service": pool, "weight": 1 });
+    split["routes"][2]["service"] = Value::Null;
+    split["routes"][2]["traffic_split"] = json!([share(POOL), share("other")]);
+    let mut service = split["services"][0].clone();
+    service["name"] = "other".into();
+    split["services"]
+        .as_array_mut()
+        .expect("pools")
+        .push(service);
+    split
+}
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -95,8 +95,8 @@
     let account = account.cloned();
     let body = read_body(&config, body).await?;
     let host = host(&parts).unwrap_or_default();
-    let stream = stream_key(host, parts.uri.path(), account.as_deref(), &call, &route);
-    let place = find_place(shared, &route, &call, stream, trace).await;
+    let stream = stream_key(host, path, account.as_deref(), &call, &route);
+    let place = find_place(shared, (host, path), &route, &call, stream, trace).await;
     let place = place.map_err(|_| refused(Refusal::NotResumable))?;
     let (pool, build) = choose_pool(shared, &route, place)?;
     let fingerprint = fingerprint(&parts, account.as_deref(), &body);
--- a/crates/router/src/entry/take_up.rs
+++ b/crates/router/src/entry/take_up.rs
@@ -1,9 +1,11 @@
 //! Streams that callers take up after they lost their connection.
 
+use std::sync::Arc;
+
 use medlarrill_core::routing::config::{Account, RetryPolicy, Route};
 use medlarrill_core::routing::request::RequestHead;
 use medlarrill_core::routing::streams::StreamKey;
-use medlarrill_core::routing::streams::lookup::{Place, Result};
+use medlarrill_core::routing::streams::lookup::{Doubt, LookupError, Place, Result, Source};
 
 use super::trace::Trace;
 use crate::shared::Shared;
@@ -36,6 +38,7 @@
 /// If the stream can't go on.
 pub async fn find_place(
     shared: &Shared,
+    (host, path): (&str, &str),
     route: &Route,
     call: &RequestHead,
     stream: Option<StreamKey>,
@@ -45,6 +48,16 @@
         return Ok(None);
     }
     let found = shared.streams.find(stream, route).await;
+    let found = found.and_then(|found| {
+        let config = shared.config.borrow().clone();
+        let current = config.as_ref().and_then(|config| config.route(host, path));
+        let has_pools = |current: &Arc<Route>| current.pools().eq(route.pools());
+        // The stream may have begun in a pool of a newer configuration, read since the request came.
+        match found.source == Source::Single && !current.is_some_and(has_pools) {
+            true => Err(LookupError::Unknown(Doubt::Outdated)),
+            false => Ok(found),
+        }
+    });
     trace.log_take_up(call, &found);
     Ok(Some(found?.place))
 }
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -42,7 +42,7 @@
 /// Prefix of the names of the objects of daemons whose streams the others don't confirm.
 pub(super) const NOTE: &str = "fleet-note-";
 
-/// Reads the archive, and what has changed in the list, for requests.
+/// Reads the archive, and what has changed in the list and the configuration, for requests.
 #[derive(Debug)]
 pub(super) struct Reader {
     client: CountedClient,
@@ -50,6 +50,7 @@
     next_read: Millis,
     archive: Attempts,
     list: Attempts,
+    configuration: Attempts,
     is_silent: bool,
 }
 
@@ -82,7 +83,7 @@
 #[derive(Clone, Copy)]
 #[derive(Debug)]
 pub(super) struct Needs {
-    /// The earliest time of the list.
+    /// The earliest time of the list and of the configuration.
     pub(super) list_from: Millis,
     /// That of the archive; none if it isn't needed.
     pub(super) archive_from: Option<Millis>,
@@ -92,7 +93,7 @@
 #[derive(Clone, Copy)]
 #[derive(Debug)]
 pub(super) struct Reading {
-    /// Whether the list has been.
+    /// Whether the list and the configuration have been.
     pub(super) has_list: bool,
     /// Whether all that it needs has been, or was refused.
     pub(super) is_answered: bool,
@@ -105,6 +106,7 @@
             next_read: Millis::ZERO,
             archive: Attempts::default(),
             list: Attempts::default(),
+            configuration: Attempts::default(),
             is_silent: false,
         }
     }
@@ -112,8 +114,10 @@
     fn reading(&self, needs: &Needs) -> Reading {
         let has_archive =
             |from| self.archive.read_at >= Some(from) || self.archive.has_failed(from);
-        let has_list = self.list.read_at >= Some(needs.list_from);
-        let has_all = has_list || self.list.has_failed(needs.list_from);
+        let lists = [&self.list, &self.configuration];
+        let from = needs.list_from;
+        let has_list = lists.iter().all(|list| list.read_at >= Some(from));
+        let has_all = has_list || lists.iter().any(|list| list.has_failed(from));
         Reading {
             has_list,
             is_answered: has_all && needs.archive_from.is_none_or(has_archive) && !self.is_silent,
@@ -170,21 +174,26 @@
             false => Ok(()),
         };
         let called_at = now();
-        let list = self.read_changes(&mut reader.client).await;
+        let list = self.read_changes(Kind::Endpoints, &mut reader.client).await;
         reader.list.record(called_at, &list);
-        archive.and(list)
+        let called_at = now();
+        let configuration = self
+            .read_changes(Kind::Configuration, &mut reader.client)
+            .await;
+        reader.configuration.record(called_at, &configuration);
+        archive.and(list).and(configuration)
     }
 
-    /// Reads what has changed in the list since the revision that its copy has reached.
+    /// Reads what has changed in objects of a kind since the revision that their copy has reached.
     ///
     /// # Errors
     ///
     /// When the platform doesn't have these changes, or the copy is of another era.
-    pub(super) async fn read_changes(&self, client: &mut CountedClient) -> Result<()> {
-        let reached = self.copies.revision(Kind::Endpoints);
+    pub(super) async fn read_changes(&self, kind: Kind, client: &mut CountedClient) -> Result<()> {
+        let reached = self.copies.revision(kind);
         let reached = reached.ok_or(CallError::Unlisted)?;
         let called_at = now();
-        let path = wire::watch_path(Kind::Endpoints, reached.number, NO_HOLD);
+        let path = wire::watch_path(kind, reached.number, NO_HOLD);
         let answer = client.ask(&Call::get(path)).await?;
         if answer.era != reached.era {
             return Err(CallError::OtherEra(answer.era));
@@ -192,15 +201,15 @@
         let changes = wire::changes(&answer.body).map_err(CallError::Decode)?;
         let changes = changes.in_era(answer.era);
         let copies = &self.copies;
-        copies.report_all_unreadable(Kind::Endpoints, &changes.unreadable);
+        copies.report_all_unreadable(kind, &changes.unreadable);
         let update = Update {
             complete: false,
             changes: changes.changes,
             revision: Revision::new(answer.era, changes.revision),
         };
-        copies.apply(Kind::Endpoints, update, Some(called_at), now());
+        copies.apply(kind, update, Some(called_at), now());
         // The copy may have been replaced meanwhile.
-        match copies.era(Kind::Endpoints) {
+        match copies.era(kind) {
             Some(era) if era == answer.era => Ok(()),
             _ => Err(CallError::OtherEra(answer.era)),
         }
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -10,7 +10,7 @@
 use medlarrill_core::routing::streams::history::RecentBuild;
 use medlarrill_net::now::now;
 use medlarrill_platform::objects;
-use medlarrill_platform::store::{self as wire, Call};
+use medlarrill_platform::store::{self as wire, Call, Kind};
 use rand::RngExt;
 
 use super::Streams;
@@ -174,7 +174,9 @@
         if self.loaded.is_none() {
             // What others wrote isn't lost by the next write.
             let kept = streams.load(&mut self.client).await?;
-            streams.read_changes(&mut self.client).await?;
+            streams
+                .read_changes(Kind::Endpoints, &mut self.client)
+                .await?;
             self.loaded = Some(kept);
         }
         let evidence = streams.builds_to_keep();
