--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -182,7 +182,9 @@
         if self.loaded.is_none() {
             // What others wrote isn't lost by the next write.
             let kept = streams.load(&mut self.client).await?;
-            streams.read_changes(&mut self.client).await?;
+            streams
+                .read_changes(Kind::Endpoints, &mut self.client)
+                .await?;
             self.loaded = Some(kept);
         }
         self.seen = shared.copies.revision(Kind::Endpoints);
