streams: what a review of the proofs found

An error while the changes since the archive are read fails the read, which is tried again: before, one such error made the first hub write over a good archive that others may be missing, and all unremembered streams were refused for 20 s. Archives that can't be read, or that a large fleet ignores, don't confirm a first start. A note is tried 400 ms apart whatever comes of it. Streams of a write that conflicted are confirmed by the next one. The idle connection that is closed is the one that was found old.

--- a/crates/router/src/entry/idle.rs
+++ b/crates/router/src/entry/idle.rs
@@ -24,6 +24,13 @@
     waiting: BTreeMap<Key, Arc<Notify>>,
 }
 
+impl Idle {
+    fn has_old(&self, now: Millis) -> bool {
+        let oldest = self.waiting.first_key_value();
+        oldest.is_some_and(|((since, _), _)| now.since(*since) >= IDLE_MIN)
+    }
+}
+
 impl IdleConnections {
     fn lock(&self) -> MutexGuard<'_, Idle> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
@@ -31,15 +38,14 @@
 
     /// Whether a connection has been idle for long enough to be closed.
     pub fn has_old(&self, now: Millis) -> bool {
-        let idle = self.lock();
-        let oldest = idle.waiting.first_key_value();
-        oldest.is_some_and(|((since, _), _)| now.since(*since) >= IDLE_MIN)
+        self.lock().has_old(now)
     }
 
     /// Closes the connection that has been idle longest; returns whether there was an old one.
     pub fn close_oldest(&self, now: Millis) -> bool {
-        let has_old = self.has_old(now);
-        if has_old && let Some((_, close)) = self.lock().waiting.pop_first() {
+        let mut idle = self.lock();
+        let has_old = idle.has_old(now);
+        if has_old && let Some((_, close)) = idle.waiting.pop_first() {
             close.notify_one();
         }
         has_old
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -97,6 +97,19 @@
     pub(super) has_list: bool,
     /// Whether all that it needs has been, or was refused.
     pub(super) is_answered: bool,
+    /// Whether the archive was refused, so that it may be had a moment later.
+    pub(super) is_refused: bool,
+}
+
+/// All archives, as they were read at one time.
+#[derive(Default)]
+#[derive(Debug)]
+struct ReadArchives {
+    archives: Vec<Archive>,
+    /// Whether there are others that can't be read.
+    has_unreadable: bool,
+    /// Whether there are others of a small fleet, which a large one ignores.
+    has_ignored: bool,
 }
 
 impl Reader {
@@ -112,15 +125,18 @@
     }
 
     fn reading(&self, needs: &Needs) -> Reading {
-        let has_archive =
-            |from| self.archive.read_at >= Some(from) || self.archive.has_failed(from);
+        let has_archive = |from| self.archive.read_at >= Some(from);
+        let lacks_archive = |from: &Millis| !has_archive(*from);
+        let is_refused = |from| self.archive.has_failed(from);
+        let missing = needs.archive_from.filter(lacks_archive);
         let lists = [&self.list, &self.configuration];
         let from = needs.list_from;
         let has_list = lists.iter().all(|list| list.read_at >= Some(from));
         let has_all = has_list || lists.iter().any(|list| list.has_failed(from));
         Reading {
             has_list,
-            is_answered: has_all && needs.archive_from.is_none_or(has_archive) && !self.is_silent,
+            is_answered: has_all && missing.is_none_or(is_refused) && !self.is_silent,
+            is_refused: missing.is_some_and(is_refused),
         }
     }
 }
@@ -140,7 +156,8 @@
         let mut reader = self.reader.lock().await;
         let reading = reader.reading(needs);
         let began = now();
-        if reading.has_list && reading.is_answered || began < reader.next_read {
+        let has_all = reading.has_list && reading.is_answered && !reading.is_refused;
+        if has_all || began < reader.next_read {
             return reading;
         }
         let needs_archive = needs.archive_from.is_some();
@@ -223,43 +240,54 @@
         let is_large = self.is_large_fleet();
         let called_at = now();
         let mut kept = HashMap::new();
-        let mut archives = Vec::new();
-        let read = |object: &Object| {
+        let mut read = ReadArchives::default();
+        let collect = |object: &Object| {
             kept.insert(object.name.clone(), object.revision);
             // A fleet that has grown doesn't write it any more.
             let is_of_small = [FLEET, TAIL].contains(&&object.name[..]);
-            if !(is_large && (is_of_small || object.name.starts_with(NOTE))) {
-                archives.push(objects::streams(object)?);
+            if is_large && (is_of_small || object.name.starts_with(NOTE)) {
+                read.has_ignored = true;
+                return Ok(());
             }
+            let archive = objects::streams(object);
+            read.has_unreadable |= archive.is_err();
+            read.archives.push(archive?);
             Ok(())
         };
-        client.list(wire::STREAMS, &self.copies, read).await?;
+        client.list(wire::STREAMS, &self.copies, collect).await?;
         let whole = kept.get(FLEET).copied();
-        let is_followed = self.is_followed_since(client, &archives, whole).await;
-        self.record_archives(&archives, whole, is_followed, called_at);
+        let is_followed = self
+            .is_followed_since(client, &read.archives, whole)
+            .await?;
+        self.record_archives(&read, whole, is_followed, called_at);
         Ok(kept)
     }
 
     /// Whether no endpoint has come and gone in the list since the last complete archive.
+    ///
+    /// # Errors
+    ///
+    /// When the platform doesn't answer; its history may be gone, though.
     async fn is_followed_since(
         &self,
         client: &mut CountedClient,
         archives: &[Archive],
         whole: Option<Revision>,
-    ) -> bool {
+    ) -> Result<bool> {
         let complete = archives
             .iter()
             .filter(|kept| kept.is_in_force(whole) && kept.is_complete());
         let Some(seen) = complete.filter_map(|kept| kept.seen).max() else {
-            return false;
+            return Ok(false);
         };
         let path = wire::watch_path(Kind::Endpoints, seen, NO_HOLD);
         match client.ask(&Call::get(path)).await {
-            Ok(answer) => wire::has_unseen_removal(&answer.body, seen).is_ok_and(|has| !has),
-            Err(error) => {
-                log::info!(target: "streams", "streams: no changes since the archive: {error}");
-                false
+            Ok(answer) => {
+                let has_unseen = wire::has_unseen_removal(&answer.body, seen);
+                has_unseen.map(|has| !has).map_err(CallError::Decode)
             }
+            Err(error) if error.is_gone() => Ok(false),
+            Err(error) => Err(error),
         }
     }
 
@@ -279,21 +307,25 @@
     /// Others than the versions that they name may have served unless the list was followed since.
     fn record_archives(
         &self,
-        archives: &[Archive],
+        read: &ReadArchives,
         revision: Option<Revision>,
         is_followed: bool,
         called_at: Millis,
     ) {
+        let archives = &read.archives;
         let latest = self.copies.eras().latest();
         let in_force = archives.iter().filter(|kept| kept.is_in_force(revision));
         let mut outdated = in_force.clone();
         let has_outdated = outdated.any(|archive| archive.is_outdated(latest));
         // What was written since the copy isn't there.
-        let may_lack = has_outdated || !archives.is_empty() && !is_followed;
+        let may_lack = has_outdated || read.has_unreadable || !archives.is_empty() && !is_followed;
         let unknown = may_lack.then_some(RecentBuild::UNKNOWN);
         let builds = in_force.flat_map(Archive::builds);
         let builds: Vec<RecentBuild> = builds.chain(unknown).collect();
-        self.placement.record_kept(&builds, now());
+        // What is ignored was written by a fleet that began earlier.
+        let ignored = read.has_ignored.then_some(RecentBuild::UNKNOWN);
+        let all: Vec<RecentBuild> = builds.iter().copied().chain(ignored).collect();
+        self.placement.record_kept(&all, now());
         let mut state = self.lock();
         for (key, origin) in archives.iter().flat_map(Archive::streams) {
             state.memory.learn(key, origin, now());
--- a/crates/router/src/streams/confirm.rs
+++ b/crates/router/src/streams/confirm.rs
@@ -73,6 +73,12 @@
         std::mem::take(&mut self.unwritten)
     }
 
+    /// Takes streams back that weren't written.
+    pub(super) fn put_back(&mut self, unwritten: Vec<Unwritten>) {
+        self.unwritten.splice(0..0, unwritten);
+        self.unwritten.truncate(MAX_UNWRITTEN);
+    }
+
     fn wait(&mut self, key: StreamKey) -> Option<oneshot::Receiver<()>> {
         if self.is_silent {
             return None;
@@ -127,7 +133,7 @@
     async fn is_confirmed(&mut self, wait: Millis) -> bool {
         let receiver = &mut self.receiver;
         let confirmed = tokio::time::timeout(wait.as_duration(), receiver).await;
-        confirmed.is_ok()
+        matches!(confirmed, Ok(Ok(())))
     }
 }
 
--- a/crates/router/src/streams/find.rs
+++ b/crates/router/src/streams/find.rs
@@ -26,6 +26,9 @@
 const SILENCE_WAIT: Millis = Millis(1500);
 /// The same as a share of the route's timeout, so that the caller may still begin anew.
 const SILENCE_SHARE: u64 = 3;
+/// Time for which a platform that refuses what it keeps is asked again: it is busy when all daemons
+/// have started at once.
+const REFUSED_WAIT: Millis = Millis(600);
 /// Interval at which a question is sent again, since datagrams are lost.
 const ASK_INTERVAL: Millis = Millis(60);
 
@@ -116,8 +119,10 @@
                 ..self.knowledge(search.route, &answers)
             };
             let place = knowledge.single_place();
-            let may_learn =
-                answers.has_silent || !reading.is_answered || place == Err(Doubt::Outdated);
+            let may_learn = answers.has_silent
+                || !reading.is_answered
+                || reading.is_refused && now() < search.came + REFUSED_WAIT
+                || place == Err(Doubt::Outdated);
             let is_last = !may_learn || now() >= search.until;
             if place.is_ok() || is_last {
                 self.log_knowledge(&knowledge, answers.has_silent, search.came);
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -232,6 +232,8 @@
                 shared.streams.confirm_written(&unwritten);
             }
             self.remove_note().await?;
+        } else {
+            shared.streams.lock().confirmations.put_back(unwritten);
         }
         Ok(())
     }
@@ -266,6 +268,8 @@
             written.at = Some(now());
             self.tail = written;
             self.shared.streams.confirm_written(&unwritten);
+        } else {
+            self.shared.streams.lock().confirmations.put_back(unwritten);
         }
         Ok(())
     }
@@ -283,6 +287,7 @@
         if !is_needed || streams.is_large_fleet() || recorded(streams) <= self.note.recorded {
             return Ok(());
         }
+        self.note.at = Some(now());
         let whole = streams.load(&mut self.client).await?;
         let revision = whole.get(FLEET).copied();
         self.loaded = Some(whole);
