--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -18,6 +18,8 @@
     mod incident;
     mod isolated;
     mod last_daemon;
+    mod left;
+    mod left_ids;
     mod losses;
     mod odd_entries;
     mod out_of_step;
@@ -25,6 +27,7 @@
     mod parts;
     mod rebuilt;
     mod rejoined;
+    mod remains;
     mod requests;
     mod restored;
     mod restored_known;
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -39,8 +39,10 @@
 pub(super) const FLEET: &str = "fleet";
 /// Name of the object with the streams that began since that one was written.
 pub(super) const TAIL: &str = "fleet-tail";
+/// Prefix of the names of the objects of daemons whose streams the others don't confirm.
+pub(super) const NOTE: &str = "fleet-note-";
 
-/// Reads the archive, and what has changed in the list, for requests.
+/// Reads the archive, and what has changed in the list and the configuration, for requests.
 #[derive(Debug)]
 pub(super) struct Reader {
     client: CountedClient,
@@ -48,6 +50,7 @@
     next_read: Millis,
     archive: Attempts,
     list: Attempts,
+    configuration: Attempts,
     is_silent: bool,
 }
 
@@ -80,7 +83,7 @@
 #[derive(Clone, Copy)]
 #[derive(Debug)]
 pub(super) struct Needs {
-    /// The earliest time of the list.
+    /// The earliest time of the list and of the configuration.
     pub(super) list_from: Millis,
     /// That of the archive; none if it isn't needed.
     pub(super) archive_from: Option<Millis>,
@@ -90,10 +93,23 @@
 #[derive(Clone, Copy)]
 #[derive(Debug)]
 pub(super) struct Reading {
-    /// Whether the list has been.
+    /// Whether the list and the configuration have been.
     pub(super) has_list: bool,
     /// Whether all that it needs has been, or was refused.
     pub(super) is_answered: bool,
+    /// Whether the archive was refused, so that it may be had a moment later.
+    pub(super) is_refused: bool,
+}
+
+/// All archives, as they were read at one time.
+#[derive(Default)]
+#[derive(Debug)]
+struct ReadArchives {
+    archives: Vec<Archive>,
+    /// Whether there are others that can't be read.
+    has_unreadable: bool,
+    /// Whether there are others of a small fleet, which a large one ignores.
+    has_ignored: bool,
 }
 
 impl Reader {
@@ -103,18 +119,24 @@
             next_read: Millis::ZERO,
             archive: Attempts::default(),
             list: Attempts::default(),
+            configuration: Attempts::default(),
             is_silent: false,
         }
     }
 
     fn reading(&self, needs: &Needs) -> Reading {
-        let has_archive =
-            |from| self.archive.read_at >= Some(from) || self.archive.has_failed(from);
-        let has_list = self.list.read_at >= Some(needs.list_from);
-        let has_all = has_list || self.list.has_failed(needs.list_from);
+        let has_archive = |from| self.archive.read_at >= Some(from);
+        let lacks_archive = |from: &Millis| !has_archive(*from);
+        let is_refused = |from| self.archive.has_failed(from);
+        let missing = needs.archive_from.filter(lacks_archive);
+        let lists = [&self.list, &self.configuration];
+        let from = needs.list_from;
+        let has_list = lists.iter().all(|list| list.read_at >= Some(from));
+        let has_all = has_list || lists.iter().any(|list| list.has_failed(from));
         Reading {
             has_list,
-            is_answered: has_all && needs.archive_from.is_none_or(has_archive) && !self.is_silent,
+            is_answered: has_all && missing.is_none_or(is_refused) && !self.is_silent,
+            is_refused: missing.is_some_and(is_refused),
         }
     }
 }
@@ -134,7 +156,8 @@
         let mut reader = self.reader.lock().await;
         let reading = reader.reading(needs);
         let began = now();
-        if reading.has_list && reading.is_answered || began < reader.next_read {
+        let has_all = reading.has_list && reading.is_answered && !reading.is_refused;
+        if has_all || began < reader.next_read {
             return reading;
         }
         let needs_archive = needs.archive_from.is_some();
@@ -168,21 +191,26 @@
             false => Ok(()),
         };
         let called_at = now();
-        let list = self.read_changes(&mut reader.client).await;
+        let list = self.read_changes(Kind::Endpoints, &mut reader.client).await;
         reader.list.record(called_at, &list);
-        archive.and(list)
+        let called_at = now();
+        let configuration = self
+            .read_changes(Kind::Configuration, &mut reader.client)
+            .await;
+        reader.configuration.record(called_at, &configuration);
+        archive.and(list).and(configuration)
     }
 
-    /// Reads what has changed in the list since the revision that its copy has reached.
+    /// Reads what has changed in objects of a kind since the revision that their copy has reached.
     ///
     /// # Errors
     ///
     /// When the platform doesn't have these changes, or the copy is of another era.
-    pub(super) async fn read_changes(&self, client: &mut CountedClient) -> Result<()> {
-        let reached = self.copies.revision(Kind::Endpoints);
+    pub(super) async fn read_changes(&self, kind: Kind, client: &mut CountedClient) -> Result<()> {
+        let reached = self.copies.revision(kind);
         let reached = reached.ok_or(CallError::Unlisted)?;
         let called_at = now();
-        let path = wire::watch_path(Kind::Endpoints, reached.number, NO_HOLD);
+        let path = wire::watch_path(kind, reached.number, NO_HOLD);
         let answer = client.ask(&Call::get(path)).await?;
         if answer.era != reached.era {
             return Err(CallError::OtherEra(answer.era));
@@ -190,15 +218,15 @@
         let changes = wire::changes(&answer.body).map_err(CallError::Decode)?;
         let changes = changes.in_era(answer.era);
         let copies = &self.copies;
-        copies.report_all_unreadable(Kind::Endpoints, &changes.unreadable);
+        copies.report_all_unreadable(kind, &changes.unreadable);
         let update = Update {
             complete: false,
             changes: changes.changes,
             revision: Revision::new(answer.era, changes.revision),
         };
-        copies.apply(Kind::Endpoints, update, Some(called_at), now());
+        copies.apply(kind, update, Some(called_at), now());
         // The copy may have been replaced meanwhile.
-        match copies.era(Kind::Endpoints) {
+        match copies.era(kind) {
             Some(era) if era == answer.era => Ok(()),
             _ => Err(CallError::OtherEra(answer.era)),
         }
@@ -212,20 +240,57 @@
         let is_large = self.is_large_fleet();
         let called_at = now();
         let mut kept = HashMap::new();
-        let mut archives = Vec::new();
-        let read = |object: &Object| {
+        let mut read = ReadArchives::default();
+        let collect = |object: &Object| {
             kept.insert(object.name.clone(), object.revision);
             // A fleet that has grown doesn't write it any more.
-            if !(is_large && [FLEET, TAIL].contains(&&object.name[..])) {
-                archives.push(objects::streams(object)?);
+            let is_of_small = [FLEET, TAIL].contains(&&object.name[..]);
+            if is_large && (is_of_small || object.name.starts_with(NOTE)) {
+                read.has_ignored = true;
+                return Ok(());
             }
+            let archive = objects::streams(object);
+            read.has_unreadable |= archive.is_err();
+            read.archives.push(archive?);
             Ok(())
         };
-        client.list(wire::STREAMS, &self.copies, read).await?;
-        self.record_archives(&archives, kept.get(FLEET).copied(), called_at);
+        client.list(wire::STREAMS, &self.copies, collect).await?;
+        let whole = kept.get(FLEET).copied();
+        let is_followed = self
+            .is_followed_since(client, &read.archives, whole)
+            .await?;
+        self.record_archives(&read, whole, is_followed, called_at);
         Ok(kept)
     }
 
+    /// Whether no endpoint has come and gone in the list since the last complete archive.
+    ///
+    /// # Errors
+    ///
+    /// When the platform doesn't answer; its history may be gone, though.
+    async fn is_followed_since(
+        &self,
+        client: &mut CountedClient,
+        archives: &[Archive],
+        whole: Option<Revision>,
+    ) -> Result<bool> {
+        let complete = archives
+            .iter()
+            .filter(|kept| kept.is_in_force(whole) && kept.is_complete());
+        let Some(seen) = complete.filter_map(|kept| kept.seen).max() else {
+            return Ok(false);
+        };
+        let path = wire::watch_path(Kind::Endpoints, seen, NO_HOLD);
+        match client.ask(&Call::get(path)).await {
+            Ok(answer) => {
+                let has_unseen = wire::has_unseen_removal(&answer.body, seen);
+                has_unseen.map(|has| !has).map_err(CallError::Decode)
+            }
+            Err(error) if error.is_gone() => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Whether streams are kept on the platform as they begin. Where one version serves they go on
     /// without that, unless all daemons end before another one comes; keeping them meanwhile costs
     /// a large fleet's hubs too much.
@@ -239,18 +304,32 @@
     }
 
     /// Records archives that were requested at `called_at`, when the fleet's was at `revision`.
-    fn record_archives(&self, archives: &[Archive], revision: Option<Revision>, called_at: Millis) {
-        let mut state = self.lock();
-        for (key, origin) in archives.iter().flat_map(Archive::streams) {
-            state.memory.learn(key, origin, now());
-        }
+    /// Others than the versions that they name may have served unless the list was followed since.
+    fn record_archives(
+        &self,
+        read: &ReadArchives,
+        revision: Option<Revision>,
+        is_followed: bool,
+        called_at: Millis,
+    ) {
+        let archives = &read.archives;
         let latest = self.copies.eras().latest();
         let in_force = archives.iter().filter(|kept| kept.is_in_force(revision));
         let mut outdated = in_force.clone();
         let has_outdated = outdated.any(|archive| archive.is_outdated(latest));
         // What was written since the copy isn't there.
-        let unknown = has_outdated.then_some(RecentBuild::UNKNOWN);
+        let may_lack = has_outdated || read.has_unreadable || !archives.is_empty() && !is_followed;
+        let unknown = may_lack.then_some(RecentBuild::UNKNOWN);
         let builds = in_force.flat_map(Archive::builds);
-        state.archived.record(builds.chain(unknown), called_at);
+        let builds: Vec<RecentBuild> = builds.chain(unknown).collect();
+        // What is ignored was written by a fleet that began earlier.
+        let ignored = read.has_ignored.then_some(RecentBuild::UNKNOWN);
+        let all: Vec<RecentBuild> = builds.iter().copied().chain(ignored).collect();
+        self.placement.record_kept(&all, now());
+        let mut state = self.lock();
+        for (key, origin) in archives.iter().flat_map(Archive::streams) {
+            state.memory.learn(key, origin, now());
+        }
+        state.archived.record(builds, called_at);
     }
 }
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -10,11 +10,11 @@
 use medlarrill_core::routing::streams::history::RecentBuild;
 use medlarrill_net::now::now;
 use medlarrill_platform::objects;
-use medlarrill_platform::store::{self as wire, Call};
+use medlarrill_platform::store::{self as wire, Call, Kind};
 use rand::RngExt;
 
 use super::Streams;
-use super::archive::{FLEET, TAIL, counted};
+use super::archive::{FLEET, NOTE, TAIL, counted};
 use super::confirm::Unwritten;
 use crate::peers::Roster;
 use crate::shared::Shared;
@@ -29,6 +29,9 @@
 const TAIL_INTERVAL: Millis = Millis(50);
 /// Interval between checks for streams to write.
 const CHECK_INTERVAL: Millis = Millis(100);
+/// Longest time between writes: a daemon that reads the archive needs the platform's history since
+/// the last one.
+const MAX_WRITE_INTERVAL: Millis = Millis::from_secs(5);
 /// Time since the start of the process after which daemons agree on who is a hub.
 const SETTLE_TIME: Millis = Millis(1000);
 /// Age up to which streams are kept; most end sooner.
@@ -48,8 +51,11 @@
         builds: BTreeSet::new(),
         whole: Written::default(),
         tail: Written::default(),
+        note: Written::default(),
+        is_hub: false,
         has_conflict: false,
         era: None,
+        seen: None,
     };
     let mut failures = 0;
     loop {
@@ -78,10 +84,16 @@
     whole: Written,
     /// The last write of its tail.
     tail: Written,
+    /// The last write of this daemon's own streams.
+    note: Written,
+    /// Whether this daemon is the first hub.
+    is_hub: bool,
     /// Whether another daemon had written before the last write.
     has_conflict: bool,
     /// Era of the store in which that was.
     era: Option<Era>,
+    /// Revision up to which this daemon knew the list of endpoints before the last step.
+    seen: Option<Revision>,
 }
 
 /// A write of streams.
@@ -92,14 +104,15 @@
     recorded: u64,
     /// When they were collected.
     from: Millis,
-    /// When they were written.
-    at: Millis,
+    /// When they were written, if they were.
+    at: Option<Millis>,
 }
 
 impl Written {
     /// Time until an interval has passed since.
     fn left(&self, interval: Millis) -> Millis {
-        (self.at + interval).since(now())
+        let next = self.at.map(|at| at + interval);
+        next.map_or(Millis::ZERO, |next| next.since(now()))
     }
 }
 
@@ -107,22 +120,31 @@
     /// Waits for the next step.
     async fn wait(&self) {
         let pause = tokio::time::sleep(self.pause().as_duration());
-        if !self.has_tail() {
-            return pause.await;
-        }
         tokio::select! {
             () = pause => {}
             () = self.shared.streams.unwritten.notified() => {
-                tokio::time::sleep(self.tail.left(TAIL_INTERVAL).as_duration()).await;
+                tokio::time::sleep(self.left().as_duration()).await;
             }
         }
     }
 
+    /// Time until streams that have begun are written.
+    fn left(&self) -> Millis {
+        match self.is_hub {
+            true if self.has_tail() => self.tail.left(TAIL_INTERVAL),
+            true => self.pause(),
+            false => self.note.left(WRITE_INTERVAL),
+        }
+    }
+
     /// Whether streams are written as they begin.
     fn has_tail(&self) -> bool {
         let streams = &self.shared.streams;
         let is_large = streams.lock().is_large || streams.is_large_fleet();
-        self.loaded.is_some() && !is_large && self.shared.placement.has_several_builds(now())
+        self.is_hub
+            && self.loaded.is_some()
+            && !is_large
+            && self.shared.placement.has_several_builds(now())
     }
 
     /// Time until the next step.
@@ -131,7 +153,7 @@
         if self.has_conflict {
             return CHECK_INTERVAL;
         }
-        let is_keeper = self.loaded.is_some();
+        let is_keeper = self.is_hub && self.loaded.is_some();
         match is_keeper && self.shared.streams.are_archived() {
             true => left.max(CHECK_INTERVAL),
             false => WRITE_INTERVAL,
@@ -140,28 +162,32 @@
 
     async fn step(&mut self) -> Result<()> {
         let roster = self.roster.snapshot();
-        if roster.hubs.first() != Some(&roster.me) {
+        let is_hub = roster.hubs.first() == Some(&roster.me) && now() >= SETTLE_TIME;
+        if std::mem::replace(&mut self.is_hub, is_hub) != is_hub {
             self.loaded = None;
             self.builds.clear();
-            self.shared.streams.lock().confirmations.set_writer(false);
-            return Ok(());
-        }
-        if now() < SETTLE_TIME {
-            return Ok(());
         }
         let era = self.shared.copies.eras().latest();
         if eras::begins(&mut self.era, era) {
             self.loaded = None;
             self.builds.clear();
         }
+        if !is_hub {
+            // A note doesn't tell which versions it lacks.
+            self.seen = None;
+            return self.write_note().await;
+        }
         let shared = Arc::clone(&self.shared);
         let streams = &shared.streams;
         if self.loaded.is_none() {
             // What others wrote isn't lost by the next write.
             let kept = streams.load(&mut self.client).await?;
-            streams.read_changes(&mut self.client).await?;
+            streams
+                .read_changes(Kind::Endpoints, &mut self.client)
+                .await?;
             self.loaded = Some(kept);
         }
+        self.seen = shared.copies.revision(Kind::Endpoints);
         let evidence = streams.builds_to_keep();
         let mut builds: BTreeSet<RecentBuild> = evidence.recent.into_iter().collect();
         if !evidence.is_complete {
@@ -184,7 +210,9 @@
         let streams = &self.shared.streams;
         let has_new = recorded(streams) > self.whole.recorded;
         let may_write = self.whole.left(WRITE_INTERVAL) == Millis::ZERO;
-        *builds != self.builds || has_new && may_write && streams.are_archived()
+        *builds != self.builds
+            || has_new && may_write && streams.are_archived()
+            || self.whole.left(MAX_WRITE_INTERVAL) == Millis::ZERO
     }
 
     async fn write_whole(&mut self, builds: BTreeSet<RecentBuild>) -> Result<()> {
@@ -197,16 +225,38 @@
         let (archive, unwritten, mut written) = self.collect(&builds, from);
         if self.write(name, &archive).await? {
             self.builds = builds;
-            written.at = now();
+            written.at = Some(now());
             self.whole = written;
             // Nobody waits while one version serves.
             if self.has_tail() {
                 shared.streams.confirm_written(&unwritten);
             }
+            self.remove_note().await?;
+        } else {
+            shared.streams.lock().confirmations.put_back(unwritten);
         }
         Ok(())
     }
 
+    /// Removes a note that the whole archive has replaced, unless it was written again.
+    async fn remove_note(&mut self) -> Result<()> {
+        let Some(kept) = &mut self.loaded else {
+            return Ok(());
+        };
+        let mut names = kept.keys();
+        let Some(name) = names.find(|name| name.starts_with(NOTE)).cloned() else {
+            return Ok(());
+        };
+        let Some(revision) = kept.remove(&name) else {
+            return Ok(());
+        };
+        let call = Call::remove_at(wire::STREAMS, &name, revision);
+        match self.client.ask(&call).await {
+            Err(error) if !error.exists() && !error.is_missing() => Err(error),
+            _ => Ok(()),
+        }
+    }
+
     /// Writes the streams that were recorded since the whole archive was.
     async fn write_tail(&mut self) -> Result<()> {
         let loaded = self.loaded.as_ref();
@@ -215,9 +265,44 @@
         };
         let (archive, unwritten, mut written) = self.collect(&self.builds, self.whole.from);
         if self.write(TAIL, &archive.with_after(whole)).await? {
-            written.at = now();
+            written.at = Some(now());
             self.tail = written;
             self.shared.streams.confirm_written(&unwritten);
+        } else {
+            self.shared.streams.lock().confirmations.put_back(unwritten);
+        }
+        Ok(())
+    }
+
+    /// Writes what this daemon knows of streams while no hub confirms its own.
+    async fn write_note(&mut self) -> Result<()> {
+        let shared = Arc::clone(&self.shared);
+        let streams = &shared.streams;
+        let is_noting = {
+            let confirmations = &mut streams.lock().confirmations;
+            confirmations.set_writer(false);
+            confirmations.is_noting()
+        };
+        let is_needed = is_noting && shared.placement.has_several_builds(now());
+        if !is_needed || streams.is_large_fleet() || recorded(streams) <= self.note.recorded {
+            return Ok(());
+        }
+        self.note.at = Some(now());
+        let whole = streams.load(&mut self.client).await?;
+        let revision = whole.get(FLEET).copied();
+        self.loaded = Some(whole);
+        // Without the whole archive, versions that nobody knows may have served.
+        let Some(revision) = revision else {
+            return Ok(());
+        };
+        let name = format!("{NOTE}{}", shared.settings.daemon);
+        let builds = streams.builds_to_keep().recent.into_iter().collect();
+        let from = Millis(now().0.saturating_sub(KEPT.0));
+        let (archive, unwritten, mut written) = self.collect(&builds, from);
+        if self.write(&name, &archive.with_after(revision)).await? {
+            written.at = Some(now());
+            self.note = written;
+            streams.confirm_written(&unwritten);
         }
         Ok(())
     }
@@ -230,11 +315,12 @@
     ) -> (Archive, Vec<Unwritten>, Written) {
         let mut state = self.shared.streams.lock();
         let recent = state.memory.since(from, MAX_STREAMS);
-        let archive = Archive::new(builds.iter().copied(), recent).with_era(self.era);
+        let archive = Archive::new(builds.iter().copied(), recent);
+        let archive = archive.with_era(self.era).with_seen(self.seen);
         let written = Written {
             recorded: state.memory.recorded(),
             from: now(),
-            at: Millis::ZERO,
+            at: None,
         };
         (archive, state.confirmations.take_unwritten(), written)
     }
