--- a/crates/core/src/routing/streams/archive.rs
+++ b/crates/core/src/routing/streams/archive.rs
@@ -3,7 +3,8 @@
 //! One hub of each data centre, or of a small fleet, writes the versions that
 //! served lately, and the streams that began in the last seconds; in a large
 //! fleet these only while several versions serve. A small fleet adds a tail
-//! meanwhile: the streams that began since, written many times a second. Daemons
+//! meanwhile: the streams that began since, written many times a second; a daemon
+//! that the writer doesn't confirm streams to writes a note like it. Daemons
 //! read it only if neither they nor those that they ask know a stream.
 
 use std::collections::BTreeMap;
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -22,7 +22,7 @@
 use crate::store::counted::CountedClient;
 use crate::store::eras;
 
-/// Minimum time between writes while several software versions serve. Streams that began since the
+/// Minimum time between writes of the whole archive. In a large fleet, streams that began since the
 /// last one are forgotten if all daemons end.
 const WRITE_INTERVAL: Millis = Millis(400);
 /// Minimum time between writes of the tail.
@@ -90,7 +90,7 @@
     is_hub: bool,
     /// Whether another daemon had written before the last write.
     has_conflict: bool,
-    /// Era of the store in which that was.
+    /// Era of the store in which this daemon last wrote.
     era: Option<Era>,
     /// Revision up to which this daemon knew the list of endpoints before the last step.
     seen: Option<Revision>,
