streams: a daemon's own list proves what came since an archive whose history is gone

Cause: a daemon that reads the archive asks the platform for the changes since the revision that its writer knew. Where the platform has compacted them, the read named a version that nobody knows, at the writer too: it took back that the fleet began with this process, and nobody's evidence was complete any more. Streams were refused (LOST) though every daemon had followed the list all the time.

The mirror now says since which revision its copy has seen everything; only where the platform has forgotten is that asked, since the platform's own answer also tells ids that were given twice. ORDER is untouched: a daemon that started later, or missed something, still counts on a version that nobody knows.

--- a/crates/core/src/routing/mirror.rs
+++ b/crates/core/src/routing/mirror.rs
@@ -69,6 +69,8 @@
     confirmed: Option<Millis>,
     /// When objects may last have come and gone unseen.
     missed: Option<Millis>,
+    /// Revision since which none have.
+    followed: Option<Revision>,
     /// Since when calls to the platform fail, and when the last one failed, here or at a source.
     outage: Option<(Millis, Millis)>,
     /// When the platform was last reached again after an outage.
@@ -129,6 +131,9 @@
         if update.complete && (is_late || is_restored) {
             self.missed = Some(now);
         }
+        if update.complete {
+            self.followed = self.followed.max(Some(update.revision));
+        }
         if let Some(confirmed) = confirmed {
             self.confirm(confirmed, now);
         }
@@ -140,6 +145,12 @@
         self.missed
     }
 
+    /// Revision since which no object has come and gone that this copy never had; none before the
+    /// first list.
+    pub const fn followed(&self) -> Option<Revision> {
+        self.followed
+    }
+
     fn merge(&mut self, update: Update, now: Millis) -> Vec<Change> {
         let mut changed = Vec::new();
         if update.complete {
@@ -275,6 +286,7 @@
             return None;
         }
         self.missed = Some(now);
+        self.followed = self.followed.max(Some(revision));
         self.record_removal(name.clone(), revision, None);
         Some(Change::Removed { name, revision })
     }
--- a/crates/core/tests/routing/mirror.rs
+++ b/crates/core/tests/routing/mirror.rs
@@ -416,6 +416,7 @@
         expect_that!(again, is_empty());
     }
     expect_that!(source.missed(), some(eq(at)));
+    expect_that!(source.followed(), some(eq(12.into())));
     let update = source.since(follower.revision()).expect("an update");
     follower.apply(update, Some(at), Millis(300));
     expect_that!(follower.missed(), some(eq(Millis(300))));
@@ -429,6 +430,7 @@
         let whole = list(vec![put("a", 3), put("b", 7)], 20);
         mirror.apply(whole, Some(Millis(at)), Millis(at));
         expect_that!(mirror.missed(), eq(missed));
+        expect_that!(mirror.followed(), some(eq(20.into())));
     }
 }
 
--- a/crates/daemon/tests/route/out_of_step.rs
+++ b/crates/daemon/tests/route/out_of_step.rs
@@ -126,6 +126,30 @@
     }
 }
 
+/// Guards against refusals where the platform has forgotten what came after its archive was written,
+/// while daemons have followed the list since.
+#[tokio::test]
+async fn streams_go_on_by_an_archive_that_is_older_than_the_platforms_history() {
+    let bench = start(5, &["v1", "v1"]).await;
+    tokio::time::sleep(SETTLED).await;
+    let archive = || bench.store.revision_of("streams", "fleet");
+    let written = archive();
+    while archive() == written {
+        Bench::pause(10).await;
+    }
+    for number in 0..20 {
+        bench.store.put("other", "object", number.into());
+    }
+    let forgotten = bench.store.revision();
+    // Longer than the platform holds a call, and shorter than the archive lasts.
+    Bench::pause(3000).await;
+    bench.store.forget_until(forgotten);
+    let taken_up = (0..bench.daemons.len()).map(|daemon| take_up_unknown(&bench, daemon, 0));
+    for part in futures_util::future::join_all(taken_up).await {
+        assert_that!(part.builds(), eq(&["v1"]), "{part:?}");
+    }
+}
+
 /// Replaces the address of a daemon's VM by one of nobody.
 fn hidden(bench: &Bench, number: usize) -> (String, String) {
     let [host, nobody] = [number, NOBODY + number].map(|number| bench.host(number));
--- a/crates/router/src/store/copies.rs
+++ b/crates/router/src/store/copies.rs
@@ -183,6 +183,11 @@
         self.lock(kind).mirror.revision()
     }
 
+    /// Revision since which no object of a kind has come and gone unseen, `None` before the first list.
+    pub fn followed(&self, kind: Kind) -> Option<Revision> {
+        self.lock(kind).mirror.followed()
+    }
+
     /// Time since a copy was last known to be up to date.
     pub fn age(&self, kind: Kind, now: Millis) -> Option<Millis> {
         self.lock(kind).mirror.age(now)
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -267,7 +267,7 @@
     ///
     /// # Errors
     ///
-    /// When the platform doesn't answer; its history may be gone, though.
+    /// When the platform doesn't answer. Where its history is gone, this daemon's own list decides.
     async fn is_followed_since(
         &self,
         client: &mut CountedClient,
@@ -286,11 +286,18 @@
                 let has_unseen = wire::has_unseen_removal(&answer.body, seen);
                 has_unseen.map(|has| !has).map_err(CallError::Decode)
             }
-            Err(error) if error.is_gone() => Ok(false),
+            Err(error) if error.is_gone() => Ok(self.has_followed(seen)),
             Err(error) => Err(error),
         }
     }
 
+    /// Whether this daemon's own list has had all endpoints that came since a revision.
+    fn has_followed(&self, seen: u64) -> bool {
+        let latest = self.copies.eras().latest();
+        let followed = self.copies.followed(Kind::Endpoints);
+        followed.is_some_and(|followed| Some(followed.era) == latest && followed.number <= seen)
+    }
+
     /// Whether streams are kept on the platform as they begin. Where one version serves they go on
     /// without that, unless all daemons end before another one comes; keeping them meanwhile costs
     /// a large fleet's hubs too much.
