streams: what the archive says of streams counts before the list is asked

Cause: the streams of an archive were learnt only after the platform had answered what came and left since it was written. Streams that are named there were refused (LOST) wherever that second call failed.

Which version began a named stream doesn't depend on the list, so nothing is joined by it.

--- a/crates/daemon/tests/route/hushed_daemons.rs
+++ b/crates/daemon/tests/route/hushed_daemons.rs
@@ -52,3 +52,20 @@
     println!("{taken_up:?}");
     taken_up.assert_all_whole();
 }
+
+/// Guards against an archive that isn't used since it can't be told what came after it.
+#[gtest]
+#[tokio::test]
+async fn streams_refused_since_the_list_of_endpoints_is_refused() {
+    let mut bench = start(2, &TWO).await;
+    let begun = begin(&bench, 0).await;
+    while !bench.store.has("streams", "fleet") {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // The archive is written twice a second.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    restart_all(&mut bench).await;
+    bench.store.fail(Outage::Only("servers"));
+    let taken_up = finish(&bench, 0, &begun, "again").await;
+    taken_up.assert_all_whole();
+}
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -255,6 +255,8 @@
             Ok(())
         };
         client.list(wire::STREAMS, &self.copies, collect).await?;
+        // These hold whatever has come and gone since.
+        self.learn(&read.archives);
         let whole = kept.get(FLEET).copied();
         let is_followed = self
             .is_followed_since(client, &read.archives, whole)
@@ -263,6 +265,13 @@
         Ok(kept)
     }
 
+    fn learn(&self, archives: &[Archive]) {
+        let mut state = self.lock();
+        for (key, origin) in archives.iter().flat_map(Archive::streams) {
+            state.memory.learn(key, origin, now());
+        }
+    }
+
     /// Whether no endpoint has come and gone in the list since the last complete archive.
     ///
     /// # Errors
@@ -333,10 +342,6 @@
         let ignored = read.has_ignored.then_some(RecentBuild::UNKNOWN);
         let all: Vec<RecentBuild> = builds.iter().copied().chain(ignored).collect();
         self.placement.record_kept(&all, now());
-        let mut state = self.lock();
-        for (key, origin) in archives.iter().flat_map(Archive::streams) {
-            state.memory.learn(key, origin, now());
-        }
-        state.archived.record(builds, called_at);
+        self.lock().archived.record(builds, called_at);
     }
 }
