streams: the archive and the changes are read side by side

Cause: for a stream that nobody remembers a daemon made up to four calls in turn: the archive, what came since, the changes of the list, those of the configuration. At a platform that answers late that took most of the time for which a take-up isn't refused, and beside a silent one a round took 900 ms, each of three calls waiting for its 300 ms.

--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -34,7 +34,7 @@
 /// Time for which the platform holds a call for what has changed.
 const NO_HOLD: Millis = Millis(1);
 /// The same after one that the platform didn't answer.
-const UNANSWERED_INTERVAL: Millis = Millis(150);
+const UNANSWERED_INTERVAL: Millis = Millis(60);
 /// Name of the object of a small fleet, which has no hubs for each data centre.
 pub(super) const FLEET: &str = "fleet";
 /// Name of the object with the streams that began since that one was written.
@@ -45,7 +45,10 @@
 /// Reads the archive, and what has changed in the list and the configuration, for requests.
 #[derive(Debug)]
 pub(super) struct Reader {
-    client: CountedClient,
+    /// Calls for what the platform keeps of streams.
+    kept: CountedClient,
+    /// Calls for what has changed.
+    changes: CountedClient,
     /// When they may be read again.
     next_read: Millis,
     archive: Attempts,
@@ -115,7 +118,8 @@
 impl Reader {
     pub(super) fn new(platform: SocketAddr, eras: &Arc<Eras>, metrics: &Arc<Metrics>) -> Self {
         Self {
-            client: counted(platform, eras, metrics),
+            kept: counted(platform, eras, metrics),
+            changes: counted(platform, eras, metrics),
             next_read: Millis::ZERO,
             archive: Attempts::default(),
             list: Attempts::default(),
@@ -180,25 +184,32 @@
         }
     }
 
+    /// Reads the archive and the changes side by side, since each answer may take long.
     async fn read_all(&self, reader: &mut Reader, needs_archive: bool) -> Result<()> {
-        let archive = match needs_archive {
-            true => {
-                let called_at = now();
-                let loaded = self.load(&mut reader.client).await;
-                reader.archive.record(called_at, &loaded);
-                loaded.map(|_| ())
+        let called_at = now();
+        let kept = async {
+            match needs_archive {
+                true => {
+                    let loaded = self.load(&mut reader.kept).await;
+                    reader.archive.record(called_at, &loaded);
+                    loaded.map(|_| ())
+                }
+                false => Ok(()),
             }
-            false => Ok(()),
         };
-        let called_at = now();
-        let list = self.read_changes(Kind::Endpoints, &mut reader.client).await;
-        reader.list.record(called_at, &list);
-        let called_at = now();
-        let configuration = self
-            .read_changes(Kind::Configuration, &mut reader.client)
-            .await;
-        reader.configuration.record(called_at, &configuration);
-        archive.and(list).and(configuration)
+        let changes = async {
+            let list = self.read_changes(Kind::Endpoints, &mut reader.changes);
+            let list = list.await;
+            reader.list.record(called_at, &list);
+            list?;
+            let called_at = now();
+            let configuration = self.read_changes(Kind::Configuration, &mut reader.changes);
+            let configuration = configuration.await;
+            reader.configuration.record(called_at, &configuration);
+            configuration
+        };
+        let (kept, changes) = tokio::join!(kept, changes);
+        kept.and(changes)
     }
 
     /// Reads what has changed in objects of a kind since the revision that their copy has reached.
