streams: the youngest ones go on after a second loss of all daemons

Cause (LOST): after all daemons had started again, streams weren't kept as they began, for two reasons. The daemon that writes the archive wrote nothing in the first second after its start. And where it listed one version it wrote no tail, nor did first events wait, although the archive still named the version that had left: taken up after a second loss, such streams can't be concluded to be of the only one.

Now small fleets begin to write after 250 ms (daemons on one machine heard of each other within 40 ms; a conflict is resolved by reading again).

--- a/crates/core/src/routing/streams/history.rs
+++ b/crates/core/src/routing/streams/history.rs
@@ -1,6 +1,6 @@
 //! The software versions that serve in each pool, and those that served lately.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use derive_more::Debug;
 
@@ -121,6 +121,13 @@
         self
     }
 
+    /// Whether several versions of one pool may have served within that time.
+    pub fn may_have_several(&self) -> bool {
+        let mut pools = self.recent.iter().map(|build| build.pool);
+        let mut seen = HashSet::new();
+        !self.is_complete || pools.any(|pool| pool.is_none() || !seen.insert(pool))
+    }
+
     /// Whether a version served lately.
     pub fn has(&self, origin: Origin) -> bool {
         self.recent.iter().any(|recent| recent.origin == origin)
--- a/crates/daemon/tests/route/left.rs
+++ b/crates/daemon/tests/route/left.rs
@@ -62,6 +62,20 @@
     check(DAEMONS, &[&one, &V2, &RETURN], &[]).await;
 }
 
+/// Guards against refusals of the youngest streams where all daemons end again soon after they came
+/// back to the one version that is left, while the archive still names the other one.
+#[tokio::test]
+async fn the_youngest_streams_go_on_after_a_second_loss_of_all_daemons() {
+    let replaced = [&[Wait(2000)][..], &V2, &[Leave("v1"), Wait(1000)]].concat();
+    for passed in [500, 1000] {
+        let begun = [Wait(passed), BeginAndPowerOff];
+        let steps = [&replaced[..], &RESTART, &begun, &RETURN].concat();
+        let outcome = play_at(DAEMONS, &steps).await;
+        outcome.assert_none_joined();
+        outcome.assert_half_go_on("v2");
+    }
+}
+
 /// Guards against joins of what began while the platform answered nothing.
 #[tokio::test]
 async fn streams_begun_in_an_outage_of_the_platform_are_not_joined() {
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -272,6 +272,11 @@
         builds_to_keep(self.seen_builds(), archived)
     }
 
+    /// Whether streams of some pool may be of several versions, for all that is known here.
+    fn may_have_several(&self) -> bool {
+        self.placement.has_several_builds(now()) || self.builds_to_keep().may_have_several()
+    }
+
     fn has_fresh_list(&self) -> bool {
         let age = self.copies.age(Kind::Endpoints, now());
         age.is_some_and(|age| age <= FRESH_LIST)
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -33,7 +33,9 @@
 /// the last one.
 const MAX_WRITE_INTERVAL: Millis = Millis::from_secs(5);
 /// Time since the start of the process after which daemons agree on who is a hub.
-const SETTLE_TIME: Millis = Millis(1000);
+const SETTLE_TIME: Millis = Millis(250);
+/// The same in a large fleet.
+const LARGE_SETTLE_TIME: Millis = Millis(1000);
 /// Age up to which streams are kept; most end sooner.
 const KEPT: Millis = Millis::from_secs(12);
 
@@ -139,16 +141,32 @@
 
     /// Whether streams are written as they begin.
     fn has_tail(&self) -> bool {
-        let streams = &self.shared.streams;
-        let is_large = streams.lock().is_large || streams.is_large_fleet();
         self.is_hub
             && self.loaded.is_some()
-            && !is_large
-            && self.shared.placement.has_several_builds(now())
+            && !self.is_large()
+            && self.shared.streams.may_have_several()
+    }
+
+    /// Time until daemons agree on who is a hub.
+    fn unsettled(&self) -> Millis {
+        let settled = match self.is_large() {
+            true => LARGE_SETTLE_TIME,
+            false => SETTLE_TIME,
+        };
+        settled.since(now())
+    }
+
+    fn is_large(&self) -> bool {
+        let streams = &self.shared.streams;
+        streams.lock().is_large || streams.is_large_fleet()
     }
 
     /// Time until the next step.
     fn pause(&self) -> Millis {
+        let unsettled = self.unsettled();
+        if unsettled > Millis::ZERO {
+            return unsettled;
+        }
         let left = self.whole.left(WRITE_INTERVAL);
         if self.has_conflict {
             return CHECK_INTERVAL;
@@ -162,7 +180,8 @@
 
     async fn step(&mut self) -> Result<()> {
         let roster = self.roster.snapshot();
-        let is_hub = roster.hubs.first() == Some(&roster.me) && now() >= SETTLE_TIME;
+        let is_first = roster.hubs.first() == Some(&roster.me);
+        let is_hub = is_first && self.unsettled() == Millis::ZERO;
         if std::mem::replace(&mut self.is_hub, is_hub) != is_hub {
             self.loaded = None;
             self.builds.clear();
@@ -283,7 +302,7 @@
             confirmations.set_writer(false);
             confirmations.is_noting()
         };
-        let is_needed = is_noting && shared.placement.has_several_builds(now());
+        let is_needed = is_noting && streams.may_have_several();
         if !is_needed || streams.is_large_fleet() || recorded(streams) <= self.note.recorded {
             return Ok(());
         }
