streams: first events of young daemons wait until the archive was read

Cause: after a return to one listed version a daemon's first events waited only once it had had a confirmation, so that the first streams at each daemon, all that begin together, went out before the platform had them.

A daemon that hasn't followed the list for 20 s, nor read an archive that leaves one version, now takes several for possible, so that its first events wait, or are noted, and by the note the archive is read. Where nothing was ever kept, no fleet has ended before, and nothing waits.

--- a/crates/core/src/routing/streams/archive.rs
+++ b/crates/core/src/routing/streams/archive.rs
@@ -134,6 +134,24 @@
     }
 }
 
+/// Whether streams of a pool, or of any, may have begun at several versions, by what a daemon saw and
+/// what was kept. Where nothing was ever kept, no fleet has ended before this one.
+pub fn may_have_several(
+    seen: BuildEvidence,
+    archived: Option<BuildEvidence>,
+    pool: Option<PoolHash>,
+) -> bool {
+    let is_new = archived.as_ref().is_some_and(|kept| kept.recent.is_empty());
+    let known = match is_new {
+        true => BuildEvidence {
+            is_complete: true,
+            ..seen
+        },
+        false => builds_to_keep(seen, archived),
+    };
+    known.may_have_several(pool)
+}
+
 /// Versions that the platform kept, as far as this process has read them.
 #[derive(Clone, Default)]
 #[derive(Debug)]
--- a/crates/core/src/routing/streams/history.rs
+++ b/crates/core/src/routing/streams/history.rs
@@ -121,11 +121,13 @@
         self
     }
 
-    /// Whether several versions of one pool may have served within that time.
-    pub fn may_have_several(&self) -> bool {
-        let mut pools = self.recent.iter().map(|build| build.pool);
+    /// Whether several versions of a pool, or of any, may have served within that time.
+    pub fn may_have_several(&self, pool: Option<PoolHash>) -> bool {
+        let is_looked_for =
+            |build: &&RecentBuild| pool.is_none_or(|pool| build.pool.is_none_or(|own| own == pool));
+        let mut builds = self.recent.iter().filter(is_looked_for);
         let mut seen = HashSet::new();
-        !self.is_complete || pools.any(|pool| pool.is_none() || !seen.insert(pool))
+        !self.is_complete || builds.any(|build| build.pool.is_none() || !seen.insert(build.pool))
     }
 
     /// Whether a version served lately.
--- a/crates/core/src/routing/view/streams.rs
+++ b/crates/core/src/routing/view/streams.rs
@@ -87,12 +87,6 @@
         self.directory.builds().has_several(now)
     }
 
-    /// Whether streams may have begun at several software versions of this pool.
-    pub fn has_several_in(&self, pool: &PoolId, now: Millis) -> bool {
-        let mut recent = self.directory.builds().recent(pool, now);
-        recent.nth(1).is_some()
-    }
-
     /// Time since a software version was listed, if it is new.
     pub fn new_for(&self, pool: &PoolId, build: &Build, now: Millis) -> Option<Millis> {
         self.directory.builds().new_for(pool, build, now)
--- a/crates/router/src/placement/streams.rs
+++ b/crates/router/src/placement/streams.rs
@@ -66,11 +66,6 @@
         self.lock().has_several_builds(now)
     }
 
-    /// Whether streams may have begun at several software versions of this pool.
-    pub fn has_several_in(&self, pool: &PoolId, now: Millis) -> bool {
-        self.lock().has_several_in(pool, now)
-    }
-
     /// Time since a software version was listed, if it is new.
     pub fn new_for(&self, pool: &PoolId, build: &Build, now: Millis) -> Option<Millis> {
         self.lock().new_for(pool, build, now)
--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -12,14 +12,16 @@
 use derive_more::Debug;
 use medlarrill_core::ids::PoolId;
 use medlarrill_core::routing::endpoint::Build;
-use medlarrill_core::routing::streams::archive::{ArchivedBuilds, builds_to_keep};
+use medlarrill_core::routing::streams::archive::{
+    ArchivedBuilds, builds_to_keep, may_have_several,
+};
 use medlarrill_core::routing::streams::begun::BegunStreams;
 use medlarrill_core::routing::streams::history::{BuildEvidence, FRESH_LIST};
 use medlarrill_core::routing::streams::holders::Holders;
 use medlarrill_core::routing::streams::lookup::{Place, Reply};
 use medlarrill_core::routing::streams::memory::StreamMemory;
 use medlarrill_core::routing::streams::message::{Answer, Began, Message, Question};
-use medlarrill_core::routing::streams::{Origin, StreamKey};
+use medlarrill_core::routing::streams::{Origin, PoolHash, StreamKey};
 use medlarrill_net::now::now;
 use medlarrill_platform::store::Kind;
 use tokio::sync::{Notify, mpsc};
@@ -272,9 +274,12 @@
         builds_to_keep(self.seen_builds(), archived)
     }
 
-    /// Whether streams of some pool may be of several versions, for all that is known here.
-    fn may_have_several(&self) -> bool {
-        self.placement.has_several_builds(now()) || self.builds_to_keep().may_have_several()
+    /// Whether streams of a pool, or of any, may have begun at several versions.
+    fn may_have_several(&self, pool: Option<&PoolId>) -> bool {
+        let seen = self.placement.build_evidence(now());
+        let from = self.placement.archive_from();
+        let archived = self.lock().archived.evidence(from, now());
+        may_have_several(seen, archived, pool.map(PoolHash::from))
     }
 
     fn has_fresh_list(&self) -> bool {
--- a/crates/router/src/streams/confirm.rs
+++ b/crates/router/src/streams/confirm.rs
@@ -12,7 +12,6 @@
 use medlarrill_core::ids::PoolId;
 use medlarrill_core::routing::streams::StreamKey;
 use medlarrill_core::routing::streams::message::{Kept, Message};
-use medlarrill_net::now::now;
 use tokio::sync::oneshot;
 
 use super::{MAX_JOINED, Streams};
@@ -22,9 +21,6 @@
 const CONFIRM_TIMEOUT: Millis = Millis(60);
 /// The same for a note of this daemon, where the daemon that writes the archive doesn't answer.
 const NOTE_TIMEOUT: Millis = Millis(50);
-/// Time since a confirmation for which the daemon that writes the archive is taken to know of
-/// versions that this one doesn't list.
-const KEPT_LATELY: Millis = Millis::from_secs(2);
 /// Maximum number of streams that wait to be written; of later ones nobody is told.
 const MAX_UNWRITTEN: usize = 4096;
 
@@ -45,8 +41,6 @@
     is_writer: bool,
     /// Whether this daemon notes its own streams, since no other one confirms them.
     is_noting: bool,
-    /// When another daemon last confirmed a stream.
-    kept_at: Option<Millis>,
     /// Whether the last event waited in vain, and no stream was confirmed since.
     is_silent: bool,
 }
@@ -146,8 +140,7 @@
     /// Expects the confirmation of a stream that is about to be recorded; none where the platform
     /// isn't needed for it, or doesn't answer.
     pub(super) fn expect_kept(&self, key: StreamKey, pool: &PoolId) -> Option<Confirmation<'_>> {
-        let has_several = self.placement.has_several_in(pool, now());
-        if !has_several && !self.is_written_at_once() {
+        if !self.may_have_several(Some(pool)) {
             return None;
         }
         let mut state = self.lock();
@@ -167,18 +160,6 @@
         })
     }
 
-    /// Whether streams are written as they begin though this daemon lists one version.
-    fn is_written_at_once(&self) -> bool {
-        let (is_writer, kept_at) = {
-            let confirmations = &self.lock().confirmations;
-            (confirmations.is_writer, confirmations.kept_at)
-        };
-        match is_writer {
-            true => self.may_have_several(),
-            false => kept_at.is_some_and(|at| now().since(at) < KEPT_LATELY),
-        }
-    }
-
     /// Writes a stream that no other daemon confirms, and those that begin later.
     fn note(&self, key: StreamKey) {
         let mut state = self.lock();
@@ -192,7 +173,6 @@
     pub(super) fn receive_kept(&self, kept: &Kept) {
         let mut state = self.lock();
         state.confirmations.is_noting = false;
-        state.confirmations.kept_at = Some(now());
         state.confirmations.confirm(kept.streams());
     }
 
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -144,7 +144,7 @@
         self.is_hub
             && self.loaded.is_some()
             && !self.is_large()
-            && self.shared.streams.may_have_several()
+            && self.shared.streams.may_have_several(None)
     }
 
     /// Time until daemons agree on who is a hub.
@@ -302,7 +302,7 @@
             confirmations.set_writer(false);
             confirmations.is_noting()
         };
-        let is_needed = is_noting && streams.may_have_several();
+        let is_needed = is_noting && streams.may_have_several(None);
         if !is_needed || streams.is_large_fleet() || recorded(streams) <= self.note.recorded {
             return Ok(());
         }
