--- a/crates/daemon/tests/route.rs
+++ b/crates/daemon/tests/route.rs
@@ -37,6 +37,7 @@
     mod setup;
     mod silence;
     mod silence_play;
+    mod stand_ins;
     mod stop;
     mod store;
     mod tunnel;
