streams: a process is asked when it started before a stream goes on there

A stream that was taken up went to whichever process had the endpoint's id and address. Only news of lost connections told that it might be another one, of another software version: none if no daemon had a request there, for 3 s only, and withdrawn where a daemon lost several endpoints at once.

Endpoints say in their reports (GET /report) when they started. A request that is bound to a version is now sent only on a connection whose process told the start that is listed; it is asked once for each connection. Otherwise the attempt fails as `unconfirmed`: nothing was sent, the next endpoint of the version is tried, nothing is taken from the budget of retries. Endpoints that list a start and have never reported it are used as before, by news of lost connections alone.

New ones: all streams go on beside a replaced endpoint, at endpoints that tell the listed start, and at endpoints that tell none. `same_id` keeps endpoints that tell none.

--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -16,6 +16,9 @@
     /// nothing was sent.
     #[display("cut-off")]
     CutOff,
+    /// The endpoint's process isn't known to be the one that is listed; nothing was sent.
+    #[display("unconfirmed")]
+    Unconfirmed,
     /// The endpoint is full or busy and states that it didn't run the request.
     #[display("rejected")]
     Rejected,
@@ -58,21 +61,30 @@
     /// Whether the request ran, as far as the fault shows.
     pub const fn outcome(self) -> Outcome {
         match self {
-            Self::NotSent | Self::CutOff | Self::Rejected | Self::OtherEndpoint => Outcome::NotRun,
+            Self::NotSent
+            | Self::CutOff
+            | Self::Unconfirmed
+            | Self::Rejected
+            | Self::OtherEndpoint => Outcome::NotRun,
             Self::Failed | Self::Cut => Outcome::Ran,
             Self::Lost | Self::Foreign | Self::Slow | Self::NoEvent => Outcome::Unknown,
         }
     }
 
     /// Whether the fault counts against the endpoint's health: not if it couldn't be reached from
-    /// here, and not if it is full, which its reported load shows.
+    /// here or isn't the one that was meant, and not if it is full, which its reported load shows.
     pub const fn is_failure(self) -> bool {
         !matches!(
             self,
-            Self::NotSent | Self::CutOff | Self::Rejected | Self::OtherEndpoint
+            Self::NotSent | Self::CutOff | Self::Unconfirmed | Self::Rejected | Self::OtherEndpoint
         )
     }
 
+    /// Whether nothing was sent to the endpoint, though others may be reached.
+    pub const fn is_unsent(self) -> bool {
+        matches!(self, Self::NotSent | Self::Unconfirmed)
+    }
+
     /// Whether the connection was lost while the endpoint had the request, as happens when the
     /// endpoint's process ends.
     pub const fn is_loss(self) -> bool {
@@ -84,6 +96,7 @@
         match self {
             Self::NotSent => "not-sent",
             Self::CutOff => "cut-off",
+            Self::Unconfirmed => "unconfirmed",
             Self::Rejected => "rejected",
             Self::OtherEndpoint => "other-endpoint",
             Self::Lost => "lost",
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -23,8 +23,8 @@
 /// Maximum number of retries after attempts that certainly didn't run; these don't count towards
 /// the route's limit.
 const MAX_UNRUN: u32 = 2;
-/// The same for attempts to which no connection could be made: they cost the endpoint nothing, and a
-/// request that may run only once finds out by a new connection that an endpoint has ended.
+/// The same for attempts that weren't sent: they cost the endpoint nothing, and a request that may run
+/// only once finds out by a new connection that an endpoint has ended.
 const MAX_UNSENT: u32 = 3;
 /// Minimum time left for a retry to be useful: about a round trip and a short run.
 const MIN_TIME_LEFT: Millis = Millis(40);
@@ -72,7 +72,7 @@
     /// Endpoints that ran it, or may have, those included where it runs now.
     possibly_run: u32,
     sent: u32,
-    /// Attempts to which no connection could be made.
+    /// Attempts that weren't sent.
     unsent: u32,
     tried: Vec<InstanceId>,
     in_flight: Vec<InFlight>,
@@ -266,7 +266,7 @@
     ) -> Next {
         self.record_end(endpoint, fault);
         let late = self.deadline.since(now) < MIN_TIME_LEFT;
-        if !late && self.may_retry(fault) && (fault == Fault::NotSent || spend()) {
+        if !late && self.may_retry(fault) && (fault.is_unsent() || spend()) {
             return Next::Retry;
         }
         Next::GiveUp(self.refusal(late))
@@ -279,7 +279,7 @@
             self.take_in_flight(endpoint)
         });
         let ran_before = awaited.is_some_and(|awaited| awaited.ran_before);
-        self.unsent += u32::from(fault == Fault::NotSent && !ran_before);
+        self.unsent += u32::from(fault.is_unsent() && !ran_before);
         if fault.outcome() == Outcome::NotRun && !ran_before {
             self.possibly_run -= 1;
         }
--- a/crates/core/tests/routing/plan.rs
+++ b/crates/core/tests/routing/plan.rs
@@ -14,8 +14,9 @@
 
 use super::support::{id, route};
 
-const FAULTS: [Fault; 8] = [
+const FAULTS: [Fault; 9] = [
     Fault::NotSent,
+    Fault::Unconfirmed,
     Fault::Rejected,
     Fault::OtherEndpoint,
     Fault::Lost,
@@ -179,3 +180,12 @@
     expect_that!(plan.has_tried(&id("b")), eq(false));
     expect_that!(plan.has_tried(&id("c")), eq(true));
 }
+
+#[gtest]
+fn an_attempt_at_an_unconfirmed_process_takes_nothing_from_the_budget() {
+    let mut plan = plan(RetryPolicy::Resume, 2);
+    for endpoint in ["a", "b", "c"] {
+        let next = plan.record_failure(&id(endpoint), Fault::Unconfirmed, || false, Millis(0));
+        expect_that!(next, eq(Next::Retry), "{endpoint}");
+    }
+}
--- a/crates/daemon/tests/route/left_ids.rs
+++ b/crates/daemon/tests/route/left_ids.rs
@@ -1,14 +1,29 @@
 //! Endpoints that are replaced under their ids by another version where no daemon sees it in time.
 
-use super::same_id::{DAEMONS, read_all, replace, start};
+use googletest::prelude::*;
+use medlarrill_platform_standin::Endpoint;
+
+use super::same_id::{BORN, DAEMONS, read_all, replace, start};
 use super::setup::Bench;
 use super::versions::{Part, STREAMS, begin, finish};
 
-/// No stream goes on at another version than v1 or v2, whichever began it.
+/// Daemons before endpoints of these versions, which tell when they started if they are asked.
+async fn start_telling(builds: &[&'static str]) -> Bench {
+    let bench = start(builds).await;
+    let endpoints = bench.endpoints.iter();
+    endpoints.for_each(|endpoint| endpoint.tell_start(BORN));
+    bench
+}
+
+/// Streams of v1, which is gone, are refused, and those of v2 go on.
 async fn check(bench: &Bench, broken: &[(String, Part)]) {
+    let gone = broken.iter().filter(|(_, part)| part.builds() == ["v1"]);
+    let gone = gone.count();
     for daemon in 0..DAEMONS {
         let taken_up = finish(bench, daemon, broken, &format!("at-{daemon}")).await;
         taken_up.assert_none_wrong("v1 and v2");
+        assert_that!(taken_up.refused, eq(gone), "{taken_up:?}");
+        assert_that!(taken_up.whole, eq(broken.len() - gone), "{taken_up:?}");
     }
 }
 
@@ -30,7 +45,7 @@
 /// Guards against a process that is replaced while no daemon has a request there.
 #[tokio::test]
 async fn streams_are_not_joined_at_an_endpoint_that_was_replaced_unseen() {
-    let mut bench = start(&["v1", "v2"]).await;
+    let mut bench = start_telling(&["v1", "v2"]).await;
     let begun = begin(&bench, 0).await;
     // Longer than the streams are.
     Bench::pause(2500).await;
@@ -38,10 +53,22 @@
     check(&bench, &begun).await;
 }
 
+#[tokio::test]
+async fn streams_go_on_beside_an_endpoint_that_was_replaced_unseen() {
+    let mut bench = start_telling(&["v1", "v1", "v2"]).await;
+    let begun = begin(&bench, 0).await;
+    Bench::pause(2500).await;
+    replace(&mut bench, 1, "v2").await;
+    for daemon in 0..DAEMONS {
+        let taken_up = finish(&bench, daemon, &begun, &format!("at-{daemon}")).await;
+        taken_up.assert_all_whole();
+    }
+}
+
 /// Guards against an entry that is read later than a lost connection is remembered.
 #[tokio::test]
 async fn streams_are_not_joined_at_an_endpoint_that_is_listed_late() {
-    let mut bench = start(&["v1", "v2"]).await;
+    let mut bench = start_telling(&["v1", "v2"]).await;
     let broken = replace_amid(&mut bench, 1).await;
     Bench::pause(3500).await;
     check(&bench, &broken).await;
@@ -50,8 +77,31 @@
 /// Guards against a daemon that takes its own link for the cause.
 #[tokio::test]
 async fn streams_are_not_joined_where_several_endpoints_are_replaced_at_once() {
-    let mut bench = start(&["v1", "v1", "v1", "v2"]).await;
+    let mut bench = start_telling(&["v1", "v1", "v1", "v2"]).await;
     let broken = replace_amid(&mut bench, 3).await;
     Bench::pause(300).await;
     check(&bench, &broken).await;
 }
+
+#[tokio::test]
+async fn streams_go_on_at_endpoints_that_tell_the_start_that_is_listed() {
+    let bench = start_telling(&["v1", "v2"]).await;
+    let begun = begin(&bench, 0).await;
+    for daemon in 0..DAEMONS {
+        let taken_up = finish(&bench, daemon, &begun, &format!("at-{daemon}")).await;
+        taken_up.assert_all_whole();
+    }
+    let asked: u64 = bench.endpoints.iter().map(Endpoint::reports).sum();
+    assert_that!(asked, gt(0));
+}
+
+/// Where endpoints list a start and don't tell it, nothing shows that they are others.
+#[tokio::test]
+async fn streams_go_on_at_endpoints_that_do_not_tell_when_they_started() {
+    let bench = start(&["v1", "v2"]).await;
+    let begun = begin(&bench, 0).await;
+    for daemon in 0..DAEMONS {
+        let taken_up = finish(&bench, daemon, &begun, &format!("at-{daemon}")).await;
+        taken_up.assert_all_whole();
+    }
+}
--- a/crates/daemon/tests/route/same_id.rs
+++ b/crates/daemon/tests/route/same_id.rs
@@ -14,6 +14,9 @@
 
 pub const DAEMONS: usize = 3;
 
+/// When the first endpoints started, in milliseconds since the Unix epoch.
+pub const BORN: u64 = 1_700_000_000_000;
+
 pub fn slow(build: &'static str) -> Behaviour {
     Behaviour {
         pace: Duration::from_millis(120),
@@ -28,7 +31,7 @@
         let id = format!("e-{number}");
         bench.add_endpoint(&id, slow(build)).await;
         let mut entry = bench.endpoints[number].entry(POOL, "ready");
-        entry["born"] = (wall().0 - 60_000).into();
+        entry["born"] = BORN.into();
         bench.store.put("servers", &id, entry);
     }
     for number in 0..DAEMONS {
@@ -100,8 +103,12 @@
         let listener = bind_again(endpoint.address()).await;
         let id = format!("e-{number}");
         let next = Endpoint::on(listener, &id, bench.ledger.clone(), 0).await;
-        *endpoint = next.expect("an endpoint");
-        endpoint.behave(slow(build));
+        let next = next.expect("an endpoint");
+        next.behave(slow(build));
+        if endpoint.start_time().is_some() {
+            next.tell_start(wall().0);
+        }
+        *endpoint = next;
     }
 }
 
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -4,9 +4,11 @@
 mod heard;
 mod path_taken;
 mod paths;
+mod process;
 mod unread;
 
 pub use connections::{ConnectionPool, LeasedConnection, SendError, Sent, idle_limit};
 pub use path_taken::{PathTaken, Taken};
 pub use paths::Paths;
+pub use process::Demand;
 pub use unread::UnreadHeaders;
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -11,13 +11,14 @@
 use http_body_util::Full;
 use hyper::client::conn::TrySendError;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
+use medlarrill_core::routing::endpoint::{Endpoint, InstanceId, StartTime};
 use medlarrill_core::routing::proof::Proof;
 use medlarrill_net::now::{now, wall};
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use super::path_taken::{PathTaken, Taken};
 use super::paths::{ConnectError, Connected, Paths};
+use super::process::{Carrier, Demand, Inquiry, Verdict};
 use crate::guard::{GuardedBody, GuardedSender as Sender};
 use crate::tunnel::carried;
 
@@ -34,6 +35,8 @@
 /// Share of an endpoint's maximum number of connections that all daemons together may keep idle;
 /// the rest is for connections in use.
 const IDLE_SHARE: f64 = 0.5;
+/// New connections on which a process is asked when it started: endpoints close some after a response.
+const MAX_ASKED: usize = 2;
 
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, SendError>;
@@ -47,6 +50,12 @@
     /// This daemon is cut off from all endpoints; nothing was sent.
     #[display("not sent: {_0}")]
     CutOff(#[error(not(source))] String),
+    /// Another process than the one that is listed has the endpoint's id; nothing was sent.
+    #[display("not sent: the endpoint's process started at {_0}")]
+    Replaced(#[error(not(source))] StartTime),
+    /// The endpoint doesn't tell whether its process is the one that is listed; nothing was sent.
+    #[display("not sent: the endpoint's process doesn't tell when it started")]
+    Unproved,
     /// The connection failed after the request was passed to it.
     #[display("lost: {_0}")]
     Lost(#[error(not(source))] String),
@@ -54,8 +63,7 @@
 
 #[derive(Debug)]
 struct Idle {
-    #[debug(skip)]
-    sender: Sender,
+    carrier: Carrier,
     /// When its last response was read.
     since: Millis,
     until: Millis,
@@ -77,13 +85,13 @@
 pub struct ConnectionPool {
     idle: Arc<Mutex<Table>>,
     paths: Arc<Paths>,
+    inquiry: Arc<Inquiry>,
 }
 
 /// A connection in use by one request.
 #[derive(Debug)]
 pub struct LeasedConnection {
-    #[debug(skip)]
-    sender: Sender,
+    carrier: Carrier,
     pool: ConnectionPool,
     id: InstanceId,
     helper: Option<SocketAddr>,
@@ -113,6 +121,7 @@
                 cut_offs: 0,
             })),
             paths: Arc::new(paths),
+            inquiry: Arc::default(),
         }
     }
 
@@ -131,25 +140,29 @@
         &self,
         endpoint: &Endpoint,
         request: Request<Full<Bytes>>,
-        is_idempotent: bool,
+        demand: Demand,
         taken: &Taken,
     ) -> Result<Sent> {
         let mut request = request;
+        let is_idempotent = demand.is_idempotent;
         while self.paths.trusts_idle(is_idempotent)
-            && let Some(mut sender) = self.take_idle(&endpoint.id, is_idempotent)
+            && let Some(mut carrier) = self.take_idle(&endpoint.id, is_idempotent)
         {
             if !is_idempotent {
                 // Its task may not have read yet that the connection has ended.
                 tokio::task::yield_now().await;
-                if !sender.is_ready() {
+                if !carrier.sender.is_ready() {
                     continue;
                 }
             }
+            if demand.same_process && !self.confirm_idle(&mut carrier, endpoint).await? {
+                break;
+            }
             taken.set(Some(PathTaken::idle(self.paths.silence())));
             let sent_at = wall();
-            match self.send_idle(&mut sender, request).await {
+            match self.send_idle(&mut carrier.sender, request).await {
                 Ok(answer) => {
-                    let connection = self.lease(endpoint, sender, None);
+                    let connection = self.lease(endpoint, carrier, None);
                     return Ok(Sent {
                         answer,
                         connection,
@@ -166,7 +179,7 @@
                 },
             }
         }
-        self.send_new(endpoint, request, taken).await
+        self.send_new(endpoint, request, demand, taken).await
     }
 
     /// Sends a request on a new connection.
@@ -174,20 +187,19 @@
         &self,
         endpoint: &Endpoint,
         request: Request<Full<Bytes>>,
+        demand: Demand,
         taken: &Taken,
     ) -> Result<Sent> {
-        let connected = self.paths.connect(endpoint).await;
-        if connected.is_err() {
-            self.end_idle(&endpoint.id);
-        }
-        let (connected, path_taken) = connected?;
-        let mut sender = handshake(connected).await?;
+        let (mut carrier, path_taken) = match demand.same_process {
+            true => self.open_confirmed(endpoint).await?,
+            false => self.open(endpoint).await?,
+        };
         taken.set(Some(path_taken));
         let sent_at = wall();
-        match sender.try_send_request(request).await {
+        match carrier.sender.try_send_request(request).await {
             Ok(answer) => Ok(Sent {
                 answer,
-                connection: self.lease(endpoint, sender, path_taken.helper),
+                connection: self.lease(endpoint, carrier, path_taken.helper),
                 is_new: true,
                 sent_at,
             }),
@@ -202,6 +214,43 @@
         }
     }
 
+    /// Opens a connection.
+    async fn open(&self, endpoint: &Endpoint) -> Result<(Carrier, PathTaken)> {
+        let connected = self.paths.connect(endpoint).await;
+        if connected.is_err() {
+            self.end_idle(&endpoint.id);
+        }
+        let (connected, path_taken) = connected?;
+        Ok((Carrier::new(handshake(connected).await?), path_taken))
+    }
+
+    /// Opens a connection to the process that is listed, as far as that can be known.
+    async fn open_confirmed(&self, endpoint: &Endpoint) -> Result<(Carrier, PathTaken)> {
+        for _ in 0..MAX_ASKED {
+            let (mut carrier, path_taken) = self.open(endpoint).await?;
+            let verdict = self.inquiry.ask(&mut carrier, endpoint, true).await;
+            match (verdict, carrier.sender.is_ready()) {
+                (Verdict::Replaced(start), _) => return Err(SendError::Replaced(start)),
+                (Verdict::Same | Verdict::Unknown, true) => return Ok((carrier, path_taken)),
+                (Verdict::Unknown, false) => return self.open(endpoint).await,
+                (Verdict::Same, false) => {}
+                (Verdict::Unproved, _) => break,
+            }
+        }
+        Err(SendError::Unproved)
+    }
+
+    /// Whether an idle connection leads to the process that is listed, as far as that can be known,
+    /// and takes a request.
+    async fn confirm_idle(&self, carrier: &mut Carrier, endpoint: &Endpoint) -> Result<bool> {
+        let verdict = self.inquiry.ask(carrier, endpoint, false).await;
+        match verdict {
+            Verdict::Replaced(start) => Err(SendError::Replaced(start)),
+            Verdict::Same | Verdict::Unknown => Ok(carrier.sender.is_ready()),
+            Verdict::Unproved => Ok(false),
+        }
+    }
+
     /// Sends a request on an idle connection. It may be dead: if no endpoint is heard, this daemon
     /// finds out whether it is cut off while it waits.
     async fn send_idle(
@@ -221,11 +270,11 @@
     fn lease(
         &self,
         endpoint: &Endpoint,
-        sender: Sender,
+        carrier: Carrier,
         helper: Option<SocketAddr>,
     ) -> LeasedConnection {
         LeasedConnection {
-            sender,
+            carrier,
             pool: self.clone(),
             id: endpoint.id.clone(),
             helper,
@@ -234,7 +283,7 @@
 
     /// Takes the most recently used idle connection that is still usable; none if it isn't proof
     /// enough of the endpoint. It is closed then, since a new one takes its place.
-    fn take_idle(&self, id: &InstanceId, is_idempotent: bool) -> Option<Sender> {
+    fn take_idle(&self, id: &InstanceId, is_idempotent: bool) -> Option<Carrier> {
         let mut table = self.lock();
         let cut_offs = self.paths.cut_offs();
         if std::mem::replace(&mut table.cut_offs, cut_offs) != cut_offs {
@@ -244,14 +293,14 @@
         let idle = table.connections.get_mut(id)?;
         let now = now();
         while let Some(Idle {
-            sender,
+            carrier,
             since,
             until,
         }) = idle.pop()
         {
-            if now < until && sender.is_ready() {
+            if now < until && carrier.sender.is_ready() {
                 let is_proof = is_idempotent || proof.accepts(since, now);
-                return is_proof.then_some(sender);
+                return is_proof.then_some(carrier);
             }
         }
         None
@@ -271,7 +320,7 @@
             if !is_listed(id) {
                 return false;
             }
-            idle.retain(|idle| now < idle.until && !idle.sender.is_closed());
+            idle.retain(|idle| now < idle.until && !idle.carrier.sender.is_closed());
             !idle.is_empty()
         });
     }
@@ -328,13 +377,13 @@
     /// Returns the connection to the pool after the complete response was read, unless `limit`
     /// idle ones are there already.
     pub fn release(self, idle_timeout: Option<Millis>, limit: usize) {
-        if self.sender.is_closed() || self.helper.is_some() {
+        if self.carrier.sender.is_closed() || self.helper.is_some() {
             return;
         }
         let since = now();
         let until = since + (idle_timeout.unwrap_or(DEFAULT_IDLE) - IDLE_MARGIN);
         let idle = Idle {
-            sender: self.sender,
+            carrier: self.carrier,
             since,
             until,
         };
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -20,7 +20,7 @@
 use super::hedge::{Done, HedgedRequest};
 use super::request::RoutedRequest;
 use super::trace::Trace;
-use crate::endpoints::{LeasedConnection, PathTaken, Sent, Taken};
+use crate::endpoints::{Demand, LeasedConnection, PathTaken, SendError, Sent, Taken};
 use crate::guard::GuardedBody;
 use crate::placement::InFlight;
 
@@ -198,12 +198,22 @@
     let wait = plan.deadline().since(now()) + DEADLINE_GRACE;
     let taken = Taken::new(in_flight.sent_marker());
     let connections = &routed.shared.connections;
-    let sending = connections.send(endpoint, request, plan.is_idempotent(), &taken);
+    let demand = Demand {
+        is_idempotent: plan.is_idempotent(),
+        // Its software version is the one that is listed only if its process is.
+        same_process: plan.build().is_some(),
+    };
+    let sending = connections.send(endpoint, request, demand, &taken);
     let sent = tokio::time::timeout(wait.as_duration(), sending).await;
     let path_taken = taken.get();
     let result = match sent {
         Ok(Ok(sent)) => receive(routed, plan, sent, in_flight, endpoint).await,
-        Ok(Err(error)) => Err(error.into()),
+        Ok(Err(error)) => {
+            if matches!(error, SendError::Replaced(_)) {
+                routed.shared.placement.doubt(&endpoint.id, now());
+            }
+            Err(error.into())
+        }
         Err(_) if path_taken.is_none() => Err(FailedAttempt::new(
             Fault::NotSent,
             format!("not connected in {wait}"),
--- a/crates/router/src/entry/failed_attempt.rs
+++ b/crates/router/src/entry/failed_attempt.rs
@@ -66,6 +66,7 @@
         match error {
             SendError::NotSent(cause) => Self::new(Fault::NotSent, cause),
             SendError::CutOff(cause) => Self::new(Fault::CutOff, cause),
+            SendError::Replaced(_) | SendError::Unproved => Self::new(Fault::Unconfirmed, error),
             SendError::Lost(cause) => Self::new(Fault::Lost, cause),
         }
     }
--- a/crates/router/src/guard.rs
+++ b/crates/router/src/guard.rs
@@ -240,6 +240,15 @@
         Ok(response.map(|body| self.guard.deliver(body)))
     }
 
+    /// Waits until the connection takes a request.
+    ///
+    /// # Errors
+    ///
+    /// When it is closed.
+    pub async fn ready(&mut self) -> hyper::Result<()> {
+        self.sender.ready().await
+    }
+
     /// Whether the connection takes a request now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
