streams: an endpoint that came and left unseen counts for its own pool

What came and left while all daemons were down counted as a version that nobody knows, of any pool. By the platform's protocol an event of a watch has the object, and an object its contents, so that the removal tells the pool. Its last version is not taken for its only one, since an endpoint may start again under its id as another version; where a removal has no contents that can be read, it counts for all pools as before.

Without the unseen entry the second test fails.

--- a/crates/daemon/tests/route/left.rs
+++ b/crates/daemon/tests/route/left.rs
@@ -2,11 +2,12 @@
 //! daemons, in its outages, and in large fleets.
 
 use medlarrill_platform_standin::Outage;
+use serde_json::Value;
 
 use super::rejoined::Step::{
     self, Archived, Begin, BeginAndPowerOff, Come, Fail, Leave, PowerOff, PowerOn, Wait,
 };
-use super::rejoined::play_at;
+use super::rejoined::{play_at, power_on};
 use super::setup::{Bench, POOL};
 use super::versions::{begin, finish, start, take_up_unknown};
 
@@ -76,6 +77,40 @@
     }
 }
 
+/// Whether a stream that nobody remembers goes on after an entry came and left while all daemons were
+/// down: that of a listed endpoint, with another value in one field.
+async fn goes_on_after(field: &str, value: Value) -> bool {
+    let mut bench = start(DAEMONS, &["v1", "v1"]).await;
+    Bench::pause(2000).await;
+    bench.daemons.clear();
+    let mut entry = bench.endpoints[0].entry(POOL, "ready");
+    entry[field] = value;
+    bench.store.put("servers", "brief", entry);
+    bench.store.remove("servers", "brief");
+    power_on(&mut bench, DAEMONS).await;
+    let part = take_up_unknown(&bench, 1, 0).await;
+    part.builds() == ["v1"]
+}
+
+/// Guards against refusals in one pool because of an entry of another one that nobody saw.
+#[tokio::test]
+async fn streams_go_on_where_another_pool_had_an_entry_while_all_daemons_were_down() {
+    assert!(goes_on_after("service", "other".into()).await);
+    let unseen = [BeginAndPowerOff, Come("other", "w1"), Leave("w1")];
+    check(DAEMONS, &[&[Wait(2000)], &unseen, &RETURN], &["v1"]).await;
+}
+
+/// Guards against joins of what may have begun at an entry of the pool that nobody saw.
+#[tokio::test]
+async fn streams_do_not_go_on_where_their_pool_had_an_entry_while_all_daemons_were_down() {
+    assert!(!goes_on_after("version", "v2".into()).await);
+    // The pool of an entry that can't be decoded isn't known.
+    assert!(!goes_on_after("address", Value::Null).await);
+    let unseen = [&V2[..], &[BeginAndPowerOff, Leave("v2")]].concat();
+    let elsewhere = [Come("other", "w1"), Leave("w1")];
+    check(DAEMONS, &[&[Wait(2000)], &unseen, &elsewhere, &RETURN], &[]).await;
+}
+
 /// Guards against joins of what began while the platform answered nothing.
 #[tokio::test]
 async fn streams_begun_in_an_outage_of_the_platform_are_not_joined() {
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -269,10 +269,8 @@
         // These hold whatever has come and gone since.
         self.learn(&read.archives);
         let whole = kept.get(FLEET).copied();
-        let is_followed = self
-            .is_followed_since(client, &read.archives, whole)
-            .await?;
-        self.record_archives(&read, whole, is_followed, called_at);
+        let unseen = self.unseen_builds(client, &read.archives, whole).await?;
+        self.record_archives(&read, whole, unseen, called_at);
         Ok(kept)
     }
 
@@ -283,30 +281,36 @@
         }
     }
 
-    /// Whether no endpoint has come and gone in the list since the last complete archive.
+    /// The versions of endpoints that may have come and gone in the list since the last complete
+    /// archive.
     ///
     /// # Errors
     ///
     /// When the platform doesn't answer. Where its history is gone, this daemon's own list decides.
-    async fn is_followed_since(
+    async fn unseen_builds(
         &self,
         client: &mut CountedClient,
         archives: &[Archive],
         whole: Option<Revision>,
-    ) -> Result<bool> {
+    ) -> Result<Vec<RecentBuild>> {
         let complete = archives
             .iter()
             .filter(|kept| kept.is_in_force(whole) && kept.is_complete());
         let Some(seen) = complete.filter_map(|kept| kept.seen).max() else {
-            return Ok(false);
+            return Ok(vec![RecentBuild::UNKNOWN]);
         };
         let path = wire::watch_path(Kind::Endpoints, seen, NO_HOLD);
         match client.ask(&Call::get(path)).await {
             Ok(answer) => {
-                let has_unseen = wire::has_unseen_removal(&answer.body, seen);
-                has_unseen.map(|has| !has).map_err(CallError::Decode)
+                let removed = wire::unseen_removals(&answer.body, seen);
+                let removed = removed.map_err(CallError::Decode)?;
+                Ok(removed
+                    .iter()
+                    .map(|entry| unseen_build(entry.as_ref()))
+                    .collect())
             }
-            Err(error) if error.is_gone() => Ok(self.has_followed(seen)),
+            Err(error) if error.is_gone() && self.has_followed(seen) => Ok(Vec::new()),
+            Err(error) if error.is_gone() => Ok(vec![RecentBuild::UNKNOWN]),
             Err(error) => Err(error),
         }
     }
@@ -331,12 +335,12 @@
     }
 
     /// Records archives that were requested at `called_at`, when the fleet's was at `revision`.
-    /// Others than the versions that they name may have served unless the list was followed since.
+    /// Besides the versions that they name, these may have served unseen.
     fn record_archives(
         &self,
         read: &ReadArchives,
         revision: Option<Revision>,
-        is_followed: bool,
+        unseen: Vec<RecentBuild>,
         called_at: Millis,
     ) {
         let archives = &read.archives;
@@ -345,10 +349,12 @@
         let mut outdated = in_force.clone();
         let has_outdated = outdated.any(|archive| archive.is_outdated(latest));
         // What was written since the copy isn't there.
-        let may_lack = has_outdated || read.has_unreadable || !archives.is_empty() && !is_followed;
+        let may_lack = has_outdated || read.has_unreadable;
         let unknown = may_lack.then_some(RecentBuild::UNKNOWN);
+        // A fleet that starts for the first time has kept nothing.
+        let unseen = unseen.into_iter().filter(|_| !archives.is_empty());
         let builds = in_force.flat_map(Archive::builds);
-        let builds: Vec<RecentBuild> = builds.chain(unknown).collect();
+        let builds: Vec<RecentBuild> = builds.chain(unseen).chain(unknown).collect();
         // What is ignored was written by a fleet that began earlier.
         let ignored = read.has_ignored.then_some(RecentBuild::UNKNOWN);
         let all: Vec<RecentBuild> = builds.iter().copied().chain(ignored).collect();
@@ -356,3 +362,12 @@
         self.lock().archived.record(builds, called_at);
     }
 }
+
+/// Stands for the versions of an endpoint that came and went unseen. Its last version needn't be its
+/// only one: an endpoint may start again as another one under its id.
+fn unseen_build(entry: Option<&Object>) -> RecentBuild {
+    let listing = entry.and_then(|entry| objects::endpoint(entry).ok());
+    listing.map_or(RecentBuild::UNKNOWN, |listing| {
+        RecentBuild::unknown_of((&listing.endpoint.pool).into())
+    })
+}
