streams: why an archive may call itself complete where the list isn't fresh

A writer whose list lags writes an archive that calls itself complete. No test of it fails: the archive names the revision up to which that holds, and its readers ask what came since. No change of behaviour.

--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -265,7 +265,8 @@
         })
     }
 
-    /// The versions to keep on the platform, and whether no other ones may have served lately.
+    /// The versions to keep on the platform, and whether no other ones may have served lately. That
+    /// holds up to the revision that is kept with them, so that the list needn't be fresh.
     fn builds_to_keep(&self) -> BuildEvidence {
         let from = self.placement.archive_from();
         let archived = self.lock().archived.evidence(from, now());
