--- a/crates/router/src/streams/confirm.rs
+++ b/crates/router/src/streams/confirm.rs
@@ -32,7 +32,7 @@
 type Teller = Option<SocketAddr>;
 
 /// A stream that the platform doesn't have yet.
-pub(super) type Unwritten = (Teller, StreamKey);
+pub(super) type Unkept = (Teller, StreamKey);
 
 /// Streams that the platform doesn't have yet.
 #[derive(Debug, Default)]
@@ -40,7 +40,7 @@
     /// Those whose first events wait here.
     waiting: HashMap<StreamKey, oneshot::Sender<()>>,
     /// Those that this daemon is to write.
-    unwritten: Vec<Unwritten>,
+    unwritten: Vec<Unkept>,
     /// Whether this daemon writes the archive.
     is_writer: bool,
     /// Whether this daemon notes its own streams, since no other one confirms them.
@@ -74,12 +74,12 @@
     }
 
     /// The streams that are written now.
-    pub(super) fn take_unwritten(&mut self) -> Vec<Unwritten> {
+    pub(super) fn take_unwritten(&mut self) -> Vec<Unkept> {
         std::mem::take(&mut self.unwritten)
     }
 
     /// Takes streams back that weren't written.
-    pub(super) fn put_back(&mut self, unwritten: Vec<Unwritten>) {
+    pub(super) fn put_back(&mut self, unwritten: Vec<Unkept>) {
         self.unwritten.splice(0..0, unwritten);
         self.unwritten.truncate(MAX_UNWRITTEN);
     }
@@ -197,7 +197,7 @@
     }
 
     /// Confirms streams that this daemon has written to those that wait for them.
-    pub(super) fn confirm_written(&self, written: &[Unwritten]) {
+    pub(super) fn confirm_written(&self, written: &[Unkept]) {
         let mut by_teller: HashMap<Teller, Vec<StreamKey>> = HashMap::new();
         for (teller, key) in written {
             by_teller.entry(*teller).or_default().push(*key);
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -15,7 +15,7 @@
 
 use super::Streams;
 use super::archive::{FLEET, NOTE, TAIL, counted};
-use super::confirm::Unwritten;
+use super::confirm::Unkept;
 use crate::peers::Roster;
 use crate::shared::Shared;
 use crate::store::client::{CallError, Result};
@@ -331,7 +331,7 @@
         &self,
         builds: &BTreeSet<RecentBuild>,
         from: Millis,
-    ) -> (Archive, Vec<Unwritten>, Written) {
+    ) -> (Archive, Vec<Unkept>, Written) {
         let mut state = self.shared.streams.lock();
         let recent = state.memory.since(from, MAX_STREAMS);
         let archive = Archive::new(builds.iter().copied(), recent);
