--- a/crates/router/src/store.rs
+++ b/crates/router/src/store.rs
@@ -6,6 +6,7 @@
 //! takes effect in this daemon, and is sent to the daemons that follow it.
 
 mod apply;
+mod changes;
 pub mod client;
 mod copies;
 pub mod counted;
--- a/crates/router/src/store/direct.rs
+++ b/crates/router/src/store/direct.rs
@@ -7,7 +7,6 @@
 
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::backoff;
-use medlarrill_core::routing::mirror::Update;
 use medlarrill_core::routing::revision::{Era, Revision};
 use medlarrill_net::now::now;
 use medlarrill_platform::store::{self as wire, Call, Freshness, Kind};
@@ -245,24 +244,9 @@
         if answer.era != reached.era {
             return Ok(());
         }
-        let received = now();
-        let changes = wire::changes(&answer.body).map_err(CallError::Decode)?;
-        let changes = changes.in_era(answer.era);
-        let revision = Revision::new(answer.era, changes.revision);
-        self.store
-            .copies
-            .report_all_unreadable(self.kind, &changes.unreadable);
-        self.log_behind(revision);
-        let is_quiet = changes.changes.is_empty();
-        let update = Update {
-            complete: false,
-            changes: changes.changes,
-            revision,
-        };
-        self.store
-            .copies
-            .apply(self.kind, update, Some(received), received);
-        if !is_quiet {
+        let applied = self.store.copies.apply_answer(self.kind, &answer, now())?;
+        self.log_behind(applied.revision);
+        if !applied.is_quiet {
             self.collect().await;
         }
         Ok(())
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -7,7 +7,7 @@
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::exchange::LARGE_FLEET;
-use medlarrill_core::routing::mirror::{Object, Update};
+use medlarrill_core::routing::mirror::Object;
 use medlarrill_core::routing::revision::Revision;
 use medlarrill_core::routing::streams::archive::Archive;
 use medlarrill_core::routing::streams::history::RecentBuild;
@@ -226,18 +226,9 @@
         if answer.era != reached.era {
             return Err(CallError::OtherEra(answer.era));
         }
-        let changes = wire::changes(&answer.body).map_err(CallError::Decode)?;
-        let changes = changes.in_era(answer.era);
-        let copies = &self.copies;
-        copies.report_all_unreadable(kind, &changes.unreadable);
-        let update = Update {
-            complete: false,
-            changes: changes.changes,
-            revision: Revision::new(answer.era, changes.revision),
-        };
-        copies.apply(kind, update, Some(called_at), now());
+        self.copies.apply_answer(kind, &answer, called_at)?;
         // The copy may have been replaced meanwhile.
-        match copies.era(kind) {
+        match self.copies.era(kind) {
             Some(era) if era == answer.era => Ok(()),
             _ => Err(CallError::OtherEra(answer.era)),
         }
