router: streams of connections are wrapped by one type

The counters of bytes, the notices of bytes and of flushes each passed on all calls of a stream; now one wrapper does, and each says what it notices.

--- a/crates/router/src/endpoints/heard.rs
+++ b/crates/router/src/endpoints/heard.rs
@@ -9,7 +9,12 @@
 use derive_more::Debug;
 use medlarrill_core::clock::Millis;
 use medlarrill_net::now::now;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, ReadBuf};
+
+use crate::watched::{Watch, Watched};
+
+/// A watched connection.
+pub type Heard<S> = Watched<S, HeardAt>;
 
 /// When bytes last arrived on any of the watched connections.
 #[derive(Clone, Default)]
@@ -24,62 +29,22 @@
 
     /// Watches a connection.
     pub fn watch<S>(&self, stream: S) -> Heard<S> {
-        Heard {
-            stream,
-            at: self.clone(),
-        }
+        Watched::new(stream, self.clone())
     }
 }
 
-/// A watched connection.
-#[derive(Debug)]
-pub struct Heard<S> {
-    #[debug(skip)]
-    stream: S,
-    at: HeardAt,
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Heard<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+impl Watch for HeardAt {
+    fn poll_read<S: AsyncRead + Unpin>(
+        &mut self,
+        stream: &mut S,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = Pin::new(stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
-            self.at.0.store(now().0, Ordering::Relaxed);
+            self.0.store(now().0, Ordering::Relaxed);
         }
         read
     }
 }
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Heard<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[std::io::IoSlice<'_>],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
--- a/crates/router/src/entry/unwritten.rs
+++ b/crates/router/src/entry/unwritten.rs
@@ -3,7 +3,6 @@
 //! The HTTP library takes an answer whole and writes it as fast as the caller
 //! reads. It flushes the stream only when nothing is left to write.
 
-use std::io::{IoSlice, Result};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering};
@@ -12,11 +11,11 @@
 use bytes::Bytes;
 use derive_more::Debug;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::answer::{self, BrokenStream};
 use super::idle::IdleState;
 use crate::metrics::Metrics;
+use crate::watched::{Watch, Watched};
 
 /// The answers of one connection that aren't written yet.
 #[derive(Debug)]
@@ -55,18 +54,8 @@
     }
 
     /// Notices when the stream of the connection is flushed.
-    pub const fn watch<S>(self: Arc<Self>, stream: S) -> WatchedStream<S> {
-        WatchedStream {
-            stream,
-            unwritten: self,
-        }
-    }
-
-    fn record_flush(&self) {
-        let written = self.record_written();
-        if written > 0 && self.pending.load(Ordering::Relaxed) == 0 {
-            self.idle.set_idle();
-        }
+    pub const fn watch<S>(self: Arc<Self>, stream: S) -> Watched<S, Arc<Self>> {
+        Watched::new(stream, self)
     }
 
     /// Counts the answers that were taken as written; returns how many these are.
@@ -77,6 +66,15 @@
     }
 }
 
+impl Watch for Arc<Unwritten> {
+    fn record_flush(&self) {
+        let written = self.record_written();
+        if written > 0 && self.pending.load(Ordering::Relaxed) == 0 {
+            self.idle.set_idle();
+        }
+    }
+}
+
 impl Drop for Unwritten {
     fn drop(&mut self) {
         self.record_written();
@@ -119,7 +117,7 @@
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BrokenStream>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
         Pin::new(&mut self.body).poll_frame(context)
     }
 
@@ -131,62 +129,3 @@
         self.body.size_hint()
     }
 }
-
-/// The stream of a connection.
-#[derive(Debug)]
-pub struct WatchedStream<S> {
-    #[debug(skip)]
-    stream: S,
-    unwritten: Arc<Unwritten>,
-}
-
-impl<S> WatchedStream<S> {
-    /// The stream itself.
-    pub fn into_inner(self) -> S {
-        self.stream
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for WatchedStream<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for WatchedStream<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(context);
-        if flushed.is_ready() {
-            self.unwritten.record_flush();
-        }
-        flushed
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[IoSlice<'_>],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
--- a/crates/router/src/guard.rs
+++ b/crates/router/src/guard.rs
@@ -19,6 +19,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
+use crate::watched::{Watch, Watched};
+
 /// Counts what one connection reads between deliveries.
 #[derive(Clone)]
 #[derive(Debug)]
@@ -36,11 +38,11 @@
 
     /// Counts the bytes of the connection's stream.
     pub const fn watch<S>(self, stream: S) -> Guarded<S> {
-        Guarded {
-            stream,
+        let counter = ByteCounter {
             guard: self,
             head_due: None,
-        }
+        };
+        Watched::new(stream, counter)
     }
 
     /// Records that a head was delivered, whose body is this one.
@@ -57,21 +59,17 @@
 }
 
 /// A stream whose bytes are counted.
+pub type Guarded<S> = Watched<S, ByteCounter>;
+
+/// Counts the bytes of a stream.
 #[derive(Debug)]
-pub struct Guarded<S> {
-    #[debug(skip)]
-    stream: S,
+pub struct ByteCounter {
     guard: Guard,
     /// Fires when a head that has begun has to be complete.
     head_due: Option<Pin<Box<Sleep>>>,
 }
 
-impl<S> Guarded<S> {
-    /// The stream itself.
-    pub fn into_inner(self) -> S {
-        self.stream
-    }
-
+impl ByteCounter {
     /// Fails when a head that has begun isn't complete in time.
     fn poll_head(&mut self, context: &mut Context<'_>) -> Poll<Result<()>> {
         let Some(due) = self.guard.lock().head_due() else {
@@ -107,63 +105,33 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for Guarded<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+impl Watch for ByteCounter {
+    fn poll_read<S: AsyncRead + Unpin>(
+        &mut self,
+        stream: &mut S,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        let this = &mut *self;
-        let size = this.guard.lock().read_size().min(buffer.remaining());
+        let size = self.guard.lock().read_size().min(buffer.remaining());
         // Only initialized memory can be lent in part without unsafe code.
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(size));
-        let read = Pin::new(&mut this.stream).poll_read(context, &mut part);
+        let read = Pin::new(stream).poll_read(context, &mut part);
         let size = part.filled().len();
         if read.is_pending() {
-            return this.poll_head(context);
+            return self.poll_head(context);
         }
         ready!(read)?;
         let start = buffer.filled().len();
         buffer.advance(size);
         if size > 0 {
             let bytes = &buffer.filled()[start..];
-            let read = this.guard.lock().record_read(bytes, now());
+            let read = self.guard.lock().record_read(bytes, now());
             read.map_err(failed)?;
         }
         Poll::Ready(Ok(()))
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for Guarded<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[std::io::IoSlice<'_>],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
-
 /// A body each of whose parts is a delivery.
 #[derive(Debug)]
 pub struct GuardedBody {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod store;
 pub mod streams;
 pub mod tunnel;
+pub mod watched;
