quarantine: losses beside a reset of most connections are checked first

A daemon took its link for the cause only if three endpoints were lost with requests within 100 ms; callers are reset too, so that one or two remain, and several daemons add theirs up. A part that all requests of a class share, not answered yet at the new version, was quarantined there by three such losses, and the class went to the three endpoints of the old version.

Now direct connections are watched, idle ones too. Where three endpoints and more than are spared reset theirs within 100 ms, a loss counts against its request only if the endpoint can't be connected to 20 ms later. Doubts, health and news of losses are as before.

--- a/crates/core/src/routing/reach.rs
+++ b/crates/core/src/routing/reach.rs
@@ -9,6 +9,7 @@
 //! observes says nothing about the endpoints, so it isn't counted against them.
 
 mod helpers;
+mod resets;
 
 use std::collections::HashMap;
 
@@ -19,6 +20,7 @@
 use crate::routing::endpoint::InstanceId;
 
 pub use helpers::{HelpFailure, Helpers};
+pub use resets::Resets;
 
 /// Silence of all endpoints after which an idle connection isn't trusted with a request that may
 /// run only once: the request would be lost with it.
--- a/crates/core/tests/routing/reach.rs
+++ b/crates/core/tests/routing/reach.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::endpoint::InstanceId;
-use medlarrill_core::routing::reach::{HelpFailure, Helpers, Path, Reach, ReachChange};
+use medlarrill_core::routing::reach::{HelpFailure, Helpers, Path, Reach, ReachChange, Resets};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
@@ -157,6 +157,65 @@
     );
 }
 
+/// Resets of a daemon with a connection to each of some endpoints.
+fn connected(endpoints: usize) -> Resets {
+    let mut resets = Resets::default();
+    for number in 0..endpoints {
+        resets.record_opened(&endpoint(number));
+    }
+    resets
+}
+
+fn reset(resets: &mut Resets, endpoints: std::ops::Range<usize>, now: Millis) {
+    for number in endpoints {
+        resets.record_reset(&endpoint(number), now);
+        resets.record_closed(&endpoint(number));
+    }
+}
+
+#[test]
+fn a_link_that_resets_most_connections_is_known_though_they_ran_one_request() {
+    let mut resets = connected(10);
+    reset(&mut resets, 0..7, at(0));
+    assert_that!(resets.is_own(at(0)), eq(true));
+    assert_that!(resets.is_own(at(100)), eq(true));
+    assert_that!(resets.is_own(at(101)), eq(false));
+}
+
+#[test]
+fn endpoints_that_end_beside_as_many_others_are_not_taken_for_the_link() {
+    let mut resets = connected(10);
+    reset(&mut resets, 0..5, at(0));
+    assert_that!(resets.is_own(at(0)), eq(false));
+    // Nor are two that are all there are, or several that end one after the other.
+    let mut resets = connected(2);
+    reset(&mut resets, 0..2, at(0));
+    assert_that!(resets.is_own(at(0)), eq(false));
+    let mut resets = connected(10);
+    for number in 0..10 {
+        let now = at(60 * number as u64);
+        reset(&mut resets, number..number + 1, now);
+        assert_that!(resets.is_own(now), eq(false));
+    }
+}
+
+#[test]
+fn an_endpoint_with_connections_left_counts_as_reset_and_closed_ones_do_not_count() {
+    let mut resets = connected(8);
+    for number in 0..8 {
+        resets.record_opened(&endpoint(number));
+    }
+    // The link spares one of the two connections to each.
+    reset(&mut resets, 0..5, at(0));
+    assert_that!(resets.is_own(at(0)), eq(true));
+    let mut resets = connected(10);
+    for number in 3..8 {
+        resets.record_closed(&endpoint(number));
+    }
+    reset(&mut resets, 0..3, at(0));
+    assert_that!(resets.is_own(at(0)), eq(true));
+}
+
 fn daemon(centre: usize, number: usize) -> SocketAddr {
     let ip = [10, centre as u8, (number / 250) as u8, (number % 250) as u8];
     (ip, 7340).into()
--- a/crates/daemon/tests/route/isolated.rs
+++ b/crates/daemon/tests/route/isolated.rs
@@ -16,6 +16,10 @@
 const SETTLE: Duration = Duration::from_secs(1);
 /// First tries at one daemon in a second.
 const A_SECOND: usize = 25;
+/// Endpoints of which one link resets all connections at once.
+const ENDPOINTS: usize = 6;
+/// Times that this happens.
+const RESETS: usize = 8;
 /// Time in which a request is refused that can't be served.
 const AT_ONCE: Duration = Duration::from_millis(300);
 
@@ -180,6 +184,39 @@
     }
 }
 
+#[tokio::test]
+async fn a_request_that_runs_while_the_own_link_is_reset_is_not_quarantined() {
+    let site = Site::start(ENDPOINTS, 1, 2).await;
+    site.bench.behave(Behaviour {
+        pace: Duration::from_millis(100),
+        ..Behaviour::default()
+    });
+    let call = |name: String| Call::new(name, "/stream-once/x").with_body(b"again".as_slice());
+    for round in 0..RESETS {
+        // Leaves idle connections to most endpoints.
+        let warm = site
+            .first_tries(0, &format!("warm-{round}"), A_SECOND)
+            .await;
+        assert_that!(warm, is_empty());
+        let call = call(format!("reset-{round}"));
+        let (reply, ()) = tokio::join!(site.bench.send_to(0, &call), async {
+            Bench::pause(150).await;
+            site.paths[0].iter().for_each(|path| path.harm(Harm::Reset));
+            Bench::pause(50).await;
+            site.paths[0].iter().for_each(|path| path.harm(Harm::None));
+        });
+        assert_that!(reply.is_success(), eq(false), "{reply:?}");
+    }
+    for (number, daemon) in site.bench.daemons.iter().enumerate() {
+        assert_that!(daemon.lines_with("quarantine: begins"), is_empty());
+        let reply = site
+            .bench
+            .send_to(number, &call(format!("after-{number}")))
+            .await;
+        assert_that!(reply.is_success(), eq(true), "{reply:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_request_that_no_connection_could_be_made_for_has_truly_not_run() {
     let site = Site::start(1, 1, 1).await;
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -5,6 +5,7 @@
 mod path_taken;
 mod paths;
 mod unread;
+mod watched;
 
 pub use connections::{ConnectionPool, LeasedConnection, SendError, Sent, idle_limit};
 pub use path_taken::{PathTaken, Taken};
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -13,11 +13,13 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
 use medlarrill_core::routing::proof::Proof;
+use medlarrill_core::routing::reach::Resets;
 use medlarrill_net::now::{now, wall};
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use super::path_taken::{PathTaken, Taken};
 use super::paths::{ConnectError, Connected, Paths};
+use super::watched::{SharedResets, Watched};
 use crate::guard::{GuardedBody, GuardedSender as Sender};
 use crate::tunnel::carried;
 
@@ -77,6 +79,7 @@
 pub struct ConnectionPool {
     idle: Arc<Mutex<Table>>,
     paths: Arc<Paths>,
+    resets: SharedResets,
 }
 
 /// A connection in use by one request.
@@ -113,6 +116,7 @@
                 cut_offs: 0,
             })),
             paths: Arc::new(paths),
+            resets: Arc::new(Mutex::new(Resets::default())),
         }
     }
 
@@ -121,6 +125,12 @@
         &self.paths
     }
 
+    /// Whether connections that were lost at a time were reset by this daemon's own link.
+    pub fn is_link_reset(&self, lost_at: Millis) -> bool {
+        let resets = self.resets.lock().unwrap_or_else(PoisonError::into_inner);
+        resets.is_own(lost_at)
+    }
+
     /// Sends a request and waits for the head of the response; sets `taken` when the request is
     /// handed to a connection.
     ///
@@ -181,7 +191,7 @@
             self.end_idle(&endpoint.id);
         }
         let (connected, path_taken) = connected?;
-        let mut sender = handshake(connected).await?;
+        let mut sender = self.handshake(connected, &endpoint.id).await?;
         taken.set(Some(path_taken));
         let sent_at = wall();
         match sender.try_send_request(request).await {
@@ -218,6 +228,16 @@
         sending.await
     }
 
+    /// Starts HTTP on a connection to an endpoint.
+    async fn handshake(&self, connected: Connected, id: &InstanceId) -> Result<Sender> {
+        match connected {
+            Connected::Direct(stream) => {
+                start_http(Watched::new(stream, id.clone(), Arc::clone(&self.resets))).await
+            }
+            Connected::Tunnel(opened) => start_http(carried(opened.link)).await,
+        }
+    }
+
     fn lease(
         &self,
         endpoint: &Endpoint,
@@ -290,14 +310,6 @@
     }
 }
 
-/// Starts HTTP on a connection.
-async fn handshake(connected: Connected) -> Result<Sender> {
-    match connected {
-        Connected::Direct(stream) => start_http(stream).await,
-        Connected::Tunnel(opened) => start_http(carried(opened.link)).await,
-    }
-}
-
 async fn start_http(
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
 ) -> Result<Sender> {
--- a/crates/router/src/endpoints/heard.rs
+++ b/crates/router/src/endpoints/heard.rs
@@ -39,6 +39,13 @@
     at: HeardAt,
 }
 
+impl<S> Heard<S> {
+    /// The connection itself.
+    pub const fn get_ref(&self) -> &S {
+        &self.stream
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for Heard<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -199,6 +199,10 @@
     /// try, the retry budget isn't charged. What probably crashed its endpoint isn't tried again.
     pub async fn record_failure(&self, plan: &mut RetryPlan, failed: Failed<'_>) -> Decision {
         let Failed { id, fault, .. } = failed;
+        if fault.is_loss() {
+            // Connections that were reset at the same time are noticed first.
+            tokio::task::yield_now().await;
+        }
         self.record_fault(plan, failed, now());
         let placement = &self.shared.placement;
         let is_suspect = || fault.is_loss() && placement.is_prime_suspect(plan, id);
@@ -266,8 +270,8 @@
         }
     }
 
-    /// Connects to an endpoint that ended a response too early, to learn whether it is gone. If so,
-    /// it was lost with the request.
+    /// Connects to an endpoint that ended a response too early, or whose connection was reset with
+    /// many others, to learn whether it is gone. If so, it was lost with the request.
     fn check_endpoint(&self, plan: &RetryPlan, id: &InstanceId, began: Option<Millis>) {
         let Some(endpoint) = self.shared.placement.open_endpoint(id) else {
             return;
@@ -307,8 +311,13 @@
             placement.record_loss_sign(id, Sign::Lost, lost_at);
         }
         shared.placement.doubt(id, lost_at);
-        self.log_loss(plan, failed);
-        shared.placement.record_loss(plan, id, began, lost_at);
+        let is_link_reset = shared.connections.is_link_reset(lost_at);
+        self.log_loss(plan, failed, is_link_reset);
+        match is_link_reset {
+            // The endpoint counts as lost only if it can't be connected to any more.
+            true => self.check_endpoint(plan, id, began),
+            false => shared.placement.record_loss(plan, id, began, lost_at),
+        }
         let (shared, id) = (Arc::clone(shared), id.clone());
         tokio::spawn(async move {
             tokio::time::sleep(LOSS_WINDOW.as_duration()).await;
@@ -324,12 +333,12 @@
     }
 
     /// Logs what a lost endpoint counts against.
-    fn log_loss(&self, plan: &RetryPlan, failed: Failed<'_>) {
+    fn log_loss(&self, plan: &RetryPlan, failed: Failed<'_>, is_link_reset: bool) {
         let Failed { id, began, .. } = failed;
         let ran = began.map(|began| now().since(began).0);
         let causes = self.shared.placement.causes(plan, id).join(", ");
         log::info!(
-            target: "quarantine", request = self.call.attempt, endpoint:% = id, ran, causes;
+            target: "quarantine", request = self.call.attempt, endpoint:% = id, ran, is_link_reset, causes;
             "quarantine: endpoint lost with a request"
         );
     }
