--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -5,6 +5,7 @@
 mod path_taken;
 mod paths;
 mod process;
+mod resets;
 mod unread;
 
 pub use connections::{ConnectionPool, LeasedConnection, SendError, Sent, idle_limit};
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -13,12 +13,14 @@
 use medlarrill_core::clock::Millis;
 use medlarrill_core::routing::endpoint::{Endpoint, InstanceId, StartTime};
 use medlarrill_core::routing::proof::Proof;
+use medlarrill_core::routing::reach::Resets;
 use medlarrill_net::now::{now, wall};
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use super::path_taken::{PathTaken, Taken};
 use super::paths::{ConnectError, Connected, Paths};
 use super::process::{Carrier, Demand, Inquiry, Verdict};
+use super::resets::{Recorded, SharedResets};
 use crate::guard::{GuardedBody, GuardedSender as Sender};
 use crate::tunnel::carried;
 
@@ -86,6 +88,7 @@
     idle: Arc<Mutex<Table>>,
     paths: Arc<Paths>,
     inquiry: Arc<Inquiry>,
+    resets: SharedResets,
 }
 
 /// A connection in use by one request.
@@ -122,6 +125,7 @@
             })),
             paths: Arc::new(paths),
             inquiry: Arc::default(),
+            resets: Arc::new(Mutex::new(Resets::default())),
         }
     }
 
@@ -130,6 +134,12 @@
         &self.paths
     }
 
+    /// Whether connections that were lost at a time were reset by this daemon's own link.
+    pub fn is_link_reset(&self, lost_at: Millis) -> bool {
+        let resets = self.resets.lock().unwrap_or_else(PoisonError::into_inner);
+        resets.is_own(lost_at)
+    }
+
     /// Sends a request and waits for the head of the response; sets `taken` when the request is
     /// handed to a connection.
     ///
@@ -221,7 +231,10 @@
             self.end_idle(&endpoint.id);
         }
         let (connected, path_taken) = connected?;
-        Ok((Carrier::new(handshake(connected).await?), path_taken))
+        Ok((
+            Carrier::new(self.handshake(connected, &endpoint.id).await?),
+            path_taken,
+        ))
     }
 
     /// Opens a connection to the process that is listed, as far as that can be known.
@@ -267,6 +280,16 @@
         sending.await
     }
 
+    /// Starts HTTP on a connection to an endpoint.
+    async fn handshake(&self, connected: Connected, id: &InstanceId) -> Result<Sender> {
+        match connected {
+            Connected::Direct(stream) => {
+                start_http(Recorded::new(stream, id.clone(), Arc::clone(&self.resets))).await
+            }
+            Connected::Tunnel(opened) => start_http(carried(opened.link)).await,
+        }
+    }
+
     fn lease(
         &self,
         endpoint: &Endpoint,
@@ -339,14 +362,6 @@
     }
 }
 
-/// Starts HTTP on a connection.
-async fn handshake(connected: Connected) -> Result<Sender> {
-    match connected {
-        Connected::Direct(stream) => start_http(stream).await,
-        Connected::Tunnel(opened) => start_http(carried(opened.link)).await,
-    }
-}
-
 async fn start_http(
     stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
 ) -> Result<Sender> {
--- a/crates/router/src/watched.rs
+++ b/crates/router/src/watched.rs
@@ -37,6 +37,11 @@
         Self { stream, watch }
     }
 
+    /// The stream itself, borrowed.
+    pub const fn get_ref(&self) -> &S {
+        &self.stream
+    }
+
     /// The stream itself.
     pub fn into_inner(self) -> S {
         self.stream
