streams: they go on at an endpoint in doubt whose process tells that it lives

After a lost connection all daemons kept streams that are taken up from the instance for 3 s, though its process can tell whether it is the one that is listed. An endpoint that had only lost connections, the last one of its version, so got none of them: 0 of 16 went on, all 16 were refused (one run).

Such an instance is now the last choice for a request whose sender confirms processes; it is sent only once the process has told the listed start, also where no endpoint of the pool ever told it. Plans that confirm nothing still find no endpoint there.

The errors of sending move to a file of their own.

--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -81,6 +81,8 @@
     spare: Option<InstanceId>,
     /// The only software version at which it may run, once that is fixed.
     build: Option<Build>,
+    /// Whether processes are asked that may not be the ones that are listed.
+    confirms: bool,
 }
 
 impl RetryPlan {
@@ -102,9 +104,21 @@
             in_flight: Vec::new(),
             spare: None,
             build: None,
+            confirms: false,
         }
     }
 
+    /// Has processes asked, before it is sent, that may not be the ones that are listed.
+    pub fn with_confirmation(self) -> Self {
+        let confirms = true;
+        Self { confirms, ..self }
+    }
+
+    /// Whether it may be sent to an instance in doubt once that is confirmed.
+    pub const fn confirms(&self) -> bool {
+        self.confirms
+    }
+
     /// Sets the fingerprint of the request.
     pub fn with_fingerprint(self, fingerprint: Fingerprint) -> Self {
         self.with_causes(Causes::of_request(fingerprint))
--- a/crates/core/src/routing/view/choosing.rs
+++ b/crates/core/src/routing/view/choosing.rs
@@ -93,14 +93,15 @@
     ) -> Option<Choice> {
         let share = shared.map_or(0.0, |prefix| self.count_prefix(prefix));
         let paused = self.paused_builds(pool, plan, now);
-        let begins_resumable = plan.begins_resumable();
+        let avoids_doubts = plan.begins_resumable() || plan.build().is_some();
         let caution = Caution {
             refused,
             paused: &paused,
-            avoids_doubts: begins_resumable,
+            avoids_doubts,
         };
         let choice = self.pick_with(pool, shared, share, plan, caution, now);
-        if choice.is_some() || !begins_resumable {
+        let may_doubt = plan.begins_resumable() || plan.confirms();
+        if choice.is_some() || !avoids_doubts || !may_doubt {
             return choice;
         }
         let caution = Caution {
@@ -144,7 +145,7 @@
             plan,
             refused: caution.refused,
             paused: caution.paused,
-            doubts: (caution.avoids_doubts || plan.build().is_some()).then_some(&self.doubts),
+            doubts: caution.avoids_doubts.then_some(&self.doubts),
             shared,
             failures,
             now,
--- a/crates/core/src/routing/view/streams.rs
+++ b/crates/core/src/routing/view/streams.rs
@@ -25,6 +25,12 @@
         }
     }
 
+    /// Whether another process may have taken an instance's id: a stream goes on there only if the
+    /// process tells that it is the one that is listed.
+    pub fn is_in_doubt(&self, id: &InstanceId, now: Millis) -> bool {
+        self.doubts.contain(id, now)
+    }
+
     /// Ends this daemon's own doubt about an instance.
     pub fn trust(&mut self, id: &InstanceId) {
         self.doubts.trust(id);
--- a/crates/daemon/tests/route/left_ids.rs
+++ b/crates/daemon/tests/route/left_ids.rs
@@ -1,9 +1,9 @@
 //! Endpoints that are replaced under their ids by another version where no daemon sees it in time.
 
 use googletest::prelude::*;
-use medlarrill_platform_standin::Endpoint;
+use medlarrill_platform_standin::{Behaviour, Endpoint};
 
-use super::same_id::{BORN, DAEMONS, read_all, replace, start};
+use super::same_id::{BORN, DAEMONS, read_all, replace, slow, start};
 use super::setup::Bench;
 use super::versions::{Part, STREAMS, begin, finish};
 
@@ -105,3 +105,24 @@
         taken_up.assert_all_whole();
     }
 }
+
+/// Guards against refusals where the process of an endpoint that lost connections tells that it lives.
+#[tokio::test]
+async fn streams_go_on_at_an_endpoint_that_lost_connections_and_tells_its_start() {
+    let bench = start_telling(&["v1", "v2"]).await;
+    for (endpoint, build) in bench.endpoints.iter().zip(["v1", "v2"]) {
+        endpoint.behave(Behaviour {
+            cuts: 1.0,
+            ..slow(build)
+        });
+    }
+    let broken = read_all(&bench).await;
+    for (endpoint, build) in bench.endpoints.iter().zip(["v1", "v2"]) {
+        endpoint.behave(slow(build));
+    }
+    for daemon in 0..DAEMONS {
+        let taken_up = finish(&bench, daemon, &broken, &format!("at-{daemon}")).await;
+        taken_up.assert_none_wrong("v1 and v2");
+        assert_that!(taken_up.whole, eq(broken.len()), "{taken_up:?}");
+    }
+}
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -5,10 +5,12 @@
 mod path_taken;
 mod paths;
 mod process;
+mod send_error;
 mod unread;
 
-pub use connections::{ConnectionPool, LeasedConnection, SendError, Sent, idle_limit};
+pub use connections::{ConnectionPool, LeasedConnection, Sent, idle_limit};
 pub use path_taken::{PathTaken, Taken};
 pub use paths::Paths;
-pub use process::Demand;
+pub use process::{Confirmation, Demand};
+pub use send_error::SendError;
 pub use unread::UnreadHeaders;
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -6,19 +6,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use derive_more::{Debug, Display, Error};
+use derive_more::Debug;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::client::conn::TrySendError;
 use medlarrill_core::clock::Millis;
-use medlarrill_core::routing::endpoint::{Endpoint, InstanceId, StartTime};
+use medlarrill_core::routing::endpoint::{Endpoint, InstanceId};
 use medlarrill_core::routing::proof::Proof;
 use medlarrill_net::now::{now, wall};
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use super::path_taken::{PathTaken, Taken};
-use super::paths::{ConnectError, Connected, Paths};
-use super::process::{Carrier, Demand, Inquiry, Verdict};
+use super::paths::{Connected, Paths};
+use super::process::{Carrier, Confirmation, Demand, Inquiry, Verdict};
+use super::send_error::{Result, SendError};
 use crate::guard::{GuardedBody, GuardedSender as Sender};
 use crate::tunnel::carried;
 
@@ -38,29 +39,6 @@
 /// New connections on which a process is asked when it started: endpoints close some after a response.
 const MAX_ASKED: usize = 2;
 
-/// Result of sending a request.
-pub type Result<T> = std::result::Result<T, SendError>;
-
-/// Why no response head was received.
-#[derive(Debug, Display, Error)]
-pub enum SendError {
-    /// No connection could be made; nothing was sent.
-    #[display("not sent: {_0}")]
-    NotSent(#[error(not(source))] String),
-    /// This daemon is cut off from all endpoints; nothing was sent.
-    #[display("not sent: {_0}")]
-    CutOff(#[error(not(source))] String),
-    /// Another process than the one that is listed has the endpoint's id; nothing was sent.
-    #[display("not sent: the endpoint's process started at {_0}")]
-    Replaced(#[error(not(source))] StartTime),
-    /// The endpoint doesn't tell whether its process is the one that is listed; nothing was sent.
-    #[display("not sent: the endpoint's process doesn't tell when it started")]
-    Unproved,
-    /// The connection failed after the request was passed to it.
-    #[display("lost: {_0}")]
-    Lost(#[error(not(source))] String),
-}
-
 #[derive(Debug)]
 struct Idle {
     carrier: Carrier,
@@ -155,7 +133,10 @@
                     continue;
                 }
             }
-            if demand.same_process && !self.confirm_idle(&mut carrier, endpoint).await? {
+            let process = demand.process;
+            if process != Confirmation::Unneeded
+                && !self.confirm_idle(&mut carrier, endpoint, process).await?
+            {
                 break;
             }
             taken.set(Some(PathTaken::idle(self.paths.silence())));
@@ -190,9 +171,9 @@
         demand: Demand,
         taken: &Taken,
     ) -> Result<Sent> {
-        let (mut carrier, path_taken) = match demand.same_process {
-            true => self.open_confirmed(endpoint).await?,
-            false => self.open(endpoint).await?,
+        let (mut carrier, path_taken) = match demand.process {
+            Confirmation::Unneeded => self.open(endpoint).await?,
+            process => self.open_confirmed(endpoint, process).await?,
         };
         taken.set(Some(path_taken));
         let sent_at = wall();
@@ -225,10 +206,17 @@
     }
 
     /// Opens a connection to the process that is listed, as far as that can be known.
-    async fn open_confirmed(&self, endpoint: &Endpoint) -> Result<(Carrier, PathTaken)> {
+    async fn open_confirmed(
+        &self,
+        endpoint: &Endpoint,
+        process: Confirmation,
+    ) -> Result<(Carrier, PathTaken)> {
         for _ in 0..MAX_ASKED {
             let (mut carrier, path_taken) = self.open(endpoint).await?;
-            let verdict = self.inquiry.ask(&mut carrier, endpoint, true).await;
+            let verdict = self
+                .inquiry
+                .ask(&mut carrier, endpoint, process, true)
+                .await;
             match (verdict, carrier.sender.is_ready()) {
                 (Verdict::Replaced(start), _) => return Err(SendError::Replaced(start)),
                 (Verdict::Same | Verdict::Unknown, true) => return Ok((carrier, path_taken)),
@@ -242,8 +230,13 @@
 
     /// Whether an idle connection leads to the process that is listed, as far as that can be known,
     /// and takes a request.
-    async fn confirm_idle(&self, carrier: &mut Carrier, endpoint: &Endpoint) -> Result<bool> {
-        let verdict = self.inquiry.ask(carrier, endpoint, false).await;
+    async fn confirm_idle(
+        &self,
+        carrier: &mut Carrier,
+        endpoint: &Endpoint,
+        process: Confirmation,
+    ) -> Result<bool> {
+        let verdict = self.inquiry.ask(carrier, endpoint, process, false).await;
         match verdict {
             Verdict::Replaced(start) => Err(SendError::Replaced(start)),
             Verdict::Same | Verdict::Unknown => Ok(carrier.sender.is_ready()),
@@ -330,15 +323,6 @@
     }
 }
 
-impl From<ConnectError> for SendError {
-    fn from(error: ConnectError) -> Self {
-        match error {
-            ConnectError::Unreachable(cause) => Self::NotSent(cause),
-            ConnectError::CutOff(cause) => Self::CutOff(cause),
-        }
-    }
-}
-
 /// Starts HTTP on a connection.
 async fn handshake(connected: Connected) -> Result<Sender> {
     match connected {
--- a/crates/router/src/endpoints/process.rs
+++ b/crates/router/src/endpoints/process.rs
@@ -31,7 +31,19 @@
     /// Whether the request may run twice.
     pub is_idempotent: bool,
     /// Whether only the process that is listed may run it.
-    pub same_process: bool,
+    pub process: Confirmation,
+}
+
+/// Whether the process at the other end of a connection has to be the one that is listed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
+pub enum Confirmation {
+    /// Any process of the endpoint's id will do.
+    Unneeded,
+    /// It has to be, as far as endpoints of its pool tell.
+    IfTold,
+    /// It has to tell that it is.
+    Needed,
 }
 
 /// A connection that carries one request after another.
@@ -65,7 +77,7 @@
     Replaced(StartTime),
     /// It doesn't say; endpoints like it didn't either.
     Unknown,
-    /// It doesn't say, though endpoints like it do.
+    /// It doesn't say, though endpoints like it do or it has to.
     Unproved,
 }
 
@@ -79,7 +91,13 @@
 impl Inquiry {
     /// Asks the process at the other end of a connection once. The connection may be closed after
     /// that.
-    pub async fn ask(&self, carrier: &mut Carrier, endpoint: &Endpoint, is_new: bool) -> Verdict {
+    pub async fn ask(
+        &self,
+        carrier: &mut Carrier,
+        endpoint: &Endpoint,
+        confirmation: Confirmation,
+        is_new: bool,
+    ) -> Verdict {
         let Some(listed) = endpoint.id.started else {
             return Verdict::Unknown;
         };
@@ -90,12 +108,13 @@
             true => REPORT_TIME,
             false => IDLE_REPORT_TIME,
         };
+        let is_needed = confirmation == Confirmation::Needed;
         let reading = read_start(&mut carrier.sender, endpoint.address);
         let read = tokio::time::timeout(time.as_duration(), reading).await;
         let verdict = match read {
             Ok(Some(start)) if start == listed => Verdict::Same,
             Ok(Some(start)) => Verdict::Replaced(start),
-            Ok(None) if !self.is_telling(&endpoint.pool) => Verdict::Unknown,
+            Ok(None) if !is_needed && !self.is_telling(&endpoint.pool) => Verdict::Unknown,
             Ok(None) | Err(_) => Verdict::Unproved,
         };
         if matches!(read, Ok(Some(_))) {
--- a/crates/router/src/entry/dispatch.rs
+++ b/crates/router/src/entry/dispatch.rs
@@ -20,7 +20,7 @@
 use super::hedge::{Done, HedgedRequest};
 use super::request::RoutedRequest;
 use super::trace::Trace;
-use crate::endpoints::{Demand, LeasedConnection, PathTaken, SendError, Sent, Taken};
+use crate::endpoints::{Confirmation, Demand, LeasedConnection, PathTaken, SendError, Sent, Taken};
 use crate::guard::GuardedBody;
 use crate::placement::InFlight;
 
@@ -198,10 +198,16 @@
     let wait = plan.deadline().since(now()) + DEADLINE_GRACE;
     let taken = Taken::new(in_flight.sent_marker());
     let connections = &routed.shared.connections;
+    let placement = &routed.shared.placement;
+    // The software version is the one that is listed only if the process is.
+    let process = match plan.build() {
+        None => Confirmation::Unneeded,
+        Some(_) if placement.is_in_doubt(&endpoint.id, now()) => Confirmation::Needed,
+        Some(_) => Confirmation::IfTold,
+    };
     let demand = Demand {
         is_idempotent: plan.is_idempotent(),
-        // Its software version is the one that is listed only if its process is.
-        same_process: plan.build().is_some(),
+        process,
     };
     let sending = connections.send(endpoint, request, demand, &taken);
     let sent = tokio::time::timeout(wait.as_duration(), sending).await;
@@ -210,7 +216,7 @@
         Ok(Ok(sent)) => receive(routed, plan, sent, in_flight, endpoint).await,
         Ok(Err(error)) => {
             if matches!(error, SendError::Replaced(_)) {
-                routed.shared.placement.doubt(&endpoint.id, now());
+                placement.doubt(&endpoint.id, now());
             }
             Err(error.into())
         }
--- a/crates/router/src/entry/handler.rs
+++ b/crates/router/src/entry/handler.rs
@@ -201,7 +201,8 @@
 /// Dispatches a request and answers the caller.
 async fn serve(routed: RoutedRequest, arrived: Millis, mut trace: Trace) -> Answer {
     let wait = routed.call.timeout.unwrap_or(Millis::MAX);
-    let plan = RetryPlan::new(&routed.route, arrived + wait.min(routed.route.timeout));
+    let plan =
+        RetryPlan::new(&routed.route, arrived + wait.min(routed.route.timeout)).with_confirmation();
     let causes = Causes::new(routed.fingerprint, &routed.call, &routed.pool);
     let plan = plan.with_causes(causes);
     let mut plan = plan.with_prompt(PromptSize::of(&routed.call));
--- a/crates/router/src/placement/streams.rs
+++ b/crates/router/src/placement/streams.rs
@@ -21,6 +21,11 @@
         self.untold.notify_one();
     }
 
+    /// Whether another process may have taken an instance's id.
+    pub fn is_in_doubt(&self, id: &InstanceId, now: Millis) -> bool {
+        self.lock().is_in_doubt(id, now)
+    }
+
     /// Ends the doubt about an instance.
     pub fn trust(&self, id: &InstanceId) {
         self.lock().trust(id);
