endpoints: a process that is silent when it is asked for its start isn't given up

The deadline of the request ends the wait now; on an idle connection, which may be dead, it stays at 250 ms. A connection that closes before the report ends is followed by another one, once. Whether endpoints tell their start is remembered by version, not by pool: a release to builds that tell must not refuse those of before. That part has no test of its own.

--- a/crates/daemon/tests/route/left_ids.rs
+++ b/crates/daemon/tests/route/left_ids.rs
@@ -126,3 +126,17 @@
         assert_that!(taken_up.whole, eq(broken.len()), "{taken_up:?}");
     }
 }
+
+/// Guards against refusals where the only endpoint of a version stands still while it is asked.
+#[tokio::test]
+async fn streams_go_on_at_an_endpoint_that_is_silent_when_it_is_asked_for_its_start() {
+    let bench = start_telling(&["v1", "v2"]).await;
+    let begun = begin(&bench, 0).await;
+    let first = &bench.endpoints[0];
+    first.pause(true);
+    let (taken_up, ()) = tokio::join!(finish(&bench, 1, &begun, "again"), async {
+        Bench::pause(1700).await;
+        first.pause(false);
+    });
+    taken_up.assert_all_whole();
+}
--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -234,8 +234,7 @@
                 (Verdict::Replaced(start), _) => return Err(SendError::Replaced(start)),
                 (Verdict::Same | Verdict::Unknown, true) => return Ok((carrier, path_taken)),
                 (Verdict::Unknown, false) => return self.open(endpoint).await,
-                (Verdict::Same, false) => {}
-                (Verdict::Unproved, _) => break,
+                (Verdict::Same, false) | (Verdict::Unproved, _) => {}
             }
         }
         Err(SendError::Unproved)
--- a/crates/router/src/endpoints/process.rs
+++ b/crates/router/src/endpoints/process.rs
@@ -1,7 +1,7 @@
 //! Asks the process at the other end of a connection when it started: another one, maybe of another
 //! software version, may have the endpoint's id before that is listed.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 
@@ -12,14 +12,12 @@
 use http_body_util::{BodyExt, Full};
 use medlarrill_core::clock::Millis;
 use medlarrill_core::ids::PoolId;
-use medlarrill_core::routing::endpoint::{Endpoint, StartTime};
+use medlarrill_core::routing::endpoint::{Build, Endpoint, StartTime};
 use medlarrill_platform::report;
 
 use crate::guard::{GuardedBody, GuardedSender as Sender};
 
-/// Time in which an endpoint reports; a report doesn't wait for its work.
-const REPORT_TIME: Millis = Millis(1000);
-/// The same on an idle connection, which may be dead: a new one is tried after that.
+/// Time for a report on an idle connection, which may be dead: a new one is tried after that.
 const IDLE_REPORT_TIME: Millis = Millis(250);
 /// Maximum size of a report, in bytes: it lists the requests that run.
 const MAX_REPORT: usize = 1 << 20;
@@ -81,11 +79,11 @@
     Unproved,
 }
 
-/// Asks processes, and remembers which pools' endpoints tell when they started.
+/// Asks processes, and remembers of which pools and software versions they tell when they started.
 #[derive(Default)]
 #[derive(Debug)]
 pub struct Inquiry {
-    telling: Mutex<HashSet<PoolId>>,
+    telling: Mutex<HashMap<PoolId, HashSet<Build>>>,
 }
 
 impl Inquiry {
@@ -104,39 +102,40 @@
         if carrier.is_confirmed {
             return Verdict::Same;
         }
-        let time = match is_new {
-            true => REPORT_TIME,
-            false => IDLE_REPORT_TIME,
-        };
         let is_needed = confirmation == Confirmation::Needed;
         let reading = read_start(&mut carrier.sender, endpoint.address);
-        let read = tokio::time::timeout(time.as_duration(), reading).await;
+        let read = match is_new {
+            // A silent endpoint may be sound; the deadline of the request ends this.
+            true => Ok(reading.await),
+            false => tokio::time::timeout(IDLE_REPORT_TIME.as_duration(), reading).await,
+        };
         let verdict = match read {
             Ok(Some(start)) if start == listed => Verdict::Same,
             Ok(Some(start)) => Verdict::Replaced(start),
-            Ok(None) if !is_needed && !self.is_telling(&endpoint.pool) => Verdict::Unknown,
+            Ok(None) if !is_needed && !self.is_telling(endpoint) => Verdict::Unknown,
             Ok(None) | Err(_) => Verdict::Unproved,
         };
-        if matches!(read, Ok(Some(_))) {
-            self.record_telling(&endpoint.pool);
-        }
         carrier.is_confirmed = verdict == Verdict::Same;
+        if carrier.is_confirmed {
+            self.record_telling(endpoint);
+        }
         verdict
     }
 
-    fn is_telling(&self, pool: &PoolId) -> bool {
+    /// Whether endpoints of its pool and software version tell when they started.
+    fn is_telling(&self, endpoint: &Endpoint) -> bool {
         let telling = self.telling.lock();
-        telling
-            .unwrap_or_else(PoisonError::into_inner)
-            .contains(pool)
+        let telling = telling.unwrap_or_else(PoisonError::into_inner);
+        let builds = telling.get(&endpoint.pool);
+        builds.is_some_and(|builds| builds.contains(&endpoint.build))
     }
 
-    fn record_telling(&self, pool: &PoolId) {
-        if !self.is_telling(pool) {
+    fn record_telling(&self, endpoint: &Endpoint) {
+        if !self.is_telling(endpoint) {
             let telling = self.telling.lock();
-            telling
-                .unwrap_or_else(PoisonError::into_inner)
-                .insert(pool.clone());
+            let mut telling = telling.unwrap_or_else(PoisonError::into_inner);
+            let builds = telling.entry(endpoint.pool.clone()).or_default();
+            builds.insert(endpoint.build.clone());
         }
     }
 }
