streams: a silent platform is read once a second by large fleets

Beside it, by the review: whether a fleet is large is looked at before what is known of versions, on the way of each new stream; two tests wait with a limit.

--- a/crates/daemon/tests/route/hushed_daemons.rs
+++ b/crates/daemon/tests/route/hushed_daemons.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use medlarrill_platform_standin::Outage;
+use medlarrill_testkit::wait::until;
 use nix::sys::signal::Signal;
 
 use super::setup::Bench;
@@ -59,9 +60,8 @@
 async fn streams_refused_since_the_list_of_endpoints_is_refused() {
     let mut bench = start(2, &TWO).await;
     let begun = begin(&bench, 0).await;
-    while !bench.store.has("streams", "fleet") {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    let is_kept = async || bench.store.has("streams", "fleet");
+    until("an archive", is_kept).await;
     // The archive is written twice a second.
     tokio::time::sleep(Duration::from_secs(1)).await;
     restart_all(&mut bench).await;
--- a/crates/daemon/tests/route/out_of_step.rs
+++ b/crates/daemon/tests/route/out_of_step.rs
@@ -8,6 +8,7 @@
 use medlarrill_core::routing::streams::{Origin, StreamKey};
 use medlarrill_platform_standin::{Outage, View};
 use medlarrill_testkit::proxy::{Entry, Harm, Proxy};
+use medlarrill_testkit::wait::until;
 use nix::sys::signal::Signal;
 use tokio::net::UdpSocket;
 
@@ -134,9 +135,8 @@
     tokio::time::sleep(SETTLED).await;
     let archive = || bench.store.revision_of("streams", "fleet");
     let written = archive();
-    while archive() == written {
-        Bench::pause(10).await;
-    }
+    let is_written = async || archive() != written;
+    until("an archive", is_written).await;
     for number in 0..20 {
         bench.store.put("other", "object", number.into());
     }
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -33,7 +33,7 @@
 const LARGE_READ_INTERVAL: Millis = Millis(1000);
 /// Time for which the platform holds a call for what has changed.
 const NO_HOLD: Millis = Millis(1);
-/// The same after one that the platform didn't answer.
+/// Time after a read that the platform didn't answer until the next one.
 const UNANSWERED_INTERVAL: Millis = Millis(60);
 /// Name of the object of a small fleet, which has no hubs for each data centre.
 pub(super) const FLEET: &str = "fleet";
@@ -168,7 +168,7 @@
         let read = self.read_all(&mut reader, needs_archive).await;
         reader.is_silent = read.is_err() && now().since(began) >= ANSWER_TIMEOUT;
         reader.next_read = match reader.is_silent {
-            true => now() + UNANSWERED_INTERVAL,
+            true => now() + self.unanswered_interval(),
             false => began + self.read_interval(),
         };
         if let Err(error) = read {
@@ -184,6 +184,15 @@
         }
     }
 
+    /// Time after a read without an answer: a platform that all daemons of a large fleet ask may be
+    /// too busy.
+    fn unanswered_interval(&self) -> Millis {
+        match self.lock().is_large {
+            true => LARGE_READ_INTERVAL,
+            false => UNANSWERED_INTERVAL,
+        }
+    }
+
     /// Reads the archive and the changes side by side, since each answer may take long.
     async fn read_all(&self, reader: &mut Reader, needs_archive: bool) -> Result<()> {
         let called_at = now();
--- a/crates/router/src/streams/confirm.rs
+++ b/crates/router/src/streams/confirm.rs
@@ -1,6 +1,6 @@
 //! Confirms that the platform has a stream whose first event is about to be passed on.
 //!
-//! While several software versions serve, a stream that only this fleet knows is
+//! While several software versions may serve, a stream that only this fleet knows is
 //! lost with the fleet. Its first event waits for the next write of the archive,
 //! for a bounded time.
 
@@ -140,13 +140,11 @@
     /// Expects the confirmation of a stream that is about to be recorded; none where the platform
     /// isn't needed for it, or doesn't answer.
     pub(super) fn expect_kept(&self, key: StreamKey, pool: &PoolId) -> Option<Confirmation<'_>> {
-        if !self.may_have_several(Some(pool)) {
+        let is_large = self.lock().is_large;
+        if is_large || !self.may_have_several(Some(pool)) {
             return None;
         }
         let mut state = self.lock();
-        if state.is_large {
-            return None;
-        }
         let has_writer = state.confirmations.is_writer || state.keeper.is_some();
         state.confirmations.is_noting |= !has_writer;
         let is_own = state.confirmations.is_writer || state.confirmations.is_noting;
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -246,7 +246,7 @@
             self.builds = builds;
             written.at = Some(now());
             self.whole = written;
-            // Nobody waits while one version serves.
+            // Nobody waits for long where one version is certain.
             if self.has_tail() {
                 shared.streams.confirm_written(&unwritten);
             }
