streams: young daemons write no notes while they list one version

Cause: since first events of young daemons wait until the archive was read, those that waited in vain wrote a note beside a daemon that writes the archive and doesn't know of it, so that the note stayed for good.

--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -302,7 +302,7 @@
             confirmations.set_writer(false);
             confirmations.is_noting()
         };
-        let is_needed = is_noting && streams.may_have_several(None);
+        let is_needed = is_noting && shared.placement.has_several_builds(now());
         if !is_needed || streams.is_large_fleet() || recorded(streams) <= self.note.recorded {
             return Ok(());
         }
