--- a/crates/daemon/tests/route/remains.rs
+++ b/crates/daemon/tests/route/remains.rs
@@ -5,6 +5,7 @@
 
 use medlarrill_platform_standin::configuration;
 use medlarrill_testkit::proxy::{Entry, Harm, Proxy};
+use medlarrill_testkit::wait::until;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
@@ -104,9 +105,8 @@
     /// Waits until no daemon's own note of streams is left on the platform.
     async fn until_no_notes(&self) {
         let is_note = |name: &String| name.starts_with("fleet-note-");
-        while self.bench.store.names("streams").iter().any(is_note) {
-            Bench::pause(50).await;
-        }
+        let names = || self.bench.store.names("streams");
+        until("no notes", async || !names().iter().any(is_note)).await;
     }
 
     fn signal(&self, daemon: usize, signal: Signal) {
