watched: one wrapper of streams serves the record of resets, too

A watch may now notice errors of reads and writes, and the end of its stream; the record of resets is such a watch. The wrapper of a caller's stream is read where it is, so that into_inner isn't needed. Behaviour is unchanged.

--- a/crates/router/src/endpoints/connections.rs
+++ b/crates/router/src/endpoints/connections.rs
@@ -20,7 +20,7 @@
 use super::path_taken::{PathTaken, Taken};
 use super::paths::{Connected, Paths};
 use super::process::{Carrier, Confirmation, Demand, Inquiry, Verdict};
-use super::resets::{Recorded, SharedResets};
+use super::resets::{ResetRecorder, SharedResets};
 use super::send_error::{Result, SendError};
 use crate::guard::{GuardedBody, GuardedSender as Sender};
 use crate::tunnel::carried;
@@ -276,7 +276,7 @@
     async fn handshake(&self, connected: Connected, id: &InstanceId) -> Result<Sender> {
         match connected {
             Connected::Direct(stream) => {
-                start_http(Recorded::new(stream, id.clone(), Arc::clone(&self.resets))).await
+                start_http(ResetRecorder::watch(&self.resets, id, stream)).await
             }
             Connected::Tunnel(opened) => start_http(carried(opened.link)).await,
         }
--- a/crates/router/src/endpoints/heard.rs
+++ b/crates/router/src/endpoints/heard.rs
@@ -28,13 +28,13 @@
     }
 
     /// Watches a connection.
-    pub fn watch<S>(&self, stream: S) -> Heard<S> {
+    pub fn watch<S: AsyncRead + Unpin>(&self, stream: S) -> Heard<S> {
         Watched::new(stream, self.clone())
     }
 }
 
-impl Watch for HeardAt {
-    fn poll_read<S: AsyncRead + Unpin>(
+impl<S: AsyncRead + Unpin> Watch<S> for HeardAt {
+    fn poll_read(
         &mut self,
         stream: &mut S,
         context: &mut Context<'_>,
--- a/crates/router/src/entry/server.rs
+++ b/crates/router/src/entry/server.rs
@@ -95,8 +95,9 @@
         }
     };
     if let Err(error) = served {
-        let stream = connection.into_parts().io.into_inner().into_inner();
-        abandon_caller(&stream.into_inner(), &error, ends_by_close.into_inner());
+        let stream = connection.into_parts().io.into_inner();
+        let stream = stream.get_ref().get_ref();
+        abandon_caller(stream, &error, ends_by_close.into_inner());
     }
 }
 
--- a/crates/router/src/entry/unwritten.rs
+++ b/crates/router/src/entry/unwritten.rs
@@ -66,7 +66,7 @@
     }
 }
 
-impl Watch for Arc<Unwritten> {
+impl<S> Watch<S> for Arc<Unwritten> {
     fn record_flush(&self) {
         let written = self.record_written();
         if written > 0 && self.pending.load(Ordering::Relaxed) == 0 {
--- a/crates/router/src/guard.rs
+++ b/crates/router/src/guard.rs
@@ -37,7 +37,7 @@
     }
 
     /// Counts the bytes of the connection's stream.
-    pub const fn watch<S>(self, stream: S) -> Guarded<S> {
+    pub const fn watch<S: AsyncRead + Unpin>(self, stream: S) -> Guarded<S> {
         let counter = ByteCounter {
             guard: self,
             head_due: None,
@@ -105,8 +105,8 @@
     }
 }
 
-impl Watch for ByteCounter {
-    fn poll_read<S: AsyncRead + Unpin>(
+impl<S: AsyncRead + Unpin> Watch<S> for ByteCounter {
+    fn poll_read(
         &mut self,
         stream: &mut S,
         context: &mut Context<'_>,
