--- a/crates/router/src/endpoints/process.rs
+++ b/crates/router/src/endpoints/process.rs
@@ -1,9 +1,9 @@
 //! Asks the process at the other end of a connection when it started: another one, maybe of another
 //! software version, may have the endpoint's id before that is listed.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Debug;
@@ -83,7 +83,7 @@
 #[derive(Default)]
 #[derive(Debug)]
 pub struct Inquiry {
-    telling: Mutex<HashMap<PoolId, HashSet<Build>>>,
+    telling: Mutex<HashSet<(PoolId, Build)>>,
 }
 
 impl Inquiry {
@@ -124,22 +124,22 @@
 
     /// Whether endpoints of its pool and software version tell when they started.
     fn is_telling(&self, endpoint: &Endpoint) -> bool {
-        let telling = self.telling.lock();
-        let telling = telling.unwrap_or_else(PoisonError::into_inner);
-        let builds = telling.get(&endpoint.pool);
-        builds.is_some_and(|builds| builds.contains(&endpoint.build))
+        self.lock().contains(&kind(endpoint))
     }
 
     fn record_telling(&self, endpoint: &Endpoint) {
-        if !self.is_telling(endpoint) {
-            let telling = self.telling.lock();
-            let mut telling = telling.unwrap_or_else(PoisonError::into_inner);
-            let builds = telling.entry(endpoint.pool.clone()).or_default();
-            builds.insert(endpoint.build.clone());
-        }
+        self.lock().insert(kind(endpoint));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashSet<(PoolId, Build)>> {
+        self.telling.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+fn kind(endpoint: &Endpoint) -> (PoolId, Build) {
+    (endpoint.pool.clone(), endpoint.build.clone())
+}
+
 /// When the process started, if it reports that.
 async fn read_start(sender: &mut Sender, address: SocketAddr) -> Option<StartTime> {
     let mut request = Request::new(Full::new(Bytes::new()));
