streams: one interval between reads, one way to what the platform kept

Two functions chose an interval by the same test, three asked for what the archive says in the same two lines, and a time was subtracted by hand where the clock type does it. Behaviour is unchanged.

--- a/crates/router/src/streams.rs
+++ b/crates/router/src/streams.rs
@@ -258,8 +258,7 @@
     /// What the platform kept of the time before. What served since then is missing while the list
     /// may lag behind.
     fn archived_builds(&self) -> Option<BuildEvidence> {
-        let from = self.placement.archive_from();
-        let archived = self.lock().archived.evidence(from, now())?;
+        let archived = self.read_builds()?;
         let is_complete = archived.is_complete && self.has_fresh_list();
         Some(BuildEvidence {
             is_complete,
@@ -270,17 +269,19 @@
     /// The versions to keep on the platform, and whether no other ones may have served lately. That
     /// holds up to the revision that is kept with them, so that the list needn't be fresh.
     fn builds_to_keep(&self) -> BuildEvidence {
-        let from = self.placement.archive_from();
-        let archived = self.lock().archived.evidence(from, now());
-        builds_to_keep(self.seen_builds(), archived)
+        builds_to_keep(self.seen_builds(), self.read_builds())
     }
 
     /// Whether streams of a pool, or of any, may have begun at several versions.
     fn may_have_several(&self, pool: Option<&PoolId>) -> bool {
         let seen = self.placement.build_evidence(now());
+        may_have_several(seen, self.read_builds(), pool.map(PoolHash::from))
+    }
+
+    /// What the platform kept when it was read.
+    fn read_builds(&self) -> Option<BuildEvidence> {
         let from = self.placement.archive_from();
-        let archived = self.lock().archived.evidence(from, now());
-        may_have_several(seen, archived, pool.map(PoolHash::from))
+        self.lock().archived.evidence(from, now())
     }
 
     fn has_fresh_list(&self) -> bool {
--- a/crates/router/src/streams/archive.rs
+++ b/crates/router/src/streams/archive.rs
@@ -167,32 +167,24 @@
         let needs_archive = needs.archive_from.is_some();
         let read = self.read_all(&mut reader, needs_archive).await;
         reader.is_silent = read.is_err() && now().since(began) >= ANSWER_TIMEOUT;
-        reader.next_read = match reader.is_silent {
-            true => now() + self.unanswered_interval(),
-            false => began + self.read_interval(),
-        };
+        // A silent platform may be too busy, so that the wait for it doesn't count.
+        let read_at = if reader.is_silent { now() } else { began };
+        reader.next_read = read_at + self.read_interval(reader.is_silent);
         if let Err(error) = read {
             log::info!(target: "streams", "streams: the platform isn't read: {error}");
         }
         reader.reading(needs)
     }
 
-    fn read_interval(&self) -> Millis {
+    /// Time from a read until the next one.
+    fn read_interval(&self, is_silent: bool) -> Millis {
         match self.lock().is_large {
             true => LARGE_READ_INTERVAL,
+            false if is_silent => UNANSWERED_INTERVAL,
             false => READ_INTERVAL,
         }
     }
 
-    /// Time after a read without an answer: a platform that all daemons of a large fleet ask may be
-    /// too busy.
-    fn unanswered_interval(&self) -> Millis {
-        match self.lock().is_large {
-            true => LARGE_READ_INTERVAL,
-            false => UNANSWERED_INTERVAL,
-        }
-    }
-
     /// Reads the archive and the changes side by side, since each answer may take long.
     async fn read_all(&self, reader: &mut Reader, needs_archive: bool) -> Result<()> {
         let called_at = now();
--- a/crates/router/src/streams/writer.rs
+++ b/crates/router/src/streams/writer.rs
@@ -240,7 +240,7 @@
             true => shared.settings.data_centre.as_str(),
             false => FLEET,
         };
-        let from = Millis(now().0.saturating_sub(KEPT.0));
+        let from = now() - KEPT;
         let (archive, unwritten, mut written) = self.collect(&builds, from);
         if self.write(name, &archive).await? {
             self.builds = builds;
@@ -316,7 +316,7 @@
         };
         let name = format!("{NOTE}{}", shared.settings.daemon);
         let builds = streams.builds_to_keep().recent.into_iter().collect();
-        let from = Millis(now().0.saturating_sub(KEPT.0));
+        let from = now() - KEPT;
         let (archive, unwritten, mut written) = self.collect(&builds, from);
         if self.write(&name, &archive.with_after(revision)).await? {
             written.at = Some(now());
