--- a/crates/lab/src/soak/check/builds.rs
+++ b/crates/lab/src/soak/check/builds.rs
@@ -9,7 +9,7 @@
 use super::{CONTACT, EVENTS, Violation, is_harmed, words};
 
 /// Streams that are taken up from which on their share is judged.
-pub(super) const JUDGED: usize = 12;
+const JUDGED: usize = 12;
 /// Endpoints that a software version must have for its streams to be counted.
 const SERVING: usize = 2;
 /// Time for which it must have had them: daemons learn of new ones late.
@@ -55,13 +55,11 @@
 /// Whether fewer streams go on that callers take up, at one daemon or at all that are in touch, than
 /// may be expected.
 pub fn take_ups(world: &World, calls: &[Sent], daemon: Option<usize>) -> Option<Violation> {
-    let begins = |sent: &Sent| sent.reply.status.is_some_and(|status| status.is_success());
     let is_answered = |sent: &&Sent| !sent.is_left || sent.reply.status.is_some();
     let streams = || {
         let streams = calls.iter().filter(|sent| sent.call.path == STREAM.0);
         streams.filter(is_answered)
     };
-    let is_new = |sent: &&Sent| first_attempt(&sent.call).is_none();
     let new: Vec<bool> = streams().filter(is_new).map(begins).collect();
     let builds: HashMap<&str, String> = streams()
         .filter(is_new)
@@ -77,16 +75,34 @@
         is_here && is_serving && is_in_touch(world, sent)
     };
     let again: Vec<bool> = streams().filter(is_counted).map(begins).collect();
-    let count = |begun: &[bool]| begun.iter().filter(|begins| **begins).count();
-    let (went_on, begun) = (count(&again), count(&new));
-    let is_enough = went_on * 2 * new.len() >= begun * again.len();
-    (again.len() >= JUDGED && !is_enough).then(|| Violation::TakeUps {
+    too_few(count(&again), again.len(), &new)
+}
+
+/// Whether a request begins a stream.
+pub(super) fn is_new(sent: &&Sent) -> bool {
+    first_attempt(&sent.call).is_none()
+}
+
+/// Whether a stream begins, or goes on.
+pub(super) fn begins(sent: &Sent) -> bool {
+    sent.reply.status.is_some_and(|status| status.is_success())
+}
+
+/// Whether fewer than half as many streams went on as may be expected by those that begin.
+pub(super) fn too_few(went_on: usize, taken_up: usize, new: &[bool]) -> Option<Violation> {
+    let begun = count(new);
+    let is_enough = went_on * 2 * new.len() >= begun * taken_up;
+    (taken_up >= JUDGED && !is_enough).then(|| Violation::TakeUps {
         went_on,
-        taken_up: again.len(),
+        taken_up,
         share: begun * 100 / new.len().max(1),
     })
 }
 
+fn count(begun: &[bool]) -> usize {
+    begun.iter().filter(|begins| **begins).count()
+}
+
 /// Whether enough endpoints of a software version served all the while.
 pub(super) fn is_serving(world: &World, build: &str, sent: &Sent) -> bool {
     let from = sent.from - SERVED;
--- a/crates/lab/src/soak/check/losses.rs
+++ b/crates/lab/src/soak/check/losses.rs
@@ -9,7 +9,7 @@
 use super::super::traffic::{STREAM, Sent, events, first_attempt};
 use super::super::world::World;
 use super::Violation;
-use super::builds::{JUDGED, is_serving};
+use super::builds::{begins, is_new, is_serving, too_few};
 
 /// Longest time from the first to the last daemon that is lost at once.
 const AT_ONCE: Duration = Duration::from_millis(250);
@@ -35,26 +35,16 @@
 
 /// Losses after which fewer streams go on than may be expected.
 pub fn forgotten(world: &World, calls: &[Sent]) -> Vec<Violation> {
-    let is_new = |sent: &&Sent| first_attempt(&sent.call).is_none();
     let new: Vec<bool> = answered(calls).filter(is_new).map(begins).collect();
-    let begun = new.iter().filter(|begins| **begins).count();
-    let is_too_few = |again: &TakenUp| {
-        again.count >= JUDGED && again.went_on * 2 * new.len() < begun * again.count
-    };
-    let few = after_losses(world, calls).into_iter().filter(is_too_few);
-    let violation = |again: TakenUp| Violation::TakeUps {
-        went_on: again.went_on,
-        taken_up: again.count,
-        share: begun * 100 / new.len().max(1),
-    };
-    few.map(violation).collect()
+    let again = after_losses(world, calls).into_iter();
+    let violation = |again: TakenUp| too_few(again.went_on, again.count, &new);
+    again.filter_map(violation).collect()
 }
 
 /// The streams that callers took up after each loss: all, and those that had begun just before.
 pub fn after_losses(world: &World, calls: &[Sent]) -> Vec<TakenUp> {
     let losses = losses(world);
     let mut streams: HashMap<&str, Lost> = HashMap::new();
-    let is_new = |sent: &&Sent| first_attempt(&sent.call).is_none();
     for sent in answered(calls).filter(is_new) {
         let lost = losses.iter().find(|at| **at > sent.from);
         let first = events(&sent.reply.body).into_iter().next();
@@ -101,10 +91,6 @@
     streams.filter(|sent| sent.reply.status.is_some())
 }
 
-fn begins(sent: &Sent) -> bool {
-    sent.reply.status.is_some_and(|status| status.is_success())
-}
-
 /// When daemons were lost at once.
 fn losses(world: &World) -> Vec<Instant> {
     let is_loss = |fault: &Fault| matches!(fault, Fault::PowerOff(..));
