--- a/crates/daemon/tests/route/left_ids.rs
+++ b/crates/daemon/tests/route/left_ids.rs
@@ -27,6 +27,14 @@
     }
 }
 
+/// All streams go on at each daemon.
+async fn check_all_go_on(bench: &Bench, begun: &[(String, Part)]) {
+    for daemon in 0..DAEMONS {
+        let taken_up = finish(bench, daemon, begun, &format!("at-{daemon}")).await;
+        taken_up.assert_all_whole();
+    }
+}
+
 /// Streams at the first daemon, amid which so many endpoints are replaced.
 async fn replace_amid(bench: &mut Bench, count: usize) -> Vec<(String, Part)> {
     let reading = read_all(bench);
@@ -59,10 +67,7 @@
     let begun = begin(&bench, 0).await;
     Bench::pause(2500).await;
     replace(&mut bench, 1, "v2").await;
-    for daemon in 0..DAEMONS {
-        let taken_up = finish(&bench, daemon, &begun, &format!("at-{daemon}")).await;
-        taken_up.assert_all_whole();
-    }
+    check_all_go_on(&bench, &begun).await;
 }
 
 /// Guards against an entry that is read later than a lost connection is remembered.
@@ -87,10 +92,7 @@
 async fn streams_go_on_at_endpoints_that_tell_the_start_that_is_listed() {
     let bench = start_telling(&["v1", "v2"]).await;
     let begun = begin(&bench, 0).await;
-    for daemon in 0..DAEMONS {
-        let taken_up = finish(&bench, daemon, &begun, &format!("at-{daemon}")).await;
-        taken_up.assert_all_whole();
-    }
+    check_all_go_on(&bench, &begun).await;
     let asked: u64 = bench.endpoints.iter().map(Endpoint::reports).sum();
     assert_that!(asked, gt(0));
 }
@@ -100,10 +102,7 @@
 async fn streams_go_on_at_endpoints_that_do_not_tell_when_they_started() {
     let bench = start(&["v1", "v2"]).await;
     let begun = begin(&bench, 0).await;
-    for daemon in 0..DAEMONS {
-        let taken_up = finish(&bench, daemon, &begun, &format!("at-{daemon}")).await;
-        taken_up.assert_all_whole();
-    }
+    check_all_go_on(&bench, &begun).await;
 }
 
 /// Guards against refusals where the process of an endpoint that lost connections tells that it lives.
--- a/crates/daemon/tests/route/remains.rs
+++ b/crates/daemon/tests/route/remains.rs
@@ -42,6 +42,16 @@
 }
 
 impl Fleet {
+    /// A fleet whose writer lags while v2 comes and goes; returns the writer, and streams that began at
+    /// another daemon meanwhile.
+    async fn with_lag(lag: Lag) -> (Self, usize, Vec<(String, Part)>) {
+        let mut fleet = Self::start().await;
+        let writer = fleet.writer();
+        fleet.lose_list(writer, lag);
+        let begun = fleet.release_and_withdraw((writer + 1) % DAEMONS).await;
+        (fleet, writer, begun)
+    }
+
     async fn start() -> Self {
         let mut bench = Bench::without_daemon(0).await;
         for id in ["e-0", "e-1"] {
@@ -125,6 +135,14 @@
         begun
     }
 
+    /// Kills all daemons but one, and starts one that knows of it.
+    async fn leave_young(&mut self, left: usize) {
+        for number in (0..DAEMONS).filter(|number| *number != left) {
+            self.signal(number, Signal::SIGKILL);
+        }
+        self.add_young(left).await;
+    }
+
     /// Starts a daemon that knows of another one.
     async fn add_young(&mut self, seed: usize) {
         let path = self.add_path().await;
@@ -138,14 +156,8 @@
 #[tokio::test]
 async fn a_young_daemon_does_not_join_streams_by_an_archive_whose_writer_lags() {
     for lag in LAGS {
-        let mut fleet = Fleet::start().await;
-        let writer = fleet.writer();
-        fleet.lose_list(writer, lag);
-        let begun = fleet.release_and_withdraw((writer + 1) % DAEMONS).await;
-        for number in (0..DAEMONS).filter(|number| *number != writer) {
-            fleet.signal(number, Signal::SIGKILL);
-        }
-        fleet.add_young(writer).await;
+        let (mut fleet, writer, begun) = Fleet::with_lag(lag).await;
+        fleet.leave_young(writer).await;
         let outcome = take_up_at(&fleet.bench, YOUNG, begun).await;
         outcome.assert_none_joined();
         outcome.assert_half_go_on("v1");
@@ -155,14 +167,8 @@
 /// Guards against the same where the writer has stood still, and answers before it has read what waits.
 #[tokio::test]
 async fn a_young_daemon_does_not_join_streams_by_the_word_of_one_that_stood_still() {
-    let mut fleet = Fleet::start().await;
-    let writer = fleet.writer();
-    fleet.lose_list(writer, Lag::Still);
-    let begun = fleet.release_and_withdraw((writer + 1) % DAEMONS).await;
-    for number in (0..DAEMONS).filter(|number| *number != writer) {
-        fleet.signal(number, Signal::SIGKILL);
-    }
-    fleet.add_young(writer).await;
+    let (mut fleet, writer, begun) = Fleet::with_lag(Lag::Still).await;
+    fleet.leave_young(writer).await;
     Bench::pause(3500).await;
     fleet.signal(writer, Signal::SIGCONT);
     let outcome = take_up_at(&fleet.bench, YOUNG, begun).await;
@@ -174,10 +180,7 @@
 #[tokio::test]
 async fn streams_do_not_go_on_by_an_archive_whose_writer_lagged_when_all_daemons_ended() {
     for lag in LAGS {
-        let mut fleet = Fleet::start().await;
-        let writer = fleet.writer();
-        fleet.lose_list(writer, lag);
-        let begun = fleet.release_and_withdraw((writer + 1) % DAEMONS).await;
+        let (mut fleet, _, begun) = Fleet::with_lag(lag).await;
         fleet.bench.daemons.clear();
         power_on(&mut fleet.bench, DAEMONS).await;
         let outcome = take_up_at(&fleet.bench, 1, begun).await;
