--- a/crates/daemon/tests/route/remains.rs
+++ b/crates/daemon/tests/route/remains.rs
@@ -196,7 +196,7 @@
 async fn the_first_streams_of_a_version_do_not_go_on_at_another_one_after_all_daemons_ended() {
     let come = [Come(POOL, "v2"), Come(POOL, "v2")];
     let ended = [BeginAndPowerOff, Leave("v2"), Wait(500), PowerOn];
-    // Nothing is kept of what begins at one version in the first second after a start.
+    // Nothing is kept of what begins at one version in the first moments after a start.
     let rows: [(&[Step], bool); 5] = [
         (&come, true),
         (&[come[0], come[1], Wait(60)], true),
