Review case 9: a client that reads slowly loses its stream beside a planned stop

Cause: TCP_USER_TIMEOUT of 4 s also ends connections whose peers live and keep their windows closed.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,11 +3,13 @@
 
 mod case_memory;
 mod case_order;
+mod case_slow;
 mod case_twice;
 mod client;
 mod fleet;
 mod http;
 mod json;
+mod narrow;
 mod operator;
 mod processes;
 mod record;
@@ -28,6 +30,7 @@
     let verdict = match word {
         Some("order") => case_order::run(Path::new(folder), has_trouble),
         Some("memory") => case_memory::run(Path::new(folder), has_trouble),
+        Some("slow") => case_slow::run(Path::new(folder), has_trouble),
         Some("twice") => case_twice::run(Path::new(folder), has_trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/standins-2/src/replica.rs
+++ b/review/standins-2/src/replica.rs
@@ -14,6 +14,9 @@
 use crate::record::Record;
 use crate::store::HEARTBEAT;
 
+/// What each event of a stream says besides: the sheets' pieces have 60 bytes in the mean and 360 at most.
+const PIECE: &str = "a sentence of the answer that goes on for some hundred bytes, as a piece of a chat may do in the end";
+
 /// What a replica is and how it behaves.
 #[derive(Clone)]
 pub struct Plan {
@@ -379,7 +382,7 @@
         stream.write_all(head.as_bytes())?;
         for event in last + 1..=self.plan.events {
             let text = format!(
-                "id: {event}\ndata: {} {} piece {event}\n\n",
+                "id: {event}\ndata: {} {} piece {event} {PIECE}\n\n",
                 self.plan.version, self.plan.id
             );
             let written = stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
