Review case 10: streams of a killed replica end as complete before their last piece

Cause: an end that nothing marks is passed on with the mark of a complete answer, also where the stream could go on.

--- a/review/standins-2/src/case_memory.rs
+++ b/review/standins-2/src/case_memory.rs
@@ -64,6 +64,7 @@
         extra_each: 0,
         extra_from_ms: 0,
         extra_to_ms: 0,
+        ends_by_close: 0,
     };
     let engines = (1..=6).map(|n| plan("model-pool", n, (1_500, 30)));
     let plain = (1..=3).map(|n| plan("registry", n, (10, 0)));
--- a/review/standins-2/src/case_slow.rs
+++ b/review/standins-2/src/case_slow.rs
@@ -55,6 +55,7 @@
         extra_each: 0,
         extra_from_ms: 0,
         extra_to_ms: 0,
+        ends_by_close: 0,
     };
     let _replicas: Vec<Replica> = (1..=3)
         .map(|n| Replica::start(plan(n), &runs, &record))
--- a/review/standins-2/src/case_twice.rs
+++ b/review/standins-2/src/case_twice.rs
@@ -51,6 +51,7 @@
         extra_each: if has_trouble && n == 1 { EXTRA_EACH } else { 0 },
         extra_from_ms: FAULTY_MS.0,
         extra_to_ms: FAULTY_MS.1,
+        ends_by_close: 0,
     };
     let _replicas: Vec<Replica> = (1..=3)
         .map(|n| Replica::start(plan(n), &runs, &record))
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform, its replicas and clients, and the drivers of the cases 6 to 10.
 //! Only the standard library is used.
 
+mod case_ends;
 mod case_memory;
 mod case_order;
 mod case_slow;
@@ -29,6 +30,7 @@
     let folder = arguments.get(1).map_or(".", String::as_str);
     let verdict = match word {
         Some("order") => case_order::run(Path::new(folder), has_trouble),
+        Some("ends") => case_ends::run(Path::new(folder), has_trouble),
         Some("memory") => case_memory::run(Path::new(folder), has_trouble),
         Some("slow") => case_slow::run(Path::new(folder), has_trouble),
         Some("twice") => case_twice::run(Path::new(folder), has_trouble),
--- a/review/standins-2/src/replica.rs
+++ b/review/standins-2/src/replica.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use crate::http::{Head, read_body, read_head, write_message};
+use crate::http::{Head, bad, read_body, read_head, write_message};
 use crate::json::{Json, number, object, text};
 use crate::processes;
 use crate::record::Record;
@@ -37,6 +37,8 @@
     /// From when to when that is so, in ms since the start of the process.
     pub extra_from_ms: u64,
     pub extra_to_ms: u64,
+    /// Whether streams come with neither chunks nor a length, and end with their connection.
+    pub ends_by_close: u64,
 }
 
 impl Plan {
@@ -55,6 +57,7 @@
             extra_each,
             extra_from_ms,
             extra_to_ms,
+            ends_by_close,
         } = self;
         let texts = [id, service, zone, version].map(Clone::clone);
         let numbers = [
@@ -65,6 +68,7 @@
             extra_each,
             extra_from_ms,
             extra_to_ms,
+            ends_by_close,
         ]
         .map(u64::to_string);
         texts
@@ -90,6 +94,7 @@
             extra_each: number(10),
             extra_from_ms: number(11),
             extra_to_ms: number(12),
+            ends_by_close: number(13),
         }
     }
 }
@@ -374,8 +379,13 @@
         std::thread::sleep(Duration::from_millis(self.plan.work_ms));
         println!("runs {attempt} from event {} ({length} bytes)", last + 1);
         let (seal, value) = self.seal(attempt);
+        let ends_by_close = self.plan.ends_by_close == 1;
+        let framing = match ends_by_close {
+            true => "Connection: close",
+            false => "Transfer-Encoding: chunked",
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n\
              Medlarrill-Attempt-Id: {attempt}\r\n{seal}: {value}\r\nMedlarrill-Replica-Load: {}\r\n\r\n",
             self.load()
         );
@@ -385,15 +395,21 @@
                 "id: {event}\ndata: {} {} piece {event} {PIECE}\n\n",
                 self.plan.version, self.plan.id
             );
-            let written = stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+            let bytes = match ends_by_close {
+                true => text,
+                false => format!("{:x}\r\n{text}\r\n", text.len()),
+            };
+            let written = stream.write_all(bytes.as_bytes());
             if let Err(error) = written {
                 println!("stops {attempt} at event {event}: {error}");
                 return Err(error);
             }
             std::thread::sleep(Duration::from_millis(self.plan.gap_ms));
         }
-        stream.write_all(b"0\r\n\r\n")?;
         println!("ends {attempt}");
-        Ok(())
+        match ends_by_close {
+            true => Err(bad("the end of the connection ends the answer")),
+            false => stream.write_all(b"0\r\n\r\n"),
+        }
     }
 }
